Add the design, the message definitions and the process skeleton

Cause: the project starts. The design page fixes roles, messages, state and owners, so that the parts can be built side by side.

One thread per peer for sending was ruled out: an owner has hundreds of peers, a control leader thousands, so all sending runs on one event loop.

Conclusion: base for the whole path.

--- /dev/null
+++ b/idl/agatedrum.thrift
@@ -0,0 +1,189 @@
+// Messages between agatedrum processes. Every message travels one way, inside an Envelope, over Peer.deliver.
+// Durations are in the unit that the field's name ends with. Unset numbers are zero.
+
+namespace cpp agatedrum.wire
+
+enum Role { ENTRY = 1, OWNER = 2, AGENT = 3, CONTROL = 4, TOOL = 5 }
+
+// What is known about one task.
+enum Outcome {
+  PENDING = 0,   // not decided yet
+  FINISHED = 1,  // ran, backend server answered with success
+  FAILED = 2,    // ran, backend server answered with an error
+  NOT_RUN = 3,   // certainly did not run and never will
+  STOPPED = 4,   // cancelled while it ran
+  UNKNOWN = 5    // may have run
+}
+
+enum RefusalCode {
+  NONE = 0, INVALID = 1, UNKNOWN_SERVICE = 2, UNKNOWN_TEAM = 3, CONFLICT = 4, QUEUE_FULL = 5, QUOTA = 6, DEADLINE = 7,
+  NEVER_RUNNABLE = 8, NO_OWNER = 9, RECORD_UNAVAILABLE = 10, TOO_OLD = 11, ANSWER_DROPPED = 12, LEASE_LOST = 13,
+  STOPPING = 14, NOT_FOUND = 15, LEDGER_FULL = 16, CANCELLED = 17
+}
+
+struct ProcessId { 1: string name; 2: i64 incarnation; }
+struct Endpoint { 1: string host; 2: i32 port; }
+
+struct JobKey { 1: string caller; 2: string submission; }
+
+struct TaskSpec { 1: string id; 2: binary body; 3: i64 declaredMicros; }
+
+struct JobSpec {
+  1: JobKey key;
+  2: string team;
+  3: string serviceName;
+  4: list<TaskSpec> tasks;
+  5: i64 submittedAtMs;   // caller's wall clock, repeated in a resubmission
+  6: i64 deadlineMs;      // time left when sent; 0 for none
+  7: bool idempotent;
+  8: i64 digest;          // over everything that a resubmission must repeat
+}
+
+struct TaskResult {
+  1: i32 index;
+  2: Outcome outcome;
+  3: i32 status;          // HTTP status of the backend server, 0 if none
+  4: binary body;
+  5: i64 runMicros;       // time from start to answer at the agent
+  6: string server;       // backend server that ran it
+}
+
+struct Refusal {
+  1: RefusalCode code;
+  2: string message;
+  3: bool notRun;         // true: nothing ran and nothing will
+  4: i64 retryAfterMs;
+}
+
+// One of: refusal set, or done with results, or not done (status only).
+struct JobAnswer {
+  1: JobKey key;
+  2: optional Refusal refusal;
+  3: bool done;
+  4: bool complete;       // every task FINISHED
+  5: list<TaskResult> results;
+}
+
+struct TaskRef { 1: JobKey key; 2: i32 index; }
+
+// entry -> owner
+struct SubmitJob { 1: i64 requestId; 2: i32 cell; 3: i64 epoch; 4: JobSpec spec; }
+struct CancelJob { 1: i64 requestId; 2: i32 cell; 3: JobKey key; }
+struct QueryJob { 1: i64 requestId; 2: i32 cell; 3: JobKey key; }
+// owner -> entry
+struct JobReply { 1: i64 requestId; 2: JobAnswer answer; }
+struct NotOwner { 1: i64 requestId; 2: i32 cell; 3: i64 epoch; }
+
+// owner -> holder
+struct RecordOp {
+  1: JobKey key;
+  2: optional JobSpec accepted;
+  3: list<TaskResult> results;
+  4: bool cancelled;
+  5: bool forgotten;
+  6: i64 acceptedAtMs;    // owner's wall clock
+  7: i64 ageMicros;       // time since the owner accepted the job
+}
+struct RecordBatch { 1: i32 cell; 2: i64 epoch; 3: i64 sequence; 4: list<RecordOp> ops; }
+struct RecordSnapshot {
+  1: i32 cell; 2: i64 epoch; 3: i64 sequence; 4: i32 part; 5: i32 parts; 6: list<RecordOp> ops; 7: i64 floorMs;
+}
+// holder -> owner. sequence: everything up to it is applied.
+struct RecordAck { 1: i32 cell; 2: i64 epoch; 3: i64 sequence; 4: bool whole; }
+
+// owner -> agent
+struct StartTask { 1: TaskRef ref; 2: string taskId; 3: binary body; 4: i64 deadlineMs; 5: i64 sequence; }
+struct StartBatch { 1: i32 cell; 2: i64 epoch; 3: i64 agentIncarnation; 4: list<StartTask> starts; }
+struct CancelBatch { 1: i32 cell; 2: i64 epoch; 3: list<TaskRef> refs; }
+struct ResultAck { 1: i32 cell; 2: i64 epoch; 3: list<TaskRef> refs; }
+// Raises the agent's epoch, and its last start sequence to barrier; asks for AgentState.
+struct Fence { 1: i32 cell; 2: i64 epoch; 3: i64 barrier; }
+
+struct ServerInfo {
+  1: string serviceName; 2: i32 slots; 3: i32 connections; 4: bool leaving; 5: bool backendUp;
+  6: double usage;        // last usage report of the worker, 0 to 1; negative if none
+}
+// agent -> owner
+struct AgentHello {
+  1: i32 cell; 2: i64 epoch; 3: ServerInfo server; 4: i64 lastSequence; 5: i32 running; 6: i32 unacknowledged;
+}
+struct AgentResult { 1: JobKey key; 2: TaskResult result; }
+struct ResultBatch { 1: i32 cell; 2: list<AgentResult> results; }
+struct StartRefused { 1: i32 cell; 2: i64 epoch; 3: list<TaskRef> refs; 4: string reason; }
+struct AgentTask { 1: TaskRef ref; 2: bool running; 3: TaskResult result; }
+struct AgentState { 1: i32 cell; 2: i64 epoch; 3: i64 barrier; 4: list<AgentTask> tasks; 5: ServerInfo server;
+  6: i64 uptimeMicros;     // age of this incarnation of the agent
+}
+
+// any -> control. sentAtMicros is echoed, so the sender can count its lease from when it sent.
+struct CellReport { 1: i32 cell; 2: i64 epoch; 3: bool owned; 4: bool whole; 5: list<string> wholeHolders; }
+struct MemberHeartbeat {
+  1: Role role; 2: string failureDomain; 3: Endpoint address; 4: i64 sentAtMicros; 5: i64 configNumber;
+  6: i64 viewVersion; 7: list<CellReport> cells; 8: bool leaving; 9: optional ServerInfo server;
+}
+struct HeartbeatReply { 1: i64 sentAtMicros; 2: bool accepted; 3: string leader; 4: i64 viewVersion; 5: i64 term; }
+
+struct MemberRef { 1: ProcessId id; 2: Endpoint address; 3: string failureDomain; }
+struct CellView {
+  1: i32 cell; 2: string serviceName; 3: i64 epoch; 4: optional MemberRef owner; 5: list<MemberRef> holders;
+  6: list<MemberRef> agents;  // only in the view of the cell's owner and holders
+  7: i64 floorMs;             // submissions older than this are refused as unknown
+}
+struct ConfigFile { 1: i64 number; 2: string digest; 3: string text; 4: string author; 5: i64 acceptedAtMs; }
+struct ClusterView { 1: i64 version; 2: ConfigFile config; 3: list<CellView> cells; 4: i64 term; }
+
+// entry or tool -> control
+struct ApplyConfig { 1: i64 requestId; 2: string text; 3: string author; 4: bool dryRun; }
+struct ApplyReply {
+  1: i64 requestId; 2: bool accepted; 3: string code; 4: string message; 5: ConfigFile inForce; 6: list<string> lagging;
+}
+// Asks what the control group knows: kind is "members", "cells", "history" or "acknowledged".
+struct ControlQuery { 1: i64 requestId; 2: string kind; 3: string argument; }
+struct ControlAnswer { 1: i64 requestId; 2: bool ok; 3: string json; }
+
+// control <-> control
+struct LogEntry { 1: i64 index; 2: i64 term; 3: binary command; }
+struct RequestVote { 1: i64 term; 2: i64 lastIndex; 3: i64 lastTerm; 4: bool preVote; }
+struct VoteReply { 1: i64 term; 2: bool granted; 3: bool preVote; }
+struct AppendEntries {
+  1: i64 term; 2: i64 prevIndex; 3: i64 prevTerm; 4: list<LogEntry> entries; 5: i64 commitIndex; 6: i64 round;
+}
+struct AppendReply { 1: i64 term; 2: bool ok; 3: i64 matchIndex; 4: i64 round; }
+struct InstallSnapshot {
+  1: i64 term; 2: i64 lastIndex; 3: i64 lastTerm; 4: binary data; 5: list<string> voters; 6: list<string> learners;
+}
+struct InstallReply { 1: i64 term; 2: i64 lastIndex; }
+struct TimeoutNow { 1: i64 term; }
+
+// Commands in the control group's log.
+struct SetConfig { 1: ConfigFile file; }
+struct MemberJoin {
+  1: ProcessId id; 2: Role role; 3: Endpoint address; 4: string failureDomain; 5: optional ServerInfo server;
+}
+struct MemberGone { 1: ProcessId id; 2: bool planned; }
+struct MemberLeaving { 1: ProcessId id; }
+struct HolderWhole { 1: i32 cell; 2: i64 epoch; 3: string holder; }
+struct HandOver { 1: i32 cell; 2: i64 epoch; 3: string previousOwner; }
+struct SetVoters { 1: list<string> voters; 2: list<string> learners; }
+union Command {
+  1: SetConfig setConfig; 2: MemberJoin memberJoin; 3: MemberGone memberGone; 4: MemberLeaving memberLeaving;
+  5: HolderWhole holderWhole; 6: HandOver handOver; 7: SetVoters setVoters; 8: bool noop;
+}
+
+union Message {
+  1: SubmitJob submitJob; 2: CancelJob cancelJob; 3: QueryJob queryJob; 4: JobReply jobReply; 5: NotOwner notOwner;
+  10: RecordBatch recordBatch; 11: RecordSnapshot recordSnapshot; 12: RecordAck recordAck;
+  20: StartBatch startBatch; 21: CancelBatch cancelBatch; 22: ResultAck resultAck; 23: Fence fence;
+  24: AgentHello agentHello; 25: ResultBatch resultBatch; 26: StartRefused startRefused; 27: AgentState agentState;
+  30: MemberHeartbeat memberHeartbeat; 31: HeartbeatReply heartbeatReply; 32: ClusterView clusterView;
+  33: ApplyConfig applyConfig; 34: ApplyReply applyReply; 35: ControlQuery controlQuery;
+  36: ControlAnswer controlAnswer;
+  40: RequestVote requestVote; 41: VoteReply voteReply; 42: AppendEntries appendEntries; 43: AppendReply appendReply;
+  44: InstallSnapshot installSnapshot; 45: InstallReply installReply; 46: TimeoutNow timeoutNow;
+}
+
+struct Envelope {
+  1: ProcessId sender; 2: Role role; 3: Endpoint address; 4: i64 configNumber; 5: list<Message> messages;
+}
+
+service Peer { oneway void deliver(1: Envelope envelope) }
--- /dev/null
+++ b/include/agatedrum/config.h
@@ -0,0 +1,108 @@
+#pragma once
+
+/// Overridable constants of agatedrum. Define any of them before this header to change it.
+
+/// Largest request body that an entry takes, in bytes.
+#ifndef AGATEDRUM_MAX_BODY_BYTES
+#define AGATEDRUM_MAX_BODY_BYTES (4UL * 1024 * 1024)
+#endif
+
+/// Most tasks in one job.
+#ifndef AGATEDRUM_MAX_TASKS_PER_JOB
+#define AGATEDRUM_MAX_TASKS_PER_JOB 230
+#endif
+
+/// Most tasks that wait in the queue of one cell.
+#ifndef AGATEDRUM_MAX_QUEUED_TASKS
+#define AGATEDRUM_MAX_QUEUED_TASKS 100000
+#endif
+
+/// Most job keys in the ledger of one cell.
+#ifndef AGATEDRUM_MAX_LEDGER_KEYS
+#define AGATEDRUM_MAX_LEDGER_KEYS 2000000
+#endif
+
+/// Bytes of answers that the ledger of one cell keeps.
+#ifndef AGATEDRUM_LEDGER_BYTES
+#define AGATEDRUM_LEDGER_BYTES (256LL * 1024 * 1024)
+#endif
+
+/// Bytes that may wait for one peer before messages to it are dropped.
+#ifndef AGATEDRUM_PEER_QUEUE_BYTES
+#define AGATEDRUM_PEER_QUEUE_BYTES (64LL * 1024 * 1024)
+#endif
+
+/// Age in milliseconds at which a message that still waits for a peer is dropped.
+#ifndef AGATEDRUM_PEER_QUEUE_AGE_MS
+#define AGATEDRUM_PEER_QUEUE_AGE_MS 2000
+#endif
+
+/// Largest frame between processes, in bytes.
+#ifndef AGATEDRUM_MAX_FRAME_BYTES
+#define AGATEDRUM_MAX_FRAME_BYTES (128UL * 1024 * 1024)
+#endif
+
+/// Interval of member heartbeats of owners, in milliseconds.
+#ifndef AGATEDRUM_OWNER_HEARTBEAT_MS
+#define AGATEDRUM_OWNER_HEARTBEAT_MS 200
+#endif
+
+/// Interval of member heartbeats of entries and agents, in milliseconds.
+#ifndef AGATEDRUM_MEMBER_HEARTBEAT_MS
+#define AGATEDRUM_MEMBER_HEARTBEAT_MS 500
+#endif
+
+/// Time after sending an answered heartbeat for which an owner may act, in milliseconds.
+#ifndef AGATEDRUM_OWNER_LEASE_MS
+#define AGATEDRUM_OWNER_LEASE_MS 1000
+#endif
+
+/// Time without a heartbeat after which control moves the cells of an owner, in milliseconds. Above the lease.
+#ifndef AGATEDRUM_MEMBER_DEAD_MS
+#define AGATEDRUM_MEMBER_DEAD_MS 1500
+#endif
+
+/// Time for which control lists a silent agent among those of its cell, in milliseconds. Above AGENT_LOST.
+#ifndef AGATEDRUM_AGENT_FORGET_MS
+#define AGATEDRUM_AGENT_FORGET_MS 30000
+#endif
+
+/// Interval of an agent's hello to its owner, in milliseconds.
+#ifndef AGATEDRUM_AGENT_HELLO_MS
+#define AGATEDRUM_AGENT_HELLO_MS 250
+#endif
+
+/// Time without a hello after which an owner starts nothing at an agent, in milliseconds.
+#ifndef AGATEDRUM_AGENT_SILENT_MS
+#define AGATEDRUM_AGENT_SILENT_MS 1000
+#endif
+
+/// Time without a hello after which the tasks at an agent count as unknown, in milliseconds.
+#ifndef AGATEDRUM_AGENT_LOST_MS
+#define AGATEDRUM_AGENT_LOST_MS 5000
+#endif
+
+/// Time for which a job waits for enough copies of its record, in milliseconds.
+#ifndef AGATEDRUM_RECORD_TIMEOUT_MS
+#define AGATEDRUM_RECORD_TIMEOUT_MS 5000
+#endif
+
+/// Time for which a new owner waits for the agents' states, in milliseconds.
+#ifndef AGATEDRUM_FENCE_TIMEOUT_MS
+#define AGATEDRUM_FENCE_TIMEOUT_MS 5000
+#endif
+
+/// Age up to which a submission is told from an earlier one, in milliseconds.
+#ifndef AGATEDRUM_SUBMISSION_WINDOW_MS
+#define AGATEDRUM_SUBMISSION_WINDOW_MS 600000
+#endif
+
+/// Time for which the answer of a finished job is kept, in milliseconds.
+#ifndef AGATEDRUM_ANSWER_RETENTION_MS
+#define AGATEDRUM_ANSWER_RETENTION_MS 60000
+#endif
+
+/// How far a submission's time may lie ahead of the owner's clock, in milliseconds.
+#ifndef AGATEDRUM_MAX_CLOCK_SKEW_MS
+#define AGATEDRUM_MAX_CLOCK_SKEW_MS 5000
+#endif
--- /dev/null
+++ b/src/base_clock.cpp
@@ -0,0 +1,28 @@
+#include "base_clock_p.h"
+
+#include <ctime>
+
+namespace agatedrum {
+
+namespace {
+
+Micros readClock(clockid_t id)
+{
+    timespec spec {};
+    clock_gettime(id, &spec);
+    return std::chrono::seconds(spec.tv_sec) + Micros(spec.tv_nsec / 1000);
+}
+
+} // namespace
+
+Time SystemClock::now() const
+{
+    return Time(readClock(CLOCK_BOOTTIME));
+}
+
+std::int64_t SystemClock::wallMs() const
+{
+    return readClock(CLOCK_REALTIME).count() / 1000;
+}
+
+} // namespace agatedrum
--- /dev/null
+++ b/src/config_cluster_p.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "agatedrum/config.h"
+#include "agatedrum/result.h"
+#include "base_clock_p.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+namespace agatedrum {
+
+/// One service and how its jobs are handled.
+struct ServiceConfig
+{
+    std::string name;
+    int cells = 1;
+    int recordCopies = 2; ///< processes that hold a job's record before its first start, the owner included
+    std::string order = "leastWork"; ///< leastWork or firstCome
+    std::string placement = "fastestFree"; ///< fastestFree, random, roundRobin, leastLoaded or twoProbes
+    Millis maxTaskTime {30000}; ///< a task that runs longer is stopped; its outcome is unknown
+    int maxQueuedTasks = AGATEDRUM_MAX_QUEUED_TASKS; ///< per cell
+    double maxEjectedShare = 0.3; ///< share of a cell's backend servers that may be ejected at once
+
+    auto tied() const
+    {
+        return std::tie(this->name, this->cells, this->recordCopies, this->order, this->placement, this->maxTaskTime,
+                        this->maxQueuedTasks, this->maxEjectedShare);
+    }
+    friend bool operator==(const ServiceConfig &a, const ServiceConfig &b)
+    {
+        return a.tied() == b.tied();
+    }
+};
+
+/// One team and its quotas.
+struct TeamConfig
+{
+    std::string name;
+    double weight = 1.0; ///< share of capacity against other teams
+    double maxTasksPerSecond = 0; ///< 0 for no limit
+    int maxTasksInFlight = 0; ///< started and not finished, per cell; 0 for no limit
+    int maxQueuedTasks = 0; ///< per cell; 0 for no limit of its own
+
+    auto tied() const
+    {
+        return std::tie(this->name, this->weight, this->maxTasksPerSecond, this->maxTasksInFlight,
+                        this->maxQueuedTasks);
+    }
+    friend bool operator==(const TeamConfig &a, const TeamConfig &b)
+    {
+        return a.tied() == b.tied();
+    }
+};
+
+/// What an operator sets for one backend server. Backend servers that are not listed run with what they announce.
+struct BackendServerConfig
+{
+    std::string name;
+    bool isDrained = false; ///< gets no new work
+    int maxSlots = 0; ///< 0 for what it announces
+
+    auto tied() const
+    {
+        return std::tie(this->name, this->isDrained, this->maxSlots);
+    }
+    friend bool operator==(const BackendServerConfig &a, const BackendServerConfig &b)
+    {
+        return a.tied() == b.tied();
+    }
+};
+
+/// A whole configuration file. Immutable once parsed.
+struct ClusterConfig
+{
+    std::int64_t number = 0;
+    std::vector<ServiceConfig> services;
+    std::vector<TeamConfig> teams;
+    std::vector<BackendServerConfig> backendServers;
+
+    const ServiceConfig *service(std::string_view name) const;
+    const TeamConfig *team(std::string_view name) const;
+    const BackendServerConfig *backendServer(std::string_view name) const;
+
+    auto tied() const
+    {
+        return std::tie(this->number, this->services, this->teams, this->backendServers);
+    }
+    friend bool operator==(const ClusterConfig &a, const ClusterConfig &b)
+    {
+        return a.tied() == b.tied();
+    }
+};
+
+/// One fault of a YAML file.
+struct YamlFault
+{
+    int line = 0; ///< from 1
+    std::string key;
+    std::string message; ///< what is wrong and what would be accepted
+};
+
+/// Everything that is wrong with a file.
+struct ConfigError
+{
+    std::vector<YamlFault> faults;
+    /// One line a fault: "line 3: services[0].cells: ...".
+    std::string text() const;
+};
+
+/// Parses and checks a whole file. The last line must be the YAML document end marker "...", so that a file read half
+/// way is refused. Thread-safe.
+Result<ClusterConfig, ConfigError> parseConfig(const std::string &text);
+
+/// Checks that a change from one accepted configuration to the next is allowed: a service keeps its number of cells.
+Result<Done, ConfigError> checkChange(const ClusterConfig &inForce, const ClusterConfig &next);
+
+/// Hexadecimal XXH3-128 of the file's bytes.
+std::string configDigest(const std::string &text);
+
+/// One line for each difference, for people: "+ service x", "~ team y: weight 1 -> 2".
+std::vector<std::string> diffConfigs(const ClusterConfig &before, const ClusterConfig &after);
+
+} // namespace agatedrum
--- /dev/null
+++ b/src/member_link.cpp
@@ -0,0 +1,156 @@
+#include "member_link_p.h"
+
+#include "agatedrum/config.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace agatedrum {
+
+MemberLink::MemberLink(MessageSinkI &sink, const ClockI &clock, MemberOptions options)
+    : sink(sink)
+    , clock(clock)
+    , options(std::move(options))
+{
+}
+
+std::int64_t MemberLink::nowMicros() const
+{
+    return this->clock.now().time_since_epoch().count();
+}
+
+void MemberLink::tick(const MemberReport &report)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto now = this->clock.now();
+    if (now < this->nextHeartbeat) {
+        return;
+    }
+    // A control process that left a heartbeat unanswered for an interval may be down: the next one is tried.
+    if (this->isWaiting && now - this->unansweredSince >= this->options.interval) {
+        this->current = (this->current + 1) % this->options.control.size();
+        this->unansweredSince = now;
+    }
+    if (!this->isWaiting) {
+        this->isWaiting = true;
+        this->unansweredSince = now;
+    }
+    this->nextHeartbeat = now + this->options.interval;
+
+    wire::MemberHeartbeat heartbeat;
+    heartbeat.role = this->options.role;
+    heartbeat.failureDomain = this->options.failureDomain;
+    heartbeat.address = this->options.address;
+    heartbeat.sentAtMicros = this->nowMicros();
+    heartbeat.configNumber = this->newest ? this->newest->config.number : 0;
+    heartbeat.viewVersion = this->newest ? this->newest->version : 0;
+    heartbeat.cells = report.cells;
+    heartbeat.leaving = report.isLeaving;
+    if (report.server) {
+        heartbeat.__set_server(*report.server);
+    }
+    this->sink.send(this->options.control[this->current].address, std::move(heartbeat));
+}
+
+void MemberLink::hurry()
+{
+    const std::lock_guard lock(this->mutex);
+    this->nextHeartbeat = Time {};
+}
+
+bool MemberLink::handle(const Incoming &incoming)
+{
+    this->noteConfigNumber(incoming.configNumber);
+    if (const auto *reply = std::get_if<wire::HeartbeatReply>(&incoming.payload)) {
+        this->handleReply(*reply, incoming.sender.name);
+        return true;
+    }
+    if (const auto *view = std::get_if<wire::ClusterView>(&incoming.payload)) {
+        this->handleView(*view);
+        return true;
+    }
+    return false;
+}
+
+void MemberLink::handleReply(const wire::HeartbeatReply &reply, const std::string &sender)
+{
+    const std::lock_guard lock(this->mutex);
+    this->isWaiting = false;
+    const auto &leader = reply.accepted ? sender : reply.leader;
+    const auto found = std::find_if(this->options.control.begin(), this->options.control.end(),
+                                    [&leader](const ControlPeer &peer) { return peer.name == leader; });
+    const auto previous = this->current;
+    if (found != this->options.control.end()) {
+        this->current = static_cast<std::size_t>(found - this->options.control.begin());
+    } else {
+        this->current = (this->current + 1) % this->options.control.size();
+    }
+    if (!reply.accepted) {
+        if (this->current != previous && found != this->options.control.end()) {
+            this->nextHeartbeat = Time {};
+        }
+        return;
+    }
+    const Time until = Time(Micros(reply.sentAtMicros)) + Millis(AGATEDRUM_OWNER_LEASE_MS);
+    if (!this->leaseUntil || until > *this->leaseUntil) {
+        this->leaseUntil = until;
+    }
+}
+
+void MemberLink::handleView(const wire::ClusterView &view)
+{
+    const std::lock_guard lock(this->mutex);
+    // A view that is older, or whose configuration is, never replaces a newer one.
+    if (this->newest && (view.version <= this->newest->version || view.config.number < this->newest->config.number)) {
+        return;
+    }
+    this->newest = view;
+    this->highestConfigHeard = std::max(this->highestConfigHeard, view.config.number);
+}
+
+void MemberLink::noteConfigNumber(std::int64_t number)
+{
+    const std::lock_guard lock(this->mutex);
+    if (number > this->highestConfigHeard) {
+        this->highestConfigHeard = number;
+        this->nextHeartbeat = Time {};
+    }
+}
+
+bool MemberLink::hasLease() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->leaseUntil && this->clock.now() < *this->leaseUntil;
+}
+
+bool MemberLink::hasView() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->newest.has_value();
+}
+
+wire::ClusterView MemberLink::view() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->newest.value_or(wire::ClusterView());
+}
+
+std::int64_t MemberLink::viewVersion() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->newest ? this->newest->version : 0;
+}
+
+std::int64_t MemberLink::configNumber() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->newest ? this->newest->config.number : 0;
+}
+
+wire::Endpoint MemberLink::controlAddress() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->options.control[this->current].address;
+}
+
+} // namespace agatedrum
--- /dev/null
+++ b/src/wire_message.cpp
@@ -0,0 +1,94 @@
+#include "wire_message_p.h"
+
+#include <optional>
+#include <utility>
+
+namespace agatedrum {
+
+namespace {
+
+/// Calls visit(member, flag) for each member of the union, in the order of Payload's alternatives.
+template<typename Message, typename Visitor>
+void forEachMember(Message &message, Visitor &&visit)
+{
+#define AGATEDRUM_MEMBER(name)                                                                                         \
+    visit(                                                                                                             \
+        message.name, [&message] { return static_cast<bool>(message.__isset.name); },                                  \
+        [&message] { message.__isset.name = true; })
+    AGATEDRUM_MEMBER(submitJob);
+    AGATEDRUM_MEMBER(cancelJob);
+    AGATEDRUM_MEMBER(queryJob);
+    AGATEDRUM_MEMBER(jobReply);
+    AGATEDRUM_MEMBER(notOwner);
+    AGATEDRUM_MEMBER(recordBatch);
+    AGATEDRUM_MEMBER(recordSnapshot);
+    AGATEDRUM_MEMBER(recordAck);
+    AGATEDRUM_MEMBER(startBatch);
+    AGATEDRUM_MEMBER(cancelBatch);
+    AGATEDRUM_MEMBER(resultAck);
+    AGATEDRUM_MEMBER(fence);
+    AGATEDRUM_MEMBER(agentHello);
+    AGATEDRUM_MEMBER(resultBatch);
+    AGATEDRUM_MEMBER(startRefused);
+    AGATEDRUM_MEMBER(agentState);
+    AGATEDRUM_MEMBER(memberHeartbeat);
+    AGATEDRUM_MEMBER(heartbeatReply);
+    AGATEDRUM_MEMBER(clusterView);
+    AGATEDRUM_MEMBER(applyConfig);
+    AGATEDRUM_MEMBER(applyReply);
+    AGATEDRUM_MEMBER(controlQuery);
+    AGATEDRUM_MEMBER(controlAnswer);
+    AGATEDRUM_MEMBER(requestVote);
+    AGATEDRUM_MEMBER(voteReply);
+    AGATEDRUM_MEMBER(appendEntries);
+    AGATEDRUM_MEMBER(appendReply);
+    AGATEDRUM_MEMBER(installSnapshot);
+    AGATEDRUM_MEMBER(installReply);
+    AGATEDRUM_MEMBER(timeoutNow);
+#undef AGATEDRUM_MEMBER
+}
+
+std::optional<Payload> takePayload(wire::Message &message)
+{
+    std::optional<Payload> payload;
+    forEachMember(message, [&payload](auto &member, auto isSet, auto) {
+        if (isSet()) {
+            payload = std::move(member);
+        }
+    });
+    return payload;
+}
+
+} // namespace
+
+wire::Message toMessage(Payload &&payload)
+{
+    wire::Message message;
+    std::visit(
+        [&message](auto &alternative) {
+            using Alternative = std::decay_t<decltype(alternative)>;
+            forEachMember(message, [&alternative](auto &member, auto, auto set) {
+                if constexpr (std::is_same_v<std::decay_t<decltype(member)>, Alternative>) {
+                    member = std::move(alternative);
+                    set();
+                }
+            });
+        },
+        payload);
+    return message;
+}
+
+std::vector<Incoming> fromEnvelope(wire::Envelope &&envelope)
+{
+    std::vector<Incoming> incoming;
+    incoming.reserve(envelope.messages.size());
+    for (auto &message : envelope.messages) {
+        if (auto payload = takePayload(message)) {
+            incoming.push_back(
+                {envelope.sender, envelope.role, envelope.address, envelope.configNumber, std::move(*payload)});
+        }
+    }
+    return incoming;
+}
+
+} // namespace agatedrum
--- /dev/null
+++ b/src/wire_message_p.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "agatedrum_types.h"
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+namespace agatedrum {
+
+/// One message between processes. Alternatives are the members of wire::Message.
+using Payload
+    = std::variant<wire::SubmitJob, wire::CancelJob, wire::QueryJob, wire::JobReply, wire::NotOwner, wire::RecordBatch,
+                   wire::RecordSnapshot, wire::RecordAck, wire::StartBatch, wire::CancelBatch, wire::ResultAck,
+                   wire::Fence, wire::AgentHello, wire::ResultBatch, wire::StartRefused, wire::AgentState,
+                   wire::MemberHeartbeat, wire::HeartbeatReply, wire::ClusterView, wire::ApplyConfig, wire::ApplyReply,
+                   wire::ControlQuery, wire::ControlAnswer, wire::RequestVote, wire::VoteReply, wire::AppendEntries,
+                   wire::AppendReply, wire::InstallSnapshot, wire::InstallReply, wire::TimeoutNow>;
+
+/// A received message with what its envelope says of the sender.
+struct Incoming
+{
+    wire::ProcessId sender;
+    wire::Role::type role = wire::Role::TOOL;
+    wire::Endpoint address;
+    std::int64_t configNumber = 0;
+    Payload payload;
+};
+
+/// Sends messages. Implementations are thread-safe and never block; a message may be lost, late, repeated or reordered.
+struct MessageSinkI
+{
+    virtual ~MessageSinkI() = default;
+    /// @param to where the receiving process listens.
+    virtual void send(const wire::Endpoint &to, Payload payload) = 0;
+};
+
+/// Turns a payload into the union that travels.
+wire::Message toMessage(Payload &&payload);
+
+/// Splits an envelope. Messages of a kind that this version does not know are left out.
+std::vector<Incoming> fromEnvelope(wire::Envelope &&envelope);
+
+} // namespace agatedrum
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tools/install-packages.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Installs the Debian packages of packages.txt that are missing. Needs root when any is missing.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+missing=()
+while read -r package; do
+    dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
+done < packages.txt
+[ ${#missing[@]} -eq 0 ] && exit 0
+echo "Installing: ${missing[*]}"
+apt-get update -q >/dev/null
+DEBIAN_FRONTEND=noninteractive apt-get install -y --no-install-recommends "${missing[@]}" >/dev/null
