Add the task id to TaskResult

Cause: an entry that answers a query does not hold the job and so knows only task numbers. Ruled out: keeping specs at the entry, which is state that dies with it. Change: field taskId, set by the owner. Conclusion: answers can name tasks as the caller did.

--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -46,6 +46,7 @@
   4: binary body;
   5: i64 runMicros;       // time from start to answer at the agent
   6: string server;       // backend server that ran it
+  7: string taskId;       // set by the owner
 }
 
 struct Refusal {
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -963,6 +963,10 @@
 void TaskResult::__set_server(const std::string& val) {
   this->server = val;
 }
+
+void TaskResult::__set_taskId(const std::string& val) {
+  this->taskId = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskResult& obj)
 {
   obj.printTo(out);
@@ -1041,6 +1045,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->taskId);
+          this->__isset.taskId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1082,6 +1094,10 @@
   xfer += oprot->writeString(this->server);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("taskId", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->taskId);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1095,6 +1111,7 @@
   swap(a.body, b.body);
   swap(a.runMicros, b.runMicros);
   swap(a.server, b.server);
+  swap(a.taskId, b.taskId);
   swap(a.__isset, b.__isset);
 }
 
@@ -1105,6 +1122,7 @@
   body = other27.body;
   runMicros = other27.runMicros;
   server = other27.server;
+  taskId = other27.taskId;
   __isset = other27.__isset;
 }
 TaskResult::TaskResult(TaskResult&& other28) noexcept {
@@ -1114,6 +1132,7 @@
   body = std::move(other28.body);
   runMicros = other28.runMicros;
   server = std::move(other28.server);
+  taskId = std::move(other28.taskId);
   __isset = other28.__isset;
 }
 TaskResult& TaskResult::operator=(const TaskResult& other29) {
@@ -1123,6 +1142,7 @@
   body = other29.body;
   runMicros = other29.runMicros;
   server = other29.server;
+  taskId = other29.taskId;
   __isset = other29.__isset;
   return *this;
 }
@@ -1133,6 +1153,7 @@
   body = std::move(other30.body);
   runMicros = other30.runMicros;
   server = std::move(other30.server);
+  taskId = std::move(other30.taskId);
   __isset = other30.__isset;
   return *this;
 }
@@ -1145,6 +1166,7 @@
   out << ", " << "body=" << to_string(body);
   out << ", " << "runMicros=" << to_string(runMicros);
   out << ", " << "server=" << to_string(server);
+  out << ", " << "taskId=" << to_string(taskId);
   out << ")";
 }
 
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -509,13 +509,14 @@
 std::ostream& operator<<(std::ostream& out, const JobSpec& obj);
 
 typedef struct _TaskResult__isset {
-  _TaskResult__isset() : index(false), outcome(false), status(false), body(false), runMicros(false), server(false) {}
+  _TaskResult__isset() : index(false), outcome(false), status(false), body(false), runMicros(false), server(false), taskId(false) {}
   bool index :1;
   bool outcome :1;
   bool status :1;
   bool body :1;
   bool runMicros :1;
   bool server :1;
+  bool taskId :1;
 } _TaskResult__isset;
 
 class TaskResult : public virtual ::apache::thrift::TBase {
@@ -531,7 +532,8 @@
                status(0),
                body(),
                runMicros(0),
-               server() {
+               server(),
+               taskId() {
   }
 
   virtual ~TaskResult() noexcept;
@@ -545,6 +547,7 @@
   std::string body;
   int64_t runMicros;
   std::string server;
+  std::string taskId;
 
   _TaskResult__isset __isset;
 
@@ -560,6 +563,8 @@
 
   void __set_server(const std::string& val);
 
+  void __set_taskId(const std::string& val);
+
   bool operator == (const TaskResult & rhs) const
   {
     if (!(index == rhs.index))
@@ -574,6 +579,8 @@
       return false;
     if (!(server == rhs.server))
       return false;
+    if (!(taskId == rhs.taskId))
+      return false;
     return true;
   }
   bool operator != (const TaskResult &rhs) const {
