--- a/src/config_cluster_p.h
+++ b/src/config_cluster_p.h
@@ -3,6 +3,7 @@
 #include "agatedrum/config.h"
 #include "agatedrum/result.h"
 #include "base_clock_p.h"
+#include "base_yaml_p.h"
 
 #include <cstdint>
 #include <string>
@@ -94,14 +95,6 @@
     }
 };
 
-/// One fault of a YAML file.
-struct YamlFault
-{
-    int line = 0; ///< from 1
-    std::string key;
-    std::string message; ///< what is wrong and what would be accepted
-};
-
 /// Everything that is wrong with a file.
 struct ConfigError
 {
