--- /dev/null
+++ b/src/daemon_process_p.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "base_core_p.h"
+#include "http_server_p.h"
+#include "settings_process_p.h"
+#include "wire_bus_p.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace agatedrum {
+
+/// Builds the core of one role and adds its HTTP routes. Implementations own everything that the core needs.
+struct RoleI
+{
+    virtual ~RoleI() = default;
+    virtual CoreI &core() = 0;
+    virtual void addRoutes(HttpServer &server) = 0;
+    /// Starts threads of the role's own. Called after the bus listens.
+    virtual void start() = 0;
+    /// Work that an exit now would cut, for the report at a forced stop.
+    virtual std::string openWork() const = 0;
+};
+
+/// Builds the role of the settings. Throws std::runtime_error when its state cannot be read.
+/// Precondition: sink and clock outlive the role.
+std::unique_ptr<RoleI> makeRole(const ProcessSettings &settings, const wire::ProcessId &self, MessageSinkI &sink,
+                                const ClockI &clock);
+
+/// One running process of the daemon: bus, core, HTTP server and the loop that ticks the core.
+class DaemonProcess
+{
+public:
+    /// Throws std::runtime_error when the role's state cannot be read.
+    explicit DaemonProcess(ProcessSettings settings);
+    ~DaemonProcess();
+    DaemonProcess(const DaemonProcess &) = delete;
+    DaemonProcess &operator=(const DaemonProcess &) = delete;
+
+    /// Runs until a graceful stop has ended. SIGTERM or SIGINT begins the stop; a second one, or the time limit, ends
+    /// it. Precondition: both signals are blocked in all threads. Throws std::runtime_error when an address cannot be
+    /// bound.
+    /// @return exit code: 0 for a stop that cut nothing, 3 otherwise.
+    int run();
+
+private:
+    void start();
+    int stop();
+
+    ProcessSettings settings;
+    SystemClock clock;
+    wire::ProcessId self;
+    std::atomic<CoreI *> running {nullptr};
+    std::unique_ptr<PeerBus> bus;
+    std::unique_ptr<RoleI> role;
+    std::unique_ptr<HttpServer> http;
+};
+
+} // namespace agatedrum
