--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -144,33 +144,70 @@
 
 // control <-> control
 struct LogEntry { 1: i64 index; 2: i64 term; 3: binary command; }
-struct RequestVote { 1: i64 term; 2: i64 lastIndex; 3: i64 lastTerm; 4: bool preVote; }
-struct VoteReply { 1: i64 term; 2: bool granted; 3: bool preVote; }
+// member: identity of the sender's disk; group: identity that formed the group, empty on a fresh disk.
+struct RequestVote {
+  1: i64 term; 2: i64 lastIndex; 3: i64 lastTerm; 4: bool preVote; 5: string member; 6: string group;
+  7: bool transfer;           // the leader asked for this election
+}
+struct VoteReply {
+  1: i64 term; 2: bool granted; 3: bool preVote; 4: string member; 5: string group;
+  6: bool fresh;              // the disk holds no term, vote or entry
+}
 struct AppendEntries {
   1: i64 term; 2: i64 prevIndex; 3: i64 prevTerm; 4: list<LogEntry> entries; 5: i64 commitIndex; 6: i64 round;
+  7: string member; 8: string group;
+}
+struct AppendReply {
+  1: i64 term; 2: bool ok; 3: i64 matchIndex; 4: i64 round; 5: string member; 6: string group;
 }
-struct AppendReply { 1: i64 term; 2: bool ok; 3: i64 matchIndex; 4: i64 round; }
 struct InstallSnapshot {
   1: i64 term; 2: i64 lastIndex; 3: i64 lastTerm; 4: binary data; 5: list<string> voters; 6: list<string> learners;
+  7: string member; 8: string group; 9: i64 round;
 }
-struct InstallReply { 1: i64 term; 2: i64 lastIndex; }
+struct InstallReply { 1: i64 term; 2: i64 lastIndex; 3: string member; 4: string group; 5: i64 round; }
 struct TimeoutNow { 1: i64 term; }
 
 // Commands in the control group's log.
 struct SetConfig { 1: ConfigFile file; }
 struct MemberJoin {
   1: ProcessId id; 2: Role role; 3: Endpoint address; 4: string failureDomain; 5: optional ServerInfo server;
+  6: i64 atMs;                // leader's wall clock, here and below
 }
-struct MemberGone { 1: ProcessId id; 2: bool planned; }
+struct MemberGone { 1: ProcessId id; 2: bool planned; 3: i64 atMs; }
 struct MemberLeaving { 1: ProcessId id; }
-struct HolderWhole { 1: i32 cell; 2: i64 epoch; 3: string holder; }
-struct HandOver { 1: i32 cell; 2: i64 epoch; 3: string previousOwner; }
+struct HolderWhole {
+  1: i32 cell; 2: i64 epoch; 3: string holder;
+  4: i64 viewVersion;         // of the owner when it reported
+}
+struct HandOver { 1: i32 cell; 2: i64 epoch; 3: string previousOwner; 4: i64 atMs; }
 struct SetVoters { 1: list<string> voters; 2: list<string> learners; }
 union Command {
   1: SetConfig setConfig; 2: MemberJoin memberJoin; 3: MemberGone memberGone; 4: MemberLeaving memberLeaving;
   5: HolderWhole holderWhole; 6: HandOver handOver; 7: SetVoters setVoters; 8: bool noop;
 }
 
+// The control group's state on disk.
+struct HardState { 1: string member; 2: string group; 3: i64 term; 4: string vote; }
+struct LogRecord { 1: optional HardState state; 2: i64 truncateFrom; 3: list<LogEntry> entries; }
+struct LogFrame { 1: list<LogRecord> records; }
+struct SnapshotFile {
+  1: i64 lastIndex; 2: i64 lastTerm; 3: list<string> voters; 4: list<string> learners; 5: binary data;
+}
+struct HolderRecord { 1: string name; 2: i64 since; 3: bool whole; }
+struct CellRecord {
+  1: i32 cell; 2: string serviceName; 3: i64 epoch; 4: string owner; 5: list<HolderRecord> holders; 6: i64 floorMs;
+  7: i64 routeVersion; 8: i64 agentsVersion;
+}
+struct MemberRecord {
+  1: ProcessId id; 2: Role role; 3: Endpoint address; 4: string failureDomain; 5: string serviceName; 6: i32 cell;
+  7: bool leaving; 8: i64 version;
+  9: i64 leaseVersion;        // an owner gets no lease before it has this view
+}
+struct ControlImage {
+  1: list<ConfigFile> history; 2: list<MemberRecord> members; 3: list<CellRecord> cells; 4: i32 nextCell;
+  5: i64 configVersion; 6: i64 routesVersion;
+}
+
 union Message {
   1: SubmitJob submitJob; 2: CancelJob cancelJob; 3: QueryJob queryJob; 4: JobReply jobReply; 5: NotOwner notOwner;
   10: RecordBatch recordBatch; 11: RecordSnapshot recordSnapshot; 12: RecordAck recordAck;
--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -106,3 +106,13 @@
 #ifndef AGATEDRUM_MAX_CLOCK_SKEW_MS
 #define AGATEDRUM_MAX_CLOCK_SKEW_MS 5000
 #endif
+
+/// Entries of the control group's log after which a snapshot replaces them.
+#ifndef AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES
+#define AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES 4096
+#endif
+
+/// Silence after which a member that reported leaving is taken off the list, in milliseconds.
+#ifndef AGATEDRUM_LEAVING_SILENT_MS
+#define AGATEDRUM_LEAVING_SILENT_MS 3000
+#endif
--- /dev/null
+++ b/src/control_core.cpp
@@ -0,0 +1,310 @@
+#include "control_core_p.h"
+
+#include "agatedrum/config.h"
+#include "base_log_p.h"
+#include "control_codec_p.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace agatedrum {
+
+namespace {
+
+ControlLogOptions logOptions(const ControlOptions &options)
+{
+    std::random_device device;
+    ControlLogOptions result;
+    result.name = options.self.name;
+    for (const auto &peer : options.group) {
+        result.group.push_back(peer.name);
+    }
+    result.seed = options.seed != 0 ? options.seed : (static_cast<std::uint64_t>(device()) << 32U) | device();
+    result.freshMember = memberIdentity(result.name, result.seed);
+    return result;
+}
+
+} // namespace
+
+ControlCore::ControlCore(MessageSinkI &sink, const ClockI &clock, ControlStoreI &store, ControlOptions options)
+    : sink(sink)
+    , clock(clock)
+    , store(store)
+    , options(std::move(options))
+    , members(
+          this->machine, clock, [this](const wire::Command &command) { return this->propose(command); },
+          [this](const wire::Endpoint &to, wire::ClusterView view) {
+              view.term = this->log.term();
+              this->sink.send(to, std::move(view));
+          })
+    , log(logOptions(this->options), store.load(), clock.now())
+{
+    this->drain();
+    this->store.setListener([this] {
+        const std::lock_guard lock(this->mutex);
+        this->drain();
+    });
+}
+
+ControlCore::~ControlCore()
+{
+    this->store.setListener({});
+}
+
+void ControlCore::handle(const Incoming &incoming)
+{
+    const std::lock_guard lock(this->mutex);
+    if (const auto *heartbeat = std::get_if<wire::MemberHeartbeat>(&incoming.payload)) {
+        this->handleHeartbeat(incoming, *heartbeat);
+    } else if (const auto *request = std::get_if<wire::ApplyConfig>(&incoming.payload)) {
+        this->handleApply(incoming, *request);
+    } else if (const auto *query = std::get_if<wire::ControlQuery>(&incoming.payload)) {
+        this->handleQuery(incoming, *query);
+    } else if (this->peerAddress(incoming.sender.name)) {
+        this->log.handle(incoming.sender.name, incoming.payload, this->clock.now());
+    }
+    this->drain();
+}
+
+void ControlCore::tick()
+{
+    const std::lock_guard lock(this->mutex);
+    this->log.tick(this->clock.now());
+    this->drain();
+    if (this->ledTerm != 0) {
+        this->members.tick(this->log.hasLease(this->clock.now()));
+        this->drain();
+    }
+}
+
+// Members and operators.
+
+void ControlCore::handleHeartbeat(const Incoming &incoming, const wire::MemberHeartbeat &heartbeat)
+{
+    wire::HeartbeatReply reply;
+    reply.sentAtMicros = heartbeat.sentAtMicros;
+    const auto hasLease = this->log.hasLease(this->clock.now());
+    const bool isMember = heartbeat.role != wire::Role::CONTROL && heartbeat.role != wire::Role::TOOL;
+    if (this->ledTerm != 0 && isMember) {
+        reply = this->members.handleHeartbeat(incoming, heartbeat, hasLease);
+    }
+    reply.term = this->log.term();
+    // A leader that lost its lease may be cut off: the member should ask another one.
+    reply.leader = this->log.isLeader() && !hasLease ? std::string() : this->log.leaderName();
+    this->sink.send(heartbeat.address, std::move(reply));
+}
+
+void ControlCore::handleApply(const Incoming &incoming, const wire::ApplyConfig &request)
+{
+    if (!this->log.hasLease(this->clock.now())) {
+        const auto leader = this->log.isLeader() ? std::string() : this->log.leaderName();
+        this->reply(incoming.address, request.requestId,
+                    leader.empty() ? ConfigVerdict {false, "unavailable", "the control group has no leader now"}
+                                   : ConfigVerdict {false, "not-leader", leader});
+        return;
+    }
+    wire::ConfigFile file;
+    file.text = request.text;
+    file.author = request.author;
+    file.digest = configDigest(request.text);
+    file.acceptedAtMs = this->clock.wallMs();
+    const auto parsed = parseConfig(request.text);
+    if (!isOk(parsed)) {
+        this->reply(incoming.address, request.requestId, {false, "invalid", error(parsed).text()});
+        return;
+    }
+    file.number = value(parsed).number;
+    auto verdict = this->machine.judge(file);
+    if (!verdict.isAccepted || request.dryRun || file.number == this->machine.file().number) {
+        for (const auto &line : diffConfigs(this->machine.config(), value(parsed))) {
+            verdict.message += request.dryRun && verdict.isAccepted ? "\n" + line : std::string();
+        }
+        this->reply(incoming.address, request.requestId, verdict);
+        return;
+    }
+    if (!this->store.hasRoom(request.text.size()) || this->store.status().isFull) {
+        this->reply(incoming.address, request.requestId,
+                    {false, "unavailable", "the leader's disk is full; nothing was changed"});
+        return;
+    }
+    wire::SetConfig set;
+    set.file = std::move(file);
+    const auto digest = set.file.digest;
+    wire::Command command;
+    command.__set_setConfig(set);
+    if (const auto index = this->propose(command)) {
+        this->pendingApplies[*index] = {request.requestId, incoming.address, digest};
+    }
+}
+
+void ControlCore::reply(const wire::Endpoint &to, std::int64_t requestId, const ConfigVerdict &verdict)
+{
+    wire::ApplyReply reply;
+    reply.requestId = requestId;
+    reply.accepted = verdict.isAccepted;
+    reply.code = verdict.code;
+    reply.message = verdict.message;
+    reply.inForce = this->machine.file();
+    if (this->ledTerm != 0) {
+        reply.lagging = this->members.lagging(reply.inForce.number);
+    }
+    this->sink.send(to, std::move(reply));
+}
+
+void ControlCore::handleQuery(const Incoming &incoming, const wire::ControlQuery &query)
+{
+    wire::ControlAnswer result;
+    result.requestId = query.requestId;
+    result.json = this->answer(query, result.ok).dump();
+    this->sink.send(incoming.address, std::move(result));
+}
+
+// Log.
+
+std::optional<std::int64_t> ControlCore::propose(const wire::Command &command)
+{
+    return this->log.propose(encodeCompact(command), this->clock.now());
+}
+
+void ControlCore::drain()
+{
+    // Before entries are applied: after a change of leader, an awaited index may hold another entry.
+    this->noteLeadership();
+    while (this->drainOnce()) {
+    }
+    this->noteLeadership();
+    this->compactWhenDue();
+}
+
+bool ControlCore::drainOnce()
+{
+    auto output = this->log.take();
+    for (auto &write : output.writes) {
+        this->store.submit(std::move(write));
+    }
+    for (auto &message : output.messages) {
+        if (const auto *address = this->peerAddress(message.to)) {
+            this->sink.send(*address, std::move(message.payload));
+        }
+    }
+    if (output.restored) {
+        this->machine.restore(decodeCompact<wire::ControlImage>(output.restored->data).value_or(wire::ControlImage()));
+    }
+    for (const auto &entry : output.committed) {
+        this->applyEntry(entry);
+    }
+    if (!output.committed.empty() && this->ledTerm != 0) {
+        this->members.pushViews();
+    }
+    const auto written = this->store.status().written;
+    if (written > this->writtenSequence) {
+        this->writtenSequence = written;
+        this->log.written(written, this->clock.now());
+        return true;
+    }
+    return !output.committed.empty() || !output.writes.empty();
+}
+
+void ControlCore::applyEntry(const wire::LogEntry &entry)
+{
+    const auto command = decodeCompact<wire::Command>(entry.command);
+    std::optional<ConfigVerdict> verdict;
+    if (command) {
+        verdict = this->machine.apply(entry.index, *command);
+    }
+    this->members.applied(entry.index);
+    const auto pending = this->pendingApplies.find(entry.index);
+    if (pending != this->pendingApplies.end()) {
+        // While this process leads without a break, the entry at the index is the one that it proposed.
+        this->reply(pending->second.address, pending->second.requestId,
+                    verdict.value_or(ConfigVerdict {false, "unavailable", "the outcome is unknown; send it again"}));
+        this->pendingApplies.erase(pending);
+    }
+}
+
+void ControlCore::noteLeadership()
+{
+    const auto term = this->log.isLeader() ? this->log.term() : 0;
+    if (term == this->ledTerm) {
+        return;
+    }
+    for (const auto &[index, pending] : std::exchange(this->pendingApplies, {})) {
+        this->reply(pending.address, pending.requestId,
+                    {false, "unavailable", "the leader changed; the outcome is unknown; send it again"});
+    }
+    this->ledTerm = term;
+    this->members.reset();
+}
+
+void ControlCore::compactWhenDue()
+{
+    const auto applied = this->log.commitIndex();
+    if (applied - this->log.snapshotIndex() >= AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES) {
+        this->log.compact(applied, encodeCompact(this->machine.image()));
+        this->drainOnce();
+    }
+}
+
+const wire::Endpoint *ControlCore::peerAddress(const std::string &name) const
+{
+    const auto found = std::find_if(this->options.group.begin(), this->options.group.end(),
+                                    [&name](const ControlPeer &peer) { return peer.name == name; });
+    return found == this->options.group.end() ? nullptr : &found->address;
+}
+
+// CoreI.
+
+bool ControlCore::isReady() const
+{
+    const std::lock_guard lock(this->mutex);
+    return !this->isStopping && this->store.status().failure.empty() && !this->log.leaderName().empty()
+        && (!this->log.isLeader() || this->log.hasLease(this->clock.now()));
+}
+
+void ControlCore::beginStop()
+{
+    const std::lock_guard lock(this->mutex);
+    this->isStopping = true;
+    this->log.retire();
+    this->log.transferLeadership(this->clock.now());
+    this->drain();
+}
+
+bool ControlCore::isDrained() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->isStopping && (!this->log.isLeader() || this->log.voters().size() == 1);
+}
+
+std::int64_t ControlCore::configNumber() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->machine.file().number;
+}
+
+bool ControlCore::isLeader() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->log.hasLease(this->clock.now());
+}
+
+std::int64_t ControlCore::term() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->log.term();
+}
+
+std::int64_t ControlCore::commitIndex() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->log.commitIndex();
+}
+
+ControlState ControlCore::state() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->machine;
+}
+
+} // namespace agatedrum
--- /dev/null
+++ b/src/control_query.cpp
@@ -0,0 +1,156 @@
+#include "control_core_p.h"
+
+#include <fmt/format.h>
+
+// Answers to ControlQuery, and the state dump.
+
+namespace agatedrum {
+
+namespace {
+
+const char *roleName(wire::Role::type role)
+{
+    switch (role) {
+    case wire::Role::ENTRY:
+        return "entry";
+    case wire::Role::OWNER:
+        return "owner";
+    case wire::Role::AGENT:
+        return "agent";
+    case wire::Role::CONTROL:
+        return "control";
+    case wire::Role::TOOL:
+        break;
+    }
+    return "tool";
+}
+
+/// [{"name", "incarnation", "role", "address", "failureDomain", "service", "cell", "leaving", "silentMs",
+/// "configNumber"}]; service and cell only for agents, silentMs null when this leader never heard the member.
+nlohmann::json describeMembers(const ControlState &state, const ControlMembers &members)
+{
+    auto list = nlohmann::json::array();
+    for (const auto &[name, member] : state.members()) {
+        nlohmann::json entry = {{"name", name},
+                                {"incarnation", member.id.incarnation},
+                                {"role", roleName(member.role)},
+                                {"address", fmt::format("{}:{}", member.address.host, member.address.port)},
+                                {"failureDomain", member.failureDomain},
+                                {"leaving", member.leaving},
+                                {"silentMs", nullptr},
+                                {"configNumber", members.configNumber(name)}};
+        if (const auto silence = members.silence(name)) {
+            entry["silentMs"] = silence->count() / 1000;
+        }
+        if (member.role == wire::Role::AGENT) {
+            entry["service"] = member.serviceName;
+            entry["cell"] = member.cell;
+        }
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
+/// [{"cell", "service", "epoch", "owner", "floorMs", "holders": [{"name", "whole"}], "agents": [name]}]
+nlohmann::json describeCells(const ControlState &state)
+{
+    auto list = nlohmann::json::array();
+    for (const auto &[number, cell] : state.cells()) {
+        auto holders = nlohmann::json::array();
+        for (const auto &holder : cell.record.holders) {
+            holders.push_back({{"name", holder.name}, {"whole", holder.whole}});
+        }
+        list.push_back({{"cell", number},
+                        {"service", cell.record.serviceName},
+                        {"epoch", cell.record.epoch},
+                        {"owner", cell.record.owner},
+                        {"floorMs", cell.record.floorMs},
+                        {"holders", std::move(holders)},
+                        {"agents", cell.agents}});
+    }
+    return list;
+}
+
+nlohmann::json describeFile(const wire::ConfigFile &file)
+{
+    return {
+        {"number", file.number}, {"digest", file.digest}, {"author", file.author}, {"acceptedAtMs", file.acceptedAtMs}};
+}
+
+/// [{"number", "digest", "author", "acceptedAtMs"}], oldest first.
+nlohmann::json describeHistory(const ControlState &state)
+{
+    auto list = nlohmann::json::array();
+    for (const auto &file : state.history()) {
+        list.push_back(describeFile(file));
+    }
+    return list;
+}
+
+/// {"number", "digest", "author", "acceptedAtMs", "text"}; the newest file for an empty argument. Null when the file
+/// is not known or its text is no longer kept.
+nlohmann::json describeConfig(const ControlState &state, const std::string &argument)
+{
+    for (auto file = state.history().rbegin(); file != state.history().rend(); ++file) {
+        if ((argument.empty() || std::to_string(file->number) == argument) && !file->text.empty()) {
+            auto description = describeFile(*file);
+            description["text"] = file->text;
+            return description;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+nlohmann::json ControlCore::answer(const wire::ControlQuery &query, bool &isOk) const
+{
+    isOk = false;
+    if (!this->log.hasLease(this->clock.now())) {
+        return {{"error", "not-leader"}, {"leader", this->log.isLeader() ? std::string() : this->log.leaderName()}};
+    }
+    isOk = true;
+    if (query.kind == "members") {
+        return describeMembers(this->machine, this->members);
+    }
+    if (query.kind == "cells") {
+        return describeCells(this->machine);
+    }
+    if (query.kind == "history") {
+        return describeHistory(this->machine);
+    }
+    if (query.kind == "acknowledged") {
+        // {"number", "lagging": [name]}
+        const auto number = this->machine.file().number;
+        return {{"number", number}, {"lagging", this->members.lagging(number)}};
+    }
+    if (query.kind == "config") {
+        auto config = describeConfig(this->machine, query.argument);
+        isOk = !config.is_null();
+        return isOk ? config : nlohmann::json {{"error", "no such configuration, or its text is no longer kept"}};
+    }
+    isOk = false;
+    return {{"error", fmt::format("unknown kind {}: members, cells, history, acknowledged or config", query.kind)}};
+}
+
+nlohmann::json ControlCore::dump() const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto store = this->store.status();
+    return {{"member", this->log.member()},
+            {"term", this->log.term()},
+            {"leader", this->log.leaderName()},
+            {"lease", this->log.hasLease(this->clock.now())},
+            {"commitIndex", this->log.commitIndex()},
+            {"lastIndex", this->log.lastIndex()},
+            {"snapshotIndex", this->log.snapshotIndex()},
+            {"voters", this->log.voters()},
+            {"learners", this->log.learners()},
+            {"diskFull", store.isFull},
+            {"diskFailure", store.failure},
+            {"configNumber", this->machine.file().number},
+            {"members", describeMembers(this->machine, this->members)},
+            {"cells", describeCells(this->machine)}};
+}
+
+} // namespace agatedrum
--- /dev/null
+++ b/src/control_state.cpp
@@ -0,0 +1,387 @@
+#include "control_state_p.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <ctime>
+#include <utility>
+
+namespace agatedrum {
+
+namespace {
+
+/// Accepted files that are listed, and those of them whose text is kept.
+constexpr std::size_t historyLength = 256;
+constexpr std::size_t historyTexts = 16;
+constexpr std::int32_t noCell = -1;
+
+const wire::ConfigFile noFile;
+
+std::string describe(const wire::ConfigFile &file)
+{
+    const auto seconds = static_cast<std::time_t>(file.acceptedAtMs / 1000);
+    return fmt::format("configuration {} of {} (digest {}), accepted {:%Y-%m-%dT%H:%M:%SZ}", file.number, file.author,
+                       file.digest, fmt::gmtime(seconds));
+}
+
+} // namespace
+
+std::optional<ConfigVerdict> ControlState::apply(std::int64_t index, const wire::Command &command)
+{
+    if (command.__isset.setConfig) {
+        return this->setConfig(index, command.setConfig.file);
+    }
+    if (command.__isset.memberJoin) {
+        this->join(index, command.memberJoin);
+    } else if (command.__isset.memberGone) {
+        this->gone(index, command.memberGone);
+    } else if (command.__isset.memberLeaving) {
+        this->leaving(index, command.memberLeaving);
+    } else if (command.__isset.holderWhole) {
+        this->holderWhole(index, command.holderWhole);
+    } else if (command.__isset.handOver) {
+        this->handOver(index, command.handOver);
+    }
+    return std::nullopt;
+}
+
+// Configuration.
+
+ConfigVerdict ControlState::judge(const wire::ConfigFile &file) const
+{
+    const auto &current = this->file();
+    if (file.number == current.number && current.number != 0) {
+        return file.digest == current.digest
+            ? ConfigVerdict {true, "accepted", fmt::format("{} is in force", describe(current))}
+            : ConfigVerdict {
+                false, "conflict",
+                fmt::format("number {} is taken by {}; use a higher number", file.number, describe(current))};
+    }
+    if (file.number < current.number) {
+        return {false, "lower-number",
+                fmt::format("number {} is lower than that of {}", file.number, describe(current))};
+    }
+    const auto next = parseConfig(file.text);
+    if (!isOk(next)) {
+        return {false, "invalid", error(next).text()};
+    }
+    const auto change = checkChange(this->parsed, value(next));
+    if (!isOk(change)) {
+        return {false, "invalid", error(change).text()};
+    }
+    return {true, "accepted", fmt::format("configuration {} accepted", file.number)};
+}
+
+ConfigVerdict ControlState::setConfig(std::int64_t index, const wire::ConfigFile &file)
+{
+    auto verdict = this->judge(file);
+    if (!verdict.isAccepted || file.number == this->file().number) {
+        return verdict;
+    }
+    this->parsed = takeValue(parseConfig(file.text));
+    this->files.push_back(file);
+    if (this->files.size() > historyLength) {
+        this->files.erase(this->files.begin());
+    }
+    if (this->files.size() > historyTexts) {
+        this->files[this->files.size() - historyTexts - 1].text.clear();
+    }
+    this->configVersion = index;
+    this->createCells(index);
+    for (auto &[name, member] : this->memberRecords) {
+        if (member.role == wire::Role::AGENT && member.cell == noCell) {
+            this->placeAgent(index, member);
+        }
+    }
+    this->settle(index, file.acceptedAtMs);
+    return verdict;
+}
+
+void ControlState::createCells(std::int64_t index)
+{
+    std::set<std::string> present;
+    for (auto cell = this->cellRecords.begin(); cell != this->cellRecords.end();) {
+        const auto &service = cell->second.record.serviceName;
+        if (this->parsed.service(service)) {
+            present.insert(service);
+            ++cell;
+            continue;
+        }
+        for (const auto &agent : cell->second.agents) {
+            this->memberRecords.at(agent).cell = noCell;
+            this->memberRecords.at(agent).version = index;
+        }
+        cell = this->cellRecords.erase(cell);
+        this->routesVersion = index;
+    }
+    for (const auto &service : this->parsed.services) {
+        for (int i = 0; i < service.cells && present.count(service.name) == 0; ++i) {
+            auto &record = this->cellRecords[this->nextCell].record;
+            record.cell = this->nextCell++;
+            record.serviceName = service.name;
+            record.routeVersion = index;
+            record.agentsVersion = index;
+            this->routesVersion = index;
+        }
+    }
+}
+
+// Members.
+
+void ControlState::join(std::int64_t index, const wire::MemberJoin &command)
+{
+    const auto *known = this->member(command.id.name);
+    if (known && known->id.incarnation > command.id.incarnation) {
+        return;
+    }
+    const bool isRestarted = known && known->id.incarnation < command.id.incarnation;
+    const auto service = command.__isset.server ? command.server.serviceName : std::string();
+    const bool isMoved = known && known->serviceName != service;
+    const auto earlierRole = known ? known->role : command.role;
+    auto cell = known ? known->cell : noCell;
+    if (isRestarted && earlierRole == wire::Role::OWNER) {
+        // Its ledgers and copies went with the earlier process.
+        this->removeMember(index, command.id.name);
+        this->settle(index, command.atMs);
+    }
+    if (isMoved && earlierRole == wire::Role::AGENT) {
+        this->removeAgent(index, this->memberRecords.at(command.id.name));
+        cell = noCell;
+    }
+    auto &member = this->memberRecords[command.id.name];
+    member.id = command.id;
+    member.role = command.role;
+    member.address = command.address;
+    member.failureDomain = command.failureDomain;
+    member.serviceName = service;
+    member.cell = cell;
+    member.leaving = false;
+    member.version = index;
+    member.leaseVersion = index;
+    if (member.role == wire::Role::AGENT) {
+        if (member.cell == noCell) {
+            this->placeAgent(index, member);
+        } else {
+            this->cellRecords.at(member.cell).record.agentsVersion = index;
+        }
+    } else if (member.role == wire::Role::OWNER) {
+        this->settle(index, command.atMs);
+    }
+}
+
+void ControlState::gone(std::int64_t index, const wire::MemberGone &command)
+{
+    const auto *known = this->member(command.id.name);
+    if (!known || known->id != command.id) {
+        return;
+    }
+    const bool isOwner = known->role == wire::Role::OWNER;
+    this->removeMember(index, command.id.name);
+    if (isOwner) {
+        this->settle(index, command.atMs);
+    }
+}
+
+void ControlState::leaving(std::int64_t index, const wire::MemberLeaving &command)
+{
+    const auto found = this->memberRecords.find(command.id.name);
+    if (found == this->memberRecords.end() || found->second.id != command.id) {
+        return;
+    }
+    found->second.leaving = true;
+    if (found->second.role == wire::Role::OWNER) {
+        this->settle(index, 0);
+    }
+}
+
+void ControlState::removeMember(std::int64_t index, const std::string &name)
+{
+    const auto found = this->memberRecords.find(name);
+    if (found->second.role == wire::Role::AGENT) {
+        this->removeAgent(index, found->second);
+    }
+    this->memberRecords.erase(found);
+}
+
+void ControlState::placeAgent(std::int64_t index, wire::MemberRecord &agent)
+{
+    ControlCell *smallest = nullptr;
+    for (auto &[number, cell] : this->cellRecords) {
+        if (cell.record.serviceName == agent.serviceName
+            && (!smallest || cell.agents.size() < smallest->agents.size())) {
+            smallest = &cell;
+        }
+    }
+    if (!smallest || agent.serviceName.empty()) {
+        return;
+    }
+    smallest->agents.insert(agent.id.name);
+    smallest->record.agentsVersion = index;
+    agent.cell = smallest->record.cell;
+    agent.version = index;
+}
+
+void ControlState::removeAgent(std::int64_t index, wire::MemberRecord &agent)
+{
+    const auto found = this->cellRecords.find(agent.cell);
+    if (found != this->cellRecords.end()) {
+        found->second.agents.erase(agent.id.name);
+        found->second.record.agentsVersion = index;
+    }
+    agent.cell = noCell;
+}
+
+// Views.
+
+const wire::ConfigFile &ControlState::file() const
+{
+    return this->files.empty() ? noFile : this->files.back();
+}
+
+const ClusterConfig &ControlState::config() const
+{
+    return this->parsed;
+}
+
+const std::vector<wire::ConfigFile> &ControlState::history() const
+{
+    return this->files;
+}
+
+const std::map<std::string, wire::MemberRecord> &ControlState::members() const
+{
+    return this->memberRecords;
+}
+
+const std::map<std::int32_t, ControlCell> &ControlState::cells() const
+{
+    return this->cellRecords;
+}
+
+const wire::MemberRecord *ControlState::member(const std::string &name) const
+{
+    const auto found = this->memberRecords.find(name);
+    return found == this->memberRecords.end() ? nullptr : &found->second;
+}
+
+bool ControlState::isPlacedAt(const wire::CellRecord &cell, const std::string &owner)
+{
+    return cell.owner == owner
+        || std::any_of(cell.holders.begin(), cell.holders.end(),
+                       [&owner](const wire::HolderRecord &holder) { return holder.name == owner; });
+}
+
+std::int64_t ControlState::viewVersion(const std::string &name) const
+{
+    const auto *found = this->member(name);
+    if (!found) {
+        return 0;
+    }
+    auto version = std::max(this->configVersion, found->version);
+    if (found->role == wire::Role::AGENT) {
+        const auto cell = this->cellRecords.find(found->cell);
+        return cell == this->cellRecords.end() ? version : std::max(version, cell->second.record.routeVersion);
+    }
+    version = std::max(version, this->routesVersion);
+    if (found->role == wire::Role::OWNER) {
+        for (const auto &[number, cell] : this->cellRecords) {
+            if (cell.record.agentsVersion > version && isPlacedAt(cell.record, name)) {
+                version = cell.record.agentsVersion;
+            }
+        }
+    }
+    return version;
+}
+
+wire::MemberRef ControlState::refOf(const std::string &name) const
+{
+    const auto &found = this->memberRecords.at(name);
+    wire::MemberRef ref;
+    ref.id = found.id;
+    ref.address = found.address;
+    ref.failureDomain = found.failureDomain;
+    return ref;
+}
+
+wire::CellView ControlState::cellView(const ControlCell &cell, bool withAgents) const
+{
+    wire::CellView view;
+    view.cell = cell.record.cell;
+    view.serviceName = cell.record.serviceName;
+    view.epoch = cell.record.epoch;
+    view.floorMs = cell.record.floorMs;
+    if (this->member(cell.record.owner)) {
+        view.__set_owner(this->refOf(cell.record.owner));
+    }
+    for (const auto &holder : cell.record.holders) {
+        view.holders.push_back(this->refOf(holder.name));
+    }
+    if (withAgents) {
+        for (const auto &agent : cell.agents) {
+            view.agents.push_back(this->refOf(agent));
+        }
+    }
+    return view;
+}
+
+wire::ClusterView ControlState::view(const std::string &name) const
+{
+    const auto &found = this->memberRecords.at(name);
+    wire::ClusterView view;
+    view.version = this->viewVersion(name);
+    view.config = this->file();
+    if (found.role == wire::Role::AGENT) {
+        view.config.text.clear();
+        const auto cell = this->cellRecords.find(found.cell);
+        if (cell != this->cellRecords.end()) {
+            view.cells.push_back(this->cellView(cell->second, false));
+        }
+        return view;
+    }
+    for (const auto &[number, cell] : this->cellRecords) {
+        view.cells.push_back(this->cellView(cell, found.role == wire::Role::OWNER && isPlacedAt(cell.record, name)));
+    }
+    return view;
+}
+
+// Image.
+
+wire::ControlImage ControlState::image() const
+{
+    wire::ControlImage image;
+    image.history = this->files;
+    for (const auto &[name, member] : this->memberRecords) {
+        image.members.push_back(member);
+    }
+    for (const auto &[number, cell] : this->cellRecords) {
+        image.cells.push_back(cell.record);
+    }
+    image.nextCell = this->nextCell;
+    image.configVersion = this->configVersion;
+    image.routesVersion = this->routesVersion;
+    return image;
+}
+
+void ControlState::restore(const wire::ControlImage &image)
+{
+    *this = ControlState();
+    this->files = image.history;
+    if (!this->files.empty()) {
+        this->parsed = takeValue(parseConfig(this->files.back().text));
+    }
+    for (const auto &cell : image.cells) {
+        this->cellRecords[cell.cell].record = cell;
+    }
+    for (const auto &member : image.members) {
+        this->memberRecords[member.id.name] = member;
+        if (member.role == wire::Role::AGENT && member.cell != noCell) {
+            this->cellRecords.at(member.cell).agents.insert(member.id.name);
+        }
+    }
+    this->nextCell = image.nextCell;
+    this->configVersion = image.configVersion;
+    this->routesVersion = image.routesVersion;
+}
+
+} // namespace agatedrum
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -7710,6 +7710,18 @@
 void RequestVote::__set_preVote(const bool val) {
   this->preVote = val;
 }
+
+void RequestVote::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void RequestVote::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void RequestVote::__set_transfer(const bool val) {
+  this->transfer = val;
+}
 std::ostream& operator<<(std::ostream& out, const RequestVote& obj)
 {
   obj.printTo(out);
@@ -7770,6 +7782,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->transfer);
+          this->__isset.transfer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7803,6 +7839,18 @@
   xfer += oprot->writeBool(this->preVote);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("transfer", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->transfer);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7814,14 +7862,20 @@
   swap(a.lastIndex, b.lastIndex);
   swap(a.lastTerm, b.lastTerm);
   swap(a.preVote, b.preVote);
+  swap(a.member, b.member);
+  swap(a.group, b.group);
+  swap(a.transfer, b.transfer);
   swap(a.__isset, b.__isset);
 }
 
-RequestVote::RequestVote(const RequestVote& other273) noexcept {
+RequestVote::RequestVote(const RequestVote& other273) {
   term = other273.term;
   lastIndex = other273.lastIndex;
   lastTerm = other273.lastTerm;
   preVote = other273.preVote;
+  member = other273.member;
+  group = other273.group;
+  transfer = other273.transfer;
   __isset = other273.__isset;
 }
 RequestVote::RequestVote(RequestVote&& other274) noexcept {
@@ -7829,13 +7883,19 @@
   lastIndex = other274.lastIndex;
   lastTerm = other274.lastTerm;
   preVote = other274.preVote;
+  member = std::move(other274.member);
+  group = std::move(other274.group);
+  transfer = other274.transfer;
   __isset = other274.__isset;
 }
-RequestVote& RequestVote::operator=(const RequestVote& other275) noexcept {
+RequestVote& RequestVote::operator=(const RequestVote& other275) {
   term = other275.term;
   lastIndex = other275.lastIndex;
   lastTerm = other275.lastTerm;
   preVote = other275.preVote;
+  member = other275.member;
+  group = other275.group;
+  transfer = other275.transfer;
   __isset = other275.__isset;
   return *this;
 }
@@ -7844,6 +7904,9 @@
   lastIndex = other276.lastIndex;
   lastTerm = other276.lastTerm;
   preVote = other276.preVote;
+  member = std::move(other276.member);
+  group = std::move(other276.group);
+  transfer = other276.transfer;
   __isset = other276.__isset;
   return *this;
 }
@@ -7854,6 +7917,9 @@
   out << ", " << "lastIndex=" << to_string(lastIndex);
   out << ", " << "lastTerm=" << to_string(lastTerm);
   out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "transfer=" << to_string(transfer);
   out << ")";
 }
 
@@ -7873,6 +7939,18 @@
 void VoteReply::__set_preVote(const bool val) {
   this->preVote = val;
 }
+
+void VoteReply::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void VoteReply::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void VoteReply::__set_fresh(const bool val) {
+  this->fresh = val;
+}
 std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
 {
   obj.printTo(out);
@@ -7925,6 +8003,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->fresh);
+          this->__isset.fresh = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7954,6 +8056,18 @@
   xfer += oprot->writeBool(this->preVote);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fresh", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->fresh);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7964,25 +8078,37 @@
   swap(a.term, b.term);
   swap(a.granted, b.granted);
   swap(a.preVote, b.preVote);
+  swap(a.member, b.member);
+  swap(a.group, b.group);
+  swap(a.fresh, b.fresh);
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other277) noexcept {
+VoteReply::VoteReply(const VoteReply& other277) {
   term = other277.term;
   granted = other277.granted;
   preVote = other277.preVote;
+  member = other277.member;
+  group = other277.group;
+  fresh = other277.fresh;
   __isset = other277.__isset;
 }
 VoteReply::VoteReply(VoteReply&& other278) noexcept {
   term = other278.term;
   granted = other278.granted;
   preVote = other278.preVote;
+  member = std::move(other278.member);
+  group = std::move(other278.group);
+  fresh = other278.fresh;
   __isset = other278.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other279) noexcept {
+VoteReply& VoteReply::operator=(const VoteReply& other279) {
   term = other279.term;
   granted = other279.granted;
   preVote = other279.preVote;
+  member = other279.member;
+  group = other279.group;
+  fresh = other279.fresh;
   __isset = other279.__isset;
   return *this;
 }
@@ -7990,6 +8116,9 @@
   term = other280.term;
   granted = other280.granted;
   preVote = other280.preVote;
+  member = std::move(other280.member);
+  group = std::move(other280.group);
+  fresh = other280.fresh;
   __isset = other280.__isset;
   return *this;
 }
@@ -7999,6 +8128,9 @@
   out << "term=" << to_string(term);
   out << ", " << "granted=" << to_string(granted);
   out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "fresh=" << to_string(fresh);
   out << ")";
 }
 
@@ -8030,6 +8162,14 @@
 void AppendEntries::__set_round(const int64_t val) {
   this->round = val;
 }
+
+void AppendEntries::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void AppendEntries::__set_group(const std::string& val) {
+  this->group = val;
+}
 std::ostream& operator<<(std::ostream& out, const AppendEntries& obj)
 {
   obj.printTo(out);
@@ -8118,6 +8258,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8167,6 +8323,14 @@
   xfer += oprot->writeI64(this->round);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8180,6 +8344,8 @@
   swap(a.entries, b.entries);
   swap(a.commitIndex, b.commitIndex);
   swap(a.round, b.round);
+  swap(a.member, b.member);
+  swap(a.group, b.group);
   swap(a.__isset, b.__isset);
 }
 
@@ -8190,6 +8356,8 @@
   entries = other287.entries;
   commitIndex = other287.commitIndex;
   round = other287.round;
+  member = other287.member;
+  group = other287.group;
   __isset = other287.__isset;
 }
 AppendEntries::AppendEntries(AppendEntries&& other288) noexcept {
@@ -8199,6 +8367,8 @@
   entries = std::move(other288.entries);
   commitIndex = other288.commitIndex;
   round = other288.round;
+  member = std::move(other288.member);
+  group = std::move(other288.group);
   __isset = other288.__isset;
 }
 AppendEntries& AppendEntries::operator=(const AppendEntries& other289) {
@@ -8208,6 +8378,8 @@
   entries = other289.entries;
   commitIndex = other289.commitIndex;
   round = other289.round;
+  member = other289.member;
+  group = other289.group;
   __isset = other289.__isset;
   return *this;
 }
@@ -8218,6 +8390,8 @@
   entries = std::move(other290.entries);
   commitIndex = other290.commitIndex;
   round = other290.round;
+  member = std::move(other290.member);
+  group = std::move(other290.group);
   __isset = other290.__isset;
   return *this;
 }
@@ -8230,6 +8404,8 @@
   out << ", " << "entries=" << to_string(entries);
   out << ", " << "commitIndex=" << to_string(commitIndex);
   out << ", " << "round=" << to_string(round);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
   out << ")";
 }
 
@@ -8253,6 +8429,14 @@
 void AppendReply::__set_round(const int64_t val) {
   this->round = val;
 }
+
+void AppendReply::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void AppendReply::__set_group(const std::string& val) {
+  this->group = val;
+}
 std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
 {
   obj.printTo(out);
@@ -8313,6 +8497,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8346,6 +8546,14 @@
   xfer += oprot->writeI64(this->round);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8357,14 +8565,18 @@
   swap(a.ok, b.ok);
   swap(a.matchIndex, b.matchIndex);
   swap(a.round, b.round);
+  swap(a.member, b.member);
+  swap(a.group, b.group);
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other291) noexcept {
+AppendReply::AppendReply(const AppendReply& other291) {
   term = other291.term;
   ok = other291.ok;
   matchIndex = other291.matchIndex;
   round = other291.round;
+  member = other291.member;
+  group = other291.group;
   __isset = other291.__isset;
 }
 AppendReply::AppendReply(AppendReply&& other292) noexcept {
@@ -8372,13 +8584,17 @@
   ok = other292.ok;
   matchIndex = other292.matchIndex;
   round = other292.round;
+  member = std::move(other292.member);
+  group = std::move(other292.group);
   __isset = other292.__isset;
 }
-AppendReply& AppendReply::operator=(const AppendReply& other293) noexcept {
+AppendReply& AppendReply::operator=(const AppendReply& other293) {
   term = other293.term;
   ok = other293.ok;
   matchIndex = other293.matchIndex;
   round = other293.round;
+  member = other293.member;
+  group = other293.group;
   __isset = other293.__isset;
   return *this;
 }
@@ -8387,6 +8603,8 @@
   ok = other294.ok;
   matchIndex = other294.matchIndex;
   round = other294.round;
+  member = std::move(other294.member);
+  group = std::move(other294.group);
   __isset = other294.__isset;
   return *this;
 }
@@ -8397,6 +8615,8 @@
   out << ", " << "ok=" << to_string(ok);
   out << ", " << "matchIndex=" << to_string(matchIndex);
   out << ", " << "round=" << to_string(round);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
   out << ")";
 }
 
@@ -8428,6 +8648,18 @@
 void InstallSnapshot::__set_learners(const std::vector<std::string> & val) {
   this->learners = val;
 }
+
+void InstallSnapshot::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void InstallSnapshot::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void InstallSnapshot::__set_round(const int64_t val) {
+  this->round = val;
+}
 std::ostream& operator<<(std::ostream& out, const InstallSnapshot& obj)
 {
   obj.printTo(out);
@@ -8528,6 +8760,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8585,6 +8841,18 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8598,6 +8866,9 @@
   swap(a.data, b.data);
   swap(a.voters, b.voters);
   swap(a.learners, b.learners);
+  swap(a.member, b.member);
+  swap(a.group, b.group);
+  swap(a.round, b.round);
   swap(a.__isset, b.__isset);
 }
 
@@ -8608,6 +8879,9 @@
   data = other307.data;
   voters = other307.voters;
   learners = other307.learners;
+  member = other307.member;
+  group = other307.group;
+  round = other307.round;
   __isset = other307.__isset;
 }
 InstallSnapshot::InstallSnapshot(InstallSnapshot&& other308) noexcept {
@@ -8617,6 +8891,9 @@
   data = std::move(other308.data);
   voters = std::move(other308.voters);
   learners = std::move(other308.learners);
+  member = std::move(other308.member);
+  group = std::move(other308.group);
+  round = other308.round;
   __isset = other308.__isset;
 }
 InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other309) {
@@ -8626,6 +8903,9 @@
   data = other309.data;
   voters = other309.voters;
   learners = other309.learners;
+  member = other309.member;
+  group = other309.group;
+  round = other309.round;
   __isset = other309.__isset;
   return *this;
 }
@@ -8636,6 +8916,9 @@
   data = std::move(other310.data);
   voters = std::move(other310.voters);
   learners = std::move(other310.learners);
+  member = std::move(other310.member);
+  group = std::move(other310.group);
+  round = other310.round;
   __isset = other310.__isset;
   return *this;
 }
@@ -8648,6 +8931,9 @@
   out << ", " << "data=" << to_string(data);
   out << ", " << "voters=" << to_string(voters);
   out << ", " << "learners=" << to_string(learners);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "round=" << to_string(round);
   out << ")";
 }
 
@@ -8663,6 +8949,18 @@
 void InstallReply::__set_lastIndex(const int64_t val) {
   this->lastIndex = val;
 }
+
+void InstallReply::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void InstallReply::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void InstallReply::__set_round(const int64_t val) {
+  this->round = val;
+}
 std::ostream& operator<<(std::ostream& out, const InstallReply& obj)
 {
   obj.printTo(out);
@@ -8707,6 +9005,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8732,6 +9054,18 @@
   xfer += oprot->writeI64(this->lastIndex);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8741,28 +9075,43 @@
   using ::std::swap;
   swap(a.term, b.term);
   swap(a.lastIndex, b.lastIndex);
+  swap(a.member, b.member);
+  swap(a.group, b.group);
+  swap(a.round, b.round);
   swap(a.__isset, b.__isset);
 }
 
-InstallReply::InstallReply(const InstallReply& other311) noexcept {
+InstallReply::InstallReply(const InstallReply& other311) {
   term = other311.term;
   lastIndex = other311.lastIndex;
+  member = other311.member;
+  group = other311.group;
+  round = other311.round;
   __isset = other311.__isset;
 }
 InstallReply::InstallReply(InstallReply&& other312) noexcept {
   term = other312.term;
   lastIndex = other312.lastIndex;
+  member = std::move(other312.member);
+  group = std::move(other312.group);
+  round = other312.round;
   __isset = other312.__isset;
 }
-InstallReply& InstallReply::operator=(const InstallReply& other313) noexcept {
+InstallReply& InstallReply::operator=(const InstallReply& other313) {
   term = other313.term;
   lastIndex = other313.lastIndex;
+  member = other313.member;
+  group = other313.group;
+  round = other313.round;
   __isset = other313.__isset;
   return *this;
 }
 InstallReply& InstallReply::operator=(InstallReply&& other314) noexcept {
   term = other314.term;
   lastIndex = other314.lastIndex;
+  member = std::move(other314.member);
+  group = std::move(other314.group);
+  round = other314.round;
   __isset = other314.__isset;
   return *this;
 }
@@ -8771,6 +9120,9 @@
   out << "InstallReply(";
   out << "term=" << to_string(term);
   out << ", " << "lastIndex=" << to_string(lastIndex);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "round=" << to_string(round);
   out << ")";
 }
 
@@ -9001,6 +9353,10 @@
   this->server = val;
 __isset.server = true;
 }
+
+void MemberJoin::__set_atMs(const int64_t val) {
+  this->atMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberJoin& obj)
 {
   obj.printTo(out);
@@ -9071,6 +9427,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->atMs);
+          this->__isset.atMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9109,6 +9473,10 @@
     xfer += this->server.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("atMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->atMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9121,6 +9489,7 @@
   swap(a.address, b.address);
   swap(a.failureDomain, b.failureDomain);
   swap(a.server, b.server);
+  swap(a.atMs, b.atMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -9130,6 +9499,7 @@
   address = other324.address;
   failureDomain = other324.failureDomain;
   server = other324.server;
+  atMs = other324.atMs;
   __isset = other324.__isset;
 }
 MemberJoin::MemberJoin(MemberJoin&& other325) noexcept {
@@ -9138,6 +9508,7 @@
   address = std::move(other325.address);
   failureDomain = std::move(other325.failureDomain);
   server = std::move(other325.server);
+  atMs = other325.atMs;
   __isset = other325.__isset;
 }
 MemberJoin& MemberJoin::operator=(const MemberJoin& other326) {
@@ -9146,6 +9517,7 @@
   address = other326.address;
   failureDomain = other326.failureDomain;
   server = other326.server;
+  atMs = other326.atMs;
   __isset = other326.__isset;
   return *this;
 }
@@ -9155,6 +9527,7 @@
   address = std::move(other327.address);
   failureDomain = std::move(other327.failureDomain);
   server = std::move(other327.server);
+  atMs = other327.atMs;
   __isset = other327.__isset;
   return *this;
 }
@@ -9166,6 +9539,7 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ", " << "server="; (__isset.server ? (out << to_string(server)) : (out << "<null>"));
+  out << ", " << "atMs=" << to_string(atMs);
   out << ")";
 }
 
@@ -9181,6 +9555,10 @@
 void MemberGone::__set_planned(const bool val) {
   this->planned = val;
 }
+
+void MemberGone::__set_atMs(const int64_t val) {
+  this->atMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberGone& obj)
 {
   obj.printTo(out);
@@ -9225,6 +9603,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->atMs);
+          this->__isset.atMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9250,6 +9636,10 @@
   xfer += oprot->writeBool(this->planned);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("atMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->atMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9259,28 +9649,33 @@
   using ::std::swap;
   swap(a.id, b.id);
   swap(a.planned, b.planned);
+  swap(a.atMs, b.atMs);
   swap(a.__isset, b.__isset);
 }
 
 MemberGone::MemberGone(const MemberGone& other328) {
   id = other328.id;
   planned = other328.planned;
+  atMs = other328.atMs;
   __isset = other328.__isset;
 }
 MemberGone::MemberGone(MemberGone&& other329) noexcept {
   id = std::move(other329.id);
   planned = other329.planned;
+  atMs = other329.atMs;
   __isset = other329.__isset;
 }
 MemberGone& MemberGone::operator=(const MemberGone& other330) {
   id = other330.id;
   planned = other330.planned;
+  atMs = other330.atMs;
   __isset = other330.__isset;
   return *this;
 }
 MemberGone& MemberGone::operator=(MemberGone&& other331) noexcept {
   id = std::move(other331.id);
   planned = other331.planned;
+  atMs = other331.atMs;
   __isset = other331.__isset;
   return *this;
 }
@@ -9289,6 +9684,7 @@
   out << "MemberGone(";
   out << "id=" << to_string(id);
   out << ", " << "planned=" << to_string(planned);
+  out << ", " << "atMs=" << to_string(atMs);
   out << ")";
 }
 
@@ -9409,6 +9805,10 @@
 void HolderWhole::__set_holder(const std::string& val) {
   this->holder = val;
 }
+
+void HolderWhole::__set_viewVersion(const int64_t val) {
+  this->viewVersion = val;
+}
 std::ostream& operator<<(std::ostream& out, const HolderWhole& obj)
 {
   obj.printTo(out);
@@ -9461,6 +9861,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->viewVersion);
+          this->__isset.viewVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9490,6 +9898,10 @@
   xfer += oprot->writeString(this->holder);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("viewVersion", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->viewVersion);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9500,6 +9912,7 @@
   swap(a.cell, b.cell);
   swap(a.epoch, b.epoch);
   swap(a.holder, b.holder);
+  swap(a.viewVersion, b.viewVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -9507,18 +9920,21 @@
   cell = other336.cell;
   epoch = other336.epoch;
   holder = other336.holder;
+  viewVersion = other336.viewVersion;
   __isset = other336.__isset;
 }
 HolderWhole::HolderWhole(HolderWhole&& other337) noexcept {
   cell = other337.cell;
   epoch = other337.epoch;
   holder = std::move(other337.holder);
+  viewVersion = other337.viewVersion;
   __isset = other337.__isset;
 }
 HolderWhole& HolderWhole::operator=(const HolderWhole& other338) {
   cell = other338.cell;
   epoch = other338.epoch;
   holder = other338.holder;
+  viewVersion = other338.viewVersion;
   __isset = other338.__isset;
   return *this;
 }
@@ -9526,6 +9942,7 @@
   cell = other339.cell;
   epoch = other339.epoch;
   holder = std::move(other339.holder);
+  viewVersion = other339.viewVersion;
   __isset = other339.__isset;
   return *this;
 }
@@ -9535,6 +9952,7 @@
   out << "cell=" << to_string(cell);
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "holder=" << to_string(holder);
+  out << ", " << "viewVersion=" << to_string(viewVersion);
   out << ")";
 }
 
@@ -9554,6 +9972,10 @@
 void HandOver::__set_previousOwner(const std::string& val) {
   this->previousOwner = val;
 }
+
+void HandOver::__set_atMs(const int64_t val) {
+  this->atMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const HandOver& obj)
 {
   obj.printTo(out);
@@ -9606,6 +10028,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->atMs);
+          this->__isset.atMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9635,6 +10065,10 @@
   xfer += oprot->writeString(this->previousOwner);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("atMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->atMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9645,6 +10079,7 @@
   swap(a.cell, b.cell);
   swap(a.epoch, b.epoch);
   swap(a.previousOwner, b.previousOwner);
+  swap(a.atMs, b.atMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -9652,18 +10087,21 @@
   cell = other340.cell;
   epoch = other340.epoch;
   previousOwner = other340.previousOwner;
+  atMs = other340.atMs;
   __isset = other340.__isset;
 }
 HandOver::HandOver(HandOver&& other341) noexcept {
   cell = other341.cell;
   epoch = other341.epoch;
   previousOwner = std::move(other341.previousOwner);
+  atMs = other341.atMs;
   __isset = other341.__isset;
 }
 HandOver& HandOver::operator=(const HandOver& other342) {
   cell = other342.cell;
   epoch = other342.epoch;
   previousOwner = other342.previousOwner;
+  atMs = other342.atMs;
   __isset = other342.__isset;
   return *this;
 }
@@ -9671,6 +10109,7 @@
   cell = other343.cell;
   epoch = other343.epoch;
   previousOwner = std::move(other343.previousOwner);
+  atMs = other343.atMs;
   __isset = other343.__isset;
   return *this;
 }
@@ -9680,6 +10119,7 @@
   out << "cell=" << to_string(cell);
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "previousOwner=" << to_string(previousOwner);
+  out << ", " << "atMs=" << to_string(atMs);
   out << ")";
 }
 
@@ -10118,53 +10558,1707 @@
 }
 
 
-Message::~Message() noexcept {
+HardState::~HardState() noexcept {
 }
 
 
-void Message::__set_submitJob(const SubmitJob& val) {
-  this->submitJob = val;
-__isset.submitJob = true;
-}
-
-void Message::__set_cancelJob(const CancelJob& val) {
-  this->cancelJob = val;
-__isset.cancelJob = true;
+void HardState::__set_member(const std::string& val) {
+  this->member = val;
 }
 
-void Message::__set_queryJob(const QueryJob& val) {
-  this->queryJob = val;
-__isset.queryJob = true;
+void HardState::__set_group(const std::string& val) {
+  this->group = val;
 }
 
-void Message::__set_jobReply(const JobReply& val) {
-  this->jobReply = val;
-__isset.jobReply = true;
+void HardState::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void Message::__set_notOwner(const NotOwner& val) {
-  this->notOwner = val;
-__isset.notOwner = true;
+void HardState::__set_vote(const std::string& val) {
+  this->vote = val;
 }
-
-void Message::__set_recordBatch(const RecordBatch& val) {
-  this->recordBatch = val;
-__isset.recordBatch = true;
+std::ostream& operator<<(std::ostream& out, const HardState& obj)
+{
+  obj.printTo(out);
+  return out;
 }
 
-void Message::__set_recordSnapshot(const RecordSnapshot& val) {
-  this->recordSnapshot = val;
-__isset.recordSnapshot = true;
-}
 
-void Message::__set_recordAck(const RecordAck& val) {
-  this->recordAck = val;
-__isset.recordAck = true;
-}
+uint32_t HardState::read(::apache::thrift::protocol::TProtocol* iprot) {
 
-void Message::__set_startBatch(const StartBatch& val) {
-  this->startBatch = val;
-__isset.startBatch = true;
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->vote);
+          this->__isset.vote = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HardState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HardState");
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("vote", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->vote);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HardState &a, HardState &b) {
+  using ::std::swap;
+  swap(a.member, b.member);
+  swap(a.group, b.group);
+  swap(a.term, b.term);
+  swap(a.vote, b.vote);
+  swap(a.__isset, b.__isset);
+}
+
+HardState::HardState(const HardState& other364) {
+  member = other364.member;
+  group = other364.group;
+  term = other364.term;
+  vote = other364.vote;
+  __isset = other364.__isset;
+}
+HardState::HardState(HardState&& other365) noexcept {
+  member = std::move(other365.member);
+  group = std::move(other365.group);
+  term = other365.term;
+  vote = std::move(other365.vote);
+  __isset = other365.__isset;
+}
+HardState& HardState::operator=(const HardState& other366) {
+  member = other366.member;
+  group = other366.group;
+  term = other366.term;
+  vote = other366.vote;
+  __isset = other366.__isset;
+  return *this;
+}
+HardState& HardState::operator=(HardState&& other367) noexcept {
+  member = std::move(other367.member);
+  group = std::move(other367.group);
+  term = other367.term;
+  vote = std::move(other367.vote);
+  __isset = other367.__isset;
+  return *this;
+}
+void HardState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HardState(";
+  out << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "vote=" << to_string(vote);
+  out << ")";
+}
+
+
+LogRecord::~LogRecord() noexcept {
+}
+
+
+void LogRecord::__set_state(const HardState& val) {
+  this->state = val;
+__isset.state = true;
+}
+
+void LogRecord::__set_truncateFrom(const int64_t val) {
+  this->truncateFrom = val;
+}
+
+void LogRecord::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const LogRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LogRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->state.read(iprot);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->truncateFrom);
+          this->__isset.truncateFrom = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size368;
+            ::apache::thrift::protocol::TType _etype371;
+            xfer += iprot->readListBegin(_etype371, _size368);
+            this->entries.resize(_size368);
+            uint32_t _i372;
+            for (_i372 = 0; _i372 < _size368; ++_i372)
+            {
+              xfer += this->entries[_i372].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LogRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LogRecord");
+
+  if (this->__isset.state) {
+    xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->state.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("truncateFrom", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->truncateFrom);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter373;
+    for (_iter373 = this->entries.begin(); _iter373 != this->entries.end(); ++_iter373)
+    {
+      xfer += (*_iter373).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LogRecord &a, LogRecord &b) {
+  using ::std::swap;
+  swap(a.state, b.state);
+  swap(a.truncateFrom, b.truncateFrom);
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+LogRecord::LogRecord(const LogRecord& other374) {
+  state = other374.state;
+  truncateFrom = other374.truncateFrom;
+  entries = other374.entries;
+  __isset = other374.__isset;
+}
+LogRecord::LogRecord(LogRecord&& other375) noexcept {
+  state = std::move(other375.state);
+  truncateFrom = other375.truncateFrom;
+  entries = std::move(other375.entries);
+  __isset = other375.__isset;
+}
+LogRecord& LogRecord::operator=(const LogRecord& other376) {
+  state = other376.state;
+  truncateFrom = other376.truncateFrom;
+  entries = other376.entries;
+  __isset = other376.__isset;
+  return *this;
+}
+LogRecord& LogRecord::operator=(LogRecord&& other377) noexcept {
+  state = std::move(other377.state);
+  truncateFrom = other377.truncateFrom;
+  entries = std::move(other377.entries);
+  __isset = other377.__isset;
+  return *this;
+}
+void LogRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LogRecord(";
+  out << "state="; (__isset.state ? (out << to_string(state)) : (out << "<null>"));
+  out << ", " << "truncateFrom=" << to_string(truncateFrom);
+  out << ", " << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
+LogFrame::~LogFrame() noexcept {
+}
+
+
+void LogFrame::__set_records(const std::vector<LogRecord> & val) {
+  this->records = val;
+}
+std::ostream& operator<<(std::ostream& out, const LogFrame& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LogFrame::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->records.clear();
+            uint32_t _size378;
+            ::apache::thrift::protocol::TType _etype381;
+            xfer += iprot->readListBegin(_etype381, _size378);
+            this->records.resize(_size378);
+            uint32_t _i382;
+            for (_i382 = 0; _i382 < _size378; ++_i382)
+            {
+              xfer += this->records[_i382].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LogFrame::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LogFrame");
+
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+    std::vector<LogRecord> ::const_iterator _iter383;
+    for (_iter383 = this->records.begin(); _iter383 != this->records.end(); ++_iter383)
+    {
+      xfer += (*_iter383).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LogFrame &a, LogFrame &b) {
+  using ::std::swap;
+  swap(a.records, b.records);
+  swap(a.__isset, b.__isset);
+}
+
+LogFrame::LogFrame(const LogFrame& other384) {
+  records = other384.records;
+  __isset = other384.__isset;
+}
+LogFrame::LogFrame(LogFrame&& other385) noexcept {
+  records = std::move(other385.records);
+  __isset = other385.__isset;
+}
+LogFrame& LogFrame::operator=(const LogFrame& other386) {
+  records = other386.records;
+  __isset = other386.__isset;
+  return *this;
+}
+LogFrame& LogFrame::operator=(LogFrame&& other387) noexcept {
+  records = std::move(other387.records);
+  __isset = other387.__isset;
+  return *this;
+}
+void LogFrame::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LogFrame(";
+  out << "records=" << to_string(records);
+  out << ")";
+}
+
+
+SnapshotFile::~SnapshotFile() noexcept {
+}
+
+
+void SnapshotFile::__set_lastIndex(const int64_t val) {
+  this->lastIndex = val;
+}
+
+void SnapshotFile::__set_lastTerm(const int64_t val) {
+  this->lastTerm = val;
+}
+
+void SnapshotFile::__set_voters(const std::vector<std::string> & val) {
+  this->voters = val;
+}
+
+void SnapshotFile::__set_learners(const std::vector<std::string> & val) {
+  this->learners = val;
+}
+
+void SnapshotFile::__set_data(const std::string& val) {
+  this->data = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotFile& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotFile::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastIndex);
+          this->__isset.lastIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastTerm);
+          this->__isset.lastTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->voters.clear();
+            uint32_t _size388;
+            ::apache::thrift::protocol::TType _etype391;
+            xfer += iprot->readListBegin(_etype391, _size388);
+            this->voters.resize(_size388);
+            uint32_t _i392;
+            for (_i392 = 0; _i392 < _size388; ++_i392)
+            {
+              xfer += iprot->readString(this->voters[_i392]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.voters = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->learners.clear();
+            uint32_t _size393;
+            ::apache::thrift::protocol::TType _etype396;
+            xfer += iprot->readListBegin(_etype396, _size393);
+            this->learners.resize(_size393);
+            uint32_t _i397;
+            for (_i397 = 0; _i397 < _size393; ++_i397)
+            {
+              xfer += iprot->readString(this->learners[_i397]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.learners = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->data);
+          this->__isset.data = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotFile::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotFile");
+
+  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->lastIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastTerm", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->lastTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
+    std::vector<std::string> ::const_iterator _iter398;
+    for (_iter398 = this->voters.begin(); _iter398 != this->voters.end(); ++_iter398)
+    {
+      xfer += oprot->writeString((*_iter398));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
+    std::vector<std::string> ::const_iterator _iter399;
+    for (_iter399 = this->learners.begin(); _iter399 != this->learners.end(); ++_iter399)
+    {
+      xfer += oprot->writeString((*_iter399));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->data);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotFile &a, SnapshotFile &b) {
+  using ::std::swap;
+  swap(a.lastIndex, b.lastIndex);
+  swap(a.lastTerm, b.lastTerm);
+  swap(a.voters, b.voters);
+  swap(a.learners, b.learners);
+  swap(a.data, b.data);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotFile::SnapshotFile(const SnapshotFile& other400) {
+  lastIndex = other400.lastIndex;
+  lastTerm = other400.lastTerm;
+  voters = other400.voters;
+  learners = other400.learners;
+  data = other400.data;
+  __isset = other400.__isset;
+}
+SnapshotFile::SnapshotFile(SnapshotFile&& other401) noexcept {
+  lastIndex = other401.lastIndex;
+  lastTerm = other401.lastTerm;
+  voters = std::move(other401.voters);
+  learners = std::move(other401.learners);
+  data = std::move(other401.data);
+  __isset = other401.__isset;
+}
+SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other402) {
+  lastIndex = other402.lastIndex;
+  lastTerm = other402.lastTerm;
+  voters = other402.voters;
+  learners = other402.learners;
+  data = other402.data;
+  __isset = other402.__isset;
+  return *this;
+}
+SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other403) noexcept {
+  lastIndex = other403.lastIndex;
+  lastTerm = other403.lastTerm;
+  voters = std::move(other403.voters);
+  learners = std::move(other403.learners);
+  data = std::move(other403.data);
+  __isset = other403.__isset;
+  return *this;
+}
+void SnapshotFile::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotFile(";
+  out << "lastIndex=" << to_string(lastIndex);
+  out << ", " << "lastTerm=" << to_string(lastTerm);
+  out << ", " << "voters=" << to_string(voters);
+  out << ", " << "learners=" << to_string(learners);
+  out << ", " << "data=" << to_string(data);
+  out << ")";
+}
+
+
+HolderRecord::~HolderRecord() noexcept {
+}
+
+
+void HolderRecord::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void HolderRecord::__set_since(const int64_t val) {
+  this->since = val;
+}
+
+void HolderRecord::__set_whole(const bool val) {
+  this->whole = val;
+}
+std::ostream& operator<<(std::ostream& out, const HolderRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HolderRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->since);
+          this->__isset.since = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          this->__isset.whole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HolderRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HolderRecord");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("since", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->since);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->whole);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HolderRecord &a, HolderRecord &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.since, b.since);
+  swap(a.whole, b.whole);
+  swap(a.__isset, b.__isset);
+}
+
+HolderRecord::HolderRecord(const HolderRecord& other404) {
+  name = other404.name;
+  since = other404.since;
+  whole = other404.whole;
+  __isset = other404.__isset;
+}
+HolderRecord::HolderRecord(HolderRecord&& other405) noexcept {
+  name = std::move(other405.name);
+  since = other405.since;
+  whole = other405.whole;
+  __isset = other405.__isset;
+}
+HolderRecord& HolderRecord::operator=(const HolderRecord& other406) {
+  name = other406.name;
+  since = other406.since;
+  whole = other406.whole;
+  __isset = other406.__isset;
+  return *this;
+}
+HolderRecord& HolderRecord::operator=(HolderRecord&& other407) noexcept {
+  name = std::move(other407.name);
+  since = other407.since;
+  whole = other407.whole;
+  __isset = other407.__isset;
+  return *this;
+}
+void HolderRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HolderRecord(";
+  out << "name=" << to_string(name);
+  out << ", " << "since=" << to_string(since);
+  out << ", " << "whole=" << to_string(whole);
+  out << ")";
+}
+
+
+CellRecord::~CellRecord() noexcept {
+}
+
+
+void CellRecord::__set_cell(const int32_t val) {
+  this->cell = val;
+}
+
+void CellRecord::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void CellRecord::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void CellRecord::__set_owner(const std::string& val) {
+  this->owner = val;
+}
+
+void CellRecord::__set_holders(const std::vector<HolderRecord> & val) {
+  this->holders = val;
+}
+
+void CellRecord::__set_floorMs(const int64_t val) {
+  this->floorMs = val;
+}
+
+void CellRecord::__set_routeVersion(const int64_t val) {
+  this->routeVersion = val;
+}
+
+void CellRecord::__set_agentsVersion(const int64_t val) {
+  this->agentsVersion = val;
+}
+std::ostream& operator<<(std::ostream& out, const CellRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CellRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cell);
+          this->__isset.cell = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->holders.clear();
+            uint32_t _size408;
+            ::apache::thrift::protocol::TType _etype411;
+            xfer += iprot->readListBegin(_etype411, _size408);
+            this->holders.resize(_size408);
+            uint32_t _i412;
+            for (_i412 = 0; _i412 < _size408; ++_i412)
+            {
+              xfer += this->holders[_i412].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.holders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->floorMs);
+          this->__isset.floorMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->routeVersion);
+          this->__isset.routeVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->agentsVersion);
+          this->__isset.agentsVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CellRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CellRecord");
+
+  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->cell);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->owner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
+    std::vector<HolderRecord> ::const_iterator _iter413;
+    for (_iter413 = this->holders.begin(); _iter413 != this->holders.end(); ++_iter413)
+    {
+      xfer += (*_iter413).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("floorMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->floorMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routeVersion", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->routeVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("agentsVersion", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->agentsVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CellRecord &a, CellRecord &b) {
+  using ::std::swap;
+  swap(a.cell, b.cell);
+  swap(a.serviceName, b.serviceName);
+  swap(a.epoch, b.epoch);
+  swap(a.owner, b.owner);
+  swap(a.holders, b.holders);
+  swap(a.floorMs, b.floorMs);
+  swap(a.routeVersion, b.routeVersion);
+  swap(a.agentsVersion, b.agentsVersion);
+  swap(a.__isset, b.__isset);
+}
+
+CellRecord::CellRecord(const CellRecord& other414) {
+  cell = other414.cell;
+  serviceName = other414.serviceName;
+  epoch = other414.epoch;
+  owner = other414.owner;
+  holders = other414.holders;
+  floorMs = other414.floorMs;
+  routeVersion = other414.routeVersion;
+  agentsVersion = other414.agentsVersion;
+  __isset = other414.__isset;
+}
+CellRecord::CellRecord(CellRecord&& other415) noexcept {
+  cell = other415.cell;
+  serviceName = std::move(other415.serviceName);
+  epoch = other415.epoch;
+  owner = std::move(other415.owner);
+  holders = std::move(other415.holders);
+  floorMs = other415.floorMs;
+  routeVersion = other415.routeVersion;
+  agentsVersion = other415.agentsVersion;
+  __isset = other415.__isset;
+}
+CellRecord& CellRecord::operator=(const CellRecord& other416) {
+  cell = other416.cell;
+  serviceName = other416.serviceName;
+  epoch = other416.epoch;
+  owner = other416.owner;
+  holders = other416.holders;
+  floorMs = other416.floorMs;
+  routeVersion = other416.routeVersion;
+  agentsVersion = other416.agentsVersion;
+  __isset = other416.__isset;
+  return *this;
+}
+CellRecord& CellRecord::operator=(CellRecord&& other417) noexcept {
+  cell = other417.cell;
+  serviceName = std::move(other417.serviceName);
+  epoch = other417.epoch;
+  owner = std::move(other417.owner);
+  holders = std::move(other417.holders);
+  floorMs = other417.floorMs;
+  routeVersion = other417.routeVersion;
+  agentsVersion = other417.agentsVersion;
+  __isset = other417.__isset;
+  return *this;
+}
+void CellRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CellRecord(";
+  out << "cell=" << to_string(cell);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "owner=" << to_string(owner);
+  out << ", " << "holders=" << to_string(holders);
+  out << ", " << "floorMs=" << to_string(floorMs);
+  out << ", " << "routeVersion=" << to_string(routeVersion);
+  out << ", " << "agentsVersion=" << to_string(agentsVersion);
+  out << ")";
+}
+
+
+MemberRecord::~MemberRecord() noexcept {
+}
+
+
+void MemberRecord::__set_id(const ProcessId& val) {
+  this->id = val;
+}
+
+void MemberRecord::__set_role(const Role::type val) {
+  this->role = val;
+}
+
+void MemberRecord::__set_address(const Endpoint& val) {
+  this->address = val;
+}
+
+void MemberRecord::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void MemberRecord::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void MemberRecord::__set_cell(const int32_t val) {
+  this->cell = val;
+}
+
+void MemberRecord::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void MemberRecord::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void MemberRecord::__set_leaseVersion(const int64_t val) {
+  this->leaseVersion = val;
+}
+std::ostream& operator<<(std::ostream& out, const MemberRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MemberRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->id.read(iprot);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast418;
+          xfer += iprot->readI32(ecast418);
+          this->role = static_cast<Role::type>(ecast418);
+          this->__isset.role = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->address.read(iprot);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cell);
+          this->__isset.cell = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leaseVersion);
+          this->__isset.leaseVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t MemberRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MemberRecord");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->id.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->role));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->address.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->cell);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaseVersion", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->leaseVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(MemberRecord &a, MemberRecord &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.role, b.role);
+  swap(a.address, b.address);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.serviceName, b.serviceName);
+  swap(a.cell, b.cell);
+  swap(a.leaving, b.leaving);
+  swap(a.version, b.version);
+  swap(a.leaseVersion, b.leaseVersion);
+  swap(a.__isset, b.__isset);
+}
+
+MemberRecord::MemberRecord(const MemberRecord& other419) {
+  id = other419.id;
+  role = other419.role;
+  address = other419.address;
+  failureDomain = other419.failureDomain;
+  serviceName = other419.serviceName;
+  cell = other419.cell;
+  leaving = other419.leaving;
+  version = other419.version;
+  leaseVersion = other419.leaseVersion;
+  __isset = other419.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other420) noexcept {
+  id = std::move(other420.id);
+  role = other420.role;
+  address = std::move(other420.address);
+  failureDomain = std::move(other420.failureDomain);
+  serviceName = std::move(other420.serviceName);
+  cell = other420.cell;
+  leaving = other420.leaving;
+  version = other420.version;
+  leaseVersion = other420.leaseVersion;
+  __isset = other420.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other421) {
+  id = other421.id;
+  role = other421.role;
+  address = other421.address;
+  failureDomain = other421.failureDomain;
+  serviceName = other421.serviceName;
+  cell = other421.cell;
+  leaving = other421.leaving;
+  version = other421.version;
+  leaseVersion = other421.leaseVersion;
+  __isset = other421.__isset;
+  return *this;
+}
+MemberRecord& MemberRecord::operator=(MemberRecord&& other422) noexcept {
+  id = std::move(other422.id);
+  role = other422.role;
+  address = std::move(other422.address);
+  failureDomain = std::move(other422.failureDomain);
+  serviceName = std::move(other422.serviceName);
+  cell = other422.cell;
+  leaving = other422.leaving;
+  version = other422.version;
+  leaseVersion = other422.leaseVersion;
+  __isset = other422.__isset;
+  return *this;
+}
+void MemberRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MemberRecord(";
+  out << "id=" << to_string(id);
+  out << ", " << "role=" << to_string(role);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "cell=" << to_string(cell);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "leaseVersion=" << to_string(leaseVersion);
+  out << ")";
+}
+
+
+ControlImage::~ControlImage() noexcept {
+}
+
+
+void ControlImage::__set_history(const std::vector<ConfigFile> & val) {
+  this->history = val;
+}
+
+void ControlImage::__set_members(const std::vector<MemberRecord> & val) {
+  this->members = val;
+}
+
+void ControlImage::__set_cells(const std::vector<CellRecord> & val) {
+  this->cells = val;
+}
+
+void ControlImage::__set_nextCell(const int32_t val) {
+  this->nextCell = val;
+}
+
+void ControlImage::__set_configVersion(const int64_t val) {
+  this->configVersion = val;
+}
+
+void ControlImage::__set_routesVersion(const int64_t val) {
+  this->routesVersion = val;
+}
+std::ostream& operator<<(std::ostream& out, const ControlImage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ControlImage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->history.clear();
+            uint32_t _size423;
+            ::apache::thrift::protocol::TType _etype426;
+            xfer += iprot->readListBegin(_etype426, _size423);
+            this->history.resize(_size423);
+            uint32_t _i427;
+            for (_i427 = 0; _i427 < _size423; ++_i427)
+            {
+              xfer += this->history[_i427].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.history = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size428;
+            ::apache::thrift::protocol::TType _etype431;
+            xfer += iprot->readListBegin(_etype431, _size428);
+            this->members.resize(_size428);
+            uint32_t _i432;
+            for (_i432 = 0; _i432 < _size428; ++_i432)
+            {
+              xfer += this->members[_i432].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cells.clear();
+            uint32_t _size433;
+            ::apache::thrift::protocol::TType _etype436;
+            xfer += iprot->readListBegin(_etype436, _size433);
+            this->cells.resize(_size433);
+            uint32_t _i437;
+            for (_i437 = 0; _i437 < _size433; ++_i437)
+            {
+              xfer += this->cells[_i437].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cells = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->nextCell);
+          this->__isset.nextCell = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configVersion);
+          this->__isset.configVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->routesVersion);
+          this->__isset.routesVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlImage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlImage");
+
+  xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
+    std::vector<ConfigFile> ::const_iterator _iter438;
+    for (_iter438 = this->history.begin(); _iter438 != this->history.end(); ++_iter438)
+    {
+      xfer += (*_iter438).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<MemberRecord> ::const_iterator _iter439;
+    for (_iter439 = this->members.begin(); _iter439 != this->members.end(); ++_iter439)
+    {
+      xfer += (*_iter439).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
+    std::vector<CellRecord> ::const_iterator _iter440;
+    for (_iter440 = this->cells.begin(); _iter440 != this->cells.end(); ++_iter440)
+    {
+      xfer += (*_iter440).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nextCell", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->nextCell);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->configVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routesVersion", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->routesVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ControlImage &a, ControlImage &b) {
+  using ::std::swap;
+  swap(a.history, b.history);
+  swap(a.members, b.members);
+  swap(a.cells, b.cells);
+  swap(a.nextCell, b.nextCell);
+  swap(a.configVersion, b.configVersion);
+  swap(a.routesVersion, b.routesVersion);
+  swap(a.__isset, b.__isset);
+}
+
+ControlImage::ControlImage(const ControlImage& other441) {
+  history = other441.history;
+  members = other441.members;
+  cells = other441.cells;
+  nextCell = other441.nextCell;
+  configVersion = other441.configVersion;
+  routesVersion = other441.routesVersion;
+  __isset = other441.__isset;
+}
+ControlImage::ControlImage(ControlImage&& other442) noexcept {
+  history = std::move(other442.history);
+  members = std::move(other442.members);
+  cells = std::move(other442.cells);
+  nextCell = other442.nextCell;
+  configVersion = other442.configVersion;
+  routesVersion = other442.routesVersion;
+  __isset = other442.__isset;
+}
+ControlImage& ControlImage::operator=(const ControlImage& other443) {
+  history = other443.history;
+  members = other443.members;
+  cells = other443.cells;
+  nextCell = other443.nextCell;
+  configVersion = other443.configVersion;
+  routesVersion = other443.routesVersion;
+  __isset = other443.__isset;
+  return *this;
+}
+ControlImage& ControlImage::operator=(ControlImage&& other444) noexcept {
+  history = std::move(other444.history);
+  members = std::move(other444.members);
+  cells = std::move(other444.cells);
+  nextCell = other444.nextCell;
+  configVersion = other444.configVersion;
+  routesVersion = other444.routesVersion;
+  __isset = other444.__isset;
+  return *this;
+}
+void ControlImage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ControlImage(";
+  out << "history=" << to_string(history);
+  out << ", " << "members=" << to_string(members);
+  out << ", " << "cells=" << to_string(cells);
+  out << ", " << "nextCell=" << to_string(nextCell);
+  out << ", " << "configVersion=" << to_string(configVersion);
+  out << ", " << "routesVersion=" << to_string(routesVersion);
+  out << ")";
+}
+
+
+Message::~Message() noexcept {
+}
+
+
+void Message::__set_submitJob(const SubmitJob& val) {
+  this->submitJob = val;
+__isset.submitJob = true;
+}
+
+void Message::__set_cancelJob(const CancelJob& val) {
+  this->cancelJob = val;
+__isset.cancelJob = true;
+}
+
+void Message::__set_queryJob(const QueryJob& val) {
+  this->queryJob = val;
+__isset.queryJob = true;
+}
+
+void Message::__set_jobReply(const JobReply& val) {
+  this->jobReply = val;
+__isset.jobReply = true;
+}
+
+void Message::__set_notOwner(const NotOwner& val) {
+  this->notOwner = val;
+__isset.notOwner = true;
+}
+
+void Message::__set_recordBatch(const RecordBatch& val) {
+  this->recordBatch = val;
+__isset.recordBatch = true;
+}
+
+void Message::__set_recordSnapshot(const RecordSnapshot& val) {
+  this->recordSnapshot = val;
+__isset.recordSnapshot = true;
+}
+
+void Message::__set_recordAck(const RecordAck& val) {
+  this->recordAck = val;
+__isset.recordAck = true;
+}
+
+void Message::__set_startBatch(const StartBatch& val) {
+  this->startBatch = val;
+__isset.startBatch = true;
 }
 
 void Message::__set_cancelBatch(const CancelBatch& val) {
@@ -10746,138 +12840,138 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other364) {
-  submitJob = other364.submitJob;
-  cancelJob = other364.cancelJob;
-  queryJob = other364.queryJob;
-  jobReply = other364.jobReply;
-  notOwner = other364.notOwner;
-  recordBatch = other364.recordBatch;
-  recordSnapshot = other364.recordSnapshot;
-  recordAck = other364.recordAck;
-  startBatch = other364.startBatch;
-  cancelBatch = other364.cancelBatch;
-  resultAck = other364.resultAck;
-  fence = other364.fence;
-  agentHello = other364.agentHello;
-  resultBatch = other364.resultBatch;
-  startRefused = other364.startRefused;
-  agentState = other364.agentState;
-  memberHeartbeat = other364.memberHeartbeat;
-  heartbeatReply = other364.heartbeatReply;
-  clusterView = other364.clusterView;
-  applyConfig = other364.applyConfig;
-  applyReply = other364.applyReply;
-  controlQuery = other364.controlQuery;
-  controlAnswer = other364.controlAnswer;
-  requestVote = other364.requestVote;
-  voteReply = other364.voteReply;
-  appendEntries = other364.appendEntries;
-  appendReply = other364.appendReply;
-  installSnapshot = other364.installSnapshot;
-  installReply = other364.installReply;
-  timeoutNow = other364.timeoutNow;
-  __isset = other364.__isset;
-}
-Message::Message(Message&& other365) noexcept {
-  submitJob = std::move(other365.submitJob);
-  cancelJob = std::move(other365.cancelJob);
-  queryJob = std::move(other365.queryJob);
-  jobReply = std::move(other365.jobReply);
-  notOwner = std::move(other365.notOwner);
-  recordBatch = std::move(other365.recordBatch);
-  recordSnapshot = std::move(other365.recordSnapshot);
-  recordAck = std::move(other365.recordAck);
-  startBatch = std::move(other365.startBatch);
-  cancelBatch = std::move(other365.cancelBatch);
-  resultAck = std::move(other365.resultAck);
-  fence = std::move(other365.fence);
-  agentHello = std::move(other365.agentHello);
-  resultBatch = std::move(other365.resultBatch);
-  startRefused = std::move(other365.startRefused);
-  agentState = std::move(other365.agentState);
-  memberHeartbeat = std::move(other365.memberHeartbeat);
-  heartbeatReply = std::move(other365.heartbeatReply);
-  clusterView = std::move(other365.clusterView);
-  applyConfig = std::move(other365.applyConfig);
-  applyReply = std::move(other365.applyReply);
-  controlQuery = std::move(other365.controlQuery);
-  controlAnswer = std::move(other365.controlAnswer);
-  requestVote = std::move(other365.requestVote);
-  voteReply = std::move(other365.voteReply);
-  appendEntries = std::move(other365.appendEntries);
-  appendReply = std::move(other365.appendReply);
-  installSnapshot = std::move(other365.installSnapshot);
-  installReply = std::move(other365.installReply);
-  timeoutNow = std::move(other365.timeoutNow);
-  __isset = other365.__isset;
-}
-Message& Message::operator=(const Message& other366) {
-  submitJob = other366.submitJob;
-  cancelJob = other366.cancelJob;
-  queryJob = other366.queryJob;
-  jobReply = other366.jobReply;
-  notOwner = other366.notOwner;
-  recordBatch = other366.recordBatch;
-  recordSnapshot = other366.recordSnapshot;
-  recordAck = other366.recordAck;
-  startBatch = other366.startBatch;
-  cancelBatch = other366.cancelBatch;
-  resultAck = other366.resultAck;
-  fence = other366.fence;
-  agentHello = other366.agentHello;
-  resultBatch = other366.resultBatch;
-  startRefused = other366.startRefused;
-  agentState = other366.agentState;
-  memberHeartbeat = other366.memberHeartbeat;
-  heartbeatReply = other366.heartbeatReply;
-  clusterView = other366.clusterView;
-  applyConfig = other366.applyConfig;
-  applyReply = other366.applyReply;
-  controlQuery = other366.controlQuery;
-  controlAnswer = other366.controlAnswer;
-  requestVote = other366.requestVote;
-  voteReply = other366.voteReply;
-  appendEntries = other366.appendEntries;
-  appendReply = other366.appendReply;
-  installSnapshot = other366.installSnapshot;
-  installReply = other366.installReply;
-  timeoutNow = other366.timeoutNow;
-  __isset = other366.__isset;
+Message::Message(const Message& other445) {
+  submitJob = other445.submitJob;
+  cancelJob = other445.cancelJob;
+  queryJob = other445.queryJob;
+  jobReply = other445.jobReply;
+  notOwner = other445.notOwner;
+  recordBatch = other445.recordBatch;
+  recordSnapshot = other445.recordSnapshot;
+  recordAck = other445.recordAck;
+  startBatch = other445.startBatch;
+  cancelBatch = other445.cancelBatch;
+  resultAck = other445.resultAck;
+  fence = other445.fence;
+  agentHello = other445.agentHello;
+  resultBatch = other445.resultBatch;
+  startRefused = other445.startRefused;
+  agentState = other445.agentState;
+  memberHeartbeat = other445.memberHeartbeat;
+  heartbeatReply = other445.heartbeatReply;
+  clusterView = other445.clusterView;
+  applyConfig = other445.applyConfig;
+  applyReply = other445.applyReply;
+  controlQuery = other445.controlQuery;
+  controlAnswer = other445.controlAnswer;
+  requestVote = other445.requestVote;
+  voteReply = other445.voteReply;
+  appendEntries = other445.appendEntries;
+  appendReply = other445.appendReply;
+  installSnapshot = other445.installSnapshot;
+  installReply = other445.installReply;
+  timeoutNow = other445.timeoutNow;
+  __isset = other445.__isset;
+}
+Message::Message(Message&& other446) noexcept {
+  submitJob = std::move(other446.submitJob);
+  cancelJob = std::move(other446.cancelJob);
+  queryJob = std::move(other446.queryJob);
+  jobReply = std::move(other446.jobReply);
+  notOwner = std::move(other446.notOwner);
+  recordBatch = std::move(other446.recordBatch);
+  recordSnapshot = std::move(other446.recordSnapshot);
+  recordAck = std::move(other446.recordAck);
+  startBatch = std::move(other446.startBatch);
+  cancelBatch = std::move(other446.cancelBatch);
+  resultAck = std::move(other446.resultAck);
+  fence = std::move(other446.fence);
+  agentHello = std::move(other446.agentHello);
+  resultBatch = std::move(other446.resultBatch);
+  startRefused = std::move(other446.startRefused);
+  agentState = std::move(other446.agentState);
+  memberHeartbeat = std::move(other446.memberHeartbeat);
+  heartbeatReply = std::move(other446.heartbeatReply);
+  clusterView = std::move(other446.clusterView);
+  applyConfig = std::move(other446.applyConfig);
+  applyReply = std::move(other446.applyReply);
+  controlQuery = std::move(other446.controlQuery);
+  controlAnswer = std::move(other446.controlAnswer);
+  requestVote = std::move(other446.requestVote);
+  voteReply = std::move(other446.voteReply);
+  appendEntries = std::move(other446.appendEntries);
+  appendReply = std::move(other446.appendReply);
+  installSnapshot = std::move(other446.installSnapshot);
+  installReply = std::move(other446.installReply);
+  timeoutNow = std::move(other446.timeoutNow);
+  __isset = other446.__isset;
+}
+Message& Message::operator=(const Message& other447) {
+  submitJob = other447.submitJob;
+  cancelJob = other447.cancelJob;
+  queryJob = other447.queryJob;
+  jobReply = other447.jobReply;
+  notOwner = other447.notOwner;
+  recordBatch = other447.recordBatch;
+  recordSnapshot = other447.recordSnapshot;
+  recordAck = other447.recordAck;
+  startBatch = other447.startBatch;
+  cancelBatch = other447.cancelBatch;
+  resultAck = other447.resultAck;
+  fence = other447.fence;
+  agentHello = other447.agentHello;
+  resultBatch = other447.resultBatch;
+  startRefused = other447.startRefused;
+  agentState = other447.agentState;
+  memberHeartbeat = other447.memberHeartbeat;
+  heartbeatReply = other447.heartbeatReply;
+  clusterView = other447.clusterView;
+  applyConfig = other447.applyConfig;
+  applyReply = other447.applyReply;
+  controlQuery = other447.controlQuery;
+  controlAnswer = other447.controlAnswer;
+  requestVote = other447.requestVote;
+  voteReply = other447.voteReply;
+  appendEntries = other447.appendEntries;
+  appendReply = other447.appendReply;
+  installSnapshot = other447.installSnapshot;
+  installReply = other447.installReply;
+  timeoutNow = other447.timeoutNow;
+  __isset = other447.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other367) noexcept {
-  submitJob = std::move(other367.submitJob);
-  cancelJob = std::move(other367.cancelJob);
-  queryJob = std::move(other367.queryJob);
-  jobReply = std::move(other367.jobReply);
-  notOwner = std::move(other367.notOwner);
-  recordBatch = std::move(other367.recordBatch);
-  recordSnapshot = std::move(other367.recordSnapshot);
-  recordAck = std::move(other367.recordAck);
-  startBatch = std::move(other367.startBatch);
-  cancelBatch = std::move(other367.cancelBatch);
-  resultAck = std::move(other367.resultAck);
-  fence = std::move(other367.fence);
-  agentHello = std::move(other367.agentHello);
-  resultBatch = std::move(other367.resultBatch);
-  startRefused = std::move(other367.startRefused);
-  agentState = std::move(other367.agentState);
-  memberHeartbeat = std::move(other367.memberHeartbeat);
-  heartbeatReply = std::move(other367.heartbeatReply);
-  clusterView = std::move(other367.clusterView);
-  applyConfig = std::move(other367.applyConfig);
-  applyReply = std::move(other367.applyReply);
-  controlQuery = std::move(other367.controlQuery);
-  controlAnswer = std::move(other367.controlAnswer);
-  requestVote = std::move(other367.requestVote);
-  voteReply = std::move(other367.voteReply);
-  appendEntries = std::move(other367.appendEntries);
-  appendReply = std::move(other367.appendReply);
-  installSnapshot = std::move(other367.installSnapshot);
-  installReply = std::move(other367.installReply);
-  timeoutNow = std::move(other367.timeoutNow);
-  __isset = other367.__isset;
+Message& Message::operator=(Message&& other448) noexcept {
+  submitJob = std::move(other448.submitJob);
+  cancelJob = std::move(other448.cancelJob);
+  queryJob = std::move(other448.queryJob);
+  jobReply = std::move(other448.jobReply);
+  notOwner = std::move(other448.notOwner);
+  recordBatch = std::move(other448.recordBatch);
+  recordSnapshot = std::move(other448.recordSnapshot);
+  recordAck = std::move(other448.recordAck);
+  startBatch = std::move(other448.startBatch);
+  cancelBatch = std::move(other448.cancelBatch);
+  resultAck = std::move(other448.resultAck);
+  fence = std::move(other448.fence);
+  agentHello = std::move(other448.agentHello);
+  resultBatch = std::move(other448.resultBatch);
+  startRefused = std::move(other448.startRefused);
+  agentState = std::move(other448.agentState);
+  memberHeartbeat = std::move(other448.memberHeartbeat);
+  heartbeatReply = std::move(other448.heartbeatReply);
+  clusterView = std::move(other448.clusterView);
+  applyConfig = std::move(other448.applyConfig);
+  applyReply = std::move(other448.applyReply);
+  controlQuery = std::move(other448.controlQuery);
+  controlAnswer = std::move(other448.controlAnswer);
+  requestVote = std::move(other448.requestVote);
+  voteReply = std::move(other448.voteReply);
+  appendEntries = std::move(other448.appendEntries);
+  appendReply = std::move(other448.appendReply);
+  installSnapshot = std::move(other448.installSnapshot);
+  installReply = std::move(other448.installReply);
+  timeoutNow = std::move(other448.timeoutNow);
+  __isset = other448.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -10978,9 +13072,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast368;
-          xfer += iprot->readI32(ecast368);
-          this->role = static_cast<Role::type>(ecast368);
+          int32_t ecast449;
+          xfer += iprot->readI32(ecast449);
+          this->role = static_cast<Role::type>(ecast449);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -11006,14 +13100,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size369;
-            ::apache::thrift::protocol::TType _etype372;
-            xfer += iprot->readListBegin(_etype372, _size369);
-            this->messages.resize(_size369);
-            uint32_t _i373;
-            for (_i373 = 0; _i373 < _size369; ++_i373)
+            uint32_t _size450;
+            ::apache::thrift::protocol::TType _etype453;
+            xfer += iprot->readListBegin(_etype453, _size450);
+            this->messages.resize(_size450);
+            uint32_t _i454;
+            for (_i454 = 0; _i454 < _size450; ++_i454)
             {
-              xfer += this->messages[_i373].read(iprot);
+              xfer += this->messages[_i454].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11058,10 +13152,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<Message> ::const_iterator _iter374;
-    for (_iter374 = this->messages.begin(); _iter374 != this->messages.end(); ++_iter374)
+    std::vector<Message> ::const_iterator _iter455;
+    for (_iter455 = this->messages.begin(); _iter455 != this->messages.end(); ++_iter455)
     {
-      xfer += (*_iter374).write(oprot);
+      xfer += (*_iter455).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11082,38 +13176,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other375) {
-  sender = other375.sender;
-  role = other375.role;
-  address = other375.address;
-  configNumber = other375.configNumber;
-  messages = other375.messages;
-  __isset = other375.__isset;
-}
-Envelope::Envelope(Envelope&& other376) noexcept {
-  sender = std::move(other376.sender);
-  role = other376.role;
-  address = std::move(other376.address);
-  configNumber = other376.configNumber;
-  messages = std::move(other376.messages);
-  __isset = other376.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other377) {
-  sender = other377.sender;
-  role = other377.role;
-  address = other377.address;
-  configNumber = other377.configNumber;
-  messages = other377.messages;
-  __isset = other377.__isset;
+Envelope::Envelope(const Envelope& other456) {
+  sender = other456.sender;
+  role = other456.role;
+  address = other456.address;
+  configNumber = other456.configNumber;
+  messages = other456.messages;
+  __isset = other456.__isset;
+}
+Envelope::Envelope(Envelope&& other457) noexcept {
+  sender = std::move(other457.sender);
+  role = other457.role;
+  address = std::move(other457.address);
+  configNumber = other457.configNumber;
+  messages = std::move(other457.messages);
+  __isset = other457.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other458) {
+  sender = other458.sender;
+  role = other458.role;
+  address = other458.address;
+  configNumber = other458.configNumber;
+  messages = other458.messages;
+  __isset = other458.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other378) noexcept {
-  sender = std::move(other378.sender);
-  role = other378.role;
-  address = std::move(other378.address);
-  configNumber = other378.configNumber;
-  messages = std::move(other378.messages);
-  __isset = other378.__isset;
+Envelope& Envelope::operator=(Envelope&& other459) noexcept {
+  sender = std::move(other459.sender);
+  role = other459.role;
+  address = std::move(other459.address);
+  configNumber = other459.configNumber;
+  messages = std::move(other459.messages);
+  __isset = other459.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -197,6 +197,22 @@
 
 class Command;
 
+class HardState;
+
+class LogRecord;
+
+class LogFrame;
+
+class SnapshotFile;
+
+class HolderRecord;
+
+class CellRecord;
+
+class MemberRecord;
+
+class ControlImage;
+
 class Message;
 
 class Envelope;
@@ -3009,25 +3025,31 @@
 std::ostream& operator<<(std::ostream& out, const LogEntry& obj);
 
 typedef struct _RequestVote__isset {
-  _RequestVote__isset() : term(false), lastIndex(false), lastTerm(false), preVote(false) {}
+  _RequestVote__isset() : term(false), lastIndex(false), lastTerm(false), preVote(false), member(false), group(false), transfer(false) {}
   bool term :1;
   bool lastIndex :1;
   bool lastTerm :1;
   bool preVote :1;
+  bool member :1;
+  bool group :1;
+  bool transfer :1;
 } _RequestVote__isset;
 
 class RequestVote : public virtual ::apache::thrift::TBase {
  public:
 
-  RequestVote(const RequestVote&) noexcept;
+  RequestVote(const RequestVote&);
   RequestVote(RequestVote&&) noexcept;
-  RequestVote& operator=(const RequestVote&) noexcept;
+  RequestVote& operator=(const RequestVote&);
   RequestVote& operator=(RequestVote&&) noexcept;
   RequestVote() noexcept
               : term(0),
                 lastIndex(0),
                 lastTerm(0),
-                preVote(0) {
+                preVote(0),
+                member(),
+                group(),
+                transfer(0) {
   }
 
   virtual ~RequestVote() noexcept;
@@ -3035,6 +3057,9 @@
   int64_t lastIndex;
   int64_t lastTerm;
   bool preVote;
+  std::string member;
+  std::string group;
+  bool transfer;
 
   _RequestVote__isset __isset;
 
@@ -3046,6 +3071,12 @@
 
   void __set_preVote(const bool val);
 
+  void __set_member(const std::string& val);
+
+  void __set_group(const std::string& val);
+
+  void __set_transfer(const bool val);
+
   bool operator == (const RequestVote & rhs) const
   {
     if (!(term == rhs.term))
@@ -3056,6 +3087,12 @@
       return false;
     if (!(preVote == rhs.preVote))
       return false;
+    if (!(member == rhs.member))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(transfer == rhs.transfer))
+      return false;
     return true;
   }
   bool operator != (const RequestVote &rhs) const {
@@ -3075,29 +3112,38 @@
 std::ostream& operator<<(std::ostream& out, const RequestVote& obj);
 
 typedef struct _VoteReply__isset {
-  _VoteReply__isset() : term(false), granted(false), preVote(false) {}
+  _VoteReply__isset() : term(false), granted(false), preVote(false), member(false), group(false), fresh(false) {}
   bool term :1;
   bool granted :1;
   bool preVote :1;
+  bool member :1;
+  bool group :1;
+  bool fresh :1;
 } _VoteReply__isset;
 
 class VoteReply : public virtual ::apache::thrift::TBase {
  public:
 
-  VoteReply(const VoteReply&) noexcept;
+  VoteReply(const VoteReply&);
   VoteReply(VoteReply&&) noexcept;
-  VoteReply& operator=(const VoteReply&) noexcept;
+  VoteReply& operator=(const VoteReply&);
   VoteReply& operator=(VoteReply&&) noexcept;
   VoteReply() noexcept
             : term(0),
               granted(0),
-              preVote(0) {
+              preVote(0),
+              member(),
+              group(),
+              fresh(0) {
   }
 
   virtual ~VoteReply() noexcept;
   int64_t term;
   bool granted;
   bool preVote;
+  std::string member;
+  std::string group;
+  bool fresh;
 
   _VoteReply__isset __isset;
 
@@ -3107,6 +3153,12 @@
 
   void __set_preVote(const bool val);
 
+  void __set_member(const std::string& val);
+
+  void __set_group(const std::string& val);
+
+  void __set_fresh(const bool val);
+
   bool operator == (const VoteReply & rhs) const
   {
     if (!(term == rhs.term))
@@ -3115,6 +3167,12 @@
       return false;
     if (!(preVote == rhs.preVote))
       return false;
+    if (!(member == rhs.member))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(fresh == rhs.fresh))
+      return false;
     return true;
   }
   bool operator != (const VoteReply &rhs) const {
@@ -3134,13 +3192,15 @@
 std::ostream& operator<<(std::ostream& out, const VoteReply& obj);
 
 typedef struct _AppendEntries__isset {
-  _AppendEntries__isset() : term(false), prevIndex(false), prevTerm(false), entries(false), commitIndex(false), round(false) {}
+  _AppendEntries__isset() : term(false), prevIndex(false), prevTerm(false), entries(false), commitIndex(false), round(false), member(false), group(false) {}
   bool term :1;
   bool prevIndex :1;
   bool prevTerm :1;
   bool entries :1;
   bool commitIndex :1;
   bool round :1;
+  bool member :1;
+  bool group :1;
 } _AppendEntries__isset;
 
 class AppendEntries : public virtual ::apache::thrift::TBase {
@@ -3155,7 +3215,9 @@
                   prevIndex(0),
                   prevTerm(0),
                   commitIndex(0),
-                  round(0) {
+                  round(0),
+                  member(),
+                  group() {
   }
 
   virtual ~AppendEntries() noexcept;
@@ -3165,6 +3227,8 @@
   std::vector<LogEntry>  entries;
   int64_t commitIndex;
   int64_t round;
+  std::string member;
+  std::string group;
 
   _AppendEntries__isset __isset;
 
@@ -3180,6 +3244,10 @@
 
   void __set_round(const int64_t val);
 
+  void __set_member(const std::string& val);
+
+  void __set_group(const std::string& val);
+
   bool operator == (const AppendEntries & rhs) const
   {
     if (!(term == rhs.term))
@@ -3194,6 +3262,10 @@
       return false;
     if (!(round == rhs.round))
       return false;
+    if (!(member == rhs.member))
+      return false;
+    if (!(group == rhs.group))
+      return false;
     return true;
   }
   bool operator != (const AppendEntries &rhs) const {
@@ -3213,25 +3285,29 @@
 std::ostream& operator<<(std::ostream& out, const AppendEntries& obj);
 
 typedef struct _AppendReply__isset {
-  _AppendReply__isset() : term(false), ok(false), matchIndex(false), round(false) {}
+  _AppendReply__isset() : term(false), ok(false), matchIndex(false), round(false), member(false), group(false) {}
   bool term :1;
   bool ok :1;
   bool matchIndex :1;
   bool round :1;
+  bool member :1;
+  bool group :1;
 } _AppendReply__isset;
 
 class AppendReply : public virtual ::apache::thrift::TBase {
  public:
 
-  AppendReply(const AppendReply&) noexcept;
+  AppendReply(const AppendReply&);
   AppendReply(AppendReply&&) noexcept;
-  AppendReply& operator=(const AppendReply&) noexcept;
+  AppendReply& operator=(const AppendReply&);
   AppendReply& operator=(AppendReply&&) noexcept;
   AppendReply() noexcept
               : term(0),
                 ok(0),
                 matchIndex(0),
-                round(0) {
+                round(0),
+                member(),
+                group() {
   }
 
   virtual ~AppendReply() noexcept;
@@ -3239,6 +3315,8 @@
   bool ok;
   int64_t matchIndex;
   int64_t round;
+  std::string member;
+  std::string group;
 
   _AppendReply__isset __isset;
 
@@ -3250,6 +3328,10 @@
 
   void __set_round(const int64_t val);
 
+  void __set_member(const std::string& val);
+
+  void __set_group(const std::string& val);
+
   bool operator == (const AppendReply & rhs) const
   {
     if (!(term == rhs.term))
@@ -3260,6 +3342,10 @@
       return false;
     if (!(round == rhs.round))
       return false;
+    if (!(member == rhs.member))
+      return false;
+    if (!(group == rhs.group))
+      return false;
     return true;
   }
   bool operator != (const AppendReply &rhs) const {
@@ -3279,13 +3365,16 @@
 std::ostream& operator<<(std::ostream& out, const AppendReply& obj);
 
 typedef struct _InstallSnapshot__isset {
-  _InstallSnapshot__isset() : term(false), lastIndex(false), lastTerm(false), data(false), voters(false), learners(false) {}
+  _InstallSnapshot__isset() : term(false), lastIndex(false), lastTerm(false), data(false), voters(false), learners(false), member(false), group(false), round(false) {}
   bool term :1;
   bool lastIndex :1;
   bool lastTerm :1;
   bool data :1;
   bool voters :1;
   bool learners :1;
+  bool member :1;
+  bool group :1;
+  bool round :1;
 } _InstallSnapshot__isset;
 
 class InstallSnapshot : public virtual ::apache::thrift::TBase {
@@ -3299,7 +3388,10 @@
                   : term(0),
                     lastIndex(0),
                     lastTerm(0),
-                    data() {
+                    data(),
+                    member(),
+                    group(),
+                    round(0) {
   }
 
   virtual ~InstallSnapshot() noexcept;
@@ -3309,6 +3401,9 @@
   std::string data;
   std::vector<std::string>  voters;
   std::vector<std::string>  learners;
+  std::string member;
+  std::string group;
+  int64_t round;
 
   _InstallSnapshot__isset __isset;
 
@@ -3324,6 +3419,12 @@
 
   void __set_learners(const std::vector<std::string> & val);
 
+  void __set_member(const std::string& val);
+
+  void __set_group(const std::string& val);
+
+  void __set_round(const int64_t val);
+
   bool operator == (const InstallSnapshot & rhs) const
   {
     if (!(term == rhs.term))
@@ -3338,6 +3439,12 @@
       return false;
     if (!(learners == rhs.learners))
       return false;
+    if (!(member == rhs.member))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(round == rhs.round))
+      return false;
     return true;
   }
   bool operator != (const InstallSnapshot &rhs) const {
@@ -3357,26 +3464,35 @@
 std::ostream& operator<<(std::ostream& out, const InstallSnapshot& obj);
 
 typedef struct _InstallReply__isset {
-  _InstallReply__isset() : term(false), lastIndex(false) {}
+  _InstallReply__isset() : term(false), lastIndex(false), member(false), group(false), round(false) {}
   bool term :1;
   bool lastIndex :1;
+  bool member :1;
+  bool group :1;
+  bool round :1;
 } _InstallReply__isset;
 
 class InstallReply : public virtual ::apache::thrift::TBase {
  public:
 
-  InstallReply(const InstallReply&) noexcept;
+  InstallReply(const InstallReply&);
   InstallReply(InstallReply&&) noexcept;
-  InstallReply& operator=(const InstallReply&) noexcept;
+  InstallReply& operator=(const InstallReply&);
   InstallReply& operator=(InstallReply&&) noexcept;
   InstallReply() noexcept
                : term(0),
-                 lastIndex(0) {
+                 lastIndex(0),
+                 member(),
+                 group(),
+                 round(0) {
   }
 
   virtual ~InstallReply() noexcept;
   int64_t term;
   int64_t lastIndex;
+  std::string member;
+  std::string group;
+  int64_t round;
 
   _InstallReply__isset __isset;
 
@@ -3384,12 +3500,24 @@
 
   void __set_lastIndex(const int64_t val);
 
+  void __set_member(const std::string& val);
+
+  void __set_group(const std::string& val);
+
+  void __set_round(const int64_t val);
+
   bool operator == (const InstallReply & rhs) const
   {
     if (!(term == rhs.term))
       return false;
     if (!(lastIndex == rhs.lastIndex))
       return false;
+    if (!(member == rhs.member))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(round == rhs.round))
+      return false;
     return true;
   }
   bool operator != (const InstallReply &rhs) const {
@@ -3498,12 +3626,13 @@
 std::ostream& operator<<(std::ostream& out, const SetConfig& obj);
 
 typedef struct _MemberJoin__isset {
-  _MemberJoin__isset() : id(false), role(false), address(false), failureDomain(false), server(false) {}
+  _MemberJoin__isset() : id(false), role(false), address(false), failureDomain(false), server(false), atMs(false) {}
   bool id :1;
   bool role :1;
   bool address :1;
   bool failureDomain :1;
   bool server :1;
+  bool atMs :1;
 } _MemberJoin__isset;
 
 class MemberJoin : public virtual ::apache::thrift::TBase {
@@ -3515,7 +3644,8 @@
   MemberJoin& operator=(MemberJoin&&) noexcept;
   MemberJoin() noexcept
              : role(static_cast<Role::type>(0)),
-               failureDomain() {
+               failureDomain(),
+               atMs(0) {
   }
 
   virtual ~MemberJoin() noexcept;
@@ -3528,6 +3658,7 @@
   Endpoint address;
   std::string failureDomain;
   ServerInfo server;
+  int64_t atMs;
 
   _MemberJoin__isset __isset;
 
@@ -3541,6 +3672,8 @@
 
   void __set_server(const ServerInfo& val);
 
+  void __set_atMs(const int64_t val);
+
   bool operator == (const MemberJoin & rhs) const
   {
     if (!(id == rhs.id))
@@ -3555,6 +3688,8 @@
       return false;
     else if (__isset.server && !(server == rhs.server))
       return false;
+    if (!(atMs == rhs.atMs))
+      return false;
     return true;
   }
   bool operator != (const MemberJoin &rhs) const {
@@ -3574,9 +3709,10 @@
 std::ostream& operator<<(std::ostream& out, const MemberJoin& obj);
 
 typedef struct _MemberGone__isset {
-  _MemberGone__isset() : id(false), planned(false) {}
+  _MemberGone__isset() : id(false), planned(false), atMs(false) {}
   bool id :1;
   bool planned :1;
+  bool atMs :1;
 } _MemberGone__isset;
 
 class MemberGone : public virtual ::apache::thrift::TBase {
@@ -3587,12 +3723,14 @@
   MemberGone& operator=(const MemberGone&);
   MemberGone& operator=(MemberGone&&) noexcept;
   MemberGone() noexcept
-             : planned(0) {
+             : planned(0),
+               atMs(0) {
   }
 
   virtual ~MemberGone() noexcept;
   ProcessId id;
   bool planned;
+  int64_t atMs;
 
   _MemberGone__isset __isset;
 
@@ -3600,12 +3738,16 @@
 
   void __set_planned(const bool val);
 
+  void __set_atMs(const int64_t val);
+
   bool operator == (const MemberGone & rhs) const
   {
     if (!(id == rhs.id))
       return false;
     if (!(planned == rhs.planned))
       return false;
+    if (!(atMs == rhs.atMs))
+      return false;
     return true;
   }
   bool operator != (const MemberGone &rhs) const {
@@ -3669,10 +3811,11 @@
 std::ostream& operator<<(std::ostream& out, const MemberLeaving& obj);
 
 typedef struct _HolderWhole__isset {
-  _HolderWhole__isset() : cell(false), epoch(false), holder(false) {}
+  _HolderWhole__isset() : cell(false), epoch(false), holder(false), viewVersion(false) {}
   bool cell :1;
   bool epoch :1;
   bool holder :1;
+  bool viewVersion :1;
 } _HolderWhole__isset;
 
 class HolderWhole : public virtual ::apache::thrift::TBase {
@@ -3685,13 +3828,15 @@
   HolderWhole() noexcept
               : cell(0),
                 epoch(0),
-                holder() {
+                holder(),
+                viewVersion(0) {
   }
 
   virtual ~HolderWhole() noexcept;
   int32_t cell;
   int64_t epoch;
   std::string holder;
+  int64_t viewVersion;
 
   _HolderWhole__isset __isset;
 
@@ -3701,6 +3846,8 @@
 
   void __set_holder(const std::string& val);
 
+  void __set_viewVersion(const int64_t val);
+
   bool operator == (const HolderWhole & rhs) const
   {
     if (!(cell == rhs.cell))
@@ -3709,6 +3856,8 @@
       return false;
     if (!(holder == rhs.holder))
       return false;
+    if (!(viewVersion == rhs.viewVersion))
+      return false;
     return true;
   }
   bool operator != (const HolderWhole &rhs) const {
@@ -3728,10 +3877,11 @@
 std::ostream& operator<<(std::ostream& out, const HolderWhole& obj);
 
 typedef struct _HandOver__isset {
-  _HandOver__isset() : cell(false), epoch(false), previousOwner(false) {}
+  _HandOver__isset() : cell(false), epoch(false), previousOwner(false), atMs(false) {}
   bool cell :1;
   bool epoch :1;
   bool previousOwner :1;
+  bool atMs :1;
 } _HandOver__isset;
 
 class HandOver : public virtual ::apache::thrift::TBase {
@@ -3744,13 +3894,15 @@
   HandOver() noexcept
            : cell(0),
              epoch(0),
-             previousOwner() {
+             previousOwner(),
+             atMs(0) {
   }
 
   virtual ~HandOver() noexcept;
   int32_t cell;
   int64_t epoch;
   std::string previousOwner;
+  int64_t atMs;
 
   _HandOver__isset __isset;
 
@@ -3760,6 +3912,8 @@
 
   void __set_previousOwner(const std::string& val);
 
+  void __set_atMs(const int64_t val);
+
   bool operator == (const HandOver & rhs) const
   {
     if (!(cell == rhs.cell))
@@ -3768,6 +3922,8 @@
       return false;
     if (!(previousOwner == rhs.previousOwner))
       return false;
+    if (!(atMs == rhs.atMs))
+      return false;
     return true;
   }
   bool operator != (const HandOver &rhs) const {
@@ -3939,6 +4095,578 @@
 
 std::ostream& operator<<(std::ostream& out, const Command& obj);
 
+typedef struct _HardState__isset {
+  _HardState__isset() : member(false), group(false), term(false), vote(false) {}
+  bool member :1;
+  bool group :1;
+  bool term :1;
+  bool vote :1;
+} _HardState__isset;
+
+class HardState : public virtual ::apache::thrift::TBase {
+ public:
+
+  HardState(const HardState&);
+  HardState(HardState&&) noexcept;
+  HardState& operator=(const HardState&);
+  HardState& operator=(HardState&&) noexcept;
+  HardState() noexcept
+            : member(),
+              group(),
+              term(0),
+              vote() {
+  }
+
+  virtual ~HardState() noexcept;
+  std::string member;
+  std::string group;
+  int64_t term;
+  std::string vote;
+
+  _HardState__isset __isset;
+
+  void __set_member(const std::string& val);
+
+  void __set_group(const std::string& val);
+
+  void __set_term(const int64_t val);
+
+  void __set_vote(const std::string& val);
+
+  bool operator == (const HardState & rhs) const
+  {
+    if (!(member == rhs.member))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(vote == rhs.vote))
+      return false;
+    return true;
+  }
+  bool operator != (const HardState &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HardState & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HardState &a, HardState &b);
+
+std::ostream& operator<<(std::ostream& out, const HardState& obj);
+
+typedef struct _LogRecord__isset {
+  _LogRecord__isset() : state(false), truncateFrom(false), entries(false) {}
+  bool state :1;
+  bool truncateFrom :1;
+  bool entries :1;
+} _LogRecord__isset;
+
+class LogRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  LogRecord(const LogRecord&);
+  LogRecord(LogRecord&&) noexcept;
+  LogRecord& operator=(const LogRecord&);
+  LogRecord& operator=(LogRecord&&) noexcept;
+  LogRecord() noexcept
+            : truncateFrom(0) {
+  }
+
+  virtual ~LogRecord() noexcept;
+  HardState state;
+  int64_t truncateFrom;
+  std::vector<LogEntry>  entries;
+
+  _LogRecord__isset __isset;
+
+  void __set_state(const HardState& val);
+
+  void __set_truncateFrom(const int64_t val);
+
+  void __set_entries(const std::vector<LogEntry> & val);
+
+  bool operator == (const LogRecord & rhs) const
+  {
+    if (__isset.state != rhs.__isset.state)
+      return false;
+    else if (__isset.state && !(state == rhs.state))
+      return false;
+    if (!(truncateFrom == rhs.truncateFrom))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const LogRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LogRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LogRecord &a, LogRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const LogRecord& obj);
+
+typedef struct _LogFrame__isset {
+  _LogFrame__isset() : records(false) {}
+  bool records :1;
+} _LogFrame__isset;
+
+class LogFrame : public virtual ::apache::thrift::TBase {
+ public:
+
+  LogFrame(const LogFrame&);
+  LogFrame(LogFrame&&) noexcept;
+  LogFrame& operator=(const LogFrame&);
+  LogFrame& operator=(LogFrame&&) noexcept;
+  LogFrame() noexcept {
+  }
+
+  virtual ~LogFrame() noexcept;
+  std::vector<LogRecord>  records;
+
+  _LogFrame__isset __isset;
+
+  void __set_records(const std::vector<LogRecord> & val);
+
+  bool operator == (const LogFrame & rhs) const
+  {
+    if (!(records == rhs.records))
+      return false;
+    return true;
+  }
+  bool operator != (const LogFrame &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LogFrame & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LogFrame &a, LogFrame &b);
+
+std::ostream& operator<<(std::ostream& out, const LogFrame& obj);
+
+typedef struct _SnapshotFile__isset {
+  _SnapshotFile__isset() : lastIndex(false), lastTerm(false), voters(false), learners(false), data(false) {}
+  bool lastIndex :1;
+  bool lastTerm :1;
+  bool voters :1;
+  bool learners :1;
+  bool data :1;
+} _SnapshotFile__isset;
+
+class SnapshotFile : public virtual ::apache::thrift::TBase {
+ public:
+
+  SnapshotFile(const SnapshotFile&);
+  SnapshotFile(SnapshotFile&&) noexcept;
+  SnapshotFile& operator=(const SnapshotFile&);
+  SnapshotFile& operator=(SnapshotFile&&) noexcept;
+  SnapshotFile() noexcept
+               : lastIndex(0),
+                 lastTerm(0),
+                 data() {
+  }
+
+  virtual ~SnapshotFile() noexcept;
+  int64_t lastIndex;
+  int64_t lastTerm;
+  std::vector<std::string>  voters;
+  std::vector<std::string>  learners;
+  std::string data;
+
+  _SnapshotFile__isset __isset;
+
+  void __set_lastIndex(const int64_t val);
+
+  void __set_lastTerm(const int64_t val);
+
+  void __set_voters(const std::vector<std::string> & val);
+
+  void __set_learners(const std::vector<std::string> & val);
+
+  void __set_data(const std::string& val);
+
+  bool operator == (const SnapshotFile & rhs) const
+  {
+    if (!(lastIndex == rhs.lastIndex))
+      return false;
+    if (!(lastTerm == rhs.lastTerm))
+      return false;
+    if (!(voters == rhs.voters))
+      return false;
+    if (!(learners == rhs.learners))
+      return false;
+    if (!(data == rhs.data))
+      return false;
+    return true;
+  }
+  bool operator != (const SnapshotFile &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SnapshotFile & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SnapshotFile &a, SnapshotFile &b);
+
+std::ostream& operator<<(std::ostream& out, const SnapshotFile& obj);
+
+typedef struct _HolderRecord__isset {
+  _HolderRecord__isset() : name(false), since(false), whole(false) {}
+  bool name :1;
+  bool since :1;
+  bool whole :1;
+} _HolderRecord__isset;
+
+class HolderRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  HolderRecord(const HolderRecord&);
+  HolderRecord(HolderRecord&&) noexcept;
+  HolderRecord& operator=(const HolderRecord&);
+  HolderRecord& operator=(HolderRecord&&) noexcept;
+  HolderRecord() noexcept
+               : name(),
+                 since(0),
+                 whole(0) {
+  }
+
+  virtual ~HolderRecord() noexcept;
+  std::string name;
+  int64_t since;
+  bool whole;
+
+  _HolderRecord__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_since(const int64_t val);
+
+  void __set_whole(const bool val);
+
+  bool operator == (const HolderRecord & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(since == rhs.since))
+      return false;
+    if (!(whole == rhs.whole))
+      return false;
+    return true;
+  }
+  bool operator != (const HolderRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HolderRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HolderRecord &a, HolderRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const HolderRecord& obj);
+
+typedef struct _CellRecord__isset {
+  _CellRecord__isset() : cell(false), serviceName(false), epoch(false), owner(false), holders(false), floorMs(false), routeVersion(false), agentsVersion(false) {}
+  bool cell :1;
+  bool serviceName :1;
+  bool epoch :1;
+  bool owner :1;
+  bool holders :1;
+  bool floorMs :1;
+  bool routeVersion :1;
+  bool agentsVersion :1;
+} _CellRecord__isset;
+
+class CellRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  CellRecord(const CellRecord&);
+  CellRecord(CellRecord&&) noexcept;
+  CellRecord& operator=(const CellRecord&);
+  CellRecord& operator=(CellRecord&&) noexcept;
+  CellRecord() noexcept
+             : cell(0),
+               serviceName(),
+               epoch(0),
+               owner(),
+               floorMs(0),
+               routeVersion(0),
+               agentsVersion(0) {
+  }
+
+  virtual ~CellRecord() noexcept;
+  int32_t cell;
+  std::string serviceName;
+  int64_t epoch;
+  std::string owner;
+  std::vector<HolderRecord>  holders;
+  int64_t floorMs;
+  int64_t routeVersion;
+  int64_t agentsVersion;
+
+  _CellRecord__isset __isset;
+
+  void __set_cell(const int32_t val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_owner(const std::string& val);
+
+  void __set_holders(const std::vector<HolderRecord> & val);
+
+  void __set_floorMs(const int64_t val);
+
+  void __set_routeVersion(const int64_t val);
+
+  void __set_agentsVersion(const int64_t val);
+
+  bool operator == (const CellRecord & rhs) const
+  {
+    if (!(cell == rhs.cell))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(owner == rhs.owner))
+      return false;
+    if (!(holders == rhs.holders))
+      return false;
+    if (!(floorMs == rhs.floorMs))
+      return false;
+    if (!(routeVersion == rhs.routeVersion))
+      return false;
+    if (!(agentsVersion == rhs.agentsVersion))
+      return false;
+    return true;
+  }
+  bool operator != (const CellRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CellRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CellRecord &a, CellRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const CellRecord& obj);
+
+typedef struct _MemberRecord__isset {
+  _MemberRecord__isset() : id(false), role(false), address(false), failureDomain(false), serviceName(false), cell(false), leaving(false), version(false), leaseVersion(false) {}
+  bool id :1;
+  bool role :1;
+  bool address :1;
+  bool failureDomain :1;
+  bool serviceName :1;
+  bool cell :1;
+  bool leaving :1;
+  bool version :1;
+  bool leaseVersion :1;
+} _MemberRecord__isset;
+
+class MemberRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  MemberRecord(const MemberRecord&);
+  MemberRecord(MemberRecord&&) noexcept;
+  MemberRecord& operator=(const MemberRecord&);
+  MemberRecord& operator=(MemberRecord&&) noexcept;
+  MemberRecord() noexcept
+               : role(static_cast<Role::type>(0)),
+                 failureDomain(),
+                 serviceName(),
+                 cell(0),
+                 leaving(0),
+                 version(0),
+                 leaseVersion(0) {
+  }
+
+  virtual ~MemberRecord() noexcept;
+  ProcessId id;
+  /**
+   * 
+   * @see Role
+   */
+  Role::type role;
+  Endpoint address;
+  std::string failureDomain;
+  std::string serviceName;
+  int32_t cell;
+  bool leaving;
+  int64_t version;
+  int64_t leaseVersion;
+
+  _MemberRecord__isset __isset;
+
+  void __set_id(const ProcessId& val);
+
+  void __set_role(const Role::type val);
+
+  void __set_address(const Endpoint& val);
+
+  void __set_failureDomain(const std::string& val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_cell(const int32_t val);
+
+  void __set_leaving(const bool val);
+
+  void __set_version(const int64_t val);
+
+  void __set_leaseVersion(const int64_t val);
+
+  bool operator == (const MemberRecord & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(role == rhs.role))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(cell == rhs.cell))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(leaseVersion == rhs.leaseVersion))
+      return false;
+    return true;
+  }
+  bool operator != (const MemberRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MemberRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MemberRecord &a, MemberRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const MemberRecord& obj);
+
+typedef struct _ControlImage__isset {
+  _ControlImage__isset() : history(false), members(false), cells(false), nextCell(false), configVersion(false), routesVersion(false) {}
+  bool history :1;
+  bool members :1;
+  bool cells :1;
+  bool nextCell :1;
+  bool configVersion :1;
+  bool routesVersion :1;
+} _ControlImage__isset;
+
+class ControlImage : public virtual ::apache::thrift::TBase {
+ public:
+
+  ControlImage(const ControlImage&);
+  ControlImage(ControlImage&&) noexcept;
+  ControlImage& operator=(const ControlImage&);
+  ControlImage& operator=(ControlImage&&) noexcept;
+  ControlImage() noexcept
+               : nextCell(0),
+                 configVersion(0),
+                 routesVersion(0) {
+  }
+
+  virtual ~ControlImage() noexcept;
+  std::vector<ConfigFile>  history;
+  std::vector<MemberRecord>  members;
+  std::vector<CellRecord>  cells;
+  int32_t nextCell;
+  int64_t configVersion;
+  int64_t routesVersion;
+
+  _ControlImage__isset __isset;
+
+  void __set_history(const std::vector<ConfigFile> & val);
+
+  void __set_members(const std::vector<MemberRecord> & val);
+
+  void __set_cells(const std::vector<CellRecord> & val);
+
+  void __set_nextCell(const int32_t val);
+
+  void __set_configVersion(const int64_t val);
+
+  void __set_routesVersion(const int64_t val);
+
+  bool operator == (const ControlImage & rhs) const
+  {
+    if (!(history == rhs.history))
+      return false;
+    if (!(members == rhs.members))
+      return false;
+    if (!(cells == rhs.cells))
+      return false;
+    if (!(nextCell == rhs.nextCell))
+      return false;
+    if (!(configVersion == rhs.configVersion))
+      return false;
+    if (!(routesVersion == rhs.routesVersion))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlImage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlImage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ControlImage &a, ControlImage &b);
+
+std::ostream& operator<<(std::ostream& out, const ControlImage& obj);
+
 typedef struct _Message__isset {
   _Message__isset() : submitJob(false), cancelJob(false), queryJob(false), jobReply(false), notOwner(false), recordBatch(false), recordSnapshot(false), recordAck(false), startBatch(false), cancelBatch(false), resultAck(false), fence(false), agentHello(false), resultBatch(false), startRefused(false), agentState(false), memberHeartbeat(false), heartbeatReply(false), clusterView(false), applyConfig(false), applyReply(false), controlQuery(false), controlAnswer(false), requestVote(false), voteReply(false), appendEntries(false), appendReply(false), installSnapshot(false), installReply(false), timeoutNow(false) {}
   bool submitJob :1;
