Start tasks at a backend server and report their results

Cause: the agent and a backend server to run it against were missing. Ruled out: libcurl's own repetition of a request whose kept connection closed before the answer; the backend server may have run the first one. StartRefused carries the sequence of each refused start, so that an owner can tell a late refusal of an earlier start from one of the latest.

--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -82,6 +82,26 @@
 #define AGATEDRUM_AGENT_LOST_MS 5000
 #endif
 
+/// Time without an announcement after which a backend server counts as down, in milliseconds.
+#ifndef AGATEDRUM_BACKEND_SILENT_MS
+#define AGATEDRUM_BACKEND_SILENT_MS 3000
+#endif
+
+/// Interval at which an agent repeats a result that is not acknowledged, in milliseconds.
+#ifndef AGATEDRUM_RESULT_RESEND_MS
+#define AGATEDRUM_RESULT_RESEND_MS 500
+#endif
+
+/// Results for each slot that may wait for acknowledgement before an agent refuses starts.
+#ifndef AGATEDRUM_RESULTS_PER_SLOT
+#define AGATEDRUM_RESULTS_PER_SLOT 64
+#endif
+
+/// Time limit of a task whose start has no deadline, in milliseconds.
+#ifndef AGATEDRUM_TASK_TIME_MS
+#define AGATEDRUM_TASK_TIME_MS 30000
+#endif
+
 /// Time for which a job waits for enough copies of its record, in milliseconds.
 #ifndef AGATEDRUM_RECORD_TIMEOUT_MS
 #define AGATEDRUM_RECORD_TIMEOUT_MS 5000
--- a/src/agent_backend_p.h
+++ b/src/agent_backend_p.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace agatedrum {
@@ -29,15 +30,38 @@
     Micros runTime {0};
 };
 
-/// Calls backend servers. Implementations are thread-safe and never block.
+/// Calls backend servers. Implementations are thread-safe, never block, and report no outcome from within a call.
 struct BackendCallerI
 {
     virtual ~BackendCallerI() = default;
     virtual void start(BackendCall call) = 0;
     /// Ends a running call; its outcome is STOPPED if it was still running, and is reported like any other.
     virtual void stop(std::int64_t number) = 0;
+    /// Sets the most connections that are open at once. Calls above it wait for a free connection.
+    virtual void limitConnections(int connections) = 0;
 };
 
 using BackendOutcomeHandler = std::function<void(const BackendOutcome &)>;
 
+/// Calls backend servers over HTTP/1.1 with libcurl, on one thread, with connections kept alive. Each request is sent
+/// at most once. Thread-safe.
+class CurlBackendCaller : public BackendCallerI
+{
+public:
+    /// @param handler called on the caller's thread, once for each call, in any order.
+    explicit CurlBackendCaller(BackendOutcomeHandler handler);
+    /// Ends the thread. Calls that still run are closed without an outcome.
+    ~CurlBackendCaller() override;
+    CurlBackendCaller(const CurlBackendCaller &) = delete;
+    CurlBackendCaller &operator=(const CurlBackendCaller &) = delete;
+
+    void start(BackendCall call) override;
+    void stop(std::int64_t number) override;
+    void limitConnections(int connections) override;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl;
+};
+
 } // namespace agatedrum
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -1959,11 +1959,12 @@
 std::ostream& operator<<(std::ostream& out, const ResultBatch& obj);
 
 typedef struct _StartRefused__isset {
-  _StartRefused__isset() : cell(false), epoch(false), refs(false), reason(false) {}
+  _StartRefused__isset() : cell(false), epoch(false), refs(false), reason(false), sequences(false) {}
   bool cell :1;
   bool epoch :1;
   bool refs :1;
   bool reason :1;
+  bool sequences :1;
 } _StartRefused__isset;
 
 class StartRefused : public virtual ::apache::thrift::TBase {
@@ -1984,6 +1985,7 @@
   int64_t epoch;
   std::vector<TaskRef>  refs;
   std::string reason;
+  std::vector<int64_t>  sequences;
 
   _StartRefused__isset __isset;
 
@@ -1995,6 +1997,8 @@
 
   void __set_reason(const std::string& val);
 
+  void __set_sequences(const std::vector<int64_t> & val);
+
   bool operator == (const StartRefused & rhs) const
   {
     if (!(cell == rhs.cell))
@@ -2005,6 +2009,8 @@
       return false;
     if (!(reason == rhs.reason))
       return false;
+    if (!(sequences == rhs.sequences))
+      return false;
     return true;
   }
   bool operator != (const StartRefused &rhs) const {
