--- /dev/null
+++ b/src/http_connection.cpp
@@ -0,0 +1,299 @@
+#include "http_connection_p.h"
+
+#include "base_log_p.h"
+
+#include <pistache/peer.h>
+
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace agatedrum {
+
+namespace {
+
+constexpr auto part = "http";
+// After the last answer, the caller gets this long to read it and to close.
+constexpr std::chrono::seconds lingerTime {2};
+
+/// A header of an answer that Pistache writes as it is.
+class TextHeader : public Pistache::Http::Header::Header
+{
+public:
+    TextHeader(const char *name, std::string content)
+        : text(std::move(content))
+        , title(name)
+    {
+    }
+    const char *name() const override
+    {
+        return this->title;
+    }
+    std::uint64_t hash() const override
+    {
+        return 0; // read only for casts to a header type
+    }
+    void write(std::ostream &out) const override
+    {
+        out << this->text;
+    }
+
+private:
+    std::string text;
+    const char *title;
+};
+
+FramerLimits limitsOf(const HttpServerOptions &options)
+{
+    FramerLimits limits;
+    limits.maxBodyBytes = options.maxBodyBytes;
+    return limits;
+}
+
+HttpResponse faultResponse(const FrameFault &fault)
+{
+    return httpRefusal(fault.status, "INVALID", fault.message);
+}
+
+} // namespace
+
+HttpShared::HttpShared(HttpServerOptions options)
+    : options(std::move(options))
+{
+}
+
+void HttpShared::closeIdle()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const std::lock_guard lock(this->mutex);
+    for (auto *connection : this->open) {
+        connection->closeIfIdle(now);
+    }
+}
+
+void HttpShared::abandonAll()
+{
+    const std::lock_guard lock(this->mutex);
+    for (auto *connection : this->open) {
+        connection->abandon();
+    }
+}
+
+WriteMark::WriteMark(std::shared_ptr<HttpShared> shared)
+    : shared(std::move(shared))
+{
+    ++this->shared->openRequests;
+}
+
+WriteMark::~WriteMark()
+{
+    --this->shared->openRequests;
+}
+
+/// Right to answer one request once.
+struct HttpConnection::Ticket
+{
+    Ticket(std::shared_ptr<HttpConnection> connection, bool closeAfter)
+        : connection(std::move(connection))
+        , mark(std::make_shared<WriteMark>(this->connection->shared))
+        , closeAfter(closeAfter)
+    {
+    }
+    ~Ticket()
+    {
+        try {
+            this->answer(httpRefusal(500, "INTERNAL", "the request was dropped without an answer"));
+        } catch (const std::exception &failure) {
+            this->connection->abandon();
+        }
+    }
+    Ticket(const Ticket &) = delete;
+    Ticket &operator=(const Ticket &) = delete;
+
+    void answer(const HttpResponse &response)
+    {
+        if (!this->isAnswered.exchange(true)) {
+            this->connection->write(response, this->mark, this->closeAfter);
+            this->mark.reset();
+        }
+    }
+
+    std::shared_ptr<HttpConnection> connection;
+    std::shared_ptr<WriteMark> mark;
+    const bool closeAfter;
+    std::atomic<bool> isAnswered {false};
+};
+
+HttpConnection::HttpConnection(std::shared_ptr<HttpShared> shared, const std::shared_ptr<Pistache::Tcp::Peer> &peer,
+                               Pistache::Http::Handler &handler, Pistache::Tcp::Transport &transport)
+    : shared(std::move(shared))
+    , peer(peer)
+    , descriptor(peer->fd())
+    , handler(handler)
+    , transport(transport)
+    , framer(limitsOf(this->shared->options))
+    , lastActivity(std::chrono::steady_clock::now())
+{
+}
+
+HttpConnection::~HttpConnection()
+{
+    this->close();
+}
+
+void HttpConnection::open(bool isStale)
+{
+    const bool isFull = ++this->shared->connections > this->shared->options.maxConnections;
+    {
+        const std::lock_guard lock(this->shared->mutex);
+        this->shared->open.insert(this);
+    }
+    if (isStale || isFull || this->shared->isStopping) {
+        log(LogLevel::Warning, part, "connection refused: {}",
+            isFull ? "too many connections" : (isStale ? "descriptor still in use" : "stopping"));
+        this->abandon();
+    }
+}
+
+void HttpConnection::takeInput(std::string_view bytes)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->lastActivity = std::chrono::steady_clock::now();
+        if (this->isClosing) {
+            return;
+        }
+        this->framer.feed(bytes);
+    }
+    this->passOn();
+}
+
+std::weak_ptr<WriteMark> HttpConnection::close()
+{
+    {
+        const std::lock_guard lock(this->shared->mutex);
+        if (this->shared->open.erase(this) > 0) {
+            --this->shared->connections;
+        }
+    }
+    const std::lock_guard lock(this->mutex);
+    this->isAlive = false;
+    return this->lastWrite;
+}
+
+void HttpConnection::closeIfIdle(std::chrono::steady_clock::time_point now)
+{
+    const std::lock_guard lock(this->mutex);
+    if (!this->isAlive || this->isBusy) {
+        return;
+    }
+    const auto limit = this->isClosing ? std::chrono::milliseconds(lingerTime) : this->shared->options.idleTimeout;
+    int unreadBytes = 0;
+    const bool isUnused = !this->isClosing && this->framer.isEmpty()
+        && ::ioctl(this->descriptor, FIONREAD, &unreadBytes) == 0 && unreadBytes == 0;
+    if (now - this->lastActivity > limit || (this->shared->isStopping && isUnused)) {
+        ::shutdown(this->descriptor, SHUT_RDWR);
+    }
+}
+
+void HttpConnection::abandon()
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->isAlive) {
+        ::shutdown(this->descriptor, SHUT_RDWR);
+        this->isAlive = false;
+    }
+}
+
+void HttpConnection::passOn()
+{
+    std::unique_lock lock(this->mutex);
+    if (!this->isAlive || this->isBusy || this->isClosing) {
+        return;
+    }
+    auto next = this->framer.next();
+    if (std::holds_alternative<FrameIncomplete>(next)) {
+        if (this->framer.takeContinue()) {
+            this->sendContinue();
+        }
+        return;
+    }
+    this->isBusy = true;
+    lock.unlock();
+    if (const auto *fault = std::get_if<FrameFault>(&next)) {
+        this->write(faultResponse(*fault), std::make_shared<WriteMark>(this->shared), true);
+    } else {
+        this->dispatch(std::get<FramedRequest>(std::move(next)));
+    }
+}
+
+void HttpConnection::dispatch(FramedRequest &&framed)
+{
+    const auto ticket = std::make_shared<Ticket>(this->shared_from_this(), framed.closeAfter);
+    const auto found = this->shared->router.find(std::move(framed));
+    if (const auto *refusal = std::get_if<HttpResponse>(&found)) {
+        ticket->answer(*refusal);
+        return;
+    }
+    const auto &match = std::get<HttpRouter::Match>(found);
+    try {
+        (*match.handler)(match.request, [ticket](const HttpResponse &response) { ticket->answer(response); });
+    } catch (const std::exception &failure) {
+        log(LogLevel::Error, part, "{} {}: {}", match.request.method, match.request.path, failure.what());
+        ticket->answer(httpRefusal(500, "INTERNAL", "the request failed inside the server"));
+    }
+}
+
+void HttpConnection::write(const HttpResponse &response, const std::shared_ptr<WriteMark> &mark, bool closeAfter)
+{
+    using namespace Pistache::Http;
+    std::unique_lock lock(this->mutex);
+    // While isAlive is true, Pistache has not closed the descriptor, so the write cannot reach another caller.
+    if (!this->isAlive) {
+        return;
+    }
+    const bool mustClose = closeAfter || this->shared->isStopping;
+    ResponseWriter writer(Version::Http11, &this->transport, &this->handler, this->peer);
+    // Pistache writes typed headers only; addRaw() has no effect on an answer.
+    writer.headers().add(std::make_shared<TextHeader>("Content-Type", response.contentType));
+    if (response.retryAfterSeconds > 0) {
+        writer.headers().add(std::make_shared<TextHeader>("Retry-After", std::to_string(response.retryAfterSeconds)));
+    }
+    if (mustClose) {
+        writer.headers().add(std::make_shared<TextHeader>("Connection", "close"));
+    }
+    this->lastWrite = mark;
+    auto written = writer.send(static_cast<Code>(response.status), response.body);
+    // then() calls back at once, on this thread, when the write has already ended.
+    lock.unlock();
+    const auto self = this->shared_from_this();
+    written.then([self, mark, mustClose](ssize_t) { self->finishWrite(true, mustClose); },
+                 [self, mark](const std::exception_ptr &) { self->finishWrite(false, true); });
+}
+
+void HttpConnection::finishWrite(bool isWritten, bool closeAfter)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->isBusy = false;
+        this->isClosing = closeAfter;
+        this->lastActivity = std::chrono::steady_clock::now();
+        if (closeAfter && this->isAlive) {
+            // Reading goes on, because closing with unread bytes would reset the connection before the answer is read.
+            ::shutdown(this->descriptor, isWritten ? SHUT_WR : SHUT_RDWR);
+        }
+    }
+    this->passOn();
+}
+
+void HttpConnection::sendContinue()
+{
+    static const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
+    const auto mark = std::make_shared<WriteMark>(this->shared);
+    this->lastWrite = mark;
+    this->transport.asyncWrite(this->descriptor, Pistache::RawBuffer(line, line.size()))
+        .then([mark](ssize_t) {}, [mark](const std::exception_ptr &) {});
+}
+
+} // namespace agatedrum
--- /dev/null
+++ b/src/http_connection_p.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "http_framer_p.h"
+#include "http_router_p.h"
+#include "http_server_p.h"
+
+#include <pistache/http.h>
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string_view>
+
+namespace agatedrum {
+
+class HttpConnection;
+
+/// What the connections of one server share. Thread-safe; the router does not change once the server has started.
+struct HttpShared
+{
+    explicit HttpShared(HttpServerOptions options);
+
+    /// Ends connections that have been idle too long; all idle ones when the server stops.
+    void closeIdle();
+    /// Ends all connections; later answers are dropped.
+    void abandonAll();
+
+    const HttpServerOptions options;
+    HttpRouter router;
+    std::atomic<bool> isStopping {false};
+    std::atomic<std::size_t> openRequests {0};
+    std::atomic<int> connections {0};
+
+    std::mutex mutex;
+    std::set<HttpConnection *> open; ///< guarded by mutex
+};
+
+/// Lives as long as Pistache holds the write of an answer. Counts as an open request.
+struct WriteMark
+{
+    explicit WriteMark(std::shared_ptr<HttpShared> shared);
+    ~WriteMark();
+    WriteMark(const WriteMark &) = delete;
+    WriteMark &operator=(const WriteMark &) = delete;
+
+    std::shared_ptr<HttpShared> shared;
+};
+
+/// One caller's connection: passes on one request at a time, the next after the answer was written.
+/// Thread-safe: input arrives on the connection's Pistache thread, answers on any thread.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection>
+{
+public:
+    HttpConnection(std::shared_ptr<HttpShared> shared, const std::shared_ptr<Pistache::Tcp::Peer> &peer,
+                   Pistache::Http::Handler &handler, Pistache::Tcp::Transport &transport);
+    ~HttpConnection();
+    HttpConnection(const HttpConnection &) = delete;
+    HttpConnection &operator=(const HttpConnection &) = delete;
+
+    /// Registers the connection. Shuts it down at once when the server takes no more.
+    /// @param isStale a write for an earlier connection with this descriptor may still be under way, so this one
+    /// cannot be used.
+    void open(bool isStale);
+    /// Takes bytes from the caller.
+    void takeInput(std::string_view bytes);
+    /// Notes that the caller has gone. @return the write that Pistache may still hold.
+    std::weak_ptr<WriteMark> close();
+
+    /// Ends the connection if nothing has happened on it for too long, or if it is idle and the server stops.
+    void closeIfIdle(std::chrono::steady_clock::time_point now);
+    /// Ends the connection at once. No answer is sent after the call.
+    void abandon();
+
+private:
+    struct Ticket;
+
+    void passOn();
+    void dispatch(FramedRequest &&framed);
+    void write(const HttpResponse &response, const std::shared_ptr<WriteMark> &mark, bool closeAfter);
+    void finishWrite(bool isWritten, bool closeAfter);
+    /// Precondition: mutex is held.
+    void sendContinue();
+
+    const std::shared_ptr<HttpShared> shared;
+    const std::weak_ptr<Pistache::Tcp::Peer> peer;
+    const int descriptor;
+    Pistache::Http::Handler &handler;
+    Pistache::Tcp::Transport &transport;
+
+    std::mutex mutex; ///< guards all below
+    HttpFramer framer;
+    bool isAlive = true; ///< the descriptor is this connection's while true
+    bool isBusy = false; ///< a request was passed on and its answer is not written
+    bool isClosing = false; ///< the last answer was written
+    std::weak_ptr<WriteMark> lastWrite;
+    std::chrono::steady_clock::time_point lastActivity;
+};
+
+} // namespace agatedrum
--- /dev/null
+++ b/src/http_server.cpp
@@ -0,0 +1,171 @@
+#include "http_server_p.h"
+
+#include "base_log_p.h"
+#include "http_connection_p.h"
+#include "http_router_p.h"
+
+#include <pistache/endpoint.h>
+#include <pistache/peer.h>
+
+#include <condition_variable>
+#include <map>
+#include <thread>
+#include <utility>
+
+namespace agatedrum {
+
+namespace {
+
+constexpr auto part = "http";
+constexpr std::chrono::milliseconds housekeepingInterval {250};
+constexpr std::chrono::milliseconds closeStep {5};
+constexpr int closeAttempts = 100; ///< stop() waits at most half a second for Pistache to close the connections
+// Pistache's own timeouts would answer 408 to a request that waits for its job, so they are never reached.
+constexpr std::chrono::hours unreachableTimeout {24 * 365};
+
+/// Pistache's calls for the connections of one of its threads. Replaces Pistache's own reading and parsing.
+class ConnectionHandler : public Pistache::Http::Handler
+{
+public:
+    HTTP_PROTOTYPE(ConnectionHandler)
+
+    explicit ConnectionHandler(std::shared_ptr<HttpShared> shared)
+        : shared(std::move(shared))
+    {
+    }
+
+    void onRequest(const Pistache::Http::Request & /*request*/, Pistache::Http::ResponseWriter /*response*/) override {
+    }
+
+private:
+    void onConnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
+    {
+        // Pistache's check for idle connections reads this parser.
+        peer->putData(ParserData, std::make_shared<Pistache::Http::RequestParser>(0));
+        const auto connection = std::make_shared<HttpConnection>(this->shared, peer, *this, *this->transport());
+        peer->putData(connectionData, connection);
+        auto &stale = this->staleWrites[peer->fd()];
+        const bool isStale = !stale.expired();
+        stale.reset();
+        connection->open(isStale);
+    }
+
+    void onInput(const char *buffer, size_t length, const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
+    {
+        connectionOf(peer)->takeInput({buffer, length});
+    }
+
+    void onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
+    {
+        this->staleWrites[peer->fd()] = connectionOf(peer)->close();
+    }
+
+    static std::shared_ptr<HttpConnection> connectionOf(const std::shared_ptr<Pistache::Tcp::Peer> &peer)
+    {
+        return std::static_pointer_cast<HttpConnection>(peer->getData(connectionData));
+    }
+
+    static constexpr auto connectionData = "agatedrum";
+
+    std::shared_ptr<HttpShared> shared;
+    /// By descriptor: the last write to a connection that has gone, while Pistache may still hold it.
+    std::map<int, std::weak_ptr<WriteMark>> staleWrites;
+};
+
+} // namespace
+
+struct HttpServer::Impl
+{
+    explicit Impl(HttpServerOptions options)
+        : shared(std::make_shared<HttpShared>(std::move(options)))
+    {
+    }
+
+    void keepHouse();
+
+    std::shared_ptr<HttpShared> shared;
+    std::unique_ptr<Pistache::Http::Endpoint> endpoint;
+    std::thread housekeeping;
+    std::mutex mutex;
+    std::condition_variable wake;
+    bool mustEnd = false;
+};
+
+void HttpServer::Impl::keepHouse()
+{
+    std::unique_lock lock(this->mutex);
+    while (!this->mustEnd) {
+        this->wake.wait_for(lock, housekeepingInterval);
+        lock.unlock();
+        this->shared->closeIdle();
+        lock.lock();
+    }
+}
+
+HttpServer::HttpServer(HttpServerOptions options)
+    : impl(std::make_unique<Impl>(std::move(options)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    this->stop();
+}
+
+void HttpServer::route(const std::string &method, const std::string &pattern, HttpHandler handler)
+{
+    this->impl->shared->router.add(method, pattern, std::move(handler));
+}
+
+void HttpServer::start()
+{
+    const auto &options = this->impl->shared->options;
+    const Pistache::Address address(options.address.host,
+                                    Pistache::Port(static_cast<std::uint16_t>(options.address.port)));
+    this->impl->endpoint = std::make_unique<Pistache::Http::Endpoint>(address);
+    this->impl->endpoint->init(Pistache::Http::Endpoint::options()
+                                   .threads(options.threads)
+                                   .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay
+                                          | Pistache::Tcp::Options::CloseOnExec)
+                                   .headerTimeout(unreachableTimeout)
+                                   .bodyTimeout(unreachableTimeout)
+                                   .keepaliveTimeout(unreachableTimeout));
+    this->impl->endpoint->setHandler(std::make_shared<ConnectionHandler>(this->impl->shared));
+    this->impl->endpoint->serveThreaded();
+    this->impl->housekeeping = std::thread([this] { this->impl->keepHouse(); });
+    log(LogLevel::Info, part, "listening on {}:{}", options.address.host, options.address.port);
+}
+
+void HttpServer::beginStop()
+{
+    this->impl->shared->isStopping = true;
+    this->impl->shared->closeIdle();
+}
+
+std::size_t HttpServer::openRequests() const
+{
+    return this->impl->shared->openRequests;
+}
+
+void HttpServer::stop()
+{
+    if (!this->impl->endpoint) {
+        return;
+    }
+    {
+        const std::lock_guard lock(this->impl->mutex);
+        this->impl->mustEnd = true;
+    }
+    this->impl->wake.notify_all();
+    this->impl->housekeeping.join();
+    this->impl->shared->isStopping = true;
+    this->impl->shared->abandonAll();
+    // Pistache closes descriptors only while its threads run.
+    for (int i = 0; i<closeAttempts &&this->impl->shared->connections> 0; ++i) {
+        std::this_thread::sleep_for(closeStep);
+    }
+    this->impl->endpoint->shutdown();
+    this->impl->endpoint.reset();
+}
+
+} // namespace agatedrum
--- a/src/http_server_p.h
+++ b/src/http_server_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agatedrum/config.h"
+#include "base_clock_p.h"
 #include "wire_message_p.h"
 
 #include <functional>
@@ -37,6 +38,7 @@
     int threads = 2;
     std::size_t maxBodyBytes = AGATEDRUM_MAX_BODY_BYTES;
     int maxConnections = 10000;
+    Millis idleTimeout {60000}; ///< a connection without a waiting request is closed after this long
 };
 
 /// HTTP/1.1 server on Pistache. Each connection gets its answers whole and in the order of its requests. Thread-safe
--- /dev/null
+++ b/tests/http_client.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace agatedrum::test {
+
+/// Plain TCP connection to a server on loopback, so that a test decides which bytes travel together.
+class RawClient
+{
+public:
+    explicit RawClient(int port)
+        : descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const timeval limit {5, 0};
+        ::setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+        if (::connect(this->descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
+            ::close(this->descriptor);
+            throw std::runtime_error("cannot connect");
+        }
+    }
+    ~RawClient()
+    {
+        ::close(this->descriptor);
+    }
+    RawClient(const RawClient &) = delete;
+    RawClient &operator=(const RawClient &) = delete;
+
+    void send(std::string_view bytes)
+    {
+        while (!bytes.empty()) {
+            const auto sent = ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (sent <= 0) {
+                return;
+            }
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        }
+    }
+
+    /// Next whole answer, head and body. What has arrived when the server closes or sends nothing for 5 s.
+    std::string receive()
+    {
+        while (true) {
+            const auto head = this->received.find("\r\n\r\n");
+            const auto field = this->received.find("Content-Length: ");
+            if (head != std::string::npos) {
+                const auto body = field < head ? std::stoul(this->received.substr(field + 16)) : 0;
+                const auto length = head + 4 + body;
+                if (this->received.size() >= length) {
+                    auto answer = this->received.substr(0, length);
+                    this->received.erase(0, length);
+                    return answer;
+                }
+            }
+            if (!this->read()) {
+                return std::exchange(this->received, {});
+            }
+        }
+    }
+
+    /// Whether the server has closed; waits at most 5 s for it.
+    bool isClosed()
+    {
+        char byte = 0;
+        return ::recv(this->descriptor, &byte, 1, 0) == 0;
+    }
+
+private:
+    bool read()
+    {
+        char bytes[4096];
+        const auto count = ::recv(this->descriptor, bytes, sizeof bytes, 0);
+        if (count > 0) {
+            this->received.append(bytes, static_cast<std::size_t>(count));
+        }
+        return count > 0;
+    }
+
+    int descriptor;
+    std::string received;
+};
+
+/// A request with a body.
+inline std::string post(const std::string &target, const std::string &body)
+{
+    return "POST " + target + " HTTP/1.1\r\nHost: t\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
+}
+
+inline std::string get(const std::string &target)
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: t\r\n\r\n";
+}
+
+inline bool endsWith(const std::string &text, const std::string &end)
+{
+    return text.size() >= end.size() && text.compare(text.size() - end.size(), end.size(), end) == 0;
+}
+
+} // namespace agatedrum::test
--- /dev/null
+++ b/tests/test_http_server.cpp
@@ -0,0 +1,270 @@
+#include "fakes.h"
+#include "http_client.h"
+#include "http_server_p.h"
+
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <deque>
+#include <thread>
+
+using namespace agatedrum;
+using namespace agatedrum::test;
+
+namespace {
+
+constexpr int port = 44100;
+
+/// Requests that wait until the test answers them.
+class Waiting
+{
+public:
+    void add(const HttpRequest &request, HttpReply reply)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->entries.emplace_back(request.parameters.at("name"), std::move(reply));
+        this->arrived.notify_all();
+    }
+
+    /// Takes the oldest request; waits at most the given time.
+    std::pair<std::string, HttpReply> take(Millis limit = Millis(5000))
+    {
+        std::unique_lock lock(this->mutex);
+        if (!this->arrived.wait_for(lock, limit, [this] { return !this->entries.empty(); })) {
+            return {};
+        }
+        auto entry = std::move(this->entries.front());
+        this->entries.pop_front();
+        return entry;
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable arrived;
+    std::deque<std::pair<std::string, HttpReply>> entries;
+};
+
+HttpResponse text(const std::string &body)
+{
+    HttpResponse response;
+    response.body = body;
+    return response;
+}
+
+HttpServerOptions serverOptions()
+{
+    HttpServerOptions options;
+    options.address = endpoint(port);
+    options.maxBodyBytes = 1000;
+    options.maxConnections = 3;
+    options.idleTimeout = Millis(400);
+    return options;
+}
+
+template<typename Condition>
+bool eventually(Condition &&condition)
+{
+    for (int i = 0; i < 500 && !condition(); ++i) {
+        std::this_thread::sleep_for(Millis(10));
+    }
+    return condition();
+}
+
+} // namespace
+
+TEST_CASE("A server answers each caller's own requests", "[http]")
+{
+    Waiting waiting;
+    HttpServer server(serverOptions());
+    server.route("POST", "/echo",
+                 [](const HttpRequest &request, const HttpReply &reply) { reply(text(request.body)); });
+    server.route("GET", "/wait/:name",
+                 [&waiting](const HttpRequest &request, HttpReply reply) { waiting.add(request, std::move(reply)); });
+    server.route("GET", "/lost", [](const HttpRequest &, const HttpReply &) {});
+    server.route("GET", "/throw",
+                 [](const HttpRequest &, const HttpReply &) { throw std::runtime_error("handler failed"); });
+    server.route("GET", "/show/:name", [](const HttpRequest &request, const HttpReply &reply) {
+        reply(text(request.parameters.at("name") + "|" + request.query.at("q")));
+    });
+    server.route("GET", "/busy", [](const HttpRequest &, const HttpReply &reply) {
+        reply({503, "busy", "text/plain", 7});
+    });
+    server.start();
+    RawClient client(port);
+
+    SECTION("a connection is kept for further requests")
+    {
+        for (const std::string body : {"one", "two", ""}) {
+            client.send(post("/echo", body));
+            REQUIRE(endsWith(client.receive(), "\r\n\r\n" + body));
+        }
+        REQUIRE(eventually([&server] { return server.openRequests() == 0; }));
+    }
+
+    SECTION("path and query are decoded")
+    {
+        client.send(get("/show/a%2Fb%20c?q=d+e%26f"));
+        REQUIRE(endsWith(client.receive(), "a/b c|d e&f"));
+    }
+
+    SECTION("a second request on a connection waits for the first answer, so answers do not cross")
+    {
+        client.send(get("/wait/first"));
+        auto first = waiting.take();
+        client.send(get("/wait/second"));
+        REQUIRE_FALSE(waiting.take(Millis(100)).second);
+        REQUIRE(server.openRequests() == 1);
+        first.second(text("answer-1"));
+        REQUIRE(endsWith(client.receive(), "answer-1"));
+        waiting.take().second(text("answer-2"));
+        REQUIRE(endsWith(client.receive(), "answer-2"));
+    }
+
+    SECTION("requests that arrive in one segment are all answered")
+    {
+        client.send(post("/echo", "one") + post("/echo", "two") + post("/echo", "three"));
+        REQUIRE(endsWith(client.receive(), "one"));
+        REQUIRE(endsWith(client.receive(), "two"));
+        REQUIRE(endsWith(client.receive(), "three"));
+    }
+
+    SECTION("a malformed request line is answered and the connection closed")
+    {
+        client.send("NONSENSE\r\n");
+        REQUIRE(client.receive().find("HTTP/1.1 400") == 0);
+        REQUIRE(client.isClosed());
+    }
+
+    SECTION("a chunked body is refused before anything runs")
+    {
+        client.send("POST /echo HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+        REQUIRE(client.receive().find("HTTP/1.1 411") == 0);
+        REQUIRE(client.isClosed());
+    }
+
+    SECTION("a body that is too large is refused although the caller goes on sending")
+    {
+        client.send(post("/echo", std::string(200000, 'x')));
+        const auto answer = client.receive();
+        REQUIRE(answer.find("HTTP/1.1 413") == 0);
+        REQUIRE(answer.find("\"notRun\":true") != std::string::npos);
+    }
+
+    SECTION("a caller that asks first is told to send its body")
+    {
+        client.send("POST /echo HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n");
+        REQUIRE(client.receive() == "HTTP/1.1 100 Continue\r\n\r\n");
+        client.send("ab");
+        REQUIRE(endsWith(client.receive(), "ab"));
+    }
+
+    SECTION("type and retry hint of an answer reach the caller")
+    {
+        client.send(get("/busy"));
+        const auto answer = client.receive();
+        REQUIRE(answer.find("HTTP/1.1 503") == 0);
+        REQUIRE(answer.find("\r\nContent-Type: text/plain\r\n") != std::string::npos);
+        REQUIRE(answer.find("\r\nRetry-After: 7\r\n") != std::string::npos);
+    }
+
+    SECTION("unknown paths and methods are refused and the connection stays")
+    {
+        client.send(get("/none"));
+        REQUIRE(client.receive().find("HTTP/1.1 404") == 0);
+        client.send(get("/echo"));
+        REQUIRE(client.receive().find("HTTP/1.1 405") == 0);
+        client.send(get("/show/%G1?q=1"));
+        REQUIRE(client.receive().find("HTTP/1.1 400") == 0);
+        client.send(post("/echo", "still"));
+        REQUIRE(endsWith(client.receive(), "still"));
+    }
+
+    SECTION("a handler that throws or drops its reply leaves no caller without an answer")
+    {
+        client.send(get("/lost"));
+        REQUIRE(client.receive().find("HTTP/1.1 500") == 0);
+        client.send(get("/throw"));
+        REQUIRE(client.receive().find("HTTP/1.1 500") == 0);
+    }
+
+    SECTION("an answer for a caller that has gone reaches no later caller")
+    {
+        for (int round = 0; round < 50; ++round) {
+            HttpReply late;
+            {
+                RawClient gone(port);
+                gone.send(get("/wait/gone"));
+                late = waiting.take().second;
+            }
+            std::thread answerer([&late] { late(text("for another caller")); });
+            RawClient next(port);
+            next.send(post("/echo", "own"));
+            const auto answer = next.receive();
+            answerer.join();
+            // A connection that was ended instead is allowed; another caller's answer is not.
+            REQUIRE((answer.empty() || endsWith(answer, "\r\n\r\nown")));
+            REQUIRE(eventually([&server] { return server.openRequests() == 0; }));
+        }
+    }
+
+    SECTION("connections above the bound are ended, and a freed place is used again")
+    {
+        {
+            RawClient second(port);
+            RawClient third(port);
+            client.send(post("/echo", "a"));
+            second.send(post("/echo", "b"));
+            third.send(post("/echo", "c"));
+            REQUIRE(endsWith(client.receive(), "a"));
+            REQUIRE(endsWith(second.receive(), "b"));
+            REQUIRE(endsWith(third.receive(), "c"));
+            RawClient fourth(port);
+            REQUIRE(fourth.isClosed());
+        }
+        REQUIRE(eventually([] {
+            RawClient again(port);
+            again.send(post("/echo", "d"));
+            return endsWith(again.receive(), "d");
+        }));
+    }
+
+    SECTION("an idle connection is closed, one whose request waits is not")
+    {
+        client.send(get("/wait/long"));
+        auto request = waiting.take();
+        RawClient idle(port);
+        REQUIRE(idle.isClosed());
+        std::this_thread::sleep_for(Millis(600));
+        request.second(text("at last"));
+        REQUIRE(endsWith(client.receive(), "at last"));
+    }
+
+    SECTION("a stop takes no new connection and answers what is in flight")
+    {
+        client.send(get("/wait/flight"));
+        auto request = waiting.take();
+        RawClient idle(port);
+        idle.send(post("/echo", "a"));
+        REQUIRE(endsWith(idle.receive(), "a"));
+        server.beginStop();
+        REQUIRE(idle.isClosed());
+        RawClient fresh(port);
+        REQUIRE(fresh.isClosed());
+        REQUIRE(server.openRequests() == 1);
+        request.second(text("answered"));
+        const auto answer = client.receive();
+        REQUIRE(endsWith(answer, "answered"));
+        REQUIRE(answer.find("Connection: close") != std::string::npos);
+        REQUIRE(client.isClosed());
+        REQUIRE(eventually([&server] { return server.openRequests() == 0; }));
+    }
+
+    SECTION("an answer after the server has stopped is dropped")
+    {
+        client.send(get("/wait/late"));
+        auto request = waiting.take();
+        server.stop();
+        request.second(text("late"));
+        REQUIRE(server.openRequests() == 0);
+    }
+}
