--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -4819,6 +4819,10 @@
 void StartRefused::__set_reason(const std::string& val) {
   this->reason = val;
 }
+
+void StartRefused::__set_sequences(const std::vector<int64_t> & val) {
+  this->sequences = val;
+}
 std::ostream& operator<<(std::ostream& out, const StartRefused& obj)
 {
   obj.printTo(out);
@@ -4891,6 +4895,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->sequences.clear();
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _etype172;
+            xfer += iprot->readListBegin(_etype172, _size169);
+            this->sequences.resize(_size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
+            {
+              xfer += iprot->readI64(this->sequences[_i173]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.sequences = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4919,10 +4943,10 @@
   xfer += oprot->writeFieldBegin("refs", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->refs.size()));
-    std::vector<TaskRef> ::const_iterator _iter169;
-    for (_iter169 = this->refs.begin(); _iter169 != this->refs.end(); ++_iter169)
+    std::vector<TaskRef> ::const_iterator _iter174;
+    for (_iter174 = this->refs.begin(); _iter174 != this->refs.end(); ++_iter174)
     {
-      xfer += (*_iter169).write(oprot);
+      xfer += (*_iter174).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4932,6 +4956,18 @@
   xfer += oprot->writeString(this->reason);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sequences", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->sequences.size()));
+    std::vector<int64_t> ::const_iterator _iter175;
+    for (_iter175 = this->sequences.begin(); _iter175 != this->sequences.end(); ++_iter175)
+    {
+      xfer += oprot->writeI64((*_iter175));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4943,37 +4979,42 @@
   swap(a.epoch, b.epoch);
   swap(a.refs, b.refs);
   swap(a.reason, b.reason);
+  swap(a.sequences, b.sequences);
   swap(a.__isset, b.__isset);
 }
 
-StartRefused::StartRefused(const StartRefused& other170) {
-  cell = other170.cell;
-  epoch = other170.epoch;
-  refs = other170.refs;
-  reason = other170.reason;
-  __isset = other170.__isset;
+StartRefused::StartRefused(const StartRefused& other176) {
+  cell = other176.cell;
+  epoch = other176.epoch;
+  refs = other176.refs;
+  reason = other176.reason;
+  sequences = other176.sequences;
+  __isset = other176.__isset;
 }
-StartRefused::StartRefused(StartRefused&& other171) noexcept {
-  cell = other171.cell;
-  epoch = other171.epoch;
-  refs = std::move(other171.refs);
-  reason = std::move(other171.reason);
-  __isset = other171.__isset;
+StartRefused::StartRefused(StartRefused&& other177) noexcept {
+  cell = other177.cell;
+  epoch = other177.epoch;
+  refs = std::move(other177.refs);
+  reason = std::move(other177.reason);
+  sequences = std::move(other177.sequences);
+  __isset = other177.__isset;
 }
-StartRefused& StartRefused::operator=(const StartRefused& other172) {
-  cell = other172.cell;
-  epoch = other172.epoch;
-  refs = other172.refs;
-  reason = other172.reason;
-  __isset = other172.__isset;
+StartRefused& StartRefused::operator=(const StartRefused& other178) {
+  cell = other178.cell;
+  epoch = other178.epoch;
+  refs = other178.refs;
+  reason = other178.reason;
+  sequences = other178.sequences;
+  __isset = other178.__isset;
   return *this;
 }
-StartRefused& StartRefused::operator=(StartRefused&& other173) noexcept {
-  cell = other173.cell;
-  epoch = other173.epoch;
-  refs = std::move(other173.refs);
-  reason = std::move(other173.reason);
-  __isset = other173.__isset;
+StartRefused& StartRefused::operator=(StartRefused&& other179) noexcept {
+  cell = other179.cell;
+  epoch = other179.epoch;
+  refs = std::move(other179.refs);
+  reason = std::move(other179.reason);
+  sequences = std::move(other179.sequences);
+  __isset = other179.__isset;
   return *this;
 }
 void StartRefused::printTo(std::ostream& out) const {
@@ -4983,6 +5024,7 @@
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "refs=" << to_string(refs);
   out << ", " << "reason=" << to_string(reason);
+  out << ", " << "sequences=" << to_string(sequences);
   out << ")";
 }
 
@@ -5096,30 +5138,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AgentTask::AgentTask(const AgentTask& other174) {
-  ref = other174.ref;
-  running = other174.running;
-  result = other174.result;
-  __isset = other174.__isset;
+AgentTask::AgentTask(const AgentTask& other180) {
+  ref = other180.ref;
+  running = other180.running;
+  result = other180.result;
+  __isset = other180.__isset;
 }
-AgentTask::AgentTask(AgentTask&& other175) noexcept {
-  ref = std::move(other175.ref);
-  running = other175.running;
-  result = std::move(other175.result);
-  __isset = other175.__isset;
+AgentTask::AgentTask(AgentTask&& other181) noexcept {
+  ref = std::move(other181.ref);
+  running = other181.running;
+  result = std::move(other181.result);
+  __isset = other181.__isset;
 }
-AgentTask& AgentTask::operator=(const AgentTask& other176) {
-  ref = other176.ref;
-  running = other176.running;
-  result = other176.result;
-  __isset = other176.__isset;
+AgentTask& AgentTask::operator=(const AgentTask& other182) {
+  ref = other182.ref;
+  running = other182.running;
+  result = other182.result;
+  __isset = other182.__isset;
   return *this;
 }
-AgentTask& AgentTask::operator=(AgentTask&& other177) noexcept {
-  ref = std::move(other177.ref);
-  running = other177.running;
-  result = std::move(other177.result);
-  __isset = other177.__isset;
+AgentTask& AgentTask::operator=(AgentTask&& other183) noexcept {
+  ref = std::move(other183.ref);
+  running = other183.running;
+  result = std::move(other183.result);
+  __isset = other183.__isset;
   return *this;
 }
 void AgentTask::printTo(std::ostream& out) const {
@@ -5215,14 +5257,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->tasks.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->tasks.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += this->tasks[_i182].read(iprot);
+              xfer += this->tasks[_i188].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5279,10 +5321,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<AgentTask> ::const_iterator _iter183;
-    for (_iter183 = this->tasks.begin(); _iter183 != this->tasks.end(); ++_iter183)
+    std::vector<AgentTask> ::const_iterator _iter189;
+    for (_iter189 = this->tasks.begin(); _iter189 != this->tasks.end(); ++_iter189)
     {
-      xfer += (*_iter183).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5312,42 +5354,42 @@
   swap(a.__isset, b.__isset);
 }
 
-AgentState::AgentState(const AgentState& other184) {
-  cell = other184.cell;
-  epoch = other184.epoch;
-  barrier = other184.barrier;
-  tasks = other184.tasks;
-  server = other184.server;
-  uptimeMicros = other184.uptimeMicros;
-  __isset = other184.__isset;
-}
-AgentState::AgentState(AgentState&& other185) noexcept {
-  cell = other185.cell;
-  epoch = other185.epoch;
-  barrier = other185.barrier;
-  tasks = std::move(other185.tasks);
-  server = std::move(other185.server);
-  uptimeMicros = other185.uptimeMicros;
-  __isset = other185.__isset;
-}
-AgentState& AgentState::operator=(const AgentState& other186) {
-  cell = other186.cell;
-  epoch = other186.epoch;
-  barrier = other186.barrier;
-  tasks = other186.tasks;
-  server = other186.server;
-  uptimeMicros = other186.uptimeMicros;
-  __isset = other186.__isset;
-  return *this;
-}
-AgentState& AgentState::operator=(AgentState&& other187) noexcept {
-  cell = other187.cell;
-  epoch = other187.epoch;
-  barrier = other187.barrier;
-  tasks = std::move(other187.tasks);
-  server = std::move(other187.server);
-  uptimeMicros = other187.uptimeMicros;
-  __isset = other187.__isset;
+AgentState::AgentState(const AgentState& other190) {
+  cell = other190.cell;
+  epoch = other190.epoch;
+  barrier = other190.barrier;
+  tasks = other190.tasks;
+  server = other190.server;
+  uptimeMicros = other190.uptimeMicros;
+  __isset = other190.__isset;
+}
+AgentState::AgentState(AgentState&& other191) noexcept {
+  cell = other191.cell;
+  epoch = other191.epoch;
+  barrier = other191.barrier;
+  tasks = std::move(other191.tasks);
+  server = std::move(other191.server);
+  uptimeMicros = other191.uptimeMicros;
+  __isset = other191.__isset;
+}
+AgentState& AgentState::operator=(const AgentState& other192) {
+  cell = other192.cell;
+  epoch = other192.epoch;
+  barrier = other192.barrier;
+  tasks = other192.tasks;
+  server = other192.server;
+  uptimeMicros = other192.uptimeMicros;
+  __isset = other192.__isset;
+  return *this;
+}
+AgentState& AgentState::operator=(AgentState&& other193) noexcept {
+  cell = other193.cell;
+  epoch = other193.epoch;
+  barrier = other193.barrier;
+  tasks = std::move(other193.tasks);
+  server = std::move(other193.server);
+  uptimeMicros = other193.uptimeMicros;
+  __isset = other193.__isset;
   return *this;
 }
 void AgentState::printTo(std::ostream& out) const {
@@ -5450,14 +5492,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wholeHolders.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->wholeHolders.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->wholeHolders.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += iprot->readString(this->wholeHolders[_i192]);
+              xfer += iprot->readString(this->wholeHolders[_i198]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5502,10 +5544,10 @@
   xfer += oprot->writeFieldBegin("wholeHolders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wholeHolders.size()));
-    std::vector<std::string> ::const_iterator _iter193;
-    for (_iter193 = this->wholeHolders.begin(); _iter193 != this->wholeHolders.end(); ++_iter193)
+    std::vector<std::string> ::const_iterator _iter199;
+    for (_iter199 = this->wholeHolders.begin(); _iter199 != this->wholeHolders.end(); ++_iter199)
     {
-      xfer += oprot->writeString((*_iter193));
+      xfer += oprot->writeString((*_iter199));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5526,38 +5568,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CellReport::CellReport(const CellReport& other194) {
-  cell = other194.cell;
-  epoch = other194.epoch;
-  owned = other194.owned;
-  whole = other194.whole;
-  wholeHolders = other194.wholeHolders;
-  __isset = other194.__isset;
-}
-CellReport::CellReport(CellReport&& other195) noexcept {
-  cell = other195.cell;
-  epoch = other195.epoch;
-  owned = other195.owned;
-  whole = other195.whole;
-  wholeHolders = std::move(other195.wholeHolders);
-  __isset = other195.__isset;
-}
-CellReport& CellReport::operator=(const CellReport& other196) {
-  cell = other196.cell;
-  epoch = other196.epoch;
-  owned = other196.owned;
-  whole = other196.whole;
-  wholeHolders = other196.wholeHolders;
-  __isset = other196.__isset;
-  return *this;
-}
-CellReport& CellReport::operator=(CellReport&& other197) noexcept {
-  cell = other197.cell;
-  epoch = other197.epoch;
-  owned = other197.owned;
-  whole = other197.whole;
-  wholeHolders = std::move(other197.wholeHolders);
-  __isset = other197.__isset;
+CellReport::CellReport(const CellReport& other200) {
+  cell = other200.cell;
+  epoch = other200.epoch;
+  owned = other200.owned;
+  whole = other200.whole;
+  wholeHolders = other200.wholeHolders;
+  __isset = other200.__isset;
+}
+CellReport::CellReport(CellReport&& other201) noexcept {
+  cell = other201.cell;
+  epoch = other201.epoch;
+  owned = other201.owned;
+  whole = other201.whole;
+  wholeHolders = std::move(other201.wholeHolders);
+  __isset = other201.__isset;
+}
+CellReport& CellReport::operator=(const CellReport& other202) {
+  cell = other202.cell;
+  epoch = other202.epoch;
+  owned = other202.owned;
+  whole = other202.whole;
+  wholeHolders = other202.wholeHolders;
+  __isset = other202.__isset;
+  return *this;
+}
+CellReport& CellReport::operator=(CellReport&& other203) noexcept {
+  cell = other203.cell;
+  epoch = other203.epoch;
+  owned = other203.owned;
+  whole = other203.whole;
+  wholeHolders = std::move(other203.wholeHolders);
+  __isset = other203.__isset;
   return *this;
 }
 void CellReport::printTo(std::ostream& out) const {
@@ -5642,9 +5684,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast198;
-          xfer += iprot->readI32(ecast198);
-          this->role = static_cast<Role::type>(ecast198);
+          int32_t ecast204;
+          xfer += iprot->readI32(ecast204);
+          this->role = static_cast<Role::type>(ecast204);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5694,14 +5736,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size199;
-            ::apache::thrift::protocol::TType _etype202;
-            xfer += iprot->readListBegin(_etype202, _size199);
-            this->cells.resize(_size199);
-            uint32_t _i203;
-            for (_i203 = 0; _i203 < _size199; ++_i203)
+            uint32_t _size205;
+            ::apache::thrift::protocol::TType _etype208;
+            xfer += iprot->readListBegin(_etype208, _size205);
+            this->cells.resize(_size205);
+            uint32_t _i209;
+            for (_i209 = 0; _i209 < _size205; ++_i209)
             {
-              xfer += this->cells[_i203].read(iprot);
+              xfer += this->cells[_i209].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5770,10 +5812,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellReport> ::const_iterator _iter204;
-    for (_iter204 = this->cells.begin(); _iter204 != this->cells.end(); ++_iter204)
+    std::vector<CellReport> ::const_iterator _iter210;
+    for (_iter210 = this->cells.begin(); _iter210 != this->cells.end(); ++_iter210)
     {
-      xfer += (*_iter204).write(oprot);
+      xfer += (*_iter210).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5807,54 +5849,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberHeartbeat::MemberHeartbeat(const MemberHeartbeat& other205) {
-  role = other205.role;
-  failureDomain = other205.failureDomain;
-  address = other205.address;
-  sentAtMicros = other205.sentAtMicros;
-  configNumber = other205.configNumber;
-  viewVersion = other205.viewVersion;
-  cells = other205.cells;
-  leaving = other205.leaving;
-  server = other205.server;
-  __isset = other205.__isset;
-}
-MemberHeartbeat::MemberHeartbeat(MemberHeartbeat&& other206) noexcept {
-  role = other206.role;
-  failureDomain = std::move(other206.failureDomain);
-  address = std::move(other206.address);
-  sentAtMicros = other206.sentAtMicros;
-  configNumber = other206.configNumber;
-  viewVersion = other206.viewVersion;
-  cells = std::move(other206.cells);
-  leaving = other206.leaving;
-  server = std::move(other206.server);
-  __isset = other206.__isset;
-}
-MemberHeartbeat& MemberHeartbeat::operator=(const MemberHeartbeat& other207) {
-  role = other207.role;
-  failureDomain = other207.failureDomain;
-  address = other207.address;
-  sentAtMicros = other207.sentAtMicros;
-  configNumber = other207.configNumber;
-  viewVersion = other207.viewVersion;
-  cells = other207.cells;
-  leaving = other207.leaving;
-  server = other207.server;
-  __isset = other207.__isset;
-  return *this;
-}
-MemberHeartbeat& MemberHeartbeat::operator=(MemberHeartbeat&& other208) noexcept {
-  role = other208.role;
-  failureDomain = std::move(other208.failureDomain);
-  address = std::move(other208.address);
-  sentAtMicros = other208.sentAtMicros;
-  configNumber = other208.configNumber;
-  viewVersion = other208.viewVersion;
-  cells = std::move(other208.cells);
-  leaving = other208.leaving;
-  server = std::move(other208.server);
-  __isset = other208.__isset;
+MemberHeartbeat::MemberHeartbeat(const MemberHeartbeat& other211) {
+  role = other211.role;
+  failureDomain = other211.failureDomain;
+  address = other211.address;
+  sentAtMicros = other211.sentAtMicros;
+  configNumber = other211.configNumber;
+  viewVersion = other211.viewVersion;
+  cells = other211.cells;
+  leaving = other211.leaving;
+  server = other211.server;
+  __isset = other211.__isset;
+}
+MemberHeartbeat::MemberHeartbeat(MemberHeartbeat&& other212) noexcept {
+  role = other212.role;
+  failureDomain = std::move(other212.failureDomain);
+  address = std::move(other212.address);
+  sentAtMicros = other212.sentAtMicros;
+  configNumber = other212.configNumber;
+  viewVersion = other212.viewVersion;
+  cells = std::move(other212.cells);
+  leaving = other212.leaving;
+  server = std::move(other212.server);
+  __isset = other212.__isset;
+}
+MemberHeartbeat& MemberHeartbeat::operator=(const MemberHeartbeat& other213) {
+  role = other213.role;
+  failureDomain = other213.failureDomain;
+  address = other213.address;
+  sentAtMicros = other213.sentAtMicros;
+  configNumber = other213.configNumber;
+  viewVersion = other213.viewVersion;
+  cells = other213.cells;
+  leaving = other213.leaving;
+  server = other213.server;
+  __isset = other213.__isset;
+  return *this;
+}
+MemberHeartbeat& MemberHeartbeat::operator=(MemberHeartbeat&& other214) noexcept {
+  role = other214.role;
+  failureDomain = std::move(other214.failureDomain);
+  address = std::move(other214.address);
+  sentAtMicros = other214.sentAtMicros;
+  configNumber = other214.configNumber;
+  viewVersion = other214.viewVersion;
+  cells = std::move(other214.cells);
+  leaving = other214.leaving;
+  server = std::move(other214.server);
+  __isset = other214.__isset;
   return *this;
 }
 void MemberHeartbeat::printTo(std::ostream& out) const {
@@ -6016,38 +6058,38 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other209) {
-  sentAtMicros = other209.sentAtMicros;
-  accepted = other209.accepted;
-  leader = other209.leader;
-  viewVersion = other209.viewVersion;
-  term = other209.term;
-  __isset = other209.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other215) {
+  sentAtMicros = other215.sentAtMicros;
+  accepted = other215.accepted;
+  leader = other215.leader;
+  viewVersion = other215.viewVersion;
+  term = other215.term;
+  __isset = other215.__isset;
 }
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other210) noexcept {
-  sentAtMicros = other210.sentAtMicros;
-  accepted = other210.accepted;
-  leader = std::move(other210.leader);
-  viewVersion = other210.viewVersion;
-  term = other210.term;
-  __isset = other210.__isset;
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other216) noexcept {
+  sentAtMicros = other216.sentAtMicros;
+  accepted = other216.accepted;
+  leader = std::move(other216.leader);
+  viewVersion = other216.viewVersion;
+  term = other216.term;
+  __isset = other216.__isset;
 }
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other211) {
-  sentAtMicros = other211.sentAtMicros;
-  accepted = other211.accepted;
-  leader = other211.leader;
-  viewVersion = other211.viewVersion;
-  term = other211.term;
-  __isset = other211.__isset;
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other217) {
+  sentAtMicros = other217.sentAtMicros;
+  accepted = other217.accepted;
+  leader = other217.leader;
+  viewVersion = other217.viewVersion;
+  term = other217.term;
+  __isset = other217.__isset;
   return *this;
 }
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other212) noexcept {
-  sentAtMicros = other212.sentAtMicros;
-  accepted = other212.accepted;
-  leader = std::move(other212.leader);
-  viewVersion = other212.viewVersion;
-  term = other212.term;
-  __isset = other212.__isset;
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other218) noexcept {
+  sentAtMicros = other218.sentAtMicros;
+  accepted = other218.accepted;
+  leader = std::move(other218.leader);
+  viewVersion = other218.viewVersion;
+  term = other218.term;
+  __isset = other218.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -6171,30 +6213,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRef::MemberRef(const MemberRef& other213) {
-  id = other213.id;
-  address = other213.address;
-  failureDomain = other213.failureDomain;
-  __isset = other213.__isset;
+MemberRef::MemberRef(const MemberRef& other219) {
+  id = other219.id;
+  address = other219.address;
+  failureDomain = other219.failureDomain;
+  __isset = other219.__isset;
 }
-MemberRef::MemberRef(MemberRef&& other214) noexcept {
-  id = std::move(other214.id);
-  address = std::move(other214.address);
-  failureDomain = std::move(other214.failureDomain);
-  __isset = other214.__isset;
+MemberRef::MemberRef(MemberRef&& other220) noexcept {
+  id = std::move(other220.id);
+  address = std::move(other220.address);
+  failureDomain = std::move(other220.failureDomain);
+  __isset = other220.__isset;
 }
-MemberRef& MemberRef::operator=(const MemberRef& other215) {
-  id = other215.id;
-  address = other215.address;
-  failureDomain = other215.failureDomain;
-  __isset = other215.__isset;
+MemberRef& MemberRef::operator=(const MemberRef& other221) {
+  id = other221.id;
+  address = other221.address;
+  failureDomain = other221.failureDomain;
+  __isset = other221.__isset;
   return *this;
 }
-MemberRef& MemberRef::operator=(MemberRef&& other216) noexcept {
-  id = std::move(other216.id);
-  address = std::move(other216.address);
-  failureDomain = std::move(other216.failureDomain);
-  __isset = other216.__isset;
+MemberRef& MemberRef::operator=(MemberRef&& other222) noexcept {
+  id = std::move(other222.id);
+  address = std::move(other222.address);
+  failureDomain = std::move(other222.failureDomain);
+  __isset = other222.__isset;
   return *this;
 }
 void MemberRef::printTo(std::ostream& out) const {
@@ -6303,14 +6345,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size217;
-            ::apache::thrift::protocol::TType _etype220;
-            xfer += iprot->readListBegin(_etype220, _size217);
-            this->holders.resize(_size217);
-            uint32_t _i221;
-            for (_i221 = 0; _i221 < _size217; ++_i221)
+            uint32_t _size223;
+            ::apache::thrift::protocol::TType _etype226;
+            xfer += iprot->readListBegin(_etype226, _size223);
+            this->holders.resize(_size223);
+            uint32_t _i227;
+            for (_i227 = 0; _i227 < _size223; ++_i227)
             {
-              xfer += this->holders[_i221].read(iprot);
+              xfer += this->holders[_i227].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6323,14 +6365,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->agents.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->agents.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size228;
+            ::apache::thrift::protocol::TType _etype231;
+            xfer += iprot->readListBegin(_etype231, _size228);
+            this->agents.resize(_size228);
+            uint32_t _i232;
+            for (_i232 = 0; _i232 < _size228; ++_i232)
             {
-              xfer += this->agents[_i226].read(iprot);
+              xfer += this->agents[_i232].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6384,10 +6426,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<MemberRef> ::const_iterator _iter227;
-    for (_iter227 = this->holders.begin(); _iter227 != this->holders.end(); ++_iter227)
+    std::vector<MemberRef> ::const_iterator _iter233;
+    for (_iter233 = this->holders.begin(); _iter233 != this->holders.end(); ++_iter233)
     {
-      xfer += (*_iter227).write(oprot);
+      xfer += (*_iter233).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6396,10 +6438,10 @@
   xfer += oprot->writeFieldBegin("agents", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->agents.size()));
-    std::vector<MemberRef> ::const_iterator _iter228;
-    for (_iter228 = this->agents.begin(); _iter228 != this->agents.end(); ++_iter228)
+    std::vector<MemberRef> ::const_iterator _iter234;
+    for (_iter234 = this->agents.begin(); _iter234 != this->agents.end(); ++_iter234)
     {
-      xfer += (*_iter228).write(oprot);
+      xfer += (*_iter234).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6426,46 +6468,46 @@
   swap(a.__isset, b.__isset);
 }
 
-CellView::CellView(const CellView& other229) {
-  cell = other229.cell;
-  serviceName = other229.serviceName;
-  epoch = other229.epoch;
-  owner = other229.owner;
-  holders = other229.holders;
-  agents = other229.agents;
-  floorMs = other229.floorMs;
-  __isset = other229.__isset;
-}
-CellView::CellView(CellView&& other230) noexcept {
-  cell = other230.cell;
-  serviceName = std::move(other230.serviceName);
-  epoch = other230.epoch;
-  owner = std::move(other230.owner);
-  holders = std::move(other230.holders);
-  agents = std::move(other230.agents);
-  floorMs = other230.floorMs;
-  __isset = other230.__isset;
-}
-CellView& CellView::operator=(const CellView& other231) {
-  cell = other231.cell;
-  serviceName = other231.serviceName;
-  epoch = other231.epoch;
-  owner = other231.owner;
-  holders = other231.holders;
-  agents = other231.agents;
-  floorMs = other231.floorMs;
-  __isset = other231.__isset;
-  return *this;
-}
-CellView& CellView::operator=(CellView&& other232) noexcept {
-  cell = other232.cell;
-  serviceName = std::move(other232.serviceName);
-  epoch = other232.epoch;
-  owner = std::move(other232.owner);
-  holders = std::move(other232.holders);
-  agents = std::move(other232.agents);
-  floorMs = other232.floorMs;
-  __isset = other232.__isset;
+CellView::CellView(const CellView& other235) {
+  cell = other235.cell;
+  serviceName = other235.serviceName;
+  epoch = other235.epoch;
+  owner = other235.owner;
+  holders = other235.holders;
+  agents = other235.agents;
+  floorMs = other235.floorMs;
+  __isset = other235.__isset;
+}
+CellView::CellView(CellView&& other236) noexcept {
+  cell = other236.cell;
+  serviceName = std::move(other236.serviceName);
+  epoch = other236.epoch;
+  owner = std::move(other236.owner);
+  holders = std::move(other236.holders);
+  agents = std::move(other236.agents);
+  floorMs = other236.floorMs;
+  __isset = other236.__isset;
+}
+CellView& CellView::operator=(const CellView& other237) {
+  cell = other237.cell;
+  serviceName = other237.serviceName;
+  epoch = other237.epoch;
+  owner = other237.owner;
+  holders = other237.holders;
+  agents = other237.agents;
+  floorMs = other237.floorMs;
+  __isset = other237.__isset;
+  return *this;
+}
+CellView& CellView::operator=(CellView&& other238) noexcept {
+  cell = other238.cell;
+  serviceName = std::move(other238.serviceName);
+  epoch = other238.epoch;
+  owner = std::move(other238.owner);
+  holders = std::move(other238.holders);
+  agents = std::move(other238.agents);
+  floorMs = other238.floorMs;
+  __isset = other238.__isset;
   return *this;
 }
 void CellView::printTo(std::ostream& out) const {
@@ -6625,38 +6667,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigFile::ConfigFile(const ConfigFile& other233) {
-  number = other233.number;
-  digest = other233.digest;
-  text = other233.text;
-  author = other233.author;
-  acceptedAtMs = other233.acceptedAtMs;
-  __isset = other233.__isset;
-}
-ConfigFile::ConfigFile(ConfigFile&& other234) noexcept {
-  number = other234.number;
-  digest = std::move(other234.digest);
-  text = std::move(other234.text);
-  author = std::move(other234.author);
-  acceptedAtMs = other234.acceptedAtMs;
-  __isset = other234.__isset;
-}
-ConfigFile& ConfigFile::operator=(const ConfigFile& other235) {
-  number = other235.number;
-  digest = other235.digest;
-  text = other235.text;
-  author = other235.author;
-  acceptedAtMs = other235.acceptedAtMs;
-  __isset = other235.__isset;
-  return *this;
-}
-ConfigFile& ConfigFile::operator=(ConfigFile&& other236) noexcept {
-  number = other236.number;
-  digest = std::move(other236.digest);
-  text = std::move(other236.text);
-  author = std::move(other236.author);
-  acceptedAtMs = other236.acceptedAtMs;
-  __isset = other236.__isset;
+ConfigFile::ConfigFile(const ConfigFile& other239) {
+  number = other239.number;
+  digest = other239.digest;
+  text = other239.text;
+  author = other239.author;
+  acceptedAtMs = other239.acceptedAtMs;
+  __isset = other239.__isset;
+}
+ConfigFile::ConfigFile(ConfigFile&& other240) noexcept {
+  number = other240.number;
+  digest = std::move(other240.digest);
+  text = std::move(other240.text);
+  author = std::move(other240.author);
+  acceptedAtMs = other240.acceptedAtMs;
+  __isset = other240.__isset;
+}
+ConfigFile& ConfigFile::operator=(const ConfigFile& other241) {
+  number = other241.number;
+  digest = other241.digest;
+  text = other241.text;
+  author = other241.author;
+  acceptedAtMs = other241.acceptedAtMs;
+  __isset = other241.__isset;
+  return *this;
+}
+ConfigFile& ConfigFile::operator=(ConfigFile&& other242) noexcept {
+  number = other242.number;
+  digest = std::move(other242.digest);
+  text = std::move(other242.text);
+  author = std::move(other242.author);
+  acceptedAtMs = other242.acceptedAtMs;
+  __isset = other242.__isset;
   return *this;
 }
 void ConfigFile::printTo(std::ostream& out) const {
@@ -6738,14 +6780,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size237;
-            ::apache::thrift::protocol::TType _etype240;
-            xfer += iprot->readListBegin(_etype240, _size237);
-            this->cells.resize(_size237);
-            uint32_t _i241;
-            for (_i241 = 0; _i241 < _size237; ++_i241)
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->cells.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
             {
-              xfer += this->cells[_i241].read(iprot);
+              xfer += this->cells[_i247].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6790,10 +6832,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellView> ::const_iterator _iter242;
-    for (_iter242 = this->cells.begin(); _iter242 != this->cells.end(); ++_iter242)
+    std::vector<CellView> ::const_iterator _iter248;
+    for (_iter248 = this->cells.begin(); _iter248 != this->cells.end(); ++_iter248)
     {
-      xfer += (*_iter242).write(oprot);
+      xfer += (*_iter248).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6817,34 +6859,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ClusterView::ClusterView(const ClusterView& other243) {
-  version = other243.version;
-  config = other243.config;
-  cells = other243.cells;
-  term = other243.term;
-  __isset = other243.__isset;
+ClusterView::ClusterView(const ClusterView& other249) {
+  version = other249.version;
+  config = other249.config;
+  cells = other249.cells;
+  term = other249.term;
+  __isset = other249.__isset;
 }
-ClusterView::ClusterView(ClusterView&& other244) noexcept {
-  version = other244.version;
-  config = std::move(other244.config);
-  cells = std::move(other244.cells);
-  term = other244.term;
-  __isset = other244.__isset;
+ClusterView::ClusterView(ClusterView&& other250) noexcept {
+  version = other250.version;
+  config = std::move(other250.config);
+  cells = std::move(other250.cells);
+  term = other250.term;
+  __isset = other250.__isset;
 }
-ClusterView& ClusterView::operator=(const ClusterView& other245) {
-  version = other245.version;
-  config = other245.config;
-  cells = other245.cells;
-  term = other245.term;
-  __isset = other245.__isset;
+ClusterView& ClusterView::operator=(const ClusterView& other251) {
+  version = other251.version;
+  config = other251.config;
+  cells = other251.cells;
+  term = other251.term;
+  __isset = other251.__isset;
   return *this;
 }
-ClusterView& ClusterView::operator=(ClusterView&& other246) noexcept {
-  version = other246.version;
-  config = std::move(other246.config);
-  cells = std::move(other246.cells);
-  term = other246.term;
-  __isset = other246.__isset;
+ClusterView& ClusterView::operator=(ClusterView&& other252) noexcept {
+  version = other252.version;
+  config = std::move(other252.config);
+  cells = std::move(other252.cells);
+  term = other252.term;
+  __isset = other252.__isset;
   return *this;
 }
 void ClusterView::printTo(std::ostream& out) const {
@@ -6984,34 +7026,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ApplyConfig::ApplyConfig(const ApplyConfig& other247) {
-  requestId = other247.requestId;
-  text = other247.text;
-  author = other247.author;
-  dryRun = other247.dryRun;
-  __isset = other247.__isset;
-}
-ApplyConfig::ApplyConfig(ApplyConfig&& other248) noexcept {
-  requestId = other248.requestId;
-  text = std::move(other248.text);
-  author = std::move(other248.author);
-  dryRun = other248.dryRun;
-  __isset = other248.__isset;
-}
-ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other249) {
-  requestId = other249.requestId;
-  text = other249.text;
-  author = other249.author;
-  dryRun = other249.dryRun;
-  __isset = other249.__isset;
+ApplyConfig::ApplyConfig(const ApplyConfig& other253) {
+  requestId = other253.requestId;
+  text = other253.text;
+  author = other253.author;
+  dryRun = other253.dryRun;
+  __isset = other253.__isset;
+}
+ApplyConfig::ApplyConfig(ApplyConfig&& other254) noexcept {
+  requestId = other254.requestId;
+  text = std::move(other254.text);
+  author = std::move(other254.author);
+  dryRun = other254.dryRun;
+  __isset = other254.__isset;
+}
+ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other255) {
+  requestId = other255.requestId;
+  text = other255.text;
+  author = other255.author;
+  dryRun = other255.dryRun;
+  __isset = other255.__isset;
   return *this;
 }
-ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other250) noexcept {
-  requestId = other250.requestId;
-  text = std::move(other250.text);
-  author = std::move(other250.author);
-  dryRun = other250.dryRun;
-  __isset = other250.__isset;
+ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other256) noexcept {
+  requestId = other256.requestId;
+  text = std::move(other256.text);
+  author = std::move(other256.author);
+  dryRun = other256.dryRun;
+  __isset = other256.__isset;
   return *this;
 }
 void ApplyConfig::printTo(std::ostream& out) const {
@@ -7124,14 +7166,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lagging.clear();
-            uint32_t _size251;
-            ::apache::thrift::protocol::TType _etype254;
-            xfer += iprot->readListBegin(_etype254, _size251);
-            this->lagging.resize(_size251);
-            uint32_t _i255;
-            for (_i255 = 0; _i255 < _size251; ++_i255)
+            uint32_t _size257;
+            ::apache::thrift::protocol::TType _etype260;
+            xfer += iprot->readListBegin(_etype260, _size257);
+            this->lagging.resize(_size257);
+            uint32_t _i261;
+            for (_i261 = 0; _i261 < _size257; ++_i261)
             {
-              xfer += iprot->readString(this->lagging[_i255]);
+              xfer += iprot->readString(this->lagging[_i261]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7180,10 +7222,10 @@
   xfer += oprot->writeFieldBegin("lagging", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lagging.size()));
-    std::vector<std::string> ::const_iterator _iter256;
-    for (_iter256 = this->lagging.begin(); _iter256 != this->lagging.end(); ++_iter256)
+    std::vector<std::string> ::const_iterator _iter262;
+    for (_iter262 = this->lagging.begin(); _iter262 != this->lagging.end(); ++_iter262)
     {
-      xfer += oprot->writeString((*_iter256));
+      xfer += oprot->writeString((*_iter262));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7205,42 +7247,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ApplyReply::ApplyReply(const ApplyReply& other257) {
-  requestId = other257.requestId;
-  accepted = other257.accepted;
-  code = other257.code;
-  message = other257.message;
-  inForce = other257.inForce;
-  lagging = other257.lagging;
-  __isset = other257.__isset;
-}
-ApplyReply::ApplyReply(ApplyReply&& other258) noexcept {
-  requestId = other258.requestId;
-  accepted = other258.accepted;
-  code = std::move(other258.code);
-  message = std::move(other258.message);
-  inForce = std::move(other258.inForce);
-  lagging = std::move(other258.lagging);
-  __isset = other258.__isset;
-}
-ApplyReply& ApplyReply::operator=(const ApplyReply& other259) {
-  requestId = other259.requestId;
-  accepted = other259.accepted;
-  code = other259.code;
-  message = other259.message;
-  inForce = other259.inForce;
-  lagging = other259.lagging;
-  __isset = other259.__isset;
-  return *this;
-}
-ApplyReply& ApplyReply::operator=(ApplyReply&& other260) noexcept {
-  requestId = other260.requestId;
-  accepted = other260.accepted;
-  code = std::move(other260.code);
-  message = std::move(other260.message);
-  inForce = std::move(other260.inForce);
-  lagging = std::move(other260.lagging);
-  __isset = other260.__isset;
+ApplyReply::ApplyReply(const ApplyReply& other263) {
+  requestId = other263.requestId;
+  accepted = other263.accepted;
+  code = other263.code;
+  message = other263.message;
+  inForce = other263.inForce;
+  lagging = other263.lagging;
+  __isset = other263.__isset;
+}
+ApplyReply::ApplyReply(ApplyReply&& other264) noexcept {
+  requestId = other264.requestId;
+  accepted = other264.accepted;
+  code = std::move(other264.code);
+  message = std::move(other264.message);
+  inForce = std::move(other264.inForce);
+  lagging = std::move(other264.lagging);
+  __isset = other264.__isset;
+}
+ApplyReply& ApplyReply::operator=(const ApplyReply& other265) {
+  requestId = other265.requestId;
+  accepted = other265.accepted;
+  code = other265.code;
+  message = other265.message;
+  inForce = other265.inForce;
+  lagging = other265.lagging;
+  __isset = other265.__isset;
+  return *this;
+}
+ApplyReply& ApplyReply::operator=(ApplyReply&& other266) noexcept {
+  requestId = other266.requestId;
+  accepted = other266.accepted;
+  code = std::move(other266.code);
+  message = std::move(other266.message);
+  inForce = std::move(other266.inForce);
+  lagging = std::move(other266.lagging);
+  __isset = other266.__isset;
   return *this;
 }
 void ApplyReply::printTo(std::ostream& out) const {
@@ -7365,30 +7407,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlQuery::ControlQuery(const ControlQuery& other261) {
-  requestId = other261.requestId;
-  kind = other261.kind;
-  argument = other261.argument;
-  __isset = other261.__isset;
+ControlQuery::ControlQuery(const ControlQuery& other267) {
+  requestId = other267.requestId;
+  kind = other267.kind;
+  argument = other267.argument;
+  __isset = other267.__isset;
 }
-ControlQuery::ControlQuery(ControlQuery&& other262) noexcept {
-  requestId = other262.requestId;
-  kind = std::move(other262.kind);
-  argument = std::move(other262.argument);
-  __isset = other262.__isset;
+ControlQuery::ControlQuery(ControlQuery&& other268) noexcept {
+  requestId = other268.requestId;
+  kind = std::move(other268.kind);
+  argument = std::move(other268.argument);
+  __isset = other268.__isset;
 }
-ControlQuery& ControlQuery::operator=(const ControlQuery& other263) {
-  requestId = other263.requestId;
-  kind = other263.kind;
-  argument = other263.argument;
-  __isset = other263.__isset;
+ControlQuery& ControlQuery::operator=(const ControlQuery& other269) {
+  requestId = other269.requestId;
+  kind = other269.kind;
+  argument = other269.argument;
+  __isset = other269.__isset;
   return *this;
 }
-ControlQuery& ControlQuery::operator=(ControlQuery&& other264) noexcept {
-  requestId = other264.requestId;
-  kind = std::move(other264.kind);
-  argument = std::move(other264.argument);
-  __isset = other264.__isset;
+ControlQuery& ControlQuery::operator=(ControlQuery&& other270) noexcept {
+  requestId = other270.requestId;
+  kind = std::move(other270.kind);
+  argument = std::move(other270.argument);
+  __isset = other270.__isset;
   return *this;
 }
 void ControlQuery::printTo(std::ostream& out) const {
@@ -7510,30 +7552,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlAnswer::ControlAnswer(const ControlAnswer& other265) {
-  requestId = other265.requestId;
-  ok = other265.ok;
-  json = other265.json;
-  __isset = other265.__isset;
+ControlAnswer::ControlAnswer(const ControlAnswer& other271) {
+  requestId = other271.requestId;
+  ok = other271.ok;
+  json = other271.json;
+  __isset = other271.__isset;
 }
-ControlAnswer::ControlAnswer(ControlAnswer&& other266) noexcept {
-  requestId = other266.requestId;
-  ok = other266.ok;
-  json = std::move(other266.json);
-  __isset = other266.__isset;
+ControlAnswer::ControlAnswer(ControlAnswer&& other272) noexcept {
+  requestId = other272.requestId;
+  ok = other272.ok;
+  json = std::move(other272.json);
+  __isset = other272.__isset;
 }
-ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other267) {
-  requestId = other267.requestId;
-  ok = other267.ok;
-  json = other267.json;
-  __isset = other267.__isset;
+ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other273) {
+  requestId = other273.requestId;
+  ok = other273.ok;
+  json = other273.json;
+  __isset = other273.__isset;
   return *this;
 }
-ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other268) noexcept {
-  requestId = other268.requestId;
-  ok = other268.ok;
-  json = std::move(other268.json);
-  __isset = other268.__isset;
+ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other274) noexcept {
+  requestId = other274.requestId;
+  ok = other274.ok;
+  json = std::move(other274.json);
+  __isset = other274.__isset;
   return *this;
 }
 void ControlAnswer::printTo(std::ostream& out) const {
@@ -7655,30 +7697,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other269) {
-  index = other269.index;
-  term = other269.term;
-  command = other269.command;
-  __isset = other269.__isset;
+LogEntry::LogEntry(const LogEntry& other275) {
+  index = other275.index;
+  term = other275.term;
+  command = other275.command;
+  __isset = other275.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other270) noexcept {
-  index = other270.index;
-  term = other270.term;
-  command = std::move(other270.command);
-  __isset = other270.__isset;
+LogEntry::LogEntry(LogEntry&& other276) noexcept {
+  index = other276.index;
+  term = other276.term;
+  command = std::move(other276.command);
+  __isset = other276.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other271) {
-  index = other271.index;
-  term = other271.term;
-  command = other271.command;
-  __isset = other271.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other277) {
+  index = other277.index;
+  term = other277.term;
+  command = other277.command;
+  __isset = other277.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other272) noexcept {
-  index = other272.index;
-  term = other272.term;
-  command = std::move(other272.command);
-  __isset = other272.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other278) noexcept {
+  index = other278.index;
+  term = other278.term;
+  command = std::move(other278.command);
+  __isset = other278.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -7868,46 +7910,46 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestVote::RequestVote(const RequestVote& other273) {
-  term = other273.term;
-  lastIndex = other273.lastIndex;
-  lastTerm = other273.lastTerm;
-  preVote = other273.preVote;
-  member = other273.member;
-  group = other273.group;
-  transfer = other273.transfer;
-  __isset = other273.__isset;
+RequestVote::RequestVote(const RequestVote& other279) {
+  term = other279.term;
+  lastIndex = other279.lastIndex;
+  lastTerm = other279.lastTerm;
+  preVote = other279.preVote;
+  member = other279.member;
+  group = other279.group;
+  transfer = other279.transfer;
+  __isset = other279.__isset;
 }
-RequestVote::RequestVote(RequestVote&& other274) noexcept {
-  term = other274.term;
-  lastIndex = other274.lastIndex;
-  lastTerm = other274.lastTerm;
-  preVote = other274.preVote;
-  member = std::move(other274.member);
-  group = std::move(other274.group);
-  transfer = other274.transfer;
-  __isset = other274.__isset;
+RequestVote::RequestVote(RequestVote&& other280) noexcept {
+  term = other280.term;
+  lastIndex = other280.lastIndex;
+  lastTerm = other280.lastTerm;
+  preVote = other280.preVote;
+  member = std::move(other280.member);
+  group = std::move(other280.group);
+  transfer = other280.transfer;
+  __isset = other280.__isset;
 }
-RequestVote& RequestVote::operator=(const RequestVote& other275) {
-  term = other275.term;
-  lastIndex = other275.lastIndex;
-  lastTerm = other275.lastTerm;
-  preVote = other275.preVote;
-  member = other275.member;
-  group = other275.group;
-  transfer = other275.transfer;
-  __isset = other275.__isset;
+RequestVote& RequestVote::operator=(const RequestVote& other281) {
+  term = other281.term;
+  lastIndex = other281.lastIndex;
+  lastTerm = other281.lastTerm;
+  preVote = other281.preVote;
+  member = other281.member;
+  group = other281.group;
+  transfer = other281.transfer;
+  __isset = other281.__isset;
   return *this;
 }
-RequestVote& RequestVote::operator=(RequestVote&& other276) noexcept {
-  term = other276.term;
-  lastIndex = other276.lastIndex;
-  lastTerm = other276.lastTerm;
-  preVote = other276.preVote;
-  member = std::move(other276.member);
-  group = std::move(other276.group);
-  transfer = other276.transfer;
-  __isset = other276.__isset;
+RequestVote& RequestVote::operator=(RequestVote&& other282) noexcept {
+  term = other282.term;
+  lastIndex = other282.lastIndex;
+  lastTerm = other282.lastTerm;
+  preVote = other282.preVote;
+  member = std::move(other282.member);
+  group = std::move(other282.group);
+  transfer = other282.transfer;
+  __isset = other282.__isset;
   return *this;
 }
 void RequestVote::printTo(std::ostream& out) const {
@@ -8084,42 +8126,42 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other277) {
-  term = other277.term;
-  granted = other277.granted;
-  preVote = other277.preVote;
-  member = other277.member;
-  group = other277.group;
-  fresh = other277.fresh;
-  __isset = other277.__isset;
-}
-VoteReply::VoteReply(VoteReply&& other278) noexcept {
-  term = other278.term;
-  granted = other278.granted;
-  preVote = other278.preVote;
-  member = std::move(other278.member);
-  group = std::move(other278.group);
-  fresh = other278.fresh;
-  __isset = other278.__isset;
-}
-VoteReply& VoteReply::operator=(const VoteReply& other279) {
-  term = other279.term;
-  granted = other279.granted;
-  preVote = other279.preVote;
-  member = other279.member;
-  group = other279.group;
-  fresh = other279.fresh;
-  __isset = other279.__isset;
-  return *this;
-}
-VoteReply& VoteReply::operator=(VoteReply&& other280) noexcept {
-  term = other280.term;
-  granted = other280.granted;
-  preVote = other280.preVote;
-  member = std::move(other280.member);
-  group = std::move(other280.group);
-  fresh = other280.fresh;
-  __isset = other280.__isset;
+VoteReply::VoteReply(const VoteReply& other283) {
+  term = other283.term;
+  granted = other283.granted;
+  preVote = other283.preVote;
+  member = other283.member;
+  group = other283.group;
+  fresh = other283.fresh;
+  __isset = other283.__isset;
+}
+VoteReply::VoteReply(VoteReply&& other284) noexcept {
+  term = other284.term;
+  granted = other284.granted;
+  preVote = other284.preVote;
+  member = std::move(other284.member);
+  group = std::move(other284.group);
+  fresh = other284.fresh;
+  __isset = other284.__isset;
+}
+VoteReply& VoteReply::operator=(const VoteReply& other285) {
+  term = other285.term;
+  granted = other285.granted;
+  preVote = other285.preVote;
+  member = other285.member;
+  group = other285.group;
+  fresh = other285.fresh;
+  __isset = other285.__isset;
+  return *this;
+}
+VoteReply& VoteReply::operator=(VoteReply&& other286) noexcept {
+  term = other286.term;
+  granted = other286.granted;
+  preVote = other286.preVote;
+  member = std::move(other286.member);
+  group = std::move(other286.group);
+  fresh = other286.fresh;
+  __isset = other286.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -8226,14 +8268,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size281;
-            ::apache::thrift::protocol::TType _etype284;
-            xfer += iprot->readListBegin(_etype284, _size281);
-            this->entries.resize(_size281);
-            uint32_t _i285;
-            for (_i285 = 0; _i285 < _size281; ++_i285)
+            uint32_t _size287;
+            ::apache::thrift::protocol::TType _etype290;
+            xfer += iprot->readListBegin(_etype290, _size287);
+            this->entries.resize(_size287);
+            uint32_t _i291;
+            for (_i291 = 0; _i291 < _size287; ++_i291)
             {
-              xfer += this->entries[_i285].read(iprot);
+              xfer += this->entries[_i291].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8306,10 +8348,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter286;
-    for (_iter286 = this->entries.begin(); _iter286 != this->entries.end(); ++_iter286)
+    std::vector<LogEntry> ::const_iterator _iter292;
+    for (_iter292 = this->entries.begin(); _iter292 != this->entries.end(); ++_iter292)
     {
-      xfer += (*_iter286).write(oprot);
+      xfer += (*_iter292).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8349,50 +8391,50 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendEntries::AppendEntries(const AppendEntries& other287) {
-  term = other287.term;
-  prevIndex = other287.prevIndex;
-  prevTerm = other287.prevTerm;
-  entries = other287.entries;
-  commitIndex = other287.commitIndex;
-  round = other287.round;
-  member = other287.member;
-  group = other287.group;
-  __isset = other287.__isset;
-}
-AppendEntries::AppendEntries(AppendEntries&& other288) noexcept {
-  term = other288.term;
-  prevIndex = other288.prevIndex;
-  prevTerm = other288.prevTerm;
-  entries = std::move(other288.entries);
-  commitIndex = other288.commitIndex;
-  round = other288.round;
-  member = std::move(other288.member);
-  group = std::move(other288.group);
-  __isset = other288.__isset;
-}
-AppendEntries& AppendEntries::operator=(const AppendEntries& other289) {
-  term = other289.term;
-  prevIndex = other289.prevIndex;
-  prevTerm = other289.prevTerm;
-  entries = other289.entries;
-  commitIndex = other289.commitIndex;
-  round = other289.round;
-  member = other289.member;
-  group = other289.group;
-  __isset = other289.__isset;
-  return *this;
-}
-AppendEntries& AppendEntries::operator=(AppendEntries&& other290) noexcept {
-  term = other290.term;
-  prevIndex = other290.prevIndex;
-  prevTerm = other290.prevTerm;
-  entries = std::move(other290.entries);
-  commitIndex = other290.commitIndex;
-  round = other290.round;
-  member = std::move(other290.member);
-  group = std::move(other290.group);
-  __isset = other290.__isset;
+AppendEntries::AppendEntries(const AppendEntries& other293) {
+  term = other293.term;
+  prevIndex = other293.prevIndex;
+  prevTerm = other293.prevTerm;
+  entries = other293.entries;
+  commitIndex = other293.commitIndex;
+  round = other293.round;
+  member = other293.member;
+  group = other293.group;
+  __isset = other293.__isset;
+}
+AppendEntries::AppendEntries(AppendEntries&& other294) noexcept {
+  term = other294.term;
+  prevIndex = other294.prevIndex;
+  prevTerm = other294.prevTerm;
+  entries = std::move(other294.entries);
+  commitIndex = other294.commitIndex;
+  round = other294.round;
+  member = std::move(other294.member);
+  group = std::move(other294.group);
+  __isset = other294.__isset;
+}
+AppendEntries& AppendEntries::operator=(const AppendEntries& other295) {
+  term = other295.term;
+  prevIndex = other295.prevIndex;
+  prevTerm = other295.prevTerm;
+  entries = other295.entries;
+  commitIndex = other295.commitIndex;
+  round = other295.round;
+  member = other295.member;
+  group = other295.group;
+  __isset = other295.__isset;
+  return *this;
+}
+AppendEntries& AppendEntries::operator=(AppendEntries&& other296) noexcept {
+  term = other296.term;
+  prevIndex = other296.prevIndex;
+  prevTerm = other296.prevTerm;
+  entries = std::move(other296.entries);
+  commitIndex = other296.commitIndex;
+  round = other296.round;
+  member = std::move(other296.member);
+  group = std::move(other296.group);
+  __isset = other296.__isset;
   return *this;
 }
 void AppendEntries::printTo(std::ostream& out) const {
@@ -8570,42 +8612,42 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other291) {
-  term = other291.term;
-  ok = other291.ok;
-  matchIndex = other291.matchIndex;
-  round = other291.round;
-  member = other291.member;
-  group = other291.group;
-  __isset = other291.__isset;
-}
-AppendReply::AppendReply(AppendReply&& other292) noexcept {
-  term = other292.term;
-  ok = other292.ok;
-  matchIndex = other292.matchIndex;
-  round = other292.round;
-  member = std::move(other292.member);
-  group = std::move(other292.group);
-  __isset = other292.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other293) {
-  term = other293.term;
-  ok = other293.ok;
-  matchIndex = other293.matchIndex;
-  round = other293.round;
-  member = other293.member;
-  group = other293.group;
-  __isset = other293.__isset;
-  return *this;
-}
-AppendReply& AppendReply::operator=(AppendReply&& other294) noexcept {
-  term = other294.term;
-  ok = other294.ok;
-  matchIndex = other294.matchIndex;
-  round = other294.round;
-  member = std::move(other294.member);
-  group = std::move(other294.group);
-  __isset = other294.__isset;
+AppendReply::AppendReply(const AppendReply& other297) {
+  term = other297.term;
+  ok = other297.ok;
+  matchIndex = other297.matchIndex;
+  round = other297.round;
+  member = other297.member;
+  group = other297.group;
+  __isset = other297.__isset;
+}
+AppendReply::AppendReply(AppendReply&& other298) noexcept {
+  term = other298.term;
+  ok = other298.ok;
+  matchIndex = other298.matchIndex;
+  round = other298.round;
+  member = std::move(other298.member);
+  group = std::move(other298.group);
+  __isset = other298.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other299) {
+  term = other299.term;
+  ok = other299.ok;
+  matchIndex = other299.matchIndex;
+  round = other299.round;
+  member = other299.member;
+  group = other299.group;
+  __isset = other299.__isset;
+  return *this;
+}
+AppendReply& AppendReply::operator=(AppendReply&& other300) noexcept {
+  term = other300.term;
+  ok = other300.ok;
+  matchIndex = other300.matchIndex;
+  round = other300.round;
+  member = std::move(other300.member);
+  group = std::move(other300.group);
+  __isset = other300.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -8724,14 +8766,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size295;
-            ::apache::thrift::protocol::TType _etype298;
-            xfer += iprot->readListBegin(_etype298, _size295);
-            this->voters.resize(_size295);
-            uint32_t _i299;
-            for (_i299 = 0; _i299 < _size295; ++_i299)
+            uint32_t _size301;
+            ::apache::thrift::protocol::TType _etype304;
+            xfer += iprot->readListBegin(_etype304, _size301);
+            this->voters.resize(_size301);
+            uint32_t _i305;
+            for (_i305 = 0; _i305 < _size301; ++_i305)
             {
-              xfer += iprot->readString(this->voters[_i299]);
+              xfer += iprot->readString(this->voters[_i305]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8744,14 +8786,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size300;
-            ::apache::thrift::protocol::TType _etype303;
-            xfer += iprot->readListBegin(_etype303, _size300);
-            this->learners.resize(_size300);
-            uint32_t _i304;
-            for (_i304 = 0; _i304 < _size300; ++_i304)
+            uint32_t _size306;
+            ::apache::thrift::protocol::TType _etype309;
+            xfer += iprot->readListBegin(_etype309, _size306);
+            this->learners.resize(_size306);
+            uint32_t _i310;
+            for (_i310 = 0; _i310 < _size306; ++_i310)
             {
-              xfer += iprot->readString(this->learners[_i304]);
+              xfer += iprot->readString(this->learners[_i310]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8820,10 +8862,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter305;
-    for (_iter305 = this->voters.begin(); _iter305 != this->voters.end(); ++_iter305)
+    std::vector<std::string> ::const_iterator _iter311;
+    for (_iter311 = this->voters.begin(); _iter311 != this->voters.end(); ++_iter311)
     {
-      xfer += oprot->writeString((*_iter305));
+      xfer += oprot->writeString((*_iter311));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8832,10 +8874,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter306;
-    for (_iter306 = this->learners.begin(); _iter306 != this->learners.end(); ++_iter306)
+    std::vector<std::string> ::const_iterator _iter312;
+    for (_iter312 = this->learners.begin(); _iter312 != this->learners.end(); ++_iter312)
     {
-      xfer += oprot->writeString((*_iter306));
+      xfer += oprot->writeString((*_iter312));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8872,54 +8914,54 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallSnapshot::InstallSnapshot(const InstallSnapshot& other307) {
-  term = other307.term;
-  lastIndex = other307.lastIndex;
-  lastTerm = other307.lastTerm;
-  data = other307.data;
-  voters = other307.voters;
-  learners = other307.learners;
-  member = other307.member;
-  group = other307.group;
-  round = other307.round;
-  __isset = other307.__isset;
-}
-InstallSnapshot::InstallSnapshot(InstallSnapshot&& other308) noexcept {
-  term = other308.term;
-  lastIndex = other308.lastIndex;
-  lastTerm = other308.lastTerm;
-  data = std::move(other308.data);
-  voters = std::move(other308.voters);
-  learners = std::move(other308.learners);
-  member = std::move(other308.member);
-  group = std::move(other308.group);
-  round = other308.round;
-  __isset = other308.__isset;
-}
-InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other309) {
-  term = other309.term;
-  lastIndex = other309.lastIndex;
-  lastTerm = other309.lastTerm;
-  data = other309.data;
-  voters = other309.voters;
-  learners = other309.learners;
-  member = other309.member;
-  group = other309.group;
-  round = other309.round;
-  __isset = other309.__isset;
-  return *this;
-}
-InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other310) noexcept {
-  term = other310.term;
-  lastIndex = other310.lastIndex;
-  lastTerm = other310.lastTerm;
-  data = std::move(other310.data);
-  voters = std::move(other310.voters);
-  learners = std::move(other310.learners);
-  member = std::move(other310.member);
-  group = std::move(other310.group);
-  round = other310.round;
-  __isset = other310.__isset;
+InstallSnapshot::InstallSnapshot(const InstallSnapshot& other313) {
+  term = other313.term;
+  lastIndex = other313.lastIndex;
+  lastTerm = other313.lastTerm;
+  data = other313.data;
+  voters = other313.voters;
+  learners = other313.learners;
+  member = other313.member;
+  group = other313.group;
+  round = other313.round;
+  __isset = other313.__isset;
+}
+InstallSnapshot::InstallSnapshot(InstallSnapshot&& other314) noexcept {
+  term = other314.term;
+  lastIndex = other314.lastIndex;
+  lastTerm = other314.lastTerm;
+  data = std::move(other314.data);
+  voters = std::move(other314.voters);
+  learners = std::move(other314.learners);
+  member = std::move(other314.member);
+  group = std::move(other314.group);
+  round = other314.round;
+  __isset = other314.__isset;
+}
+InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other315) {
+  term = other315.term;
+  lastIndex = other315.lastIndex;
+  lastTerm = other315.lastTerm;
+  data = other315.data;
+  voters = other315.voters;
+  learners = other315.learners;
+  member = other315.member;
+  group = other315.group;
+  round = other315.round;
+  __isset = other315.__isset;
+  return *this;
+}
+InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other316) noexcept {
+  term = other316.term;
+  lastIndex = other316.lastIndex;
+  lastTerm = other316.lastTerm;
+  data = std::move(other316.data);
+  voters = std::move(other316.voters);
+  learners = std::move(other316.learners);
+  member = std::move(other316.member);
+  group = std::move(other316.group);
+  round = other316.round;
+  __isset = other316.__isset;
   return *this;
 }
 void InstallSnapshot::printTo(std::ostream& out) const {
@@ -9081,38 +9123,38 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallReply::InstallReply(const InstallReply& other311) {
-  term = other311.term;
-  lastIndex = other311.lastIndex;
-  member = other311.member;
-  group = other311.group;
-  round = other311.round;
-  __isset = other311.__isset;
+InstallReply::InstallReply(const InstallReply& other317) {
+  term = other317.term;
+  lastIndex = other317.lastIndex;
+  member = other317.member;
+  group = other317.group;
+  round = other317.round;
+  __isset = other317.__isset;
 }
-InstallReply::InstallReply(InstallReply&& other312) noexcept {
-  term = other312.term;
-  lastIndex = other312.lastIndex;
-  member = std::move(other312.member);
-  group = std::move(other312.group);
-  round = other312.round;
-  __isset = other312.__isset;
+InstallReply::InstallReply(InstallReply&& other318) noexcept {
+  term = other318.term;
+  lastIndex = other318.lastIndex;
+  member = std::move(other318.member);
+  group = std::move(other318.group);
+  round = other318.round;
+  __isset = other318.__isset;
 }
-InstallReply& InstallReply::operator=(const InstallReply& other313) {
-  term = other313.term;
-  lastIndex = other313.lastIndex;
-  member = other313.member;
-  group = other313.group;
-  round = other313.round;
-  __isset = other313.__isset;
+InstallReply& InstallReply::operator=(const InstallReply& other319) {
+  term = other319.term;
+  lastIndex = other319.lastIndex;
+  member = other319.member;
+  group = other319.group;
+  round = other319.round;
+  __isset = other319.__isset;
   return *this;
 }
-InstallReply& InstallReply::operator=(InstallReply&& other314) noexcept {
-  term = other314.term;
-  lastIndex = other314.lastIndex;
-  member = std::move(other314.member);
-  group = std::move(other314.group);
-  round = other314.round;
-  __isset = other314.__isset;
+InstallReply& InstallReply::operator=(InstallReply&& other320) noexcept {
+  term = other320.term;
+  lastIndex = other320.lastIndex;
+  member = std::move(other320.member);
+  group = std::move(other320.group);
+  round = other320.round;
+  __isset = other320.__isset;
   return *this;
 }
 void InstallReply::printTo(std::ostream& out) const {
@@ -9202,22 +9244,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other315) noexcept {
-  term = other315.term;
-  __isset = other315.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other321) noexcept {
+  term = other321.term;
+  __isset = other321.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other316) noexcept {
-  term = other316.term;
-  __isset = other316.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other322) noexcept {
+  term = other322.term;
+  __isset = other322.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other317) noexcept {
-  term = other317.term;
-  __isset = other317.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other323) noexcept {
+  term = other323.term;
+  __isset = other323.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other318) noexcept {
-  term = other318.term;
-  __isset = other318.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other324) noexcept {
+  term = other324.term;
+  __isset = other324.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -9303,22 +9345,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SetConfig::SetConfig(const SetConfig& other319) {
-  file = other319.file;
-  __isset = other319.__isset;
+SetConfig::SetConfig(const SetConfig& other325) {
+  file = other325.file;
+  __isset = other325.__isset;
 }
-SetConfig::SetConfig(SetConfig&& other320) noexcept {
-  file = std::move(other320.file);
-  __isset = other320.__isset;
+SetConfig::SetConfig(SetConfig&& other326) noexcept {
+  file = std::move(other326.file);
+  __isset = other326.__isset;
 }
-SetConfig& SetConfig::operator=(const SetConfig& other321) {
-  file = other321.file;
-  __isset = other321.__isset;
+SetConfig& SetConfig::operator=(const SetConfig& other327) {
+  file = other327.file;
+  __isset = other327.__isset;
   return *this;
 }
-SetConfig& SetConfig::operator=(SetConfig&& other322) noexcept {
-  file = std::move(other322.file);
-  __isset = other322.__isset;
+SetConfig& SetConfig::operator=(SetConfig&& other328) noexcept {
+  file = std::move(other328.file);
+  __isset = other328.__isset;
   return *this;
 }
 void SetConfig::printTo(std::ostream& out) const {
@@ -9395,9 +9437,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast323;
-          xfer += iprot->readI32(ecast323);
-          this->role = static_cast<Role::type>(ecast323);
+          int32_t ecast329;
+          xfer += iprot->readI32(ecast329);
+          this->role = static_cast<Role::type>(ecast329);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9493,42 +9535,42 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberJoin::MemberJoin(const MemberJoin& other324) {
-  id = other324.id;
-  role = other324.role;
-  address = other324.address;
-  failureDomain = other324.failureDomain;
-  server = other324.server;
-  atMs = other324.atMs;
-  __isset = other324.__isset;
+MemberJoin::MemberJoin(const MemberJoin& other330) {
+  id = other330.id;
+  role = other330.role;
+  address = other330.address;
+  failureDomain = other330.failureDomain;
+  server = other330.server;
+  atMs = other330.atMs;
+  __isset = other330.__isset;
 }
-MemberJoin::MemberJoin(MemberJoin&& other325) noexcept {
-  id = std::move(other325.id);
-  role = other325.role;
-  address = std::move(other325.address);
-  failureDomain = std::move(other325.failureDomain);
-  server = std::move(other325.server);
-  atMs = other325.atMs;
-  __isset = other325.__isset;
+MemberJoin::MemberJoin(MemberJoin&& other331) noexcept {
+  id = std::move(other331.id);
+  role = other331.role;
+  address = std::move(other331.address);
+  failureDomain = std::move(other331.failureDomain);
+  server = std::move(other331.server);
+  atMs = other331.atMs;
+  __isset = other331.__isset;
 }
-MemberJoin& MemberJoin::operator=(const MemberJoin& other326) {
-  id = other326.id;
-  role = other326.role;
-  address = other326.address;
-  failureDomain = other326.failureDomain;
-  server = other326.server;
-  atMs = other326.atMs;
-  __isset = other326.__isset;
+MemberJoin& MemberJoin::operator=(const MemberJoin& other332) {
+  id = other332.id;
+  role = other332.role;
+  address = other332.address;
+  failureDomain = other332.failureDomain;
+  server = other332.server;
+  atMs = other332.atMs;
+  __isset = other332.__isset;
   return *this;
 }
-MemberJoin& MemberJoin::operator=(MemberJoin&& other327) noexcept {
-  id = std::move(other327.id);
-  role = other327.role;
-  address = std::move(other327.address);
-  failureDomain = std::move(other327.failureDomain);
-  server = std::move(other327.server);
-  atMs = other327.atMs;
-  __isset = other327.__isset;
+MemberJoin& MemberJoin::operator=(MemberJoin&& other333) noexcept {
+  id = std::move(other333.id);
+  role = other333.role;
+  address = std::move(other333.address);
+  failureDomain = std::move(other333.failureDomain);
+  server = std::move(other333.server);
+  atMs = other333.atMs;
+  __isset = other333.__isset;
   return *this;
 }
 void MemberJoin::printTo(std::ostream& out) const {
@@ -9653,30 +9695,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberGone::MemberGone(const MemberGone& other328) {
-  id = other328.id;
-  planned = other328.planned;
-  atMs = other328.atMs;
-  __isset = other328.__isset;
+MemberGone::MemberGone(const MemberGone& other334) {
+  id = other334.id;
+  planned = other334.planned;
+  atMs = other334.atMs;
+  __isset = other334.__isset;
 }
-MemberGone::MemberGone(MemberGone&& other329) noexcept {
-  id = std::move(other329.id);
-  planned = other329.planned;
-  atMs = other329.atMs;
-  __isset = other329.__isset;
+MemberGone::MemberGone(MemberGone&& other335) noexcept {
+  id = std::move(other335.id);
+  planned = other335.planned;
+  atMs = other335.atMs;
+  __isset = other335.__isset;
 }
-MemberGone& MemberGone::operator=(const MemberGone& other330) {
-  id = other330.id;
-  planned = other330.planned;
-  atMs = other330.atMs;
-  __isset = other330.__isset;
+MemberGone& MemberGone::operator=(const MemberGone& other336) {
+  id = other336.id;
+  planned = other336.planned;
+  atMs = other336.atMs;
+  __isset = other336.__isset;
   return *this;
 }
-MemberGone& MemberGone::operator=(MemberGone&& other331) noexcept {
-  id = std::move(other331.id);
-  planned = other331.planned;
-  atMs = other331.atMs;
-  __isset = other331.__isset;
+MemberGone& MemberGone::operator=(MemberGone&& other337) noexcept {
+  id = std::move(other337.id);
+  planned = other337.planned;
+  atMs = other337.atMs;
+  __isset = other337.__isset;
   return *this;
 }
 void MemberGone::printTo(std::ostream& out) const {
@@ -9764,22 +9806,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberLeaving::MemberLeaving(const MemberLeaving& other332) {
-  id = other332.id;
-  __isset = other332.__isset;
+MemberLeaving::MemberLeaving(const MemberLeaving& other338) {
+  id = other338.id;
+  __isset = other338.__isset;
 }
-MemberLeaving::MemberLeaving(MemberLeaving&& other333) noexcept {
-  id = std::move(other333.id);
-  __isset = other333.__isset;
+MemberLeaving::MemberLeaving(MemberLeaving&& other339) noexcept {
+  id = std::move(other339.id);
+  __isset = other339.__isset;
 }
-MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other334) {
-  id = other334.id;
-  __isset = other334.__isset;
+MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other340) {
+  id = other340.id;
+  __isset = other340.__isset;
   return *this;
 }
-MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other335) noexcept {
-  id = std::move(other335.id);
-  __isset = other335.__isset;
+MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other341) noexcept {
+  id = std::move(other341.id);
+  __isset = other341.__isset;
   return *this;
 }
 void MemberLeaving::printTo(std::ostream& out) const {
@@ -9916,34 +9958,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderWhole::HolderWhole(const HolderWhole& other336) {
-  cell = other336.cell;
-  epoch = other336.epoch;
-  holder = other336.holder;
-  viewVersion = other336.viewVersion;
-  __isset = other336.__isset;
+HolderWhole::HolderWhole(const HolderWhole& other342) {
+  cell = other342.cell;
+  epoch = other342.epoch;
+  holder = other342.holder;
+  viewVersion = other342.viewVersion;
+  __isset = other342.__isset;
 }
-HolderWhole::HolderWhole(HolderWhole&& other337) noexcept {
-  cell = other337.cell;
-  epoch = other337.epoch;
-  holder = std::move(other337.holder);
-  viewVersion = other337.viewVersion;
-  __isset = other337.__isset;
+HolderWhole::HolderWhole(HolderWhole&& other343) noexcept {
+  cell = other343.cell;
+  epoch = other343.epoch;
+  holder = std::move(other343.holder);
+  viewVersion = other343.viewVersion;
+  __isset = other343.__isset;
 }
-HolderWhole& HolderWhole::operator=(const HolderWhole& other338) {
-  cell = other338.cell;
-  epoch = other338.epoch;
-  holder = other338.holder;
-  viewVersion = other338.viewVersion;
-  __isset = other338.__isset;
+HolderWhole& HolderWhole::operator=(const HolderWhole& other344) {
+  cell = other344.cell;
+  epoch = other344.epoch;
+  holder = other344.holder;
+  viewVersion = other344.viewVersion;
+  __isset = other344.__isset;
   return *this;
 }
-HolderWhole& HolderWhole::operator=(HolderWhole&& other339) noexcept {
-  cell = other339.cell;
-  epoch = other339.epoch;
-  holder = std::move(other339.holder);
-  viewVersion = other339.viewVersion;
-  __isset = other339.__isset;
+HolderWhole& HolderWhole::operator=(HolderWhole&& other345) noexcept {
+  cell = other345.cell;
+  epoch = other345.epoch;
+  holder = std::move(other345.holder);
+  viewVersion = other345.viewVersion;
+  __isset = other345.__isset;
   return *this;
 }
 void HolderWhole::printTo(std::ostream& out) const {
@@ -10083,34 +10125,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HandOver::HandOver(const HandOver& other340) {
-  cell = other340.cell;
-  epoch = other340.epoch;
-  previousOwner = other340.previousOwner;
-  atMs = other340.atMs;
-  __isset = other340.__isset;
+HandOver::HandOver(const HandOver& other346) {
+  cell = other346.cell;
+  epoch = other346.epoch;
+  previousOwner = other346.previousOwner;
+  atMs = other346.atMs;
+  __isset = other346.__isset;
 }
-HandOver::HandOver(HandOver&& other341) noexcept {
-  cell = other341.cell;
-  epoch = other341.epoch;
-  previousOwner = std::move(other341.previousOwner);
-  atMs = other341.atMs;
-  __isset = other341.__isset;
+HandOver::HandOver(HandOver&& other347) noexcept {
+  cell = other347.cell;
+  epoch = other347.epoch;
+  previousOwner = std::move(other347.previousOwner);
+  atMs = other347.atMs;
+  __isset = other347.__isset;
 }
-HandOver& HandOver::operator=(const HandOver& other342) {
-  cell = other342.cell;
-  epoch = other342.epoch;
-  previousOwner = other342.previousOwner;
-  atMs = other342.atMs;
-  __isset = other342.__isset;
+HandOver& HandOver::operator=(const HandOver& other348) {
+  cell = other348.cell;
+  epoch = other348.epoch;
+  previousOwner = other348.previousOwner;
+  atMs = other348.atMs;
+  __isset = other348.__isset;
   return *this;
 }
-HandOver& HandOver::operator=(HandOver&& other343) noexcept {
-  cell = other343.cell;
-  epoch = other343.epoch;
-  previousOwner = std::move(other343.previousOwner);
-  atMs = other343.atMs;
-  __isset = other343.__isset;
+HandOver& HandOver::operator=(HandOver&& other349) noexcept {
+  cell = other349.cell;
+  epoch = other349.epoch;
+  previousOwner = std::move(other349.previousOwner);
+  atMs = other349.atMs;
+  __isset = other349.__isset;
   return *this;
 }
 void HandOver::printTo(std::ostream& out) const {
@@ -10167,14 +10209,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size344;
-            ::apache::thrift::protocol::TType _etype347;
-            xfer += iprot->readListBegin(_etype347, _size344);
-            this->voters.resize(_size344);
-            uint32_t _i348;
-            for (_i348 = 0; _i348 < _size344; ++_i348)
+            uint32_t _size350;
+            ::apache::thrift::protocol::TType _etype353;
+            xfer += iprot->readListBegin(_etype353, _size350);
+            this->voters.resize(_size350);
+            uint32_t _i354;
+            for (_i354 = 0; _i354 < _size350; ++_i354)
             {
-              xfer += iprot->readString(this->voters[_i348]);
+              xfer += iprot->readString(this->voters[_i354]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10187,14 +10229,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size349;
-            ::apache::thrift::protocol::TType _etype352;
-            xfer += iprot->readListBegin(_etype352, _size349);
-            this->learners.resize(_size349);
-            uint32_t _i353;
-            for (_i353 = 0; _i353 < _size349; ++_i353)
+            uint32_t _size355;
+            ::apache::thrift::protocol::TType _etype358;
+            xfer += iprot->readListBegin(_etype358, _size355);
+            this->learners.resize(_size355);
+            uint32_t _i359;
+            for (_i359 = 0; _i359 < _size355; ++_i359)
             {
-              xfer += iprot->readString(this->learners[_i353]);
+              xfer += iprot->readString(this->learners[_i359]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10223,10 +10265,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter354;
-    for (_iter354 = this->voters.begin(); _iter354 != this->voters.end(); ++_iter354)
+    std::vector<std::string> ::const_iterator _iter360;
+    for (_iter360 = this->voters.begin(); _iter360 != this->voters.end(); ++_iter360)
     {
-      xfer += oprot->writeString((*_iter354));
+      xfer += oprot->writeString((*_iter360));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10235,10 +10277,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter355;
-    for (_iter355 = this->learners.begin(); _iter355 != this->learners.end(); ++_iter355)
+    std::vector<std::string> ::const_iterator _iter361;
+    for (_iter361 = this->learners.begin(); _iter361 != this->learners.end(); ++_iter361)
     {
-      xfer += oprot->writeString((*_iter355));
+      xfer += oprot->writeString((*_iter361));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10256,26 +10298,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SetVoters::SetVoters(const SetVoters& other356) {
-  voters = other356.voters;
-  learners = other356.learners;
-  __isset = other356.__isset;
+SetVoters::SetVoters(const SetVoters& other362) {
+  voters = other362.voters;
+  learners = other362.learners;
+  __isset = other362.__isset;
 }
-SetVoters::SetVoters(SetVoters&& other357) noexcept {
-  voters = std::move(other357.voters);
-  learners = std::move(other357.learners);
-  __isset = other357.__isset;
+SetVoters::SetVoters(SetVoters&& other363) noexcept {
+  voters = std::move(other363.voters);
+  learners = std::move(other363.learners);
+  __isset = other363.__isset;
 }
-SetVoters& SetVoters::operator=(const SetVoters& other358) {
-  voters = other358.voters;
-  learners = other358.learners;
-  __isset = other358.__isset;
+SetVoters& SetVoters::operator=(const SetVoters& other364) {
+  voters = other364.voters;
+  learners = other364.learners;
+  __isset = other364.__isset;
   return *this;
 }
-SetVoters& SetVoters::operator=(SetVoters&& other359) noexcept {
-  voters = std::move(other359.voters);
-  learners = std::move(other359.learners);
-  __isset = other359.__isset;
+SetVoters& SetVoters::operator=(SetVoters&& other365) noexcept {
+  voters = std::move(other365.voters);
+  learners = std::move(other365.learners);
+  __isset = other365.__isset;
   return *this;
 }
 void SetVoters::printTo(std::ostream& out) const {
@@ -10497,50 +10539,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other360) {
-  setConfig = other360.setConfig;
-  memberJoin = other360.memberJoin;
-  memberGone = other360.memberGone;
-  memberLeaving = other360.memberLeaving;
-  holderWhole = other360.holderWhole;
-  handOver = other360.handOver;
-  setVoters = other360.setVoters;
-  noop = other360.noop;
-  __isset = other360.__isset;
-}
-Command::Command(Command&& other361) noexcept {
-  setConfig = std::move(other361.setConfig);
-  memberJoin = std::move(other361.memberJoin);
-  memberGone = std::move(other361.memberGone);
-  memberLeaving = std::move(other361.memberLeaving);
-  holderWhole = std::move(other361.holderWhole);
-  handOver = std::move(other361.handOver);
-  setVoters = std::move(other361.setVoters);
-  noop = other361.noop;
-  __isset = other361.__isset;
-}
-Command& Command::operator=(const Command& other362) {
-  setConfig = other362.setConfig;
-  memberJoin = other362.memberJoin;
-  memberGone = other362.memberGone;
-  memberLeaving = other362.memberLeaving;
-  holderWhole = other362.holderWhole;
-  handOver = other362.handOver;
-  setVoters = other362.setVoters;
-  noop = other362.noop;
-  __isset = other362.__isset;
-  return *this;
+Command::Command(const Command& other366) {
+  setConfig = other366.setConfig;
+  memberJoin = other366.memberJoin;
+  memberGone = other366.memberGone;
+  memberLeaving = other366.memberLeaving;
+  holderWhole = other366.holderWhole;
+  handOver = other366.handOver;
+  setVoters = other366.setVoters;
+  noop = other366.noop;
+  __isset = other366.__isset;
 }
-Command& Command::operator=(Command&& other363) noexcept {
-  setConfig = std::move(other363.setConfig);
-  memberJoin = std::move(other363.memberJoin);
-  memberGone = std::move(other363.memberGone);
-  memberLeaving = std::move(other363.memberLeaving);
-  holderWhole = std::move(other363.holderWhole);
-  handOver = std::move(other363.handOver);
-  setVoters = std::move(other363.setVoters);
-  noop = other363.noop;
-  __isset = other363.__isset;
+Command::Command(Command&& other367) noexcept {
+  setConfig = std::move(other367.setConfig);
+  memberJoin = std::move(other367.memberJoin);
+  memberGone = std::move(other367.memberGone);
+  memberLeaving = std::move(other367.memberLeaving);
+  holderWhole = std::move(other367.holderWhole);
+  handOver = std::move(other367.handOver);
+  setVoters = std::move(other367.setVoters);
+  noop = other367.noop;
+  __isset = other367.__isset;
+}
+Command& Command::operator=(const Command& other368) {
+  setConfig = other368.setConfig;
+  memberJoin = other368.memberJoin;
+  memberGone = other368.memberGone;
+  memberLeaving = other368.memberLeaving;
+  holderWhole = other368.holderWhole;
+  handOver = other368.handOver;
+  setVoters = other368.setVoters;
+  noop = other368.noop;
+  __isset = other368.__isset;
+  return *this;
+}
+Command& Command::operator=(Command&& other369) noexcept {
+  setConfig = std::move(other369.setConfig);
+  memberJoin = std::move(other369.memberJoin);
+  memberGone = std::move(other369.memberGone);
+  memberLeaving = std::move(other369.memberLeaving);
+  holderWhole = std::move(other369.holderWhole);
+  handOver = std::move(other369.handOver);
+  setVoters = std::move(other369.setVoters);
+  noop = other369.noop;
+  __isset = other369.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -10684,34 +10726,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other364) {
-  member = other364.member;
-  group = other364.group;
-  term = other364.term;
-  vote = other364.vote;
-  __isset = other364.__isset;
+HardState::HardState(const HardState& other370) {
+  member = other370.member;
+  group = other370.group;
+  term = other370.term;
+  vote = other370.vote;
+  __isset = other370.__isset;
 }
-HardState::HardState(HardState&& other365) noexcept {
-  member = std::move(other365.member);
-  group = std::move(other365.group);
-  term = other365.term;
-  vote = std::move(other365.vote);
-  __isset = other365.__isset;
+HardState::HardState(HardState&& other371) noexcept {
+  member = std::move(other371.member);
+  group = std::move(other371.group);
+  term = other371.term;
+  vote = std::move(other371.vote);
+  __isset = other371.__isset;
 }
-HardState& HardState::operator=(const HardState& other366) {
-  member = other366.member;
-  group = other366.group;
-  term = other366.term;
-  vote = other366.vote;
-  __isset = other366.__isset;
+HardState& HardState::operator=(const HardState& other372) {
+  member = other372.member;
+  group = other372.group;
+  term = other372.term;
+  vote = other372.vote;
+  __isset = other372.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other367) noexcept {
-  member = std::move(other367.member);
-  group = std::move(other367.group);
-  term = other367.term;
-  vote = std::move(other367.vote);
-  __isset = other367.__isset;
+HardState& HardState::operator=(HardState&& other373) noexcept {
+  member = std::move(other373.member);
+  group = std::move(other373.group);
+  term = other373.term;
+  vote = std::move(other373.vote);
+  __isset = other373.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -10789,14 +10831,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size368;
-            ::apache::thrift::protocol::TType _etype371;
-            xfer += iprot->readListBegin(_etype371, _size368);
-            this->entries.resize(_size368);
-            uint32_t _i372;
-            for (_i372 = 0; _i372 < _size368; ++_i372)
+            uint32_t _size374;
+            ::apache::thrift::protocol::TType _etype377;
+            xfer += iprot->readListBegin(_etype377, _size374);
+            this->entries.resize(_size374);
+            uint32_t _i378;
+            for (_i378 = 0; _i378 < _size374; ++_i378)
             {
-              xfer += this->entries[_i372].read(iprot);
+              xfer += this->entries[_i378].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10834,10 +10876,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter373;
-    for (_iter373 = this->entries.begin(); _iter373 != this->entries.end(); ++_iter373)
+    std::vector<LogEntry> ::const_iterator _iter379;
+    for (_iter379 = this->entries.begin(); _iter379 != this->entries.end(); ++_iter379)
     {
-      xfer += (*_iter373).write(oprot);
+      xfer += (*_iter379).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10856,30 +10898,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogRecord::LogRecord(const LogRecord& other374) {
-  state = other374.state;
-  truncateFrom = other374.truncateFrom;
-  entries = other374.entries;
-  __isset = other374.__isset;
+LogRecord::LogRecord(const LogRecord& other380) {
+  state = other380.state;
+  truncateFrom = other380.truncateFrom;
+  entries = other380.entries;
+  __isset = other380.__isset;
 }
-LogRecord::LogRecord(LogRecord&& other375) noexcept {
-  state = std::move(other375.state);
-  truncateFrom = other375.truncateFrom;
-  entries = std::move(other375.entries);
-  __isset = other375.__isset;
+LogRecord::LogRecord(LogRecord&& other381) noexcept {
+  state = std::move(other381.state);
+  truncateFrom = other381.truncateFrom;
+  entries = std::move(other381.entries);
+  __isset = other381.__isset;
 }
-LogRecord& LogRecord::operator=(const LogRecord& other376) {
-  state = other376.state;
-  truncateFrom = other376.truncateFrom;
-  entries = other376.entries;
-  __isset = other376.__isset;
+LogRecord& LogRecord::operator=(const LogRecord& other382) {
+  state = other382.state;
+  truncateFrom = other382.truncateFrom;
+  entries = other382.entries;
+  __isset = other382.__isset;
   return *this;
 }
-LogRecord& LogRecord::operator=(LogRecord&& other377) noexcept {
-  state = std::move(other377.state);
-  truncateFrom = other377.truncateFrom;
-  entries = std::move(other377.entries);
-  __isset = other377.__isset;
+LogRecord& LogRecord::operator=(LogRecord&& other383) noexcept {
+  state = std::move(other383.state);
+  truncateFrom = other383.truncateFrom;
+  entries = std::move(other383.entries);
+  __isset = other383.__isset;
   return *this;
 }
 void LogRecord::printTo(std::ostream& out) const {
@@ -10931,14 +10973,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size378;
-            ::apache::thrift::protocol::TType _etype381;
-            xfer += iprot->readListBegin(_etype381, _size378);
-            this->records.resize(_size378);
-            uint32_t _i382;
-            for (_i382 = 0; _i382 < _size378; ++_i382)
+            uint32_t _size384;
+            ::apache::thrift::protocol::TType _etype387;
+            xfer += iprot->readListBegin(_etype387, _size384);
+            this->records.resize(_size384);
+            uint32_t _i388;
+            for (_i388 = 0; _i388 < _size384; ++_i388)
             {
-              xfer += this->records[_i382].read(iprot);
+              xfer += this->records[_i388].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10967,10 +11009,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<LogRecord> ::const_iterator _iter383;
-    for (_iter383 = this->records.begin(); _iter383 != this->records.end(); ++_iter383)
+    std::vector<LogRecord> ::const_iterator _iter389;
+    for (_iter389 = this->records.begin(); _iter389 != this->records.end(); ++_iter389)
     {
-      xfer += (*_iter383).write(oprot);
+      xfer += (*_iter389).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10987,22 +11029,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LogFrame::LogFrame(const LogFrame& other384) {
-  records = other384.records;
-  __isset = other384.__isset;
+LogFrame::LogFrame(const LogFrame& other390) {
+  records = other390.records;
+  __isset = other390.__isset;
 }
-LogFrame::LogFrame(LogFrame&& other385) noexcept {
-  records = std::move(other385.records);
-  __isset = other385.__isset;
+LogFrame::LogFrame(LogFrame&& other391) noexcept {
+  records = std::move(other391.records);
+  __isset = other391.__isset;
 }
-LogFrame& LogFrame::operator=(const LogFrame& other386) {
-  records = other386.records;
-  __isset = other386.__isset;
+LogFrame& LogFrame::operator=(const LogFrame& other392) {
+  records = other392.records;
+  __isset = other392.__isset;
   return *this;
 }
-LogFrame& LogFrame::operator=(LogFrame&& other387) noexcept {
-  records = std::move(other387.records);
-  __isset = other387.__isset;
+LogFrame& LogFrame::operator=(LogFrame&& other393) noexcept {
+  records = std::move(other393.records);
+  __isset = other393.__isset;
   return *this;
 }
 void LogFrame::printTo(std::ostream& out) const {
@@ -11084,14 +11126,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size388;
-            ::apache::thrift::protocol::TType _etype391;
-            xfer += iprot->readListBegin(_etype391, _size388);
-            this->voters.resize(_size388);
-            uint32_t _i392;
-            for (_i392 = 0; _i392 < _size388; ++_i392)
+            uint32_t _size394;
+            ::apache::thrift::protocol::TType _etype397;
+            xfer += iprot->readListBegin(_etype397, _size394);
+            this->voters.resize(_size394);
+            uint32_t _i398;
+            for (_i398 = 0; _i398 < _size394; ++_i398)
             {
-              xfer += iprot->readString(this->voters[_i392]);
+              xfer += iprot->readString(this->voters[_i398]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11104,14 +11146,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size393;
-            ::apache::thrift::protocol::TType _etype396;
-            xfer += iprot->readListBegin(_etype396, _size393);
-            this->learners.resize(_size393);
-            uint32_t _i397;
-            for (_i397 = 0; _i397 < _size393; ++_i397)
+            uint32_t _size399;
+            ::apache::thrift::protocol::TType _etype402;
+            xfer += iprot->readListBegin(_etype402, _size399);
+            this->learners.resize(_size399);
+            uint32_t _i403;
+            for (_i403 = 0; _i403 < _size399; ++_i403)
             {
-              xfer += iprot->readString(this->learners[_i397]);
+              xfer += iprot->readString(this->learners[_i403]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11156,10 +11198,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter398;
-    for (_iter398 = this->voters.begin(); _iter398 != this->voters.end(); ++_iter398)
+    std::vector<std::string> ::const_iterator _iter404;
+    for (_iter404 = this->voters.begin(); _iter404 != this->voters.end(); ++_iter404)
     {
-      xfer += oprot->writeString((*_iter398));
+      xfer += oprot->writeString((*_iter404));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11168,10 +11210,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter399;
-    for (_iter399 = this->learners.begin(); _iter399 != this->learners.end(); ++_iter399)
+    std::vector<std::string> ::const_iterator _iter405;
+    for (_iter405 = this->learners.begin(); _iter405 != this->learners.end(); ++_iter405)
     {
-      xfer += oprot->writeString((*_iter399));
+      xfer += oprot->writeString((*_iter405));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11196,38 +11238,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotFile::SnapshotFile(const SnapshotFile& other400) {
-  lastIndex = other400.lastIndex;
-  lastTerm = other400.lastTerm;
-  voters = other400.voters;
-  learners = other400.learners;
-  data = other400.data;
-  __isset = other400.__isset;
-}
-SnapshotFile::SnapshotFile(SnapshotFile&& other401) noexcept {
-  lastIndex = other401.lastIndex;
-  lastTerm = other401.lastTerm;
-  voters = std::move(other401.voters);
-  learners = std::move(other401.learners);
-  data = std::move(other401.data);
-  __isset = other401.__isset;
-}
-SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other402) {
-  lastIndex = other402.lastIndex;
-  lastTerm = other402.lastTerm;
-  voters = other402.voters;
-  learners = other402.learners;
-  data = other402.data;
-  __isset = other402.__isset;
-  return *this;
-}
-SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other403) noexcept {
-  lastIndex = other403.lastIndex;
-  lastTerm = other403.lastTerm;
-  voters = std::move(other403.voters);
-  learners = std::move(other403.learners);
-  data = std::move(other403.data);
-  __isset = other403.__isset;
+SnapshotFile::SnapshotFile(const SnapshotFile& other406) {
+  lastIndex = other406.lastIndex;
+  lastTerm = other406.lastTerm;
+  voters = other406.voters;
+  learners = other406.learners;
+  data = other406.data;
+  __isset = other406.__isset;
+}
+SnapshotFile::SnapshotFile(SnapshotFile&& other407) noexcept {
+  lastIndex = other407.lastIndex;
+  lastTerm = other407.lastTerm;
+  voters = std::move(other407.voters);
+  learners = std::move(other407.learners);
+  data = std::move(other407.data);
+  __isset = other407.__isset;
+}
+SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other408) {
+  lastIndex = other408.lastIndex;
+  lastTerm = other408.lastTerm;
+  voters = other408.voters;
+  learners = other408.learners;
+  data = other408.data;
+  __isset = other408.__isset;
+  return *this;
+}
+SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other409) noexcept {
+  lastIndex = other409.lastIndex;
+  lastTerm = other409.lastTerm;
+  voters = std::move(other409.voters);
+  learners = std::move(other409.learners);
+  data = std::move(other409.data);
+  __isset = other409.__isset;
   return *this;
 }
 void SnapshotFile::printTo(std::ostream& out) const {
@@ -11351,30 +11393,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderRecord::HolderRecord(const HolderRecord& other404) {
-  name = other404.name;
-  since = other404.since;
-  whole = other404.whole;
-  __isset = other404.__isset;
+HolderRecord::HolderRecord(const HolderRecord& other410) {
+  name = other410.name;
+  since = other410.since;
+  whole = other410.whole;
+  __isset = other410.__isset;
 }
-HolderRecord::HolderRecord(HolderRecord&& other405) noexcept {
-  name = std::move(other405.name);
-  since = other405.since;
-  whole = other405.whole;
-  __isset = other405.__isset;
+HolderRecord::HolderRecord(HolderRecord&& other411) noexcept {
+  name = std::move(other411.name);
+  since = other411.since;
+  whole = other411.whole;
+  __isset = other411.__isset;
 }
-HolderRecord& HolderRecord::operator=(const HolderRecord& other406) {
-  name = other406.name;
-  since = other406.since;
-  whole = other406.whole;
-  __isset = other406.__isset;
+HolderRecord& HolderRecord::operator=(const HolderRecord& other412) {
+  name = other412.name;
+  since = other412.since;
+  whole = other412.whole;
+  __isset = other412.__isset;
   return *this;
 }
-HolderRecord& HolderRecord::operator=(HolderRecord&& other407) noexcept {
-  name = std::move(other407.name);
-  since = other407.since;
-  whole = other407.whole;
-  __isset = other407.__isset;
+HolderRecord& HolderRecord::operator=(HolderRecord&& other413) noexcept {
+  name = std::move(other413.name);
+  since = other413.since;
+  whole = other413.whole;
+  __isset = other413.__isset;
   return *this;
 }
 void HolderRecord::printTo(std::ostream& out) const {
@@ -11486,14 +11528,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size408;
-            ::apache::thrift::protocol::TType _etype411;
-            xfer += iprot->readListBegin(_etype411, _size408);
-            this->holders.resize(_size408);
-            uint32_t _i412;
-            for (_i412 = 0; _i412 < _size408; ++_i412)
+            uint32_t _size414;
+            ::apache::thrift::protocol::TType _etype417;
+            xfer += iprot->readListBegin(_etype417, _size414);
+            this->holders.resize(_size414);
+            uint32_t _i418;
+            for (_i418 = 0; _i418 < _size414; ++_i418)
             {
-              xfer += this->holders[_i412].read(iprot);
+              xfer += this->holders[_i418].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11562,10 +11604,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<HolderRecord> ::const_iterator _iter413;
-    for (_iter413 = this->holders.begin(); _iter413 != this->holders.end(); ++_iter413)
+    std::vector<HolderRecord> ::const_iterator _iter419;
+    for (_iter419 = this->holders.begin(); _iter419 != this->holders.end(); ++_iter419)
     {
-      xfer += (*_iter413).write(oprot);
+      xfer += (*_iter419).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11601,50 +11643,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CellRecord::CellRecord(const CellRecord& other414) {
-  cell = other414.cell;
-  serviceName = other414.serviceName;
-  epoch = other414.epoch;
-  owner = other414.owner;
-  holders = other414.holders;
-  floorMs = other414.floorMs;
-  routeVersion = other414.routeVersion;
-  agentsVersion = other414.agentsVersion;
-  __isset = other414.__isset;
-}
-CellRecord::CellRecord(CellRecord&& other415) noexcept {
-  cell = other415.cell;
-  serviceName = std::move(other415.serviceName);
-  epoch = other415.epoch;
-  owner = std::move(other415.owner);
-  holders = std::move(other415.holders);
-  floorMs = other415.floorMs;
-  routeVersion = other415.routeVersion;
-  agentsVersion = other415.agentsVersion;
-  __isset = other415.__isset;
-}
-CellRecord& CellRecord::operator=(const CellRecord& other416) {
-  cell = other416.cell;
-  serviceName = other416.serviceName;
-  epoch = other416.epoch;
-  owner = other416.owner;
-  holders = other416.holders;
-  floorMs = other416.floorMs;
-  routeVersion = other416.routeVersion;
-  agentsVersion = other416.agentsVersion;
-  __isset = other416.__isset;
-  return *this;
-}
-CellRecord& CellRecord::operator=(CellRecord&& other417) noexcept {
-  cell = other417.cell;
-  serviceName = std::move(other417.serviceName);
-  epoch = other417.epoch;
-  owner = std::move(other417.owner);
-  holders = std::move(other417.holders);
-  floorMs = other417.floorMs;
-  routeVersion = other417.routeVersion;
-  agentsVersion = other417.agentsVersion;
-  __isset = other417.__isset;
+CellRecord::CellRecord(const CellRecord& other420) {
+  cell = other420.cell;
+  serviceName = other420.serviceName;
+  epoch = other420.epoch;
+  owner = other420.owner;
+  holders = other420.holders;
+  floorMs = other420.floorMs;
+  routeVersion = other420.routeVersion;
+  agentsVersion = other420.agentsVersion;
+  __isset = other420.__isset;
+}
+CellRecord::CellRecord(CellRecord&& other421) noexcept {
+  cell = other421.cell;
+  serviceName = std::move(other421.serviceName);
+  epoch = other421.epoch;
+  owner = std::move(other421.owner);
+  holders = std::move(other421.holders);
+  floorMs = other421.floorMs;
+  routeVersion = other421.routeVersion;
+  agentsVersion = other421.agentsVersion;
+  __isset = other421.__isset;
+}
+CellRecord& CellRecord::operator=(const CellRecord& other422) {
+  cell = other422.cell;
+  serviceName = other422.serviceName;
+  epoch = other422.epoch;
+  owner = other422.owner;
+  holders = other422.holders;
+  floorMs = other422.floorMs;
+  routeVersion = other422.routeVersion;
+  agentsVersion = other422.agentsVersion;
+  __isset = other422.__isset;
+  return *this;
+}
+CellRecord& CellRecord::operator=(CellRecord&& other423) noexcept {
+  cell = other423.cell;
+  serviceName = std::move(other423.serviceName);
+  epoch = other423.epoch;
+  owner = std::move(other423.owner);
+  holders = std::move(other423.holders);
+  floorMs = other423.floorMs;
+  routeVersion = other423.routeVersion;
+  agentsVersion = other423.agentsVersion;
+  __isset = other423.__isset;
   return *this;
 }
 void CellRecord::printTo(std::ostream& out) const {
@@ -11739,9 +11781,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast418;
-          xfer += iprot->readI32(ecast418);
-          this->role = static_cast<Role::type>(ecast418);
+          int32_t ecast424;
+          xfer += iprot->readI32(ecast424);
+          this->role = static_cast<Role::type>(ecast424);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -11875,54 +11917,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other419) {
-  id = other419.id;
-  role = other419.role;
-  address = other419.address;
-  failureDomain = other419.failureDomain;
-  serviceName = other419.serviceName;
-  cell = other419.cell;
-  leaving = other419.leaving;
-  version = other419.version;
-  leaseVersion = other419.leaseVersion;
-  __isset = other419.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other420) noexcept {
-  id = std::move(other420.id);
-  role = other420.role;
-  address = std::move(other420.address);
-  failureDomain = std::move(other420.failureDomain);
-  serviceName = std::move(other420.serviceName);
-  cell = other420.cell;
-  leaving = other420.leaving;
-  version = other420.version;
-  leaseVersion = other420.leaseVersion;
-  __isset = other420.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other421) {
-  id = other421.id;
-  role = other421.role;
-  address = other421.address;
-  failureDomain = other421.failureDomain;
-  serviceName = other421.serviceName;
-  cell = other421.cell;
-  leaving = other421.leaving;
-  version = other421.version;
-  leaseVersion = other421.leaseVersion;
-  __isset = other421.__isset;
-  return *this;
-}
-MemberRecord& MemberRecord::operator=(MemberRecord&& other422) noexcept {
-  id = std::move(other422.id);
-  role = other422.role;
-  address = std::move(other422.address);
-  failureDomain = std::move(other422.failureDomain);
-  serviceName = std::move(other422.serviceName);
-  cell = other422.cell;
-  leaving = other422.leaving;
-  version = other422.version;
-  leaseVersion = other422.leaseVersion;
-  __isset = other422.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other425) {
+  id = other425.id;
+  role = other425.role;
+  address = other425.address;
+  failureDomain = other425.failureDomain;
+  serviceName = other425.serviceName;
+  cell = other425.cell;
+  leaving = other425.leaving;
+  version = other425.version;
+  leaseVersion = other425.leaseVersion;
+  __isset = other425.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other426) noexcept {
+  id = std::move(other426.id);
+  role = other426.role;
+  address = std::move(other426.address);
+  failureDomain = std::move(other426.failureDomain);
+  serviceName = std::move(other426.serviceName);
+  cell = other426.cell;
+  leaving = other426.leaving;
+  version = other426.version;
+  leaseVersion = other426.leaseVersion;
+  __isset = other426.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other427) {
+  id = other427.id;
+  role = other427.role;
+  address = other427.address;
+  failureDomain = other427.failureDomain;
+  serviceName = other427.serviceName;
+  cell = other427.cell;
+  leaving = other427.leaving;
+  version = other427.version;
+  leaseVersion = other427.leaseVersion;
+  __isset = other427.__isset;
+  return *this;
+}
+MemberRecord& MemberRecord::operator=(MemberRecord&& other428) noexcept {
+  id = std::move(other428.id);
+  role = other428.role;
+  address = std::move(other428.address);
+  failureDomain = std::move(other428.failureDomain);
+  serviceName = std::move(other428.serviceName);
+  cell = other428.cell;
+  leaving = other428.leaving;
+  version = other428.version;
+  leaseVersion = other428.leaseVersion;
+  __isset = other428.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -12000,14 +12042,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size423;
-            ::apache::thrift::protocol::TType _etype426;
-            xfer += iprot->readListBegin(_etype426, _size423);
-            this->history.resize(_size423);
-            uint32_t _i427;
-            for (_i427 = 0; _i427 < _size423; ++_i427)
+            uint32_t _size429;
+            ::apache::thrift::protocol::TType _etype432;
+            xfer += iprot->readListBegin(_etype432, _size429);
+            this->history.resize(_size429);
+            uint32_t _i433;
+            for (_i433 = 0; _i433 < _size429; ++_i433)
             {
-              xfer += this->history[_i427].read(iprot);
+              xfer += this->history[_i433].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12020,14 +12062,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size428;
-            ::apache::thrift::protocol::TType _etype431;
-            xfer += iprot->readListBegin(_etype431, _size428);
-            this->members.resize(_size428);
-            uint32_t _i432;
-            for (_i432 = 0; _i432 < _size428; ++_i432)
+            uint32_t _size434;
+            ::apache::thrift::protocol::TType _etype437;
+            xfer += iprot->readListBegin(_etype437, _size434);
+            this->members.resize(_size434);
+            uint32_t _i438;
+            for (_i438 = 0; _i438 < _size434; ++_i438)
             {
-              xfer += this->members[_i432].read(iprot);
+              xfer += this->members[_i438].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12040,14 +12082,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size433;
-            ::apache::thrift::protocol::TType _etype436;
-            xfer += iprot->readListBegin(_etype436, _size433);
-            this->cells.resize(_size433);
-            uint32_t _i437;
-            for (_i437 = 0; _i437 < _size433; ++_i437)
+            uint32_t _size439;
+            ::apache::thrift::protocol::TType _etype442;
+            xfer += iprot->readListBegin(_etype442, _size439);
+            this->cells.resize(_size439);
+            uint32_t _i443;
+            for (_i443 = 0; _i443 < _size439; ++_i443)
             {
-              xfer += this->cells[_i437].read(iprot);
+              xfer += this->cells[_i443].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12100,10 +12142,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<ConfigFile> ::const_iterator _iter438;
-    for (_iter438 = this->history.begin(); _iter438 != this->history.end(); ++_iter438)
+    std::vector<ConfigFile> ::const_iterator _iter444;
+    for (_iter444 = this->history.begin(); _iter444 != this->history.end(); ++_iter444)
     {
-      xfer += (*_iter438).write(oprot);
+      xfer += (*_iter444).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12112,10 +12154,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter439;
-    for (_iter439 = this->members.begin(); _iter439 != this->members.end(); ++_iter439)
+    std::vector<MemberRecord> ::const_iterator _iter445;
+    for (_iter445 = this->members.begin(); _iter445 != this->members.end(); ++_iter445)
     {
-      xfer += (*_iter439).write(oprot);
+      xfer += (*_iter445).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12124,10 +12166,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellRecord> ::const_iterator _iter440;
-    for (_iter440 = this->cells.begin(); _iter440 != this->cells.end(); ++_iter440)
+    std::vector<CellRecord> ::const_iterator _iter446;
+    for (_iter446 = this->cells.begin(); _iter446 != this->cells.end(); ++_iter446)
     {
-      xfer += (*_iter440).write(oprot);
+      xfer += (*_iter446).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12161,42 +12203,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlImage::ControlImage(const ControlImage& other441) {
-  history = other441.history;
-  members = other441.members;
-  cells = other441.cells;
-  nextCell = other441.nextCell;
-  configVersion = other441.configVersion;
-  routesVersion = other441.routesVersion;
-  __isset = other441.__isset;
-}
-ControlImage::ControlImage(ControlImage&& other442) noexcept {
-  history = std::move(other442.history);
-  members = std::move(other442.members);
-  cells = std::move(other442.cells);
-  nextCell = other442.nextCell;
-  configVersion = other442.configVersion;
-  routesVersion = other442.routesVersion;
-  __isset = other442.__isset;
-}
-ControlImage& ControlImage::operator=(const ControlImage& other443) {
-  history = other443.history;
-  members = other443.members;
-  cells = other443.cells;
-  nextCell = other443.nextCell;
-  configVersion = other443.configVersion;
-  routesVersion = other443.routesVersion;
-  __isset = other443.__isset;
-  return *this;
-}
-ControlImage& ControlImage::operator=(ControlImage&& other444) noexcept {
-  history = std::move(other444.history);
-  members = std::move(other444.members);
-  cells = std::move(other444.cells);
-  nextCell = other444.nextCell;
-  configVersion = other444.configVersion;
-  routesVersion = other444.routesVersion;
-  __isset = other444.__isset;
+ControlImage::ControlImage(const ControlImage& other447) {
+  history = other447.history;
+  members = other447.members;
+  cells = other447.cells;
+  nextCell = other447.nextCell;
+  configVersion = other447.configVersion;
+  routesVersion = other447.routesVersion;
+  __isset = other447.__isset;
+}
+ControlImage::ControlImage(ControlImage&& other448) noexcept {
+  history = std::move(other448.history);
+  members = std::move(other448.members);
+  cells = std::move(other448.cells);
+  nextCell = other448.nextCell;
+  configVersion = other448.configVersion;
+  routesVersion = other448.routesVersion;
+  __isset = other448.__isset;
+}
+ControlImage& ControlImage::operator=(const ControlImage& other449) {
+  history = other449.history;
+  members = other449.members;
+  cells = other449.cells;
+  nextCell = other449.nextCell;
+  configVersion = other449.configVersion;
+  routesVersion = other449.routesVersion;
+  __isset = other449.__isset;
+  return *this;
+}
+ControlImage& ControlImage::operator=(ControlImage&& other450) noexcept {
+  history = std::move(other450.history);
+  members = std::move(other450.members);
+  cells = std::move(other450.cells);
+  nextCell = other450.nextCell;
+  configVersion = other450.configVersion;
+  routesVersion = other450.routesVersion;
+  __isset = other450.__isset;
   return *this;
 }
 void ControlImage::printTo(std::ostream& out) const {
@@ -12840,138 +12882,138 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other445) {
-  submitJob = other445.submitJob;
-  cancelJob = other445.cancelJob;
-  queryJob = other445.queryJob;
-  jobReply = other445.jobReply;
-  notOwner = other445.notOwner;
-  recordBatch = other445.recordBatch;
-  recordSnapshot = other445.recordSnapshot;
-  recordAck = other445.recordAck;
-  startBatch = other445.startBatch;
-  cancelBatch = other445.cancelBatch;
-  resultAck = other445.resultAck;
-  fence = other445.fence;
-  agentHello = other445.agentHello;
-  resultBatch = other445.resultBatch;
-  startRefused = other445.startRefused;
-  agentState = other445.agentState;
-  memberHeartbeat = other445.memberHeartbeat;
-  heartbeatReply = other445.heartbeatReply;
-  clusterView = other445.clusterView;
-  applyConfig = other445.applyConfig;
-  applyReply = other445.applyReply;
-  controlQuery = other445.controlQuery;
-  controlAnswer = other445.controlAnswer;
-  requestVote = other445.requestVote;
-  voteReply = other445.voteReply;
-  appendEntries = other445.appendEntries;
-  appendReply = other445.appendReply;
-  installSnapshot = other445.installSnapshot;
-  installReply = other445.installReply;
-  timeoutNow = other445.timeoutNow;
-  __isset = other445.__isset;
-}
-Message::Message(Message&& other446) noexcept {
-  submitJob = std::move(other446.submitJob);
-  cancelJob = std::move(other446.cancelJob);
-  queryJob = std::move(other446.queryJob);
-  jobReply = std::move(other446.jobReply);
-  notOwner = std::move(other446.notOwner);
-  recordBatch = std::move(other446.recordBatch);
-  recordSnapshot = std::move(other446.recordSnapshot);
-  recordAck = std::move(other446.recordAck);
-  startBatch = std::move(other446.startBatch);
-  cancelBatch = std::move(other446.cancelBatch);
-  resultAck = std::move(other446.resultAck);
-  fence = std::move(other446.fence);
-  agentHello = std::move(other446.agentHello);
-  resultBatch = std::move(other446.resultBatch);
-  startRefused = std::move(other446.startRefused);
-  agentState = std::move(other446.agentState);
-  memberHeartbeat = std::move(other446.memberHeartbeat);
-  heartbeatReply = std::move(other446.heartbeatReply);
-  clusterView = std::move(other446.clusterView);
-  applyConfig = std::move(other446.applyConfig);
-  applyReply = std::move(other446.applyReply);
-  controlQuery = std::move(other446.controlQuery);
-  controlAnswer = std::move(other446.controlAnswer);
-  requestVote = std::move(other446.requestVote);
-  voteReply = std::move(other446.voteReply);
-  appendEntries = std::move(other446.appendEntries);
-  appendReply = std::move(other446.appendReply);
-  installSnapshot = std::move(other446.installSnapshot);
-  installReply = std::move(other446.installReply);
-  timeoutNow = std::move(other446.timeoutNow);
-  __isset = other446.__isset;
-}
-Message& Message::operator=(const Message& other447) {
-  submitJob = other447.submitJob;
-  cancelJob = other447.cancelJob;
-  queryJob = other447.queryJob;
-  jobReply = other447.jobReply;
-  notOwner = other447.notOwner;
-  recordBatch = other447.recordBatch;
-  recordSnapshot = other447.recordSnapshot;
-  recordAck = other447.recordAck;
-  startBatch = other447.startBatch;
-  cancelBatch = other447.cancelBatch;
-  resultAck = other447.resultAck;
-  fence = other447.fence;
-  agentHello = other447.agentHello;
-  resultBatch = other447.resultBatch;
-  startRefused = other447.startRefused;
-  agentState = other447.agentState;
-  memberHeartbeat = other447.memberHeartbeat;
-  heartbeatReply = other447.heartbeatReply;
-  clusterView = other447.clusterView;
-  applyConfig = other447.applyConfig;
-  applyReply = other447.applyReply;
-  controlQuery = other447.controlQuery;
-  controlAnswer = other447.controlAnswer;
-  requestVote = other447.requestVote;
-  voteReply = other447.voteReply;
-  appendEntries = other447.appendEntries;
-  appendReply = other447.appendReply;
-  installSnapshot = other447.installSnapshot;
-  installReply = other447.installReply;
-  timeoutNow = other447.timeoutNow;
-  __isset = other447.__isset;
-  return *this;
-}
-Message& Message::operator=(Message&& other448) noexcept {
-  submitJob = std::move(other448.submitJob);
-  cancelJob = std::move(other448.cancelJob);
-  queryJob = std::move(other448.queryJob);
-  jobReply = std::move(other448.jobReply);
-  notOwner = std::move(other448.notOwner);
-  recordBatch = std::move(other448.recordBatch);
-  recordSnapshot = std::move(other448.recordSnapshot);
-  recordAck = std::move(other448.recordAck);
-  startBatch = std::move(other448.startBatch);
-  cancelBatch = std::move(other448.cancelBatch);
-  resultAck = std::move(other448.resultAck);
-  fence = std::move(other448.fence);
-  agentHello = std::move(other448.agentHello);
-  resultBatch = std::move(other448.resultBatch);
-  startRefused = std::move(other448.startRefused);
-  agentState = std::move(other448.agentState);
-  memberHeartbeat = std::move(other448.memberHeartbeat);
-  heartbeatReply = std::move(other448.heartbeatReply);
-  clusterView = std::move(other448.clusterView);
-  applyConfig = std::move(other448.applyConfig);
-  applyReply = std::move(other448.applyReply);
-  controlQuery = std::move(other448.controlQuery);
-  controlAnswer = std::move(other448.controlAnswer);
-  requestVote = std::move(other448.requestVote);
-  voteReply = std::move(other448.voteReply);
-  appendEntries = std::move(other448.appendEntries);
-  appendReply = std::move(other448.appendReply);
-  installSnapshot = std::move(other448.installSnapshot);
-  installReply = std::move(other448.installReply);
-  timeoutNow = std::move(other448.timeoutNow);
-  __isset = other448.__isset;
+Message::Message(const Message& other451) {
+  submitJob = other451.submitJob;
+  cancelJob = other451.cancelJob;
+  queryJob = other451.queryJob;
+  jobReply = other451.jobReply;
+  notOwner = other451.notOwner;
+  recordBatch = other451.recordBatch;
+  recordSnapshot = other451.recordSnapshot;
+  recordAck = other451.recordAck;
+  startBatch = other451.startBatch;
+  cancelBatch = other451.cancelBatch;
+  resultAck = other451.resultAck;
+  fence = other451.fence;
+  agentHello = other451.agentHello;
+  resultBatch = other451.resultBatch;
+  startRefused = other451.startRefused;
+  agentState = other451.agentState;
+  memberHeartbeat = other451.memberHeartbeat;
+  heartbeatReply = other451.heartbeatReply;
+  clusterView = other451.clusterView;
+  applyConfig = other451.applyConfig;
+  applyReply = other451.applyReply;
+  controlQuery = other451.controlQuery;
+  controlAnswer = other451.controlAnswer;
+  requestVote = other451.requestVote;
+  voteReply = other451.voteReply;
+  appendEntries = other451.appendEntries;
+  appendReply = other451.appendReply;
+  installSnapshot = other451.installSnapshot;
+  installReply = other451.installReply;
+  timeoutNow = other451.timeoutNow;
+  __isset = other451.__isset;
+}
+Message::Message(Message&& other452) noexcept {
+  submitJob = std::move(other452.submitJob);
+  cancelJob = std::move(other452.cancelJob);
+  queryJob = std::move(other452.queryJob);
+  jobReply = std::move(other452.jobReply);
+  notOwner = std::move(other452.notOwner);
+  recordBatch = std::move(other452.recordBatch);
+  recordSnapshot = std::move(other452.recordSnapshot);
+  recordAck = std::move(other452.recordAck);
+  startBatch = std::move(other452.startBatch);
+  cancelBatch = std::move(other452.cancelBatch);
+  resultAck = std::move(other452.resultAck);
+  fence = std::move(other452.fence);
+  agentHello = std::move(other452.agentHello);
+  resultBatch = std::move(other452.resultBatch);
+  startRefused = std::move(other452.startRefused);
+  agentState = std::move(other452.agentState);
+  memberHeartbeat = std::move(other452.memberHeartbeat);
+  heartbeatReply = std::move(other452.heartbeatReply);
+  clusterView = std::move(other452.clusterView);
+  applyConfig = std::move(other452.applyConfig);
+  applyReply = std::move(other452.applyReply);
+  controlQuery = std::move(other452.controlQuery);
+  controlAnswer = std::move(other452.controlAnswer);
+  requestVote = std::move(other452.requestVote);
+  voteReply = std::move(other452.voteReply);
+  appendEntries = std::move(other452.appendEntries);
+  appendReply = std::move(other452.appendReply);
+  installSnapshot = std::move(other452.installSnapshot);
+  installReply = std::move(other452.installReply);
+  timeoutNow = std::move(other452.timeoutNow);
+  __isset = other452.__isset;
+}
+Message& Message::operator=(const Message& other453) {
+  submitJob = other453.submitJob;
+  cancelJob = other453.cancelJob;
+  queryJob = other453.queryJob;
+  jobReply = other453.jobReply;
+  notOwner = other453.notOwner;
+  recordBatch = other453.recordBatch;
+  recordSnapshot = other453.recordSnapshot;
+  recordAck = other453.recordAck;
+  startBatch = other453.startBatch;
+  cancelBatch = other453.cancelBatch;
+  resultAck = other453.resultAck;
+  fence = other453.fence;
+  agentHello = other453.agentHello;
+  resultBatch = other453.resultBatch;
+  startRefused = other453.startRefused;
+  agentState = other453.agentState;
+  memberHeartbeat = other453.memberHeartbeat;
+  heartbeatReply = other453.heartbeatReply;
+  clusterView = other453.clusterView;
+  applyConfig = other453.applyConfig;
+  applyReply = other453.applyReply;
+  controlQuery = other453.controlQuery;
+  controlAnswer = other453.controlAnswer;
+  requestVote = other453.requestVote;
+  voteReply = other453.voteReply;
+  appendEntries = other453.appendEntries;
+  appendReply = other453.appendReply;
+  installSnapshot = other453.installSnapshot;
+  installReply = other453.installReply;
+  timeoutNow = other453.timeoutNow;
+  __isset = other453.__isset;
+  return *this;
+}
+Message& Message::operator=(Message&& other454) noexcept {
+  submitJob = std::move(other454.submitJob);
+  cancelJob = std::move(other454.cancelJob);
+  queryJob = std::move(other454.queryJob);
+  jobReply = std::move(other454.jobReply);
+  notOwner = std::move(other454.notOwner);
+  recordBatch = std::move(other454.recordBatch);
+  recordSnapshot = std::move(other454.recordSnapshot);
+  recordAck = std::move(other454.recordAck);
+  startBatch = std::move(other454.startBatch);
+  cancelBatch = std::move(other454.cancelBatch);
+  resultAck = std::move(other454.resultAck);
+  fence = std::move(other454.fence);
+  agentHello = std::move(other454.agentHello);
+  resultBatch = std::move(other454.resultBatch);
+  startRefused = std::move(other454.startRefused);
+  agentState = std::move(other454.agentState);
+  memberHeartbeat = std::move(other454.memberHeartbeat);
+  heartbeatReply = std::move(other454.heartbeatReply);
+  clusterView = std::move(other454.clusterView);
+  applyConfig = std::move(other454.applyConfig);
+  applyReply = std::move(other454.applyReply);
+  controlQuery = std::move(other454.controlQuery);
+  controlAnswer = std::move(other454.controlAnswer);
+  requestVote = std::move(other454.requestVote);
+  voteReply = std::move(other454.voteReply);
+  appendEntries = std::move(other454.appendEntries);
+  appendReply = std::move(other454.appendReply);
+  installSnapshot = std::move(other454.installSnapshot);
+  installReply = std::move(other454.installReply);
+  timeoutNow = std::move(other454.timeoutNow);
+  __isset = other454.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -13072,9 +13114,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast449;
-          xfer += iprot->readI32(ecast449);
-          this->role = static_cast<Role::type>(ecast449);
+          int32_t ecast455;
+          xfer += iprot->readI32(ecast455);
+          this->role = static_cast<Role::type>(ecast455);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -13100,14 +13142,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size450;
-            ::apache::thrift::protocol::TType _etype453;
-            xfer += iprot->readListBegin(_etype453, _size450);
-            this->messages.resize(_size450);
-            uint32_t _i454;
-            for (_i454 = 0; _i454 < _size450; ++_i454)
+            uint32_t _size456;
+            ::apache::thrift::protocol::TType _etype459;
+            xfer += iprot->readListBegin(_etype459, _size456);
+            this->messages.resize(_size456);
+            uint32_t _i460;
+            for (_i460 = 0; _i460 < _size456; ++_i460)
             {
-              xfer += this->messages[_i454].read(iprot);
+              xfer += this->messages[_i460].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13152,10 +13194,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<Message> ::const_iterator _iter455;
-    for (_iter455 = this->messages.begin(); _iter455 != this->messages.end(); ++_iter455)
+    std::vector<Message> ::const_iterator _iter461;
+    for (_iter461 = this->messages.begin(); _iter461 != this->messages.end(); ++_iter461)
     {
-      xfer += (*_iter455).write(oprot);
+      xfer += (*_iter461).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13176,38 +13218,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other456) {
-  sender = other456.sender;
-  role = other456.role;
-  address = other456.address;
-  configNumber = other456.configNumber;
-  messages = other456.messages;
-  __isset = other456.__isset;
-}
-Envelope::Envelope(Envelope&& other457) noexcept {
-  sender = std::move(other457.sender);
-  role = other457.role;
-  address = std::move(other457.address);
-  configNumber = other457.configNumber;
-  messages = std::move(other457.messages);
-  __isset = other457.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other458) {
-  sender = other458.sender;
-  role = other458.role;
-  address = other458.address;
-  configNumber = other458.configNumber;
-  messages = other458.messages;
-  __isset = other458.__isset;
-  return *this;
-}
-Envelope& Envelope::operator=(Envelope&& other459) noexcept {
-  sender = std::move(other459.sender);
-  role = other459.role;
-  address = std::move(other459.address);
-  configNumber = other459.configNumber;
-  messages = std::move(other459.messages);
-  __isset = other459.__isset;
+Envelope::Envelope(const Envelope& other462) {
+  sender = other462.sender;
+  role = other462.role;
+  address = other462.address;
+  configNumber = other462.configNumber;
+  messages = other462.messages;
+  __isset = other462.__isset;
+}
+Envelope::Envelope(Envelope&& other463) noexcept {
+  sender = std::move(other463.sender);
+  role = other463.role;
+  address = std::move(other463.address);
+  configNumber = other463.configNumber;
+  messages = std::move(other463.messages);
+  __isset = other463.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other464) {
+  sender = other464.sender;
+  role = other464.role;
+  address = other464.address;
+  configNumber = other464.configNumber;
+  messages = other464.messages;
+  __isset = other464.__isset;
+  return *this;
+}
+Envelope& Envelope::operator=(Envelope&& other465) noexcept {
+  sender = std::move(other465.sender);
+  role = other465.role;
+  address = std::move(other465.address);
+  configNumber = other465.configNumber;
+  messages = std::move(other465.messages);
+  __isset = other465.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
