Add order, placement, speeds, teams, admission and health to the cell scheduler

Cause: the first scheduler knew one order and no teams, and scanned the queue and the servers on each decision. Change: strategies by name, ordered sets instead of scans, learned speeds and sizes, max-min fair teams with quotas, forecast of deadlines, ejection with a ramp, slots held after fast failures. Conclusion: the existing tests pass; the policy is not measured yet.

--- a/src/cell_scheduler.cpp
+++ b/src/cell_scheduler.cpp
@@ -1,207 +1,257 @@
-#include "cell_scheduler_p.h"
+#include "cell_scheduler_state_p.h"
 
 #include <algorithm>
-#include <deque>
-#include <map>
 #include <utility>
 
 namespace agatedrum {
 
 namespace {
 
-using TaskId = std::pair<JobNumber, int>;
-
-/// Expected run time of a task whose caller declared none.
-constexpr Micros defaultTaskTime {300000};
-
-struct Server
+std::size_t at(int index)
 {
-    int slots = 0;
-    int running = 0;
-    bool isAvailable = true;
-    double slowness = 1; ///< smoothed ratio of actual to declared run time
-};
-
-TaskId idOf(const ScheduledTask &task)
-{
-    return {task.job, task.index};
+    return static_cast<std::size_t>(index);
 }
 
-} // namespace
-
-struct CellScheduler::Impl
+std::string_view stateName(CellHealth::State state)
 {
-    ClusterConfig config;
-    std::string service;
-    std::deque<ScheduledTask> queue;
-    std::map<std::string, Server> servers;
-    std::map<TaskId, Micros> expected; ///< of queued and running tasks
-    std::map<TaskId, std::string> running;
-
-    std::size_t maxQueued() const
-    {
-        const auto found = std::find_if(this->config.services.begin(), this->config.services.end(),
-                                        [this](const ServiceConfig &s) { return s.name == this->service; });
-        return found == this->config.services.end() ? AGATEDRUM_MAX_QUEUED_TASKS : found->maxQueuedTasks;
-    }
-
-    void release(const Assignment &assignment)
-    {
-        if (this->running.erase(idOf(assignment.task)) == 0) {
-            return;
-        }
-        if (const auto server = this->servers.find(assignment.server); server != this->servers.end()) {
-            server->second.running--;
-        }
+    switch (state) {
+    case CellHealth::State::Suspended:
+        return "suspended";
+    case CellHealth::State::Ejected:
+        return "ejected";
+    case CellHealth::State::Returning:
+        return "returning";
+    default:
+        return "serving";
     }
+}
 
-    Micros expectedOf(const ScheduledJob &job, int index) const
-    {
-        const auto at = static_cast<std::size_t>(index);
-        return at < job.declared.size() && job.declared[at].count() > 0 ? job.declared[at] : defaultTaskTime;
-    }
-};
+} // namespace
 
-CellScheduler::CellScheduler(const ClusterConfig &config, const std::string &service, std::uint64_t /*seed*/)
-    : impl(std::make_unique<Impl>())
+CellScheduler::CellScheduler(const ClusterConfig &config, const std::string &service, std::uint64_t seed)
+    : impl(std::make_unique<Impl>(config, service, seed))
 {
-    this->impl->config = config;
-    this->impl->service = service;
 }
 
 CellScheduler::~CellScheduler() = default;
 
 void CellScheduler::configure(const ClusterConfig &config)
 {
-    this->impl->config = config;
+    this->impl->configure(config);
 }
 
-void CellScheduler::setServer(const std::string &server, int slots, int connections, double /*usage*/, Time /*now*/)
+void CellScheduler::setServer(const std::string &name, int slots, int connections, double usage, Time now)
 {
-    this->impl->servers[server].slots = connections > 0 ? std::min(slots, connections) : slots;
+    const int index = this->impl->serverIndex(name);
+    auto &server = this->impl->servers[at(index)];
+    server.slots = slots;
+    server.connections = connections;
+    server.usage = usage;
+    server.isAvailable = server.isAvailable || !server.isAnnounced;
+    server.isAnnounced = true;
+    this->impl->refreshServer(index, now);
 }
 
-void CellScheduler::setAvailable(const std::string &server, bool isAvailable, Time /*now*/)
+void CellScheduler::setAvailable(const std::string &name, bool isAvailable, Time now)
 {
-    if (const auto found = this->impl->servers.find(server); found != this->impl->servers.end()) {
-        found->second.isAvailable = isAvailable;
+    if (const auto found = this->impl->indices.find(name); found != this->impl->indices.end()) {
+        this->impl->servers[at(found->second)].isAvailable = isAvailable;
+        this->impl->refreshServer(found->second, now);
     }
 }
 
-void CellScheduler::removeServer(const std::string &server)
+void CellScheduler::removeServer(const std::string &name)
 {
-    this->impl->servers.erase(server);
+    const auto found = this->impl->indices.find(name);
+    if (found == this->impl->indices.end()) {
+        return;
+    }
+    auto &server = this->impl->servers[at(found->second)];
+    server.isAvailable = false;
+    this->impl->refreshServer(found->second, this->impl->latest);
+    server.isKnown = false;
+    this->impl->health.removeServer(found->second);
+    this->impl->indices.erase(found);
 }
 
-std::optional<wire::Refusal> CellScheduler::admit(const ScheduledJob &job, Time /*now*/)
+std::optional<wire::Refusal> CellScheduler::admit(const ScheduledJob &job, Time now)
 {
-    if (this->impl->queue.size() + job.declared.size() <= this->impl->maxQueued()) {
-        return std::nullopt;
+    if (auto refusal = this->impl->refuseImpossible(job)) {
+        return refusal;
     }
-    wire::Refusal refusal;
-    refusal.code = wire::RefusalCode::QUEUE_FULL;
-    refusal.message = "the queue of the cell is full";
-    refusal.notRun = true;
-    refusal.retryAfterMs = 1000;
-    return refusal;
+    const int team = this->impl->teams.indexOf(job.team);
+    if (auto refusal = this->impl->refuseFull(job, team, now)) {
+        return refusal;
+    }
+    return this->impl->refuseLate(job, team, now);
 }
 
-void CellScheduler::add(const ScheduledJob &job, const std::vector<int> &tasks, Time /*now*/)
+void CellScheduler::add(const ScheduledJob &job, const std::vector<int> &tasks, Time now)
 {
+    auto &state = this->impl->jobOf(job, now);
+    Micros work {0};
+    std::vector<int> accepted;
     for (const int index : tasks) {
-        this->impl->queue.push_back({job.number, index});
-        this->impl->expected[{job.number, index}] = this->impl->expectedOf(job, index);
+        if (index >= 0 && at(index) < state.tasks.size()) {
+            accepted.push_back(index);
+            work += state.tasks[at(index)].expected;
+        }
     }
+    if (state.queued.empty()) {
+        state.rank = this->impl->order->rank(now, work);
+    }
+    this->impl->teams.charge(state.team, accepted.size(), now);
+    for (const int index : accepted) {
+        this->impl->enqueue(job.number, state, index);
+    }
+    this->impl->endIfDone(job.number, now);
 }
 
-std::optional<Assignment> CellScheduler::next(Time /*now*/)
+std::optional<Assignment> CellScheduler::next(Time now)
 {
-    if (this->impl->queue.empty()) {
-        return std::nullopt;
+    this->impl->releaseHeld(now);
+    if (auto assignment = this->impl->nextForReturning(now)) {
+        return assignment;
     }
-    auto best = this->impl->servers.end();
-    for (auto server = this->impl->servers.begin(); server != this->impl->servers.end(); ++server) {
-        const bool isFree = server->second.isAvailable && server->second.running < server->second.slots;
-        if (isFree && (best == this->impl->servers.end() || server->second.slowness < best->second.slowness)) {
-            best = server;
-        }
+    const auto job = this->impl->teams.next();
+    if (!job) {
+        return std::nullopt;
     }
-    if (best == this->impl->servers.end()) {
+    const auto server = this->impl->placement->choose();
+    if (!server) {
         return std::nullopt;
     }
-    Assignment assignment {this->impl->queue.front(), best->first};
-    this->impl->queue.pop_front();
-    best->second.running++;
-    this->impl->running[idOf(assignment.task)] = assignment.server;
-    return assignment;
+    return this->impl->start(job->second.second, *server, now);
 }
 
-void CellScheduler::finished(const Assignment &assignment, wire::Outcome::type outcome, Micros runTime, Time /*now*/)
+void CellScheduler::finished(const Assignment &assignment, wire::Outcome::type outcome, Micros runTime, Time now)
 {
-    this->impl->release(assignment);
-    const auto expected = this->impl->expected.find(idOf(assignment.task));
-    if (expected == this->impl->expected.end()) {
+    const auto *job = this->impl->release(assignment, now);
+    if (job == nullptr) {
         return;
     }
-    const auto server = this->impl->servers.find(assignment.server);
-    if (outcome == wire::Outcome::FINISHED && server != this->impl->servers.end()) {
-        const double ratio = static_cast<double>(runTime.count()) / static_cast<double>(expected->second.count());
-        server->second.slowness += 0.1 * (std::clamp(ratio, 0.1, 10.0) - server->second.slowness);
+    const auto server = this->impl->indices.find(assignment.server);
+    if (server != this->impl->indices.end()) {
+        const auto &task = job->tasks[at(assignment.task.index)];
+        this->impl->learn(*job, task, server->second, outcome, runTime, now);
+        const bool isLost = outcome == wire::Outcome::UNKNOWN && runTime.count() == 0;
+        if (outcome != wire::Outcome::STOPPED && !isLost) {
+            this->impl->health.record(server->second, job->team, assignment.task.job,
+                                      outcome == wire::Outcome::FINISHED, now);
+        }
+        this->impl->refreshServer(server->second, now);
     }
-    this->impl->expected.erase(expected);
+    this->impl->endIfDone(assignment.task.job, now);
 }
 
-void CellScheduler::requeue(const Assignment &assignment, Time /*now*/)
+void CellScheduler::requeue(const Assignment &assignment, Time now)
 {
-    this->impl->release(assignment);
-    this->impl->queue.push_front(assignment.task);
+    if (auto *job = this->impl->release(assignment, now)) {
+        this->impl->enqueue(assignment.task.job, *job, assignment.task.index);
+    }
 }
 
-void CellScheduler::adopt(const ScheduledJob &job, const Assignment &assignment, Time /*now*/)
+void CellScheduler::adopt(const ScheduledJob &job, const Assignment &assignment, Time now)
 {
-    this->impl->expected[idOf(assignment.task)] = this->impl->expectedOf(job, assignment.task.index);
-    this->impl->running[idOf(assignment.task)] = assignment.server;
-    this->impl->servers[assignment.server].running++;
+    auto &state = this->impl->jobOf(job, now);
+    const int index = assignment.task.index;
+    if (index < 0 || at(index) >= state.tasks.size() || state.tasks[at(index)].server >= 0) {
+        return;
+    }
+    const int server = this->impl->serverIndex(assignment.server);
+    auto &task = state.tasks[at(index)];
+    task.server = server;
+    state.running++;
+    this->impl->runningCount++;
+    this->impl->runningWork += task.expected;
+    this->impl->teams.changeRunning(state.team, 1);
+    this->impl->servers[at(server)].running++;
+    this->impl->refreshServer(server, now);
 }
 
-std::vector<int> CellScheduler::dropQueued(JobNumber job)
+std::vector<int> CellScheduler::dropQueued(JobNumber number)
 {
-    std::vector<int> dropped;
-    auto &queue = this->impl->queue;
-    for (const auto &task : queue) {
-        if (task.job == job) {
-            dropped.push_back(task.index);
-            this->impl->expected.erase(idOf(task));
-        }
+    const auto found = this->impl->jobs.find(number);
+    if (found == this->impl->jobs.end() || found->second.queued.empty()) {
+        return {};
     }
-    queue.erase(std::remove_if(queue.begin(), queue.end(), [job](const ScheduledTask &t) { return t.job == job; }),
-                queue.end());
+    auto &job = found->second;
+    auto dropped = std::exchange(job.queued, {});
+    this->impl->removeFromQueue(number, job);
+    for (const int index : dropped) {
+        this->impl->queuedWork.remove(job.rank, job.tasks[at(index)].expected);
+    }
+    this->impl->queuedCount -= dropped.size();
+    this->impl->teams.changeQueued(job.team, -static_cast<long>(dropped.size()));
+    if (job.running == 0) {
+        this->impl->jobs.erase(found);
+        this->impl->health.endJob(number, this->impl->latest);
+    }
+    std::sort(dropped.begin(), dropped.end());
     return dropped;
 }
 
-void CellScheduler::tick(Time /*now*/) { }
+void CellScheduler::tick(Time now)
+{
+    this->impl->latest = std::max(this->impl->latest, now);
+    this->impl->releaseHeld(now);
+    for (const int index : this->impl->health.tick(now)) {
+        if (this->impl->hasServer(index)) {
+            this->impl->refreshServer(index, now);
+        }
+    }
+    this->impl->refreshSpeeds(now);
+    const bool hasServer = std::any_of(this->impl->servers.begin(), this->impl->servers.end(),
+                                       [this](const auto &s) { return s.isKnown && this->impl->usableSlots(s) > 0; });
+    if (hasServer) {
+        this->impl->noServerSince.reset();
+    } else if (!this->impl->noServerSince) {
+        this->impl->noServerSince = now;
+    }
+}
 
 std::size_t CellScheduler::queuedTasks() const
 {
-    return this->impl->queue.size();
+    return this->impl->queuedCount;
 }
 
 std::size_t CellScheduler::runningTasks() const
 {
-    return this->impl->running.size();
+    return this->impl->runningCount;
 }
 
-nlohmann::json CellScheduler::dump(Time /*now*/) const
+nlohmann::json CellScheduler::dump(Time now) const
 {
-    nlohmann::json servers = nlohmann::json::array();
-    for (const auto &[name, server] : this->impl->servers) {
-        servers.push_back({{"name", name},
-                           {"slots", server.slots},
-                           {"running", server.running},
-                           {"available", server.isAvailable},
-                           {"slowness", server.slowness}});
+    auto servers = nlohmann::json::array();
+    for (std::size_t index = 0; index < this->impl->servers.size(); ++index) {
+        const auto &server = this->impl->servers[index];
+        if (server.isKnown) {
+            servers.push_back({{"name", server.name},
+                               {"slots", server.slots},
+                               {"limit", server.limit},
+                               {"running", server.running},
+                               {"held", server.held},
+                               {"available", server.isAvailable},
+                               {"drained", server.isDrained},
+                               {"slowness", this->impl->relativeSlowness(server)},
+                               {"state", stateName(this->impl->health.state(static_cast<int>(index)))},
+                               {"idempotentOnly", this->impl->health.isIdempotentOnly(static_cast<int>(index), now)}});
+        }
+    }
+    auto teams = nlohmann::json::array();
+    for (const auto &team : this->impl->teams.summaries()) {
+        teams.push_back({{"name", team.name},
+                         {"weight", team.weight},
+                         {"queued", team.queued},
+                         {"running", team.running},
+                         {"sizeFactor", team.sizeFactor}});
     }
-    return {{"queued", this->queuedTasks()}, {"running", this->runningTasks()}, {"servers", servers}};
+    return {{"queued", this->queuedTasks()},
+            {"running", this->runningTasks()},
+            {"queuedWorkMs", this->impl->queuedWork.total().count() / 1000},
+            {"capacity", this->impl->capacity},
+            {"servers", servers},
+            {"teams", teams}};
 }
 
 } // namespace agatedrum
--- a/src/cell_scheduler_p.h
+++ b/src/cell_scheduler_p.h
@@ -53,21 +53,23 @@
     /// Takes over a new accepted configuration. Admitted jobs stay.
     void configure(const ClusterConfig &config);
 
-    /// Adds a backend server or takes over what it announced. usage below zero means unknown.
+    /// Adds a backend server, available at first, or takes over what it announced. usage below zero means unknown.
     void setServer(const std::string &server, int slots, int connections, double usage, Time now);
     /// No new task goes there until setAvailable(true): silent, leaving or drained.
     void setAvailable(const std::string &server, bool isAvailable, Time now);
     /// Forgets a backend server. Tasks that it held must have been reported by finished() or requeue() before.
     void removeServer(const std::string &server);
 
-    /// Whether a new job may enter: bounds, quotas, deadline, whether it can run at all. Changes nothing.
+    /// Whether a new job may enter: bounds, quotas, deadline, whether it can run at all. Charges nothing: add() does.
+    /// Each refusal is notRun; retryAfterMs is 0 when the same job would never be accepted.
     std::optional<wire::Refusal> admit(const ScheduledJob &job, Time now);
-    /// Queues all tasks of a job. tasks holds the indices that still have to run.
+    /// Queues the tasks of a job and charges them to its team. tasks holds the indices that still have to run.
     void add(const ScheduledJob &job, const std::vector<int> &tasks, Time now);
 
     /// Next task to start and where, or nothing. The slot counts as taken from then on.
     std::optional<Assignment> next(Time now);
-    /// Frees the slot and learns from the run. runTime as measured at the agent.
+    /// Frees the slot and learns from the run. runTime as measured at the agent; zero for a task whose agent was lost,
+    /// which says nothing of the backend server's health.
     void finished(const Assignment &assignment, wire::Outcome::type outcome, Micros runTime, Time now);
     /// Frees the slot and queues the task again: the agent certified that it did not start.
     void requeue(const Assignment &assignment, Time now);
@@ -76,7 +78,7 @@
     /// Drops the queued tasks of a job and returns their indices. Started ones are not touched.
     std::vector<int> dropQueued(JobNumber job);
 
-    /// Ejects and returns backend servers; gives back lent shares. Call every few milliseconds.
+    /// Ejects and returns backend servers, ends their holds after fast failures. Call every few milliseconds.
     void tick(Time now);
 
     std::size_t queuedTasks() const;
--- /dev/null
+++ b/src/cell_speeds.cpp
@@ -0,0 +1,110 @@
+#include "cell_speeds_p.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace agatedrum {
+
+namespace {
+
+/// Expected run time of an undeclared task before any ran.
+constexpr Micros undeclaredTime {300000};
+constexpr double minTaskMicros = 1000;
+/// Largest logarithm of actual to expected that one sample may contribute.
+constexpr double maxSampleError = 1.5;
+constexpr double minStep = 0.02;
+constexpr double changeStep = 0.2;
+/// With declared sizes off by a log-normal sigma of 1 the short-term average has a deviation of 0.33.
+constexpr double changeThreshold = 1.0;
+constexpr double recentStep = 0.2;
+/// A sample's weight halves after about 700 later ones.
+constexpr double decay = 0.999;
+/// Samples that the assumption "actual equals declared" counts for.
+constexpr double priorWeight = 20;
+/// Spread of the logarithm of task sizes that is assumed at first.
+constexpr double priorVariance = 1.0;
+
+double logOf(Micros time)
+{
+    return std::log(std::max(minTaskMicros, static_cast<double>(time.count())));
+}
+
+} // namespace
+
+void ServerSpeed::learn(Micros expected, Micros actual)
+{
+    const double error = std::clamp(logOf(actual) - logOf(expected) - this->logarithm, -maxSampleError, maxSampleError);
+    this->recent += recentStep * (error - this->recent);
+    const bool hasChanged = this->samples > 10 && std::abs(this->recent) > changeThreshold;
+    const double step = hasChanged ? changeStep : std::max(minStep, 1.0 / (this->samples + 2));
+    this->logarithm += step * error;
+    this->samples++;
+    this->current = std::exp(this->logarithm);
+}
+
+Micros SizeModel::median(Micros declared) const
+{
+    return Micros(static_cast<std::int64_t>(std::exp(this->offset + this->slope * logOf(declared))));
+}
+
+Micros SizeModel::mean(Micros declared) const
+{
+    constexpr double prior = priorWeight * static_cast<double>(undeclaredTime.count());
+    const double correction = (this->sumActual + prior) / (this->sumMedian + prior);
+    const double expected = correction * static_cast<double>(this->median(declared).count());
+    return Micros(static_cast<std::int64_t>(std::max(minTaskMicros, expected)));
+}
+
+void SizeModel::learn(Micros declared, Micros actual)
+{
+    const double x = logOf(declared);
+    const double expected = this->offset + this->slope * x;
+    const double y = std::clamp(logOf(actual), expected - 2 * maxSampleError, expected + 2 * maxSampleError);
+    this->weight = this->weight * decay + 1;
+    this->sumX = this->sumX * decay + x;
+    this->sumY = this->sumY * decay + y;
+    this->sumXX = this->sumXX * decay + x * x;
+    this->sumXY = this->sumXY * decay + x * y;
+    this->sumActual = this->sumActual * decay + std::exp(y);
+    this->sumMedian = this->sumMedian * decay + std::exp(expected);
+    this->refresh();
+}
+
+// Least squares with a prior of slope 1 and offset 0. A slope below 1 says that extreme declarations are mostly errors.
+void SizeModel::refresh()
+{
+    const double total = this->weight + priorWeight;
+    const double meanX = this->sumX / this->weight;
+    const double meanY = (this->sumY + priorWeight * meanX) / total;
+    const double varianceX = this->sumXX - this->weight * meanX * meanX + priorWeight * priorVariance;
+    const double covariance = this->sumXY - meanX * this->sumY + priorWeight * priorVariance;
+    this->slope = std::clamp(covariance / varianceX, 0.0, 1.2);
+    this->offset = meanY - this->slope * meanX;
+}
+
+Micros TeamSizes::mean(Micros declared) const
+{
+    return declared.count() > 0 ? this->declaredTasks.mean(declared) : this->undeclaredTasks.mean(undeclaredTime);
+}
+
+Micros TeamSizes::median(Micros declared) const
+{
+    return declared.count() > 0 ? this->declaredTasks.median(declared) : this->undeclaredTasks.median(undeclaredTime);
+}
+
+void TeamSizes::learn(Micros declared, Micros actual)
+{
+    if (declared.count() > 0) {
+        this->declaredTasks.learn(declared, actual);
+    } else {
+        this->undeclaredTasks.learn(undeclaredTime, actual);
+    }
+}
+
+double TeamSizes::factor() const
+{
+    constexpr Micros second {1000000};
+    return static_cast<double>(this->mean(second).count()) / static_cast<double>(second.count());
+}
+
+} // namespace agatedrum
--- /dev/null
+++ b/src/cell_speeds_p.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "base_clock_p.h"
+
+namespace agatedrum {
+
+/// Learned slowness of one backend server: run time relative to the expected one. Not thread-safe.
+class ServerSpeed
+{
+public:
+    /// @param expected run time that a backend server of slowness 1 would need; positive.
+    void learn(Micros expected, Micros actual);
+    /// Above 0; 1 until something was learned.
+    double slowness() const
+    {
+        return this->current;
+    }
+
+private:
+    double logarithm = 0;
+    double recent = 0; ///< short-term average of the error, which tells a change of speed from odd samples
+    double current = 1;
+    int samples = 0;
+};
+
+/// Learned relation of declared to actual run times, for a backend server of slowness 1. Not thread-safe.
+class SizeModel
+{
+public:
+    /// Mean run time. Precondition: declared is positive.
+    Micros mean(Micros declared) const;
+    /// Median run time. Precondition: declared is positive.
+    Micros median(Micros declared) const;
+    /// @param actual run time divided by the slowness of the backend server.
+    void learn(Micros declared, Micros actual);
+
+private:
+    void refresh();
+
+    // Decayed moments of the logarithms of declared (x) and actual (y) run times.
+    double weight = 0;
+    double sumX = 0;
+    double sumY = 0;
+    double sumXX = 0;
+    double sumXY = 0;
+    double slope = 1;
+    double offset = 0;
+    // Decayed sums of actual and median run times, which lead from the median to the mean.
+    double sumActual = 0;
+    double sumMedian = 0;
+};
+
+/// Learned sizes of one team's tasks, with and without a declared run time. Not thread-safe.
+class TeamSizes
+{
+public:
+    /// @param declared zero when the caller declared nothing.
+    Micros mean(Micros declared) const;
+    Micros median(Micros declared) const;
+    void learn(Micros declared, Micros actual);
+    /// Expected ratio of actual to declared run time for tasks that declare a second.
+    double factor() const;
+
+private:
+    SizeModel declaredTasks;
+    SizeModel undeclaredTasks;
+};
+
+} // namespace agatedrum
--- /dev/null
+++ b/src/cell_teams.cpp
@@ -0,0 +1,191 @@
+#include "cell_teams_p.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace agatedrum {
+
+namespace {
+
+constexpr double minWeight = 0.001;
+/// Hint when nothing says when a quota has room again.
+constexpr Micros quotaRetry {1000000};
+
+double secondsOf(Micros time)
+{
+    return static_cast<double>(time.count()) / 1e6;
+}
+
+} // namespace
+
+void CellTeams::configure(const std::vector<TeamConfig> &configs, int cells)
+{
+    this->hasConfiguredTeams = !configs.empty();
+    for (auto &team : this->teams) {
+        const auto name = team.config.name;
+        team.config = TeamConfig {};
+        team.config.name = name;
+        team.isConfigured = false;
+        team.ratePerCell = 0;
+    }
+    for (const auto &config : configs) {
+        auto &team = this->teams[static_cast<std::size_t>(this->indexOf(config.name))];
+        const double rate = config.maxTasksPerSecond / std::max(1, cells);
+        if (team.ratePerCell != rate) {
+            team.tokens = rate;
+        }
+        team.config = config;
+        team.isConfigured = true;
+        team.ratePerCell = rate;
+    }
+    for (std::size_t index = 0; index < this->teams.size(); ++index) {
+        this->refresh(static_cast<int>(index));
+    }
+}
+
+int CellTeams::indexOf(const std::string &name)
+{
+    const auto [found, isNew] = this->indices.try_emplace(name, static_cast<int>(this->teams.size()));
+    if (isNew) {
+        this->teams.emplace_back();
+        this->teams.back().config.name = name;
+    }
+    return found->second;
+}
+
+bool CellTeams::isKnown(const std::string &name) const
+{
+    if (!this->hasConfiguredTeams || name.empty()) {
+        return true;
+    }
+    const auto found = this->indices.find(name);
+    return found != this->indices.end() && this->teams[static_cast<std::size_t>(found->second)].isConfigured;
+}
+
+std::optional<CellTeams::QuotaRefusal> CellTeams::check(int index, std::size_t tasks, Time now)
+{
+    auto &team = this->teams[static_cast<std::size_t>(index)];
+    const auto &config = team.config;
+    if (config.maxQueuedTasks > 0) {
+        if (tasks > static_cast<std::size_t>(config.maxQueuedTasks)) {
+            return QuotaRefusal {fmt::format("the job has {} tasks, and team {} may queue at most {} per cell", tasks,
+                                             config.name, config.maxQueuedTasks),
+                                 true, Micros(0)};
+        }
+        if (team.queued + static_cast<long>(tasks) > config.maxQueuedTasks) {
+            return QuotaRefusal {fmt::format("team {} has {} tasks queued of at most {} per cell", config.name,
+                                             team.queued, config.maxQueuedTasks),
+                                 false, quotaRetry};
+        }
+    }
+    if (team.ratePerCell > 0) {
+        refill(team, now);
+        if (team.tokens <= 0) {
+            const double wait = (1 - team.tokens) / team.ratePerCell;
+            return QuotaRefusal {
+                fmt::format("team {} has used its rate of {} tasks per second", config.name, config.maxTasksPerSecond),
+                false, Micros(static_cast<std::int64_t>(wait * 1e6))};
+        }
+    }
+    return std::nullopt;
+}
+
+// A job may overdraw the tokens, so a job larger than one second's worth can run and later ones wait for it.
+void CellTeams::charge(int index, std::size_t tasks, Time now)
+{
+    auto &team = this->teams[static_cast<std::size_t>(index)];
+    if (team.ratePerCell > 0) {
+        refill(team, now);
+        team.tokens -= static_cast<double>(tasks);
+    }
+}
+
+void CellTeams::refill(Team &team, Time now)
+{
+    if (now > team.refilled) {
+        const double gained = secondsOf(now - team.refilled) * team.ratePerCell;
+        team.tokens = std::min(std::max(team.ratePerCell, 1.0), team.tokens + gained);
+        team.refilled = now;
+    }
+}
+
+void CellTeams::addJob(int index, const RankedJob &job)
+{
+    this->teams[static_cast<std::size_t>(index)].jobs.insert(job);
+    this->refresh(index);
+}
+
+void CellTeams::removeJob(int index, const RankedJob &job)
+{
+    this->teams[static_cast<std::size_t>(index)].jobs.erase(job);
+    this->refresh(index);
+}
+
+void CellTeams::changeQueued(int index, long tasks)
+{
+    this->teams[static_cast<std::size_t>(index)].queued += tasks;
+}
+
+void CellTeams::changeRunning(int index, long tasks)
+{
+    this->teams[static_cast<std::size_t>(index)].running += tasks;
+    this->refresh(index);
+}
+
+bool CellTeams::mayStart(int index) const
+{
+    const auto &team = this->teams[static_cast<std::size_t>(index)];
+    return team.config.maxTasksInFlight <= 0 || team.running < team.config.maxTasksInFlight;
+}
+
+std::optional<std::pair<int, CellTeams::RankedJob>> CellTeams::next() const
+{
+    if (this->ready.empty()) {
+        return std::nullopt;
+    }
+    const int index = std::get<2>(*this->ready.begin());
+    return std::pair(index, *this->teams[static_cast<std::size_t>(index)].jobs.begin());
+}
+
+void CellTeams::refresh(int index)
+{
+    auto &team = this->teams[static_cast<std::size_t>(index)];
+    std::optional<ReadyKey> key;
+    if (!team.jobs.empty() && this->mayStart(index)) {
+        const double share = static_cast<double>(team.running) / std::max(minWeight, team.config.weight);
+        key = ReadyKey(share, team.jobs.begin()->first, index);
+    }
+    if (key == team.ready) {
+        return;
+    }
+    if (team.ready) {
+        this->ready.erase(*team.ready);
+    }
+    if (key) {
+        this->ready.insert(*key);
+    }
+    team.ready = key;
+}
+
+TeamSizes &CellTeams::sizes(int index)
+{
+    return this->teams[static_cast<std::size_t>(index)].sizes;
+}
+
+const TeamSizes &CellTeams::sizes(int index) const
+{
+    return this->teams[static_cast<std::size_t>(index)].sizes;
+}
+
+std::vector<CellTeams::Summary> CellTeams::summaries() const
+{
+    std::vector<Summary> result;
+    result.reserve(this->teams.size());
+    for (const auto &team : this->teams) {
+        result.push_back({team.config.name, team.config.weight, team.queued, team.running, team.sizes.factor()});
+    }
+    return result;
+}
+
+} // namespace agatedrum
