--- a/src/cell_scheduler.cpp
+++ b/src/cell_scheduler.cpp
@@ -76,10 +76,10 @@
 
 std::optional<wire::Refusal> CellScheduler::admit(const ScheduledJob &job, Time now)
 {
-    if (auto refusal = this->impl->refuseImpossible(job)) {
+    const int team = this->impl->teams.indexOf(job.team);
+    if (auto refusal = this->impl->refuseImpossible(job, team)) {
         return refusal;
     }
-    const int team = this->impl->teams.indexOf(job.team);
     if (auto refusal = this->impl->refuseFull(job, team, now)) {
         return refusal;
     }
--- a/src/cell_scheduler_admission.cpp
+++ b/src/cell_scheduler_admission.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-std::optional<wire::Refusal> CellScheduler::Impl::refuseImpossible(const ScheduledJob &job) const
+std::optional<wire::Refusal> CellScheduler::Impl::refuseImpossible(const ScheduledJob &job, int team) const
 {
     const auto code = wire::RefusalCode::NEVER_RUNNABLE;
     if (!this->teams.isKnown(job.team)) {
@@ -46,10 +46,16 @@
                          Micros(0));
     }
     const auto longest = std::max_element(job.declared.begin(), job.declared.end());
-    if (longest != job.declared.end() && *longest > this->options.maxTaskTime) {
+    if (longest == job.declared.end()) {
+        return std::nullopt;
+    }
+    // Declared sizes may be far off, so a job is refused only when the team's earlier errors do not explain the excess.
+    const auto least = this->fastest * static_cast<double>(this->teams.sizes(team).low(*longest).count());
+    if (least > static_cast<double>(Micros(this->options.maxTaskTime).count())) {
         return refusalOf(code,
-                         fmt::format("task {} declares {} ms, and service {} stops a task after {} ms",
-                                     longest - job.declared.begin(), msOf(*longest), this->service,
+                         fmt::format("task {} declares {} ms, so that it needs at least about {:.0f} ms on the fastest "
+                                     "backend server, and service {} stops a task after {} ms",
+                                     longest - job.declared.begin(), msOf(*longest), least / 1000, this->service,
                                      this->options.maxTaskTime.count()),
                          Micros(0));
     }
--- a/src/cell_scheduler_state.cpp
+++ b/src/cell_scheduler_state.cpp
@@ -172,6 +172,7 @@
         return;
     }
     this->meanSlowness = std::exp(sum / static_cast<double>(speeds.size()));
+    this->fastest = *std::min_element(speeds.begin(), speeds.end()) / this->meanSlowness;
     const auto middle = speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
     std::nth_element(speeds.begin(), middle, speeds.end());
     this->medianSlowness = *middle;
--- a/src/cell_scheduler_state_p.h
+++ b/src/cell_scheduler_state_p.h
@@ -87,7 +87,7 @@
     void endIfDone(JobNumber number, Time now);
     void learn(const Job &job, const Task &task, int server, wire::Outcome::type outcome, Micros runTime, Time now);
 
-    std::optional<wire::Refusal> refuseImpossible(const ScheduledJob &job) const;
+    std::optional<wire::Refusal> refuseImpossible(const ScheduledJob &job, int team) const;
     std::optional<wire::Refusal> refuseFull(const ScheduledJob &job, int team, Time now);
     std::optional<wire::Refusal> refuseLate(const ScheduledJob &job, int team, Time now) const;
     Forecast forecast(const ScheduledJob &job, int team, Time now) const;
@@ -113,6 +113,7 @@
     double capacity = 0; ///< work per unit of time of all usable slots
     double meanSlowness = 1; ///< geometric mean, the unit of relative slowness
     double medianSlowness = 1;
+    double fastest = 1; ///< lowest relative slowness
     Time nextRefresh;
     Time latest; ///< highest time seen, for calls that carry none
     std::optional<Time> noServerSince;
--- a/src/cell_speeds.cpp
+++ b/src/cell_speeds.cpp
@@ -47,6 +47,13 @@
     return Micros(static_cast<std::int64_t>(std::exp(this->offset + this->slope * logOf(declared))));
 }
 
+Micros SizeModel::low(Micros declared) const
+{
+    const double variance = (this->sumSquares + priorWeight * priorVariance) / (this->weight + priorWeight);
+    const double share = std::exp(-2 * std::sqrt(variance));
+    return Micros(static_cast<std::int64_t>(share * static_cast<double>(this->median(declared).count())));
+}
+
 Micros SizeModel::mean(Micros declared) const
 {
     constexpr double prior = priorWeight * static_cast<double>(undeclaredTime.count());
@@ -65,6 +72,7 @@
     this->sumY = this->sumY * decay + y;
     this->sumXX = this->sumXX * decay + x * x;
     this->sumXY = this->sumXY * decay + x * y;
+    this->sumSquares = this->sumSquares * decay + (y - expected) * (y - expected);
     this->sumActual = this->sumActual * decay + std::exp(y);
     this->sumMedian = this->sumMedian * decay + std::exp(expected);
     this->refresh();
@@ -92,6 +100,11 @@
     return declared.count() > 0 ? this->declaredTasks.median(declared) : this->undeclaredTasks.median(undeclaredTime);
 }
 
+Micros TeamSizes::low(Micros declared) const
+{
+    return declared.count() > 0 ? this->declaredTasks.low(declared) : this->undeclaredTasks.low(undeclaredTime);
+}
+
 void TeamSizes::learn(Micros declared, Micros actual)
 {
     if (declared.count() > 0) {
--- a/src/cell_speeds_p.h
+++ b/src/cell_speeds_p.h
@@ -31,6 +31,8 @@
     Micros mean(Micros declared) const;
     /// Median run time. Precondition: declared is positive.
     Micros median(Micros declared) const;
+    /// Run time that about one task in forty is below. Precondition: declared is positive.
+    Micros low(Micros declared) const;
     /// @param actual run time divided by the slowness of the backend server.
     void learn(Micros declared, Micros actual);
 
@@ -45,6 +47,7 @@
     double sumXY = 0;
     double slope = 1;
     double offset = 0;
+    double sumSquares = 0; ///< decayed sum of the squared errors of the logarithm
     // Decayed sums of actual and median run times, which lead from the median to the mean.
     double sumActual = 0;
     double sumMedian = 0;
@@ -57,6 +60,7 @@
     /// @param declared zero when the caller declared nothing.
     Micros mean(Micros declared) const;
     Micros median(Micros declared) const;
+    Micros low(Micros declared) const;
     void learn(Micros declared, Micros actual);
     /// Expected ratio of actual to declared run time for tasks that declare a second.
     double factor() const;
