--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -108,7 +108,8 @@
 struct AgentHello {
   1: i32 cell; 2: i64 epoch; 3: ServerInfo server; 4: i64 lastSequence; 5: i32 running; 6: i32 unacknowledged;
 }
-struct AgentResult { 1: JobKey key; 2: TaskResult result; }
+// sequence: that of the start which ended this way, so that a late report is told from one of a later start.
+struct AgentResult { 1: JobKey key; 2: TaskResult result; 3: i64 sequence; }
 struct ResultBatch { 1: i32 cell; 2: list<AgentResult> results; }
 // sequences has the start's sequence for each of refs, so that a late or repeated refusal of an earlier start is told
 // from one of the latest; 0 when the start was sent under a lower epoch.
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -4545,6 +4545,10 @@
 void AgentResult::__set_result(const TaskResult& val) {
   this->result = val;
 }
+
+void AgentResult::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
 std::ostream& operator<<(std::ostream& out, const AgentResult& obj)
 {
   obj.printTo(out);
@@ -4589,6 +4593,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4614,6 +4626,10 @@
   xfer += this->result.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4623,28 +4639,33 @@
   using ::std::swap;
   swap(a.key, b.key);
   swap(a.result, b.result);
+  swap(a.sequence, b.sequence);
   swap(a.__isset, b.__isset);
 }
 
 AgentResult::AgentResult(const AgentResult& other150) {
   key = other150.key;
   result = other150.result;
+  sequence = other150.sequence;
   __isset = other150.__isset;
 }
 AgentResult::AgentResult(AgentResult&& other151) noexcept {
   key = std::move(other151.key);
   result = std::move(other151.result);
+  sequence = other151.sequence;
   __isset = other151.__isset;
 }
 AgentResult& AgentResult::operator=(const AgentResult& other152) {
   key = other152.key;
   result = other152.result;
+  sequence = other152.sequence;
   __isset = other152.__isset;
   return *this;
 }
 AgentResult& AgentResult::operator=(AgentResult&& other153) noexcept {
   key = std::move(other153.key);
   result = std::move(other153.result);
+  sequence = other153.sequence;
   __isset = other153.__isset;
   return *this;
 }
@@ -4653,6 +4674,7 @@
   out << "AgentResult(";
   out << "key=" << to_string(key);
   out << ", " << "result=" << to_string(result);
+  out << ", " << "sequence=" << to_string(sequence);
   out << ")";
 }
 
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -1874,9 +1874,10 @@
 std::ostream& operator<<(std::ostream& out, const AgentHello& obj);
 
 typedef struct _AgentResult__isset {
-  _AgentResult__isset() : key(false), result(false) {}
+  _AgentResult__isset() : key(false), result(false), sequence(false) {}
   bool key :1;
   bool result :1;
+  bool sequence :1;
 } _AgentResult__isset;
 
 class AgentResult : public virtual ::apache::thrift::TBase {
@@ -1886,12 +1887,14 @@
   AgentResult(AgentResult&&) noexcept;
   AgentResult& operator=(const AgentResult&);
   AgentResult& operator=(AgentResult&&) noexcept;
-  AgentResult() noexcept {
+  AgentResult() noexcept
+              : sequence(0) {
   }
 
   virtual ~AgentResult() noexcept;
   JobKey key;
   TaskResult result;
+  int64_t sequence;
 
   _AgentResult__isset __isset;
 
@@ -1899,12 +1902,16 @@
 
   void __set_result(const TaskResult& val);
 
+  void __set_sequence(const int64_t val);
+
   bool operator == (const AgentResult & rhs) const
   {
     if (!(key == rhs.key))
       return false;
     if (!(result == rhs.result))
       return false;
+    if (!(sequence == rhs.sequence))
+      return false;
     return true;
   }
   bool operator != (const AgentResult &rhs) const {
