--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -4545,6 +4545,10 @@
 void AgentResult::__set_result(const TaskResult& val) {
   this->result = val;
 }
+
+void AgentResult::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
 std::ostream& operator<<(std::ostream& out, const AgentResult& obj)
 {
   obj.printTo(out);
@@ -4589,6 +4593,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4614,6 +4626,10 @@
   xfer += this->result.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4623,28 +4639,33 @@
   using ::std::swap;
   swap(a.key, b.key);
   swap(a.result, b.result);
+  swap(a.sequence, b.sequence);
   swap(a.__isset, b.__isset);
 }
 
 AgentResult::AgentResult(const AgentResult& other150) {
   key = other150.key;
   result = other150.result;
+  sequence = other150.sequence;
   __isset = other150.__isset;
 }
 AgentResult::AgentResult(AgentResult&& other151) noexcept {
   key = std::move(other151.key);
   result = std::move(other151.result);
+  sequence = other151.sequence;
   __isset = other151.__isset;
 }
 AgentResult& AgentResult::operator=(const AgentResult& other152) {
   key = other152.key;
   result = other152.result;
+  sequence = other152.sequence;
   __isset = other152.__isset;
   return *this;
 }
 AgentResult& AgentResult::operator=(AgentResult&& other153) noexcept {
   key = std::move(other153.key);
   result = std::move(other153.result);
+  sequence = other153.sequence;
   __isset = other153.__isset;
   return *this;
 }
@@ -4653,6 +4674,7 @@
   out << "AgentResult(";
   out << "key=" << to_string(key);
   out << ", " << "result=" << to_string(result);
+  out << ", " << "sequence=" << to_string(sequence);
   out << ")";
 }
 
@@ -4819,6 +4841,10 @@
 void StartRefused::__set_reason(const std::string& val) {
   this->reason = val;
 }
+
+void StartRefused::__set_sequences(const std::vector<int64_t> & val) {
+  this->sequences = val;
+}
 std::ostream& operator<<(std::ostream& out, const StartRefused& obj)
 {
   obj.printTo(out);
@@ -4891,6 +4917,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->sequences.clear();
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _etype172;
+            xfer += iprot->readListBegin(_etype172, _size169);
+            this->sequences.resize(_size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
+            {
+              xfer += iprot->readI64(this->sequences[_i173]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.sequences = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4919,10 +4965,10 @@
   xfer += oprot->writeFieldBegin("refs", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->refs.size()));
-    std::vector<TaskRef> ::const_iterator _iter169;
-    for (_iter169 = this->refs.begin(); _iter169 != this->refs.end(); ++_iter169)
+    std::vector<TaskRef> ::const_iterator _iter174;
+    for (_iter174 = this->refs.begin(); _iter174 != this->refs.end(); ++_iter174)
     {
-      xfer += (*_iter169).write(oprot);
+      xfer += (*_iter174).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4932,6 +4978,18 @@
   xfer += oprot->writeString(this->reason);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sequences", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->sequences.size()));
+    std::vector<int64_t> ::const_iterator _iter175;
+    for (_iter175 = this->sequences.begin(); _iter175 != this->sequences.end(); ++_iter175)
+    {
+      xfer += oprot->writeI64((*_iter175));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4943,37 +5001,42 @@
   swap(a.epoch, b.epoch);
   swap(a.refs, b.refs);
   swap(a.reason, b.reason);
+  swap(a.sequences, b.sequences);
   swap(a.__isset, b.__isset);
 }
 
-StartRefused::StartRefused(const StartRefused& other170) {
-  cell = other170.cell;
-  epoch = other170.epoch;
-  refs = other170.refs;
-  reason = other170.reason;
-  __isset = other170.__isset;
-}
-StartRefused::StartRefused(StartRefused&& other171) noexcept {
-  cell = other171.cell;
-  epoch = other171.epoch;
-  refs = std::move(other171.refs);
-  reason = std::move(other171.reason);
-  __isset = other171.__isset;
-}
-StartRefused& StartRefused::operator=(const StartRefused& other172) {
-  cell = other172.cell;
-  epoch = other172.epoch;
-  refs = other172.refs;
-  reason = other172.reason;
-  __isset = other172.__isset;
+StartRefused::StartRefused(const StartRefused& other176) {
+  cell = other176.cell;
+  epoch = other176.epoch;
+  refs = other176.refs;
+  reason = other176.reason;
+  sequences = other176.sequences;
+  __isset = other176.__isset;
+}
+StartRefused::StartRefused(StartRefused&& other177) noexcept {
+  cell = other177.cell;
+  epoch = other177.epoch;
+  refs = std::move(other177.refs);
+  reason = std::move(other177.reason);
+  sequences = std::move(other177.sequences);
+  __isset = other177.__isset;
+}
+StartRefused& StartRefused::operator=(const StartRefused& other178) {
+  cell = other178.cell;
+  epoch = other178.epoch;
+  refs = other178.refs;
+  reason = other178.reason;
+  sequences = other178.sequences;
+  __isset = other178.__isset;
   return *this;
 }
-StartRefused& StartRefused::operator=(StartRefused&& other173) noexcept {
-  cell = other173.cell;
-  epoch = other173.epoch;
-  refs = std::move(other173.refs);
-  reason = std::move(other173.reason);
-  __isset = other173.__isset;
+StartRefused& StartRefused::operator=(StartRefused&& other179) noexcept {
+  cell = other179.cell;
+  epoch = other179.epoch;
+  refs = std::move(other179.refs);
+  reason = std::move(other179.reason);
+  sequences = std::move(other179.sequences);
+  __isset = other179.__isset;
   return *this;
 }
 void StartRefused::printTo(std::ostream& out) const {
@@ -4983,6 +5046,7 @@
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "refs=" << to_string(refs);
   out << ", " << "reason=" << to_string(reason);
+  out << ", " << "sequences=" << to_string(sequences);
   out << ")";
 }
 
@@ -5096,30 +5160,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AgentTask::AgentTask(const AgentTask& other174) {
-  ref = other174.ref;
-  running = other174.running;
-  result = other174.result;
-  __isset = other174.__isset;
+AgentTask::AgentTask(const AgentTask& other180) {
+  ref = other180.ref;
+  running = other180.running;
+  result = other180.result;
+  __isset = other180.__isset;
 }
-AgentTask::AgentTask(AgentTask&& other175) noexcept {
-  ref = std::move(other175.ref);
-  running = other175.running;
-  result = std::move(other175.result);
-  __isset = other175.__isset;
+AgentTask::AgentTask(AgentTask&& other181) noexcept {
+  ref = std::move(other181.ref);
+  running = other181.running;
+  result = std::move(other181.result);
+  __isset = other181.__isset;
 }
-AgentTask& AgentTask::operator=(const AgentTask& other176) {
-  ref = other176.ref;
-  running = other176.running;
-  result = other176.result;
-  __isset = other176.__isset;
+AgentTask& AgentTask::operator=(const AgentTask& other182) {
+  ref = other182.ref;
+  running = other182.running;
+  result = other182.result;
+  __isset = other182.__isset;
   return *this;
 }
-AgentTask& AgentTask::operator=(AgentTask&& other177) noexcept {
-  ref = std::move(other177.ref);
-  running = other177.running;
-  result = std::move(other177.result);
-  __isset = other177.__isset;
+AgentTask& AgentTask::operator=(AgentTask&& other183) noexcept {
+  ref = std::move(other183.ref);
+  running = other183.running;
+  result = std::move(other183.result);
+  __isset = other183.__isset;
   return *this;
 }
 void AgentTask::printTo(std::ostream& out) const {
@@ -5215,14 +5279,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->tasks.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->tasks.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += this->tasks[_i182].read(iprot);
+              xfer += this->tasks[_i188].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5279,10 +5343,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<AgentTask> ::const_iterator _iter183;
-    for (_iter183 = this->tasks.begin(); _iter183 != this->tasks.end(); ++_iter183)
+    std::vector<AgentTask> ::const_iterator _iter189;
+    for (_iter189 = this->tasks.begin(); _iter189 != this->tasks.end(); ++_iter189)
     {
-      xfer += (*_iter183).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5312,42 +5376,42 @@
   swap(a.__isset, b.__isset);
 }
 
-AgentState::AgentState(const AgentState& other184) {
-  cell = other184.cell;
-  epoch = other184.epoch;
-  barrier = other184.barrier;
-  tasks = other184.tasks;
-  server = other184.server;
-  uptimeMicros = other184.uptimeMicros;
-  __isset = other184.__isset;
-}
-AgentState::AgentState(AgentState&& other185) noexcept {
-  cell = other185.cell;
-  epoch = other185.epoch;
-  barrier = other185.barrier;
-  tasks = std::move(other185.tasks);
-  server = std::move(other185.server);
-  uptimeMicros = other185.uptimeMicros;
-  __isset = other185.__isset;
-}
-AgentState& AgentState::operator=(const AgentState& other186) {
-  cell = other186.cell;
-  epoch = other186.epoch;
-  barrier = other186.barrier;
-  tasks = other186.tasks;
-  server = other186.server;
-  uptimeMicros = other186.uptimeMicros;
-  __isset = other186.__isset;
+AgentState::AgentState(const AgentState& other190) {
+  cell = other190.cell;
+  epoch = other190.epoch;
+  barrier = other190.barrier;
+  tasks = other190.tasks;
+  server = other190.server;
+  uptimeMicros = other190.uptimeMicros;
+  __isset = other190.__isset;
+}
+AgentState::AgentState(AgentState&& other191) noexcept {
+  cell = other191.cell;
+  epoch = other191.epoch;
+  barrier = other191.barrier;
+  tasks = std::move(other191.tasks);
+  server = std::move(other191.server);
+  uptimeMicros = other191.uptimeMicros;
+  __isset = other191.__isset;
+}
+AgentState& AgentState::operator=(const AgentState& other192) {
+  cell = other192.cell;
+  epoch = other192.epoch;
+  barrier = other192.barrier;
+  tasks = other192.tasks;
+  server = other192.server;
+  uptimeMicros = other192.uptimeMicros;
+  __isset = other192.__isset;
   return *this;
 }
-AgentState& AgentState::operator=(AgentState&& other187) noexcept {
-  cell = other187.cell;
-  epoch = other187.epoch;
-  barrier = other187.barrier;
-  tasks = std::move(other187.tasks);
-  server = std::move(other187.server);
-  uptimeMicros = other187.uptimeMicros;
-  __isset = other187.__isset;
+AgentState& AgentState::operator=(AgentState&& other193) noexcept {
+  cell = other193.cell;
+  epoch = other193.epoch;
+  barrier = other193.barrier;
+  tasks = std::move(other193.tasks);
+  server = std::move(other193.server);
+  uptimeMicros = other193.uptimeMicros;
+  __isset = other193.__isset;
   return *this;
 }
 void AgentState::printTo(std::ostream& out) const {
@@ -5450,14 +5514,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wholeHolders.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->wholeHolders.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->wholeHolders.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += iprot->readString(this->wholeHolders[_i192]);
+              xfer += iprot->readString(this->wholeHolders[_i198]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5502,10 +5566,10 @@
   xfer += oprot->writeFieldBegin("wholeHolders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wholeHolders.size()));
-    std::vector<std::string> ::const_iterator _iter193;
-    for (_iter193 = this->wholeHolders.begin(); _iter193 != this->wholeHolders.end(); ++_iter193)
+    std::vector<std::string> ::const_iterator _iter199;
+    for (_iter199 = this->wholeHolders.begin(); _iter199 != this->wholeHolders.end(); ++_iter199)
     {
-      xfer += oprot->writeString((*_iter193));
+      xfer += oprot->writeString((*_iter199));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5526,38 +5590,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CellReport::CellReport(const CellReport& other194) {
-  cell = other194.cell;
-  epoch = other194.epoch;
-  owned = other194.owned;
-  whole = other194.whole;
-  wholeHolders = other194.wholeHolders;
-  __isset = other194.__isset;
-}
-CellReport::CellReport(CellReport&& other195) noexcept {
-  cell = other195.cell;
-  epoch = other195.epoch;
-  owned = other195.owned;
-  whole = other195.whole;
-  wholeHolders = std::move(other195.wholeHolders);
-  __isset = other195.__isset;
-}
-CellReport& CellReport::operator=(const CellReport& other196) {
-  cell = other196.cell;
-  epoch = other196.epoch;
-  owned = other196.owned;
-  whole = other196.whole;
-  wholeHolders = other196.wholeHolders;
-  __isset = other196.__isset;
+CellReport::CellReport(const CellReport& other200) {
+  cell = other200.cell;
+  epoch = other200.epoch;
+  owned = other200.owned;
+  whole = other200.whole;
+  wholeHolders = other200.wholeHolders;
+  __isset = other200.__isset;
+}
+CellReport::CellReport(CellReport&& other201) noexcept {
+  cell = other201.cell;
+  epoch = other201.epoch;
+  owned = other201.owned;
+  whole = other201.whole;
+  wholeHolders = std::move(other201.wholeHolders);
+  __isset = other201.__isset;
+}
+CellReport& CellReport::operator=(const CellReport& other202) {
+  cell = other202.cell;
+  epoch = other202.epoch;
+  owned = other202.owned;
+  whole = other202.whole;
+  wholeHolders = other202.wholeHolders;
+  __isset = other202.__isset;
   return *this;
 }
-CellReport& CellReport::operator=(CellReport&& other197) noexcept {
-  cell = other197.cell;
-  epoch = other197.epoch;
-  owned = other197.owned;
-  whole = other197.whole;
-  wholeHolders = std::move(other197.wholeHolders);
-  __isset = other197.__isset;
+CellReport& CellReport::operator=(CellReport&& other203) noexcept {
+  cell = other203.cell;
+  epoch = other203.epoch;
+  owned = other203.owned;
+  whole = other203.whole;
+  wholeHolders = std::move(other203.wholeHolders);
+  __isset = other203.__isset;
   return *this;
 }
 void CellReport::printTo(std::ostream& out) const {
@@ -5642,9 +5706,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast198;
-          xfer += iprot->readI32(ecast198);
-          this->role = static_cast<Role::type>(ecast198);
+          int32_t ecast204;
+          xfer += iprot->readI32(ecast204);
+          this->role = static_cast<Role::type>(ecast204);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5694,14 +5758,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size199;
-            ::apache::thrift::protocol::TType _etype202;
-            xfer += iprot->readListBegin(_etype202, _size199);
-            this->cells.resize(_size199);
-            uint32_t _i203;
-            for (_i203 = 0; _i203 < _size199; ++_i203)
+            uint32_t _size205;
+            ::apache::thrift::protocol::TType _etype208;
+            xfer += iprot->readListBegin(_etype208, _size205);
+            this->cells.resize(_size205);
+            uint32_t _i209;
+            for (_i209 = 0; _i209 < _size205; ++_i209)
             {
-              xfer += this->cells[_i203].read(iprot);
+              xfer += this->cells[_i209].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5770,10 +5834,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellReport> ::const_iterator _iter204;
-    for (_iter204 = this->cells.begin(); _iter204 != this->cells.end(); ++_iter204)
+    std::vector<CellReport> ::const_iterator _iter210;
+    for (_iter210 = this->cells.begin(); _iter210 != this->cells.end(); ++_iter210)
     {
-      xfer += (*_iter204).write(oprot);
+      xfer += (*_iter210).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5807,54 +5871,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberHeartbeat::MemberHeartbeat(const MemberHeartbeat& other205) {
-  role = other205.role;
-  failureDomain = other205.failureDomain;
-  address = other205.address;
-  sentAtMicros = other205.sentAtMicros;
-  configNumber = other205.configNumber;
-  viewVersion = other205.viewVersion;
-  cells = other205.cells;
-  leaving = other205.leaving;
-  server = other205.server;
-  __isset = other205.__isset;
-}
-MemberHeartbeat::MemberHeartbeat(MemberHeartbeat&& other206) noexcept {
-  role = other206.role;
-  failureDomain = std::move(other206.failureDomain);
-  address = std::move(other206.address);
-  sentAtMicros = other206.sentAtMicros;
-  configNumber = other206.configNumber;
-  viewVersion = other206.viewVersion;
-  cells = std::move(other206.cells);
-  leaving = other206.leaving;
-  server = std::move(other206.server);
-  __isset = other206.__isset;
-}
-MemberHeartbeat& MemberHeartbeat::operator=(const MemberHeartbeat& other207) {
-  role = other207.role;
-  failureDomain = other207.failureDomain;
-  address = other207.address;
-  sentAtMicros = other207.sentAtMicros;
-  configNumber = other207.configNumber;
-  viewVersion = other207.viewVersion;
-  cells = other207.cells;
-  leaving = other207.leaving;
-  server = other207.server;
-  __isset = other207.__isset;
+MemberHeartbeat::MemberHeartbeat(const MemberHeartbeat& other211) {
+  role = other211.role;
+  failureDomain = other211.failureDomain;
+  address = other211.address;
+  sentAtMicros = other211.sentAtMicros;
+  configNumber = other211.configNumber;
+  viewVersion = other211.viewVersion;
+  cells = other211.cells;
+  leaving = other211.leaving;
+  server = other211.server;
+  __isset = other211.__isset;
+}
+MemberHeartbeat::MemberHeartbeat(MemberHeartbeat&& other212) noexcept {
+  role = other212.role;
+  failureDomain = std::move(other212.failureDomain);
+  address = std::move(other212.address);
+  sentAtMicros = other212.sentAtMicros;
+  configNumber = other212.configNumber;
+  viewVersion = other212.viewVersion;
+  cells = std::move(other212.cells);
+  leaving = other212.leaving;
+  server = std::move(other212.server);
+  __isset = other212.__isset;
+}
+MemberHeartbeat& MemberHeartbeat::operator=(const MemberHeartbeat& other213) {
+  role = other213.role;
+  failureDomain = other213.failureDomain;
+  address = other213.address;
+  sentAtMicros = other213.sentAtMicros;
+  configNumber = other213.configNumber;
+  viewVersion = other213.viewVersion;
+  cells = other213.cells;
+  leaving = other213.leaving;
+  server = other213.server;
+  __isset = other213.__isset;
   return *this;
 }
-MemberHeartbeat& MemberHeartbeat::operator=(MemberHeartbeat&& other208) noexcept {
-  role = other208.role;
-  failureDomain = std::move(other208.failureDomain);
-  address = std::move(other208.address);
-  sentAtMicros = other208.sentAtMicros;
-  configNumber = other208.configNumber;
-  viewVersion = other208.viewVersion;
-  cells = std::move(other208.cells);
-  leaving = other208.leaving;
-  server = std::move(other208.server);
-  __isset = other208.__isset;
+MemberHeartbeat& MemberHeartbeat::operator=(MemberHeartbeat&& other214) noexcept {
+  role = other214.role;
+  failureDomain = std::move(other214.failureDomain);
+  address = std::move(other214.address);
+  sentAtMicros = other214.sentAtMicros;
+  configNumber = other214.configNumber;
+  viewVersion = other214.viewVersion;
+  cells = std::move(other214.cells);
+  leaving = other214.leaving;
+  server = std::move(other214.server);
+  __isset = other214.__isset;
   return *this;
 }
 void MemberHeartbeat::printTo(std::ostream& out) const {
@@ -6016,38 +6080,38 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other209) {
-  sentAtMicros = other209.sentAtMicros;
-  accepted = other209.accepted;
-  leader = other209.leader;
-  viewVersion = other209.viewVersion;
-  term = other209.term;
-  __isset = other209.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other215) {
+  sentAtMicros = other215.sentAtMicros;
+  accepted = other215.accepted;
+  leader = other215.leader;
+  viewVersion = other215.viewVersion;
+  term = other215.term;
+  __isset = other215.__isset;
 }
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other210) noexcept {
-  sentAtMicros = other210.sentAtMicros;
-  accepted = other210.accepted;
-  leader = std::move(other210.leader);
-  viewVersion = other210.viewVersion;
-  term = other210.term;
-  __isset = other210.__isset;
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other216) noexcept {
+  sentAtMicros = other216.sentAtMicros;
+  accepted = other216.accepted;
+  leader = std::move(other216.leader);
+  viewVersion = other216.viewVersion;
+  term = other216.term;
+  __isset = other216.__isset;
 }
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other211) {
-  sentAtMicros = other211.sentAtMicros;
-  accepted = other211.accepted;
-  leader = other211.leader;
-  viewVersion = other211.viewVersion;
-  term = other211.term;
-  __isset = other211.__isset;
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other217) {
+  sentAtMicros = other217.sentAtMicros;
+  accepted = other217.accepted;
+  leader = other217.leader;
+  viewVersion = other217.viewVersion;
+  term = other217.term;
+  __isset = other217.__isset;
   return *this;
 }
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other212) noexcept {
-  sentAtMicros = other212.sentAtMicros;
-  accepted = other212.accepted;
-  leader = std::move(other212.leader);
-  viewVersion = other212.viewVersion;
-  term = other212.term;
-  __isset = other212.__isset;
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other218) noexcept {
+  sentAtMicros = other218.sentAtMicros;
+  accepted = other218.accepted;
+  leader = std::move(other218.leader);
+  viewVersion = other218.viewVersion;
+  term = other218.term;
+  __isset = other218.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -6171,30 +6235,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRef::MemberRef(const MemberRef& other213) {
-  id = other213.id;
-  address = other213.address;
-  failureDomain = other213.failureDomain;
-  __isset = other213.__isset;
+MemberRef::MemberRef(const MemberRef& other219) {
+  id = other219.id;
+  address = other219.address;
+  failureDomain = other219.failureDomain;
+  __isset = other219.__isset;
 }
-MemberRef::MemberRef(MemberRef&& other214) noexcept {
-  id = std::move(other214.id);
-  address = std::move(other214.address);
-  failureDomain = std::move(other214.failureDomain);
-  __isset = other214.__isset;
+MemberRef::MemberRef(MemberRef&& other220) noexcept {
+  id = std::move(other220.id);
+  address = std::move(other220.address);
+  failureDomain = std::move(other220.failureDomain);
+  __isset = other220.__isset;
 }
-MemberRef& MemberRef::operator=(const MemberRef& other215) {
-  id = other215.id;
-  address = other215.address;
-  failureDomain = other215.failureDomain;
-  __isset = other215.__isset;
+MemberRef& MemberRef::operator=(const MemberRef& other221) {
+  id = other221.id;
+  address = other221.address;
+  failureDomain = other221.failureDomain;
+  __isset = other221.__isset;
   return *this;
 }
-MemberRef& MemberRef::operator=(MemberRef&& other216) noexcept {
-  id = std::move(other216.id);
-  address = std::move(other216.address);
-  failureDomain = std::move(other216.failureDomain);
-  __isset = other216.__isset;
+MemberRef& MemberRef::operator=(MemberRef&& other222) noexcept {
+  id = std::move(other222.id);
+  address = std::move(other222.address);
+  failureDomain = std::move(other222.failureDomain);
+  __isset = other222.__isset;
   return *this;
 }
 void MemberRef::printTo(std::ostream& out) const {
@@ -6303,14 +6367,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size217;
-            ::apache::thrift::protocol::TType _etype220;
-            xfer += iprot->readListBegin(_etype220, _size217);
-            this->holders.resize(_size217);
-            uint32_t _i221;
-            for (_i221 = 0; _i221 < _size217; ++_i221)
+            uint32_t _size223;
+            ::apache::thrift::protocol::TType _etype226;
+            xfer += iprot->readListBegin(_etype226, _size223);
+            this->holders.resize(_size223);
+            uint32_t _i227;
+            for (_i227 = 0; _i227 < _size223; ++_i227)
             {
-              xfer += this->holders[_i221].read(iprot);
+              xfer += this->holders[_i227].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6323,14 +6387,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->agents.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->agents.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size228;
+            ::apache::thrift::protocol::TType _etype231;
+            xfer += iprot->readListBegin(_etype231, _size228);
+            this->agents.resize(_size228);
+            uint32_t _i232;
+            for (_i232 = 0; _i232 < _size228; ++_i232)
             {
-              xfer += this->agents[_i226].read(iprot);
+              xfer += this->agents[_i232].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6384,10 +6448,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<MemberRef> ::const_iterator _iter227;
-    for (_iter227 = this->holders.begin(); _iter227 != this->holders.end(); ++_iter227)
+    std::vector<MemberRef> ::const_iterator _iter233;
+    for (_iter233 = this->holders.begin(); _iter233 != this->holders.end(); ++_iter233)
     {
-      xfer += (*_iter227).write(oprot);
+      xfer += (*_iter233).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6396,10 +6460,10 @@
   xfer += oprot->writeFieldBegin("agents", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->agents.size()));
-    std::vector<MemberRef> ::const_iterator _iter228;
-    for (_iter228 = this->agents.begin(); _iter228 != this->agents.end(); ++_iter228)
+    std::vector<MemberRef> ::const_iterator _iter234;
+    for (_iter234 = this->agents.begin(); _iter234 != this->agents.end(); ++_iter234)
     {
-      xfer += (*_iter228).write(oprot);
+      xfer += (*_iter234).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6426,46 +6490,46 @@
   swap(a.__isset, b.__isset);
 }
 
-CellView::CellView(const CellView& other229) {
-  cell = other229.cell;
-  serviceName = other229.serviceName;
-  epoch = other229.epoch;
-  owner = other229.owner;
-  holders = other229.holders;
-  agents = other229.agents;
-  floorMs = other229.floorMs;
-  __isset = other229.__isset;
-}
-CellView::CellView(CellView&& other230) noexcept {
-  cell = other230.cell;
-  serviceName = std::move(other230.serviceName);
-  epoch = other230.epoch;
-  owner = std::move(other230.owner);
-  holders = std::move(other230.holders);
-  agents = std::move(other230.agents);
-  floorMs = other230.floorMs;
-  __isset = other230.__isset;
-}
-CellView& CellView::operator=(const CellView& other231) {
-  cell = other231.cell;
-  serviceName = other231.serviceName;
-  epoch = other231.epoch;
-  owner = other231.owner;
-  holders = other231.holders;
-  agents = other231.agents;
-  floorMs = other231.floorMs;
-  __isset = other231.__isset;
+CellView::CellView(const CellView& other235) {
+  cell = other235.cell;
+  serviceName = other235.serviceName;
+  epoch = other235.epoch;
+  owner = other235.owner;
+  holders = other235.holders;
+  agents = other235.agents;
+  floorMs = other235.floorMs;
+  __isset = other235.__isset;
+}
+CellView::CellView(CellView&& other236) noexcept {
+  cell = other236.cell;
+  serviceName = std::move(other236.serviceName);
+  epoch = other236.epoch;
+  owner = std::move(other236.owner);
+  holders = std::move(other236.holders);
+  agents = std::move(other236.agents);
+  floorMs = other236.floorMs;
+  __isset = other236.__isset;
+}
+CellView& CellView::operator=(const CellView& other237) {
+  cell = other237.cell;
+  serviceName = other237.serviceName;
+  epoch = other237.epoch;
+  owner = other237.owner;
+  holders = other237.holders;
+  agents = other237.agents;
+  floorMs = other237.floorMs;
+  __isset = other237.__isset;
   return *this;
 }
-CellView& CellView::operator=(CellView&& other232) noexcept {
-  cell = other232.cell;
-  serviceName = std::move(other232.serviceName);
-  epoch = other232.epoch;
-  owner = std::move(other232.owner);
-  holders = std::move(other232.holders);
-  agents = std::move(other232.agents);
-  floorMs = other232.floorMs;
-  __isset = other232.__isset;
+CellView& CellView::operator=(CellView&& other238) noexcept {
+  cell = other238.cell;
+  serviceName = std::move(other238.serviceName);
+  epoch = other238.epoch;
+  owner = std::move(other238.owner);
+  holders = std::move(other238.holders);
+  agents = std::move(other238.agents);
+  floorMs = other238.floorMs;
+  __isset = other238.__isset;
   return *this;
 }
 void CellView::printTo(std::ostream& out) const {
@@ -6625,38 +6689,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigFile::ConfigFile(const ConfigFile& other233) {
-  number = other233.number;
-  digest = other233.digest;
-  text = other233.text;
-  author = other233.author;
-  acceptedAtMs = other233.acceptedAtMs;
-  __isset = other233.__isset;
-}
-ConfigFile::ConfigFile(ConfigFile&& other234) noexcept {
-  number = other234.number;
-  digest = std::move(other234.digest);
-  text = std::move(other234.text);
-  author = std::move(other234.author);
-  acceptedAtMs = other234.acceptedAtMs;
-  __isset = other234.__isset;
-}
-ConfigFile& ConfigFile::operator=(const ConfigFile& other235) {
-  number = other235.number;
-  digest = other235.digest;
-  text = other235.text;
-  author = other235.author;
-  acceptedAtMs = other235.acceptedAtMs;
-  __isset = other235.__isset;
+ConfigFile::ConfigFile(const ConfigFile& other239) {
+  number = other239.number;
+  digest = other239.digest;
+  text = other239.text;
+  author = other239.author;
+  acceptedAtMs = other239.acceptedAtMs;
+  __isset = other239.__isset;
+}
+ConfigFile::ConfigFile(ConfigFile&& other240) noexcept {
+  number = other240.number;
+  digest = std::move(other240.digest);
+  text = std::move(other240.text);
+  author = std::move(other240.author);
+  acceptedAtMs = other240.acceptedAtMs;
+  __isset = other240.__isset;
+}
+ConfigFile& ConfigFile::operator=(const ConfigFile& other241) {
+  number = other241.number;
+  digest = other241.digest;
+  text = other241.text;
+  author = other241.author;
+  acceptedAtMs = other241.acceptedAtMs;
+  __isset = other241.__isset;
   return *this;
 }
-ConfigFile& ConfigFile::operator=(ConfigFile&& other236) noexcept {
-  number = other236.number;
-  digest = std::move(other236.digest);
-  text = std::move(other236.text);
-  author = std::move(other236.author);
-  acceptedAtMs = other236.acceptedAtMs;
-  __isset = other236.__isset;
+ConfigFile& ConfigFile::operator=(ConfigFile&& other242) noexcept {
+  number = other242.number;
+  digest = std::move(other242.digest);
+  text = std::move(other242.text);
+  author = std::move(other242.author);
+  acceptedAtMs = other242.acceptedAtMs;
+  __isset = other242.__isset;
   return *this;
 }
 void ConfigFile::printTo(std::ostream& out) const {
@@ -6738,14 +6802,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size237;
-            ::apache::thrift::protocol::TType _etype240;
-            xfer += iprot->readListBegin(_etype240, _size237);
-            this->cells.resize(_size237);
-            uint32_t _i241;
-            for (_i241 = 0; _i241 < _size237; ++_i241)
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->cells.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
             {
-              xfer += this->cells[_i241].read(iprot);
+              xfer += this->cells[_i247].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6790,10 +6854,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellView> ::const_iterator _iter242;
-    for (_iter242 = this->cells.begin(); _iter242 != this->cells.end(); ++_iter242)
+    std::vector<CellView> ::const_iterator _iter248;
+    for (_iter248 = this->cells.begin(); _iter248 != this->cells.end(); ++_iter248)
     {
-      xfer += (*_iter242).write(oprot);
+      xfer += (*_iter248).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6817,34 +6881,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ClusterView::ClusterView(const ClusterView& other243) {
-  version = other243.version;
-  config = other243.config;
-  cells = other243.cells;
-  term = other243.term;
-  __isset = other243.__isset;
-}
-ClusterView::ClusterView(ClusterView&& other244) noexcept {
-  version = other244.version;
-  config = std::move(other244.config);
-  cells = std::move(other244.cells);
-  term = other244.term;
-  __isset = other244.__isset;
-}
-ClusterView& ClusterView::operator=(const ClusterView& other245) {
-  version = other245.version;
-  config = other245.config;
-  cells = other245.cells;
-  term = other245.term;
-  __isset = other245.__isset;
+ClusterView::ClusterView(const ClusterView& other249) {
+  version = other249.version;
+  config = other249.config;
+  cells = other249.cells;
+  term = other249.term;
+  __isset = other249.__isset;
+}
+ClusterView::ClusterView(ClusterView&& other250) noexcept {
+  version = other250.version;
+  config = std::move(other250.config);
+  cells = std::move(other250.cells);
+  term = other250.term;
+  __isset = other250.__isset;
+}
+ClusterView& ClusterView::operator=(const ClusterView& other251) {
+  version = other251.version;
+  config = other251.config;
+  cells = other251.cells;
+  term = other251.term;
+  __isset = other251.__isset;
   return *this;
 }
-ClusterView& ClusterView::operator=(ClusterView&& other246) noexcept {
-  version = other246.version;
-  config = std::move(other246.config);
-  cells = std::move(other246.cells);
-  term = other246.term;
-  __isset = other246.__isset;
+ClusterView& ClusterView::operator=(ClusterView&& other252) noexcept {
+  version = other252.version;
+  config = std::move(other252.config);
+  cells = std::move(other252.cells);
+  term = other252.term;
+  __isset = other252.__isset;
   return *this;
 }
 void ClusterView::printTo(std::ostream& out) const {
@@ -6984,34 +7048,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ApplyConfig::ApplyConfig(const ApplyConfig& other247) {
-  requestId = other247.requestId;
-  text = other247.text;
-  author = other247.author;
-  dryRun = other247.dryRun;
-  __isset = other247.__isset;
-}
-ApplyConfig::ApplyConfig(ApplyConfig&& other248) noexcept {
-  requestId = other248.requestId;
-  text = std::move(other248.text);
-  author = std::move(other248.author);
-  dryRun = other248.dryRun;
-  __isset = other248.__isset;
-}
-ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other249) {
-  requestId = other249.requestId;
-  text = other249.text;
-  author = other249.author;
-  dryRun = other249.dryRun;
-  __isset = other249.__isset;
+ApplyConfig::ApplyConfig(const ApplyConfig& other253) {
+  requestId = other253.requestId;
+  text = other253.text;
+  author = other253.author;
+  dryRun = other253.dryRun;
+  __isset = other253.__isset;
+}
+ApplyConfig::ApplyConfig(ApplyConfig&& other254) noexcept {
+  requestId = other254.requestId;
+  text = std::move(other254.text);
+  author = std::move(other254.author);
+  dryRun = other254.dryRun;
+  __isset = other254.__isset;
+}
+ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other255) {
+  requestId = other255.requestId;
+  text = other255.text;
+  author = other255.author;
+  dryRun = other255.dryRun;
+  __isset = other255.__isset;
   return *this;
 }
-ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other250) noexcept {
-  requestId = other250.requestId;
-  text = std::move(other250.text);
-  author = std::move(other250.author);
-  dryRun = other250.dryRun;
-  __isset = other250.__isset;
+ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other256) noexcept {
+  requestId = other256.requestId;
+  text = std::move(other256.text);
+  author = std::move(other256.author);
+  dryRun = other256.dryRun;
+  __isset = other256.__isset;
   return *this;
 }
 void ApplyConfig::printTo(std::ostream& out) const {
@@ -7124,14 +7188,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lagging.clear();
-            uint32_t _size251;
-            ::apache::thrift::protocol::TType _etype254;
-            xfer += iprot->readListBegin(_etype254, _size251);
-            this->lagging.resize(_size251);
-            uint32_t _i255;
-            for (_i255 = 0; _i255 < _size251; ++_i255)
+            uint32_t _size257;
+            ::apache::thrift::protocol::TType _etype260;
+            xfer += iprot->readListBegin(_etype260, _size257);
+            this->lagging.resize(_size257);
+            uint32_t _i261;
+            for (_i261 = 0; _i261 < _size257; ++_i261)
             {
-              xfer += iprot->readString(this->lagging[_i255]);
+              xfer += iprot->readString(this->lagging[_i261]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7180,10 +7244,10 @@
   xfer += oprot->writeFieldBegin("lagging", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lagging.size()));
-    std::vector<std::string> ::const_iterator _iter256;
-    for (_iter256 = this->lagging.begin(); _iter256 != this->lagging.end(); ++_iter256)
+    std::vector<std::string> ::const_iterator _iter262;
+    for (_iter262 = this->lagging.begin(); _iter262 != this->lagging.end(); ++_iter262)
     {
-      xfer += oprot->writeString((*_iter256));
+      xfer += oprot->writeString((*_iter262));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7205,42 +7269,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ApplyReply::ApplyReply(const ApplyReply& other257) {
-  requestId = other257.requestId;
-  accepted = other257.accepted;
-  code = other257.code;
-  message = other257.message;
-  inForce = other257.inForce;
-  lagging = other257.lagging;
-  __isset = other257.__isset;
-}
-ApplyReply::ApplyReply(ApplyReply&& other258) noexcept {
-  requestId = other258.requestId;
-  accepted = other258.accepted;
-  code = std::move(other258.code);
-  message = std::move(other258.message);
-  inForce = std::move(other258.inForce);
-  lagging = std::move(other258.lagging);
-  __isset = other258.__isset;
-}
-ApplyReply& ApplyReply::operator=(const ApplyReply& other259) {
-  requestId = other259.requestId;
-  accepted = other259.accepted;
-  code = other259.code;
-  message = other259.message;
-  inForce = other259.inForce;
-  lagging = other259.lagging;
-  __isset = other259.__isset;
+ApplyReply::ApplyReply(const ApplyReply& other263) {
+  requestId = other263.requestId;
+  accepted = other263.accepted;
+  code = other263.code;
+  message = other263.message;
+  inForce = other263.inForce;
+  lagging = other263.lagging;
+  __isset = other263.__isset;
+}
+ApplyReply::ApplyReply(ApplyReply&& other264) noexcept {
+  requestId = other264.requestId;
+  accepted = other264.accepted;
+  code = std::move(other264.code);
+  message = std::move(other264.message);
+  inForce = std::move(other264.inForce);
+  lagging = std::move(other264.lagging);
+  __isset = other264.__isset;
+}
+ApplyReply& ApplyReply::operator=(const ApplyReply& other265) {
+  requestId = other265.requestId;
+  accepted = other265.accepted;
+  code = other265.code;
+  message = other265.message;
+  inForce = other265.inForce;
+  lagging = other265.lagging;
+  __isset = other265.__isset;
   return *this;
 }
-ApplyReply& ApplyReply::operator=(ApplyReply&& other260) noexcept {
-  requestId = other260.requestId;
-  accepted = other260.accepted;
-  code = std::move(other260.code);
-  message = std::move(other260.message);
-  inForce = std::move(other260.inForce);
-  lagging = std::move(other260.lagging);
-  __isset = other260.__isset;
+ApplyReply& ApplyReply::operator=(ApplyReply&& other266) noexcept {
+  requestId = other266.requestId;
+  accepted = other266.accepted;
+  code = std::move(other266.code);
+  message = std::move(other266.message);
+  inForce = std::move(other266.inForce);
+  lagging = std::move(other266.lagging);
+  __isset = other266.__isset;
   return *this;
 }
 void ApplyReply::printTo(std::ostream& out) const {
@@ -7365,30 +7429,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlQuery::ControlQuery(const ControlQuery& other261) {
-  requestId = other261.requestId;
-  kind = other261.kind;
-  argument = other261.argument;
-  __isset = other261.__isset;
+ControlQuery::ControlQuery(const ControlQuery& other267) {
+  requestId = other267.requestId;
+  kind = other267.kind;
+  argument = other267.argument;
+  __isset = other267.__isset;
 }
-ControlQuery::ControlQuery(ControlQuery&& other262) noexcept {
-  requestId = other262.requestId;
-  kind = std::move(other262.kind);
-  argument = std::move(other262.argument);
-  __isset = other262.__isset;
+ControlQuery::ControlQuery(ControlQuery&& other268) noexcept {
+  requestId = other268.requestId;
+  kind = std::move(other268.kind);
+  argument = std::move(other268.argument);
+  __isset = other268.__isset;
 }
-ControlQuery& ControlQuery::operator=(const ControlQuery& other263) {
-  requestId = other263.requestId;
-  kind = other263.kind;
-  argument = other263.argument;
-  __isset = other263.__isset;
+ControlQuery& ControlQuery::operator=(const ControlQuery& other269) {
+  requestId = other269.requestId;
+  kind = other269.kind;
+  argument = other269.argument;
+  __isset = other269.__isset;
   return *this;
 }
-ControlQuery& ControlQuery::operator=(ControlQuery&& other264) noexcept {
-  requestId = other264.requestId;
-  kind = std::move(other264.kind);
-  argument = std::move(other264.argument);
-  __isset = other264.__isset;
+ControlQuery& ControlQuery::operator=(ControlQuery&& other270) noexcept {
+  requestId = other270.requestId;
+  kind = std::move(other270.kind);
+  argument = std::move(other270.argument);
+  __isset = other270.__isset;
   return *this;
 }
 void ControlQuery::printTo(std::ostream& out) const {
@@ -7510,30 +7574,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlAnswer::ControlAnswer(const ControlAnswer& other265) {
-  requestId = other265.requestId;
-  ok = other265.ok;
-  json = other265.json;
-  __isset = other265.__isset;
+ControlAnswer::ControlAnswer(const ControlAnswer& other271) {
+  requestId = other271.requestId;
+  ok = other271.ok;
+  json = other271.json;
+  __isset = other271.__isset;
 }
-ControlAnswer::ControlAnswer(ControlAnswer&& other266) noexcept {
-  requestId = other266.requestId;
-  ok = other266.ok;
-  json = std::move(other266.json);
-  __isset = other266.__isset;
+ControlAnswer::ControlAnswer(ControlAnswer&& other272) noexcept {
+  requestId = other272.requestId;
+  ok = other272.ok;
+  json = std::move(other272.json);
+  __isset = other272.__isset;
 }
-ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other267) {
-  requestId = other267.requestId;
-  ok = other267.ok;
-  json = other267.json;
-  __isset = other267.__isset;
+ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other273) {
+  requestId = other273.requestId;
+  ok = other273.ok;
+  json = other273.json;
+  __isset = other273.__isset;
   return *this;
 }
-ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other268) noexcept {
-  requestId = other268.requestId;
-  ok = other268.ok;
-  json = std::move(other268.json);
-  __isset = other268.__isset;
+ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other274) noexcept {
+  requestId = other274.requestId;
+  ok = other274.ok;
+  json = std::move(other274.json);
+  __isset = other274.__isset;
   return *this;
 }
 void ControlAnswer::printTo(std::ostream& out) const {
@@ -7655,30 +7719,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other269) {
-  index = other269.index;
-  term = other269.term;
-  command = other269.command;
-  __isset = other269.__isset;
+LogEntry::LogEntry(const LogEntry& other275) {
+  index = other275.index;
+  term = other275.term;
+  command = other275.command;
+  __isset = other275.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other270) noexcept {
-  index = other270.index;
-  term = other270.term;
-  command = std::move(other270.command);
-  __isset = other270.__isset;
+LogEntry::LogEntry(LogEntry&& other276) noexcept {
+  index = other276.index;
+  term = other276.term;
+  command = std::move(other276.command);
+  __isset = other276.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other271) {
-  index = other271.index;
-  term = other271.term;
-  command = other271.command;
-  __isset = other271.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other277) {
+  index = other277.index;
+  term = other277.term;
+  command = other277.command;
+  __isset = other277.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other272) noexcept {
-  index = other272.index;
-  term = other272.term;
-  command = std::move(other272.command);
-  __isset = other272.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other278) noexcept {
+  index = other278.index;
+  term = other278.term;
+  command = std::move(other278.command);
+  __isset = other278.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -7817,34 +7881,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestVote::RequestVote(const RequestVote& other273) noexcept {
-  term = other273.term;
-  lastIndex = other273.lastIndex;
-  lastTerm = other273.lastTerm;
-  preVote = other273.preVote;
-  __isset = other273.__isset;
+RequestVote::RequestVote(const RequestVote& other279) noexcept {
+  term = other279.term;
+  lastIndex = other279.lastIndex;
+  lastTerm = other279.lastTerm;
+  preVote = other279.preVote;
+  __isset = other279.__isset;
 }
-RequestVote::RequestVote(RequestVote&& other274) noexcept {
-  term = other274.term;
-  lastIndex = other274.lastIndex;
-  lastTerm = other274.lastTerm;
-  preVote = other274.preVote;
-  __isset = other274.__isset;
+RequestVote::RequestVote(RequestVote&& other280) noexcept {
+  term = other280.term;
+  lastIndex = other280.lastIndex;
+  lastTerm = other280.lastTerm;
+  preVote = other280.preVote;
+  __isset = other280.__isset;
 }
-RequestVote& RequestVote::operator=(const RequestVote& other275) noexcept {
-  term = other275.term;
-  lastIndex = other275.lastIndex;
-  lastTerm = other275.lastTerm;
-  preVote = other275.preVote;
-  __isset = other275.__isset;
+RequestVote& RequestVote::operator=(const RequestVote& other281) noexcept {
+  term = other281.term;
+  lastIndex = other281.lastIndex;
+  lastTerm = other281.lastTerm;
+  preVote = other281.preVote;
+  __isset = other281.__isset;
   return *this;
 }
-RequestVote& RequestVote::operator=(RequestVote&& other276) noexcept {
-  term = other276.term;
-  lastIndex = other276.lastIndex;
-  lastTerm = other276.lastTerm;
-  preVote = other276.preVote;
-  __isset = other276.__isset;
+RequestVote& RequestVote::operator=(RequestVote&& other282) noexcept {
+  term = other282.term;
+  lastIndex = other282.lastIndex;
+  lastTerm = other282.lastTerm;
+  preVote = other282.preVote;
+  __isset = other282.__isset;
   return *this;
 }
 void RequestVote::printTo(std::ostream& out) const {
@@ -7967,30 +8031,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other277) noexcept {
-  term = other277.term;
-  granted = other277.granted;
-  preVote = other277.preVote;
-  __isset = other277.__isset;
+VoteReply::VoteReply(const VoteReply& other283) noexcept {
+  term = other283.term;
+  granted = other283.granted;
+  preVote = other283.preVote;
+  __isset = other283.__isset;
 }
-VoteReply::VoteReply(VoteReply&& other278) noexcept {
-  term = other278.term;
-  granted = other278.granted;
-  preVote = other278.preVote;
-  __isset = other278.__isset;
+VoteReply::VoteReply(VoteReply&& other284) noexcept {
+  term = other284.term;
+  granted = other284.granted;
+  preVote = other284.preVote;
+  __isset = other284.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other279) noexcept {
-  term = other279.term;
-  granted = other279.granted;
-  preVote = other279.preVote;
-  __isset = other279.__isset;
+VoteReply& VoteReply::operator=(const VoteReply& other285) noexcept {
+  term = other285.term;
+  granted = other285.granted;
+  preVote = other285.preVote;
+  __isset = other285.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other280) noexcept {
-  term = other280.term;
-  granted = other280.granted;
-  preVote = other280.preVote;
-  __isset = other280.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other286) noexcept {
+  term = other286.term;
+  granted = other286.granted;
+  preVote = other286.preVote;
+  __isset = other286.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -8086,14 +8150,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size281;
-            ::apache::thrift::protocol::TType _etype284;
-            xfer += iprot->readListBegin(_etype284, _size281);
-            this->entries.resize(_size281);
-            uint32_t _i285;
-            for (_i285 = 0; _i285 < _size281; ++_i285)
+            uint32_t _size287;
+            ::apache::thrift::protocol::TType _etype290;
+            xfer += iprot->readListBegin(_etype290, _size287);
+            this->entries.resize(_size287);
+            uint32_t _i291;
+            for (_i291 = 0; _i291 < _size287; ++_i291)
             {
-              xfer += this->entries[_i285].read(iprot);
+              xfer += this->entries[_i291].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8150,10 +8214,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter286;
-    for (_iter286 = this->entries.begin(); _iter286 != this->entries.end(); ++_iter286)
+    std::vector<LogEntry> ::const_iterator _iter292;
+    for (_iter292 = this->entries.begin(); _iter292 != this->entries.end(); ++_iter292)
     {
-      xfer += (*_iter286).write(oprot);
+      xfer += (*_iter292).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8183,42 +8247,42 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendEntries::AppendEntries(const AppendEntries& other287) {
-  term = other287.term;
-  prevIndex = other287.prevIndex;
-  prevTerm = other287.prevTerm;
-  entries = other287.entries;
-  commitIndex = other287.commitIndex;
-  round = other287.round;
-  __isset = other287.__isset;
-}
-AppendEntries::AppendEntries(AppendEntries&& other288) noexcept {
-  term = other288.term;
-  prevIndex = other288.prevIndex;
-  prevTerm = other288.prevTerm;
-  entries = std::move(other288.entries);
-  commitIndex = other288.commitIndex;
-  round = other288.round;
-  __isset = other288.__isset;
-}
-AppendEntries& AppendEntries::operator=(const AppendEntries& other289) {
-  term = other289.term;
-  prevIndex = other289.prevIndex;
-  prevTerm = other289.prevTerm;
-  entries = other289.entries;
-  commitIndex = other289.commitIndex;
-  round = other289.round;
-  __isset = other289.__isset;
+AppendEntries::AppendEntries(const AppendEntries& other293) {
+  term = other293.term;
+  prevIndex = other293.prevIndex;
+  prevTerm = other293.prevTerm;
+  entries = other293.entries;
+  commitIndex = other293.commitIndex;
+  round = other293.round;
+  __isset = other293.__isset;
+}
+AppendEntries::AppendEntries(AppendEntries&& other294) noexcept {
+  term = other294.term;
+  prevIndex = other294.prevIndex;
+  prevTerm = other294.prevTerm;
+  entries = std::move(other294.entries);
+  commitIndex = other294.commitIndex;
+  round = other294.round;
+  __isset = other294.__isset;
+}
+AppendEntries& AppendEntries::operator=(const AppendEntries& other295) {
+  term = other295.term;
+  prevIndex = other295.prevIndex;
+  prevTerm = other295.prevTerm;
+  entries = other295.entries;
+  commitIndex = other295.commitIndex;
+  round = other295.round;
+  __isset = other295.__isset;
   return *this;
 }
-AppendEntries& AppendEntries::operator=(AppendEntries&& other290) noexcept {
-  term = other290.term;
-  prevIndex = other290.prevIndex;
-  prevTerm = other290.prevTerm;
-  entries = std::move(other290.entries);
-  commitIndex = other290.commitIndex;
-  round = other290.round;
-  __isset = other290.__isset;
+AppendEntries& AppendEntries::operator=(AppendEntries&& other296) noexcept {
+  term = other296.term;
+  prevIndex = other296.prevIndex;
+  prevTerm = other296.prevTerm;
+  entries = std::move(other296.entries);
+  commitIndex = other296.commitIndex;
+  round = other296.round;
+  __isset = other296.__isset;
   return *this;
 }
 void AppendEntries::printTo(std::ostream& out) const {
@@ -8360,34 +8424,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other291) noexcept {
-  term = other291.term;
-  ok = other291.ok;
-  matchIndex = other291.matchIndex;
-  round = other291.round;
-  __isset = other291.__isset;
-}
-AppendReply::AppendReply(AppendReply&& other292) noexcept {
-  term = other292.term;
-  ok = other292.ok;
-  matchIndex = other292.matchIndex;
-  round = other292.round;
-  __isset = other292.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other293) noexcept {
-  term = other293.term;
-  ok = other293.ok;
-  matchIndex = other293.matchIndex;
-  round = other293.round;
-  __isset = other293.__isset;
+AppendReply::AppendReply(const AppendReply& other297) noexcept {
+  term = other297.term;
+  ok = other297.ok;
+  matchIndex = other297.matchIndex;
+  round = other297.round;
+  __isset = other297.__isset;
+}
+AppendReply::AppendReply(AppendReply&& other298) noexcept {
+  term = other298.term;
+  ok = other298.ok;
+  matchIndex = other298.matchIndex;
+  round = other298.round;
+  __isset = other298.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other299) noexcept {
+  term = other299.term;
+  ok = other299.ok;
+  matchIndex = other299.matchIndex;
+  round = other299.round;
+  __isset = other299.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other294) noexcept {
-  term = other294.term;
-  ok = other294.ok;
-  matchIndex = other294.matchIndex;
-  round = other294.round;
-  __isset = other294.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other300) noexcept {
+  term = other300.term;
+  ok = other300.ok;
+  matchIndex = other300.matchIndex;
+  round = other300.round;
+  __isset = other300.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -8492,14 +8556,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size295;
-            ::apache::thrift::protocol::TType _etype298;
-            xfer += iprot->readListBegin(_etype298, _size295);
-            this->voters.resize(_size295);
-            uint32_t _i299;
-            for (_i299 = 0; _i299 < _size295; ++_i299)
+            uint32_t _size301;
+            ::apache::thrift::protocol::TType _etype304;
+            xfer += iprot->readListBegin(_etype304, _size301);
+            this->voters.resize(_size301);
+            uint32_t _i305;
+            for (_i305 = 0; _i305 < _size301; ++_i305)
             {
-              xfer += iprot->readString(this->voters[_i299]);
+              xfer += iprot->readString(this->voters[_i305]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8512,14 +8576,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size300;
-            ::apache::thrift::protocol::TType _etype303;
-            xfer += iprot->readListBegin(_etype303, _size300);
-            this->learners.resize(_size300);
-            uint32_t _i304;
-            for (_i304 = 0; _i304 < _size300; ++_i304)
+            uint32_t _size306;
+            ::apache::thrift::protocol::TType _etype309;
+            xfer += iprot->readListBegin(_etype309, _size306);
+            this->learners.resize(_size306);
+            uint32_t _i310;
+            for (_i310 = 0; _i310 < _size306; ++_i310)
             {
-              xfer += iprot->readString(this->learners[_i304]);
+              xfer += iprot->readString(this->learners[_i310]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8564,10 +8628,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter305;
-    for (_iter305 = this->voters.begin(); _iter305 != this->voters.end(); ++_iter305)
+    std::vector<std::string> ::const_iterator _iter311;
+    for (_iter311 = this->voters.begin(); _iter311 != this->voters.end(); ++_iter311)
     {
-      xfer += oprot->writeString((*_iter305));
+      xfer += oprot->writeString((*_iter311));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8576,10 +8640,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter306;
-    for (_iter306 = this->learners.begin(); _iter306 != this->learners.end(); ++_iter306)
+    std::vector<std::string> ::const_iterator _iter312;
+    for (_iter312 = this->learners.begin(); _iter312 != this->learners.end(); ++_iter312)
     {
-      xfer += oprot->writeString((*_iter306));
+      xfer += oprot->writeString((*_iter312));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8601,42 +8665,42 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallSnapshot::InstallSnapshot(const InstallSnapshot& other307) {
-  term = other307.term;
-  lastIndex = other307.lastIndex;
-  lastTerm = other307.lastTerm;
-  data = other307.data;
-  voters = other307.voters;
-  learners = other307.learners;
-  __isset = other307.__isset;
-}
-InstallSnapshot::InstallSnapshot(InstallSnapshot&& other308) noexcept {
-  term = other308.term;
-  lastIndex = other308.lastIndex;
-  lastTerm = other308.lastTerm;
-  data = std::move(other308.data);
-  voters = std::move(other308.voters);
-  learners = std::move(other308.learners);
-  __isset = other308.__isset;
-}
-InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other309) {
-  term = other309.term;
-  lastIndex = other309.lastIndex;
-  lastTerm = other309.lastTerm;
-  data = other309.data;
-  voters = other309.voters;
-  learners = other309.learners;
-  __isset = other309.__isset;
+InstallSnapshot::InstallSnapshot(const InstallSnapshot& other313) {
+  term = other313.term;
+  lastIndex = other313.lastIndex;
+  lastTerm = other313.lastTerm;
+  data = other313.data;
+  voters = other313.voters;
+  learners = other313.learners;
+  __isset = other313.__isset;
+}
+InstallSnapshot::InstallSnapshot(InstallSnapshot&& other314) noexcept {
+  term = other314.term;
+  lastIndex = other314.lastIndex;
+  lastTerm = other314.lastTerm;
+  data = std::move(other314.data);
+  voters = std::move(other314.voters);
+  learners = std::move(other314.learners);
+  __isset = other314.__isset;
+}
+InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other315) {
+  term = other315.term;
+  lastIndex = other315.lastIndex;
+  lastTerm = other315.lastTerm;
+  data = other315.data;
+  voters = other315.voters;
+  learners = other315.learners;
+  __isset = other315.__isset;
   return *this;
 }
-InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other310) noexcept {
-  term = other310.term;
-  lastIndex = other310.lastIndex;
-  lastTerm = other310.lastTerm;
-  data = std::move(other310.data);
-  voters = std::move(other310.voters);
-  learners = std::move(other310.learners);
-  __isset = other310.__isset;
+InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other316) noexcept {
+  term = other316.term;
+  lastIndex = other316.lastIndex;
+  lastTerm = other316.lastTerm;
+  data = std::move(other316.data);
+  voters = std::move(other316.voters);
+  learners = std::move(other316.learners);
+  __isset = other316.__isset;
   return *this;
 }
 void InstallSnapshot::printTo(std::ostream& out) const {
@@ -8744,26 +8808,26 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallReply::InstallReply(const InstallReply& other311) noexcept {
-  term = other311.term;
-  lastIndex = other311.lastIndex;
-  __isset = other311.__isset;
+InstallReply::InstallReply(const InstallReply& other317) noexcept {
+  term = other317.term;
+  lastIndex = other317.lastIndex;
+  __isset = other317.__isset;
 }
-InstallReply::InstallReply(InstallReply&& other312) noexcept {
-  term = other312.term;
-  lastIndex = other312.lastIndex;
-  __isset = other312.__isset;
+InstallReply::InstallReply(InstallReply&& other318) noexcept {
+  term = other318.term;
+  lastIndex = other318.lastIndex;
+  __isset = other318.__isset;
 }
-InstallReply& InstallReply::operator=(const InstallReply& other313) noexcept {
-  term = other313.term;
-  lastIndex = other313.lastIndex;
-  __isset = other313.__isset;
+InstallReply& InstallReply::operator=(const InstallReply& other319) noexcept {
+  term = other319.term;
+  lastIndex = other319.lastIndex;
+  __isset = other319.__isset;
   return *this;
 }
-InstallReply& InstallReply::operator=(InstallReply&& other314) noexcept {
-  term = other314.term;
-  lastIndex = other314.lastIndex;
-  __isset = other314.__isset;
+InstallReply& InstallReply::operator=(InstallReply&& other320) noexcept {
+  term = other320.term;
+  lastIndex = other320.lastIndex;
+  __isset = other320.__isset;
   return *this;
 }
 void InstallReply::printTo(std::ostream& out) const {
@@ -8850,22 +8914,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other315) noexcept {
-  term = other315.term;
-  __isset = other315.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other321) noexcept {
+  term = other321.term;
+  __isset = other321.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other316) noexcept {
-  term = other316.term;
-  __isset = other316.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other322) noexcept {
+  term = other322.term;
+  __isset = other322.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other317) noexcept {
-  term = other317.term;
-  __isset = other317.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other323) noexcept {
+  term = other323.term;
+  __isset = other323.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other318) noexcept {
-  term = other318.term;
-  __isset = other318.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other324) noexcept {
+  term = other324.term;
+  __isset = other324.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -8951,22 +9015,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SetConfig::SetConfig(const SetConfig& other319) {
-  file = other319.file;
-  __isset = other319.__isset;
+SetConfig::SetConfig(const SetConfig& other325) {
+  file = other325.file;
+  __isset = other325.__isset;
 }
-SetConfig::SetConfig(SetConfig&& other320) noexcept {
-  file = std::move(other320.file);
-  __isset = other320.__isset;
+SetConfig::SetConfig(SetConfig&& other326) noexcept {
+  file = std::move(other326.file);
+  __isset = other326.__isset;
 }
-SetConfig& SetConfig::operator=(const SetConfig& other321) {
-  file = other321.file;
-  __isset = other321.__isset;
+SetConfig& SetConfig::operator=(const SetConfig& other327) {
+  file = other327.file;
+  __isset = other327.__isset;
   return *this;
 }
-SetConfig& SetConfig::operator=(SetConfig&& other322) noexcept {
-  file = std::move(other322.file);
-  __isset = other322.__isset;
+SetConfig& SetConfig::operator=(SetConfig&& other328) noexcept {
+  file = std::move(other328.file);
+  __isset = other328.__isset;
   return *this;
 }
 void SetConfig::printTo(std::ostream& out) const {
@@ -9039,9 +9103,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast323;
-          xfer += iprot->readI32(ecast323);
-          this->role = static_cast<Role::type>(ecast323);
+          int32_t ecast329;
+          xfer += iprot->readI32(ecast329);
+          this->role = static_cast<Role::type>(ecast329);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9124,38 +9188,38 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberJoin::MemberJoin(const MemberJoin& other324) {
-  id = other324.id;
-  role = other324.role;
-  address = other324.address;
-  failureDomain = other324.failureDomain;
-  server = other324.server;
-  __isset = other324.__isset;
+MemberJoin::MemberJoin(const MemberJoin& other330) {
+  id = other330.id;
+  role = other330.role;
+  address = other330.address;
+  failureDomain = other330.failureDomain;
+  server = other330.server;
+  __isset = other330.__isset;
 }
-MemberJoin::MemberJoin(MemberJoin&& other325) noexcept {
-  id = std::move(other325.id);
-  role = other325.role;
-  address = std::move(other325.address);
-  failureDomain = std::move(other325.failureDomain);
-  server = std::move(other325.server);
-  __isset = other325.__isset;
+MemberJoin::MemberJoin(MemberJoin&& other331) noexcept {
+  id = std::move(other331.id);
+  role = other331.role;
+  address = std::move(other331.address);
+  failureDomain = std::move(other331.failureDomain);
+  server = std::move(other331.server);
+  __isset = other331.__isset;
 }
-MemberJoin& MemberJoin::operator=(const MemberJoin& other326) {
-  id = other326.id;
-  role = other326.role;
-  address = other326.address;
-  failureDomain = other326.failureDomain;
-  server = other326.server;
-  __isset = other326.__isset;
+MemberJoin& MemberJoin::operator=(const MemberJoin& other332) {
+  id = other332.id;
+  role = other332.role;
+  address = other332.address;
+  failureDomain = other332.failureDomain;
+  server = other332.server;
+  __isset = other332.__isset;
   return *this;
 }
-MemberJoin& MemberJoin::operator=(MemberJoin&& other327) noexcept {
-  id = std::move(other327.id);
-  role = other327.role;
-  address = std::move(other327.address);
-  failureDomain = std::move(other327.failureDomain);
-  server = std::move(other327.server);
-  __isset = other327.__isset;
+MemberJoin& MemberJoin::operator=(MemberJoin&& other333) noexcept {
+  id = std::move(other333.id);
+  role = other333.role;
+  address = std::move(other333.address);
+  failureDomain = std::move(other333.failureDomain);
+  server = std::move(other333.server);
+  __isset = other333.__isset;
   return *this;
 }
 void MemberJoin::printTo(std::ostream& out) const {
@@ -9262,26 +9326,26 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberGone::MemberGone(const MemberGone& other328) {
-  id = other328.id;
-  planned = other328.planned;
-  __isset = other328.__isset;
+MemberGone::MemberGone(const MemberGone& other334) {
+  id = other334.id;
+  planned = other334.planned;
+  __isset = other334.__isset;
 }
-MemberGone::MemberGone(MemberGone&& other329) noexcept {
-  id = std::move(other329.id);
-  planned = other329.planned;
-  __isset = other329.__isset;
+MemberGone::MemberGone(MemberGone&& other335) noexcept {
+  id = std::move(other335.id);
+  planned = other335.planned;
+  __isset = other335.__isset;
 }
-MemberGone& MemberGone::operator=(const MemberGone& other330) {
-  id = other330.id;
-  planned = other330.planned;
-  __isset = other330.__isset;
+MemberGone& MemberGone::operator=(const MemberGone& other336) {
+  id = other336.id;
+  planned = other336.planned;
+  __isset = other336.__isset;
   return *this;
 }
-MemberGone& MemberGone::operator=(MemberGone&& other331) noexcept {
-  id = std::move(other331.id);
-  planned = other331.planned;
-  __isset = other331.__isset;
+MemberGone& MemberGone::operator=(MemberGone&& other337) noexcept {
+  id = std::move(other337.id);
+  planned = other337.planned;
+  __isset = other337.__isset;
   return *this;
 }
 void MemberGone::printTo(std::ostream& out) const {
@@ -9368,22 +9432,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberLeaving::MemberLeaving(const MemberLeaving& other332) {
-  id = other332.id;
-  __isset = other332.__isset;
+MemberLeaving::MemberLeaving(const MemberLeaving& other338) {
+  id = other338.id;
+  __isset = other338.__isset;
 }
-MemberLeaving::MemberLeaving(MemberLeaving&& other333) noexcept {
-  id = std::move(other333.id);
-  __isset = other333.__isset;
+MemberLeaving::MemberLeaving(MemberLeaving&& other339) noexcept {
+  id = std::move(other339.id);
+  __isset = other339.__isset;
 }
-MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other334) {
-  id = other334.id;
-  __isset = other334.__isset;
+MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other340) {
+  id = other340.id;
+  __isset = other340.__isset;
   return *this;
 }
-MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other335) noexcept {
-  id = std::move(other335.id);
-  __isset = other335.__isset;
+MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other341) noexcept {
+  id = std::move(other341.id);
+  __isset = other341.__isset;
   return *this;
 }
 void MemberLeaving::printTo(std::ostream& out) const {
@@ -9503,30 +9567,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderWhole::HolderWhole(const HolderWhole& other336) {
-  cell = other336.cell;
-  epoch = other336.epoch;
-  holder = other336.holder;
-  __isset = other336.__isset;
+HolderWhole::HolderWhole(const HolderWhole& other342) {
+  cell = other342.cell;
+  epoch = other342.epoch;
+  holder = other342.holder;
+  __isset = other342.__isset;
 }
-HolderWhole::HolderWhole(HolderWhole&& other337) noexcept {
-  cell = other337.cell;
-  epoch = other337.epoch;
-  holder = std::move(other337.holder);
-  __isset = other337.__isset;
+HolderWhole::HolderWhole(HolderWhole&& other343) noexcept {
+  cell = other343.cell;
+  epoch = other343.epoch;
+  holder = std::move(other343.holder);
+  __isset = other343.__isset;
 }
-HolderWhole& HolderWhole::operator=(const HolderWhole& other338) {
-  cell = other338.cell;
-  epoch = other338.epoch;
-  holder = other338.holder;
-  __isset = other338.__isset;
+HolderWhole& HolderWhole::operator=(const HolderWhole& other344) {
+  cell = other344.cell;
+  epoch = other344.epoch;
+  holder = other344.holder;
+  __isset = other344.__isset;
   return *this;
 }
-HolderWhole& HolderWhole::operator=(HolderWhole&& other339) noexcept {
-  cell = other339.cell;
-  epoch = other339.epoch;
-  holder = std::move(other339.holder);
-  __isset = other339.__isset;
+HolderWhole& HolderWhole::operator=(HolderWhole&& other345) noexcept {
+  cell = other345.cell;
+  epoch = other345.epoch;
+  holder = std::move(other345.holder);
+  __isset = other345.__isset;
   return *this;
 }
 void HolderWhole::printTo(std::ostream& out) const {
@@ -9648,30 +9712,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HandOver::HandOver(const HandOver& other340) {
-  cell = other340.cell;
-  epoch = other340.epoch;
-  previousOwner = other340.previousOwner;
-  __isset = other340.__isset;
+HandOver::HandOver(const HandOver& other346) {
+  cell = other346.cell;
+  epoch = other346.epoch;
+  previousOwner = other346.previousOwner;
+  __isset = other346.__isset;
 }
-HandOver::HandOver(HandOver&& other341) noexcept {
-  cell = other341.cell;
-  epoch = other341.epoch;
-  previousOwner = std::move(other341.previousOwner);
-  __isset = other341.__isset;
+HandOver::HandOver(HandOver&& other347) noexcept {
+  cell = other347.cell;
+  epoch = other347.epoch;
+  previousOwner = std::move(other347.previousOwner);
+  __isset = other347.__isset;
 }
-HandOver& HandOver::operator=(const HandOver& other342) {
-  cell = other342.cell;
-  epoch = other342.epoch;
-  previousOwner = other342.previousOwner;
-  __isset = other342.__isset;
+HandOver& HandOver::operator=(const HandOver& other348) {
+  cell = other348.cell;
+  epoch = other348.epoch;
+  previousOwner = other348.previousOwner;
+  __isset = other348.__isset;
   return *this;
 }
-HandOver& HandOver::operator=(HandOver&& other343) noexcept {
-  cell = other343.cell;
-  epoch = other343.epoch;
-  previousOwner = std::move(other343.previousOwner);
-  __isset = other343.__isset;
+HandOver& HandOver::operator=(HandOver&& other349) noexcept {
+  cell = other349.cell;
+  epoch = other349.epoch;
+  previousOwner = std::move(other349.previousOwner);
+  __isset = other349.__isset;
   return *this;
 }
 void HandOver::printTo(std::ostream& out) const {
@@ -9727,14 +9791,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size344;
-            ::apache::thrift::protocol::TType _etype347;
-            xfer += iprot->readListBegin(_etype347, _size344);
-            this->voters.resize(_size344);
-            uint32_t _i348;
-            for (_i348 = 0; _i348 < _size344; ++_i348)
+            uint32_t _size350;
+            ::apache::thrift::protocol::TType _etype353;
+            xfer += iprot->readListBegin(_etype353, _size350);
+            this->voters.resize(_size350);
+            uint32_t _i354;
+            for (_i354 = 0; _i354 < _size350; ++_i354)
             {
-              xfer += iprot->readString(this->voters[_i348]);
+              xfer += iprot->readString(this->voters[_i354]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9747,14 +9811,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size349;
-            ::apache::thrift::protocol::TType _etype352;
-            xfer += iprot->readListBegin(_etype352, _size349);
-            this->learners.resize(_size349);
-            uint32_t _i353;
-            for (_i353 = 0; _i353 < _size349; ++_i353)
+            uint32_t _size355;
+            ::apache::thrift::protocol::TType _etype358;
+            xfer += iprot->readListBegin(_etype358, _size355);
+            this->learners.resize(_size355);
+            uint32_t _i359;
+            for (_i359 = 0; _i359 < _size355; ++_i359)
             {
-              xfer += iprot->readString(this->learners[_i353]);
+              xfer += iprot->readString(this->learners[_i359]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9783,10 +9847,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter354;
-    for (_iter354 = this->voters.begin(); _iter354 != this->voters.end(); ++_iter354)
+    std::vector<std::string> ::const_iterator _iter360;
+    for (_iter360 = this->voters.begin(); _iter360 != this->voters.end(); ++_iter360)
     {
-      xfer += oprot->writeString((*_iter354));
+      xfer += oprot->writeString((*_iter360));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9795,10 +9859,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter355;
-    for (_iter355 = this->learners.begin(); _iter355 != this->learners.end(); ++_iter355)
+    std::vector<std::string> ::const_iterator _iter361;
+    for (_iter361 = this->learners.begin(); _iter361 != this->learners.end(); ++_iter361)
     {
-      xfer += oprot->writeString((*_iter355));
+      xfer += oprot->writeString((*_iter361));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9816,26 +9880,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SetVoters::SetVoters(const SetVoters& other356) {
-  voters = other356.voters;
-  learners = other356.learners;
-  __isset = other356.__isset;
+SetVoters::SetVoters(const SetVoters& other362) {
+  voters = other362.voters;
+  learners = other362.learners;
+  __isset = other362.__isset;
 }
-SetVoters::SetVoters(SetVoters&& other357) noexcept {
-  voters = std::move(other357.voters);
-  learners = std::move(other357.learners);
-  __isset = other357.__isset;
+SetVoters::SetVoters(SetVoters&& other363) noexcept {
+  voters = std::move(other363.voters);
+  learners = std::move(other363.learners);
+  __isset = other363.__isset;
 }
-SetVoters& SetVoters::operator=(const SetVoters& other358) {
-  voters = other358.voters;
-  learners = other358.learners;
-  __isset = other358.__isset;
+SetVoters& SetVoters::operator=(const SetVoters& other364) {
+  voters = other364.voters;
+  learners = other364.learners;
+  __isset = other364.__isset;
   return *this;
 }
-SetVoters& SetVoters::operator=(SetVoters&& other359) noexcept {
-  voters = std::move(other359.voters);
-  learners = std::move(other359.learners);
-  __isset = other359.__isset;
+SetVoters& SetVoters::operator=(SetVoters&& other365) noexcept {
+  voters = std::move(other365.voters);
+  learners = std::move(other365.learners);
+  __isset = other365.__isset;
   return *this;
 }
 void SetVoters::printTo(std::ostream& out) const {
@@ -10057,50 +10121,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other360) {
-  setConfig = other360.setConfig;
-  memberJoin = other360.memberJoin;
-  memberGone = other360.memberGone;
-  memberLeaving = other360.memberLeaving;
-  holderWhole = other360.holderWhole;
-  handOver = other360.handOver;
-  setVoters = other360.setVoters;
-  noop = other360.noop;
-  __isset = other360.__isset;
-}
-Command::Command(Command&& other361) noexcept {
-  setConfig = std::move(other361.setConfig);
-  memberJoin = std::move(other361.memberJoin);
-  memberGone = std::move(other361.memberGone);
-  memberLeaving = std::move(other361.memberLeaving);
-  holderWhole = std::move(other361.holderWhole);
-  handOver = std::move(other361.handOver);
-  setVoters = std::move(other361.setVoters);
-  noop = other361.noop;
-  __isset = other361.__isset;
-}
-Command& Command::operator=(const Command& other362) {
-  setConfig = other362.setConfig;
-  memberJoin = other362.memberJoin;
-  memberGone = other362.memberGone;
-  memberLeaving = other362.memberLeaving;
-  holderWhole = other362.holderWhole;
-  handOver = other362.handOver;
-  setVoters = other362.setVoters;
-  noop = other362.noop;
-  __isset = other362.__isset;
+Command::Command(const Command& other366) {
+  setConfig = other366.setConfig;
+  memberJoin = other366.memberJoin;
+  memberGone = other366.memberGone;
+  memberLeaving = other366.memberLeaving;
+  holderWhole = other366.holderWhole;
+  handOver = other366.handOver;
+  setVoters = other366.setVoters;
+  noop = other366.noop;
+  __isset = other366.__isset;
+}
+Command::Command(Command&& other367) noexcept {
+  setConfig = std::move(other367.setConfig);
+  memberJoin = std::move(other367.memberJoin);
+  memberGone = std::move(other367.memberGone);
+  memberLeaving = std::move(other367.memberLeaving);
+  holderWhole = std::move(other367.holderWhole);
+  handOver = std::move(other367.handOver);
+  setVoters = std::move(other367.setVoters);
+  noop = other367.noop;
+  __isset = other367.__isset;
+}
+Command& Command::operator=(const Command& other368) {
+  setConfig = other368.setConfig;
+  memberJoin = other368.memberJoin;
+  memberGone = other368.memberGone;
+  memberLeaving = other368.memberLeaving;
+  holderWhole = other368.holderWhole;
+  handOver = other368.handOver;
+  setVoters = other368.setVoters;
+  noop = other368.noop;
+  __isset = other368.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other363) noexcept {
-  setConfig = std::move(other363.setConfig);
-  memberJoin = std::move(other363.memberJoin);
-  memberGone = std::move(other363.memberGone);
-  memberLeaving = std::move(other363.memberLeaving);
-  holderWhole = std::move(other363.holderWhole);
-  handOver = std::move(other363.handOver);
-  setVoters = std::move(other363.setVoters);
-  noop = other363.noop;
-  __isset = other363.__isset;
+Command& Command::operator=(Command&& other369) noexcept {
+  setConfig = std::move(other369.setConfig);
+  memberJoin = std::move(other369.memberJoin);
+  memberGone = std::move(other369.memberGone);
+  memberLeaving = std::move(other369.memberLeaving);
+  holderWhole = std::move(other369.holderWhole);
+  handOver = std::move(other369.handOver);
+  setVoters = std::move(other369.setVoters);
+  noop = other369.noop;
+  __isset = other369.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -10746,138 +10810,138 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other364) {
-  submitJob = other364.submitJob;
-  cancelJob = other364.cancelJob;
-  queryJob = other364.queryJob;
-  jobReply = other364.jobReply;
-  notOwner = other364.notOwner;
-  recordBatch = other364.recordBatch;
-  recordSnapshot = other364.recordSnapshot;
-  recordAck = other364.recordAck;
-  startBatch = other364.startBatch;
-  cancelBatch = other364.cancelBatch;
-  resultAck = other364.resultAck;
-  fence = other364.fence;
-  agentHello = other364.agentHello;
-  resultBatch = other364.resultBatch;
-  startRefused = other364.startRefused;
-  agentState = other364.agentState;
-  memberHeartbeat = other364.memberHeartbeat;
-  heartbeatReply = other364.heartbeatReply;
-  clusterView = other364.clusterView;
-  applyConfig = other364.applyConfig;
-  applyReply = other364.applyReply;
-  controlQuery = other364.controlQuery;
-  controlAnswer = other364.controlAnswer;
-  requestVote = other364.requestVote;
-  voteReply = other364.voteReply;
-  appendEntries = other364.appendEntries;
-  appendReply = other364.appendReply;
-  installSnapshot = other364.installSnapshot;
-  installReply = other364.installReply;
-  timeoutNow = other364.timeoutNow;
-  __isset = other364.__isset;
-}
-Message::Message(Message&& other365) noexcept {
-  submitJob = std::move(other365.submitJob);
-  cancelJob = std::move(other365.cancelJob);
-  queryJob = std::move(other365.queryJob);
-  jobReply = std::move(other365.jobReply);
-  notOwner = std::move(other365.notOwner);
-  recordBatch = std::move(other365.recordBatch);
-  recordSnapshot = std::move(other365.recordSnapshot);
-  recordAck = std::move(other365.recordAck);
-  startBatch = std::move(other365.startBatch);
-  cancelBatch = std::move(other365.cancelBatch);
-  resultAck = std::move(other365.resultAck);
-  fence = std::move(other365.fence);
-  agentHello = std::move(other365.agentHello);
-  resultBatch = std::move(other365.resultBatch);
-  startRefused = std::move(other365.startRefused);
-  agentState = std::move(other365.agentState);
-  memberHeartbeat = std::move(other365.memberHeartbeat);
-  heartbeatReply = std::move(other365.heartbeatReply);
-  clusterView = std::move(other365.clusterView);
-  applyConfig = std::move(other365.applyConfig);
-  applyReply = std::move(other365.applyReply);
-  controlQuery = std::move(other365.controlQuery);
-  controlAnswer = std::move(other365.controlAnswer);
-  requestVote = std::move(other365.requestVote);
-  voteReply = std::move(other365.voteReply);
-  appendEntries = std::move(other365.appendEntries);
-  appendReply = std::move(other365.appendReply);
-  installSnapshot = std::move(other365.installSnapshot);
-  installReply = std::move(other365.installReply);
-  timeoutNow = std::move(other365.timeoutNow);
-  __isset = other365.__isset;
-}
-Message& Message::operator=(const Message& other366) {
-  submitJob = other366.submitJob;
-  cancelJob = other366.cancelJob;
-  queryJob = other366.queryJob;
-  jobReply = other366.jobReply;
-  notOwner = other366.notOwner;
-  recordBatch = other366.recordBatch;
-  recordSnapshot = other366.recordSnapshot;
-  recordAck = other366.recordAck;
-  startBatch = other366.startBatch;
-  cancelBatch = other366.cancelBatch;
-  resultAck = other366.resultAck;
-  fence = other366.fence;
-  agentHello = other366.agentHello;
-  resultBatch = other366.resultBatch;
-  startRefused = other366.startRefused;
-  agentState = other366.agentState;
-  memberHeartbeat = other366.memberHeartbeat;
-  heartbeatReply = other366.heartbeatReply;
-  clusterView = other366.clusterView;
-  applyConfig = other366.applyConfig;
-  applyReply = other366.applyReply;
-  controlQuery = other366.controlQuery;
-  controlAnswer = other366.controlAnswer;
-  requestVote = other366.requestVote;
-  voteReply = other366.voteReply;
-  appendEntries = other366.appendEntries;
-  appendReply = other366.appendReply;
-  installSnapshot = other366.installSnapshot;
-  installReply = other366.installReply;
-  timeoutNow = other366.timeoutNow;
-  __isset = other366.__isset;
+Message::Message(const Message& other370) {
+  submitJob = other370.submitJob;
+  cancelJob = other370.cancelJob;
+  queryJob = other370.queryJob;
+  jobReply = other370.jobReply;
+  notOwner = other370.notOwner;
+  recordBatch = other370.recordBatch;
+  recordSnapshot = other370.recordSnapshot;
+  recordAck = other370.recordAck;
+  startBatch = other370.startBatch;
+  cancelBatch = other370.cancelBatch;
+  resultAck = other370.resultAck;
+  fence = other370.fence;
+  agentHello = other370.agentHello;
+  resultBatch = other370.resultBatch;
+  startRefused = other370.startRefused;
+  agentState = other370.agentState;
+  memberHeartbeat = other370.memberHeartbeat;
+  heartbeatReply = other370.heartbeatReply;
+  clusterView = other370.clusterView;
+  applyConfig = other370.applyConfig;
+  applyReply = other370.applyReply;
+  controlQuery = other370.controlQuery;
+  controlAnswer = other370.controlAnswer;
+  requestVote = other370.requestVote;
+  voteReply = other370.voteReply;
+  appendEntries = other370.appendEntries;
+  appendReply = other370.appendReply;
+  installSnapshot = other370.installSnapshot;
+  installReply = other370.installReply;
+  timeoutNow = other370.timeoutNow;
+  __isset = other370.__isset;
+}
+Message::Message(Message&& other371) noexcept {
+  submitJob = std::move(other371.submitJob);
+  cancelJob = std::move(other371.cancelJob);
+  queryJob = std::move(other371.queryJob);
+  jobReply = std::move(other371.jobReply);
+  notOwner = std::move(other371.notOwner);
+  recordBatch = std::move(other371.recordBatch);
+  recordSnapshot = std::move(other371.recordSnapshot);
+  recordAck = std::move(other371.recordAck);
+  startBatch = std::move(other371.startBatch);
+  cancelBatch = std::move(other371.cancelBatch);
+  resultAck = std::move(other371.resultAck);
+  fence = std::move(other371.fence);
+  agentHello = std::move(other371.agentHello);
+  resultBatch = std::move(other371.resultBatch);
+  startRefused = std::move(other371.startRefused);
+  agentState = std::move(other371.agentState);
+  memberHeartbeat = std::move(other371.memberHeartbeat);
+  heartbeatReply = std::move(other371.heartbeatReply);
+  clusterView = std::move(other371.clusterView);
+  applyConfig = std::move(other371.applyConfig);
+  applyReply = std::move(other371.applyReply);
+  controlQuery = std::move(other371.controlQuery);
+  controlAnswer = std::move(other371.controlAnswer);
+  requestVote = std::move(other371.requestVote);
+  voteReply = std::move(other371.voteReply);
+  appendEntries = std::move(other371.appendEntries);
+  appendReply = std::move(other371.appendReply);
+  installSnapshot = std::move(other371.installSnapshot);
+  installReply = std::move(other371.installReply);
+  timeoutNow = std::move(other371.timeoutNow);
+  __isset = other371.__isset;
+}
+Message& Message::operator=(const Message& other372) {
+  submitJob = other372.submitJob;
+  cancelJob = other372.cancelJob;
+  queryJob = other372.queryJob;
+  jobReply = other372.jobReply;
+  notOwner = other372.notOwner;
+  recordBatch = other372.recordBatch;
+  recordSnapshot = other372.recordSnapshot;
+  recordAck = other372.recordAck;
+  startBatch = other372.startBatch;
+  cancelBatch = other372.cancelBatch;
+  resultAck = other372.resultAck;
+  fence = other372.fence;
+  agentHello = other372.agentHello;
+  resultBatch = other372.resultBatch;
+  startRefused = other372.startRefused;
+  agentState = other372.agentState;
+  memberHeartbeat = other372.memberHeartbeat;
+  heartbeatReply = other372.heartbeatReply;
+  clusterView = other372.clusterView;
+  applyConfig = other372.applyConfig;
+  applyReply = other372.applyReply;
+  controlQuery = other372.controlQuery;
+  controlAnswer = other372.controlAnswer;
+  requestVote = other372.requestVote;
+  voteReply = other372.voteReply;
+  appendEntries = other372.appendEntries;
+  appendReply = other372.appendReply;
+  installSnapshot = other372.installSnapshot;
+  installReply = other372.installReply;
+  timeoutNow = other372.timeoutNow;
+  __isset = other372.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other367) noexcept {
-  submitJob = std::move(other367.submitJob);
-  cancelJob = std::move(other367.cancelJob);
-  queryJob = std::move(other367.queryJob);
-  jobReply = std::move(other367.jobReply);
-  notOwner = std::move(other367.notOwner);
-  recordBatch = std::move(other367.recordBatch);
-  recordSnapshot = std::move(other367.recordSnapshot);
-  recordAck = std::move(other367.recordAck);
-  startBatch = std::move(other367.startBatch);
-  cancelBatch = std::move(other367.cancelBatch);
-  resultAck = std::move(other367.resultAck);
-  fence = std::move(other367.fence);
-  agentHello = std::move(other367.agentHello);
-  resultBatch = std::move(other367.resultBatch);
-  startRefused = std::move(other367.startRefused);
-  agentState = std::move(other367.agentState);
-  memberHeartbeat = std::move(other367.memberHeartbeat);
-  heartbeatReply = std::move(other367.heartbeatReply);
-  clusterView = std::move(other367.clusterView);
-  applyConfig = std::move(other367.applyConfig);
-  applyReply = std::move(other367.applyReply);
-  controlQuery = std::move(other367.controlQuery);
-  controlAnswer = std::move(other367.controlAnswer);
-  requestVote = std::move(other367.requestVote);
-  voteReply = std::move(other367.voteReply);
-  appendEntries = std::move(other367.appendEntries);
-  appendReply = std::move(other367.appendReply);
-  installSnapshot = std::move(other367.installSnapshot);
-  installReply = std::move(other367.installReply);
-  timeoutNow = std::move(other367.timeoutNow);
-  __isset = other367.__isset;
+Message& Message::operator=(Message&& other373) noexcept {
+  submitJob = std::move(other373.submitJob);
+  cancelJob = std::move(other373.cancelJob);
+  queryJob = std::move(other373.queryJob);
+  jobReply = std::move(other373.jobReply);
+  notOwner = std::move(other373.notOwner);
+  recordBatch = std::move(other373.recordBatch);
+  recordSnapshot = std::move(other373.recordSnapshot);
+  recordAck = std::move(other373.recordAck);
+  startBatch = std::move(other373.startBatch);
+  cancelBatch = std::move(other373.cancelBatch);
+  resultAck = std::move(other373.resultAck);
+  fence = std::move(other373.fence);
+  agentHello = std::move(other373.agentHello);
+  resultBatch = std::move(other373.resultBatch);
+  startRefused = std::move(other373.startRefused);
+  agentState = std::move(other373.agentState);
+  memberHeartbeat = std::move(other373.memberHeartbeat);
+  heartbeatReply = std::move(other373.heartbeatReply);
+  clusterView = std::move(other373.clusterView);
+  applyConfig = std::move(other373.applyConfig);
+  applyReply = std::move(other373.applyReply);
+  controlQuery = std::move(other373.controlQuery);
+  controlAnswer = std::move(other373.controlAnswer);
+  requestVote = std::move(other373.requestVote);
+  voteReply = std::move(other373.voteReply);
+  appendEntries = std::move(other373.appendEntries);
+  appendReply = std::move(other373.appendReply);
+  installSnapshot = std::move(other373.installSnapshot);
+  installReply = std::move(other373.installReply);
+  timeoutNow = std::move(other373.timeoutNow);
+  __isset = other373.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -10978,9 +11042,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast368;
-          xfer += iprot->readI32(ecast368);
-          this->role = static_cast<Role::type>(ecast368);
+          int32_t ecast374;
+          xfer += iprot->readI32(ecast374);
+          this->role = static_cast<Role::type>(ecast374);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -11006,14 +11070,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size369;
-            ::apache::thrift::protocol::TType _etype372;
-            xfer += iprot->readListBegin(_etype372, _size369);
-            this->messages.resize(_size369);
-            uint32_t _i373;
-            for (_i373 = 0; _i373 < _size369; ++_i373)
+            uint32_t _size375;
+            ::apache::thrift::protocol::TType _etype378;
+            xfer += iprot->readListBegin(_etype378, _size375);
+            this->messages.resize(_size375);
+            uint32_t _i379;
+            for (_i379 = 0; _i379 < _size375; ++_i379)
             {
-              xfer += this->messages[_i373].read(iprot);
+              xfer += this->messages[_i379].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11058,10 +11122,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<Message> ::const_iterator _iter374;
-    for (_iter374 = this->messages.begin(); _iter374 != this->messages.end(); ++_iter374)
+    std::vector<Message> ::const_iterator _iter380;
+    for (_iter380 = this->messages.begin(); _iter380 != this->messages.end(); ++_iter380)
     {
-      xfer += (*_iter374).write(oprot);
+      xfer += (*_iter380).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11082,38 +11146,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other375) {
-  sender = other375.sender;
-  role = other375.role;
-  address = other375.address;
-  configNumber = other375.configNumber;
-  messages = other375.messages;
-  __isset = other375.__isset;
-}
-Envelope::Envelope(Envelope&& other376) noexcept {
-  sender = std::move(other376.sender);
-  role = other376.role;
-  address = std::move(other376.address);
-  configNumber = other376.configNumber;
-  messages = std::move(other376.messages);
-  __isset = other376.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other377) {
-  sender = other377.sender;
-  role = other377.role;
-  address = other377.address;
-  configNumber = other377.configNumber;
-  messages = other377.messages;
-  __isset = other377.__isset;
+Envelope::Envelope(const Envelope& other381) {
+  sender = other381.sender;
+  role = other381.role;
+  address = other381.address;
+  configNumber = other381.configNumber;
+  messages = other381.messages;
+  __isset = other381.__isset;
+}
+Envelope::Envelope(Envelope&& other382) noexcept {
+  sender = std::move(other382.sender);
+  role = other382.role;
+  address = std::move(other382.address);
+  configNumber = other382.configNumber;
+  messages = std::move(other382.messages);
+  __isset = other382.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other383) {
+  sender = other383.sender;
+  role = other383.role;
+  address = other383.address;
+  configNumber = other383.configNumber;
+  messages = other383.messages;
+  __isset = other383.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other378) noexcept {
-  sender = std::move(other378.sender);
-  role = other378.role;
-  address = std::move(other378.address);
-  configNumber = other378.configNumber;
-  messages = std::move(other378.messages);
-  __isset = other378.__isset;
+Envelope& Envelope::operator=(Envelope&& other384) noexcept {
+  sender = std::move(other384.sender);
+  role = other384.role;
+  address = std::move(other384.address);
+  configNumber = other384.configNumber;
+  messages = std::move(other384.messages);
+  __isset = other384.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -1858,9 +1858,10 @@
 std::ostream& operator<<(std::ostream& out, const AgentHello& obj);
 
 typedef struct _AgentResult__isset {
-  _AgentResult__isset() : key(false), result(false) {}
+  _AgentResult__isset() : key(false), result(false), sequence(false) {}
   bool key :1;
   bool result :1;
+  bool sequence :1;
 } _AgentResult__isset;
 
 class AgentResult : public virtual ::apache::thrift::TBase {
@@ -1870,12 +1871,14 @@
   AgentResult(AgentResult&&) noexcept;
   AgentResult& operator=(const AgentResult&);
   AgentResult& operator=(AgentResult&&) noexcept;
-  AgentResult() noexcept {
+  AgentResult() noexcept
+              : sequence(0) {
   }
 
   virtual ~AgentResult() noexcept;
   JobKey key;
   TaskResult result;
+  int64_t sequence;
 
   _AgentResult__isset __isset;
 
@@ -1883,12 +1886,16 @@
 
   void __set_result(const TaskResult& val);
 
+  void __set_sequence(const int64_t val);
+
   bool operator == (const AgentResult & rhs) const
   {
     if (!(key == rhs.key))
       return false;
     if (!(result == rhs.result))
       return false;
+    if (!(sequence == rhs.sequence))
+      return false;
     return true;
   }
   bool operator != (const AgentResult &rhs) const {
@@ -1959,11 +1966,12 @@
 std::ostream& operator<<(std::ostream& out, const ResultBatch& obj);
 
 typedef struct _StartRefused__isset {
-  _StartRefused__isset() : cell(false), epoch(false), refs(false), reason(false) {}
+  _StartRefused__isset() : cell(false), epoch(false), refs(false), reason(false), sequences(false) {}
   bool cell :1;
   bool epoch :1;
   bool refs :1;
   bool reason :1;
+  bool sequences :1;
 } _StartRefused__isset;
 
 class StartRefused : public virtual ::apache::thrift::TBase {
@@ -1984,6 +1992,7 @@
   int64_t epoch;
   std::vector<TaskRef>  refs;
   std::string reason;
+  std::vector<int64_t>  sequences;
 
   _StartRefused__isset __isset;
 
@@ -1995,6 +2004,8 @@
 
   void __set_reason(const std::string& val);
 
+  void __set_sequences(const std::vector<int64_t> & val);
+
   bool operator == (const StartRefused & rhs) const
   {
     if (!(cell == rhs.cell))
@@ -2005,6 +2016,8 @@
       return false;
     if (!(reason == rhs.reason))
       return false;
+    if (!(sequences == rhs.sequences))
+      return false;
     return true;
   }
   bool operator != (const StartRefused &rhs) const {
