--- a/src/cell_records_p.h
+++ b/src/cell_records_p.h
@@ -42,7 +42,7 @@
         std::int64_t epoch = 0;
         std::int64_t sequence = 0;
         std::set<int> parts;
-        CellLedger ledger;
+        CellLedger ledger {LedgerLimits()};
     };
 
     LedgerLimits limits;
