--- a/src/agent_core.cpp
+++ b/src/agent_core.cpp
@@ -343,6 +343,7 @@
         wire::AgentResult result;
         result.key = task->ref.key;
         result.result = task->result;
+        result.sequence = task->sequence;
         batches[task->cell].results.push_back(std::move(result));
         bytes[task->cell] += task->result.body.size();
         if (bytes[task->cell] >= maxBatchBytes) {
