--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -97,7 +97,12 @@
 #define AGATEDRUM_RESULTS_PER_SLOT 64
 #endif
 
-/// Time limit of a task whose start has no deadline, in milliseconds.
+/// Bytes of results that may wait for acknowledgement before an agent refuses starts.
+#ifndef AGATEDRUM_AGENT_RESULT_BYTES
+#define AGATEDRUM_AGENT_RESULT_BYTES (64UL * 1024 * 1024)
+#endif
+
+/// Time limit of a task at an agent without a configuration, in milliseconds.
 #ifndef AGATEDRUM_TASK_TIME_MS
 #define AGATEDRUM_TASK_TIME_MS 30000
 #endif
--- a/src/agent_core.cpp
+++ b/src/agent_core.cpp
@@ -36,12 +36,14 @@
     refused.sequences.push_back(sequence);
 }
 
-wire::AgentTask toWire(const AgentTask &task)
+wire::AgentTask toWire(const AgentTask &task, bool withResult)
 {
     wire::AgentTask result;
     result.ref = task.ref;
-    result.running = task.isRunning;
-    result.result = task.result;
+    result.running = task.isRunning || !withResult;
+    if (!result.running) {
+        result.result = task.result;
+    }
     result.result.index = task.ref.index;
     return result;
 }
@@ -109,6 +111,7 @@
     }
     const auto view = this->link.view();
     this->takenView = view.version;
+    this->takeConfig(view.config);
     this->ownCell.reset();
     if (view.cells.empty()) {
         return;
@@ -120,16 +123,34 @@
         return;
     }
     cell.ownerEpoch = own.epoch;
-    const bool hadOwner = cell.owner.has_value();
-    cell.owner.reset();
-    if (own.__isset.owner) {
-        cell.owner = own.owner.address;
-    }
-    if (!hadOwner) {
+    const auto owner = own.__isset.owner ? std::optional(own.owner.address) : std::nullopt;
+    if (owner != cell.owner) {
+        cell.owner = owner;
         this->nextHello = Time {};
     }
 }
 
+void AgentCore::takeConfig(const wire::ConfigFile &file)
+{
+    if (file.number <= this->takenConfig) {
+        return;
+    }
+    auto parsed = parseConfig(file.text);
+    if (!isOk(parsed)) {
+        log(LogLevel::Error, "agent", "configuration {} is not understood: {}", file.number, error(parsed).text());
+        return;
+    }
+    this->takenConfig = file.number;
+    this->config = takeValue(std::move(parsed));
+}
+
+Millis AgentCore::timeLimit(const wire::StartTask &start) const
+{
+    const auto *service = this->config ? this->config->service(this->announced->service) : nullptr;
+    const auto limit = service == nullptr ? this->options.taskTime : service->maxTaskTime;
+    return start.deadlineMs > 0 ? std::min(limit, Millis(start.deadlineMs)) : limit;
+}
+
 /// The first contact of a higher epoch ends the lower one: its starts are refused from here on.
 void AgentCore::raiseEpoch(CellState &cell, std::int64_t epoch, const wire::Endpoint &owner)
 {
@@ -210,7 +231,8 @@
     if (this->tasks.running() >= slots) {
         return "all slots are taken";
     }
-    if (this->tasks.unacknowledged() >= slots * static_cast<std::size_t>(this->options.resultsPerSlot)) {
+    if (this->tasks.unacknowledged() >= slots * static_cast<std::size_t>(this->options.resultsPerSlot)
+        || this->tasks.unacknowledgedBytes() >= this->options.resultBytes) {
         return "too many results wait for acknowledgement";
     }
     return {};
@@ -231,7 +253,7 @@
     call.url = this->announced->url;
     call.taskHeader = taskHeader(start);
     call.body = start.body;
-    call.timeout = start.deadlineMs > 0 ? Millis(start.deadlineMs) : this->options.taskTime;
+    call.timeout = this->timeLimit(start);
     this->caller.start(std::move(call));
 }
 
@@ -277,12 +299,20 @@
     state.cell = fence.cell;
     state.epoch = fence.epoch;
     state.barrier = fence.barrier;
+    // Results that do not fit are listed as running and follow on their own.
+    std::size_t bytes = 0;
+    std::vector<const AgentTask *> later;
     for (const auto *task : this->tasks.ofCell(fence.cell)) {
-        state.tasks.push_back(toWire(*task));
+        bytes += task->result.body.size();
+        state.tasks.push_back(toWire(*task, bytes <= maxBatchBytes));
+        if (!task->isRunning && bytes > maxBatchBytes) {
+            later.push_back(task);
+        }
     }
     state.server = this->serverInfo();
     state.uptimeMicros = (this->clock.now() - this->createdAt).count();
     this->sink.send(incoming.address, std::move(state));
+    this->sendResults(later);
 }
 
 void AgentCore::finished(const BackendOutcome &outcome)
@@ -394,7 +424,7 @@
     const bool isChanged = !this->announced || this->announced->service != announcement.service
         || this->announced->slots != announcement.slots || this->announced->isLeaving != announcement.isLeaving;
     if (!this->announced || this->announced->connections != announcement.connections) {
-        this->caller.limitConnections(announcement.connections);
+        this->caller.limitConnections(std::min(announcement.connections, this->options.maxConnections));
     }
     this->announced = announcement;
     this->announcedAt = this->clock.now();
--- a/src/agent_tasks.cpp
+++ b/src/agent_tasks.cpp
@@ -34,6 +34,7 @@
     this->calls.erase(task.call);
     task.isRunning = false;
     task.result = std::move(result);
+    this->bytes += task.result.body.size();
     task.repeatAt = repeatAt;
     this->nextDue = std::min(this->nextDue, repeatAt);
 }
@@ -41,6 +42,7 @@
 void AgentTasks::remove(const AgentTask &task)
 {
     this->calls.erase(task.call);
+    this->bytes -= task.result.body.size();
     this->tasks.erase(toTaskId(task.ref));
 }
 
@@ -85,4 +87,9 @@
     return this->tasks.size() - this->calls.size();
 }
 
+std::size_t AgentTasks::unacknowledgedBytes() const
+{
+    return this->bytes;
+}
+
 } // namespace agatedrum
--- a/src/agent_tasks_p.h
+++ b/src/agent_tasks_p.h
@@ -70,10 +70,13 @@
 
     std::size_t running() const;
     std::size_t unacknowledged() const;
+    /// Bodies of the results that are not acknowledged.
+    std::size_t unacknowledgedBytes() const;
 
 private:
     std::map<TaskId, AgentTask> tasks;
     std::map<std::int64_t, TaskId> calls; ///< running tasks only
+    std::size_t bytes = 0;
     Time nextDue = Time::max(); ///< no result is due before
 };
 
--- /dev/null
+++ b/tests/test_backend.cpp
@@ -0,0 +1,97 @@
+#include "child_process.h"
+#include "fakes.h"
+#include "http_server_p.h"
+
+#include <catch2/catch.hpp>
+
+#include <future>
+#include <memory>
+#include <mutex>
+
+using namespace agatedrum;
+using namespace agatedrum::test;
+
+namespace {
+
+constexpr auto soon = std::chrono::seconds(5);
+const std::string base = "http://127.0.0.1:43521";
+
+HttpAnswer run(const std::string &task, int workUs)
+{
+    const nlohmann::json body = {{"workUs", workUs}};
+    return httpCall("POST", base + "/v1/run", body.dump(), 20000, {"Agatedrum-Task: " + task});
+}
+
+HttpAnswer fault(const std::string &kind, double factor)
+{
+    const nlohmann::json body = {{"kind", kind}, {"factor", factor}};
+    return httpCall("POST", base + "/v1/fault", body.dump());
+}
+
+} // namespace
+
+TEST_CASE("The emulator of a backend server", "[backend]")
+{
+    std::mutex mutex;
+    std::vector<nlohmann::json> announced;
+    HttpServerOptions options;
+    options.address = endpoint(43520);
+    HttpServer agent(options);
+    agent.route("POST", "/v1/announce", [&](const HttpRequest &request, const HttpReply &reply) {
+        const std::lock_guard lock(mutex);
+        announced.push_back(nlohmann::json::parse(request.body));
+        reply({});
+    });
+    agent.start();
+    const auto last = [&] {
+        const std::lock_guard lock(mutex);
+        return announced.empty() ? nlohmann::json::object() : announced.back();
+    };
+    ChildProcess process("agatedrum-backend",
+                         {"--port", "43521", "--name", "s1", "--service", "x", "--slots", "1", "--speed", "2",
+                          "--agent", "http://127.0.0.1:43520"});
+    REQUIRE(eventually([&] { return last().value("name", "") == "s1"; }, soon));
+
+    SECTION("announces itself each second")
+    {
+        REQUIRE(last()["url"] == base + "/v1/run");
+        REQUIRE(last()["slots"] == 1);
+        std::this_thread::sleep_for(std::chrono::milliseconds(2200));
+        const std::lock_guard lock(mutex);
+        REQUIRE(announced.size() >= 3);
+    }
+    SECTION("runs a task for its work divided by the speed, and refuses one above its slots")
+    {
+        const auto start = std::chrono::steady_clock::now();
+        auto first = std::async(std::launch::async, [] { return run("a", 400000); });
+        REQUIRE(eventually([] { return httpCall("GET", base + "/v1/record").json()["running"] == 1; }, soon));
+        REQUIRE(run("b", 1000).status == 503);
+        REQUIRE(first.get().json()["task"] == "a");
+        const auto took = std::chrono::steady_clock::now() - start;
+        REQUIRE(took >= std::chrono::milliseconds(200));
+        REQUIRE(took < std::chrono::milliseconds(400));
+        const auto record = httpCall("GET", base + "/v1/record").json();
+        REQUIRE(record["tasks"]["a"] == nlohmann::json({{"started", 1}, {"finished", 1}, {"cut", 0}}));
+        REQUIRE_FALSE(record["tasks"].contains("b"));
+    }
+    SECTION("refuses connections for as long as told")
+    {
+        REQUIRE(fault("refuse", 0.3).status == 200);
+        REQUIRE(run("a", 0).status == 0);
+        REQUIRE(eventually([] { return run("b", 0).status == 200; }, soon));
+    }
+    SECTION("refuses a fault that it does not know")
+    {
+        REQUIRE(fault("explode", 1).status == 400);
+    }
+    SECTION("leaves, and says so, before it ends after SIGTERM")
+    {
+        auto first = std::async(std::launch::async, [] { return run("a", 1000000); });
+        REQUIRE(eventually([] { return httpCall("GET", base + "/v1/record").json()["running"] == 1; }, soon));
+        process.signal(SIGTERM);
+        REQUIRE(eventually([&] { return last()["leaving"] == true; }, soon));
+        REQUIRE(first.get().status == 200);
+        REQUIRE(process.wait() == 0);
+    }
+    agent.stop();
+}
