--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -7752,6 +7752,18 @@
 void RequestVote::__set_preVote(const bool val) {
   this->preVote = val;
 }
+
+void RequestVote::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void RequestVote::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void RequestVote::__set_transfer(const bool val) {
+  this->transfer = val;
+}
 std::ostream& operator<<(std::ostream& out, const RequestVote& obj)
 {
   obj.printTo(out);
@@ -7812,6 +7824,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->transfer);
+          this->__isset.transfer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7845,6 +7881,18 @@
   xfer += oprot->writeBool(this->preVote);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("transfer", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->transfer);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7856,14 +7904,20 @@
   swap(a.lastIndex, b.lastIndex);
   swap(a.lastTerm, b.lastTerm);
   swap(a.preVote, b.preVote);
+  swap(a.member, b.member);
+  swap(a.group, b.group);
+  swap(a.transfer, b.transfer);
   swap(a.__isset, b.__isset);
 }
 
-RequestVote::RequestVote(const RequestVote& other279) noexcept {
+RequestVote::RequestVote(const RequestVote& other279) {
   term = other279.term;
   lastIndex = other279.lastIndex;
   lastTerm = other279.lastTerm;
   preVote = other279.preVote;
+  member = other279.member;
+  group = other279.group;
+  transfer = other279.transfer;
   __isset = other279.__isset;
 }
 RequestVote::RequestVote(RequestVote&& other280) noexcept {
@@ -7871,13 +7925,19 @@
   lastIndex = other280.lastIndex;
   lastTerm = other280.lastTerm;
   preVote = other280.preVote;
+  member = std::move(other280.member);
+  group = std::move(other280.group);
+  transfer = other280.transfer;
   __isset = other280.__isset;
 }
-RequestVote& RequestVote::operator=(const RequestVote& other281) noexcept {
+RequestVote& RequestVote::operator=(const RequestVote& other281) {
   term = other281.term;
   lastIndex = other281.lastIndex;
   lastTerm = other281.lastTerm;
   preVote = other281.preVote;
+  member = other281.member;
+  group = other281.group;
+  transfer = other281.transfer;
   __isset = other281.__isset;
   return *this;
 }
@@ -7886,6 +7946,9 @@
   lastIndex = other282.lastIndex;
   lastTerm = other282.lastTerm;
   preVote = other282.preVote;
+  member = std::move(other282.member);
+  group = std::move(other282.group);
+  transfer = other282.transfer;
   __isset = other282.__isset;
   return *this;
 }
@@ -7896,6 +7959,9 @@
   out << ", " << "lastIndex=" << to_string(lastIndex);
   out << ", " << "lastTerm=" << to_string(lastTerm);
   out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "transfer=" << to_string(transfer);
   out << ")";
 }
 
@@ -7915,6 +7981,18 @@
 void VoteReply::__set_preVote(const bool val) {
   this->preVote = val;
 }
+
+void VoteReply::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void VoteReply::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void VoteReply::__set_fresh(const bool val) {
+  this->fresh = val;
+}
 std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
 {
   obj.printTo(out);
@@ -7967,6 +8045,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->fresh);
+          this->__isset.fresh = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7996,6 +8098,18 @@
   xfer += oprot->writeBool(this->preVote);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fresh", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->fresh);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8006,25 +8120,37 @@
   swap(a.term, b.term);
   swap(a.granted, b.granted);
   swap(a.preVote, b.preVote);
+  swap(a.member, b.member);
+  swap(a.group, b.group);
+  swap(a.fresh, b.fresh);
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other283) noexcept {
+VoteReply::VoteReply(const VoteReply& other283) {
   term = other283.term;
   granted = other283.granted;
   preVote = other283.preVote;
+  member = other283.member;
+  group = other283.group;
+  fresh = other283.fresh;
   __isset = other283.__isset;
 }
 VoteReply::VoteReply(VoteReply&& other284) noexcept {
   term = other284.term;
   granted = other284.granted;
   preVote = other284.preVote;
+  member = std::move(other284.member);
+  group = std::move(other284.group);
+  fresh = other284.fresh;
   __isset = other284.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other285) noexcept {
+VoteReply& VoteReply::operator=(const VoteReply& other285) {
   term = other285.term;
   granted = other285.granted;
   preVote = other285.preVote;
+  member = other285.member;
+  group = other285.group;
+  fresh = other285.fresh;
   __isset = other285.__isset;
   return *this;
 }
@@ -8032,6 +8158,9 @@
   term = other286.term;
   granted = other286.granted;
   preVote = other286.preVote;
+  member = std::move(other286.member);
+  group = std::move(other286.group);
+  fresh = other286.fresh;
   __isset = other286.__isset;
   return *this;
 }
@@ -8041,6 +8170,9 @@
   out << "term=" << to_string(term);
   out << ", " << "granted=" << to_string(granted);
   out << ", " << "preVote=" << to_string(preVote);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "fresh=" << to_string(fresh);
   out << ")";
 }
 
@@ -8072,6 +8204,14 @@
 void AppendEntries::__set_round(const int64_t val) {
   this->round = val;
 }
+
+void AppendEntries::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void AppendEntries::__set_group(const std::string& val) {
+  this->group = val;
+}
 std::ostream& operator<<(std::ostream& out, const AppendEntries& obj)
 {
   obj.printTo(out);
@@ -8160,6 +8300,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8209,6 +8365,14 @@
   xfer += oprot->writeI64(this->round);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8222,6 +8386,8 @@
   swap(a.entries, b.entries);
   swap(a.commitIndex, b.commitIndex);
   swap(a.round, b.round);
+  swap(a.member, b.member);
+  swap(a.group, b.group);
   swap(a.__isset, b.__isset);
 }
 
@@ -8232,6 +8398,8 @@
   entries = other293.entries;
   commitIndex = other293.commitIndex;
   round = other293.round;
+  member = other293.member;
+  group = other293.group;
   __isset = other293.__isset;
 }
 AppendEntries::AppendEntries(AppendEntries&& other294) noexcept {
@@ -8241,6 +8409,8 @@
   entries = std::move(other294.entries);
   commitIndex = other294.commitIndex;
   round = other294.round;
+  member = std::move(other294.member);
+  group = std::move(other294.group);
   __isset = other294.__isset;
 }
 AppendEntries& AppendEntries::operator=(const AppendEntries& other295) {
@@ -8250,6 +8420,8 @@
   entries = other295.entries;
   commitIndex = other295.commitIndex;
   round = other295.round;
+  member = other295.member;
+  group = other295.group;
   __isset = other295.__isset;
   return *this;
 }
@@ -8260,6 +8432,8 @@
   entries = std::move(other296.entries);
   commitIndex = other296.commitIndex;
   round = other296.round;
+  member = std::move(other296.member);
+  group = std::move(other296.group);
   __isset = other296.__isset;
   return *this;
 }
@@ -8272,6 +8446,8 @@
   out << ", " << "entries=" << to_string(entries);
   out << ", " << "commitIndex=" << to_string(commitIndex);
   out << ", " << "round=" << to_string(round);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
   out << ")";
 }
 
@@ -8295,6 +8471,14 @@
 void AppendReply::__set_round(const int64_t val) {
   this->round = val;
 }
+
+void AppendReply::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void AppendReply::__set_group(const std::string& val) {
+  this->group = val;
+}
 std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
 {
   obj.printTo(out);
@@ -8355,6 +8539,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8388,6 +8588,14 @@
   xfer += oprot->writeI64(this->round);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8399,14 +8607,18 @@
   swap(a.ok, b.ok);
   swap(a.matchIndex, b.matchIndex);
   swap(a.round, b.round);
+  swap(a.member, b.member);
+  swap(a.group, b.group);
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other297) noexcept {
+AppendReply::AppendReply(const AppendReply& other297) {
   term = other297.term;
   ok = other297.ok;
   matchIndex = other297.matchIndex;
   round = other297.round;
+  member = other297.member;
+  group = other297.group;
   __isset = other297.__isset;
 }
 AppendReply::AppendReply(AppendReply&& other298) noexcept {
@@ -8414,13 +8626,17 @@
   ok = other298.ok;
   matchIndex = other298.matchIndex;
   round = other298.round;
+  member = std::move(other298.member);
+  group = std::move(other298.group);
   __isset = other298.__isset;
 }
-AppendReply& AppendReply::operator=(const AppendReply& other299) noexcept {
+AppendReply& AppendReply::operator=(const AppendReply& other299) {
   term = other299.term;
   ok = other299.ok;
   matchIndex = other299.matchIndex;
   round = other299.round;
+  member = other299.member;
+  group = other299.group;
   __isset = other299.__isset;
   return *this;
 }
@@ -8429,6 +8645,8 @@
   ok = other300.ok;
   matchIndex = other300.matchIndex;
   round = other300.round;
+  member = std::move(other300.member);
+  group = std::move(other300.group);
   __isset = other300.__isset;
   return *this;
 }
@@ -8439,6 +8657,8 @@
   out << ", " << "ok=" << to_string(ok);
   out << ", " << "matchIndex=" << to_string(matchIndex);
   out << ", " << "round=" << to_string(round);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
   out << ")";
 }
 
@@ -8470,6 +8690,18 @@
 void InstallSnapshot::__set_learners(const std::vector<std::string> & val) {
   this->learners = val;
 }
+
+void InstallSnapshot::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void InstallSnapshot::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void InstallSnapshot::__set_round(const int64_t val) {
+  this->round = val;
+}
 std::ostream& operator<<(std::ostream& out, const InstallSnapshot& obj)
 {
   obj.printTo(out);
@@ -8570,6 +8802,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8627,6 +8883,18 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8640,6 +8908,9 @@
   swap(a.data, b.data);
   swap(a.voters, b.voters);
   swap(a.learners, b.learners);
+  swap(a.member, b.member);
+  swap(a.group, b.group);
+  swap(a.round, b.round);
   swap(a.__isset, b.__isset);
 }
 
@@ -8650,6 +8921,9 @@
   data = other313.data;
   voters = other313.voters;
   learners = other313.learners;
+  member = other313.member;
+  group = other313.group;
+  round = other313.round;
   __isset = other313.__isset;
 }
 InstallSnapshot::InstallSnapshot(InstallSnapshot&& other314) noexcept {
@@ -8659,6 +8933,9 @@
   data = std::move(other314.data);
   voters = std::move(other314.voters);
   learners = std::move(other314.learners);
+  member = std::move(other314.member);
+  group = std::move(other314.group);
+  round = other314.round;
   __isset = other314.__isset;
 }
 InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other315) {
@@ -8668,6 +8945,9 @@
   data = other315.data;
   voters = other315.voters;
   learners = other315.learners;
+  member = other315.member;
+  group = other315.group;
+  round = other315.round;
   __isset = other315.__isset;
   return *this;
 }
@@ -8678,6 +8958,9 @@
   data = std::move(other316.data);
   voters = std::move(other316.voters);
   learners = std::move(other316.learners);
+  member = std::move(other316.member);
+  group = std::move(other316.group);
+  round = other316.round;
   __isset = other316.__isset;
   return *this;
 }
@@ -8690,6 +8973,9 @@
   out << ", " << "data=" << to_string(data);
   out << ", " << "voters=" << to_string(voters);
   out << ", " << "learners=" << to_string(learners);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "round=" << to_string(round);
   out << ")";
 }
 
@@ -8705,6 +8991,18 @@
 void InstallReply::__set_lastIndex(const int64_t val) {
   this->lastIndex = val;
 }
+
+void InstallReply::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void InstallReply::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void InstallReply::__set_round(const int64_t val) {
+  this->round = val;
+}
 std::ostream& operator<<(std::ostream& out, const InstallReply& obj)
 {
   obj.printTo(out);
@@ -8749,6 +9047,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8774,6 +9096,18 @@
   xfer += oprot->writeI64(this->lastIndex);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8783,28 +9117,43 @@
   using ::std::swap;
   swap(a.term, b.term);
   swap(a.lastIndex, b.lastIndex);
+  swap(a.member, b.member);
+  swap(a.group, b.group);
+  swap(a.round, b.round);
   swap(a.__isset, b.__isset);
 }
 
-InstallReply::InstallReply(const InstallReply& other317) noexcept {
+InstallReply::InstallReply(const InstallReply& other317) {
   term = other317.term;
   lastIndex = other317.lastIndex;
+  member = other317.member;
+  group = other317.group;
+  round = other317.round;
   __isset = other317.__isset;
 }
 InstallReply::InstallReply(InstallReply&& other318) noexcept {
   term = other318.term;
   lastIndex = other318.lastIndex;
+  member = std::move(other318.member);
+  group = std::move(other318.group);
+  round = other318.round;
   __isset = other318.__isset;
 }
-InstallReply& InstallReply::operator=(const InstallReply& other319) noexcept {
+InstallReply& InstallReply::operator=(const InstallReply& other319) {
   term = other319.term;
   lastIndex = other319.lastIndex;
+  member = other319.member;
+  group = other319.group;
+  round = other319.round;
   __isset = other319.__isset;
   return *this;
 }
 InstallReply& InstallReply::operator=(InstallReply&& other320) noexcept {
   term = other320.term;
   lastIndex = other320.lastIndex;
+  member = std::move(other320.member);
+  group = std::move(other320.group);
+  round = other320.round;
   __isset = other320.__isset;
   return *this;
 }
@@ -8813,6 +9162,9 @@
   out << "InstallReply(";
   out << "term=" << to_string(term);
   out << ", " << "lastIndex=" << to_string(lastIndex);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "round=" << to_string(round);
   out << ")";
 }
 
@@ -9043,6 +9395,10 @@
   this->server = val;
 __isset.server = true;
 }
+
+void MemberJoin::__set_atMs(const int64_t val) {
+  this->atMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberJoin& obj)
 {
   obj.printTo(out);
@@ -9113,6 +9469,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->atMs);
+          this->__isset.atMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9151,6 +9515,10 @@
     xfer += this->server.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("atMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->atMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9163,6 +9531,7 @@
   swap(a.address, b.address);
   swap(a.failureDomain, b.failureDomain);
   swap(a.server, b.server);
+  swap(a.atMs, b.atMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -9172,6 +9541,7 @@
   address = other330.address;
   failureDomain = other330.failureDomain;
   server = other330.server;
+  atMs = other330.atMs;
   __isset = other330.__isset;
 }
 MemberJoin::MemberJoin(MemberJoin&& other331) noexcept {
@@ -9180,6 +9550,7 @@
   address = std::move(other331.address);
   failureDomain = std::move(other331.failureDomain);
   server = std::move(other331.server);
+  atMs = other331.atMs;
   __isset = other331.__isset;
 }
 MemberJoin& MemberJoin::operator=(const MemberJoin& other332) {
@@ -9188,6 +9559,7 @@
   address = other332.address;
   failureDomain = other332.failureDomain;
   server = other332.server;
+  atMs = other332.atMs;
   __isset = other332.__isset;
   return *this;
 }
@@ -9197,6 +9569,7 @@
   address = std::move(other333.address);
   failureDomain = std::move(other333.failureDomain);
   server = std::move(other333.server);
+  atMs = other333.atMs;
   __isset = other333.__isset;
   return *this;
 }
@@ -9208,6 +9581,7 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ", " << "server="; (__isset.server ? (out << to_string(server)) : (out << "<null>"));
+  out << ", " << "atMs=" << to_string(atMs);
   out << ")";
 }
 
@@ -9223,6 +9597,10 @@
 void MemberGone::__set_planned(const bool val) {
   this->planned = val;
 }
+
+void MemberGone::__set_atMs(const int64_t val) {
+  this->atMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberGone& obj)
 {
   obj.printTo(out);
@@ -9267,6 +9645,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->atMs);
+          this->__isset.atMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9292,6 +9678,10 @@
   xfer += oprot->writeBool(this->planned);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("atMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->atMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9301,28 +9691,33 @@
   using ::std::swap;
   swap(a.id, b.id);
   swap(a.planned, b.planned);
+  swap(a.atMs, b.atMs);
   swap(a.__isset, b.__isset);
 }
 
 MemberGone::MemberGone(const MemberGone& other334) {
   id = other334.id;
   planned = other334.planned;
+  atMs = other334.atMs;
   __isset = other334.__isset;
 }
 MemberGone::MemberGone(MemberGone&& other335) noexcept {
   id = std::move(other335.id);
   planned = other335.planned;
+  atMs = other335.atMs;
   __isset = other335.__isset;
 }
 MemberGone& MemberGone::operator=(const MemberGone& other336) {
   id = other336.id;
   planned = other336.planned;
+  atMs = other336.atMs;
   __isset = other336.__isset;
   return *this;
 }
 MemberGone& MemberGone::operator=(MemberGone&& other337) noexcept {
   id = std::move(other337.id);
   planned = other337.planned;
+  atMs = other337.atMs;
   __isset = other337.__isset;
   return *this;
 }
@@ -9331,6 +9726,7 @@
   out << "MemberGone(";
   out << "id=" << to_string(id);
   out << ", " << "planned=" << to_string(planned);
+  out << ", " << "atMs=" << to_string(atMs);
   out << ")";
 }
 
@@ -9451,6 +9847,10 @@
 void HolderWhole::__set_holder(const std::string& val) {
   this->holder = val;
 }
+
+void HolderWhole::__set_viewVersion(const int64_t val) {
+  this->viewVersion = val;
+}
 std::ostream& operator<<(std::ostream& out, const HolderWhole& obj)
 {
   obj.printTo(out);
@@ -9503,6 +9903,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->viewVersion);
+          this->__isset.viewVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9532,6 +9940,10 @@
   xfer += oprot->writeString(this->holder);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("viewVersion", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->viewVersion);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9542,6 +9954,7 @@
   swap(a.cell, b.cell);
   swap(a.epoch, b.epoch);
   swap(a.holder, b.holder);
+  swap(a.viewVersion, b.viewVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -9549,18 +9962,21 @@
   cell = other342.cell;
   epoch = other342.epoch;
   holder = other342.holder;
+  viewVersion = other342.viewVersion;
   __isset = other342.__isset;
 }
 HolderWhole::HolderWhole(HolderWhole&& other343) noexcept {
   cell = other343.cell;
   epoch = other343.epoch;
   holder = std::move(other343.holder);
+  viewVersion = other343.viewVersion;
   __isset = other343.__isset;
 }
 HolderWhole& HolderWhole::operator=(const HolderWhole& other344) {
   cell = other344.cell;
   epoch = other344.epoch;
   holder = other344.holder;
+  viewVersion = other344.viewVersion;
   __isset = other344.__isset;
   return *this;
 }
@@ -9568,6 +9984,7 @@
   cell = other345.cell;
   epoch = other345.epoch;
   holder = std::move(other345.holder);
+  viewVersion = other345.viewVersion;
   __isset = other345.__isset;
   return *this;
 }
@@ -9577,6 +9994,7 @@
   out << "cell=" << to_string(cell);
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "holder=" << to_string(holder);
+  out << ", " << "viewVersion=" << to_string(viewVersion);
   out << ")";
 }
 
@@ -9596,6 +10014,10 @@
 void HandOver::__set_previousOwner(const std::string& val) {
   this->previousOwner = val;
 }
+
+void HandOver::__set_atMs(const int64_t val) {
+  this->atMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const HandOver& obj)
 {
   obj.printTo(out);
@@ -9648,6 +10070,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->atMs);
+          this->__isset.atMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9677,6 +10107,10 @@
   xfer += oprot->writeString(this->previousOwner);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("atMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->atMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9687,6 +10121,7 @@
   swap(a.cell, b.cell);
   swap(a.epoch, b.epoch);
   swap(a.previousOwner, b.previousOwner);
+  swap(a.atMs, b.atMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -9694,18 +10129,21 @@
   cell = other346.cell;
   epoch = other346.epoch;
   previousOwner = other346.previousOwner;
+  atMs = other346.atMs;
   __isset = other346.__isset;
 }
 HandOver::HandOver(HandOver&& other347) noexcept {
   cell = other347.cell;
   epoch = other347.epoch;
   previousOwner = std::move(other347.previousOwner);
+  atMs = other347.atMs;
   __isset = other347.__isset;
 }
 HandOver& HandOver::operator=(const HandOver& other348) {
   cell = other348.cell;
   epoch = other348.epoch;
   previousOwner = other348.previousOwner;
+  atMs = other348.atMs;
   __isset = other348.__isset;
   return *this;
 }
@@ -9713,6 +10151,7 @@
   cell = other349.cell;
   epoch = other349.epoch;
   previousOwner = std::move(other349.previousOwner);
+  atMs = other349.atMs;
   __isset = other349.__isset;
   return *this;
 }
@@ -9722,6 +10161,7 @@
   out << "cell=" << to_string(cell);
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "previousOwner=" << to_string(previousOwner);
+  out << ", " << "atMs=" << to_string(atMs);
   out << ")";
 }
 
@@ -10160,53 +10600,1707 @@
 }
 
 
-Message::~Message() noexcept {
+HardState::~HardState() noexcept {
 }
 
 
-void Message::__set_submitJob(const SubmitJob& val) {
-  this->submitJob = val;
-__isset.submitJob = true;
-}
-
-void Message::__set_cancelJob(const CancelJob& val) {
-  this->cancelJob = val;
-__isset.cancelJob = true;
+void HardState::__set_member(const std::string& val) {
+  this->member = val;
 }
 
-void Message::__set_queryJob(const QueryJob& val) {
-  this->queryJob = val;
-__isset.queryJob = true;
+void HardState::__set_group(const std::string& val) {
+  this->group = val;
 }
 
-void Message::__set_jobReply(const JobReply& val) {
-  this->jobReply = val;
-__isset.jobReply = true;
+void HardState::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void Message::__set_notOwner(const NotOwner& val) {
-  this->notOwner = val;
-__isset.notOwner = true;
+void HardState::__set_vote(const std::string& val) {
+  this->vote = val;
 }
-
-void Message::__set_recordBatch(const RecordBatch& val) {
-  this->recordBatch = val;
-__isset.recordBatch = true;
+std::ostream& operator<<(std::ostream& out, const HardState& obj)
+{
+  obj.printTo(out);
+  return out;
 }
 
-void Message::__set_recordSnapshot(const RecordSnapshot& val) {
-  this->recordSnapshot = val;
-__isset.recordSnapshot = true;
-}
 
-void Message::__set_recordAck(const RecordAck& val) {
-  this->recordAck = val;
-__isset.recordAck = true;
-}
+uint32_t HardState::read(::apache::thrift::protocol::TProtocol* iprot) {
 
-void Message::__set_startBatch(const StartBatch& val) {
-  this->startBatch = val;
-__isset.startBatch = true;
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->vote);
+          this->__isset.vote = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HardState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HardState");
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("vote", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->vote);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HardState &a, HardState &b) {
+  using ::std::swap;
+  swap(a.member, b.member);
+  swap(a.group, b.group);
+  swap(a.term, b.term);
+  swap(a.vote, b.vote);
+  swap(a.__isset, b.__isset);
+}
+
+HardState::HardState(const HardState& other370) {
+  member = other370.member;
+  group = other370.group;
+  term = other370.term;
+  vote = other370.vote;
+  __isset = other370.__isset;
+}
+HardState::HardState(HardState&& other371) noexcept {
+  member = std::move(other371.member);
+  group = std::move(other371.group);
+  term = other371.term;
+  vote = std::move(other371.vote);
+  __isset = other371.__isset;
+}
+HardState& HardState::operator=(const HardState& other372) {
+  member = other372.member;
+  group = other372.group;
+  term = other372.term;
+  vote = other372.vote;
+  __isset = other372.__isset;
+  return *this;
+}
+HardState& HardState::operator=(HardState&& other373) noexcept {
+  member = std::move(other373.member);
+  group = std::move(other373.group);
+  term = other373.term;
+  vote = std::move(other373.vote);
+  __isset = other373.__isset;
+  return *this;
+}
+void HardState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HardState(";
+  out << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "vote=" << to_string(vote);
+  out << ")";
+}
+
+
+LogRecord::~LogRecord() noexcept {
+}
+
+
+void LogRecord::__set_state(const HardState& val) {
+  this->state = val;
+__isset.state = true;
+}
+
+void LogRecord::__set_truncateFrom(const int64_t val) {
+  this->truncateFrom = val;
+}
+
+void LogRecord::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const LogRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LogRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->state.read(iprot);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->truncateFrom);
+          this->__isset.truncateFrom = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size374;
+            ::apache::thrift::protocol::TType _etype377;
+            xfer += iprot->readListBegin(_etype377, _size374);
+            this->entries.resize(_size374);
+            uint32_t _i378;
+            for (_i378 = 0; _i378 < _size374; ++_i378)
+            {
+              xfer += this->entries[_i378].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LogRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LogRecord");
+
+  if (this->__isset.state) {
+    xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->state.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("truncateFrom", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->truncateFrom);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter379;
+    for (_iter379 = this->entries.begin(); _iter379 != this->entries.end(); ++_iter379)
+    {
+      xfer += (*_iter379).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LogRecord &a, LogRecord &b) {
+  using ::std::swap;
+  swap(a.state, b.state);
+  swap(a.truncateFrom, b.truncateFrom);
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+LogRecord::LogRecord(const LogRecord& other380) {
+  state = other380.state;
+  truncateFrom = other380.truncateFrom;
+  entries = other380.entries;
+  __isset = other380.__isset;
+}
+LogRecord::LogRecord(LogRecord&& other381) noexcept {
+  state = std::move(other381.state);
+  truncateFrom = other381.truncateFrom;
+  entries = std::move(other381.entries);
+  __isset = other381.__isset;
+}
+LogRecord& LogRecord::operator=(const LogRecord& other382) {
+  state = other382.state;
+  truncateFrom = other382.truncateFrom;
+  entries = other382.entries;
+  __isset = other382.__isset;
+  return *this;
+}
+LogRecord& LogRecord::operator=(LogRecord&& other383) noexcept {
+  state = std::move(other383.state);
+  truncateFrom = other383.truncateFrom;
+  entries = std::move(other383.entries);
+  __isset = other383.__isset;
+  return *this;
+}
+void LogRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LogRecord(";
+  out << "state="; (__isset.state ? (out << to_string(state)) : (out << "<null>"));
+  out << ", " << "truncateFrom=" << to_string(truncateFrom);
+  out << ", " << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
+LogFrame::~LogFrame() noexcept {
+}
+
+
+void LogFrame::__set_records(const std::vector<LogRecord> & val) {
+  this->records = val;
+}
+std::ostream& operator<<(std::ostream& out, const LogFrame& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LogFrame::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->records.clear();
+            uint32_t _size384;
+            ::apache::thrift::protocol::TType _etype387;
+            xfer += iprot->readListBegin(_etype387, _size384);
+            this->records.resize(_size384);
+            uint32_t _i388;
+            for (_i388 = 0; _i388 < _size384; ++_i388)
+            {
+              xfer += this->records[_i388].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LogFrame::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LogFrame");
+
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+    std::vector<LogRecord> ::const_iterator _iter389;
+    for (_iter389 = this->records.begin(); _iter389 != this->records.end(); ++_iter389)
+    {
+      xfer += (*_iter389).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LogFrame &a, LogFrame &b) {
+  using ::std::swap;
+  swap(a.records, b.records);
+  swap(a.__isset, b.__isset);
+}
+
+LogFrame::LogFrame(const LogFrame& other390) {
+  records = other390.records;
+  __isset = other390.__isset;
+}
+LogFrame::LogFrame(LogFrame&& other391) noexcept {
+  records = std::move(other391.records);
+  __isset = other391.__isset;
+}
+LogFrame& LogFrame::operator=(const LogFrame& other392) {
+  records = other392.records;
+  __isset = other392.__isset;
+  return *this;
+}
+LogFrame& LogFrame::operator=(LogFrame&& other393) noexcept {
+  records = std::move(other393.records);
+  __isset = other393.__isset;
+  return *this;
+}
+void LogFrame::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LogFrame(";
+  out << "records=" << to_string(records);
+  out << ")";
+}
+
+
+SnapshotFile::~SnapshotFile() noexcept {
+}
+
+
+void SnapshotFile::__set_lastIndex(const int64_t val) {
+  this->lastIndex = val;
+}
+
+void SnapshotFile::__set_lastTerm(const int64_t val) {
+  this->lastTerm = val;
+}
+
+void SnapshotFile::__set_voters(const std::vector<std::string> & val) {
+  this->voters = val;
+}
+
+void SnapshotFile::__set_learners(const std::vector<std::string> & val) {
+  this->learners = val;
+}
+
+void SnapshotFile::__set_data(const std::string& val) {
+  this->data = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotFile& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotFile::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastIndex);
+          this->__isset.lastIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastTerm);
+          this->__isset.lastTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->voters.clear();
+            uint32_t _size394;
+            ::apache::thrift::protocol::TType _etype397;
+            xfer += iprot->readListBegin(_etype397, _size394);
+            this->voters.resize(_size394);
+            uint32_t _i398;
+            for (_i398 = 0; _i398 < _size394; ++_i398)
+            {
+              xfer += iprot->readString(this->voters[_i398]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.voters = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->learners.clear();
+            uint32_t _size399;
+            ::apache::thrift::protocol::TType _etype402;
+            xfer += iprot->readListBegin(_etype402, _size399);
+            this->learners.resize(_size399);
+            uint32_t _i403;
+            for (_i403 = 0; _i403 < _size399; ++_i403)
+            {
+              xfer += iprot->readString(this->learners[_i403]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.learners = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->data);
+          this->__isset.data = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotFile::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotFile");
+
+  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->lastIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastTerm", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->lastTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
+    std::vector<std::string> ::const_iterator _iter404;
+    for (_iter404 = this->voters.begin(); _iter404 != this->voters.end(); ++_iter404)
+    {
+      xfer += oprot->writeString((*_iter404));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
+    std::vector<std::string> ::const_iterator _iter405;
+    for (_iter405 = this->learners.begin(); _iter405 != this->learners.end(); ++_iter405)
+    {
+      xfer += oprot->writeString((*_iter405));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->data);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotFile &a, SnapshotFile &b) {
+  using ::std::swap;
+  swap(a.lastIndex, b.lastIndex);
+  swap(a.lastTerm, b.lastTerm);
+  swap(a.voters, b.voters);
+  swap(a.learners, b.learners);
+  swap(a.data, b.data);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotFile::SnapshotFile(const SnapshotFile& other406) {
+  lastIndex = other406.lastIndex;
+  lastTerm = other406.lastTerm;
+  voters = other406.voters;
+  learners = other406.learners;
+  data = other406.data;
+  __isset = other406.__isset;
+}
+SnapshotFile::SnapshotFile(SnapshotFile&& other407) noexcept {
+  lastIndex = other407.lastIndex;
+  lastTerm = other407.lastTerm;
+  voters = std::move(other407.voters);
+  learners = std::move(other407.learners);
+  data = std::move(other407.data);
+  __isset = other407.__isset;
+}
+SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other408) {
+  lastIndex = other408.lastIndex;
+  lastTerm = other408.lastTerm;
+  voters = other408.voters;
+  learners = other408.learners;
+  data = other408.data;
+  __isset = other408.__isset;
+  return *this;
+}
+SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other409) noexcept {
+  lastIndex = other409.lastIndex;
+  lastTerm = other409.lastTerm;
+  voters = std::move(other409.voters);
+  learners = std::move(other409.learners);
+  data = std::move(other409.data);
+  __isset = other409.__isset;
+  return *this;
+}
+void SnapshotFile::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotFile(";
+  out << "lastIndex=" << to_string(lastIndex);
+  out << ", " << "lastTerm=" << to_string(lastTerm);
+  out << ", " << "voters=" << to_string(voters);
+  out << ", " << "learners=" << to_string(learners);
+  out << ", " << "data=" << to_string(data);
+  out << ")";
+}
+
+
+HolderRecord::~HolderRecord() noexcept {
+}
+
+
+void HolderRecord::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void HolderRecord::__set_since(const int64_t val) {
+  this->since = val;
+}
+
+void HolderRecord::__set_whole(const bool val) {
+  this->whole = val;
+}
+std::ostream& operator<<(std::ostream& out, const HolderRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HolderRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->since);
+          this->__isset.since = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          this->__isset.whole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HolderRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HolderRecord");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("since", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->since);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->whole);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HolderRecord &a, HolderRecord &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.since, b.since);
+  swap(a.whole, b.whole);
+  swap(a.__isset, b.__isset);
+}
+
+HolderRecord::HolderRecord(const HolderRecord& other410) {
+  name = other410.name;
+  since = other410.since;
+  whole = other410.whole;
+  __isset = other410.__isset;
+}
+HolderRecord::HolderRecord(HolderRecord&& other411) noexcept {
+  name = std::move(other411.name);
+  since = other411.since;
+  whole = other411.whole;
+  __isset = other411.__isset;
+}
+HolderRecord& HolderRecord::operator=(const HolderRecord& other412) {
+  name = other412.name;
+  since = other412.since;
+  whole = other412.whole;
+  __isset = other412.__isset;
+  return *this;
+}
+HolderRecord& HolderRecord::operator=(HolderRecord&& other413) noexcept {
+  name = std::move(other413.name);
+  since = other413.since;
+  whole = other413.whole;
+  __isset = other413.__isset;
+  return *this;
+}
+void HolderRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HolderRecord(";
+  out << "name=" << to_string(name);
+  out << ", " << "since=" << to_string(since);
+  out << ", " << "whole=" << to_string(whole);
+  out << ")";
+}
+
+
+CellRecord::~CellRecord() noexcept {
+}
+
+
+void CellRecord::__set_cell(const int32_t val) {
+  this->cell = val;
+}
+
+void CellRecord::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void CellRecord::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void CellRecord::__set_owner(const std::string& val) {
+  this->owner = val;
+}
+
+void CellRecord::__set_holders(const std::vector<HolderRecord> & val) {
+  this->holders = val;
+}
+
+void CellRecord::__set_floorMs(const int64_t val) {
+  this->floorMs = val;
+}
+
+void CellRecord::__set_routeVersion(const int64_t val) {
+  this->routeVersion = val;
+}
+
+void CellRecord::__set_agentsVersion(const int64_t val) {
+  this->agentsVersion = val;
+}
+std::ostream& operator<<(std::ostream& out, const CellRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CellRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cell);
+          this->__isset.cell = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->holders.clear();
+            uint32_t _size414;
+            ::apache::thrift::protocol::TType _etype417;
+            xfer += iprot->readListBegin(_etype417, _size414);
+            this->holders.resize(_size414);
+            uint32_t _i418;
+            for (_i418 = 0; _i418 < _size414; ++_i418)
+            {
+              xfer += this->holders[_i418].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.holders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->floorMs);
+          this->__isset.floorMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->routeVersion);
+          this->__isset.routeVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->agentsVersion);
+          this->__isset.agentsVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CellRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CellRecord");
+
+  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->cell);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->owner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
+    std::vector<HolderRecord> ::const_iterator _iter419;
+    for (_iter419 = this->holders.begin(); _iter419 != this->holders.end(); ++_iter419)
+    {
+      xfer += (*_iter419).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("floorMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->floorMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routeVersion", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->routeVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("agentsVersion", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->agentsVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CellRecord &a, CellRecord &b) {
+  using ::std::swap;
+  swap(a.cell, b.cell);
+  swap(a.serviceName, b.serviceName);
+  swap(a.epoch, b.epoch);
+  swap(a.owner, b.owner);
+  swap(a.holders, b.holders);
+  swap(a.floorMs, b.floorMs);
+  swap(a.routeVersion, b.routeVersion);
+  swap(a.agentsVersion, b.agentsVersion);
+  swap(a.__isset, b.__isset);
+}
+
+CellRecord::CellRecord(const CellRecord& other420) {
+  cell = other420.cell;
+  serviceName = other420.serviceName;
+  epoch = other420.epoch;
+  owner = other420.owner;
+  holders = other420.holders;
+  floorMs = other420.floorMs;
+  routeVersion = other420.routeVersion;
+  agentsVersion = other420.agentsVersion;
+  __isset = other420.__isset;
+}
+CellRecord::CellRecord(CellRecord&& other421) noexcept {
+  cell = other421.cell;
+  serviceName = std::move(other421.serviceName);
+  epoch = other421.epoch;
+  owner = std::move(other421.owner);
+  holders = std::move(other421.holders);
+  floorMs = other421.floorMs;
+  routeVersion = other421.routeVersion;
+  agentsVersion = other421.agentsVersion;
+  __isset = other421.__isset;
+}
+CellRecord& CellRecord::operator=(const CellRecord& other422) {
+  cell = other422.cell;
+  serviceName = other422.serviceName;
+  epoch = other422.epoch;
+  owner = other422.owner;
+  holders = other422.holders;
+  floorMs = other422.floorMs;
+  routeVersion = other422.routeVersion;
+  agentsVersion = other422.agentsVersion;
+  __isset = other422.__isset;
+  return *this;
+}
+CellRecord& CellRecord::operator=(CellRecord&& other423) noexcept {
+  cell = other423.cell;
+  serviceName = std::move(other423.serviceName);
+  epoch = other423.epoch;
+  owner = std::move(other423.owner);
+  holders = std::move(other423.holders);
+  floorMs = other423.floorMs;
+  routeVersion = other423.routeVersion;
+  agentsVersion = other423.agentsVersion;
+  __isset = other423.__isset;
+  return *this;
+}
+void CellRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CellRecord(";
+  out << "cell=" << to_string(cell);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "owner=" << to_string(owner);
+  out << ", " << "holders=" << to_string(holders);
+  out << ", " << "floorMs=" << to_string(floorMs);
+  out << ", " << "routeVersion=" << to_string(routeVersion);
+  out << ", " << "agentsVersion=" << to_string(agentsVersion);
+  out << ")";
+}
+
+
+MemberRecord::~MemberRecord() noexcept {
+}
+
+
+void MemberRecord::__set_id(const ProcessId& val) {
+  this->id = val;
+}
+
+void MemberRecord::__set_role(const Role::type val) {
+  this->role = val;
+}
+
+void MemberRecord::__set_address(const Endpoint& val) {
+  this->address = val;
+}
+
+void MemberRecord::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void MemberRecord::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void MemberRecord::__set_cell(const int32_t val) {
+  this->cell = val;
+}
+
+void MemberRecord::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void MemberRecord::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void MemberRecord::__set_leaseVersion(const int64_t val) {
+  this->leaseVersion = val;
+}
+std::ostream& operator<<(std::ostream& out, const MemberRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MemberRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->id.read(iprot);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast424;
+          xfer += iprot->readI32(ecast424);
+          this->role = static_cast<Role::type>(ecast424);
+          this->__isset.role = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->address.read(iprot);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cell);
+          this->__isset.cell = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leaseVersion);
+          this->__isset.leaseVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t MemberRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MemberRecord");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->id.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->role));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->address.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->cell);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaseVersion", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->leaseVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(MemberRecord &a, MemberRecord &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.role, b.role);
+  swap(a.address, b.address);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.serviceName, b.serviceName);
+  swap(a.cell, b.cell);
+  swap(a.leaving, b.leaving);
+  swap(a.version, b.version);
+  swap(a.leaseVersion, b.leaseVersion);
+  swap(a.__isset, b.__isset);
+}
+
+MemberRecord::MemberRecord(const MemberRecord& other425) {
+  id = other425.id;
+  role = other425.role;
+  address = other425.address;
+  failureDomain = other425.failureDomain;
+  serviceName = other425.serviceName;
+  cell = other425.cell;
+  leaving = other425.leaving;
+  version = other425.version;
+  leaseVersion = other425.leaseVersion;
+  __isset = other425.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other426) noexcept {
+  id = std::move(other426.id);
+  role = other426.role;
+  address = std::move(other426.address);
+  failureDomain = std::move(other426.failureDomain);
+  serviceName = std::move(other426.serviceName);
+  cell = other426.cell;
+  leaving = other426.leaving;
+  version = other426.version;
+  leaseVersion = other426.leaseVersion;
+  __isset = other426.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other427) {
+  id = other427.id;
+  role = other427.role;
+  address = other427.address;
+  failureDomain = other427.failureDomain;
+  serviceName = other427.serviceName;
+  cell = other427.cell;
+  leaving = other427.leaving;
+  version = other427.version;
+  leaseVersion = other427.leaseVersion;
+  __isset = other427.__isset;
+  return *this;
+}
+MemberRecord& MemberRecord::operator=(MemberRecord&& other428) noexcept {
+  id = std::move(other428.id);
+  role = other428.role;
+  address = std::move(other428.address);
+  failureDomain = std::move(other428.failureDomain);
+  serviceName = std::move(other428.serviceName);
+  cell = other428.cell;
+  leaving = other428.leaving;
+  version = other428.version;
+  leaseVersion = other428.leaseVersion;
+  __isset = other428.__isset;
+  return *this;
+}
+void MemberRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MemberRecord(";
+  out << "id=" << to_string(id);
+  out << ", " << "role=" << to_string(role);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "cell=" << to_string(cell);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "leaseVersion=" << to_string(leaseVersion);
+  out << ")";
+}
+
+
+ControlImage::~ControlImage() noexcept {
+}
+
+
+void ControlImage::__set_history(const std::vector<ConfigFile> & val) {
+  this->history = val;
+}
+
+void ControlImage::__set_members(const std::vector<MemberRecord> & val) {
+  this->members = val;
+}
+
+void ControlImage::__set_cells(const std::vector<CellRecord> & val) {
+  this->cells = val;
+}
+
+void ControlImage::__set_nextCell(const int32_t val) {
+  this->nextCell = val;
+}
+
+void ControlImage::__set_configVersion(const int64_t val) {
+  this->configVersion = val;
+}
+
+void ControlImage::__set_routesVersion(const int64_t val) {
+  this->routesVersion = val;
+}
+std::ostream& operator<<(std::ostream& out, const ControlImage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ControlImage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->history.clear();
+            uint32_t _size429;
+            ::apache::thrift::protocol::TType _etype432;
+            xfer += iprot->readListBegin(_etype432, _size429);
+            this->history.resize(_size429);
+            uint32_t _i433;
+            for (_i433 = 0; _i433 < _size429; ++_i433)
+            {
+              xfer += this->history[_i433].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.history = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size434;
+            ::apache::thrift::protocol::TType _etype437;
+            xfer += iprot->readListBegin(_etype437, _size434);
+            this->members.resize(_size434);
+            uint32_t _i438;
+            for (_i438 = 0; _i438 < _size434; ++_i438)
+            {
+              xfer += this->members[_i438].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cells.clear();
+            uint32_t _size439;
+            ::apache::thrift::protocol::TType _etype442;
+            xfer += iprot->readListBegin(_etype442, _size439);
+            this->cells.resize(_size439);
+            uint32_t _i443;
+            for (_i443 = 0; _i443 < _size439; ++_i443)
+            {
+              xfer += this->cells[_i443].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cells = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->nextCell);
+          this->__isset.nextCell = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configVersion);
+          this->__isset.configVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->routesVersion);
+          this->__isset.routesVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlImage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlImage");
+
+  xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
+    std::vector<ConfigFile> ::const_iterator _iter444;
+    for (_iter444 = this->history.begin(); _iter444 != this->history.end(); ++_iter444)
+    {
+      xfer += (*_iter444).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<MemberRecord> ::const_iterator _iter445;
+    for (_iter445 = this->members.begin(); _iter445 != this->members.end(); ++_iter445)
+    {
+      xfer += (*_iter445).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
+    std::vector<CellRecord> ::const_iterator _iter446;
+    for (_iter446 = this->cells.begin(); _iter446 != this->cells.end(); ++_iter446)
+    {
+      xfer += (*_iter446).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nextCell", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->nextCell);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->configVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routesVersion", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->routesVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ControlImage &a, ControlImage &b) {
+  using ::std::swap;
+  swap(a.history, b.history);
+  swap(a.members, b.members);
+  swap(a.cells, b.cells);
+  swap(a.nextCell, b.nextCell);
+  swap(a.configVersion, b.configVersion);
+  swap(a.routesVersion, b.routesVersion);
+  swap(a.__isset, b.__isset);
+}
+
+ControlImage::ControlImage(const ControlImage& other447) {
+  history = other447.history;
+  members = other447.members;
+  cells = other447.cells;
+  nextCell = other447.nextCell;
+  configVersion = other447.configVersion;
+  routesVersion = other447.routesVersion;
+  __isset = other447.__isset;
+}
+ControlImage::ControlImage(ControlImage&& other448) noexcept {
+  history = std::move(other448.history);
+  members = std::move(other448.members);
+  cells = std::move(other448.cells);
+  nextCell = other448.nextCell;
+  configVersion = other448.configVersion;
+  routesVersion = other448.routesVersion;
+  __isset = other448.__isset;
+}
+ControlImage& ControlImage::operator=(const ControlImage& other449) {
+  history = other449.history;
+  members = other449.members;
+  cells = other449.cells;
+  nextCell = other449.nextCell;
+  configVersion = other449.configVersion;
+  routesVersion = other449.routesVersion;
+  __isset = other449.__isset;
+  return *this;
+}
+ControlImage& ControlImage::operator=(ControlImage&& other450) noexcept {
+  history = std::move(other450.history);
+  members = std::move(other450.members);
+  cells = std::move(other450.cells);
+  nextCell = other450.nextCell;
+  configVersion = other450.configVersion;
+  routesVersion = other450.routesVersion;
+  __isset = other450.__isset;
+  return *this;
+}
+void ControlImage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ControlImage(";
+  out << "history=" << to_string(history);
+  out << ", " << "members=" << to_string(members);
+  out << ", " << "cells=" << to_string(cells);
+  out << ", " << "nextCell=" << to_string(nextCell);
+  out << ", " << "configVersion=" << to_string(configVersion);
+  out << ", " << "routesVersion=" << to_string(routesVersion);
+  out << ")";
+}
+
+
+Message::~Message() noexcept {
+}
+
+
+void Message::__set_submitJob(const SubmitJob& val) {
+  this->submitJob = val;
+__isset.submitJob = true;
+}
+
+void Message::__set_cancelJob(const CancelJob& val) {
+  this->cancelJob = val;
+__isset.cancelJob = true;
+}
+
+void Message::__set_queryJob(const QueryJob& val) {
+  this->queryJob = val;
+__isset.queryJob = true;
+}
+
+void Message::__set_jobReply(const JobReply& val) {
+  this->jobReply = val;
+__isset.jobReply = true;
+}
+
+void Message::__set_notOwner(const NotOwner& val) {
+  this->notOwner = val;
+__isset.notOwner = true;
+}
+
+void Message::__set_recordBatch(const RecordBatch& val) {
+  this->recordBatch = val;
+__isset.recordBatch = true;
+}
+
+void Message::__set_recordSnapshot(const RecordSnapshot& val) {
+  this->recordSnapshot = val;
+__isset.recordSnapshot = true;
+}
+
+void Message::__set_recordAck(const RecordAck& val) {
+  this->recordAck = val;
+__isset.recordAck = true;
+}
+
+void Message::__set_startBatch(const StartBatch& val) {
+  this->startBatch = val;
+__isset.startBatch = true;
 }
 
 void Message::__set_cancelBatch(const CancelBatch& val) {
@@ -10788,138 +12882,138 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other370) {
-  submitJob = other370.submitJob;
-  cancelJob = other370.cancelJob;
-  queryJob = other370.queryJob;
-  jobReply = other370.jobReply;
-  notOwner = other370.notOwner;
-  recordBatch = other370.recordBatch;
-  recordSnapshot = other370.recordSnapshot;
-  recordAck = other370.recordAck;
-  startBatch = other370.startBatch;
-  cancelBatch = other370.cancelBatch;
-  resultAck = other370.resultAck;
-  fence = other370.fence;
-  agentHello = other370.agentHello;
-  resultBatch = other370.resultBatch;
-  startRefused = other370.startRefused;
-  agentState = other370.agentState;
-  memberHeartbeat = other370.memberHeartbeat;
-  heartbeatReply = other370.heartbeatReply;
-  clusterView = other370.clusterView;
-  applyConfig = other370.applyConfig;
-  applyReply = other370.applyReply;
-  controlQuery = other370.controlQuery;
-  controlAnswer = other370.controlAnswer;
-  requestVote = other370.requestVote;
-  voteReply = other370.voteReply;
-  appendEntries = other370.appendEntries;
-  appendReply = other370.appendReply;
-  installSnapshot = other370.installSnapshot;
-  installReply = other370.installReply;
-  timeoutNow = other370.timeoutNow;
-  __isset = other370.__isset;
-}
-Message::Message(Message&& other371) noexcept {
-  submitJob = std::move(other371.submitJob);
-  cancelJob = std::move(other371.cancelJob);
-  queryJob = std::move(other371.queryJob);
-  jobReply = std::move(other371.jobReply);
-  notOwner = std::move(other371.notOwner);
-  recordBatch = std::move(other371.recordBatch);
-  recordSnapshot = std::move(other371.recordSnapshot);
-  recordAck = std::move(other371.recordAck);
-  startBatch = std::move(other371.startBatch);
-  cancelBatch = std::move(other371.cancelBatch);
-  resultAck = std::move(other371.resultAck);
-  fence = std::move(other371.fence);
-  agentHello = std::move(other371.agentHello);
-  resultBatch = std::move(other371.resultBatch);
-  startRefused = std::move(other371.startRefused);
-  agentState = std::move(other371.agentState);
-  memberHeartbeat = std::move(other371.memberHeartbeat);
-  heartbeatReply = std::move(other371.heartbeatReply);
-  clusterView = std::move(other371.clusterView);
-  applyConfig = std::move(other371.applyConfig);
-  applyReply = std::move(other371.applyReply);
-  controlQuery = std::move(other371.controlQuery);
-  controlAnswer = std::move(other371.controlAnswer);
-  requestVote = std::move(other371.requestVote);
-  voteReply = std::move(other371.voteReply);
-  appendEntries = std::move(other371.appendEntries);
-  appendReply = std::move(other371.appendReply);
-  installSnapshot = std::move(other371.installSnapshot);
-  installReply = std::move(other371.installReply);
-  timeoutNow = std::move(other371.timeoutNow);
-  __isset = other371.__isset;
-}
-Message& Message::operator=(const Message& other372) {
-  submitJob = other372.submitJob;
-  cancelJob = other372.cancelJob;
-  queryJob = other372.queryJob;
-  jobReply = other372.jobReply;
-  notOwner = other372.notOwner;
-  recordBatch = other372.recordBatch;
-  recordSnapshot = other372.recordSnapshot;
-  recordAck = other372.recordAck;
-  startBatch = other372.startBatch;
-  cancelBatch = other372.cancelBatch;
-  resultAck = other372.resultAck;
-  fence = other372.fence;
-  agentHello = other372.agentHello;
-  resultBatch = other372.resultBatch;
-  startRefused = other372.startRefused;
-  agentState = other372.agentState;
-  memberHeartbeat = other372.memberHeartbeat;
-  heartbeatReply = other372.heartbeatReply;
-  clusterView = other372.clusterView;
-  applyConfig = other372.applyConfig;
-  applyReply = other372.applyReply;
-  controlQuery = other372.controlQuery;
-  controlAnswer = other372.controlAnswer;
-  requestVote = other372.requestVote;
-  voteReply = other372.voteReply;
-  appendEntries = other372.appendEntries;
-  appendReply = other372.appendReply;
-  installSnapshot = other372.installSnapshot;
-  installReply = other372.installReply;
-  timeoutNow = other372.timeoutNow;
-  __isset = other372.__isset;
+Message::Message(const Message& other451) {
+  submitJob = other451.submitJob;
+  cancelJob = other451.cancelJob;
+  queryJob = other451.queryJob;
+  jobReply = other451.jobReply;
+  notOwner = other451.notOwner;
+  recordBatch = other451.recordBatch;
+  recordSnapshot = other451.recordSnapshot;
+  recordAck = other451.recordAck;
+  startBatch = other451.startBatch;
+  cancelBatch = other451.cancelBatch;
+  resultAck = other451.resultAck;
+  fence = other451.fence;
+  agentHello = other451.agentHello;
+  resultBatch = other451.resultBatch;
+  startRefused = other451.startRefused;
+  agentState = other451.agentState;
+  memberHeartbeat = other451.memberHeartbeat;
+  heartbeatReply = other451.heartbeatReply;
+  clusterView = other451.clusterView;
+  applyConfig = other451.applyConfig;
+  applyReply = other451.applyReply;
+  controlQuery = other451.controlQuery;
+  controlAnswer = other451.controlAnswer;
+  requestVote = other451.requestVote;
+  voteReply = other451.voteReply;
+  appendEntries = other451.appendEntries;
+  appendReply = other451.appendReply;
+  installSnapshot = other451.installSnapshot;
+  installReply = other451.installReply;
+  timeoutNow = other451.timeoutNow;
+  __isset = other451.__isset;
+}
+Message::Message(Message&& other452) noexcept {
+  submitJob = std::move(other452.submitJob);
+  cancelJob = std::move(other452.cancelJob);
+  queryJob = std::move(other452.queryJob);
+  jobReply = std::move(other452.jobReply);
+  notOwner = std::move(other452.notOwner);
+  recordBatch = std::move(other452.recordBatch);
+  recordSnapshot = std::move(other452.recordSnapshot);
+  recordAck = std::move(other452.recordAck);
+  startBatch = std::move(other452.startBatch);
+  cancelBatch = std::move(other452.cancelBatch);
+  resultAck = std::move(other452.resultAck);
+  fence = std::move(other452.fence);
+  agentHello = std::move(other452.agentHello);
+  resultBatch = std::move(other452.resultBatch);
+  startRefused = std::move(other452.startRefused);
+  agentState = std::move(other452.agentState);
+  memberHeartbeat = std::move(other452.memberHeartbeat);
+  heartbeatReply = std::move(other452.heartbeatReply);
+  clusterView = std::move(other452.clusterView);
+  applyConfig = std::move(other452.applyConfig);
+  applyReply = std::move(other452.applyReply);
+  controlQuery = std::move(other452.controlQuery);
+  controlAnswer = std::move(other452.controlAnswer);
+  requestVote = std::move(other452.requestVote);
+  voteReply = std::move(other452.voteReply);
+  appendEntries = std::move(other452.appendEntries);
+  appendReply = std::move(other452.appendReply);
+  installSnapshot = std::move(other452.installSnapshot);
+  installReply = std::move(other452.installReply);
+  timeoutNow = std::move(other452.timeoutNow);
+  __isset = other452.__isset;
+}
+Message& Message::operator=(const Message& other453) {
+  submitJob = other453.submitJob;
+  cancelJob = other453.cancelJob;
+  queryJob = other453.queryJob;
+  jobReply = other453.jobReply;
+  notOwner = other453.notOwner;
+  recordBatch = other453.recordBatch;
+  recordSnapshot = other453.recordSnapshot;
+  recordAck = other453.recordAck;
+  startBatch = other453.startBatch;
+  cancelBatch = other453.cancelBatch;
+  resultAck = other453.resultAck;
+  fence = other453.fence;
+  agentHello = other453.agentHello;
+  resultBatch = other453.resultBatch;
+  startRefused = other453.startRefused;
+  agentState = other453.agentState;
+  memberHeartbeat = other453.memberHeartbeat;
+  heartbeatReply = other453.heartbeatReply;
+  clusterView = other453.clusterView;
+  applyConfig = other453.applyConfig;
+  applyReply = other453.applyReply;
+  controlQuery = other453.controlQuery;
+  controlAnswer = other453.controlAnswer;
+  requestVote = other453.requestVote;
+  voteReply = other453.voteReply;
+  appendEntries = other453.appendEntries;
+  appendReply = other453.appendReply;
+  installSnapshot = other453.installSnapshot;
+  installReply = other453.installReply;
+  timeoutNow = other453.timeoutNow;
+  __isset = other453.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other373) noexcept {
-  submitJob = std::move(other373.submitJob);
-  cancelJob = std::move(other373.cancelJob);
-  queryJob = std::move(other373.queryJob);
-  jobReply = std::move(other373.jobReply);
-  notOwner = std::move(other373.notOwner);
-  recordBatch = std::move(other373.recordBatch);
-  recordSnapshot = std::move(other373.recordSnapshot);
-  recordAck = std::move(other373.recordAck);
-  startBatch = std::move(other373.startBatch);
-  cancelBatch = std::move(other373.cancelBatch);
-  resultAck = std::move(other373.resultAck);
-  fence = std::move(other373.fence);
-  agentHello = std::move(other373.agentHello);
-  resultBatch = std::move(other373.resultBatch);
-  startRefused = std::move(other373.startRefused);
-  agentState = std::move(other373.agentState);
-  memberHeartbeat = std::move(other373.memberHeartbeat);
-  heartbeatReply = std::move(other373.heartbeatReply);
-  clusterView = std::move(other373.clusterView);
-  applyConfig = std::move(other373.applyConfig);
-  applyReply = std::move(other373.applyReply);
-  controlQuery = std::move(other373.controlQuery);
-  controlAnswer = std::move(other373.controlAnswer);
-  requestVote = std::move(other373.requestVote);
-  voteReply = std::move(other373.voteReply);
-  appendEntries = std::move(other373.appendEntries);
-  appendReply = std::move(other373.appendReply);
-  installSnapshot = std::move(other373.installSnapshot);
-  installReply = std::move(other373.installReply);
-  timeoutNow = std::move(other373.timeoutNow);
-  __isset = other373.__isset;
+Message& Message::operator=(Message&& other454) noexcept {
+  submitJob = std::move(other454.submitJob);
+  cancelJob = std::move(other454.cancelJob);
+  queryJob = std::move(other454.queryJob);
+  jobReply = std::move(other454.jobReply);
+  notOwner = std::move(other454.notOwner);
+  recordBatch = std::move(other454.recordBatch);
+  recordSnapshot = std::move(other454.recordSnapshot);
+  recordAck = std::move(other454.recordAck);
+  startBatch = std::move(other454.startBatch);
+  cancelBatch = std::move(other454.cancelBatch);
+  resultAck = std::move(other454.resultAck);
+  fence = std::move(other454.fence);
+  agentHello = std::move(other454.agentHello);
+  resultBatch = std::move(other454.resultBatch);
+  startRefused = std::move(other454.startRefused);
+  agentState = std::move(other454.agentState);
+  memberHeartbeat = std::move(other454.memberHeartbeat);
+  heartbeatReply = std::move(other454.heartbeatReply);
+  clusterView = std::move(other454.clusterView);
+  applyConfig = std::move(other454.applyConfig);
+  applyReply = std::move(other454.applyReply);
+  controlQuery = std::move(other454.controlQuery);
+  controlAnswer = std::move(other454.controlAnswer);
+  requestVote = std::move(other454.requestVote);
+  voteReply = std::move(other454.voteReply);
+  appendEntries = std::move(other454.appendEntries);
+  appendReply = std::move(other454.appendReply);
+  installSnapshot = std::move(other454.installSnapshot);
+  installReply = std::move(other454.installReply);
+  timeoutNow = std::move(other454.timeoutNow);
+  __isset = other454.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -11020,9 +13114,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast374;
-          xfer += iprot->readI32(ecast374);
-          this->role = static_cast<Role::type>(ecast374);
+          int32_t ecast455;
+          xfer += iprot->readI32(ecast455);
+          this->role = static_cast<Role::type>(ecast455);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -11048,14 +13142,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size375;
-            ::apache::thrift::protocol::TType _etype378;
-            xfer += iprot->readListBegin(_etype378, _size375);
-            this->messages.resize(_size375);
-            uint32_t _i379;
-            for (_i379 = 0; _i379 < _size375; ++_i379)
+            uint32_t _size456;
+            ::apache::thrift::protocol::TType _etype459;
+            xfer += iprot->readListBegin(_etype459, _size456);
+            this->messages.resize(_size456);
+            uint32_t _i460;
+            for (_i460 = 0; _i460 < _size456; ++_i460)
             {
-              xfer += this->messages[_i379].read(iprot);
+              xfer += this->messages[_i460].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11100,10 +13194,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<Message> ::const_iterator _iter380;
-    for (_iter380 = this->messages.begin(); _iter380 != this->messages.end(); ++_iter380)
+    std::vector<Message> ::const_iterator _iter461;
+    for (_iter461 = this->messages.begin(); _iter461 != this->messages.end(); ++_iter461)
     {
-      xfer += (*_iter380).write(oprot);
+      xfer += (*_iter461).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11124,38 +13218,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other381) {
-  sender = other381.sender;
-  role = other381.role;
-  address = other381.address;
-  configNumber = other381.configNumber;
-  messages = other381.messages;
-  __isset = other381.__isset;
-}
-Envelope::Envelope(Envelope&& other382) noexcept {
-  sender = std::move(other382.sender);
-  role = other382.role;
-  address = std::move(other382.address);
-  configNumber = other382.configNumber;
-  messages = std::move(other382.messages);
-  __isset = other382.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other383) {
-  sender = other383.sender;
-  role = other383.role;
-  address = other383.address;
-  configNumber = other383.configNumber;
-  messages = other383.messages;
-  __isset = other383.__isset;
+Envelope::Envelope(const Envelope& other462) {
+  sender = other462.sender;
+  role = other462.role;
+  address = other462.address;
+  configNumber = other462.configNumber;
+  messages = other462.messages;
+  __isset = other462.__isset;
+}
+Envelope::Envelope(Envelope&& other463) noexcept {
+  sender = std::move(other463.sender);
+  role = other463.role;
+  address = std::move(other463.address);
+  configNumber = other463.configNumber;
+  messages = std::move(other463.messages);
+  __isset = other463.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other464) {
+  sender = other464.sender;
+  role = other464.role;
+  address = other464.address;
+  configNumber = other464.configNumber;
+  messages = other464.messages;
+  __isset = other464.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other384) noexcept {
-  sender = std::move(other384.sender);
-  role = other384.role;
-  address = std::move(other384.address);
-  configNumber = other384.configNumber;
-  messages = std::move(other384.messages);
-  __isset = other384.__isset;
+Envelope& Envelope::operator=(Envelope&& other465) noexcept {
+  sender = std::move(other465.sender);
+  role = other465.role;
+  address = std::move(other465.address);
+  configNumber = other465.configNumber;
+  messages = std::move(other465.messages);
+  __isset = other465.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
