Add the daemon's program

Cause: the roles need a program. Change: popt arguments, signals blocked in all threads, exit codes 1 (failure), 2 (settings), 3 (stop cut something).

--- /dev/null
+++ b/src/daemon_main.cpp
@@ -0,0 +1,101 @@
+#include "daemon_process_p.h"
+
+#include <popt.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <memory>
+#include <sstream>
+
+namespace {
+
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+constexpr auto part = "daemon";
+
+struct Arguments
+{
+    std::string settingsFile;
+    bool wantsVersion = false;
+    std::string fault;
+};
+
+Arguments parseArguments(int argc, char **argv)
+{
+    char *settingsFile = nullptr;
+    int wantsVersion = 0;
+    const poptOption table[]
+        = {{"settings", 's', POPT_ARG_STRING, &settingsFile, 0, "settings file of the process", "FILE"},
+           {"version", 0, POPT_ARG_NONE, &wantsVersion, 0, "print the version and end", nullptr},
+           POPT_AUTOHELP POPT_TABLEEND};
+    const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
+        poptGetContext("agatedrumd", argc, const_cast<const char **>(argv), table, 0), &poptFreeContext);
+    Arguments arguments;
+    const int result = poptGetNextOpt(context.get());
+    if (result < -1) {
+        arguments.fault = fmt::format("{}: {}", poptBadOption(context.get(), 0), poptStrerror(result));
+    }
+    arguments.wantsVersion = wantsVersion != 0;
+    if (settingsFile != nullptr) {
+        arguments.settingsFile = settingsFile;
+        std::free(settingsFile); // NOLINT(cppcoreguidelines-no-malloc)
+    } else if (!arguments.wantsVersion && arguments.fault.empty()) {
+        arguments.fault = "--settings FILE is required";
+    }
+    return arguments;
+}
+
+/// Blocks the signals that end the process, so that only the main loop takes them. Threads inherit this.
+void blockSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+int runDaemon(const std::string &settingsFile)
+{
+    using namespace agatedrum;
+    std::ifstream file(settingsFile);
+    if (!file) {
+        log(LogLevel::Error, part, "Cannot read {}.", settingsFile);
+        return exitUsage;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    const auto settings = parseSettings(text.str());
+    if (!isOk(settings)) {
+        for (const auto &fault : error(settings).faults) {
+            log(LogLevel::Error, part, "{}: {}", settingsFile, describeFaults({fault}));
+        }
+        return exitUsage;
+    }
+    setLogLevel(value(settings).logLevel);
+    blockSignals();
+    return DaemonProcess(value(settings)).run();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto arguments = parseArguments(argc, argv);
+    if (!arguments.fault.empty()) {
+        fmt::print(stderr, "agatedrumd: {}\n", arguments.fault);
+        return exitUsage;
+    }
+    if (arguments.wantsVersion) {
+        fmt::print("agatedrumd {}\n", AGATEDRUM_VERSION);
+        return 0;
+    }
+    try {
+        return runDaemon(arguments.settingsFile);
+    } catch (const std::exception &failure) {
+        agatedrum::log(agatedrum::LogLevel::Error, part, "{}.", failure.what());
+        return exitFailure;
+    }
+}
--- a/src/daemon_process.cpp
+++ b/src/daemon_process.cpp
@@ -112,8 +112,8 @@
     this->bus->stop(flushTime);
     this->http->stop();
     if (isForced) {
-        log(LogLevel::Error, part, "Stopped {} before it was done; cut: {}, {} open HTTP requests.",
-            this->settings.name, this->role->openWork(), this->http->openRequests());
+        log(LogLevel::Error, part, "Stopped {} before it was done, with {} open HTTP requests; state: {}.",
+            this->settings.name, this->http->openRequests(), core.dump().value("counters", nlohmann::json()).dump());
         return exitCut;
     }
     log(LogLevel::Info, part, "Stopped {}; nothing was cut.", this->settings.name);
--- a/src/daemon_process_p.h
+++ b/src/daemon_process_p.h
@@ -19,8 +19,6 @@
     virtual void addRoutes(HttpServer &server) = 0;
     /// Starts threads of the role's own. Called after the bus listens.
     virtual void start() = 0;
-    /// Work that an exit now would cut, for the report at a forced stop.
-    virtual std::string openWork() const = 0;
 };
 
 /// Builds the role of the settings. Throws std::runtime_error when its state cannot be read.
