--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -111,16 +111,11 @@
 // sequence: that of the start which ended this way, so that a late report is told from one of a later start.
 struct AgentResult { 1: JobKey key; 2: TaskResult result; 3: i64 sequence; }
 struct ResultBatch { 1: i32 cell; 2: list<AgentResult> results; }
-<<<<<<< HEAD
-// sequences: those of the refused starts, in the order of refs.
-struct StartRefused { 1: i32 cell; 2: i64 epoch; 3: list<TaskRef> refs; 4: string reason; 5: list<i64> sequences; }
-=======
 // sequences has the start's sequence for each of refs, so that a late or repeated refusal of an earlier start is told
 // from one of the latest; 0 when the start was sent under a lower epoch.
 struct StartRefused {
   1: i32 cell; 2: i64 epoch; 3: list<TaskRef> refs; 4: string reason; 5: list<i64> sequences;
 }
->>>>>>> main
 struct AgentTask { 1: TaskRef ref; 2: bool running; 3: TaskResult result; }
 struct AgentState { 1: i32 cell; 2: i64 epoch; 3: i64 barrier; 4: list<AgentTask> tasks; 5: ServerInfo server;
   6: i64 uptimeMicros;     // age of this incarnation of the agent
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -7932,21 +7932,14 @@
   swap(a.__isset, b.__isset);
 }
 
-<<<<<<< HEAD
-RequestVote::RequestVote(const RequestVote& other279) noexcept {
-=======
 RequestVote::RequestVote(const RequestVote& other279) {
->>>>>>> main
   term = other279.term;
   lastIndex = other279.lastIndex;
   lastTerm = other279.lastTerm;
   preVote = other279.preVote;
-<<<<<<< HEAD
-=======
   member = other279.member;
   group = other279.group;
   transfer = other279.transfer;
->>>>>>> main
   __isset = other279.__isset;
 }
 RequestVote::RequestVote(RequestVote&& other280) noexcept {
@@ -7954,28 +7947,19 @@
   lastIndex = other280.lastIndex;
   lastTerm = other280.lastTerm;
   preVote = other280.preVote;
-<<<<<<< HEAD
-  __isset = other280.__isset;
-}
-RequestVote& RequestVote::operator=(const RequestVote& other281) noexcept {
-=======
   member = std::move(other280.member);
   group = std::move(other280.group);
   transfer = other280.transfer;
   __isset = other280.__isset;
 }
 RequestVote& RequestVote::operator=(const RequestVote& other281) {
->>>>>>> main
   term = other281.term;
   lastIndex = other281.lastIndex;
   lastTerm = other281.lastTerm;
   preVote = other281.preVote;
-<<<<<<< HEAD
-=======
   member = other281.member;
   group = other281.group;
   transfer = other281.transfer;
->>>>>>> main
   __isset = other281.__isset;
   return *this;
 }
@@ -7984,12 +7968,9 @@
   lastIndex = other282.lastIndex;
   lastTerm = other282.lastTerm;
   preVote = other282.preVote;
-<<<<<<< HEAD
-=======
   member = std::move(other282.member);
   group = std::move(other282.group);
   transfer = other282.transfer;
->>>>>>> main
   __isset = other282.__isset;
   return *this;
 }
@@ -8167,12 +8148,6 @@
   swap(a.__isset, b.__isset);
 }
 
-<<<<<<< HEAD
-VoteReply::VoteReply(const VoteReply& other283) noexcept {
-  term = other283.term;
-  granted = other283.granted;
-  preVote = other283.preVote;
-=======
 VoteReply::VoteReply(const VoteReply& other283) {
   term = other283.term;
   granted = other283.granted;
@@ -8180,21 +8155,12 @@
   member = other283.member;
   group = other283.group;
   fresh = other283.fresh;
->>>>>>> main
   __isset = other283.__isset;
 }
 VoteReply::VoteReply(VoteReply&& other284) noexcept {
   term = other284.term;
   granted = other284.granted;
   preVote = other284.preVote;
-<<<<<<< HEAD
-  __isset = other284.__isset;
-}
-VoteReply& VoteReply::operator=(const VoteReply& other285) noexcept {
-  term = other285.term;
-  granted = other285.granted;
-  preVote = other285.preVote;
-=======
   member = std::move(other284.member);
   group = std::move(other284.group);
   fresh = other284.fresh;
@@ -8207,7 +8173,6 @@
   member = other285.member;
   group = other285.group;
   fresh = other285.fresh;
->>>>>>> main
   __isset = other285.__isset;
   return *this;
 }
@@ -8215,12 +8180,9 @@
   term = other286.term;
   granted = other286.granted;
   preVote = other286.preVote;
-<<<<<<< HEAD
-=======
   member = std::move(other286.member);
   group = std::move(other286.group);
   fresh = other286.fresh;
->>>>>>> main
   __isset = other286.__isset;
   return *this;
 }
@@ -8458,11 +8420,8 @@
   entries = other293.entries;
   commitIndex = other293.commitIndex;
   round = other293.round;
-<<<<<<< HEAD
-=======
   member = other293.member;
   group = other293.group;
->>>>>>> main
   __isset = other293.__isset;
 }
 AppendEntries::AppendEntries(AppendEntries&& other294) noexcept {
@@ -8472,11 +8431,8 @@
   entries = std::move(other294.entries);
   commitIndex = other294.commitIndex;
   round = other294.round;
-<<<<<<< HEAD
-=======
   member = std::move(other294.member);
   group = std::move(other294.group);
->>>>>>> main
   __isset = other294.__isset;
 }
 AppendEntries& AppendEntries::operator=(const AppendEntries& other295) {
@@ -8486,11 +8442,8 @@
   entries = other295.entries;
   commitIndex = other295.commitIndex;
   round = other295.round;
-<<<<<<< HEAD
-=======
   member = other295.member;
   group = other295.group;
->>>>>>> main
   __isset = other295.__isset;
   return *this;
 }
@@ -8501,11 +8454,8 @@
   entries = std::move(other296.entries);
   commitIndex = other296.commitIndex;
   round = other296.round;
-<<<<<<< HEAD
-=======
   member = std::move(other296.member);
   group = std::move(other296.group);
->>>>>>> main
   __isset = other296.__isset;
   return *this;
 }
@@ -8684,20 +8634,13 @@
   swap(a.__isset, b.__isset);
 }
 
-<<<<<<< HEAD
-AppendReply::AppendReply(const AppendReply& other297) noexcept {
-=======
 AppendReply::AppendReply(const AppendReply& other297) {
->>>>>>> main
   term = other297.term;
   ok = other297.ok;
   matchIndex = other297.matchIndex;
   round = other297.round;
-<<<<<<< HEAD
-=======
   member = other297.member;
   group = other297.group;
->>>>>>> main
   __isset = other297.__isset;
 }
 AppendReply::AppendReply(AppendReply&& other298) noexcept {
@@ -8705,26 +8648,17 @@
   ok = other298.ok;
   matchIndex = other298.matchIndex;
   round = other298.round;
-<<<<<<< HEAD
-  __isset = other298.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other299) noexcept {
-=======
   member = std::move(other298.member);
   group = std::move(other298.group);
   __isset = other298.__isset;
 }
 AppendReply& AppendReply::operator=(const AppendReply& other299) {
->>>>>>> main
   term = other299.term;
   ok = other299.ok;
   matchIndex = other299.matchIndex;
   round = other299.round;
-<<<<<<< HEAD
-=======
   member = other299.member;
   group = other299.group;
->>>>>>> main
   __isset = other299.__isset;
   return *this;
 }
@@ -8733,11 +8667,8 @@
   ok = other300.ok;
   matchIndex = other300.matchIndex;
   round = other300.round;
-<<<<<<< HEAD
-=======
   member = std::move(other300.member);
   group = std::move(other300.group);
->>>>>>> main
   __isset = other300.__isset;
   return *this;
 }
@@ -9012,12 +8943,9 @@
   data = other313.data;
   voters = other313.voters;
   learners = other313.learners;
-<<<<<<< HEAD
-=======
   member = other313.member;
   group = other313.group;
   round = other313.round;
->>>>>>> main
   __isset = other313.__isset;
 }
 InstallSnapshot::InstallSnapshot(InstallSnapshot&& other314) noexcept {
@@ -9027,12 +8955,9 @@
   data = std::move(other314.data);
   voters = std::move(other314.voters);
   learners = std::move(other314.learners);
-<<<<<<< HEAD
-=======
   member = std::move(other314.member);
   group = std::move(other314.group);
   round = other314.round;
->>>>>>> main
   __isset = other314.__isset;
 }
 InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other315) {
@@ -9042,12 +8967,9 @@
   data = other315.data;
   voters = other315.voters;
   learners = other315.learners;
-<<<<<<< HEAD
-=======
   member = other315.member;
   group = other315.group;
   round = other315.round;
->>>>>>> main
   __isset = other315.__isset;
   return *this;
 }
@@ -9058,12 +8980,9 @@
   data = std::move(other316.data);
   voters = std::move(other316.voters);
   learners = std::move(other316.learners);
-<<<<<<< HEAD
-=======
   member = std::move(other316.member);
   group = std::move(other316.group);
   round = other316.round;
->>>>>>> main
   __isset = other316.__isset;
   return *this;
 }
@@ -9226,30 +9145,17 @@
   swap(a.__isset, b.__isset);
 }
 
-<<<<<<< HEAD
-InstallReply::InstallReply(const InstallReply& other317) noexcept {
-  term = other317.term;
-  lastIndex = other317.lastIndex;
-=======
 InstallReply::InstallReply(const InstallReply& other317) {
   term = other317.term;
   lastIndex = other317.lastIndex;
   member = other317.member;
   group = other317.group;
   round = other317.round;
->>>>>>> main
   __isset = other317.__isset;
 }
 InstallReply::InstallReply(InstallReply&& other318) noexcept {
   term = other318.term;
   lastIndex = other318.lastIndex;
-<<<<<<< HEAD
-  __isset = other318.__isset;
-}
-InstallReply& InstallReply::operator=(const InstallReply& other319) noexcept {
-  term = other319.term;
-  lastIndex = other319.lastIndex;
-=======
   member = std::move(other318.member);
   group = std::move(other318.group);
   round = other318.round;
@@ -9261,19 +9167,15 @@
   member = other319.member;
   group = other319.group;
   round = other319.round;
->>>>>>> main
   __isset = other319.__isset;
   return *this;
 }
 InstallReply& InstallReply::operator=(InstallReply&& other320) noexcept {
   term = other320.term;
   lastIndex = other320.lastIndex;
-<<<<<<< HEAD
-=======
   member = std::move(other320.member);
   group = std::move(other320.group);
   round = other320.round;
->>>>>>> main
   __isset = other320.__isset;
   return *this;
 }
@@ -9661,10 +9563,7 @@
   address = other330.address;
   failureDomain = other330.failureDomain;
   server = other330.server;
-<<<<<<< HEAD
-=======
   atMs = other330.atMs;
->>>>>>> main
   __isset = other330.__isset;
 }
 MemberJoin::MemberJoin(MemberJoin&& other331) noexcept {
@@ -9673,10 +9572,7 @@
   address = std::move(other331.address);
   failureDomain = std::move(other331.failureDomain);
   server = std::move(other331.server);
-<<<<<<< HEAD
-=======
   atMs = other331.atMs;
->>>>>>> main
   __isset = other331.__isset;
 }
 MemberJoin& MemberJoin::operator=(const MemberJoin& other332) {
@@ -9685,10 +9581,7 @@
   address = other332.address;
   failureDomain = other332.failureDomain;
   server = other332.server;
-<<<<<<< HEAD
-=======
   atMs = other332.atMs;
->>>>>>> main
   __isset = other332.__isset;
   return *this;
 }
@@ -9698,10 +9591,7 @@
   address = std::move(other333.address);
   failureDomain = std::move(other333.failureDomain);
   server = std::move(other333.server);
-<<<<<<< HEAD
-=======
   atMs = other333.atMs;
->>>>>>> main
   __isset = other333.__isset;
   return *this;
 }
@@ -9830,38 +9720,26 @@
 MemberGone::MemberGone(const MemberGone& other334) {
   id = other334.id;
   planned = other334.planned;
-<<<<<<< HEAD
-=======
   atMs = other334.atMs;
->>>>>>> main
   __isset = other334.__isset;
 }
 MemberGone::MemberGone(MemberGone&& other335) noexcept {
   id = std::move(other335.id);
   planned = other335.planned;
-<<<<<<< HEAD
-=======
   atMs = other335.atMs;
->>>>>>> main
   __isset = other335.__isset;
 }
 MemberGone& MemberGone::operator=(const MemberGone& other336) {
   id = other336.id;
   planned = other336.planned;
-<<<<<<< HEAD
-=======
   atMs = other336.atMs;
->>>>>>> main
   __isset = other336.__isset;
   return *this;
 }
 MemberGone& MemberGone::operator=(MemberGone&& other337) noexcept {
   id = std::move(other337.id);
   planned = other337.planned;
-<<<<<<< HEAD
-=======
   atMs = other337.atMs;
->>>>>>> main
   __isset = other337.__isset;
   return *this;
 }
@@ -10106,30 +9984,21 @@
   cell = other342.cell;
   epoch = other342.epoch;
   holder = other342.holder;
-<<<<<<< HEAD
-=======
   viewVersion = other342.viewVersion;
->>>>>>> main
   __isset = other342.__isset;
 }
 HolderWhole::HolderWhole(HolderWhole&& other343) noexcept {
   cell = other343.cell;
   epoch = other343.epoch;
   holder = std::move(other343.holder);
-<<<<<<< HEAD
-=======
   viewVersion = other343.viewVersion;
->>>>>>> main
   __isset = other343.__isset;
 }
 HolderWhole& HolderWhole::operator=(const HolderWhole& other344) {
   cell = other344.cell;
   epoch = other344.epoch;
   holder = other344.holder;
-<<<<<<< HEAD
-=======
   viewVersion = other344.viewVersion;
->>>>>>> main
   __isset = other344.__isset;
   return *this;
 }
@@ -10137,10 +10006,7 @@
   cell = other345.cell;
   epoch = other345.epoch;
   holder = std::move(other345.holder);
-<<<<<<< HEAD
-=======
   viewVersion = other345.viewVersion;
->>>>>>> main
   __isset = other345.__isset;
   return *this;
 }
@@ -10285,30 +10151,21 @@
   cell = other346.cell;
   epoch = other346.epoch;
   previousOwner = other346.previousOwner;
-<<<<<<< HEAD
-=======
   atMs = other346.atMs;
->>>>>>> main
   __isset = other346.__isset;
 }
 HandOver::HandOver(HandOver&& other347) noexcept {
   cell = other347.cell;
   epoch = other347.epoch;
   previousOwner = std::move(other347.previousOwner);
-<<<<<<< HEAD
-=======
   atMs = other347.atMs;
->>>>>>> main
   __isset = other347.__isset;
 }
 HandOver& HandOver::operator=(const HandOver& other348) {
   cell = other348.cell;
   epoch = other348.epoch;
   previousOwner = other348.previousOwner;
-<<<<<<< HEAD
-=======
   atMs = other348.atMs;
->>>>>>> main
   __isset = other348.__isset;
   return *this;
 }
@@ -10316,10 +10173,7 @@
   cell = other349.cell;
   epoch = other349.epoch;
   previousOwner = std::move(other349.previousOwner);
-<<<<<<< HEAD
-=======
   atMs = other349.atMs;
->>>>>>> main
   __isset = other349.__isset;
   return *this;
 }
@@ -13050,140 +12904,6 @@
   swap(a.__isset, b.__isset);
 }
 
-<<<<<<< HEAD
-Message::Message(const Message& other370) {
-  submitJob = other370.submitJob;
-  cancelJob = other370.cancelJob;
-  queryJob = other370.queryJob;
-  jobReply = other370.jobReply;
-  notOwner = other370.notOwner;
-  recordBatch = other370.recordBatch;
-  recordSnapshot = other370.recordSnapshot;
-  recordAck = other370.recordAck;
-  startBatch = other370.startBatch;
-  cancelBatch = other370.cancelBatch;
-  resultAck = other370.resultAck;
-  fence = other370.fence;
-  agentHello = other370.agentHello;
-  resultBatch = other370.resultBatch;
-  startRefused = other370.startRefused;
-  agentState = other370.agentState;
-  memberHeartbeat = other370.memberHeartbeat;
-  heartbeatReply = other370.heartbeatReply;
-  clusterView = other370.clusterView;
-  applyConfig = other370.applyConfig;
-  applyReply = other370.applyReply;
-  controlQuery = other370.controlQuery;
-  controlAnswer = other370.controlAnswer;
-  requestVote = other370.requestVote;
-  voteReply = other370.voteReply;
-  appendEntries = other370.appendEntries;
-  appendReply = other370.appendReply;
-  installSnapshot = other370.installSnapshot;
-  installReply = other370.installReply;
-  timeoutNow = other370.timeoutNow;
-  __isset = other370.__isset;
-}
-Message::Message(Message&& other371) noexcept {
-  submitJob = std::move(other371.submitJob);
-  cancelJob = std::move(other371.cancelJob);
-  queryJob = std::move(other371.queryJob);
-  jobReply = std::move(other371.jobReply);
-  notOwner = std::move(other371.notOwner);
-  recordBatch = std::move(other371.recordBatch);
-  recordSnapshot = std::move(other371.recordSnapshot);
-  recordAck = std::move(other371.recordAck);
-  startBatch = std::move(other371.startBatch);
-  cancelBatch = std::move(other371.cancelBatch);
-  resultAck = std::move(other371.resultAck);
-  fence = std::move(other371.fence);
-  agentHello = std::move(other371.agentHello);
-  resultBatch = std::move(other371.resultBatch);
-  startRefused = std::move(other371.startRefused);
-  agentState = std::move(other371.agentState);
-  memberHeartbeat = std::move(other371.memberHeartbeat);
-  heartbeatReply = std::move(other371.heartbeatReply);
-  clusterView = std::move(other371.clusterView);
-  applyConfig = std::move(other371.applyConfig);
-  applyReply = std::move(other371.applyReply);
-  controlQuery = std::move(other371.controlQuery);
-  controlAnswer = std::move(other371.controlAnswer);
-  requestVote = std::move(other371.requestVote);
-  voteReply = std::move(other371.voteReply);
-  appendEntries = std::move(other371.appendEntries);
-  appendReply = std::move(other371.appendReply);
-  installSnapshot = std::move(other371.installSnapshot);
-  installReply = std::move(other371.installReply);
-  timeoutNow = std::move(other371.timeoutNow);
-  __isset = other371.__isset;
-}
-Message& Message::operator=(const Message& other372) {
-  submitJob = other372.submitJob;
-  cancelJob = other372.cancelJob;
-  queryJob = other372.queryJob;
-  jobReply = other372.jobReply;
-  notOwner = other372.notOwner;
-  recordBatch = other372.recordBatch;
-  recordSnapshot = other372.recordSnapshot;
-  recordAck = other372.recordAck;
-  startBatch = other372.startBatch;
-  cancelBatch = other372.cancelBatch;
-  resultAck = other372.resultAck;
-  fence = other372.fence;
-  agentHello = other372.agentHello;
-  resultBatch = other372.resultBatch;
-  startRefused = other372.startRefused;
-  agentState = other372.agentState;
-  memberHeartbeat = other372.memberHeartbeat;
-  heartbeatReply = other372.heartbeatReply;
-  clusterView = other372.clusterView;
-  applyConfig = other372.applyConfig;
-  applyReply = other372.applyReply;
-  controlQuery = other372.controlQuery;
-  controlAnswer = other372.controlAnswer;
-  requestVote = other372.requestVote;
-  voteReply = other372.voteReply;
-  appendEntries = other372.appendEntries;
-  appendReply = other372.appendReply;
-  installSnapshot = other372.installSnapshot;
-  installReply = other372.installReply;
-  timeoutNow = other372.timeoutNow;
-  __isset = other372.__isset;
-  return *this;
-}
-Message& Message::operator=(Message&& other373) noexcept {
-  submitJob = std::move(other373.submitJob);
-  cancelJob = std::move(other373.cancelJob);
-  queryJob = std::move(other373.queryJob);
-  jobReply = std::move(other373.jobReply);
-  notOwner = std::move(other373.notOwner);
-  recordBatch = std::move(other373.recordBatch);
-  recordSnapshot = std::move(other373.recordSnapshot);
-  recordAck = std::move(other373.recordAck);
-  startBatch = std::move(other373.startBatch);
-  cancelBatch = std::move(other373.cancelBatch);
-  resultAck = std::move(other373.resultAck);
-  fence = std::move(other373.fence);
-  agentHello = std::move(other373.agentHello);
-  resultBatch = std::move(other373.resultBatch);
-  startRefused = std::move(other373.startRefused);
-  agentState = std::move(other373.agentState);
-  memberHeartbeat = std::move(other373.memberHeartbeat);
-  heartbeatReply = std::move(other373.heartbeatReply);
-  clusterView = std::move(other373.clusterView);
-  applyConfig = std::move(other373.applyConfig);
-  applyReply = std::move(other373.applyReply);
-  controlQuery = std::move(other373.controlQuery);
-  controlAnswer = std::move(other373.controlAnswer);
-  requestVote = std::move(other373.requestVote);
-  voteReply = std::move(other373.voteReply);
-  appendEntries = std::move(other373.appendEntries);
-  appendReply = std::move(other373.appendReply);
-  installSnapshot = std::move(other373.installSnapshot);
-  installReply = std::move(other373.installReply);
-  timeoutNow = std::move(other373.timeoutNow);
-  __isset = other373.__isset;
-=======
 Message::Message(const Message& other451) {
   submitJob = other451.submitJob;
   cancelJob = other451.cancelJob;
@@ -13316,7 +13036,6 @@
   installReply = std::move(other454.installReply);
   timeoutNow = std::move(other454.timeoutNow);
   __isset = other454.__isset;
->>>>>>> main
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -13417,15 +13136,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-<<<<<<< HEAD
-          int32_t ecast374;
-          xfer += iprot->readI32(ecast374);
-          this->role = static_cast<Role::type>(ecast374);
-=======
           int32_t ecast455;
           xfer += iprot->readI32(ecast455);
           this->role = static_cast<Role::type>(ecast455);
->>>>>>> main
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -13451,16 +13164,6 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-<<<<<<< HEAD
-            uint32_t _size375;
-            ::apache::thrift::protocol::TType _etype378;
-            xfer += iprot->readListBegin(_etype378, _size375);
-            this->messages.resize(_size375);
-            uint32_t _i379;
-            for (_i379 = 0; _i379 < _size375; ++_i379)
-            {
-              xfer += this->messages[_i379].read(iprot);
-=======
             uint32_t _size456;
             ::apache::thrift::protocol::TType _etype459;
             xfer += iprot->readListBegin(_etype459, _size456);
@@ -13469,7 +13172,6 @@
             for (_i460 = 0; _i460 < _size456; ++_i460)
             {
               xfer += this->messages[_i460].read(iprot);
->>>>>>> main
             }
             xfer += iprot->readListEnd();
           }
@@ -13514,17 +13216,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-<<<<<<< HEAD
-    std::vector<Message> ::const_iterator _iter380;
-    for (_iter380 = this->messages.begin(); _iter380 != this->messages.end(); ++_iter380)
-    {
-      xfer += (*_iter380).write(oprot);
-=======
     std::vector<Message> ::const_iterator _iter461;
     for (_iter461 = this->messages.begin(); _iter461 != this->messages.end(); ++_iter461)
     {
       xfer += (*_iter461).write(oprot);
->>>>>>> main
     }
     xfer += oprot->writeListEnd();
   }
@@ -13545,40 +13240,6 @@
   swap(a.__isset, b.__isset);
 }
 
-<<<<<<< HEAD
-Envelope::Envelope(const Envelope& other381) {
-  sender = other381.sender;
-  role = other381.role;
-  address = other381.address;
-  configNumber = other381.configNumber;
-  messages = other381.messages;
-  __isset = other381.__isset;
-}
-Envelope::Envelope(Envelope&& other382) noexcept {
-  sender = std::move(other382.sender);
-  role = other382.role;
-  address = std::move(other382.address);
-  configNumber = other382.configNumber;
-  messages = std::move(other382.messages);
-  __isset = other382.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other383) {
-  sender = other383.sender;
-  role = other383.role;
-  address = other383.address;
-  configNumber = other383.configNumber;
-  messages = other383.messages;
-  __isset = other383.__isset;
-  return *this;
-}
-Envelope& Envelope::operator=(Envelope&& other384) noexcept {
-  sender = std::move(other384.sender);
-  role = other384.role;
-  address = std::move(other384.address);
-  configNumber = other384.configNumber;
-  messages = std::move(other384.messages);
-  __isset = other384.__isset;
-=======
 Envelope::Envelope(const Envelope& other462) {
   sender = other462.sender;
   role = other462.role;
@@ -13611,7 +13272,6 @@
   configNumber = other465.configNumber;
   messages = std::move(other465.messages);
   __isset = other465.__isset;
->>>>>>> main
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
