--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -106,3 +106,9 @@
 #ifndef AGATEDRUM_MAX_CLOCK_SKEW_MS
 #define AGATEDRUM_MAX_CLOCK_SKEW_MS 5000
 #endif
+
+/// Time for which an entry holds a request for a cell without an owner, in milliseconds. Above the 5 s in which every
+/// cell has an owner again after the loss of two hosts.
+#ifndef AGATEDRUM_ENTRY_OWNER_WAIT_MS
+#define AGATEDRUM_ENTRY_OWNER_WAIT_MS 6000
+#endif
--- /dev/null
+++ b/src/entry_control.cpp
@@ -0,0 +1,133 @@
+#include "entry_control_p.h"
+
+#include "entry_jobs_p.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace agatedrum {
+
+namespace {
+
+constexpr int shards = 1;
+constexpr std::size_t maxCalls = 1000;
+constexpr Millis silentDelay {1000};
+constexpr Millis refusedDelay {100};
+constexpr std::string_view notLeader = "not-leader";
+
+void refuse(const ControlCall &call, const wire::Refusal &refusal)
+{
+    if (const auto *apply = std::get_if<ApplyHandler>(&call.reply)) {
+        (*apply)(refusal);
+    } else {
+        std::get<ControlHandler>(call.reply)(refusal);
+    }
+}
+
+} // namespace
+
+EntryControl::EntryControl(MessageSinkI &sink, const ClockI &clock, MemberLink &link, const EntryOptions &options,
+                           std::int64_t firstId)
+    : sink(sink)
+    , clock(clock)
+    , link(link)
+    , timeout(options.controlTimeout)
+    , calls(shards, maxCalls, firstId)
+{
+}
+
+void EntryControl::apply(wire::ApplyConfig message, ApplyHandler reply)
+{
+    this->start({std::move(message), std::move(reply), {}, {}});
+}
+
+void EntryControl::query(wire::ControlQuery message, ControlHandler reply)
+{
+    this->start({std::move(message), std::move(reply), {}, {}});
+}
+
+void EntryControl::start(ControlCall call)
+{
+    const auto now = this->clock.now();
+    call.limit = now + this->timeout;
+    const auto refusalCall = ControlCall {{}, call.reply, {}, {}};
+    const auto id = this->calls.add(std::move(call), now + this->timeout);
+    if (id == 0) {
+        refuse(refusalCall,
+               makeRefusal(wire::RefusalCode::QUEUE_FULL, "too many requests wait for the control group", false,
+                           silentDelay));
+        return;
+    }
+    this->calls.update(id, [this, id, now](ControlCall &added) { return this->send(id, added, now); });
+}
+
+Time EntryControl::send(std::int64_t id, ControlCall &call, Time now)
+{
+    std::visit(
+        [this, id](auto message) {
+            message.requestId = id;
+            this->sink.send(this->link.controlAddress(), std::move(message));
+        },
+        call.message);
+    call.nextSend = now + silentDelay;
+    return std::min(call.nextSend, call.limit);
+}
+
+void EntryControl::handleReply(const wire::ApplyReply &message)
+{
+    if (message.code == notLeader) {
+        this->retryLater(message.requestId);
+        return;
+    }
+    const auto call = this->calls.takeIf(message.requestId, [](const ControlCall &waiting) {
+        return std::holds_alternative<ApplyHandler>(waiting.reply);
+    });
+    if (call) {
+        std::get<ApplyHandler>(call->reply)(message);
+    }
+}
+
+void EntryControl::handleAnswer(const wire::ControlAnswer &message)
+{
+    if (!message.ok && message.json.find(notLeader) != std::string::npos) {
+        this->retryLater(message.requestId);
+        return;
+    }
+    const auto call = this->calls.takeIf(message.requestId, [](const ControlCall &waiting) {
+        return std::holds_alternative<ControlHandler>(waiting.reply);
+    });
+    if (call) {
+        std::get<ControlHandler>(call->reply)(message);
+    }
+}
+
+void EntryControl::retryLater(std::int64_t id)
+{
+    const auto now = this->clock.now();
+    this->calls.update(id, [now](ControlCall &call) {
+        call.nextSend = now + refusedDelay;
+        return std::min(call.nextSend, call.limit);
+    });
+    this->link.hurry();
+}
+
+void EntryControl::tick()
+{
+    const auto now = this->clock.now();
+    const auto ended
+        = this->calls.visitDue(now, [this, now](std::int64_t id, ControlCall &call) -> std::optional<Time> {
+              return now >= call.limit ? std::nullopt : std::optional<Time>(this->send(id, call, now));
+          });
+    for (const auto &call : ended) {
+        refuse(call,
+               makeRefusal(wire::RefusalCode::NONE,
+                           "no answer from the control group; outcome unknown, sending again is safe", false));
+    }
+}
+
+std::size_t EntryControl::open() const
+{
+    return this->calls.size();
+}
+
+} // namespace agatedrum
--- /dev/null
+++ b/src/entry_jobs.cpp
@@ -0,0 +1,313 @@
+#include "entry_jobs_p.h"
+
+#include "base_log_p.h"
+#include "entry_key_p.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace agatedrum {
+
+namespace {
+
+constexpr auto part = "entry";
+constexpr Millis longestSilentDelay {20000};
+constexpr Millis longestRefusedDelay {1000};
+constexpr Millis shortRetry {1000};
+// The owner's own refusal for a missed deadline arrives before the entry gives up.
+constexpr Millis deadlineSlack {1000};
+
+constexpr auto unknownOutcome = "outcome unknown, resubmit under the same submission id";
+
+wire::JobAnswer refusalAnswer(const wire::JobKey &key, const wire::Refusal &refusal)
+{
+    wire::JobAnswer answer;
+    answer.key = key;
+    answer.__set_refusal(refusal);
+    return answer;
+}
+
+/// Whether the owner refused only because it may not act now.
+bool isTransient(const wire::JobAnswer &answer)
+{
+    using wire::RefusalCode;
+    return answer.__isset.refusal
+        && (answer.refusal.code == RefusalCode::NO_OWNER || answer.refusal.code == RefusalCode::LEASE_LOST
+            || answer.refusal.code == RefusalCode::STOPPING);
+}
+
+/// Whether a final answer holds exactly one result for each task.
+bool isWhole(const JobCall &call, const wire::JobAnswer &answer)
+{
+    if (answer.__isset.refusal || call.kind != JobCallKind::Submit) {
+        return true;
+    }
+    std::vector<bool> seen(call.spec.tasks.size(), false);
+    for (const auto &result : answer.results) {
+        const auto index = static_cast<std::size_t>(result.index);
+        if (index >= seen.size() || seen[index] || result.outcome == wire::Outcome::PENDING) {
+            return false;
+        }
+        seen[index] = true;
+    }
+    return answer.results.size() == seen.size();
+}
+
+/// Puts the results in the order of the job's tasks, under the ids that the caller gave.
+void arrange(const JobCall &call, wire::JobAnswer &answer)
+{
+    std::sort(answer.results.begin(), answer.results.end(),
+              [](const wire::TaskResult &a, const wire::TaskResult &b) { return a.index < b.index; });
+    if (call.kind != JobCallKind::Submit || answer.__isset.refusal) {
+        return;
+    }
+    for (auto &result : answer.results) {
+        result.taskId = call.spec.tasks[static_cast<std::size_t>(result.index)].id;
+    }
+    answer.complete = std::all_of(answer.results.begin(), answer.results.end(), [](const wire::TaskResult &result) {
+        return result.outcome == wire::Outcome::FINISHED;
+    });
+}
+
+} // namespace
+
+wire::Refusal makeRefusal(wire::RefusalCode::type code, std::string message, bool notRun, Millis retryAfter)
+{
+    wire::Refusal refusal;
+    refusal.code = code;
+    refusal.message = std::move(message);
+    refusal.notRun = notRun;
+    refusal.retryAfterMs = retryAfter.count();
+    return refusal;
+}
+
+EntryJobs::EntryJobs(MessageSinkI &sink, const ClockI &clock, MemberLink &link, const EntryOptions &options,
+                     std::int64_t firstId)
+    : sink(sink)
+    , clock(clock)
+    , link(link)
+    , options(options)
+    , calls(options.shards, options.maxRequests, firstId)
+    , current(std::make_shared<EntryRoutes>())
+{
+}
+
+void EntryJobs::start(JobCallKind kind, wire::JobSpec spec, const JobAnswerHandler &reply)
+{
+    ++this->counters.requests;
+    JobCall call;
+    call.kind = kind;
+    call.spec = std::move(spec);
+    if (const auto refusal = this->refuseEarly(call)) {
+        reply(refusalAnswer(call.spec.key, *refusal));
+        return;
+    }
+    const auto now = this->clock.now();
+    call.reply = reply;
+    call.startedAt = now;
+    call.limit = now + (kind == JobCallKind::Submit ? this->options.requestTimeout : this->options.controlTimeout);
+    if (call.spec.deadlineMs > 0) {
+        call.limit = std::min(call.limit, now + Millis(call.spec.deadlineMs) + deadlineSlack);
+    }
+    call.ownerLimit = now + this->options.ownerWait;
+    call.nextSend = call.limit;
+    const auto key = call.spec.key;
+    const auto due = this->dueAfter(call);
+    const auto id = this->calls.add(std::move(call), due);
+    if (id == 0) {
+        reply(refusalAnswer(
+            key,
+            makeRefusal(wire::RefusalCode::QUEUE_FULL, "too many requests wait at this entry", false, shortRetry)));
+        return;
+    }
+    this->calls.update(id, [this, id, now](JobCall &added) { return this->send(id, added, now); });
+}
+
+std::optional<wire::Refusal> EntryJobs::refuseEarly(const JobCall &call) const
+{
+    const auto state = this->routes()->state(call.spec.serviceName);
+    if (state != RouteState::NeverKnown && state != RouteState::Removed) {
+        return std::nullopt;
+    }
+    // Another entry may have forwarded the job under a configuration that this one has not seen yet.
+    const bool notRun = state == RouteState::NeverKnown && this->link.hasLease();
+    return makeRefusal(wire::RefusalCode::UNKNOWN_SERVICE, "no service \"" + call.spec.serviceName + "\"", notRun);
+}
+
+Time EntryJobs::dueAfter(const JobCall &call) const
+{
+    const auto due = std::min(call.limit, call.nextSend);
+    return call.attempts == 0 ? std::min(due, call.ownerLimit) : due;
+}
+
+Time EntryJobs::send(std::int64_t id, JobCall &call, Time now)
+{
+    const auto table = this->routes();
+    call.nextSend = call.limit;
+    if (table->state(call.spec.serviceName) != RouteState::Found) {
+        return this->dueAfter(call);
+    }
+    const auto &route = table->route(call.spec.serviceName, call.spec.key);
+    if (!route.owner) {
+        return this->dueAfter(call);
+    }
+    if (call.kind == JobCallKind::Submit) {
+        wire::SubmitJob message;
+        message.requestId = id;
+        message.cell = route.cell;
+        message.epoch = route.epoch;
+        message.spec = call.spec;
+        if (message.spec.deadlineMs > 0) {
+            const auto passed = std::chrono::duration_cast<Millis>(now - call.startedAt).count();
+            message.spec.deadlineMs = std::max<std::int64_t>(1, message.spec.deadlineMs - passed);
+        }
+        this->sink.send(*route.owner, std::move(message));
+    } else if (call.kind == JobCallKind::Cancel) {
+        wire::CancelJob message;
+        message.requestId = id;
+        message.cell = route.cell;
+        message.key = call.spec.key;
+        this->sink.send(*route.owner, std::move(message));
+    } else {
+        wire::QueryJob message;
+        message.requestId = id;
+        message.cell = route.cell;
+        message.key = call.spec.key;
+        this->sink.send(*route.owner, std::move(message));
+    }
+    ++(call.attempts == 0 ? this->counters.sent : this->counters.sentAgain);
+    ++call.attempts;
+    call.sentTo = *route.owner;
+    call.sentEpoch = route.epoch;
+    call.nextSend = now + call.silentDelay;
+    call.silentDelay = std::min(2 * call.silentDelay, longestSilentDelay);
+    return this->dueAfter(call);
+}
+
+bool EntryJobs::hasMoved(const JobCall &call, const EntryRoutes &table) const
+{
+    if (table.state(call.spec.serviceName) != RouteState::Found) {
+        return false;
+    }
+    const auto &route = table.route(call.spec.serviceName, call.spec.key);
+    return route.owner && (call.attempts == 0 || *route.owner != call.sentTo || route.epoch != call.sentEpoch);
+}
+
+void EntryJobs::reroute()
+{
+    std::shared_ptr<const EntryRoutes> table;
+    {
+        // The view is read under the lock, so that of two threads none puts back an older one.
+        const std::lock_guard lock(this->mutex);
+        this->current = std::make_shared<EntryRoutes>(this->link.view(), *this->current);
+        table = this->current;
+    }
+    const auto now = this->clock.now();
+    this->calls.updateAll([this, now, &table](std::int64_t id, JobCall &call) {
+        return this->hasMoved(call, *table) ? this->send(id, call, now) : this->dueAfter(call);
+    });
+}
+
+void EntryJobs::handleReply(const wire::JobReply &message, const wire::Endpoint &sender)
+{
+    auto answer = message.answer;
+    bool mustRetry = false;
+    auto call = this->calls.takeIf(message.requestId, [&](const JobCall &waiting) {
+        if (!(waiting.spec.key == answer.key)) {
+            return false;
+        }
+        // A refusal by an earlier owner says nothing of the copy that the present owner got.
+        const bool isRefusalOfEarlier = answer.__isset.refusal && sender != waiting.sentTo;
+        mustRetry = isTransient(answer);
+        const bool isStatus = waiting.kind == JobCallKind::Submit && !answer.done && !answer.__isset.refusal;
+        return !isRefusalOfEarlier && !mustRetry && !isStatus;
+    });
+    if (mustRetry) {
+        this->retryLater(message.requestId, sender);
+    } else if (!call) {
+        ++this->counters.unmatched;
+    } else if (!isWhole(*call, answer)) {
+        log(LogLevel::Error, part, "answer for {}/{} lacks results", answer.key.caller, answer.key.submission);
+        call->reply(refusalAnswer(answer.key, makeRefusal(wire::RefusalCode::NONE, unknownOutcome, false)));
+    } else {
+        // Another copy of a job that was sent more than once may still reach an owner and run.
+        if (answer.__isset.refusal && call->attempts > 1) {
+            answer.refusal.notRun = false;
+        }
+        arrange(*call, answer);
+        call->reply(answer);
+    }
+}
+
+void EntryJobs::handleNotOwner(const wire::NotOwner &message, const wire::Endpoint &sender)
+{
+    ++this->counters.notOwner;
+    this->retryLater(message.requestId, sender);
+}
+
+void EntryJobs::retryLater(std::int64_t id, const wire::Endpoint &sender)
+{
+    const auto now = this->clock.now();
+    bool isWaiting = false;
+    this->calls.update(id, [&](JobCall &call) {
+        if (call.sentTo != sender) {
+            return this->dueAfter(call);
+        }
+        isWaiting = true;
+        call.nextSend = now + call.refusedDelay;
+        call.refusedDelay = std::min(2 * call.refusedDelay, longestRefusedDelay);
+        return this->dueAfter(call);
+    });
+    if (isWaiting) {
+        this->link.hurry();
+    }
+}
+
+std::optional<Time> EntryJobs::visitDue(std::int64_t id, JobCall &call, Time now)
+{
+    if (now >= call.limit || (call.attempts == 0 && now >= call.ownerLimit)) {
+        return std::nullopt;
+    }
+    return this->send(id, call, now);
+}
+
+void EntryJobs::tick()
+{
+    const auto now = this->clock.now();
+    const auto ended = this->calls.visitDue(
+        now, [this, now](std::int64_t id, JobCall &call) { return this->visitDue(id, call, now); });
+    for (const auto &call : ended) {
+        ++this->counters.timedOut;
+        call.reply(refusalAnswer(call.spec.key,
+                                 call.attempts == 0 ? makeRefusal(
+                                     wire::RefusalCode::NO_OWNER,
+                                     "no owner for the job's cell; " + std::string(unknownOutcome), false, shortRetry)
+                                                    : makeRefusal(wire::RefusalCode::NONE, unknownOutcome, false)));
+    }
+}
+
+std::size_t EntryJobs::open() const
+{
+    return this->calls.size();
+}
+
+nlohmann::json EntryJobs::dump() const
+{
+    const auto &counters = this->counters;
+    return {{"open", this->calls.size()},
+            {"routes", this->routes()->dump()},
+            {"requests", counters.requests.load()},
+            {"sent", counters.sent.load()},
+            {"sentAgain", counters.sentAgain.load()},
+            {"notOwner", counters.notOwner.load()},
+            {"unmatchedAnswers", counters.unmatched.load()},
+            {"timedOut", counters.timedOut.load()}};
+}
+
+std::shared_ptr<const EntryRoutes> EntryJobs::routes() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->current;
+}
+
+} // namespace agatedrum
