Let a task wait for a faster server when the wait is shorter than the gain

Cause: with fastestFree a long task started on a free slow server although a faster slot was due a few ms later. Ruled out: sending the first task in order to the slow server, since it waits least; the task that waits longest for the faster servers gains most from the slow one. Change: on a server with faster ones above it, the first job whose wait exceeds its gain starts its shortest task.

--- a/src/cell_placement.cpp
+++ b/src/cell_placement.cpp
@@ -17,11 +17,17 @@
 public:
     using Score = double (*)(const ServerLoad &);
 
-    explicit ScoredPlacement(Score score)
+    ScoredPlacement(Score score, bool isWaiting)
         : score(score)
+        , isWaiting(isWaiting)
     {
     }
 
+    bool mayWait() const override
+    {
+        return this->isWaiting;
+    }
+
     void put(int server, const ServerLoad &load) override
     {
         const double value = this->score(load);
@@ -51,6 +57,7 @@
 
 private:
     Score score;
+    bool isWaiting;
     std::set<std::pair<double, int>> order;
     std::unordered_map<int, double> scores;
 };
@@ -166,7 +173,10 @@
     if (name == "roundRobin") {
         return std::make_unique<RoundRobinPlacement>();
     }
-    return std::make_unique<ScoredPlacement>(name == "leastLoaded" ? loadScore : slownessScore);
+    if (name == "leastLoaded") {
+        return std::make_unique<ScoredPlacement>(loadScore, false);
+    }
+    return std::make_unique<ScoredPlacement>(slownessScore, true);
 }
 
 } // namespace agatedrum
--- a/src/cell_placement_p.h
+++ b/src/cell_placement_p.h
@@ -25,6 +25,11 @@
     virtual void remove(int server) = 0;
     /// Index of a backend server that stays in, or nothing when none is in.
     virtual std::optional<int> choose() = 0;
+    /// Whether a task may wait for a faster server while a slower one is free.
+    virtual bool mayWait() const
+    {
+        return false;
+    }
 };
 
 /// @param name fastestFree, random, roundRobin, leastLoaded or twoProbes; any other name gives fastestFree.
--- a/src/cell_scheduler.cpp
+++ b/src/cell_scheduler.cpp
@@ -121,6 +121,9 @@
     if (!server) {
         return std::nullopt;
     }
+    if (this->impl->placement->mayWait()) {
+        return this->impl->startOrWait(job->first, *server, now);
+    }
     return this->impl->start(job->second.second, *server, now);
 }
 
@@ -177,6 +180,7 @@
     }
     auto &job = found->second;
     auto dropped = std::exchange(job.queued, {});
+    job.queuedWork = Micros(0);
     this->impl->removeFromQueue(number, job);
     for (const int index : dropped) {
         this->impl->queuedWork.remove(job.rank, job.tasks[at(index)].expected);
--- a/src/cell_scheduler_state.cpp
+++ b/src/cell_scheduler_state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace agatedrum {
 
@@ -14,6 +15,8 @@
 /// Longest time for which a slot stays free after a fast failure.
 constexpr Micros longestHold {2000000};
 constexpr Micros speedInterval {100000};
+/// Jobs that are looked at for a slow server.
+constexpr int maxLookedJobs = 16;
 
 std::size_t at(int index)
 {
@@ -186,6 +189,29 @@
             this->refreshServer(static_cast<int>(index), now);
         }
     }
+    this->rankServers();
+}
+
+void CellScheduler::Impl::rankServers()
+{
+    std::vector<int> order;
+    for (std::size_t index = 0; index < this->servers.size(); ++index) {
+        if (this->servers[index].isKnown) {
+            order.push_back(static_cast<int>(index));
+        }
+    }
+    std::sort(order.begin(), order.end(), [this](int a, int b) {
+        return this->servers[at(a)].speed.slowness() < this->servers[at(b)].speed.slowness();
+    });
+    double faster = 0;
+    double slots = 0;
+    for (const int index : order) {
+        auto &server = this->servers[at(index)];
+        server.fasterCapacity = faster;
+        server.fasterSlowness = faster > 0 ? slots / faster : 1;
+        faster += server.capacity;
+        slots += server.limit;
+    }
 }
 
 CellScheduler::Impl::Job &CellScheduler::Impl::jobOf(const ScheduledJob &job, Time now)
@@ -219,6 +245,7 @@
         }
     }
     this->queuedWork.add(job.rank, expected);
+    job.queuedWork += expected;
     this->teams.changeQueued(job.team, 1);
     this->queuedCount++;
 }
@@ -229,12 +256,47 @@
     this->idempotentJobs.erase({job.rank, number});
 }
 
-Assignment CellScheduler::Impl::start(JobNumber number, int server, Time now)
+// A slow server is worth using only for a task that would wait longer for a faster one than it gains there. All faster
+// servers are busy, so a task waits for about the work ahead of it divided by their capacity. The shortest tasks of a
+// job wait longest and lose least on a slow server.
+bool CellScheduler::Impl::shouldStart(const Job &job, Micros ahead, const Server &server, Time now) const
+{
+    const auto expected = static_cast<double>(job.tasks[at(job.queued.front())].expected.count());
+    const double gain = expected * (this->relativeSlowness(server) - server.fasterSlowness);
+    const double wait = static_cast<double>((ahead + job.queuedWork).count()) / server.fasterCapacity;
+    // The faster servers may be busy for longer than expected.
+    const auto idle = now - std::max(job.rank, this->lastStart);
+    return wait >= gain || static_cast<double>(idle.count()) >= gain / 2;
+}
+
+std::optional<Assignment> CellScheduler::Impl::startOrWait(int team, int index, Time now)
+{
+    const auto &jobs = this->teams.jobs(team);
+    const auto &server = this->servers[at(index)];
+    if (server.fasterCapacity <= 0) {
+        return this->start(jobs.begin()->second, index, now);
+    }
+    Micros ahead {0};
+    auto chosen = jobs.begin();
+    for (int looked = 0; chosen != jobs.end(); ++chosen) {
+        const auto &job = this->jobs.at(chosen->second);
+        if (++looked == maxLookedJobs || this->shouldStart(job, ahead, server, now)) {
+            return this->start(chosen->second, index, now, true);
+        }
+        ahead += job.queuedWork;
+    }
+    return std::nullopt;
+}
+
+Assignment CellScheduler::Impl::start(JobNumber number, int server, Time now, bool isShortest)
 {
     auto &job = this->jobs.at(number);
-    const int index = job.queued.back();
+    const auto chosen = isShortest ? job.queued.begin() : std::prev(job.queued.end());
+    const int index = *chosen;
     auto &task = job.tasks[at(index)];
-    job.queued.pop_back();
+    job.queued.erase(chosen);
+    job.queuedWork -= task.expected;
+    this->lastStart = now;
     if (job.queued.empty()) {
         this->removeFromQueue(number, job);
     }
--- a/src/cell_scheduler_state_p.h
+++ b/src/cell_scheduler_state_p.h
@@ -34,6 +34,8 @@
         int slowSlots = 0; ///< slots that the server loses because it is slow
         int limit = 0;
         double capacity = 0;
+        double fasterCapacity = 0; ///< of all faster servers
+        double fasterSlowness = 1; ///< mean relative slowness of the faster servers
         ServerSpeed speed;
     };
 
@@ -51,6 +53,7 @@
         bool isIdempotent = false;
         std::vector<Task> tasks;
         std::vector<int> queued; ///< the longest task comes last
+        Micros queuedWork {0};
         int running = 0;
     };
 
@@ -80,7 +83,11 @@
     Job &jobOf(const ScheduledJob &job, Time now);
     void enqueue(JobNumber number, Job &job, int index);
     void removeFromQueue(JobNumber number, Job &job);
-    Assignment start(JobNumber number, int server, Time now);
+    /// Precondition: the job has queued tasks.
+    Assignment start(JobNumber number, int server, Time now, bool isShortest = false);
+    std::optional<Assignment> startOrWait(int team, int server, Time now);
+    bool shouldStart(const Job &job, Micros ahead, const Server &server, Time now) const;
+    void rankServers();
     std::optional<Assignment> nextForReturning(Time now);
     /// Frees the slot of a running task. @return nullptr when the task is not known to run there.
     Job *release(const Assignment &assignment, Time now);
@@ -115,6 +122,7 @@
     double medianSlowness = 1;
     double fastest = 1; ///< lowest relative slowness
     Time nextRefresh;
+    Time lastStart;
     Time latest; ///< highest time seen, for calls that carry none
     std::optional<Time> noServerSince;
 };
--- a/src/cell_teams.cpp
+++ b/src/cell_teams.cpp
@@ -139,6 +139,11 @@
     return team.config.maxTasksInFlight <= 0 || team.running < team.config.maxTasksInFlight;
 }
 
+const std::set<CellTeams::RankedJob> &CellTeams::jobs(int index) const
+{
+    return this->teams[static_cast<std::size_t>(index)].jobs;
+}
+
 std::optional<std::pair<int, CellTeams::RankedJob>> CellTeams::next() const
 {
     if (this->ready.empty()) {
--- a/src/cell_teams_p.h
+++ b/src/cell_teams_p.h
@@ -53,6 +53,8 @@
     /// Team that the next free slot belongs to and its first job, or nothing.
     std::optional<std::pair<int, RankedJob>> next() const;
     bool mayStart(int team) const;
+    /// Queued jobs of a team in their order.
+    const std::set<RankedJob> &jobs(int team) const;
 
     TeamSizes &sizes(int team);
     const TeamSizes &sizes(int team) const;
