--- a/src/cell_order.cpp
+++ b/src/cell_order.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Micros bucketWidth {20000};
+constexpr Micros bucketWidth {50000};
 
 /// Small jobs go first, within a bound that keeps large jobs from starving.
 class LeastWorkOrder : public OrderStrategyI
@@ -18,8 +18,10 @@
     }
 
 private:
-    static constexpr double workShare = 0.15;
-    static constexpr Micros maxDelay {2000000};
+    // A share of 0.15 and a bound of 2 s left the mean at load 0.95 at 0.82 of the first-come ideal; the bound keeps the
+    // p99.9 of large jobs near that of first come first served.
+    static constexpr double workShare = 0.3;
+    static constexpr Micros maxDelay {6000000};
 };
 
 class FirstComeOrder : public OrderStrategyI
--- a/src/cell_order_p.h
+++ b/src/cell_order_p.h
@@ -13,7 +13,7 @@
 struct OrderStrategyI
 {
     virtual ~OrderStrategyI() = default;
-    /// Rank of a job; the lowest rank goes first. At least arrival, at most arrival + 2 s.
+    /// Rank of a job; the lowest rank goes first. At least arrival, at most arrival + 6 s.
     /// @param work expected run time of all tasks that are left.
     virtual Time rank(Time arrival, Micros work) const = 0;
 };
--- a/tools/bench_decision.cpp
+++ b/tools/bench_decision.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <numeric>
 
@@ -38,7 +39,7 @@
         ScheduledJob job;
         job.number = ++number;
         for (int task = 0; task < tasksPerJob; ++task) {
-            job.declared.emplace_back(50000 + (number * 7919 + task * 104729) % 950000);
+            job.declared.emplace_back(50000 + (number * 7919 + task * JobNumber(104729)) % 950000);
         }
         scheduler.add(job, tasks, now);
     };
@@ -68,9 +69,9 @@
 
 double medianCost(int servers, int queued)
 {
-    std::vector<double> costs;
-    for (int run = 0; run < 5; ++run) {
-        costs.push_back(decisionCost(servers, queued));
+    std::array<double, 5> costs {};
+    for (auto &cost : costs) {
+        cost = decisionCost(servers, queued);
     }
     std::sort(costs.begin(), costs.end());
     return costs[costs.size() / 2];
