--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -132,7 +132,6 @@
 #define AGATEDRUM_MAX_CLOCK_SKEW_MS 5000
 #endif
 
-<<<<<<< HEAD
 /// Entries of the control group's log after which a snapshot replaces them.
 #ifndef AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES
 #define AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES 4096
@@ -141,11 +140,10 @@
 /// Silence after which a member that reported leaving is taken off the list, in milliseconds.
 #ifndef AGATEDRUM_LEAVING_SILENT_MS
 #define AGATEDRUM_LEAVING_SILENT_MS 3000
-    == == ==
-    =
+#endif
+
 /// Time for which an entry holds a request for a cell without an owner, in milliseconds. Above the 5 s in which every
 /// cell has an owner again after the loss of two hosts.
 #ifndef AGATEDRUM_ENTRY_OWNER_WAIT_MS
 #define AGATEDRUM_ENTRY_OWNER_WAIT_MS 6000
-        >>>>>>> entry
 #endif
