Add the control group's disk store and a random fault test

Cause: terms, votes and entries must survive a restart. Ruled out: telling a torn tail from damage by its place alone; a frame is only written after the one before it was synced, so a damaged frame with an intact one after it is damage.

--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -72,6 +72,11 @@
     const std::lock_guard lock(this->mutex);
     this->log.tick(this->clock.now());
     this->drain();
+    if (!this->store.status().failure.empty()) {
+        this->log.retire();
+        this->log.transferLeadership(this->clock.now());
+        this->drain();
+    }
     if (this->ledTerm != 0) {
         this->members.tick(this->log.hasLease(this->clock.now()));
         this->drain();
--- /dev/null
+++ b/src/control_disk.cpp
@@ -0,0 +1,199 @@
+#include "control_disk_p.h"
+
+#include <fmt/format.h>
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <sys/file.h>
+#include <sys/statvfs.h>
+#include <unistd.h>
+#include <utility>
+
+namespace agatedrum {
+
+namespace {
+
+DiskOutcome outcomeOf(int code, const std::string &what)
+{
+    if (code == 0) {
+        return {};
+    }
+    const auto status = code == ENOSPC || code == EDQUOT ? DiskStatus::Full : DiskStatus::Failed;
+    return {status, fmt::format("{}: {}", what, std::strerror(code))};
+}
+
+DiskOutcome writeAll(int descriptor, const std::string &bytes, const std::string &what)
+{
+    for (std::size_t done = 0; done < bytes.size();) {
+        const auto count = ::write(descriptor, bytes.data() + done, bytes.size() - done);
+        if (count < 0 && errno != EINTR) {
+            return outcomeOf(errno, what);
+        }
+        done += count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+    return {};
+}
+
+} // namespace
+
+std::string ControlStoreError::text() const
+{
+    return fmt::format("{} at offset {}: {}", this->file, this->offset, this->message);
+}
+
+Result<std::unique_ptr<FileDisk>, ControlStoreError> FileDisk::open(const std::string &folder)
+{
+    std::error_code code;
+    std::filesystem::create_directories(folder, code);
+    if (code) {
+        return ControlStoreError {folder, 0, "cannot create the data folder: " + code.message()};
+    }
+    const auto path = folder + "/lock";
+    const int lock = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
+    if (lock < 0) {
+        return ControlStoreError {path, 0, std::strerror(errno)};
+    }
+    if (::flock(lock, LOCK_EX | LOCK_NB) != 0) {
+        ::close(lock);
+        return ControlStoreError {path, 0, "another process uses this data folder"};
+    }
+    return std::unique_ptr<FileDisk>(new FileDisk(folder, lock));
+}
+
+FileDisk::FileDisk(std::string folder, int lock)
+    : folder(std::move(folder))
+    , lock(lock)
+{
+}
+
+FileDisk::~FileDisk()
+{
+    for (const auto &[name, descriptor] : this->writers) {
+        ::close(descriptor);
+    }
+    ::close(this->lock);
+}
+
+std::string FileDisk::path(const std::string &name) const
+{
+    return this->folder + "/" + name;
+}
+
+int FileDisk::writer(const std::string &name)
+{
+    const auto found = this->writers.find(name);
+    if (found != this->writers.end()) {
+        return found->second;
+    }
+    const int descriptor = ::open(this->path(name).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+    if (descriptor >= 0) {
+        this->writers[name] = descriptor;
+    }
+    return descriptor;
+}
+
+void FileDisk::closeWriter(const std::string &name)
+{
+    const auto found = this->writers.find(name);
+    if (found != this->writers.end()) {
+        ::close(found->second);
+        this->writers.erase(found);
+    }
+}
+
+Result<std::optional<std::string>, ControlStoreError> FileDisk::read(const std::string &name)
+{
+    const auto path = this->path(name);
+    const int descriptor = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+    if (descriptor < 0) {
+        if (errno == ENOENT) {
+            return std::optional<std::string>();
+        }
+        return ControlStoreError {path, 0, std::strerror(errno)};
+    }
+    std::string content;
+    std::string block(65536, '\0');
+    ssize_t count = 0;
+    while ((count = ::read(descriptor, block.data(), block.size())) > 0) {
+        content.append(block, 0, static_cast<std::size_t>(count));
+    }
+    const int code = errno;
+    ::close(descriptor);
+    if (count < 0) {
+        return ControlStoreError {path, static_cast<std::int64_t>(content.size()), std::strerror(code)};
+    }
+    return std::make_optional(std::move(content));
+}
+
+DiskOutcome FileDisk::append(const std::string &name, const std::string &bytes)
+{
+    const int descriptor = this->writer(name);
+    return descriptor < 0 ? outcomeOf(errno, this->path(name)) : writeAll(descriptor, bytes, this->path(name));
+}
+
+DiskOutcome FileDisk::sync(const std::string &name)
+{
+    const int descriptor = this->writer(name);
+    if (descriptor < 0 || ::fdatasync(descriptor) != 0) {
+        // After a failed sync the kernel may have dropped the pages, so another attempt would prove nothing.
+        return {DiskStatus::Failed, fmt::format("{}: {}", this->path(name), std::strerror(errno))};
+    }
+    return {};
+}
+
+DiskOutcome FileDisk::truncate(const std::string &name, std::int64_t size)
+{
+    const int descriptor = this->writer(name);
+    if (descriptor < 0 || ::ftruncate(descriptor, size) != 0 || ::fsync(descriptor) != 0) {
+        return {DiskStatus::Failed, fmt::format("{}: {}", this->path(name), std::strerror(errno))};
+    }
+    return {};
+}
+
+DiskOutcome FileDisk::replace(const std::string &name, const std::string &bytes)
+{
+    const auto temporary = this->path(name) + ".new";
+    const int descriptor = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+    if (descriptor < 0) {
+        return outcomeOf(errno, temporary);
+    }
+    auto outcome = writeAll(descriptor, bytes, temporary);
+    if (outcome.status == DiskStatus::Ok && ::fsync(descriptor) != 0) {
+        outcome = outcomeOf(errno, temporary);
+    }
+    ::close(descriptor);
+    if (outcome.status != DiskStatus::Ok) {
+        ::unlink(temporary.c_str());
+        return outcome;
+    }
+    if (::rename(temporary.c_str(), this->path(name).c_str()) != 0) {
+        return outcomeOf(errno, temporary);
+    }
+    this->closeWriter(name);
+    return this->syncFolder();
+}
+
+DiskOutcome FileDisk::syncFolder() const
+{
+    const int descriptor = ::open(this->folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (descriptor < 0) {
+        return {DiskStatus::Failed, fmt::format("{}: {}", this->folder, std::strerror(errno))};
+    }
+    const int code = ::fsync(descriptor) == 0 ? 0 : errno;
+    ::close(descriptor);
+    return code == 0 ? DiskOutcome {}
+                     : DiskOutcome {DiskStatus::Failed, fmt::format("{}: {}", this->folder, std::strerror(code))};
+}
+
+std::int64_t FileDisk::freeBytes() const
+{
+    struct statvfs info = {};
+    if (::statvfs(this->folder.c_str(), &info) != 0) {
+        return 0;
+    }
+    return static_cast<std::int64_t>(info.f_bavail) * static_cast<std::int64_t>(info.f_frsize);
+}
+
+} // namespace agatedrum
--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -75,8 +75,10 @@
 
 void ControlLog::tick(Time now)
 {
+    if (this->hard.group.empty() || !this->isVoter(this->hard.member)) {
+        this->announce(now);
+    }
     if (this->hard.group.empty()) {
-        this->probeGroup(now);
         return;
     }
     if (this->status == Status::Leader) {
--- a/src/control_log_election.cpp
+++ b/src/control_log_election.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Time after which a fresh member asks again whether the others are fresh too.
+/// Time after which a member that is no voter announces itself again.
 constexpr Millis probeInterval(200);
 /// Stands for "always" where a lease is added to it; half the range, so that the sum stays in it.
 constexpr Time alwaysHeard = Time(Micros(INT64_MAX / 2));
@@ -45,18 +45,20 @@
 
 // Forming a group.
 
-void ControlLog::probeGroup(Time now)
+void ControlLog::announce(Time now)
 {
     // Only one member may form the group, else two groups could form out of the same fresh disks.
-    if (this->options.name != *std::min_element(this->options.group.begin(), this->options.group.end())) {
-        return;
-    }
-    this->freshMembers[this->options.name] = this->hard.member;
-    if (this->freshMembers.size() == this->options.group.size()) {
-        this->formGroup(now);
-        return;
+    const bool mayForm = this->hard.group.empty()
+        && this->options.name == *std::min_element(this->options.group.begin(), this->options.group.end());
+    if (mayForm) {
+        this->freshMembers[this->options.name] = this->hard.member;
+        if (this->freshMembers.size() == this->options.group.size()) {
+            this->formGroup(now);
+            return;
+        }
     }
-    if (now < this->probeDue) {
+    // A leader that does not know this member takes it in as a learner.
+    if (now < this->probeDue || this->status == Status::Leader) {
         return;
     }
     this->probeDue = now + probeInterval;
--- a/src/control_log_members.cpp
+++ b/src/control_log_members.cpp
@@ -107,7 +107,8 @@
     auto next = this->membership();
     for (const auto &[name, stranger] : this->strangers) {
         const auto &[identity, heard] = stranger;
-        if (now - heard < presence && contains(this->options.group, name)) {
+        const bool isKnown = contains(next.voters, identity) || contains(next.learners, identity);
+        if (!isKnown && now - heard < presence && contains(this->options.group, name)) {
             next.learners = without(next.learners, identityOf(next.learners, name));
             next.learners.push_back(identity);
             return next;
--- a/src/control_log_p.h
+++ b/src/control_log_p.h
@@ -130,7 +130,7 @@
     void countVotes(Time now);
     void requestVotes(bool preVote, bool isTransfer, bool held);
     void resetElectionTimer(Time now);
-    void probeGroup(Time now);
+    void announce(Time now);
     void formGroup(Time now);
     bool isUpToDate(const wire::RequestVote &request) const;
     bool hasLiveLeader(Time now) const;
--- /dev/null
+++ b/src/control_store.cpp
@@ -0,0 +1,139 @@
+#include "control_store_p.h"
+
+#include "base_log_p.h"
+#include "control_journal_p.h"
+
+#include <chrono>
+#include <utility>
+
+namespace agatedrum {
+
+namespace {
+
+constexpr std::chrono::milliseconds retryInterval(100);
+/// Room kept for terms, votes, members and snapshots when the disk runs full.
+constexpr std::int64_t reserveBytes = 16LL * 1024 * 1024;
+/// A file goes into the log, into a snapshot, and into the copy that replaces each of them.
+constexpr std::int64_t copiesOnDisk = 4;
+
+} // namespace
+
+Result<std::unique_ptr<ControlStore>, ControlStoreError> ControlStore::open(const std::string &folder)
+{
+    auto disk = FileDisk::open(folder);
+    if (!isOk(disk)) {
+        return error(disk);
+    }
+    auto files = takeValue(std::move(disk));
+    auto journal = ControlJournal::open(*files);
+    if (!isOk(journal)) {
+        auto failure = error(journal);
+        failure.file = folder + "/" + failure.file;
+        return failure;
+    }
+    return std::unique_ptr<ControlStore>(new ControlStore(std::move(files), takeValue(std::move(journal))));
+}
+
+ControlStore::ControlStore(std::unique_ptr<FileDisk> disk, std::unique_ptr<ControlJournal> journal)
+    : disk(std::move(disk))
+    , journal(std::move(journal))
+    , thread([this] { this->run(); })
+{
+}
+
+ControlStore::~ControlStore()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->isStopping = true;
+    }
+    this->wake.notify_all();
+    this->thread.join();
+}
+
+ControlLoaded ControlStore::load()
+{
+    return this->journal->loaded();
+}
+
+void ControlStore::submit(ControlWrite write)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->waiting.push_back(std::move(write));
+    }
+    this->wake.notify_all();
+}
+
+ControlStoreStatus ControlStore::status() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->current;
+}
+
+bool ControlStore::hasRoom(std::size_t bytes) const
+{
+    return this->disk->freeBytes() > reserveBytes + copiesOnDisk * static_cast<std::int64_t>(bytes);
+}
+
+void ControlStore::setListener(std::function<void()> newListener)
+{
+    const std::lock_guard lock(this->listenerMutex);
+    this->listener = std::move(newListener);
+}
+
+void ControlStore::run()
+{
+    std::unique_lock lock(this->mutex);
+    while (true) {
+        this->wake.wait(lock, [this] { return this->isStopping || !this->waiting.empty(); });
+        if (this->waiting.empty()) {
+            return;
+        }
+        const auto batch = std::exchange(this->waiting, {});
+        lock.unlock();
+        const bool isUsable = this->writeBatch(batch);
+        lock.lock();
+        if (!isUsable) {
+            return;
+        }
+    }
+}
+
+bool ControlStore::writeBatch(const std::vector<ControlWrite> &batch)
+{
+    while (true) {
+        const auto outcome = this->journal->write(batch);
+        if (outcome.status == DiskStatus::Ok) {
+            this->report([&batch](ControlStoreStatus &status) {
+                status.written = batch.back().sequence;
+                status.isFull = false;
+            });
+            return true;
+        }
+        log(LogLevel::Error, "control", "cannot write: {}", outcome.message);
+        if (outcome.status == DiskStatus::Failed) {
+            this->report([&outcome](ControlStoreStatus &status) { status.failure = outcome.message; });
+            return false;
+        }
+        this->report([](ControlStoreStatus &status) { status.isFull = true; });
+        std::unique_lock lock(this->mutex);
+        if (this->wake.wait_for(lock, retryInterval, [this] { return this->isStopping; })) {
+            return false;
+        }
+    }
+}
+
+void ControlStore::report(const std::function<void(ControlStoreStatus &)> &change)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        change(this->current);
+    }
+    const std::lock_guard lock(this->listenerMutex);
+    if (this->listener) {
+        this->listener();
+    }
+}
+
+} // namespace agatedrum
--- a/src/control_store_p.h
+++ b/src/control_store_p.h
@@ -1,16 +1,25 @@
 #pragma once
 
+#include "agatedrum/result.h"
 #include "agatedrum_types.h"
 
 #include <atomic>
+#include <condition_variable>
 #include <cstdint>
 #include <functional>
+#include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace agatedrum {
 
+class ControlJournal;
+class FileDisk;
+struct ControlStoreError;
+
 /// One order to persist. Orders are written in the order of their sequence.
 struct ControlWrite
 {
@@ -77,4 +86,39 @@
     std::atomic<std::int64_t> written {0};
 };
 
+/// Store in a data folder, with one thread that writes and syncs all waiting orders at once.
+class ControlStore : public ControlStoreI
+{
+public:
+    /// Refuses a folder that is in use, or damaged anywhere but in the last write. The error names file and offset.
+    static Result<std::unique_ptr<ControlStore>, ControlStoreError> open(const std::string &folder);
+    /// Writes what waits, unless the disk is full.
+    ~ControlStore() override;
+    ControlStore(const ControlStore &) = delete;
+    ControlStore &operator=(const ControlStore &) = delete;
+
+    ControlLoaded load() override;
+    void submit(ControlWrite write) override;
+    ControlStoreStatus status() const override;
+    bool hasRoom(std::size_t bytes) const override;
+    void setListener(std::function<void()> listener) override;
+
+private:
+    ControlStore(std::unique_ptr<FileDisk> disk, std::unique_ptr<ControlJournal> journal);
+    void run();
+    bool writeBatch(const std::vector<ControlWrite> &batch);
+    void report(const std::function<void(ControlStoreStatus &)> &change);
+
+    std::unique_ptr<FileDisk> disk;
+    std::unique_ptr<ControlJournal> journal; ///< used by the thread only
+    mutable std::mutex mutex;
+    std::condition_variable wake;
+    std::vector<ControlWrite> waiting;
+    ControlStoreStatus current;
+    bool isStopping = false;
+    std::mutex listenerMutex; ///< held during a call, so that none goes on after setListener()
+    std::function<void()> listener;
+    std::thread thread;
+};
+
 } // namespace agatedrum
--- a/tests/control_sim.h
+++ b/tests/control_sim.h
@@ -60,8 +60,11 @@
         this->cuts.clear();
     }
 
-    void send(const Incoming &message, int to)
+    void send(Incoming message, int to)
     {
+        if (this->tap) {
+            this->tap(message);
+        }
         const int copies = this->draw(100) < this->faults.repeatPercent ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy) {
             if (this->draw(100) >= this->faults.lossPercent) {
@@ -90,6 +93,7 @@
     }
 
     NetFaults faults;
+    std::function<void(Incoming &)> tap; ///< sees, and may change, every message before the faults
 
 private:
     ManualClock &clock;
