Match refusals with starts by sequence only

Cause: the agent refused a task for 10 s after it had refused it once, so a task that met a full agent could use up the owner's 64 sends and end as not run. The memory was there because a late copy of a refusal could be taken for one of a later start; the owner now matches refusals by their sequence. Ruled out: remembering refused tasks without end; unbounded. Change: refusals carry sequences and tasks can be started by a later one. A task taken over from a lower epoch whose connection was never made is reported as a NOT_RUN result, repeated until acknowledged, because the present owner has no sequence for it. The emulator's record lists its tasks as the demo expects.

--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -112,7 +112,7 @@
 struct AgentResult { 1: JobKey key; 2: TaskResult result; 3: i64 sequence; }
 struct ResultBatch { 1: i32 cell; 2: list<AgentResult> results; }
 // sequences has the start's sequence for each of refs, so that a late or repeated refusal of an earlier start is told
-// from one of the latest; 0 when the start was sent under a lower epoch.
+// from one of the latest. A start of this epoch with one of these sequences is never run.
 struct StartRefused {
   1: i32 cell; 2: i64 epoch; 3: list<TaskRef> refs; 4: string reason; 5: list<i64> sequences;
 }
--- a/src/agent_core.cpp
+++ b/src/agent_core.cpp
@@ -15,9 +15,6 @@
 
 /// Keeps one message of results well below the largest frame.
 constexpr std::size_t maxBatchBytes = 1024UL * 1024;
-/// Above the time for which a message can wait for a peer, so that no late refusal outlives the memory of it.
-constexpr Millis refusalMemory {10000};
-constexpr Millis pruneInterval {1000};
 
 std::string encoded(const std::string &text)
 {
@@ -30,12 +27,6 @@
     return encoded(start.ref.key.caller) + "/" + encoded(start.ref.key.submission) + "/" + encoded(start.taskId);
 }
 
-void addRefusal(wire::StartRefused &refused, const wire::TaskRef &ref, std::int64_t sequence)
-{
-    refused.refs.push_back(ref);
-    refused.sequences.push_back(sequence);
-}
-
 wire::AgentTask toWire(const AgentTask &task, bool withResult)
 {
     wire::AgentTask result;
@@ -94,14 +85,6 @@
         this->sendHello();
     }
     this->sendResults(this->tasks.takeDue(now, now + this->options.repeatInterval));
-    if (now >= this->nextPrune) {
-        this->nextPrune = now + pruneInterval;
-        for (auto &[number, cell] : this->cells) {
-            for (auto it = cell.refused.begin(); it != cell.refused.end();) {
-                it = it->second <= now ? cell.refused.erase(it) : std::next(it);
-            }
-        }
-    }
 }
 
 void AgentCore::takeView()
@@ -157,7 +140,6 @@
     if (epoch > cell.epoch) {
         cell.epoch = epoch;
         cell.lastSequence = 0;
-        cell.refused.clear();
     }
     if (epoch >= cell.ownerEpoch) {
         cell.ownerEpoch = epoch;
@@ -191,10 +173,9 @@
             this->startTask(start, batch);
             continue;
         }
-        addRefusal(refused[reason], start.ref, start.sequence);
-        if (batch.epoch == cell.epoch) {
-            cell.refused[toTaskId(start.ref)] = this->clock.now() + refusalMemory;
-        }
+        auto &message = refused[reason];
+        message.refs.push_back(start.ref);
+        message.sequences.push_back(start.sequence);
     }
     for (auto &[reason, message] : refused) {
         log(LogLevel::Info, "agent", "refused {} starts: {}", message.refs.size(), reason);
@@ -215,9 +196,6 @@
     if (start.sequence <= cell.lastSequence) {
         return "sequence has passed";
     }
-    if (cell.refused.count(toTaskId(start.ref)) != 0) {
-        return "refused before";
-    }
     if (!this->ownCell || *this->ownCell != batch.cell) {
         return "agent is not in this cell";
     }
@@ -325,8 +303,11 @@
     if (outcome.outcome == wire::Outcome::NOT_RUN) {
         this->isUnreachable = true;
         this->updateBackend();
-        this->refuse(*task);
-        return;
+        if (task->epoch == this->cells[task->cell].epoch) {
+            this->refuse(*task);
+            return;
+        }
+        // The present owner knows the task from AgentState only, and no sequence of its own to match a refusal with.
     }
     wire::TaskResult result;
     result.index = task->ref.index;
@@ -339,16 +320,16 @@
     this->sendResults({task});
 }
 
-/// Certifies that an accepted task did not run, and forgets it.
+/// Certifies that an accepted task did not run, and forgets it. Precondition: it was started in the present epoch.
 void AgentCore::refuse(const AgentTask &task)
 {
-    auto &cell = this->cells[task.cell];
+    const auto &cell = this->cells[task.cell];
     wire::StartRefused message;
     message.cell = task.cell;
-    message.epoch = cell.epoch;
+    message.epoch = task.epoch;
     message.reason = "backend server is unreachable";
-    addRefusal(message, task.ref, task.epoch == cell.epoch ? task.sequence : 0);
-    cell.refused[toTaskId(task.ref)] = this->clock.now() + refusalMemory;
+    message.refs = {task.ref};
+    message.sequences = {task.sequence};
     ++this->refusals;
     this->tasks.remove(task);
     if (cell.owner) {
@@ -373,7 +354,7 @@
         wire::AgentResult result;
         result.key = task->ref.key;
         result.result = task->result;
-        result.sequence = task->sequence;
+        result.sequence = task->epoch == this->cells[task->cell].epoch ? task->sequence : 0;
         batches[task->cell].results.push_back(std::move(result));
         bytes[task->cell] += task->result.body.size();
         if (bytes[task->cell] >= maxBatchBytes) {
@@ -522,8 +503,12 @@
               {"usage", info.usage}}},
             {"running", this->tasks.running()},
             {"unacknowledged", this->tasks.unacknowledged()},
-            {"refused", this->refusals},
-            {"startsForOtherIncarnation", this->otherIncarnation},
+            {"counters",
+             {{"agent_starts_total", this->lastCall},
+              {"agent_refused_total", this->refusals},
+              {"agent_starts_for_other_incarnation_total", this->otherIncarnation},
+              {"agent_running", this->tasks.running()},
+              {"agent_unacknowledged", this->tasks.unacknowledged()}}},
             {"cells", std::move(cells)}};
 }
 
--- a/src/agent_core_p.h
+++ b/src/agent_core_p.h
@@ -71,7 +71,6 @@
         std::int64_t lastSequence = 0; ///< of that epoch
         std::int64_t ownerEpoch = 0; ///< of the owner below
         std::optional<wire::Endpoint> owner;
-        std::map<TaskId, Time> refused; ///< starts refused in this epoch
     };
     using Refusals = std::map<std::string, wire::StartRefused>;
 
@@ -117,7 +116,6 @@
     AgentTasks tasks;
     std::int64_t lastCall = 0;
     Time nextHello;
-    Time nextPrune;
     std::uint64_t refusals = 0;
     std::uint64_t otherIncarnation = 0;
 };
--- a/tools/backend_emulator.cpp
+++ b/tools/backend_emulator.cpp
@@ -225,13 +225,13 @@
 
 void Emulator::handleRecord(evhttp_request *request)
 {
-    nlohmann::json tasks = nlohmann::json::object();
+    nlohmann::json tasks = nlohmann::json::array();
     std::uint64_t started = 0;
     std::uint64_t finished = 0;
     std::uint64_t cut = 0;
     std::uint64_t startedTwice = 0;
     for (const auto &[task, entry] : this->record) {
-        tasks[task] = {{"started", entry.started}, {"finished", entry.finished}, {"cut", entry.cut}};
+        tasks.push_back({{"task", task}, {"starts", entry.started}, {"finishes", entry.finished}, {"cuts", entry.cut}});
         started += static_cast<std::uint64_t>(entry.started);
         finished += static_cast<std::uint64_t>(entry.finished);
         cut += static_cast<std::uint64_t>(entry.cut);
