--- a/src/cell_owner_agents.cpp
+++ b/src/cell_owner_agents.cpp
@@ -16,8 +16,9 @@
 /// A start that nothing has confirmed is asked for after this time.
 constexpr Millis confirmAfter {3000};
 constexpr Millis fenceRepeatAfter {300};
-/// Pause in starts to an agent that refused one, so that a full agent is not sent the same task at once.
+/// Pause in starts to an agent that refused one; doubled with each refusal until a task ends there.
 constexpr Millis refusalPause {20};
+constexpr int maxPauseDoublings = 6;
 /// Sends of one task whose backend server could not be reached after which its outcome is NOT_RUN.
 constexpr int maxUnreachedSends = 4;
 /// Sends of one task that agents refused after which its outcome is NOT_RUN.
@@ -171,7 +172,8 @@
     }
     std::vector<std::pair<JobNumber, int>> notStarted;
     for (const auto &[id, flight] : agent->flights) {
-        if (flight.sequence > 0 && flight.sequence <= message.barrier && listed.count(id) == 0) {
+        // A task that was found running has sequence 0: the agent drops it only when it certainly did not run.
+        if (flight.sequence <= message.barrier && listed.count(id) == 0) {
             notStarted.push_back(id);
         }
     }
@@ -217,6 +219,7 @@
     if (agent == nullptr) {
         return;
     }
+    bool isPaused = false;
     for (std::size_t i = 0; i < message.refs.size(); ++i) {
         const auto &ref = message.refs[i];
         const auto *job = this->ledger.find(ref.key);
@@ -228,13 +231,17 @@
         const auto &place = active->places[index];
         const auto sequence = i < message.sequences.size() ? message.sequences[i] : 0;
         if (sequence > 0 ? sequence == place.sequence : place.sends == 1) {
-            agent->pausedUntil = this->now() + refusalPause;
+            isPaused = true;
             this->takeBack(*active, ref.index);
         } else if (sequence == 0) {
             // The refusal may be a copy of that of an earlier start.
             this->fence(*agent);
         }
     }
+    if (isPaused) {
+        const auto doublings = std::min(agent->refusals++, maxPauseDoublings);
+        agent->pausedUntil = this->now() + refusalPause * (1 << doublings);
+    }
     this->updateAvailability(*agent);
     this->afterMessage();
 }
@@ -246,7 +253,7 @@
     const Assignment assignment {{number, index}, active.places[static_cast<std::size_t>(index)].agent};
     this->leaveAgent(active, index);
     if (active.job->isCancelled || active.places[static_cast<std::size_t>(index)].sends >= maxRefusedSends) {
-        this->scheduler.finished(assignment, wire::Outcome::NOT_RUN, Micros(0), this->now());
+        this->scheduler.finished(assignment, wire::Outcome::STOPPED, Micros(0), this->now());
         this->decide(active, index, wire::Outcome::NOT_RUN);
     } else {
         this->scheduler.requeue(assignment, this->now());
@@ -329,6 +336,7 @@
     const auto &place = active.places[static_cast<std::size_t>(index)];
     if (!place.agent.empty()) {
         const Assignment assignment {{number, index}, place.agent};
+        this->agents.at(place.agent).refusals = 0;
         this->leaveAgent(active, index);
         this->scheduler.finished(assignment, result.outcome, Micros(result.runMicros), now);
     }
--- a/src/cell_owner_p.h
+++ b/src/cell_owner_p.h
@@ -120,6 +120,7 @@
         Time stateAt;
         Micros uptime {0}; ///< at stateAt
         Time pausedUntil; ///< after a refused start
+        int refusals = 0; ///< since a task last ended there
         std::int64_t lastSequence = 0;
         std::int64_t heardSequence = 0;
         std::map<std::pair<JobNumber, int>, Flight> flights;
--- a/src/cell_owner_run.cpp
+++ b/src/cell_owner_run.cpp
@@ -144,7 +144,7 @@
     const auto found = this->agents.find(assignment.server);
     if (active == nullptr || active->job->results[index].outcome != wire::Outcome::PENDING
         || found == this->agents.end()) {
-        this->scheduler.finished(assignment, wire::Outcome::NOT_RUN, Micros(0), now);
+        this->scheduler.finished(assignment, wire::Outcome::STOPPED, Micros(0), now);
         return std::nullopt;
     }
     auto &agent = found->second;
--- /dev/null
+++ b/tests/fault_control.h
@@ -0,0 +1,260 @@
+#pragma once
+
+#include "agatedrum/config.h"
+#include "fakes.h"
+#include "fault_network.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace agatedrum::test {
+
+/// Control group of one cell, as one process: gives the cell by lease, names holders, keeps epochs and the floor.
+class FakeControl
+{
+public:
+    static constexpr int port = 42000;
+
+    FakeControl(FaultNetwork &network, const ManualClock &clock, int copies)
+        : clock(clock)
+        , copies(copies)
+        , sink(network, processId("control-1"), wire::Role::CONTROL, port)
+    {
+    }
+
+    void handle(const Incoming &incoming)
+    {
+        if (const auto *heartbeat = std::get_if<wire::MemberHeartbeat>(&incoming.payload)) {
+            this->heard(incoming, *heartbeat);
+        }
+    }
+    void tick()
+    {
+        const auto now = this->clock.now();
+        for (auto member = this->members.begin(); member != this->members.end();) {
+            const bool isOwner = member->second.role == wire::Role::OWNER;
+            const Millis limit(isOwner ? AGATEDRUM_MEMBER_DEAD_MS : AGATEDRUM_AGENT_FORGET_MS);
+            if (now - member->second.acceptedAt < limit) {
+                ++member;
+                continue;
+            }
+            member = this->members.erase(member);
+            this->isChanged = true;
+        }
+        this->settle();
+    }
+    wire::ClusterView view() const
+    {
+        wire::ClusterView view;
+        view.version = this->version;
+        view.config.number = 1;
+        view.config.text
+            = "number: 1\nservices:\n  - name: visits\n    recordCopies: " + std::to_string(this->copies) + "\n...\n";
+        wire::CellView cell;
+        cell.cell = 0;
+        cell.serviceName = "visits";
+        cell.epoch = this->epoch;
+        cell.floorMs = this->floorMs;
+        if (this->members.count(this->owner) != 0) {
+            cell.__set_owner(this->ref(this->owner));
+        }
+        for (const auto &holder : this->holders) {
+            cell.holders.push_back(this->ref(holder.name));
+        }
+        for (const auto &[name, member] : this->members) {
+            if (member.role == wire::Role::AGENT) {
+                cell.agents.push_back(this->ref(name));
+            }
+        }
+        view.cells = {cell};
+        return view;
+    }
+    const std::string &ownerName() const
+    {
+        return this->owner;
+    }
+    bool hasWholeHolders() const
+    {
+        return static_cast<int>(this->holders.size()) >= this->copies - 1
+            && std::all_of(this->holders.begin(), this->holders.end(), [](const auto &holder) { return holder.whole; });
+    }
+
+private:
+    struct Member
+    {
+        wire::ProcessId id;
+        wire::Role::type role = wire::Role::TOOL;
+        wire::Endpoint address;
+        Time acceptedAt;
+        std::int64_t leaseVersion = 0; ///< view that an owner must have before its lease goes on
+        bool isLeaving = false;
+    };
+    struct Holder
+    {
+        std::string name;
+        std::int64_t since = 0;
+        bool whole = false;
+    };
+
+    wire::MemberRef ref(const std::string &name) const
+    {
+        const auto &member = this->members.at(name);
+        wire::MemberRef ref;
+        ref.id = member.id;
+        ref.address = member.address;
+        return ref;
+    }
+    void heard(const Incoming &incoming, const wire::MemberHeartbeat &heartbeat)
+    {
+        const auto &id = incoming.sender;
+        auto found = this->members.find(id.name);
+        const bool isRestarted = found != this->members.end() && found->second.id.incarnation < id.incarnation;
+        if (found != this->members.end()
+            && (found->second.id.incarnation > id.incarnation
+                || (isRestarted && heartbeat.role == wire::Role::OWNER))) {
+            return;
+        }
+        if (found == this->members.end() || isRestarted) {
+            auto &member = this->members[id.name];
+            member = {id, heartbeat.role, incoming.address, this->clock.now(), this->version + 1, false};
+            this->isChanged = true;
+            this->settle();
+            return;
+        }
+        this->answer(found->second, incoming, heartbeat);
+    }
+    void answer(Member &member, const Incoming &incoming, const wire::MemberHeartbeat &heartbeat)
+    {
+        member.isLeaving = heartbeat.leaving;
+        for (const auto &report : heartbeat.cells) {
+            this->noteWhole(member.id.name, report, heartbeat.viewVersion);
+        }
+        this->handOver(member);
+        wire::HeartbeatReply reply;
+        reply.sentAtMicros = heartbeat.sentAtMicros;
+        reply.leader = "control-1";
+        reply.viewVersion = this->version;
+        reply.accepted = heartbeat.viewVersion >= member.leaseVersion;
+        if (reply.accepted) {
+            member.acceptedAt = this->clock.now();
+        }
+        this->sink.send(incoming.address, reply);
+        if (heartbeat.viewVersion < this->version) {
+            this->sink.send(incoming.address, this->view());
+        }
+    }
+    void noteWhole(const std::string &sender, const wire::CellReport &report, std::int64_t viewVersion)
+    {
+        if (!report.owned || report.epoch != this->epoch || sender != this->owner) {
+            return;
+        }
+        for (auto &holder : this->holders) {
+            const auto &names = report.wholeHolders;
+            if (viewVersion >= holder.since && std::find(names.begin(), names.end(), holder.name) != names.end()) {
+                holder.whole = true;
+            }
+        }
+    }
+    void handOver(const Member &member)
+    {
+        if (!member.isLeaving || member.id.name != this->owner) {
+            return;
+        }
+        const auto next = this->wholeHolder();
+        if (!next.empty() && !this->members.at(next).isLeaving) {
+            this->give(next);
+            this->settle();
+        }
+    }
+    std::string wholeHolder() const
+    {
+        for (const auto &holder : this->holders) {
+            if (holder.whole && this->members.count(holder.name) != 0) {
+                return holder.name;
+            }
+        }
+        return {};
+    }
+    void give(const std::string &next)
+    {
+        if (const auto previous = this->members.find(this->owner); previous != this->members.end()) {
+            previous->second.leaseVersion = this->version + 1;
+        }
+        this->owner = next;
+        ++this->epoch;
+        this->isChanged = true;
+        this->holders.erase(std::remove_if(this->holders.begin(), this->holders.end(),
+                                           [&next](const auto &holder) { return holder.name == next; }),
+                            this->holders.end());
+        for (auto &holder : this->holders) {
+            holder.whole = false;
+            holder.since = this->version + 1;
+        }
+    }
+    bool isPlaced(const std::string &name) const
+    {
+        return name == this->owner
+            || std::any_of(this->holders.begin(), this->holders.end(),
+                           [&name](const auto &holder) { return holder.name == name; });
+    }
+    void settle()
+    {
+        if (this->members.count(this->owner) == 0) {
+            this->replaceOwner();
+        }
+        const auto before = this->holders.size();
+        this->holders.erase(
+            std::remove_if(this->holders.begin(), this->holders.end(),
+                           [this](const auto &holder) { return this->members.count(holder.name) == 0; }),
+            this->holders.end());
+        this->isChanged = this->isChanged || before != this->holders.size();
+        for (const auto &[name, member] : this->members) {
+            if (static_cast<int>(this->holders.size()) < this->copies - 1 && member.role == wire::Role::OWNER
+                && !member.isLeaving && !this->isPlaced(name)) {
+                this->holders.push_back({name, this->version + 1, false});
+                this->isChanged = true;
+            }
+        }
+        if (this->isChanged) {
+            ++this->version;
+            this->isChanged = false;
+            for (const auto &[name, member] : this->members) {
+                this->sink.send(member.address, this->view());
+            }
+        }
+    }
+    void replaceOwner()
+    {
+        auto next = this->wholeHolder();
+        if (next.empty()) {
+            for (const auto &[name, member] : this->members) {
+                if (member.role == wire::Role::OWNER) {
+                    next = name;
+                    break;
+                }
+            }
+            if (next.empty()) {
+                return;
+            }
+            if (this->epoch > 0) {
+                this->floorMs = std::max(this->floorMs, this->clock.wallMs() + AGATEDRUM_MAX_CLOCK_SKEW_MS);
+            }
+        }
+        this->give(next);
+    }
+
+    const ManualClock &clock;
+    int copies;
+    NetworkSink sink;
+    std::map<std::string, Member> members;
+    std::vector<Holder> holders;
+    std::string owner;
+    std::int64_t epoch = 0;
+    std::int64_t floorMs = 0;
+    std::int64_t version = 1;
+    bool isChanged = false;
+};
+
+} // namespace agatedrum::test
