Keep the cost of a decision flat in the number of backend servers

Change: tallies are halved when they are next used, health watches only servers with open failures, one refresh of a server for each finish.

--- a/src/cell_health.cpp
+++ b/src/cell_health.cpp
@@ -3,6 +3,7 @@
 #include "base_log_p.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -37,35 +38,62 @@
     this->maxEjectedShare = share;
 }
 
-void CellHealth::addServer(int server)
+CellHealth::Server *CellHealth::find(int index)
 {
-    this->servers.try_emplace(server);
+    const auto at = static_cast<std::size_t>(index);
+    return index >= 0 && at < this->servers.size() && this->servers[at].isKnown ? &this->servers[at] : nullptr;
+}
+
+const CellHealth::Server *CellHealth::find(int index) const
+{
+    const auto at = static_cast<std::size_t>(index);
+    return index >= 0 && at < this->servers.size() && this->servers[at].isKnown ? &this->servers[at] : nullptr;
+}
+
+void CellHealth::watch(int index)
+{
+    this->watched.insert(index);
+}
+
+void CellHealth::addServer(int index)
+{
+    if (this->find(index) != nullptr) {
+        return;
+    }
+    const auto at = static_cast<std::size_t>(index);
+    if (at >= this->servers.size()) {
+        this->servers.resize(at + 1);
+    }
+    this->servers[at].isKnown = true;
+    this->knownServers++;
 }
 
 void CellHealth::removeServer(int server)
 {
-    const auto found = this->servers.find(server);
-    if (found == this->servers.end()) {
+    auto *known = this->find(server);
+    if (known == nullptr) {
         return;
     }
-    if (found->second.state == State::Suspended || found->second.state == State::Ejected) {
+    if (known->state == State::Suspended || known->state == State::Ejected) {
         this->out--;
     }
-    this->servers.erase(found);
-    for (auto entry = this->teamServers.begin(); entry != this->teamServers.end();) {
-        entry = entry->first.second == server ? this->teamServers.erase(entry) : std::next(entry);
+    *known = Server {};
+    this->knownServers--;
+    this->watched.erase(server);
+    for (auto &[team, tally] : this->teams) {
+        tallyOf(tally, server) = Tally {};
     }
 }
 
 void CellHealth::record(int index, int team, std::int64_t job, bool isSuccess, Time now)
 {
-    const auto found = this->servers.find(index);
-    if (found == this->servers.end()) {
+    auto *known = this->find(index);
+    if (known == nullptr) {
         return;
     }
-    auto &server = found->second;
+    auto &server = *known;
     auto &tally = this->jobs[job];
-    auto &own = tally.byServer[index];
+    auto &own = tallyOf(tally, index);
     (isSuccess ? tally.all.successes : tally.all.failures) += 1;
     (isSuccess ? own.successes : own.failures) += 1;
     this->countTeam(index, team, isSuccess);
@@ -77,6 +105,7 @@
             tally.failedOn.push_back(index);
         }
         server.pending.push_back({job, team, now});
+        this->watch(index);
         server.failuresInRow++;
         if (server.state == State::Serving && server.failuresInRow >= suspendAfter && this->mayEject()) {
             server.state = State::Suspended;
@@ -96,9 +125,9 @@
         return;
     }
     for (const int index : found->second.failedOn) {
-        if (const auto server = this->servers.find(index); server != this->servers.end()) {
-            this->judgeJob(index, server->second, job);
-            this->decide(index, server->second, now);
+        if (auto *server = this->find(index)) {
+            this->judgeJob(index, *server, job);
+            this->decide(index, *server, now);
         }
     }
     this->jobs.erase(found);
@@ -106,7 +135,9 @@
 
 std::vector<int> CellHealth::tick(Time now)
 {
-    for (auto &[index, server] : this->servers) {
+    for (auto next = this->watched.begin(); next != this->watched.end();) {
+        const int index = *next;
+        auto &server = this->servers[static_cast<std::size_t>(index)];
         this->judgeDue(index, server, now);
         if (server.state == State::Suspended && server.pending.empty()) {
             server.state = State::Serving;
@@ -128,37 +159,32 @@
         if (server.state == State::Returning) {
             this->changed.push_back(index); // its restriction to idempotent jobs ends with time
         }
+        const bool isQuiet = server.state == State::Serving && server.pending.empty();
+        next = isQuiet ? this->watched.erase(next) : std::next(next);
     }
     return std::exchange(this->changed, {});
 }
 
 CellHealth::State CellHealth::state(int server) const
 {
-    const auto found = this->servers.find(server);
-    return found == this->servers.end() ? State::Serving : found->second.state;
+    const auto *known = this->find(server);
+    return known == nullptr ? State::Serving : known->state;
 }
 
 int CellHealth::limit(int index, int slots) const
 {
-    const auto found = this->servers.find(index);
-    if (found == this->servers.end()) {
+    const auto *known = this->find(index);
+    if (known == nullptr || known->state == State::Serving) {
         return slots;
     }
-    switch (found->second.state) {
-    case State::Serving:
-        return slots;
-    case State::Returning:
-        return std::min(slots, found->second.returnLimit);
-    default:
-        return 0;
-    }
+    return known->state == State::Returning ? std::min(slots, known->returnLimit) : 0;
 }
 
 bool CellHealth::isIdempotentOnly(int index, Time now) const
 {
-    const auto found = this->servers.find(index);
-    return found != this->servers.end() && found->second.state == State::Returning
-        && found->second.returnSuccesses < idempotentSuccesses && now - found->second.returnedAt < idempotentTime;
+    const auto *known = this->find(index);
+    return known != nullptr && known->state == State::Returning && known->returnSuccesses < idempotentSuccesses
+        && now - known->returnedAt < idempotentTime;
 }
 
 double CellHealth::blameOf(const Tally &all, const Tally &own)
@@ -168,22 +194,41 @@
     return total > 0.5 ? successes / total : 0;
 }
 
+CellHealth::Tally &CellHealth::tallyOf(JobTally &job, int server)
+{
+    const auto found = std::find_if(job.byServer.begin(), job.byServer.end(),
+                                    [server](const auto &entry) { return entry.first == server; });
+    return found != job.byServer.end() ? found->second : job.byServer.emplace_back(server, Tally {}).second;
+}
+
+CellHealth::Tally &CellHealth::tallyOf(TeamTally &team, int server)
+{
+    const auto at = static_cast<std::size_t>(server);
+    if (at >= team.byServer.size()) {
+        team.byServer.resize(at + 1);
+    }
+    auto &[tally, halvings] = team.byServer[at];
+    if (halvings < team.halvings) {
+        const double share = std::pow(0.5, static_cast<double>(team.halvings - halvings));
+        tally.successes *= share;
+        tally.failures *= share;
+        halvings = team.halvings;
+    }
+    return tally;
+}
+
 // The same job on other servers says most; a job that ran nowhere else is compared with the team's other tasks.
-double CellHealth::judge(int server, const Failure &failure) const
+double CellHealth::judge(int server, const Failure &failure)
 {
     if (const auto job = this->jobs.find(failure.job); job != this->jobs.end()) {
-        const auto &own = job->second.byServer.at(server);
+        const auto &own = tallyOf(job->second, server);
         const auto &all = job->second.all;
         if (all.successes + all.failures > own.successes + own.failures) {
             return blameOf(all, own);
         }
     }
-    const auto all = this->teams.find(failure.team);
-    const auto own = this->teamServers.find({failure.team, server});
-    if (all == this->teams.end() || own == this->teamServers.end()) {
-        return 0;
-    }
-    return blameOf(all->second, own->second);
+    auto &team = this->teams[failure.team];
+    return blameOf(team.all, tallyOf(team, server));
 }
 
 void CellHealth::judgeJob(int index, Server &server, std::int64_t job)
@@ -241,6 +286,7 @@
     server.ejection = server.ejection.count() == 0 ? firstEjection : std::min(longestEjection, server.ejection * 2);
     server.until = now + server.ejection;
     this->changed.push_back(index);
+    this->watch(index);
     log(LogLevel::Warning, "health", "ejected backend server {} for {} ms", index, server.ejection.count() / 1000);
 }
 
@@ -261,26 +307,19 @@
 
 bool CellHealth::mayEject() const
 {
-    return this->out + 1 <= this->maxEjectedShare * static_cast<double>(this->servers.size()) + 1e-9;
+    return this->out + 1 <= this->maxEjectedShare * static_cast<double>(this->knownServers) + 1e-9;
 }
 
-void CellHealth::countTeam(int server, int team, bool isSuccess)
+void CellHealth::countTeam(int server, int index, bool isSuccess)
 {
-    auto &all = this->teams[team];
-    auto &own = this->teamServers[{team, server}];
-    (isSuccess ? all.successes : all.failures) += 1;
+    auto &team = this->teams[index];
+    auto &own = tallyOf(team, server);
+    (isSuccess ? team.all.successes : team.all.failures) += 1;
     (isSuccess ? own.successes : own.failures) += 1;
-    if (all.successes + all.failures < teamWindow) {
-        return;
-    }
-    const auto halve = [](Tally &tally) {
-        tally.successes /= 2;
-        tally.failures /= 2;
-    };
-    halve(all);
-    for (auto entry = this->teamServers.lower_bound({team, 0});
-         entry != this->teamServers.end() && entry->first.first == team; ++entry) {
-        halve(entry->second);
+    if (team.all.successes + team.all.failures >= teamWindow) {
+        team.all.successes /= 2;
+        team.all.failures /= 2;
+        team.halvings++;
     }
 }
 
--- a/src/cell_health_p.h
+++ b/src/cell_health_p.h
@@ -4,8 +4,9 @@
 
 #include <cstdint>
 #include <deque>
-#include <map>
+#include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace agatedrum {
@@ -55,6 +56,7 @@
     };
     struct Server
     {
+        bool isKnown = false;
         State state = State::Serving;
         std::deque<double> verdicts; ///< blame of the last outcomes: 0 for a success, up to 1 for a failure
         std::deque<Failure> pending; ///< failures that are not judged yet
@@ -66,8 +68,21 @@
         int returnSuccesses = 0;
     };
 
+    struct JobTally
+    {
+        Tally all;
+        std::vector<std::pair<int, Tally>> byServer;
+        std::vector<int> failedOn; ///< servers with a failure of this job that may be pending
+    };
+    struct TeamTally
+    {
+        Tally all;
+        std::int64_t halvings = 0;
+        std::vector<std::pair<Tally, std::int64_t>> byServer; ///< with the halvings that are applied
+    };
+
     static double blameOf(const Tally &all, const Tally &own);
-    double judge(int server, const Failure &failure) const;
+    double judge(int server, const Failure &failure);
     void judgeJob(int index, Server &server, std::int64_t job);
     void judgeDue(int index, Server &server, Time now);
     static void addVerdict(Server &server, double blame);
@@ -75,18 +90,19 @@
     void eject(int index, Server &server, Time now);
     void recordReturning(int index, Server &server, bool isSuccess);
     bool mayEject() const;
+    static Tally &tallyOf(JobTally &job, int server);
+    static Tally &tallyOf(TeamTally &team, int server);
     void countTeam(int server, int team, bool isSuccess);
 
-    std::map<int, Server> servers;
-    struct JobTally
-    {
-        Tally all;
-        std::map<int, Tally> byServer;
-        std::vector<int> failedOn; ///< servers with a failure of this job that may be pending
-    };
+    Server *find(int index);
+    const Server *find(int index) const;
+    void watch(int index);
+
+    std::vector<Server> servers; ///< by index
+    std::set<int> watched; ///< servers with pending failures or not in service
+    std::size_t knownServers = 0;
     std::unordered_map<std::int64_t, JobTally> jobs;
-    std::unordered_map<int, Tally> teams;
-    std::map<std::pair<int, int>, Tally> teamServers;
+    std::unordered_map<int, TeamTally> teams;
     std::vector<int> changed;
     double maxEjectedShare = 0.3;
     int out = 0; ///< servers suspended or ejected
--- a/src/cell_order.cpp
+++ b/src/cell_order.cpp
@@ -18,8 +18,8 @@
     }
 
 private:
-    // A share of 0.15 and a bound of 2 s left the mean at load 0.95 at 0.82 of the first-come ideal; the bound keeps the
-    // p99.9 of large jobs near that of first come first served.
+    // A share of 0.15 and a bound of 2 s left the mean at load 0.95 at 0.82 of the first-come ideal; the bound keeps
+    // the p99.9 of large jobs near that of first come first served.
     static constexpr double workShare = 0.3;
     static constexpr Micros maxDelay {6000000};
 };
--- a/src/cell_scheduler.cpp
+++ b/src/cell_scheduler.cpp
@@ -129,7 +129,7 @@
 
 void CellScheduler::finished(const Assignment &assignment, wire::Outcome::type outcome, Micros runTime, Time now)
 {
-    const auto *job = this->impl->release(assignment, now);
+    const auto *job = this->impl->release(assignment);
     if (job == nullptr) {
         return;
     }
@@ -149,8 +149,12 @@
 
 void CellScheduler::requeue(const Assignment &assignment, Time now)
 {
-    if (auto *job = this->impl->release(assignment, now)) {
+    if (auto *job = this->impl->release(assignment)) {
         this->impl->enqueue(assignment.task.job, *job, assignment.task.index);
+        const auto server = this->impl->indices.find(assignment.server);
+        if (server != this->impl->indices.end()) {
+            this->impl->refreshServer(server->second, now);
+        }
     }
 }
 
@@ -205,9 +209,7 @@
         }
     }
     this->impl->refreshSpeeds(now);
-    const bool hasServer = std::any_of(this->impl->servers.begin(), this->impl->servers.end(),
-                                       [this](const auto &s) { return s.isKnown && this->impl->usableSlots(s) > 0; });
-    if (hasServer) {
+    if (this->impl->usableServers > 0) {
         this->impl->noServerSince.reset();
     } else if (!this->impl->noServerSince) {
         this->impl->noServerSince = now;
--- a/src/cell_scheduler_state.cpp
+++ b/src/cell_scheduler_state.cpp
@@ -118,7 +118,10 @@
 void CellScheduler::Impl::refreshServer(int index, Time now)
 {
     auto &server = this->servers[at(index)];
-    server.limit = this->health.limit(index, this->usableSlots(server));
+    const int slots = this->usableSlots(server);
+    this->usableServers += static_cast<int>(slots > 0) - static_cast<int>(server.isUsable);
+    server.isUsable = slots > 0;
+    server.limit = this->health.limit(index, slots);
     this->capacity -= server.capacity;
     server.capacity = server.limit / this->relativeSlowness(server);
     this->capacity += server.capacity;
@@ -325,7 +328,7 @@
     return this->start(number, *this->returning.begin(), now);
 }
 
-CellScheduler::Impl::Job *CellScheduler::Impl::release(const Assignment &assignment, Time now)
+CellScheduler::Impl::Job *CellScheduler::Impl::release(const Assignment &assignment)
 {
     const auto found = this->jobs.find(assignment.task.job);
     if (found == this->jobs.end() || assignment.task.index < 0
@@ -345,7 +348,6 @@
     this->teams.changeRunning(job.team, -1);
     if (this->hasServer(server) && this->servers[at(server)].name == assignment.server) {
         this->servers[at(server)].running--;
-        this->refreshServer(server, now);
     }
     return &job;
 }
--- a/src/cell_scheduler_state_p.h
+++ b/src/cell_scheduler_state_p.h
@@ -33,6 +33,7 @@
         int held = 0; ///< slots kept free after a fast failure
         int slowSlots = 0; ///< slots that the server loses because it is slow
         int limit = 0;
+        bool isUsable = false;
         double capacity = 0;
         double fasterCapacity = 0; ///< of all faster servers
         double fasterSlowness = 1; ///< mean relative slowness of the faster servers
@@ -89,8 +90,9 @@
     bool shouldStart(const Job &job, Micros ahead, const Server &server, Time now) const;
     void rankServers();
     std::optional<Assignment> nextForReturning(Time now);
-    /// Frees the slot of a running task. @return nullptr when the task is not known to run there.
-    Job *release(const Assignment &assignment, Time now);
+    /// Takes a task out of the running ones; the caller refreshes the server.
+    /// @return nullptr when the task is not known to run.
+    Job *release(const Assignment &assignment);
     void endIfDone(JobNumber number, Time now);
     void learn(const Job &job, const Task &task, int server, wire::Outcome::type outcome, Micros runTime, Time now);
 
@@ -121,6 +123,7 @@
     double meanSlowness = 1; ///< geometric mean, the unit of relative slowness
     double medianSlowness = 1;
     double fastest = 1; ///< lowest relative slowness
+    int usableServers = 0; ///< available and with slots, whatever their health
     Time nextRefresh;
     Time lastStart;
     Time latest; ///< highest time seen, for calls that carry none
