--- a/src/cell_scheduler_state.cpp
+++ b/src/cell_scheduler_state.cpp
@@ -279,6 +279,9 @@
     if (server.fasterCapacity <= 0) {
         return this->start(jobs.begin()->second, index, now);
     }
+    if (server.running == 0 && server.speed.isStale(now)) {
+        return this->start(jobs.begin()->second, index, now, true);
+    }
     Micros ahead {0};
     auto chosen = jobs.begin();
     for (int looked = 0; chosen != jobs.end(); ++chosen) {
@@ -368,9 +371,9 @@
     auto &sizes = this->teams.sizes(job.team);
     const double slowness = this->relativeSlowness(server);
     if (outcome == wire::Outcome::FINISHED && runTime.count() > 0) {
-        server.speed.learn(sizes.median(task.declared), runTime);
         const double normalised = static_cast<double>(runTime.count()) / slowness;
-        sizes.learn(task.declared, Micros(static_cast<std::int64_t>(normalised)));
+        const double error = sizes.learn(task.declared, Micros(static_cast<std::int64_t>(normalised)));
+        server.speed.learn(error + std::log(slowness), now);
     }
     if (outcome == wire::Outcome::FAILED || outcome == wire::Outcome::NOT_RUN || outcome == wire::Outcome::UNKNOWN) {
         const auto usual = Micros(static_cast<std::int64_t>(static_cast<double>(task.expected.count()) * slowness));
--- a/src/cell_speeds.cpp
+++ b/src/cell_speeds.cpp
@@ -14,9 +14,13 @@
 constexpr double maxSampleError = 1.5;
 constexpr double minStep = 0.02;
 constexpr double changeStep = 0.2;
-/// With declared sizes off by a log-normal sigma of 1 the short-term average has a deviation of 0.33.
-constexpr double changeThreshold = 1.0;
-constexpr double recentStep = 0.2;
+/// With declared sizes off by a log-normal sigma of 1 the short-term average has a deviation of 0.23.
+constexpr double changeThreshold = 0.7;
+constexpr double recentStep = 0.1;
+constexpr double commonStep = 0.01;
+/// Time without a sample after which a server is tried with a short task. At 100 tasks a second the trials of one
+/// server are a hundredth of the load.
+constexpr Micros staleAfter {1000000};
 /// A sample's weight halves after about 700 later ones.
 constexpr double decay = 0.999;
 /// Samples that the assumption "actual equals declared" counts for.
@@ -31,17 +35,23 @@
 
 } // namespace
 
-void ServerSpeed::learn(Micros expected, Micros actual)
+void ServerSpeed::learn(double logRatio, Time now)
 {
-    const double error = std::clamp(logOf(actual) - logOf(expected) - this->logarithm, -maxSampleError, maxSampleError);
+    const double error = std::clamp(logRatio - this->logarithm, -maxSampleError, maxSampleError);
     this->recent += recentStep * (error - this->recent);
     const bool hasChanged = this->samples > 10 && std::abs(this->recent) > changeThreshold;
     const double step = hasChanged ? changeStep : std::max(minStep, 1.0 / (this->samples + 2));
     this->logarithm += step * error;
     this->samples++;
+    this->lastSample = now;
     this->current = std::exp(this->logarithm);
 }
 
+bool ServerSpeed::isStale(Time now) const
+{
+    return now - this->lastSample > staleAfter;
+}
+
 Micros SizeModel::median(Micros declared) const
 {
     return Micros(static_cast<std::int64_t>(std::exp(this->offset + this->slope * logOf(declared))));
@@ -49,16 +59,16 @@
 
 Micros SizeModel::low(Micros declared) const
 {
-    const double variance = (this->sumSquares + priorWeight * priorVariance) / (this->weight + priorWeight);
-    const double share = std::exp(-2 * std::sqrt(variance));
-    return Micros(static_cast<std::int64_t>(share * static_cast<double>(this->median(declared).count())));
+    const double deviation
+        = std::sqrt((this->variance * this->weight + priorWeight * priorVariance) / (this->weight + priorWeight));
+    return Micros(
+        static_cast<std::int64_t>(std::exp(-2 * deviation) * static_cast<double>(this->median(declared).count())));
 }
 
+// The mean of a log-normal distribution.
 Micros SizeModel::mean(Micros declared) const
 {
-    constexpr double prior = priorWeight * static_cast<double>(undeclaredTime.count());
-    const double correction = (this->sumActual + prior) / (this->sumMedian + prior);
-    const double expected = correction * static_cast<double>(this->median(declared).count());
+    const double expected = std::exp(this->variance / 2) * static_cast<double>(this->median(declared).count());
     return Micros(static_cast<std::int64_t>(std::max(minTaskMicros, expected)));
 }
 
@@ -72,9 +82,7 @@
     this->sumY = this->sumY * decay + y;
     this->sumXX = this->sumXX * decay + x * x;
     this->sumXY = this->sumXY * decay + x * y;
-    this->sumSquares = this->sumSquares * decay + (y - expected) * (y - expected);
-    this->sumActual = this->sumActual * decay + std::exp(y);
-    this->sumMedian = this->sumMedian * decay + std::exp(expected);
+    this->sumYY = this->sumYY * decay + y * y;
     this->refresh();
 }
 
@@ -88,6 +96,9 @@
     const double covariance = this->sumXY - meanX * this->sumY + priorWeight * priorVariance;
     this->slope = std::clamp(covariance / varianceX, 0.0, 1.2);
     this->offset = meanY - this->slope * meanX;
+    const double spread = this->sumYY - this->sumY * this->sumY / this->weight;
+    const double explained = this->slope * (this->sumXY - meanX * this->sumY);
+    this->variance = std::max(0.0, spread - explained) / (this->weight + priorWeight);
 }
 
 Micros TeamSizes::mean(Micros declared) const
@@ -105,13 +116,18 @@
     return declared.count() > 0 ? this->declaredTasks.low(declared) : this->undeclaredTasks.low(undeclaredTime);
 }
 
-void TeamSizes::learn(Micros declared, Micros actual)
+// A wrong model of the sizes shows on all servers and must not count as slowness of those that ran meanwhile.
+double TeamSizes::learn(Micros declared, Micros actual)
 {
+    const double error = logOf(actual) - logOf(this->median(declared));
+    this->samples++;
+    this->commonError += std::max(commonStep, 1.0 / (this->samples + 10)) * (error - this->commonError);
     if (declared.count() > 0) {
         this->declaredTasks.learn(declared, actual);
     } else {
         this->undeclaredTasks.learn(undeclaredTime, actual);
     }
+    return error - this->commonError;
 }
 
 double TeamSizes::factor() const
--- a/src/cell_speeds_p.h
+++ b/src/cell_speeds_p.h
@@ -8,8 +8,10 @@
 class ServerSpeed
 {
 public:
-    /// @param expected run time that a backend server of slowness 1 would need; positive.
-    void learn(Micros expected, Micros actual);
+    /// @param logRatio logarithm of the actual run time to that on a backend server of slowness 1.
+    void learn(double logRatio, Time now);
+    /// Whether the last sample is so old that the server should be tried again although it seemed slow.
+    bool isStale(Time now) const;
     /// Above 0; 1 until something was learned.
     double slowness() const
     {
@@ -21,6 +23,7 @@
     double recent = 0; ///< short-term average of the error, which tells a change of speed from odd samples
     double current = 1;
     int samples = 0;
+    Time lastSample;
 };
 
 /// Learned relation of declared to actual run times, for a backend server of slowness 1. Not thread-safe.
@@ -45,12 +48,10 @@
     double sumY = 0;
     double sumXX = 0;
     double sumXY = 0;
+    double sumYY = 0;
     double slope = 1;
     double offset = 0;
-    double sumSquares = 0; ///< decayed sum of the squared errors of the logarithm
-    // Decayed sums of actual and median run times, which lead from the median to the mean.
-    double sumActual = 0;
-    double sumMedian = 0;
+    double variance = 0; ///< of the logarithm of actual run times of tasks that declare the same
 };
 
 /// Learned sizes of one team's tasks, with and without a declared run time. Not thread-safe.
@@ -61,13 +62,17 @@
     Micros mean(Micros declared) const;
     Micros median(Micros declared) const;
     Micros low(Micros declared) const;
-    void learn(Micros declared, Micros actual);
+    /// @param actual run time divided by the slowness of the backend server.
+    /// @return logarithm of actual to median without the error that the team's tasks have on all servers at present.
+    double learn(Micros declared, Micros actual);
     /// Expected ratio of actual to declared run time for tasks that declare a second.
     double factor() const;
 
 private:
     SizeModel declaredTasks;
     SizeModel undeclaredTasks;
+    double commonError = 0;
+    int samples = 0;
 };
 
 } // namespace agatedrum
