--- /dev/null
+++ b/src/cli_config.cpp
@@ -0,0 +1,194 @@
+#include "cli_output_p.h"
+#include "cli_run_p.h"
+#include "config_cluster_p.h"
+#include "settings_process_p.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <thread>
+
+// Commands that check and change the configuration.
+
+namespace agatedrum {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Millis pollInterval {200};
+
+/// Waits until no process lags behind the configuration.
+CliResult awaitAcknowledged(const CliRun &run, std::int64_t number)
+{
+    const auto until = std::chrono::steady_clock::now() + run.options.timeout;
+    std::string lagging = "?";
+    while (std::chrono::steady_clock::now() < until) {
+        const auto answer = run.client.requestJson("GET", "/v1/configuration/acknowledged");
+        if (isOk(answer)) {
+            const auto &names = value(answer).at("lagging");
+            // A later configuration replaces this one, and whoever has it is not behind.
+            if (value(answer).at("number").get<std::int64_t>() >= number && names.empty()) {
+                run.streams.out << "acknowledged by every process\n";
+                return ExitCode::Done;
+            }
+            lagging = fieldText(names);
+        } else {
+            lagging = error(answer).message;
+        }
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return CliFailure {ExitCode::TimedOut, fmt::format("accepted, but not yet acknowledged by all: {}", lagging)};
+}
+
+CliResult applyText(const CliRun &run, const std::string &text)
+{
+    if (run.options.author.empty()) {
+        return CliFailure {ExitCode::BadInput, "no author; give --author NAME"};
+    }
+    const auto target = fmt::format("/v1/configuration?author={}&dryRun={}", encodePercent(run.options.author),
+                                    run.options.isDryRun ? "true" : "false");
+    const auto answer = run.client.requestJson("POST", target, text);
+    if (!isOk(answer)) {
+        return error(answer);
+    }
+    if (run.options.output == OutputFormat::Json) {
+        printAnswer(run, value(answer));
+    } else {
+        run.streams.out << fmt::format("{}: {}\n", run.options.isDryRun ? "would be accepted" : "accepted",
+                                       value(answer).at("message").get<std::string>());
+    }
+    if (!run.options.mustWait || run.options.isDryRun) {
+        return ExitCode::Done;
+    }
+    return awaitAcknowledged(run, value(answer).at("number").get<std::int64_t>());
+}
+
+CliResult apply(const CliRun &run)
+{
+    const auto text = readInput(run);
+    if (!isOk(text)) {
+        return error(text);
+    }
+    // A faulty file is refused here with all its faults, before anything is sent.
+    const auto config = parseConfig(value(text));
+    if (!isOk(config)) {
+        return CliFailure {ExitCode::BadInput, fmt::format("{}:\n{}", run.options.file, error(config).text())};
+    }
+    return applyText(run, value(text));
+}
+
+/// Sets or clears "drain" of one backend server in the YAML document. @return whether that changed anything.
+bool setDrain(YAML::Node document, const std::string &name, bool isDrained)
+{
+    auto servers = document["backendServers"];
+    for (auto server : servers) {
+        if (server["name"].as<std::string>() == name) {
+            const bool before = server["drain"].as<bool>(false);
+            server["drain"] = isDrained;
+            return before != isDrained;
+        }
+    }
+    if (isDrained) {
+        YAML::Node server;
+        server["name"] = name;
+        server["drain"] = true;
+        document["backendServers"].push_back(server);
+    }
+    return isDrained;
+}
+
+CliResult changeDrain(const CliRun &run, bool isDrained)
+{
+    const auto inForce = run.client.requestJson("GET", "/v1/configuration");
+    if (!isOk(inForce)) {
+        return error(inForce);
+    }
+    const auto text = value(inForce).at("text").get<std::string>();
+    const auto config = parseConfig(text);
+    if (!isOk(config)) {
+        return CliFailure {ExitCode::BadAnswer, "the configuration in force cannot be read: " + error(config).text()};
+    }
+    auto document = YAML::Load(text);
+    bool hasChanged = false;
+    for (const auto &name : run.options.arguments) {
+        hasChanged = setDrain(document, name, isDrained) || hasChanged;
+    }
+    if (!hasChanged) {
+        run.streams.out << "nothing to change\n";
+        return ExitCode::Done;
+    }
+    document["number"] = value(config).number + 1;
+    return applyText(run, YAML::Dump(document) + "\n...\n");
+}
+
+CliResult drain(const CliRun &run)
+{
+    return changeDrain(run, true);
+}
+
+CliResult undrain(const CliRun &run)
+{
+    return changeDrain(run, false);
+}
+
+/// Whether the file is a process's settings: they name a role, a configuration has none.
+bool isSettings(const std::string &text)
+{
+    const auto document = parseYaml(text);
+    return isOk(document) && value(document).IsMap() && value(document)["role"].IsDefined();
+}
+
+CliResult check(const CliRun &run)
+{
+    const auto text = readInput(run);
+    if (!isOk(text)) {
+        return error(text);
+    }
+    std::string faults;
+    std::string kind;
+    if (isSettings(value(text))) {
+        const auto settings = parseSettings(value(text));
+        faults = isOk(settings) ? "" : error(settings).text();
+        kind = "settings";
+    } else {
+        const auto config = parseConfig(value(text));
+        faults = isOk(config) ? "" : error(config).text();
+        kind = "configuration";
+    }
+    if (!faults.empty()) {
+        return CliFailure {ExitCode::BadInput, fmt::format("{}:\n{}", run.options.file, faults)};
+    }
+    run.streams.out << fmt::format("{}: valid {}\n", run.options.file, kind);
+    return ExitCode::Done;
+}
+
+} // namespace
+
+std::vector<CliCommand> configCommands()
+{
+    constexpr std::size_t maxServers = 1000;
+    const std::vector<std::string> drainOptions {"dry-run", "wait", "author", "entry", "output", "timeout"};
+    return {{"apply",
+             "-f FILE [--dry-run] [--wait] [--author NAME]",
+             "put a configuration in force",
+             0,
+             0,
+             {"file", "dry-run", "wait", "author", "entry", "output", "timeout"},
+             true,
+             &apply},
+            {"drain", "BACKENDSERVER ... [--dry-run] [--wait] [--author NAME]",
+             "give backend servers no new work, by the next configuration", 1, maxServers, drainOptions, true, &drain},
+            {"undrain", "BACKENDSERVER ... [--dry-run] [--wait] [--author NAME]",
+             "give backend servers work again, by the next configuration", 1, maxServers, drainOptions, true, &undrain},
+            {"check",
+             "-f FILE",
+             "check a configuration or settings file without sending it",
+             0,
+             0,
+             {"file"},
+             false,
+             &check}};
+}
+
+} // namespace agatedrum
--- /dev/null
+++ b/src/cli_jobs.cpp
@@ -0,0 +1,103 @@
+#include "cli_output_p.h"
+#include "cli_run_p.h"
+
+#include <fmt/format.h>
+
+// Commands for jobs.
+
+namespace agatedrum {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Prints a job's answer; the exit code tells whether every task finished.
+CliResult showJob(const CliRun &run, const Result<Json, CliFailure> &answer)
+{
+    if (!isOk(answer)) {
+        return error(answer);
+    }
+    const auto &job = value(answer);
+    const auto state = job.at("state").get<std::string>();
+    if (run.options.output == OutputFormat::Json) {
+        printAnswer(run, job);
+    } else {
+        nlohmann::ordered_json rows = nlohmann::ordered_json::array();
+        for (const auto &task : job.at("tasks")) {
+            rows.push_back({{"id", task.at("id")},
+                            {"outcome", task.at("outcome")},
+                            {"status", task.at("status")},
+                            {"runMs", task.at("runMs")},
+                            {"server", task.at("server")}});
+        }
+        run.streams.out << fmt::format("{}/{}: {}\n", fieldText(job.at("caller")), fieldText(job.at("submission")),
+                                       state)
+                        << tableText(rows);
+    }
+    return state == "failed" ? ExitCode::JobFailed : ExitCode::Done;
+}
+
+CliResult submit(const CliRun &run)
+{
+    const auto text = readInput(run);
+    if (!isOk(text)) {
+        return error(text);
+    }
+    return showJob(run, run.client.requestJson("POST", "/v1/jobs", value(text)));
+}
+
+CliResult callJob(const CliRun &run, const std::string &method)
+{
+    if (run.options.service.empty()) {
+        return CliFailure {ExitCode::BadInput, fmt::format("{} needs --service NAME", run.options.command)};
+    }
+    const auto &names = run.options.arguments;
+    return showJob(run,
+                   run.client.requestJson(method,
+                                          fmt::format("/v1/jobs/{}/{}?service={}", encodePercent(names[0]),
+                                                      encodePercent(names[1]), encodePercent(run.options.service))));
+}
+
+CliResult status(const CliRun &run)
+{
+    return callJob(run, "GET");
+}
+
+CliResult cancel(const CliRun &run)
+{
+    const auto result = callJob(run, "DELETE");
+    // A job that was stopped has failed, which is what the command is for.
+    return isOk(result) ? CliResult(ExitCode::Done) : result;
+}
+
+} // namespace
+
+std::vector<CliCommand> jobCommands()
+{
+    return {{"submit",
+             "-f FILE.json",
+             "run a job and show its answer",
+             0,
+             0,
+             {"file", "entry", "output", "timeout"},
+             true,
+             &submit},
+            {"status",
+             "CALLER SUBMISSION --service NAME",
+             "show a job",
+             2,
+             2,
+             {"service", "entry", "output", "timeout"},
+             true,
+             &status},
+            {"cancel",
+             "CALLER SUBMISSION --service NAME",
+             "stop a job",
+             2,
+             2,
+             {"service", "entry", "output", "timeout"},
+             true,
+             &cancel}};
+}
+
+} // namespace agatedrum
--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -1,5 +1,6 @@
 #include "entry_api_p.h"
 
+#include "entry_jobs_p.h"
 #include "entry_json_p.h"
 
 #include <algorithm>
@@ -94,13 +95,15 @@
                              {"digest", answer.inForce.digest},
                              {"lagging", answer.lagging}});
     }
-    const int status = answer.code == "invalid" ? 400 : 409;
+    // Other refusals can follow a lost reply that accepted this very file.
+    const bool notRun = answer.code == "invalid" || answer.code == "conflict";
+    const int status = answer.code == "unavailable" ? 503 : (answer.code == "invalid" ? 400 : 409);
     auto inForce = fileJson(answer.inForce);
     inForce.erase("text");
     return jsonResponse(
         status,
         {{"error",
-          {{"code", answer.code}, {"message", answer.message}, {"field", ""}, {"notRun", true}, {"retryAfterMs", 0}}},
+          {{"code", answer.code}, {"message", answer.message}, {"field", ""}, {"notRun", notRun}, {"retryAfterMs", 0}}},
          {"inForce", inForce}});
 }
 
@@ -129,18 +132,27 @@
                });
 }
 
+/// What the control group says to a question that it cannot answer: {"error": TEXT}.
+std::string controlFault(const std::string &text)
+{
+    const auto json = Json::parse(text, nullptr, false);
+    const bool hasText = json.is_object() && json.contains("error") && json["error"].is_string();
+    return hasText ? json["error"].get<std::string>() : "the control group has no answer";
+}
+
 /// Passes on the control group's JSON.
 void ask(EntryCore &core, const std::string &kind, const std::string &argument, const HttpReply &reply)
 {
     core.controlQuery(kind, argument, [reply](const Result<wire::ControlAnswer, wire::Refusal> &answer) {
         if (!isOk(answer)) {
             reply(refusalResponse(error(answer)));
-            return;
+        } else if (!value(answer).ok) {
+            reply(refusalResponse(makeRefusal(wire::RefusalCode::NOT_FOUND, controlFault(value(answer).json), true)));
+        } else {
+            HttpResponse response;
+            response.body = value(answer).json;
+            reply(response);
         }
-        HttpResponse response;
-        response.status = value(answer).ok ? 200 : 404;
-        response.body = value(answer).json;
-        reply(response);
     });
 }
 
@@ -161,7 +173,7 @@
         reply(faultResponse({"number", "must be a whole number from 1"}));
         return;
     }
-    ask(core, "configuration", text, reply);
+    ask(core, "config", text, reply);
 }
 
 HttpHandler askHandler(EntryCore &core, const std::string &kind)
--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -14,6 +14,7 @@
 constexpr Millis silentDelay {1000};
 constexpr Millis refusedDelay {100};
 constexpr std::string_view notLeader = "not-leader";
+constexpr std::string_view unavailable = "unavailable"; // no decision was made; the same file may be sent again
 
 void refuse(const ControlCall &call, const wire::Refusal &refusal)
 {
@@ -38,19 +39,19 @@
 
 void EntryControl::apply(wire::ApplyConfig message, ApplyHandler reply)
 {
-    this->start({std::move(message), std::move(reply), {}, {}});
+    this->start({std::move(message), std::move(reply), {}, {}, {}});
 }
 
 void EntryControl::query(wire::ControlQuery message, ControlHandler reply)
 {
-    this->start({std::move(message), std::move(reply), {}, {}});
+    this->start({std::move(message), std::move(reply), {}, {}, {}});
 }
 
 void EntryControl::start(ControlCall call)
 {
     const auto now = this->clock.now();
     call.limit = now + this->timeout;
-    const auto refusalCall = ControlCall {{}, call.reply, {}, {}};
+    const auto refusalCall = ControlCall {{}, call.reply, {}, {}, {}};
     const auto id = this->calls.add(std::move(call), now + this->timeout);
     if (id == 0) {
         refuse(refusalCall,
@@ -75,8 +76,8 @@
 
 void EntryControl::handleReply(const wire::ApplyReply &message)
 {
-    if (message.code == notLeader) {
-        this->retryLater(message.requestId);
+    if (message.code == notLeader || message.code == unavailable) {
+        this->retryLater(message.requestId, message.code == unavailable ? &message : nullptr);
         return;
     }
     const auto call = this->calls.takeIf(message.requestId, [](const ControlCall &waiting) {
@@ -90,7 +91,7 @@
 void EntryControl::handleAnswer(const wire::ControlAnswer &message)
 {
     if (!message.ok && message.json.find(notLeader) != std::string::npos) {
-        this->retryLater(message.requestId);
+        this->retryLater(message.requestId, nullptr);
         return;
     }
     const auto call = this->calls.takeIf(message.requestId, [](const ControlCall &waiting) {
@@ -101,10 +102,13 @@
     }
 }
 
-void EntryControl::retryLater(std::int64_t id)
+void EntryControl::retryLater(std::int64_t id, const wire::ApplyReply *undecided)
 {
     const auto now = this->clock.now();
-    this->calls.update(id, [now](ControlCall &call) {
+    this->calls.update(id, [now, undecided](ControlCall &call) {
+        if (undecided != nullptr) {
+            call.undecided = *undecided;
+        }
         call.nextSend = now + refusedDelay;
         return std::min(call.nextSend, call.limit);
     });
@@ -119,6 +123,10 @@
               return now >= call.limit ? std::nullopt : std::optional<Time>(this->send(id, call, now));
           });
     for (const auto &call : ended) {
+        if (const auto *apply = std::get_if<ApplyHandler>(&call.reply); apply != nullptr && call.undecided) {
+            (*apply)(*call.undecided);
+            continue;
+        }
         refuse(call,
                makeRefusal(wire::RefusalCode::NONE,
                            "no answer from the control group; outcome unknown, sending again is safe", false));
--- a/src/entry_control_p.h
+++ b/src/entry_control_p.h
@@ -3,6 +3,7 @@
 #include "entry_core_p.h"
 #include "entry_table_p.h"
 
+#include <optional>
 #include <variant>
 
 namespace agatedrum {
@@ -14,9 +15,11 @@
     std::variant<ApplyHandler, ControlHandler> reply;
     Time limit;
     Time nextSend;
+    std::optional<wire::ApplyReply> undecided; ///< the last reply that named no decision
 };
 
-/// Requests to the control group: sent to its leader, again when there is no answer or another leader. Thread-safe.
+/// Requests to the control group: sent to its leader, and again when there is no answer, no decision or another leader.
+/// Thread-safe.
 class EntryControl
 {
 public:
@@ -34,7 +37,7 @@
 private:
     void start(ControlCall call);
     Time send(std::int64_t id, ControlCall &call, Time now);
-    void retryLater(std::int64_t id);
+    void retryLater(std::int64_t id, const wire::ApplyReply *undecided);
 
     MessageSinkI &sink;
     const ClockI &clock;
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -130,12 +130,13 @@
 
 nlohmann::json EntryCore::dump() const
 {
-    return {{"role", "entry"},
-            {"configNumber", this->configNumber()},
-            {"viewVersion", this->impl->link.viewVersion()},
-            {"isStopping", this->impl->isStopping.load()},
-            {"jobs", this->impl->jobs.dump()},
-            {"openControlRequests", this->impl->control.open()}};
+    auto state = this->impl->jobs.dump();
+    state["role"] = "entry";
+    state["configNumber"] = this->configNumber();
+    state["viewVersion"] = this->impl->link.viewVersion();
+    state["isStopping"] = this->impl->isStopping.load();
+    state["openControlRequests"] = this->impl->control.open();
+    return state;
 }
 
 bool EntryCore::isReady() const
--- a/src/entry_jobs.cpp
+++ b/src/entry_jobs.cpp
@@ -294,14 +294,15 @@
 nlohmann::json EntryJobs::dump() const
 {
     const auto &counters = this->counters;
-    return {{"open", this->calls.size()},
+    return {{"openJobs", this->calls.size()},
             {"routes", this->routes()->dump()},
-            {"requests", counters.requests.load()},
-            {"sent", counters.sent.load()},
-            {"sentAgain", counters.sentAgain.load()},
-            {"notOwner", counters.notOwner.load()},
-            {"unmatchedAnswers", counters.unmatched.load()},
-            {"timedOut", counters.timedOut.load()}};
+            {"counters",
+             {{"requests", counters.requests.load()},
+              {"sent", counters.sent.load()},
+              {"sentAgain", counters.sentAgain.load()},
+              {"notOwner", counters.notOwner.load()},
+              {"unmatchedAnswers", counters.unmatched.load()},
+              {"timedOut", counters.timedOut.load()}}}};
 }
 
 std::shared_ptr<const EntryRoutes> EntryJobs::routes() const
--- a/tests/test_entry_api.cpp
+++ b/tests/test_entry_api.cpp
@@ -339,5 +339,17 @@
         reply.json = "[]";
         entry.receive(1, reply);
         REQUIRE(endsWith(client.receive(), "\r\n\r\n[]"));
+
+        client.send(get("/v1/configuration?number=7"));
+        const auto config = entry.awaitSent<wire::ControlQuery>();
+        REQUIRE(config.kind == "config");
+        REQUIRE(config.argument == "7");
+        reply.requestId = config.requestId;
+        reply.ok = false;
+        reply.json = R"({"error":"no such configuration"})";
+        entry.receive(1, reply);
+        const auto answer = client.receive();
+        REQUIRE(answer.find("HTTP/1.1 404") == 0);
+        REQUIRE(jsonOf(answer)["error"]["message"] == "no such configuration");
     }
 }
--- a/tests/test_entry_core.cpp
+++ b/tests/test_entry_core.cpp
@@ -30,7 +30,7 @@
         {
             entry.receive(100, finishedReply(job));
             REQUIRE(entry.answers.size() == 1);
-            REQUIRE(entry.core.dump()["jobs"]["unmatchedAnswers"] == 1);
+            REQUIRE(entry.core.dump()["counters"]["unmatchedAnswers"] == 1);
         }
     }
 
@@ -356,6 +356,16 @@
         REQUIRE(entry.sink.all<wire::ApplyConfig>().size() == 1);
     }
 
+    SECTION("a control group that cannot decide now is asked again, and its reason is handed on at the time limit")
+    {
+        reply.code = "unavailable";
+        reply.message = "no leader now";
+        entry.receive(1, reply);
+        REQUIRE(replies.empty());
+        entry.pass(Millis(10000));
+        REQUIRE(value(replies.at(0)).message == "no leader now");
+    }
+
     SECTION("no answer until the time limit is reported as unknown outcome")
     {
         entry.pass(Millis(10000));
