Serialize a job's answer in one pass

Cause: each task's body was serialized once to check its encoding and once more into the answer. Ruled out: writing JSON without the library. Change: the answer is serialized as it is; only when the library reports an invalid body is it built again with bodyBase64. Idle checks of connections read the socket's queue only while the server stops. Tests of answers larger than the socket's buffers and of callers that go away during one.

--- a/src/entry_json.cpp
+++ b/src/entry_json.cpp
@@ -58,14 +58,17 @@
     return index < outcomes.size() ? outcomes.at(index) : "unknown";
 }
 
-Json taskJson(const wire::TaskResult &result)
+/// How a body that may be no UTF-8 is written.
+enum class BodyForm { AsIs, Checked };
+
+Json taskJson(const wire::TaskResult &result, BodyForm form)
 {
     Json task = {{"id", result.taskId},
                  {"outcome", outcomeName(result.outcome)},
                  {"status", result.status},
                  {"runMs", static_cast<double>(result.runMicros) / microsPerMilli},
                  {"server", result.server}};
-    if (isUtf8(result.body)) {
+    if (form == BodyForm::AsIs || isUtf8(result.body)) {
         task["body"] = result.body;
     } else {
         task["bodyBase64"] = Base64Encoder::EncodeString(result.body);
@@ -73,15 +76,24 @@
     return task;
 }
 
-Json tasksJson(const std::vector<wire::TaskResult> &results)
+Json tasksJson(const std::vector<wire::TaskResult> &results, BodyForm form)
 {
     auto tasks = Json::array();
     for (const auto &result : results) {
-        tasks.push_back(taskJson(result));
+        tasks.push_back(taskJson(result, form));
     }
     return tasks;
 }
 
+Json answerJson(const wire::JobAnswer &answer, BodyForm form)
+{
+    const auto *state = !answer.done ? "running" : (answer.complete ? "complete" : "failed");
+    return {{"caller", answer.key.caller},
+            {"submission", answer.key.submission},
+            {"state", state},
+            {"tasks", tasksJson(answer.results, form)}};
+}
+
 Json refusalJson(const wire::Refusal &refusal, const std::string &field)
 {
     return {{"error",
@@ -126,16 +138,18 @@
     if (answer.__isset.refusal) {
         auto body = refusalJson(answer.refusal, "");
         if (!answer.results.empty()) {
-            body["tasks"] = tasksJson(answer.results);
+            body["tasks"] = tasksJson(answer.results, BodyForm::Checked);
         }
         return errorResponse(answer.refusal, body);
     }
-    const auto *state = !answer.done ? "running" : (answer.complete ? "complete" : "failed");
-    return jsonResponse(200,
-                        {{"caller", answer.key.caller},
-                         {"submission", answer.key.submission},
-                         {"state", state},
-                         {"tasks", tasksJson(answer.results)}});
+    HttpResponse response;
+    try {
+        response.body = answerJson(answer, BodyForm::AsIs).dump();
+    } catch (const Json::type_error &) {
+        // Some body is no UTF-8. Checking each body first would cost every answer a second pass.
+        return jsonResponse(response.status, answerJson(answer, BodyForm::Checked));
+    }
+    return response;
 }
 
 HttpResponse faultResponse(const ApiFault &fault)
--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -150,7 +150,7 @@
         this->shared->open.insert(this);
     }
     if (isStale || isFull || this->shared->isStopping) {
-        log(LogLevel::Warning, part, "connection refused: {}",
+        log(LogLevel::Debug, part, "connection refused: {}",
             isFull ? "too many connections" : (isStale ? "descriptor still in use" : "stopping"));
         this->abandon();
     }
@@ -189,14 +189,18 @@
         return;
     }
     const auto limit = this->isClosing ? std::chrono::milliseconds(lingerTime) : this->shared->options.idleTimeout;
-    int unreadBytes = 0;
-    const bool isUnused = !this->isClosing && this->framer.isEmpty()
-        && ::ioctl(this->descriptor, FIONREAD, &unreadBytes) == 0 && unreadBytes == 0;
-    if (now - this->lastActivity > limit || (this->shared->isStopping && isUnused)) {
+    if (now - this->lastActivity > limit || (this->shared->isStopping && this->isUnused())) {
         ::shutdown(this->descriptor, SHUT_RDWR);
     }
 }
 
+bool HttpConnection::isUnused() const
+{
+    int unreadBytes = 0;
+    return !this->isClosing && this->framer.isEmpty() && ::ioctl(this->descriptor, FIONREAD, &unreadBytes) == 0
+        && unreadBytes == 0;
+}
+
 void HttpConnection::abandon()
 {
     const std::lock_guard lock(this->mutex);
--- a/src/http_connection_p.h
+++ b/src/http_connection_p.h
@@ -82,6 +82,8 @@
     void finishWrite(bool isWritten, bool closeAfter);
     /// Precondition: mutex is held.
     void sendContinue();
+    /// Whether no part of a request has arrived, not even unread. Precondition: mutex is held.
+    bool isUnused() const;
 
     const std::shared_ptr<HttpShared> shared;
     const std::weak_ptr<Pistache::Tcp::Peer> peer;
--- a/tests/http_client.h
+++ b/tests/http_client.h
@@ -48,6 +48,13 @@
         }
     }
 
+    /// Makes the end of this client a reset instead of a close.
+    void reset()
+    {
+        const linger atOnce {1, 0};
+        ::setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+    }
+
     /// Next whole answer, head and body. What has arrived when the server closes or sends nothing for 5 s.
     std::string receive()
     {
@@ -79,7 +86,7 @@
 private:
     bool read()
     {
-        char bytes[4096];
+        char bytes[65536];
         const auto count = ::recv(this->descriptor, bytes, sizeof bytes, 0);
         if (count > 0) {
             this->received.append(bytes, static_cast<std::size_t>(count));
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int port = 44100;
+constexpr std::size_t largeBytes = 20000000; // more than the kernel buffers for one connection
 
 /// Requests that wait until the test answers them.
 class Waiting
@@ -207,6 +208,39 @@
         }
     }
 
+    SECTION("an answer larger than the socket's buffers arrives whole at a caller that reads slowly")
+    {
+        std::string large;
+        for (int i = 0; large.size() < largeBytes; ++i) {
+            large += std::to_string(i) + ",";
+        }
+        client.send(get("/wait/large"));
+        waiting.take().second(text(large));
+        std::this_thread::sleep_for(Millis(200));
+        const auto answer = client.receive();
+        REQUIRE(answer.size() > large.size());
+        REQUIRE(answer.compare(answer.size() - large.size(), large.size(), large) == 0);
+        client.send(post("/echo", "after"));
+        REQUIRE(endsWith(client.receive(), "after"));
+    }
+
+    SECTION("a caller that goes away in the middle of an answer frees its descriptor for others")
+    {
+        for (int round = 0; round < 20; ++round) {
+            {
+                RawClient gone(port);
+                gone.send(get("/wait/large"));
+                waiting.take().second(text(std::string(largeBytes, 'x')));
+                std::this_thread::sleep_for(Millis(5));
+                gone.reset();
+            }
+            REQUIRE(eventually([&server] { return server.openRequests() == 0; }));
+            RawClient next(port);
+            next.send(post("/echo", "own"));
+            REQUIRE(endsWith(next.receive(), "\r\n\r\nown"));
+        }
+    }
+
     SECTION("connections above the bound are ended, and a freed place is used again")
     {
         {
