Run the whole path in separate processes, with the control group on disk

Cause: the roles were linked with a control group in memory; emulated backend servers whose agent had been killed never ended, since they waited for an agent that was gone to hear that they leave.

Ruled out: ending the emulator at once at SIGTERM, because its agent must hear of the leave first, or it would count the server as dead.

Change: ControlStore in the daemon; the emulator waits at most 3 s for its agent; the cluster script stops backend servers before agents.

--- a/samples/local-cluster.sh
+++ b/samples/local-cluster.sh
@@ -94,9 +94,9 @@
     fi
 }
 
-stop_cluster() { # agents and owners first, so that results still reach their owners
+stop_cluster() { # backend servers before agents, so that an agent hears that its server leaves
     local group name
-    for group in entry agent owner control backend; do
+    for group in entry backend agent owner control; do
         for name in "${!PIDS[@]}"; do
             if [[ $name == "$group"-* ]]; then kill -TERM "${PIDS[$name]}" 2>/dev/null || true; fi
         done
--- a/src/daemon_roles.cpp
+++ b/src/daemon_roles.cpp
@@ -3,6 +3,7 @@
 #include "agent_backend_p.h"
 #include "agent_core_p.h"
 #include "control_core_p.h"
+#include "control_disk_p.h"
 #include "control_store_p.h"
 #include "daemon_process_p.h"
 #include "entry_api_p.h"
@@ -127,7 +128,8 @@
 {
 public:
     ControlRole(const ProcessSettings &settings, const wire::ProcessId &self, MessageSinkI &sink, const ClockI &clock)
-        : control(sink, clock, this->store, controlOptions(settings, self))
+        : store(openStore(settings.dataFolder))
+        , control(sink, clock, *this->store, controlOptions(settings, self))
     {
     }
 
@@ -139,6 +141,14 @@
     void start() override { }
 
 private:
+    static std::unique_ptr<ControlStore> openStore(const std::string &folder)
+    {
+        auto opened = ControlStore::open(folder);
+        if (!isOk(opened)) {
+            throw std::runtime_error(error(opened).text());
+        }
+        return takeValue(std::move(opened));
+    }
     static ControlOptions controlOptions(const ProcessSettings &settings, const wire::ProcessId &self)
     {
         ControlOptions options;
@@ -148,7 +158,7 @@
         return options;
     }
 
-    MemoryControlStore store;
+    std::unique_ptr<ControlStore> store;
     ControlCore control;
 };
 
--- a/tools/backend_emulator.cpp
+++ b/tools/backend_emulator.cpp
@@ -23,6 +23,7 @@
 constexpr std::int64_t endPollMicros = 100000;
 /// Idle polls in a row after which a leaving emulator exits: a call that was on its way has arrived by then.
 constexpr int idleTicksBeforeEnd = 5;
+constexpr int maxEndTicks = 30;
 constexpr int agentTimeoutSeconds = 2;
 constexpr int killedStatus = 1;
 
@@ -338,7 +339,10 @@
         this->base.get(), -1, EV_PERSIST,
         [](evutil_socket_t, short, void *self) {
             auto *emulator = static_cast<Emulator *>(self);
-            const bool isIdle = emulator->runs.empty() && (emulator->agent == nullptr || emulator->isLeaveKnown);
+            // An agent that does not answer, since it is gone, is not waited for beyond maxEndTicks.
+            const bool isKnown
+                = emulator->agent == nullptr || emulator->isLeaveKnown || ++emulator->endTicks >= maxEndTicks;
+            const bool isIdle = emulator->runs.empty() && isKnown;
             emulator->idleTicks = isIdle ? emulator->idleTicks + 1 : 0;
             if (emulator->idleTicks >= idleTicksBeforeEnd) {
                 event_base_loopbreak(emulator->base.get());
--- a/tools/backend_emulator_p.h
+++ b/tools/backend_emulator_p.h
@@ -106,6 +106,7 @@
     bool isEnding = false;
     bool isLeaveKnown = false; ///< the agent answered an announcement that said leaving
     int idleTicks = 0;
+    int endTicks = 0; ///< polls at which the agent had not answered that this server leaves
     EventPtr announceTimer;
     EventPtr listenTimer;
     EventPtr endTimer;
