--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -1,6 +1,5 @@
 #include "control_core_p.h"
 
-#include "agatedrum/config.h"
 #include "base_log_p.h"
 #include "control_codec_p.h"
 
@@ -245,7 +244,7 @@
 void ControlCore::compactWhenDue()
 {
     const auto applied = this->log.commitIndex();
-    if (applied - this->log.snapshotIndex() >= AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES) {
+    if (applied - this->log.snapshotIndex() >= this->options.snapshotEntries) {
         this->log.compact(applied, encodeCompact(this->machine.image()));
         this->drainOnce();
     }
--- a/src/control_core_p.h
+++ b/src/control_core_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agatedrum/config.h"
 #include "base_clock_p.h"
 #include "base_core_p.h"
 #include "control_log_p.h"
@@ -22,6 +23,7 @@
     wire::ProcessId self;
     wire::Endpoint address;
     std::vector<ControlPeer> group; ///< all processes of the group, this one included
+    std::int64_t snapshotEntries = AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES; ///< entries that a snapshot replaces
     std::uint64_t seed = 0; ///< of election timeouts and of a new disk's identity; 0 draws one
 };
 
--- a/src/control_journal.cpp
+++ b/src/control_journal.cpp
@@ -223,6 +223,7 @@
     auto &entries = this->content.entries;
     const auto last = this->content.snapshot ? this->content.snapshot->lastIndex : 0;
     // A crash between the two files leaves a log that is older than the snapshot.
+    const bool isStale = !entries.empty() && entries.front().index <= last;
     const auto match = std::find_if(entries.begin(), entries.end(),
                                     [last](const wire::LogEntry &entry) { return entry.index == last; });
     if (match != entries.end()) {
@@ -237,7 +238,16 @@
             logName, 0,
             fmt::format("the log starts with entry {}, the snapshot ends with {}", entries.front().index, last)};
     }
-    return std::nullopt;
+    if (!isStale) {
+        return std::nullopt;
+    }
+    // Left as it is, the file would get entries that do not follow its last one.
+    wire::LogRecord record;
+    record.__set_state(this->content.state);
+    record.entries = entries;
+    const auto outcome = this->replaceLog(record);
+    return outcome.status == DiskStatus::Ok ? std::nullopt
+                                            : std::make_optional(ControlStoreError {logName, 0, outcome.message});
 }
 
 // Writing.
@@ -286,12 +296,17 @@
     if (outcome.status != DiskStatus::Ok) {
         return outcome;
     }
+    return this->replaceLog(recordOf(write));
+}
+
+DiskOutcome ControlJournal::replaceLog(const wire::LogRecord &record)
+{
     wire::LogFrame frame;
-    frame.records.push_back(recordOf(write));
-    const auto content = logMagic + encodeFrame(frame, 1);
-    outcome = this->disk.replace(logName, content);
+    frame.records.push_back(record);
+    const auto bytes = logMagic + encodeFrame(frame, 1);
+    auto outcome = this->disk.replace(logName, bytes);
     if (outcome.status == DiskStatus::Ok) {
-        this->size = static_cast<std::int64_t>(content.size());
+        this->size = static_cast<std::int64_t>(bytes.size());
         this->nextFrame = 2;
     }
     return outcome;
--- a/src/control_journal_p.h
+++ b/src/control_journal_p.h
@@ -35,6 +35,7 @@
     std::optional<ControlStoreError> replay(const wire::LogRecord &record, std::size_t offset);
     std::optional<ControlStoreError> finish();
     DiskOutcome writeSnapshot(const ControlWrite &write);
+    DiskOutcome replaceLog(const wire::LogRecord &record);
     DiskOutcome appendFrame(const std::string &frame);
 
     DiskI &disk;
--- a/tests/control_sim.h
+++ b/tests/control_sim.h
@@ -223,6 +223,7 @@
         options.self = processId(peer.name, ++this->incarnation);
         options.address = peer.address;
         options.group = this->group;
+        options.snapshotEntries = this->snapshotEntries;
         options.seed = this->seed * 1000003 + static_cast<std::uint64_t>(this->incarnation);
         this->sinks[number]
             = std::make_unique<SimSink>(this->net, options.self, wire::Role::CONTROL, peer.address.port);
@@ -333,6 +334,7 @@
     std::vector<std::unique_ptr<ControlCore>> cores;
     std::map<std::string, std::unique_ptr<SimMember>> members;
     std::function<void()> eachStep;
+    std::int64_t snapshotEntries = AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES;
 
 private:
     std::uint64_t seed;
--- a/tests/test_control_faults.cpp
+++ b/tests/test_control_faults.cpp
@@ -139,6 +139,7 @@
             this->crashVoter();
             this->checker.step();
         };
+        this->cluster.snapshotEntries = 8;
         for (std::size_t i = 0; i < this->disks.size(); ++i) {
             this->startNode(i);
         }
--- a/tests/test_control_store.cpp
+++ b/tests/test_control_store.cpp
@@ -143,21 +143,35 @@
         REQUIRE(openJournal(disk)->loaded().entries.size() == 4);
     }
 
-    SECTION("a crash between snapshot and log keeps both readable")
+    SECTION("a crash between snapshot and log keeps both readable, then and after the next write")
     {
+        const auto files = disk.files;
         for (int operations = 0; operations < 4; ++operations) {
+            disk.files = files;
+            auto writer = openJournal(disk);
             disk.cutAfter(operations);
             auto write = snapshotWrite(2);
             write.entries = entryWrite(3, "command").entries;
-            REQUIRE_THROWS_AS(journal->write({write}), PowerCut);
+            REQUIRE_THROWS_AS(writer->write({write}), PowerCut);
             disk.cutAfter(-1);
-            const auto reopened = openJournal(disk);
+            auto reopened = openJournal(disk);
             const auto &loaded = reopened->loaded();
             REQUIRE(loaded.entries.back().index == 3);
             REQUIRE(loaded.entries.size() == (loaded.snapshot ? 1 : 3));
+            REQUIRE(reopened->write({entryWrite(4, "next")}).status == DiskStatus::Ok);
+            REQUIRE(openJournal(disk)->loaded().entries.back().command == "next");
         }
     }
 
+    SECTION("a crash after a snapshot that is newer than the whole log leaves no gap")
+    {
+        disk.cutAfter(2);
+        REQUIRE_THROWS_AS(journal->write({snapshotWrite(9)}), PowerCut);
+        disk.cutAfter(-1);
+        REQUIRE(openJournal(disk)->write({entryWrite(10, "next")}).status == DiskStatus::Ok);
+        REQUIRE(openJournal(disk)->loaded().entries.size() == 1);
+    }
+
     SECTION("an unsynced write that lost sectors in any order is dropped, synced ones stay")
     {
         std::mt19937_64 random(7);
