--- a/src/agent_core.cpp
+++ b/src/agent_core.cpp
@@ -115,7 +115,7 @@
 
 void AgentCore::takeConfig(const wire::ConfigFile &file)
 {
-    if (file.number <= this->takenConfig) {
+    if (file.number <= this->takenConfig || file.text.empty()) {
         return;
     }
     auto parsed = parseConfig(file.text);
@@ -173,6 +173,7 @@
             this->startTask(start, batch);
             continue;
         }
+        this->formerOwnerStarts += batch.epoch < cell.epoch ? 1 : 0;
         auto &message = refused[reason];
         message.refs.push_back(start.ref);
         message.sequences.push_back(start.sequence);
@@ -506,6 +507,7 @@
             {"counters",
              {{"agent_starts_total", this->lastCall},
               {"agent_refused_total", this->refusals},
+              {"agent_starts_of_former_owners_total", this->formerOwnerStarts},
               {"agent_starts_for_other_incarnation_total", this->otherIncarnation},
               {"agent_running", this->tasks.running()},
               {"agent_unacknowledged", this->tasks.unacknowledged()}}},
--- a/src/agent_core_p.h
+++ b/src/agent_core_p.h
@@ -117,6 +117,7 @@
     std::int64_t lastCall = 0;
     Time nextHello;
     std::uint64_t refusals = 0;
+    std::uint64_t formerOwnerStarts = 0; ///< refused because their epoch is over
     std::uint64_t otherIncarnation = 0;
 };
 
--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <curl/curl.h>
+#include <fcntl.h>
 #include <nlohmann/json.hpp>
 #include <signal.h>
 #include <spawn.h>
@@ -22,7 +23,8 @@
 class ChildProcess
 {
 public:
-    ChildProcess(const std::string &program, const std::vector<std::string> &arguments)
+    /// @param logFile takes what the program prints; empty for the test's own output.
+    ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile = {})
     {
         const char *folder = std::getenv("AGATEDRUM_BIN");
         const std::string path = std::string(folder == nullptr ? "." : folder) + "/" + program;
@@ -31,7 +33,16 @@
             argv.push_back(const_cast<char *>(argument.c_str()));
         }
         argv.push_back(nullptr);
-        if (::posix_spawn(&this->pid, path.c_str(), nullptr, nullptr, argv.data(), environ) != 0) {
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        if (!logFile.empty()) {
+            posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                             0644);
+            posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+        }
+        const int code = ::posix_spawn(&this->pid, path.c_str(), &actions, nullptr, argv.data(), environ);
+        posix_spawn_file_actions_destroy(&actions);
+        if (code != 0) {
             throw std::runtime_error("cannot start " + path);
         }
     }
--- /dev/null
+++ b/tests/test_processes.cpp
@@ -0,0 +1,194 @@
+#include "process_cluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace agatedrum::test;
+
+namespace {
+
+constexpr int kills = 3;
+constexpr auto takeoverBound = 3s;
+
+/// Time until a new job is answered as complete.
+std::chrono::milliseconds timeToAnswer(ProcessCluster &cluster, const std::string &submission)
+{
+    const auto start = std::chrono::steady_clock::now();
+    const auto job = CallerLoad::submit(cluster, submission, jobBody(submission, 1, 1000), 0, 4000);
+    INFO(job.answer.dump());
+    CHECK(job.answer.is_object());
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start);
+}
+
+/// Compares one task of an answer with what the backend servers noted.
+void checkTask(const nlohmann::json &task, const std::string &header, const ProcessCluster::TaskRecord &seen)
+{
+    INFO(header << ": " << task.dump() << ", starts " << seen.starts << ", finishes " << seen.finishes);
+    const std::string outcome = task.at("outcome");
+    CHECK(seen.starts <= 1);
+    if (outcome == "finished") {
+        CHECK(seen.finishes == 1);
+        CHECK(nlohmann::json::parse(task.at("body").get<std::string>()).at("task") == header);
+    } else if (outcome == "notRun") {
+        CHECK(seen.starts == 0);
+    }
+}
+
+/// Checks that no task started twice and that every answer agrees with what ran.
+void checkAnswers(ProcessCluster &cluster, const std::vector<CallerLoad::Job> &jobs)
+{
+    const auto record = cluster.record();
+    std::map<std::string, int> states;
+    for (const auto &[header, seen] : record) {
+        INFO(header << " started " << seen.starts << " times");
+        CHECK(seen.starts <= 1);
+    }
+    for (const auto &job : jobs) {
+        const auto seenOf = [&](const std::string &id) {
+            const auto found = record.find("c/" + job.submission + "/" + id);
+            return found == record.end() ? ProcessCluster::TaskRecord() : found->second;
+        };
+        INFO(job.submission << ": " << job.answer.dump());
+        CHECK(job.answer.is_object());
+        if (!job.answer.is_object()) {
+            ++states["none"];
+            continue;
+        }
+        if (job.answer.contains("error")) {
+            const bool isNotRun = job.answer["error"]["notRun"];
+            ++states[isNotRun ? "refused as not run" : "unknown"];
+            for (int i = 0; isNotRun && i < CallerLoad::tasks; ++i) {
+                CHECK(seenOf("t" + std::to_string(i)).starts == 0);
+            }
+            continue;
+        }
+        const auto &tasks = job.answer.at("tasks");
+        CHECK(tasks.size() == static_cast<std::size_t>(CallerLoad::tasks));
+        const std::string state = job.answer.at("state");
+        ++states[state];
+        bool isAllFinished = true;
+        for (const auto &task : tasks) {
+            checkTask(task, "c/" + job.submission + "/" + task.at("id").get<std::string>(),
+                      seenOf(task.at("id").get<std::string>()));
+            isAllFinished = isAllFinished && task.at("outcome") == "finished";
+        }
+        CHECK((state == "complete") == isAllFinished);
+    }
+    std::cout << jobs.size() << " jobs, " << record.size() << " tasks started:";
+    for (const auto &[state, count] : states) {
+        std::cout << " " << state << " " << count;
+    }
+    std::cout << std::endl;
+    CHECK(jobs.size() > 20);
+}
+
+int countOf(const std::vector<CallerLoad::Job> &jobs, const std::string &state)
+{
+    int count = 0;
+    for (const auto &job : jobs) {
+        count += job.answer.is_object() && job.answer.value("state", std::string()) == state ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("Killed owners lose no answer and start nothing twice", "[processes]")
+{
+    ProcessCluster cluster(45000, 3);
+    REQUIRE(cluster.becomeReady(jobBody("first", 1, 1000)));
+    CallerLoad load(cluster);
+    for (int i = 0; i < kills; ++i) {
+        std::this_thread::sleep_for(1500ms);
+        const auto owner = cluster.owner();
+        REQUIRE_FALSE(owner.empty());
+        cluster.process(owner).signal(SIGKILL);
+        const auto took = timeToAnswer(cluster, "probe-" + std::to_string(i));
+        std::cout << "kill -9 of " << owner << ": new job answered after " << took.count() << " ms" << std::endl;
+        CHECK(took < takeoverBound);
+        cluster.process(owner).wait();
+        cluster.start("owner", ProcessCluster::indexOf(owner));
+        std::this_thread::sleep_for(1500ms);
+    }
+    checkAnswers(cluster, load.stop());
+}
+
+TEST_CASE("A frozen owner that wakes after its lease starts nothing", "[processes]")
+{
+    ProcessCluster cluster(45100, 3);
+    REQUIRE(cluster.becomeReady(jobBody("first", 1, 1000)));
+    CallerLoad load(cluster);
+    for (int i = 0; i < kills; ++i) {
+        std::this_thread::sleep_for(1500ms);
+        const auto owner = cluster.owner();
+        REQUIRE_FALSE(owner.empty());
+        cluster.process(owner).signal(SIGSTOP);
+        const auto took = timeToAnswer(cluster, "probe-" + std::to_string(i));
+        std::cout << "freeze of " << owner << ": new job answered after " << took.count() << " ms" << std::endl;
+        CHECK(took < takeoverBound);
+        std::this_thread::sleep_for(1500ms);
+        cluster.process(owner).signal(SIGCONT);
+        std::this_thread::sleep_for(1500ms);
+    }
+    const auto jobs = load.stop();
+    CHECK(cluster.agentCounter("agent_starts_of_former_owners_total") == 0);
+    checkAnswers(cluster, jobs);
+}
+
+TEST_CASE("Killed entries lose no job and start nothing twice", "[processes]")
+{
+    ProcessCluster cluster(45200, 3);
+    REQUIRE(cluster.becomeReady(jobBody("first", 1, 1000)));
+    CallerLoad load(cluster);
+    for (int i = 0; i < kills; ++i) {
+        std::this_thread::sleep_for(1000ms);
+        const int index = 1 + i % ProcessCluster::entries;
+        cluster.process(ProcessCluster::nameOf("entry", index)).signal(SIGKILL);
+        cluster.process(ProcessCluster::nameOf("entry", index)).wait();
+        std::this_thread::sleep_for(1000ms);
+        cluster.start("entry", index);
+    }
+    const auto jobs = load.stop();
+    checkAnswers(cluster, jobs);
+    CHECK(countOf(jobs, "complete") == static_cast<int>(jobs.size()));
+}
+
+TEST_CASE("Killed agents make tasks unknown and start nothing twice", "[processes]")
+{
+    ProcessCluster cluster(45300, 3);
+    REQUIRE(cluster.becomeReady(jobBody("first", 1, 1000)));
+    CallerLoad load(cluster);
+    for (int i = 0; i < kills; ++i) {
+        std::this_thread::sleep_for(1000ms);
+        const auto name = ProcessCluster::nameOf("agent", 1 + i);
+        cluster.process(name).signal(SIGKILL);
+        cluster.process(name).wait();
+        std::this_thread::sleep_for(i % 2 == 0 ? 200ms : 2000ms);
+        cluster.start("agent", 1 + i);
+    }
+    std::this_thread::sleep_for(2000ms);
+    checkAnswers(cluster, load.stop());
+}
+
+TEST_CASE("Killed leaders of the control group stop no jobs", "[processes]")
+{
+    // Two of five stay down, so that the test does not depend on the store.
+    ProcessCluster cluster(45400, 5);
+    REQUIRE(cluster.becomeReady(jobBody("first", 1, 1000)));
+    CallerLoad load(cluster);
+    for (int i = 0; i < 2; ++i) {
+        std::this_thread::sleep_for(1500ms);
+        const auto leader = cluster.leader();
+        REQUIRE_FALSE(leader.empty());
+        cluster.process(leader).signal(SIGKILL);
+        std::this_thread::sleep_for(2500ms);
+    }
+    const auto jobs = load.stop();
+    checkAnswers(cluster, jobs);
+    for (const auto &job : jobs) {
+        INFO(job.submission << ": " << job.answer.dump());
+        CHECK(job.earlierTries == std::vector<std::string>());
+        CHECK(job.answer.value("state", std::string()) == "complete");
+    }
+}
