--- a/src/cell_scheduler_state.cpp
+++ b/src/cell_scheduler_state.cpp
@@ -118,7 +118,10 @@
 void CellScheduler::Impl::refreshServer(int index, Time now)
 {
     auto &server = this->servers[at(index)];
-    server.limit = this->health.limit(index, this->usableSlots(server));
+    const int slots = this->usableSlots(server);
+    this->usableServers += static_cast<int>(slots > 0) - static_cast<int>(server.isUsable);
+    server.isUsable = slots > 0;
+    server.limit = this->health.limit(index, slots);
     this->capacity -= server.capacity;
     server.capacity = server.limit / this->relativeSlowness(server);
     this->capacity += server.capacity;
@@ -276,6 +279,9 @@
     if (server.fasterCapacity <= 0) {
         return this->start(jobs.begin()->second, index, now);
     }
+    if (server.running == 0 && server.speed.isStale(now)) {
+        return this->start(jobs.begin()->second, index, now, true);
+    }
     Micros ahead {0};
     auto chosen = jobs.begin();
     for (int looked = 0; chosen != jobs.end(); ++chosen) {
@@ -325,7 +331,7 @@
     return this->start(number, *this->returning.begin(), now);
 }
 
-CellScheduler::Impl::Job *CellScheduler::Impl::release(const Assignment &assignment, Time now)
+CellScheduler::Impl::Job *CellScheduler::Impl::release(const Assignment &assignment)
 {
     const auto found = this->jobs.find(assignment.task.job);
     if (found == this->jobs.end() || assignment.task.index < 0
@@ -345,7 +351,6 @@
     this->teams.changeRunning(job.team, -1);
     if (this->hasServer(server) && this->servers[at(server)].name == assignment.server) {
         this->servers[at(server)].running--;
-        this->refreshServer(server, now);
     }
     return &job;
 }
@@ -366,9 +371,9 @@
     auto &sizes = this->teams.sizes(job.team);
     const double slowness = this->relativeSlowness(server);
     if (outcome == wire::Outcome::FINISHED && runTime.count() > 0) {
-        server.speed.learn(sizes.median(task.declared), runTime);
         const double normalised = static_cast<double>(runTime.count()) / slowness;
-        sizes.learn(task.declared, Micros(static_cast<std::int64_t>(normalised)));
+        const double error = sizes.learn(task.declared, Micros(static_cast<std::int64_t>(normalised)));
+        server.speed.learn(error + std::log(slowness), now);
     }
     if (outcome == wire::Outcome::FAILED || outcome == wire::Outcome::NOT_RUN || outcome == wire::Outcome::UNKNOWN) {
         const auto usual = Micros(static_cast<std::int64_t>(static_cast<double>(task.expected.count()) * slowness));
