Keep learned speeds stable at high task rates

Also, short tasks go to slow servers, so size and speed could not be told apart. Ruled out: the selection alone; with the slope from deviations within each server the oscillation remained. Change: the mean follows each sample; a sample corrects a speed relative to its own value; the slope of the size model comes from deviations within each server. A test with 20,000 results a second fails on the earlier code.

--- a/src/cell_scheduler_state.cpp
+++ b/src/cell_scheduler_state.cpp
@@ -372,8 +372,12 @@
     const double slowness = this->relativeSlowness(server);
     if (outcome == wire::Outcome::FINISHED && runTime.count() > 0) {
         const double normalised = static_cast<double>(runTime.count()) / slowness;
-        const double error = sizes.learn(task.declared, Micros(static_cast<std::int64_t>(normalised)));
-        server.speed.learn(error + std::log(slowness), now);
+        const auto deviation
+            = task.declared.count() > 0 ? server.speed.deviationOf(task.declared, runTime) : SizeDeviation {};
+        const double error = sizes.learn(task.declared, Micros(static_cast<std::int64_t>(normalised)), deviation);
+        // The mean follows at once: with one that lags behind, thousands of samples a second drove all speeds apart.
+        const double change = server.speed.learn(error, now);
+        this->meanSlowness *= std::exp(change / static_cast<double>(this->indices.size()));
     }
     if (outcome == wire::Outcome::FAILED || outcome == wire::Outcome::NOT_RUN || outcome == wire::Outcome::UNKNOWN) {
         const auto usual = Micros(static_cast<std::int64_t>(static_cast<double>(task.expected.count()) * slowness));
--- a/src/cell_speeds.cpp
+++ b/src/cell_speeds.cpp
@@ -35,9 +35,9 @@
 
 } // namespace
 
-void ServerSpeed::learn(double logRatio, Time now)
+double ServerSpeed::learn(double sampleError, Time now)
 {
-    const double error = std::clamp(logRatio - this->logarithm, -maxSampleError, maxSampleError);
+    const double error = std::clamp(sampleError, -maxSampleError, maxSampleError);
     this->recent += recentStep * (error - this->recent);
     const bool hasChanged = this->samples > 10 && std::abs(this->recent) > changeThreshold;
     const double step = hasChanged ? changeStep : std::max(minStep, 1.0 / (this->samples + 2));
@@ -45,6 +45,22 @@
     this->samples++;
     this->lastSample = now;
     this->current = std::exp(this->logarithm);
+    return step * error;
+}
+
+SizeDeviation ServerSpeed::deviationOf(Micros declared, Micros actual)
+{
+    const double x = logOf(declared);
+    const double y = logOf(actual);
+    if (this->deviations++ == 0) {
+        this->meanDeclared = x;
+        this->meanActual = y;
+    }
+    const SizeDeviation result {x - this->meanDeclared, y - this->meanActual};
+    const double step = std::max(minStep, 1.0 / this->deviations);
+    this->meanDeclared += step * result.declared;
+    this->meanActual += step * result.actual;
+    return result;
 }
 
 bool ServerSpeed::isStale(Time now) const
@@ -72,7 +88,7 @@
     return Micros(static_cast<std::int64_t>(std::max(minTaskMicros, expected)));
 }
 
-void SizeModel::learn(Micros declared, Micros actual)
+void SizeModel::learn(Micros declared, Micros actual, const SizeDeviation &deviation)
 {
     const double x = logOf(declared);
     const double expected = this->offset + this->slope * x;
@@ -83,22 +99,25 @@
     this->sumXX = this->sumXX * decay + x * x;
     this->sumXY = this->sumXY * decay + x * y;
     this->sumYY = this->sumYY * decay + y * y;
+    this->sumDeclared = this->sumDeclared * decay + deviation.declared * deviation.declared;
+    this->sumProduct = this->sumProduct * decay + deviation.declared * deviation.actual;
     this->refresh();
 }
 
 // Least squares with a prior of slope 1 and offset 0. A slope below 1 says that extreme declarations are mostly errors.
 void SizeModel::refresh()
 {
+    constexpr double prior = priorWeight * priorVariance;
     const double total = this->weight + priorWeight;
     const double meanX = this->sumX / this->weight;
     const double meanY = (this->sumY + priorWeight * meanX) / total;
-    const double varianceX = this->sumXX - this->weight * meanX * meanX + priorWeight * priorVariance;
-    const double covariance = this->sumXY - meanX * this->sumY + priorWeight * priorVariance;
-    this->slope = std::clamp(covariance / varianceX, 0.0, 1.2);
+    this->slope = std::clamp((this->sumProduct + prior) / (this->sumDeclared + prior), 0.0, 1.2);
     this->offset = meanY - this->slope * meanX;
-    const double spread = this->sumYY - this->sumY * this->sumY / this->weight;
-    const double explained = this->slope * (this->sumXY - meanX * this->sumY);
-    this->variance = std::max(0.0, spread - explained) / (this->weight + priorWeight);
+    const double spreadX = this->sumXX - this->weight * meanX * meanX;
+    const double spreadY = this->sumYY - this->sumY * this->sumY / this->weight;
+    const double product = this->sumXY - meanX * this->sumY;
+    const double spread = spreadY - 2 * this->slope * product + this->slope * this->slope * spreadX;
+    this->variance = std::max(0.0, spread) / (this->weight + priorWeight);
 }
 
 Micros TeamSizes::mean(Micros declared) const
@@ -117,15 +136,15 @@
 }
 
 // A wrong model of the sizes shows on all servers and must not count as slowness of those that ran meanwhile.
-double TeamSizes::learn(Micros declared, Micros actual)
+double TeamSizes::learn(Micros declared, Micros actual, const SizeDeviation &deviation)
 {
     const double error = logOf(actual) - logOf(this->median(declared));
     this->samples++;
     this->commonError += std::max(commonStep, 1.0 / (this->samples + 10)) * (error - this->commonError);
     if (declared.count() > 0) {
-        this->declaredTasks.learn(declared, actual);
+        this->declaredTasks.learn(declared, actual, deviation);
     } else {
-        this->undeclaredTasks.learn(undeclaredTime, actual);
+        this->undeclaredTasks.learn(undeclaredTime, actual, SizeDeviation {});
     }
     return error - this->commonError;
 }
--- a/tests/test_scheduler.cpp
+++ b/tests/test_scheduler.cpp
@@ -228,3 +228,34 @@
         }
     }
 }
+
+TEST_CASE("Learned speeds stay stable with thousands of samples between two ticks", "[scheduler]")
+{
+    SchedulerRig rig;
+    rig.addServers(11, 8);
+    std::vector<Assignment> running;
+    for (int sample = 0; sample < 20000; ++sample) {
+        if (rig.scheduler.queuedTasks() < 200) {
+            auto job = jobOf(sample + 1, 50);
+            for (std::size_t task = 0; task < job.declared.size(); ++task) {
+                job.declared[task] = Millis(50 + (sample * 7919 + static_cast<int>(task) * 1047) % 950);
+            }
+            rig.add(job);
+        }
+        const auto started = rig.startAll();
+        running.insert(running.end(), started.begin(), started.end());
+        auto &slot = running[static_cast<std::size_t>(sample) * 7919 % running.size()];
+        rig.finish(slot, wire::Outcome::FINISHED, Millis(100 + sample % 100));
+        slot = running.back();
+        running.pop_back();
+        rig.clock.advance(Micros(50));
+        if (sample % 100 == 0) {
+            rig.scheduler.tick(rig.clock.now());
+        }
+    }
+    for (int server = 0; server < 11; ++server) {
+        const auto slowness = rig.serverField("s" + std::to_string(server), "slowness").get<double>();
+        REQUIRE(slowness > 0.5);
+        REQUIRE(slowness < 2);
+    }
+}
