Refuse with QUEUE_FULL when no backend server has been available

Cause: NEVER_RUNNABLE becomes status 422, which tells the caller not to come back, although a server may return. Change: the refusal keeps its sentence and hint and uses QUEUE_FULL. Conclusion: test-scheduler passes.

--- a/src/cell_scheduler_admission.cpp
+++ b/src/cell_scheduler_admission.cpp
@@ -83,7 +83,7 @@
                          quota->message, quota->retryAfter);
     }
     if (this->noServerSince && now - *this->noServerSince > noServerGrace) {
-        return refusalOf(wire::RefusalCode::NEVER_RUNNABLE,
+        return refusalOf(wire::RefusalCode::QUEUE_FULL,
                          fmt::format("no backend server of service {} has been available for {} ms", this->service,
                                      msOf(now - *this->noServerSince)),
                          Millis(defaultRetryMs));
--- a/tests/test_scheduler_teams.cpp
+++ b/tests/test_scheduler_teams.cpp
@@ -172,6 +172,7 @@
         REQUIRE_FALSE(admit(jobOf(1, 1)));
         rig.pass(Millis(5000));
         REQUIRE(admit(jobOf(1, 1))->notRun);
+        REQUIRE(admit(jobOf(1, 1))->retryAfterMs > 0);
         rig.scheduler.setAvailable("s0", true, rig.clock.now());
         rig.pass(Millis(10));
         REQUIRE_FALSE(admit(jobOf(1, 1)));
