--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -82,6 +82,31 @@
 #define AGATEDRUM_AGENT_LOST_MS 5000
 #endif
 
+/// Time without an announcement after which a backend server counts as down, in milliseconds.
+#ifndef AGATEDRUM_BACKEND_SILENT_MS
+#define AGATEDRUM_BACKEND_SILENT_MS 3000
+#endif
+
+/// Interval at which an agent repeats a result that is not acknowledged, in milliseconds.
+#ifndef AGATEDRUM_RESULT_RESEND_MS
+#define AGATEDRUM_RESULT_RESEND_MS 500
+#endif
+
+/// Results for each slot that may wait for acknowledgement before an agent refuses starts.
+#ifndef AGATEDRUM_RESULTS_PER_SLOT
+#define AGATEDRUM_RESULTS_PER_SLOT 64
+#endif
+
+/// Bytes of results that may wait for acknowledgement before an agent refuses starts.
+#ifndef AGATEDRUM_AGENT_RESULT_BYTES
+#define AGATEDRUM_AGENT_RESULT_BYTES (64UL * 1024 * 1024)
+#endif
+
+/// Time limit of a task at an agent without a configuration, in milliseconds.
+#ifndef AGATEDRUM_TASK_TIME_MS
+#define AGATEDRUM_TASK_TIME_MS 30000
+#endif
+
 /// Time for which a job waits for enough copies of its record, in milliseconds.
 #ifndef AGATEDRUM_RECORD_TIMEOUT_MS
 #define AGATEDRUM_RECORD_TIMEOUT_MS 5000
@@ -106,3 +131,19 @@
 #ifndef AGATEDRUM_MAX_CLOCK_SKEW_MS
 #define AGATEDRUM_MAX_CLOCK_SKEW_MS 5000
 #endif
+
+/// Entries of the control group's log after which a snapshot replaces them.
+#ifndef AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES
+#define AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES 4096
+#endif
+
+/// Silence after which a member that reported leaving is taken off the list, in milliseconds.
+#ifndef AGATEDRUM_LEAVING_SILENT_MS
+#define AGATEDRUM_LEAVING_SILENT_MS 3000
+#endif
+
+/// Time for which an entry holds a request for a cell without an owner, in milliseconds. Above the 5 s in which every
+/// cell has an owner again after the loss of two hosts.
+#ifndef AGATEDRUM_ENTRY_OWNER_WAIT_MS
+#define AGATEDRUM_ENTRY_OWNER_WAIT_MS 6000
+#endif
--- /dev/null
+++ b/src/daemon_roles.cpp
@@ -0,0 +1,181 @@
+#include "agatedrum/config.h"
+#include "agent_api_p.h"
+#include "agent_backend_p.h"
+#include "agent_core_p.h"
+#include "control_core_p.h"
+#include "control_store_p.h"
+#include "daemon_process_p.h"
+#include "entry_api_p.h"
+#include "entry_core_p.h"
+#include "owner_core_p.h"
+
+#include <stdexcept>
+
+namespace agatedrum {
+
+namespace {
+
+MemberOptions memberOptions(const ProcessSettings &settings, const wire::ProcessId &self)
+{
+    MemberOptions options;
+    options.self = self;
+    options.role = settings.role;
+    options.failureDomain = settings.failureDomain;
+    options.address = settings.peers;
+    options.control = settings.control;
+    const bool isOwner = settings.role == wire::Role::OWNER;
+    options.interval = Millis(isOwner ? AGATEDRUM_OWNER_HEARTBEAT_MS : AGATEDRUM_MEMBER_HEARTBEAT_MS);
+    return options;
+}
+
+class EntryRole : public RoleI
+{
+public:
+    EntryRole(const ProcessSettings &settings, const wire::ProcessId &self, MessageSinkI &sink, const ClockI &clock)
+        : link(sink, clock, memberOptions(settings, self))
+        , entry(sink, clock, this->link, entryOptions(settings))
+    {
+    }
+
+    CoreI &core() override
+    {
+        return this->entry;
+    }
+    void addRoutes(HttpServer &server) override
+    {
+        addEntryRoutes(server, this->entry);
+    }
+    void start() override { }
+
+private:
+    static EntryOptions entryOptions(const ProcessSettings &settings)
+    {
+        EntryOptions options;
+        options.maxRequests = static_cast<std::size_t>(settings.maxInFlight);
+        options.requestTimeout = settings.requestTimeout;
+        return options;
+    }
+
+    MemberLink link;
+    EntryCore entry;
+};
+
+class OwnerRole : public RoleI
+{
+public:
+    OwnerRole(const ProcessSettings &settings, const wire::ProcessId &self, MessageSinkI &sink, const ClockI &clock)
+        : link(sink, clock, memberOptions(settings, self))
+        , owner(sink, clock, this->link, ownerOptions(settings, self))
+    {
+    }
+
+    CoreI &core() override
+    {
+        return this->owner;
+    }
+    void addRoutes(HttpServer & /*server*/) override { }
+    void start() override { }
+
+private:
+    static OwnerOptions ownerOptions(const ProcessSettings &settings, const wire::ProcessId &self)
+    {
+        OwnerOptions options;
+        options.self = self;
+        options.failureDomain = settings.failureDomain;
+        options.shards = settings.shards;
+        return options;
+    }
+
+    MemberLink link;
+    OwnerCore owner;
+};
+
+class AgentRole : public RoleI
+{
+public:
+    AgentRole(const ProcessSettings &settings, const wire::ProcessId &self, MessageSinkI &sink, const ClockI &clock)
+        : link(sink, clock, memberOptions(settings, self))
+        , caller([this](const BackendOutcome &outcome) { this->agent.finished(outcome); })
+        , agent(sink, clock, this->link, this->caller, agentOptions(self))
+    {
+    }
+
+    CoreI &core() override
+    {
+        return this->agent;
+    }
+    void addRoutes(HttpServer &server) override
+    {
+        registerAgentRoutes(server, this->agent);
+    }
+    void start() override { }
+
+private:
+    static AgentOptions agentOptions(const wire::ProcessId &self)
+    {
+        AgentOptions options;
+        options.self = self;
+        return options;
+    }
+
+    MemberLink link;
+    CurlBackendCaller caller; ///< calls nobody before the agent has started a task
+    AgentCore agent;
+};
+
+class ControlRole : public RoleI
+{
+public:
+    ControlRole(const ProcessSettings &settings, const wire::ProcessId &self, MessageSinkI &sink, const ClockI &clock)
+        : control(sink, clock, this->store, controlOptions(settings, self))
+    {
+    }
+
+    CoreI &core() override
+    {
+        return this->control;
+    }
+    void addRoutes(HttpServer & /*server*/) override { }
+    void start() override { }
+
+private:
+    static ControlOptions controlOptions(const ProcessSettings &settings, const wire::ProcessId &self)
+    {
+        ControlOptions options;
+        options.self = self;
+        options.address = settings.peers;
+        options.group = settings.control;
+        return options;
+    }
+
+    MemoryControlStore store;
+    ControlCore control;
+};
+
+template<typename Role>
+std::unique_ptr<RoleI> make(const ProcessSettings &settings, const wire::ProcessId &self, MessageSinkI &sink,
+                            const ClockI &clock)
+{
+    return std::make_unique<Role>(settings, self, sink, clock);
+}
+
+} // namespace
+
+std::unique_ptr<RoleI> makeRole(const ProcessSettings &settings, const wire::ProcessId &self, MessageSinkI &sink,
+                                const ClockI &clock)
+{
+    switch (settings.role) {
+    case wire::Role::ENTRY:
+        return make<EntryRole>(settings, self, sink, clock);
+    case wire::Role::OWNER:
+        return make<OwnerRole>(settings, self, sink, clock);
+    case wire::Role::AGENT:
+        return make<AgentRole>(settings, self, sink, clock);
+    case wire::Role::CONTROL:
+        return make<ControlRole>(settings, self, sink, clock);
+    default:
+        throw std::runtime_error("the settings name no role of the daemon");
+    }
+}
+
+} // namespace agatedrum
