Write answers without Pistache's ResponseWriter

Cause: ThreadSanitizer showed that the promise of ResponseWriter::send() is resolved without its lock, so a callback attached on another thread may be lost; the connection would then never pass on its next request. A server whose address was taken ended the process, because stop() joined a thread that was never started. Ruled out: a lost callback in asyncWrite() itself, whose promise is resolved under its lock. Change: HttpConnection serializes the answer and calls asyncWrite(); the write no longer raises SIGPIPE. start() keeps the endpoint only when it listens. Tests take the next port when theirs is in use by another worktree.

--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "base_log_p.h"
 
+#include <fmt/format.h>
 #include <pistache/peer.h>
 
 #include <sys/ioctl.h>
@@ -17,32 +18,20 @@
 // After the last answer, the caller gets this long to read it and to close.
 constexpr std::chrono::seconds lingerTime {2};
 
-/// A header of an answer that Pistache writes as it is.
-class TextHeader : public Pistache::Http::Header::Header
+/// The bytes of an answer.
+Pistache::RawBuffer serialize(const HttpResponse &response, bool mustClose)
 {
-public:
-    TextHeader(const char *name, std::string content)
-        : text(std::move(content))
-        , title(name)
-    {
-    }
-    const char *name() const override
-    {
-        return this->title;
-    }
-    std::uint64_t hash() const override
-    {
-        return 0; // read only for casts to a header type
-    }
-    void write(std::ostream &out) const override
-    {
-        out << this->text;
+    const auto *reason = Pistache::Http::codeString(static_cast<Pistache::Http::Code>(response.status));
+    auto bytes = fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n", response.status, reason,
+                             response.contentType, response.body.size());
+    if (response.retryAfterSeconds > 0) {
+        bytes += fmt::format("Retry-After: {}\r\n", response.retryAfterSeconds);
     }
-
-private:
-    std::string text;
-    const char *title;
-};
+    bytes += mustClose ? "Connection: close\r\n\r\n" : "\r\n";
+    bytes += response.body;
+    const auto size = bytes.size();
+    return {std::move(bytes), size};
+}
 
 FramerLimits limitsOf(const HttpServerOptions &options)
 {
@@ -125,12 +114,9 @@
     std::atomic<bool> isAnswered {false};
 };
 
-HttpConnection::HttpConnection(std::shared_ptr<HttpShared> shared, const std::shared_ptr<Pistache::Tcp::Peer> &peer,
-                               Pistache::Http::Handler &handler, Pistache::Tcp::Transport &transport)
+HttpConnection::HttpConnection(std::shared_ptr<HttpShared> shared, int descriptor, Pistache::Tcp::Transport &transport)
     : shared(std::move(shared))
-    , peer(peer)
-    , descriptor(peer->fd())
-    , handler(handler)
+    , descriptor(descriptor)
     , transport(transport)
     , framer(limitsOf(this->shared->options))
     , lastActivity(std::chrono::steady_clock::now())
@@ -251,24 +237,17 @@
 
 void HttpConnection::write(const HttpResponse &response, const std::shared_ptr<WriteMark> &mark, bool closeAfter)
 {
-    using namespace Pistache::Http;
+    const bool mustClose = closeAfter || this->shared->isStopping;
+    const auto bytes = serialize(response, mustClose);
     std::unique_lock lock(this->mutex);
     // While isAlive is true, Pistache has not closed the descriptor, so the write cannot reach another caller.
     if (!this->isAlive) {
         return;
     }
-    const bool mustClose = closeAfter || this->shared->isStopping;
-    ResponseWriter writer(Version::Http11, &this->transport, &this->handler, this->peer);
-    // Pistache writes typed headers only; addRaw() has no effect on an answer.
-    writer.headers().add(std::make_shared<TextHeader>("Content-Type", response.contentType));
-    if (response.retryAfterSeconds > 0) {
-        writer.headers().add(std::make_shared<TextHeader>("Retry-After", std::to_string(response.retryAfterSeconds)));
-    }
-    if (mustClose) {
-        writer.headers().add(std::make_shared<TextHeader>("Connection", "close"));
-    }
     this->lastWrite = mark;
-    auto written = writer.send(static_cast<Code>(response.status), response.body);
+    // ResponseWriter::send() is not used: the promise that it returns is resolved without its lock, so that a callback
+    // attached on another thread may never be called.
+    auto written = this->transport.asyncWrite(this->descriptor, bytes, MSG_NOSIGNAL);
     // then() calls back at once, on this thread, when the write has already ended.
     lock.unlock();
     const auto self = this->shared_from_this();
@@ -296,7 +275,7 @@
     static const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
     const auto mark = std::make_shared<WriteMark>(this->shared);
     this->lastWrite = mark;
-    this->transport.asyncWrite(this->descriptor, Pistache::RawBuffer(line, line.size()))
+    this->transport.asyncWrite(this->descriptor, Pistache::RawBuffer(line, line.size()), MSG_NOSIGNAL)
         .then([mark](ssize_t) {}, [mark](const std::exception_ptr &) {});
 }
 
--- a/src/http_connection_p.h
+++ b/src/http_connection_p.h
@@ -53,8 +53,8 @@
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
 {
 public:
-    HttpConnection(std::shared_ptr<HttpShared> shared, const std::shared_ptr<Pistache::Tcp::Peer> &peer,
-                   Pistache::Http::Handler &handler, Pistache::Tcp::Transport &transport);
+    /// Precondition: transport outlives every call before abandon() or close().
+    HttpConnection(std::shared_ptr<HttpShared> shared, int descriptor, Pistache::Tcp::Transport &transport);
     ~HttpConnection();
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
@@ -86,9 +86,7 @@
     bool isUnused() const;
 
     const std::shared_ptr<HttpShared> shared;
-    const std::weak_ptr<Pistache::Tcp::Peer> peer;
     const int descriptor;
-    Pistache::Http::Handler &handler;
     Pistache::Tcp::Transport &transport;
 
     std::mutex mutex; ///< guards all below
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -42,7 +42,7 @@
     {
         // Pistache's check for idle connections reads this parser.
         peer->putData(ParserData, std::make_shared<Pistache::Http::RequestParser>(0));
-        const auto connection = std::make_shared<HttpConnection>(this->shared, peer, *this, *this->transport());
+        const auto connection = std::make_shared<HttpConnection>(this->shared, peer->fd(), *this->transport());
         peer->putData(connectionData, connection);
         auto &stale = this->staleWrites[peer->fd()];
         const bool isStale = !stale.expired();
@@ -122,16 +122,17 @@
     const auto &options = this->impl->shared->options;
     const Pistache::Address address(options.address.host,
                                     Pistache::Port(static_cast<std::uint16_t>(options.address.port)));
-    this->impl->endpoint = std::make_unique<Pistache::Http::Endpoint>(address);
-    this->impl->endpoint->init(Pistache::Http::Endpoint::options()
-                                   .threads(options.threads)
-                                   .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay
-                                          | Pistache::Tcp::Options::CloseOnExec)
-                                   .headerTimeout(unreachableTimeout)
-                                   .bodyTimeout(unreachableTimeout)
-                                   .keepaliveTimeout(unreachableTimeout));
-    this->impl->endpoint->setHandler(std::make_shared<ConnectionHandler>(this->impl->shared));
-    this->impl->endpoint->serveThreaded();
+    auto endpoint = std::make_unique<Pistache::Http::Endpoint>(address);
+    endpoint->init(Pistache::Http::Endpoint::options()
+                       .threads(options.threads)
+                       .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay
+                              | Pistache::Tcp::Options::CloseOnExec)
+                       .headerTimeout(unreachableTimeout)
+                       .bodyTimeout(unreachableTimeout)
+                       .keepaliveTimeout(unreachableTimeout));
+    endpoint->setHandler(std::make_shared<ConnectionHandler>(this->impl->shared));
+    endpoint->serveThreaded();
+    this->impl->endpoint = std::move(endpoint);
     this->impl->housekeeping = std::thread([this] { this->impl->keepHouse(); });
     log(LogLevel::Info, part, "listening on {}:{}", options.address.host, options.address.port);
 }
--- a/tests/http_client.h
+++ b/tests/http_client.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include "http_server_p.h"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <functional>
+#include <memory>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -98,6 +102,27 @@
     std::string received;
 };
 
+/// Starts a server on the first free port from options.address.port on, because tests of several worktrees may run at
+/// once. The port that was taken is in options.
+inline std::unique_ptr<HttpServer> startServer(HttpServerOptions &options,
+                                               const std::function<void(HttpServer &)> &addRoutes)
+{
+    constexpr int attempts = 10;
+    for (int i = 0;; ++i) {
+        auto server = std::make_unique<HttpServer>(options);
+        addRoutes(*server);
+        try {
+            server->start();
+            return server;
+        } catch (const std::runtime_error &) {
+            if (i == attempts) {
+                throw;
+            }
+            ++options.address.port;
+        }
+    }
+}
+
 /// A request with a body.
 inline std::string post(const std::string &target, const std::string &body)
 {
