End a bus that is stopped before its event loop has begun

Cause: test-wire hung on a busy machine. event_base_loopbreak before event_base_dispatch is forgotten, since the loop clears the break at its start, so stop() waited for a loop that never ended.

Ruled out: a lost message (the test had passed its check) and the Thrift server (its threads were gone).

Change: the loop breaks itself from an event that stop() activates. Thrift's own log lines go to debug. Agents send heartbeats to control every 2 s instead of 0.5 s, but confirm a new configuration at once and retry unanswered ones after 0.5 s. `agatedrum overview` and the emergency handbook docs/operations.md, whose commands the demo runs.

--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -143,7 +143,7 @@
 struct ApplyReply {
   1: i64 requestId; 2: bool accepted; 3: string code; 4: string message; 5: ConfigFile inForce; 6: list<string> lagging;
 }
-// Asks what the control group knows: kind is "members", "cells", "history" or "acknowledged".
+// Asks what the control group knows: kind is "overview", "members", "cells", "history", "acknowledged" or "config".
 struct ControlQuery { 1: i64 requestId; 2: string kind; 3: string argument; }
 struct ControlAnswer { 1: i64 requestId; 2: bool ok; 3: string json; }
 
--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -47,7 +47,12 @@
 #define AGATEDRUM_OWNER_HEARTBEAT_MS 200
 #endif
 
-/// Interval of member heartbeats of entries and agents, in milliseconds.
+/// Interval of member heartbeats of agents, in milliseconds. Owners watch agents by their hello, so control needs few.
+#ifndef AGATEDRUM_AGENT_HEARTBEAT_MS
+#define AGATEDRUM_AGENT_HEARTBEAT_MS 2000
+#endif
+
+/// Interval of member heartbeats of entries, and the longest between unanswered ones, in milliseconds.
 #ifndef AGATEDRUM_MEMBER_HEARTBEAT_MS
 #define AGATEDRUM_MEMBER_HEARTBEAT_MS 500
 #endif
--- a/samples/demo.sh
+++ b/samples/demo.sh
@@ -113,8 +113,26 @@
 check "no task started twice" starts_once
 cat "$WORK/check.out"
 
-"$CLI" get members --entry "$(entry_url 1)" || true
-"$CLI" get cells --entry "$(entry_url 1)" || true
+echo "Running the commands of docs/operations.md:"
+CONFIG="$WORK/next.yaml"
+ENTRY=$(entry_url 1)
+AGENT="http://127.0.0.1:$(port 400 1)"
+OWNER="http://127.0.0.1:$(port 150 1)"
+run_page_command() { # run_page_command LINE
+    local line=${1//\$ENTRY/$ENTRY}
+    line=${line//\$AGENT/$AGENT}
+    line=${line//\$OWNER/$OWNER}
+    line=${line//\$CONFIG/$CONFIG}
+    read -ra words <<< "$line"
+    "$CLI" "${words[@]:1}"
+}
+while IFS= read -r line; do
+    # The file to apply needs a number above the one in force, which drain and undrain have raised.
+    number=$("$CLI" get configurations --entry "$ENTRY" --output json | python3 -c 'import json, sys; print(json.load(sys.stdin)[-1]["number"] + 1)')
+    sed "s/^number: .*/number: $number/" samples/authority.yaml > "$CONFIG"
+    check "$line" run_page_command "$line"
+done < <(sed -n 's/^    \(agatedrum .*\)$/\1/p' docs/operations.md)
+"$CLI" overview --entry "$ENTRY"
 echo "Stopping."
 stop_cluster 2> "$WORK/stop.err"
 check "every process stopped in an orderly way" test ! -s "$WORK/stop.err"
--- a/src/cli_show.cpp
+++ b/src/cli_show.cpp
@@ -224,6 +224,16 @@
     return ExitCode::Done;
 }
 
+CliResult overview(const CliRun &run)
+{
+    const auto answer = run.client.requestJson("GET", "/v1/overview");
+    if (!isOk(answer)) {
+        return error(answer);
+    }
+    printAnswer(run, value(answer));
+    return ExitCode::Done;
+}
+
 CliResult version(const CliRun &run)
 {
     run.streams.out << "agatedrum " << AGATEDRUM_VERSION << "\n";
@@ -245,6 +255,8 @@
              {"timeout"},
              false,
              &dump},
+            {"overview", "", "show leader, configuration, silent members, and cells with a problem", 0, 0, readOptions,
+             true, &overview},
             {"version", "", "show the version", 0, 0, {}, false, &version}};
 }
 
--- a/src/control_query.cpp
+++ b/src/control_query.cpp
@@ -1,7 +1,11 @@
 #include "control_core_p.h"
 
+#include "agatedrum/config.h"
+
 #include <fmt/format.h>
 
+#include <algorithm>
+
 // Answers to ControlQuery, and the state dump.
 
 namespace agatedrum {
@@ -71,6 +75,67 @@
     return list;
 }
 
+/// An agent's heartbeats are further apart than those of other members.
+bool isSilent(const wire::MemberRecord &member, const ControlMembers &members)
+{
+    const auto silence = members.silence(member.id.name);
+    const auto limit = member.role == wire::Role::AGENT ? 3 * AGATEDRUM_AGENT_HEARTBEAT_MS : AGATEDRUM_MEMBER_DEAD_MS;
+    return !silence || *silence > Millis(limit);
+}
+
+/// {ROLE: {"members": N, "silent": [name], "leaving": [name]}}
+nlohmann::json countMembers(const ControlState &state, const ControlMembers &members)
+{
+    auto counts = nlohmann::json::object();
+    for (const auto &[name, member] : state.members()) {
+        auto &count = counts[roleName(member.role)];
+        if (count.is_null()) {
+            count = {{"members", 0}, {"silent", nlohmann::json::array()}, {"leaving", nlohmann::json::array()}};
+        }
+        count["members"] = count["members"].get<int>() + 1;
+        if (isSilent(member, members)) {
+            count["silent"].push_back(name);
+        }
+        if (member.leaving) {
+            count["leaving"].push_back(name);
+        }
+    }
+    return counts;
+}
+
+std::string describeMissingOwner(const ControlState &state)
+{
+    for (const auto &[name, member] : state.members()) {
+        if (member.role == wire::Role::OWNER && !member.leaving) {
+            return "an owner process is a member; the next assignment gives it the cell";
+        }
+    }
+    return "no owner process is a member that is not leaving";
+}
+
+/// [{"cell", "service", "problem"}]: cells without an owner, a whole holder or an agent.
+nlohmann::json describeProblems(const ControlState &state)
+{
+    auto list = nlohmann::json::array();
+    const auto add = [&list](std::int32_t number, const wire::CellRecord &record, const std::string &problem) {
+        list.push_back({{"cell", number}, {"service", record.serviceName}, {"problem", problem}});
+    };
+    for (const auto &[number, cell] : state.cells()) {
+        if (cell.record.owner.empty()) {
+            add(number, cell.record, "no owner: " + describeMissingOwner(state));
+        }
+        const auto isWhole = [](const wire::HolderRecord &holder) { return holder.whole; };
+        const auto &holders = cell.record.holders;
+        if (!holders.empty() && std::none_of(holders.begin(), holders.end(), isWhole)) {
+            add(number, cell.record, "no holder is whole yet: jobs wait for their record");
+        }
+        if (cell.agents.empty()) {
+            add(number, cell.record, "no agent has joined: jobs wait");
+        }
+    }
+    return list;
+}
+
 nlohmann::json describeFile(const wire::ConfigFile &file)
 {
     return {
@@ -110,6 +175,18 @@
         return {{"error", "not-leader"}, {"leader", this->log.isLeader() ? std::string() : this->log.leaderName()}};
     }
     isOk = true;
+    if (query.kind == "overview") {
+        // {"leader", "term", "voters", "learners", "configuration", "lagging", "members", "problems"}
+        const auto number = this->machine.file().number;
+        return {{"leader", this->log.leaderName()},
+                {"term", this->log.term()},
+                {"voters", this->log.voters()},
+                {"learners", this->log.learners()},
+                {"configuration", describeFile(this->machine.file())},
+                {"lagging", this->members.lagging(number)},
+                {"members", countMembers(this->machine, this->members)},
+                {"problems", describeProblems(this->machine)}};
+    }
     if (query.kind == "members") {
         return describeMembers(this->machine, this->members);
     }
@@ -130,7 +207,8 @@
         return isOk ? config : nlohmann::json {{"error", "no such configuration, or its text is no longer kept"}};
     }
     isOk = false;
-    return {{"error", fmt::format("unknown kind {}: members, cells, history, acknowledged or config", query.kind)}};
+    return {{"error",
+             fmt::format("unknown kind {}: overview, members, cells, history, acknowledged or config", query.kind)}};
 }
 
 nlohmann::json ControlCore::dump() const
--- a/src/daemon_roles.cpp
+++ b/src/daemon_roles.cpp
@@ -16,6 +16,18 @@
 
 namespace {
 
+Millis heartbeatInterval(wire::Role::type role)
+{
+    switch (role) {
+    case wire::Role::OWNER:
+        return Millis(AGATEDRUM_OWNER_HEARTBEAT_MS);
+    case wire::Role::AGENT:
+        return Millis(AGATEDRUM_AGENT_HEARTBEAT_MS);
+    default:
+        return Millis(AGATEDRUM_MEMBER_HEARTBEAT_MS);
+    }
+}
+
 MemberOptions memberOptions(const ProcessSettings &settings, const wire::ProcessId &self)
 {
     MemberOptions options;
@@ -24,8 +36,7 @@
     options.failureDomain = settings.failureDomain;
     options.address = settings.peers;
     options.control = settings.control;
-    const bool isOwner = settings.role == wire::Role::OWNER;
-    options.interval = Millis(isOwner ? AGATEDRUM_OWNER_HEARTBEAT_MS : AGATEDRUM_MEMBER_HEARTBEAT_MS);
+    options.interval = heartbeatInterval(settings.role);
     return options;
 }
 
--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -209,6 +209,7 @@
     route("GET", "/v1/configuration", &showConfiguration);
     server.route("GET", "/v1/configuration/history", askHandler(core, "history"));
     server.route("GET", "/v1/configuration/acknowledged", askHandler(core, "acknowledged"));
+    server.route("GET", "/v1/overview", askHandler(core, "overview"));
     server.route("GET", "/v1/members", askHandler(core, "members"));
     server.route("GET", "/v1/cells", askHandler(core, "cells"));
 }
--- a/src/member_link.cpp
+++ b/src/member_link.cpp
@@ -26,8 +26,9 @@
     if (now < this->nextHeartbeat) {
         return;
     }
-    // A control process that left a heartbeat unanswered for an interval may be down: the next one is tried.
-    if (this->isWaiting && now - this->unansweredSince >= this->options.interval) {
+    // A control process that left a heartbeat unanswered may be down: the next one is tried.
+    const auto retryInterval = std::min(this->options.interval, Millis(AGATEDRUM_MEMBER_HEARTBEAT_MS));
+    if (this->isWaiting && now - this->unansweredSince >= retryInterval) {
         this->current = (this->current + 1) % this->options.control.size();
         this->unansweredSince = now;
     }
@@ -35,7 +36,8 @@
         this->isWaiting = true;
         this->unansweredSince = now;
     }
-    this->nextHeartbeat = now + this->options.interval;
+    this->nextHeartbeat = now + retryInterval; // an answer moves it on to the whole interval
+    this->isHurried = false;
 
     wire::MemberHeartbeat heartbeat;
     heartbeat.role = this->options.role;
@@ -55,7 +57,13 @@
 void MemberLink::hurry()
 {
     const std::lock_guard lock(this->mutex);
+    this->hurryLocked();
+}
+
+void MemberLink::hurryLocked()
+{
     this->nextHeartbeat = Time {};
+    this->isHurried = true;
 }
 
 bool MemberLink::handle(const Incoming &incoming)
@@ -87,11 +95,15 @@
     }
     if (!reply.accepted) {
         if (this->current != previous && found != this->options.control.end()) {
-            this->nextHeartbeat = Time {};
+            this->hurryLocked();
         }
         return;
     }
-    const Time until = Time(Micros(reply.sentAtMicros)) + Millis(AGATEDRUM_OWNER_LEASE_MS);
+    const auto sentAt = Time(Micros(reply.sentAtMicros));
+    if (!this->isHurried) {
+        this->nextHeartbeat = std::max(this->nextHeartbeat, sentAt + this->options.interval);
+    }
+    const Time until = sentAt + Millis(AGATEDRUM_OWNER_LEASE_MS);
     if (!this->leaseUntil || until > *this->leaseUntil) {
         this->leaseUntil = until;
     }
@@ -104,6 +116,10 @@
     if (this->newest && (view.version <= this->newest->version || view.config.number < this->newest->config.number)) {
         return;
     }
+    // Control learns at once that the configuration is in force here.
+    if (!this->newest || view.config.number > this->newest->config.number) {
+        this->hurryLocked();
+    }
     this->newest = view;
     this->highestConfigHeard = std::max(this->highestConfigHeard, view.config.number);
 }
@@ -113,7 +129,7 @@
     const std::lock_guard lock(this->mutex);
     if (number > this->highestConfigHeard) {
         this->highestConfigHeard = number;
-        this->nextHeartbeat = Time {};
+        this->hurryLocked();
     }
 }
 
--- a/src/member_link_p.h
+++ b/src/member_link_p.h
@@ -24,7 +24,7 @@
     std::string failureDomain;
     wire::Endpoint address;
     std::vector<ControlPeer> control;
-    Millis interval {500};
+    Millis interval {500}; ///< between answered heartbeats; unanswered ones are sent again sooner
 };
 
 /// What changes between heartbeats.
@@ -67,6 +67,7 @@
     void handleReply(const wire::HeartbeatReply &reply, const std::string &sender);
     void handleView(const wire::ClusterView &view);
     std::int64_t nowMicros() const;
+    void hurryLocked();
 
     MessageSinkI &sink;
     const ClockI &clock;
@@ -75,6 +76,7 @@
     mutable std::mutex mutex;
     std::size_t current = 0; ///< index of the control process that gets the heartbeats
     Time nextHeartbeat;
+    bool isHurried = false; ///< a heartbeat is due before the interval has passed
     Time unansweredSince;
     bool isWaiting = false;
     std::optional<Time> leaseUntil;
--- a/src/wire_bus.cpp
+++ b/src/wire_bus.cpp
@@ -10,7 +10,7 @@
 #include <event2/event.h>
 #include <event2/thread.h>
 #include <netinet/tcp.h>
-#include <thrift/concurrency/ThreadFactory.h>
+#include <thrift/TOutput.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/server/TNonblockingServer.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -153,6 +153,7 @@
     std::shared_ptr<TNonblockingServer> server;
     std::thread serverThread;
     bool isStarted = false;
+    std::atomic<bool> isLoopEnding {false};
 
     Impl(BusOptions busOptions, const ClockI &busClock, std::function<std::int64_t()> number)
         : options(std::move(busOptions))
@@ -317,6 +318,10 @@
     static void onWakeUp(evutil_socket_t, short, void *context)
     {
         auto *bus = static_cast<Impl *>(context);
+        if (bus->isLoopEnding) {
+            event_base_loopbreak(bus->base);
+            return;
+        }
         std::vector<PeerQueue *> due;
         {
             const std::lock_guard lock(bus->queueMutex);
@@ -375,6 +380,8 @@
 
     void startServer(Receiver receiver)
     {
+        apache::thrift::GlobalOutput.setOutputFunction(
+            [](const char *line) { log(LogLevel::Debug, part, "Thrift: {}.", line); });
         const auto handler = std::make_shared<DeliverHandler>(std::move(receiver), this->counters);
         const auto processor = std::make_shared<wire::PeerProcessor>(handler);
         const auto socket
@@ -428,7 +435,9 @@
             this->server->stop();
             this->serverThread.join();
         }
-        event_base_loopbreak(this->base);
+        // A break asked for before the loop has begun would be forgotten, so the loop breaks itself.
+        this->isLoopEnding = true;
+        event_active(this->wakeUp, EV_TIMEOUT, 0);
         this->loopThread.join();
         for (auto &[key, peer] : this->peers) {
             if (peer->connection != nullptr) {
--- a/tests/test_member.cpp
+++ b/tests/test_member.cpp
@@ -91,6 +91,31 @@
         }
     }
 
+    SECTION("a long interval holds only between answered heartbeats, or a member would join late")
+    {
+        auto options = memberOptions();
+        options.interval = Millis(2000);
+        MemberLink slow(sink, clock, options);
+        slow.tick({});
+        clock.advance(Millis(AGATEDRUM_MEMBER_HEARTBEAT_MS));
+        slow.tick({});
+        const auto heartbeats = sink.all<wire::MemberHeartbeat>();
+        REQUIRE(heartbeats.size() == 2);
+        sink.take();
+        slow.handle(incoming("c2", wire::Role::CONTROL, 2, replyTo(heartbeats[1], true, "c2")));
+        clock.advance(Millis(1999));
+        slow.tick({});
+        REQUIRE(sink.take().empty());
+
+        SECTION("and a higher configuration number still brings the next one forward")
+        {
+            slow.noteConfigNumber(4);
+            slow.handle(incoming("c2", wire::Role::CONTROL, 2, replyTo(heartbeats[1], true, "c2")));
+            slow.tick({});
+            REQUIRE(sink.take().size() == 1);
+        }
+    }
+
     SECTION("a view never gives way to an older one")
     {
         link.handle(incoming("c1", wire::Role::CONTROL, 1, viewOf(5, 7)));
@@ -100,6 +125,15 @@
         REQUIRE(link.configNumber() == 7);
     }
 
+    SECTION("a new configuration is confirmed by a heartbeat at once, or apply --wait would wait for the interval")
+    {
+        link.tick({});
+        sink.take();
+        link.handle(incoming("c1", wire::Role::CONTROL, 1, viewOf(5, 7)));
+        link.tick({});
+        REQUIRE(sink.all<wire::MemberHeartbeat>().at(0).configNumber == 7);
+    }
+
     SECTION("a higher configuration number from any peer brings the next heartbeat forward")
     {
         link.tick({});
--- a/tests/test_wire.cpp
+++ b/tests/test_wire.cpp
@@ -60,10 +60,10 @@
 
     SECTION("messages arrive once, in order, with their sender and its configuration number")
     {
-        PeerBus receiver(busOptions("b", 39417), clock, [] { return 0; });
+        PeerBus receiver(busOptions("b", 19417), clock, [] { return 0; });
         receiver.start([&inbox](const Incoming &message) { inbox.add(message); });
         for (int i = 0; i < 2000; ++i) {
-            sender.send(endpoint(39417), fence(i));
+            sender.send(endpoint(19417), fence(i));
         }
         REQUIRE(inbox.waitFor(2000));
         REQUIRE(inbox.messages.size() == 2000);
@@ -76,15 +76,23 @@
 
     SECTION("a message waits for a peer that is not up yet")
     {
-        sender.send(endpoint(39418), fence(7));
-        PeerBus receiver(busOptions("b", 39418), clock, [] { return 0; });
+        sender.send(endpoint(19418), fence(7));
+        PeerBus receiver(busOptions("b", 19418), clock, [] { return 0; });
         receiver.start([&inbox](const Incoming &message) { inbox.add(message); });
         REQUIRE(inbox.waitFor(1));
     }
 
+    SECTION("a bus that is stopped right after its start ends, even before its event loop has begun")
+    {
+        for (int i = 0; i < 300; ++i) {
+            PeerBus shortLived(busOptions("c", 0), clock, [] { return 0; });
+            shortLived.start([](const Incoming &) {});
+        }
+    }
+
     SECTION("a message for a peer that stays away is dropped and counted")
     {
-        sender.send(endpoint(39419), fence(7));
+        sender.send(endpoint(19419), fence(7));
         for (int i = 0; i < 400 && sender.counters().messagesDropped.load() == 0; ++i) {
             std::this_thread::sleep_for(Millis(10));
         }
