--- /dev/null
+++ b/src/cell_scheduler.cpp
@@ -0,0 +1,263 @@
+#include "cell_scheduler_state_p.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace agatedrum {
+
+namespace {
+
+std::size_t at(int index)
+{
+    return static_cast<std::size_t>(index);
+}
+
+std::string_view stateName(CellHealth::State state)
+{
+    switch (state) {
+    case CellHealth::State::Suspended:
+        return "suspended";
+    case CellHealth::State::Ejected:
+        return "ejected";
+    case CellHealth::State::Returning:
+        return "returning";
+    default:
+        return "serving";
+    }
+}
+
+} // namespace
+
+CellScheduler::CellScheduler(const ClusterConfig &config, const std::string &service, std::uint64_t seed)
+    : impl(std::make_unique<Impl>(config, service, seed))
+{
+}
+
+CellScheduler::~CellScheduler() = default;
+
+void CellScheduler::configure(const ClusterConfig &config)
+{
+    this->impl->configure(config);
+}
+
+void CellScheduler::setServer(const std::string &name, int slots, int connections, double usage, Time now)
+{
+    const int index = this->impl->serverIndex(name);
+    auto &server = this->impl->servers[at(index)];
+    server.slots = slots;
+    server.connections = connections;
+    server.usage = usage;
+    server.isAvailable = server.isAvailable || !server.isAnnounced;
+    server.isAnnounced = true;
+    this->impl->refreshServer(index, now);
+}
+
+void CellScheduler::setAvailable(const std::string &name, bool isAvailable, Time now)
+{
+    if (const auto found = this->impl->indices.find(name); found != this->impl->indices.end()) {
+        this->impl->servers[at(found->second)].isAvailable = isAvailable;
+        this->impl->refreshServer(found->second, now);
+    }
+}
+
+void CellScheduler::removeServer(const std::string &name)
+{
+    const auto found = this->impl->indices.find(name);
+    if (found == this->impl->indices.end()) {
+        return;
+    }
+    auto &server = this->impl->servers[at(found->second)];
+    server.isAvailable = false;
+    this->impl->refreshServer(found->second, this->impl->latest);
+    server.isKnown = false;
+    this->impl->health.removeServer(found->second);
+    this->impl->indices.erase(found);
+}
+
+std::optional<wire::Refusal> CellScheduler::admit(const ScheduledJob &job, Time now)
+{
+    const int team = this->impl->teams.indexOf(job.team);
+    if (auto refusal = this->impl->refuseImpossible(job, team)) {
+        return refusal;
+    }
+    if (auto refusal = this->impl->refuseFull(job, team, now)) {
+        return refusal;
+    }
+    return this->impl->refuseLate(job, team, now);
+}
+
+void CellScheduler::add(const ScheduledJob &job, const std::vector<int> &tasks, Time now)
+{
+    auto &state = this->impl->jobOf(job, now);
+    Micros work {0};
+    std::vector<int> accepted;
+    for (const int index : tasks) {
+        if (index >= 0 && at(index) < state.tasks.size()) {
+            accepted.push_back(index);
+            work += state.tasks[at(index)].expected;
+        }
+    }
+    if (state.queued.empty()) {
+        state.rank = this->impl->order->rank(now, work);
+    }
+    this->impl->teams.charge(state.team, accepted.size(), now);
+    for (const int index : accepted) {
+        this->impl->enqueue(job.number, state, index);
+    }
+    this->impl->endIfDone(job.number, now);
+}
+
+std::optional<Assignment> CellScheduler::next(Time now)
+{
+    this->impl->releaseHeld(now);
+    if (auto assignment = this->impl->nextForReturning(now)) {
+        return assignment;
+    }
+    const auto job = this->impl->teams.next();
+    if (!job) {
+        return std::nullopt;
+    }
+    const auto server = this->impl->placement->choose();
+    if (!server) {
+        return std::nullopt;
+    }
+    if (this->impl->placement->mayWait()) {
+        return this->impl->startOrWait(job->first, *server, now);
+    }
+    return this->impl->start(job->second.second, *server, now);
+}
+
+void CellScheduler::finished(const Assignment &assignment, wire::Outcome::type outcome, Micros runTime, Time now)
+{
+    const auto *job = this->impl->release(assignment);
+    if (job == nullptr) {
+        return;
+    }
+    const auto server = this->impl->indices.find(assignment.server);
+    if (server != this->impl->indices.end()) {
+        const auto &task = job->tasks[at(assignment.task.index)];
+        this->impl->learn(*job, task, server->second, outcome, runTime, now);
+        const bool isLost = outcome == wire::Outcome::UNKNOWN && runTime.count() == 0;
+        if (outcome != wire::Outcome::STOPPED && !isLost) {
+            this->impl->health.record(server->second, job->team, assignment.task.job,
+                                      outcome == wire::Outcome::FINISHED, now);
+        }
+        this->impl->refreshServer(server->second, now);
+    }
+    this->impl->endIfDone(assignment.task.job, now);
+}
+
+void CellScheduler::requeue(const Assignment &assignment, Time now)
+{
+    if (auto *job = this->impl->release(assignment)) {
+        this->impl->enqueue(assignment.task.job, *job, assignment.task.index);
+        const auto server = this->impl->indices.find(assignment.server);
+        if (server != this->impl->indices.end()) {
+            this->impl->refreshServer(server->second, now);
+        }
+    }
+}
+
+void CellScheduler::adopt(const ScheduledJob &job, const Assignment &assignment, Time now)
+{
+    auto &state = this->impl->jobOf(job, now);
+    const int index = assignment.task.index;
+    if (index < 0 || at(index) >= state.tasks.size() || state.tasks[at(index)].server >= 0) {
+        return;
+    }
+    const int server = this->impl->serverIndex(assignment.server);
+    auto &task = state.tasks[at(index)];
+    task.server = server;
+    state.running++;
+    this->impl->runningCount++;
+    this->impl->runningWork += task.expected;
+    this->impl->teams.changeRunning(state.team, 1);
+    this->impl->servers[at(server)].running++;
+    this->impl->refreshServer(server, now);
+}
+
+std::vector<int> CellScheduler::dropQueued(JobNumber number)
+{
+    const auto found = this->impl->jobs.find(number);
+    if (found == this->impl->jobs.end() || found->second.queued.empty()) {
+        return {};
+    }
+    auto &job = found->second;
+    auto dropped = std::exchange(job.queued, {});
+    job.queuedWork = Micros(0);
+    this->impl->removeFromQueue(number, job);
+    for (const int index : dropped) {
+        this->impl->queuedWork.remove(job.rank, job.tasks[at(index)].expected);
+    }
+    this->impl->queuedCount -= dropped.size();
+    this->impl->teams.changeQueued(job.team, -static_cast<long>(dropped.size()));
+    if (job.running == 0) {
+        this->impl->jobs.erase(found);
+        this->impl->health.endJob(number, this->impl->latest);
+    }
+    std::sort(dropped.begin(), dropped.end());
+    return dropped;
+}
+
+void CellScheduler::tick(Time now)
+{
+    this->impl->latest = std::max(this->impl->latest, now);
+    this->impl->releaseHeld(now);
+    for (const int index : this->impl->health.tick(now)) {
+        if (this->impl->hasServer(index)) {
+            this->impl->refreshServer(index, now);
+        }
+    }
+    this->impl->refreshSpeeds(now);
+    if (this->impl->usableServers > 0) {
+        this->impl->noServerSince.reset();
+    } else if (!this->impl->noServerSince) {
+        this->impl->noServerSince = now;
+    }
+}
+
+std::size_t CellScheduler::queuedTasks() const
+{
+    return this->impl->queuedCount;
+}
+
+std::size_t CellScheduler::runningTasks() const
+{
+    return this->impl->runningCount;
+}
+
+nlohmann::json CellScheduler::dump(Time now) const
+{
+    auto servers = nlohmann::json::array();
+    for (std::size_t index = 0; index < this->impl->servers.size(); ++index) {
+        const auto &server = this->impl->servers[index];
+        if (server.isKnown) {
+            servers.push_back({{"name", server.name},
+                               {"slots", server.slots},
+                               {"limit", server.limit},
+                               {"running", server.running},
+                               {"held", server.held},
+                               {"available", server.isAvailable},
+                               {"drained", server.isDrained},
+                               {"slowness", this->impl->relativeSlowness(server)},
+                               {"state", stateName(this->impl->health.state(static_cast<int>(index)))},
+                               {"idempotentOnly", this->impl->health.isIdempotentOnly(static_cast<int>(index), now)}});
+        }
+    }
+    auto teams = nlohmann::json::array();
+    for (const auto &team : this->impl->teams.summaries()) {
+        teams.push_back({{"name", team.name},
+                         {"weight", team.weight},
+                         {"queued", team.queued},
+                         {"running", team.running},
+                         {"sizeFactor", team.sizeFactor}});
+    }
+    return {{"queued", this->queuedTasks()},
+            {"running", this->runningTasks()},
+            {"queuedWorkMs", this->impl->queuedWork.total().count() / 1000},
+            {"capacity", this->impl->capacity},
+            {"servers", servers},
+            {"teams", teams}};
+}
+
+} // namespace agatedrum
