Measure the control group's heartbeats and configuration changes

Cause: the cost at the leader by number of members was not known. Change: agatedrum-bench control. Conclusion: none yet.

--- a/tools/bench_main.cpp
+++ b/tools/bench_main.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 const std::map<std::string, int (*)()> benches = {
+    {"control", agatedrum::bench::runControlBench},
     {"policy", agatedrum::bench::runPolicyBench},
     {"decision", agatedrum::bench::runDecisionBench},
     {"owner", agatedrum::bench::runOwnerBench},
--- a/tools/bench_p.h
+++ b/tools/bench_p.h
@@ -11,4 +11,7 @@
 /// Measures starts a second, CPU time a task, and messages and bytes a job of one OwnerCore with 1, 2 and 3 copies.
 int runOwnerBench();
 
+/// Measures a heartbeat and a configuration change at the leader with 50 to 2000 stand-in members.
+int runControlBench();
+
 } // namespace agatedrum::bench
