--- a/src/control_journal.cpp
+++ b/src/control_journal.cpp
@@ -258,7 +258,7 @@
     const auto last = std::find_if(writes.rbegin(), writes.rend(),
                                    [](const ControlWrite &each) { return each.snapshot.has_value(); });
     if (last != writes.rend()) {
-        const auto outcome = this->writeSnapshot(*last);
+        auto outcome = this->writeSnapshot(*last);
         if (outcome.status != DiskStatus::Ok) {
             return outcome;
         }
