--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -92,6 +92,7 @@
 {
     int status = 0; ///< 0 when no whole answer came
     std::string body;
+    std::string failure; ///< why no whole answer came
 
     nlohmann::json json() const
     {
@@ -126,7 +127,10 @@
                              static_cast<std::string *>(target)->append(data, size * count);
                              return size * count;
                          }));
-    if (curl_easy_perform(easy) == CURLE_OK) {
+    const auto code = curl_easy_perform(easy);
+    if (code != CURLE_OK) {
+        answer.failure = curl_easy_strerror(code);
+    } else {
         long status = 0;
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
         answer.status = static_cast<int>(status);
--- a/tests/process_cluster.h
+++ b/tests/process_cluster.h
@@ -273,7 +273,7 @@
                 job.answer = answer;
                 break;
             }
-            job.earlierTries.push_back(std::to_string(reply.status) + " " + reply.body);
+            job.earlierTries.push_back(std::to_string(reply.status) + " " + reply.failure + reply.body);
             std::this_thread::sleep_for(20ms);
         }
         return job;
