--- a/src/daemon_roles.cpp
+++ b/src/daemon_roles.cpp
@@ -3,6 +3,7 @@
 #include "agent_backend_p.h"
 #include "agent_core_p.h"
 #include "control_core_p.h"
+#include "control_disk_p.h"
 #include "control_store_p.h"
 #include "daemon_process_p.h"
 #include "entry_api_p.h"
@@ -15,6 +16,18 @@
 
 namespace {
 
+Millis heartbeatInterval(wire::Role::type role)
+{
+    switch (role) {
+    case wire::Role::OWNER:
+        return Millis(AGATEDRUM_OWNER_HEARTBEAT_MS);
+    case wire::Role::AGENT:
+        return Millis(AGATEDRUM_AGENT_HEARTBEAT_MS);
+    default:
+        return Millis(AGATEDRUM_MEMBER_HEARTBEAT_MS);
+    }
+}
+
 MemberOptions memberOptions(const ProcessSettings &settings, const wire::ProcessId &self)
 {
     MemberOptions options;
@@ -23,8 +36,7 @@
     options.failureDomain = settings.failureDomain;
     options.address = settings.peers;
     options.control = settings.control;
-    const bool isOwner = settings.role == wire::Role::OWNER;
-    options.interval = Millis(isOwner ? AGATEDRUM_OWNER_HEARTBEAT_MS : AGATEDRUM_MEMBER_HEARTBEAT_MS);
+    options.interval = heartbeatInterval(settings.role);
     return options;
 }
 
@@ -127,7 +139,8 @@
 {
 public:
     ControlRole(const ProcessSettings &settings, const wire::ProcessId &self, MessageSinkI &sink, const ClockI &clock)
-        : control(sink, clock, this->store, controlOptions(settings, self))
+        : store(openStore(settings.dataFolder))
+        , control(sink, clock, *this->store, controlOptions(settings, self))
     {
     }
 
@@ -139,6 +152,14 @@
     void start() override { }
 
 private:
+    static std::unique_ptr<ControlStore> openStore(const std::string &folder)
+    {
+        auto opened = ControlStore::open(folder);
+        if (!isOk(opened)) {
+            throw std::runtime_error(error(opened).text());
+        }
+        return takeValue(std::move(opened));
+    }
     static ControlOptions controlOptions(const ProcessSettings &settings, const wire::ProcessId &self)
     {
         ControlOptions options;
@@ -148,7 +169,7 @@
         return options;
     }
 
-    MemoryControlStore store;
+    std::unique_ptr<ControlStore> store;
     ControlCore control;
 };
 
