--- a/src/cell_ledger.cpp
+++ b/src/cell_ledger.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::int64_t millisPerSecond = 1000;
+/// Approximate size of an operation, and of a result in it, without bodies.
+constexpr std::int64_t opBytes = 200;
+constexpr std::int64_t resultBytes = 20;
 
 std::int64_t bodyBytes(const std::vector<wire::TaskResult> &results)
 {
@@ -20,6 +23,20 @@
     return total;
 }
 
+/// The results of a job, rebuilt from its outcomes when the bodies are dropped.
+std::vector<wire::TaskResult> resultsOf(const LedgerJob &job)
+{
+    if (!job.areBodiesDropped) {
+        return job.results;
+    }
+    std::vector<wire::TaskResult> results(job.outcomes.size());
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        results[i].index = static_cast<std::int32_t>(i);
+        results[i].outcome = static_cast<wire::Outcome::type>(job.outcomes[i]);
+    }
+    return results;
+}
+
 wire::RecordOp toOp(const LedgerJob &job, Time now)
 {
     wire::RecordOp op;
@@ -28,7 +45,7 @@
     op.cancelled = job.isCancelled;
     op.acceptedAtMs = job.acceptedAtMs;
     op.ageMicros = (now - job.acceptedAt).count();
-    for (const auto &result : job.results) {
+    for (const auto &result : resultsOf(job)) {
         if (result.outcome != wire::Outcome::PENDING) {
             op.results.push_back(result);
         }
@@ -38,6 +55,18 @@
 
 } // namespace
 
+std::int64_t recordBytes(const wire::RecordOp &op)
+{
+    auto bytes = opBytes;
+    for (const auto &task : op.accepted.tasks) {
+        bytes += static_cast<std::int64_t>(task.body.size() + task.id.size());
+    }
+    for (const auto &result : op.results) {
+        bytes += resultBytes + static_cast<std::int64_t>(result.body.size());
+    }
+    return bytes;
+}
+
 std::string ledgerKey(const wire::JobKey &key)
 {
     return fmt::format("{}:{}{}", key.caller.size(), key.caller, key.submission);
@@ -175,10 +204,12 @@
     job.answerBytes = 0;
     job.areBodiesDropped = true;
     std::vector<wire::TaskSpec>().swap(job.spec.tasks);
-    for (auto &result : job.results) {
-        std::string().swap(result.body);
-        std::string().swap(result.server);
+    if (job.outcomes.empty()) {
+        for (const auto &result : job.results) {
+            job.outcomes.push_back(static_cast<char>(result.outcome));
+        }
     }
+    std::vector<wire::TaskResult>().swap(job.results);
 }
 
 void CellLedger::forget(const wire::JobKey &key)
@@ -204,32 +235,35 @@
             return;
         }
         auto spec = op.accepted;
-        const bool areBodiesDropped = spec.tasks.empty();
-        if (areBodiesDropped) {
-            spec.tasks.resize(op.results.size());
-        }
+        // A job whose bodies the owner dropped comes without tasks.
+        spec.tasks.resize(std::max(spec.tasks.size(), op.results.size()));
         job = &this->add(std::move(spec), op.acceptedAtMs, now - Micros(op.ageMicros));
-        job->areBodiesDropped = areBodiesDropped;
     }
     job->isCancelled = job->isCancelled || op.cancelled;
     for (const auto &result : op.results) {
         this->decide(*job, result, now);
     }
-    if (job->areBodiesDropped && !job->spec.tasks.empty()) {
+    if (op.__isset.accepted && op.accepted.tasks.empty() && job->hasEnded() && !job->areBodiesDropped) {
         this->dropBodies(*job);
     }
 }
 
-std::vector<wire::RecordOp> CellLedger::snapshot(Time now) const
+std::vector<wire::RecordOp> CellLedger::snapshotPart(JobNumber &after, std::int64_t bytes, Time now) const
 {
     std::vector<wire::RecordOp> ops;
-    ops.reserve(this->byKey.size());
-    for (const auto &[key, job] : this->byKey) {
-        ops.push_back(toOp(job, now));
+    for (auto next = this->byNumber.upper_bound(after); next != this->byNumber.end() && bytes > 0; ++next) {
+        ops.push_back(toOp(this->byKey.at(next->second), now));
+        bytes -= recordBytes(ops.back());
+        after = next->first;
     }
     return ops;
 }
 
+JobNumber CellLedger::newest() const
+{
+    return this->lastNumber;
+}
+
 void CellLedger::expire(std::int64_t wallMs, Time now)
 {
     while (!this->ended.empty() && now - this->ended.begin()->first >= this->limits.retention) {
@@ -280,7 +314,7 @@
     wire::JobAnswer answer;
     answer.key = job.spec.key;
     answer.done = job.hasEnded();
-    answer.results = job.results;
+    answer.results = resultsOf(job);
     answer.complete = answer.done;
     for (std::size_t i = 0; i < answer.results.size(); ++i) {
         answer.complete = answer.complete && answer.results[i].outcome == wire::Outcome::FINISHED;
--- a/src/cell_ledger_p.h
+++ b/src/cell_ledger_p.h
@@ -35,7 +35,8 @@
 {
     JobNumber number = 0;
     wire::JobSpec spec; ///< task bodies are dropped when the job has ended
-    std::vector<wire::TaskResult> results; ///< one for each task, PENDING until decided
+    std::vector<wire::TaskResult> results; ///< one for each task, PENDING until decided; empty without bodies
+    std::string outcomes; ///< one byte for each task, only without bodies
     int pending = 0; ///< tasks without an outcome
     bool isCancelled = false;
     bool areBodiesDropped = false;
@@ -91,8 +92,13 @@
 
     /// Applies what another owner recorded. Repeating an operation changes nothing.
     void apply(const wire::RecordOp &op, Time now);
-    /// Everything held, as operations that rebuild it in an empty ledger.
-    std::vector<wire::RecordOp> snapshot(Time now) const;
+    /// Part of everything held, as operations that rebuild it in an empty ledger.
+    /// @param after last job of the part before, 0 to begin. Moved to the last job of this part.
+    /// @param bytes approximate size at which the part ends.
+    /// @return nothing when no job is left.
+    std::vector<wire::RecordOp> snapshotPart(JobNumber &after, std::int64_t bytes, Time now) const;
+    /// Number of the newest job.
+    JobNumber newest() const;
 
     /// Drops bodies past their retention and keys past the window.
     void expire(std::int64_t wallMs, Time now);
@@ -116,7 +122,7 @@
 
     LedgerLimits limits;
     std::unordered_map<std::string, LedgerJob> byKey;
-    std::unordered_map<JobNumber, std::string> byNumber;
+    std::map<JobNumber, std::string> byNumber;
     std::map<std::int64_t, std::vector<std::string>> bySecond; ///< keys by the second of submittedAt
     std::multimap<Time, JobNumber> ended; ///< jobs whose answers still have bodies, oldest first
     JobNumber lastNumber = 0;
@@ -124,6 +130,9 @@
     std::int64_t floor = 0;
 };
 
+/// Approximate bytes of an operation on the wire.
+std::int64_t recordBytes(const wire::RecordOp &op);
+
 /// The key as one string, distinct for distinct keys.
 std::string ledgerKey(const wire::JobKey &key);
 
--- a/src/cell_owner_stream.cpp
+++ b/src/cell_owner_stream.cpp
@@ -18,35 +18,8 @@
 /// Bytes of batches kept for holders that lag; beyond it they get a snapshot.
 constexpr std::int64_t maxLogBytes = 64LL * 1024 * 1024;
 constexpr std::int64_t snapshotPartBytes = 1024LL * 1024;
-/// Approximate size of an operation without bodies.
-constexpr std::int64_t opBytes = 200;
-
-std::int64_t sizeOf(const wire::RecordOp &op)
-{
-    auto bytes = opBytes;
-    for (const auto &task : op.accepted.tasks) {
-        bytes += static_cast<std::int64_t>(task.body.size() + task.id.size());
-    }
-    for (const auto &result : op.results) {
-        bytes += static_cast<std::int64_t>(result.body.size());
-    }
-    return bytes;
-}
-
-std::vector<std::vector<wire::RecordOp>> splitParts(std::vector<wire::RecordOp> ops)
-{
-    std::vector<std::vector<wire::RecordOp>> parts(1);
-    std::int64_t bytes = 0;
-    for (auto &op : ops) {
-        bytes += sizeOf(op);
-        parts.back().push_back(std::move(op));
-        if (bytes >= snapshotPartBytes) {
-            parts.emplace_back();
-            bytes = 0;
-        }
-    }
-    return parts;
-}
+/// Parts of a snapshot sent in one tick, so that other work of the cell goes on.
+constexpr int partsPerTick = 2;
 
 } // namespace
 
@@ -81,7 +54,7 @@
 
 std::int64_t RecordStream::append(wire::RecordOp op)
 {
-    this->nextBytes += sizeOf(op);
+    this->nextBytes += recordBytes(op);
     this->nextByKey[ledgerKey(op.key)] = this->next.ops.size();
     this->next.ops.push_back(std::move(op));
     return this->lastSequence + 1;
@@ -171,40 +144,60 @@
 {
     for (auto &[name, holder] : this->holders) {
         const auto waited = now - holder.sentAt;
-        if (!holder.hasSnapshot || (!holder.isRequired && waited >= snapshotRepeatAfter)) {
+        const bool isOverdue = !holder.isRequired && holder.isSnapshotSent && waited >= snapshotRepeatAfter;
+        if (!holder.hasSnapshot || isOverdue) {
             this->flush(now);
-            this->sendSnapshot(holder, ledger, now);
-        } else if (holder.isRequired && holder.acknowledged < this->lastSequence && waited >= repeatAfter) {
+            this->beginSnapshot(holder, ledger, now);
+        }
+        for (int i = 0; i < partsPerTick && !holder.isSnapshotSent; ++i) {
+            this->sendSnapshotPart(holder, ledger, now);
+        }
+        if (holder.isRequired && holder.acknowledged < this->lastSequence && waited >= repeatAfter) {
             this->repeat(holder, now);
         }
     }
 }
 
-void RecordStream::sendSnapshot(Holder &holder, const CellLedger &ledger, Time now)
+void RecordStream::beginSnapshot(Holder &holder, const CellLedger &ledger, Time now)
 {
-    auto parts = splitParts(ledger.snapshot(now));
-    const auto count = static_cast<int>(parts.size());
-    for (int i = 0; i < count; ++i) {
-        wire::RecordSnapshot snapshot;
-        snapshot.cell = this->cell;
-        snapshot.epoch = this->epoch;
-        snapshot.sequence = this->lastSequence;
-        snapshot.part = i;
-        snapshot.parts = count;
-        snapshot.floorMs = ledger.floorMs();
-        snapshot.ops = std::move(parts[static_cast<std::size_t>(i)]);
-        this->send(holder.ref.address, std::move(snapshot));
-    }
     holder.hasSnapshot = true;
+    holder.isSnapshotSent = false;
     holder.snapshotAt = this->lastSequence;
+    holder.snapshotNext = 0;
+    holder.snapshotEnd = ledger.newest();
+    holder.snapshotParts = 0;
     holder.sentAt = now;
 }
 
+/// Sends the next part as the ledger is now. The batches after snapshotAt, which the holder applies on top, lead from
+/// any mixture of later states to the present one. Only the last part says how many there are.
+void RecordStream::sendSnapshotPart(Holder &holder, const CellLedger &ledger, Time now)
+{
+    wire::RecordSnapshot part;
+    part.cell = this->cell;
+    part.epoch = this->epoch;
+    part.sequence = holder.snapshotAt;
+    part.part = holder.snapshotParts;
+    part.floorMs = ledger.floorMs();
+    part.ops = ledger.snapshotPart(holder.snapshotNext, snapshotPartBytes, now);
+    const bool isLast = part.ops.empty() || holder.snapshotNext >= holder.snapshotEnd;
+    part.parts = isLast ? holder.snapshotParts + 1 : 0;
+    if (this->send(holder.ref.address, std::move(part))) {
+        ++holder.snapshotParts;
+        holder.isSnapshotSent = isLast;
+        holder.sentAt = now;
+    } else {
+        holder.hasSnapshot = false;
+    }
+}
+
 void RecordStream::repeat(Holder &holder, Time now)
 {
     if (this->log.empty() || this->log.front().batch.sequence > holder.acknowledged + 1) {
-        // The log does not reach back far enough.
-        holder.hasSnapshot = holder.snapshotAt > holder.acknowledged && now - holder.sentAt < snapshotRepeatAfter;
+        // The log does not reach back far enough: a snapshot is on its way or needed.
+        const bool isUnderWay = holder.snapshotAt > holder.acknowledged
+            && (!holder.isSnapshotSent || now - holder.sentAt < snapshotRepeatAfter);
+        holder.hasSnapshot = isUnderWay;
         return;
     }
     const auto from = static_cast<std::size_t>(holder.acknowledged + 1 - this->log.front().batch.sequence);
--- a/src/cell_owner_stream_p.h
+++ b/src/cell_owner_stream_p.h
@@ -59,6 +59,10 @@
         std::int64_t joinedAt = 0;
         std::int64_t acknowledged = 0;
         std::int64_t snapshotAt = 0; ///< sequence of the last snapshot sent
+        JobNumber snapshotNext = 0; ///< last job sent of that snapshot
+        JobNumber snapshotEnd = 0; ///< last job of it; later ones come in batches
+        int snapshotParts = 0; ///< sent so far
+        bool isSnapshotSent = false; ///< to the last part
         Time sentAt; ///< last snapshot or repeat
     };
     struct Batch
@@ -67,7 +71,8 @@
         std::int64_t bytes = 0;
     };
 
-    void sendSnapshot(Holder &holder, const CellLedger &ledger, Time now);
+    void beginSnapshot(Holder &holder, const CellLedger &ledger, Time now);
+    void sendSnapshotPart(Holder &holder, const CellLedger &ledger, Time now);
     void repeat(Holder &holder, Time now);
     void trim();
 
--- a/src/cell_records.cpp
+++ b/src/cell_records.cpp
@@ -1,5 +1,6 @@
 #include "cell_records_p.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace agatedrum {
@@ -61,7 +62,8 @@
             this->staging->ledger.apply(op, now);
         }
     }
-    if (static_cast<int>(this->staging->parts.size()) == part.parts) {
+    this->staging->total = std::max(this->staging->total, part.parts);
+    if (static_cast<int>(this->staging->parts.size()) == this->staging->total) {
         this->adoptStaging(now);
     }
     return this->ack(part.cell);
--- a/src/cell_records_p.h
+++ b/src/cell_records_p.h
@@ -42,6 +42,7 @@
         std::int64_t epoch = 0;
         std::int64_t sequence = 0;
         std::set<int> parts;
+        int total = 0; ///< known from the last part
         CellLedger ledger {LedgerLimits()};
     };
 
--- a/tests/fault_world.h
+++ b/tests/fault_world.h
@@ -150,7 +150,7 @@
 {
 public:
     FakeEntry(FaultNetwork &network, FaultRecord &record, const ManualClock &clock, const FakeControl &control,
-              std::string name, int port)
+              const std::string &name, int port)
         : record(record)
         , clock(clock)
         , control(control)
--- a/tests/test_faults_random.cpp
+++ b/tests/test_faults_random.cpp
@@ -60,6 +60,7 @@
     repair(world);
     world.run(Millis(AGATEDRUM_TASK_TIME_MS + 15000));
     std::vector<std::int64_t> last;
+    last.reserve(jobCount);
     for (int i = 0; i < jobCount; ++i) {
         last.push_back(world.submit(jobName(i), 1, world.network.below(2)));
     }
--- a/tests/test_owner_core.cpp
+++ b/tests/test_owner_core.cpp
@@ -268,6 +268,68 @@
         }
     }
 
+    SECTION("with a backend server that gets no new work")
+    {
+        world.giveView(1, world.cellView(1, {}));
+        world.giveLease();
+        world.core.tick();
+        world.answerFence();
+        wire::AgentHello hello;
+        hello.epoch = 1;
+        hello.server = OwnerFixture::serverInfo();
+
+        SECTION("because it leaves, from the message that says so on")
+        {
+            hello.server.leaving = true;
+            world.fromAgent(hello);
+        }
+        SECTION("because its backend server is down")
+        {
+            hello.server.backendUp = false;
+            world.fromAgent(hello);
+        }
+        SECTION("because its agent has been silent")
+        {
+            world.clock.advance(Millis(AGATEDRUM_AGENT_SILENT_MS - 1));
+            world.giveLease();
+            world.clock.advance(Millis(1));
+            world.core.tick();
+        }
+        world.submit(11, OwnerFixture::jobSpec("s1", 2, world.clock.wallMs()));
+        REQUIRE(startCount(world.sink) == 0);
+    }
+
+    SECTION("after a freeze, a renewed lease does not count before the view that it was given under")
+    {
+        world.giveView(1, world.cellView(1, {}));
+        world.giveLease();
+        world.core.tick();
+        world.answerFence();
+        world.clock.advance(Millis(AGATEDRUM_MEMBER_DEAD_MS));
+        ++world.viewVersion;
+        world.giveLease();
+        REQUIRE_FALSE(world.core.isReady());
+        world.submit(11, OwnerFixture::jobSpec("s1", 1, world.clock.wallMs()));
+        REQUIRE(startCount(world.sink) == 0);
+        REQUIRE(world.sink.all<wire::NotOwner>().size() == 1);
+    }
+
+    SECTION("a stopping owner is drained once the cell has a new owner")
+    {
+        world.giveView(1, world.cellView(1, {}));
+        world.giveLease();
+        world.core.tick();
+        world.answerFence();
+        world.submit(11, OwnerFixture::jobSpec("s1", 1, world.clock.wallMs()));
+        world.core.beginStop();
+        REQUIRE_FALSE(world.core.isDrained());
+        auto moved = world.cellView(2, {});
+        moved.__set_owner(member("owner-2", 42002));
+        world.giveView(1, moved);
+        REQUIRE(world.core.isDrained());
+        REQUIRE(world.sink.all<wire::NotOwner>().at(0).epoch == 2);
+    }
+
     SECTION("without a lease it starts nothing and refers the entry elsewhere")
     {
         world.giveView(1, world.cellView(1, {}));
