Acknowledge results with starts, drop copies that control takes for lost

Cause: outcomes went to the holders every 20 ms and acknowledgements to agents on every tick, about one message of each for each task at low load. A copy at a former holder that missed the view that dropped it counted as whole when control later gave it the cell as lost, and its old pending tasks would run again. A holder that a late view told to drop its copy was never sent a new one, and jobs waited for its acknowledgement.

Two tests wait half and a quarter of the agents' repeat interval for the acknowledgement, which is the bound that matters.

Messages a task at low load were not measured.

--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -390,7 +390,9 @@
 
 bool CellOwner::isIdle() const
 {
-    return this->active.empty() && this->answers.empty() && this->acks.empty();
+    return this->active.empty() && this->answers.empty() && this->acks.empty()
+        && std::all_of(this->agents.begin(), this->agents.end(),
+                       [](const auto &entry) { return entry.second.recorded.empty(); });
 }
 
 nlohmann::json CellOwner::dump() const
--- a/src/cell_owner_agents.cpp
+++ b/src/cell_owner_agents.cpp
@@ -16,6 +16,8 @@
 /// A start that nothing has confirmed is asked for after this time.
 constexpr Millis confirmAfter {3000};
 constexpr Millis fenceRepeatAfter {300};
+/// Time for which recorded results wait for a start to the same agent, with which their acknowledgement travels.
+constexpr Millis ackDelay {100};
 /// Pause in starts to an agent that refused one; doubled with each refusal until a task ends there.
 constexpr Millis refusalPause {20};
 constexpr int maxPauseDoublings = 6;
@@ -117,7 +119,11 @@
         isLost = isLost || (flight.sequence > agent.heardSequence && age >= startLostAfter)
             || (!flight.isConfirmed && age >= confirmAfter);
     }
-    if (isLost || unaccounted > std::int64_t {hello.running} + hello.unacknowledged) {
+    // Results that arrived and are not yet acknowledged say nothing of the tasks still open here.
+    const auto arrived = std::count_if(this->acks.begin(), this->acks.end(),
+                                       [&agent](const PendingAck &ack) { return ack.agent == agent.id.name; })
+        + static_cast<std::int64_t>(agent.recorded.size());
+    if (isLost || unaccounted > hello.running + std::max<std::int64_t>(0, hello.unacknowledged - arrived)) {
         this->fence(agent);
     }
 }
@@ -167,7 +173,7 @@
         if (task.running) {
             this->adopt(*agent, task);
         } else {
-            this->acceptResult(from.sender, from.address, task.ref.key, task.result, 0);
+            this->acceptResult(from.sender.name, task.ref.key, task.result, 0);
         }
     }
     std::vector<std::pair<JobNumber, int>> notStarted;
@@ -277,8 +283,12 @@
     if (!this->context.mayAct()) {
         return;
     }
+    // The acknowledgement needs the agent's address, also when the agent was not met before.
+    if (this->meet(from.sender, from.address) == nullptr) {
+        return;
+    }
     for (const auto &result : message.results) {
-        this->acceptResult(from.sender, from.address, result.key, result.result, result.sequence);
+        this->acceptResult(from.sender.name, result.key, result.result, result.sequence);
     }
     this->afterMessage();
 }
@@ -289,23 +299,23 @@
     return place.agent != sender || (sequence > 0 && place.sequence > 0 && sequence != place.sequence);
 }
 
-void CellOwner::acceptResult(const wire::ProcessId &sender, const wire::Endpoint &address, const wire::JobKey &key,
-                             const wire::TaskResult &result, std::int64_t sequence)
+void CellOwner::acceptResult(const std::string &sender, const wire::JobKey &key, const wire::TaskResult &result,
+                             std::int64_t sequence)
 {
     auto *job = this->ledger.find(key);
     const auto index = static_cast<std::size_t>(result.index);
     auto *active = job == nullptr ? nullptr : this->findActive(job->number);
     if (active == nullptr || index >= active->places.size() || job->results[index].outcome != wire::Outcome::PENDING) {
-        this->acknowledgeLater(address, key, result.index);
+        this->acknowledgeLater(sender, key, result.index);
         return;
     }
     const auto &place = active->places[index];
     if (result.outcome != wire::Outcome::NOT_RUN) {
         this->decide(*active, result);
-    } else if (active->stage != Stage::AwaitingAgents && !this->isStaleNotRun(place, sender.name, sequence)) {
+    } else if (active->stage != Stage::AwaitingAgents && !this->isStaleNotRun(place, sender, sequence)) {
         this->acceptNotRun(*active, result, sequence);
     }
-    this->acknowledgeLater(address, key, result.index);
+    this->acknowledgeLater(sender, key, result.index);
 }
 
 /// The agent could not reach its backend server. Precondition: the report belongs to the present start.
@@ -372,28 +382,37 @@
     this->ended.push_back(active.job->number);
 }
 
-void CellOwner::acknowledgeLater(const wire::Endpoint &address, const wire::JobKey &key, int index)
+void CellOwner::acknowledgeLater(const std::string &agent, const wire::JobKey &key, int index)
 {
-    this->acks.push_back({this->stream.lastAppended(), address, refOf(key, index)});
+    this->acks.push_back({this->stream.lastAppended(), agent, refOf(key, index)});
 }
 
-void CellOwner::sendAcks()
+/// Hands the results that all holders have to their agents' acknowledgements.
+void CellOwner::takeRecorded()
 {
-    std::map<std::pair<std::string, int>, wire::ResultAck> byAgent;
     while (!this->acks.empty() && this->stream.isRecorded(this->acks.front().sequence, 1)) {
         auto &ack = this->acks.front();
-        auto &batch = byAgent[{ack.agent.host, ack.agent.port}];
-        batch.refs.push_back(std::move(ack.ref));
+        if (const auto found = this->agents.find(ack.agent); found != this->agents.end()) {
+            auto &agent = found->second;
+            if (agent.recorded.empty()) {
+                agent.recordedSince = this->now();
+            }
+            agent.recorded.push_back(std::move(ack.ref));
+        }
         this->acks.pop_front();
     }
-    for (auto &[address, batch] : byAgent) {
-        batch.cell = this->cell;
-        batch.epoch = this->cellEpoch;
-        wire::Endpoint to;
-        to.host = address.first;
-        to.port = address.second;
-        this->send(to, std::move(batch));
+}
+
+void CellOwner::sendAcks(Agent &agent)
+{
+    if (agent.recorded.empty() || !this->context.mayAct()) {
+        return;
     }
+    wire::ResultAck ack;
+    ack.cell = this->cell;
+    ack.epoch = this->cellEpoch;
+    ack.refs = std::exchange(agent.recorded, {});
+    this->send(agent.address, std::move(ack));
 }
 
 /// The agent is gone or has restarted: its tasks may have run.
@@ -426,6 +445,9 @@
         if (agent.fence && (!agent.fence->sentAt || now - *agent.fence->sentAt >= fenceRepeatAfter)) {
             this->sendFence(agent);
         }
+        if (now - agent.recordedSince >= ackDelay) {
+            this->sendAcks(agent);
+        }
         this->updateAvailability(agent);
     }
 }
--- a/src/cell_owner_p.h
+++ b/src/cell_owner_p.h
@@ -125,6 +125,8 @@
         std::int64_t heardSequence = 0;
         std::map<std::pair<JobNumber, int>, Flight> flights;
         std::optional<PendingFence> fence;
+        std::vector<wire::TaskRef> recorded; ///< results to acknowledge
+        Time recordedSince; ///< of the oldest of them
     };
     struct PendingAnswer
     {
@@ -135,7 +137,7 @@
     struct PendingAck
     {
         std::int64_t sequence = 0;
-        wire::Endpoint agent;
+        std::string agent;
         wire::TaskRef ref;
     };
 
@@ -163,8 +165,8 @@
     void sendFence(Agent &agent);
     void lose(Agent &agent);
     void tickAgents();
-    void acceptResult(const wire::ProcessId &sender, const wire::Endpoint &address, const wire::JobKey &key,
-                      const wire::TaskResult &result, std::int64_t sequence);
+    void acceptResult(const std::string &sender, const wire::JobKey &key, const wire::TaskResult &result,
+                      std::int64_t sequence);
     bool isStaleNotRun(const Place &place, const std::string &sender, std::int64_t sequence) const;
     void takeBack(ActiveJob &active, int index);
     void leaveAgent(ActiveJob &active, int index);
@@ -173,8 +175,9 @@
     void decide(ActiveJob &active, int index, wire::Outcome::type outcome);
     void finish(ActiveJob &active);
     void adopt(Agent &agent, const wire::AgentTask &task);
-    void acknowledgeLater(const wire::Endpoint &address, const wire::JobKey &key, int index);
-    void sendAcks();
+    void acknowledgeLater(const std::string &agent, const wire::JobKey &key, int index);
+    void takeRecorded();
+    void sendAcks(Agent &agent);
 
     // cell_owner_run.cpp: from the record to the start, takeover, cancellation
     void afterMessage();
--- a/src/cell_owner_run.cpp
+++ b/src/cell_owner_run.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-/// Delay of outcomes to the holders, so that many share one batch. Well below an agent's repeat of its results.
-constexpr Millis resultBatchDelay {20};
+/// Delay of outcomes to the holders, so that many share one batch. With the delay of the acknowledgement it stays well
+/// below an agent's repeat of its results.
+constexpr Millis resultBatchDelay {150};
+static_assert(AGATEDRUM_RESULT_RESEND_MS >= 400, "agents would repeat results that are about to be acknowledged");
 /// Tasks of cancelled jobs handled in one tick, so that other jobs go on during a burst of cancellations.
 constexpr std::size_t cancelSlice = 2000;
 constexpr Millis cancelRepeatAfter {500};
@@ -45,6 +47,7 @@
     }
     const auto now = this->now();
     this->scheduler.tick(now);
+    this->takeRecorded();
     this->tickAgents();
     this->stream.tick(this->ledger, now);
     this->resolveTakeover();
@@ -58,7 +61,6 @@
     }
     this->flush(true);
     this->afterMessage();
-    this->sendAcks();
 }
 
 /// A new job's record leaves at once when nothing is under way, else with the next acknowledgement or tick.
@@ -171,12 +173,13 @@
 
 void CellOwner::sendStarts(const std::string &server, wire::StartBatch batch)
 {
-    const auto &agent = this->agents.at(server);
+    auto &agent = this->agents.at(server);
     batch.cell = this->cell;
     batch.epoch = this->cellEpoch;
     batch.agentIncarnation = agent.id.incarnation;
     if (this->context.mayAct()) {
         this->context.sink.send(agent.address, std::move(batch));
+        this->sendAcks(agent);
         return;
     }
     for (const auto &start : batch.starts) {
--- a/src/cell_owner_stream.cpp
+++ b/src/cell_owner_stream.cpp
@@ -117,10 +117,16 @@
 bool RecordStream::acknowledged(const wire::ProcessId &id, const wire::RecordAck &ack, Time now)
 {
     const auto found = this->holders.find(id.name);
-    if (found == this->holders.end() || found->second.ref.id != id || ack.epoch != this->epoch || !ack.whole) {
+    if (found == this->holders.end() || found->second.ref.id != id || ack.epoch != this->epoch) {
         return false;
     }
     auto &holder = found->second;
+    if (!ack.whole) {
+        // A holder that a late view told to drop its copy needs a new one. Its acknowledgement stays required.
+        const bool isLate = now - holder.sentAt < snapshotRepeatAfter;
+        holder.hasSnapshot = holder.hasSnapshot && (isLate || !holder.isSnapshotSent);
+        return false;
+    }
     if (!holder.isRequired) {
         holder.isRequired = true;
         // Outcomes that were acknowledged to agents without this holder must reach it before control may promote it.
--- a/src/owner_core.cpp
+++ b/src/owner_core.cpp
@@ -198,6 +198,7 @@
     }
     highest = view.epoch;
     this->applyCell(shard, view, config);
+    shard.floors[view.cell] = {view.epoch, view.floorMs};
 }
 
 void OwnerCore::applyCell(Shard &shard, const wire::CellView &view, const ClusterConfig &config)
@@ -227,7 +228,10 @@
 void OwnerCore::activate(Shard &shard, const wire::CellView &view, const ClusterConfig &config)
 {
     const auto held = shard.held.find(view.cell);
-    const bool hasCopy = held != shard.held.end() && held->second.isWhole(view.epoch - 1);
+    // Control raises the floor when it takes the ledger for lost. A copy that it no longer counted on may be old, and
+    // would have tasks run again that ended since.
+    const bool isLost = shard.floors[view.cell] != std::make_pair(view.epoch - 1, view.floorMs);
+    const bool hasCopy = !isLost && held != shard.held.end() && held->second.isWhole(view.epoch - 1);
     auto ledger = hasCopy ? held->second.takeLedger() : CellLedger(this->options.limits);
     ledger.raiseFloor(view.floorMs);
     if (!hasCopy && view.epoch > 1) {
--- a/src/owner_core_p.h
+++ b/src/owner_core_p.h
@@ -48,6 +48,7 @@
         std::map<int, std::unique_ptr<CellOwner>> owned;
         std::map<int, CellRecords> held;
         std::map<int, std::int64_t> highestEpoch; ///< of any message or view, by cell
+        std::map<int, std::pair<std::int64_t, std::int64_t>> floors; ///< epoch and floor of the last view, by cell
         std::map<int, std::int64_t> ownedEpoch; ///< last epoch owned, by cell
     };
 
