--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -97,7 +97,12 @@
 #define AGATEDRUM_RESULTS_PER_SLOT 64
 #endif
 
-/// Time limit of a task whose start has no deadline, in milliseconds.
+/// Bytes of results that may wait for acknowledgement before an agent refuses starts.
+#ifndef AGATEDRUM_AGENT_RESULT_BYTES
+#define AGATEDRUM_AGENT_RESULT_BYTES (64UL * 1024 * 1024)
+#endif
+
+/// Time limit of a task at an agent without a configuration, in milliseconds.
 #ifndef AGATEDRUM_TASK_TIME_MS
 #define AGATEDRUM_TASK_TIME_MS 30000
 #endif
@@ -136,3 +141,9 @@
 #ifndef AGATEDRUM_LEAVING_SILENT_MS
 #define AGATEDRUM_LEAVING_SILENT_MS 3000
 #endif
+
+/// Time for which an entry holds a request for a cell without an owner, in milliseconds. Above the 5 s in which every
+/// cell has an owner again after the loss of two hosts.
+#ifndef AGATEDRUM_ENTRY_OWNER_WAIT_MS
+#define AGATEDRUM_ENTRY_OWNER_WAIT_MS 6000
+#endif
--- a/src/agent_core.cpp
+++ b/src/agent_core.cpp
@@ -15,9 +15,6 @@
 
 /// Keeps one message of results well below the largest frame.
 constexpr std::size_t maxBatchBytes = 1024UL * 1024;
-/// Above the time for which a message can wait for a peer, so that no late refusal outlives the memory of it.
-constexpr Millis refusalMemory {10000};
-constexpr Millis pruneInterval {1000};
 
 std::string encoded(const std::string &text)
 {
@@ -30,18 +27,14 @@
     return encoded(start.ref.key.caller) + "/" + encoded(start.ref.key.submission) + "/" + encoded(start.taskId);
 }
 
-void addRefusal(wire::StartRefused &refused, const wire::TaskRef &ref, std::int64_t sequence)
-{
-    refused.refs.push_back(ref);
-    refused.sequences.push_back(sequence);
-}
-
-wire::AgentTask toWire(const AgentTask &task)
+wire::AgentTask toWire(const AgentTask &task, bool withResult)
 {
     wire::AgentTask result;
     result.ref = task.ref;
-    result.running = task.isRunning;
-    result.result = task.result;
+    result.running = task.isRunning || !withResult;
+    if (!result.running) {
+        result.result = task.result;
+    }
     result.result.index = task.ref.index;
     return result;
 }
@@ -92,14 +85,6 @@
         this->sendHello();
     }
     this->sendResults(this->tasks.takeDue(now, now + this->options.repeatInterval));
-    if (now >= this->nextPrune) {
-        this->nextPrune = now + pruneInterval;
-        for (auto &[number, cell] : this->cells) {
-            for (auto it = cell.refused.begin(); it != cell.refused.end();) {
-                it = it->second <= now ? cell.refused.erase(it) : std::next(it);
-            }
-        }
-    }
 }
 
 void AgentCore::takeView()
@@ -109,6 +94,7 @@
     }
     const auto view = this->link.view();
     this->takenView = view.version;
+    this->takeConfig(view.config);
     this->ownCell.reset();
     if (view.cells.empty()) {
         return;
@@ -120,23 +106,40 @@
         return;
     }
     cell.ownerEpoch = own.epoch;
-    const bool hadOwner = cell.owner.has_value();
-    cell.owner.reset();
-    if (own.__isset.owner) {
-        cell.owner = own.owner.address;
-    }
-    if (!hadOwner) {
+    const auto owner = own.__isset.owner ? std::optional(own.owner.address) : std::nullopt;
+    if (owner != cell.owner) {
+        cell.owner = owner;
         this->nextHello = Time {};
     }
 }
 
+void AgentCore::takeConfig(const wire::ConfigFile &file)
+{
+    if (file.number <= this->takenConfig || file.text.empty()) {
+        return;
+    }
+    auto parsed = parseConfig(file.text);
+    if (!isOk(parsed)) {
+        log(LogLevel::Error, "agent", "configuration {} is not understood: {}", file.number, error(parsed).text());
+        return;
+    }
+    this->takenConfig = file.number;
+    this->config = takeValue(std::move(parsed));
+}
+
+Millis AgentCore::timeLimit(const wire::StartTask &start) const
+{
+    const auto *service = this->config ? this->config->service(this->announced->service) : nullptr;
+    const auto limit = service == nullptr ? this->options.taskTime : service->maxTaskTime;
+    return start.deadlineMs > 0 ? std::min(limit, Millis(start.deadlineMs)) : limit;
+}
+
 /// The first contact of a higher epoch ends the lower one: its starts are refused from here on.
 void AgentCore::raiseEpoch(CellState &cell, std::int64_t epoch, const wire::Endpoint &owner)
 {
     if (epoch > cell.epoch) {
         cell.epoch = epoch;
         cell.lastSequence = 0;
-        cell.refused.clear();
     }
     if (epoch >= cell.ownerEpoch) {
         cell.ownerEpoch = epoch;
@@ -170,10 +173,10 @@
             this->startTask(start, batch);
             continue;
         }
-        addRefusal(refused[reason], start.ref, start.sequence);
-        if (batch.epoch == cell.epoch) {
-            cell.refused[toTaskId(start.ref)] = this->clock.now() + refusalMemory;
-        }
+        this->formerOwnerStarts += batch.epoch < cell.epoch ? 1 : 0;
+        auto &message = refused[reason];
+        message.refs.push_back(start.ref);
+        message.sequences.push_back(start.sequence);
     }
     for (auto &[reason, message] : refused) {
         log(LogLevel::Info, "agent", "refused {} starts: {}", message.refs.size(), reason);
@@ -194,9 +197,6 @@
     if (start.sequence <= cell.lastSequence) {
         return "sequence has passed";
     }
-    if (cell.refused.count(toTaskId(start.ref)) != 0) {
-        return "refused before";
-    }
     if (!this->ownCell || *this->ownCell != batch.cell) {
         return "agent is not in this cell";
     }
@@ -210,7 +210,8 @@
     if (this->tasks.running() >= slots) {
         return "all slots are taken";
     }
-    if (this->tasks.unacknowledged() >= slots * static_cast<std::size_t>(this->options.resultsPerSlot)) {
+    if (this->tasks.unacknowledged() >= slots * static_cast<std::size_t>(this->options.resultsPerSlot)
+        || this->tasks.unacknowledgedBytes() >= this->options.resultBytes) {
         return "too many results wait for acknowledgement";
     }
     return {};
@@ -231,7 +232,7 @@
     call.url = this->announced->url;
     call.taskHeader = taskHeader(start);
     call.body = start.body;
-    call.timeout = start.deadlineMs > 0 ? Millis(start.deadlineMs) : this->options.taskTime;
+    call.timeout = this->timeLimit(start);
     this->caller.start(std::move(call));
 }
 
@@ -277,12 +278,20 @@
     state.cell = fence.cell;
     state.epoch = fence.epoch;
     state.barrier = fence.barrier;
+    // Results that do not fit are listed as running and follow on their own.
+    std::size_t bytes = 0;
+    std::vector<const AgentTask *> later;
     for (const auto *task : this->tasks.ofCell(fence.cell)) {
-        state.tasks.push_back(toWire(*task));
+        bytes += task->result.body.size();
+        state.tasks.push_back(toWire(*task, bytes <= maxBatchBytes));
+        if (!task->isRunning && bytes > maxBatchBytes) {
+            later.push_back(task);
+        }
     }
     state.server = this->serverInfo();
     state.uptimeMicros = (this->clock.now() - this->createdAt).count();
     this->sink.send(incoming.address, std::move(state));
+    this->sendResults(later);
 }
 
 void AgentCore::finished(const BackendOutcome &outcome)
@@ -295,8 +304,11 @@
     if (outcome.outcome == wire::Outcome::NOT_RUN) {
         this->isUnreachable = true;
         this->updateBackend();
-        this->refuse(*task);
-        return;
+        if (task->epoch == this->cells[task->cell].epoch) {
+            this->refuse(*task);
+            return;
+        }
+        // The present owner knows the task from AgentState only, and no sequence of its own to match a refusal with.
     }
     wire::TaskResult result;
     result.index = task->ref.index;
@@ -309,16 +321,16 @@
     this->sendResults({task});
 }
 
-/// Certifies that an accepted task did not run, and forgets it.
+/// Certifies that an accepted task did not run, and forgets it. Precondition: it was started in the present epoch.
 void AgentCore::refuse(const AgentTask &task)
 {
-    auto &cell = this->cells[task.cell];
+    const auto &cell = this->cells[task.cell];
     wire::StartRefused message;
     message.cell = task.cell;
-    message.epoch = cell.epoch;
+    message.epoch = task.epoch;
     message.reason = "backend server is unreachable";
-    addRefusal(message, task.ref, task.epoch == cell.epoch ? task.sequence : 0);
-    cell.refused[toTaskId(task.ref)] = this->clock.now() + refusalMemory;
+    message.refs = {task.ref};
+    message.sequences = {task.sequence};
     ++this->refusals;
     this->tasks.remove(task);
     if (cell.owner) {
@@ -343,6 +355,7 @@
         wire::AgentResult result;
         result.key = task->ref.key;
         result.result = task->result;
+        result.sequence = task->epoch == this->cells[task->cell].epoch ? task->sequence : 0;
         batches[task->cell].results.push_back(std::move(result));
         bytes[task->cell] += task->result.body.size();
         if (bytes[task->cell] >= maxBatchBytes) {
@@ -394,7 +407,7 @@
     const bool isChanged = !this->announced || this->announced->service != announcement.service
         || this->announced->slots != announcement.slots || this->announced->isLeaving != announcement.isLeaving;
     if (!this->announced || this->announced->connections != announcement.connections) {
-        this->caller.limitConnections(announcement.connections);
+        this->caller.limitConnections(std::min(announcement.connections, this->options.maxConnections));
     }
     this->announced = announcement;
     this->announcedAt = this->clock.now();
@@ -491,8 +504,13 @@
               {"usage", info.usage}}},
             {"running", this->tasks.running()},
             {"unacknowledged", this->tasks.unacknowledged()},
-            {"refused", this->refusals},
-            {"startsForOtherIncarnation", this->otherIncarnation},
+            {"counters",
+             {{"agent_starts_total", this->lastCall},
+              {"agent_refused_total", this->refusals},
+              {"agent_starts_of_former_owners_total", this->formerOwnerStarts},
+              {"agent_starts_for_other_incarnation_total", this->otherIncarnation},
+              {"agent_running", this->tasks.running()},
+              {"agent_unacknowledged", this->tasks.unacknowledged()}}},
             {"cells", std::move(cells)}};
 }
 
--- a/src/cell_scheduler.cpp
+++ b/src/cell_scheduler.cpp
@@ -121,12 +121,15 @@
     if (!server) {
         return std::nullopt;
     }
+    if (this->impl->placement->mayWait()) {
+        return this->impl->startOrWait(job->first, *server, now);
+    }
     return this->impl->start(job->second.second, *server, now);
 }
 
 void CellScheduler::finished(const Assignment &assignment, wire::Outcome::type outcome, Micros runTime, Time now)
 {
-    const auto *job = this->impl->release(assignment, now);
+    const auto *job = this->impl->release(assignment);
     if (job == nullptr) {
         return;
     }
@@ -146,8 +149,12 @@
 
 void CellScheduler::requeue(const Assignment &assignment, Time now)
 {
-    if (auto *job = this->impl->release(assignment, now)) {
+    if (auto *job = this->impl->release(assignment)) {
         this->impl->enqueue(assignment.task.job, *job, assignment.task.index);
+        const auto server = this->impl->indices.find(assignment.server);
+        if (server != this->impl->indices.end()) {
+            this->impl->refreshServer(server->second, now);
+        }
     }
 }
 
@@ -177,6 +184,7 @@
     }
     auto &job = found->second;
     auto dropped = std::exchange(job.queued, {});
+    job.queuedWork = Micros(0);
     this->impl->removeFromQueue(number, job);
     for (const int index : dropped) {
         this->impl->queuedWork.remove(job.rank, job.tasks[at(index)].expected);
@@ -201,9 +209,7 @@
         }
     }
     this->impl->refreshSpeeds(now);
-    const bool hasServer = std::any_of(this->impl->servers.begin(), this->impl->servers.end(),
-                                       [this](const auto &s) { return s.isKnown && this->impl->usableSlots(s) > 0; });
-    if (hasServer) {
+    if (this->impl->usableServers > 0) {
         this->impl->noServerSince.reset();
     } else if (!this->impl->noServerSince) {
         this->impl->noServerSince = now;
--- a/src/cell_scheduler_state.cpp
+++ b/src/cell_scheduler_state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace agatedrum {
 
@@ -14,6 +15,8 @@
 /// Longest time for which a slot stays free after a fast failure.
 constexpr Micros longestHold {2000000};
 constexpr Micros speedInterval {100000};
+/// Jobs that are looked at for a slow server.
+constexpr int maxLookedJobs = 16;
 
 std::size_t at(int index)
 {
@@ -115,7 +118,10 @@
 void CellScheduler::Impl::refreshServer(int index, Time now)
 {
     auto &server = this->servers[at(index)];
-    server.limit = this->health.limit(index, this->usableSlots(server));
+    const int slots = this->usableSlots(server);
+    this->usableServers += static_cast<int>(slots > 0) - static_cast<int>(server.isUsable);
+    server.isUsable = slots > 0;
+    server.limit = this->health.limit(index, slots);
     this->capacity -= server.capacity;
     server.capacity = server.limit / this->relativeSlowness(server);
     this->capacity += server.capacity;
@@ -186,6 +192,29 @@
             this->refreshServer(static_cast<int>(index), now);
         }
     }
+    this->rankServers();
+}
+
+void CellScheduler::Impl::rankServers()
+{
+    std::vector<int> order;
+    for (std::size_t index = 0; index < this->servers.size(); ++index) {
+        if (this->servers[index].isKnown) {
+            order.push_back(static_cast<int>(index));
+        }
+    }
+    std::sort(order.begin(), order.end(), [this](int a, int b) {
+        return this->servers[at(a)].speed.slowness() < this->servers[at(b)].speed.slowness();
+    });
+    double faster = 0;
+    double slots = 0;
+    for (const int index : order) {
+        auto &server = this->servers[at(index)];
+        server.fasterCapacity = faster;
+        server.fasterSlowness = faster > 0 ? slots / faster : 1;
+        faster += server.capacity;
+        slots += server.limit;
+    }
 }
 
 CellScheduler::Impl::Job &CellScheduler::Impl::jobOf(const ScheduledJob &job, Time now)
@@ -219,6 +248,7 @@
         }
     }
     this->queuedWork.add(job.rank, expected);
+    job.queuedWork += expected;
     this->teams.changeQueued(job.team, 1);
     this->queuedCount++;
 }
@@ -229,12 +259,50 @@
     this->idempotentJobs.erase({job.rank, number});
 }
 
-Assignment CellScheduler::Impl::start(JobNumber number, int server, Time now)
+// A slow server is worth using only for a task that would wait longer for a faster one than it gains there. All faster
+// servers are busy, so a task waits for about the work ahead of it divided by their capacity. The shortest tasks of a
+// job wait longest and lose least on a slow server.
+bool CellScheduler::Impl::shouldStart(const Job &job, Micros ahead, const Server &server, Time now) const
+{
+    const auto expected = static_cast<double>(job.tasks[at(job.queued.front())].expected.count());
+    const double gain = expected * (this->relativeSlowness(server) - server.fasterSlowness);
+    const double wait = static_cast<double>((ahead + job.queuedWork).count()) / server.fasterCapacity;
+    // The faster servers may be busy for longer than expected.
+    const auto idle = now - std::max(job.rank, this->lastStart);
+    return wait >= gain || static_cast<double>(idle.count()) >= gain / 2;
+}
+
+std::optional<Assignment> CellScheduler::Impl::startOrWait(int team, int index, Time now)
+{
+    const auto &jobs = this->teams.jobs(team);
+    const auto &server = this->servers[at(index)];
+    if (server.fasterCapacity <= 0) {
+        return this->start(jobs.begin()->second, index, now);
+    }
+    if (server.running == 0 && server.speed.isStale(now)) {
+        return this->start(jobs.begin()->second, index, now, true);
+    }
+    Micros ahead {0};
+    auto chosen = jobs.begin();
+    for (int looked = 0; chosen != jobs.end(); ++chosen) {
+        const auto &job = this->jobs.at(chosen->second);
+        if (++looked == maxLookedJobs || this->shouldStart(job, ahead, server, now)) {
+            return this->start(chosen->second, index, now, true);
+        }
+        ahead += job.queuedWork;
+    }
+    return std::nullopt;
+}
+
+Assignment CellScheduler::Impl::start(JobNumber number, int server, Time now, bool isShortest)
 {
     auto &job = this->jobs.at(number);
-    const int index = job.queued.back();
+    const auto chosen = isShortest ? job.queued.begin() : std::prev(job.queued.end());
+    const int index = *chosen;
     auto &task = job.tasks[at(index)];
-    job.queued.pop_back();
+    job.queued.erase(chosen);
+    job.queuedWork -= task.expected;
+    this->lastStart = now;
     if (job.queued.empty()) {
         this->removeFromQueue(number, job);
     }
@@ -263,7 +331,7 @@
     return this->start(number, *this->returning.begin(), now);
 }
 
-CellScheduler::Impl::Job *CellScheduler::Impl::release(const Assignment &assignment, Time now)
+CellScheduler::Impl::Job *CellScheduler::Impl::release(const Assignment &assignment)
 {
     const auto found = this->jobs.find(assignment.task.job);
     if (found == this->jobs.end() || assignment.task.index < 0
@@ -283,7 +351,6 @@
     this->teams.changeRunning(job.team, -1);
     if (this->hasServer(server) && this->servers[at(server)].name == assignment.server) {
         this->servers[at(server)].running--;
-        this->refreshServer(server, now);
     }
     return &job;
 }
@@ -304,9 +371,13 @@
     auto &sizes = this->teams.sizes(job.team);
     const double slowness = this->relativeSlowness(server);
     if (outcome == wire::Outcome::FINISHED && runTime.count() > 0) {
-        server.speed.learn(sizes.median(task.declared), runTime);
         const double normalised = static_cast<double>(runTime.count()) / slowness;
-        sizes.learn(task.declared, Micros(static_cast<std::int64_t>(normalised)));
+        const auto deviation
+            = task.declared.count() > 0 ? server.speed.deviationOf(task.declared, runTime) : SizeDeviation {};
+        const double error = sizes.learn(task.declared, Micros(static_cast<std::int64_t>(normalised)), deviation);
+        // The mean follows at once: with one that lags behind, thousands of samples a second drove all speeds apart.
+        const double change = server.speed.learn(error, now);
+        this->meanSlowness *= std::exp(change / static_cast<double>(this->indices.size()));
     }
     if (outcome == wire::Outcome::FAILED || outcome == wire::Outcome::NOT_RUN || outcome == wire::Outcome::UNKNOWN) {
         const auto usual = Micros(static_cast<std::int64_t>(static_cast<double>(task.expected.count()) * slowness));
--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -1,6 +1,5 @@
 #include "control_core_p.h"
 
-#include "agatedrum/config.h"
 #include "base_log_p.h"
 #include "control_codec_p.h"
 
@@ -72,6 +71,11 @@
     const std::lock_guard lock(this->mutex);
     this->log.tick(this->clock.now());
     this->drain();
+    if (!this->store.status().failure.empty()) {
+        this->log.retire();
+        this->log.transferLeadership(this->clock.now());
+        this->drain();
+    }
     if (this->ledTerm != 0) {
         this->members.tick(this->log.hasLease(this->clock.now()));
         this->drain();
@@ -240,7 +244,7 @@
 void ControlCore::compactWhenDue()
 {
     const auto applied = this->log.commitIndex();
-    if (applied - this->log.snapshotIndex() >= AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES) {
+    if (applied - this->log.snapshotIndex() >= this->options.snapshotEntries) {
         this->log.compact(applied, encodeCompact(this->machine.image()));
         this->drainOnce();
     }
--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t maxEntriesPerMessage = 256;
 /// A snapshot is sent again when it stays unanswered for this time.
 constexpr Millis snapshotRetry(500);
+/// Refusals that follow sooner are answered by the next heartbeat: each one answered at once would start a further
+/// exchange with a follower that keeps refusing.
+constexpr Millis rewindInterval(5);
 
 } // namespace
 
@@ -75,8 +78,10 @@
 
 void ControlLog::tick(Time now)
 {
+    if (this->hard.group.empty() || !this->isVoter(this->hard.member)) {
+        this->announce(now);
+    }
     if (this->hard.group.empty()) {
-        this->probeGroup(now);
         return;
     }
     if (this->status == Status::Leader) {
@@ -90,7 +95,9 @@
         if (now >= this->heartbeatDue) {
             this->broadcast(now);
         }
-    } else if (now >= this->electionDue && this->isVoter(this->hard.member) && !this->isRetired) {
+    } else if (now >= this->electionDue && this->isVoter(this->hard.member) && !this->isRetired
+               && this->stateSequence <= this->writtenSequence) {
+        // While the disk takes no term or vote, no election could be won.
         this->startPreVote(now);
     }
 }
@@ -341,6 +348,10 @@
     this->strangers.erase(from);
     if (!reply.ok) {
         progress.next = std::max(progress.match + 1, std::min(progress.next - 1, reply.matchIndex + 1));
+        if (now - progress.rewound < rewindInterval) {
+            return;
+        }
+        progress.rewound = now;
         if (progress.next > this->snapshot.lastIndex) {
             this->replicate(reply.member, progress, now);
         } else {
--- a/src/control_log_p.h
+++ b/src/control_log_p.h
@@ -101,6 +101,7 @@
         Time acknowledged; ///< when the newest round that the member answered was sent
         Time heard;
         Time snapshotSent;
+        Time rewound; ///< when a refusal last moved next back
     };
 
     struct Membership
@@ -130,7 +131,7 @@
     void countVotes(Time now);
     void requestVotes(bool preVote, bool isTransfer, bool held);
     void resetElectionTimer(Time now);
-    void probeGroup(Time now);
+    void announce(Time now);
     void formGroup(Time now);
     bool isUpToDate(const wire::RequestVote &request) const;
     bool hasLiveLeader(Time now) const;
--- a/src/http_connection_p.h
+++ b/src/http_connection_p.h
@@ -53,8 +53,8 @@
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
 {
 public:
-    HttpConnection(std::shared_ptr<HttpShared> shared, const std::shared_ptr<Pistache::Tcp::Peer> &peer,
-                   Pistache::Http::Handler &handler, Pistache::Tcp::Transport &transport);
+    /// Precondition: transport outlives every call before abandon() or close().
+    HttpConnection(std::shared_ptr<HttpShared> shared, int descriptor, Pistache::Tcp::Transport &transport);
     ~HttpConnection();
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
@@ -82,11 +82,11 @@
     void finishWrite(bool isWritten, bool closeAfter);
     /// Precondition: mutex is held.
     void sendContinue();
+    /// Whether no part of a request has arrived, not even unread. Precondition: mutex is held.
+    bool isUnused() const;
 
     const std::shared_ptr<HttpShared> shared;
-    const std::weak_ptr<Pistache::Tcp::Peer> peer;
     const int descriptor;
-    Pistache::Http::Handler &handler;
     Pistache::Tcp::Transport &transport;
 
     std::mutex mutex; ///< guards all below
--- a/tests/control_sim.h
+++ b/tests/control_sim.h
@@ -60,8 +60,11 @@
         this->cuts.clear();
     }
 
-    void send(const Incoming &message, int to)
+    void send(Incoming message, int to)
     {
+        if (this->tap) {
+            this->tap(message);
+        }
         const int copies = this->draw(100) < this->faults.repeatPercent ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy) {
             if (this->draw(100) >= this->faults.lossPercent) {
@@ -90,6 +93,7 @@
     }
 
     NetFaults faults;
+    std::function<void(Incoming &)> tap; ///< sees, and may change, every message before the faults
 
 private:
     ManualClock &clock;
@@ -219,6 +223,7 @@
         options.self = processId(peer.name, ++this->incarnation);
         options.address = peer.address;
         options.group = this->group;
+        options.snapshotEntries = this->snapshotEntries;
         options.seed = this->seed * 1000003 + static_cast<std::uint64_t>(this->incarnation);
         this->sinks[number]
             = std::make_unique<SimSink>(this->net, options.self, wire::Role::CONTROL, peer.address.port);
@@ -329,6 +334,7 @@
     std::vector<std::unique_ptr<ControlCore>> cores;
     std::map<std::string, std::unique_ptr<SimMember>> members;
     std::function<void()> eachStep;
+    std::int64_t snapshotEntries = AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES;
 
 private:
     std::uint64_t seed;
--- a/tests/http_client.h
+++ b/tests/http_client.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include "http_server_p.h"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <functional>
+#include <memory>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -48,6 +52,13 @@
         }
     }
 
+    /// Makes the end of this client a reset instead of a close.
+    void reset()
+    {
+        const linger atOnce {1, 0};
+        ::setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+    }
+
     /// Next whole answer, head and body. What has arrived when the server closes or sends nothing for 5 s.
     std::string receive()
     {
@@ -79,7 +90,7 @@
 private:
     bool read()
     {
-        char bytes[4096];
+        char bytes[65536];
         const auto count = ::recv(this->descriptor, bytes, sizeof bytes, 0);
         if (count > 0) {
             this->received.append(bytes, static_cast<std::size_t>(count));
@@ -91,6 +102,27 @@
     std::string received;
 };
 
+/// Starts a server on the first free port from options.address.port on, because tests of several worktrees may run at
+/// once. The port that was taken is in options.
+inline std::unique_ptr<HttpServer> startServer(HttpServerOptions &options,
+                                               const std::function<void(HttpServer &)> &addRoutes)
+{
+    constexpr int attempts = 10;
+    for (int i = 0;; ++i) {
+        auto server = std::make_unique<HttpServer>(options);
+        addRoutes(*server);
+        try {
+            server->start();
+            return server;
+        } catch (const std::runtime_error &) {
+            if (i == attempts) {
+                throw;
+            }
+            ++options.address.port;
+        }
+    }
+}
+
 /// A request with a body.
 inline std::string post(const std::string &target, const std::string &body)
 {
--- a/tools/backend_emulator.cpp
+++ b/tools/backend_emulator.cpp
@@ -23,6 +23,7 @@
 constexpr std::int64_t endPollMicros = 100000;
 /// Idle polls in a row after which a leaving emulator exits: a call that was on its way has arrived by then.
 constexpr int idleTicksBeforeEnd = 5;
+constexpr int maxEndTicks = 30;
 constexpr int agentTimeoutSeconds = 2;
 constexpr int killedStatus = 1;
 
@@ -225,13 +226,13 @@
 
 void Emulator::handleRecord(evhttp_request *request)
 {
-    nlohmann::json tasks = nlohmann::json::object();
+    nlohmann::json tasks = nlohmann::json::array();
     std::uint64_t started = 0;
     std::uint64_t finished = 0;
     std::uint64_t cut = 0;
     std::uint64_t startedTwice = 0;
     for (const auto &[task, entry] : this->record) {
-        tasks[task] = {{"started", entry.started}, {"finished", entry.finished}, {"cut", entry.cut}};
+        tasks.push_back({{"task", task}, {"starts", entry.started}, {"finishes", entry.finished}, {"cuts", entry.cut}});
         started += static_cast<std::uint64_t>(entry.started);
         finished += static_cast<std::uint64_t>(entry.finished);
         cut += static_cast<std::uint64_t>(entry.cut);
@@ -338,7 +339,10 @@
         this->base.get(), -1, EV_PERSIST,
         [](evutil_socket_t, short, void *self) {
             auto *emulator = static_cast<Emulator *>(self);
-            const bool isIdle = emulator->runs.empty() && (emulator->agent == nullptr || emulator->isLeaveKnown);
+            // An agent that does not answer, since it is gone, is not waited for beyond maxEndTicks.
+            const bool isKnown
+                = emulator->agent == nullptr || emulator->isLeaveKnown || ++emulator->endTicks >= maxEndTicks;
+            const bool isIdle = emulator->runs.empty() && isKnown;
             emulator->idleTicks = isIdle ? emulator->idleTicks + 1 : 0;
             if (emulator->idleTicks >= idleTicksBeforeEnd) {
                 event_base_loopbreak(emulator->base.get());
