--- a/tools/bench_policy.cpp
+++ b/tools/bench_policy.cpp
@@ -1,17 +1,16 @@
 #include "bench_p.h"
-#include "bench_workload.h"
 #include "cell_scheduler_p.h"
+#include "workload_p.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdlib>
 #include <deque>
 #include <functional>
 #include <numeric>
-#include <optional>
 #include <queue>
-#include <set>
 
 namespace agatedrum::bench {
 
@@ -20,6 +19,26 @@
 constexpr Micros oneWay {1000};
 constexpr Micros tickInterval {10000};
 constexpr Micros deadline {10000000};
+constexpr int slotsPerServer = 8;
+
+using tools::WorkloadJob;
+
+const std::vector<double> &serverSpeeds()
+{
+    static const std::vector<double> speeds = {0.5, 0.65, 0.8, 0.95, 1.1, 1.25, 1.4, 1.55, 1.7, 1.85, 2.0};
+    return speeds;
+}
+
+tools::WorkloadOptions workloadOf(double load, double seconds, std::uint64_t seed)
+{
+    tools::WorkloadOptions options;
+    options.load = load;
+    options.seconds = seconds;
+    options.seed = seed;
+    options.speeds = serverSpeeds();
+    options.slots = slotsPerServer;
+    return options;
+}
 
 struct Policy
 {
@@ -32,73 +51,14 @@
     {"leastWork", "roundRobin"},  {"leastWork", "leastLoaded"}, {"leastWork", "twoProbes"},
 };
 
-/// Responses of the answered jobs in their order of arrival; none for a refused job.
 struct Outcome
 {
-    std::vector<std::optional<Micros>> responses;
+    std::vector<Micros> responses; ///< of the answered jobs
     Micros usefulWork {0}; ///< of jobs that were answered within their deadline
     std::size_t late = 0;
     std::size_t admitted = 0;
 };
 
-/// First-come central queue that knows true speeds and sizes and exchanges no messages.
-class IdealQueue
-{
-public:
-    Outcome run(const std::vector<WorkloadJob> &jobs)
-    {
-        const auto &speeds = serverSpeeds();
-        for (std::size_t server = 0; server < speeds.size(); ++server) {
-            for (int slot = 0; slot < slotsPerServer; ++slot) {
-                this->freeSlots.emplace(-speeds[server], static_cast<int>(server) * slotsPerServer + slot);
-            }
-        }
-        Outcome outcome;
-        for (const auto &job : jobs) {
-            outcome.responses.emplace_back(this->finishOf(job) - job.arrival);
-        }
-        return outcome;
-    }
-
-private:
-    // Tasks start in the order of arrival, so the schedule of a job is final once all earlier jobs are placed.
-    Micros finishOf(const WorkloadJob &job)
-    {
-        auto sizes = job.sizes;
-        std::sort(sizes.begin(), sizes.end(), std::greater<>());
-        Micros finish {0};
-        this->clock = std::max(this->clock, job.arrival);
-        for (const auto size : sizes) {
-            this->freeUntil(this->clock);
-            if (this->freeSlots.empty()) {
-                this->clock = this->busySlots.top().first;
-                this->freeUntil(this->clock);
-            }
-            const auto [negativeSpeed, slot] = *this->freeSlots.begin();
-            this->freeSlots.erase(this->freeSlots.begin());
-            const auto end
-                = this->clock + Micros(static_cast<std::int64_t>(static_cast<double>(size.count()) / -negativeSpeed));
-            this->busySlots.emplace(end, slot);
-            finish = std::max(finish, end);
-        }
-        return finish;
-    }
-
-    void freeUntil(Micros time)
-    {
-        while (!this->busySlots.empty() && this->busySlots.top().first <= time) {
-            const int slot = this->busySlots.top().second;
-            this->freeSlots.emplace(-serverSpeeds()[static_cast<std::size_t>(slot / slotsPerServer)], slot);
-            this->busySlots.pop();
-        }
-    }
-
-    using Busy = std::pair<Micros, int>;
-    Micros clock {0};
-    std::set<std::pair<double, int>> freeSlots;
-    std::priority_queue<Busy, std::vector<Busy>, std::greater<>> busySlots;
-};
-
 /// Runs a workload through a CellScheduler. One job takes four messages beside its tasks' starts and results.
 class PolicyTrial
 {
@@ -112,7 +72,6 @@
         for (std::size_t server = 0; server < serverSpeeds().size(); ++server) {
             this->scheduler.setServer(std::to_string(server), slotsPerServer, 64, -1, this->start);
         }
-        this->outcome.responses.resize(jobs.size());
     }
 
     Outcome run()
@@ -227,7 +186,7 @@
         }
         this->open--;
         const auto response = this->now + oneWay - this->jobs[job].arrival;
-        this->outcome.responses[job] = response;
+        this->outcome.responses.push_back(response);
         if (response <= deadline) {
             const auto &sizes = this->jobs[job].sizes;
             this->outcome.usefulWork = std::accumulate(sizes.begin(), sizes.end(), this->outcome.usefulWork);
@@ -250,44 +209,18 @@
     std::size_t open = 0;
 };
 
-struct Summary
-{
-    double mean = 0;
-    double p50 = 0;
-    double p99 = 0;
-    double p999 = 0;
-};
-
-Summary summarise(const std::vector<std::optional<Micros>> &responses)
-{
-    std::vector<double> values;
-    for (const auto &response : responses) {
-        if (response) {
-            values.push_back(static_cast<double>(response->count()) / 1000);
-        }
-    }
-    if (values.empty()) {
-        return {};
-    }
-    std::sort(values.begin(), values.end());
-    const auto quantile = [&values](double share) {
-        return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
-    };
-    return {std::accumulate(values.begin(), values.end(), 0.0) / static_cast<double>(values.size()), quantile(0.5),
-            quantile(0.99), quantile(0.999)};
-}
-
 void printUnderload(double load, double seconds, std::uint64_t seed)
 {
-    const auto jobs = makeWorkload({load, seconds, 1, seed});
-    const auto ideal = summarise(IdealQueue().run(jobs).responses);
+    const auto workload = workloadOf(load, seconds, seed);
+    const auto jobs = tools::makeWorkload(workload);
+    const auto ideal = tools::summarise(tools::IdealQueue(workload).run(jobs));
     fmt::print("\nLoad {}, {} jobs, seed {}. Ideal: mean {:.0f} ms, p50 {:.0f}, p99 {:.0f}, p99.9 {:.0f}\n\n", load,
                jobs.size(), seed, ideal.mean, ideal.p50, ideal.p99, ideal.p999);
     fmt::print("| order | placement | mean | p50 | p99 | p99.9 | refused |\n"
                "| --- | --- | --- | --- | --- | --- | --- |\n");
     for (const auto &policy : policies) {
         const auto outcome = PolicyTrial(policy, jobs, false).run();
-        const auto found = summarise(outcome.responses);
+        const auto found = tools::summarise(outcome.responses);
         fmt::print("| {} | {} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {} |\n", policy.order, policy.placement,
                    found.mean / ideal.mean, found.p50 / ideal.p50, found.p99 / ideal.p99, found.p999 / ideal.p999,
                    jobs.size() - outcome.admitted);
@@ -296,9 +229,9 @@
 
 void printOverload(double load, double seconds, std::uint64_t seed)
 {
-    const auto jobs = makeWorkload({load, seconds, 1, seed});
-    const auto &speeds = serverSpeeds();
-    const double offered = slotsPerServer * std::accumulate(speeds.begin(), speeds.end(), 0.0) * seconds;
+    const auto workload = workloadOf(load, seconds, seed);
+    const auto jobs = tools::makeWorkload(workload);
+    const double offered = tools::capacityOf(workload) * seconds;
     fmt::print(
         "\nLoad {}, {} jobs, seed {}, deadline {} s. Goodput: work answered in time of the servers' capacity\n\n", load,
         jobs.size(), seed, deadline.count() / 1000000);
@@ -306,7 +239,7 @@
                "| --- | --- | --- | --- | --- | --- | --- |\n");
     for (const auto &policy : policies) {
         const auto outcome = PolicyTrial(policy, jobs, true).run();
-        const auto found = summarise(outcome.responses);
+        const auto found = tools::summarise(outcome.responses);
         fmt::print("| {} | {} | {:.3f} | {:.3f} | {:.4f} | {:.0f} | {:.0f} |\n", policy.order, policy.placement,
                    static_cast<double>(outcome.usefulWork.count()) / 1e6 / offered,
                    static_cast<double>(outcome.admitted) / static_cast<double>(jobs.size()),
