Count only usage by others against a server's slots

Change: the share of slots that the scheduler's own tasks filled since the report before last is taken off the reported usage; from 0.2 of foreign usage on, slots are lost, half of them at full use. A test covers a full server.

--- a/src/cell_scheduler.cpp
+++ b/src/cell_scheduler.cpp
@@ -46,7 +46,10 @@
     auto &server = this->impl->servers[at(index)];
     server.slots = slots;
     server.connections = connections;
-    server.usage = usage;
+    // A report is late, so the tasks of the interval before the last report may explain it as well.
+    const int explained = std::max(server.peakRunning, server.lastPeakRunning);
+    server.foreignUsage = usage - static_cast<double>(explained) / std::max(1, slots);
+    server.lastPeakRunning = std::exchange(server.peakRunning, server.running);
     server.isAvailable = server.isAvailable || !server.isAnnounced;
     server.isAnnounced = true;
     this->impl->refreshServer(index, now);
--- a/src/cell_scheduler_state.cpp
+++ b/src/cell_scheduler_state.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Share of a worker's usage above which its server loses slots, down to half of them at full usage.
-constexpr double highUsage = 0.9;
+/// Share of a worker used by others from which its server loses slots, down to half of them at full use.
+constexpr double highForeignUsage = 0.2;
 /// Slowness relative to the median from which a server loses slots.
 constexpr double tooSlow = 3;
 /// Longest time for which a slot stays free after a fast failure.
@@ -110,7 +110,7 @@
     if (slots <= 0) {
         return 0;
     }
-    const double excess = std::clamp((server.usage - highUsage) / (1 - highUsage), 0.0, 1.0);
+    const double excess = std::clamp((server.foreignUsage - highForeignUsage) / (1 - highForeignUsage), 0.0, 1.0);
     const int lostByUsage = static_cast<int>(slots * excess / 2);
     return std::max(1, slots - std::max(lostByUsage, server.slowSlots));
 }
@@ -314,7 +314,8 @@
     this->queuedWork.remove(job.rank, task.expected);
     this->teams.changeQueued(job.team, -1);
     this->teams.changeRunning(job.team, 1);
-    this->servers[at(server)].running++;
+    auto &used = this->servers[at(server)];
+    used.peakRunning = std::max(used.peakRunning, ++used.running);
     this->refreshServer(server, now);
     return {{number, index}, this->servers[at(server)].name};
 }
--- a/src/cell_scheduler_state_p.h
+++ b/src/cell_scheduler_state_p.h
@@ -23,7 +23,9 @@
         std::string name;
         int slots = 0;
         int connections = 0;
-        double usage = -1;
+        double foreignUsage = 0; ///< reported usage that the tasks started here do not explain
+        int peakRunning = 0; ///< since the last report
+        int lastPeakRunning = 0; ///< between the last two reports
         bool isKnown = false; ///< false for an index that may be used again
         bool isAnnounced = false; ///< false for a server that is only known from adopted tasks
         bool isAvailable = false;
--- a/tests/test_scheduler.cpp
+++ b/tests/test_scheduler.cpp
@@ -100,6 +100,19 @@
         rig.add(jobOf(1, 20));
         REQUIRE(rig.startAll().size() == 4);
     }
+
+    SECTION("a server that is full of the scheduler's own tasks keeps its slots")
+    {
+        rig.addServers(1, 8);
+        rig.add(jobOf(1, 20));
+        const auto started = rig.startAll();
+        rig.scheduler.setServer("s0", 8, 64, 1.0, rig.clock.now());
+        for (const auto &assignment : started) {
+            rig.finish(assignment);
+        }
+        rig.scheduler.setServer("s0", 8, 64, 1.0, rig.clock.now());
+        REQUIRE(rig.startAll().size() == 8);
+    }
 }
 
 TEST_CASE("The order of jobs follows the configured strategy", "[scheduler]")
