Bound the bytes at an entry and answer refused connections

Cause: 20,000 waiting jobs of 4 MiB would need 80 GB; a connection above the bound was closed without an answer, where the design says 503; a fault inside the server said "not run" although its handler may have passed the request on. Ruled out: counting refused connections as taken, because callers that linger would keep others out. Change: bodies that wait for an answer count against a bound of 512 MiB; a connection above the bound gets 503 and is closed, up to an eighth of the bound at once; 5xx refusals of the HTTP layer say notRun: false; HEAD closes its connection after the refusal. docs/api.md is unchanged by this.

--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -147,3 +147,8 @@
 #ifndef AGATEDRUM_ENTRY_OWNER_WAIT_MS
 #define AGATEDRUM_ENTRY_OWNER_WAIT_MS 6000
 #endif
+
+/// Bytes of task bodies that wait for an answer at one entry. Above it jobs are refused.
+#ifndef AGATEDRUM_ENTRY_BODY_BYTES
+#define AGATEDRUM_ENTRY_BODY_BYTES (512LL * 1024 * 1024)
+#endif
--- a/src/entry_core_p.h
+++ b/src/entry_core_p.h
@@ -16,6 +16,7 @@
 {
     int shards = 16;
     std::size_t maxRequests = 20000; ///< that wait for an answer
+    std::int64_t maxBodyBytes = AGATEDRUM_ENTRY_BODY_BYTES; ///< of the jobs that wait for an answer
     Millis requestTimeout {60000}; ///< then a job's outcome is unknown to the caller
     Millis controlTimeout {10000}; ///< for configurations and questions to the control group
     Millis ownerWait {AGATEDRUM_ENTRY_OWNER_WAIT_MS};
--- a/src/entry_jobs.cpp
+++ b/src/entry_jobs.cpp
@@ -4,6 +4,7 @@
 #include "entry_key_p.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace agatedrum {
@@ -17,6 +18,7 @@
 // The owner's own refusal for a missed deadline arrives before the entry gives up.
 constexpr Millis deadlineSlack {1000};
 
+constexpr auto fullMessage = "too many requests wait at this entry";
 constexpr auto unknownOutcome = "outcome unknown, resubmit under the same submission id";
 
 wire::JobAnswer refusalAnswer(const wire::JobKey &key, const wire::Refusal &refusal)
@@ -27,6 +29,14 @@
     return answer;
 }
 
+std::int64_t bodyBytesOf(const wire::JobSpec &spec)
+{
+    return std::accumulate(spec.tasks.begin(), spec.tasks.end(), std::int64_t {0},
+                           [](std::int64_t sum, const wire::TaskSpec &task) {
+                               return sum + static_cast<std::int64_t>(task.id.size() + task.body.size());
+                           });
+}
+
 /// Whether the owner refused only because it may not act now.
 bool isTransient(const wire::JobAnswer &answer)
 {
@@ -71,6 +81,33 @@
 
 } // namespace
 
+ByteShare::ByteShare(std::atomic<std::int64_t> &used, std::int64_t bytes)
+    : used(&used)
+    , bytes(bytes)
+{
+    used += bytes;
+}
+
+ByteShare::~ByteShare()
+{
+    if (this->used != nullptr) {
+        *this->used -= this->bytes;
+    }
+}
+
+ByteShare::ByteShare(ByteShare &&other) noexcept
+    : used(std::exchange(other.used, nullptr))
+    , bytes(std::exchange(other.bytes, 0))
+{
+}
+
+ByteShare &ByteShare::operator=(ByteShare &&other) noexcept
+{
+    std::swap(this->used, other.used);
+    std::swap(this->bytes, other.bytes);
+    return *this;
+}
+
 wire::Refusal makeRefusal(wire::RefusalCode::type code, std::string message, bool notRun, Millis retryAfter)
 {
     wire::Refusal refusal;
@@ -115,23 +152,25 @@
     const auto due = this->dueAfter(call);
     const auto id = this->calls.add(std::move(call), due);
     if (id == 0) {
-        reply(refusalAnswer(
-            key,
-            makeRefusal(wire::RefusalCode::QUEUE_FULL, "too many requests wait at this entry", false, shortRetry)));
+        reply(refusalAnswer(key, makeRefusal(wire::RefusalCode::QUEUE_FULL, fullMessage, false, shortRetry)));
         return;
     }
     this->calls.update(id, [this, id, now](JobCall &added) { return this->send(id, added, now); });
 }
 
-std::optional<wire::Refusal> EntryJobs::refuseEarly(const JobCall &call) const
+std::optional<wire::Refusal> EntryJobs::refuseEarly(JobCall &call)
 {
     const auto state = this->routes()->state(call.spec.serviceName);
-    if (state != RouteState::NeverKnown && state != RouteState::Removed) {
-        return std::nullopt;
+    if (state == RouteState::NeverKnown || state == RouteState::Removed) {
+        // Another entry may have forwarded the job under a configuration that this one has not seen yet.
+        const bool notRun = state == RouteState::NeverKnown && this->link.hasLease();
+        return makeRefusal(wire::RefusalCode::UNKNOWN_SERVICE, "no service \"" + call.spec.serviceName + "\"", notRun);
+    }
+    call.share = ByteShare(this->bodyBytes, bodyBytesOf(call.spec));
+    if (this->bodyBytes > this->options.maxBodyBytes) {
+        return makeRefusal(wire::RefusalCode::QUEUE_FULL, fullMessage, false, shortRetry);
     }
-    // Another entry may have forwarded the job under a configuration that this one has not seen yet.
-    const bool notRun = state == RouteState::NeverKnown && this->link.hasLease();
-    return makeRefusal(wire::RefusalCode::UNKNOWN_SERVICE, "no service \"" + call.spec.serviceName + "\"", notRun);
+    return std::nullopt;
 }
 
 Time EntryJobs::dueAfter(const JobCall &call) const
@@ -295,6 +334,7 @@
 {
     const auto &counters = this->counters;
     return {{"openJobs", this->calls.size()},
+            {"bodyBytes", this->bodyBytes.load()},
             {"routes", this->routes()->dump()},
             {"counters",
              {{"requests", counters.requests.load()},
--- a/src/entry_jobs_p.h
+++ b/src/entry_jobs_p.h
@@ -11,6 +11,24 @@
 
 namespace agatedrum {
 
+/// Share of a bounded number of bytes, given back on destruction.
+class ByteShare
+{
+public:
+    ByteShare() = default;
+    /// Precondition: used outlives this object. Counts bytes at once.
+    ByteShare(std::atomic<std::int64_t> &used, std::int64_t bytes);
+    ~ByteShare();
+    ByteShare(ByteShare &&other) noexcept;
+    ByteShare &operator=(ByteShare &&other) noexcept;
+    ByteShare(const ByteShare &) = delete;
+    ByteShare &operator=(const ByteShare &) = delete;
+
+private:
+    std::atomic<std::int64_t> *used = nullptr;
+    std::int64_t bytes = 0;
+};
+
 enum class JobCallKind { Submit, Cancel, Query };
 
 /// One request of a caller that waits for an owner's answer.
@@ -18,6 +36,7 @@
 {
     JobCallKind kind = JobCallKind::Submit;
     wire::JobSpec spec; ///< for Cancel and Query only key and service
+    ByteShare share;
     JobAnswerHandler reply;
     Time startedAt;
     Time limit; ///< when the outcome is reported as unknown
@@ -58,7 +77,7 @@
     nlohmann::json dump() const;
 
 private:
-    std::optional<wire::Refusal> refuseEarly(const JobCall &call) const;
+    std::optional<wire::Refusal> refuseEarly(JobCall &call);
     Time send(std::int64_t id, JobCall &call, Time now);
     Time dueAfter(const JobCall &call) const;
     std::optional<Time> visitDue(std::int64_t id, JobCall &call, Time now);
@@ -70,6 +89,7 @@
     const ClockI &clock;
     MemberLink &link;
     const EntryOptions options;
+    std::atomic<std::int64_t> bodyBytes {0}; ///< outlives the calls, which count in it
     EntryTable<JobCall> calls;
     EntryJobCounters counters;
 
--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -17,6 +17,8 @@
 constexpr auto part = "http";
 // After the last answer, the caller gets this long to read it and to close.
 constexpr std::chrono::seconds lingerTime {2};
+// Connections above the bound that may wait to read their refusal, as a share of the bound: an eighth.
+constexpr std::size_t refusedShare = 8;
 
 /// The bytes of an answer.
 Pistache::RawBuffer serialize(const HttpResponse &response, bool mustClose)
@@ -130,16 +132,37 @@
 
 void HttpConnection::open(bool isStale)
 {
-    const bool isFull = ++this->shared->connections > this->shared->options.maxConnections;
+    std::size_t openConnections = 0;
     {
         const std::lock_guard lock(this->shared->mutex);
         this->shared->open.insert(this);
+        openConnections = this->shared->open.size();
     }
-    if (isStale || isFull || this->shared->isStopping) {
-        log(LogLevel::Debug, part, "connection refused: {}",
-            isFull ? "too many connections" : (isStale ? "descriptor still in use" : "stopping"));
+    if (isStale || this->shared->isStopping) {
+        log(LogLevel::Debug, part, "connection ended: {}", isStale ? "descriptor still in use" : "stopping");
         this->abandon();
+        return;
+    }
+    const auto bound = static_cast<std::size_t>(this->shared->options.maxConnections);
+    if (openConnections > bound + bound / refusedShare + 1) {
+        this->abandon();
+    } else if (++this->shared->connections > this->shared->options.maxConnections) {
+        --this->shared->connections;
+        this->refuse();
+    } else {
+        this->isCounted = true;
+    }
+}
+
+void HttpConnection::refuse()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->isBusy = true;
     }
+    auto response = httpRefusal(503, "QUEUE_FULL", "too many connections to this entry");
+    response.retryAfterSeconds = 1;
+    this->write(response, std::make_shared<WriteMark>(this->shared), true);
 }
 
 void HttpConnection::takeInput(std::string_view bytes)
@@ -159,7 +182,7 @@
 {
     {
         const std::lock_guard lock(this->shared->mutex);
-        if (this->shared->open.erase(this) > 0) {
+        if (this->shared->open.erase(this) > 0 && this->isCounted) {
             --this->shared->connections;
         }
     }
--- a/src/http_connection_p.h
+++ b/src/http_connection_p.h
@@ -31,7 +31,7 @@
     HttpRouter router;
     std::atomic<bool> isStopping {false};
     std::atomic<std::size_t> openRequests {0};
-    std::atomic<int> connections {0};
+    std::atomic<int> connections {0}; ///< that were taken
 
     std::mutex mutex;
     std::set<HttpConnection *> open; ///< guarded by mutex
@@ -59,7 +59,7 @@
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
 
-    /// Registers the connection. Shuts it down at once when the server takes no more.
+    /// Registers the connection. Refuses it when the server takes no more.
     /// @param isStale a write for an earlier connection with this descriptor may still be under way, so this one
     /// cannot be used.
     void open(bool isStale);
@@ -76,6 +76,7 @@
 private:
     struct Ticket;
 
+    void refuse();
     void passOn();
     void dispatch(FramedRequest &&framed);
     void write(const HttpResponse &response, const std::shared_ptr<WriteMark> &mark, bool closeAfter);
@@ -92,6 +93,7 @@
     std::mutex mutex; ///< guards all below
     HttpFramer framer;
     bool isAlive = true; ///< the descriptor is this connection's while true
+    bool isCounted = false; ///< among the server's taken connections
     bool isBusy = false; ///< a request was passed on and its answer is not written
     bool isClosing = false; ///< the last answer was written
     std::weak_ptr<WriteMark> lastWrite;
--- a/src/http_framer.cpp
+++ b/src/http_framer.cpp
@@ -173,7 +173,8 @@
     }
     this->current.method = std::string(method);
     this->current.target = std::string(target);
-    this->current.closeAfter = version == "HTTP/1.0";
+    // No resource offers HEAD, and the refusal's body would be read as the start of the next answer.
+    this->current.closeAfter = version == "HTTP/1.0" || method == "HEAD";
 }
 
 void HttpFramer::parseField(std::string_view line)
--- a/src/http_router.cpp
+++ b/src/http_router.cpp
@@ -84,8 +84,15 @@
 
 HttpResponse httpRefusal(int status, const std::string &code, const std::string &message)
 {
-    const nlohmann::json body
-        = {{"error", {{"code", code}, {"message", message}, {"field", ""}, {"notRun", true}, {"retryAfterMs", 0}}}};
+    // A request that is refused for its own content has not reached its handler; after a fault of the server it may
+    // have.
+    constexpr int firstServerFault = 500;
+    const nlohmann::json body = {{"error",
+                                  {{"code", code},
+                                   {"message", message},
+                                   {"field", ""},
+                                   {"notRun", status < firstServerFault},
+                                   {"retryAfterMs", 0}}}};
     HttpResponse response;
     response.status = status;
     response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/src/http_router_p.h
+++ b/src/http_router_p.h
@@ -15,7 +15,7 @@
 /// @param plusIsSpace as in a query.
 std::optional<std::string> decodePercent(std::string_view text, bool plusIsSpace);
 
-/// JSON text of a refusal by the HTTP layer, in the shape that the entry's own refusals have.
+/// A refusal by the HTTP layer, in the shape that the entry's own refusals have. Below 500 it says "not run".
 HttpResponse httpRefusal(int status, const std::string &code, const std::string &message);
 
 /// Finds the handler of a request. Immutable and thread-safe once all routes are added.
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -101,6 +101,7 @@
     {
         EntryOptions options;
         options.maxRequests = 3;
+        options.maxBodyBytes = 100;
         return options;
     }
 
--- a/tests/test_entry_core.cpp
+++ b/tests/test_entry_core.cpp
@@ -265,6 +265,22 @@
         REQUIRE(entry.sentJobs().size() == 1);
     }
 
+    SECTION("jobs whose bodies exceed the bound together are refused, and an answer makes room")
+    {
+        entry.showView(1, {100, 100});
+        auto large = jobSpec("a", 1);
+        large.tasks[0].body = std::string(90, 'x');
+        entry.submit(large);
+        const auto jobs = entry.sentJobs();
+        entry.submit(jobSpec("b"));
+        REQUIRE(entry.answers.at(0).refusal.code == wire::RefusalCode::QUEUE_FULL);
+        REQUIRE_FALSE(entry.answers[0].refusal.notRun);
+        entry.receive(100, finishedReply(jobs.at(0)));
+        entry.submit(jobSpec("b"));
+        REQUIRE(entry.sentJobs().size() == 1);
+        REQUIRE(entry.core.dump()["bodyBytes"] == 12);
+    }
+
     SECTION("a stopping entry takes no new job and is drained after its last answer")
     {
         entry.showView(1, {100, 100});
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -189,10 +189,13 @@
 
     SECTION("a handler that throws or drops its reply leaves no caller without an answer")
     {
-        client.send(get("/lost"));
-        REQUIRE(client.receive().find("HTTP/1.1 500") == 0);
-        client.send(get("/throw"));
-        REQUIRE(client.receive().find("HTTP/1.1 500") == 0);
+        for (const auto *target : {"/lost", "/throw"}) {
+            client.send(get(target));
+            const auto answer = client.receive();
+            REQUIRE(answer.find("HTTP/1.1 500") == 0);
+            // The handler may have passed the request on before it failed.
+            REQUIRE(answer.find("\"notRun\":false") != std::string::npos);
+        }
     }
 
     SECTION("an answer for a caller that has gone reaches no later caller")
@@ -249,7 +252,7 @@
         }
     }
 
-    SECTION("connections above the bound are ended, and a freed place is used again")
+    SECTION("connections above the bound are refused, and a freed place is used again")
     {
         {
             RawClient second(port);
@@ -261,7 +264,12 @@
             REQUIRE(endsWith(second.receive(), "b"));
             REQUIRE(endsWith(third.receive(), "c"));
             RawClient fourth(port);
+            const auto answer = fourth.receive();
+            REQUIRE(answer.find("HTTP/1.1 503") == 0);
+            REQUIRE(answer.find("\"notRun\":false") != std::string::npos);
             REQUIRE(fourth.isClosed());
+            RawClient fifth(port);
+            REQUIRE(fifth.isClosed());
         }
         REQUIRE(eventually([port] {
             RawClient again(port);
