Write large answers in slices

Cause: Pistache copies all that is left of a write each time the socket is full, so an answer of 20 MB to a slow reader copied gigabytes on the thread that serves other callers. Ruled out: a smaller bound on answers, which the caller would have to know. Change: an answer is written in slices of 256 KiB, the next one when the last has ended. Conclusion: the copying is bounded by the slice.

--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -8,6 +8,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace agatedrum {
@@ -19,9 +20,11 @@
 constexpr std::chrono::seconds lingerTime {2};
 // Connections above the bound that may wait to read their refusal, as a share of the bound: an eighth.
 constexpr std::size_t refusedShare = 8;
+// Pistache copies all that is left of a write each time the socket is full.
+constexpr std::size_t sliceBytes = 256UL * 1024;
 
 /// The bytes of an answer.
-Pistache::RawBuffer serialize(const HttpResponse &response, bool mustClose)
+std::string serialize(const HttpResponse &response, bool mustClose)
 {
     const auto *reason = Pistache::Http::codeString(static_cast<Pistache::Http::Code>(response.status));
     auto bytes = fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n", response.status, reason,
@@ -31,8 +34,7 @@
     }
     bytes += mustClose ? "Connection: close\r\n\r\n" : "\r\n";
     bytes += response.body;
-    const auto size = bytes.size();
-    return {std::move(bytes), size};
+    return bytes;
 }
 
 FramerLimits limitsOf(const HttpServerOptions &options)
@@ -261,7 +263,13 @@
 void HttpConnection::write(const HttpResponse &response, const std::shared_ptr<WriteMark> &mark, bool closeAfter)
 {
     const bool mustClose = closeAfter || this->shared->isStopping;
-    const auto bytes = serialize(response, mustClose);
+    this->writeSlice(std::make_shared<const std::string>(serialize(response, mustClose)), 0, mark, mustClose);
+}
+
+void HttpConnection::writeSlice(const std::shared_ptr<const std::string> &bytes, std::size_t start,
+                                const std::shared_ptr<WriteMark> &mark, bool mustClose)
+{
+    const auto size = std::min(sliceBytes, bytes->size() - start);
     std::unique_lock lock(this->mutex);
     // While isAlive is true, Pistache has not closed the descriptor, so the write cannot reach another caller.
     if (!this->isAlive) {
@@ -270,12 +278,21 @@
     this->lastWrite = mark;
     // ResponseWriter::send() is not used: the promise that it returns is resolved without its lock, so that a callback
     // attached on another thread may never be called.
-    auto written = this->transport.asyncWrite(this->descriptor, bytes, MSG_NOSIGNAL);
+    auto written
+        = this->transport.asyncWrite(this->descriptor, Pistache::RawBuffer(bytes->data() + start, size), MSG_NOSIGNAL);
     // then() calls back at once, on this thread, when the write has already ended.
     lock.unlock();
     const auto self = this->shared_from_this();
-    written.then([self, mark, mustClose](ssize_t) { self->finishWrite(true, mustClose); },
-                 [self, mark](const std::exception_ptr &) { self->finishWrite(false, true); });
+    const auto next = start + size;
+    written.then(
+        [self, bytes, next, mark, mustClose](ssize_t) {
+            if (next < bytes->size()) {
+                self->writeSlice(bytes, next, mark, mustClose);
+            } else {
+                self->finishWrite(true, mustClose);
+            }
+        },
+        [self, mark](const std::exception_ptr &) { self->finishWrite(false, true); });
 }
 
 void HttpConnection::finishWrite(bool isWritten, bool closeAfter)
--- a/src/http_connection_p.h
+++ b/src/http_connection_p.h
@@ -80,6 +80,9 @@
     void passOn();
     void dispatch(FramedRequest &&framed);
     void write(const HttpResponse &response, const std::shared_ptr<WriteMark> &mark, bool closeAfter);
+    /// Writes a part of an answer and, when that has ended, the next one.
+    void writeSlice(const std::shared_ptr<const std::string> &bytes, std::size_t start,
+                    const std::shared_ptr<WriteMark> &mark, bool mustClose);
     void finishWrite(bool isWritten, bool closeAfter);
     /// Precondition: mutex is held.
     void sendContinue();
