Kill the agent while its backend server certainly runs tasks in the demo

Cause: on a quiet machine the job had ended before the kill, so the next job met the dead agent within the second in which its owner still counts on it, and 8 of 100 tasks ended as unknown, truthfully. Change: tasks of 400 ms, so the kill after 0.5 s hits running ones. Conclusion: the demo shows what it says; the second of trust in a silent agent stays on the list.

--- a/samples/demo.sh
+++ b/samples/demo.sh
@@ -82,7 +82,7 @@
 check "and it is complete" is_complete job-1 200
 
 echo "Killing the agent of backend-5 while a job runs."
-write_job job-3 200 200000
+write_job job-3 200 400000
 submit 1 job-3 &
 submitter=$!
 sleep 0.5
@@ -91,6 +91,7 @@
 summarize job-3
 write_job job-4 100 50000
 check "the next job runs on the other backend servers" submit 2 job-4
+summarize job-4
 check "its answer is complete" is_complete job-4 100
 
 echo "Starts of each task at the backend servers:"
