Let another team use a slow server that the first team's tasks wait past

Cause: only the jobs of the team with the smallest share were looked at for a slow server. Change: the jobs of all ready teams are looked at in the order of the shares, up to 16, with the work ahead added up.

--- a/src/cell_scheduler.cpp
+++ b/src/cell_scheduler.cpp
@@ -125,7 +125,7 @@
         return std::nullopt;
     }
     if (this->impl->placement->mayWait()) {
-        return this->impl->startOrWait(job->first, *server, now);
+        return this->impl->startOrWait(*server, now);
     }
     return this->impl->start(job->second.second, *server, now);
 }
--- a/src/cell_scheduler_state.cpp
+++ b/src/cell_scheduler_state.cpp
@@ -272,24 +272,27 @@
     return wait >= gain || static_cast<double>(idle.count()) >= gain / 2;
 }
 
-std::optional<Assignment> CellScheduler::Impl::startOrWait(int team, int index, Time now)
+// When the first team's few tasks wait for a faster server, a team with a longer queue may still use the slow one.
+std::optional<Assignment> CellScheduler::Impl::startOrWait(int index, Time now)
 {
-    const auto &jobs = this->teams.jobs(team);
     const auto &server = this->servers[at(index)];
+    const auto first = this->teams.next()->second.second;
     if (server.fasterCapacity <= 0) {
-        return this->start(jobs.begin()->second, index, now);
+        return this->start(first, index, now);
     }
     if (server.running == 0 && server.speed.isStale(now)) {
-        return this->start(jobs.begin()->second, index, now, true);
+        return this->start(first, index, now, true);
     }
     Micros ahead {0};
-    auto chosen = jobs.begin();
-    for (int looked = 0; chosen != jobs.end(); ++chosen) {
-        const auto &job = this->jobs.at(chosen->second);
-        if (++looked == maxLookedJobs || this->shouldStart(job, ahead, server, now)) {
-            return this->start(chosen->second, index, now, true);
+    int looked = 0;
+    for (const int team : this->teams.readyTeams(maxLookedJobs)) {
+        for (const auto &[rank, number] : this->teams.jobs(team)) {
+            const auto &job = this->jobs.at(number);
+            if (++looked == maxLookedJobs || this->shouldStart(job, ahead, server, now)) {
+                return this->start(number, index, now, true);
+            }
+            ahead += job.queuedWork;
         }
-        ahead += job.queuedWork;
     }
     return std::nullopt;
 }
--- a/src/cell_scheduler_state_p.h
+++ b/src/cell_scheduler_state_p.h
@@ -88,7 +88,7 @@
     void removeFromQueue(JobNumber number, Job &job);
     /// Precondition: the job has queued tasks.
     Assignment start(JobNumber number, int server, Time now, bool isShortest = false);
-    std::optional<Assignment> startOrWait(int team, int server, Time now);
+    std::optional<Assignment> startOrWait(int server, Time now);
     bool shouldStart(const Job &job, Micros ahead, const Server &server, Time now) const;
     void rankServers();
     std::optional<Assignment> nextForReturning(Time now);
--- a/src/cell_teams.cpp
+++ b/src/cell_teams.cpp
@@ -153,6 +153,15 @@
     return std::pair(index, *this->teams[static_cast<std::size_t>(index)].jobs.begin());
 }
 
+std::vector<int> CellTeams::readyTeams(std::size_t most) const
+{
+    std::vector<int> result;
+    for (auto key = this->ready.begin(); key != this->ready.end() && result.size() < most; ++key) {
+        result.push_back(std::get<2>(*key));
+    }
+    return result;
+}
+
 void CellTeams::refresh(int index)
 {
     auto &team = this->teams[static_cast<std::size_t>(index)];
--- a/src/cell_teams_p.h
+++ b/src/cell_teams_p.h
@@ -52,6 +52,8 @@
 
     /// Team that the next free slot belongs to and its first job, or nothing.
     std::optional<std::pair<int, RankedJob>> next() const;
+    /// The teams that may start a task, in the order in which free slots belong to them.
+    std::vector<int> readyTeams(std::size_t most) const;
     bool mayStart(int team) const;
     /// Queued jobs of a team in their order.
     const std::set<RankedJob> &jobs(int team) const;
