--- a/src/settings_process.cpp
+++ b/src/settings_process.cpp
@@ -28,6 +28,7 @@
 auto chooseFrom(YamlReader &reader, const std::string &key, const std::string &fallback, const Table &table)
 {
     std::vector<std::string> names;
+    names.reserve(table.size());
     for (const auto &row : table) {
         names.emplace_back(row.first);
     }
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -351,6 +351,7 @@
 {
     // A descriptor was taken for unusable while the thread that had answered its former caller still held the ticket.
     constexpr int callers = 4;
+    constexpr int answererCount = 16;
     constexpr int connectionsOfCaller = 3000;
     Waiting waiting;
     auto options = serverOptions();
@@ -363,7 +364,8 @@
     const int port = options.address.port;
     std::atomic<bool> isDone {false};
     std::vector<std::future<void>> answerers;
-    for (int i = 0; i < 16; ++i) {
+    answerers.reserve(answererCount);
+    for (int i = 0; i < answererCount; ++i) {
         answerers.push_back(std::async(std::launch::async, [&waiting, &isDone] {
             while (!isDone) {
                 if (const auto request = waiting.take(Millis(50)); request.second) {
@@ -374,6 +376,7 @@
     }
     std::atomic<int> unanswered {0};
     std::vector<std::future<void>> clients;
+    clients.reserve(callers);
     for (int i = 0; i < callers; ++i) {
         clients.push_back(std::async(std::launch::async, [port, i, &unanswered] {
             for (int n = 0; n < connectionsOfCaller; ++n) {
