--- a/tools/measure-latency.sh
+++ b/tools/measure-latency.sh
@@ -30,5 +30,6 @@
     added.append(took - answer["tasks"][0]["runMs"])
 added.sort()
 at = lambda share: added[min(len(added) - 1, int(share * len(added)))]
-print(f"added to {len(added)} jobs of one task, ms: p50 {at(0.5):.2f}, p99 {at(0.99):.2f}, max {added[-1]:.2f}")
+print(f"added to {len(added)} jobs of one task, ms: "
+      + ", ".join(f"p{share * 100:g} {at(share):.2f}" for share in (0.5, 0.9, 0.95, 0.99)) + f", max {added[-1]:.2f}")
 PY
