Keep one table of role names; drop an empty start step of roles

Cause: the names of roles stood in the daemon and in the control group's queries; no role needed a start step.

Change: roleName() beside the messages; RoleI without start(). Behaviour is the same.

--- a/src/control_query.cpp
+++ b/src/control_query.cpp
@@ -12,23 +12,6 @@
 
 namespace {
 
-const char *roleName(wire::Role::type role)
-{
-    switch (role) {
-    case wire::Role::ENTRY:
-        return "entry";
-    case wire::Role::OWNER:
-        return "owner";
-    case wire::Role::AGENT:
-        return "agent";
-    case wire::Role::CONTROL:
-        return "control";
-    case wire::Role::TOOL:
-        break;
-    }
-    return "tool";
-}
-
 /// [{"name", "incarnation", "role", "address", "failureDomain", "service", "cell", "leaving", "silentMs",
 /// "configNumber"}]; service and cell only for agents, silentMs null when this leader never heard the member.
 nlohmann::json describeMembers(const ControlState &state, const ControlMembers &members)
--- a/src/daemon_process.cpp
+++ b/src/daemon_process.cpp
@@ -16,22 +16,6 @@
 constexpr Millis flushTime {500}; ///< time for the last messages to leave at a stop
 constexpr int exitCut = 3;
 
-const char *roleName(wire::Role::type role)
-{
-    switch (role) {
-    case wire::Role::ENTRY:
-        return "entry";
-    case wire::Role::OWNER:
-        return "owner";
-    case wire::Role::AGENT:
-        return "agent";
-    case wire::Role::CONTROL:
-        return "control";
-    default:
-        return "tool";
-    }
-}
-
 /// @return true when SIGTERM or SIGINT arrived within the interval.
 bool waitForSignal(Millis interval)
 {
@@ -77,7 +61,6 @@
 {
     this->running.store(&this->role->core());
     this->bus->start([core = &this->role->core()](const Incoming &incoming) { core->handle(incoming); });
-    this->role->start();
     this->http->start();
     log(LogLevel::Info, part, "Started {} as {} (incarnation {}), peers on {}:{}, HTTP on {}:{}.", this->settings.name,
         roleName(this->settings.role), this->self.incarnation, this->settings.peers.host, this->settings.peers.port,
--- a/src/daemon_process_p.h
+++ b/src/daemon_process_p.h
@@ -17,8 +17,6 @@
     virtual ~RoleI() = default;
     virtual CoreI &core() = 0;
     virtual void addRoutes(HttpServer &server) = 0;
-    /// Starts threads of the role's own. Called after the bus listens.
-    virtual void start() = 0;
 };
 
 /// Builds the role of the settings. Throws std::runtime_error when its state cannot be read.
--- a/src/daemon_roles.cpp
+++ b/src/daemon_roles.cpp
@@ -57,7 +57,6 @@
     {
         addEntryRoutes(server, this->entry);
     }
-    void start() override { }
 
 private:
     static EntryOptions entryOptions(const ProcessSettings &settings)
@@ -86,7 +85,6 @@
         return this->owner;
     }
     void addRoutes(HttpServer & /*server*/) override { }
-    void start() override { }
 
 private:
     static OwnerOptions ownerOptions(const ProcessSettings &settings, const wire::ProcessId &self)
@@ -120,7 +118,6 @@
     {
         registerAgentRoutes(server, this->agent);
     }
-    void start() override { }
 
 private:
     static AgentOptions agentOptions(const ProcessSettings &settings, const wire::ProcessId &self)
@@ -150,7 +147,6 @@
         return this->control;
     }
     void addRoutes(HttpServer & /*server*/) override { }
-    void start() override { }
 
 private:
     static std::unique_ptr<ControlStore> openStore(const std::string &folder)
--- a/src/wire_message.cpp
+++ b/src/wire_message.cpp
@@ -61,6 +61,23 @@
 
 } // namespace
 
+const char *roleName(wire::Role::type role)
+{
+    switch (role) {
+    case wire::Role::ENTRY:
+        return "entry";
+    case wire::Role::OWNER:
+        return "owner";
+    case wire::Role::AGENT:
+        return "agent";
+    case wire::Role::CONTROL:
+        return "control";
+    case wire::Role::TOOL:
+        break;
+    }
+    return "tool";
+}
+
 wire::Message toMessage(Payload &&payload)
 {
     wire::Message message;
--- a/src/wire_message_p.h
+++ b/src/wire_message_p.h
@@ -35,6 +35,9 @@
     virtual void send(const wire::Endpoint &to, Payload payload) = 0;
 };
 
+/// Name of a role as settings and operators write it.
+const char *roleName(wire::Role::type role);
+
 /// Turns a payload into the union that travels.
 wire::Message toMessage(Payload &&payload);
 
