Move the last socket test out of the range of ephemeral ports

Cause: test-agent failed once with "Address already in use": its port 43510 lies in the range from which the kernel takes the local ports of outgoing connections, and other tests connect at the same time.

Ruled out: a port left open by an earlier test, since no other test uses it.

Change: port 13510, as the other socket tests have it.

--- a/tests/test_agent.cpp
+++ b/tests/test_agent.cpp
@@ -539,11 +539,11 @@
         Bench bench;
         bench.view(1);
         HttpServerOptions options;
-        options.address = endpoint(43510);
+        options.address = endpoint(13510);
         HttpServer server(options);
         registerAgentRoutes(server, bench.core);
         server.start();
-        RawClient client(43510);
+        RawClient client(13510);
         const auto post = [&client](const std::string &body) {
             client.send("POST /v1/announce HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size())
                         + "\r\n\r\n" + body);
