--- a/src/wire_bus.cpp
+++ b/src/wire_bus.cpp
@@ -45,6 +45,7 @@
 {
     Payload payload;
     Time since;
+    std::size_t bytes = 0; ///< estimated once, when queued
 };
 
 /// Rough size of a message, for the bound of a queue.
@@ -178,7 +179,7 @@
                 this->counters.messagesDropped.fetch_add(1, std::memory_order_relaxed);
                 return;
             }
-            peer->queue.push_back({std::move(payload), this->clock.now()});
+            peer->queue.push_back({std::move(payload), this->clock.now(), bytes});
             peer->queuedBytes += bytes;
             if (!peer->isScheduled) {
                 peer->isScheduled = true;
@@ -201,12 +202,11 @@
             std::size_t bytes = 0;
             while (!peer.queue.empty() && taken.size() < envelopeMessages && bytes < highWater) {
                 auto &next = peer.queue.front();
-                const auto size = estimateBytes(next.payload);
-                peer.queuedBytes -= size;
+                peer.queuedBytes -= next.bytes;
                 if (next.since < oldest) {
                     this->counters.messagesDropped.fetch_add(1, std::memory_order_relaxed);
                 } else {
-                    bytes += size;
+                    bytes += next.bytes;
                     taken.push_back(std::move(next));
                 }
                 peer.queue.pop_front();
@@ -361,7 +361,7 @@
         const std::lock_guard lock(this->queueMutex);
         const auto oldest = this->clock.now() - Millis(AGATEDRUM_PEER_QUEUE_AGE_MS);
         while (!peer.queue.empty() && peer.queue.front().since < oldest) {
-            peer.queuedBytes -= estimateBytes(peer.queue.front().payload);
+            peer.queuedBytes -= peer.queue.front().bytes;
             peer.queue.pop_front();
             this->counters.messagesDropped.fetch_add(1, std::memory_order_relaxed);
         }
