--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -121,13 +121,53 @@
   6: i64 uptimeMicros;     // age of this incarnation of the agent
 }
 
+// Best-effort tasks: an entry places them, the host of the backend server guards its capacity. A host is an agent whose
+// backend server takes tasks with demands in place of slots.
+struct Resources { 1: i64 cpuMillis; 2: i64 memoryMb; 3: i64 accelerators; }
+enum TaskPhase {
+  QUEUED = 1,     // waits at the host for room
+  RUNNING = 2,
+  SUCCEEDED = 3,
+  FAILED = 4,     // ended by its own fault or that of the backend server
+  ENDED = 5,      // was stopped or lost; it certainly does not run any more
+  REFUSED = 6     // never ran there and never will under this order
+}
+// host -> entry. sentAtMicros is on the host's clock; an entry echoes the newest one as heardAtMicros.
+struct HostReport {
+  1: string serviceName; 2: string server; 3: bool accepting; 4: Resources capacity; 5: Resources reserved;
+  6: i64 startDelayMicros;  // expected wait of one more task of common size
+  7: double slowness;       // run time of recent tasks relative to their estimates
+  8: double failureShare;   // of recent tasks
+  9: list<string> labels; 10: i64 sentAtMicros; 11: string failureDomain; 12: i64 sequence;
+}
+// entry -> host: extends the time for which the host runs the entry's tasks.
+struct HostContact { 1: i64 hostIncarnation; 2: i64 heardAtMicros; 3: i64 reportsSeen; }
+// order: unique among the orders of one entry process.
+struct TaskOrder { 1: i32 index; 2: i64 order; 3: Resources demand; 4: i64 estimateMicros; }
+// startWithinMicros: time left until the task's latest useful start; it orders the host's queue.
+struct RunTasks {
+  1: i64 hostIncarnation; 2: i64 heardAtMicros; 3: string job; 4: string spec; 5: i64 startWithinMicros;
+  6: i64 timeLeftMicros; 7: i32 priority; 8: list<TaskOrder> orders; 9: string serviceName; 10: i64 reportsSeen;
+}
+struct StopTasks { 1: i64 hostIncarnation; 2: string job; 3: list<i32> indexes; }
+// number counts an entry's reports from one host; an entry takes them in order.
+struct TaskReport {
+  1: string job; 2: i32 index; 3: i64 order; 4: TaskPhase phase; 5: i64 runMicros; 6: string reason; 7: i64 number;
+}
+struct TaskReports { 1: list<TaskReport> reports; 2: HostReport host; }
+
 // any -> control. sentAtMicros is echoed, so the sender can count its lease from when it sent.
 struct CellReport { 1: i32 cell; 2: i64 epoch; 3: bool owned; 4: bool whole; 5: list<string> wholeHolders; }
 struct MemberHeartbeat {
   1: Role role; 2: string failureDomain; 3: Endpoint address; 4: i64 sentAtMicros; 5: i64 configNumber;
   6: i64 viewVersion; 7: list<CellReport> cells; 8: bool leaving; 9: optional ServerInfo server;
 }
-struct HeartbeatReply { 1: i64 sentAtMicros; 2: bool accepted; 3: string leader; 4: i64 viewVersion; 5: i64 term; }
+struct ControlEndpoint { 1: string name; 2: Endpoint address; }
+// group: the present control processes, set when accepted.
+struct HeartbeatReply {
+  1: i64 sentAtMicros; 2: bool accepted; 3: string leader; 4: i64 viewVersion; 5: i64 term;
+  6: list<ControlEndpoint> group;
+}
 
 struct MemberRef { 1: ProcessId id; 2: Endpoint address; 3: string failureDomain; }
 struct CellView {
@@ -135,11 +175,19 @@
   6: list<MemberRef> agents;  // only in the view of the cell's owner and holders
   7: i64 floorMs;             // submissions older than this are refused as unknown
 }
-struct ConfigFile { 1: i64 number; 2: string digest; 3: string text; 4: string author; 5: i64 acceptedAtMs; }
-struct ClusterView { 1: i64 version; 2: ConfigFile config; 3: list<CellView> cells; 4: i64 term; }
+// ignoreIfNotHigher: a file whose number is not higher than that in force is accepted and changes nothing.
+struct ConfigFile {
+  1: i64 number; 2: string digest; 3: string text; 4: string author; 5: i64 acceptedAtMs; 6: bool ignoreIfNotHigher;
+}
+// entries: only in the view of an agent.
+struct ClusterView {
+  1: i64 version; 2: ConfigFile config; 3: list<CellView> cells; 4: i64 term; 5: list<MemberRef> entries;
+}
 
 // entry or tool -> control
-struct ApplyConfig { 1: i64 requestId; 2: string text; 3: string author; 4: bool dryRun; }
+struct ApplyConfig {
+  1: i64 requestId; 2: string text; 3: string author; 4: bool dryRun; 5: bool ignoreIfNotHigher;
+}
 struct ApplyReply {
   1: i64 requestId; 2: bool accepted; 3: string code; 4: string message; 5: ConfigFile inForce; 6: list<string> lagging;
 }
@@ -177,6 +225,7 @@
 struct MemberJoin {
   1: ProcessId id; 2: Role role; 3: Endpoint address; 4: string failureDomain; 5: optional ServerInfo server;
   6: i64 atMs;                // leader's wall clock, here and below
+  7: i64 replaces;            // silent incarnation that this one follows although its number is not higher
 }
 struct MemberGone { 1: ProcessId id; 2: bool planned; 3: i64 atMs; }
 struct MemberLeaving { 1: ProcessId id; }
@@ -210,7 +259,7 @@
 }
 struct ControlImage {
   1: list<ConfigFile> history; 2: list<MemberRecord> members; 3: list<CellRecord> cells; 4: i32 nextCell;
-  5: i64 configVersion; 6: i64 routesVersion;
+  5: i64 configVersion; 6: i64 routesVersion; 7: i64 entriesVersion;
 }
 
 union Message {
@@ -221,6 +270,8 @@
   30: MemberHeartbeat memberHeartbeat; 31: HeartbeatReply heartbeatReply; 32: ClusterView clusterView;
   33: ApplyConfig applyConfig; 34: ApplyReply applyReply; 35: ControlQuery controlQuery;
   36: ControlAnswer controlAnswer;
+  50: HostReport hostReport; 51: HostContact hostContact; 52: RunTasks runTasks; 53: StopTasks stopTasks;
+  54: TaskReports taskReports;
   40: RequestVote requestVote; 41: VoteReply voteReply; 42: AppendEntries appendEntries; 43: AppendReply appendReply;
   44: InstallSnapshot installSnapshot; 45: InstallReply installReply; 46: TimeoutNow timeoutNow;
 }
--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -72,6 +72,11 @@
 #define AGATEDRUM_AGENT_FORGET_MS 30000
 #endif
 
+/// Time for which control lists a silent entry to which agents report, in milliseconds.
+#ifndef AGATEDRUM_ENTRY_FORGET_MS
+#define AGATEDRUM_ENTRY_FORGET_MS 10000
+#endif
+
 /// Interval of an agent's hello to its owner, in milliseconds.
 #ifndef AGATEDRUM_AGENT_HELLO_MS
 #define AGATEDRUM_AGENT_HELLO_MS 250
@@ -157,3 +162,34 @@
 #ifndef AGATEDRUM_ENTRY_BODY_BYTES
 #define AGATEDRUM_ENTRY_BODY_BYTES (512LL * 1024 * 1024)
 #endif
+
+/// Interval at which a host reports its room to each entry, in milliseconds.
+#ifndef AGATEDRUM_HOST_REPORT_MS
+#define AGATEDRUM_HOST_REPORT_MS 200
+#endif
+
+/// Time after a host's report for which its echo lets the entry's tasks run there, in milliseconds. With the time that
+/// a backend server keeps tasks of a silent host, below the time after which callers send a lost job again.
+#ifndef AGATEDRUM_HOST_ENTRY_LEASE_MS
+#define AGATEDRUM_HOST_ENTRY_LEASE_MS 900
+#endif
+
+/// Interval at which a report or an order is repeated until the other side has taken it, in milliseconds.
+#ifndef AGATEDRUM_HOST_REPEAT_MS
+#define AGATEDRUM_HOST_REPEAT_MS 200
+#endif
+
+/// Time without a report after which an entry counts a host and the tasks there as lost, in milliseconds.
+#ifndef AGATEDRUM_HOST_SILENT_MS
+#define AGATEDRUM_HOST_SILENT_MS 700
+#endif
+
+/// Time for which a backend server keeps what runs without hearing from its host, in milliseconds.
+#ifndef AGATEDRUM_SERVER_HOLD_MS
+#define AGATEDRUM_SERVER_HOLD_MS 1000
+#endif
+
+/// Time without an answer after which a host takes no tasks for its backend server, in milliseconds.
+#ifndef AGATEDRUM_SERVER_SILENT_MS
+#define AGATEDRUM_SERVER_SILENT_MS 700
+#endif
--- a/src/agent_backend.cpp
+++ b/src/agent_backend.cpp
@@ -194,8 +194,14 @@
             transfer.easy = this->idleHandles.back();
             this->idleHandles.pop_back();
         }
-        transfer.headers = curl_slist_append(nullptr, ("Agatedrum-Task: " + transfer.call.taskHeader).c_str());
-        transfer.headers = curl_slist_append(transfer.headers, "Content-Type: application/json");
+        transfer.headers = curl_slist_append(nullptr, "Content-Type: application/json");
+        if (!transfer.call.taskHeader.empty()) {
+            transfer.headers
+                = curl_slist_append(transfer.headers, ("Agatedrum-Task: " + transfer.call.taskHeader).c_str());
+        }
+        for (const auto &header : transfer.call.headers) {
+            transfer.headers = curl_slist_append(transfer.headers, header.c_str());
+        }
         transfer.headers = curl_slist_append(transfer.headers, "Expect:");
         CURL *easy = transfer.easy;
         curl_easy_setopt(easy, CURLOPT_URL, transfer.call.url.c_str());
@@ -252,7 +258,7 @@
     static wire::Outcome::type outcomeOf(const Transfer &transfer, CURLcode code, long status)
     {
         if (code != CURLE_OK) {
-            log(LogLevel::Info, "agent", "backend call {} failed: {}", transfer.call.taskHeader,
+            log(LogLevel::Info, "agent", "backend call {} {} failed: {}", transfer.call.url, transfer.call.taskHeader,
                 curl_easy_strerror(code));
             return transfer.sends == 0 ? wire::Outcome::NOT_RUN : wire::Outcome::UNKNOWN;
         }
--- a/src/agent_backend_p.h
+++ b/src/agent_backend_p.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace agatedrum {
 
@@ -15,6 +16,7 @@
 {
     std::int64_t number = 0; ///< chosen by the agent, never used twice
     std::string url;
+    std::vector<std::string> headers {}; ///< further lines "NAME: VALUE"
     std::string taskHeader; ///< caller, submission id and task id, so that the backend server can tell tasks apart
     std::string body;
     Millis timeout {30000};
--- a/src/base_core_p.h
+++ b/src/base_core_p.h
@@ -28,6 +28,11 @@
     virtual bool isDrained() const = 0;
     /// Highest configuration number seen; goes out with every envelope.
     virtual std::int64_t configNumber() const = 0;
+    /// Whether a message that was sent earlier may still leave the process.
+    virtual bool mayLeave(const Payload & /*payload*/) const
+    {
+        return true;
+    }
 };
 
 } // namespace agatedrum
--- /dev/null
+++ b/src/base_event.cpp
@@ -0,0 +1,185 @@
+#include "base_event_p.h"
+
+#include <fmt/chrono.h>
+
+#include <limits.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <thread>
+
+namespace agatedrum {
+
+namespace {
+
+constexpr std::size_t maxLines = 8192;
+constexpr int writeWaitMs = 200; ///< a reader that takes nothing for this long loses lines
+constexpr std::chrono::milliseconds batchTime {20}; ///< one wake-up of the writer serves all lines of this time
+constexpr std::chrono::milliseconds flushTime {200};
+
+/// Queue of lines and the thread that writes them.
+class EventWriter
+{
+public:
+    void start()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->isRunning = true;
+        this->thread = std::thread([this] { this->run(); });
+    }
+
+    void stop()
+    {
+        {
+            const std::lock_guard lock(this->mutex);
+            if (!this->isRunning) {
+                return;
+            }
+            this->isRunning = false;
+        }
+        this->wake.notify_all();
+        this->thread.join();
+    }
+
+    void add(std::string &&line)
+    {
+        {
+            const std::lock_guard lock(this->mutex);
+            if (!this->isRunning) {
+                return;
+            }
+            if (this->lines.size() >= maxLines) {
+                ++this->dropped;
+                return;
+            }
+            this->lines.push_back(std::move(line));
+            if (this->lines.size() > 1) {
+                return;
+            }
+        }
+        this->wake.notify_one();
+    }
+
+private:
+    void run()
+    {
+        std::unique_lock lock(this->mutex);
+        while (this->isRunning) {
+            this->wake.wait(lock, [this] { return !this->isRunning || !this->lines.empty(); });
+            lock.unlock();
+            std::this_thread::sleep_for(batchTime);
+            this->writeWaiting(std::chrono::steady_clock::time_point::max());
+            lock.lock();
+        }
+        lock.unlock();
+        this->writeWaiting(std::chrono::steady_clock::now() + flushTime);
+    }
+
+    void writeWaiting(std::chrono::steady_clock::time_point until)
+    {
+        std::deque<std::string> taken;
+        std::uint64_t lost = 0;
+        {
+            const std::lock_guard lock(this->mutex);
+            taken.swap(this->lines);
+            std::swap(lost, this->dropped);
+        }
+        std::string text;
+        if (lost > 0) {
+            text = fmt::format("part=log event=dropped lines={}\n", lost);
+        }
+        for (const auto &line : taken) {
+            text += line;
+        }
+        writeAll(text, until);
+    }
+
+    static void writeAll(std::string_view text, std::chrono::steady_clock::time_point until)
+    {
+        while (!text.empty() && std::chrono::steady_clock::now() < until) {
+            pollfd ready {STDOUT_FILENO, POLLOUT, 0};
+            if (::poll(&ready, 1, writeWaitMs) <= 0) {
+                return;
+            }
+            const auto written = ::write(STDOUT_FILENO, text.data(), std::min<std::size_t>(text.size(), PIPE_BUF));
+            if (written <= 0) {
+                return;
+            }
+            text.remove_prefix(static_cast<std::size_t>(written));
+        }
+    }
+
+    std::mutex mutex;
+    std::condition_variable wake;
+    std::deque<std::string> lines;
+    std::uint64_t dropped = 0;
+    bool isRunning = false;
+    std::thread thread;
+};
+
+EventWriter &writer()
+{
+    static EventWriter instance;
+    return instance;
+}
+
+bool needsQuotes(std::string_view text)
+{
+    return text.empty()
+        || std::any_of(text.begin(), text.end(), [](char c) { return c <= ' ' || c == '"' || c == '=' || c == '\\'; });
+}
+
+void appendQuoted(std::string &line, std::string_view text)
+{
+    line += '"';
+    for (const char c : text) {
+        if (c == '"' || c == '\\') {
+            line += '\\';
+        }
+        line += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+    }
+    line += '"';
+}
+
+} // namespace
+
+std::string formatEvent(std::string_view time, std::string_view part, std::string_view event,
+                        std::initializer_list<EventField> fields)
+{
+    auto line = fmt::format("time={} part={} event={}", time, part, event);
+    for (const auto &field : fields) {
+        line += fmt::format(" {}=", field.key);
+        if (needsQuotes(field.text)) {
+            appendQuoted(line, field.text);
+        } else {
+            line += field.text;
+        }
+    }
+    return line + '\n';
+}
+
+void logEvent(std::string_view part, std::string_view event, std::initializer_list<EventField> fields)
+{
+    const auto now = std::chrono::system_clock::now();
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+    writer().add(
+        formatEvent(fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(now), millis), part, event, fields));
+}
+
+void startEventLog()
+{
+    writer().start();
+}
+
+void stopEventLog()
+{
+    writer().stop();
+}
+
+} // namespace agatedrum
--- a/src/base_yaml.cpp
+++ b/src/base_yaml.cpp
@@ -242,6 +242,27 @@
     return readers;
 }
 
+std::vector<std::string> YamlReader::texts(const std::string &key)
+{
+    std::vector<std::string> result;
+    const auto value = this->child(key);
+    if (!value.IsDefined() || value.IsNull()) {
+        return result;
+    }
+    if (!value.IsSequence()) {
+        this->fault(key, "must be a list");
+        return result;
+    }
+    for (const auto &item : value) {
+        if (item.IsScalar()) {
+            result.push_back(item.Scalar());
+        } else {
+            this->fault(key, "must hold texts only");
+        }
+    }
+    return result;
+}
+
 YamlReader YamlReader::map(const std::string &key)
 {
     return YamlReader(this->child(key), this->pathOf(key), *this->faults);
--- a/src/base_yaml_p.h
+++ b/src/base_yaml_p.h
@@ -47,6 +47,8 @@
     bool boolean(const std::string &key, bool fallback);
     /// The maps of a list; a missing list is empty.
     std::vector<YamlReader> list(const std::string &key);
+    /// The texts of a list; a missing list is empty.
+    std::vector<std::string> texts(const std::string &key);
     /// A map below this one; a missing one reads as empty.
     YamlReader map(const std::string &key);
 
--- a/src/config_cluster.cpp
+++ b/src/config_cluster.cpp
@@ -162,6 +162,18 @@
     }
 }
 
+Result<ClusterConfig, ConfigError> parseRoutingFile(const std::string &text)
+{
+    auto routing = parseRouting(text);
+    if (!isOk(routing)) {
+        return ConfigError {{{0, "", error(routing).message}}};
+    }
+    ClusterConfig config;
+    config.number = value(routing).number;
+    config.routing = takeValue(std::move(routing));
+    return config;
+}
+
 } // namespace
 
 std::string ConfigError::text() const
@@ -186,6 +198,9 @@
 
 Result<ClusterConfig, ConfigError> parseConfig(const std::string &text)
 {
+    if (!text.empty() && text.front() == '{') {
+        return parseRoutingFile(text);
+    }
     if (!hasEndMarker(text)) {
         return ConfigError {
             {{0, "", "the last line must be the YAML document end marker \"...\"; the file may be cut"}}};
--- a/src/config_cluster_p.h
+++ b/src/config_cluster_p.h
@@ -4,8 +4,10 @@
 #include "agatedrum/result.h"
 #include "base_clock_p.h"
 #include "base_yaml_p.h"
+#include "config_routing_p.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -80,6 +82,7 @@
     std::vector<ServiceConfig> services;
     std::vector<TeamConfig> teams;
     std::vector<BackendServerConfig> backendServers;
+    std::optional<RoutingConfig> routing; ///< set when the file is a routing document
 
     const ServiceConfig *service(std::string_view name) const;
     const TeamConfig *team(std::string_view name) const;
@@ -87,7 +90,7 @@
 
     auto tied() const
     {
-        return std::tie(this->number, this->services, this->teams, this->backendServers);
+        return std::tie(this->number, this->services, this->teams, this->backendServers, this->routing);
     }
     friend bool operator==(const ClusterConfig &a, const ClusterConfig &b)
     {
@@ -104,7 +107,7 @@
 };
 
 /// Parses and checks a whole file. The last line must be the YAML document end marker "...", so that a file read half
-/// way is refused. Thread-safe.
+/// way is refused. A text that begins with "{" is a routing document, as parseRouting() reads it. Thread-safe.
 Result<ClusterConfig, ConfigError> parseConfig(const std::string &text);
 
 /// Checks that a change from one accepted configuration to the next is allowed: a service keeps its number of cells.
--- /dev/null
+++ b/src/config_routing.cpp
@@ -0,0 +1,176 @@
+#include "config_routing_p.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <set>
+#include <utility>
+
+namespace agatedrum {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json toJson(const RouteConfig &route)
+{
+    return {{"name", route.name},
+            {"host", route.host},
+            {"pathPrefix", route.pathPrefix},
+            {"service", route.serviceName},
+            {"timeoutMs", route.timeout.count()},
+            {"latencyObjectiveMs", route.latencyObjective.count()},
+            {"stretch", route.stretch},
+            {"priority", route.priority},
+            {"maxAttempts", route.maxAttempts}};
+}
+
+RouteConfig routeOf(const Json &json)
+{
+    RouteConfig route;
+    route.name = json.at("name").get<std::string>();
+    route.host = json.at("host").get<std::string>();
+    route.pathPrefix = json.at("pathPrefix").get<std::string>();
+    route.serviceName = json.at("service").get<std::string>();
+    route.timeout = Millis(json.at("timeoutMs").get<std::int64_t>());
+    route.latencyObjective = Millis(json.at("latencyObjectiveMs").get<std::int64_t>());
+    route.stretch = json.at("stretch").get<double>();
+    route.priority = json.at("priority").get<int>();
+    route.maxAttempts = json.at("maxAttempts").get<int>();
+    return route;
+}
+
+Json toJson(const RoutedService &service)
+{
+    return {{"name", service.name}, {"healthPath", service.healthPath}, {"refusesOverload", service.refusesOverload}};
+}
+
+RoutedService serviceOf(const Json &json)
+{
+    RoutedService service;
+    service.name = json.at("name").get<std::string>();
+    service.healthPath = json.at("healthPath").get<std::string>();
+    service.refusesOverload = json.at("refusesOverload").get<bool>();
+    return service;
+}
+
+Json toJson(const CallerLimits &limits)
+{
+    return {{"maxHeaderBytes", limits.maxHeaderBytes},
+            {"maxBodyBytes", limits.maxBodyBytes},
+            {"headerTimeoutMs", limits.headerTimeout.count()},
+            {"idleTimeoutMs", limits.idleTimeout.count()}};
+}
+
+CallerLimits limitsOf(const Json &json)
+{
+    CallerLimits limits;
+    limits.maxHeaderBytes = json.at("maxHeaderBytes").get<std::size_t>();
+    limits.maxBodyBytes = json.at("maxBodyBytes").get<std::size_t>();
+    limits.headerTimeout = Millis(json.at("headerTimeoutMs").get<std::int64_t>());
+    limits.idleTimeout = Millis(json.at("idleTimeoutMs").get<std::int64_t>());
+    return limits;
+}
+
+RoutingConfig routingOf(const Json &json)
+{
+    RoutingConfig config;
+    config.number = json.at("number").get<std::int64_t>();
+    for (const auto &route : json.at("routes")) {
+        config.routes.push_back(routeOf(route));
+    }
+    for (const auto &service : json.at("services")) {
+        config.services.push_back(serviceOf(service));
+    }
+    config.limits = limitsOf(json.at("limits"));
+    config.source = json.at("source").get<std::string>();
+    return config;
+}
+
+std::string checkRoute(const RouteConfig &route, const std::set<std::string> &services)
+{
+    if (route.name.empty() || route.host.empty()) {
+        return "a route needs a name and a host";
+    }
+    if (route.pathPrefix.empty() || route.pathPrefix.front() != '/') {
+        return fmt::format("route {}: the path prefix must begin with /", route.name);
+    }
+    if (services.count(route.serviceName) == 0) {
+        return fmt::format("route {}: service {} is not defined", route.name, route.serviceName);
+    }
+    if (route.timeout <= Millis(0)) {
+        return fmt::format("route {}: the timeout must be above 0 ms", route.name);
+    }
+    if (route.maxAttempts < 1 || route.stretch < 0 || route.latencyObjective < Millis(0)) {
+        return fmt::format("route {}: attempts, stretch and latency objective must not be negative", route.name);
+    }
+    return {};
+}
+
+} // namespace
+
+const RouteConfig *RoutingConfig::find(std::string_view host, std::string_view path) const
+{
+    const RouteConfig *best = nullptr;
+    for (const auto &route : this->routes) {
+        const bool isMatch = route.host == host && path.substr(0, route.pathPrefix.size()) == route.pathPrefix;
+        if (isMatch && (best == nullptr || route.pathPrefix.size() > best->pathPrefix.size())) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+std::string renderRouting(const RoutingConfig &config)
+{
+    Json json = {{"number", config.number},
+                 {"routes", Json::array()},
+                 {"services", Json::array()},
+                 {"limits", toJson(config.limits)},
+                 {"source", config.source}};
+    for (const auto &route : config.routes) {
+        json["routes"].push_back(toJson(route));
+    }
+    for (const auto &service : config.services) {
+        json["services"].push_back(toJson(service));
+    }
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::string checkRouting(const RoutingConfig &config)
+{
+    if (config.number < 1) {
+        return "the number must be at least 1";
+    }
+    std::set<std::string> services;
+    for (const auto &service : config.services) {
+        if (service.name.empty() || !services.insert(service.name).second) {
+            return fmt::format("service {} has no name or appears twice", service.name);
+        }
+    }
+    std::set<std::pair<std::string, std::string>> places;
+    for (const auto &route : config.routes) {
+        if (auto fault = checkRoute(route, services); !fault.empty()) {
+            return fault;
+        }
+        if (!places.insert({route.host, route.pathPrefix}).second) {
+            return fmt::format("route {}: another route has the same host and path prefix", route.name);
+        }
+    }
+    return {};
+}
+
+Result<RoutingConfig, RoutingError> parseRouting(const std::string &text)
+{
+    try {
+        auto config = routingOf(Json::parse(text));
+        if (auto fault = checkRouting(config); !fault.empty()) {
+            return RoutingError {std::move(fault)};
+        }
+        return config;
+    } catch (const Json::exception &failure) {
+        return RoutingError {failure.what()};
+    }
+}
+
+} // namespace agatedrum
--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -16,6 +16,9 @@
     std::random_device device;
     ControlLogOptions result;
     result.name = options.self.name;
+    result.isOpen = options.isOpen;
+    result.mayForm = options.mayForm;
+    result.maxVoters = options.maxVoters;
     for (const auto &peer : options.group) {
         result.group.push_back(peer.name);
     }
@@ -57,7 +60,7 @@
     if (const auto *heartbeat = std::get_if<wire::MemberHeartbeat>(&incoming.payload)) {
         this->handleHeartbeat(incoming, *heartbeat);
     } else if (const auto *request = std::get_if<wire::ApplyConfig>(&incoming.payload)) {
-        this->handleApply(incoming, *request);
+        this->handleApply({request->requestId, incoming.address, {}, {}}, *request);
     } else if (const auto *query = std::get_if<wire::ControlQuery>(&incoming.payload)) {
         this->handleQuery(incoming, *query);
     } else if (this->peerAddress(incoming.sender.name)) {
@@ -96,14 +99,43 @@
     reply.term = this->log.term();
     // A leader that lost its lease may be cut off: the member should ask another one.
     reply.leader = this->log.isLeader() && !hasLease ? std::string() : this->log.leaderName();
+    if (reply.accepted) {
+        reply.group = this->groupEndpoints();
+    }
     this->sink.send(heartbeat.address, std::move(reply));
 }
 
-void ControlCore::handleApply(const Incoming &incoming, const wire::ApplyConfig &request)
+void ControlCore::applyLocal(wire::ApplyConfig request, LocalHandler handler)
+{
+    const std::lock_guard lock(this->mutex);
+    this->handleApply({0, {}, {}, std::move(handler)}, request);
+    this->drain();
+}
+
+LocalReading ControlCore::readConfig() const
+{
+    const std::lock_guard lock(this->mutex);
+    LocalReading reading;
+    reading.isCertain = this->log.hasLease(this->clock.now());
+    if (reading.isCertain) {
+        reading.file = this->machine.file();
+    } else {
+        reading.leader = this->leaderToAsk();
+    }
+    return reading;
+}
+
+std::string ControlCore::leaderToAsk() const
+{
+    // A leader that lost its lease may be cut off, so it names nobody.
+    return this->log.isLeader() ? std::string() : this->log.leaderName();
+}
+
+void ControlCore::handleApply(PendingApply pending, const wire::ApplyConfig &request)
 {
     if (!this->log.hasLease(this->clock.now())) {
-        const auto leader = this->log.isLeader() ? std::string() : this->log.leaderName();
-        this->reply(incoming.address, request.requestId,
+        const auto leader = this->leaderToAsk();
+        this->reply(pending,
                     leader.empty() ? ConfigVerdict {false, "unavailable", "the control group has no leader now"}
                                    : ConfigVerdict {false, "not-leader", leader});
         return;
@@ -113,39 +145,45 @@
     file.author = request.author;
     file.digest = configDigest(request.text);
     file.acceptedAtMs = this->clock.wallMs();
+    file.ignoreIfNotHigher = request.ignoreIfNotHigher;
     const auto parsed = parseConfig(request.text);
     if (!isOk(parsed)) {
-        this->reply(incoming.address, request.requestId, {false, "invalid", error(parsed).text()});
+        this->reply(pending, {false, "invalid", error(parsed).text()});
         return;
     }
     file.number = value(parsed).number;
     auto verdict = this->machine.judge(file);
-    if (!verdict.isAccepted || request.dryRun || file.number == this->machine.file().number) {
+    if (!verdict.isAccepted || request.dryRun || file.number <= this->machine.file().number) {
         for (const auto &line : diffConfigs(this->machine.config(), value(parsed))) {
             verdict.message += request.dryRun && verdict.isAccepted ? "\n" + line : std::string();
         }
-        this->reply(incoming.address, request.requestId, verdict);
+        this->reply(pending, verdict);
         return;
     }
     if (!this->store.hasRoom(request.text.size()) || this->store.status().isFull) {
-        this->reply(incoming.address, request.requestId,
-                    {false, "unavailable", "the leader's disk is full; nothing was changed"});
+        this->reply(pending, {false, "unavailable", "the leader's disk is full; nothing was changed"});
         return;
     }
     wire::SetConfig set;
     set.file = std::move(file);
-    const auto digest = set.file.digest;
+    pending.digest = set.file.digest;
     wire::Command command;
     command.__set_setConfig(set);
     if (const auto index = this->propose(command)) {
-        this->pendingApplies[*index] = {request.requestId, incoming.address, digest};
+        this->pendingApplies[*index] = std::move(pending);
+    } else {
+        this->reply(pending, {false, "unavailable", "the leader changed; send it again"});
     }
 }
 
-void ControlCore::reply(const wire::Endpoint &to, std::int64_t requestId, const ConfigVerdict &verdict)
+void ControlCore::reply(const PendingApply &pending, const ConfigVerdict &verdict)
 {
+    if (pending.handler) {
+        pending.handler({verdict, verdict.code == "not-leader" ? verdict.message : std::string()});
+        return;
+    }
     wire::ApplyReply reply;
-    reply.requestId = requestId;
+    reply.requestId = pending.requestId;
     reply.accepted = verdict.isAccepted;
     reply.code = verdict.code;
     reply.message = verdict.message;
@@ -153,7 +191,7 @@
     if (this->ledTerm != 0) {
         reply.lagging = this->members.lagging(reply.inForce.number);
     }
-    this->sink.send(to, std::move(reply));
+    this->sink.send(pending.address, std::move(reply));
 }
 
 void ControlCore::handleQuery(const Incoming &incoming, const wire::ControlQuery &query)
@@ -188,7 +226,7 @@
         this->store.submit(std::move(write));
     }
     for (auto &message : output.messages) {
-        if (const auto *address = this->peerAddress(message.to)) {
+        if (const auto address = this->peerAddress(message.to)) {
             this->sink.send(*address, std::move(message.payload));
         }
     }
@@ -221,7 +259,7 @@
     const auto pending = this->pendingApplies.find(entry.index);
     if (pending != this->pendingApplies.end()) {
         // While this process leads without a break, the entry at the index is the one that it proposed.
-        this->reply(pending->second.address, pending->second.requestId,
+        this->reply(pending->second,
                     verdict.value_or(ConfigVerdict {false, "unavailable", "the outcome is unknown; send it again"}));
         this->pendingApplies.erase(pending);
     }
@@ -234,8 +272,7 @@
         return;
     }
     for (const auto &[index, pending] : std::exchange(this->pendingApplies, {})) {
-        this->reply(pending.address, pending.requestId,
-                    {false, "unavailable", "the leader changed; the outcome is unknown; send it again"});
+        this->reply(pending, {false, "unavailable", "the leader changed; the outcome is unknown; send it again"});
     }
     this->ledTerm = term;
     this->members.reset();
@@ -250,11 +287,30 @@
     }
 }
 
-const wire::Endpoint *ControlCore::peerAddress(const std::string &name) const
+std::optional<wire::Endpoint> ControlCore::peerAddress(const std::string &name) const
 {
     const auto found = std::find_if(this->options.group.begin(), this->options.group.end(),
                                     [&name](const ControlPeer &peer) { return peer.name == name; });
-    return found == this->options.group.end() ? nullptr : &found->address;
+    if (found != this->options.group.end()) {
+        return found->address;
+    }
+    return this->options.isOpen ? parseEndpoint(name) : std::nullopt;
+}
+
+std::vector<wire::ControlEndpoint> ControlCore::groupEndpoints() const
+{
+    std::vector<wire::ControlEndpoint> endpoints;
+    for (const auto &list : {this->log.voters(), this->log.learners()}) {
+        for (const auto &identity : list) {
+            if (const auto address = this->peerAddress(memberName(identity))) {
+                wire::ControlEndpoint endpoint;
+                endpoint.name = memberName(identity);
+                endpoint.address = *address;
+                endpoints.push_back(std::move(endpoint));
+            }
+        }
+    }
+    return endpoints;
 }
 
 // CoreI.
--- a/src/control_core_p.h
+++ b/src/control_core_p.h
@@ -10,6 +10,7 @@
 #include "member_link_p.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -22,11 +23,30 @@
 {
     wire::ProcessId self;
     wire::Endpoint address;
-    std::vector<ControlPeer> group; ///< all processes of the group, this one included
+    std::vector<ControlPeer> group; ///< all processes of the group; if it is open, those to contact first
+    bool isOpen = false; ///< further processes may join; their names are their addresses, "IP:PORT"
+    bool mayForm = true; ///< whether a fresh disk may take part in forming the group
+    std::size_t maxVoters = SIZE_MAX;
     std::int64_t snapshotEntries = AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES; ///< entries that a snapshot replaces
     std::uint64_t seed = 0; ///< of election timeouts and of a new disk's identity; 0 draws one
 };
 
+/// Answer to a request that was made in the control process itself: the verdict, or who leads.
+struct LocalVerdict
+{
+    ConfigVerdict verdict; ///< code "not-leader" when another process leads, "unavailable" when the outcome is unknown
+    std::string leader; ///< name, with "not-leader"; empty when it is not known
+};
+using LocalHandler = std::function<void(const LocalVerdict &)>;
+
+/// What the control process can say of the configuration now.
+struct LocalReading
+{
+    bool isCertain = false; ///< this process leads under a lease, so no newer configuration was accepted
+    wire::ConfigFile file; ///< number 0 for none
+    std::string leader; ///< name of the process to ask, if this one is not certain; may be empty
+};
+
 /// One process of the control group: the replicated log, the state machine, and the members' heartbeats. Thread-safe.
 ///
 /// A group forms once, when all its processes answer with fresh disks. Later a process with a fresh disk waits until
@@ -49,6 +69,11 @@
     bool isDrained() const override;
     std::int64_t configNumber() const override;
 
+    /// Applies a configuration on behalf of an operator of this process.
+    /// @param handler called once, on any thread, without locks held by the caller of this method.
+    void applyLocal(wire::ApplyConfig request, LocalHandler handler);
+    LocalReading readConfig() const;
+
     /// Whether this process leads under a quorum's lease.
     bool isLeader() const;
     /// Term and index of the newest committed entry, for tests and metrics.
@@ -63,20 +88,24 @@
         std::int64_t requestId = 0;
         wire::Endpoint address;
         std::string digest;
+        LocalHandler handler; ///< set for a request of this process
     };
 
     void handleHeartbeat(const Incoming &incoming, const wire::MemberHeartbeat &heartbeat);
-    void handleApply(const Incoming &incoming, const wire::ApplyConfig &request);
+    void handleApply(PendingApply pending, const wire::ApplyConfig &request);
     void handleQuery(const Incoming &incoming, const wire::ControlQuery &query);
     nlohmann::json answer(const wire::ControlQuery &query, bool &isOk) const;
-    void reply(const wire::Endpoint &to, std::int64_t requestId, const ConfigVerdict &verdict);
+    void reply(const PendingApply &pending, const ConfigVerdict &verdict);
+    std::string leaderToAsk() const;
+    std::vector<wire::ControlEndpoint> groupEndpoints() const;
     std::optional<std::int64_t> propose(const wire::Command &command);
     void drain();
     bool drainOnce();
     void applyEntry(const wire::LogEntry &entry);
     void noteLeadership();
     void compactWhenDue();
-    const wire::Endpoint *peerAddress(const std::string &name) const;
+    /// Where a control process listens; nothing when the name is not one of the group's.
+    std::optional<wire::Endpoint> peerAddress(const std::string &name) const;
 
     MessageSinkI &sink;
     const ClockI &clock;
--- a/src/control_log_election.cpp
+++ b/src/control_log_election.cpp
@@ -48,7 +48,7 @@
 void ControlLog::announce(Time now)
 {
     // Only one member may form the group, else two groups could form out of the same fresh disks.
-    const bool mayForm = this->hard.group.empty()
+    const bool mayForm = this->options.mayForm && this->hard.group.empty() && !this->options.group.empty()
         && this->options.name == *std::min_element(this->options.group.begin(), this->options.group.end());
     if (mayForm) {
         this->freshMembers[this->options.name] = this->hard.member;
--- a/src/control_log_members.cpp
+++ b/src/control_log_members.cpp
@@ -105,10 +105,15 @@
 std::optional<ControlLog::Membership> ControlLog::nextMembership(Time now) const
 {
     auto next = this->membership();
+    const auto silent = this->silentVoter(now);
+    if (!silent.empty() && next.voters.size() > this->options.maxVoters) {
+        next.voters = without(next.voters, silent);
+        return next;
+    }
     for (const auto &[name, stranger] : this->strangers) {
         const auto &[identity, heard] = stranger;
         const bool isKnown = contains(next.voters, identity) || contains(next.learners, identity);
-        if (!isKnown && now - heard < presence && contains(this->options.group, name)) {
+        if (!isKnown && now - heard < presence && (this->options.isOpen || contains(this->options.group, name))) {
             next.learners = without(next.learners, identityOf(next.learners, name));
             next.learners.push_back(identity);
             return next;
@@ -128,6 +133,9 @@
             next.voters = without(next.voters, lost);
             return next;
         }
+        if (next.voters.size() >= this->options.maxVoters && silent.empty()) {
+            continue;
+        }
         next.voters.push_back(learner);
         next.learners = without(next.learners, learner);
         return next;
@@ -135,6 +143,18 @@
     return std::nullopt;
 }
 
+std::string ControlLog::silentVoter(Time now) const
+{
+    for (const auto &voter : this->membership().voters) {
+        const auto found = this->progress.find(voter);
+        if (this->options.isOpen && voter != this->hard.member && found != this->progress.end()
+            && now - std::max(found->second.heard, this->led) > this->options.voterReplace) {
+            return voter;
+        }
+    }
+    return {};
+}
+
 void ControlLog::proposeMembership(const Membership &next, Time now)
 {
     log(LogLevel::Info, "control", "members become {} voters and {} learners", next.voters.size(),
--- a/src/control_log_p.h
+++ b/src/control_log_p.h
@@ -18,7 +18,10 @@
 struct ControlLogOptions
 {
     std::string name; ///< name of this process
-    std::vector<std::string> group; ///< names of all processes of the group, this one included
+    std::vector<std::string> group; ///< names of the processes that form the group; if it is open, those to contact
+    bool isOpen = false; ///< takes in processes that the group does not list
+    bool mayForm = true; ///< false on a later start: a fresh disk then waits until the group takes it in
+    std::size_t maxVoters = SIZE_MAX; ///< further members stay learners, which replace voters that are gone
     std::string freshMember; ///< identity for a disk that has none, as made by memberIdentity()
     std::uint64_t seed = 0; ///< of the election timeouts
     Millis electionMin {300}; ///< time without a leader after which an election may start
@@ -26,6 +29,7 @@
     Millis heartbeat {50};
     Millis lease {250}; ///< below electionMin, for clocks that run at slightly different speeds
     Millis learnerForget {10000}; ///< silence after which a learner is removed
+    Millis voterReplace {6000}; ///< silence after which an open group puts a learner in a voter's place
 };
 
 /// Message for another process of the group.
@@ -155,6 +159,8 @@
     bool isVoter(const std::string &identity) const;
     void reconfigure(Time now);
     std::optional<Membership> nextMembership(Time now) const;
+    /// Identity of a voter that was silent for so long that a learner should take its place, or empty.
+    std::string silentVoter(Time now) const;
     void proposeMembership(const Membership &next, Time now);
     void syncProgress(Time now);
 
--- a/src/control_members.cpp
+++ b/src/control_members.cpp
@@ -12,6 +12,8 @@
 
 constexpr Millis memberDead(AGATEDRUM_MEMBER_DEAD_MS);
 constexpr Millis scanInterval(50);
+/// After this silence another incarnation of a member other than an owner is taken in, whatever its number.
+constexpr Millis silentIncarnation(1000);
 /// Time for which the incarnation of a process that is no member any more is remembered.
 constexpr Millis contactMemory(60000);
 /// A view that a member does not confirm is sent again after this time.
@@ -24,6 +26,9 @@
     if (member.role == wire::Role::OWNER) {
         return memberDead;
     }
+    if (member.role == wire::Role::ENTRY) {
+        return Millis(AGATEDRUM_ENTRY_FORGET_MS);
+    }
     return member.leaving ? Millis(AGATEDRUM_LEAVING_SILENT_MS) : Millis(AGATEDRUM_AGENT_FORGET_MS);
 }
 
@@ -71,11 +76,13 @@
     wire::HeartbeatReply reply;
     reply.sentAtMicros = heartbeat.sentAtMicros;
     auto &contact = this->contacts[incoming.sender.name];
-    if (incoming.sender.incarnation < contact.id.incarnation) {
+    const bool isSilent = this->clock.now() - contact.heard >= silentIncarnation;
+    if (incoming.sender.incarnation < contact.id.incarnation && !isSilent) {
         return reply;
     }
     const auto *member = this->state.member(incoming.sender.name);
-    if (!member || (member->role != wire::Role::OWNER && member->id.incarnation < incoming.sender.incarnation)) {
+    const bool isOther = member && member->role != wire::Role::OWNER && member->id != incoming.sender;
+    if (!member || (isOther && (member->id.incarnation < incoming.sender.incarnation || isSilent))) {
         // An earlier owner of this name may still act under its lease, so its successor waits until it counts as dead.
         if (!this->isPending(contact)) {
             this->proposeJoin(contact, incoming, heartbeat);
@@ -131,6 +138,9 @@
     join.address = heartbeat.address;
     join.failureDomain = heartbeat.failureDomain;
     join.atMs = this->clock.wallMs();
+    if (const auto *member = this->state.member(incoming.sender.name)) {
+        join.replaces = member->role == wire::Role::OWNER ? 0 : member->id.incarnation;
+    }
     if (heartbeat.__isset.server) {
         join.__set_server(heartbeat.server);
     }
--- a/src/control_state.cpp
+++ b/src/control_state.cpp
@@ -51,6 +51,9 @@
 ConfigVerdict ControlState::judge(const wire::ConfigFile &file) const
 {
     const auto &current = this->file();
+    if (file.ignoreIfNotHigher && file.number <= current.number) {
+        return {true, "accepted", fmt::format("{} stays in force: its number is not lower", describe(current))};
+    }
     if (file.number == current.number && current.number != 0) {
         return file.digest == current.digest
             ? ConfigVerdict {true, "accepted", fmt::format("{} is in force", describe(current))}
@@ -76,7 +79,7 @@
 ConfigVerdict ControlState::setConfig(std::int64_t index, const wire::ConfigFile &file)
 {
     auto verdict = this->judge(file);
-    if (!verdict.isAccepted || file.number == this->file().number) {
+    if (!verdict.isAccepted || file.number <= this->file().number) {
         return verdict;
     }
     this->parsed = takeValue(parseConfig(file.text));
@@ -132,10 +135,12 @@
 void ControlState::join(std::int64_t index, const wire::MemberJoin &command)
 {
     const auto *known = this->member(command.id.name);
-    if (known && known->id.incarnation > command.id.incarnation) {
+    // The wall clock may have gone back between two starts of a process, so a silent incarnation gives way to any.
+    const bool isReplaced = known && command.replaces != 0 && known->id.incarnation == command.replaces;
+    if (known && known->id.incarnation > command.id.incarnation && !isReplaced) {
         return;
     }
-    const bool isRestarted = known && known->id.incarnation < command.id.incarnation;
+    const bool isRestarted = known && known->id.incarnation != command.id.incarnation;
     const auto service = command.__isset.server ? command.server.serviceName : std::string();
     const bool isMoved = known && known->serviceName != service;
     const auto earlierRole = known ? known->role : command.role;
@@ -167,6 +172,8 @@
         }
     } else if (member.role == wire::Role::OWNER) {
         this->settle(index, command.atMs);
+    } else if (member.role == wire::Role::ENTRY) {
+        this->entriesVersion = index;
     }
 }
 
@@ -200,6 +207,8 @@
     const auto found = this->memberRecords.find(name);
     if (found->second.role == wire::Role::AGENT) {
         this->removeAgent(index, found->second);
+    } else if (found->second.role == wire::Role::ENTRY) {
+        this->entriesVersion = index;
     }
     this->memberRecords.erase(found);
 }
@@ -280,6 +289,9 @@
     }
     auto version = std::max(this->configVersion, found->version);
     if (found->role == wire::Role::AGENT) {
+        if (this->parsed.routing) {
+            version = std::max(version, this->entriesVersion);
+        }
         const auto cell = this->cellRecords.find(found->cell);
         return cell == this->cellRecords.end() ? version : std::max(version, cell->second.record.routeVersion);
     }
@@ -325,6 +337,15 @@
     return view;
 }
 
+void ControlState::addEntries(wire::ClusterView &view) const
+{
+    for (const auto &[name, member] : this->memberRecords) {
+        if (member.role == wire::Role::ENTRY) {
+            view.entries.push_back(this->refOf(name));
+        }
+    }
+}
+
 wire::ClusterView ControlState::view(const std::string &name) const
 {
     const auto &found = this->memberRecords.at(name);
@@ -333,6 +354,9 @@
     view.config = this->file();
     if (found.role == wire::Role::AGENT) {
         view.config.text.clear();
+        if (this->parsed.routing) {
+            this->addEntries(view);
+        }
         const auto cell = this->cellRecords.find(found.cell);
         if (cell != this->cellRecords.end()) {
             view.cells.push_back(this->cellView(cell->second, false));
@@ -360,6 +384,7 @@
     image.nextCell = this->nextCell;
     image.configVersion = this->configVersion;
     image.routesVersion = this->routesVersion;
+    image.entriesVersion = this->entriesVersion;
     return image;
 }
 
@@ -382,6 +407,7 @@
     this->nextCell = image.nextCell;
     this->configVersion = image.configVersion;
     this->routesVersion = image.routesVersion;
+    this->entriesVersion = image.entriesVersion;
 }
 
 } // namespace agatedrum
--- a/src/control_state_p.h
+++ b/src/control_state_p.h
@@ -85,6 +85,7 @@
     bool isLiveOwner(const std::string &name, bool isLeavingAllowed) const;
 
     wire::MemberRef refOf(const std::string &member) const;
+    void addEntries(wire::ClusterView &view) const;
     wire::CellView cellView(const ControlCell &cell, bool withAgents) const;
 
     ClusterConfig parsed;
@@ -94,6 +95,7 @@
     std::int32_t nextCell = 0;
     std::int64_t configVersion = 0;
     std::int64_t routesVersion = 0; ///< newest change of any cell's epoch, owner, holders or existence
+    std::int64_t entriesVersion = 0; ///< last change of the list of entries
 };
 
 } // namespace agatedrum
--- a/src/control_store.cpp
+++ b/src/control_store.cpp
@@ -4,6 +4,7 @@
 #include "control_journal_p.h"
 
 #include <chrono>
+#include <stdexcept>
 #include <utility>
 
 namespace agatedrum {
@@ -136,4 +137,13 @@
     }
 }
 
+std::unique_ptr<ControlStore> openControlStore(const std::string &folder)
+{
+    auto opened = ControlStore::open(folder);
+    if (!isOk(opened)) {
+        throw std::runtime_error(error(opened).text());
+    }
+    return takeValue(std::move(opened));
+}
+
 } // namespace agatedrum
--- a/src/control_store_p.h
+++ b/src/control_store_p.h
@@ -121,4 +121,7 @@
     std::thread thread;
 };
 
+/// ControlStore::open(), but throws std::runtime_error with the error's text.
+std::unique_ptr<ControlStore> openControlStore(const std::string &folder);
+
 } // namespace agatedrum
--- a/src/daemon_main.cpp
+++ b/src/daemon_main.cpp
@@ -1,12 +1,11 @@
+#include "base_event_p.h"
 #include "daemon_process_p.h"
 
 #include <popt.h>
 
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <memory>
-#include <sstream>
 
 namespace {
 
@@ -53,6 +52,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 }
@@ -60,14 +60,7 @@
 int runDaemon(const std::string &settingsFile)
 {
     using namespace agatedrum;
-    std::ifstream file(settingsFile);
-    if (!file) {
-        log(LogLevel::Error, part, "Cannot read {}.", settingsFile);
-        return exitUsage;
-    }
-    std::stringstream text;
-    text << file.rdbuf();
-    const auto settings = parseSettings(text.str());
+    const auto settings = readSettingsFile(settingsFile);
     if (!isOk(settings)) {
         for (const auto &fault : error(settings).faults) {
             log(LogLevel::Error, part, "{}: {}", settingsFile, describeFaults({fault}));
@@ -76,7 +69,10 @@
     }
     setLogLevel(value(settings).logLevel);
     blockSignals();
-    return DaemonProcess(value(settings)).run();
+    startEventLog();
+    const int code = DaemonProcess(value(settings), settingsFile).run();
+    stopEventLog();
+    return code;
 }
 
 } // namespace
--- a/src/daemon_process.cpp
+++ b/src/daemon_process.cpp
@@ -1,8 +1,10 @@
 #include "daemon_process_p.h"
 
+#include "base_event_p.h"
 #include "base_log_p.h"
 #include "daemon_admin_p.h"
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -16,21 +18,23 @@
 constexpr Millis flushTime {500}; ///< time for the last messages to leave at a stop
 constexpr int exitCut = 3;
 
-/// @return true when SIGTERM or SIGINT arrived within the interval.
-bool waitForSignal(Millis interval)
+/// @return SIGTERM, SIGINT or SIGHUP when it arrived within the interval, else 0.
+int waitForSignal(Millis interval)
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     const timespec timeout {0, std::chrono::nanoseconds(interval).count()};
-    return sigtimedwait(&signals, nullptr, &timeout) > 0;
+    return std::max(0, sigtimedwait(&signals, nullptr, &timeout));
 }
 
 } // namespace
 
-DaemonProcess::DaemonProcess(ProcessSettings processSettings)
+DaemonProcess::DaemonProcess(ProcessSettings processSettings, std::string file)
     : settings(std::move(processSettings))
+    , settingsFile(std::move(file))
 {
     this->self.name = this->settings.name;
     // Rises with each start as long as the wall clock does not go back by more than the process was down.
@@ -40,6 +44,10 @@
     options.role = this->settings.role;
     options.address = this->settings.peers;
     options.serverThreads = this->settings.busThreads;
+    options.mayLeave = [this](const Payload &payload) {
+        const auto *core = this->running.load();
+        return core == nullptr || core->mayLeave(payload);
+    };
     this->bus = std::make_unique<PeerBus>(options, this->clock, [this] {
         const auto *core = this->running.load();
         return core == nullptr ? 0 : core->configNumber();
@@ -62,6 +70,13 @@
     this->running.store(&this->role->core());
     this->bus->start([core = &this->role->core()](const Incoming &incoming) { core->handle(incoming); });
     this->http->start();
+    this->role->startServers();
+    logEvent(part, "started",
+             {{"name", this->settings.name},
+              {"role", roleName(this->settings.role)},
+              {"incarnation", this->self.incarnation},
+              {"failureDomain", this->settings.failureDomain},
+              {"version", AGATEDRUM_VERSION}});
     log(LogLevel::Info, part, "Started {} as {} (incarnation {}), peers on {}:{}, HTTP on {}:{}.", this->settings.name,
         roleName(this->settings.role), this->self.incarnation, this->settings.peers.host, this->settings.peers.port,
         this->settings.http.host, this->settings.http.port);
@@ -71,29 +86,50 @@
 {
     this->start();
     const auto interval = this->settings.role == wire::Role::OWNER ? ownerTickInterval : tickInterval;
-    while (!waitForSignal(interval)) {
+    int signal = 0;
+    while (signal == 0 || signal == SIGHUP) {
+        if (signal == SIGHUP) {
+            this->reload();
+        }
         this->role->core().tick();
+        signal = waitForSignal(interval);
     }
     return this->stop();
 }
 
+void DaemonProcess::reload()
+{
+    const auto settings = readSettingsFile(this->settingsFile);
+    if (!isOk(settings)) {
+        logEvent(part, "reload_refused", {{"file", this->settingsFile}, {"reason", error(settings).text()}});
+        return;
+    }
+    logEvent(part, "reloaded", {{"file", this->settingsFile}});
+    this->role->reload(value(settings));
+}
+
 int DaemonProcess::stop()
 {
+    logEvent(part, "stopping", {{"name", this->settings.name}});
     log(LogLevel::Info, part, "Stopping {}.", this->settings.name);
     auto &core = this->role->core();
     core.beginStop();
     if (this->settings.role == wire::Role::ENTRY) {
         this->http->beginStop();
     }
+    this->role->beginStop();
     const auto until = this->clock.now() + this->settings.stopTimeout;
     bool isForced = false;
-    while (!isForced && !(core.isDrained() && this->http->openRequests() == 0)) {
+    while (!isForced && !(core.isDrained() && this->http->openRequests() == 0 && this->role->openRequests() == 0)) {
         core.tick();
-        isForced = waitForSignal(tickInterval) || this->clock.now() >= until;
+        const int signal = waitForSignal(tickInterval);
+        isForced = (signal != 0 && signal != SIGHUP) || this->clock.now() >= until;
     }
     this->http->beginStop();
     this->bus->stop(flushTime);
+    this->role->stopServers();
     this->http->stop();
+    logEvent(part, "stopped", {{"name", this->settings.name}, {"cut", isForced}});
     if (isForced) {
         log(LogLevel::Error, part, "Stopped {} before it was done, with {} open HTTP requests; state: {}.",
             this->settings.name, this->http->openRequests(), core.dump().value("counters", nlohmann::json()).dump());
--- a/src/daemon_process_p.h
+++ b/src/daemon_process_p.h
@@ -17,6 +17,16 @@
     virtual ~RoleI() = default;
     virtual CoreI &core() = 0;
     virtual void addRoutes(HttpServer &server) = 0;
+    /// Starts and ends servers of the role's own, beside that of the process.
+    virtual void startServers() { }
+    virtual void beginStop() { }
+    virtual std::size_t openRequests() const
+    {
+        return 0;
+    }
+    virtual void stopServers() { }
+    /// Takes the settings file again. What cannot change while the process runs is left as it is.
+    virtual void reload(const ProcessSettings & /*settings*/) { }
 };
 
 /// Builds the role of the settings. Throws std::runtime_error when its state cannot be read.
@@ -29,7 +39,8 @@
 {
 public:
     /// Throws std::runtime_error when the role's state cannot be read.
-    explicit DaemonProcess(ProcessSettings settings);
+    /// @param settingsFile read again at SIGHUP
+    DaemonProcess(ProcessSettings settings, std::string settingsFile);
     ~DaemonProcess();
     DaemonProcess(const DaemonProcess &) = delete;
     DaemonProcess &operator=(const DaemonProcess &) = delete;
@@ -44,7 +55,10 @@
     void start();
     int stop();
 
+    void reload();
+
     ProcessSettings settings;
+    const std::string settingsFile;
     SystemClock clock;
     wire::ProcessId self;
     std::atomic<CoreI *> running {nullptr};
--- a/src/daemon_roles.cpp
+++ b/src/daemon_roles.cpp
@@ -9,6 +9,7 @@
 #include "entry_api_p.h"
 #include "entry_core_p.h"
 #include "owner_core_p.h"
+#include "platform_roles_p.h"
 
 #include <stdexcept>
 
@@ -137,7 +138,7 @@
 {
 public:
     ControlRole(const ProcessSettings &settings, const wire::ProcessId &self, MessageSinkI &sink, const ClockI &clock)
-        : store(openStore(settings.dataFolder))
+        : store(openControlStore(settings.dataFolder))
         , control(sink, clock, *this->store, controlOptions(settings, self))
     {
     }
@@ -149,14 +150,6 @@
     void addRoutes(HttpServer & /*server*/) override { }
 
 private:
-    static std::unique_ptr<ControlStore> openStore(const std::string &folder)
-    {
-        auto opened = ControlStore::open(folder);
-        if (!isOk(opened)) {
-            throw std::runtime_error(error(opened).text());
-        }
-        return takeValue(std::move(opened));
-    }
     static ControlOptions controlOptions(const ProcessSettings &settings, const wire::ProcessId &self)
     {
         ControlOptions options;
@@ -182,6 +175,9 @@
 std::unique_ptr<RoleI> makeRole(const ProcessSettings &settings, const wire::ProcessId &self, MessageSinkI &sink,
                                 const ClockI &clock)
 {
+    if (settings.isOnPlatform) {
+        return platform::makeRole(settings, self, sink, clock);
+    }
     switch (settings.role) {
     case wire::Role::ENTRY:
         return make<EntryRole>(settings, self, sink, clock);
--- /dev/null
+++ b/src/dispatch_core_p.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "agatedrum/config.h"
+#include "base_core_p.h"
+#include "config_routing_p.h"
+#include "dispatch_admission_p.h"
+#include "dispatch_hosts_p.h"
+#include "dispatch_job_p.h"
+#include "member_link_p.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace agatedrum {
+
+struct DispatchOptions
+{
+    wire::ProcessId self;
+    Millis hostSilent {AGATEDRUM_HOST_SILENT_MS};
+    Millis repeatInterval {AGATEDRUM_HOST_REPEAT_MS};
+    double lateness = 0.0; ///< see Admission
+    double farFactor = 1.0; ///< how much longer a task takes away from its data
+    std::size_t maxJobs = 20000; ///< in flight
+};
+
+/// Places the tasks of best-effort jobs at hosts and answers each job when it has ended. Thread-safe.
+///
+/// Each entry decides alone: the hosts guard the capacity, so entries need not agree, and the loss of one touches only
+/// its own jobs.
+class DispatchCore : public CoreI
+{
+public:
+    /// The references must outlive the core.
+    DispatchCore(MessageSinkI &sink, const ClockI &clock, MemberLink &link, DispatchOptions options);
+
+    /// Takes a job. Precondition: the route comes from routing().
+    /// @param handler called once, on any thread, possibly before this returns
+    void submit(const RouteConfig &route, JobRequest request, JobHandler handler);
+    /// The routing in force; null before the first one.
+    std::shared_ptr<const RoutingConfig> routing() const;
+    /// Sets what is called with each new routing, with the core's lock held.
+    void onRouting(std::function<void(const RoutingConfig &)> listener);
+
+    void handle(const Incoming &incoming) override;
+    void tick() override;
+    nlohmann::json dump() const override;
+    /// True when a configuration is in force and the process does not stop.
+    bool isReady() const override;
+    void beginStop() override;
+    /// True when every job is answered.
+    bool isDrained() const override;
+    std::int64_t configNumber() const override;
+
+private:
+    enum class TaskPhase { Unplaced, Ordered, Taken, Done };
+
+    struct Task
+    {
+        TaskPhase phase = TaskPhase::Unplaced;
+        std::string host; ///< process name, while ordered or taken
+        std::int64_t order = 0;
+        Time orderedAt;
+        int failures = 0;
+        Time retryAt;
+    };
+
+    struct Job
+    {
+        JobRequest request;
+        JobHandler handler;
+        std::string service;
+        int priority = 0;
+        int maxAttempts = 1;
+        Time arrivedAt;
+        Time deadline;
+        Time objective;
+        std::vector<Task> tasks;
+    };
+
+    /// A task whose job has been answered, and which may still run until its host reports the end.
+    struct StoppingTask
+    {
+        std::string job;
+        std::int32_t index = 0;
+        std::string host;
+        Time sentAt;
+        Time since;
+    };
+    using Answers = std::vector<std::pair<JobHandler, JobOutcome>>;
+
+    struct Counters
+    {
+        std::uint64_t submitted = 0;
+        std::uint64_t completed = 0;
+        std::uint64_t failed = 0;
+        std::uint64_t refused = 0;
+        std::uint64_t unfinished = 0;
+        std::uint64_t callersGone = 0;
+        std::uint64_t late = 0;
+        std::uint64_t orders = 0;
+        std::uint64_t tasksRefused = 0;
+        std::uint64_t tasksEnded = 0;
+        std::uint64_t tasksFailed = 0;
+        std::uint64_t hostsLost = 0;
+    };
+
+    void takeView();
+    void apply(const Incoming &incoming, const wire::HostReport &report);
+    void apply(const Incoming &incoming, const wire::TaskReports &message, Answers &answers);
+    void takeReport(const wire::TaskReport &report, const std::string &host, Answers &answers);
+    void takeSuccess(const std::string &id, Job &job, Task &task, Answers &answers);
+    void takeFailure(const std::string &id, Job &job, const wire::TaskReport &report, Answers &answers);
+    /// Places the tasks that wait for a place. @return false when there is no host for one of them now.
+    bool placeUnplaced(const std::string &id, Job &job);
+    void sendOrders(const std::string &id, Job &job, const std::vector<std::int32_t> &indexes);
+    void stopTasks(const std::string &id, Job &job);
+    void sendStops(bool onlyDue);
+    bool isStopPending(const std::string &job, std::int32_t index) const;
+    void end(const std::string &id, JobEnd end, const std::string &reason, Answers &answers, Millis retryAfter = {});
+    void loseHosts(Answers &answers);
+    void checkJobs(Answers &answers);
+    void repeatOrders(const std::string &id, Job &job);
+    static void deliver(const Answers &answers);
+    std::vector<HostChoice> choicesFor(const Job &job) const;
+
+    MessageSinkI &sink;
+    const ClockI &clock;
+    MemberLink &link;
+    const DispatchOptions options;
+    const Admission admission;
+
+    mutable std::mutex mutex;
+    std::shared_ptr<const RoutingConfig> current;
+    std::function<void(const RoutingConfig &)> routingListener;
+    std::map<std::string, Job> jobs; ///< by id
+    std::map<std::int64_t, StoppingTask> stopping; ///< by order
+    DispatchHosts hosts;
+    std::int64_t lastOrder = 0;
+    bool isStopping = false;
+    Counters counters;
+};
+
+} // namespace agatedrum
--- /dev/null
+++ b/src/dispatch_placement.cpp
@@ -0,0 +1,109 @@
+#include "dispatch_placement_p.h"
+
+#include "host_room_p.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace agatedrum {
+
+namespace {
+
+/// A task that fails has to run again, so a failing host counts as slower. Above this share it gets no task while
+/// another host can take it.
+constexpr double highFailureShare = 0.5;
+/// Weight of a host's use against equal ends, so that entries with the same views do not all choose the same host.
+constexpr double useWeight = 0.05;
+
+bool hasLabel(const HostChoice &choice, const std::string &label)
+{
+    return label.empty() || std::find(choice.labels.begin(), choice.labels.end(), label) != choice.labels.end();
+}
+
+int groupCount(const HostChoice &choice, int group)
+{
+    return static_cast<std::size_t>(group) < choice.groupTasks.size()
+        ? choice.groupTasks[static_cast<std::size_t>(group)]
+        : 0;
+}
+
+bool canRun(const TaskRequest &task, const HostChoice &choice)
+{
+    return fits(task.demand, choice.capacity) && hasLabel(choice, task.requiredLabel)
+        && (task.maxPerHost == 0 || groupCount(choice, task.group) < task.maxPerHost);
+}
+
+Micros scaled(Micros time, double factor)
+{
+    return Micros(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
+}
+
+Micros startAt(const TaskRequest &task, const HostChoice &choice)
+{
+    return fits(task.demand, choice.free) ? Micros(0) : choice.startDelay + choice.queuedTime;
+}
+
+double useOf(const HostChoice &choice)
+{
+    return choice.capacity.cpuMillis <= 0
+        ? 1.0
+        : 1.0 - static_cast<double>(choice.free.cpuMillis) / static_cast<double>(choice.capacity.cpuMillis);
+}
+
+/// Adds the task to what the host has to do.
+void occupy(HostChoice &choice, const TaskRequest &task, Micros runTime)
+{
+    if (!fits(task.demand, choice.free)) {
+        const auto share = static_cast<double>(task.demand.cpuMillis) / std::max<double>(1, choice.capacity.cpuMillis);
+        choice.queuedTime += scaled(runTime, share);
+    }
+    choice.free = minus(choice.free, task.demand);
+    choice.groupTasks.resize(std::max(choice.groupTasks.size(), static_cast<std::size_t>(task.group) + 1));
+    ++choice.groupTasks[static_cast<std::size_t>(task.group)];
+}
+
+Placement placeTask(const TaskRequest &task, std::vector<HostChoice> &choices, double farFactor)
+{
+    Placement best;
+    double bestRank = 0;
+    Micros bestRun {0};
+    for (std::size_t i = 0; i < choices.size(); ++i) {
+        const auto &choice = choices[i];
+        if (!canRun(task, choice)) {
+            continue;
+        }
+        const auto run = scaled(task.estimate, choice.slowness * (hasLabel(choice, task.dataRack) ? 1.0 : farFactor));
+        const auto start = startAt(task, choice);
+        const auto repeats = 1.0 / (1.0 - std::min(choice.failureShare, 0.95));
+        const double penalty = choice.failureShare > highFailureShare ? 1e9 : 0;
+        const double rank = penalty + static_cast<double>((start + scaled(run, repeats)).count())
+            + useWeight * std::max(0.0, useOf(choice)) * static_cast<double>(run.count());
+        if (best.host < 0 || rank < bestRank) {
+            best = {static_cast<int>(i), start, start + run};
+            bestRank = rank;
+            bestRun = run;
+        }
+    }
+    if (best.host >= 0) {
+        occupy(choices[static_cast<std::size_t>(best.host)], task, bestRun);
+    }
+    return best;
+}
+
+} // namespace
+
+std::vector<Placement> placeTasks(const std::vector<TaskRequest> &tasks, std::vector<HostChoice> &choices,
+                                  double farFactor)
+{
+    std::vector<std::size_t> order(tasks.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::stable_sort(order.begin(), order.end(),
+                     [&tasks](std::size_t a, std::size_t b) { return tasks[a].estimate > tasks[b].estimate; });
+    std::vector<Placement> placements(tasks.size());
+    for (const auto index : order) {
+        placements[index] = placeTask(tasks[index], choices, farFactor);
+    }
+    return placements;
+}
+
+} // namespace agatedrum
--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -16,13 +16,9 @@
 constexpr std::string_view notLeader = "not-leader";
 constexpr std::string_view unavailable = "unavailable"; // no decision was made; the same file may be sent again
 
-void refuse(const ControlCall &call, const wire::Refusal &refusal)
+void refuse(const ControlReply &reply, const wire::Refusal &refusal)
 {
-    if (const auto *apply = std::get_if<ApplyHandler>(&call.reply)) {
-        (*apply)(refusal);
-    } else {
-        std::get<ControlHandler>(call.reply)(refusal);
-    }
+    std::visit([&refusal](const auto &handler) { handler(refusal); }, reply);
 }
 
 } // namespace
@@ -51,10 +47,10 @@
 {
     const auto now = this->clock.now();
     call.limit = now + this->timeout;
-    const auto refusalCall = ControlCall {{}, call.reply, {}, {}, {}};
+    const auto reply = call.reply;
     const auto id = this->calls.add(std::move(call), now + this->timeout);
     if (id == 0) {
-        refuse(refusalCall,
+        refuse(reply,
                makeRefusal(wire::RefusalCode::QUEUE_FULL, "too many requests wait for the control group", false,
                            silentDelay));
         return;
@@ -127,7 +123,7 @@
             (*apply)(*call.undecided);
             continue;
         }
-        refuse(call,
+        refuse(call.reply,
                makeRefusal(wire::RefusalCode::NONE,
                            "no answer from the control group; outcome unknown, sending again is safe", false));
     }
--- a/src/entry_control_p.h
+++ b/src/entry_control_p.h
@@ -8,11 +8,13 @@
 
 namespace agatedrum {
 
+using ControlReply = std::variant<ApplyHandler, ControlHandler>;
+
 /// One request that waits for the control group's answer.
 struct ControlCall
 {
     std::variant<wire::ApplyConfig, wire::ControlQuery> message;
-    std::variant<ApplyHandler, ControlHandler> reply;
+    ControlReply reply;
     Time limit;
     Time nextSend;
     std::optional<wire::ApplyReply> undecided; ///< the last reply that named no decision
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -146,6 +146,43 @@
   }
 }
 
+int _kTaskPhaseValues[] = {
+  TaskPhase::QUEUED,
+  TaskPhase::RUNNING,
+  TaskPhase::SUCCEEDED,
+  TaskPhase::FAILED,
+  TaskPhase::ENDED,
+  TaskPhase::REFUSED
+};
+const char* _kTaskPhaseNames[] = {
+  "QUEUED",
+  "RUNNING",
+  "SUCCEEDED",
+  "FAILED",
+  "ENDED",
+  "REFUSED"
+};
+const std::map<int, const char*> _TaskPhase_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(6, _kTaskPhaseValues, _kTaskPhaseNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const TaskPhase::type& val) {
+  std::map<int, const char*>::const_iterator it = _TaskPhase_VALUES_TO_NAMES.find(val);
+  if (it != _TaskPhase_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const TaskPhase::type& val) {
+  std::map<int, const char*>::const_iterator it = _TaskPhase_VALUES_TO_NAMES.find(val);
+  if (it != _TaskPhase_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 ProcessId::~ProcessId() noexcept {
 }
@@ -5427,37 +5464,29 @@
 }
 
 
-CellReport::~CellReport() noexcept {
-}
-
-
-void CellReport::__set_cell(const int32_t val) {
-  this->cell = val;
+Resources::~Resources() noexcept {
 }
 
-void CellReport::__set_epoch(const int64_t val) {
-  this->epoch = val;
-}
 
-void CellReport::__set_owned(const bool val) {
-  this->owned = val;
+void Resources::__set_cpuMillis(const int64_t val) {
+  this->cpuMillis = val;
 }
 
-void CellReport::__set_whole(const bool val) {
-  this->whole = val;
+void Resources::__set_memoryMb(const int64_t val) {
+  this->memoryMb = val;
 }
 
-void CellReport::__set_wholeHolders(const std::vector<std::string> & val) {
-  this->wholeHolders = val;
+void Resources::__set_accelerators(const int64_t val) {
+  this->accelerators = val;
 }
-std::ostream& operator<<(std::ostream& out, const CellReport& obj)
+std::ostream& operator<<(std::ostream& out, const Resources& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CellReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Resources::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5479,53 +5508,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->cell);
-          this->__isset.cell = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cpuMillis);
+          this->__isset.cpuMillis = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->epoch);
-          this->__isset.epoch = true;
+          xfer += iprot->readI64(this->memoryMb);
+          this->__isset.memoryMb = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->owned);
-          this->__isset.owned = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->whole);
-          this->__isset.whole = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->wholeHolders.clear();
-            uint32_t _size194;
-            ::apache::thrift::protocol::TType _etype197;
-            xfer += iprot->readListBegin(_etype197, _size194);
-            this->wholeHolders.resize(_size194);
-            uint32_t _i198;
-            for (_i198 = 0; _i198 < _size194; ++_i198)
-            {
-              xfer += iprot->readString(this->wholeHolders[_i198]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.wholeHolders = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->accelerators);
+          this->__isset.accelerators = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5542,37 +5543,21 @@
   return xfer;
 }
 
-uint32_t CellReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Resources::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CellReport");
-
-  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->cell);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->epoch);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Resources");
 
-  xfer += oprot->writeFieldBegin("owned", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->owned);
+  xfer += oprot->writeFieldBegin("cpuMillis", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->cpuMillis);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->whole);
+  xfer += oprot->writeFieldBegin("memoryMb", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->memoryMb);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("wholeHolders", ::apache::thrift::protocol::T_LIST, 5);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wholeHolders.size()));
-    std::vector<std::string> ::const_iterator _iter199;
-    for (_iter199 = this->wholeHolders.begin(); _iter199 != this->wholeHolders.end(); ++_iter199)
-    {
-      xfer += oprot->writeString((*_iter199));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("accelerators", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->accelerators);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5580,110 +5565,109 @@
   return xfer;
 }
 
-void swap(CellReport &a, CellReport &b) {
+void swap(Resources &a, Resources &b) {
   using ::std::swap;
-  swap(a.cell, b.cell);
-  swap(a.epoch, b.epoch);
-  swap(a.owned, b.owned);
-  swap(a.whole, b.whole);
-  swap(a.wholeHolders, b.wholeHolders);
+  swap(a.cpuMillis, b.cpuMillis);
+  swap(a.memoryMb, b.memoryMb);
+  swap(a.accelerators, b.accelerators);
   swap(a.__isset, b.__isset);
 }
 
-CellReport::CellReport(const CellReport& other200) {
-  cell = other200.cell;
-  epoch = other200.epoch;
-  owned = other200.owned;
-  whole = other200.whole;
-  wholeHolders = other200.wholeHolders;
-  __isset = other200.__isset;
-}
-CellReport::CellReport(CellReport&& other201) noexcept {
-  cell = other201.cell;
-  epoch = other201.epoch;
-  owned = other201.owned;
-  whole = other201.whole;
-  wholeHolders = std::move(other201.wholeHolders);
-  __isset = other201.__isset;
-}
-CellReport& CellReport::operator=(const CellReport& other202) {
-  cell = other202.cell;
-  epoch = other202.epoch;
-  owned = other202.owned;
-  whole = other202.whole;
-  wholeHolders = other202.wholeHolders;
-  __isset = other202.__isset;
-  return *this;
-}
-CellReport& CellReport::operator=(CellReport&& other203) noexcept {
-  cell = other203.cell;
-  epoch = other203.epoch;
-  owned = other203.owned;
-  whole = other203.whole;
-  wholeHolders = std::move(other203.wholeHolders);
-  __isset = other203.__isset;
+Resources::Resources(const Resources& other194) noexcept {
+  cpuMillis = other194.cpuMillis;
+  memoryMb = other194.memoryMb;
+  accelerators = other194.accelerators;
+  __isset = other194.__isset;
+}
+Resources::Resources(Resources&& other195) noexcept {
+  cpuMillis = other195.cpuMillis;
+  memoryMb = other195.memoryMb;
+  accelerators = other195.accelerators;
+  __isset = other195.__isset;
+}
+Resources& Resources::operator=(const Resources& other196) noexcept {
+  cpuMillis = other196.cpuMillis;
+  memoryMb = other196.memoryMb;
+  accelerators = other196.accelerators;
+  __isset = other196.__isset;
   return *this;
 }
-void CellReport::printTo(std::ostream& out) const {
+Resources& Resources::operator=(Resources&& other197) noexcept {
+  cpuMillis = other197.cpuMillis;
+  memoryMb = other197.memoryMb;
+  accelerators = other197.accelerators;
+  __isset = other197.__isset;
+  return *this;
+}
+void Resources::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CellReport(";
-  out << "cell=" << to_string(cell);
-  out << ", " << "epoch=" << to_string(epoch);
-  out << ", " << "owned=" << to_string(owned);
-  out << ", " << "whole=" << to_string(whole);
-  out << ", " << "wholeHolders=" << to_string(wholeHolders);
+  out << "Resources(";
+  out << "cpuMillis=" << to_string(cpuMillis);
+  out << ", " << "memoryMb=" << to_string(memoryMb);
+  out << ", " << "accelerators=" << to_string(accelerators);
   out << ")";
 }
 
 
-MemberHeartbeat::~MemberHeartbeat() noexcept {
+HostReport::~HostReport() noexcept {
 }
 
 
-void MemberHeartbeat::__set_role(const Role::type val) {
-  this->role = val;
+void HostReport::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
 }
 
-void MemberHeartbeat::__set_failureDomain(const std::string& val) {
-  this->failureDomain = val;
+void HostReport::__set_server(const std::string& val) {
+  this->server = val;
 }
 
-void MemberHeartbeat::__set_address(const Endpoint& val) {
-  this->address = val;
+void HostReport::__set_accepting(const bool val) {
+  this->accepting = val;
 }
 
-void MemberHeartbeat::__set_sentAtMicros(const int64_t val) {
-  this->sentAtMicros = val;
+void HostReport::__set_capacity(const Resources& val) {
+  this->capacity = val;
 }
 
-void MemberHeartbeat::__set_configNumber(const int64_t val) {
-  this->configNumber = val;
+void HostReport::__set_reserved(const Resources& val) {
+  this->reserved = val;
 }
 
-void MemberHeartbeat::__set_viewVersion(const int64_t val) {
-  this->viewVersion = val;
+void HostReport::__set_startDelayMicros(const int64_t val) {
+  this->startDelayMicros = val;
 }
 
-void MemberHeartbeat::__set_cells(const std::vector<CellReport> & val) {
-  this->cells = val;
+void HostReport::__set_slowness(const double val) {
+  this->slowness = val;
 }
 
-void MemberHeartbeat::__set_leaving(const bool val) {
-  this->leaving = val;
+void HostReport::__set_failureShare(const double val) {
+  this->failureShare = val;
 }
 
-void MemberHeartbeat::__set_server(const ServerInfo& val) {
-  this->server = val;
-__isset.server = true;
+void HostReport::__set_labels(const std::vector<std::string> & val) {
+  this->labels = val;
 }
-std::ostream& operator<<(std::ostream& out, const MemberHeartbeat& obj)
+
+void HostReport::__set_sentAtMicros(const int64_t val) {
+  this->sentAtMicros = val;
+}
+
+void HostReport::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void HostReport::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t MemberHeartbeat::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t HostReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5705,87 +5689,109 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast204;
-          xfer += iprot->readI32(ecast204);
-          this->role = static_cast<Role::type>(ecast204);
-          this->__isset.role = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->failureDomain);
-          this->__isset.failureDomain = true;
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->address.read(iprot);
-          this->__isset.address = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->accepting);
+          this->__isset.accepting = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sentAtMicros);
-          this->__isset.sentAtMicros = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->capacity.read(iprot);
+          this->__isset.capacity = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->configNumber);
-          this->__isset.configNumber = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->reserved.read(iprot);
+          this->__isset.reserved = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->viewVersion);
-          this->__isset.viewVersion = true;
+          xfer += iprot->readI64(this->startDelayMicros);
+          this->__isset.startDelayMicros = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->slowness);
+          this->__isset.slowness = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->failureShare);
+          this->__isset.failureShare = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->cells.clear();
-            uint32_t _size205;
-            ::apache::thrift::protocol::TType _etype208;
-            xfer += iprot->readListBegin(_etype208, _size205);
-            this->cells.resize(_size205);
-            uint32_t _i209;
-            for (_i209 = 0; _i209 < _size205; ++_i209)
+            this->labels.clear();
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _etype201;
+            xfer += iprot->readListBegin(_etype201, _size198);
+            this->labels.resize(_size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
             {
-              xfer += this->cells[_i209].read(iprot);
+              xfer += iprot->readString(this->labels[_i202]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.cells = true;
+          this->__isset.labels = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->leaving);
-          this->__isset.leaving = true;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentAtMicros);
+          this->__isset.sentAtMicros = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->server.read(iprot);
-          this->__isset.server = true;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5802,123 +5808,1836 @@
   return xfer;
 }
 
-uint32_t MemberHeartbeat::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t HostReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("MemberHeartbeat");
+  xfer += oprot->writeStructBegin("HostReport");
 
-  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->role));
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->server);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->address.write(oprot);
+  xfer += oprot->writeFieldBegin("accepting", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->accepting);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sentAtMicros", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->sentAtMicros);
+  xfer += oprot->writeFieldBegin("capacity", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->capacity.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("configNumber", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->configNumber);
+  xfer += oprot->writeFieldBegin("reserved", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->reserved.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("viewVersion", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->viewVersion);
+  xfer += oprot->writeFieldBegin("startDelayMicros", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->startDelayMicros);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 7);
+  xfer += oprot->writeFieldBegin("slowness", ::apache::thrift::protocol::T_DOUBLE, 7);
+  xfer += oprot->writeDouble(this->slowness);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureShare", ::apache::thrift::protocol::T_DOUBLE, 8);
+  xfer += oprot->writeDouble(this->failureShare);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 9);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellReport> ::const_iterator _iter210;
-    for (_iter210 = this->cells.begin(); _iter210 != this->cells.end(); ++_iter210)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
+    std::vector<std::string> ::const_iterator _iter203;
+    for (_iter203 = this->labels.begin(); _iter203 != this->labels.end(); ++_iter203)
     {
-      xfer += (*_iter210).write(oprot);
+      xfer += oprot->writeString((*_iter203));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 8);
-  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldBegin("sentAtMicros", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->sentAtMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.server) {
-    xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRUCT, 9);
-    xfer += this->server.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(MemberHeartbeat &a, MemberHeartbeat &b) {
+void swap(HostReport &a, HostReport &b) {
   using ::std::swap;
-  swap(a.role, b.role);
-  swap(a.failureDomain, b.failureDomain);
-  swap(a.address, b.address);
-  swap(a.sentAtMicros, b.sentAtMicros);
-  swap(a.configNumber, b.configNumber);
-  swap(a.viewVersion, b.viewVersion);
-  swap(a.cells, b.cells);
-  swap(a.leaving, b.leaving);
+  swap(a.serviceName, b.serviceName);
   swap(a.server, b.server);
+  swap(a.accepting, b.accepting);
+  swap(a.capacity, b.capacity);
+  swap(a.reserved, b.reserved);
+  swap(a.startDelayMicros, b.startDelayMicros);
+  swap(a.slowness, b.slowness);
+  swap(a.failureShare, b.failureShare);
+  swap(a.labels, b.labels);
+  swap(a.sentAtMicros, b.sentAtMicros);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.sequence, b.sequence);
   swap(a.__isset, b.__isset);
 }
 
-MemberHeartbeat::MemberHeartbeat(const MemberHeartbeat& other211) {
-  role = other211.role;
-  failureDomain = other211.failureDomain;
-  address = other211.address;
-  sentAtMicros = other211.sentAtMicros;
-  configNumber = other211.configNumber;
-  viewVersion = other211.viewVersion;
-  cells = other211.cells;
-  leaving = other211.leaving;
-  server = other211.server;
-  __isset = other211.__isset;
+HostReport::HostReport(const HostReport& other204) {
+  serviceName = other204.serviceName;
+  server = other204.server;
+  accepting = other204.accepting;
+  capacity = other204.capacity;
+  reserved = other204.reserved;
+  startDelayMicros = other204.startDelayMicros;
+  slowness = other204.slowness;
+  failureShare = other204.failureShare;
+  labels = other204.labels;
+  sentAtMicros = other204.sentAtMicros;
+  failureDomain = other204.failureDomain;
+  sequence = other204.sequence;
+  __isset = other204.__isset;
+}
+HostReport::HostReport(HostReport&& other205) noexcept {
+  serviceName = std::move(other205.serviceName);
+  server = std::move(other205.server);
+  accepting = other205.accepting;
+  capacity = std::move(other205.capacity);
+  reserved = std::move(other205.reserved);
+  startDelayMicros = other205.startDelayMicros;
+  slowness = other205.slowness;
+  failureShare = other205.failureShare;
+  labels = std::move(other205.labels);
+  sentAtMicros = other205.sentAtMicros;
+  failureDomain = std::move(other205.failureDomain);
+  sequence = other205.sequence;
+  __isset = other205.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other206) {
+  serviceName = other206.serviceName;
+  server = other206.server;
+  accepting = other206.accepting;
+  capacity = other206.capacity;
+  reserved = other206.reserved;
+  startDelayMicros = other206.startDelayMicros;
+  slowness = other206.slowness;
+  failureShare = other206.failureShare;
+  labels = other206.labels;
+  sentAtMicros = other206.sentAtMicros;
+  failureDomain = other206.failureDomain;
+  sequence = other206.sequence;
+  __isset = other206.__isset;
+  return *this;
+}
+HostReport& HostReport::operator=(HostReport&& other207) noexcept {
+  serviceName = std::move(other207.serviceName);
+  server = std::move(other207.server);
+  accepting = other207.accepting;
+  capacity = std::move(other207.capacity);
+  reserved = std::move(other207.reserved);
+  startDelayMicros = other207.startDelayMicros;
+  slowness = other207.slowness;
+  failureShare = other207.failureShare;
+  labels = std::move(other207.labels);
+  sentAtMicros = other207.sentAtMicros;
+  failureDomain = std::move(other207.failureDomain);
+  sequence = other207.sequence;
+  __isset = other207.__isset;
+  return *this;
+}
+void HostReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostReport(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "accepting=" << to_string(accepting);
+  out << ", " << "capacity=" << to_string(capacity);
+  out << ", " << "reserved=" << to_string(reserved);
+  out << ", " << "startDelayMicros=" << to_string(startDelayMicros);
+  out << ", " << "slowness=" << to_string(slowness);
+  out << ", " << "failureShare=" << to_string(failureShare);
+  out << ", " << "labels=" << to_string(labels);
+  out << ", " << "sentAtMicros=" << to_string(sentAtMicros);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ")";
 }
-MemberHeartbeat::MemberHeartbeat(MemberHeartbeat&& other212) noexcept {
-  role = other212.role;
-  failureDomain = std::move(other212.failureDomain);
-  address = std::move(other212.address);
-  sentAtMicros = other212.sentAtMicros;
-  configNumber = other212.configNumber;
-  viewVersion = other212.viewVersion;
-  cells = std::move(other212.cells);
-  leaving = other212.leaving;
-  server = std::move(other212.server);
-  __isset = other212.__isset;
+
+
+HostContact::~HostContact() noexcept {
+}
+
+
+void HostContact::__set_hostIncarnation(const int64_t val) {
+  this->hostIncarnation = val;
+}
+
+void HostContact::__set_heardAtMicros(const int64_t val) {
+  this->heardAtMicros = val;
+}
+
+void HostContact::__set_reportsSeen(const int64_t val) {
+  this->reportsSeen = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostContact& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HostContact::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hostIncarnation);
+          this->__isset.hostIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heardAtMicros);
+          this->__isset.heardAtMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reportsSeen);
+          this->__isset.reportsSeen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HostContact::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostContact");
+
+  xfer += oprot->writeFieldBegin("hostIncarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->hostIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heardAtMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->heardAtMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reportsSeen", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->reportsSeen);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HostContact &a, HostContact &b) {
+  using ::std::swap;
+  swap(a.hostIncarnation, b.hostIncarnation);
+  swap(a.heardAtMicros, b.heardAtMicros);
+  swap(a.reportsSeen, b.reportsSeen);
+  swap(a.__isset, b.__isset);
+}
+
+HostContact::HostContact(const HostContact& other208) noexcept {
+  hostIncarnation = other208.hostIncarnation;
+  heardAtMicros = other208.heardAtMicros;
+  reportsSeen = other208.reportsSeen;
+  __isset = other208.__isset;
+}
+HostContact::HostContact(HostContact&& other209) noexcept {
+  hostIncarnation = other209.hostIncarnation;
+  heardAtMicros = other209.heardAtMicros;
+  reportsSeen = other209.reportsSeen;
+  __isset = other209.__isset;
+}
+HostContact& HostContact::operator=(const HostContact& other210) noexcept {
+  hostIncarnation = other210.hostIncarnation;
+  heardAtMicros = other210.heardAtMicros;
+  reportsSeen = other210.reportsSeen;
+  __isset = other210.__isset;
+  return *this;
+}
+HostContact& HostContact::operator=(HostContact&& other211) noexcept {
+  hostIncarnation = other211.hostIncarnation;
+  heardAtMicros = other211.heardAtMicros;
+  reportsSeen = other211.reportsSeen;
+  __isset = other211.__isset;
+  return *this;
+}
+void HostContact::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostContact(";
+  out << "hostIncarnation=" << to_string(hostIncarnation);
+  out << ", " << "heardAtMicros=" << to_string(heardAtMicros);
+  out << ", " << "reportsSeen=" << to_string(reportsSeen);
+  out << ")";
+}
+
+
+TaskOrder::~TaskOrder() noexcept {
+}
+
+
+void TaskOrder::__set_index(const int32_t val) {
+  this->index = val;
+}
+
+void TaskOrder::__set_order(const int64_t val) {
+  this->order = val;
+}
+
+void TaskOrder::__set_demand(const Resources& val) {
+  this->demand = val;
+}
+
+void TaskOrder::__set_estimateMicros(const int64_t val) {
+  this->estimateMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const TaskOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TaskOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->demand.read(iprot);
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->estimateMicros);
+          this->__isset.estimateMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TaskOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TaskOrder");
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->demand.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("estimateMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->estimateMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TaskOrder &a, TaskOrder &b) {
+  using ::std::swap;
+  swap(a.index, b.index);
+  swap(a.order, b.order);
+  swap(a.demand, b.demand);
+  swap(a.estimateMicros, b.estimateMicros);
+  swap(a.__isset, b.__isset);
+}
+
+TaskOrder::TaskOrder(const TaskOrder& other212) noexcept {
+  index = other212.index;
+  order = other212.order;
+  demand = other212.demand;
+  estimateMicros = other212.estimateMicros;
+  __isset = other212.__isset;
+}
+TaskOrder::TaskOrder(TaskOrder&& other213) noexcept {
+  index = other213.index;
+  order = other213.order;
+  demand = std::move(other213.demand);
+  estimateMicros = other213.estimateMicros;
+  __isset = other213.__isset;
+}
+TaskOrder& TaskOrder::operator=(const TaskOrder& other214) noexcept {
+  index = other214.index;
+  order = other214.order;
+  demand = other214.demand;
+  estimateMicros = other214.estimateMicros;
+  __isset = other214.__isset;
+  return *this;
+}
+TaskOrder& TaskOrder::operator=(TaskOrder&& other215) noexcept {
+  index = other215.index;
+  order = other215.order;
+  demand = std::move(other215.demand);
+  estimateMicros = other215.estimateMicros;
+  __isset = other215.__isset;
+  return *this;
+}
+void TaskOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TaskOrder(";
+  out << "index=" << to_string(index);
+  out << ", " << "order=" << to_string(order);
+  out << ", " << "demand=" << to_string(demand);
+  out << ", " << "estimateMicros=" << to_string(estimateMicros);
+  out << ")";
+}
+
+
+RunTasks::~RunTasks() noexcept {
+}
+
+
+void RunTasks::__set_hostIncarnation(const int64_t val) {
+  this->hostIncarnation = val;
+}
+
+void RunTasks::__set_heardAtMicros(const int64_t val) {
+  this->heardAtMicros = val;
+}
+
+void RunTasks::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void RunTasks::__set_spec(const std::string& val) {
+  this->spec = val;
+}
+
+void RunTasks::__set_startWithinMicros(const int64_t val) {
+  this->startWithinMicros = val;
+}
+
+void RunTasks::__set_timeLeftMicros(const int64_t val) {
+  this->timeLeftMicros = val;
+}
+
+void RunTasks::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void RunTasks::__set_orders(const std::vector<TaskOrder> & val) {
+  this->orders = val;
+}
+
+void RunTasks::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void RunTasks::__set_reportsSeen(const int64_t val) {
+  this->reportsSeen = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunTasks& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunTasks::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hostIncarnation);
+          this->__isset.hostIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heardAtMicros);
+          this->__isset.heardAtMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->spec);
+          this->__isset.spec = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startWithinMicros);
+          this->__isset.startWithinMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->timeLeftMicros);
+          this->__isset.timeLeftMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->orders.clear();
+            uint32_t _size216;
+            ::apache::thrift::protocol::TType _etype219;
+            xfer += iprot->readListBegin(_etype219, _size216);
+            this->orders.resize(_size216);
+            uint32_t _i220;
+            for (_i220 = 0; _i220 < _size216; ++_i220)
+            {
+              xfer += this->orders[_i220].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.orders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reportsSeen);
+          this->__isset.reportsSeen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunTasks::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunTasks");
+
+  xfer += oprot->writeFieldBegin("hostIncarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->hostIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heardAtMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->heardAtMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("spec", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->spec);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startWithinMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->startWithinMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timeLeftMicros", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->timeLeftMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
+    std::vector<TaskOrder> ::const_iterator _iter221;
+    for (_iter221 = this->orders.begin(); _iter221 != this->orders.end(); ++_iter221)
+    {
+      xfer += (*_iter221).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reportsSeen", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->reportsSeen);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunTasks &a, RunTasks &b) {
+  using ::std::swap;
+  swap(a.hostIncarnation, b.hostIncarnation);
+  swap(a.heardAtMicros, b.heardAtMicros);
+  swap(a.job, b.job);
+  swap(a.spec, b.spec);
+  swap(a.startWithinMicros, b.startWithinMicros);
+  swap(a.timeLeftMicros, b.timeLeftMicros);
+  swap(a.priority, b.priority);
+  swap(a.orders, b.orders);
+  swap(a.serviceName, b.serviceName);
+  swap(a.reportsSeen, b.reportsSeen);
+  swap(a.__isset, b.__isset);
+}
+
+RunTasks::RunTasks(const RunTasks& other222) {
+  hostIncarnation = other222.hostIncarnation;
+  heardAtMicros = other222.heardAtMicros;
+  job = other222.job;
+  spec = other222.spec;
+  startWithinMicros = other222.startWithinMicros;
+  timeLeftMicros = other222.timeLeftMicros;
+  priority = other222.priority;
+  orders = other222.orders;
+  serviceName = other222.serviceName;
+  reportsSeen = other222.reportsSeen;
+  __isset = other222.__isset;
+}
+RunTasks::RunTasks(RunTasks&& other223) noexcept {
+  hostIncarnation = other223.hostIncarnation;
+  heardAtMicros = other223.heardAtMicros;
+  job = std::move(other223.job);
+  spec = std::move(other223.spec);
+  startWithinMicros = other223.startWithinMicros;
+  timeLeftMicros = other223.timeLeftMicros;
+  priority = other223.priority;
+  orders = std::move(other223.orders);
+  serviceName = std::move(other223.serviceName);
+  reportsSeen = other223.reportsSeen;
+  __isset = other223.__isset;
+}
+RunTasks& RunTasks::operator=(const RunTasks& other224) {
+  hostIncarnation = other224.hostIncarnation;
+  heardAtMicros = other224.heardAtMicros;
+  job = other224.job;
+  spec = other224.spec;
+  startWithinMicros = other224.startWithinMicros;
+  timeLeftMicros = other224.timeLeftMicros;
+  priority = other224.priority;
+  orders = other224.orders;
+  serviceName = other224.serviceName;
+  reportsSeen = other224.reportsSeen;
+  __isset = other224.__isset;
+  return *this;
+}
+RunTasks& RunTasks::operator=(RunTasks&& other225) noexcept {
+  hostIncarnation = other225.hostIncarnation;
+  heardAtMicros = other225.heardAtMicros;
+  job = std::move(other225.job);
+  spec = std::move(other225.spec);
+  startWithinMicros = other225.startWithinMicros;
+  timeLeftMicros = other225.timeLeftMicros;
+  priority = other225.priority;
+  orders = std::move(other225.orders);
+  serviceName = std::move(other225.serviceName);
+  reportsSeen = other225.reportsSeen;
+  __isset = other225.__isset;
+  return *this;
+}
+void RunTasks::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunTasks(";
+  out << "hostIncarnation=" << to_string(hostIncarnation);
+  out << ", " << "heardAtMicros=" << to_string(heardAtMicros);
+  out << ", " << "job=" << to_string(job);
+  out << ", " << "spec=" << to_string(spec);
+  out << ", " << "startWithinMicros=" << to_string(startWithinMicros);
+  out << ", " << "timeLeftMicros=" << to_string(timeLeftMicros);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "orders=" << to_string(orders);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "reportsSeen=" << to_string(reportsSeen);
+  out << ")";
+}
+
+
+StopTasks::~StopTasks() noexcept {
+}
+
+
+void StopTasks::__set_hostIncarnation(const int64_t val) {
+  this->hostIncarnation = val;
+}
+
+void StopTasks::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void StopTasks::__set_indexes(const std::vector<int32_t> & val) {
+  this->indexes = val;
+}
+std::ostream& operator<<(std::ostream& out, const StopTasks& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StopTasks::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hostIncarnation);
+          this->__isset.hostIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->indexes.clear();
+            uint32_t _size226;
+            ::apache::thrift::protocol::TType _etype229;
+            xfer += iprot->readListBegin(_etype229, _size226);
+            this->indexes.resize(_size226);
+            uint32_t _i230;
+            for (_i230 = 0; _i230 < _size226; ++_i230)
+            {
+              xfer += iprot->readI32(this->indexes[_i230]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.indexes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StopTasks::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StopTasks");
+
+  xfer += oprot->writeFieldBegin("hostIncarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->hostIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("indexes", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->indexes.size()));
+    std::vector<int32_t> ::const_iterator _iter231;
+    for (_iter231 = this->indexes.begin(); _iter231 != this->indexes.end(); ++_iter231)
+    {
+      xfer += oprot->writeI32((*_iter231));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StopTasks &a, StopTasks &b) {
+  using ::std::swap;
+  swap(a.hostIncarnation, b.hostIncarnation);
+  swap(a.job, b.job);
+  swap(a.indexes, b.indexes);
+  swap(a.__isset, b.__isset);
+}
+
+StopTasks::StopTasks(const StopTasks& other232) {
+  hostIncarnation = other232.hostIncarnation;
+  job = other232.job;
+  indexes = other232.indexes;
+  __isset = other232.__isset;
+}
+StopTasks::StopTasks(StopTasks&& other233) noexcept {
+  hostIncarnation = other233.hostIncarnation;
+  job = std::move(other233.job);
+  indexes = std::move(other233.indexes);
+  __isset = other233.__isset;
+}
+StopTasks& StopTasks::operator=(const StopTasks& other234) {
+  hostIncarnation = other234.hostIncarnation;
+  job = other234.job;
+  indexes = other234.indexes;
+  __isset = other234.__isset;
+  return *this;
+}
+StopTasks& StopTasks::operator=(StopTasks&& other235) noexcept {
+  hostIncarnation = other235.hostIncarnation;
+  job = std::move(other235.job);
+  indexes = std::move(other235.indexes);
+  __isset = other235.__isset;
+  return *this;
+}
+void StopTasks::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StopTasks(";
+  out << "hostIncarnation=" << to_string(hostIncarnation);
+  out << ", " << "job=" << to_string(job);
+  out << ", " << "indexes=" << to_string(indexes);
+  out << ")";
+}
+
+
+TaskReport::~TaskReport() noexcept {
+}
+
+
+void TaskReport::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void TaskReport::__set_index(const int32_t val) {
+  this->index = val;
+}
+
+void TaskReport::__set_order(const int64_t val) {
+  this->order = val;
+}
+
+void TaskReport::__set_phase(const TaskPhase::type val) {
+  this->phase = val;
+}
+
+void TaskReport::__set_runMicros(const int64_t val) {
+  this->runMicros = val;
+}
+
+void TaskReport::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+
+void TaskReport::__set_number(const int64_t val) {
+  this->number = val;
+}
+std::ostream& operator<<(std::ostream& out, const TaskReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TaskReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast236;
+          xfer += iprot->readI32(ecast236);
+          this->phase = static_cast<TaskPhase::type>(ecast236);
+          this->__isset.phase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->runMicros);
+          this->__isset.runMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TaskReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TaskReport");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->phase));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("runMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->runMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TaskReport &a, TaskReport &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.index, b.index);
+  swap(a.order, b.order);
+  swap(a.phase, b.phase);
+  swap(a.runMicros, b.runMicros);
+  swap(a.reason, b.reason);
+  swap(a.number, b.number);
+  swap(a.__isset, b.__isset);
+}
+
+TaskReport::TaskReport(const TaskReport& other237) {
+  job = other237.job;
+  index = other237.index;
+  order = other237.order;
+  phase = other237.phase;
+  runMicros = other237.runMicros;
+  reason = other237.reason;
+  number = other237.number;
+  __isset = other237.__isset;
+}
+TaskReport::TaskReport(TaskReport&& other238) noexcept {
+  job = std::move(other238.job);
+  index = other238.index;
+  order = other238.order;
+  phase = other238.phase;
+  runMicros = other238.runMicros;
+  reason = std::move(other238.reason);
+  number = other238.number;
+  __isset = other238.__isset;
+}
+TaskReport& TaskReport::operator=(const TaskReport& other239) {
+  job = other239.job;
+  index = other239.index;
+  order = other239.order;
+  phase = other239.phase;
+  runMicros = other239.runMicros;
+  reason = other239.reason;
+  number = other239.number;
+  __isset = other239.__isset;
+  return *this;
+}
+TaskReport& TaskReport::operator=(TaskReport&& other240) noexcept {
+  job = std::move(other240.job);
+  index = other240.index;
+  order = other240.order;
+  phase = other240.phase;
+  runMicros = other240.runMicros;
+  reason = std::move(other240.reason);
+  number = other240.number;
+  __isset = other240.__isset;
+  return *this;
+}
+void TaskReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TaskReport(";
+  out << "job=" << to_string(job);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "order=" << to_string(order);
+  out << ", " << "phase=" << to_string(phase);
+  out << ", " << "runMicros=" << to_string(runMicros);
+  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "number=" << to_string(number);
+  out << ")";
+}
+
+
+TaskReports::~TaskReports() noexcept {
+}
+
+
+void TaskReports::__set_reports(const std::vector<TaskReport> & val) {
+  this->reports = val;
+}
+
+void TaskReports::__set_host(const HostReport& val) {
+  this->host = val;
+}
+std::ostream& operator<<(std::ostream& out, const TaskReports& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TaskReports::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->reports.clear();
+            uint32_t _size241;
+            ::apache::thrift::protocol::TType _etype244;
+            xfer += iprot->readListBegin(_etype244, _size241);
+            this->reports.resize(_size241);
+            uint32_t _i245;
+            for (_i245 = 0; _i245 < _size241; ++_i245)
+            {
+              xfer += this->reports[_i245].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.reports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->host.read(iprot);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TaskReports::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TaskReports");
+
+  xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
+    std::vector<TaskReport> ::const_iterator _iter246;
+    for (_iter246 = this->reports.begin(); _iter246 != this->reports.end(); ++_iter246)
+    {
+      xfer += (*_iter246).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->host.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TaskReports &a, TaskReports &b) {
+  using ::std::swap;
+  swap(a.reports, b.reports);
+  swap(a.host, b.host);
+  swap(a.__isset, b.__isset);
+}
+
+TaskReports::TaskReports(const TaskReports& other247) {
+  reports = other247.reports;
+  host = other247.host;
+  __isset = other247.__isset;
+}
+TaskReports::TaskReports(TaskReports&& other248) noexcept {
+  reports = std::move(other248.reports);
+  host = std::move(other248.host);
+  __isset = other248.__isset;
+}
+TaskReports& TaskReports::operator=(const TaskReports& other249) {
+  reports = other249.reports;
+  host = other249.host;
+  __isset = other249.__isset;
+  return *this;
+}
+TaskReports& TaskReports::operator=(TaskReports&& other250) noexcept {
+  reports = std::move(other250.reports);
+  host = std::move(other250.host);
+  __isset = other250.__isset;
+  return *this;
+}
+void TaskReports::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TaskReports(";
+  out << "reports=" << to_string(reports);
+  out << ", " << "host=" << to_string(host);
+  out << ")";
+}
+
+
+CellReport::~CellReport() noexcept {
+}
+
+
+void CellReport::__set_cell(const int32_t val) {
+  this->cell = val;
+}
+
+void CellReport::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void CellReport::__set_owned(const bool val) {
+  this->owned = val;
+}
+
+void CellReport::__set_whole(const bool val) {
+  this->whole = val;
+}
+
+void CellReport::__set_wholeHolders(const std::vector<std::string> & val) {
+  this->wholeHolders = val;
+}
+std::ostream& operator<<(std::ostream& out, const CellReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CellReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cell);
+          this->__isset.cell = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->owned);
+          this->__isset.owned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          this->__isset.whole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->wholeHolders.clear();
+            uint32_t _size251;
+            ::apache::thrift::protocol::TType _etype254;
+            xfer += iprot->readListBegin(_etype254, _size251);
+            this->wholeHolders.resize(_size251);
+            uint32_t _i255;
+            for (_i255 = 0; _i255 < _size251; ++_i255)
+            {
+              xfer += iprot->readString(this->wholeHolders[_i255]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.wholeHolders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CellReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CellReport");
+
+  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->cell);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("owned", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->owned);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->whole);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wholeHolders", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wholeHolders.size()));
+    std::vector<std::string> ::const_iterator _iter256;
+    for (_iter256 = this->wholeHolders.begin(); _iter256 != this->wholeHolders.end(); ++_iter256)
+    {
+      xfer += oprot->writeString((*_iter256));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CellReport &a, CellReport &b) {
+  using ::std::swap;
+  swap(a.cell, b.cell);
+  swap(a.epoch, b.epoch);
+  swap(a.owned, b.owned);
+  swap(a.whole, b.whole);
+  swap(a.wholeHolders, b.wholeHolders);
+  swap(a.__isset, b.__isset);
+}
+
+CellReport::CellReport(const CellReport& other257) {
+  cell = other257.cell;
+  epoch = other257.epoch;
+  owned = other257.owned;
+  whole = other257.whole;
+  wholeHolders = other257.wholeHolders;
+  __isset = other257.__isset;
+}
+CellReport::CellReport(CellReport&& other258) noexcept {
+  cell = other258.cell;
+  epoch = other258.epoch;
+  owned = other258.owned;
+  whole = other258.whole;
+  wholeHolders = std::move(other258.wholeHolders);
+  __isset = other258.__isset;
+}
+CellReport& CellReport::operator=(const CellReport& other259) {
+  cell = other259.cell;
+  epoch = other259.epoch;
+  owned = other259.owned;
+  whole = other259.whole;
+  wholeHolders = other259.wholeHolders;
+  __isset = other259.__isset;
+  return *this;
+}
+CellReport& CellReport::operator=(CellReport&& other260) noexcept {
+  cell = other260.cell;
+  epoch = other260.epoch;
+  owned = other260.owned;
+  whole = other260.whole;
+  wholeHolders = std::move(other260.wholeHolders);
+  __isset = other260.__isset;
+  return *this;
+}
+void CellReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CellReport(";
+  out << "cell=" << to_string(cell);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "owned=" << to_string(owned);
+  out << ", " << "whole=" << to_string(whole);
+  out << ", " << "wholeHolders=" << to_string(wholeHolders);
+  out << ")";
+}
+
+
+MemberHeartbeat::~MemberHeartbeat() noexcept {
+}
+
+
+void MemberHeartbeat::__set_role(const Role::type val) {
+  this->role = val;
+}
+
+void MemberHeartbeat::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void MemberHeartbeat::__set_address(const Endpoint& val) {
+  this->address = val;
+}
+
+void MemberHeartbeat::__set_sentAtMicros(const int64_t val) {
+  this->sentAtMicros = val;
+}
+
+void MemberHeartbeat::__set_configNumber(const int64_t val) {
+  this->configNumber = val;
+}
+
+void MemberHeartbeat::__set_viewVersion(const int64_t val) {
+  this->viewVersion = val;
+}
+
+void MemberHeartbeat::__set_cells(const std::vector<CellReport> & val) {
+  this->cells = val;
+}
+
+void MemberHeartbeat::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void MemberHeartbeat::__set_server(const ServerInfo& val) {
+  this->server = val;
+__isset.server = true;
+}
+std::ostream& operator<<(std::ostream& out, const MemberHeartbeat& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MemberHeartbeat::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast261;
+          xfer += iprot->readI32(ecast261);
+          this->role = static_cast<Role::type>(ecast261);
+          this->__isset.role = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->address.read(iprot);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentAtMicros);
+          this->__isset.sentAtMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configNumber);
+          this->__isset.configNumber = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->viewVersion);
+          this->__isset.viewVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cells.clear();
+            uint32_t _size262;
+            ::apache::thrift::protocol::TType _etype265;
+            xfer += iprot->readListBegin(_etype265, _size262);
+            this->cells.resize(_size262);
+            uint32_t _i266;
+            for (_i266 = 0; _i266 < _size262; ++_i266)
+            {
+              xfer += this->cells[_i266].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cells = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->server.read(iprot);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t MemberHeartbeat::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MemberHeartbeat");
+
+  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->role));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->address.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentAtMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sentAtMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configNumber", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->configNumber);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("viewVersion", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->viewVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
+    std::vector<CellReport> ::const_iterator _iter267;
+    for (_iter267 = this->cells.begin(); _iter267 != this->cells.end(); ++_iter267)
+    {
+      xfer += (*_iter267).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.server) {
+    xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->server.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
-MemberHeartbeat& MemberHeartbeat::operator=(const MemberHeartbeat& other213) {
-  role = other213.role;
-  failureDomain = other213.failureDomain;
-  address = other213.address;
-  sentAtMicros = other213.sentAtMicros;
-  configNumber = other213.configNumber;
-  viewVersion = other213.viewVersion;
-  cells = other213.cells;
-  leaving = other213.leaving;
-  server = other213.server;
-  __isset = other213.__isset;
+
+void swap(MemberHeartbeat &a, MemberHeartbeat &b) {
+  using ::std::swap;
+  swap(a.role, b.role);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.address, b.address);
+  swap(a.sentAtMicros, b.sentAtMicros);
+  swap(a.configNumber, b.configNumber);
+  swap(a.viewVersion, b.viewVersion);
+  swap(a.cells, b.cells);
+  swap(a.leaving, b.leaving);
+  swap(a.server, b.server);
+  swap(a.__isset, b.__isset);
+}
+
+MemberHeartbeat::MemberHeartbeat(const MemberHeartbeat& other268) {
+  role = other268.role;
+  failureDomain = other268.failureDomain;
+  address = other268.address;
+  sentAtMicros = other268.sentAtMicros;
+  configNumber = other268.configNumber;
+  viewVersion = other268.viewVersion;
+  cells = other268.cells;
+  leaving = other268.leaving;
+  server = other268.server;
+  __isset = other268.__isset;
+}
+MemberHeartbeat::MemberHeartbeat(MemberHeartbeat&& other269) noexcept {
+  role = other269.role;
+  failureDomain = std::move(other269.failureDomain);
+  address = std::move(other269.address);
+  sentAtMicros = other269.sentAtMicros;
+  configNumber = other269.configNumber;
+  viewVersion = other269.viewVersion;
+  cells = std::move(other269.cells);
+  leaving = other269.leaving;
+  server = std::move(other269.server);
+  __isset = other269.__isset;
+}
+MemberHeartbeat& MemberHeartbeat::operator=(const MemberHeartbeat& other270) {
+  role = other270.role;
+  failureDomain = other270.failureDomain;
+  address = other270.address;
+  sentAtMicros = other270.sentAtMicros;
+  configNumber = other270.configNumber;
+  viewVersion = other270.viewVersion;
+  cells = other270.cells;
+  leaving = other270.leaving;
+  server = other270.server;
+  __isset = other270.__isset;
   return *this;
 }
-MemberHeartbeat& MemberHeartbeat::operator=(MemberHeartbeat&& other214) noexcept {
-  role = other214.role;
-  failureDomain = std::move(other214.failureDomain);
-  address = std::move(other214.address);
-  sentAtMicros = other214.sentAtMicros;
-  configNumber = other214.configNumber;
-  viewVersion = other214.viewVersion;
-  cells = std::move(other214.cells);
-  leaving = other214.leaving;
-  server = std::move(other214.server);
-  __isset = other214.__isset;
+MemberHeartbeat& MemberHeartbeat::operator=(MemberHeartbeat&& other271) noexcept {
+  role = other271.role;
+  failureDomain = std::move(other271.failureDomain);
+  address = std::move(other271.address);
+  sentAtMicros = other271.sentAtMicros;
+  configNumber = other271.configNumber;
+  viewVersion = other271.viewVersion;
+  cells = std::move(other271.cells);
+  leaving = other271.leaving;
+  server = std::move(other271.server);
+  __isset = other271.__isset;
   return *this;
 }
 void MemberHeartbeat::printTo(std::ostream& out) const {
@@ -5937,6 +7656,129 @@
 }
 
 
+ControlEndpoint::~ControlEndpoint() noexcept {
+}
+
+
+void ControlEndpoint::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void ControlEndpoint::__set_address(const Endpoint& val) {
+  this->address = val;
+}
+std::ostream& operator<<(std::ostream& out, const ControlEndpoint& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ControlEndpoint::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->address.read(iprot);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlEndpoint::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlEndpoint");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->address.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ControlEndpoint &a, ControlEndpoint &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.address, b.address);
+  swap(a.__isset, b.__isset);
+}
+
+ControlEndpoint::ControlEndpoint(const ControlEndpoint& other272) {
+  name = other272.name;
+  address = other272.address;
+  __isset = other272.__isset;
+}
+ControlEndpoint::ControlEndpoint(ControlEndpoint&& other273) noexcept {
+  name = std::move(other273.name);
+  address = std::move(other273.address);
+  __isset = other273.__isset;
+}
+ControlEndpoint& ControlEndpoint::operator=(const ControlEndpoint& other274) {
+  name = other274.name;
+  address = other274.address;
+  __isset = other274.__isset;
+  return *this;
+}
+ControlEndpoint& ControlEndpoint::operator=(ControlEndpoint&& other275) noexcept {
+  name = std::move(other275.name);
+  address = std::move(other275.address);
+  __isset = other275.__isset;
+  return *this;
+}
+void ControlEndpoint::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ControlEndpoint(";
+  out << "name=" << to_string(name);
+  out << ", " << "address=" << to_string(address);
+  out << ")";
+}
+
+
 HeartbeatReply::~HeartbeatReply() noexcept {
 }
 
@@ -5960,6 +7802,10 @@
 void HeartbeatReply::__set_term(const int64_t val) {
   this->term = val;
 }
+
+void HeartbeatReply::__set_group(const std::vector<ControlEndpoint> & val) {
+  this->group = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -6028,6 +7874,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->group.clear();
+            uint32_t _size276;
+            ::apache::thrift::protocol::TType _etype279;
+            xfer += iprot->readListBegin(_etype279, _size276);
+            this->group.resize(_size276);
+            uint32_t _i280;
+            for (_i280 = 0; _i280 < _size276; ++_i280)
+            {
+              xfer += this->group[_i280].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6065,6 +7931,18 @@
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->group.size()));
+    std::vector<ControlEndpoint> ::const_iterator _iter281;
+    for (_iter281 = this->group.begin(); _iter281 != this->group.end(); ++_iter281)
+    {
+      xfer += (*_iter281).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6077,41 +7955,46 @@
   swap(a.leader, b.leader);
   swap(a.viewVersion, b.viewVersion);
   swap(a.term, b.term);
+  swap(a.group, b.group);
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other215) {
-  sentAtMicros = other215.sentAtMicros;
-  accepted = other215.accepted;
-  leader = other215.leader;
-  viewVersion = other215.viewVersion;
-  term = other215.term;
-  __isset = other215.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other282) {
+  sentAtMicros = other282.sentAtMicros;
+  accepted = other282.accepted;
+  leader = other282.leader;
+  viewVersion = other282.viewVersion;
+  term = other282.term;
+  group = other282.group;
+  __isset = other282.__isset;
 }
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other216) noexcept {
-  sentAtMicros = other216.sentAtMicros;
-  accepted = other216.accepted;
-  leader = std::move(other216.leader);
-  viewVersion = other216.viewVersion;
-  term = other216.term;
-  __isset = other216.__isset;
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other283) noexcept {
+  sentAtMicros = other283.sentAtMicros;
+  accepted = other283.accepted;
+  leader = std::move(other283.leader);
+  viewVersion = other283.viewVersion;
+  term = other283.term;
+  group = std::move(other283.group);
+  __isset = other283.__isset;
 }
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other217) {
-  sentAtMicros = other217.sentAtMicros;
-  accepted = other217.accepted;
-  leader = other217.leader;
-  viewVersion = other217.viewVersion;
-  term = other217.term;
-  __isset = other217.__isset;
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other284) {
+  sentAtMicros = other284.sentAtMicros;
+  accepted = other284.accepted;
+  leader = other284.leader;
+  viewVersion = other284.viewVersion;
+  term = other284.term;
+  group = other284.group;
+  __isset = other284.__isset;
   return *this;
 }
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other218) noexcept {
-  sentAtMicros = other218.sentAtMicros;
-  accepted = other218.accepted;
-  leader = std::move(other218.leader);
-  viewVersion = other218.viewVersion;
-  term = other218.term;
-  __isset = other218.__isset;
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other285) noexcept {
+  sentAtMicros = other285.sentAtMicros;
+  accepted = other285.accepted;
+  leader = std::move(other285.leader);
+  viewVersion = other285.viewVersion;
+  term = other285.term;
+  group = std::move(other285.group);
+  __isset = other285.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -6122,6 +8005,7 @@
   out << ", " << "leader=" << to_string(leader);
   out << ", " << "viewVersion=" << to_string(viewVersion);
   out << ", " << "term=" << to_string(term);
+  out << ", " << "group=" << to_string(group);
   out << ")";
 }
 
@@ -6235,30 +8119,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRef::MemberRef(const MemberRef& other219) {
-  id = other219.id;
-  address = other219.address;
-  failureDomain = other219.failureDomain;
-  __isset = other219.__isset;
+MemberRef::MemberRef(const MemberRef& other286) {
+  id = other286.id;
+  address = other286.address;
+  failureDomain = other286.failureDomain;
+  __isset = other286.__isset;
 }
-MemberRef::MemberRef(MemberRef&& other220) noexcept {
-  id = std::move(other220.id);
-  address = std::move(other220.address);
-  failureDomain = std::move(other220.failureDomain);
-  __isset = other220.__isset;
+MemberRef::MemberRef(MemberRef&& other287) noexcept {
+  id = std::move(other287.id);
+  address = std::move(other287.address);
+  failureDomain = std::move(other287.failureDomain);
+  __isset = other287.__isset;
 }
-MemberRef& MemberRef::operator=(const MemberRef& other221) {
-  id = other221.id;
-  address = other221.address;
-  failureDomain = other221.failureDomain;
-  __isset = other221.__isset;
+MemberRef& MemberRef::operator=(const MemberRef& other288) {
+  id = other288.id;
+  address = other288.address;
+  failureDomain = other288.failureDomain;
+  __isset = other288.__isset;
   return *this;
 }
-MemberRef& MemberRef::operator=(MemberRef&& other222) noexcept {
-  id = std::move(other222.id);
-  address = std::move(other222.address);
-  failureDomain = std::move(other222.failureDomain);
-  __isset = other222.__isset;
+MemberRef& MemberRef::operator=(MemberRef&& other289) noexcept {
+  id = std::move(other289.id);
+  address = std::move(other289.address);
+  failureDomain = std::move(other289.failureDomain);
+  __isset = other289.__isset;
   return *this;
 }
 void MemberRef::printTo(std::ostream& out) const {
@@ -6367,14 +8251,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size223;
-            ::apache::thrift::protocol::TType _etype226;
-            xfer += iprot->readListBegin(_etype226, _size223);
-            this->holders.resize(_size223);
-            uint32_t _i227;
-            for (_i227 = 0; _i227 < _size223; ++_i227)
+            uint32_t _size290;
+            ::apache::thrift::protocol::TType _etype293;
+            xfer += iprot->readListBegin(_etype293, _size290);
+            this->holders.resize(_size290);
+            uint32_t _i294;
+            for (_i294 = 0; _i294 < _size290; ++_i294)
             {
-              xfer += this->holders[_i227].read(iprot);
+              xfer += this->holders[_i294].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6387,14 +8271,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->agents.clear();
-            uint32_t _size228;
-            ::apache::thrift::protocol::TType _etype231;
-            xfer += iprot->readListBegin(_etype231, _size228);
-            this->agents.resize(_size228);
-            uint32_t _i232;
-            for (_i232 = 0; _i232 < _size228; ++_i232)
+            uint32_t _size295;
+            ::apache::thrift::protocol::TType _etype298;
+            xfer += iprot->readListBegin(_etype298, _size295);
+            this->agents.resize(_size295);
+            uint32_t _i299;
+            for (_i299 = 0; _i299 < _size295; ++_i299)
             {
-              xfer += this->agents[_i232].read(iprot);
+              xfer += this->agents[_i299].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6448,10 +8332,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<MemberRef> ::const_iterator _iter233;
-    for (_iter233 = this->holders.begin(); _iter233 != this->holders.end(); ++_iter233)
+    std::vector<MemberRef> ::const_iterator _iter300;
+    for (_iter300 = this->holders.begin(); _iter300 != this->holders.end(); ++_iter300)
     {
-      xfer += (*_iter233).write(oprot);
+      xfer += (*_iter300).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6460,10 +8344,10 @@
   xfer += oprot->writeFieldBegin("agents", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->agents.size()));
-    std::vector<MemberRef> ::const_iterator _iter234;
-    for (_iter234 = this->agents.begin(); _iter234 != this->agents.end(); ++_iter234)
+    std::vector<MemberRef> ::const_iterator _iter301;
+    for (_iter301 = this->agents.begin(); _iter301 != this->agents.end(); ++_iter301)
     {
-      xfer += (*_iter234).write(oprot);
+      xfer += (*_iter301).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6490,46 +8374,46 @@
   swap(a.__isset, b.__isset);
 }
 
-CellView::CellView(const CellView& other235) {
-  cell = other235.cell;
-  serviceName = other235.serviceName;
-  epoch = other235.epoch;
-  owner = other235.owner;
-  holders = other235.holders;
-  agents = other235.agents;
-  floorMs = other235.floorMs;
-  __isset = other235.__isset;
-}
-CellView::CellView(CellView&& other236) noexcept {
-  cell = other236.cell;
-  serviceName = std::move(other236.serviceName);
-  epoch = other236.epoch;
-  owner = std::move(other236.owner);
-  holders = std::move(other236.holders);
-  agents = std::move(other236.agents);
-  floorMs = other236.floorMs;
-  __isset = other236.__isset;
-}
-CellView& CellView::operator=(const CellView& other237) {
-  cell = other237.cell;
-  serviceName = other237.serviceName;
-  epoch = other237.epoch;
-  owner = other237.owner;
-  holders = other237.holders;
-  agents = other237.agents;
-  floorMs = other237.floorMs;
-  __isset = other237.__isset;
-  return *this;
-}
-CellView& CellView::operator=(CellView&& other238) noexcept {
-  cell = other238.cell;
-  serviceName = std::move(other238.serviceName);
-  epoch = other238.epoch;
-  owner = std::move(other238.owner);
-  holders = std::move(other238.holders);
-  agents = std::move(other238.agents);
-  floorMs = other238.floorMs;
-  __isset = other238.__isset;
+CellView::CellView(const CellView& other302) {
+  cell = other302.cell;
+  serviceName = other302.serviceName;
+  epoch = other302.epoch;
+  owner = other302.owner;
+  holders = other302.holders;
+  agents = other302.agents;
+  floorMs = other302.floorMs;
+  __isset = other302.__isset;
+}
+CellView::CellView(CellView&& other303) noexcept {
+  cell = other303.cell;
+  serviceName = std::move(other303.serviceName);
+  epoch = other303.epoch;
+  owner = std::move(other303.owner);
+  holders = std::move(other303.holders);
+  agents = std::move(other303.agents);
+  floorMs = other303.floorMs;
+  __isset = other303.__isset;
+}
+CellView& CellView::operator=(const CellView& other304) {
+  cell = other304.cell;
+  serviceName = other304.serviceName;
+  epoch = other304.epoch;
+  owner = other304.owner;
+  holders = other304.holders;
+  agents = other304.agents;
+  floorMs = other304.floorMs;
+  __isset = other304.__isset;
+  return *this;
+}
+CellView& CellView::operator=(CellView&& other305) noexcept {
+  cell = other305.cell;
+  serviceName = std::move(other305.serviceName);
+  epoch = other305.epoch;
+  owner = std::move(other305.owner);
+  holders = std::move(other305.holders);
+  agents = std::move(other305.agents);
+  floorMs = other305.floorMs;
+  __isset = other305.__isset;
   return *this;
 }
 void CellView::printTo(std::ostream& out) const {
@@ -6569,6 +8453,10 @@
 void ConfigFile::__set_acceptedAtMs(const int64_t val) {
   this->acceptedAtMs = val;
 }
+
+void ConfigFile::__set_ignoreIfNotHigher(const bool val) {
+  this->ignoreIfNotHigher = val;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigFile& obj)
 {
   obj.printTo(out);
@@ -6637,6 +8525,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ignoreIfNotHigher);
+          this->__isset.ignoreIfNotHigher = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6674,6 +8570,10 @@
   xfer += oprot->writeI64(this->acceptedAtMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ignoreIfNotHigher", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->ignoreIfNotHigher);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6686,41 +8586,46 @@
   swap(a.text, b.text);
   swap(a.author, b.author);
   swap(a.acceptedAtMs, b.acceptedAtMs);
+  swap(a.ignoreIfNotHigher, b.ignoreIfNotHigher);
   swap(a.__isset, b.__isset);
 }
 
-ConfigFile::ConfigFile(const ConfigFile& other239) {
-  number = other239.number;
-  digest = other239.digest;
-  text = other239.text;
-  author = other239.author;
-  acceptedAtMs = other239.acceptedAtMs;
-  __isset = other239.__isset;
-}
-ConfigFile::ConfigFile(ConfigFile&& other240) noexcept {
-  number = other240.number;
-  digest = std::move(other240.digest);
-  text = std::move(other240.text);
-  author = std::move(other240.author);
-  acceptedAtMs = other240.acceptedAtMs;
-  __isset = other240.__isset;
-}
-ConfigFile& ConfigFile::operator=(const ConfigFile& other241) {
-  number = other241.number;
-  digest = other241.digest;
-  text = other241.text;
-  author = other241.author;
-  acceptedAtMs = other241.acceptedAtMs;
-  __isset = other241.__isset;
-  return *this;
-}
-ConfigFile& ConfigFile::operator=(ConfigFile&& other242) noexcept {
-  number = other242.number;
-  digest = std::move(other242.digest);
-  text = std::move(other242.text);
-  author = std::move(other242.author);
-  acceptedAtMs = other242.acceptedAtMs;
-  __isset = other242.__isset;
+ConfigFile::ConfigFile(const ConfigFile& other306) {
+  number = other306.number;
+  digest = other306.digest;
+  text = other306.text;
+  author = other306.author;
+  acceptedAtMs = other306.acceptedAtMs;
+  ignoreIfNotHigher = other306.ignoreIfNotHigher;
+  __isset = other306.__isset;
+}
+ConfigFile::ConfigFile(ConfigFile&& other307) noexcept {
+  number = other307.number;
+  digest = std::move(other307.digest);
+  text = std::move(other307.text);
+  author = std::move(other307.author);
+  acceptedAtMs = other307.acceptedAtMs;
+  ignoreIfNotHigher = other307.ignoreIfNotHigher;
+  __isset = other307.__isset;
+}
+ConfigFile& ConfigFile::operator=(const ConfigFile& other308) {
+  number = other308.number;
+  digest = other308.digest;
+  text = other308.text;
+  author = other308.author;
+  acceptedAtMs = other308.acceptedAtMs;
+  ignoreIfNotHigher = other308.ignoreIfNotHigher;
+  __isset = other308.__isset;
+  return *this;
+}
+ConfigFile& ConfigFile::operator=(ConfigFile&& other309) noexcept {
+  number = other309.number;
+  digest = std::move(other309.digest);
+  text = std::move(other309.text);
+  author = std::move(other309.author);
+  acceptedAtMs = other309.acceptedAtMs;
+  ignoreIfNotHigher = other309.ignoreIfNotHigher;
+  __isset = other309.__isset;
   return *this;
 }
 void ConfigFile::printTo(std::ostream& out) const {
@@ -6731,6 +8636,7 @@
   out << ", " << "text=" << to_string(text);
   out << ", " << "author=" << to_string(author);
   out << ", " << "acceptedAtMs=" << to_string(acceptedAtMs);
+  out << ", " << "ignoreIfNotHigher=" << to_string(ignoreIfNotHigher);
   out << ")";
 }
 
@@ -6754,6 +8660,10 @@
 void ClusterView::__set_term(const int64_t val) {
   this->term = val;
 }
+
+void ClusterView::__set_entries(const std::vector<MemberRef> & val) {
+  this->entries = val;
+}
 std::ostream& operator<<(std::ostream& out, const ClusterView& obj)
 {
   obj.printTo(out);
@@ -6802,14 +8712,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size243;
-            ::apache::thrift::protocol::TType _etype246;
-            xfer += iprot->readListBegin(_etype246, _size243);
-            this->cells.resize(_size243);
-            uint32_t _i247;
-            for (_i247 = 0; _i247 < _size243; ++_i247)
+            uint32_t _size310;
+            ::apache::thrift::protocol::TType _etype313;
+            xfer += iprot->readListBegin(_etype313, _size310);
+            this->cells.resize(_size310);
+            uint32_t _i314;
+            for (_i314 = 0; _i314 < _size310; ++_i314)
             {
-              xfer += this->cells[_i247].read(iprot);
+              xfer += this->cells[_i314].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6826,6 +8736,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size315;
+            ::apache::thrift::protocol::TType _etype318;
+            xfer += iprot->readListBegin(_etype318, _size315);
+            this->entries.resize(_size315);
+            uint32_t _i319;
+            for (_i319 = 0; _i319 < _size315; ++_i319)
+            {
+              xfer += this->entries[_i319].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6854,10 +8784,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellView> ::const_iterator _iter248;
-    for (_iter248 = this->cells.begin(); _iter248 != this->cells.end(); ++_iter248)
+    std::vector<CellView> ::const_iterator _iter320;
+    for (_iter320 = this->cells.begin(); _iter320 != this->cells.end(); ++_iter320)
     {
-      xfer += (*_iter248).write(oprot);
+      xfer += (*_iter320).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6867,6 +8797,18 @@
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<MemberRef> ::const_iterator _iter321;
+    for (_iter321 = this->entries.begin(); _iter321 != this->entries.end(); ++_iter321)
+    {
+      xfer += (*_iter321).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6878,37 +8820,42 @@
   swap(a.config, b.config);
   swap(a.cells, b.cells);
   swap(a.term, b.term);
+  swap(a.entries, b.entries);
   swap(a.__isset, b.__isset);
 }
 
-ClusterView::ClusterView(const ClusterView& other249) {
-  version = other249.version;
-  config = other249.config;
-  cells = other249.cells;
-  term = other249.term;
-  __isset = other249.__isset;
+ClusterView::ClusterView(const ClusterView& other322) {
+  version = other322.version;
+  config = other322.config;
+  cells = other322.cells;
+  term = other322.term;
+  entries = other322.entries;
+  __isset = other322.__isset;
 }
-ClusterView::ClusterView(ClusterView&& other250) noexcept {
-  version = other250.version;
-  config = std::move(other250.config);
-  cells = std::move(other250.cells);
-  term = other250.term;
-  __isset = other250.__isset;
+ClusterView::ClusterView(ClusterView&& other323) noexcept {
+  version = other323.version;
+  config = std::move(other323.config);
+  cells = std::move(other323.cells);
+  term = other323.term;
+  entries = std::move(other323.entries);
+  __isset = other323.__isset;
 }
-ClusterView& ClusterView::operator=(const ClusterView& other251) {
-  version = other251.version;
-  config = other251.config;
-  cells = other251.cells;
-  term = other251.term;
-  __isset = other251.__isset;
+ClusterView& ClusterView::operator=(const ClusterView& other324) {
+  version = other324.version;
+  config = other324.config;
+  cells = other324.cells;
+  term = other324.term;
+  entries = other324.entries;
+  __isset = other324.__isset;
   return *this;
 }
-ClusterView& ClusterView::operator=(ClusterView&& other252) noexcept {
-  version = other252.version;
-  config = std::move(other252.config);
-  cells = std::move(other252.cells);
-  term = other252.term;
-  __isset = other252.__isset;
+ClusterView& ClusterView::operator=(ClusterView&& other325) noexcept {
+  version = other325.version;
+  config = std::move(other325.config);
+  cells = std::move(other325.cells);
+  term = other325.term;
+  entries = std::move(other325.entries);
+  __isset = other325.__isset;
   return *this;
 }
 void ClusterView::printTo(std::ostream& out) const {
@@ -6918,6 +8865,7 @@
   out << ", " << "config=" << to_string(config);
   out << ", " << "cells=" << to_string(cells);
   out << ", " << "term=" << to_string(term);
+  out << ", " << "entries=" << to_string(entries);
   out << ")";
 }
 
@@ -6941,6 +8889,10 @@
 void ApplyConfig::__set_dryRun(const bool val) {
   this->dryRun = val;
 }
+
+void ApplyConfig::__set_ignoreIfNotHigher(const bool val) {
+  this->ignoreIfNotHigher = val;
+}
 std::ostream& operator<<(std::ostream& out, const ApplyConfig& obj)
 {
   obj.printTo(out);
@@ -7001,6 +8953,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ignoreIfNotHigher);
+          this->__isset.ignoreIfNotHigher = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7034,6 +8994,10 @@
   xfer += oprot->writeBool(this->dryRun);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ignoreIfNotHigher", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->ignoreIfNotHigher);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7045,37 +9009,42 @@
   swap(a.text, b.text);
   swap(a.author, b.author);
   swap(a.dryRun, b.dryRun);
+  swap(a.ignoreIfNotHigher, b.ignoreIfNotHigher);
   swap(a.__isset, b.__isset);
 }
 
-ApplyConfig::ApplyConfig(const ApplyConfig& other253) {
-  requestId = other253.requestId;
-  text = other253.text;
-  author = other253.author;
-  dryRun = other253.dryRun;
-  __isset = other253.__isset;
+ApplyConfig::ApplyConfig(const ApplyConfig& other326) {
+  requestId = other326.requestId;
+  text = other326.text;
+  author = other326.author;
+  dryRun = other326.dryRun;
+  ignoreIfNotHigher = other326.ignoreIfNotHigher;
+  __isset = other326.__isset;
 }
-ApplyConfig::ApplyConfig(ApplyConfig&& other254) noexcept {
-  requestId = other254.requestId;
-  text = std::move(other254.text);
-  author = std::move(other254.author);
-  dryRun = other254.dryRun;
-  __isset = other254.__isset;
+ApplyConfig::ApplyConfig(ApplyConfig&& other327) noexcept {
+  requestId = other327.requestId;
+  text = std::move(other327.text);
+  author = std::move(other327.author);
+  dryRun = other327.dryRun;
+  ignoreIfNotHigher = other327.ignoreIfNotHigher;
+  __isset = other327.__isset;
 }
-ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other255) {
-  requestId = other255.requestId;
-  text = other255.text;
-  author = other255.author;
-  dryRun = other255.dryRun;
-  __isset = other255.__isset;
+ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other328) {
+  requestId = other328.requestId;
+  text = other328.text;
+  author = other328.author;
+  dryRun = other328.dryRun;
+  ignoreIfNotHigher = other328.ignoreIfNotHigher;
+  __isset = other328.__isset;
   return *this;
 }
-ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other256) noexcept {
-  requestId = other256.requestId;
-  text = std::move(other256.text);
-  author = std::move(other256.author);
-  dryRun = other256.dryRun;
-  __isset = other256.__isset;
+ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other329) noexcept {
+  requestId = other329.requestId;
+  text = std::move(other329.text);
+  author = std::move(other329.author);
+  dryRun = other329.dryRun;
+  ignoreIfNotHigher = other329.ignoreIfNotHigher;
+  __isset = other329.__isset;
   return *this;
 }
 void ApplyConfig::printTo(std::ostream& out) const {
@@ -7085,6 +9054,7 @@
   out << ", " << "text=" << to_string(text);
   out << ", " << "author=" << to_string(author);
   out << ", " << "dryRun=" << to_string(dryRun);
+  out << ", " << "ignoreIfNotHigher=" << to_string(ignoreIfNotHigher);
   out << ")";
 }
 
@@ -7188,14 +9158,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lagging.clear();
-            uint32_t _size257;
-            ::apache::thrift::protocol::TType _etype260;
-            xfer += iprot->readListBegin(_etype260, _size257);
-            this->lagging.resize(_size257);
-            uint32_t _i261;
-            for (_i261 = 0; _i261 < _size257; ++_i261)
+            uint32_t _size330;
+            ::apache::thrift::protocol::TType _etype333;
+            xfer += iprot->readListBegin(_etype333, _size330);
+            this->lagging.resize(_size330);
+            uint32_t _i334;
+            for (_i334 = 0; _i334 < _size330; ++_i334)
             {
-              xfer += iprot->readString(this->lagging[_i261]);
+              xfer += iprot->readString(this->lagging[_i334]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7244,10 +9214,10 @@
   xfer += oprot->writeFieldBegin("lagging", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lagging.size()));
-    std::vector<std::string> ::const_iterator _iter262;
-    for (_iter262 = this->lagging.begin(); _iter262 != this->lagging.end(); ++_iter262)
+    std::vector<std::string> ::const_iterator _iter335;
+    for (_iter335 = this->lagging.begin(); _iter335 != this->lagging.end(); ++_iter335)
     {
-      xfer += oprot->writeString((*_iter262));
+      xfer += oprot->writeString((*_iter335));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7268,43 +9238,43 @@
   swap(a.lagging, b.lagging);
   swap(a.__isset, b.__isset);
 }
-
-ApplyReply::ApplyReply(const ApplyReply& other263) {
-  requestId = other263.requestId;
-  accepted = other263.accepted;
-  code = other263.code;
-  message = other263.message;
-  inForce = other263.inForce;
-  lagging = other263.lagging;
-  __isset = other263.__isset;
-}
-ApplyReply::ApplyReply(ApplyReply&& other264) noexcept {
-  requestId = other264.requestId;
-  accepted = other264.accepted;
-  code = std::move(other264.code);
-  message = std::move(other264.message);
-  inForce = std::move(other264.inForce);
-  lagging = std::move(other264.lagging);
-  __isset = other264.__isset;
-}
-ApplyReply& ApplyReply::operator=(const ApplyReply& other265) {
-  requestId = other265.requestId;
-  accepted = other265.accepted;
-  code = other265.code;
-  message = other265.message;
-  inForce = other265.inForce;
-  lagging = other265.lagging;
-  __isset = other265.__isset;
-  return *this;
-}
-ApplyReply& ApplyReply::operator=(ApplyReply&& other266) noexcept {
-  requestId = other266.requestId;
-  accepted = other266.accepted;
-  code = std::move(other266.code);
-  message = std::move(other266.message);
-  inForce = std::move(other266.inForce);
-  lagging = std::move(other266.lagging);
-  __isset = other266.__isset;
+
+ApplyReply::ApplyReply(const ApplyReply& other336) {
+  requestId = other336.requestId;
+  accepted = other336.accepted;
+  code = other336.code;
+  message = other336.message;
+  inForce = other336.inForce;
+  lagging = other336.lagging;
+  __isset = other336.__isset;
+}
+ApplyReply::ApplyReply(ApplyReply&& other337) noexcept {
+  requestId = other337.requestId;
+  accepted = other337.accepted;
+  code = std::move(other337.code);
+  message = std::move(other337.message);
+  inForce = std::move(other337.inForce);
+  lagging = std::move(other337.lagging);
+  __isset = other337.__isset;
+}
+ApplyReply& ApplyReply::operator=(const ApplyReply& other338) {
+  requestId = other338.requestId;
+  accepted = other338.accepted;
+  code = other338.code;
+  message = other338.message;
+  inForce = other338.inForce;
+  lagging = other338.lagging;
+  __isset = other338.__isset;
+  return *this;
+}
+ApplyReply& ApplyReply::operator=(ApplyReply&& other339) noexcept {
+  requestId = other339.requestId;
+  accepted = other339.accepted;
+  code = std::move(other339.code);
+  message = std::move(other339.message);
+  inForce = std::move(other339.inForce);
+  lagging = std::move(other339.lagging);
+  __isset = other339.__isset;
   return *this;
 }
 void ApplyReply::printTo(std::ostream& out) const {
@@ -7429,30 +9399,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlQuery::ControlQuery(const ControlQuery& other267) {
-  requestId = other267.requestId;
-  kind = other267.kind;
-  argument = other267.argument;
-  __isset = other267.__isset;
+ControlQuery::ControlQuery(const ControlQuery& other340) {
+  requestId = other340.requestId;
+  kind = other340.kind;
+  argument = other340.argument;
+  __isset = other340.__isset;
 }
-ControlQuery::ControlQuery(ControlQuery&& other268) noexcept {
-  requestId = other268.requestId;
-  kind = std::move(other268.kind);
-  argument = std::move(other268.argument);
-  __isset = other268.__isset;
+ControlQuery::ControlQuery(ControlQuery&& other341) noexcept {
+  requestId = other341.requestId;
+  kind = std::move(other341.kind);
+  argument = std::move(other341.argument);
+  __isset = other341.__isset;
 }
-ControlQuery& ControlQuery::operator=(const ControlQuery& other269) {
-  requestId = other269.requestId;
-  kind = other269.kind;
-  argument = other269.argument;
-  __isset = other269.__isset;
+ControlQuery& ControlQuery::operator=(const ControlQuery& other342) {
+  requestId = other342.requestId;
+  kind = other342.kind;
+  argument = other342.argument;
+  __isset = other342.__isset;
   return *this;
 }
-ControlQuery& ControlQuery::operator=(ControlQuery&& other270) noexcept {
-  requestId = other270.requestId;
-  kind = std::move(other270.kind);
-  argument = std::move(other270.argument);
-  __isset = other270.__isset;
+ControlQuery& ControlQuery::operator=(ControlQuery&& other343) noexcept {
+  requestId = other343.requestId;
+  kind = std::move(other343.kind);
+  argument = std::move(other343.argument);
+  __isset = other343.__isset;
   return *this;
 }
 void ControlQuery::printTo(std::ostream& out) const {
@@ -7574,30 +9544,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlAnswer::ControlAnswer(const ControlAnswer& other271) {
-  requestId = other271.requestId;
-  ok = other271.ok;
-  json = other271.json;
-  __isset = other271.__isset;
+ControlAnswer::ControlAnswer(const ControlAnswer& other344) {
+  requestId = other344.requestId;
+  ok = other344.ok;
+  json = other344.json;
+  __isset = other344.__isset;
 }
-ControlAnswer::ControlAnswer(ControlAnswer&& other272) noexcept {
-  requestId = other272.requestId;
-  ok = other272.ok;
-  json = std::move(other272.json);
-  __isset = other272.__isset;
+ControlAnswer::ControlAnswer(ControlAnswer&& other345) noexcept {
+  requestId = other345.requestId;
+  ok = other345.ok;
+  json = std::move(other345.json);
+  __isset = other345.__isset;
 }
-ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other273) {
-  requestId = other273.requestId;
-  ok = other273.ok;
-  json = other273.json;
-  __isset = other273.__isset;
+ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other346) {
+  requestId = other346.requestId;
+  ok = other346.ok;
+  json = other346.json;
+  __isset = other346.__isset;
   return *this;
 }
-ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other274) noexcept {
-  requestId = other274.requestId;
-  ok = other274.ok;
-  json = std::move(other274.json);
-  __isset = other274.__isset;
+ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other347) noexcept {
+  requestId = other347.requestId;
+  ok = other347.ok;
+  json = std::move(other347.json);
+  __isset = other347.__isset;
   return *this;
 }
 void ControlAnswer::printTo(std::ostream& out) const {
@@ -7719,30 +9689,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other275) {
-  index = other275.index;
-  term = other275.term;
-  command = other275.command;
-  __isset = other275.__isset;
+LogEntry::LogEntry(const LogEntry& other348) {
+  index = other348.index;
+  term = other348.term;
+  command = other348.command;
+  __isset = other348.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other276) noexcept {
-  index = other276.index;
-  term = other276.term;
-  command = std::move(other276.command);
-  __isset = other276.__isset;
+LogEntry::LogEntry(LogEntry&& other349) noexcept {
+  index = other349.index;
+  term = other349.term;
+  command = std::move(other349.command);
+  __isset = other349.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other277) {
-  index = other277.index;
-  term = other277.term;
-  command = other277.command;
-  __isset = other277.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other350) {
+  index = other350.index;
+  term = other350.term;
+  command = other350.command;
+  __isset = other350.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other278) noexcept {
-  index = other278.index;
-  term = other278.term;
-  command = std::move(other278.command);
-  __isset = other278.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other351) noexcept {
+  index = other351.index;
+  term = other351.term;
+  command = std::move(other351.command);
+  __isset = other351.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -7932,46 +9902,46 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestVote::RequestVote(const RequestVote& other279) {
-  term = other279.term;
-  lastIndex = other279.lastIndex;
-  lastTerm = other279.lastTerm;
-  preVote = other279.preVote;
-  member = other279.member;
-  group = other279.group;
-  transfer = other279.transfer;
-  __isset = other279.__isset;
-}
-RequestVote::RequestVote(RequestVote&& other280) noexcept {
-  term = other280.term;
-  lastIndex = other280.lastIndex;
-  lastTerm = other280.lastTerm;
-  preVote = other280.preVote;
-  member = std::move(other280.member);
-  group = std::move(other280.group);
-  transfer = other280.transfer;
-  __isset = other280.__isset;
-}
-RequestVote& RequestVote::operator=(const RequestVote& other281) {
-  term = other281.term;
-  lastIndex = other281.lastIndex;
-  lastTerm = other281.lastTerm;
-  preVote = other281.preVote;
-  member = other281.member;
-  group = other281.group;
-  transfer = other281.transfer;
-  __isset = other281.__isset;
-  return *this;
-}
-RequestVote& RequestVote::operator=(RequestVote&& other282) noexcept {
-  term = other282.term;
-  lastIndex = other282.lastIndex;
-  lastTerm = other282.lastTerm;
-  preVote = other282.preVote;
-  member = std::move(other282.member);
-  group = std::move(other282.group);
-  transfer = other282.transfer;
-  __isset = other282.__isset;
+RequestVote::RequestVote(const RequestVote& other352) {
+  term = other352.term;
+  lastIndex = other352.lastIndex;
+  lastTerm = other352.lastTerm;
+  preVote = other352.preVote;
+  member = other352.member;
+  group = other352.group;
+  transfer = other352.transfer;
+  __isset = other352.__isset;
+}
+RequestVote::RequestVote(RequestVote&& other353) noexcept {
+  term = other353.term;
+  lastIndex = other353.lastIndex;
+  lastTerm = other353.lastTerm;
+  preVote = other353.preVote;
+  member = std::move(other353.member);
+  group = std::move(other353.group);
+  transfer = other353.transfer;
+  __isset = other353.__isset;
+}
+RequestVote& RequestVote::operator=(const RequestVote& other354) {
+  term = other354.term;
+  lastIndex = other354.lastIndex;
+  lastTerm = other354.lastTerm;
+  preVote = other354.preVote;
+  member = other354.member;
+  group = other354.group;
+  transfer = other354.transfer;
+  __isset = other354.__isset;
+  return *this;
+}
+RequestVote& RequestVote::operator=(RequestVote&& other355) noexcept {
+  term = other355.term;
+  lastIndex = other355.lastIndex;
+  lastTerm = other355.lastTerm;
+  preVote = other355.preVote;
+  member = std::move(other355.member);
+  group = std::move(other355.group);
+  transfer = other355.transfer;
+  __isset = other355.__isset;
   return *this;
 }
 void RequestVote::printTo(std::ostream& out) const {
@@ -8148,42 +10118,42 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other283) {
-  term = other283.term;
-  granted = other283.granted;
-  preVote = other283.preVote;
-  member = other283.member;
-  group = other283.group;
-  fresh = other283.fresh;
-  __isset = other283.__isset;
-}
-VoteReply::VoteReply(VoteReply&& other284) noexcept {
-  term = other284.term;
-  granted = other284.granted;
-  preVote = other284.preVote;
-  member = std::move(other284.member);
-  group = std::move(other284.group);
-  fresh = other284.fresh;
-  __isset = other284.__isset;
-}
-VoteReply& VoteReply::operator=(const VoteReply& other285) {
-  term = other285.term;
-  granted = other285.granted;
-  preVote = other285.preVote;
-  member = other285.member;
-  group = other285.group;
-  fresh = other285.fresh;
-  __isset = other285.__isset;
-  return *this;
-}
-VoteReply& VoteReply::operator=(VoteReply&& other286) noexcept {
-  term = other286.term;
-  granted = other286.granted;
-  preVote = other286.preVote;
-  member = std::move(other286.member);
-  group = std::move(other286.group);
-  fresh = other286.fresh;
-  __isset = other286.__isset;
+VoteReply::VoteReply(const VoteReply& other356) {
+  term = other356.term;
+  granted = other356.granted;
+  preVote = other356.preVote;
+  member = other356.member;
+  group = other356.group;
+  fresh = other356.fresh;
+  __isset = other356.__isset;
+}
+VoteReply::VoteReply(VoteReply&& other357) noexcept {
+  term = other357.term;
+  granted = other357.granted;
+  preVote = other357.preVote;
+  member = std::move(other357.member);
+  group = std::move(other357.group);
+  fresh = other357.fresh;
+  __isset = other357.__isset;
+}
+VoteReply& VoteReply::operator=(const VoteReply& other358) {
+  term = other358.term;
+  granted = other358.granted;
+  preVote = other358.preVote;
+  member = other358.member;
+  group = other358.group;
+  fresh = other358.fresh;
+  __isset = other358.__isset;
+  return *this;
+}
+VoteReply& VoteReply::operator=(VoteReply&& other359) noexcept {
+  term = other359.term;
+  granted = other359.granted;
+  preVote = other359.preVote;
+  member = std::move(other359.member);
+  group = std::move(other359.group);
+  fresh = other359.fresh;
+  __isset = other359.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -8290,14 +10260,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size287;
-            ::apache::thrift::protocol::TType _etype290;
-            xfer += iprot->readListBegin(_etype290, _size287);
-            this->entries.resize(_size287);
-            uint32_t _i291;
-            for (_i291 = 0; _i291 < _size287; ++_i291)
+            uint32_t _size360;
+            ::apache::thrift::protocol::TType _etype363;
+            xfer += iprot->readListBegin(_etype363, _size360);
+            this->entries.resize(_size360);
+            uint32_t _i364;
+            for (_i364 = 0; _i364 < _size360; ++_i364)
             {
-              xfer += this->entries[_i291].read(iprot);
+              xfer += this->entries[_i364].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8370,10 +10340,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter292;
-    for (_iter292 = this->entries.begin(); _iter292 != this->entries.end(); ++_iter292)
+    std::vector<LogEntry> ::const_iterator _iter365;
+    for (_iter365 = this->entries.begin(); _iter365 != this->entries.end(); ++_iter365)
     {
-      xfer += (*_iter292).write(oprot);
+      xfer += (*_iter365).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8413,50 +10383,50 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendEntries::AppendEntries(const AppendEntries& other293) {
-  term = other293.term;
-  prevIndex = other293.prevIndex;
-  prevTerm = other293.prevTerm;
-  entries = other293.entries;
-  commitIndex = other293.commitIndex;
-  round = other293.round;
-  member = other293.member;
-  group = other293.group;
-  __isset = other293.__isset;
-}
-AppendEntries::AppendEntries(AppendEntries&& other294) noexcept {
-  term = other294.term;
-  prevIndex = other294.prevIndex;
-  prevTerm = other294.prevTerm;
-  entries = std::move(other294.entries);
-  commitIndex = other294.commitIndex;
-  round = other294.round;
-  member = std::move(other294.member);
-  group = std::move(other294.group);
-  __isset = other294.__isset;
-}
-AppendEntries& AppendEntries::operator=(const AppendEntries& other295) {
-  term = other295.term;
-  prevIndex = other295.prevIndex;
-  prevTerm = other295.prevTerm;
-  entries = other295.entries;
-  commitIndex = other295.commitIndex;
-  round = other295.round;
-  member = other295.member;
-  group = other295.group;
-  __isset = other295.__isset;
-  return *this;
-}
-AppendEntries& AppendEntries::operator=(AppendEntries&& other296) noexcept {
-  term = other296.term;
-  prevIndex = other296.prevIndex;
-  prevTerm = other296.prevTerm;
-  entries = std::move(other296.entries);
-  commitIndex = other296.commitIndex;
-  round = other296.round;
-  member = std::move(other296.member);
-  group = std::move(other296.group);
-  __isset = other296.__isset;
+AppendEntries::AppendEntries(const AppendEntries& other366) {
+  term = other366.term;
+  prevIndex = other366.prevIndex;
+  prevTerm = other366.prevTerm;
+  entries = other366.entries;
+  commitIndex = other366.commitIndex;
+  round = other366.round;
+  member = other366.member;
+  group = other366.group;
+  __isset = other366.__isset;
+}
+AppendEntries::AppendEntries(AppendEntries&& other367) noexcept {
+  term = other367.term;
+  prevIndex = other367.prevIndex;
+  prevTerm = other367.prevTerm;
+  entries = std::move(other367.entries);
+  commitIndex = other367.commitIndex;
+  round = other367.round;
+  member = std::move(other367.member);
+  group = std::move(other367.group);
+  __isset = other367.__isset;
+}
+AppendEntries& AppendEntries::operator=(const AppendEntries& other368) {
+  term = other368.term;
+  prevIndex = other368.prevIndex;
+  prevTerm = other368.prevTerm;
+  entries = other368.entries;
+  commitIndex = other368.commitIndex;
+  round = other368.round;
+  member = other368.member;
+  group = other368.group;
+  __isset = other368.__isset;
+  return *this;
+}
+AppendEntries& AppendEntries::operator=(AppendEntries&& other369) noexcept {
+  term = other369.term;
+  prevIndex = other369.prevIndex;
+  prevTerm = other369.prevTerm;
+  entries = std::move(other369.entries);
+  commitIndex = other369.commitIndex;
+  round = other369.round;
+  member = std::move(other369.member);
+  group = std::move(other369.group);
+  __isset = other369.__isset;
   return *this;
 }
 void AppendEntries::printTo(std::ostream& out) const {
@@ -8634,42 +10604,42 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other297) {
-  term = other297.term;
-  ok = other297.ok;
-  matchIndex = other297.matchIndex;
-  round = other297.round;
-  member = other297.member;
-  group = other297.group;
-  __isset = other297.__isset;
-}
-AppendReply::AppendReply(AppendReply&& other298) noexcept {
-  term = other298.term;
-  ok = other298.ok;
-  matchIndex = other298.matchIndex;
-  round = other298.round;
-  member = std::move(other298.member);
-  group = std::move(other298.group);
-  __isset = other298.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other299) {
-  term = other299.term;
-  ok = other299.ok;
-  matchIndex = other299.matchIndex;
-  round = other299.round;
-  member = other299.member;
-  group = other299.group;
-  __isset = other299.__isset;
-  return *this;
-}
-AppendReply& AppendReply::operator=(AppendReply&& other300) noexcept {
-  term = other300.term;
-  ok = other300.ok;
-  matchIndex = other300.matchIndex;
-  round = other300.round;
-  member = std::move(other300.member);
-  group = std::move(other300.group);
-  __isset = other300.__isset;
+AppendReply::AppendReply(const AppendReply& other370) {
+  term = other370.term;
+  ok = other370.ok;
+  matchIndex = other370.matchIndex;
+  round = other370.round;
+  member = other370.member;
+  group = other370.group;
+  __isset = other370.__isset;
+}
+AppendReply::AppendReply(AppendReply&& other371) noexcept {
+  term = other371.term;
+  ok = other371.ok;
+  matchIndex = other371.matchIndex;
+  round = other371.round;
+  member = std::move(other371.member);
+  group = std::move(other371.group);
+  __isset = other371.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other372) {
+  term = other372.term;
+  ok = other372.ok;
+  matchIndex = other372.matchIndex;
+  round = other372.round;
+  member = other372.member;
+  group = other372.group;
+  __isset = other372.__isset;
+  return *this;
+}
+AppendReply& AppendReply::operator=(AppendReply&& other373) noexcept {
+  term = other373.term;
+  ok = other373.ok;
+  matchIndex = other373.matchIndex;
+  round = other373.round;
+  member = std::move(other373.member);
+  group = std::move(other373.group);
+  __isset = other373.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -8788,14 +10758,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size301;
-            ::apache::thrift::protocol::TType _etype304;
-            xfer += iprot->readListBegin(_etype304, _size301);
-            this->voters.resize(_size301);
-            uint32_t _i305;
-            for (_i305 = 0; _i305 < _size301; ++_i305)
+            uint32_t _size374;
+            ::apache::thrift::protocol::TType _etype377;
+            xfer += iprot->readListBegin(_etype377, _size374);
+            this->voters.resize(_size374);
+            uint32_t _i378;
+            for (_i378 = 0; _i378 < _size374; ++_i378)
             {
-              xfer += iprot->readString(this->voters[_i305]);
+              xfer += iprot->readString(this->voters[_i378]);
             }
             xfer += iprot->readListEnd();
           }
