@@ -8808,14 +10778,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size306;
-            ::apache::thrift::protocol::TType _etype309;
-            xfer += iprot->readListBegin(_etype309, _size306);
-            this->learners.resize(_size306);
-            uint32_t _i310;
-            for (_i310 = 0; _i310 < _size306; ++_i310)
+            uint32_t _size379;
+            ::apache::thrift::protocol::TType _etype382;
+            xfer += iprot->readListBegin(_etype382, _size379);
+            this->learners.resize(_size379);
+            uint32_t _i383;
+            for (_i383 = 0; _i383 < _size379; ++_i383)
             {
-              xfer += iprot->readString(this->learners[_i310]);
+              xfer += iprot->readString(this->learners[_i383]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8884,10 +10854,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter311;
-    for (_iter311 = this->voters.begin(); _iter311 != this->voters.end(); ++_iter311)
+    std::vector<std::string> ::const_iterator _iter384;
+    for (_iter384 = this->voters.begin(); _iter384 != this->voters.end(); ++_iter384)
     {
-      xfer += oprot->writeString((*_iter311));
+      xfer += oprot->writeString((*_iter384));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8896,10 +10866,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter312;
-    for (_iter312 = this->learners.begin(); _iter312 != this->learners.end(); ++_iter312)
+    std::vector<std::string> ::const_iterator _iter385;
+    for (_iter385 = this->learners.begin(); _iter385 != this->learners.end(); ++_iter385)
     {
-      xfer += oprot->writeString((*_iter312));
+      xfer += oprot->writeString((*_iter385));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8936,54 +10906,54 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallSnapshot::InstallSnapshot(const InstallSnapshot& other313) {
-  term = other313.term;
-  lastIndex = other313.lastIndex;
-  lastTerm = other313.lastTerm;
-  data = other313.data;
-  voters = other313.voters;
-  learners = other313.learners;
-  member = other313.member;
-  group = other313.group;
-  round = other313.round;
-  __isset = other313.__isset;
-}
-InstallSnapshot::InstallSnapshot(InstallSnapshot&& other314) noexcept {
-  term = other314.term;
-  lastIndex = other314.lastIndex;
-  lastTerm = other314.lastTerm;
-  data = std::move(other314.data);
-  voters = std::move(other314.voters);
-  learners = std::move(other314.learners);
-  member = std::move(other314.member);
-  group = std::move(other314.group);
-  round = other314.round;
-  __isset = other314.__isset;
-}
-InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other315) {
-  term = other315.term;
-  lastIndex = other315.lastIndex;
-  lastTerm = other315.lastTerm;
-  data = other315.data;
-  voters = other315.voters;
-  learners = other315.learners;
-  member = other315.member;
-  group = other315.group;
-  round = other315.round;
-  __isset = other315.__isset;
-  return *this;
-}
-InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other316) noexcept {
-  term = other316.term;
-  lastIndex = other316.lastIndex;
-  lastTerm = other316.lastTerm;
-  data = std::move(other316.data);
-  voters = std::move(other316.voters);
-  learners = std::move(other316.learners);
-  member = std::move(other316.member);
-  group = std::move(other316.group);
-  round = other316.round;
-  __isset = other316.__isset;
+InstallSnapshot::InstallSnapshot(const InstallSnapshot& other386) {
+  term = other386.term;
+  lastIndex = other386.lastIndex;
+  lastTerm = other386.lastTerm;
+  data = other386.data;
+  voters = other386.voters;
+  learners = other386.learners;
+  member = other386.member;
+  group = other386.group;
+  round = other386.round;
+  __isset = other386.__isset;
+}
+InstallSnapshot::InstallSnapshot(InstallSnapshot&& other387) noexcept {
+  term = other387.term;
+  lastIndex = other387.lastIndex;
+  lastTerm = other387.lastTerm;
+  data = std::move(other387.data);
+  voters = std::move(other387.voters);
+  learners = std::move(other387.learners);
+  member = std::move(other387.member);
+  group = std::move(other387.group);
+  round = other387.round;
+  __isset = other387.__isset;
+}
+InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other388) {
+  term = other388.term;
+  lastIndex = other388.lastIndex;
+  lastTerm = other388.lastTerm;
+  data = other388.data;
+  voters = other388.voters;
+  learners = other388.learners;
+  member = other388.member;
+  group = other388.group;
+  round = other388.round;
+  __isset = other388.__isset;
+  return *this;
+}
+InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other389) noexcept {
+  term = other389.term;
+  lastIndex = other389.lastIndex;
+  lastTerm = other389.lastTerm;
+  data = std::move(other389.data);
+  voters = std::move(other389.voters);
+  learners = std::move(other389.learners);
+  member = std::move(other389.member);
+  group = std::move(other389.group);
+  round = other389.round;
+  __isset = other389.__isset;
   return *this;
 }
 void InstallSnapshot::printTo(std::ostream& out) const {
@@ -9145,38 +11115,38 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallReply::InstallReply(const InstallReply& other317) {
-  term = other317.term;
-  lastIndex = other317.lastIndex;
-  member = other317.member;
-  group = other317.group;
-  round = other317.round;
-  __isset = other317.__isset;
-}
-InstallReply::InstallReply(InstallReply&& other318) noexcept {
-  term = other318.term;
-  lastIndex = other318.lastIndex;
-  member = std::move(other318.member);
-  group = std::move(other318.group);
-  round = other318.round;
-  __isset = other318.__isset;
-}
-InstallReply& InstallReply::operator=(const InstallReply& other319) {
-  term = other319.term;
-  lastIndex = other319.lastIndex;
-  member = other319.member;
-  group = other319.group;
-  round = other319.round;
-  __isset = other319.__isset;
-  return *this;
-}
-InstallReply& InstallReply::operator=(InstallReply&& other320) noexcept {
-  term = other320.term;
-  lastIndex = other320.lastIndex;
-  member = std::move(other320.member);
-  group = std::move(other320.group);
-  round = other320.round;
-  __isset = other320.__isset;
+InstallReply::InstallReply(const InstallReply& other390) {
+  term = other390.term;
+  lastIndex = other390.lastIndex;
+  member = other390.member;
+  group = other390.group;
+  round = other390.round;
+  __isset = other390.__isset;
+}
+InstallReply::InstallReply(InstallReply&& other391) noexcept {
+  term = other391.term;
+  lastIndex = other391.lastIndex;
+  member = std::move(other391.member);
+  group = std::move(other391.group);
+  round = other391.round;
+  __isset = other391.__isset;
+}
+InstallReply& InstallReply::operator=(const InstallReply& other392) {
+  term = other392.term;
+  lastIndex = other392.lastIndex;
+  member = other392.member;
+  group = other392.group;
+  round = other392.round;
+  __isset = other392.__isset;
+  return *this;
+}
+InstallReply& InstallReply::operator=(InstallReply&& other393) noexcept {
+  term = other393.term;
+  lastIndex = other393.lastIndex;
+  member = std::move(other393.member);
+  group = std::move(other393.group);
+  round = other393.round;
+  __isset = other393.__isset;
   return *this;
 }
 void InstallReply::printTo(std::ostream& out) const {
@@ -9266,22 +11236,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other321) noexcept {
-  term = other321.term;
-  __isset = other321.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other394) noexcept {
+  term = other394.term;
+  __isset = other394.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other322) noexcept {
-  term = other322.term;
-  __isset = other322.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other395) noexcept {
+  term = other395.term;
+  __isset = other395.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other323) noexcept {
-  term = other323.term;
-  __isset = other323.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other396) noexcept {
+  term = other396.term;
+  __isset = other396.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other324) noexcept {
-  term = other324.term;
-  __isset = other324.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other397) noexcept {
+  term = other397.term;
+  __isset = other397.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -9367,22 +11337,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SetConfig::SetConfig(const SetConfig& other325) {
-  file = other325.file;
-  __isset = other325.__isset;
+SetConfig::SetConfig(const SetConfig& other398) {
+  file = other398.file;
+  __isset = other398.__isset;
 }
-SetConfig::SetConfig(SetConfig&& other326) noexcept {
-  file = std::move(other326.file);
-  __isset = other326.__isset;
+SetConfig::SetConfig(SetConfig&& other399) noexcept {
+  file = std::move(other399.file);
+  __isset = other399.__isset;
 }
-SetConfig& SetConfig::operator=(const SetConfig& other327) {
-  file = other327.file;
-  __isset = other327.__isset;
+SetConfig& SetConfig::operator=(const SetConfig& other400) {
+  file = other400.file;
+  __isset = other400.__isset;
   return *this;
 }
-SetConfig& SetConfig::operator=(SetConfig&& other328) noexcept {
-  file = std::move(other328.file);
-  __isset = other328.__isset;
+SetConfig& SetConfig::operator=(SetConfig&& other401) noexcept {
+  file = std::move(other401.file);
+  __isset = other401.__isset;
   return *this;
 }
 void SetConfig::printTo(std::ostream& out) const {
@@ -9421,6 +11391,10 @@
 void MemberJoin::__set_atMs(const int64_t val) {
   this->atMs = val;
 }
+
+void MemberJoin::__set_replaces(const int64_t val) {
+  this->replaces = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberJoin& obj)
 {
   obj.printTo(out);
@@ -9459,9 +11433,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast329;
-          xfer += iprot->readI32(ecast329);
-          this->role = static_cast<Role::type>(ecast329);
+          int32_t ecast402;
+          xfer += iprot->readI32(ecast402);
+          this->role = static_cast<Role::type>(ecast402);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9499,6 +11473,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->replaces);
+          this->__isset.replaces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9541,6 +11523,10 @@
   xfer += oprot->writeI64(this->atMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("replaces", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->replaces);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9554,45 +11540,50 @@
   swap(a.failureDomain, b.failureDomain);
   swap(a.server, b.server);
   swap(a.atMs, b.atMs);
+  swap(a.replaces, b.replaces);
   swap(a.__isset, b.__isset);
 }
 
-MemberJoin::MemberJoin(const MemberJoin& other330) {
-  id = other330.id;
-  role = other330.role;
-  address = other330.address;
-  failureDomain = other330.failureDomain;
-  server = other330.server;
-  atMs = other330.atMs;
-  __isset = other330.__isset;
-}
-MemberJoin::MemberJoin(MemberJoin&& other331) noexcept {
-  id = std::move(other331.id);
-  role = other331.role;
-  address = std::move(other331.address);
-  failureDomain = std::move(other331.failureDomain);
-  server = std::move(other331.server);
-  atMs = other331.atMs;
-  __isset = other331.__isset;
-}
-MemberJoin& MemberJoin::operator=(const MemberJoin& other332) {
-  id = other332.id;
-  role = other332.role;
-  address = other332.address;
-  failureDomain = other332.failureDomain;
-  server = other332.server;
-  atMs = other332.atMs;
-  __isset = other332.__isset;
-  return *this;
-}
-MemberJoin& MemberJoin::operator=(MemberJoin&& other333) noexcept {
-  id = std::move(other333.id);
-  role = other333.role;
-  address = std::move(other333.address);
-  failureDomain = std::move(other333.failureDomain);
-  server = std::move(other333.server);
-  atMs = other333.atMs;
-  __isset = other333.__isset;
+MemberJoin::MemberJoin(const MemberJoin& other403) {
+  id = other403.id;
+  role = other403.role;
+  address = other403.address;
+  failureDomain = other403.failureDomain;
+  server = other403.server;
+  atMs = other403.atMs;
+  replaces = other403.replaces;
+  __isset = other403.__isset;
+}
+MemberJoin::MemberJoin(MemberJoin&& other404) noexcept {
+  id = std::move(other404.id);
+  role = other404.role;
+  address = std::move(other404.address);
+  failureDomain = std::move(other404.failureDomain);
+  server = std::move(other404.server);
+  atMs = other404.atMs;
+  replaces = other404.replaces;
+  __isset = other404.__isset;
+}
+MemberJoin& MemberJoin::operator=(const MemberJoin& other405) {
+  id = other405.id;
+  role = other405.role;
+  address = other405.address;
+  failureDomain = other405.failureDomain;
+  server = other405.server;
+  atMs = other405.atMs;
+  replaces = other405.replaces;
+  __isset = other405.__isset;
+  return *this;
+}
+MemberJoin& MemberJoin::operator=(MemberJoin&& other406) noexcept {
+  id = std::move(other406.id);
+  role = other406.role;
+  address = std::move(other406.address);
+  failureDomain = std::move(other406.failureDomain);
+  server = std::move(other406.server);
+  atMs = other406.atMs;
+  replaces = other406.replaces;
+  __isset = other406.__isset;
   return *this;
 }
 void MemberJoin::printTo(std::ostream& out) const {
@@ -9604,6 +11595,7 @@
   out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ", " << "server="; (__isset.server ? (out << to_string(server)) : (out << "<null>"));
   out << ", " << "atMs=" << to_string(atMs);
+  out << ", " << "replaces=" << to_string(replaces);
   out << ")";
 }
 
@@ -9717,30 +11709,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberGone::MemberGone(const MemberGone& other334) {
-  id = other334.id;
-  planned = other334.planned;
-  atMs = other334.atMs;
-  __isset = other334.__isset;
+MemberGone::MemberGone(const MemberGone& other407) {
+  id = other407.id;
+  planned = other407.planned;
+  atMs = other407.atMs;
+  __isset = other407.__isset;
 }
-MemberGone::MemberGone(MemberGone&& other335) noexcept {
-  id = std::move(other335.id);
-  planned = other335.planned;
-  atMs = other335.atMs;
-  __isset = other335.__isset;
+MemberGone::MemberGone(MemberGone&& other408) noexcept {
+  id = std::move(other408.id);
+  planned = other408.planned;
+  atMs = other408.atMs;
+  __isset = other408.__isset;
 }
-MemberGone& MemberGone::operator=(const MemberGone& other336) {
-  id = other336.id;
-  planned = other336.planned;
-  atMs = other336.atMs;
-  __isset = other336.__isset;
+MemberGone& MemberGone::operator=(const MemberGone& other409) {
+  id = other409.id;
+  planned = other409.planned;
+  atMs = other409.atMs;
+  __isset = other409.__isset;
   return *this;
 }
-MemberGone& MemberGone::operator=(MemberGone&& other337) noexcept {
-  id = std::move(other337.id);
-  planned = other337.planned;
-  atMs = other337.atMs;
-  __isset = other337.__isset;
+MemberGone& MemberGone::operator=(MemberGone&& other410) noexcept {
+  id = std::move(other410.id);
+  planned = other410.planned;
+  atMs = other410.atMs;
+  __isset = other410.__isset;
   return *this;
 }
 void MemberGone::printTo(std::ostream& out) const {
@@ -9828,22 +11820,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberLeaving::MemberLeaving(const MemberLeaving& other338) {
-  id = other338.id;
-  __isset = other338.__isset;
+MemberLeaving::MemberLeaving(const MemberLeaving& other411) {
+  id = other411.id;
+  __isset = other411.__isset;
 }
-MemberLeaving::MemberLeaving(MemberLeaving&& other339) noexcept {
-  id = std::move(other339.id);
-  __isset = other339.__isset;
+MemberLeaving::MemberLeaving(MemberLeaving&& other412) noexcept {
+  id = std::move(other412.id);
+  __isset = other412.__isset;
 }
-MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other340) {
-  id = other340.id;
-  __isset = other340.__isset;
+MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other413) {
+  id = other413.id;
+  __isset = other413.__isset;
   return *this;
 }
-MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other341) noexcept {
-  id = std::move(other341.id);
-  __isset = other341.__isset;
+MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other414) noexcept {
+  id = std::move(other414.id);
+  __isset = other414.__isset;
   return *this;
 }
 void MemberLeaving::printTo(std::ostream& out) const {
@@ -9980,34 +11972,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderWhole::HolderWhole(const HolderWhole& other342) {
-  cell = other342.cell;
-  epoch = other342.epoch;
-  holder = other342.holder;
-  viewVersion = other342.viewVersion;
-  __isset = other342.__isset;
+HolderWhole::HolderWhole(const HolderWhole& other415) {
+  cell = other415.cell;
+  epoch = other415.epoch;
+  holder = other415.holder;
+  viewVersion = other415.viewVersion;
+  __isset = other415.__isset;
 }
-HolderWhole::HolderWhole(HolderWhole&& other343) noexcept {
-  cell = other343.cell;
-  epoch = other343.epoch;
-  holder = std::move(other343.holder);
-  viewVersion = other343.viewVersion;
-  __isset = other343.__isset;
+HolderWhole::HolderWhole(HolderWhole&& other416) noexcept {
+  cell = other416.cell;
+  epoch = other416.epoch;
+  holder = std::move(other416.holder);
+  viewVersion = other416.viewVersion;
+  __isset = other416.__isset;
 }
-HolderWhole& HolderWhole::operator=(const HolderWhole& other344) {
-  cell = other344.cell;
-  epoch = other344.epoch;
-  holder = other344.holder;
-  viewVersion = other344.viewVersion;
-  __isset = other344.__isset;
+HolderWhole& HolderWhole::operator=(const HolderWhole& other417) {
+  cell = other417.cell;
+  epoch = other417.epoch;
+  holder = other417.holder;
+  viewVersion = other417.viewVersion;
+  __isset = other417.__isset;
   return *this;
 }
-HolderWhole& HolderWhole::operator=(HolderWhole&& other345) noexcept {
-  cell = other345.cell;
-  epoch = other345.epoch;
-  holder = std::move(other345.holder);
-  viewVersion = other345.viewVersion;
-  __isset = other345.__isset;
+HolderWhole& HolderWhole::operator=(HolderWhole&& other418) noexcept {
+  cell = other418.cell;
+  epoch = other418.epoch;
+  holder = std::move(other418.holder);
+  viewVersion = other418.viewVersion;
+  __isset = other418.__isset;
   return *this;
 }
 void HolderWhole::printTo(std::ostream& out) const {
@@ -10147,34 +12139,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HandOver::HandOver(const HandOver& other346) {
-  cell = other346.cell;
-  epoch = other346.epoch;
-  previousOwner = other346.previousOwner;
-  atMs = other346.atMs;
-  __isset = other346.__isset;
+HandOver::HandOver(const HandOver& other419) {
+  cell = other419.cell;
+  epoch = other419.epoch;
+  previousOwner = other419.previousOwner;
+  atMs = other419.atMs;
+  __isset = other419.__isset;
 }
-HandOver::HandOver(HandOver&& other347) noexcept {
-  cell = other347.cell;
-  epoch = other347.epoch;
-  previousOwner = std::move(other347.previousOwner);
-  atMs = other347.atMs;
-  __isset = other347.__isset;
+HandOver::HandOver(HandOver&& other420) noexcept {
+  cell = other420.cell;
+  epoch = other420.epoch;
+  previousOwner = std::move(other420.previousOwner);
+  atMs = other420.atMs;
+  __isset = other420.__isset;
 }
-HandOver& HandOver::operator=(const HandOver& other348) {
-  cell = other348.cell;
-  epoch = other348.epoch;
-  previousOwner = other348.previousOwner;
-  atMs = other348.atMs;
-  __isset = other348.__isset;
+HandOver& HandOver::operator=(const HandOver& other421) {
+  cell = other421.cell;
+  epoch = other421.epoch;
+  previousOwner = other421.previousOwner;
+  atMs = other421.atMs;
+  __isset = other421.__isset;
   return *this;
 }
-HandOver& HandOver::operator=(HandOver&& other349) noexcept {
-  cell = other349.cell;
-  epoch = other349.epoch;
-  previousOwner = std::move(other349.previousOwner);
-  atMs = other349.atMs;
-  __isset = other349.__isset;
+HandOver& HandOver::operator=(HandOver&& other422) noexcept {
+  cell = other422.cell;
+  epoch = other422.epoch;
+  previousOwner = std::move(other422.previousOwner);
+  atMs = other422.atMs;
+  __isset = other422.__isset;
   return *this;
 }
 void HandOver::printTo(std::ostream& out) const {
@@ -10231,14 +12223,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size350;
-            ::apache::thrift::protocol::TType _etype353;
-            xfer += iprot->readListBegin(_etype353, _size350);
-            this->voters.resize(_size350);
-            uint32_t _i354;
-            for (_i354 = 0; _i354 < _size350; ++_i354)
+            uint32_t _size423;
+            ::apache::thrift::protocol::TType _etype426;
+            xfer += iprot->readListBegin(_etype426, _size423);
+            this->voters.resize(_size423);
+            uint32_t _i427;
+            for (_i427 = 0; _i427 < _size423; ++_i427)
             {
-              xfer += iprot->readString(this->voters[_i354]);
+              xfer += iprot->readString(this->voters[_i427]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10251,14 +12243,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size355;
-            ::apache::thrift::protocol::TType _etype358;
-            xfer += iprot->readListBegin(_etype358, _size355);
-            this->learners.resize(_size355);
-            uint32_t _i359;
-            for (_i359 = 0; _i359 < _size355; ++_i359)
+            uint32_t _size428;
+            ::apache::thrift::protocol::TType _etype431;
+            xfer += iprot->readListBegin(_etype431, _size428);
+            this->learners.resize(_size428);
+            uint32_t _i432;
+            for (_i432 = 0; _i432 < _size428; ++_i432)
             {
-              xfer += iprot->readString(this->learners[_i359]);
+              xfer += iprot->readString(this->learners[_i432]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10287,10 +12279,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter360;
-    for (_iter360 = this->voters.begin(); _iter360 != this->voters.end(); ++_iter360)
+    std::vector<std::string> ::const_iterator _iter433;
+    for (_iter433 = this->voters.begin(); _iter433 != this->voters.end(); ++_iter433)
     {
-      xfer += oprot->writeString((*_iter360));
+      xfer += oprot->writeString((*_iter433));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10299,10 +12291,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter361;
-    for (_iter361 = this->learners.begin(); _iter361 != this->learners.end(); ++_iter361)
+    std::vector<std::string> ::const_iterator _iter434;
+    for (_iter434 = this->learners.begin(); _iter434 != this->learners.end(); ++_iter434)
     {
-      xfer += oprot->writeString((*_iter361));
+      xfer += oprot->writeString((*_iter434));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10320,26 +12312,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SetVoters::SetVoters(const SetVoters& other362) {
-  voters = other362.voters;
-  learners = other362.learners;
-  __isset = other362.__isset;
+SetVoters::SetVoters(const SetVoters& other435) {
+  voters = other435.voters;
+  learners = other435.learners;
+  __isset = other435.__isset;
 }
-SetVoters::SetVoters(SetVoters&& other363) noexcept {
-  voters = std::move(other363.voters);
-  learners = std::move(other363.learners);
-  __isset = other363.__isset;
+SetVoters::SetVoters(SetVoters&& other436) noexcept {
+  voters = std::move(other436.voters);
+  learners = std::move(other436.learners);
+  __isset = other436.__isset;
 }
-SetVoters& SetVoters::operator=(const SetVoters& other364) {
-  voters = other364.voters;
-  learners = other364.learners;
-  __isset = other364.__isset;
+SetVoters& SetVoters::operator=(const SetVoters& other437) {
+  voters = other437.voters;
+  learners = other437.learners;
+  __isset = other437.__isset;
   return *this;
 }
-SetVoters& SetVoters::operator=(SetVoters&& other365) noexcept {
-  voters = std::move(other365.voters);
-  learners = std::move(other365.learners);
-  __isset = other365.__isset;
+SetVoters& SetVoters::operator=(SetVoters&& other438) noexcept {
+  voters = std::move(other438.voters);
+  learners = std::move(other438.learners);
+  __isset = other438.__isset;
   return *this;
 }
 void SetVoters::printTo(std::ostream& out) const {
@@ -10561,50 +12553,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other366) {
-  setConfig = other366.setConfig;
-  memberJoin = other366.memberJoin;
-  memberGone = other366.memberGone;
-  memberLeaving = other366.memberLeaving;
-  holderWhole = other366.holderWhole;
-  handOver = other366.handOver;
-  setVoters = other366.setVoters;
-  noop = other366.noop;
-  __isset = other366.__isset;
-}
-Command::Command(Command&& other367) noexcept {
-  setConfig = std::move(other367.setConfig);
-  memberJoin = std::move(other367.memberJoin);
-  memberGone = std::move(other367.memberGone);
-  memberLeaving = std::move(other367.memberLeaving);
-  holderWhole = std::move(other367.holderWhole);
-  handOver = std::move(other367.handOver);
-  setVoters = std::move(other367.setVoters);
-  noop = other367.noop;
-  __isset = other367.__isset;
-}
-Command& Command::operator=(const Command& other368) {
-  setConfig = other368.setConfig;
-  memberJoin = other368.memberJoin;
-  memberGone = other368.memberGone;
-  memberLeaving = other368.memberLeaving;
-  holderWhole = other368.holderWhole;
-  handOver = other368.handOver;
-  setVoters = other368.setVoters;
-  noop = other368.noop;
-  __isset = other368.__isset;
-  return *this;
-}
-Command& Command::operator=(Command&& other369) noexcept {
-  setConfig = std::move(other369.setConfig);
-  memberJoin = std::move(other369.memberJoin);
-  memberGone = std::move(other369.memberGone);
-  memberLeaving = std::move(other369.memberLeaving);
-  holderWhole = std::move(other369.holderWhole);
-  handOver = std::move(other369.handOver);
-  setVoters = std::move(other369.setVoters);
-  noop = other369.noop;
-  __isset = other369.__isset;
+Command::Command(const Command& other439) {
+  setConfig = other439.setConfig;
+  memberJoin = other439.memberJoin;
+  memberGone = other439.memberGone;
+  memberLeaving = other439.memberLeaving;
+  holderWhole = other439.holderWhole;
+  handOver = other439.handOver;
+  setVoters = other439.setVoters;
+  noop = other439.noop;
+  __isset = other439.__isset;
+}
+Command::Command(Command&& other440) noexcept {
+  setConfig = std::move(other440.setConfig);
+  memberJoin = std::move(other440.memberJoin);
+  memberGone = std::move(other440.memberGone);
+  memberLeaving = std::move(other440.memberLeaving);
+  holderWhole = std::move(other440.holderWhole);
+  handOver = std::move(other440.handOver);
+  setVoters = std::move(other440.setVoters);
+  noop = other440.noop;
+  __isset = other440.__isset;
+}
+Command& Command::operator=(const Command& other441) {
+  setConfig = other441.setConfig;
+  memberJoin = other441.memberJoin;
+  memberGone = other441.memberGone;
+  memberLeaving = other441.memberLeaving;
+  holderWhole = other441.holderWhole;
+  handOver = other441.handOver;
+  setVoters = other441.setVoters;
+  noop = other441.noop;
+  __isset = other441.__isset;
+  return *this;
+}
+Command& Command::operator=(Command&& other442) noexcept {
+  setConfig = std::move(other442.setConfig);
+  memberJoin = std::move(other442.memberJoin);
+  memberGone = std::move(other442.memberGone);
+  memberLeaving = std::move(other442.memberLeaving);
+  holderWhole = std::move(other442.holderWhole);
+  handOver = std::move(other442.handOver);
+  setVoters = std::move(other442.setVoters);
+  noop = other442.noop;
+  __isset = other442.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -10748,34 +12740,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other370) {
-  member = other370.member;
-  group = other370.group;
-  term = other370.term;
-  vote = other370.vote;
-  __isset = other370.__isset;
+HardState::HardState(const HardState& other443) {
+  member = other443.member;
+  group = other443.group;
+  term = other443.term;
+  vote = other443.vote;
+  __isset = other443.__isset;
 }
-HardState::HardState(HardState&& other371) noexcept {
-  member = std::move(other371.member);
-  group = std::move(other371.group);
-  term = other371.term;
-  vote = std::move(other371.vote);
-  __isset = other371.__isset;
+HardState::HardState(HardState&& other444) noexcept {
+  member = std::move(other444.member);
+  group = std::move(other444.group);
+  term = other444.term;
+  vote = std::move(other444.vote);
+  __isset = other444.__isset;
 }
-HardState& HardState::operator=(const HardState& other372) {
-  member = other372.member;
-  group = other372.group;
-  term = other372.term;
-  vote = other372.vote;
-  __isset = other372.__isset;
+HardState& HardState::operator=(const HardState& other445) {
+  member = other445.member;
+  group = other445.group;
+  term = other445.term;
+  vote = other445.vote;
+  __isset = other445.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other373) noexcept {
-  member = std::move(other373.member);
-  group = std::move(other373.group);
-  term = other373.term;
-  vote = std::move(other373.vote);
-  __isset = other373.__isset;
+HardState& HardState::operator=(HardState&& other446) noexcept {
+  member = std::move(other446.member);
+  group = std::move(other446.group);
+  term = other446.term;
+  vote = std::move(other446.vote);
+  __isset = other446.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -10853,14 +12845,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size374;
-            ::apache::thrift::protocol::TType _etype377;
-            xfer += iprot->readListBegin(_etype377, _size374);
-            this->entries.resize(_size374);
-            uint32_t _i378;
-            for (_i378 = 0; _i378 < _size374; ++_i378)
+            uint32_t _size447;
+            ::apache::thrift::protocol::TType _etype450;
+            xfer += iprot->readListBegin(_etype450, _size447);
+            this->entries.resize(_size447);
+            uint32_t _i451;
+            for (_i451 = 0; _i451 < _size447; ++_i451)
             {
-              xfer += this->entries[_i378].read(iprot);
+              xfer += this->entries[_i451].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10898,10 +12890,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter379;
-    for (_iter379 = this->entries.begin(); _iter379 != this->entries.end(); ++_iter379)
+    std::vector<LogEntry> ::const_iterator _iter452;
+    for (_iter452 = this->entries.begin(); _iter452 != this->entries.end(); ++_iter452)
     {
-      xfer += (*_iter379).write(oprot);
+      xfer += (*_iter452).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10920,30 +12912,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogRecord::LogRecord(const LogRecord& other380) {
-  state = other380.state;
-  truncateFrom = other380.truncateFrom;
-  entries = other380.entries;
-  __isset = other380.__isset;
+LogRecord::LogRecord(const LogRecord& other453) {
+  state = other453.state;
+  truncateFrom = other453.truncateFrom;
+  entries = other453.entries;
+  __isset = other453.__isset;
 }
-LogRecord::LogRecord(LogRecord&& other381) noexcept {
-  state = std::move(other381.state);
-  truncateFrom = other381.truncateFrom;
-  entries = std::move(other381.entries);
-  __isset = other381.__isset;
+LogRecord::LogRecord(LogRecord&& other454) noexcept {
+  state = std::move(other454.state);
+  truncateFrom = other454.truncateFrom;
+  entries = std::move(other454.entries);
+  __isset = other454.__isset;
 }
-LogRecord& LogRecord::operator=(const LogRecord& other382) {
-  state = other382.state;
-  truncateFrom = other382.truncateFrom;
-  entries = other382.entries;
-  __isset = other382.__isset;
+LogRecord& LogRecord::operator=(const LogRecord& other455) {
+  state = other455.state;
+  truncateFrom = other455.truncateFrom;
+  entries = other455.entries;
+  __isset = other455.__isset;
   return *this;
 }
-LogRecord& LogRecord::operator=(LogRecord&& other383) noexcept {
-  state = std::move(other383.state);
-  truncateFrom = other383.truncateFrom;
-  entries = std::move(other383.entries);
-  __isset = other383.__isset;
+LogRecord& LogRecord::operator=(LogRecord&& other456) noexcept {
+  state = std::move(other456.state);
+  truncateFrom = other456.truncateFrom;
+  entries = std::move(other456.entries);
+  __isset = other456.__isset;
   return *this;
 }
 void LogRecord::printTo(std::ostream& out) const {
@@ -10995,14 +12987,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size384;
-            ::apache::thrift::protocol::TType _etype387;
-            xfer += iprot->readListBegin(_etype387, _size384);
-            this->records.resize(_size384);
-            uint32_t _i388;
-            for (_i388 = 0; _i388 < _size384; ++_i388)
+            uint32_t _size457;
+            ::apache::thrift::protocol::TType _etype460;
+            xfer += iprot->readListBegin(_etype460, _size457);
+            this->records.resize(_size457);
+            uint32_t _i461;
+            for (_i461 = 0; _i461 < _size457; ++_i461)
             {
-              xfer += this->records[_i388].read(iprot);
+              xfer += this->records[_i461].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11031,10 +13023,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<LogRecord> ::const_iterator _iter389;
-    for (_iter389 = this->records.begin(); _iter389 != this->records.end(); ++_iter389)
+    std::vector<LogRecord> ::const_iterator _iter462;
+    for (_iter462 = this->records.begin(); _iter462 != this->records.end(); ++_iter462)
     {
-      xfer += (*_iter389).write(oprot);
+      xfer += (*_iter462).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11051,22 +13043,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LogFrame::LogFrame(const LogFrame& other390) {
-  records = other390.records;
-  __isset = other390.__isset;
+LogFrame::LogFrame(const LogFrame& other463) {
+  records = other463.records;
+  __isset = other463.__isset;
 }
-LogFrame::LogFrame(LogFrame&& other391) noexcept {
-  records = std::move(other391.records);
-  __isset = other391.__isset;
+LogFrame::LogFrame(LogFrame&& other464) noexcept {
+  records = std::move(other464.records);
+  __isset = other464.__isset;
 }
-LogFrame& LogFrame::operator=(const LogFrame& other392) {
-  records = other392.records;
-  __isset = other392.__isset;
+LogFrame& LogFrame::operator=(const LogFrame& other465) {
+  records = other465.records;
+  __isset = other465.__isset;
   return *this;
 }
-LogFrame& LogFrame::operator=(LogFrame&& other393) noexcept {
-  records = std::move(other393.records);
-  __isset = other393.__isset;
+LogFrame& LogFrame::operator=(LogFrame&& other466) noexcept {
+  records = std::move(other466.records);
+  __isset = other466.__isset;
   return *this;
 }
 void LogFrame::printTo(std::ostream& out) const {
@@ -11148,14 +13140,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size394;
-            ::apache::thrift::protocol::TType _etype397;
-            xfer += iprot->readListBegin(_etype397, _size394);
-            this->voters.resize(_size394);
-            uint32_t _i398;
-            for (_i398 = 0; _i398 < _size394; ++_i398)
+            uint32_t _size467;
+            ::apache::thrift::protocol::TType _etype470;
+            xfer += iprot->readListBegin(_etype470, _size467);
+            this->voters.resize(_size467);
+            uint32_t _i471;
+            for (_i471 = 0; _i471 < _size467; ++_i471)
             {
-              xfer += iprot->readString(this->voters[_i398]);
+              xfer += iprot->readString(this->voters[_i471]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11168,14 +13160,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size399;
-            ::apache::thrift::protocol::TType _etype402;
-            xfer += iprot->readListBegin(_etype402, _size399);
-            this->learners.resize(_size399);
-            uint32_t _i403;
-            for (_i403 = 0; _i403 < _size399; ++_i403)
+            uint32_t _size472;
+            ::apache::thrift::protocol::TType _etype475;
+            xfer += iprot->readListBegin(_etype475, _size472);
+            this->learners.resize(_size472);
+            uint32_t _i476;
+            for (_i476 = 0; _i476 < _size472; ++_i476)
             {
-              xfer += iprot->readString(this->learners[_i403]);
+              xfer += iprot->readString(this->learners[_i476]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11220,10 +13212,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter404;
-    for (_iter404 = this->voters.begin(); _iter404 != this->voters.end(); ++_iter404)
+    std::vector<std::string> ::const_iterator _iter477;
+    for (_iter477 = this->voters.begin(); _iter477 != this->voters.end(); ++_iter477)
     {
-      xfer += oprot->writeString((*_iter404));
+      xfer += oprot->writeString((*_iter477));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11232,10 +13224,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter405;
-    for (_iter405 = this->learners.begin(); _iter405 != this->learners.end(); ++_iter405)
+    std::vector<std::string> ::const_iterator _iter478;
+    for (_iter478 = this->learners.begin(); _iter478 != this->learners.end(); ++_iter478)
     {
-      xfer += oprot->writeString((*_iter405));
+      xfer += oprot->writeString((*_iter478));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11260,38 +13252,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotFile::SnapshotFile(const SnapshotFile& other406) {
-  lastIndex = other406.lastIndex;
-  lastTerm = other406.lastTerm;
-  voters = other406.voters;
-  learners = other406.learners;
-  data = other406.data;
-  __isset = other406.__isset;
-}
-SnapshotFile::SnapshotFile(SnapshotFile&& other407) noexcept {
-  lastIndex = other407.lastIndex;
-  lastTerm = other407.lastTerm;
-  voters = std::move(other407.voters);
-  learners = std::move(other407.learners);
-  data = std::move(other407.data);
-  __isset = other407.__isset;
-}
-SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other408) {
-  lastIndex = other408.lastIndex;
-  lastTerm = other408.lastTerm;
-  voters = other408.voters;
-  learners = other408.learners;
-  data = other408.data;
-  __isset = other408.__isset;
-  return *this;
-}
-SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other409) noexcept {
-  lastIndex = other409.lastIndex;
-  lastTerm = other409.lastTerm;
-  voters = std::move(other409.voters);
-  learners = std::move(other409.learners);
-  data = std::move(other409.data);
-  __isset = other409.__isset;
+SnapshotFile::SnapshotFile(const SnapshotFile& other479) {
+  lastIndex = other479.lastIndex;
+  lastTerm = other479.lastTerm;
+  voters = other479.voters;
+  learners = other479.learners;
+  data = other479.data;
+  __isset = other479.__isset;
+}
+SnapshotFile::SnapshotFile(SnapshotFile&& other480) noexcept {
+  lastIndex = other480.lastIndex;
+  lastTerm = other480.lastTerm;
+  voters = std::move(other480.voters);
+  learners = std::move(other480.learners);
+  data = std::move(other480.data);
+  __isset = other480.__isset;
+}
+SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other481) {
+  lastIndex = other481.lastIndex;
+  lastTerm = other481.lastTerm;
+  voters = other481.voters;
+  learners = other481.learners;
+  data = other481.data;
+  __isset = other481.__isset;
+  return *this;
+}
+SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other482) noexcept {
+  lastIndex = other482.lastIndex;
+  lastTerm = other482.lastTerm;
+  voters = std::move(other482.voters);
+  learners = std::move(other482.learners);
+  data = std::move(other482.data);
+  __isset = other482.__isset;
   return *this;
 }
 void SnapshotFile::printTo(std::ostream& out) const {
@@ -11415,30 +13407,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderRecord::HolderRecord(const HolderRecord& other410) {
-  name = other410.name;
-  since = other410.since;
-  whole = other410.whole;
-  __isset = other410.__isset;
+HolderRecord::HolderRecord(const HolderRecord& other483) {
+  name = other483.name;
+  since = other483.since;
+  whole = other483.whole;
+  __isset = other483.__isset;
 }
-HolderRecord::HolderRecord(HolderRecord&& other411) noexcept {
-  name = std::move(other411.name);
-  since = other411.since;
-  whole = other411.whole;
-  __isset = other411.__isset;
+HolderRecord::HolderRecord(HolderRecord&& other484) noexcept {
+  name = std::move(other484.name);
+  since = other484.since;
+  whole = other484.whole;
+  __isset = other484.__isset;
 }
-HolderRecord& HolderRecord::operator=(const HolderRecord& other412) {
-  name = other412.name;
-  since = other412.since;
-  whole = other412.whole;
-  __isset = other412.__isset;
+HolderRecord& HolderRecord::operator=(const HolderRecord& other485) {
+  name = other485.name;
+  since = other485.since;
+  whole = other485.whole;
+  __isset = other485.__isset;
   return *this;
 }
-HolderRecord& HolderRecord::operator=(HolderRecord&& other413) noexcept {
-  name = std::move(other413.name);
-  since = other413.since;
-  whole = other413.whole;
-  __isset = other413.__isset;
+HolderRecord& HolderRecord::operator=(HolderRecord&& other486) noexcept {
+  name = std::move(other486.name);
+  since = other486.since;
+  whole = other486.whole;
+  __isset = other486.__isset;
   return *this;
 }
 void HolderRecord::printTo(std::ostream& out) const {
@@ -11550,14 +13542,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size414;
-            ::apache::thrift::protocol::TType _etype417;
-            xfer += iprot->readListBegin(_etype417, _size414);
-            this->holders.resize(_size414);
-            uint32_t _i418;
-            for (_i418 = 0; _i418 < _size414; ++_i418)
+            uint32_t _size487;
+            ::apache::thrift::protocol::TType _etype490;
+            xfer += iprot->readListBegin(_etype490, _size487);
+            this->holders.resize(_size487);
+            uint32_t _i491;
+            for (_i491 = 0; _i491 < _size487; ++_i491)
             {
-              xfer += this->holders[_i418].read(iprot);
+              xfer += this->holders[_i491].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11626,10 +13618,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<HolderRecord> ::const_iterator _iter419;
-    for (_iter419 = this->holders.begin(); _iter419 != this->holders.end(); ++_iter419)
+    std::vector<HolderRecord> ::const_iterator _iter492;
+    for (_iter492 = this->holders.begin(); _iter492 != this->holders.end(); ++_iter492)
     {
-      xfer += (*_iter419).write(oprot);
+      xfer += (*_iter492).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11665,50 +13657,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CellRecord::CellRecord(const CellRecord& other420) {
-  cell = other420.cell;
-  serviceName = other420.serviceName;
-  epoch = other420.epoch;
-  owner = other420.owner;
-  holders = other420.holders;
-  floorMs = other420.floorMs;
-  routeVersion = other420.routeVersion;
-  agentsVersion = other420.agentsVersion;
-  __isset = other420.__isset;
-}
-CellRecord::CellRecord(CellRecord&& other421) noexcept {
-  cell = other421.cell;
-  serviceName = std::move(other421.serviceName);
-  epoch = other421.epoch;
-  owner = std::move(other421.owner);
-  holders = std::move(other421.holders);
-  floorMs = other421.floorMs;
-  routeVersion = other421.routeVersion;
-  agentsVersion = other421.agentsVersion;
-  __isset = other421.__isset;
-}
-CellRecord& CellRecord::operator=(const CellRecord& other422) {
-  cell = other422.cell;
-  serviceName = other422.serviceName;
-  epoch = other422.epoch;
-  owner = other422.owner;
-  holders = other422.holders;
-  floorMs = other422.floorMs;
-  routeVersion = other422.routeVersion;
-  agentsVersion = other422.agentsVersion;
-  __isset = other422.__isset;
-  return *this;
-}
-CellRecord& CellRecord::operator=(CellRecord&& other423) noexcept {
-  cell = other423.cell;
-  serviceName = std::move(other423.serviceName);
-  epoch = other423.epoch;
-  owner = std::move(other423.owner);
-  holders = std::move(other423.holders);
-  floorMs = other423.floorMs;
-  routeVersion = other423.routeVersion;
-  agentsVersion = other423.agentsVersion;
-  __isset = other423.__isset;
+CellRecord::CellRecord(const CellRecord& other493) {
+  cell = other493.cell;
+  serviceName = other493.serviceName;
+  epoch = other493.epoch;
+  owner = other493.owner;
+  holders = other493.holders;
+  floorMs = other493.floorMs;
+  routeVersion = other493.routeVersion;
+  agentsVersion = other493.agentsVersion;
+  __isset = other493.__isset;
+}
+CellRecord::CellRecord(CellRecord&& other494) noexcept {
+  cell = other494.cell;
+  serviceName = std::move(other494.serviceName);
+  epoch = other494.epoch;
+  owner = std::move(other494.owner);
+  holders = std::move(other494.holders);
+  floorMs = other494.floorMs;
+  routeVersion = other494.routeVersion;
+  agentsVersion = other494.agentsVersion;
+  __isset = other494.__isset;
+}
+CellRecord& CellRecord::operator=(const CellRecord& other495) {
+  cell = other495.cell;
+  serviceName = other495.serviceName;
+  epoch = other495.epoch;
+  owner = other495.owner;
+  holders = other495.holders;
+  floorMs = other495.floorMs;
+  routeVersion = other495.routeVersion;
+  agentsVersion = other495.agentsVersion;
+  __isset = other495.__isset;
+  return *this;
+}
+CellRecord& CellRecord::operator=(CellRecord&& other496) noexcept {
+  cell = other496.cell;
+  serviceName = std::move(other496.serviceName);
+  epoch = other496.epoch;
+  owner = std::move(other496.owner);
+  holders = std::move(other496.holders);
+  floorMs = other496.floorMs;
+  routeVersion = other496.routeVersion;
+  agentsVersion = other496.agentsVersion;
+  __isset = other496.__isset;
   return *this;
 }
 void CellRecord::printTo(std::ostream& out) const {
@@ -11803,9 +13795,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast424;
-          xfer += iprot->readI32(ecast424);
-          this->role = static_cast<Role::type>(ecast424);
+          int32_t ecast497;
+          xfer += iprot->readI32(ecast497);
+          this->role = static_cast<Role::type>(ecast497);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -11939,54 +13931,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other425) {
-  id = other425.id;
-  role = other425.role;
-  address = other425.address;
-  failureDomain = other425.failureDomain;
-  serviceName = other425.serviceName;
-  cell = other425.cell;
-  leaving = other425.leaving;
-  version = other425.version;
-  leaseVersion = other425.leaseVersion;
-  __isset = other425.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other426) noexcept {
-  id = std::move(other426.id);
-  role = other426.role;
-  address = std::move(other426.address);
-  failureDomain = std::move(other426.failureDomain);
-  serviceName = std::move(other426.serviceName);
-  cell = other426.cell;
-  leaving = other426.leaving;
-  version = other426.version;
-  leaseVersion = other426.leaseVersion;
-  __isset = other426.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other427) {
-  id = other427.id;
-  role = other427.role;
-  address = other427.address;
-  failureDomain = other427.failureDomain;
-  serviceName = other427.serviceName;
-  cell = other427.cell;
-  leaving = other427.leaving;
-  version = other427.version;
-  leaseVersion = other427.leaseVersion;
-  __isset = other427.__isset;
-  return *this;
-}
-MemberRecord& MemberRecord::operator=(MemberRecord&& other428) noexcept {
-  id = std::move(other428.id);
-  role = other428.role;
-  address = std::move(other428.address);
-  failureDomain = std::move(other428.failureDomain);
-  serviceName = std::move(other428.serviceName);
-  cell = other428.cell;
-  leaving = other428.leaving;
-  version = other428.version;
-  leaseVersion = other428.leaseVersion;
-  __isset = other428.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other498) {
+  id = other498.id;
+  role = other498.role;
+  address = other498.address;
+  failureDomain = other498.failureDomain;
+  serviceName = other498.serviceName;
+  cell = other498.cell;
+  leaving = other498.leaving;
+  version = other498.version;
+  leaseVersion = other498.leaseVersion;
+  __isset = other498.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other499) noexcept {
+  id = std::move(other499.id);
+  role = other499.role;
+  address = std::move(other499.address);
+  failureDomain = std::move(other499.failureDomain);
+  serviceName = std::move(other499.serviceName);
+  cell = other499.cell;
+  leaving = other499.leaving;
+  version = other499.version;
+  leaseVersion = other499.leaseVersion;
+  __isset = other499.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other500) {
+  id = other500.id;
+  role = other500.role;
+  address = other500.address;
+  failureDomain = other500.failureDomain;
+  serviceName = other500.serviceName;
+  cell = other500.cell;
+  leaving = other500.leaving;
+  version = other500.version;
+  leaseVersion = other500.leaseVersion;
+  __isset = other500.__isset;
+  return *this;
+}
+MemberRecord& MemberRecord::operator=(MemberRecord&& other501) noexcept {
+  id = std::move(other501.id);
+  role = other501.role;
+  address = std::move(other501.address);
+  failureDomain = std::move(other501.failureDomain);
+  serviceName = std::move(other501.serviceName);
+  cell = other501.cell;
+  leaving = other501.leaving;
+  version = other501.version;
+  leaseVersion = other501.leaseVersion;
+  __isset = other501.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -12032,6 +14024,10 @@
 void ControlImage::__set_routesVersion(const int64_t val) {
   this->routesVersion = val;
 }
+
+void ControlImage::__set_entriesVersion(const int64_t val) {
+  this->entriesVersion = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControlImage& obj)
 {
   obj.printTo(out);
@@ -12064,14 +14060,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size429;
-            ::apache::thrift::protocol::TType _etype432;
-            xfer += iprot->readListBegin(_etype432, _size429);
-            this->history.resize(_size429);
-            uint32_t _i433;
-            for (_i433 = 0; _i433 < _size429; ++_i433)
+            uint32_t _size502;
+            ::apache::thrift::protocol::TType _etype505;
+            xfer += iprot->readListBegin(_etype505, _size502);
+            this->history.resize(_size502);
+            uint32_t _i506;
+            for (_i506 = 0; _i506 < _size502; ++_i506)
             {
-              xfer += this->history[_i433].read(iprot);
+              xfer += this->history[_i506].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12084,14 +14080,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size434;
-            ::apache::thrift::protocol::TType _etype437;
-            xfer += iprot->readListBegin(_etype437, _size434);
-            this->members.resize(_size434);
-            uint32_t _i438;
-            for (_i438 = 0; _i438 < _size434; ++_i438)
+            uint32_t _size507;
+            ::apache::thrift::protocol::TType _etype510;
+            xfer += iprot->readListBegin(_etype510, _size507);
+            this->members.resize(_size507);
+            uint32_t _i511;
+            for (_i511 = 0; _i511 < _size507; ++_i511)
             {
-              xfer += this->members[_i438].read(iprot);
+              xfer += this->members[_i511].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12104,14 +14100,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size439;
-            ::apache::thrift::protocol::TType _etype442;
-            xfer += iprot->readListBegin(_etype442, _size439);
-            this->cells.resize(_size439);
-            uint32_t _i443;
-            for (_i443 = 0; _i443 < _size439; ++_i443)
+            uint32_t _size512;
+            ::apache::thrift::protocol::TType _etype515;
+            xfer += iprot->readListBegin(_etype515, _size512);
+            this->cells.resize(_size512);
+            uint32_t _i516;
+            for (_i516 = 0; _i516 < _size512; ++_i516)
             {
-              xfer += this->cells[_i443].read(iprot);
+              xfer += this->cells[_i516].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12144,6 +14140,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->entriesVersion);
+          this->__isset.entriesVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12164,10 +14168,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<ConfigFile> ::const_iterator _iter444;
-    for (_iter444 = this->history.begin(); _iter444 != this->history.end(); ++_iter444)
+    std::vector<ConfigFile> ::const_iterator _iter517;
+    for (_iter517 = this->history.begin(); _iter517 != this->history.end(); ++_iter517)
     {
-      xfer += (*_iter444).write(oprot);
+      xfer += (*_iter517).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12176,10 +14180,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter445;
-    for (_iter445 = this->members.begin(); _iter445 != this->members.end(); ++_iter445)
+    std::vector<MemberRecord> ::const_iterator _iter518;
+    for (_iter518 = this->members.begin(); _iter518 != this->members.end(); ++_iter518)
     {
-      xfer += (*_iter445).write(oprot);
+      xfer += (*_iter518).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12188,10 +14192,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellRecord> ::const_iterator _iter446;
-    for (_iter446 = this->cells.begin(); _iter446 != this->cells.end(); ++_iter446)
+    std::vector<CellRecord> ::const_iterator _iter519;
+    for (_iter519 = this->cells.begin(); _iter519 != this->cells.end(); ++_iter519)
     {
-      xfer += (*_iter446).write(oprot);
+      xfer += (*_iter519).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12209,6 +14213,10 @@
   xfer += oprot->writeI64(this->routesVersion);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("entriesVersion", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->entriesVersion);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12222,45 +14230,50 @@
   swap(a.nextCell, b.nextCell);
   swap(a.configVersion, b.configVersion);
   swap(a.routesVersion, b.routesVersion);
+  swap(a.entriesVersion, b.entriesVersion);
   swap(a.__isset, b.__isset);
 }
 
-ControlImage::ControlImage(const ControlImage& other447) {
-  history = other447.history;
-  members = other447.members;
-  cells = other447.cells;
-  nextCell = other447.nextCell;
-  configVersion = other447.configVersion;
-  routesVersion = other447.routesVersion;
-  __isset = other447.__isset;
-}
-ControlImage::ControlImage(ControlImage&& other448) noexcept {
-  history = std::move(other448.history);
-  members = std::move(other448.members);
-  cells = std::move(other448.cells);
-  nextCell = other448.nextCell;
-  configVersion = other448.configVersion;
-  routesVersion = other448.routesVersion;
-  __isset = other448.__isset;
-}
-ControlImage& ControlImage::operator=(const ControlImage& other449) {
-  history = other449.history;
-  members = other449.members;
-  cells = other449.cells;
-  nextCell = other449.nextCell;
-  configVersion = other449.configVersion;
-  routesVersion = other449.routesVersion;
-  __isset = other449.__isset;
-  return *this;
-}
-ControlImage& ControlImage::operator=(ControlImage&& other450) noexcept {
-  history = std::move(other450.history);
-  members = std::move(other450.members);
-  cells = std::move(other450.cells);
-  nextCell = other450.nextCell;
-  configVersion = other450.configVersion;
-  routesVersion = other450.routesVersion;
-  __isset = other450.__isset;
+ControlImage::ControlImage(const ControlImage& other520) {
+  history = other520.history;
+  members = other520.members;
+  cells = other520.cells;
+  nextCell = other520.nextCell;
+  configVersion = other520.configVersion;
+  routesVersion = other520.routesVersion;
+  entriesVersion = other520.entriesVersion;
+  __isset = other520.__isset;
+}
+ControlImage::ControlImage(ControlImage&& other521) noexcept {
+  history = std::move(other521.history);
+  members = std::move(other521.members);
+  cells = std::move(other521.cells);
+  nextCell = other521.nextCell;
+  configVersion = other521.configVersion;
+  routesVersion = other521.routesVersion;
+  entriesVersion = other521.entriesVersion;
+  __isset = other521.__isset;
+}
+ControlImage& ControlImage::operator=(const ControlImage& other522) {
+  history = other522.history;
+  members = other522.members;
+  cells = other522.cells;
+  nextCell = other522.nextCell;
+  configVersion = other522.configVersion;
+  routesVersion = other522.routesVersion;
+  entriesVersion = other522.entriesVersion;
+  __isset = other522.__isset;
+  return *this;
+}
+ControlImage& ControlImage::operator=(ControlImage&& other523) noexcept {
+  history = std::move(other523.history);
+  members = std::move(other523.members);
+  cells = std::move(other523.cells);
+  nextCell = other523.nextCell;
+  configVersion = other523.configVersion;
+  routesVersion = other523.routesVersion;
+  entriesVersion = other523.entriesVersion;
+  __isset = other523.__isset;
   return *this;
 }
 void ControlImage::printTo(std::ostream& out) const {
@@ -12272,6 +14285,7 @@
   out << ", " << "nextCell=" << to_string(nextCell);
   out << ", " << "configVersion=" << to_string(configVersion);
   out << ", " << "routesVersion=" << to_string(routesVersion);
+  out << ", " << "entriesVersion=" << to_string(entriesVersion);
   out << ")";
 }
 
@@ -12395,6 +14409,31 @@
 __isset.controlAnswer = true;
 }
 
+void Message::__set_hostReport(const HostReport& val) {
+  this->hostReport = val;
+__isset.hostReport = true;
+}
+
+void Message::__set_hostContact(const HostContact& val) {
+  this->hostContact = val;
+__isset.hostContact = true;
+}
+
+void Message::__set_runTasks(const RunTasks& val) {
+  this->runTasks = val;
+__isset.runTasks = true;
+}
+
+void Message::__set_stopTasks(const StopTasks& val) {
+  this->stopTasks = val;
+__isset.stopTasks = true;
+}
+
+void Message::__set_taskReports(const TaskReports& val) {
+  this->taskReports = val;
+__isset.taskReports = true;
+}
+
 void Message::__set_requestVote(const RequestVote& val) {
   this->requestVote = val;
 __isset.requestVote = true;
@@ -12641,6 +14680,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 50:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->hostReport.read(iprot);
+          this->__isset.hostReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 51:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->hostContact.read(iprot);
+          this->__isset.hostContact = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 52:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->runTasks.read(iprot);
+          this->__isset.runTasks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 53:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->stopTasks.read(iprot);
+          this->__isset.stopTasks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 54:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->taskReports.read(iprot);
+          this->__isset.taskReports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 40:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->requestVote.read(iprot);
@@ -12864,6 +14943,31 @@
     xfer += this->timeoutNow.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.hostReport) {
+    xfer += oprot->writeFieldBegin("hostReport", ::apache::thrift::protocol::T_STRUCT, 50);
+    xfer += this->hostReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.hostContact) {
+    xfer += oprot->writeFieldBegin("hostContact", ::apache::thrift::protocol::T_STRUCT, 51);
+    xfer += this->hostContact.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.runTasks) {
+    xfer += oprot->writeFieldBegin("runTasks", ::apache::thrift::protocol::T_STRUCT, 52);
+    xfer += this->runTasks.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.stopTasks) {
+    xfer += oprot->writeFieldBegin("stopTasks", ::apache::thrift::protocol::T_STRUCT, 53);
+    xfer += this->stopTasks.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.taskReports) {
+    xfer += oprot->writeFieldBegin("taskReports", ::apache::thrift::protocol::T_STRUCT, 54);
+    xfer += this->taskReports.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12894,6 +14998,11 @@
   swap(a.applyReply, b.applyReply);
   swap(a.controlQuery, b.controlQuery);
   swap(a.controlAnswer, b.controlAnswer);
+  swap(a.hostReport, b.hostReport);
+  swap(a.hostContact, b.hostContact);
+  swap(a.runTasks, b.runTasks);
+  swap(a.stopTasks, b.stopTasks);
+  swap(a.taskReports, b.taskReports);
   swap(a.requestVote, b.requestVote);
   swap(a.voteReply, b.voteReply);
   swap(a.appendEntries, b.appendEntries);
@@ -12904,138 +15013,158 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other451) {
-  submitJob = other451.submitJob;
-  cancelJob = other451.cancelJob;
-  queryJob = other451.queryJob;
-  jobReply = other451.jobReply;
-  notOwner = other451.notOwner;
-  recordBatch = other451.recordBatch;
-  recordSnapshot = other451.recordSnapshot;
-  recordAck = other451.recordAck;
-  startBatch = other451.startBatch;
-  cancelBatch = other451.cancelBatch;
-  resultAck = other451.resultAck;
-  fence = other451.fence;
-  agentHello = other451.agentHello;
-  resultBatch = other451.resultBatch;
-  startRefused = other451.startRefused;
-  agentState = other451.agentState;
-  memberHeartbeat = other451.memberHeartbeat;
-  heartbeatReply = other451.heartbeatReply;
-  clusterView = other451.clusterView;
-  applyConfig = other451.applyConfig;
-  applyReply = other451.applyReply;
-  controlQuery = other451.controlQuery;
-  controlAnswer = other451.controlAnswer;
-  requestVote = other451.requestVote;
-  voteReply = other451.voteReply;
-  appendEntries = other451.appendEntries;
-  appendReply = other451.appendReply;
-  installSnapshot = other451.installSnapshot;
-  installReply = other451.installReply;
-  timeoutNow = other451.timeoutNow;
-  __isset = other451.__isset;
-}
-Message::Message(Message&& other452) noexcept {
-  submitJob = std::move(other452.submitJob);
-  cancelJob = std::move(other452.cancelJob);
-  queryJob = std::move(other452.queryJob);
-  jobReply = std::move(other452.jobReply);
-  notOwner = std::move(other452.notOwner);
-  recordBatch = std::move(other452.recordBatch);
-  recordSnapshot = std::move(other452.recordSnapshot);
-  recordAck = std::move(other452.recordAck);
-  startBatch = std::move(other452.startBatch);
-  cancelBatch = std::move(other452.cancelBatch);
-  resultAck = std::move(other452.resultAck);
-  fence = std::move(other452.fence);
-  agentHello = std::move(other452.agentHello);
-  resultBatch = std::move(other452.resultBatch);
-  startRefused = std::move(other452.startRefused);
-  agentState = std::move(other452.agentState);
-  memberHeartbeat = std::move(other452.memberHeartbeat);
-  heartbeatReply = std::move(other452.heartbeatReply);
-  clusterView = std::move(other452.clusterView);
-  applyConfig = std::move(other452.applyConfig);
-  applyReply = std::move(other452.applyReply);
-  controlQuery = std::move(other452.controlQuery);
-  controlAnswer = std::move(other452.controlAnswer);
-  requestVote = std::move(other452.requestVote);
-  voteReply = std::move(other452.voteReply);
-  appendEntries = std::move(other452.appendEntries);
-  appendReply = std::move(other452.appendReply);
-  installSnapshot = std::move(other452.installSnapshot);
-  installReply = std::move(other452.installReply);
-  timeoutNow = std::move(other452.timeoutNow);
-  __isset = other452.__isset;
-}
-Message& Message::operator=(const Message& other453) {
-  submitJob = other453.submitJob;
-  cancelJob = other453.cancelJob;
-  queryJob = other453.queryJob;
-  jobReply = other453.jobReply;
-  notOwner = other453.notOwner;
-  recordBatch = other453.recordBatch;
-  recordSnapshot = other453.recordSnapshot;
-  recordAck = other453.recordAck;
-  startBatch = other453.startBatch;
-  cancelBatch = other453.cancelBatch;
-  resultAck = other453.resultAck;
-  fence = other453.fence;
-  agentHello = other453.agentHello;
-  resultBatch = other453.resultBatch;
-  startRefused = other453.startRefused;
-  agentState = other453.agentState;
-  memberHeartbeat = other453.memberHeartbeat;
-  heartbeatReply = other453.heartbeatReply;
-  clusterView = other453.clusterView;
-  applyConfig = other453.applyConfig;
-  applyReply = other453.applyReply;
-  controlQuery = other453.controlQuery;
-  controlAnswer = other453.controlAnswer;
-  requestVote = other453.requestVote;
-  voteReply = other453.voteReply;
-  appendEntries = other453.appendEntries;
-  appendReply = other453.appendReply;
-  installSnapshot = other453.installSnapshot;
-  installReply = other453.installReply;
-  timeoutNow = other453.timeoutNow;
-  __isset = other453.__isset;
-  return *this;
-}
-Message& Message::operator=(Message&& other454) noexcept {
-  submitJob = std::move(other454.submitJob);
-  cancelJob = std::move(other454.cancelJob);
-  queryJob = std::move(other454.queryJob);
-  jobReply = std::move(other454.jobReply);
-  notOwner = std::move(other454.notOwner);
-  recordBatch = std::move(other454.recordBatch);
-  recordSnapshot = std::move(other454.recordSnapshot);
-  recordAck = std::move(other454.recordAck);
-  startBatch = std::move(other454.startBatch);
-  cancelBatch = std::move(other454.cancelBatch);
-  resultAck = std::move(other454.resultAck);
-  fence = std::move(other454.fence);
-  agentHello = std::move(other454.agentHello);
-  resultBatch = std::move(other454.resultBatch);
-  startRefused = std::move(other454.startRefused);
-  agentState = std::move(other454.agentState);
-  memberHeartbeat = std::move(other454.memberHeartbeat);
-  heartbeatReply = std::move(other454.heartbeatReply);
-  clusterView = std::move(other454.clusterView);
-  applyConfig = std::move(other454.applyConfig);
-  applyReply = std::move(other454.applyReply);
-  controlQuery = std::move(other454.controlQuery);
-  controlAnswer = std::move(other454.controlAnswer);
-  requestVote = std::move(other454.requestVote);
-  voteReply = std::move(other454.voteReply);
-  appendEntries = std::move(other454.appendEntries);
-  appendReply = std::move(other454.appendReply);
-  installSnapshot = std::move(other454.installSnapshot);
-  installReply = std::move(other454.installReply);
-  timeoutNow = std::move(other454.timeoutNow);
-  __isset = other454.__isset;
+Message::Message(const Message& other524) {
+  submitJob = other524.submitJob;
+  cancelJob = other524.cancelJob;
+  queryJob = other524.queryJob;
+  jobReply = other524.jobReply;
+  notOwner = other524.notOwner;
+  recordBatch = other524.recordBatch;
+  recordSnapshot = other524.recordSnapshot;
+  recordAck = other524.recordAck;
+  startBatch = other524.startBatch;
+  cancelBatch = other524.cancelBatch;
+  resultAck = other524.resultAck;
+  fence = other524.fence;
+  agentHello = other524.agentHello;
+  resultBatch = other524.resultBatch;
+  startRefused = other524.startRefused;
+  agentState = other524.agentState;
+  memberHeartbeat = other524.memberHeartbeat;
+  heartbeatReply = other524.heartbeatReply;
+  clusterView = other524.clusterView;
+  applyConfig = other524.applyConfig;
+  applyReply = other524.applyReply;
+  controlQuery = other524.controlQuery;
+  controlAnswer = other524.controlAnswer;
+  hostReport = other524.hostReport;
+  hostContact = other524.hostContact;
+  runTasks = other524.runTasks;
+  stopTasks = other524.stopTasks;
+  taskReports = other524.taskReports;
+  requestVote = other524.requestVote;
+  voteReply = other524.voteReply;
+  appendEntries = other524.appendEntries;
+  appendReply = other524.appendReply;
+  installSnapshot = other524.installSnapshot;
+  installReply = other524.installReply;
+  timeoutNow = other524.timeoutNow;
+  __isset = other524.__isset;
+}
+Message::Message(Message&& other525) noexcept {
+  submitJob = std::move(other525.submitJob);
+  cancelJob = std::move(other525.cancelJob);
+  queryJob = std::move(other525.queryJob);
+  jobReply = std::move(other525.jobReply);
+  notOwner = std::move(other525.notOwner);
+  recordBatch = std::move(other525.recordBatch);
+  recordSnapshot = std::move(other525.recordSnapshot);
+  recordAck = std::move(other525.recordAck);
+  startBatch = std::move(other525.startBatch);
+  cancelBatch = std::move(other525.cancelBatch);
+  resultAck = std::move(other525.resultAck);
+  fence = std::move(other525.fence);
+  agentHello = std::move(other525.agentHello);
+  resultBatch = std::move(other525.resultBatch);
+  startRefused = std::move(other525.startRefused);
+  agentState = std::move(other525.agentState);
+  memberHeartbeat = std::move(other525.memberHeartbeat);
+  heartbeatReply = std::move(other525.heartbeatReply);
+  clusterView = std::move(other525.clusterView);
+  applyConfig = std::move(other525.applyConfig);
+  applyReply = std::move(other525.applyReply);
+  controlQuery = std::move(other525.controlQuery);
+  controlAnswer = std::move(other525.controlAnswer);
+  hostReport = std::move(other525.hostReport);
+  hostContact = std::move(other525.hostContact);
+  runTasks = std::move(other525.runTasks);
+  stopTasks = std::move(other525.stopTasks);
+  taskReports = std::move(other525.taskReports);
+  requestVote = std::move(other525.requestVote);
+  voteReply = std::move(other525.voteReply);
+  appendEntries = std::move(other525.appendEntries);
+  appendReply = std::move(other525.appendReply);
+  installSnapshot = std::move(other525.installSnapshot);
+  installReply = std::move(other525.installReply);
+  timeoutNow = std::move(other525.timeoutNow);
+  __isset = other525.__isset;
+}
+Message& Message::operator=(const Message& other526) {
+  submitJob = other526.submitJob;
+  cancelJob = other526.cancelJob;
+  queryJob = other526.queryJob;
+  jobReply = other526.jobReply;
+  notOwner = other526.notOwner;
+  recordBatch = other526.recordBatch;
+  recordSnapshot = other526.recordSnapshot;
+  recordAck = other526.recordAck;
+  startBatch = other526.startBatch;
+  cancelBatch = other526.cancelBatch;
+  resultAck = other526.resultAck;
+  fence = other526.fence;
+  agentHello = other526.agentHello;
+  resultBatch = other526.resultBatch;
+  startRefused = other526.startRefused;
+  agentState = other526.agentState;
+  memberHeartbeat = other526.memberHeartbeat;
+  heartbeatReply = other526.heartbeatReply;
+  clusterView = other526.clusterView;
+  applyConfig = other526.applyConfig;
+  applyReply = other526.applyReply;
+  controlQuery = other526.controlQuery;
+  controlAnswer = other526.controlAnswer;
+  hostReport = other526.hostReport;
+  hostContact = other526.hostContact;
+  runTasks = other526.runTasks;
+  stopTasks = other526.stopTasks;
+  taskReports = other526.taskReports;
+  requestVote = other526.requestVote;
+  voteReply = other526.voteReply;
+  appendEntries = other526.appendEntries;
+  appendReply = other526.appendReply;
+  installSnapshot = other526.installSnapshot;
+  installReply = other526.installReply;
+  timeoutNow = other526.timeoutNow;
+  __isset = other526.__isset;
+  return *this;
+}
+Message& Message::operator=(Message&& other527) noexcept {
+  submitJob = std::move(other527.submitJob);
+  cancelJob = std::move(other527.cancelJob);
+  queryJob = std::move(other527.queryJob);
+  jobReply = std::move(other527.jobReply);
+  notOwner = std::move(other527.notOwner);
+  recordBatch = std::move(other527.recordBatch);
+  recordSnapshot = std::move(other527.recordSnapshot);
+  recordAck = std::move(other527.recordAck);
+  startBatch = std::move(other527.startBatch);
+  cancelBatch = std::move(other527.cancelBatch);
+  resultAck = std::move(other527.resultAck);
+  fence = std::move(other527.fence);
+  agentHello = std::move(other527.agentHello);
+  resultBatch = std::move(other527.resultBatch);
+  startRefused = std::move(other527.startRefused);
+  agentState = std::move(other527.agentState);
+  memberHeartbeat = std::move(other527.memberHeartbeat);
+  heartbeatReply = std::move(other527.heartbeatReply);
+  clusterView = std::move(other527.clusterView);
+  applyConfig = std::move(other527.applyConfig);
+  applyReply = std::move(other527.applyReply);
+  controlQuery = std::move(other527.controlQuery);
+  controlAnswer = std::move(other527.controlAnswer);
+  hostReport = std::move(other527.hostReport);
+  hostContact = std::move(other527.hostContact);
+  runTasks = std::move(other527.runTasks);
+  stopTasks = std::move(other527.stopTasks);
+  taskReports = std::move(other527.taskReports);
+  requestVote = std::move(other527.requestVote);
+  voteReply = std::move(other527.voteReply);
+  appendEntries = std::move(other527.appendEntries);
+  appendReply = std::move(other527.appendReply);
+  installSnapshot = std::move(other527.installSnapshot);
+  installReply = std::move(other527.installReply);
+  timeoutNow = std::move(other527.timeoutNow);
+  __isset = other527.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -13064,6 +15193,11 @@
   out << ", " << "applyReply="; (__isset.applyReply ? (out << to_string(applyReply)) : (out << "<null>"));
   out << ", " << "controlQuery="; (__isset.controlQuery ? (out << to_string(controlQuery)) : (out << "<null>"));
   out << ", " << "controlAnswer="; (__isset.controlAnswer ? (out << to_string(controlAnswer)) : (out << "<null>"));
+  out << ", " << "hostReport="; (__isset.hostReport ? (out << to_string(hostReport)) : (out << "<null>"));
+  out << ", " << "hostContact="; (__isset.hostContact ? (out << to_string(hostContact)) : (out << "<null>"));
+  out << ", " << "runTasks="; (__isset.runTasks ? (out << to_string(runTasks)) : (out << "<null>"));
+  out << ", " << "stopTasks="; (__isset.stopTasks ? (out << to_string(stopTasks)) : (out << "<null>"));
+  out << ", " << "taskReports="; (__isset.taskReports ? (out << to_string(taskReports)) : (out << "<null>"));
   out << ", " << "requestVote="; (__isset.requestVote ? (out << to_string(requestVote)) : (out << "<null>"));
   out << ", " << "voteReply="; (__isset.voteReply ? (out << to_string(voteReply)) : (out << "<null>"));
   out << ", " << "appendEntries="; (__isset.appendEntries ? (out << to_string(appendEntries)) : (out << "<null>"));
@@ -13136,9 +15270,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast455;
-          xfer += iprot->readI32(ecast455);
-          this->role = static_cast<Role::type>(ecast455);
+          int32_t ecast528;
+          xfer += iprot->readI32(ecast528);
+          this->role = static_cast<Role::type>(ecast528);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -13164,14 +15298,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size456;
-            ::apache::thrift::protocol::TType _etype459;
-            xfer += iprot->readListBegin(_etype459, _size456);
-            this->messages.resize(_size456);
-            uint32_t _i460;
-            for (_i460 = 0; _i460 < _size456; ++_i460)
+            uint32_t _size529;
+            ::apache::thrift::protocol::TType _etype532;
+            xfer += iprot->readListBegin(_etype532, _size529);
+            this->messages.resize(_size529);
+            uint32_t _i533;
+            for (_i533 = 0; _i533 < _size529; ++_i533)
             {
-              xfer += this->messages[_i460].read(iprot);
+              xfer += this->messages[_i533].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13216,10 +15350,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<Message> ::const_iterator _iter461;
-    for (_iter461 = this->messages.begin(); _iter461 != this->messages.end(); ++_iter461)
+    std::vector<Message> ::const_iterator _iter534;
+    for (_iter534 = this->messages.begin(); _iter534 != this->messages.end(); ++_iter534)
     {
-      xfer += (*_iter461).write(oprot);
+      xfer += (*_iter534).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13240,38 +15374,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other462) {
-  sender = other462.sender;
-  role = other462.role;
-  address = other462.address;
-  configNumber = other462.configNumber;
-  messages = other462.messages;
-  __isset = other462.__isset;
-}
-Envelope::Envelope(Envelope&& other463) noexcept {
-  sender = std::move(other463.sender);
-  role = other463.role;
-  address = std::move(other463.address);
-  configNumber = other463.configNumber;
-  messages = std::move(other463.messages);
-  __isset = other463.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other464) {
-  sender = other464.sender;
-  role = other464.role;
-  address = other464.address;
-  configNumber = other464.configNumber;
-  messages = other464.messages;
-  __isset = other464.__isset;
-  return *this;
-}
-Envelope& Envelope::operator=(Envelope&& other465) noexcept {
-  sender = std::move(other465.sender);
-  role = other465.role;
-  address = std::move(other465.address);
-  configNumber = other465.configNumber;
-  messages = std::move(other465.messages);
-  __isset = other465.__isset;
+Envelope::Envelope(const Envelope& other535) {
+  sender = other535.sender;
+  role = other535.role;
+  address = other535.address;
+  configNumber = other535.configNumber;
+  messages = other535.messages;
+  __isset = other535.__isset;
+}
+Envelope::Envelope(Envelope&& other536) noexcept {
+  sender = std::move(other536.sender);
+  role = other536.role;
+  address = std::move(other536.address);
+  configNumber = other536.configNumber;
+  messages = std::move(other536.messages);
+  __isset = other536.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other537) {
+  sender = other537.sender;
+  role = other537.role;
+  address = other537.address;
+  configNumber = other537.configNumber;
+  messages = other537.messages;
+  __isset = other537.__isset;
+  return *this;
+}
+Envelope& Envelope::operator=(Envelope&& other538) noexcept {
+  sender = std::move(other538.sender);
+  role = other538.role;
+  address = std::move(other538.address);
+  configNumber = other538.configNumber;
+  messages = std::move(other538.messages);
+  __isset = other538.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -83,6 +83,23 @@
 
 std::string to_string(const RefusalCode::type& val);
 
+struct TaskPhase {
+  enum type {
+    QUEUED = 1,
+    RUNNING = 2,
+    SUCCEEDED = 3,
+    FAILED = 4,
+    ENDED = 5,
+    REFUSED = 6
+  };
+};
+
+extern const std::map<int, const char*> _TaskPhase_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const TaskPhase::type& val);
+
+std::string to_string(const TaskPhase::type& val);
+
 class ProcessId;
 
 class Endpoint;
@@ -143,10 +160,28 @@
 
 class AgentState;
 
+class Resources;
+
+class HostReport;
+
+class HostContact;
+
+class TaskOrder;
+
+class RunTasks;
+
+class StopTasks;
+
+class TaskReport;
+
+class TaskReports;
+
 class CellReport;
 
 class MemberHeartbeat;
 
+class ControlEndpoint;
+
 class HeartbeatReply;
 
 class MemberRef;
@@ -2187,6 +2222,614 @@
 
 std::ostream& operator<<(std::ostream& out, const AgentState& obj);
 
+typedef struct _Resources__isset {
+  _Resources__isset() : cpuMillis(false), memoryMb(false), accelerators(false) {}
+  bool cpuMillis :1;
+  bool memoryMb :1;
+  bool accelerators :1;
+} _Resources__isset;
+
+class Resources : public virtual ::apache::thrift::TBase {
+ public:
+
+  Resources(const Resources&) noexcept;
+  Resources(Resources&&) noexcept;
+  Resources& operator=(const Resources&) noexcept;
+  Resources& operator=(Resources&&) noexcept;
+  Resources() noexcept
+            : cpuMillis(0),
+              memoryMb(0),
+              accelerators(0) {
+  }
+
+  virtual ~Resources() noexcept;
+  int64_t cpuMillis;
+  int64_t memoryMb;
+  int64_t accelerators;
+
+  _Resources__isset __isset;
+
+  void __set_cpuMillis(const int64_t val);
+
+  void __set_memoryMb(const int64_t val);
+
+  void __set_accelerators(const int64_t val);
+
+  bool operator == (const Resources & rhs) const
+  {
+    if (!(cpuMillis == rhs.cpuMillis))
+      return false;
+    if (!(memoryMb == rhs.memoryMb))
+      return false;
+    if (!(accelerators == rhs.accelerators))
+      return false;
+    return true;
+  }
+  bool operator != (const Resources &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Resources & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Resources &a, Resources &b);
+
+std::ostream& operator<<(std::ostream& out, const Resources& obj);
+
+typedef struct _HostReport__isset {
+  _HostReport__isset() : serviceName(false), server(false), accepting(false), capacity(false), reserved(false), startDelayMicros(false), slowness(false), failureShare(false), labels(false), sentAtMicros(false), failureDomain(false), sequence(false) {}
+  bool serviceName :1;
+  bool server :1;
+  bool accepting :1;
+  bool capacity :1;
+  bool reserved :1;
+  bool startDelayMicros :1;
+  bool slowness :1;
+  bool failureShare :1;
+  bool labels :1;
+  bool sentAtMicros :1;
+  bool failureDomain :1;
+  bool sequence :1;
+} _HostReport__isset;
+
+class HostReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostReport(const HostReport&);
+  HostReport(HostReport&&) noexcept;
+  HostReport& operator=(const HostReport&);
+  HostReport& operator=(HostReport&&) noexcept;
+  HostReport() noexcept
+             : serviceName(),
+               server(),
+               accepting(0),
+               startDelayMicros(0),
+               slowness(0),
+               failureShare(0),
+               sentAtMicros(0),
+               failureDomain(),
+               sequence(0) {
+  }
+
+  virtual ~HostReport() noexcept;
+  std::string serviceName;
+  std::string server;
+  bool accepting;
+  Resources capacity;
+  Resources reserved;
+  int64_t startDelayMicros;
+  double slowness;
+  double failureShare;
+  std::vector<std::string>  labels;
+  int64_t sentAtMicros;
+  std::string failureDomain;
+  int64_t sequence;
+
+  _HostReport__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_server(const std::string& val);
+
+  void __set_accepting(const bool val);
+
+  void __set_capacity(const Resources& val);
+
+  void __set_reserved(const Resources& val);
+
+  void __set_startDelayMicros(const int64_t val);
+
+  void __set_slowness(const double val);
+
+  void __set_failureShare(const double val);
+
+  void __set_labels(const std::vector<std::string> & val);
+
+  void __set_sentAtMicros(const int64_t val);
+
+  void __set_failureDomain(const std::string& val);
+
+  void __set_sequence(const int64_t val);
+
+  bool operator == (const HostReport & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(accepting == rhs.accepting))
+      return false;
+    if (!(capacity == rhs.capacity))
+      return false;
+    if (!(reserved == rhs.reserved))
+      return false;
+    if (!(startDelayMicros == rhs.startDelayMicros))
+      return false;
+    if (!(slowness == rhs.slowness))
+      return false;
+    if (!(failureShare == rhs.failureShare))
+      return false;
+    if (!(labels == rhs.labels))
+      return false;
+    if (!(sentAtMicros == rhs.sentAtMicros))
+      return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    return true;
+  }
+  bool operator != (const HostReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostReport &a, HostReport &b);
+
+std::ostream& operator<<(std::ostream& out, const HostReport& obj);
+
+typedef struct _HostContact__isset {
+  _HostContact__isset() : hostIncarnation(false), heardAtMicros(false), reportsSeen(false) {}
+  bool hostIncarnation :1;
+  bool heardAtMicros :1;
+  bool reportsSeen :1;
+} _HostContact__isset;
+
+class HostContact : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostContact(const HostContact&) noexcept;
+  HostContact(HostContact&&) noexcept;
+  HostContact& operator=(const HostContact&) noexcept;
+  HostContact& operator=(HostContact&&) noexcept;
+  HostContact() noexcept
+              : hostIncarnation(0),
+                heardAtMicros(0),
+                reportsSeen(0) {
+  }
+
+  virtual ~HostContact() noexcept;
+  int64_t hostIncarnation;
+  int64_t heardAtMicros;
+  int64_t reportsSeen;
+
+  _HostContact__isset __isset;
+
+  void __set_hostIncarnation(const int64_t val);
+
+  void __set_heardAtMicros(const int64_t val);
+
+  void __set_reportsSeen(const int64_t val);
+
+  bool operator == (const HostContact & rhs) const
+  {
+    if (!(hostIncarnation == rhs.hostIncarnation))
+      return false;
+    if (!(heardAtMicros == rhs.heardAtMicros))
+      return false;
+    if (!(reportsSeen == rhs.reportsSeen))
+      return false;
+    return true;
+  }
+  bool operator != (const HostContact &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostContact & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostContact &a, HostContact &b);
+
+std::ostream& operator<<(std::ostream& out, const HostContact& obj);
+
+typedef struct _TaskOrder__isset {
+  _TaskOrder__isset() : index(false), order(false), demand(false), estimateMicros(false) {}
+  bool index :1;
+  bool order :1;
+  bool demand :1;
+  bool estimateMicros :1;
+} _TaskOrder__isset;
+
+class TaskOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  TaskOrder(const TaskOrder&) noexcept;
+  TaskOrder(TaskOrder&&) noexcept;
+  TaskOrder& operator=(const TaskOrder&) noexcept;
+  TaskOrder& operator=(TaskOrder&&) noexcept;
+  TaskOrder() noexcept
+            : index(0),
+              order(0),
+              estimateMicros(0) {
+  }
+
+  virtual ~TaskOrder() noexcept;
+  int32_t index;
+  int64_t order;
+  Resources demand;
+  int64_t estimateMicros;
+
+  _TaskOrder__isset __isset;
+
+  void __set_index(const int32_t val);
+
+  void __set_order(const int64_t val);
+
+  void __set_demand(const Resources& val);
+
+  void __set_estimateMicros(const int64_t val);
+
+  bool operator == (const TaskOrder & rhs) const
+  {
+    if (!(index == rhs.index))
+      return false;
+    if (!(order == rhs.order))
+      return false;
+    if (!(demand == rhs.demand))
+      return false;
+    if (!(estimateMicros == rhs.estimateMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const TaskOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TaskOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TaskOrder &a, TaskOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const TaskOrder& obj);
+
+typedef struct _RunTasks__isset {
+  _RunTasks__isset() : hostIncarnation(false), heardAtMicros(false), job(false), spec(false), startWithinMicros(false), timeLeftMicros(false), priority(false), orders(false), serviceName(false), reportsSeen(false) {}
+  bool hostIncarnation :1;
+  bool heardAtMicros :1;
+  bool job :1;
+  bool spec :1;
+  bool startWithinMicros :1;
+  bool timeLeftMicros :1;
+  bool priority :1;
+  bool orders :1;
+  bool serviceName :1;
+  bool reportsSeen :1;
+} _RunTasks__isset;
+
+class RunTasks : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunTasks(const RunTasks&);
+  RunTasks(RunTasks&&) noexcept;
+  RunTasks& operator=(const RunTasks&);
+  RunTasks& operator=(RunTasks&&) noexcept;
+  RunTasks() noexcept
+           : hostIncarnation(0),
+             heardAtMicros(0),
+             job(),
+             spec(),
+             startWithinMicros(0),
+             timeLeftMicros(0),
+             priority(0),
+             serviceName(),
+             reportsSeen(0) {
+  }
+
+  virtual ~RunTasks() noexcept;
+  int64_t hostIncarnation;
+  int64_t heardAtMicros;
+  std::string job;
+  std::string spec;
+  int64_t startWithinMicros;
+  int64_t timeLeftMicros;
+  int32_t priority;
+  std::vector<TaskOrder>  orders;
+  std::string serviceName;
+  int64_t reportsSeen;
+
+  _RunTasks__isset __isset;
+
+  void __set_hostIncarnation(const int64_t val);
+
+  void __set_heardAtMicros(const int64_t val);
+
+  void __set_job(const std::string& val);
+
+  void __set_spec(const std::string& val);
+
+  void __set_startWithinMicros(const int64_t val);
+
+  void __set_timeLeftMicros(const int64_t val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_orders(const std::vector<TaskOrder> & val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_reportsSeen(const int64_t val);
+
+  bool operator == (const RunTasks & rhs) const
+  {
+    if (!(hostIncarnation == rhs.hostIncarnation))
+      return false;
+    if (!(heardAtMicros == rhs.heardAtMicros))
+      return false;
+    if (!(job == rhs.job))
+      return false;
+    if (!(spec == rhs.spec))
+      return false;
+    if (!(startWithinMicros == rhs.startWithinMicros))
+      return false;
+    if (!(timeLeftMicros == rhs.timeLeftMicros))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(orders == rhs.orders))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(reportsSeen == rhs.reportsSeen))
+      return false;
+    return true;
+  }
+  bool operator != (const RunTasks &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunTasks & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunTasks &a, RunTasks &b);
+
+std::ostream& operator<<(std::ostream& out, const RunTasks& obj);
+
+typedef struct _StopTasks__isset {
+  _StopTasks__isset() : hostIncarnation(false), job(false), indexes(false) {}
+  bool hostIncarnation :1;
+  bool job :1;
+  bool indexes :1;
+} _StopTasks__isset;
+
+class StopTasks : public virtual ::apache::thrift::TBase {
+ public:
+
+  StopTasks(const StopTasks&);
+  StopTasks(StopTasks&&) noexcept;
+  StopTasks& operator=(const StopTasks&);
+  StopTasks& operator=(StopTasks&&) noexcept;
+  StopTasks() noexcept
+            : hostIncarnation(0),
+              job() {
+  }
+
+  virtual ~StopTasks() noexcept;
+  int64_t hostIncarnation;
+  std::string job;
+  std::vector<int32_t>  indexes;
+
+  _StopTasks__isset __isset;
+
+  void __set_hostIncarnation(const int64_t val);
+
+  void __set_job(const std::string& val);
+
+  void __set_indexes(const std::vector<int32_t> & val);
+
+  bool operator == (const StopTasks & rhs) const
+  {
+    if (!(hostIncarnation == rhs.hostIncarnation))
+      return false;
+    if (!(job == rhs.job))
+      return false;
+    if (!(indexes == rhs.indexes))
+      return false;
+    return true;
+  }
+  bool operator != (const StopTasks &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StopTasks & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StopTasks &a, StopTasks &b);
+
+std::ostream& operator<<(std::ostream& out, const StopTasks& obj);
+
+typedef struct _TaskReport__isset {
+  _TaskReport__isset() : job(false), index(false), order(false), phase(false), runMicros(false), reason(false), number(false) {}
+  bool job :1;
+  bool index :1;
+  bool order :1;
+  bool phase :1;
+  bool runMicros :1;
+  bool reason :1;
+  bool number :1;
+} _TaskReport__isset;
+
+class TaskReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  TaskReport(const TaskReport&);
+  TaskReport(TaskReport&&) noexcept;
+  TaskReport& operator=(const TaskReport&);
+  TaskReport& operator=(TaskReport&&) noexcept;
+  TaskReport() noexcept
+             : job(),
+               index(0),
+               order(0),
+               phase(static_cast<TaskPhase::type>(0)),
+               runMicros(0),
+               reason(),
+               number(0) {
+  }
+
+  virtual ~TaskReport() noexcept;
+  std::string job;
+  int32_t index;
+  int64_t order;
+  /**
+   * 
+   * @see TaskPhase
+   */
+  TaskPhase::type phase;
+  int64_t runMicros;
+  std::string reason;
+  int64_t number;
+
+  _TaskReport__isset __isset;
+
+  void __set_job(const std::string& val);
+
+  void __set_index(const int32_t val);
+
+  void __set_order(const int64_t val);
+
+  void __set_phase(const TaskPhase::type val);
+
+  void __set_runMicros(const int64_t val);
+
+  void __set_reason(const std::string& val);
+
+  void __set_number(const int64_t val);
+
+  bool operator == (const TaskReport & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    if (!(order == rhs.order))
+      return false;
+    if (!(phase == rhs.phase))
+      return false;
+    if (!(runMicros == rhs.runMicros))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    return true;
+  }
+  bool operator != (const TaskReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TaskReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TaskReport &a, TaskReport &b);
+
+std::ostream& operator<<(std::ostream& out, const TaskReport& obj);
+
+typedef struct _TaskReports__isset {
+  _TaskReports__isset() : reports(false), host(false) {}
+  bool reports :1;
+  bool host :1;
+} _TaskReports__isset;
+
+class TaskReports : public virtual ::apache::thrift::TBase {
+ public:
+
+  TaskReports(const TaskReports&);
+  TaskReports(TaskReports&&) noexcept;
+  TaskReports& operator=(const TaskReports&);
+  TaskReports& operator=(TaskReports&&) noexcept;
+  TaskReports() noexcept {
+  }
+
+  virtual ~TaskReports() noexcept;
+  std::vector<TaskReport>  reports;
+  HostReport host;
+
+  _TaskReports__isset __isset;
+
+  void __set_reports(const std::vector<TaskReport> & val);
+
+  void __set_host(const HostReport& val);
+
+  bool operator == (const TaskReports & rhs) const
+  {
+    if (!(reports == rhs.reports))
+      return false;
+    if (!(host == rhs.host))
+      return false;
+    return true;
+  }
+  bool operator != (const TaskReports &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TaskReports & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TaskReports &a, TaskReports &b);
+
+std::ostream& operator<<(std::ostream& out, const TaskReports& obj);
+
 typedef struct _CellReport__isset {
   _CellReport__isset() : cell(false), epoch(false), owned(false), whole(false), wholeHolders(false) {}
   bool cell :1;
@@ -2363,13 +3006,65 @@
 
 std::ostream& operator<<(std::ostream& out, const MemberHeartbeat& obj);
 
+typedef struct _ControlEndpoint__isset {
+  _ControlEndpoint__isset() : name(false), address(false) {}
+  bool name :1;
+  bool address :1;
+} _ControlEndpoint__isset;
+
+class ControlEndpoint : public virtual ::apache::thrift::TBase {
+ public:
+
+  ControlEndpoint(const ControlEndpoint&);
+  ControlEndpoint(ControlEndpoint&&) noexcept;
+  ControlEndpoint& operator=(const ControlEndpoint&);
+  ControlEndpoint& operator=(ControlEndpoint&&) noexcept;
+  ControlEndpoint() noexcept
+                  : name() {
+  }
+
+  virtual ~ControlEndpoint() noexcept;
+  std::string name;
+  Endpoint address;
+
+  _ControlEndpoint__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_address(const Endpoint& val);
+
+  bool operator == (const ControlEndpoint & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlEndpoint &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlEndpoint & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ControlEndpoint &a, ControlEndpoint &b);
+
+std::ostream& operator<<(std::ostream& out, const ControlEndpoint& obj);
+
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : sentAtMicros(false), accepted(false), leader(false), viewVersion(false), term(false) {}
+  _HeartbeatReply__isset() : sentAtMicros(false), accepted(false), leader(false), viewVersion(false), term(false), group(false) {}
   bool sentAtMicros :1;
   bool accepted :1;
   bool leader :1;
   bool viewVersion :1;
   bool term :1;
+  bool group :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -2393,6 +3088,7 @@
   std::string leader;
   int64_t viewVersion;
   int64_t term;
+  std::vector<ControlEndpoint>  group;
 
   _HeartbeatReply__isset __isset;
 
@@ -2406,6 +3102,8 @@
 
   void __set_term(const int64_t val);
 
+  void __set_group(const std::vector<ControlEndpoint> & val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(sentAtMicros == rhs.sentAtMicros))
@@ -2418,6 +3116,8 @@
       return false;
     if (!(term == rhs.term))
       return false;
+    if (!(group == rhs.group))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
@@ -2580,12 +3280,13 @@
 std::ostream& operator<<(std::ostream& out, const CellView& obj);
 
 typedef struct _ConfigFile__isset {
-  _ConfigFile__isset() : number(false), digest(false), text(false), author(false), acceptedAtMs(false) {}
+  _ConfigFile__isset() : number(false), digest(false), text(false), author(false), acceptedAtMs(false), ignoreIfNotHigher(false) {}
   bool number :1;
   bool digest :1;
   bool text :1;
   bool author :1;
   bool acceptedAtMs :1;
+  bool ignoreIfNotHigher :1;
 } _ConfigFile__isset;
 
 class ConfigFile : public virtual ::apache::thrift::TBase {
@@ -2600,7 +3301,8 @@
                digest(),
                text(),
                author(),
-               acceptedAtMs(0) {
+               acceptedAtMs(0),
+               ignoreIfNotHigher(0) {
   }
 
   virtual ~ConfigFile() noexcept;
@@ -2609,6 +3311,7 @@
   std::string text;
   std::string author;
   int64_t acceptedAtMs;
+  bool ignoreIfNotHigher;
 
   _ConfigFile__isset __isset;
 
@@ -2622,6 +3325,8 @@
 
   void __set_acceptedAtMs(const int64_t val);
 
+  void __set_ignoreIfNotHigher(const bool val);
+
   bool operator == (const ConfigFile & rhs) const
   {
     if (!(number == rhs.number))
@@ -2634,6 +3339,8 @@
       return false;
     if (!(acceptedAtMs == rhs.acceptedAtMs))
       return false;
+    if (!(ignoreIfNotHigher == rhs.ignoreIfNotHigher))
+      return false;
     return true;
   }
   bool operator != (const ConfigFile &rhs) const {
@@ -2653,11 +3360,12 @@
 std::ostream& operator<<(std::ostream& out, const ConfigFile& obj);
 
 typedef struct _ClusterView__isset {
-  _ClusterView__isset() : version(false), config(false), cells(false), term(false) {}
+  _ClusterView__isset() : version(false), config(false), cells(false), term(false), entries(false) {}
   bool version :1;
   bool config :1;
   bool cells :1;
   bool term :1;
+  bool entries :1;
 } _ClusterView__isset;
 
 class ClusterView : public virtual ::apache::thrift::TBase {
@@ -2677,6 +3385,7 @@
   ConfigFile config;
   std::vector<CellView>  cells;
   int64_t term;
+  std::vector<MemberRef>  entries;
 
   _ClusterView__isset __isset;
 
@@ -2688,6 +3397,8 @@
 
   void __set_term(const int64_t val);
 
+  void __set_entries(const std::vector<MemberRef> & val);
+
   bool operator == (const ClusterView & rhs) const
   {
     if (!(version == rhs.version))
@@ -2698,6 +3409,8 @@
       return false;
     if (!(term == rhs.term))
       return false;
+    if (!(entries == rhs.entries))
+      return false;
     return true;
   }
   bool operator != (const ClusterView &rhs) const {
@@ -2717,11 +3430,12 @@
 std::ostream& operator<<(std::ostream& out, const ClusterView& obj);
 
 typedef struct _ApplyConfig__isset {
-  _ApplyConfig__isset() : requestId(false), text(false), author(false), dryRun(false) {}
+  _ApplyConfig__isset() : requestId(false), text(false), author(false), dryRun(false), ignoreIfNotHigher(false) {}
   bool requestId :1;
   bool text :1;
   bool author :1;
   bool dryRun :1;
+  bool ignoreIfNotHigher :1;
 } _ApplyConfig__isset;
 
 class ApplyConfig : public virtual ::apache::thrift::TBase {
@@ -2735,7 +3449,8 @@
               : requestId(0),
                 text(),
                 author(),
-                dryRun(0) {
+                dryRun(0),
+                ignoreIfNotHigher(0) {
   }
 
   virtual ~ApplyConfig() noexcept;
@@ -2743,6 +3458,7 @@
   std::string text;
   std::string author;
   bool dryRun;
+  bool ignoreIfNotHigher;
 
   _ApplyConfig__isset __isset;
 
@@ -2754,6 +3470,8 @@
 
   void __set_dryRun(const bool val);
 
+  void __set_ignoreIfNotHigher(const bool val);
+
   bool operator == (const ApplyConfig & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -2764,6 +3482,8 @@
       return false;
     if (!(dryRun == rhs.dryRun))
       return false;
+    if (!(ignoreIfNotHigher == rhs.ignoreIfNotHigher))
+      return false;
     return true;
   }
   bool operator != (const ApplyConfig &rhs) const {
@@ -3639,13 +4359,14 @@
 std::ostream& operator<<(std::ostream& out, const SetConfig& obj);
 
 typedef struct _MemberJoin__isset {
-  _MemberJoin__isset() : id(false), role(false), address(false), failureDomain(false), server(false), atMs(false) {}
+  _MemberJoin__isset() : id(false), role(false), address(false), failureDomain(false), server(false), atMs(false), replaces(false) {}
   bool id :1;
   bool role :1;
   bool address :1;
   bool failureDomain :1;
   bool server :1;
   bool atMs :1;
+  bool replaces :1;
 } _MemberJoin__isset;
 
 class MemberJoin : public virtual ::apache::thrift::TBase {
@@ -3658,7 +4379,8 @@
   MemberJoin() noexcept
              : role(static_cast<Role::type>(0)),
                failureDomain(),
-               atMs(0) {
+               atMs(0),
+               replaces(0) {
   }
 
   virtual ~MemberJoin() noexcept;
@@ -3672,6 +4394,7 @@
   std::string failureDomain;
   ServerInfo server;
   int64_t atMs;
+  int64_t replaces;
 
   _MemberJoin__isset __isset;
 
@@ -3687,6 +4410,8 @@
 
   void __set_atMs(const int64_t val);
 
+  void __set_replaces(const int64_t val);
+
   bool operator == (const MemberJoin & rhs) const
   {
     if (!(id == rhs.id))
@@ -3703,6 +4428,8 @@
       return false;
     if (!(atMs == rhs.atMs))
       return false;
+    if (!(replaces == rhs.replaces))
+      return false;
     return true;
   }
   bool operator != (const MemberJoin &rhs) const {
@@ -4604,13 +5331,14 @@
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj);
 
 typedef struct _ControlImage__isset {
-  _ControlImage__isset() : history(false), members(false), cells(false), nextCell(false), configVersion(false), routesVersion(false) {}
+  _ControlImage__isset() : history(false), members(false), cells(false), nextCell(false), configVersion(false), routesVersion(false), entriesVersion(false) {}
   bool history :1;
   bool members :1;
   bool cells :1;
   bool nextCell :1;
   bool configVersion :1;
   bool routesVersion :1;
+  bool entriesVersion :1;
 } _ControlImage__isset;
 
 class ControlImage : public virtual ::apache::thrift::TBase {
@@ -4623,7 +5351,8 @@
   ControlImage() noexcept
                : nextCell(0),
                  configVersion(0),
-                 routesVersion(0) {
+                 routesVersion(0),
+                 entriesVersion(0) {
   }
 
   virtual ~ControlImage() noexcept;
@@ -4633,6 +5362,7 @@
   int32_t nextCell;
   int64_t configVersion;
   int64_t routesVersion;
+  int64_t entriesVersion;
 
   _ControlImage__isset __isset;
 
@@ -4648,6 +5378,8 @@
 
   void __set_routesVersion(const int64_t val);
 
+  void __set_entriesVersion(const int64_t val);
+
   bool operator == (const ControlImage & rhs) const
   {
     if (!(history == rhs.history))
@@ -4662,6 +5394,8 @@
       return false;
     if (!(routesVersion == rhs.routesVersion))
       return false;
+    if (!(entriesVersion == rhs.entriesVersion))
+      return false;
     return true;
   }
   bool operator != (const ControlImage &rhs) const {
@@ -4681,7 +5415,7 @@
 std::ostream& operator<<(std::ostream& out, const ControlImage& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : submitJob(false), cancelJob(false), queryJob(false), jobReply(false), notOwner(false), recordBatch(false), recordSnapshot(false), recordAck(false), startBatch(false), cancelBatch(false), resultAck(false), fence(false), agentHello(false), resultBatch(false), startRefused(false), agentState(false), memberHeartbeat(false), heartbeatReply(false), clusterView(false), applyConfig(false), applyReply(false), controlQuery(false), controlAnswer(false), requestVote(false), voteReply(false), appendEntries(false), appendReply(false), installSnapshot(false), installReply(false), timeoutNow(false) {}
+  _Message__isset() : submitJob(false), cancelJob(false), queryJob(false), jobReply(false), notOwner(false), recordBatch(false), recordSnapshot(false), recordAck(false), startBatch(false), cancelBatch(false), resultAck(false), fence(false), agentHello(false), resultBatch(false), startRefused(false), agentState(false), memberHeartbeat(false), heartbeatReply(false), clusterView(false), applyConfig(false), applyReply(false), controlQuery(false), controlAnswer(false), hostReport(false), hostContact(false), runTasks(false), stopTasks(false), taskReports(false), requestVote(false), voteReply(false), appendEntries(false), appendReply(false), installSnapshot(false), installReply(false), timeoutNow(false) {}
   bool submitJob :1;
   bool cancelJob :1;
   bool queryJob :1;
@@ -4705,6 +5439,11 @@
   bool applyReply :1;
   bool controlQuery :1;
   bool controlAnswer :1;
+  bool hostReport :1;
+  bool hostContact :1;
+  bool runTasks :1;
+  bool stopTasks :1;
+  bool taskReports :1;
   bool requestVote :1;
   bool voteReply :1;
   bool appendEntries :1;
@@ -4748,6 +5487,11 @@
   ApplyReply applyReply;
   ControlQuery controlQuery;
   ControlAnswer controlAnswer;
+  HostReport hostReport;
+  HostContact hostContact;
+  RunTasks runTasks;
+  StopTasks stopTasks;
+  TaskReports taskReports;
   RequestVote requestVote;
   VoteReply voteReply;
   AppendEntries appendEntries;
@@ -4804,6 +5548,16 @@
 
   void __set_controlAnswer(const ControlAnswer& val);
 
+  void __set_hostReport(const HostReport& val);
+
+  void __set_hostContact(const HostContact& val);
+
+  void __set_runTasks(const RunTasks& val);
+
+  void __set_stopTasks(const StopTasks& val);
+
+  void __set_taskReports(const TaskReports& val);
+
   void __set_requestVote(const RequestVote& val);
 
   void __set_voteReply(const VoteReply& val);
@@ -4912,6 +5666,26 @@
       return false;
     else if (__isset.controlAnswer && !(controlAnswer == rhs.controlAnswer))
       return false;
+    if (__isset.hostReport != rhs.__isset.hostReport)
+      return false;
+    else if (__isset.hostReport && !(hostReport == rhs.hostReport))
+      return false;
+    if (__isset.hostContact != rhs.__isset.hostContact)
+      return false;
+    else if (__isset.hostContact && !(hostContact == rhs.hostContact))
+      return false;
+    if (__isset.runTasks != rhs.__isset.runTasks)
+      return false;
+    else if (__isset.runTasks && !(runTasks == rhs.runTasks))
+      return false;
+    if (__isset.stopTasks != rhs.__isset.stopTasks)
+      return false;
+    else if (__isset.stopTasks && !(stopTasks == rhs.stopTasks))
+      return false;
+    if (__isset.taskReports != rhs.__isset.taskReports)
+      return false;
+    else if (__isset.taskReports && !(taskReports == rhs.taskReports))
+      return false;
     if (__isset.requestVote != rhs.__isset.requestVote)
       return false;
     else if (__isset.requestVote && !(requestVote == rhs.requestVote))
--- /dev/null
+++ b/src/host_core_p.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "agatedrum/config.h"
+#include "base_core_p.h"
+#include "host_entries_p.h"
+#include "host_queue_p.h"
+#include "host_server_p.h"
+#include "member_link_p.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace agatedrum {
+
+struct HostOptions
+{
+    wire::ProcessId self;
+    Millis reportInterval {AGATEDRUM_HOST_REPORT_MS};
+    Millis entryLease {AGATEDRUM_HOST_ENTRY_LEASE_MS};
+    Millis repeatInterval {AGATEDRUM_HOST_REPEAT_MS};
+    Millis serverHold {AGATEDRUM_SERVER_HOLD_MS};
+    Millis serverSilent {AGATEDRUM_SERVER_SILENT_MS};
+};
+
+/// Guards the capacity of one backend server that takes tasks with demands. Thread-safe.
+///
+/// Only this process orders starts there, so reservations are exact however old the entries' views are. An order
+/// without an answer keeps its room until a later answer of the backend server shows that it runs, or a stop rules it
+/// out. Tasks run only while the entry that wants them keeps up its lease here.
+class HostCore : public CoreI
+{
+public:
+    /// The references must outlive the core.
+    HostCore(MessageSinkI &sink, const ClockI &clock, MemberLink &link, TaskServerI &server, HostOptions options);
+
+    void handle(const Incoming &incoming) override;
+    void tick() override;
+    nlohmann::json dump() const override;
+    bool isReady() const override;
+    void beginStop() override;
+    /// True when no task runs.
+    bool isDrained() const override;
+    std::int64_t configNumber() const override;
+
+    /// Takes what the backend server says of itself. A registration of an earlier life, or an older one, is ignored.
+    void registerServer(const ServerRegistration &registration);
+    /// The backend server has left.
+    void removeServer(const std::string &id);
+
+private:
+    enum class Phase { Waiting, Starting, Doubtful, Running };
+
+    struct HostTask
+    {
+        TaskName name;
+        std::int64_t order = 0;
+        wire::ProcessId entry;
+        std::shared_ptr<const std::string> spec;
+        wire::Resources demand;
+        Micros estimate {0};
+        Time giveUpAt; ///< the caller gets no use of it later
+        Phase phase = Phase::Waiting;
+        std::int64_t run = 0;
+        Time startedAt;
+        Time changedAt; ///< of the phase
+        bool mustStop = false;
+        bool isStopSent = false;
+        std::optional<Time> stoppedAt; ///< when the backend server took the stop
+    };
+
+    struct Counters
+    {
+        std::uint64_t started = 0;
+        std::uint64_t succeeded = 0;
+        std::uint64_t failed = 0;
+        std::uint64_t ended = 0;
+        std::uint64_t refused = 0;
+        std::uint64_t unanswered = 0;
+        std::uint64_t leasesLapsed = 0;
+        std::uint64_t serverLives = 0;
+    };
+
+    // Entries.
+    void apply(const wire::RunTasks &message, const Incoming &incoming);
+    void apply(const wire::StopTasks &message, const Incoming &incoming);
+    void apply(const wire::HostContact &message, const Incoming &incoming);
+    void takeOrder(const wire::RunTasks &message, const wire::TaskOrder &order, const wire::ProcessId &entry,
+                   const std::shared_ptr<const std::string> &spec);
+    void refuse(const wire::ProcessId &entry, const std::string &job, const wire::TaskOrder &order,
+                const std::string &reason);
+    void report(const HostTask &task, wire::TaskPhase::type phase, const std::string &reason, Micros runTime = {});
+    void sendReports();
+    void sendHostReport(const std::vector<wire::Endpoint> &to);
+    wire::HostReport hostReport() const;
+
+    // Tasks.
+    void startWaiting();
+    void start(std::int64_t id, HostTask &task);
+    void stopTask(std::int64_t id, HostTask &task, const std::string &reason);
+    void sendStop(std::int64_t id, HostTask &task);
+    void finish(std::int64_t id, wire::TaskPhase::type phase, const std::string &reason, Micros runTime = {});
+    void checkTasks();
+    void refuseWaiting(const std::string &reason);
+
+    // Backend server.
+    void onStarted(std::int64_t id, const std::string &life, const OrderReply &reply);
+    void onStopped(std::int64_t id, const std::string &life, const OrderReply &reply);
+    void onHeld(const std::string &life, Time sentAt, const HoldReply &reply);
+    void takeEnds(const HoldReply &reply);
+    void takeRunning(const HoldReply &reply, Time sentAt);
+    void stopForeign(const RunningTask &running);
+    void learn(Micros estimate, Micros runTime);
+    void keepHold();
+    void beginLife(const ServerRegistration &registration);
+    void endLife(const std::string &reason);
+    void noteClock(std::int64_t clockMs);
+    std::int64_t serverClock(Millis ahead) const;
+    std::string life() const;
+    bool isAccepting() const;
+    wire::Resources reserved() const;
+    Micros expectedRun(Micros estimate) const;
+
+    MessageSinkI &sink;
+    const ClockI &clock;
+    MemberLink &link;
+    TaskServerI &server;
+    const HostOptions options;
+
+    mutable std::mutex mutex;
+    std::optional<ServerRegistration> registered;
+    Time registeredAt;
+    bool hasLeft = false;
+    bool isStopping = false;
+
+    std::int64_t fence = 0; ///< fencing token of this process at the present life of the backend server
+    std::int64_t clockMs = 0; ///< last reading of the backend server's clock
+    Time clockReadAt;
+    std::int64_t seenEnds = 0;
+    bool isClean = false; ///< a hold under this token showed only runs of this process
+    bool isHolding = false;
+    Time holdSentAt;
+    Time heldAt; ///< when the newest answered hold was sent
+    Time nextHold;
+
+    std::map<std::int64_t, HostTask> tasks;
+    std::map<TaskName, std::int64_t> byName;
+    std::map<TaskName, std::pair<std::int64_t, Time>> lastRuns; ///< highest run of recent tasks
+    HostQueue queue;
+    HostEntries entries;
+    std::int64_t lastId = 0;
+    wire::Resources commonDemand; ///< of recent tasks
+    double slowness = 1.0;
+    double failureShare = 0.0;
+    Counters counters;
+    bool wasAccepting = false;
+    std::int64_t reportSequence = 0;
+    Time nextReport;
+};
+
+} // namespace agatedrum
--- /dev/null
+++ b/src/host_server.cpp
@@ -0,0 +1,32 @@
+#include "host_server_p.h"
+
+namespace agatedrum {
+
+const char *outcomeName(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::Accepted:
+        return "accepted";
+    case OrderOutcome::Fenced:
+        return "fenced";
+    case OrderOutcome::RunTooLow:
+        return "run-too-low";
+    case OrderOutcome::Late:
+        return "late";
+    case OrderOutcome::NoRoom:
+        return "no-room";
+    case OrderOutcome::Invalid:
+        return "invalid";
+    case OrderOutcome::Unhealthy:
+        return "unhealthy";
+    case OrderOutcome::OtherLife:
+        return "other-life";
+    case OrderOutcome::NotSent:
+        return "not-sent";
+    case OrderOutcome::Unanswered:
+        break;
+    }
+    return "unanswered";
+}
+
+} // namespace agatedrum
--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -32,16 +32,20 @@
     if (response.retryAfterSeconds > 0) {
         bytes += fmt::format("Retry-After: {}\r\n", response.retryAfterSeconds);
     }
+    if (!response.location.empty()) {
+        bytes += fmt::format("Location: {}\r\n", response.location);
+    }
     bytes += mustClose ? "Connection: close\r\n\r\n" : "\r\n";
     bytes += response.body;
     return bytes;
 }
 
-FramerLimits limitsOf(const HttpServerOptions &options)
+FramerLimits framerLimits(const HttpLimits &limits)
 {
-    FramerLimits limits;
-    limits.maxBodyBytes = options.maxBodyBytes;
-    return limits;
+    FramerLimits result;
+    result.maxHeaderBytes = limits.maxHeaderBytes;
+    result.maxBodyBytes = limits.maxBodyBytes;
+    return result;
 }
 
 HttpResponse faultResponse(const FrameFault &fault)
@@ -53,15 +57,29 @@
 
 HttpShared::HttpShared(HttpServerOptions options)
     : options(std::move(options))
+    , currentLimits(this->options.limits)
+{
+}
+
+void HttpShared::setLimits(const HttpLimits &limits)
+{
+    const std::lock_guard lock(this->limitsMutex);
+    this->currentLimits = limits;
+}
+
+HttpLimits HttpShared::limits() const
 {
+    const std::lock_guard lock(this->limitsMutex);
+    return this->currentLimits;
 }
 
 void HttpShared::closeIdle()
 {
+    const auto limits = this->limits();
     const auto now = std::chrono::steady_clock::now();
     const std::lock_guard lock(this->mutex);
     for (auto *connection : this->open) {
-        connection->closeIfIdle(now);
+        connection->closeIfIdle(now, limits);
     }
 }
 
@@ -122,7 +140,7 @@
     : shared(std::move(shared))
     , descriptor(descriptor)
     , transport(transport)
-    , framer(limitsOf(this->shared->options))
+    , framer(framerLimits(this->shared->limits()))
     , lastActivity(std::chrono::steady_clock::now())
 {
 }
@@ -175,6 +193,10 @@
         if (this->isClosing) {
             return;
         }
+        this->framer.setLimits(framerLimits(this->shared->limits()));
+        if (this->framer.isEmpty()) {
+            this->headBegan = this->lastActivity;
+        }
         this->framer.feed(bytes);
     }
     this->passOn();
@@ -193,14 +215,21 @@
     return this->lastWrite;
 }
 
-void HttpConnection::closeIfIdle(std::chrono::steady_clock::time_point now)
+bool HttpConnection::isGone()
+{
+    const std::lock_guard lock(this->mutex);
+    return !this->isAlive;
+}
+
+void HttpConnection::closeIfIdle(std::chrono::steady_clock::time_point now, const HttpLimits &limits)
 {
     const std::lock_guard lock(this->mutex);
     if (!this->isAlive || this->isBusy) {
         return;
     }
-    const auto limit = this->isClosing ? std::chrono::milliseconds(lingerTime) : this->shared->options.idleTimeout;
-    if (now - this->lastActivity > limit || (this->shared->isStopping && this->isUnused())) {
+    const auto limit = this->isClosing ? std::chrono::milliseconds(lingerTime) : limits.idleTimeout;
+    const bool isHeadLate = this->framer.isInHead() && now - this->headBegan > limits.headerTimeout;
+    if (isHeadLate || now - this->lastActivity > limit || (this->shared->isStopping && this->isUnused())) {
         ::shutdown(this->descriptor, SHUT_RDWR);
     }
 }
@@ -246,12 +275,16 @@
 void HttpConnection::dispatch(FramedRequest &&framed)
 {
     const auto ticket = std::make_shared<Ticket>(this->shared_from_this(), framed.closeAfter);
-    const auto found = this->shared->router.find(std::move(framed));
+    auto found = this->shared->router.find(std::move(framed));
     if (const auto *refusal = std::get_if<HttpResponse>(&found)) {
         ticket->answer(*refusal);
         return;
     }
-    const auto &match = std::get<HttpRouter::Match>(found);
+    auto &match = std::get<HttpRouter::Match>(found);
+    match.request.isCallerGone = [connection = this->weak_from_this()] {
+        const auto alive = connection.lock();
+        return !alive || alive->isGone();
+    };
     try {
         (*match.handler)(match.request, [ticket](const HttpResponse &response) { ticket->answer(response); });
     } catch (const std::exception &failure) {
--- a/src/http_connection_p.h
+++ b/src/http_connection_p.h
@@ -27,6 +27,9 @@
     /// Ends all connections; later answers are dropped.
     void abandonAll();
 
+    void setLimits(const HttpLimits &limits);
+    HttpLimits limits() const;
+
     const HttpServerOptions options;
     HttpRouter router;
     std::atomic<bool> isStopping {false};
@@ -35,6 +38,10 @@
 
     std::mutex mutex;
     std::set<HttpConnection *> open; ///< guarded by mutex
+
+private:
+    mutable std::mutex limitsMutex;
+    HttpLimits currentLimits;
 };
 
 /// Lives as long as Pistache holds the write of an answer. Counts as an open request.
@@ -71,7 +78,9 @@
     std::weak_ptr<WriteMark> close();
 
     /// Ends the connection if nothing has happened on it for too long, or if it is idle and the server stops.
-    void closeIfIdle(std::chrono::steady_clock::time_point now);
+    void closeIfIdle(std::chrono::steady_clock::time_point now, const HttpLimits &limits);
+    /// Whether the caller has gone or the connection was abandoned.
+    bool isGone();
     /// Ends the connection at once. No answer is sent after the call.
     void abandon();
 
@@ -103,6 +112,7 @@
     bool isClosing = false; ///< the last answer was written
     std::weak_ptr<WriteMark> lastWrite;
     std::chrono::steady_clock::time_point lastActivity;
+    std::chrono::steady_clock::time_point headBegan; ///< when the first byte of an incomplete header section came
 };
 
 } // namespace agatedrum
--- a/src/http_framer.cpp
+++ b/src/http_framer.cpp
@@ -69,6 +69,11 @@
 {
 }
 
+void HttpFramer::setLimits(FramerLimits newLimits)
+{
+    this->limits = newLimits;
+}
+
 void HttpFramer::feed(std::string_view bytes)
 {
     if (this->hasFailed) {
@@ -128,6 +133,11 @@
     return this->buffer.empty() && !this->hasHead && !this->hasFailed;
 }
 
+bool HttpFramer::isInHead() const
+{
+    return !this->buffer.empty() && !this->hasHead && !this->hasFailed;
+}
+
 void HttpFramer::checkFirstLine()
 {
     const auto end = this->buffer.find('\n');
@@ -188,7 +198,13 @@
     const auto text = trimmed(line.substr(colon + 1));
     if (!std::all_of(text.begin(), text.end(), isFieldCharacter)) {
         this->fail(400, "header \"" + std::string(name) + "\" contains a control character");
-    } else if (equalsIgnoringCase(name, "Content-Length")) {
+        return;
+    }
+    std::string key(name);
+    std::transform(key.begin(), key.end(), key.begin(),
+                   [](char c) { return static_cast<char>(std::tolower(static_cast<unsigned char>(c))); });
+    this->current.headers[std::move(key)] = std::string(text);
+    if (equalsIgnoringCase(name, "Content-Length")) {
         this->parseContentLength(text);
     } else if (equalsIgnoringCase(name, "Transfer-Encoding")) {
         this->fail(411, "Transfer-Encoding is not supported, send Content-Length");
--- a/src/http_framer_p.h
+++ b/src/http_framer_p.h
@@ -3,6 +3,7 @@
 #include "agatedrum/config.h"
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -14,6 +15,7 @@
 {
     std::string method;
     std::string target; ///< path and query as sent
+    std::map<std::string, std::string> headers; ///< by name in lower case; the last one of a repeated name
     std::string body;
     bool closeAfter = false; ///< the caller asked for the connection to be closed after the answer
 };
@@ -42,6 +44,8 @@
 public:
     explicit HttpFramer(FramerLimits limits = {});
 
+    /// Limits of what has not been parsed yet.
+    void setLimits(FramerLimits newLimits);
     /// Takes bytes as they arrive. Bytes after a fault are ignored.
     void feed(std::string_view bytes);
     /// Hands out the next whole request, or the fault in it. After a fault, every call returns that fault.
@@ -50,6 +54,8 @@
     bool takeContinue();
     /// Whether no byte of a further request has arrived.
     bool isEmpty() const;
+    /// Whether a header section has begun and is not whole.
+    bool isInHead() const;
 
 private:
     /// Refuses a malformed request line without waiting for the rest.
@@ -61,7 +67,7 @@
     void fail(int status, std::string message);
     void skipEmptyLines();
 
-    const FramerLimits limits;
+    FramerLimits limits;
     std::string buffer;
     FramedRequest current;
     FrameFault fault;
--- a/src/http_router.cpp
+++ b/src/http_router.cpp
@@ -108,6 +108,11 @@
     this->routes.push_back(std::move(route));
 }
 
+void HttpRouter::setFallback(HttpHandler handler)
+{
+    this->fallback = std::move(handler);
+}
+
 std::variant<HttpRouter::Match, HttpResponse> HttpRouter::find(FramedRequest &&framed) const
 {
     Match match;
@@ -135,11 +140,20 @@
         isKnownPath = true;
         if (route.method == framed.method) {
             request.method = std::move(framed.method);
+            request.headers = std::move(framed.headers);
             request.body = std::move(framed.body);
             match.handler = &route.handler;
             return match;
         }
     }
+    if (this->fallback) {
+        request.parameters.clear();
+        request.method = std::move(framed.method);
+        request.headers = std::move(framed.headers);
+        request.body = std::move(framed.body);
+        match.handler = &this->fallback;
+        return match;
+    }
     if (isKnownPath) {
         return httpRefusal(405, "INVALID", "method " + framed.method + " is not offered for " + request.path);
     }
--- a/src/http_router_p.h
+++ b/src/http_router_p.h
@@ -30,6 +30,8 @@
 
     /// @param pattern path whose parts may be ":name".
     void add(const std::string &method, const std::string &pattern, HttpHandler handler);
+    /// Takes what no pattern matches, in place of the refusals 404 and 405.
+    void setFallback(HttpHandler handler);
     /// @return the handler with its request, or the refusal: 400, 404 or 405.
     std::variant<Match, HttpResponse> find(FramedRequest &&framed) const;
 
@@ -41,6 +43,7 @@
         HttpHandler handler;
     };
     std::vector<Route> routes;
+    HttpHandler fallback;
 };
 
 } // namespace agatedrum
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -129,6 +129,16 @@
     this->impl->shared->router.add(method, pattern, std::move(handler));
 }
 
+void HttpServer::fallback(HttpHandler handler)
+{
+    this->impl->shared->router.setFallback(std::move(handler));
+}
+
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    this->impl->shared->setLimits(limits);
+}
+
 void HttpServer::start()
 {
     const auto &options = this->impl->shared->options;
--- a/src/http_server_p.h
+++ b/src/http_server_p.h
@@ -13,11 +13,13 @@
 
 struct HttpRequest
 {
-    std::string method; ///< GET, POST, DELETE
+    std::string method; ///< GET, POST, PUT, DELETE
     std::string path;
     std::map<std::string, std::string> parameters; ///< values of the route's ":name" parts, decoded
     std::map<std::string, std::string> query; ///< decoded
+    std::map<std::string, std::string> headers; ///< by name in lower case
     std::string body;
+    std::function<bool()> isCallerGone = [] { return false; }; ///< whether the connection has ended; on any thread
 };
 
 struct HttpResponse
@@ -26,19 +28,28 @@
     std::string body;
     std::string contentType = "application/json";
     long retryAfterSeconds = 0; ///< 0 for no Retry-After header
+    std::string location {}; ///< Location header; empty for none
 };
 
 /// Answers one request. Call once, on any thread. Answering a caller that has gone is harmless.
 using HttpReply = std::function<void(HttpResponse)>;
 using HttpHandler = std::function<void(const HttpRequest &, HttpReply)>;
 
+/// Limits that may change while a server runs.
+struct HttpLimits
+{
+    std::size_t maxHeaderBytes = 16UL * 1024;
+    std::size_t maxBodyBytes = AGATEDRUM_MAX_BODY_BYTES;
+    Millis headerTimeout {10000}; ///< a connection whose header section takes longer is closed
+    Millis idleTimeout {60000}; ///< a connection without a waiting request is closed after this long
+};
+
 struct HttpServerOptions
 {
     wire::Endpoint address;
     int threads = 2;
-    std::size_t maxBodyBytes = AGATEDRUM_MAX_BODY_BYTES;
+    HttpLimits limits;
     int maxConnections = 10000;
-    Millis idleTimeout {60000}; ///< a connection without a waiting request is closed after this long
 };
 
 /// HTTP/1.1 server on Pistache. Each connection gets its answers whole and in the order of its requests. Thread-safe
@@ -55,6 +66,11 @@
     /// @param pattern path whose parts may be ":name", such as "/v1/jobs/:caller/:submission".
     void route(const std::string &method, const std::string &pattern, HttpHandler handler);
 
+    /// Takes all requests that no route matches. Precondition: not started.
+    void fallback(HttpHandler handler);
+    /// Limits for requests that have not been read yet.
+    void setLimits(const HttpLimits &limits);
+
     /// Throws std::runtime_error when the address cannot be bound. Call once.
     void start();
     /// Takes no new connections and closes each connection after its answer. Idempotent.
--- a/src/member_link.cpp
+++ b/src/member_link.cpp
@@ -11,6 +11,8 @@
     : sink(sink)
     , clock(clock)
     , options(std::move(options))
+    , seeds(this->options.control)
+    , peers(this->options.control)
 {
 }
 
@@ -29,7 +31,7 @@
     // A control process that left a heartbeat unanswered may be down: the next one is tried.
     const auto retryInterval = std::min(this->options.interval, Millis(AGATEDRUM_MEMBER_HEARTBEAT_MS));
     if (this->isWaiting && now - this->unansweredSince >= retryInterval) {
-        this->current = (this->current + 1) % this->options.control.size();
+        this->current = (this->current + 1) % this->peers.size();
         this->unansweredSince = now;
     }
     if (!this->isWaiting) {
@@ -51,7 +53,7 @@
     if (report.server) {
         heartbeat.__set_server(*report.server);
     }
-    this->sink.send(this->options.control[this->current].address, std::move(heartbeat));
+    this->sink.send(this->peers[this->current].address, std::move(heartbeat));
 }
 
 void MemberLink::hurry()
@@ -85,16 +87,25 @@
     const std::lock_guard lock(this->mutex);
     this->isWaiting = false;
     const auto &leader = reply.accepted ? sender : reply.leader;
-    const auto found = std::find_if(this->options.control.begin(), this->options.control.end(),
+    const auto found = std::find_if(this->peers.begin(), this->peers.end(),
                                     [&leader](const ControlPeer &peer) { return peer.name == leader; });
+    const bool isKnown = found != this->peers.end();
     const auto previous = this->current;
-    if (found != this->options.control.end()) {
-        this->current = static_cast<std::size_t>(found - this->options.control.begin());
+    if (isKnown) {
+        this->current = static_cast<std::size_t>(found - this->peers.begin());
+    } else if (const auto address = parseEndpoint(leader)) {
+        // In an open group a process that joined later is named by its address.
+        this->peers.push_back({leader, *address});
+        this->current = this->peers.size() - 1;
+        if (!reply.accepted) {
+            this->hurryLocked();
+        }
     } else {
-        this->current = (this->current + 1) % this->options.control.size();
+        this->current = (this->current + 1) % this->peers.size();
     }
+    this->learnGroup(reply.group);
     if (!reply.accepted) {
-        if (this->current != previous && found != this->options.control.end()) {
+        if (this->current != previous && isKnown) {
             this->hurryLocked();
         }
         return;
@@ -109,6 +120,43 @@
     }
 }
 
+void MemberLink::learnGroup(const std::vector<wire::ControlEndpoint> &group)
+{
+    if (group.empty()) {
+        return;
+    }
+    // The one that answered stays first.
+    std::vector<ControlPeer> first {this->peers[this->current]};
+    for (const auto &member : group) {
+        first.push_back({member.name, member.address});
+    }
+    this->rebuildPeers(first);
+}
+
+void MemberLink::setSeeds(const std::vector<ControlPeer> &newSeeds)
+{
+    const std::lock_guard lock(this->mutex);
+    auto known = this->peers;
+    std::rotate(known.begin(), known.begin() + static_cast<std::ptrdiff_t>(this->current), known.end());
+    this->seeds = newSeeds;
+    this->rebuildPeers(known);
+}
+
+void MemberLink::rebuildPeers(const std::vector<ControlPeer> &first)
+{
+    std::vector<ControlPeer> next;
+    for (const auto *list : {&first, &this->seeds}) {
+        for (const auto &peer : *list) {
+            const auto isSame = [&peer](const ControlPeer &other) { return other.name == peer.name; };
+            if (std::none_of(next.begin(), next.end(), isSame)) {
+                next.push_back(peer);
+            }
+        }
+    }
+    this->peers = std::move(next);
+    this->current = 0;
+}
+
 void MemberLink::handleView(const wire::ClusterView &view)
 {
     const std::lock_guard lock(this->mutex);
@@ -166,7 +214,7 @@
 wire::Endpoint MemberLink::controlAddress() const
 {
     const std::lock_guard lock(this->mutex);
-    return this->options.control[this->current].address;
+    return this->peers[this->current].address;
 }
 
 } // namespace agatedrum
--- a/src/member_link_p.h
+++ b/src/member_link_p.h
@@ -44,6 +44,8 @@
 
     /// Sends a heartbeat when one is due.
     void tick(const MemberReport &report);
+    /// Replaces the configured control processes; those that a leader named stay known. Precondition: not empty.
+    void setSeeds(const std::vector<ControlPeer> &seeds);
     /// Makes the next tick send a heartbeat.
     void hurry();
 
@@ -68,12 +70,16 @@
     void handleView(const wire::ClusterView &view);
     std::int64_t nowMicros() const;
     void hurryLocked();
+    void rebuildPeers(const std::vector<ControlPeer> &first);
+    void learnGroup(const std::vector<wire::ControlEndpoint> &group);
 
     MessageSinkI &sink;
     const ClockI &clock;
     const MemberOptions options;
 
     mutable std::mutex mutex;
+    std::vector<ControlPeer> seeds; ///< as configured
+    std::vector<ControlPeer> peers; ///< the seeds, and those that a leader named last
     std::size_t current = 0; ///< index of the control process that gets the heartbeats
     Time nextHeartbeat;
     bool isHurried = false; ///< a heartbeat is due before the interval has passed
--- a/src/owner_core_p.h
+++ b/src/owner_core_p.h
@@ -40,6 +40,8 @@
     void beginStop() override;
     bool isDrained() const override;
     std::int64_t configNumber() const override;
+    /// False for a start once the lease has ended, whatever delayed it since it was decided.
+    bool mayLeave(const Payload &payload) const override;
 
 private:
     struct Shard
--- a/src/settings_process.cpp
+++ b/src/settings_process.cpp
@@ -1,10 +1,13 @@
 #include "settings_process_p.h"
 
 #include <arpa/inet.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
+#include <fstream>
 #include <set>
+#include <sstream>
 #include <utility>
 
 namespace agatedrum {
@@ -80,6 +83,68 @@
     return static_cast<int>(reader.integer(key, fallback, 1, highest));
 }
 
+/// Reads "IP:PORT".
+wire::Endpoint readAddress(YamlReader &reader, const std::string &key)
+{
+    const auto text = reader.requiredText(key);
+    const auto address = parseEndpoint(text);
+    if (!address && !text.empty()) {
+        reader.fault(key, "must be an IPv4 address and a port, such as 10.0.0.1:7000");
+    }
+    return address.value_or(wire::Endpoint());
+}
+
+/// Control processes are found from the hosts of these addresses; all listen for their peers on one port.
+std::vector<ControlPeer> readSeeds(YamlReader &reader)
+{
+    std::vector<ControlPeer> seeds;
+    const auto port = static_cast<int>(reader.requiredInteger("controlPort", 1, maxPort));
+    for (const auto &text : reader.texts("controlSeeds")) {
+        auto address = parseEndpoint(text);
+        if (!address) {
+            reader.fault("controlSeeds", "must list IPv4 addresses with a port");
+            continue;
+        }
+        address->port = port;
+        seeds.push_back({fmt::format("{}:{}", address->host, port), *address});
+    }
+    if (seeds.empty()) {
+        reader.fault("controlSeeds", "must list at least one address");
+    }
+    return seeds;
+}
+
+void readPlatformKeys(YamlReader &reader, ProcessSettings &settings)
+{
+    constexpr double highestFactor = 100;
+    constexpr double highestGrace = 3600;
+    /// For the last messages and the end of the threads, before the platform kills the process.
+    constexpr Millis graceMargin(700);
+    settings.control = readSeeds(reader);
+    const auto grace = reader.real("graceSeconds", 0, 0, highestGrace);
+    if (grace > 0) {
+        settings.stopTimeout = std::max(Millis(0), Millis(static_cast<std::int64_t>(grace * 1000)) - graceMargin);
+    }
+    switch (settings.role) {
+    case wire::Role::ENTRY:
+        settings.callers = readAddress(reader, "callers");
+        settings.readiness = readAddress(reader, "readiness");
+        settings.farFactor = reader.real("farFactor", 1.0, 1.0, highestFactor);
+        break;
+    case wire::Role::AGENT:
+        settings.registrations = readAddress(reader, "registrations");
+        break;
+    case wire::Role::CONTROL:
+        settings.operators = readAddress(reader, "operators");
+        settings.mayFormGroup = reader.boolean("mayFormGroup", true);
+        settings.maxVoters = readInt(reader, "maxVoters", 3, maxThreads);
+        break;
+    default:
+        reader.fault("interface", "this role has none on a platform");
+        break;
+    }
+}
+
 void readEntryKeys(YamlReader &reader, ProcessSettings &settings)
 {
     settings.maxConnections = readInt(reader, "maxConnections", settings.maxConnections, maxOpen);
@@ -133,14 +198,20 @@
     settings.failureDomain = reader.requiredText("failureDomain");
     settings.peers = readEndpoint(reader, "peers");
     settings.http = readEndpoint(reader, "http");
-    settings.control = readControl(reader);
+    settings.isOnPlatform = reader.choice("interface", "own", {"own", "platform"}) == "platform";
+    if (!settings.isOnPlatform) {
+        settings.control = readControl(reader);
+    }
     settings.logLevel = chooseFrom(reader, "logLevel", "info", levelNames);
     settings.stopTimeout = Millis(reader.integer("stopTimeoutMs", settings.stopTimeout.count(), 0, maxDurationMs));
     settings.busThreads = readInt(reader, "busThreads", settings.busThreads, maxThreads);
     settings.httpThreads = readInt(reader, "httpThreads", settings.httpThreads, maxThreads);
     readRoleKeys(reader, settings);
+    if (settings.isOnPlatform) {
+        readPlatformKeys(reader, settings);
+    }
     reader.finish();
-    if (settings.role == wire::Role::CONTROL
+    if (settings.role == wire::Role::CONTROL && !settings.isOnPlatform
         && std::none_of(settings.control.begin(), settings.control.end(),
                         [&settings](const ControlPeer &peer) { return peer.name == settings.name; })) {
         reader.fault("control", "must list this process under its own name");
@@ -151,6 +222,17 @@
     return settings;
 }
 
+Result<ProcessSettings, SettingsError> readSettingsFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return SettingsError {{{0, "", "cannot read " + path}}};
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return parseSettings(text.str());
+}
+
 const std::vector<SettingsKey> &settingsKeys()
 {
     static const std::vector<SettingsKey> keys {{"role", "all"},
@@ -168,7 +250,18 @@
                                                 {"requestTimeoutMs", "entry"},
                                                 {"shards", "owner"},
                                                 {"maxBackendConnections", "agent"},
-                                                {"dataFolder", "control"}};
+                                                {"dataFolder", "control"},
+                                                {"interface", "all"},
+                                                {"controlSeeds", "all"},
+                                                {"controlPort", "all"},
+                                                {"graceSeconds", "all"},
+                                                {"callers", "entry"},
+                                                {"readiness", "entry"},
+                                                {"farFactor", "entry"},
+                                                {"registrations", "agent"},
+                                                {"operators", "control"},
+                                                {"mayFormGroup", "control"},
+                                                {"maxVoters", "control"}};
     return keys;
 }
 
--- a/src/settings_process_p.h
+++ b/src/settings_process_p.h
@@ -29,6 +29,15 @@
     int shards = 8; ///< owner
     int maxBackendConnections = 64; ///< agent
     std::string dataFolder; ///< control
+    /// Whether callers, operators and backend servers speak the product's own interface or that of a platform.
+    bool isOnPlatform = false;
+    bool mayFormGroup = true; ///< control on a platform: whether a fresh disk may take part in forming the group
+    int maxVoters = 0; ///< control on a platform: further processes are learners
+    double farFactor = 1.0; ///< entry on a platform: how much longer a task takes away from its data
+    wire::Endpoint callers; ///< entry on a platform
+    wire::Endpoint readiness; ///< entry on a platform
+    wire::Endpoint registrations; ///< agent on a platform: of its backend server
+    wire::Endpoint operators; ///< control on a platform
 };
 
 struct SettingsError
@@ -40,6 +49,9 @@
 /// Parses and checks a whole settings file. Thread-safe.
 Result<ProcessSettings, SettingsError> parseSettings(const std::string &text);
 
+/// Reads, parses and checks a settings file.
+Result<ProcessSettings, SettingsError> readSettingsFile(const std::string &path);
+
 /// One key of the settings file, for the documentation and its test.
 struct SettingsKey
 {
--- a/src/wire_bus.cpp
+++ b/src/wire_bus.cpp
@@ -154,6 +154,7 @@
     std::shared_ptr<TNonblockingServer> server;
     std::thread serverThread;
     bool isStarted = false;
+    bool isEnded = false; ///< stop() has begun to end the threads; guarded by queueMutex
     std::atomic<bool> isLoopEnding {false};
 
     Impl(BusOptions busOptions, const ClockI &busClock, std::function<std::int64_t()> number)
@@ -166,7 +167,6 @@
     void enqueue(const wire::Endpoint &to, Payload &&payload)
     {
         const auto bytes = estimateBytes(payload);
-        bool mustWake = false;
         {
             const std::lock_guard lock(this->queueMutex);
             auto &peer = this->peers[{to.host, to.port}];
@@ -175,7 +175,7 @@
                 peer->to = to;
                 peer->bus = this;
             }
-            if (peer->queuedBytes + bytes > AGATEDRUM_PEER_QUEUE_BYTES) {
+            if (this->isEnded || peer->queuedBytes + bytes > AGATEDRUM_PEER_QUEUE_BYTES) {
                 this->counters.messagesDropped.fetch_add(1, std::memory_order_relaxed);
                 return;
             }
@@ -183,17 +183,18 @@
             peer->queuedBytes += bytes;
             if (!peer->isScheduled) {
                 peer->isScheduled = true;
-                mustWake = this->scheduled.empty();
                 this->scheduled.push_back(peer.get());
+                // Under the lock, because stop() frees the event.
+                if (this->scheduled.size() == 1 && this->wakeUp != nullptr) {
+                    event_active(this->wakeUp, EV_TIMEOUT, 0);
+                }
             }
         }
-        if (mustWake && this->wakeUp != nullptr) {
-            event_active(this->wakeUp, EV_TIMEOUT, 0);
-        }
     }
 
     /// Takes what may go into one envelope now. Drops what has waited too long.
-    std::vector<wire::Message> takeMessages(PeerQueue &peer)
+    /// @param isAnyLeft set to whether more messages wait.
+    std::vector<wire::Message> takeMessages(PeerQueue &peer, bool &isAnyLeft)
     {
         std::vector<QueuedMessage> taken;
         {
@@ -211,11 +212,16 @@
                 }
                 peer.queue.pop_front();
             }
+            isAnyLeft = !peer.queue.empty();
         }
         std::vector<wire::Message> messages;
         messages.reserve(taken.size());
         for (auto &message : taken) {
-            messages.push_back(toMessage(std::move(message.payload)));
+            if (this->options.mayLeave(message.payload)) {
+                messages.push_back(toMessage(std::move(message.payload)));
+            } else {
+                this->counters.messagesDropped.fetch_add(1, std::memory_order_relaxed);
+            }
         }
         return messages;
     }
@@ -250,11 +256,14 @@
             return;
         }
         while (evbuffer_get_length(bufferevent_get_output(peer.connection)) < highWater) {
-            auto messages = this->takeMessages(peer);
-            if (messages.empty()) {
+            bool isAnyLeft = false;
+            auto messages = this->takeMessages(peer, isAnyLeft);
+            if (!messages.empty()) {
+                this->writeEnvelope(peer, std::move(messages));
+            }
+            if (!isAnyLeft) {
                 return;
             }
-            this->writeEnvelope(peer, std::move(messages));
         }
     }
 
@@ -439,12 +448,18 @@
         this->isLoopEnding = true;
         event_active(this->wakeUp, EV_TIMEOUT, 0);
         this->loopThread.join();
+        {
+            // Other threads, such as that of a store, may send until the core is destroyed.
+            const std::lock_guard lock(this->queueMutex);
+            this->isEnded = true;
+            event_free(this->wakeUp);
+            this->wakeUp = nullptr;
+        }
         for (auto &[key, peer] : this->peers) {
             if (peer->connection != nullptr) {
                 bufferevent_free(peer->connection);
             }
         }
-        event_free(this->wakeUp);
         event_free(this->retryTimer);
         event_base_free(this->base);
     }
--- a/src/wire_bus_p.h
+++ b/src/wire_bus_p.h
@@ -17,6 +17,9 @@
     wire::Role::type role = wire::Role::TOOL;
     wire::Endpoint address; ///< where this process listens; port 0 listens nowhere
     int serverThreads = 2;
+    /// Asked for each message right before it is written, without locks held. A message that may not leave is dropped
+    /// and counted: what justified it, such as a lease, may have ended while it waited or while the process was frozen.
+    std::function<bool(const Payload &)> mayLeave = [](const Payload &) { return true; };
 };
 
 /// Counters of a bus since its start.
--- a/src/wire_message.cpp
+++ b/src/wire_message.cpp
@@ -1,5 +1,8 @@
 #include "wire_message_p.h"
 
+#include <arpa/inet.h>
+
+#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -7,6 +10,8 @@
 
 namespace {
 
+constexpr int maxPort = 65535;
+
 /// Calls visit(member, flag) for each member of the union, in the order of Payload's alternatives.
 template<typename Message, typename Visitor>
 void forEachMember(Message &message, Visitor &&visit)
@@ -45,6 +50,11 @@
     AGATEDRUM_MEMBER(installSnapshot);
     AGATEDRUM_MEMBER(installReply);
     AGATEDRUM_MEMBER(timeoutNow);
+    AGATEDRUM_MEMBER(hostReport);
+    AGATEDRUM_MEMBER(hostContact);
+    AGATEDRUM_MEMBER(runTasks);
+    AGATEDRUM_MEMBER(stopTasks);
+    AGATEDRUM_MEMBER(taskReports);
 #undef AGATEDRUM_MEMBER
 }
 
@@ -78,6 +88,24 @@
     return "tool";
 }
 
+std::optional<wire::Endpoint> parseEndpoint(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    wire::Endpoint endpoint;
+    endpoint.host = text.substr(0, colon);
+    const auto *last = text.data() + text.size();
+    const auto [end, code] = std::from_chars(text.data() + colon + 1, last, endpoint.port);
+    in_addr address {};
+    const bool isPort = code == std::errc() && end == last && endpoint.port > 0 && endpoint.port <= maxPort;
+    if (!isPort || inet_pton(AF_INET, endpoint.host.c_str(), &address) != 1) {
+        return std::nullopt;
+    }
+    return endpoint;
+}
+
 wire::Message toMessage(Payload &&payload)
 {
     wire::Message message;
--- a/src/wire_message_p.h
+++ b/src/wire_message_p.h
@@ -3,6 +3,8 @@
 #include "agatedrum_types.h"
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -15,7 +17,8 @@
                    wire::Fence, wire::AgentHello, wire::ResultBatch, wire::StartRefused, wire::AgentState,
                    wire::MemberHeartbeat, wire::HeartbeatReply, wire::ClusterView, wire::ApplyConfig, wire::ApplyReply,
                    wire::ControlQuery, wire::ControlAnswer, wire::RequestVote, wire::VoteReply, wire::AppendEntries,
-                   wire::AppendReply, wire::InstallSnapshot, wire::InstallReply, wire::TimeoutNow>;
+                   wire::AppendReply, wire::InstallSnapshot, wire::InstallReply, wire::TimeoutNow, wire::HostReport,
+                   wire::HostContact, wire::RunTasks, wire::StopTasks, wire::TaskReports>;
 
 /// A received message with what its envelope says of the sender.
 struct Incoming
@@ -38,6 +41,9 @@
 /// Name of a role as settings and operators write it.
 const char *roleName(wire::Role::type role);
 
+/// Reads "IP:PORT". Nothing when the text is not that.
+std::optional<wire::Endpoint> parseEndpoint(const std::string &text);
+
 /// Turns a payload into the union that travels.
 wire::Message toMessage(Payload &&payload);
 
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -60,9 +60,9 @@
 {
     HttpServerOptions options;
     options.address = endpoint(firstPort);
-    options.maxBodyBytes = 1000;
+    options.limits.maxBodyBytes = 1000;
     options.maxConnections = 3;
-    options.idleTimeout = Millis(1000);
+    options.limits.idleTimeout = Millis(1000);
     return options;
 }
 
--- a/tests/test_owner_core.cpp
+++ b/tests/test_owner_core.cpp
@@ -357,3 +357,13 @@
         REQUIRE(world.sink.all<wire::JobReply>().empty());
     }
 }
+
+TEST_CASE("A start leaves only under the lease, also when the owner is frozen between decision and sending", "[owner]")
+{
+    OwnerFixture fixture;
+    fixture.giveLease();
+    REQUIRE(fixture.core.mayLeave(wire::StartBatch()));
+    fixture.clock.advance(Millis(AGATEDRUM_OWNER_LEASE_MS));
+    REQUIRE_FALSE(fixture.core.mayLeave(wire::StartBatch()));
+    REQUIRE(fixture.core.mayLeave(wire::RecordAck()));
+}
--- a/tests/test_wire.cpp
+++ b/tests/test_wire.cpp
@@ -98,4 +98,32 @@
         }
         REQUIRE(sender.counters().messagesDropped.load() == 1);
     }
+
+    SECTION("a message sent after the stop is dropped and counted, since the thread of a store may still send")
+    {
+        PeerBus stopped(busOptions("d", 0), clock, [] { return 0; });
+        stopped.start([](const Incoming &) {});
+        stopped.stop(Millis(0));
+        stopped.send(endpoint(19421), fence(1));
+        REQUIRE(stopped.counters().messagesDropped.load() == 1);
+    }
+
+    SECTION("a message whose reason ended while it waited does not leave, such as a start of an owner that was frozen")
+    {
+        std::atomic<bool> hasLease {true};
+        auto options = busOptions("e", 0);
+        options.mayLeave = [&hasLease](const Payload &payload) {
+            return hasLease || !std::holds_alternative<wire::StartBatch>(payload);
+        };
+        PeerBus frozen(options, clock, [] { return 0; });
+        frozen.start([](const Incoming &) {});
+        frozen.send(endpoint(19422), wire::StartBatch());
+        frozen.send(endpoint(19422), fence(8));
+        hasLease = false;
+        PeerBus receiver(busOptions("f", 19422), clock, [] { return 0; });
+        receiver.start([&inbox](const Incoming &message) { inbox.add(message); });
+        REQUIRE(inbox.waitFor(1));
+        REQUIRE(std::holds_alternative<wire::Fence>(inbox.messages[0].payload));
+        REQUIRE(frozen.counters().messagesDropped.load() == 1);
+    }
 }
