Give up silent connections between processes; place tasks on the slowest sufficient host

Tasks of all lengths went to the fast hosts first, so that long ones found those full; and jobs were refused by rough estimates while hosts were free.

Ruled out: the control group was late (it acknowledged within 60 ms and pushed the view at once).

Change: TCP user time-out and keep-alive on connections of the bus; placement by the slowest host that still meets the goal; a job that need not wait is tried unless its estimate is twice the caller's time.

--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -37,6 +37,12 @@
 #define AGATEDRUM_PEER_QUEUE_AGE_MS 2000
 #endif
 
+/// Time in milliseconds without an acknowledgement after which a connection to a peer is given up. Above the time in
+/// which TCP repeats single lost packets, below the 2 s in which a configuration must be in force.
+#ifndef AGATEDRUM_PEER_SILENT_MS
+#define AGATEDRUM_PEER_SILENT_MS 1000
+#endif
+
 /// Largest frame between processes, in bytes.
 #ifndef AGATEDRUM_MAX_FRAME_BYTES
 #define AGATEDRUM_MAX_FRAME_BYTES (128UL * 1024 * 1024)
--- a/src/dispatch_admission.cpp
+++ b/src/dispatch_admission.cpp
@@ -10,6 +10,9 @@
 constexpr Millis shortestRetry {1000};
 constexpr Millis longestRetry {10000};
 
+/// Tasks seldom take less than this part of their estimate.
+constexpr int roughness = 2;
+
 Millis retryAfter(Micros excess)
 {
     return std::clamp(std::chrono::duration_cast<Millis>(excess), shortestRetry, longestRetry);
@@ -44,7 +47,8 @@
         end = std::max(end, placement.end);
         wait = std::max(wait, placement.start);
     }
-    if (end > timeLeft) {
+    // Estimates are rough: while there is room, a job is tried even if it should end somewhat too late.
+    if (end > (wait > Micros(0) ? timeLeft : roughness * timeLeft)) {
         return AdmissionRefusal {"the job cannot end in the caller's time", retryAfter(end - timeLeft)};
     }
     const auto objective = objectiveOf(route, tasks);
--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -49,6 +49,14 @@
 {
 }
 
+Micros DispatchCore::goalOf(const Job &job, Time now)
+{
+    // Estimates are rough, so placement aims at an earlier end than the caller needs.
+    constexpr double share = 0.75;
+    const auto left = std::min(job.objective, job.deadline) - now;
+    return Micros(static_cast<std::int64_t>(share * static_cast<double>(left.count())));
+}
+
 void DispatchCore::deliver(const Answers &answers)
 {
     for (const auto &[handler, outcome] : answers) {
@@ -98,7 +106,7 @@
             job.tasks.resize(request.tasks.size());
             job.request = std::move(request);
             auto choices = this->choicesFor(job);
-            const auto placements = placeTasks(job.request.tasks, choices, this->options.farFactor);
+            const auto placements = placeTasks(job.request.tasks, goalOf(job, now), choices, this->options.farFactor);
             const auto refusal = this->admission.judge(route, job.request.tasks, placements, timeLeft);
             if (refusal || this->isStopping || this->jobs.size() >= this->options.maxJobs) {
                 ++this->counters.refused;
@@ -152,7 +160,7 @@
         return true;
     }
     auto choices = this->choicesFor(job);
-    const auto placements = placeTasks(wanted, choices, this->options.farFactor);
+    const auto placements = placeTasks(wanted, goalOf(job, now), choices, this->options.farFactor);
     std::vector<std::int32_t> ordered;
     for (std::size_t i = 0; i < indexes.size(); ++i) {
         if (placements[i].host < 0) {
--- a/src/dispatch_core_p.h
+++ b/src/dispatch_core_p.h
@@ -126,6 +126,8 @@
     void loseHosts(Answers &answers);
     void checkJobs(Answers &answers);
     void repeatOrders(const std::string &id, Job &job);
+    /// Time from now by which the job should end.
+    static Micros goalOf(const Job &job, Time now);
     static void deliver(const Answers &answers);
     std::vector<HostChoice> choicesFor(const Job &job) const;
 
--- a/src/dispatch_placement.cpp
+++ b/src/dispatch_placement.cpp
@@ -3,7 +3,9 @@
 #include "host_room_p.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
+#include <tuple>
 
 namespace agatedrum {
 
@@ -12,8 +14,9 @@
 /// A task that fails has to run again, so a failing host counts as slower. Above this share it gets no task while
 /// another host can take it.
 constexpr double highFailureShare = 0.5;
-/// Weight of a host's use against equal ends, so that entries with the same views do not all choose the same host.
-constexpr double useWeight = 0.05;
+constexpr double highestFailureShare = 0.95; ///< keeps the expected number of runs finite
+/// Hosts whose speeds differ by less than this factor count as equally fast.
+constexpr double speedStep = 1.3;
 
 bool hasLabel(const HostChoice &choice, const std::string &label)
 {
@@ -62,10 +65,22 @@
     ++choice.groupTasks[static_cast<std::size_t>(task.group)];
 }
 
-Placement placeTask(const TaskRequest &task, std::vector<HostChoice> &choices, double farFactor)
+/// Order of preference; lower is better.
+using Rank = std::tuple<bool, bool, bool, double, double>;
+
+Rank rankOf(const HostChoice &choice, Micros start, Micros end, Micros goal)
+{
+    const bool isFailing = choice.failureShare > highFailureShare;
+    const bool isLate = end > goal;
+    const double speedClass = std::round(std::log(choice.slowness) / std::log(speedStep));
+    return {isFailing, isLate, start > Micros(0), isLate ? static_cast<double>(end.count()) : -speedClass,
+            useOf(choice)};
+}
+
+Placement placeTask(const TaskRequest &task, Micros goal, std::vector<HostChoice> &choices, double farFactor)
 {
     Placement best;
-    double bestRank = 0;
+    Rank bestRank;
     Micros bestRun {0};
     for (std::size_t i = 0; i < choices.size(); ++i) {
         const auto &choice = choices[i];
@@ -74,10 +89,8 @@
         }
         const auto run = scaled(task.estimate, choice.slowness * (hasLabel(choice, task.dataRack) ? 1.0 : farFactor));
         const auto start = startAt(task, choice);
-        const auto repeats = 1.0 / (1.0 - std::min(choice.failureShare, 0.95));
-        const double penalty = choice.failureShare > highFailureShare ? 1e9 : 0;
-        const double rank = penalty + static_cast<double>((start + scaled(run, repeats)).count())
-            + useWeight * std::max(0.0, useOf(choice)) * static_cast<double>(run.count());
+        const auto repeats = 1.0 / (1.0 - std::min(choice.failureShare, highestFailureShare));
+        const auto rank = rankOf(choice, start, start + scaled(run, repeats), goal);
         if (best.host < 0 || rank < bestRank) {
             best = {static_cast<int>(i), start, start + run};
             bestRank = rank;
@@ -92,7 +105,7 @@
 
 } // namespace
 
-std::vector<Placement> placeTasks(const std::vector<TaskRequest> &tasks, std::vector<HostChoice> &choices,
+std::vector<Placement> placeTasks(const std::vector<TaskRequest> &tasks, Micros goal, std::vector<HostChoice> &choices,
                                   double farFactor)
 {
     std::vector<std::size_t> order(tasks.size());
@@ -101,7 +114,7 @@
                      [&tasks](std::size_t a, std::size_t b) { return tasks[a].estimate > tasks[b].estimate; });
     std::vector<Placement> placements(tasks.size());
     for (const auto index : order) {
-        placements[index] = placeTask(tasks[index], choices, farFactor);
+        placements[index] = placeTask(tasks[index], goal, choices, farFactor);
     }
     return placements;
 }
--- a/src/member_link.cpp
+++ b/src/member_link.cpp
@@ -144,13 +144,13 @@
 
 void MemberLink::rebuildPeers(const std::vector<ControlPeer> &first)
 {
+    auto all = first;
+    all.insert(all.end(), this->seeds.begin(), this->seeds.end());
     std::vector<ControlPeer> next;
-    for (const auto *list : {&first, &this->seeds}) {
-        for (const auto &peer : *list) {
-            const auto isSame = [&peer](const ControlPeer &other) { return other.name == peer.name; };
-            if (std::none_of(next.begin(), next.end(), isSame)) {
-                next.push_back(peer);
-            }
+    for (const auto &peer : all) {
+        const auto isSame = [&peer](const ControlPeer &other) { return other.name == peer.name; };
+        if (std::none_of(next.begin(), next.end(), isSame)) {
+            next.push_back(peer);
         }
     }
     this->peers = std::move(next);
--- a/src/wire_bus.cpp
+++ b/src/wire_bus.cpp
@@ -41,6 +41,22 @@
 constexpr std::size_t maxFrameBytes = AGATEDRUM_MAX_FRAME_BYTES;
 constexpr std::size_t envelopeMessages = 512; ///< most messages in one envelope
 
+/// After a partition TCP waits for seconds before it sends again, and a connection may go silent without a reset. A
+/// connection that acknowledges nothing for the time limit is closed instead, and a new one is opened.
+void setSocketOptions(evutil_socket_t socket)
+{
+    const int on = 1;
+    const int probeSeconds = 1;
+    const int probes = 2;
+    const unsigned silentMs = AGATEDRUM_PEER_SILENT_MS;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &silentMs, sizeof(silentMs));
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &probeSeconds, sizeof(probeSeconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &probeSeconds, sizeof(probeSeconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
 struct QueuedMessage
 {
     Payload payload;
@@ -312,8 +328,7 @@
     {
         auto *peer = static_cast<PeerQueue *>(context);
         if ((what & BEV_EVENT_CONNECTED) != 0) {
-            const int on = 1;
-            setsockopt(bufferevent_getfd(connection), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+            setSocketOptions(bufferevent_getfd(connection));
             bufferevent_set_timeouts(connection, nullptr, nullptr);
             peer->isConnected = true;
             peer->retryDelay = firstRetryDelay;
