--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -52,7 +52,7 @@
 Micros DispatchCore::goalOf(const Job &job, Time now)
 {
     // Estimates are rough, so placement aims at an earlier end than the caller needs.
-    constexpr double share = 0.75;
+    constexpr double share = 0.9;
     const auto left = std::min(job.objective, job.deadline) - now;
     return Micros(static_cast<std::int64_t>(share * static_cast<double>(left.count())));
 }
@@ -175,6 +175,20 @@
         this->hosts.noteOrder(*host, wanted[i].demand, placements[i].end - placements[i].start,
                               placements[i].start > Micros(0));
     }
+    std::string places;
+    for (std::size_t i = 0; i < indexes.size(); ++i) {
+        if (placements[i].host >= 0) {
+            places += fmt::format("{}{}@{}:{}+{}", places.empty() ? "" : ",", indexes[i],
+                                  choices[static_cast<std::size_t>(placements[i].host)].name,
+                                  millis(placements[i].start), millis(placements[i].end - placements[i].start));
+        }
+    }
+    logEvent(part, "placed",
+             {{"job", id},
+              {"route", job.request.routeName},
+              {"goalMs", millis(goalOf(job, now))},
+              {"hosts", choices.size()},
+              {"places", places}});
     this->sendOrders(id, job, ordered);
     return ordered.size() == indexes.size();
 }
--- a/src/dispatch_placement.cpp
+++ b/src/dispatch_placement.cpp
@@ -3,7 +3,6 @@
 #include "host_room_p.h"
 
 #include <algorithm>
-#include <cmath>
 #include <numeric>
 #include <tuple>
 
@@ -15,8 +14,10 @@
 /// another host can take it.
 constexpr double highFailureShare = 0.5;
 constexpr double highestFailureShare = 0.95; ///< keeps the expected number of runs finite
-/// Hosts whose speeds differ by less than this factor count as equally fast.
-constexpr double speedStep = 1.3;
+/// Above this share of use a host's room is kept for tasks that no other free host would end in time: each further
+/// part of its room makes the host look slower, up to the factor when it is full.
+constexpr double reservedShare = 0.6;
+constexpr double reservedFactor = 4.0;
 
 bool hasLabel(const HostChoice &choice, const std::string &label)
 {
@@ -66,15 +67,15 @@
 }
 
 /// Order of preference; lower is better.
-using Rank = std::tuple<bool, bool, bool, double, double>;
+using Rank = std::tuple<bool, bool, bool, double>;
 
 Rank rankOf(const HostChoice &choice, Micros start, Micros end, Micros goal)
 {
     const bool isFailing = choice.failureShare > highFailureShare;
     const bool isLate = end > goal;
-    const double speedClass = std::round(std::log(choice.slowness) / std::log(speedStep));
-    return {isFailing, isLate, start > Micros(0), isLate ? static_cast<double>(end.count()) : -speedClass,
-            useOf(choice)};
+    const double reserved = std::max(0.0, useOf(choice) - reservedShare) / (1 - reservedShare);
+    const double factor = isLate ? 1.0 : 1 + (reservedFactor - 1) * reserved;
+    return {isFailing, isLate, !isLate && start > Micros(0), factor * static_cast<double>(end.count())};
 }
 
 Placement placeTask(const TaskRequest &task, Micros goal, std::vector<HostChoice> &choices, double farFactor)
--- a/src/dispatch_placement_p.h
+++ b/src/dispatch_placement_p.h
@@ -32,10 +32,10 @@
 /// Places tasks, each where it should end first. No I/O.
 ///
 /// Answers this load: backend servers of mixed speed, tasks of mixed length, and many entries that place at the same
-/// time by views of their own. A task goes to the slowest host that has room and still ends it by the goal, so that
-/// fast hosts have room for tasks that need them; among hosts of about one speed, to the least used. Where no host
-/// meets the goal, the earliest end decides, so a slow host gets the task only while the wait for a faster one is
-/// longer than the gain. The longest task of a job chooses first, since it decides when the job ends.
+/// time by views of their own. A task goes where it ends first; but the last part of a host's room is kept for tasks
+/// that no other free host would end by the goal, so that long tasks find room on fast hosts. Where no host meets the
+/// goal, the earliest end decides, so a slow host gets the task only while the wait for a faster one is longer than the
+/// gain. The longest task of a job chooses first, since it decides when the job ends.
 /// @param goal time from now by which a task should end
 /// @param choices changed by what is placed
 /// @param farFactor how much longer a task takes away from its data
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -18,6 +18,11 @@
 constexpr std::size_t endsPage = 100; ///< an answer with more ends may not have them all
 constexpr std::int64_t runStep = 8; ///< skipped when a run is too low for a backend server that remembers more
 
+std::int64_t millis(Micros time)
+{
+    return std::chrono::duration_cast<Millis>(time).count();
+}
+
 const char *phaseName(wire::TaskPhase::type phase)
 {
     switch (phase) {
@@ -128,6 +133,7 @@
     task.estimate = Micros(std::max<std::int64_t>(order.estimateMicros, 1000));
     task.giveUpAt = now + Micros(message.timeLeftMicros);
     task.changedAt = now;
+    task.takenAt = now;
     this->commonDemand = order.demand;
     WaitingTask waiting;
     waiting.id = id;
@@ -377,14 +383,16 @@
     this->counters.failed += phase == wire::TaskPhase::FAILED ? 1 : 0;
     this->counters.ended += phase == wire::TaskPhase::ENDED ? 1 : 0;
     this->counters.refused += phase == wire::TaskPhase::REFUSED ? 1 : 0;
-    if (phase != wire::TaskPhase::SUCCEEDED) {
-        logEvent(part, "task_ended",
-                 {{"job", task.name.job},
-                  {"task", task.name.index},
-                  {"run", task.run},
-                  {"outcome", phaseName(phase)},
-                  {"reason", reason}});
-    }
+    logEvent(part, "task_ended",
+             {{"job", task.name.job},
+              {"task", task.name.index},
+              {"run", task.run},
+              {"outcome", phaseName(phase)},
+              {"waitMs", task.run == 0 ? 0 : millis(task.startedAt - task.takenAt)},
+              {"runMs", millis(runTime)},
+              {"estimateMs", millis(task.estimate)},
+              {"slowness", fmt::format("{:.2f}", this->slowness)},
+              {"reason", reason}});
     this->report(task, phase, reason, runTime);
 }
 
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -67,6 +67,7 @@
         Time giveUpAt; ///< the caller gets no use of it later
         Phase phase = Phase::Waiting;
         std::int64_t run = 0;
+        Time takenAt; ///< when the order came
         Time startedAt;
         Time changedAt; ///< of the phase
         bool mustStop = false;
--- a/tests/control_sim.h
+++ b/tests/control_sim.h
@@ -223,6 +223,9 @@
         options.self = processId(peer.name, ++this->incarnation);
         options.address = peer.address;
         options.group = this->group;
+        if (this->adjust) {
+            this->adjust(options);
+        }
         options.snapshotEntries = this->snapshotEntries;
         options.seed = this->seed * 1000003 + static_cast<std::uint64_t>(this->incarnation);
         this->sinks[number]
@@ -341,6 +344,7 @@
     std::vector<std::unique_ptr<ControlCore>> cores;
     std::map<std::string, std::unique_ptr<SimMember>> members;
     std::function<void()> eachStep;
+    std::function<void(ControlOptions &)> adjust; ///< changes the options of control processes
     std::int64_t snapshotEntries = AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES;
 
 private:
--- /dev/null
+++ b/tests/host_fixture.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "fakes.h"
+#include "host_core_p.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace agatedrum::test {
+
+/// Backend server that keeps the orders it gets; the test answers them.
+class FakeTaskServer : public TaskServerI
+{
+public:
+    template<typename Order, typename Reply>
+    struct Call
+    {
+        Order order;
+        std::function<void(const Reply &)> reply;
+    };
+
+    void start(const StartOrder &order, std::function<void(const OrderReply &)> reply) override
+    {
+        this->starts.push_back({order, std::move(reply)});
+    }
+    void stop(const StopOrder &order, std::function<void(const OrderReply &)> reply) override
+    {
+        this->stops.push_back({order, std::move(reply)});
+    }
+    void hold(const HoldOrder &order, std::function<void(const HoldReply &)> reply) override
+    {
+        this->holds.push_back({order, std::move(reply)});
+    }
+
+    std::vector<Call<StartOrder, OrderReply>> starts;
+    std::vector<Call<StopOrder, OrderReply>> stops;
+    std::vector<Call<HoldOrder, HoldReply>> holds;
+};
+
+/// A host beside a backend server of 16 cores; the test plays the backend server and the entries.
+struct HostFixture
+{
+    ManualClock clock;
+    RecordingSink sink;
+    MemberLink link;
+    FakeTaskServer server;
+    HostCore core;
+    std::int64_t lastOrder = 0;
+    std::vector<EndedTask> ends;
+
+    HostFixture()
+        : link(sink, clock, memberOptions())
+        , core(sink, clock, link, server, hostOptions())
+    {
+    }
+
+    static MemberOptions memberOptions()
+    {
+        MemberOptions options;
+        options.self = processId("host-1");
+        options.role = wire::Role::AGENT;
+        options.address = endpoint(43003);
+        options.control = {{"control-1", endpoint(43000)}};
+        return options;
+    }
+    static HostOptions hostOptions()
+    {
+        HostOptions options;
+        options.self = processId("host-1");
+        return options;
+    }
+
+    static ServerRegistration registration(std::int64_t bornMs = 1000, std::int64_t sequence = 1)
+    {
+        ServerRegistration result;
+        result.server = {"i-1", bornMs, endpoint(8080)};
+        result.serviceName = "visits";
+        result.capacity.cpuMillis = 16000;
+        result.capacity.memoryMb = 1000;
+        result.clockMs = 5000;
+        result.sequence = sequence;
+        return result;
+    }
+    static HoldReply listing(std::vector<RunningTask> running = {}, std::vector<EndedTask> ended = {})
+    {
+        HoldReply reply;
+        reply.outcome = OrderOutcome::Accepted;
+        reply.clockMs = 5000;
+        reply.running = std::move(running);
+        reply.ended = std::move(ended);
+        return reply;
+    }
+    /// Answers the newest hold.
+    void answerHold(const HoldReply &reply)
+    {
+        REQUIRE_FALSE(this->server.holds.empty());
+        const auto call = this->server.holds.back().reply;
+        this->clock.advance(Millis(1));
+        call(reply);
+    }
+    void answerStart(std::size_t index, OrderOutcome outcome)
+    {
+        this->server.starts.at(index).reply({outcome, 5000});
+    }
+    /// Registers the backend server and shows that nothing runs there.
+    void becomeAccepting()
+    {
+        this->core.registerServer(registration());
+        this->answerHold(listing());
+    }
+
+    std::int64_t nowMicros() const
+    {
+        return this->clock.now().time_since_epoch().count();
+    }
+    wire::RunTasks order(const std::string &job, const std::vector<std::int32_t> &indexes,
+                         std::int64_t cpuMillis = 6000, int startWithinMs = 100)
+    {
+        wire::RunTasks message;
+        message.hostIncarnation = 1;
+        message.heardAtMicros = this->nowMicros();
+        message.job = job;
+        message.spec = "spec of " + job;
+        message.startWithinMicros = startWithinMs * 1000LL;
+        message.timeLeftMicros = 1500000;
+        message.serviceName = "visits";
+        for (const auto index : indexes) {
+            wire::TaskOrder task;
+            task.index = index;
+            task.order = ++this->lastOrder;
+            task.demand.cpuMillis = cpuMillis;
+            task.demand.memoryMb = 10;
+            task.estimateMicros = 100000;
+            message.orders.push_back(task);
+        }
+        return message;
+    }
+    void fromEntry(Payload payload, const std::string &entry = "entry-1", std::int64_t incarnation = 1)
+    {
+        this->core.handle(incoming(entry, wire::Role::ENTRY, 43001, std::move(payload), incarnation));
+    }
+    void keepLease(const std::string &entry = "entry-1")
+    {
+        wire::HostContact contact;
+        contact.hostIncarnation = 1;
+        contact.heardAtMicros = this->nowMicros();
+        this->fromEntry(contact, entry);
+    }
+    /// The newest report on each task since the last call, by index.
+    std::map<std::int32_t, wire::TaskReport> reports()
+    {
+        std::map<std::int32_t, wire::TaskReport> result;
+        for (const auto &sent : this->sink.take()) {
+            if (const auto *message = std::get_if<wire::TaskReports>(&sent.payload)) {
+                for (const auto &report : message->reports) {
+                    result[report.index] = report;
+                }
+            }
+        }
+        return result;
+    }
+};
+
+} // namespace agatedrum::test
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -393,3 +393,64 @@
     isDone = true;
     REQUIRE(unanswered.load() == 0);
 }
+
+TEST_CASE("A server can take all paths and tell its handlers of the caller", "[http]")
+{
+    auto options = serverOptions();
+    std::function<bool()> isCallerGone;
+    const auto running = startServer(options, [&isCallerGone](HttpServer &server) {
+        server.fallback([&isCallerGone](const HttpRequest &request, const HttpReply &reply) {
+            if (request.path == "/wait") {
+                isCallerGone = request.isCallerGone;
+                std::thread([reply] {
+                    std::this_thread::sleep_for(Millis(500));
+                    reply(text("late"));
+                }).detach();
+                return;
+            }
+            reply(text(request.method + " " + request.path + " " + request.headers.at("host")));
+        });
+    });
+
+    SECTION("methods, paths and headers arrive as sent")
+    {
+        RawClient client(options.address.port);
+        client.send("PUT /any/path HTTP/1.1\r\nHoSt: x.example\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(endsWith(client.receive(), "PUT /any/path x.example"));
+    }
+
+    SECTION("a handler learns that its caller has gone, so that work for it can be stopped")
+    {
+        {
+            RawClient client(options.address.port);
+            client.send("GET /wait HTTP/1.1\r\nHost: x\r\n\r\n");
+            REQUIRE(eventually([&isCallerGone] { return static_cast<bool>(isCallerGone); }));
+            REQUIRE_FALSE(isCallerGone());
+        }
+        REQUIRE(eventually([&isCallerGone] { return isCallerGone(); }));
+        std::this_thread::sleep_for(Millis(600));
+    }
+
+    SECTION("a connection that holds half a header section is closed after the header timeout, not kept for ever")
+    {
+        HttpLimits limits = options.limits;
+        limits.headerTimeout = Millis(300);
+        limits.idleTimeout = Millis(60000);
+        running->setLimits(limits);
+        RawClient client(options.address.port);
+        const auto begin = std::chrono::steady_clock::now();
+        client.send("GET / HTTP/1.1\r\nHos");
+        REQUIRE(client.receive().empty());
+        REQUIRE(std::chrono::steady_clock::now() - begin < std::chrono::seconds(3));
+    }
+
+    SECTION("limits can change while the server runs")
+    {
+        HttpLimits limits = options.limits;
+        limits.maxBodyBytes = 10;
+        running->setLimits(limits);
+        RawClient client(options.address.port);
+        client.send(post("/any", "longer than ten bytes"));
+        REQUIRE_THAT(client.receive(), Catch::Contains("413"));
+    }
+}
--- /dev/null
+++ b/tests/test_platform.cpp
@@ -0,0 +1,143 @@
+#include <catch2/catch.hpp>
+
+#include "platform_codec_p.h"
+
+using namespace agatedrum;
+using namespace agatedrum::platform;
+
+namespace {
+
+const std::string configText
+    = R"({"Version":7,"Routes":[{"Name":"r","Host":"h.example","PathPrefix":"/a/","Type":"unsafe","TimeoutMs":1500,)"
+      R"("TargetDurationMs":60,"Priority":1,"Backend":"svc","MaxAttempts":3,"Stretch":1.6}],"Services":[{"Name":"svc",)"
+      R"("HealthPath":"/health","MaxConnections":64,"RejectsOverload":false}],"Limits":{"MaxHeaderBytes":16384,)"
+      R"("MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
+const std::string registrationText
+    = R"({"Backend":"svc","Address":"10.128.0.9:8080","Zone":"z","Version":"v1","Slots":8,"State":"ready",)"
+      R"("ColdRemainingMs":0,"Capacity":{"Cpu":16000,"MemMb":32768,"Gpus":0},"Labels":["a","r1-3"],"ClockMs":482113,)"
+      R"("Sequence":4,"born":1790000000000})";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("The platform's configuration is decoded as a whole", "[platform]")
+{
+    SECTION("all fields that the product reads")
+    {
+        const auto decoded = decodeConfig(configText);
+        REQUIRE(isOk(decoded));
+        const auto &config = value(decoded);
+        REQUIRE(config.number == 7);
+        REQUIRE(config.routes.at(0).serviceName == "svc");
+        REQUIRE(config.routes.at(0).latencyObjective == Millis(60));
+        REQUIRE(config.routes.at(0).maxAttempts == 3);
+        REQUIRE(config.limits.headerTimeout == Millis(3000));
+        REQUIRE(config.source == configText);
+        REQUIRE(checkRouting(config).empty());
+    }
+    SECTION("a text that is cut, a field of another type and a missing one are refused")
+    {
+        REQUIRE_FALSE(isOk(decodeConfig(configText.substr(0, configText.size() - 1))));
+        REQUIRE_FALSE(isOk(decodeConfig(replaced(configText, "\"Version\":7", "\"Version\":\"7\""))));
+        REQUIRE_FALSE(isOk(decodeConfig(replaced(configText, "\"Host\":\"h.example\",", ""))));
+        REQUIRE_FALSE(isOk(decodeConfig(replaced(configText, "\"TimeoutMs\":1500", "\"TimeoutMs\":-1"))));
+        REQUIRE_FALSE(isOk(decodeConfig("[]")));
+    }
+}
+
+TEST_CASE("A registration that cannot be read names no backend server", "[platform]")
+{
+    const auto decoded = decodeRegistration("i-1", registrationText);
+    REQUIRE(isOk(decoded));
+    REQUIRE(value(decoded).server.bornMs == 1790000000000);
+    REQUIRE(value(decoded).capacity.cpuMillis == 16000);
+    REQUIRE(value(decoded).labels.size() == 2);
+
+    REQUIRE(value(decodeRegistration("i-1", replaced(registrationText, "ready", "draining"))).isDraining);
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>> {
+             {"\"ready\"", "\"resting\""},
+             {"\"Sequence\":4", "\"Sequence\":\"4\""},
+             {"\"Backend\":\"svc\",", ""},
+             {"\"10.128.0.9:8080\"", "\"somewhere\""},
+             {"\"Capacity\":{\"Cpu\":16000,\"MemMb\":32768,\"Gpus\":0}", "\"Capacity\":16000"},
+             {"[\"a\",\"r1-3\"]", "[1]"}}) {
+        INFO(to);
+        REQUIRE_FALSE(isOk(decodeRegistration("i-1", replaced(registrationText, from, to))));
+    }
+    REQUIRE_FALSE(isOk(decodeRegistration("i-1", "\x80\x01")));
+}
+
+TEST_CASE("A job is decoded into its tasks", "[platform]")
+{
+    const std::string text
+        = R"({"Spec":"s","BestEffort":true,"Steps":[{"Count":4,"Cpu":500,"MemMb":256,"EstimatedMs":900,"DataRack":"r1"}]})";
+    const auto decoded = decodeJob(text);
+    REQUIRE(isOk(decoded));
+    REQUIRE(value(decoded).tasks.size() == 4);
+    REQUIRE(value(decoded).tasks[0].estimate == Millis(900));
+    REQUIRE(value(decoded).unsupported.empty());
+
+    SECTION("kinds of job that the product does not have are named, so that they are refused as not run")
+    {
+        REQUIRE_FALSE(value(decodeJob(replaced(text, "true", "false"))).unsupported.empty());
+        REQUIRE_FALSE(value(decodeJob(replaced(text, "\"Cpu\"", "\"Gang\":true,\"Cpu\""))).unsupported.empty());
+        REQUIRE_FALSE(value(decodeJob(replaced(text, "}]", "},{\"Count\":1}]"))).unsupported.empty());
+    }
+    SECTION("a job that cannot be read is refused")
+    {
+        REQUIRE_FALSE(isOk(decodeJob(replaced(text, "\"Count\":4", "\"Count\":0"))));
+        REQUIRE_FALSE(isOk(decodeJob(replaced(text, "\"Count\":4", "\"Count\":1000000"))));
+        REQUIRE_FALSE(isOk(decodeJob(replaced(text, "\"s\"", "5"))));
+        REQUIRE_FALSE(isOk(decodeJob("")));
+    }
+}
+
+TEST_CASE("Answers of a backend server are told apart", "[platform]")
+{
+    TaskServerRef server {"i-1", 99, {}};
+
+    SECTION("each refusal of an order has its meaning, and the clock is read from all of them")
+    {
+        const auto outcome = [](const std::string &reason) {
+            return decodeOrderReply(409, "{\"ClockMs\":5,\"Reason\":\"" + reason + "\"}").outcome;
+        };
+        REQUIRE(decodeOrderReply(200, "{\"ClockMs\":5}").outcome == OrderOutcome::Accepted);
+        REQUIRE(decodeOrderReply(409, "{\"ClockMs\":5,\"Reason\":\"fence\"}").clockMs == 5);
+        REQUIRE(outcome("fence") == OrderOutcome::Fenced);
+        REQUIRE(outcome("old") == OrderOutcome::RunTooLow);
+        REQUIRE(outcome("late") == OrderOutcome::Late);
+        REQUIRE(outcome("room") == OrderOutcome::NoRoom);
+        REQUIRE(outcome("new reason") == OrderOutcome::Invalid);
+        REQUIRE(decodeOrderReply(421, "").outcome == OrderOutcome::OtherLife);
+        REQUIRE(decodeOrderReply(503, "").outcome == OrderOutcome::Unhealthy);
+    }
+
+    SECTION("a list of runs names tasks, and a row that cannot be read harms no other")
+    {
+        const auto reply
+            = decodeHoldReply(200,
+                              R"({"ClockMs":5,"born":99,"Running":[["ab.0.0.3",2,"",41],7,["odd",1,"",0]],)"
+                              R"("EndedRuns":[[58,"ab.0.0.9",1,"done",""],["x"],[59,"ab.0.0.1",1,"lapsed",""]]})",
+                              server);
+        REQUIRE(reply.outcome == OrderOutcome::Accepted);
+        REQUIRE(reply.running.size() == 2);
+        REQUIRE(reply.running[0].task == TaskName {"ab", 3});
+        REQUIRE(reply.running[1].task.index == -1);
+        REQUIRE(reply.ended.size() == 2);
+        REQUIRE(reply.ended[0].how == RunEnd::Done);
+        REQUIRE(reply.ended[1].how == RunEnd::Lapsed);
+    }
+
+    SECTION("lists of another life are not taken for this one")
+    {
+        REQUIRE(decodeHoldReply(200, R"({"ClockMs":5,"born":98,"Running":[],"EndedRuns":[]})", server).outcome
+                == OrderOutcome::OtherLife);
+        REQUIRE(decodeHoldReply(200, "{}", server).outcome == OrderOutcome::Invalid);
+    }
+}
--- a/tests/test_wire.cpp
+++ b/tests/test_wire.cpp
@@ -3,8 +3,13 @@
 
 #include <catch2/catch.hpp>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <condition_variable>
 #include <thread>
+#include <vector>
 
 using namespace agatedrum;
 using namespace agatedrum::test;
@@ -42,6 +47,48 @@
     return options;
 }
 
+/// Takes connections and reads nothing, so that its window closes.
+class SilentPeer
+{
+public:
+    explicit SilentPeer(int port)
+        : listener(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
+    {
+        const int on = 1;
+        const int smallest = 4096;
+        ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        ::setsockopt(this->listener, SOL_SOCKET, SO_RCVBUF, &smallest, sizeof smallest);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::bind(this->listener, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0);
+        REQUIRE(::listen(this->listener, 8) == 0);
+    }
+    ~SilentPeer()
+    {
+        for (const int socket : this->taken) {
+            ::close(socket);
+        }
+        ::close(this->listener);
+    }
+    SilentPeer(const SilentPeer &) = delete;
+    SilentPeer &operator=(const SilentPeer &) = delete;
+
+    /// How many connections were opened so far.
+    std::size_t connections()
+    {
+        for (int socket = 0; (socket = ::accept(this->listener, nullptr, nullptr)) >= 0;) {
+            this->taken.push_back(socket);
+        }
+        return this->taken.size();
+    }
+
+private:
+    int listener;
+    std::vector<int> taken;
+};
+
 wire::Fence fence(std::int64_t epoch)
 {
     wire::Fence message;
@@ -126,4 +173,17 @@
         REQUIRE(std::holds_alternative<wire::Fence>(inbox.messages[0].payload));
         REQUIRE(frozen.counters().messagesDropped.load() == 1);
     }
+
+    SECTION("a connection whose peer acknowledges nothing is given up, since it may stay silent without a reset")
+    {
+        SilentPeer peer(19423);
+        const std::string bulk(64UL * 1024, 'x');
+        for (int i = 0; i < 600 && peer.connections() < 2; ++i) {
+            wire::ApplyConfig message;
+            message.text = bulk;
+            sender.send(endpoint(19423), message);
+            std::this_thread::sleep_for(Millis(10));
+        }
+        REQUIRE(peer.connections() >= 2);
+    }
 }
