Ask for ends in short waits, so that a lost answer hides them for a tenth of a second

Ruled out: capacity (the backend servers were idle), admission (it refused because the hosts reported long waits).

Change: a hold waits 60 ms for an end; orders and holds time out 100 ms after that; a lost hold is followed by the next one at once.

--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -11,8 +11,9 @@
 namespace {
 
 constexpr auto part = "host";
-constexpr Millis holdWait {250}; ///< below the hold time by enough for two more tries
-constexpr Millis idleHoldDelay {100}; ///< after a hold without an answer
+/// A hold whose answer is lost hides all ends until it times out, so it waits for ends for a short time only.
+constexpr Millis holdWait {60};
+constexpr Millis unreachableDelay {100}; ///< between holds while no connection can be made
 constexpr Millis runMemory {30000}; ///< above the time after which a caller may send a job again
 constexpr Millis stopRepeat {150};
 constexpr std::size_t endsPage = 100; ///< an answer with more ends may not have them all
@@ -584,7 +585,8 @@
             this->isClean = false;
         }
         logEvent(part, "hold_failed", {{"outcome", outcomeName(reply.outcome)}});
-        this->nextHold = this->clock.now() + idleHoldDelay;
+        const bool isLost = reply.outcome == OrderOutcome::Unanswered;
+        this->nextHold = isLost ? Time {} : this->clock.now() + unreachableDelay;
     }
     this->checkTasks();
     this->keepHold();
