Let the numbers of a host's reports rise for an entry that was forgotten

Ruled out: hanging tasks (the hosts' events show that all tasks of those jobs ended in time).

Change: numbers start at the host's clock; a message holds all reports that are not known to be taken, so an entry takes every number above the last one. A failing hold is logged when its outcome changes.

--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -150,7 +150,7 @@
   6: i64 timeLeftMicros; 7: i32 priority; 8: list<TaskOrder> orders; 9: string serviceName; 10: i64 reportsSeen;
 }
 struct StopTasks { 1: i64 hostIncarnation; 2: string job; 3: list<i32> indexes; }
-// number counts an entry's reports from one host; an entry takes them in order.
+// number rises with each report of one host to an entry; a message holds all that the entry is not known to have taken.
 struct TaskReport {
   1: string job; 2: i32 index; 3: i64 order; 4: TaskPhase phase; 5: i64 runMicros; 6: string reason; 7: i64 number;
 }
--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -363,15 +363,14 @@
     if (host == nullptr) {
         return;
     }
-    bool isAnyNew = false;
     for (const auto &report : message.reports) {
-        if (report.number == host->reportsSeen + 1) {
+        // A message holds all reports that the host does not know to be taken, so a gap means nothing is missing.
+        if (report.number > host->reportsSeen) {
             host->reportsSeen = report.number;
-            isAnyNew = true;
             this->takeReport(report, incoming.sender.name, answers);
         }
     }
-    if (isAnyNew || !message.reports.empty()) {
+    if (!message.reports.empty()) {
         wire::HostContact contact;
         contact.hostIncarnation = host->id.incarnation;
         contact.heardAtMicros = host->report.sentAtMicros;
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -574,6 +574,7 @@
     }
     this->isHolding = false;
     this->noteClock(reply.clockMs);
+    const auto previous = std::exchange(this->lastHold, reply.outcome);
     if (reply.outcome == OrderOutcome::Accepted) {
         this->heldAt = std::max(this->heldAt, sentAt);
         this->takeEnds(reply);
@@ -584,7 +585,9 @@
             this->fence = std::max(this->fence, reply.clockMs) + 1;
             this->isClean = false;
         }
-        logEvent(part, "hold_failed", {{"outcome", outcomeName(reply.outcome)}});
+        if (reply.outcome != previous) {
+            logEvent(part, "hold_failed", {{"server", this->life()}, {"outcome", outcomeName(reply.outcome)}});
+        }
         const bool isLost = reply.outcome == OrderOutcome::Unanswered;
         this->nextHold = isLost ? Time {} : this->clock.now() + unreachableDelay;
     }
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -148,6 +148,7 @@
     Time holdSentAt;
     Time heldAt; ///< when the newest answered hold was sent
     Time nextHold;
+    OrderOutcome lastHold = OrderOutcome::Accepted;
 
     std::map<std::int64_t, HostTask> tasks;
     std::map<TaskName, std::int64_t> byName;
--- a/src/host_entries.cpp
+++ b/src/host_entries.cpp
@@ -28,6 +28,8 @@
         }
         entry = HostEntry {};
         entry.id = incoming.sender;
+        // The same entry process may have been forgotten, so the numbers start above all earlier ones.
+        entry.lastNumber = now.time_since_epoch().count();
     }
     entry.address = incoming.address;
     const auto heardAt = Time(Micros(heardAtMicros));
--- a/tests/test_host.cpp
+++ b/tests/test_host.cpp
@@ -291,6 +291,19 @@
     host.clock.advance(Millis(AGATEDRUM_HOST_REPEAT_MS));
     host.core.tick();
     REQUIRE(host.reports().empty());
+
+    SECTION(
+        "numbers go on rising for an entry that was cut off and forgotten, or it would take the reports for old ones")
+    {
+        for (int i = 0; i < 50; ++i) {
+            host.clock.advance(Millis(100));
+            host.answerHold(HostFixture::listing());
+            host.core.tick();
+        }
+        host.sink.take();
+        host.fromEntry(host.order("b", {0}));
+        REQUIRE(host.reports().at(0).number > repeated.at(0).number);
+    }
 }
 
 TEST_CASE("The queue of a host starts the task with the least time left first", "[host]")
