Serve new connections for 2.5 s after SIGTERM; place tasks by expected loss

Long tasks with estimates that were too low went to slow hosts and missed the caller's time.

Ruled out: a slow recovery after the final fault; entries serve 0.6 s after the machines are back.

Change: the health check fails at once, jobs are taken for 2.5 s more and each connection is closed after its answer; placement weighs the probability that a task exceeds the caller's time, a late end, and the use of a host's last room.

--- a/src/daemon_process.cpp
+++ b/src/daemon_process.cpp
@@ -122,6 +122,7 @@
     bool isForced = false;
     while (!isForced && !(core.isDrained() && this->http->openRequests() == 0 && this->role->openRequests() == 0)) {
         core.tick();
+        this->role->drain();
         const int signal = waitForSignal(tickInterval);
         isForced = (signal != 0 && signal != SIGHUP) || this->clock.now() >= until;
     }
--- a/src/daemon_process_p.h
+++ b/src/daemon_process_p.h
@@ -20,6 +20,8 @@
     /// Starts and ends servers of the role's own, beside that of the process.
     virtual void startServers() { }
     virtual void beginStop() { }
+    /// Called every few milliseconds between beginStop() and the end.
+    virtual void drain() { }
     virtual std::size_t openRequests() const
     {
         return 0;
--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -49,12 +49,14 @@
 {
 }
 
-Micros DispatchCore::goalOf(const Job &job, Time now)
+PlacementGoal DispatchCore::goalOf(const Job &job, Time now)
 {
-    // Estimates are rough, so placement aims at an earlier end than the caller needs.
+    // A part of the objective is kept for the way of messages and for hosts that are slower than they were.
     constexpr double share = 0.9;
-    const auto left = std::min(job.objective, job.deadline) - now;
-    return Micros(static_cast<std::int64_t>(share * static_cast<double>(left.count())));
+    PlacementGoal goal;
+    goal.objective = Micros(static_cast<std::int64_t>(share * static_cast<double>((job.objective - now).count())));
+    goal.deadline = std::max<Micros>(job.deadline - now, Millis(1));
+    return goal;
 }
 
 void DispatchCore::deliver(const Answers &answers)
@@ -108,7 +110,7 @@
             auto choices = this->choicesFor(job);
             const auto placements = placeTasks(job.request.tasks, goalOf(job, now), choices, this->options.farFactor);
             const auto refusal = this->admission.judge(route, job.request.tasks, placements, timeLeft);
-            if (refusal || this->isStopping || this->jobs.size() >= this->options.maxJobs) {
+            if (refusal || this->isClosedLocked() || this->jobs.size() >= this->options.maxJobs) {
                 ++this->counters.refused;
                 const auto reason = refusal ? refusal->reason : std::string("this entry takes no more jobs");
                 const auto retryAfter = refusal ? refusal->retryAfter : Millis(1000);
@@ -186,7 +188,7 @@
     logEvent(part, "placed",
              {{"job", id},
               {"route", job.request.routeName},
-              {"goalMs", millis(goalOf(job, now))},
+              {"goalMs", millis(goalOf(job, now).objective)},
               {"hosts", choices.size()},
               {"places", places}});
     this->sendOrders(id, job, ordered);
@@ -568,13 +570,27 @@
 void DispatchCore::beginStop()
 {
     const std::lock_guard lock(this->mutex);
-    this->isStopping = true;
+    if (!this->isStopping) {
+        this->isStopping = true;
+        this->closedAt = this->clock.now() + this->options.drainTime;
+    }
+}
+
+bool DispatchCore::isClosedLocked() const
+{
+    return this->isStopping && this->clock.now() >= this->closedAt;
+}
+
+bool DispatchCore::isClosed() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->isClosedLocked();
 }
 
 bool DispatchCore::isDrained() const
 {
     const std::lock_guard lock(this->mutex);
-    return this->jobs.empty();
+    return this->isClosedLocked() && this->jobs.empty();
 }
 
 std::int64_t DispatchCore::configNumber() const
--- a/src/dispatch_core_p.h
+++ b/src/dispatch_core_p.h
@@ -27,6 +27,7 @@
     double lateness = 0.0; ///< see Admission
     double farFactor = 1.0; ///< how much longer a task takes away from its data
     std::size_t maxJobs = 20000; ///< in flight
+    Millis drainTime {0}; ///< after the beginning of a stop, for which jobs are still taken
 };
 
 /// Places the tasks of best-effort jobs at hosts and answers each job when it has ended. Thread-safe.
@@ -53,7 +54,9 @@
     /// True when a configuration is in force and the process does not stop.
     bool isReady() const override;
     void beginStop() override;
-    /// True when every job is answered.
+    /// Whether a stop has begun and its drain time is over, so that no job is taken any more.
+    bool isClosed() const;
+    /// True when no job is taken any more and every one is answered.
     bool isDrained() const override;
     std::int64_t configNumber() const override;
 
@@ -126,9 +129,9 @@
     void loseHosts(Answers &answers);
     void checkJobs(Answers &answers);
     void repeatOrders(const std::string &id, Job &job);
-    /// Time from now by which the job should end.
-    static Micros goalOf(const Job &job, Time now);
+    static PlacementGoal goalOf(const Job &job, Time now);
     static void deliver(const Answers &answers);
+    bool isClosedLocked() const;
     std::vector<HostChoice> choicesFor(const Job &job) const;
 
     MessageSinkI &sink;
@@ -145,6 +148,7 @@
     DispatchHosts hosts;
     std::int64_t lastOrder = 0;
     bool isStopping = false;
+    Time closedAt; ///< end of the drain time, once a stop has begun
     Counters counters;
 };
 
--- a/src/dispatch_placement.cpp
+++ b/src/dispatch_placement.cpp
@@ -3,8 +3,8 @@
 #include "host_room_p.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
-#include <tuple>
 
 namespace agatedrum {
 
@@ -14,10 +14,15 @@
 /// another host can take it.
 constexpr double highFailureShare = 0.5;
 constexpr double highestFailureShare = 0.95; ///< keeps the expected number of runs finite
-/// Above this share of use a host's room is kept for tasks that no other free host would end in time: each further
-/// part of its room makes the host look slower, up to the factor when it is full.
+/// Above this share of use, a host's room is kept for tasks that need it: its further use counts as a loss, up to this
+/// one when it is full.
 constexpr double reservedShare = 0.6;
-constexpr double reservedFactor = 4.0;
+constexpr double reservedLoss = 0.15;
+constexpr double lateLoss = 0.8; ///< of an answer after the objective, against one in time
+constexpr double failingLoss = 2.0; ///< above all others, so that a failing host comes last
+constexpr double endWeight = 0.1;
+/// Standard deviation of the logarithm of actual to estimated run times; callers' estimates are rough.
+constexpr double estimateSpread = 0.4;
 
 bool hasLabel(const HostChoice &choice, const std::string &label)
 {
@@ -66,22 +71,32 @@
     ++choice.groupTasks[static_cast<std::size_t>(task.group)];
 }
 
-/// Order of preference; lower is better.
-using Rank = std::tuple<bool, bool, bool, double>;
+/// Probability that a task of this expected run time takes longer than the limit.
+double probabilityAbove(Micros limit, Micros expected)
+{
+    if (limit <= Micros(0)) {
+        return 1.0;
+    }
+    const auto ratio = static_cast<double>(limit.count()) / std::max(1.0, static_cast<double>(expected.count()));
+    return 0.5 * std::erfc(std::log(ratio) / estimateSpread / std::sqrt(2.0));
+}
 
-Rank rankOf(const HostChoice &choice, Micros start, Micros end, Micros goal)
+/// What the caller is expected to lose by this host, from 0 to 1, and what others lose by the use of its room.
+double lossOf(const HostChoice &choice, Micros start, Micros run, const PlacementGoal &goal)
 {
-    const bool isFailing = choice.failureShare > highFailureShare;
-    const bool isLate = end > goal;
-    const double reserved = std::max(0.0, useOf(choice) - reservedShare) / (1 - reservedShare);
-    const double factor = isLate ? 1.0 : 1 + (reservedFactor - 1) * reserved;
-    return {isFailing, isLate, !isLate && start > Micros(0), factor * static_cast<double>(end.count())};
+    const double missed = probabilityAbove(goal.deadline - start, run);
+    const double late = start + run > goal.objective ? lateLoss : 0.0;
+    const double reserved
+        = start > Micros(0) ? 0.0 : std::max(0.0, useOf(choice) - reservedShare) / (1 - reservedShare);
+    const double failing = choice.failureShare > highFailureShare ? failingLoss : 0.0;
+    return missed + (1 - missed) * late + reservedLoss * std::min(1.0, reserved) + failing;
 }
 
-Placement placeTask(const TaskRequest &task, Micros goal, std::vector<HostChoice> &choices, double farFactor)
+Placement placeTask(const TaskRequest &task, const PlacementGoal &goal, std::vector<HostChoice> &choices,
+                    double farFactor)
 {
     Placement best;
-    Rank bestRank;
+    double bestRank = 0;
     Micros bestRun {0};
     for (std::size_t i = 0; i < choices.size(); ++i) {
         const auto &choice = choices[i];
@@ -91,7 +106,10 @@
         const auto run = scaled(task.estimate, choice.slowness * (hasLabel(choice, task.dataRack) ? 1.0 : farFactor));
         const auto start = startAt(task, choice);
         const auto repeats = 1.0 / (1.0 - std::min(choice.failureShare, highestFailureShare));
-        const auto rank = rankOf(choice, start, start + scaled(run, repeats), goal);
+        const auto expected = scaled(run, repeats);
+        // Among equal losses the earliest end decides.
+        const double rank = lossOf(choice, start, expected, goal)
+            + endWeight * static_cast<double>((start + expected).count()) / static_cast<double>(goal.deadline.count());
         if (best.host < 0 || rank < bestRank) {
             best = {static_cast<int>(i), start, start + run};
             bestRank = rank;
@@ -106,8 +124,8 @@
 
 } // namespace
 
-std::vector<Placement> placeTasks(const std::vector<TaskRequest> &tasks, Micros goal, std::vector<HostChoice> &choices,
-                                  double farFactor)
+std::vector<Placement> placeTasks(const std::vector<TaskRequest> &tasks, const PlacementGoal &goal,
+                                  std::vector<HostChoice> &choices, double farFactor)
 {
     std::vector<std::size_t> order(tasks.size());
     std::iota(order.begin(), order.end(), 0);
--- a/src/dispatch_placement_p.h
+++ b/src/dispatch_placement_p.h
@@ -29,18 +29,25 @@
     Micros end {0};
 };
 
-/// Places tasks, each where it should end first. No I/O.
+/// Times from now that matter to the caller.
+struct PlacementGoal
+{
+    Micros objective {0}; ///< an answer after it is late
+    Micros deadline {0}; ///< an answer after it does not reach the caller; above 0
+};
+
+/// Places tasks, each where the expected loss is least. No I/O.
 ///
-/// Answers this load: backend servers of mixed speed, tasks of mixed length, and many entries that place at the same
-/// time by views of their own. A task goes where it ends first; but the last part of a host's room is kept for tasks
-/// that no other free host would end by the goal, so that long tasks find room on fast hosts. Where no host meets the
-/// goal, the earliest end decides, so a slow host gets the task only while the wait for a faster one is longer than the
-/// gain. The longest task of a job chooses first, since it decides when the job ends.
-/// @param goal time from now by which a task should end
+/// Answers this load: backend servers of mixed speed, tasks of mixed length with rough estimates, and many entries that
+/// place at the same time by views of their own. A task goes where it is likely to end in the caller's time and before
+/// the objective, and among such hosts where it ends first; the last part of a host's room costs more, so that it is
+/// kept for tasks that no other host would end in time. So a long task gets a fast host, and a slow host gets a task
+/// only while the wait for a faster one is longer than the gain. The longest task of a job chooses first, since it
+/// decides when the job ends.
 /// @param choices changed by what is placed
 /// @param farFactor how much longer a task takes away from its data
 /// @return one placement a task, in the order of the tasks
-std::vector<Placement> placeTasks(const std::vector<TaskRequest> &tasks, Micros goal, std::vector<HostChoice> &choices,
-                                  double farFactor);
+std::vector<Placement> placeTasks(const std::vector<TaskRequest> &tasks, const PlacementGoal &goal,
+                                  std::vector<HostChoice> &choices, double farFactor);
 
 } // namespace agatedrum
--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -295,7 +295,7 @@
 
 void HttpConnection::write(const HttpResponse &response, const std::shared_ptr<WriteMark> &mark, bool closeAfter)
 {
-    const bool mustClose = closeAfter || this->shared->isStopping;
+    const bool mustClose = closeAfter || this->shared->isStopping || this->shared->isDraining;
     this->writeSlice(std::make_shared<const std::string>(serialize(response, mustClose)), 0, mark, mustClose);
 }
 
--- a/src/http_connection_p.h
+++ b/src/http_connection_p.h
@@ -33,6 +33,7 @@
     const HttpServerOptions options;
     HttpRouter router;
     std::atomic<bool> isStopping {false};
+    std::atomic<bool> isDraining {false};
     std::atomic<std::size_t> openRequests {0};
     std::atomic<int> connections {0}; ///< that were taken
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -159,6 +159,11 @@
     log(LogLevel::Info, part, "listening on {}:{}", options.address.host, options.address.port);
 }
 
+void HttpServer::beginDrain()
+{
+    this->impl->shared->isDraining = true;
+}
+
 void HttpServer::beginStop()
 {
     this->impl->shared->isStopping = true;
--- a/src/http_server_p.h
+++ b/src/http_server_p.h
@@ -73,6 +73,9 @@
 
     /// Throws std::runtime_error when the address cannot be bound. Call once.
     void start();
+    /// Closes each connection after its next answer, so that callers move to other servers; goes on taking new ones.
+    /// Idempotent.
+    void beginDrain();
     /// Takes no new connections and closes each connection after its answer. Idempotent.
     void beginStop();
     /// Requests that have been read and not been answered yet.
--- a/tests/test_dispatch.cpp
+++ b/tests/test_dispatch.cpp
@@ -29,6 +29,11 @@
     return std::vector<TaskRequest>(static_cast<std::size_t>(count), task);
 }
 
+PlacementGoal goal(int objectiveMs, int deadlineMs = 1500)
+{
+    return {Millis(objectiveMs), Millis(deadlineMs)};
+}
+
 RouteConfig route()
 {
     RouteConfig result;
@@ -130,29 +135,36 @@
     SECTION("while hosts are free, a task goes to the fastest one")
     {
         std::vector<HostChoice> hosts {choice("slow", 1.4), choice("fast", 0.6)};
-        REQUIRE(placeTasks(tasksOf(1, 100), Millis(500), hosts, 1.0)[0].host == 1);
+        REQUIRE(placeTasks(tasksOf(1, 100), goal(500), hosts, 1.0)[0].host == 1);
     }
 
     SECTION("the last room of a fast host is kept for long tasks, which no slow host would end in time")
     {
         std::vector<HostChoice> hosts {choice("slow", 1.4), choice("fast", 0.6, 8000)};
-        REQUIRE(placeTasks(tasksOf(1, 100), Millis(500), hosts, 1.0)[0].host == 0);
-        REQUIRE(placeTasks(tasksOf(1, 1000), Millis(1200), hosts, 1.0)[0].host == 1);
+        REQUIRE(placeTasks(tasksOf(1, 100), goal(500), hosts, 1.0)[0].host == 0);
+        REQUIRE(placeTasks(tasksOf(1, 1000), goal(1200), hosts, 1.0)[0].host == 1);
+    }
+
+    SECTION("a long task whose estimate may be too low goes to a fast host, although a slow one might end it in time")
+    {
+        std::vector<HostChoice> hosts {choice("slow", 1.4), choice("fast", 0.6, 20000)};
+        REQUIRE(placeTasks(tasksOf(1, 800), goal(1500), hosts, 1.0)[0].host == 1);
+        REQUIRE(placeTasks(tasksOf(1, 100), goal(1500), hosts, 1.0)[0].host == 0);
     }
 
     SECTION("a slow host gets a task only while the wait for a fast one is longer than the gain")
     {
         std::vector<HostChoice> shortWait {choice("slow", 3.0), choice("fast", 0.6, 0, 50)};
-        REQUIRE(placeTasks(tasksOf(1, 200), Millis(100), shortWait, 1.0)[0].host == 1);
+        REQUIRE(placeTasks(tasksOf(1, 200), goal(100), shortWait, 1.0)[0].host == 1);
         std::vector<HostChoice> longWait {choice("slow", 3.0), choice("fast", 0.6, 0, 700)};
-        REQUIRE(placeTasks(tasksOf(1, 200), Millis(100), longWait, 1.0)[0].host == 0);
+        REQUIRE(placeTasks(tasksOf(1, 200), goal(100), longWait, 1.0)[0].host == 0);
     }
 
     SECTION("the tasks of one job spread as hosts fill, and what is placed counts")
     {
         std::vector<HostChoice> hosts {choice("a", 1.0, 12000), choice("b", 1.0, 12000)};
         std::vector<int> counts(2, 0);
-        for (const auto &placement : placeTasks(tasksOf(4, 100), Millis(500), hosts, 1.0)) {
+        for (const auto &placement : placeTasks(tasksOf(4, 100), goal(500), hosts, 1.0)) {
             REQUIRE(placement.start == Micros(0));
             ++counts[static_cast<std::size_t>(placement.host)];
         }
@@ -163,7 +175,7 @@
     {
         std::vector<HostChoice> hosts {choice("failing", 0.6), choice("sound", 1.4)};
         hosts[0].failureShare = 0.8;
-        REQUIRE(placeTasks(tasksOf(1, 100), Millis(500), hosts, 1.0)[0].host == 1);
+        REQUIRE(placeTasks(tasksOf(1, 100), goal(500), hosts, 1.0)[0].host == 1);
     }
 
     SECTION("a required label, a bound for each host and a demand above all hosts are kept")
@@ -173,10 +185,10 @@
         tasks[0].maxPerHost = tasks[1].maxPerHost = 1;
         std::vector<HostChoice> hosts {choice("x", 1.0), choice("y", 1.0)};
         hosts[1].labels = {"b"};
-        const auto placements = placeTasks(tasks, Millis(500), hosts, 1.0);
+        const auto placements = placeTasks(tasks, goal(500), hosts, 1.0);
         REQUIRE(placements[0].host == 1);
         REQUIRE(placements[1].host == -1);
-        REQUIRE(placeTasks(tasksOf(1, 100, 65000), Millis(500), hosts, 1.0)[0].host == -1);
+        REQUIRE(placeTasks(tasksOf(1, 100, 65000), goal(500), hosts, 1.0)[0].host == -1);
     }
 }
 
@@ -355,3 +367,22 @@
         REQUIRE(entry.core.isDrained());
     }
 }
+
+TEST_CASE("A stopping entry takes jobs until the load balancer has noticed, or new connections would be cut",
+          "[dispatch]")
+{
+    ManualClock clock;
+    RecordingSink sink;
+    MemberLink link(sink, clock, DispatchFixture::memberOptions());
+    auto options = DispatchFixture::dispatchOptions();
+    options.drainTime = Millis(2500);
+    DispatchCore core(sink, clock, link, options);
+    core.beginStop();
+    REQUIRE_FALSE(core.isReady());
+    REQUIRE_FALSE(core.isClosed());
+    REQUIRE_FALSE(core.isDrained());
+    clock.advance(Millis(2500));
+    core.beginStop();
+    REQUIRE(core.isClosed());
+    REQUIRE(core.isDrained());
+}
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -444,6 +444,14 @@
         REQUIRE(std::chrono::steady_clock::now() - begin < std::chrono::seconds(3));
     }
 
+    SECTION("a draining server serves new connections and closes each after its answer, so that no caller is cut")
+    {
+        running->beginDrain();
+        RawClient client(options.address.port);
+        client.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+        REQUIRE_THAT(client.receive(), Catch::Contains("200") && Catch::Contains("Connection: close"));
+    }
+
     SECTION("limits can change while the server runs")
     {
         HttpLimits limits = options.limits;
