Hand an operator's configuration to the leader over the bus

Cause: a control process that does not lead redirected operators to the leader, so that an acknowledgement needed two answers to arrive.

Ruled out: the control group; it committed each configuration within 40 ms of its arrival.

Change: the process asks the leader itself and answers for it, within 0.8 s.

--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// For the leader's answer to a request of an operator elsewhere. Below the second after which operators go on to
+/// another process.
+constexpr Millis forwardTime {800};
+
 ControlLogOptions logOptions(const ControlOptions &options)
 {
     std::random_device device;
@@ -63,6 +67,8 @@
         this->handleApply({request->requestId, incoming.address, {}, {}}, *request);
     } else if (const auto *query = std::get_if<wire::ControlQuery>(&incoming.payload)) {
         this->handleQuery(incoming, *query);
+    } else if (const auto *reply = std::get_if<wire::ApplyReply>(&incoming.payload)) {
+        this->handleForwarded(*reply);
     } else if (this->peerAddress(incoming.sender.name)) {
         this->log.handle(incoming.sender.name, incoming.payload, this->clock.now());
     }
@@ -73,6 +79,7 @@
 {
     const std::lock_guard lock(this->mutex);
     this->log.tick(this->clock.now());
+    this->expireForwarded();
     this->drain();
     if (!this->store.status().failure.empty()) {
         this->log.retire();
@@ -135,6 +142,9 @@
 {
     if (!this->log.hasLease(this->clock.now())) {
         const auto leader = this->leaderToAsk();
+        if (this->forward(pending, request, leader)) {
+            return;
+        }
         this->reply(pending,
                     leader.empty() ? ConfigVerdict {false, "unavailable", "the control group has no leader now"}
                                    : ConfigVerdict {false, "not-leader", leader});
@@ -176,6 +186,41 @@
     }
 }
 
+bool ControlCore::forward(PendingApply &pending, const wire::ApplyConfig &request, const std::string &leader)
+{
+    const auto address = leader.empty() ? std::nullopt : this->peerAddress(leader);
+    if (!pending.handler || !address) {
+        return false;
+    }
+    auto forwarded = request;
+    forwarded.requestId = ++this->lastForwarded;
+    this->forwardedApplies[forwarded.requestId] = {std::move(pending.handler), this->clock.now() + forwardTime};
+    this->sink.send(*address, std::move(forwarded));
+    return true;
+}
+
+void ControlCore::handleForwarded(const wire::ApplyReply &reply)
+{
+    const auto node = this->forwardedApplies.extract(reply.requestId);
+    if (!node.empty()) {
+        node.mapped().handler(
+            {{reply.accepted, reply.code, reply.message}, reply.code == "not-leader" ? reply.message : std::string()});
+    }
+}
+
+void ControlCore::expireForwarded()
+{
+    const auto now = this->clock.now();
+    for (auto each = this->forwardedApplies.begin(); each != this->forwardedApplies.end();) {
+        if (now < each->second.until) {
+            ++each;
+            continue;
+        }
+        each->second.handler({{false, "unavailable", "the leader did not answer; send it again"}, {}});
+        each = this->forwardedApplies.erase(each);
+    }
+}
+
 void ControlCore::reply(const PendingApply &pending, const ConfigVerdict &verdict)
 {
     if (pending.handler) {
--- a/src/control_core_p.h
+++ b/src/control_core_p.h
@@ -69,7 +69,8 @@
     bool isDrained() const override;
     std::int64_t configNumber() const override;
 
-    /// Applies a configuration on behalf of an operator of this process.
+    /// Applies a configuration on behalf of an operator of this process. Another leader is asked over the bus: an
+    /// operator that is told to ask it itself needs two answers, either of which may be lost.
     /// @param handler called once, on any thread, without locks held by the caller of this method.
     void applyLocal(wire::ApplyConfig request, LocalHandler handler);
     LocalReading readConfig() const;
@@ -91,6 +92,16 @@
         LocalHandler handler; ///< set for a request of this process
     };
 
+    /// A request of this process that another one, the leader, is to decide.
+    struct ForwardedApply
+    {
+        LocalHandler handler;
+        Time until;
+    };
+
+    bool forward(PendingApply &pending, const wire::ApplyConfig &request, const std::string &leader);
+    void handleForwarded(const wire::ApplyReply &reply);
+    void expireForwarded();
     void handleHeartbeat(const Incoming &incoming, const wire::MemberHeartbeat &heartbeat);
     void handleApply(PendingApply pending, const wire::ApplyConfig &request);
     void handleQuery(const Incoming &incoming, const wire::ControlQuery &query);
@@ -117,6 +128,8 @@
     ControlMembers members;
     ControlLog log;
     std::map<std::int64_t, PendingApply> pendingApplies;
+    std::map<std::int64_t, ForwardedApply> forwardedApplies; ///< by request id
+    std::int64_t lastForwarded = 0;
     std::int64_t writtenSequence = 0;
     std::int64_t ledTerm = 0; ///< term of the leadership that members were told about; 0 when not leading
     bool isStopping = false;
--- a/src/dispatch_placement.cpp
+++ b/src/dispatch_placement.cpp
@@ -86,8 +86,7 @@
 {
     const double missed = probabilityAbove(goal.deadline - start, run);
     const double late = start + run > goal.objective ? lateLoss : 0.0;
-    const double reserved
-        = start > Micros(0) ? 0.0 : std::max(0.0, useOf(choice) - reservedShare) / (1 - reservedShare);
+    const double reserved = std::max(0.0, useOf(choice) - reservedShare) / (1 - reservedShare);
     const double failing = choice.failureShare > highFailureShare ? failingLoss : 0.0;
     return missed + (1 - missed) * late + reservedLoss * std::min(1.0, reserved) + failing;
 }
