--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -112,7 +112,7 @@
     this->sink.send(heartbeat.address, std::move(reply));
 }
 
-void ControlCore::applyLocal(wire::ApplyConfig request, LocalHandler handler)
+void ControlCore::applyLocal(const wire::ApplyConfig &request, LocalHandler handler)
 {
     const std::lock_guard lock(this->mutex);
     this->handleApply({0, {}, {}, std::move(handler)}, request);
--- a/src/control_core_p.h
+++ b/src/control_core_p.h
@@ -72,7 +72,7 @@
     /// Applies a configuration on behalf of an operator of this process. Another leader is asked over the bus: an
     /// operator that is told to ask it itself needs two answers, either of which may be lost.
     /// @param handler called once, on any thread, without locks held by the caller of this method.
-    void applyLocal(wire::ApplyConfig request, LocalHandler handler);
+    void applyLocal(const wire::ApplyConfig &request, LocalHandler handler);
     LocalReading readConfig() const;
 
     /// Whether this process leads under a quorum's lease.
