Remove a field and a method that nothing reads

Cause: HostCore::registeredAt was only written, DispatchHosts::knowsService was never called; both are left from the first draft of the platform path.

--- a/src/dispatch_hosts.cpp
+++ b/src/dispatch_hosts.cpp
@@ -78,12 +78,6 @@
     return result;
 }
 
-bool DispatchHosts::knowsService(const std::string &service) const
-{
-    return std::any_of(this->hosts.begin(), this->hosts.end(),
-                       [&service](const auto &host) { return host.second.report.serviceName == service; });
-}
-
 void DispatchHosts::forgetSilent(Time now)
 {
     for (auto host = this->hosts.begin(); host != this->hosts.end();) {
--- a/src/dispatch_hosts_p.h
+++ b/src/dispatch_hosts_p.h
@@ -36,8 +36,6 @@
     bool isLive(const DispatchHost &host, Time now) const;
     /// Choices among the hosts of the service that take tasks now.
     std::vector<HostChoice> choices(const std::string &service, Time now) const;
-    /// Whether any host of the service was ever heard.
-    bool knowsService(const std::string &service) const;
     const std::map<std::string, DispatchHost> &all() const
     {
         return this->hosts;
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -487,7 +487,6 @@
     }
     const bool isNewDrain = registration.isDraining && !this->registered->isDraining;
     this->registered = registration;
-    this->registeredAt = this->clock.now();
     this->hasLeft = false;
     if (isNewDrain) {
         logEvent(part, "server_drains", {{"server", registration.server.id}});
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -135,7 +135,6 @@
 
     mutable std::mutex mutex;
     std::optional<ServerRegistration> registered;
-    Time registeredAt;
     bool hasLeft = false;
     bool isStopping = false;
 
