Time the backend server emulator's tasks by a precise clock

Cause: libevent's default timers read a coarse clock that lags by up to a tick (4 ms). Each wake-up counts the remaining wait anew, so a task whose run was interrupted by another request ended up to a tick early.

Change: the emulator's event base takes precise timers.

Conclusion: traced; the bounds of the tests are unchanged.

--- a/tests/test_backend.cpp
+++ b/tests/test_backend.cpp
@@ -75,6 +75,20 @@
         const nlohmann::json expected = {{"task", "a"}, {"starts", 1}, {"finishes", 1}, {"cuts", 0}};
         REQUIRE(record["tasks"][0] == expected);
     }
+    SECTION("ends no task before its time is over, however often other requests wake it")
+    {
+        // Guards against timers on a coarse clock: one that is counted anew at a wake-up fires a clock tick too early.
+        constexpr int tasks = 40;
+        for (int i = 0; i < tasks; ++i) {
+            const auto start = std::chrono::steady_clock::now();
+            auto task = std::async(std::launch::async, [i] { return run("task-" + std::to_string(i), 40000); });
+            while (task.wait_for(std::chrono::microseconds(700)) != std::future_status::ready) {
+                REQUIRE(httpCall("GET", base + "/v1/record").status == 200);
+            }
+            REQUIRE(std::chrono::steady_clock::now() - start >= std::chrono::milliseconds(20));
+            REQUIRE(task.get().status == 200);
+        }
+    }
     SECTION("refuses connections for as long as told")
     {
         REQUIRE(fault("refuse", 0.3).status == 200);
--- a/tools/backend_emulator.cpp
+++ b/tools/backend_emulator.cpp
@@ -27,6 +27,14 @@
 constexpr int agentTimeoutSeconds = 2;
 constexpr int killedStatus = 1;
 
+/// With the coarse clock that libevent uses by default, a timer may fire a clock tick (4 ms) too early.
+event_base *newPreciseBase()
+{
+    const std::unique_ptr<event_config, decltype(&event_config_free)> config(event_config_new(), &event_config_free);
+    event_config_set_flag(config.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
+    return event_base_new_with_config(config.get());
+}
+
 std::string bodyOf(evhttp_request *request)
 {
     evbuffer *input = evhttp_request_get_input_buffer(request);
@@ -58,7 +66,7 @@
 
 Emulator::Emulator(EmulatorOptions options)
     : options(std::move(options))
-    , base(event_base_new(), &event_base_free)
+    , base(newPreciseBase(), &event_base_free)
     , http(evhttp_new(this->base.get()), &evhttp_free)
 {
     this->routes["POST /v1/run"] = [this](evhttp_request *request) { this->handleRun(request); };
