Move tasks that end too late by their progress; let late tasks yield

In bursts a host's queue started the task with the earliest latest start first, also when that had passed, so that those behind it became late in turn.

Change: a host reads the progress of its runs and warns the entry of one that should end after the objective or the deadline. The entry moves it when another host would still make that limit, and gives the job up when no host can end it in the caller's time. A moved task is placed only after its end is reported. Waiting tasks whose latest start has passed yield to the others. Most runs of a host getting on slowly count as a slow host before any ends. Pending stops are an aggregate of their own (dispatch_stops).

--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -1,6 +1,7 @@
 #include "dispatch_core_p.h"
 
 #include "base_event_p.h"
+#include "dispatch_relocation_p.h"
 #include "host_room_p.h"
 
 #include <algorithm>
@@ -32,6 +33,15 @@
     return "unfinished";
 }
 
+/// Removes a host from the choice, unless it is the only one.
+void leaveOut(const std::string &host, std::vector<HostChoice> &choices)
+{
+    const auto isOther = [&host](const HostChoice &choice) { return choice.name != host; };
+    if (std::any_of(choices.begin(), choices.end(), isOther)) {
+        choices.erase(std::stable_partition(choices.begin(), choices.end(), isOther), choices.end());
+    }
+}
+
 std::int64_t millis(Micros time)
 {
     return std::chrono::duration_cast<Millis>(time).count();
@@ -45,6 +55,7 @@
     , link(link)
     , options(std::move(options))
     , admission(this->options.lateness)
+    , stops(this->options.repeatInterval, stopMemory)
     , hosts(this->options.hostSilent)
 {
 }
@@ -153,15 +164,19 @@
     std::vector<TaskRequest> wanted;
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
         if (job.tasks[i].phase == TaskPhase::Unplaced && now >= job.tasks[i].retryAt
-            && !this->isStopPending(id, static_cast<std::int32_t>(i))) {
+            && !this->stops.isPending(id, static_cast<std::int32_t>(i))) {
             indexes.push_back(static_cast<std::int32_t>(i));
             wanted.push_back(job.request.tasks[i]);
+            wanted.back().estimate = job.tasks[i].work.value_or(wanted.back().estimate);
         }
     }
     if (indexes.empty()) {
         return true;
     }
     auto choices = this->choicesFor(job);
+    if (indexes.size() == 1) {
+        leaveOut(job.tasks[static_cast<std::size_t>(indexes.front())].avoided, choices);
+    }
     const auto placements = placeTasks(wanted, goalOf(job, now), choices, this->options.farFactor);
     std::vector<std::int32_t> ordered;
     for (std::size_t i = 0; i < indexes.size(); ++i) {
@@ -209,9 +224,10 @@
         order.index = index;
         order.order = task.order;
         order.demand = request.demand;
-        order.estimateMicros = request.estimate.count();
+        const auto estimate = task.work.value_or(request.estimate);
+        order.estimateMicros = estimate.count();
         message.orders.push_back(std::move(order));
-        const auto slack = (job.objective - now - request.estimate).count();
+        const auto slack = (job.objective - now - estimate).count();
         message.startWithinMicros
             = message.orders.size() == 1 ? slack : std::min<std::int64_t>(message.startWithinMicros, slack);
     }
@@ -234,28 +250,17 @@
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
         const auto &task = job.tasks[i];
         if (task.phase == TaskPhase::Ordered || task.phase == TaskPhase::Taken) {
-            this->stopping[task.order] = {id, static_cast<std::int32_t>(i), task.host, Time {}, this->clock.now()};
+            this->stops.add(task.order, {id, static_cast<std::int32_t>(i), task.host}, this->clock.now());
         }
     }
-    this->sendStops(false);
+    this->sendStops();
 }
 
-void DispatchCore::sendStops(bool onlyDue)
+void DispatchCore::sendStops()
 {
-    const auto now = this->clock.now();
-    std::map<std::pair<std::string, std::string>, wire::StopTasks> messages;
-    for (auto stop = this->stopping.begin(); stop != this->stopping.end();) {
-        auto &wanted = stop->second;
-        if (now - wanted.since > stopMemory) {
-            stop = this->stopping.erase(stop); // all leases under which it could run have lapsed
-            continue;
-        }
-        const bool isNew = wanted.sentAt == Time {};
-        if (isNew || (onlyDue && now - wanted.sentAt >= this->options.repeatInterval)) {
-            wanted.sentAt = now;
-            messages[{wanted.host, wanted.job}].indexes.push_back(wanted.index);
-        }
-        ++stop;
+    std::map<std::pair<std::string, std::string>, wire::StopTasks> messages; // by host and job
+    for (const auto &stop : this->stops.takeDue(this->clock.now())) {
+        messages[{stop.host, stop.job}].indexes.push_back(stop.index);
     }
     for (auto &[key, message] : messages) {
         if (const auto *host = this->hosts.find(key.first)) {
@@ -266,13 +271,6 @@
     }
 }
 
-bool DispatchCore::isStopPending(const std::string &job, std::int32_t index) const
-{
-    return std::any_of(this->stopping.begin(), this->stopping.end(), [&job, index](const auto &stop) {
-        return stop.second.index == index && stop.second.job == job;
-    });
-}
-
 void DispatchCore::end(const std::string &id, JobEnd end, const std::string &reason, Answers &answers,
                        Millis retryAfter)
 {
@@ -384,7 +382,7 @@
 void DispatchCore::takeReport(const wire::TaskReport &report, const std::string &host, Answers &answers)
 {
     if (report.phase != wire::TaskPhase::QUEUED && report.phase != wire::TaskPhase::RUNNING) {
-        this->stopping.erase(report.order);
+        this->stops.confirm(report.order);
     }
     const auto found = this->jobs.find(report.job);
     if (found == this->jobs.end() || report.index < 0
@@ -400,6 +398,9 @@
     case wire::TaskPhase::QUEUED:
     case wire::TaskPhase::RUNNING:
         task.phase = TaskPhase::Taken;
+        if (report.remainingMicros > 0) {
+            this->reviewRun(report, job, answers);
+        }
         return;
     case wire::TaskPhase::SUCCEEDED:
         this->takeSuccess(report.job, job, task, answers);
@@ -449,6 +450,42 @@
     this->placeUnplaced(id, job);
 }
 
+void DispatchCore::reviewRun(const wire::TaskReport &report, Job &job, Answers &answers)
+{
+    auto &task = job.tasks[static_cast<std::size_t>(report.index)];
+    if (this->stops.isPending(report.job, report.index)) {
+        return;
+    }
+    auto wanted = job.request.tasks[static_cast<std::size_t>(report.index)];
+    wanted.estimate = Micros(report.workMicros);
+    auto choices = this->choicesFor(job);
+    leaveOut(task.host, choices);
+    const auto goal = goalOf(job, this->clock.now());
+    const auto other = placeTasks({wanted}, goal, choices, this->options.farFactor).front();
+    const auto verdict = judgeRun(Micros(report.remainingMicros), other, goal);
+    if (verdict == RunVerdict::Keep) {
+        return;
+    }
+    logEvent(part, verdict == RunVerdict::Move ? "task_moves" : "task_hopeless",
+             {{"job", report.job},
+              {"task", report.index},
+              {"host", task.host},
+              {"remainingMs", report.remainingMicros / 1000},
+              {"workMs", report.workMicros / 1000},
+              {"otherEndMs", millis(other.end)},
+              {"objectiveMs", millis(goal.objective)},
+              {"deadlineMs", millis(goal.deadline)}});
+    if (verdict == RunVerdict::GiveUp) {
+        this->end(report.job, JobEnd::Unfinished, "a task cannot end in the caller's time", answers);
+        return;
+    }
+    ++this->counters.tasksMoved;
+    task.work = wanted.estimate;
+    task.avoided = task.host;
+    this->stops.add(task.order, {report.job, report.index, task.host}, this->clock.now());
+    this->sendStops();
+}
+
 // Time.
 
 void DispatchCore::tick()
@@ -459,7 +496,7 @@
         const std::lock_guard lock(this->mutex);
         this->loseHosts(answers);
         this->checkJobs(answers);
-        this->sendStops(true);
+        this->sendStops();
         this->hosts.forgetSilent(this->clock.now());
         report.isLeaving = this->isStopping;
     }
@@ -557,6 +594,7 @@
               {"dispatch_tasks_refused_total", this->counters.tasksRefused},
               {"dispatch_tasks_ended_total", this->counters.tasksEnded},
               {"dispatch_tasks_failed_total", this->counters.tasksFailed},
+              {"dispatch_tasks_moved_total", this->counters.tasksMoved},
               {"dispatch_hosts_lost_total", this->counters.hostsLost},
               {"dispatch_jobs_in_flight", this->jobs.size()}}}};
 }
--- a/src/dispatch_core_p.h
+++ b/src/dispatch_core_p.h
@@ -6,6 +6,7 @@
 #include "dispatch_admission_p.h"
 #include "dispatch_hosts_p.h"
 #include "dispatch_job_p.h"
+#include "dispatch_stops_p.h"
 #include "member_link_p.h"
 
 #include <cstdint>
@@ -71,6 +72,8 @@
         Time orderedAt;
         int failures = 0;
         Time retryAt;
+        std::optional<Micros> work; ///< run time at the speed of estimates, as an earlier run showed
+        std::string avoided; ///< host from which it was moved
     };
 
     struct Job
@@ -86,15 +89,6 @@
         std::vector<Task> tasks;
     };
 
-    /// A task whose job has been answered, and which may still run until its host reports the end.
-    struct StoppingTask
-    {
-        std::string job;
-        std::int32_t index = 0;
-        std::string host;
-        Time sentAt;
-        Time since;
-    };
     using Answers = std::vector<std::pair<JobHandler, JobOutcome>>;
 
     struct Counters
@@ -110,6 +104,7 @@
         std::uint64_t tasksRefused = 0;
         std::uint64_t tasksEnded = 0;
         std::uint64_t tasksFailed = 0;
+        std::uint64_t tasksMoved = 0;
         std::uint64_t hostsLost = 0;
     };
 
@@ -118,13 +113,14 @@
     void apply(const Incoming &incoming, const wire::TaskReports &message, Answers &answers);
     void takeReport(const wire::TaskReport &report, const std::string &host, Answers &answers);
     void takeSuccess(const std::string &id, Job &job, Task &task, Answers &answers);
+    /// Moves a task that should end too late, or gives its job up.
+    void reviewRun(const wire::TaskReport &report, Job &job, Answers &answers);
     void takeFailure(const std::string &id, Job &job, const wire::TaskReport &report, Answers &answers);
     /// Places the tasks that wait for a place. @return false when there is no host for one of them now.
     bool placeUnplaced(const std::string &id, Job &job);
     void sendOrders(const std::string &id, Job &job, const std::vector<std::int32_t> &indexes);
     void stopTasks(const std::string &id, Job &job);
-    void sendStops(bool onlyDue);
-    bool isStopPending(const std::string &job, std::int32_t index) const;
+    void sendStops();
     void end(const std::string &id, JobEnd end, const std::string &reason, Answers &answers, Millis retryAfter = {});
     void loseHosts(Answers &answers);
     void checkJobs(Answers &answers);
@@ -144,7 +140,7 @@
     std::shared_ptr<const RoutingConfig> current;
     std::function<void(const RoutingConfig &)> routingListener;
     std::map<std::string, Job> jobs; ///< by id
-    std::map<std::int64_t, StoppingTask> stopping; ///< by order
+    DispatchStops stops;
     DispatchHosts hosts;
     std::int64_t lastOrder = 0;
     bool isStopping = false;
--- /dev/null
+++ b/src/dispatch_stops.cpp
@@ -0,0 +1,49 @@
+#include "dispatch_stops_p.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace agatedrum {
+
+DispatchStops::DispatchStops(Millis repeatInterval, Millis memory)
+    : repeatInterval(repeatInterval)
+    , memory(memory)
+{
+}
+
+void DispatchStops::add(std::int64_t order, StoppingTask task, Time now)
+{
+    this->entries.try_emplace(order, Entry {std::move(task), now, Time {}});
+}
+
+void DispatchStops::confirm(std::int64_t order)
+{
+    this->entries.erase(order);
+}
+
+bool DispatchStops::isPending(const std::string &job, std::int32_t index) const
+{
+    return std::any_of(this->entries.begin(), this->entries.end(), [&job, index](const auto &entry) {
+        return entry.second.task.index == index && entry.second.task.job == job;
+    });
+}
+
+std::vector<StoppingTask> DispatchStops::takeDue(Time now)
+{
+    std::vector<StoppingTask> due;
+    for (auto entry = this->entries.begin(); entry != this->entries.end();) {
+        auto &stop = entry->second;
+        if (now - stop.since > this->memory) {
+            entry = this->entries.erase(entry);
+            continue;
+        }
+        if (stop.sentAt == Time {} || now - stop.sentAt >= this->repeatInterval) {
+            stop.sentAt = now;
+            due.push_back(stop.task);
+        }
+        ++entry;
+    }
+    return due;
+}
+
+} // namespace agatedrum
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -6799,6 +6799,14 @@
 void TaskReport::__set_number(const int64_t val) {
   this->number = val;
 }
+
+void TaskReport::__set_remainingMicros(const int64_t val) {
+  this->remainingMicros = val;
+}
+
+void TaskReport::__set_workMicros(const int64_t val) {
+  this->workMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskReport& obj)
 {
   obj.printTo(out);
@@ -6885,6 +6893,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remainingMicros);
+          this->__isset.remainingMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->workMicros);
+          this->__isset.workMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6930,6 +6954,14 @@
   xfer += oprot->writeI64(this->number);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("remainingMicros", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->remainingMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("workMicros", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->workMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6944,6 +6976,8 @@
   swap(a.runMicros, b.runMicros);
   swap(a.reason, b.reason);
   swap(a.number, b.number);
+  swap(a.remainingMicros, b.remainingMicros);
+  swap(a.workMicros, b.workMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -6955,6 +6989,8 @@
   runMicros = other237.runMicros;
   reason = other237.reason;
   number = other237.number;
+  remainingMicros = other237.remainingMicros;
+  workMicros = other237.workMicros;
   __isset = other237.__isset;
 }
 TaskReport::TaskReport(TaskReport&& other238) noexcept {
@@ -6965,6 +7001,8 @@
   runMicros = other238.runMicros;
   reason = std::move(other238.reason);
   number = other238.number;
+  remainingMicros = other238.remainingMicros;
+  workMicros = other238.workMicros;
   __isset = other238.__isset;
 }
 TaskReport& TaskReport::operator=(const TaskReport& other239) {
@@ -6975,6 +7013,8 @@
   runMicros = other239.runMicros;
   reason = other239.reason;
   number = other239.number;
+  remainingMicros = other239.remainingMicros;
+  workMicros = other239.workMicros;
   __isset = other239.__isset;
   return *this;
 }
@@ -6986,6 +7026,8 @@
   runMicros = other240.runMicros;
   reason = std::move(other240.reason);
   number = other240.number;
+  remainingMicros = other240.remainingMicros;
+  workMicros = other240.workMicros;
   __isset = other240.__isset;
   return *this;
 }
@@ -6999,6 +7041,8 @@
   out << ", " << "runMicros=" << to_string(runMicros);
   out << ", " << "reason=" << to_string(reason);
   out << ", " << "number=" << to_string(number);
+  out << ", " << "remainingMicros=" << to_string(remainingMicros);
+  out << ", " << "workMicros=" << to_string(workMicros);
   out << ")";
 }
 
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -2690,7 +2690,7 @@
 std::ostream& operator<<(std::ostream& out, const StopTasks& obj);
 
 typedef struct _TaskReport__isset {
-  _TaskReport__isset() : job(false), index(false), order(false), phase(false), runMicros(false), reason(false), number(false) {}
+  _TaskReport__isset() : job(false), index(false), order(false), phase(false), runMicros(false), reason(false), number(false), remainingMicros(false), workMicros(false) {}
   bool job :1;
   bool index :1;
   bool order :1;
@@ -2698,6 +2698,8 @@
   bool runMicros :1;
   bool reason :1;
   bool number :1;
+  bool remainingMicros :1;
+  bool workMicros :1;
 } _TaskReport__isset;
 
 class TaskReport : public virtual ::apache::thrift::TBase {
@@ -2714,7 +2716,9 @@
                phase(static_cast<TaskPhase::type>(0)),
                runMicros(0),
                reason(),
-               number(0) {
+               number(0),
+               remainingMicros(0),
+               workMicros(0) {
   }
 
   virtual ~TaskReport() noexcept;
@@ -2729,6 +2733,8 @@
   int64_t runMicros;
   std::string reason;
   int64_t number;
+  int64_t remainingMicros;
+  int64_t workMicros;
 
   _TaskReport__isset __isset;
 
@@ -2746,6 +2752,10 @@
 
   void __set_number(const int64_t val);
 
+  void __set_remainingMicros(const int64_t val);
+
+  void __set_workMicros(const int64_t val);
+
   bool operator == (const TaskReport & rhs) const
   {
     if (!(job == rhs.job))
@@ -2762,6 +2772,10 @@
       return false;
     if (!(number == rhs.number))
       return false;
+    if (!(remainingMicros == rhs.remainingMicros))
+      return false;
+    if (!(workMicros == rhs.workMicros))
+      return false;
     return true;
   }
   bool operator != (const TaskReport &rhs) const {
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -16,6 +16,7 @@
 constexpr Millis unreachableDelay {100}; ///< between holds while no connection can be made
 constexpr Millis runMemory {30000}; ///< above the time after which a caller may send a job again
 constexpr Millis stopRepeat {150};
+constexpr Millis warningInterval {150}; ///< between warnings of one task
 constexpr std::size_t endsPage = 100; ///< an answer with more ends may not have them all
 constexpr std::int64_t runStep = 8; ///< skipped when a run is too low for a backend server that remembers more
 
@@ -90,17 +91,23 @@
     }
     const bool isFresh = this->entries.contact(incoming, message.heardAtMicros, message.reportsSeen, now);
     const auto spec = std::make_shared<const std::string>(message.spec);
+    std::int64_t longest = 0;
+    for (const auto &order : message.orders) {
+        longest = std::max(longest, order.estimateMicros);
+    }
+    // The time to start is that of the longest task.
+    const auto objective = now + Micros(message.startWithinMicros + longest);
     for (const auto &order : message.orders) {
         if (!isFresh) {
             this->refuse(incoming.sender, message.job, order, "the order is older than the entry's lease");
         } else {
-            this->takeOrder(message, order, incoming.sender, spec);
+            this->takeOrder(message, order, incoming.sender, spec, objective);
         }
     }
 }
 
 void HostCore::takeOrder(const wire::RunTasks &message, const wire::TaskOrder &order, const wire::ProcessId &entry,
-                         const std::shared_ptr<const std::string> &spec)
+                         const std::shared_ptr<const std::string> &spec, Time objective)
 {
     if (this->entries.hasFinished(entry, order.order)) {
         return; // a repeated order; its report is on the way
@@ -132,6 +139,7 @@
     task.spec = spec;
     task.demand = order.demand;
     task.estimate = Micros(std::max<std::int64_t>(order.estimateMicros, 1000));
+    task.objective = objective;
     task.giveUpAt = now + Micros(message.timeLeftMicros);
     task.changedAt = now;
     task.takenAt = now;
@@ -139,9 +147,9 @@
     WaitingTask waiting;
     waiting.id = id;
     waiting.priority = message.priority;
-    waiting.latestStart = now + Micros(message.startWithinMicros);
     waiting.demand = order.demand;
     waiting.expected = this->expectedRun(task.estimate);
+    waiting.latestStart = objective - waiting.expected;
     this->queue.add(waiting);
     this->byName[name] = id;
     this->tasks.emplace(id, std::move(task));
@@ -176,12 +184,17 @@
 void HostCore::report(const HostTask &task, wire::TaskPhase::type phase, const std::string &reason, Micros runTime)
 {
     wire::TaskReport report;
-    report.job = task.name.job;
-    report.index = task.name.index;
-    report.order = task.order;
     report.phase = phase;
     report.reason = reason;
     report.runMicros = runTime.count();
+    this->report(task, std::move(report));
+}
+
+void HostCore::report(const HostTask &task, wire::TaskReport report)
+{
+    report.job = task.name.job;
+    report.index = task.name.index;
+    report.order = task.order;
     this->entries.report(task.entry, std::move(report));
 }
 
@@ -203,9 +216,10 @@
 wire::HostReport HostCore::hostReport() const
 {
     wire::HostReport report;
-    report.sentAtMicros = this->clock.now().time_since_epoch().count();
+    const auto now = this->clock.now();
+    report.sentAtMicros = now.time_since_epoch().count();
     report.accepting = this->isAccepting();
-    report.slowness = this->slowness;
+    report.slowness = this->currentSlowness();
     report.failureShare = this->failureShare;
     if (!this->registered) {
         return report;
@@ -221,13 +235,13 @@
         if (task.phase == Phase::Waiting) {
             continue;
         }
-        // A task that is past its estimate is expected to last a quarter of it more.
+        // While its progress is not known, a task past its estimate is expected to last a quarter of it more.
         const auto expected = this->expectedRun(task.estimate);
-        const auto left = expected - (this->clock.now() - task.startedAt);
-        occupying.push_back({task.demand, std::max<Micros>(left, expected / 4)});
+        const auto left = std::max<Micros>(expected - (now - task.startedAt), expected / 4);
+        occupying.push_back({task.demand, task.progress.remaining(now).value_or(left)});
     }
     report.startDelayMicros
-        = expectedStartDelay(report.capacity, occupying, this->queue.waiting(), this->commonDemand).count();
+        = expectedStartDelay(report.capacity, occupying, this->queue.waitingInTime(now), this->commonDemand).count();
     return report;
 }
 
@@ -264,7 +278,8 @@
     if (!this->isAccepting() || this->queue.waiting().empty()) {
         return;
     }
-    for (const auto id : this->queue.takeStartable(minus(this->registered->capacity, this->reserved()))) {
+    for (const auto id :
+         this->queue.takeStartable(minus(this->registered->capacity, this->reserved()), this->clock.now())) {
         this->start(id, this->tasks.at(id));
     }
 }
@@ -278,6 +293,7 @@
     task.phase = Phase::Starting;
     task.startedAt = now;
     task.changedAt = now;
+    task.progress = RunProgress(now);
     StartOrder order;
     order.server = this->registered->server;
     order.task = task.name;
@@ -442,6 +458,19 @@
     this->slowness += weight * (std::min(ratio, highest) - this->slowness);
 }
 
+double HostCore::currentSlowness() const
+{
+    const auto now = this->clock.now();
+    std::vector<double> present;
+    for (const auto &[id, task] : this->tasks) {
+        const auto total = task.phase == Phase::Running ? task.progress.total(now) : std::nullopt;
+        if (total) {
+            present.push_back(static_cast<double>(total->count()) / static_cast<double>(task.estimate.count()));
+        }
+    }
+    return presentSlowness(this->slowness, std::move(present));
+}
+
 // Backend server.
 
 std::string HostCore::life() const
@@ -578,6 +607,7 @@
         this->heldAt = std::max(this->heldAt, sentAt);
         this->takeEnds(reply);
         this->takeRunning(reply, sentAt);
+        this->warnOfLateRuns();
         this->nextHold = Time {};
     } else {
         if (reply.outcome == OrderOutcome::Fenced) {
@@ -635,6 +665,7 @@
             continue;
         }
         auto &task = this->tasks.at(known->second);
+        task.progress.observe(running.percent, this->clock.now());
         if (task.phase == Phase::Starting || task.phase == Phase::Doubtful) {
             task.phase = Phase::Running;
             task.isStopSent = false;
@@ -659,6 +690,29 @@
     }
 }
 
+void HostCore::warnOfLateRuns()
+{
+    const auto now = this->clock.now();
+    const auto current = this->currentSlowness();
+    for (auto &[id, task] : this->tasks) {
+        const auto remaining = task.phase == Phase::Running ? task.progress.remaining(now) : std::nullopt;
+        if (!remaining || task.mustStop || now - task.warnedAt < warningInterval) {
+            continue;
+        }
+        const auto end = now + *remaining;
+        if ((now < task.objective && end > task.objective) || end > task.giveUpAt) {
+            task.warnedAt = now;
+            const auto total = now + *remaining - task.startedAt;
+            const auto work = static_cast<double>(total.count()) / current;
+            wire::TaskReport report;
+            report.phase = wire::TaskPhase::RUNNING;
+            report.remainingMicros = remaining->count();
+            report.workMicros = static_cast<std::int64_t>(work);
+            this->report(task, std::move(report));
+        }
+    }
+}
+
 void HostCore::stopForeign(const RunningTask &running)
 {
     logEvent(part, "stop_foreign", {{"job", running.task.job}, {"task", running.task.index}, {"run", running.run}});
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -3,6 +3,7 @@
 #include "agatedrum/config.h"
 #include "base_core_p.h"
 #include "host_entries_p.h"
+#include "host_progress_p.h"
 #include "host_queue_p.h"
 #include "host_server_p.h"
 #include "member_link_p.h"
@@ -64,12 +65,15 @@
         std::shared_ptr<const std::string> spec;
         wire::Resources demand;
         Micros estimate {0};
+        Time objective; ///< an end after it is late for the caller
         Time giveUpAt; ///< the caller gets no use of it later
         Phase phase = Phase::Waiting;
         std::int64_t run = 0;
         Time takenAt; ///< when the order came
         Time startedAt;
         Time changedAt; ///< of the phase
+        RunProgress progress;
+        Time warnedAt; ///< when the entry was last told that it should end too late
         bool mustStop = false;
         bool isStopSent = false;
         std::optional<Time> stoppedAt; ///< when the backend server took the stop
@@ -92,10 +96,11 @@
     void apply(const wire::StopTasks &message, const Incoming &incoming);
     void apply(const wire::HostContact &message, const Incoming &incoming);
     void takeOrder(const wire::RunTasks &message, const wire::TaskOrder &order, const wire::ProcessId &entry,
-                   const std::shared_ptr<const std::string> &spec);
+                   const std::shared_ptr<const std::string> &spec, Time objective);
     void refuse(const wire::ProcessId &entry, const std::string &job, const wire::TaskOrder &order,
                 const std::string &reason);
     void report(const HostTask &task, wire::TaskPhase::type phase, const std::string &reason, Micros runTime = {});
+    void report(const HostTask &task, wire::TaskReport report);
     void sendReports();
     void sendHostReport(const std::vector<wire::Endpoint> &to);
     wire::HostReport hostReport() const;
@@ -116,6 +121,7 @@
     void takeEnds(const HoldReply &reply);
     void takeRunning(const HoldReply &reply, Time sentAt);
     void stopForeign(const RunningTask &running);
+    void warnOfLateRuns();
     void learn(Micros estimate, Micros runTime);
     void keepHold();
     void beginLife(const ServerRegistration &registration);
@@ -126,6 +132,7 @@
     bool isAccepting() const;
     wire::Resources reserved() const;
     Micros expectedRun(Micros estimate) const;
+    double currentSlowness() const;
 
     MessageSinkI &sink;
     const ClockI &clock;
--- /dev/null
+++ b/src/host_progress.cpp
@@ -0,0 +1,68 @@
+#include "host_progress_p.h"
+
+#include <algorithm>
+
+namespace agatedrum {
+
+namespace {
+
+constexpr Millis speedWindow {300}; ///< long enough for some percent of a task of a second
+constexpr Millis sampleInterval {30};
+constexpr Millis shortestEvidence {100};
+/// The percentage is cut to a whole number, so a run is half a percent further on average.
+constexpr double roundedOff = 0.5;
+constexpr Micros longestRemaining = std::chrono::seconds(60);
+constexpr std::size_t fewestRuns = 3;
+constexpr double clearlySlower = 2.0; ///< above what rough estimates do to the median of a few tasks
+constexpr double highestSlowness = 20.0;
+
+} // namespace
+
+RunProgress::RunProgress(Time startedAt)
+    : startedAt(startedAt)
+    , samples({Sample {startedAt, 0}})
+{
+}
+
+void RunProgress::observe(int percent, Time now)
+{
+    if (!this->samples.empty() && now - this->samples.back().at < sampleInterval) {
+        return;
+    }
+    this->samples.push_back({now, percent});
+    while (this->samples.size() > 2 && now - this->samples[1].at >= speedWindow) {
+        this->samples.pop_front();
+    }
+}
+
+std::optional<Micros> RunProgress::remaining(Time now) const
+{
+    if (this->samples.size() < 2 || this->samples.back().at - this->samples.front().at < shortestEvidence) {
+        return std::nullopt;
+    }
+    const auto &first = this->samples.front();
+    const auto &last = this->samples.back();
+    const auto done = std::max(roundedOff, static_cast<double>(last.percent - first.percent));
+    const auto left = std::max(0.0, 100 - roundedOff - static_cast<double>(last.percent));
+    const auto micros = static_cast<double>((last.at - first.at).count()) * left / done;
+    const auto fromLast = std::min(longestRemaining, Micros(static_cast<std::int64_t>(micros)));
+    return std::max(Micros(0), fromLast - (now - last.at));
+}
+
+std::optional<Micros> RunProgress::total(Time now) const
+{
+    const auto left = this->remaining(now);
+    return left ? std::optional<Micros>(now - this->startedAt + *left) : std::nullopt;
+}
+
+double presentSlowness(double learned, std::vector<double> present)
+{
+    if (present.size() < fewestRuns) {
+        return learned;
+    }
+    const auto middle = present.begin() + static_cast<std::ptrdiff_t>(present.size() / 2);
+    std::nth_element(present.begin(), middle, present.end());
+    return *middle > clearlySlower * learned ? std::min(*middle, highestSlowness) : learned;
+}
+
+} // namespace agatedrum
--- a/src/host_queue.cpp
+++ b/src/host_queue.cpp
@@ -3,7 +3,9 @@
 #include "host_room_p.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
+#include <utility>
 
 namespace agatedrum {
 
@@ -20,14 +22,16 @@
     return a.at > b.at;
 }
 
+bool startsBefore(const WaitingTask &a, const WaitingTask &b)
+{
+    return std::tie(a.latestStart, a.priority) < std::tie(b.latestStart, b.priority);
+}
+
 } // namespace
 
 void HostQueue::add(const WaitingTask &task)
 {
-    const auto position
-        = std::upper_bound(this->tasks.begin(), this->tasks.end(), task, [](const auto &a, const auto &b) {
-              return std::tie(a.latestStart, a.priority) < std::tie(b.latestStart, b.priority);
-          });
+    const auto position = std::upper_bound(this->tasks.begin(), this->tasks.end(), task, startsBefore);
     this->tasks.insert(position, task);
 }
 
@@ -38,21 +42,39 @@
         this->tasks.end());
 }
 
-std::vector<std::int64_t> HostQueue::takeStartable(wire::Resources free)
+std::vector<WaitingTask>::iterator HostQueue::firstInTime(Time now)
+{
+    return std::find_if(this->tasks.begin(), this->tasks.end(),
+                        [now](const WaitingTask &task) { return task.latestStart >= now; });
+}
+
+std::vector<std::int64_t> HostQueue::takeStartable(wire::Resources free, Time now)
 {
     std::vector<std::int64_t> started;
-    for (auto task = this->tasks.begin(); task != this->tasks.end();) {
-        if (fits(task->demand, free)) {
-            free = minus(free, task->demand);
-            started.push_back(task->id);
-            task = this->tasks.erase(task);
+    // The tasks are sorted by latest start, so the late ones come behind the others after this.
+    std::rotate(this->tasks.begin(), this->firstInTime(now), this->tasks.end());
+    std::vector<WaitingTask> kept;
+    for (auto &task : this->tasks) {
+        if (fits(task.demand, free)) {
+            free = minus(free, task.demand);
+            started.push_back(task.id);
         } else {
-            ++task;
+            kept.push_back(std::move(task));
         }
     }
+    this->tasks = std::move(kept);
+    std::stable_sort(this->tasks.begin(), this->tasks.end(), startsBefore);
     return started;
 }
 
+std::vector<WaitingTask> HostQueue::waitingInTime(Time now) const
+{
+    std::vector<WaitingTask> result;
+    std::copy_if(this->tasks.begin(), this->tasks.end(), std::back_inserter(result),
+                 [now](const WaitingTask &task) { return task.latestStart >= now; });
+    return result;
+}
+
 Micros expectedStartDelay(const wire::Resources &capacity, const std::vector<OccupyingTask> &occupying,
                           const std::vector<WaitingTask> &waiting, const wire::Resources &demand)
 {
--- a/src/host_queue_p.h
+++ b/src/host_queue_p.h
@@ -28,7 +28,8 @@
 /// Which waiting task starts next. No I/O; not thread-safe.
 ///
 /// Answers this load: entries place tasks by views that are some ms old, so that more tasks than fit reach one host.
-/// The task with the least time left starts first; one that does not fit lets smaller ones pass.
+/// The task with the least time left starts first; one that does not fit lets smaller ones pass. In a burst that order
+/// alone would make everything late, so a task whose latest start has passed yields to those that can still be in time.
 class HostQueue
 {
 public:
@@ -36,7 +37,9 @@
     /// Removes a task. Does nothing when it is not there.
     void remove(std::int64_t id);
     /// Takes those tasks that fit into what is free, in the order in which they are to start.
-    std::vector<std::int64_t> takeStartable(wire::Resources free);
+    std::vector<std::int64_t> takeStartable(wire::Resources free, Time now);
+    /// Tasks that can still start in time, in the order in which they are to start.
+    std::vector<WaitingTask> waitingInTime(Time now) const;
 
     const std::vector<WaitingTask> &waiting() const
     {
@@ -44,6 +47,8 @@
     }
 
 private:
+    std::vector<WaitingTask>::iterator firstInTime(Time now);
+
     std::vector<WaitingTask> tasks; ///< by rising latest start
 };
 
--- a/src/host_server_p.h
+++ b/src/host_server_p.h
@@ -110,6 +110,7 @@
 {
     TaskName task;
     std::int64_t run = 0;
+    int percent = 0; ///< of its work that is done
 };
 
 struct EndedTask
--- a/tests/test_dispatch.cpp
+++ b/tests/test_dispatch.cpp
@@ -3,7 +3,9 @@
 #include "dispatch_core_p.h"
 #include "fakes.h"
 
+#include <algorithm>
 #include <optional>
+#include <variant>
 
 using namespace agatedrum;
 using namespace agatedrum::test;
@@ -113,7 +115,7 @@
         return found;
     }
     void answer(const std::string &host, const wire::RunTasks &order, wire::TaskPhase::type phase,
-                std::size_t index = 0)
+                std::size_t index = 0, int remainingMs = 0, int workMs = 0)
     {
         wire::TaskReports message;
         wire::TaskReport report;
@@ -121,6 +123,8 @@
         report.index = order.orders.at(index).index;
         report.order = order.orders.at(index).order;
         report.phase = phase;
+        report.remainingMicros = remainingMs * 1000LL;
+        report.workMicros = workMs * 1000LL;
         report.number = ++this->reportNumbers[host];
         message.reports = {report};
         message.host = this->report();
@@ -335,6 +339,37 @@
         }
     }
 
+    SECTION("a task that a slow host would end too late moves to another one, after the first has reported its end")
+    {
+        entry.submit("a", 1);
+        const auto order = entry.orders().at(0);
+        entry.hear("host-2");
+        entry.sink.take();
+        entry.clock.advance(Millis(50));
+        entry.answer("host-1", order, wire::TaskPhase::RUNNING, 0, 3000, 60);
+        REQUIRE(entry.sink.all<wire::StopTasks>().size() == 1);
+        REQUIRE(entry.orders().empty());
+        entry.core.tick();
+        REQUIRE(entry.orders().empty());
+        entry.answer("host-1", order, wire::TaskPhase::ENDED);
+        const auto moved = entry.sink.take();
+        const auto isOrder = [](const auto &sent) { return std::holds_alternative<wire::RunTasks>(sent.payload); };
+        const auto found = std::find_if(moved.begin(), moved.end(), isOrder);
+        REQUIRE(found != moved.end());
+        REQUIRE(std::get<wire::RunTasks>(found->payload).orders.at(0).estimateMicros == 60000);
+        REQUIRE(entry.outcomes.empty());
+    }
+
+    SECTION("a job that no host can end in the caller's time is given up at once and stops using room")
+    {
+        entry.submit("a", 1);
+        const auto order = entry.orders().at(0);
+        entry.clock.advance(Millis(50));
+        entry.answer("host-1", order, wire::TaskPhase::RUNNING, 0, 3000, 3000);
+        REQUIRE(entry.outcomes.at(0).end == JobEnd::Unfinished);
+        REQUIRE(entry.sink.all<wire::StopTasks>().size() == 1);
+    }
+
     SECTION("at the end of the caller's time the job is unfinished, not refused")
     {
         entry.submit("a", 1);
--- a/tests/test_host.cpp
+++ b/tests/test_host.cpp
@@ -306,6 +306,63 @@
     }
 }
 
+TEST_CASE("In a burst a task that is late already yields, or all that wait behind it would be late as well", "[host]")
+{
+    HostQueue queue;
+    const Time begin(std::chrono::hours(1));
+    wire::Resources room; // for one task at a time
+    room.cpuMillis = 6;
+    // Tasks of 50 ms arrive every 25 ms, each with 60 ms to start: twice what the host can do.
+    constexpr int taskMs = 50;
+    constexpr int count = 80;
+    int inTime = 0;
+    for (int ms = 0; ms < count * taskMs / 2; ms += taskMs / 2) {
+        WaitingTask task;
+        task.id = ms;
+        task.latestStart = begin + Millis(ms + 60);
+        task.demand = room;
+        task.expected = Millis(taskMs);
+        queue.add(task);
+        if (ms % taskMs == 0) {
+            const auto started = queue.takeStartable(room, begin + Millis(ms));
+            REQUIRE(started.size() == 1);
+            inTime += started[0] + 60 >= ms ? 1 : 0;
+        }
+    }
+    // All that start could be in time; in plain order of the latest start, nearly none is.
+    REQUIRE(inTime >= count / 2 * 9 / 10);
+    REQUIRE(queue.waitingInTime(begin + Millis(count * taskMs / 2)).size() <= 3);
+}
+
+TEST_CASE("A host warns the entry of a task that should end too late, so that it can run elsewhere", "[host]")
+{
+    HostFixture host;
+    host.becomeAccepting();
+    host.fromEntry(host.order("a", {0}, 6000, 100)); // estimate 100 ms, objective in 200 ms
+    host.answerStart(0, OrderOutcome::Accepted);
+    const auto progress = [&host](int ms, int percent) {
+        host.clock.advance(Millis(ms - 1));
+        host.keepLease();
+        host.sink.take();
+        host.answerHold(HostFixture::listing({{{"a", 0}, 1, percent}}));
+        return host.reports();
+    };
+    REQUIRE(progress(60, 30).empty());
+
+    SECTION("one that gets on as estimated brings no message")
+    {
+        REQUIRE(progress(60, 60).empty());
+    }
+    SECTION("one that a backend server slows down or stops brings its remaining time and its whole work")
+    {
+        const auto reports = progress(60, 31);
+        REQUIRE(reports.at(0).phase == wire::TaskPhase::RUNNING);
+        REQUIRE(reports.at(0).remainingMicros > 200000);
+        REQUIRE(reports.at(0).workMicros > 300000);
+        REQUIRE(progress(60, 32).empty()); // not with every answer of the backend server
+    }
+}
+
 TEST_CASE("The queue of a host starts the task with the least time left first", "[host]")
 {
     HostQueue queue;
@@ -323,7 +380,7 @@
     add(3, 200, 4);
     wire::Resources free;
     free.cpuMillis = 8;
-    REQUIRE(queue.takeStartable(free) == std::vector<std::int64_t> {2, 3});
+    REQUIRE(queue.takeStartable(free, now) == std::vector<std::int64_t> {2, 3});
 
     SECTION("the expected wait counts what runs and what waits")
     {
--- /dev/null
+++ b/tests/test_relocation.cpp
@@ -0,0 +1,115 @@
+#include <catch2/catch.hpp>
+
+#include "dispatch_relocation_p.h"
+#include "dispatch_stops_p.h"
+#include "host_progress_p.h"
+
+#include <algorithm>
+
+using namespace agatedrum;
+
+namespace {
+
+const Time begin(std::chrono::hours(1));
+
+Time at(int ms)
+{
+    return begin + Millis(ms);
+}
+
+Placement elsewhere(int endMs)
+{
+    return {0, Millis(0), Millis(endMs)};
+}
+
+} // namespace
+
+TEST_CASE("The progress of a run tells its end", "[relocation]")
+{
+    RunProgress progress(begin);
+
+    SECTION("nothing is said of a run that has just begun, or short tasks would seem slow")
+    {
+        progress.observe(1, at(60));
+        REQUIRE_FALSE(progress.remaining(at(60)));
+    }
+    SECTION("a steady run ends when its speed says, within a tenth")
+    {
+        for (int ms = 60; ms <= 600; ms += 60) {
+            progress.observe(ms / 13, at(ms)); // 1,300 ms in all
+        }
+        REQUIRE(*progress.remaining(at(600)) > Millis(630));
+        REQUIRE(*progress.remaining(at(600)) < Millis(770));
+        REQUIRE(*progress.total(at(600)) > Millis(1230));
+    }
+    SECTION("a backend server that turns slow shows within half a second, although the average still looks good")
+    {
+        for (int ms = 60; ms <= 600; ms += 60) {
+            progress.observe(ms / 10, at(ms));
+        }
+        for (int ms = 660; ms <= 1020; ms += 60) {
+            progress.observe(60 + (ms - 600) / 65, at(ms));
+        }
+        REQUIRE(*progress.remaining(at(1020)) > Millis(1700));
+    }
+    SECTION("a run that stands still has no end in sight")
+    {
+        for (int ms = 60; ms <= 900; ms += 60) {
+            progress.observe(std::min(ms, 300) / 10, at(ms));
+        }
+        REQUIRE(*progress.remaining(at(900)) > std::chrono::seconds(30));
+    }
+}
+
+TEST_CASE("A backend server counts as slow when most of its runs show it", "[relocation]")
+{
+    REQUIRE(presentSlowness(1.0, {9.0}) == 1.0);
+    REQUIRE(presentSlowness(1.0, {0.6, 0.9, 1.1, 9.0}) == 1.0);
+    REQUIRE(presentSlowness(1.0, {5.0, 6.5, 0.9, 7.0}) > 5.0);
+    REQUIRE(presentSlowness(1.0, {100.0, 100.0, 100.0}) <= 20.0);
+}
+
+TEST_CASE("A task is moved only when that changes what its caller gets", "[relocation]")
+{
+    const PlacementGoal goal {Millis(400), Millis(1400)};
+    REQUIRE(judgeRun(Millis(350), elsewhere(100), goal) == RunVerdict::Keep);
+    REQUIRE(judgeRun(Millis(600), elsewhere(200), goal) == RunVerdict::Move);
+    REQUIRE(judgeRun(Millis(600), elsewhere(390), goal) == RunVerdict::Keep);
+    REQUIRE(judgeRun(Millis(2000), elsewhere(800), goal) == RunVerdict::Move);
+
+    SECTION("a job that can end nowhere in time gives its room to others")
+    {
+        REQUIRE(judgeRun(Millis(2000), elsewhere(1500), goal) == RunVerdict::GiveUp);
+        REQUIRE(judgeRun(Millis(2000), Placement {}, goal) == RunVerdict::GiveUp);
+    }
+    SECTION("one that may still make it goes on, since the end is not certain")
+    {
+        REQUIRE(judgeRun(Millis(1500), Placement {}, goal) == RunVerdict::Keep);
+    }
+    SECTION("a late answer is still delivered")
+    {
+        REQUIRE(judgeRun(Millis(1300), Placement {}, goal) == RunVerdict::Keep);
+    }
+}
+
+TEST_CASE("A stop is repeated until its end is reported, since a message may be lost", "[relocation]")
+{
+    DispatchStops stops(Millis(200), Millis(3000));
+    stops.add(7, {"a", 1, "host-1"}, begin);
+    REQUIRE(stops.takeDue(begin).size() == 1);
+    REQUIRE(stops.takeDue(at(100)).empty());
+    REQUIRE(stops.takeDue(at(200)).size() == 1);
+    REQUIRE(stops.isPending("a", 1));
+    REQUIRE_FALSE(stops.isPending("a", 2));
+
+    SECTION("the end frees the task to be placed again")
+    {
+        stops.confirm(7);
+        REQUIRE_FALSE(stops.isPending("a", 1));
+    }
+    SECTION("after every lease has lapsed it is forgotten")
+    {
+        REQUIRE(stops.takeDue(at(3001)).empty());
+        REQUIRE_FALSE(stops.isPending("a", 1));
+    }
+}
