Refuse a task at once where the entry wrongly saw room

Cause: entries place by views up to 200 ms old and do not see each other's orders.

Change: an order says whether the entry knows that the task has to wait. If not, a host that cannot start it within 10 ms refuses it together with its newest report, and the entry places it again at once. After three refusals it waits where it is placed. Progress counts by the shortest remaining time that the percentages allow, so that the first moments of a run raise no alarm.

--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -143,7 +143,8 @@
 // entry -> host: extends the time for which the host runs the entry's tasks.
 struct HostContact { 1: i64 hostIncarnation; 2: i64 heardAtMicros; 3: i64 reportsSeen; }
 // order: unique among the orders of one entry process.
-struct TaskOrder { 1: i32 index; 2: i64 order; 3: Resources demand; 4: i64 estimateMicros; }
+// mayWait: the entry knows that the task has to wait there; otherwise a host without room refuses it at once.
+struct TaskOrder { 1: i32 index; 2: i64 order; 3: Resources demand; 4: i64 estimateMicros; 5: bool mayWait; }
 // startWithinMicros: time left until the task's latest useful start; it orders the host's queue.
 struct RunTasks {
   1: i64 hostIncarnation; 2: i64 heardAtMicros; 3: string job; 4: string spec; 5: i64 startWithinMicros;
--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -13,8 +13,10 @@
 namespace {
 
 constexpr auto part = "dispatch";
-/// A task that a host refused is placed again after this time, so that the host's new report arrives first.
+/// Delay before a task that was refused several times is placed again, so that refusals do not chase each other.
 constexpr Millis replaceDelay {5};
+/// Refusals for want of room after which a task waits where it is placed; views of entries are at times that wrong.
+constexpr int mostRefusals = 3;
 /// Above the time for which a task can run on at a host that is cut off.
 constexpr Millis stopMemory {3000};
 
@@ -187,6 +189,7 @@
         task.phase = TaskPhase::Ordered;
         task.host = choices[static_cast<std::size_t>(placements[i].host)].name;
         task.order = ++this->lastOrder;
+        task.mayWait = placements[i].start > Micros(0) || task.refusals >= mostRefusals;
         ordered.push_back(indexes[i]);
         auto *host = this->hosts.find(task.host);
         this->hosts.noteOrder(*host, wanted[i].demand, placements[i].end - placements[i].start,
@@ -226,6 +229,7 @@
         order.demand = request.demand;
         const auto estimate = task.work.value_or(request.estimate);
         order.estimateMicros = estimate.count();
+        order.mayWait = task.mayWait;
         message.orders.push_back(std::move(order));
         const auto slack = (job.objective - now - estimate).count();
         message.startWithinMicros
@@ -445,7 +449,8 @@
         ++this->counters.tasksEnded;
     } else {
         ++this->counters.tasksRefused;
-        task.retryAt = now + replaceDelay;
+        // The refusal came with the host's newest report; only a host that refuses again is left alone for a moment.
+        task.retryAt = ++task.refusals > mostRefusals ? now + replaceDelay : now;
     }
     this->placeUnplaced(id, job);
 }
--- a/src/dispatch_core_p.h
+++ b/src/dispatch_core_p.h
@@ -74,6 +74,8 @@
         Time retryAt;
         std::optional<Micros> work; ///< run time at the speed of estimates, as an earlier run showed
         std::string avoided; ///< host from which it was moved
+        int refusals = 0; ///< by hosts
+        bool mayWait = false; ///< the present order is for a host where it has to wait
     };
 
     struct Job
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -6136,6 +6136,10 @@
 void TaskOrder::__set_estimateMicros(const int64_t val) {
   this->estimateMicros = val;
 }
+
+void TaskOrder::__set_mayWait(const bool val) {
+  this->mayWait = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskOrder& obj)
 {
   obj.printTo(out);
@@ -6196,6 +6200,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->mayWait);
+          this->__isset.mayWait = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6229,6 +6241,10 @@
   xfer += oprot->writeI64(this->estimateMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("mayWait", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->mayWait);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6240,6 +6256,7 @@
   swap(a.order, b.order);
   swap(a.demand, b.demand);
   swap(a.estimateMicros, b.estimateMicros);
+  swap(a.mayWait, b.mayWait);
   swap(a.__isset, b.__isset);
 }
 
@@ -6248,6 +6265,7 @@
   order = other212.order;
   demand = other212.demand;
   estimateMicros = other212.estimateMicros;
+  mayWait = other212.mayWait;
   __isset = other212.__isset;
 }
 TaskOrder::TaskOrder(TaskOrder&& other213) noexcept {
@@ -6255,6 +6273,7 @@
   order = other213.order;
   demand = std::move(other213.demand);
   estimateMicros = other213.estimateMicros;
+  mayWait = other213.mayWait;
   __isset = other213.__isset;
 }
 TaskOrder& TaskOrder::operator=(const TaskOrder& other214) noexcept {
@@ -6262,6 +6281,7 @@
   order = other214.order;
   demand = other214.demand;
   estimateMicros = other214.estimateMicros;
+  mayWait = other214.mayWait;
   __isset = other214.__isset;
   return *this;
 }
@@ -6270,6 +6290,7 @@
   order = other215.order;
   demand = std::move(other215.demand);
   estimateMicros = other215.estimateMicros;
+  mayWait = other215.mayWait;
   __isset = other215.__isset;
   return *this;
 }
@@ -6280,6 +6301,7 @@
   out << ", " << "order=" << to_string(order);
   out << ", " << "demand=" << to_string(demand);
   out << ", " << "estimateMicros=" << to_string(estimateMicros);
+  out << ", " << "mayWait=" << to_string(mayWait);
   out << ")";
 }
 
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -2460,11 +2460,12 @@
 std::ostream& operator<<(std::ostream& out, const HostContact& obj);
 
 typedef struct _TaskOrder__isset {
-  _TaskOrder__isset() : index(false), order(false), demand(false), estimateMicros(false) {}
+  _TaskOrder__isset() : index(false), order(false), demand(false), estimateMicros(false), mayWait(false) {}
   bool index :1;
   bool order :1;
   bool demand :1;
   bool estimateMicros :1;
+  bool mayWait :1;
 } _TaskOrder__isset;
 
 class TaskOrder : public virtual ::apache::thrift::TBase {
@@ -2477,7 +2478,8 @@
   TaskOrder() noexcept
             : index(0),
               order(0),
-              estimateMicros(0) {
+              estimateMicros(0),
+              mayWait(0) {
   }
 
   virtual ~TaskOrder() noexcept;
@@ -2485,6 +2487,7 @@
   int64_t order;
   Resources demand;
   int64_t estimateMicros;
+  bool mayWait;
 
   _TaskOrder__isset __isset;
 
@@ -2496,6 +2499,8 @@
 
   void __set_estimateMicros(const int64_t val);
 
+  void __set_mayWait(const bool val);
+
   bool operator == (const TaskOrder & rhs) const
   {
     if (!(index == rhs.index))
@@ -2506,6 +2511,8 @@
       return false;
     if (!(estimateMicros == rhs.estimateMicros))
       return false;
+    if (!(mayWait == rhs.mayWait))
+      return false;
     return true;
   }
   bool operator != (const TaskOrder &rhs) const {
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -16,6 +16,7 @@
 constexpr Millis unreachableDelay {100}; ///< between holds while no connection can be made
 constexpr Millis runMemory {30000}; ///< above the time after which a caller may send a job again
 constexpr Millis stopRepeat {150};
+constexpr Micros worthWaiting = Millis(10); ///< longer than the way to another host through the entry
 constexpr Millis warningInterval {150}; ///< between warnings of one task
 constexpr std::size_t endsPage = 100; ///< an answer with more ends may not have them all
 constexpr std::int64_t runStep = 8; ///< skipped when a run is too low for a backend server that remembers more
@@ -130,6 +131,10 @@
         this->refuse(entry, message.job, order, "the demand exceeds the backend server");
         return;
     }
+    if (!order.mayWait && this->startDelayOf(order.demand) > worthWaiting) {
+        this->refuse(entry, message.job, order, "there is no room for it now");
+        return;
+    }
     const auto now = this->clock.now();
     const auto id = ++this->lastId;
     HostTask task;
@@ -230,6 +235,13 @@
     report.labels = this->registered->labels;
     report.failureDomain = this->registered->failureDomain;
     report.reserved = this->reserved();
+    report.startDelayMicros = this->startDelayOf(this->commonDemand).count();
+    return report;
+}
+
+Micros HostCore::startDelayOf(const wire::Resources &demand) const
+{
+    const auto now = this->clock.now();
     std::vector<OccupyingTask> occupying;
     for (const auto &[id, task] : this->tasks) {
         if (task.phase == Phase::Waiting) {
@@ -240,9 +252,7 @@
         const auto left = std::max<Micros>(expected - (now - task.startedAt), expected / 4);
         occupying.push_back({task.demand, task.progress.remaining(now).value_or(left)});
     }
-    report.startDelayMicros
-        = expectedStartDelay(report.capacity, occupying, this->queue.waitingInTime(now), this->commonDemand).count();
-    return report;
+    return expectedStartDelay(this->registered->capacity, occupying, this->queue.waitingInTime(now), demand);
 }
 
 void HostCore::sendHostReport(const std::vector<wire::Endpoint> &to)
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -133,6 +133,8 @@
     wire::Resources reserved() const;
     Micros expectedRun(Micros estimate) const;
     double currentSlowness() const;
+    /// Expected wait of one more task. Precondition: a backend server is registered.
+    Micros startDelayOf(const wire::Resources &demand) const;
 
     MessageSinkI &sink;
     const ClockI &clock;
--- a/src/host_progress.cpp
+++ b/src/host_progress.cpp
@@ -9,8 +9,8 @@
 constexpr Millis speedWindow {300}; ///< long enough for some percent of a task of a second
 constexpr Millis sampleInterval {30};
 constexpr Millis shortestEvidence {100};
-/// The percentage is cut to a whole number, so a run is half a percent further on average.
-constexpr double roundedOff = 0.5;
+/// The percentage is cut to a whole number, so a run may be this much further.
+constexpr int roundedOff = 1;
 constexpr Micros longestRemaining = std::chrono::seconds(60);
 constexpr std::size_t fewestRuns = 3;
 constexpr double clearlySlower = 2.0; ///< above what rough estimates do to the median of a few tasks
@@ -42,10 +42,9 @@
     }
     const auto &first = this->samples.front();
     const auto &last = this->samples.back();
-    const auto done = std::max(roundedOff, static_cast<double>(last.percent - first.percent));
-    const auto left = std::max(0.0, 100 - roundedOff - static_cast<double>(last.percent));
-    const auto micros = static_cast<double>((last.at - first.at).count()) * left / done;
-    const auto fromLast = std::min(longestRemaining, Micros(static_cast<std::int64_t>(micros)));
+    const int done = std::max(0, last.percent - first.percent) + roundedOff;
+    const int left = std::max(0, 100 - last.percent - roundedOff);
+    const auto fromLast = std::min(longestRemaining, (last.at - first.at) * left / done);
     return std::max(Micros(0), fromLast - (now - last.at));
 }
 
--- a/src/host_progress_p.h
+++ b/src/host_progress_p.h
@@ -20,9 +20,9 @@
 
     /// @param percent of the work that is done, 0 to 100
     void observe(int percent, Time now);
-    /// Time until the end at the speed of the last moments; nothing while too little was seen.
+    /// Shortest time until the end that the speed of the last moments allows; nothing while too little was seen.
     std::optional<Micros> remaining(Time now) const;
-    /// Time from start to end at the speed of the last moments; nothing while too little was seen.
+    /// Time from start to end by the same reckoning; nothing while too little was seen.
     std::optional<Micros> total(Time now) const;
 
 private:
--- a/tests/host_fixture.h
+++ b/tests/host_fixture.h
@@ -133,6 +133,7 @@
             task.demand.cpuMillis = cpuMillis;
             task.demand.memoryMb = 10;
             task.estimateMicros = 100000;
+            task.mayWait = true;
             message.orders.push_back(task);
         }
         return message;
--- a/tests/test_dispatch.cpp
+++ b/tests/test_dispatch.cpp
@@ -339,6 +339,18 @@
         }
     }
 
+    SECTION("a task that a host refuses is placed again at once, and after some refusals it waits where it is placed")
+    {
+        entry.submit("a", 1);
+        for (int refusals = 0; refusals < 3; ++refusals) {
+            const auto order = entry.orders().at(0);
+            REQUIRE_FALSE(order.orders.at(0).mayWait);
+            entry.answer("host-1", order, wire::TaskPhase::REFUSED);
+        }
+        REQUIRE(entry.orders().at(0).orders.at(0).mayWait);
+        REQUIRE(entry.outcomes.empty());
+    }
+
     SECTION("a task that a slow host would end too late moves to another one, after the first has reported its end")
     {
         entry.submit("a", 1);
--- a/tests/test_host.cpp
+++ b/tests/test_host.cpp
@@ -83,6 +83,34 @@
         }
     }
 
+    SECTION("an order of an entry that saw room is refused at once when there is none, so that it can go elsewhere")
+    {
+        // Guards against tasks that wait behind those of another entry while other hosts are idle.
+        host.becomeAccepting();
+        host.fromEntry(host.order("a", {0, 1}));
+        host.sink.take();
+        auto order = host.order("b", {5});
+        order.orders[0].mayWait = false;
+        host.fromEntry(order);
+        const auto sent = host.sink.all<wire::TaskReports>();
+        REQUIRE(sent.size() == 1);
+        REQUIRE(sent[0].reports.back().phase == wire::TaskPhase::REFUSED);
+        REQUIRE(sent[0].host.reserved.cpuMillis == 12000);
+
+        SECTION("unless a running task is about to end")
+        {
+            host.answerStart(0, OrderOutcome::Accepted);
+            host.clock.advance(Millis(102));
+            host.keepLease();
+            host.answerHold(HostFixture::listing({{{"a", 0}, 1, 96}, {{"a", 1}, 1, 20}}));
+            host.sink.take();
+            auto later = host.order("c", {6});
+            later.orders[0].mayWait = false;
+            host.fromEntry(later);
+            REQUIRE(host.reports().at(6).phase == wire::TaskPhase::QUEUED);
+        }
+    }
+
     SECTION("a demand above the whole backend server is refused at once")
     {
         host.becomeAccepting();
