Move by the expected end of a run, give up by the least

Change: a host reports both times. The entry moves a task by the expected one and gives a job up by the least.

Ruled out: fast hosts without room for long tasks.

--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -156,6 +156,7 @@
   1: string job; 2: i32 index; 3: i64 order; 4: TaskPhase phase; 5: i64 runMicros; 6: string reason; 7: i64 number;
   8: i64 remainingMicros;  // with RUNNING, for a task that should end too late: time until its end; 0 for none
   9: i64 workMicros;       // with remainingMicros: run time at the speed that estimates mean
+  10: i64 leastRemainingMicros;  // with remainingMicros: the shortest time that the run's progress allows
 }
 struct TaskReports { 1: list<TaskReport> reports; 2: HostReport host; }
 
--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -467,7 +467,7 @@
     leaveOut(task.host, choices);
     const auto goal = goalOf(job, this->clock.now());
     const auto other = placeTasks({wanted}, goal, choices, this->options.farFactor).front();
-    const auto verdict = judgeRun(Micros(report.remainingMicros), other, goal);
+    const auto verdict = judgeRun({Micros(report.remainingMicros), Micros(report.leastRemainingMicros)}, other, goal);
     if (verdict == RunVerdict::Keep) {
         return;
     }
--- a/src/dispatch_relocation.cpp
+++ b/src/dispatch_relocation.cpp
@@ -7,8 +7,6 @@
 constexpr Micros stopTime = Millis(20); ///< until the stopped run is reported as ended, in most cases
 /// What is known of the other host is less certain than the progress of a run.
 constexpr double caution = 1.2;
-/// Share of the remaining time by which the progress of a run may mislead.
-constexpr double giveUpMargin = 1.2;
 
 bool endsBy(const Placement &other, Micros limit)
 {
@@ -18,16 +16,15 @@
 
 } // namespace
 
-RunVerdict judgeRun(Micros remaining, const Placement &other, const PlacementGoal &goal)
+RunVerdict judgeRun(const RunOutlook &outlook, const Placement &other, const PlacementGoal &goal)
 {
-    const bool isLate = remaining > goal.objective;
-    const bool isLost = remaining > goal.deadline;
+    const bool isLate = outlook.expected > goal.objective;
+    const bool isLost = outlook.expected > goal.deadline;
     if ((isLate && endsBy(other, goal.objective)) || (isLost && endsBy(other, goal.deadline))) {
         return RunVerdict::Move;
     }
-    const auto certain = static_cast<double>(goal.deadline.count()) * giveUpMargin;
     const bool canEndElsewhere = other.host >= 0 && other.end + stopTime <= goal.deadline;
-    return static_cast<double>(remaining.count()) > certain && !canEndElsewhere ? RunVerdict::GiveUp : RunVerdict::Keep;
+    return outlook.least > goal.deadline && !canEndElsewhere ? RunVerdict::GiveUp : RunVerdict::Keep;
 }
 
 } // namespace agatedrum
--- a/src/dispatch_relocation_p.h
+++ b/src/dispatch_relocation_p.h
@@ -4,6 +4,13 @@
 
 namespace agatedrum {
 
+/// Time until a task ends where it runs.
+struct RunOutlook
+{
+    Micros expected {0};
+    Micros least {0};
+};
+
 /// What to do about a task that gets on too slowly.
 enum class RunVerdict {
     Keep,
@@ -17,8 +24,7 @@
 /// server turns slow or stops while its tasks run, and faster ones have room. A task is moved only when that turns a
 /// late answer into one in time, or a lost one into one before the deadline, since its work so far is thrown away. A
 /// job whose answer would come after the caller has gone gives its room to others at once.
-/// @param remaining time until the task ends where it runs
 /// @param other where else it could run from the start; its times count from now
-RunVerdict judgeRun(Micros remaining, const Placement &other, const PlacementGoal &goal);
+RunVerdict judgeRun(const RunOutlook &outlook, const Placement &other, const PlacementGoal &goal);
 
 } // namespace agatedrum
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -6829,6 +6829,10 @@
 void TaskReport::__set_workMicros(const int64_t val) {
   this->workMicros = val;
 }
+
+void TaskReport::__set_leastRemainingMicros(const int64_t val) {
+  this->leastRemainingMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskReport& obj)
 {
   obj.printTo(out);
@@ -6931,6 +6935,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leastRemainingMicros);
+          this->__isset.leastRemainingMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6984,6 +6996,10 @@
   xfer += oprot->writeI64(this->workMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leastRemainingMicros", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->leastRemainingMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7000,6 +7016,7 @@
   swap(a.number, b.number);
   swap(a.remainingMicros, b.remainingMicros);
   swap(a.workMicros, b.workMicros);
+  swap(a.leastRemainingMicros, b.leastRemainingMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -7013,6 +7030,7 @@
   number = other237.number;
   remainingMicros = other237.remainingMicros;
   workMicros = other237.workMicros;
+  leastRemainingMicros = other237.leastRemainingMicros;
   __isset = other237.__isset;
 }
 TaskReport::TaskReport(TaskReport&& other238) noexcept {
@@ -7025,6 +7043,7 @@
   number = other238.number;
   remainingMicros = other238.remainingMicros;
   workMicros = other238.workMicros;
+  leastRemainingMicros = other238.leastRemainingMicros;
   __isset = other238.__isset;
 }
 TaskReport& TaskReport::operator=(const TaskReport& other239) {
@@ -7037,6 +7056,7 @@
   number = other239.number;
   remainingMicros = other239.remainingMicros;
   workMicros = other239.workMicros;
+  leastRemainingMicros = other239.leastRemainingMicros;
   __isset = other239.__isset;
   return *this;
 }
@@ -7050,6 +7070,7 @@
   number = other240.number;
   remainingMicros = other240.remainingMicros;
   workMicros = other240.workMicros;
+  leastRemainingMicros = other240.leastRemainingMicros;
   __isset = other240.__isset;
   return *this;
 }
@@ -7065,6 +7086,7 @@
   out << ", " << "number=" << to_string(number);
   out << ", " << "remainingMicros=" << to_string(remainingMicros);
   out << ", " << "workMicros=" << to_string(workMicros);
+  out << ", " << "leastRemainingMicros=" << to_string(leastRemainingMicros);
   out << ")";
 }
 
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -2697,7 +2697,7 @@
 std::ostream& operator<<(std::ostream& out, const StopTasks& obj);
 
 typedef struct _TaskReport__isset {
-  _TaskReport__isset() : job(false), index(false), order(false), phase(false), runMicros(false), reason(false), number(false), remainingMicros(false), workMicros(false) {}
+  _TaskReport__isset() : job(false), index(false), order(false), phase(false), runMicros(false), reason(false), number(false), remainingMicros(false), workMicros(false), leastRemainingMicros(false) {}
   bool job :1;
   bool index :1;
   bool order :1;
@@ -2707,6 +2707,7 @@
   bool number :1;
   bool remainingMicros :1;
   bool workMicros :1;
+  bool leastRemainingMicros :1;
 } _TaskReport__isset;
 
 class TaskReport : public virtual ::apache::thrift::TBase {
@@ -2725,7 +2726,8 @@
                reason(),
                number(0),
                remainingMicros(0),
-               workMicros(0) {
+               workMicros(0),
+               leastRemainingMicros(0) {
   }
 
   virtual ~TaskReport() noexcept;
@@ -2742,6 +2744,7 @@
   int64_t number;
   int64_t remainingMicros;
   int64_t workMicros;
+  int64_t leastRemainingMicros;
 
   _TaskReport__isset __isset;
 
@@ -2763,6 +2766,8 @@
 
   void __set_workMicros(const int64_t val);
 
+  void __set_leastRemainingMicros(const int64_t val);
+
   bool operator == (const TaskReport & rhs) const
   {
     if (!(job == rhs.job))
@@ -2783,6 +2788,8 @@
       return false;
     if (!(workMicros == rhs.workMicros))
       return false;
+    if (!(leastRemainingMicros == rhs.leastRemainingMicros))
+      return false;
     return true;
   }
   bool operator != (const TaskReport &rhs) const {
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -717,6 +717,7 @@
             wire::TaskReport report;
             report.phase = wire::TaskPhase::RUNNING;
             report.remainingMicros = remaining->count();
+            report.leastRemainingMicros = task.progress.leastRemaining(now).value_or(*remaining).count();
             report.workMicros = static_cast<std::int64_t>(work);
             this->report(task, std::move(report));
         }
--- a/src/host_progress.cpp
+++ b/src/host_progress.cpp
@@ -9,8 +9,9 @@
 constexpr Millis speedWindow {300}; ///< long enough for some percent of a task of a second
 constexpr Millis sampleInterval {30};
 constexpr Millis shortestEvidence {100};
-/// The percentage is cut to a whole number, so a run may be this much further.
-constexpr int roundedOff = 1;
+/// The percentage is cut to a whole number, so a run is further by this, on average and at most.
+constexpr double meanCut = 0.5;
+constexpr double mostCut = 1.0;
 constexpr Micros longestRemaining = std::chrono::seconds(60);
 constexpr std::size_t fewestRuns = 3;
 constexpr double clearlySlower = 2.0; ///< above what rough estimates do to the median of a few tasks
@@ -36,15 +37,27 @@
 }
 
 std::optional<Micros> RunProgress::remaining(Time now) const
+{
+    const bool isFromStart = !this->samples.empty() && this->samples.front().at == this->startedAt;
+    return this->remainingIf(isFromStart ? 0 : meanCut, meanCut, now);
+}
+
+std::optional<Micros> RunProgress::leastRemaining(Time now) const
+{
+    return this->remainingIf(0, mostCut, now);
+}
+
+std::optional<Micros> RunProgress::remainingIf(double firstCut, double lastCut, Time now) const
 {
     if (this->samples.size() < 2 || this->samples.back().at - this->samples.front().at < shortestEvidence) {
         return std::nullopt;
     }
     const auto &first = this->samples.front();
     const auto &last = this->samples.back();
-    const int done = std::max(0, last.percent - first.percent) + roundedOff;
-    const int left = std::max(0, 100 - last.percent - roundedOff);
-    const auto fromLast = std::min(longestRemaining, (last.at - first.at) * left / done);
+    const double done = std::max(meanCut, last.percent + lastCut - first.percent - firstCut);
+    const double left = std::max(0.0, 100 - last.percent - lastCut);
+    const auto micros = static_cast<double>((last.at - first.at).count()) * left / done;
+    const auto fromLast = std::min(longestRemaining, Micros(static_cast<std::int64_t>(micros)));
     return std::max(Micros(0), fromLast - (now - last.at));
 }
 
--- a/src/host_progress_p.h
+++ b/src/host_progress_p.h
@@ -20,9 +20,11 @@
 
     /// @param percent of the work that is done, 0 to 100
     void observe(int percent, Time now);
-    /// Shortest time until the end that the speed of the last moments allows; nothing while too little was seen.
+    /// Expected time until the end at the speed of the last moments; nothing while too little was seen.
     std::optional<Micros> remaining(Time now) const;
-    /// Time from start to end by the same reckoning; nothing while too little was seen.
+    /// Shortest time until the end that this speed allows, since percentages are cut to whole numbers.
+    std::optional<Micros> leastRemaining(Time now) const;
+    /// Expected time from start to end at this speed; nothing while too little was seen.
     std::optional<Micros> total(Time now) const;
 
 private:
@@ -32,6 +34,9 @@
         int percent = 0;
     };
 
+    /// @param firstCut,lastCut what was cut off the first and the last percentage
+    std::optional<Micros> remainingIf(double firstCut, double lastCut, Time now) const;
+
     Time startedAt;
     std::deque<Sample> samples; ///< by time
 };
--- a/tests/test_dispatch.cpp
+++ b/tests/test_dispatch.cpp
@@ -124,6 +124,7 @@
         report.order = order.orders.at(index).order;
         report.phase = phase;
         report.remainingMicros = remainingMs * 1000LL;
+        report.leastRemainingMicros = report.remainingMicros;
         report.workMicros = workMs * 1000LL;
         report.number = ++this->reportNumbers[host];
         message.reports = {report};
--- a/tests/test_relocation.cpp
+++ b/tests/test_relocation.cpp
@@ -17,6 +17,11 @@
     return begin + Millis(ms);
 }
 
+RunOutlook steady(int remainingMs)
+{
+    return {Millis(remainingMs), Millis(remainingMs)};
+}
+
 Placement elsewhere(int endMs)
 {
     return {0, Millis(0), Millis(endMs)};
@@ -62,7 +67,7 @@
     SECTION("the few percent of a first moment bring no alarm, or jobs would be given up that end in time")
     {
         progress.observe(6, at(104)); // 6.9 % of a task of 1,500 ms
-        REQUIRE(*progress.remaining(at(104)) < Millis(1400));
+        REQUIRE(*progress.leastRemaining(at(104)) < Millis(1400));
     }
 }
 
@@ -77,23 +82,23 @@
 TEST_CASE("A task is moved only when that changes what its caller gets", "[relocation]")
 {
     const PlacementGoal goal {Millis(400), Millis(1400)};
-    REQUIRE(judgeRun(Millis(350), elsewhere(100), goal) == RunVerdict::Keep);
-    REQUIRE(judgeRun(Millis(600), elsewhere(200), goal) == RunVerdict::Move);
-    REQUIRE(judgeRun(Millis(600), elsewhere(390), goal) == RunVerdict::Keep);
-    REQUIRE(judgeRun(Millis(2000), elsewhere(800), goal) == RunVerdict::Move);
+    REQUIRE(judgeRun(steady(350), elsewhere(100), goal) == RunVerdict::Keep);
+    REQUIRE(judgeRun(steady(600), elsewhere(200), goal) == RunVerdict::Move);
+    REQUIRE(judgeRun(steady(600), elsewhere(390), goal) == RunVerdict::Keep);
+    REQUIRE(judgeRun(steady(2000), elsewhere(800), goal) == RunVerdict::Move);
 
     SECTION("a job that can end nowhere in time gives its room to others")
     {
-        REQUIRE(judgeRun(Millis(2000), elsewhere(1500), goal) == RunVerdict::GiveUp);
-        REQUIRE(judgeRun(Millis(2000), Placement {}, goal) == RunVerdict::GiveUp);
+        REQUIRE(judgeRun(steady(2000), elsewhere(1500), goal) == RunVerdict::GiveUp);
+        REQUIRE(judgeRun(steady(2000), Placement {}, goal) == RunVerdict::GiveUp);
     }
     SECTION("one that may still make it goes on, since the end is not certain")
     {
-        REQUIRE(judgeRun(Millis(1500), Placement {}, goal) == RunVerdict::Keep);
+        REQUIRE(judgeRun({Millis(1700), Millis(1390)}, Placement {}, goal) == RunVerdict::Keep);
     }
     SECTION("a late answer is still delivered")
     {
-        REQUIRE(judgeRun(Millis(1300), Placement {}, goal) == RunVerdict::Keep);
+        REQUIRE(judgeRun(steady(1300), Placement {}, goal) == RunVerdict::Keep);
     }
 }
 
