Learn run times without the fixed part of a task's time

Cause: each task takes about 25 ms at a host besides its run. Learned speeds were the plain ratio of time to estimate, so tasks of 60 ms made hosts of speed 1.7 look as slow as 1.1 and hosts of speed 0.7 as slow as 3.7.

Ruled out: placement that prefers fast hosts too much (test-placement-load passed before the change), rough estimates (long tasks learned the speed within a tenth).

Change: RunTimes learns the run without the fixed part, by short tasks less than by long ones; hosts and entries add the fixed part to what they expect.

--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -185,6 +185,12 @@
 #define AGATEDRUM_HOST_REPEAT_MS 200
 #endif
 
+/// Time in milliseconds that a task takes at a host beyond its run: the order to start it, its beginning, and the way
+/// of its end through the list. It does not depend on the backend server's speed.
+#ifndef AGATEDRUM_TASK_OVERHEAD_MS
+#define AGATEDRUM_TASK_OVERHEAD_MS 25
+#endif
+
 /// Time without a report after which an entry counts a host and the tasks there as lost, in milliseconds.
 #ifndef AGATEDRUM_HOST_SILENT_MS
 #define AGATEDRUM_HOST_SILENT_MS 700
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -153,7 +153,7 @@
     waiting.id = id;
     waiting.priority = message.priority;
     waiting.demand = order.demand;
-    waiting.expected = this->expectedRun(task.estimate);
+    waiting.expected = this->runTimes.expected(task.estimate);
     waiting.latestStart = objective - waiting.expected;
     this->queue.add(waiting);
     this->byName[name] = id;
@@ -248,7 +248,7 @@
             continue;
         }
         // While its progress is not known, a task past its estimate is expected to last a quarter of it more.
-        const auto expected = this->expectedRun(task.estimate);
+        const auto expected = this->runTimes.expected(task.estimate);
         const auto left = std::max<Micros>(expected - (now - task.startedAt), expected / 4);
         occupying.push_back({task.demand, task.progress.remaining(now).value_or(left)});
     }
@@ -267,11 +267,6 @@
 
 // Tasks.
 
-Micros HostCore::expectedRun(Micros estimate) const
-{
-    return Micros(static_cast<std::int64_t>(static_cast<double>(estimate.count()) * this->slowness));
-}
-
 wire::Resources HostCore::reserved() const
 {
     wire::Resources sum;
@@ -418,7 +413,7 @@
               {"waitMs", task.run == 0 ? 0 : millis(task.startedAt - task.takenAt)},
               {"runMs", millis(runTime)},
               {"estimateMs", millis(task.estimate)},
-              {"slowness", fmt::format("{:.2f}", this->slowness)},
+              {"slowness", fmt::format("{:.2f}", this->runTimes.slowness())},
               {"reason", reason}});
     this->report(task, phase, reason, runTime);
 }
@@ -460,14 +455,6 @@
     }
 }
 
-void HostCore::learn(Micros estimate, Micros runTime)
-{
-    constexpr double weight = 0.08; // about the last twelve tasks
-    constexpr double highest = 20;
-    const auto ratio = static_cast<double>(runTime.count()) / static_cast<double>(estimate.count());
-    this->slowness += weight * (std::min(ratio, highest) - this->slowness);
-}
-
 double HostCore::currentSlowness() const
 {
     const auto now = this->clock.now();
@@ -475,10 +462,10 @@
     for (const auto &[id, task] : this->tasks) {
         const auto total = task.phase == Phase::Running ? task.progress.total(now) : std::nullopt;
         if (total) {
-            present.push_back(static_cast<double>(total->count()) / static_cast<double>(task.estimate.count()));
+            present.push_back(slownessOf(task.estimate, *total));
         }
     }
-    return presentSlowness(this->slowness, std::move(present));
+    return presentSlowness(this->runTimes.slowness(), std::move(present));
 }
 
 // Backend server.
@@ -553,7 +540,7 @@
     this->isHolding = false;
     this->heldAt = Time {};
     this->nextHold = Time {};
-    this->slowness = 1.0;
+    this->runTimes = RunTimes();
     this->failureShare = 0.0;
 }
 
@@ -650,7 +637,7 @@
         const auto &task = this->tasks.at(id);
         const auto runTime = this->clock.now() - task.startedAt;
         if (end.how == RunEnd::Done) {
-            this->learn(task.estimate, runTime);
+            this->runTimes.learn(task.estimate, runTime);
             this->failureShare -= weight * this->failureShare;
             this->finish(id, wire::TaskPhase::SUCCEEDED, {}, runTime);
         } else if (end.how == RunEnd::Failed) {
@@ -712,8 +699,8 @@
         const auto end = now + *remaining;
         if ((now < task.objective && end > task.objective) || end > task.giveUpAt) {
             task.warnedAt = now;
-            const auto total = now + *remaining - task.startedAt;
-            const auto work = static_cast<double>(total.count()) / current;
+            const auto run = runPart(now + *remaining - task.startedAt);
+            const auto work = static_cast<double>(run.count()) / current;
             wire::TaskReport report;
             report.phase = wire::TaskPhase::RUNNING;
             report.remainingMicros = remaining->count();
@@ -787,7 +774,7 @@
     return {{"server", this->life()},
             {"accepting", this->isAccepting()},
             {"fence", this->fence},
-            {"slowness", this->slowness},
+            {"slowness", this->runTimes.slowness()},
             {"failureShare", this->failureShare},
             {"tasks", tasks},
             {"counters",
@@ -801,7 +788,7 @@
               {"host_server_lives_total", this->counters.serverLives},
               {"host_tasks_waiting", this->queue.waiting().size()},
               {"host_cpu_millis_reserved", reserved.cpuMillis},
-              {"host_slowness", this->slowness},
+              {"host_slowness", this->runTimes.slowness()},
               {"host_failure_share", this->failureShare},
               {"host_accepting", this->isAccepting() ? 1 : 0}}}};
 }
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -122,7 +122,6 @@
     void takeRunning(const HoldReply &reply, Time sentAt);
     void stopForeign(const RunningTask &running);
     void warnOfLateRuns();
-    void learn(Micros estimate, Micros runTime);
     void keepHold();
     void beginLife(const ServerRegistration &registration);
     void endLife(const std::string &reason);
@@ -131,7 +130,6 @@
     std::string life() const;
     bool isAccepting() const;
     wire::Resources reserved() const;
-    Micros expectedRun(Micros estimate) const;
     double currentSlowness() const;
     /// Expected wait of one more task. Precondition: a backend server is registered.
     Micros startDelayOf(const wire::Resources &demand) const;
@@ -165,7 +163,7 @@
     HostEntries entries;
     std::int64_t lastId = 0;
     wire::Resources commonDemand; ///< of recent tasks
-    double slowness = 1.0;
+    RunTimes runTimes;
     double failureShare = 0.0;
     Counters counters;
     bool wasAccepting = false;
--- a/src/host_progress.cpp
+++ b/src/host_progress.cpp
@@ -1,5 +1,7 @@
 #include "host_progress_p.h"
 
+#include "agatedrum/config.h"
+
 #include <algorithm>
 
 namespace agatedrum {
@@ -16,6 +18,10 @@
 constexpr std::size_t fewestRuns = 3;
 constexpr double clearlySlower = 2.0; ///< above what rough estimates do to the median of a few tasks
 constexpr double highestSlowness = 20.0;
+constexpr Millis overhead {AGATEDRUM_TASK_OVERHEAD_MS};
+constexpr int mostOverhead = 4; ///< at least a fourth of the time counts as run
+constexpr Micros certainEstimate = Millis(100);
+constexpr double learnWeight = 0.08; ///< about the last twelve tasks
 
 } // namespace
 
@@ -67,6 +73,29 @@
     return left ? std::optional<Micros>(now - this->startedAt + *left) : std::nullopt;
 }
 
+Micros runPart(Micros time)
+{
+    return std::max(time - Micros(overhead), time / mostOverhead);
+}
+
+double slownessOf(Micros estimate, Micros runTime)
+{
+    return static_cast<double>(runPart(runTime).count()) / static_cast<double>(std::max(Micros(1), estimate).count());
+}
+
+void RunTimes::learn(Micros estimate, Micros runTime)
+{
+    // A short task says less, since the fixed part of its time varies.
+    const auto certainty = std::min(1.0, static_cast<double>(estimate.count()) / certainEstimate.count());
+    const auto ratio = std::min(slownessOf(estimate, runTime), highestSlowness);
+    this->learned += learnWeight * certainty * (ratio - this->learned);
+}
+
+Micros RunTimes::expected(Micros estimate) const
+{
+    return overhead + Micros(static_cast<std::int64_t>(static_cast<double>(estimate.count()) * this->learned));
+}
+
 double presentSlowness(double learned, std::vector<double> present)
 {
     if (present.size() < fewestRuns) {
--- a/src/host_progress_p.h
+++ b/src/host_progress_p.h
@@ -41,6 +41,32 @@
     std::deque<Sample> samples; ///< by time
 };
 
+/// What tasks of an estimate take on one backend server. Not thread-safe.
+///
+/// Answers this load: many short tasks among few long ones. Each task takes a fixed time besides its run, which would
+/// make a fast backend server seem slow by its short tasks, and a slow one so slow that it stays idle.
+class RunTimes
+{
+public:
+    /// Learns from a task that has ended with success.
+    void learn(Micros estimate, Micros runTime);
+    /// Expected time from the order to start until the end is known.
+    Micros expected(Micros estimate) const;
+    /// Run time relative to the estimate, of recent tasks.
+    double slowness() const
+    {
+        return this->learned;
+    }
+
+private:
+    double learned = 1.0;
+};
+
+/// The part of a task's time that depends on its work.
+Micros runPart(Micros time);
+/// Run time without the fixed part, relative to the estimate.
+double slownessOf(Micros estimate, Micros runTime);
+
 /// Run time of tasks relative to their estimates, from what ended runs taught and what present runs show.
 ///
 /// A backend server that turns slow shows it in most of its runs at once, before any of them ends; a single long task
--- a/tests/test_placement_load.cpp
+++ b/tests/test_placement_load.cpp
@@ -71,8 +71,8 @@
                 task.estimate = Micros(static_cast<std::int64_t>(kinds[kind].runMs * 1000 * spread(random)));
                 const auto count = static_cast<std::size_t>(std::max(1.0, kinds[kind].meanTasks * spread(random)));
                 const auto objective = Micros(task.estimate.count() * 16 / 10) + Millis(60);
-                const auto placements = placeTasks(std::vector<TaskRequest>(count, task), {objective, Millis(1500)},
-                                                   hosts, 1.0);
+                const auto placements
+                    = placeTasks(std::vector<TaskRequest>(count, task), {objective, Millis(1500)}, hosts, 1.0);
                 for (const auto &placement : placements) {
                     const auto host = static_cast<std::size_t>(placement.host);
                     running.push_back({now + static_cast<double>(placement.end.count()) / 1000, host});
--- a/tests/test_relocation.cpp
+++ b/tests/test_relocation.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "agatedrum/config.h"
 #include "dispatch_relocation_p.h"
 #include "dispatch_stops_p.h"
 #include "host_progress_p.h"
@@ -71,6 +72,25 @@
     }
 }
 
+TEST_CASE("The speed of a backend server does not depend on the length of its tasks", "[relocation]")
+{
+    // Guards against short tasks, whose fixed part is as long as their run, making a backend server seem slow.
+    const auto learnedFrom = [](double slowness, int estimateMs) {
+        RunTimes times;
+        for (int i = 0; i < 200; ++i) {
+            const auto run = Millis(AGATEDRUM_TASK_OVERHEAD_MS) + Millis(static_cast<int>(estimateMs * slowness));
+            times.learn(Millis(estimateMs), run);
+        }
+        return times.slowness();
+    };
+    for (const double slowness : {0.6, 1.4}) {
+        for (const int estimateMs : {60, 200, 900}) {
+            INFO(slowness << " with tasks of " << estimateMs << " ms");
+            REQUIRE(learnedFrom(slowness, estimateMs) == Approx(slowness).epsilon(0.1));
+        }
+    }
+}
+
 TEST_CASE("A backend server counts as slow when most of its runs show it", "[relocation]")
 {
     REQUIRE(presentSlowness(1.0, {9.0}) == 1.0);
