--- a/tests/test_host.cpp
+++ b/tests/test_host.cpp
@@ -111,6 +111,19 @@
         }
     }
 
+    SECTION("a lost answer about ends hides them for a short time only, since each question waits briefly")
+    {
+        host.becomeAccepting();
+        host.fromEntry(host.order("a", {0}));
+        host.answerStart(0, OrderOutcome::Accepted);
+        REQUIRE(host.server.holds.back().order.wait <= Millis(100));
+        const auto asked = host.server.holds.size();
+        host.server.holds.back().reply({});
+        REQUIRE(host.server.holds.size() == asked + 1);
+        host.answerHold(HostFixture::listing({}, {{1, {"a", 0}, 1, RunEnd::Done}}));
+        REQUIRE(host.reports().at(0).phase == wire::TaskPhase::SUCCEEDED);
+    }
+
     SECTION("a demand above the whole backend server is refused at once")
     {
         host.becomeAccepting();
