Learn soon what became of tasks while answers of a backend server are lost

A lost answer to a question about ends hid all ends for up to 160 ms, and a lost start held its room and its task for 160 ms and more: runs of 104 ms by estimate ended after 430 ms.

Ruled out: slow backend servers (the same hosts are in time a second later) and refusals between entries and hosts (10 ms each).

Change: HoldSchedule decides when a host asks. While answers are lost two questions wait for ends at a time. A start without an answer after 25 ms is looked for by a question that is answered at once; a run that is not there is stopped, and its room is free when a later question shows that.

A listed start now counts as known from the moment of the listing. Likewise an overtaken answer no longer brings back a run that has ended.

Also: hosts told entries no wait when the last task taken was small enough to fit, so entries ordered larger tasks there again and again. They now tell the wait of a demand beyond what is free, and start a task that fits at once even if a larger one waits.

The check "asked + 1" after a lost answer becomes "asked + 2", since two questions are open then.

--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -205,3 +205,9 @@
 #ifndef AGATEDRUM_SERVER_SILENT_MS
 #define AGATEDRUM_SERVER_SILENT_MS 700
 #endif
+
+/// Time in milliseconds after which a host doubts a start without an answer, and looks what became of it. The backend
+/// server is on the same host and answers within some ms.
+#ifndef AGATEDRUM_START_DOUBT_MS
+#define AGATEDRUM_START_DOUBT_MS 25
+#endif
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -99,7 +99,8 @@
         this->refuse(entry, message.job, order, "the demand exceeds the backend server");
         return;
     }
-    if (!order.mayWait && this->startDelayOf(order.demand) > worthWaiting) {
+    const bool startsNow = fits(order.demand, minus(this->registered->capacity, this->reserved()));
+    if (!order.mayWait && !startsNow && this->startDelayOf(order.demand) > worthWaiting) {
         this->refuse(entry, message.job, order, "there is no room for it now");
         return;
     }
@@ -203,10 +204,20 @@
     report.labels = this->registered->labels;
     report.failureDomain = this->registered->failureDomain;
     report.reserved = this->reserved();
-    report.startDelayMicros = this->startDelayOf(this->commonDemand).count();
+    report.startDelayMicros = this->startDelayOf(this->demandBeyondFree()).count();
     return report;
 }
 
+wire::Resources HostCore::demandBeyondFree() const
+{
+    auto demand = this->commonDemand;
+    const auto free = minus(this->registered->capacity, this->reserved());
+    if (fits(demand, free)) {
+        demand.cpuMillis = free.cpuMillis + 1;
+    }
+    return demand;
+}
+
 Micros HostCore::startDelayOf(const wire::Resources &demand) const
 {
     const auto now = this->clock.now();
@@ -243,7 +254,7 @@
         const std::lock_guard lock(this->mutex);
         const auto now = this->clock.now();
         this->checkTasks();
-        this->keepHold();
+        this->keepHolds();
         this->startWaiting();
         this->sendReports();
         const bool isChanged = this->isAccepting() != this->wasAccepting;
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -3,6 +3,7 @@
 #include "agatedrum/config.h"
 #include "base_core_p.h"
 #include "host_entries_p.h"
+#include "host_holds_p.h"
 #include "host_progress_p.h"
 #include "host_queue_p.h"
 #include "host_server_p.h"
@@ -27,6 +28,7 @@
     Millis repeatInterval {AGATEDRUM_HOST_REPEAT_MS};
     Millis serverHold {AGATEDRUM_SERVER_HOLD_MS};
     Millis serverSilent {AGATEDRUM_SERVER_SILENT_MS};
+    Millis startDoubt {AGATEDRUM_START_DOUBT_MS};
 };
 
 /// Guards the capacity of one backend server that takes tasks with demands. Thread-safe.
@@ -79,6 +81,14 @@
         std::optional<Time> stoppedAt; ///< when the backend server took the stop
     };
 
+    /// The highest run of a task that is known here.
+    struct LastRun
+    {
+        std::int64_t run = 0;
+        Time at;
+        bool isForeign = false; ///< an earlier process of the host started it
+    };
+
     struct Counters
     {
         std::uint64_t started = 0;
@@ -109,6 +119,8 @@
     void startWaiting();
     void start(std::int64_t id, HostTask &task);
     void stopTask(std::int64_t id, HostTask &task, const std::string &reason);
+    /// Takes the start's answer for lost: the run may begin later, until a stop rules it out.
+    void doubt(HostTask &task);
     void sendStop(std::int64_t id, HostTask &task);
     void finish(std::int64_t id, wire::TaskPhase::type phase, const std::string &reason, Micros runTime = {});
     void checkTasks();
@@ -117,12 +129,15 @@
     // Backend server.
     void onStarted(std::int64_t id, const std::string &life, const OrderReply &reply);
     void onStopped(std::int64_t id, const std::string &life, const OrderReply &reply);
-    void onHeld(const std::string &life, Time sentAt, const HoldReply &reply);
+    void sendHold(const HoldSchedule::Hold &hold);
+    void onHeld(const std::string &life, const HoldSchedule::Hold &hold, const HoldReply &reply);
+    /// For each doubtful run, the time after which a hold tells something new about it.
+    std::vector<Time> doubts() const;
     void takeEnds(const HoldReply &reply);
     void takeRunning(const HoldReply &reply, Time sentAt);
     void stopForeign(const RunningTask &running);
     void warnOfLateRuns();
-    void keepHold();
+    void keepHolds();
     void beginLife(const ServerRegistration &registration);
     void endLife(const std::string &reason);
     void noteClock(std::int64_t clockMs);
@@ -131,6 +146,8 @@
     bool isAccepting() const;
     wire::Resources reserved() const;
     double currentSlowness() const;
+    /// Demand of the tasks that have to wait; an entry knows itself that one which fits into what is free need not.
+    wire::Resources demandBeyondFree() const;
     /// Expected wait of one more task. Precondition: a backend server is registered.
     Micros startDelayOf(const wire::Resources &demand) const;
 
@@ -150,15 +167,13 @@
     Time clockReadAt;
     std::int64_t seenEnds = 0;
     bool isClean = false; ///< a hold under this token showed only runs of this process
-    bool isHolding = false;
-    Time holdSentAt;
+    HoldSchedule holds;
     Time heldAt; ///< when the newest answered hold was sent
-    Time nextHold;
     OrderOutcome lastHold = OrderOutcome::Accepted;
 
     std::map<std::int64_t, HostTask> tasks;
     std::map<TaskName, std::int64_t> byName;
-    std::map<TaskName, std::pair<std::int64_t, Time>> lastRuns; ///< highest run of recent tasks
+    std::map<TaskName, LastRun> lastRuns; ///< of recent tasks
     HostQueue queue;
     HostEntries entries;
     std::int64_t lastId = 0;
--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr auto part = "host";
-/// A hold whose answer is lost hides all ends until it times out, so it waits for ends for a short time only.
-constexpr Millis holdWait {60};
 constexpr Millis unreachableDelay {100}; ///< between holds while no connection can be made
 constexpr Millis warningInterval {150}; ///< between warnings of one task
 constexpr std::size_t endsPage = 100; ///< an answer with more ends may not have them all
@@ -66,7 +64,7 @@
         logEvent(part, "server_drains", {{"server", registration.server.id}});
         this->refuseWaiting("the backend server leaves");
     }
-    this->keepHold();
+    this->keepHolds();
     this->sendReports();
 }
 
@@ -85,9 +83,8 @@
     this->clockMs = 0;
     this->noteClock(registration.clockMs);
     this->seenEnds = 0;
-    this->isHolding = false;
+    this->holds = HoldSchedule();
     this->heldAt = Time {};
-    this->nextHold = Time {};
     this->runTimes = RunTimes();
     this->failureShare = 0.0;
 }
@@ -117,43 +114,65 @@
     this->sendReports();
 }
 
-void HostCore::keepHold()
+void HostCore::keepHolds()
 {
     const auto now = this->clock.now();
-    if (!this->registered || this->isHolding || now < this->nextHold) {
-        return;
+    while (this->registered) {
+        const auto hold = this->holds.takeDue(now, this->doubts());
+        if (!hold) {
+            return;
+        }
+        this->sendHold(*hold);
     }
-    this->isHolding = true;
-    this->holdSentAt = now;
+}
+
+void HostCore::sendHold(const HoldSchedule::Hold &hold)
+{
     HoldOrder order;
     order.server = this->registered->server;
     order.fence = this->fence;
     order.seenEnds = this->seenEnds;
     // Runs that this process did not start are not kept.
     order.holdUntilMs = this->isClean ? this->serverClock(this->options.serverHold) : 0;
-    order.wait = this->isClean ? holdWait : Millis(0);
-    this->server.hold(order, [this, now, life = this->life()](const HoldReply &reply) {
+    order.wait = this->isClean ? hold.wait : Millis(0);
+    this->server.hold(order, [this, hold, life = this->life()](const HoldReply &reply) {
         const std::lock_guard lock(this->mutex);
-        this->onHeld(life, now, reply);
+        this->onHeld(life, hold, reply);
         this->startWaiting();
         this->sendReports();
     });
 }
 
-void HostCore::onHeld(const std::string &life, Time sentAt, const HoldReply &reply)
+std::vector<Time> HostCore::doubts() const
+{
+    std::vector<Time> result;
+    for (const auto &[id, task] : this->tasks) {
+        if (task.phase == Phase::Starting) {
+            result.push_back(task.startedAt + this->options.startDoubt);
+        } else if (task.phase == Phase::Doubtful) {
+            result.push_back(task.stoppedAt.value_or(task.changedAt));
+        }
+    }
+    return result;
+}
+
+void HostCore::onHeld(const std::string &life, const HoldSchedule::Hold &hold, const HoldReply &reply)
 {
     if (life != this->life()) {
         return;
     }
-    this->isHolding = false;
+    if (reply.outcome == OrderOutcome::Unanswered) {
+        this->holds.noteLoss(hold, this->clock.now());
+    } else {
+        this->holds.noteAnswer(hold);
+    }
     this->noteClock(reply.clockMs);
     const auto previous = std::exchange(this->lastHold, reply.outcome);
     if (reply.outcome == OrderOutcome::Accepted) {
-        this->heldAt = std::max(this->heldAt, sentAt);
+        this->heldAt = std::max(this->heldAt, hold.sentAt);
         this->takeEnds(reply);
-        this->takeRunning(reply, sentAt);
+        this->takeRunning(reply, hold.sentAt);
         this->warnOfLateRuns();
-        this->nextHold = Time {};
     } else {
         if (reply.outcome == OrderOutcome::Fenced) {
             this->fence = std::max(this->fence, reply.clockMs) + 1;
@@ -162,11 +181,12 @@
         if (reply.outcome != previous) {
             logEvent(part, "hold_failed", {{"server", this->life()}, {"outcome", outcomeName(reply.outcome)}});
         }
-        const bool isLost = reply.outcome == OrderOutcome::Unanswered;
-        this->nextHold = isLost ? Time {} : this->clock.now() + unreachableDelay;
+        if (reply.outcome != OrderOutcome::Unanswered) {
+            this->holds.delayUntil(this->clock.now() + unreachableDelay);
+        }
     }
     this->checkTasks();
-    this->keepHold();
+    this->keepHolds();
 }
 
 void HostCore::takeEnds(const HoldReply &reply)
@@ -205,6 +225,10 @@
         listed[running.task] = running.run;
         const auto known = this->byName.find(running.task);
         if (known == this->byName.end() || this->tasks.at(known->second).run != running.run) {
+            const auto last = this->lastRuns.find(running.task);
+            if (last != this->lastRuns.end() && !last->second.isForeign && running.run <= last->second.run) {
+                continue; // answers overtake each other, and a newer one has shown the end of this run
+            }
             isForeign = true;
             this->stopForeign(running);
             continue;
@@ -213,13 +237,18 @@
         task.progress.observe(running.percent, this->clock.now());
         if (task.phase == Phase::Starting || task.phase == Phase::Doubtful) {
             task.phase = Phase::Running;
+            task.changedAt = this->clock.now(); // an earlier question may be answered by what was before the start
             task.isStopSent = false;
             task.stoppedAt.reset();
         }
     }
     // A run that an answered hold does not list, although it was accepted or ruled out before, is over.
     std::vector<std::int64_t> gone;
-    for (const auto &[id, task] : this->tasks) {
+    for (auto &[id, task] : this->tasks) {
+        if (task.phase == Phase::Starting && task.startedAt + this->options.startDoubt < sentAt
+            && listed.count(task.name) == 0) {
+            this->doubt(task);
+        }
         const bool isCertain = (task.phase == Phase::Running && task.changedAt < sentAt)
             || (task.phase == Phase::Doubtful && task.stoppedAt && *task.stoppedAt < sentAt);
         if (isCertain && listed.count(task.name) == 0 && reply.ended.size() < endsPage) {
@@ -263,7 +292,7 @@
 {
     logEvent(part, "stop_foreign", {{"job", running.task.job}, {"task", running.task.index}, {"run", running.run}});
     auto &last = this->lastRuns[running.task];
-    last = {std::max(last.first, running.run), this->clock.now()};
+    last = {std::max(last.run, running.run), this->clock.now(), true};
     StopOrder order;
     order.server = this->registered->server;
     order.task = running.task;
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -67,8 +67,8 @@
 {
     const auto now = this->clock.now();
     auto &last = this->lastRuns[task.name];
-    task.run = std::max(task.run, last.first) + 1;
-    last = {task.run, now};
+    task.run = std::max(task.run, last.run) + 1;
+    last = {task.run, now, false};
     task.phase = Phase::Starting;
     task.startedAt = now;
     task.changedAt = now;
@@ -109,20 +109,32 @@
         return;
     }
     if (reply.outcome == OrderOutcome::Unanswered) {
-        ++this->counters.unanswered;
-        logEvent(part, "start_unanswered", {{"job", task.name.job}, {"task", task.name.index}, {"run", task.run}});
-        task.phase = Phase::Doubtful;
+        this->doubt(task);
         return;
     }
     if (reply.outcome == OrderOutcome::Fenced) {
         this->fence = std::max(this->fence, reply.clockMs) + 1;
         this->isClean = false;
     } else if (reply.outcome == OrderOutcome::RunTooLow) {
-        this->lastRuns[task.name].first += runStep;
+        this->lastRuns[task.name].run += runStep;
     }
     this->finish(id, wire::TaskPhase::REFUSED, outcomeName(reply.outcome));
 }
 
+void HostCore::doubt(HostTask &task)
+{
+    const auto now = this->clock.now();
+    ++this->counters.unanswered;
+    logEvent(part, "start_unanswered",
+             {{"job", task.name.job},
+              {"task", task.name.index},
+              {"run", task.run},
+              {"afterMs", millis(now - task.startedAt)}});
+    task.phase = Phase::Doubtful;
+    task.changedAt = std::min(now, task.startedAt + this->options.startDoubt);
+    this->holds.noteLoss(now);
+}
+
 void HostCore::stopTask(std::int64_t id, HostTask &task, const std::string &reason)
 {
     if (task.phase == Phase::Waiting) {
@@ -151,6 +163,7 @@
     this->server.stop(order, [this, id, life = this->life()](const OrderReply &reply) {
         const std::lock_guard lock(this->mutex);
         this->onStopped(id, life, reply);
+        this->keepHolds();
     });
 }
 
@@ -166,6 +179,9 @@
         task.stoppedAt = this->clock.now();
     } else {
         task.isStopSent = false; // sent again by the next check
+        if (reply.outcome == OrderOutcome::Unanswered) {
+            this->holds.noteLoss(this->clock.now());
+        }
     }
 }
 
@@ -225,7 +241,7 @@
         }
     }
     for (auto last = this->lastRuns.begin(); last != this->lastRuns.end();) {
-        last = now - last->second.second > runMemory ? this->lastRuns.erase(last) : std::next(last);
+        last = now - last->second.at > runMemory ? this->lastRuns.erase(last) : std::next(last);
     }
 }
 
--- a/tests/test_host.cpp
+++ b/tests/test_host.cpp
@@ -2,6 +2,10 @@
 
 #include "host_fixture.h"
 
+#include <algorithm>
+#include <iterator>
+#include <vector>
+
 using namespace agatedrum;
 using namespace agatedrum::test;
 
@@ -97,6 +101,26 @@
         REQUIRE(sent[0].reports.back().phase == wire::TaskPhase::REFUSED);
         REQUIRE(sent[0].host.reserved.cpuMillis == 12000);
 
+        SECTION("and the report tells the wait of a task that does not fit, also when the last one was small")
+        {
+            // With no wait told, entries order the same task here again and again, and the host refuses it each time.
+            host.fromEntry(host.order("c", {6}, 1000));
+            host.sink.take();
+            host.core.tick();
+            host.fromEntry(host.order("d", {7}, 500));
+            const auto reports = host.sink.all<wire::TaskReports>();
+            REQUIRE(reports.back().host.startDelayMicros >= 25000);
+        }
+
+        SECTION("unless it is small enough to start before a larger one that waits")
+        {
+            host.fromEntry(host.order("c", {6}));
+            auto small = host.order("d", {7}, 4000);
+            small.orders[0].mayWait = false;
+            host.fromEntry(small);
+            REQUIRE(host.server.starts.back().order.task.job == "d");
+        }
+
         SECTION("unless a running task is about to end")
         {
             host.answerStart(0, OrderOutcome::Accepted);
@@ -119,7 +143,7 @@
         REQUIRE(host.server.holds.back().order.wait <= Millis(100));
         const auto asked = host.server.holds.size();
         host.server.holds.back().reply({});
-        REQUIRE(host.server.holds.size() == asked + 1);
+        REQUIRE(host.server.holds.size() == asked + 2); // two are open while answers are lost
         host.answerHold(HostFixture::listing({}, {{1, {"a", 0}, 1, RunEnd::Done}}));
         REQUIRE(host.reports().at(0).phase == wire::TaskPhase::SUCCEEDED);
     }
@@ -132,6 +156,109 @@
     }
 }
 
+TEST_CASE("While answers of a backend server are lost, a host still learns soon what became of its tasks", "[host]")
+{
+    // Guards against short tasks that end late because one lost answer hid their end, or a lost start, for 160 ms.
+    HostFixture host;
+    host.becomeAccepting();
+    host.fromEntry(host.order("a", {0}));
+    const auto later = [&host](int ms) {
+        host.clock.advance(Millis(ms));
+        host.keepLease();
+        host.core.tick();
+    };
+
+    SECTION("after a lost start two questions about ends are open, so that the loss of one answer hides nothing")
+    {
+        host.answerStart(0, OrderOutcome::Unanswered);
+        host.core.tick();
+        std::vector<FakeTaskServer::Call<HoldOrder, HoldReply>> waiting;
+        std::copy_if(host.server.holds.begin() + 1, host.server.holds.end(), std::back_inserter(waiting),
+                     [](const auto &call) { return call.order.wait > Millis(0); });
+        REQUIRE(waiting.size() == 2);
+        waiting[1].reply(HostFixture::listing({}, {{1, {"a", 0}, 1, RunEnd::Done}}));
+        REQUIRE(host.reports().at(0).phase == wire::TaskPhase::SUCCEEDED);
+
+        SECTION("and one again when no answer was lost for some seconds")
+        {
+            later(3000);
+            const auto asked = host.server.holds.size();
+            waiting[0].reply(HostFixture::listing());
+            host.server.holds.back().reply(HostFixture::listing());
+            host.server.holds.at(asked).reply(HostFixture::listing());
+            later(1);
+            REQUIRE(host.server.holds.size() == asked + 2);
+        }
+    }
+
+    SECTION("a start without an answer is looked for before it times out")
+    {
+        later(20);
+        const auto asked = host.server.holds.size();
+        later(20);
+        REQUIRE(host.server.holds.size() == asked + 1);
+        REQUIRE(host.server.holds.back().order.wait == Millis(0));
+
+        SECTION("one that does not run is stopped, which rules it out, and goes back to the entry at once")
+        {
+            host.answerHold(HostFixture::listing());
+            REQUIRE(host.server.stops.size() == 1);
+            host.clock.advance(Millis(1));
+            host.server.stops[0].reply({OrderOutcome::Accepted, 5000});
+            host.clock.advance(Millis(1));
+            host.core.tick();
+            REQUIRE(host.server.holds.back().order.wait == Millis(0));
+            host.answerHold(HostFixture::listing());
+            REQUIRE(host.reports().at(0).phase == wire::TaskPhase::ENDED);
+        }
+
+        SECTION("one that runs goes on, and its answer that comes at last changes nothing")
+        {
+            host.answerHold(HostFixture::listing({{{"a", 0}, 1, 30}}));
+            REQUIRE(host.server.stops.empty());
+            host.answerStart(0, OrderOutcome::Unanswered);
+            later(20);
+            REQUIRE(host.server.stops.empty());
+        }
+
+        SECTION("its room is kept until a later question shows that the stop was in time")
+        {
+            host.answerHold(HostFixture::listing());
+            host.fromEntry(host.order("b", {0, 1}));
+            REQUIRE(host.server.starts.size() == 2);
+            host.clock.advance(Millis(1));
+            host.server.stops[0].reply({OrderOutcome::Accepted, 5000});
+            REQUIRE(host.server.starts.size() == 2);
+        }
+    }
+
+    SECTION("an answer from before the start, overtaken by one that lists the run, does not end the task")
+    {
+        // Ended here, it would run a second time elsewhere.
+        host.answerStart(0, OrderOutcome::Unanswered);
+        const auto listing = host.server.holds.back().reply;
+        host.clock.advance(Millis(1));
+        host.core.tick();
+        const auto before = host.server.holds.back().reply;
+        host.clock.advance(Millis(1));
+        listing(HostFixture::listing({{{"a", 0}, 1, 5}}));
+        before(HostFixture::listing());
+        REQUIRE(host.reports().at(0).phase == wire::TaskPhase::RUNNING);
+    }
+
+    SECTION("an answer that a newer one has overtaken brings back no run that has ended")
+    {
+        // Such a run would count as one of an earlier process, and the host would refuse all that waits.
+        host.answerStart(0, OrderOutcome::Accepted);
+        const auto older = host.server.holds.back().reply;
+        later(1);
+        older(HostFixture::listing({}, {{1, {"a", 0}, 1, RunEnd::Done}}));
+        host.answerHold(HostFixture::listing({{{"a", 0}, 1, 90}}));
+        REQUIRE(host.core.isReady());
+        REQUIRE(host.server.stops.empty());
+    }
+}
+
 TEST_CASE("A host runs no task twice", "[host]")
 {
     HostFixture host;
