Let stopped runs tell that a backend server stands still

The moves ended the runs that showed the trouble, and a stopped run taught nothing, so the host seemed idle and fast at once.

Change: StoppedRuns keeps the expected slowness of runs that were stopped before their end, for 2 s and fading, so that a few tasks come back and can show that the server is well. Each end in good time makes up for one stopped run, so single long tasks do not make a sound server seem slow. What is learned from ended runs stays as it is.

Also the common opening of onStarted and onStopped is one method, and whole milliseconds are cut in one place.

--- a/src/base_clock_p.h
+++ b/src/base_clock_p.h
@@ -20,6 +20,12 @@
 using Micros = std::chrono::microseconds;
 using Millis = std::chrono::milliseconds;
 
+/// Whole milliseconds, cut.
+inline std::int64_t toMillis(Micros time)
+{
+    return std::chrono::duration_cast<Millis>(time).count();
+}
+
 /// Source of time. Implementations are thread-safe.
 struct ClockI
 {
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -127,6 +127,8 @@
     void refuseWaiting(const std::string &reason);
 
     // Backend server.
+    /// The task whose order is answered; null when it has ended or the life of the backend server is over.
+    HostTask *answered(std::int64_t id, const std::string &life, const OrderReply &reply);
     void onStarted(std::int64_t id, const std::string &life, const OrderReply &reply);
     void onStopped(std::int64_t id, const std::string &life, const OrderReply &reply);
     void sendHold(const HoldSchedule::Hold &hold);
@@ -179,6 +181,7 @@
     std::int64_t lastId = 0;
     wire::Resources commonDemand; ///< of recent tasks
     RunTimes runTimes;
+    StoppedRuns stoppedRuns;
     double failureShare = 0.0;
     Counters counters;
     bool wasAccepting = false;
--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -86,6 +86,7 @@
     this->holds = HoldSchedule();
     this->heldAt = Time {};
     this->runTimes = RunTimes();
+    this->stoppedRuns = StoppedRuns();
     this->failureShare = 0.0;
 }
 
@@ -205,6 +206,7 @@
         const auto &task = this->tasks.at(id);
         const auto runTime = this->clock.now() - task.startedAt;
         if (end.how == RunEnd::Done) {
+            this->stoppedRuns.noteEnd(slownessOf(task.estimate, runTime), this->runTimes.slowness());
             this->runTimes.learn(task.estimate, runTime);
             this->failureShare -= weight * this->failureShare;
             this->finish(id, wire::TaskPhase::SUCCEEDED, {}, runTime);
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -15,11 +15,6 @@
 constexpr Millis stopRepeat {150};
 constexpr std::int64_t runStep = 8; ///< skipped when a run is too low for a backend server that remembers more
 
-std::int64_t millis(Micros time)
-{
-    return std::chrono::duration_cast<Millis>(time).count();
-}
-
 const char *phaseName(wire::TaskPhase::type phase)
 {
     switch (phase) {
@@ -88,17 +83,23 @@
     });
 }
 
-void HostCore::onStarted(std::int64_t id, const std::string &life, const OrderReply &reply)
+HostCore::HostTask *HostCore::answered(std::int64_t id, const std::string &life, const OrderReply &reply)
 {
     const auto found = this->tasks.find(id);
     if (found == this->tasks.end() || life != this->life()) {
-        return;
+        return nullptr;
     }
-    auto &task = found->second;
     this->noteClock(reply.clockMs);
-    if (task.phase != Phase::Starting) {
-        return; // a hold has shown already what became of it
+    return &found->second;
+}
+
+void HostCore::onStarted(std::int64_t id, const std::string &life, const OrderReply &reply)
+{
+    auto *known = this->answered(id, life, reply);
+    if (known == nullptr || known->phase != Phase::Starting) {
+        return; // it has ended, or a hold has shown already what became of the start
     }
+    auto &task = *known;
     task.changedAt = this->clock.now();
     if (reply.outcome == OrderOutcome::Accepted) {
         ++this->counters.started;
@@ -129,7 +130,7 @@
              {{"job", task.name.job},
               {"task", task.name.index},
               {"run", task.run},
-              {"afterMs", millis(now - task.startedAt)}});
+              {"afterMs", toMillis(now - task.startedAt)}});
     task.phase = Phase::Doubtful;
     task.changedAt = std::min(now, task.startedAt + this->options.startDoubt);
     this->holds.noteLoss(now);
@@ -143,6 +144,9 @@
     }
     if (!task.mustStop) {
         task.mustStop = true;
+        if (const auto total = task.progress.total(this->clock.now())) {
+            this->stoppedRuns.add(slownessOf(task.estimate, *total), this->clock.now());
+        }
         logEvent(part, "stop",
                  {{"job", task.name.job}, {"task", task.name.index}, {"run", task.run}, {"reason", reason}});
     }
@@ -169,16 +173,14 @@
 
 void HostCore::onStopped(std::int64_t id, const std::string &life, const OrderReply &reply)
 {
-    const auto found = this->tasks.find(id);
-    if (found == this->tasks.end() || life != this->life()) {
+    auto *task = this->answered(id, life, reply);
+    if (task == nullptr) {
         return;
     }
-    auto &task = found->second;
-    this->noteClock(reply.clockMs);
     if (reply.outcome == OrderOutcome::Accepted) {
-        task.stoppedAt = this->clock.now();
+        task->stoppedAt = this->clock.now();
     } else {
-        task.isStopSent = false; // sent again by the next check
+        task->isStopSent = false; // sent again by the next check
         if (reply.outcome == OrderOutcome::Unanswered) {
             this->holds.noteLoss(this->clock.now());
         }
@@ -200,9 +202,9 @@
               {"task", task.name.index},
               {"run", task.run},
               {"outcome", phaseName(phase)},
-              {"waitMs", task.run == 0 ? 0 : millis(task.startedAt - task.takenAt)},
-              {"runMs", millis(runTime)},
-              {"estimateMs", millis(task.estimate)},
+              {"waitMs", task.run == 0 ? 0 : toMillis(task.startedAt - task.takenAt)},
+              {"runMs", toMillis(runTime)},
+              {"estimateMs", toMillis(task.estimate)},
               {"slowness", fmt::format("{:.2f}", this->runTimes.slowness())},
               {"reason", reason}});
     this->report(task, phase, reason, runTime);
@@ -248,9 +250,10 @@
 double HostCore::currentSlowness() const
 {
     const auto now = this->clock.now();
-    std::vector<double> present;
+    auto present = this->stoppedRuns.fading(this->runTimes.slowness(), now);
     for (const auto &[id, task] : this->tasks) {
-        const auto total = task.phase == Phase::Running ? task.progress.total(now) : std::nullopt;
+        const bool isGoingOn = task.phase == Phase::Running && !task.mustStop;
+        const auto total = isGoingOn ? task.progress.total(now) : std::nullopt;
         if (total) {
             present.push_back(slownessOf(task.estimate, *total));
         }
--- a/src/host_progress.cpp
+++ b/src/host_progress.cpp
@@ -3,6 +3,7 @@
 #include "agatedrum/config.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace agatedrum {
 
@@ -21,6 +22,8 @@
 constexpr Millis overhead {AGATEDRUM_TASK_OVERHEAD_MS};
 constexpr int mostOverhead = 4; ///< at least a fourth of the time counts as run
 constexpr Micros certainEstimate = Millis(100);
+constexpr Millis stoppedMemory {2000}; ///< a backend server that is well again is idle for about this long at most
+constexpr std::size_t mostStopped = 16; ///< bounds what is kept; a few are enough for a median
 constexpr double learnWeight = 0.08; ///< about the last twelve tasks
 
 } // namespace
@@ -96,6 +99,33 @@
     return overhead + Micros(static_cast<std::int64_t>(static_cast<double>(estimate.count()) * this->learned));
 }
 
+void StoppedRuns::add(double slowness, Time now)
+{
+    this->runs.push_back({std::min(slowness, highestSlowness), now});
+    if (this->runs.size() > mostStopped) {
+        this->runs.pop_front();
+    }
+}
+
+void StoppedRuns::noteEnd(double slowness, double learned)
+{
+    if (!this->runs.empty() && slowness < clearlySlower * learned) {
+        this->runs.pop_front();
+    }
+}
+
+std::vector<double> StoppedRuns::fading(double learned, Time now) const
+{
+    std::vector<double> result;
+    for (const auto &run : this->runs) {
+        const auto left = 1.0 - static_cast<double>((now - run.at).count()) / Micros(stoppedMemory).count();
+        if (left > 0) {
+            result.push_back(learned * std::pow(run.slowness / learned, left));
+        }
+    }
+    return result;
+}
+
 double presentSlowness(double learned, std::vector<double> present)
 {
     if (present.size() < fewestRuns) {
--- a/src/host_progress_p.h
+++ b/src/host_progress_p.h
@@ -67,12 +67,39 @@
 /// Run time without the fixed part, relative to the estimate.
 double slownessOf(Micros estimate, Micros runTime);
 
+/// What runs that were stopped before their end showed of a backend server's speed. Not thread-safe.
+///
+/// Answers this load: a backend server stands still, and each of its tasks is moved after a moment. The moves end the
+/// runs that show it, so that it would seem idle and fast at once and get tasks on and on. What a stopped run showed
+/// fades, so that the backend server gets a few tasks again and can show that it is well; each end in good time makes
+/// up for one stopped run, so that single long tasks do not make a sound backend server seem slow.
+class StoppedRuns
+{
+public:
+    /// @param slowness of the run, by its expected end
+    void add(double slowness, Time now);
+    /// A run has ended with success.
+    /// @param learned of the backend server's ended runs
+    void noteEnd(double slowness, double learned);
+    /// Slowness of the recent stopped runs, closer to what is learned the older they are.
+    std::vector<double> fading(double learned, Time now) const;
+
+private:
+    struct Run
+    {
+        double slowness = 1.0;
+        Time at;
+    };
+
+    std::deque<Run> runs; ///< by time
+};
+
 /// Run time of tasks relative to their estimates, from what ended runs taught and what present runs show.
 ///
 /// A backend server that turns slow shows it in most of its runs at once, before any of them ends; a single long task
 /// says nothing about its backend server.
 /// @param learned from ended runs
-/// @param present of the runs whose progress is known
+/// @param present of the runs whose progress is known, and of those that were stopped lately
 double presentSlowness(double learned, std::vector<double> present);
 
 } // namespace agatedrum
--- a/tests/test_host.cpp
+++ b/tests/test_host.cpp
@@ -531,6 +531,44 @@
     }
 }
 
+TEST_CASE("A host whose tasks were all moved away still counts as slow", "[host]")
+{
+    // Guards against a backend server that stands still and gets tasks on and on, since moves end what shows it: about
+    // 35 tasks a second on a recorded day.
+    HostFixture host;
+    host.becomeAccepting();
+    host.fromEntry(host.order("a", {0, 1, 2}, 4000));
+    for (std::size_t i = 0; i < 3; ++i) {
+        host.answerStart(i, OrderOutcome::Accepted);
+    }
+    const std::vector<RunningTask> standing = {{{"a", 0}, 1, 1}, {{"a", 1}, 1, 1}, {{"a", 2}, 1, 1}};
+    for (int i = 0; i < 6; ++i) {
+        host.clock.advance(Millis(40));
+        host.keepLease();
+        host.answerHold(HostFixture::listing(standing));
+    }
+    wire::StopTasks stop;
+    stop.hostIncarnation = 1;
+    stop.job = "a";
+    stop.indexes = {0, 1, 2};
+    host.fromEntry(stop);
+    host.answerHold(HostFixture::listing(
+        {}, {{1, {"a", 0}, 1, RunEnd::Stopped}, {2, {"a", 1}, 1, RunEnd::Stopped}, {3, {"a", 2}, 1, RunEnd::Stopped}}));
+    const auto slowness = [&host] {
+        host.sink.take();
+        host.fromEntry(host.order("b", {0}, 17000)); // refused, with a report
+        return host.sink.all<wire::TaskReports>().back().host.slowness;
+    };
+    REQUIRE(slowness() > 5.0);
+
+    SECTION("and gets tasks again some seconds later")
+    {
+        host.clock.advance(Millis(3000));
+        host.keepLease();
+        REQUIRE(slowness() < 2.0);
+    }
+}
+
 TEST_CASE("The queue of a host starts the task with the least time left first", "[host]")
 {
     HostQueue queue;
--- a/tests/test_relocation.cpp
+++ b/tests/test_relocation.cpp
@@ -99,6 +99,33 @@
     REQUIRE(presentSlowness(1.0, {100.0, 100.0, 100.0}) <= 20.0);
 }
 
+TEST_CASE("Stopped runs tell of a backend server that stands still", "[relocation]")
+{
+    StoppedRuns stopped;
+    for (const double slowness : {50.0, 12.0, 30.0}) {
+        stopped.add(slowness, at(0));
+    }
+    const auto slowness = [&stopped](int ms) { return presentSlowness(1.2, stopped.fading(1.2, at(ms))); };
+    REQUIRE(slowness(0) >= 12.0);
+
+    SECTION("which gets tasks again after a while, or it could never show that it is well")
+    {
+        REQUIRE(slowness(1000) > 2.4);
+        REQUIRE(slowness(1000) < slowness(500));
+        REQUIRE(slowness(2000) == 1.2);
+    }
+    SECTION("but single long tasks beside others that end in time do not make it seem slow")
+    {
+        stopped.noteEnd(1.5, 1.2);
+        REQUIRE(slowness(0) == 1.2);
+    }
+    SECTION("and an end that came late is no sign that it is well")
+    {
+        stopped.noteEnd(6.0, 1.2);
+        REQUIRE(slowness(0) >= 12.0);
+    }
+}
+
 TEST_CASE("A task is moved only when that changes what its caller gets", "[relocation]")
 {
     const PlacementGoal goal {Millis(400), Millis(1400)};
