Split the entry's core by its sections; place an admitted job once

The placement that admitted a job is the one that is ordered, unless a stop of an earlier request for the job is pending. placeUnplaced() no longer returns what nobody reads, and logs only placings. memberOptions() stood in daemon_roles.cpp and platform_roles.cpp; it is one function with the interval as a parameter.

No change of behaviour is meant but the second placing, which could differ from the first only by hosts falling silent within the same call.

--- a/src/daemon_roles.cpp
+++ b/src/daemon_roles.cpp
@@ -5,6 +5,7 @@
 #include "control_core_p.h"
 #include "control_disk_p.h"
 #include "control_store_p.h"
+#include "daemon_member_p.h"
 #include "daemon_process_p.h"
 #include "entry_api_p.h"
 #include "entry_core_p.h"
@@ -29,23 +30,11 @@
     }
 }
 
-MemberOptions memberOptions(const ProcessSettings &settings, const wire::ProcessId &self)
-{
-    MemberOptions options;
-    options.self = self;
-    options.role = settings.role;
-    options.failureDomain = settings.failureDomain;
-    options.address = settings.peers;
-    options.control = settings.control;
-    options.interval = heartbeatInterval(settings.role);
-    return options;
-}
-
 class EntryRole : public RoleI
 {
 public:
     EntryRole(const ProcessSettings &settings, const wire::ProcessId &self, MessageSinkI &sink, const ClockI &clock)
-        : link(sink, clock, memberOptions(settings, self))
+        : link(sink, clock, memberOptions(settings, self, heartbeatInterval(settings.role)))
         , entry(sink, clock, this->link, entryOptions(settings))
     {
     }
@@ -76,7 +65,7 @@
 {
 public:
     OwnerRole(const ProcessSettings &settings, const wire::ProcessId &self, MessageSinkI &sink, const ClockI &clock)
-        : link(sink, clock, memberOptions(settings, self))
+        : link(sink, clock, memberOptions(settings, self, heartbeatInterval(settings.role)))
         , owner(sink, clock, this->link, ownerOptions(settings, self))
     {
     }
@@ -105,7 +94,7 @@
 {
 public:
     AgentRole(const ProcessSettings &settings, const wire::ProcessId &self, MessageSinkI &sink, const ClockI &clock)
-        : link(sink, clock, memberOptions(settings, self))
+        : link(sink, clock, memberOptions(settings, self, heartbeatInterval(settings.role)))
         , agent(sink, clock, this->link, this->caller, agentOptions(settings, self))
         , caller([this](const BackendOutcome &outcome) { this->agent.finished(outcome); })
     {
--- a/src/dispatch_core_p.h
+++ b/src/dispatch_core_p.h
@@ -118,8 +118,14 @@
     /// Moves a task that should end too late, or gives its job up.
     void reviewRun(const wire::TaskReport &report, Job &job, Answers &answers);
     void takeFailure(const std::string &id, Job &job, const wire::TaskReport &report, Answers &answers);
-    /// Places the tasks that wait for a place. @return false when there is no host for one of them now.
-    bool placeUnplaced(const std::string &id, Job &job);
+    Job makeJob(const RouteConfig &route, JobRequest request, JobHandler handler) const;
+    /// Refuses the job, or orders its tasks.
+    void admit(const RouteConfig &route, Job job, Answers &answers);
+    /// Places the tasks that wait for a place.
+    void placeUnplaced(const std::string &id, Job &job);
+    /// Orders the tasks that have a placement. The placements are those of the tasks with these indexes.
+    void orderPlaced(const std::string &id, Job &job, const std::vector<std::int32_t> &indexes,
+                     const std::vector<HostChoice> &choices, const std::vector<Placement> &placements);
     void sendOrders(const std::string &id, Job &job, const std::vector<std::int32_t> &indexes);
     void stopTasks(const std::string &id, Job &job);
     void sendStops();
