--- a/src/base_core_p.h
+++ b/src/base_core_p.h
@@ -3,6 +3,7 @@
 #include "wire_message_p.h"
 
 #include <nlohmann/json.hpp>
+#include <prometheus/metric_family.h>
 
 #include <string>
 #include <vector>
@@ -20,6 +21,11 @@
     virtual void tick() = 0;
     /// Whole state for an operator, without task bodies.
     virtual nlohmann::json dump() const = 0;
+    /// Latency histograms for the metrics page, without labels.
+    virtual std::vector<prometheus::MetricFamily> latencies() const
+    {
+        return {};
+    }
     /// Ready to do its role's work.
     virtual bool isReady() const = 0;
     /// Starts a graceful stop. Idempotent.
--- a/src/daemon_admin.cpp
+++ b/src/daemon_admin.cpp
@@ -41,14 +41,24 @@
                 }
             }
         }
+        for (auto &family : this->sources.core.latencies()) {
+            for (auto &metric : family.metric) {
+                metric.label = this->labels();
+            }
+            families.push_back(std::move(family));
+        }
         return families;
     }
 
 private:
+    std::vector<prometheus::ClientMetric::Label> labels() const
+    {
+        return {{"role", this->sources.role}, {"process", this->sources.name}};
+    }
     void add(std::vector<prometheus::MetricFamily> &families, const std::string &name, double number) const
     {
         prometheus::ClientMetric metric;
-        metric.label = {{"role", this->sources.role}, {"process", this->sources.name}};
+        metric.label = this->labels();
         metric.untyped.value = number;
         prometheus::MetricFamily family;
         family.name = "agatedrum_" + name;
--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -184,6 +184,11 @@
               {"dispatch_jobs_in_flight", this->jobs.size()}}}};
 }
 
+std::vector<prometheus::MetricFamily> DispatchCore::latencies() const
+{
+    return {this->answerLatency.collect(), this->giveUpLatency.collect(), this->orderLatency.collect()};
+}
+
 bool DispatchCore::isReady() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/dispatch_core_jobs.cpp
+++ b/src/dispatch_core_jobs.cpp
@@ -269,6 +269,7 @@
     this->stopTasks(id, job);
     const auto took = this->clock.now() - job.arrivedAt;
     const bool isLate = this->clock.now() > job.objective;
+    (end == JobEnd::Completed ? this->answerLatency : this->giveUpLatency).observe(took);
     this->counters.completed += end == JobEnd::Completed ? 1 : 0;
     this->counters.late += end == JobEnd::Completed && isLate ? 1 : 0;
     this->counters.failed += end == JobEnd::Failed ? 1 : 0;
@@ -301,6 +302,9 @@
     if (task.host != host || task.order != report.order) {
         return; // an earlier order of the task
     }
+    if (task.phase == TaskPhase::Ordered) {
+        this->orderLatency.observe(this->clock.now() - task.orderedAt);
+    }
     switch (report.phase) {
     case wire::TaskPhase::QUEUED:
     case wire::TaskPhase::RUNNING:
--- a/src/dispatch_core_p.h
+++ b/src/dispatch_core_p.h
@@ -2,6 +2,7 @@
 
 #include "agatedrum/config.h"
 #include "base_core_p.h"
+#include "base_latency_p.h"
 #include "config_routing_p.h"
 #include "dispatch_admission_p.h"
 #include "dispatch_hosts_p.h"
@@ -52,6 +53,7 @@
     void handle(const Incoming &incoming) override;
     void tick() override;
     nlohmann::json dump() const override;
+    std::vector<prometheus::MetricFamily> latencies() const override;
     /// True when a configuration is in force and the process does not stop.
     bool isReady() const override;
     void beginStop() override;
@@ -154,6 +156,9 @@
     bool isStopping = false;
     Time closedAt; ///< end of the drain time, once a stop has begun
     Counters counters;
+    LatencyHistogram answerLatency {"dispatch_answer_seconds", "Time from taking a job to its complete answer."};
+    LatencyHistogram giveUpLatency {"dispatch_give_up_seconds", "Time from taking a job to an answer without success."};
+    LatencyHistogram orderLatency {"dispatch_order_seconds", "Time from ordering a task to the host's first report."};
 };
 
 } // namespace agatedrum
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -313,6 +313,11 @@
               {"host_accepting", this->isAccepting() ? 1 : 0}}}};
 }
 
+std::vector<prometheus::MetricFamily> HostCore::latencies() const
+{
+    return {this->waitLatency.collect(), this->startLatency.collect(), this->runLatency.collect()};
+}
+
 bool HostCore::isReady() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -2,6 +2,7 @@
 
 #include "agatedrum/config.h"
 #include "base_core_p.h"
+#include "base_latency_p.h"
 #include "host_entries_p.h"
 #include "host_holds_p.h"
 #include "host_progress_p.h"
@@ -45,6 +46,7 @@
     void handle(const Incoming &incoming) override;
     void tick() override;
     nlohmann::json dump() const override;
+    std::vector<prometheus::MetricFamily> latencies() const override;
     bool isReady() const override;
     void beginStop() override;
     /// True when no task runs.
@@ -184,6 +186,9 @@
     StoppedRuns stoppedRuns;
     double failureShare = 0.0;
     Counters counters;
+    LatencyHistogram waitLatency {"host_task_wait_seconds", "Time from taking a task to its start order."};
+    LatencyHistogram startLatency {"host_start_answer_seconds", "Time from a start order to its answer."};
+    LatencyHistogram runLatency {"host_task_run_seconds", "Time from a start order to the known end with success."};
     bool wasAccepting = false;
     std::int64_t reportSequence = 0;
     Time nextReport;
--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -208,6 +208,7 @@
         if (end.how == RunEnd::Done) {
             this->stoppedRuns.noteEnd(slownessOf(task.estimate, runTime), this->runTimes.slowness());
             this->runTimes.learn(task.estimate, runTime);
+            this->runLatency.observe(runTime);
             this->failureShare -= weight * this->failureShare;
             this->finish(id, wire::TaskPhase::SUCCEEDED, {}, runTime);
         } else if (end.how == RunEnd::Failed) {
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -68,6 +68,7 @@
     task.startedAt = now;
     task.changedAt = now;
     task.progress = RunProgress(now);
+    this->waitLatency.observe(now - task.takenAt);
     StartOrder order;
     order.server = this->registered->server;
     order.task = task.name;
@@ -101,6 +102,9 @@
     }
     auto &task = *known;
     task.changedAt = this->clock.now();
+    if (reply.outcome != OrderOutcome::Unanswered) {
+        this->startLatency.observe(task.changedAt - task.startedAt);
+    }
     if (reply.outcome == OrderOutcome::Accepted) {
         ++this->counters.started;
         task.phase = Phase::Running;
--- a/tests/test_dispatch.cpp
+++ b/tests/test_dispatch.cpp
@@ -247,8 +247,17 @@
         REQUIRE(orders[0].heardAtMicros == 77);
         entry.answer("host-1", orders[0], wire::TaskPhase::SUCCEEDED, 0);
         REQUIRE(entry.outcomes.empty());
+        entry.clock.advance(Millis(120));
         entry.answer("host-1", orders[0], wire::TaskPhase::SUCCEEDED, 1);
         REQUIRE(entry.outcomes.at(0).end == JobEnd::Completed);
+
+        SECTION("and its time is on the metrics page, apart from those of jobs without an answer")
+        {
+            const auto families = entry.core.latencies();
+            REQUIRE(families.at(0).name == "agatedrum_dispatch_answer_seconds");
+            REQUIRE(families.at(0).metric.at(0).histogram.sample_sum == Approx(0.12));
+            REQUIRE(families.at(1).metric.at(0).histogram.sample_count == 0);
+        }
     }
 
     SECTION("a failed task runs again, until it has failed as often as it may")
