Parse an accepted configuration once when it is applied

Cause: the state machine parsed each configuration to judge it and again to apply it, at every commit and for every entry of the log at a restart.

Change: the examination of a file returns what it has parsed. The leader still parses once more before it proposes, since a replica must judge a command by the state at its place in the log.

--- a/src/control_state.cpp
+++ b/src/control_state.cpp
@@ -49,40 +49,45 @@
 // Configuration.
 
 ConfigVerdict ControlState::judge(const wire::ConfigFile &file) const
+{
+    return this->examine(file).verdict;
+}
+
+ControlState::Examined ControlState::examine(const wire::ConfigFile &file) const
 {
     const auto &current = this->file();
     if (file.ignoreIfNotHigher && file.number <= current.number) {
-        return {true, "accepted", fmt::format("{} stays in force: its number is not lower", describe(current))};
+        return {{true, "accepted", fmt::format("{} stays in force: its number is not lower", describe(current))}, {}};
     }
     if (file.number == current.number && current.number != 0) {
-        return file.digest == current.digest
-            ? ConfigVerdict {true, "accepted", fmt::format("{} is in force", describe(current))}
-            : ConfigVerdict {
-                false, "conflict",
-                fmt::format("number {} is taken by {}; use a higher number", file.number, describe(current))};
+        if (file.digest == current.digest) {
+            return {{true, "accepted", fmt::format("{} is in force", describe(current))}, {}};
+        }
+        const auto text = fmt::format("number {} is taken by {}; use a higher number", file.number, describe(current));
+        return {{false, "conflict", text}, {}};
     }
     if (file.number < current.number) {
-        return {false, "lower-number",
-                fmt::format("number {} is lower than that of {}", file.number, describe(current))};
+        const auto text = fmt::format("number {} is lower than that of {}", file.number, describe(current));
+        return {{false, "lower-number", text}, {}};
     }
-    const auto next = parseConfig(file.text);
+    auto next = parseConfig(file.text);
     if (!isOk(next)) {
-        return {false, "invalid", error(next).text()};
+        return {{false, "invalid", error(next).text()}, {}};
     }
     const auto change = checkChange(this->parsed, value(next));
     if (!isOk(change)) {
-        return {false, "invalid", error(change).text()};
+        return {{false, "invalid", error(change).text()}, {}};
     }
-    return {true, "accepted", fmt::format("configuration {} accepted", file.number)};
+    return {{true, "accepted", fmt::format("configuration {} accepted", file.number)}, takeValue(std::move(next))};
 }
 
 ConfigVerdict ControlState::setConfig(std::int64_t index, const wire::ConfigFile &file)
 {
-    auto verdict = this->judge(file);
-    if (!verdict.isAccepted || file.number <= this->file().number) {
+    auto [verdict, next] = this->examine(file);
+    if (!next) {
         return verdict;
     }
-    this->parsed = takeValue(parseConfig(file.text));
+    this->parsed = std::move(*next);
     this->files.push_back(file);
     if (this->files.size() > historyLength) {
         this->files.erase(this->files.begin());
--- a/src/control_state_p.h
+++ b/src/control_state_p.h
@@ -61,6 +61,13 @@
     void restore(const wire::ControlImage &image);
 
 private:
+    struct Examined
+    {
+        ConfigVerdict verdict;
+        std::optional<ClusterConfig> next; ///< set when the file is to come into force
+    };
+
+    Examined examine(const wire::ConfigFile &file) const;
     ConfigVerdict setConfig(std::int64_t index, const wire::ConfigFile &file);
     void join(std::int64_t index, const wire::MemberJoin &command);
     void gone(std::int64_t index, const wire::MemberGone &command);
