Stop a run that is listed after its known end

Cause: read again, the previous change skipped every listed run that this process had started and seen end. If such a run were really there, nobody would count its room.

Change: it is skipped only in answers to questions that were asked before the end was known. Test: a later question that lists it brings a stop and the host takes no tasks until it is gone.

--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -87,7 +87,7 @@
     struct LastRun
     {
         std::int64_t run = 0;
-        Time at;
+        Time at; ///< of its start order or, once it is known, of its end
         bool isForeign = false; ///< an earlier process of the host started it
     };
 
--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -229,7 +229,9 @@
         const auto known = this->byName.find(running.task);
         if (known == this->byName.end() || this->tasks.at(known->second).run != running.run) {
             const auto last = this->lastRuns.find(running.task);
-            if (last != this->lastRuns.end() && !last->second.isForeign && running.run <= last->second.run) {
+            const bool isOwn
+                = last != this->lastRuns.end() && !last->second.isForeign && running.run <= last->second.run;
+            if (isOwn && sentAt <= last->second.at) {
                 continue; // answers overtake each other, and a newer one has shown the end of this run
             }
             isForeign = true;
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -197,6 +197,9 @@
     const auto &task = node.mapped();
     this->queue.remove(id);
     this->byName.erase(task.name);
+    if (const auto last = this->lastRuns.find(task.name); last != this->lastRuns.end()) {
+        last->second.at = this->clock.now();
+    }
     this->counters.succeeded += phase == wire::TaskPhase::SUCCEEDED ? 1 : 0;
     this->counters.failed += phase == wire::TaskPhase::FAILED ? 1 : 0;
     this->counters.ended += phase == wire::TaskPhase::ENDED ? 1 : 0;
--- a/tests/test_host.cpp
+++ b/tests/test_host.cpp
@@ -256,6 +256,13 @@
         host.answerHold(HostFixture::listing({{{"a", 0}, 1, 90}}));
         REQUIRE(host.core.isReady());
         REQUIRE(host.server.stops.empty());
+
+        SECTION("but a run that a later question lists is stopped, since it holds room that nobody counts")
+        {
+            host.answerHold(HostFixture::listing({{{"a", 0}, 1, 90}}));
+            REQUIRE(host.server.stops.size() == 1);
+            REQUIRE_FALSE(host.core.isReady());
+        }
     }
 }
 
