Answer a delayed repeated order with the state of its task

An entry with 0.12 of a core got a host's report late and repeated its order. The repeated order carried an echo older than the lease, and the host refused it, although the task of that very order ran there under a lease that newer messages had extended. The entry ran the task on a second host beside the first.

Change: whether a host has an order already is asked before the age of its echo. An unknown order that is too old is refused as before. Test: a delayed repeated order is reported as running; on the code before, REFUSED.

--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -67,6 +67,9 @@
     // The time to start is that of the longest task.
     const auto objective = now + Micros(message.startWithinMicros + longest);
     for (const auto &order : message.orders) {
+        if (this->isRepeated(message.job, order, incoming.sender)) {
+            continue; // also a delayed one: its task may run, under a lease that newer messages extend
+        }
         if (!isFresh) {
             this->refuse(incoming.sender, message.job, order, "the order is older than the entry's lease");
         } else {
@@ -75,20 +78,29 @@
     }
 }
 
-void HostCore::takeOrder(const wire::RunTasks &message, const wire::TaskOrder &order, const wire::ProcessId &entry,
-                         const std::shared_ptr<const std::string> &spec, Time objective)
+bool HostCore::isRepeated(const std::string &job, const wire::TaskOrder &order, const wire::ProcessId &entry)
 {
     if (this->entries.hasFinished(entry, order.order)) {
-        return; // a repeated order; its report is on the way
+        return true; // its report is on the way
     }
+    const auto known = this->byName.find({job, order.index});
+    if (known == this->byName.end()) {
+        return false;
+    }
+    const auto &task = this->tasks.at(known->second);
+    if (task.entry != entry || task.order != order.order) {
+        return false;
+    }
+    this->report(task, task.phase == Phase::Waiting ? wire::TaskPhase::QUEUED : wire::TaskPhase::RUNNING, {});
+    return true;
+}
+
+void HostCore::takeOrder(const wire::RunTasks &message, const wire::TaskOrder &order, const wire::ProcessId &entry,
+                         const std::shared_ptr<const std::string> &spec, Time objective)
+{
     const TaskName name {message.job, order.index};
-    if (const auto known = this->byName.find(name); known != this->byName.end()) {
-        const auto &task = this->tasks.at(known->second);
-        if (task.entry == entry && task.order == order.order) {
-            this->report(task, task.phase == Phase::Waiting ? wire::TaskPhase::QUEUED : wire::TaskPhase::RUNNING, {});
-        } else {
-            this->refuse(entry, message.job, order, "an earlier run of the task has not ended");
-        }
+    if (this->byName.count(name) > 0) {
+        this->refuse(entry, message.job, order, "an earlier run of the task has not ended");
         return;
     }
     if (!this->isAccepting() || message.serviceName != this->registered->serviceName) {
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -107,6 +107,8 @@
     void apply(const wire::RunTasks &message, const Incoming &incoming);
     void apply(const wire::StopTasks &message, const Incoming &incoming);
     void apply(const wire::HostContact &message, const Incoming &incoming);
+    /// Whether this process has the order already; reports the present phase of its task.
+    bool isRepeated(const std::string &job, const wire::TaskOrder &order, const wire::ProcessId &entry);
     void takeOrder(const wire::RunTasks &message, const wire::TaskOrder &order, const wire::ProcessId &entry,
                    const std::shared_ptr<const std::string> &spec, Time objective);
     void refuse(const wire::ProcessId &entry, const std::string &job, const wire::TaskOrder &order,
--- a/tests/test_host.cpp
+++ b/tests/test_host.cpp
@@ -323,6 +323,21 @@
         REQUIRE(host.server.starts.empty());
     }
 
+    SECTION("a repeated order that was delayed is answered with the task's state, since its task runs")
+    {
+        // Refused, it made the entry run the task on a second host beside this one.
+        const auto order = host.order("a", {0});
+        host.fromEntry(order);
+        host.answerStart(0, OrderOutcome::Accepted);
+        host.clock.advance(Millis(AGATEDRUM_HOST_ENTRY_LEASE_MS - 100));
+        host.keepLease();
+        host.sink.take();
+        host.clock.advance(Millis(200));
+        host.fromEntry(order);
+        REQUIRE(host.reports().at(0).phase == wire::TaskPhase::RUNNING);
+        REQUIRE(host.server.stops.empty());
+    }
+
     SECTION("the tasks of a silent entry are stopped")
     {
         host.fromEntry(host.order("a", {0, 1, 2}));
