Keep the formula of a task's time, free room and raised tokens in one place

Found on reading the whole change. The fixed part of a task's time was added in the placement and again in RunTimes::expected; both call expectedTime() now. The room that no task holds was worked out in three places of HostCore, and raising the fencing token stood in two. keepHolds() collected the doubtful runs anew for each question it sent; the list cannot change in between. A late run's end was worked out twice.

Ruled out: RunTimes and ServerSpeed look alike, but one is a plain average for hosts, the other tells changes of speed from odd samples.

No change of behaviour is meant.

--- a/src/dispatch_placement.cpp
+++ b/src/dispatch_placement.cpp
@@ -1,6 +1,6 @@
 #include "dispatch_placement_p.h"
 
-#include "agatedrum/config.h"
+#include "host_progress_p.h"
 #include "host_room_p.h"
 
 #include <algorithm>
@@ -22,7 +22,6 @@
 constexpr double lateLoss = 0.8; ///< of an answer after the objective, against one in time
 constexpr double failingLoss = 2.0; ///< above all others, so that a failing host comes last
 constexpr double endWeight = 0.1;
-constexpr Millis overhead {AGATEDRUM_TASK_OVERHEAD_MS};
 /// Standard deviation of the logarithm of actual to estimated run times; callers' estimates are rough.
 constexpr double estimateSpread = 0.4;
 
@@ -104,8 +103,8 @@
         if (!canRun(task, choice)) {
             continue;
         }
-        const auto run = Micros(overhead)
-            + scaled(task.estimate, choice.slowness * (hasLabel(choice, task.dataRack) ? 1.0 : farFactor));
+        const auto run
+            = expectedTime(task.estimate, choice.slowness * (hasLabel(choice, task.dataRack) ? 1.0 : farFactor));
         const auto start = startAt(task, choice);
         const auto repeats = 1.0 / (1.0 - std::min(choice.failureShare, highestFailureShare));
         const auto expected = scaled(run, repeats);
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -111,7 +111,7 @@
         this->refuse(entry, message.job, order, "the demand exceeds the backend server");
         return;
     }
-    const bool startsNow = fits(order.demand, minus(this->registered->capacity, this->reserved()));
+    const bool startsNow = fits(order.demand, this->freeRoom());
     if (!order.mayWait && !startsNow && this->startDelayOf(order.demand) > worthWaiting) {
         this->refuse(entry, message.job, order, "there is no room for it now");
         return;
@@ -223,7 +223,7 @@
 wire::Resources HostCore::demandBeyondFree() const
 {
     auto demand = this->commonDemand;
-    const auto free = minus(this->registered->capacity, this->reserved());
+    const auto free = this->freeRoom();
     if (fits(demand, free)) {
         demand.cpuMillis = free.cpuMillis + 1;
     }
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -147,10 +147,14 @@
     void beginLife(const ServerRegistration &registration);
     void endLife(const std::string &reason);
     void noteClock(std::int64_t clockMs);
+    /// Goes above the token that the backend server has seen, and looks again what runs there.
+    void raiseFence(std::int64_t clockMs);
     std::int64_t serverClock(Millis ahead) const;
     std::string life() const;
     bool isAccepting() const;
     wire::Resources reserved() const;
+    /// Room that no task holds. Precondition: a backend server is registered.
+    wire::Resources freeRoom() const;
     double currentSlowness() const;
     /// Demand of the tasks that have to wait; an entry knows itself that one which fits into what is free need not.
     wire::Resources demandBeyondFree() const;
--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -30,6 +30,12 @@
     }
 }
 
+void HostCore::raiseFence(std::int64_t reading)
+{
+    this->fence = std::max(this->fence, reading) + 1;
+    this->isClean = false;
+}
+
 std::int64_t HostCore::serverClock(Millis ahead) const
 {
     const auto passed = std::chrono::duration_cast<Millis>(this->clock.now() - this->clockReadAt);
@@ -118,11 +124,11 @@
 void HostCore::keepHolds()
 {
     const auto now = this->clock.now();
-    while (this->registered) {
-        const auto hold = this->holds.takeDue(now, this->doubts());
-        if (!hold) {
-            return;
-        }
+    if (!this->registered) {
+        return;
+    }
+    const auto doubts = this->doubts();
+    while (const auto hold = this->holds.takeDue(now, doubts)) {
         this->sendHold(*hold);
     }
 }
@@ -176,8 +182,7 @@
         this->warnOfLateRuns();
     } else {
         if (reply.outcome == OrderOutcome::Fenced) {
-            this->fence = std::max(this->fence, reply.clockMs) + 1;
-            this->isClean = false;
+            this->raiseFence(reply.clockMs);
         }
         if (reply.outcome != previous) {
             logEvent(part, "hold_failed", {{"server", this->life()}, {"outcome", outcomeName(reply.outcome)}});
@@ -281,7 +286,7 @@
         const auto end = now + *remaining;
         if ((now < task.objective && end > task.objective) || end > task.giveUpAt) {
             task.warnedAt = now;
-            const auto run = runPart(now + *remaining - task.startedAt);
+            const auto run = runPart(end - task.startedAt);
             const auto work = static_cast<double>(run.count()) / current;
             wire::TaskReport report;
             report.phase = wire::TaskPhase::RUNNING;
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -47,13 +47,17 @@
     return sum;
 }
 
+wire::Resources HostCore::freeRoom() const
+{
+    return minus(this->registered->capacity, this->reserved());
+}
+
 void HostCore::startWaiting()
 {
     if (!this->isAccepting() || this->queue.waiting().empty()) {
         return;
     }
-    for (const auto id :
-         this->queue.takeStartable(minus(this->registered->capacity, this->reserved()), this->clock.now())) {
+    for (const auto id : this->queue.takeStartable(this->freeRoom(), this->clock.now())) {
         this->start(id, this->tasks.at(id));
     }
 }
@@ -118,8 +122,7 @@
         return;
     }
     if (reply.outcome == OrderOutcome::Fenced) {
-        this->fence = std::max(this->fence, reply.clockMs) + 1;
-        this->isClean = false;
+        this->raiseFence(reply.clockMs);
     } else if (reply.outcome == OrderOutcome::RunTooLow) {
         this->lastRuns[task.name].run += runStep;
     }
--- a/src/host_progress.cpp
+++ b/src/host_progress.cpp
@@ -81,6 +81,11 @@
     return std::max(time - Micros(overhead), time / mostOverhead);
 }
 
+Micros expectedTime(Micros estimate, double slowness)
+{
+    return overhead + Micros(static_cast<std::int64_t>(static_cast<double>(estimate.count()) * slowness));
+}
+
 double slownessOf(Micros estimate, Micros runTime)
 {
     return static_cast<double>(runPart(runTime).count()) / static_cast<double>(std::max(Micros(1), estimate).count());
@@ -96,7 +101,7 @@
 
 Micros RunTimes::expected(Micros estimate) const
 {
-    return overhead + Micros(static_cast<std::int64_t>(static_cast<double>(estimate.count()) * this->learned));
+    return expectedTime(estimate, this->learned);
 }
 
 void StoppedRuns::add(double slowness, Time now)
--- a/src/host_progress_p.h
+++ b/src/host_progress_p.h
@@ -64,6 +64,8 @@
 
 /// The part of a task's time that depends on its work.
 Micros runPart(Micros time);
+/// Expected time of a task from the order to start until the end is known: the fixed part and the run.
+Micros expectedTime(Micros estimate, double slowness);
 /// Run time without the fixed part, relative to the estimate.
 double slownessOf(Micros estimate, Micros runTime);
 
