Log each start order and each refused order of a host

What callers saw: two runs of one task; no line said when a run was ordered at a backend server, under which token and lease, or which order a host refused, so the hypotheses of docs/incidents/twice.md could not be told apart.

--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -165,6 +165,8 @@
     task.order = order.order;
     task.entry = entry;
     ++this->counters.refused;
+    logEvent(component, "order_refused",
+             {{"job", job}, {"task", order.index}, {"entry", entry.name}, {"order", order.order}, {"reason", reason}});
     this->report(task, wire::TaskPhase::REFUSED, reason);
 }
 
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -80,6 +80,15 @@
     order.spec = *task.spec;
     order.fence = this->fence;
     order.leaseUntilMs = this->serverClock(this->options.taskLease);
+    logEvent(component, "start",
+             {{"job", task.name.job},
+              {"task", task.name.index},
+              {"run", task.run},
+              {"entry", task.entry.name},
+              {"order", task.order},
+              {"server", this->instanceName()},
+              {"fence", order.fence},
+              {"leaseUntilMs", order.leaseUntilMs}});
     this->server.start(order, [this, id, instanceName = this->instanceName()](const OrderReply &reply) {
         const std::lock_guard lock(this->mutex);
         this->onStarted(id, instanceName, reply);
