Reproduce two runs of one task in a simulation of entries and hosts

No test ran entries and hosts together with backend servers that keep leases and fencing tokens, so no test could show it.

The simulation runs the real cores of entries and hosts on one simulated clock, with servers that follow the protocol of running tasks, a message bus whose links can be cut, and callers that submit a job again after 1300 ms. It records the begin and end of each run and detects a run that begins while another run of its task is active, or after the caller was told that the job never runs.

Eight deterministic cases each show one way to such a run, or to a server that gets no tasks after its restart.

--- /dev/null
+++ b/tests/run_sim.h
@@ -0,0 +1,415 @@
+#pragma once
+
+#include "run_process.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace agatedrum::test {
+
+/// A job as its caller submits it.
+struct SimJob
+{
+    std::string id;
+    std::vector<int> workMs; ///< work of each task
+    int estimateMs = 300; ///< estimate of each task
+    std::int64_t cpuMillis = 4000; ///< demand of each task
+};
+
+/// Entries, hosts, backend servers and callers on one simulated clock. The entries and hosts run the real cores.
+///
+/// A caller submits a job again, with the same id and at another entry, after an unfinished job, a broken connection or
+/// no answer until its deadline.
+class RunSim
+{
+public:
+    static constexpr Millis callerDeadline {1500};
+    static constexpr Millis resubmitDelay {1300};
+    static constexpr Millis registrationInterval {1500};
+
+    explicit RunSim(std::uint64_t seed = 1, int entryCount = 2, int hostCount = 2)
+        : random(seed)
+        , network(timeline)
+        , entryCount(entryCount)
+        , hostCount(hostCount)
+    {
+        for (int i = 0; i < hostCount; ++i) {
+            this->startHost(i);
+            this->startServer(i);
+        }
+        for (int i = 0; i < entryCount; ++i) {
+            this->startEntry(i);
+        }
+        this->timeline.every(Millis(2), [this] {
+            this->advanceServers();
+            return true;
+        });
+        this->run(Millis(500));
+    }
+
+    void run(Micros time)
+    {
+        this->timeline.run(time);
+    }
+    void trace(const std::string &text) const
+    {
+        this->record.trace(this->timeline.elapsedMs(), text);
+    }
+
+    // Processes.
+
+    void killEntry(int index, Micros downtime)
+    {
+        if (!this->entries[index]) {
+            return;
+        }
+        this->trace(fmt::format("entry-{} is killed for {} ms", index, toMillis(downtime)));
+        this->entries[index].reset();
+        this->resetConnections(index);
+        this->timeline.after(downtime, [this, index] { this->startEntry(index); });
+    }
+    void killHost(int index, Micros downtime)
+    {
+        if (!this->hosts[index]) {
+            return;
+        }
+        this->trace(fmt::format("host-{} is killed for {} ms", index, toMillis(downtime)));
+        this->hosts[index].reset();
+        this->timeline.after(downtime, [this, index] { this->startHost(index); });
+    }
+    /// Kills the host a short time after its next start order. The report of that start does not leave the host.
+    void killHostAfterStart(int index, Micros delay, Micros downtime)
+    {
+        this->servers.onStartSent = [this, index, delay, downtime](const std::string &host) {
+            if (host != hostName(index)) {
+                return;
+            }
+            this->hosts[index]->isMuted = true;
+            this->timeline.after(delay, [this, index, downtime] { this->killHost(index, downtime); });
+            this->timeline.after(Micros(0), [this] { this->servers.onStartSent = [](const std::string &) {}; });
+        };
+    }
+    /// @param handlesRequestsFirst whether it handles the waiting requests before the waiting messages when it wakes
+    void freezeEntry(int index, Micros time, bool handlesRequestsFirst = false)
+    {
+        if (const auto &entry = this->entries[index]) {
+            entry->handlesRequestsFirst = handlesRequestsFirst;
+        }
+        this->freeze(this->entries[index], time);
+    }
+    void freezeHost(int index, Micros time)
+    {
+        this->freeze(this->hosts[index], time);
+    }
+    /// Cuts the link between an entry and a host.
+    void cut(int entry, int host, Micros time, bool isFromEntry, bool isFromHost, bool isHeld)
+    {
+        this->trace(fmt::format("link entry-{} host-{} is cut for {} ms:{}{}{}", entry, host, toMillis(time),
+                                isFromEntry ? " from entry" : "", isFromHost ? " from host" : "",
+                                isHeld ? " held" : " lost"));
+        if (isFromEntry) {
+            this->network.cut(entryPort(entry), hostPort(host), time, isHeld);
+        }
+        if (isFromHost) {
+            this->network.cut(hostPort(host), entryPort(entry), time, isHeld);
+        }
+    }
+    /// Breaks the connections of all callers to an entry.
+    void resetConnections(int entry)
+    {
+        this->trace(fmt::format("the connections to entry-{} are reset", entry));
+        for (auto &request : this->requests) {
+            if (request->entry == entry && !request->isOver) {
+                this->resubmitLater(request);
+            }
+        }
+    }
+    /// Sets the wall clock of a host's machine back, which lowers the incarnations of later processes.
+    void stepWallClockBack(int host, std::int64_t byMs)
+    {
+        this->trace(fmt::format("the wall clock of host-{} is set back by {} ms", host, byMs));
+        this->wallOffsetMs[host] -= byMs;
+    }
+
+    // Backend servers.
+
+    /// Crashes the current server of a host. It starts again under its id and address, and registers with a delay.
+    void restartServer(int host, Micros downtime, Micros registrationDelay)
+    {
+        const auto old = this->current[host];
+        if (!old) {
+            return;
+        }
+        this->trace(fmt::format("server {} crashes for {} ms", old->name(), toMillis(downtime)));
+        old->crash();
+        this->servers.byPort.erase(old->ref.address.port);
+        this->current[host].reset();
+        this->timeline.after(downtime, [this, host, ref = old->ref, registrationDelay] {
+            this->startServer(host, ref.id, ref.address.port, registrationDelay);
+        });
+    }
+    /// Starts a server with another id at another address. The old one continues to run its tasks for some time.
+    void replaceServer(int host, Micros drainTime)
+    {
+        const auto old = this->current[host];
+        if (!old) {
+            return;
+        }
+        this->trace(fmt::format("server {} is replaced and ends in {} ms", old->name(), toMillis(drainTime)));
+        this->timeline.after(drainTime, [this, old] {
+            old->crash();
+            const auto found = this->servers.byPort.find(old->ref.address.port);
+            if (found != this->servers.byPort.end() && found->second == old) {
+                this->servers.byPort.erase(found);
+            }
+        });
+        const int number = ++this->lastReplacement;
+        this->startServer(host, fmt::format("r-{}", number), 9000 + number);
+    }
+    /// Makes the tasks at the current server of a host take longer by a factor for some time.
+    void slowServer(int host, double factor, Micros time)
+    {
+        const auto target = this->current[host];
+        if (!target) {
+            return;
+        }
+        this->trace(fmt::format("server {} is slower by {} for {} ms", target->name(), factor, toMillis(time)));
+        target->advance();
+        target->workFactor = factor;
+        this->timeline.after(time, [target] {
+            target->advance();
+            target->workFactor = 1.0;
+        });
+    }
+    SimServer *server(int host)
+    {
+        return this->current[host].get();
+    }
+    void advanceServers()
+    {
+        const auto all = this->servers.byPort;
+        for (const auto &[port, server] : all) {
+            server->advance();
+        }
+    }
+
+    // Callers.
+
+    void submit(const SimJob &job, int entry, int attempt = 1)
+    {
+        auto request = std::make_shared<Request>();
+        request->job = job;
+        request->entry = entry;
+        request->attempt = attempt;
+        this->requests.push_back(request);
+        this->trace(fmt::format("job {} is submitted at entry-{} (attempt {})", job.id, entry, attempt));
+        if (!this->entries[entry]) {
+            this->resubmitLater(request);
+            return;
+        }
+        this->timeline.after(callerDeadline, [this, request] { this->resubmitLater(request); });
+        this->timeline.after(hopDelay, [this, request, weak = std::weak_ptr<EntryProcess>(this->entries[entry])] {
+            if (const auto process = weak.lock()) {
+                process->postRequest([this, request, target = process.get()] { this->deliver(request, *target); });
+            }
+        });
+    }
+    /// Returns the number of jobs that were answered with this end.
+    int answered(JobEnd end) const
+    {
+        const auto found = this->answers.find(end);
+        return found == this->answers.end() ? 0 : found->second;
+    }
+
+    Timeline timeline;
+    RandomSource random;
+    RunRecord record;
+    SimServers servers;
+    std::map<int, std::shared_ptr<HostProcess>> hosts; ///< null while a process is down
+    std::map<int, std::shared_ptr<EntryProcess>> entries; ///< null while a process is down
+
+    static std::string hostName(int index)
+    {
+        return fmt::format("host-{}", index);
+    }
+
+private:
+    /// One submission of a job, from the caller's point of view.
+    struct Request
+    {
+        SimJob job;
+        int entry = 0;
+        int attempt = 1;
+        bool isOver = false; ///< answered, broken or given up
+    };
+
+    static constexpr int maxAttempts = 4;
+
+    static int entryPort(int index)
+    {
+        return 43000 + index;
+    }
+    static int hostPort(int index)
+    {
+        return 43100 + index;
+    }
+    std::int64_t wallMs(int host)
+    {
+        return this->timeline.clock().wallMs() + this->wallOffsetMs[host];
+    }
+    void freeze(const std::shared_ptr<SimProcess> &process, Micros time)
+    {
+        if (process) {
+            this->trace(fmt::format("{} is frozen for {} ms", process->self.name, toMillis(time)));
+            process->freeze(time);
+        }
+    }
+    void startEntry(int index)
+    {
+        const auto name = fmt::format("entry-{}", index);
+        this->trace(name + " starts");
+        auto process = std::make_shared<EntryProcess>(
+            this->timeline, this->network, processId(name, this->timeline.clock().wallMs()), entryPort(index));
+        this->network.add(process);
+        process->start();
+        this->entries[index] = std::move(process);
+    }
+    void startHost(int index)
+    {
+        this->trace(hostName(index) + " starts");
+        auto process = std::make_shared<HostProcess>(this->timeline, this->network, this->servers,
+                                                     processId(hostName(index), this->wallMs(index)), hostPort(index));
+        this->network.add(process);
+        process->start();
+        wire::ClusterView view;
+        view.version = 1;
+        for (int entry = 0; entry < this->entryCount; ++entry) {
+            wire::MemberRef member;
+            member.address = endpoint(entryPort(entry));
+            view.entries.push_back(member);
+        }
+        postAfter(this->timeline, process, Millis(10), [core = &process->core(), view] {
+            core->handle(incoming("control-1", wire::Role::CONTROL, 42000, view));
+        });
+        this->hosts[index] = std::move(process);
+    }
+    void startServer(int host)
+    {
+        this->startServer(host, fmt::format("i-{}", host), 8080 + host);
+    }
+    void startServer(int host, const std::string &id, int port, Micros registrationDelay = Millis(2))
+    {
+        TaskServerRef ref {id, this->timeline.clock().wallMs(), endpoint(port)};
+        const auto clockRate = 1.0 - 0.02 * this->random.drawFraction();
+        auto server = std::make_shared<SimServer>(this->timeline, this->record, std::move(ref), clockRate);
+        server->prepareBegin = [this] { this->advanceServers(); };
+        this->trace(fmt::format("server {} of host-{} starts", server->name(), host));
+        this->servers.byPort[port] = server;
+        this->current[host] = server;
+        auto sequence = std::make_shared<std::int64_t>(0);
+        const auto sendRegistration = [this, host, sequence, weak = std::weak_ptr<SimServer>(server)](Micros delay) {
+            const auto sender = weak.lock();
+            if (!sender || this->servers.find(sender->ref) != sender) {
+                return false;
+            }
+            this->sendRegistration(host, *sender, ++*sequence, delay);
+            return true;
+        };
+        sendRegistration(registrationDelay);
+        this->timeline.every(registrationInterval, [sendRegistration] { return sendRegistration(Millis(2)); });
+    }
+    void sendRegistration(int host, const SimServer &server, std::int64_t sequence, Micros delay)
+    {
+        ServerRegistration registration;
+        registration.server = server.ref;
+        registration.serviceName = "visits";
+        registration.capacity.cpuMillis = 16000;
+        registration.capacity.memoryMb = 1000;
+        registration.clockMs = server.clockMs();
+        registration.sequence = sequence;
+        registration.isDraining = this->current[host].get() != &server;
+        this->timeline.after(delay, [this, host, registration] {
+            if (const auto process = this->hosts[host]) {
+                process->post([core = &process->core(), registration] { core->registerServer(registration); });
+            }
+        });
+    }
+
+    static RouteConfig route()
+    {
+        RouteConfig result;
+        result.name = "r";
+        result.serviceName = "visits";
+        result.timeout = callerDeadline;
+        result.latencyObjective = Millis(60);
+        result.stretch = 1.6;
+        result.maxAttempts = 2;
+        return result;
+    }
+    /// Hands a request that has arrived to the entry.
+    void deliver(const std::shared_ptr<Request> &request, EntryProcess &process)
+    {
+        JobRequest job;
+        job.id = request->job.id;
+        job.routeName = "r";
+        job.timeLeft = callerDeadline;
+        job.isCallerDisconnected = [request] { return request->isOver; };
+        for (const auto work : request->job.workMs) {
+            job.spec += fmt::format("{} ", work);
+            TaskRequest task;
+            task.demand.cpuMillis = request->job.cpuMillis;
+            task.demand.memoryMb = 10;
+            task.estimate = Millis(request->job.estimateMs);
+            job.tasks.push_back(task);
+        }
+        process.core().submit(route(), std::move(job), [this, request](const JobOutcome &outcome) {
+            this->timeline.after(hopDelay, [this, request, outcome] { this->receiveAnswer(request, outcome); });
+        });
+    }
+    void receiveAnswer(const std::shared_ptr<Request> &request, const JobOutcome &outcome)
+    {
+        if (request->isOver) {
+            return;
+        }
+        ++this->answers[outcome.end];
+        this->trace(fmt::format("job {} is answered by entry-{}: {} {}", request->job.id, request->entry,
+                                static_cast<int>(outcome.end), outcome.reason));
+        if (outcome.end == JobEnd::Unfinished) {
+            this->resubmitLater(request);
+            return;
+        }
+        request->isOver = true;
+        if (outcome.end == JobEnd::Refused && request->attempt == 1) {
+            this->record.recordRefusal(request->job.id);
+        }
+    }
+    void resubmitLater(const std::shared_ptr<Request> &request)
+    {
+        if (request->isOver) {
+            return;
+        }
+        request->isOver = true;
+        if (request->attempt < maxAttempts) {
+            this->timeline.after(resubmitDelay, [this, request] {
+                this->submit(request->job, (request->entry + 1) % this->entryCount, request->attempt + 1);
+            });
+        }
+    }
+
+    SimNetwork network;
+    const int entryCount;
+    const int hostCount;
+    std::map<int, std::shared_ptr<SimServer>> current; ///< newest server of each host; null while it is down
+    std::map<int, std::int64_t> wallOffsetMs;
+    std::list<std::shared_ptr<Request>> requests;
+    std::map<JobEnd, int> answers;
+    int lastReplacement = 0;
+};
+
+} // namespace agatedrum::test
--- /dev/null
+++ b/tests/test_run_faults.cpp
@@ -0,0 +1,258 @@
+#include "base_log_p.h"
+#include "run_sim.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+using namespace agatedrum;
+using namespace agatedrum::test;
+
+namespace {
+
+constexpr Millis afterwards {10000}; ///< longer than all submissions of one job take
+
+/// A job with one task that needs a whole server, so that a second run is placed at another host.
+SimJob wholeServerJob(int workMs, int estimateMs)
+{
+    return {"j", {workMs}, estimateMs, 16000};
+}
+
+void requireNoViolation(const RunSim &sim)
+{
+    INFO((sim.record.violations.empty() ? std::string() : sim.record.violations.front()));
+    REQUIRE_FALSE(sim.record.runs.empty());
+    CHECK(sim.record.violations.empty());
+}
+
+} // namespace
+
+// Guards against a simulation or checks that fail although no fault is injected, and against checks that detect
+// nothing.
+TEST_CASE("The simulation of runs completes jobs without faults and detects wrong runs", "[run-faults]")
+{
+    setLogLevel(LogLevel::Error);
+
+    SECTION("without faults each job completes, and each of its tasks runs once")
+    {
+        RunSim sim;
+        for (int i = 0; i < 20; ++i) {
+            sim.submit({fmt::format("j{}", i), {60, 200, 400}, 250, 4000}, i % 2);
+            sim.run(Millis(600));
+        }
+        sim.run(afterwards);
+        CHECK(sim.answered(JobEnd::Completed) == 20);
+        CHECK(sim.record.count("done") == 60);
+        CHECK(sim.record.runs.size() == 60);
+        requireNoViolation(sim);
+    }
+
+    SECTION("a second run of a task that still runs is detected")
+    {
+        RunRecord record;
+        const auto first = record.begin({"j", 0}, 1, "a", 0);
+        record.begin({"j", 1}, 1, "b", 1);
+        CHECK(record.violations.empty());
+
+        SECTION("as long as the first one has not ended")
+        {
+            record.begin({"j", 0}, 1, "b", 5);
+            CHECK(record.violations.size() == 1);
+        }
+        SECTION("and not after its end")
+        {
+            record.end(first, "done", 4);
+            record.begin({"j", 0}, 2, "b", 5);
+            CHECK(record.violations.empty());
+        }
+    }
+
+    SECTION("a run of a job whose caller was told that it never runs is detected")
+    {
+        RunRecord record;
+        record.recordRefusal("j");
+        record.begin({"j", 0}, 1, "a", 0);
+        CHECK(record.violations.size() == 1);
+    }
+}
+
+// Guards against a second run while the first one, whose host was killed before it could report it, still has a lease.
+TEST_CASE("A task does not run twice when its host is killed right after the start order", "[run-faults]")
+{
+    setLogLevel(LogLevel::Error);
+    RunSim sim;
+
+    SECTION("and the restarted host does not know its server yet")
+    {
+        sim.killHostAfterStart(0, Millis(1), Millis(300));
+        sim.submit(wholeServerJob(1000, 900), 0);
+        sim.run(afterwards);
+        requireNoViolation(sim);
+    }
+    SECTION("and the restarted host finds the run in the list of its server")
+    {
+        sim.run(Millis(800)); // the server registers again after the restart of the host
+        sim.killHostAfterStart(0, Millis(1), Millis(300));
+        sim.submit(wholeServerJob(1000, 900), 0);
+        sim.run(afterwards);
+        requireNoViolation(sim);
+    }
+}
+
+// Guards against a run at a restarted server that its host believes to have ended with the earlier instance.
+TEST_CASE("A task does not run twice when its server restarts under the same id", "[run-faults]")
+{
+    setLogLevel(LogLevel::Error);
+    RunSim sim;
+
+    SECTION("and gets an order before its registration reaches the host")
+    {
+        sim.restartServer(0, Millis(1), Millis(40));
+        sim.run(Millis(5));
+        sim.submit(wholeServerJob(1000, 900), 0);
+        sim.run(afterwards);
+        requireNoViolation(sim);
+    }
+    SECTION("and gets an order of a host that was started long after the earlier instance")
+    {
+        sim.run(Millis(8000));
+        sim.killHost(0, Millis(300));
+        sim.run(Millis(3000));
+        sim.restartServer(0, Millis(1), Millis(40));
+        sim.run(Millis(5));
+        sim.submit(wholeServerJob(1000, 900), 0);
+        sim.run(afterwards);
+        requireNoViolation(sim);
+    }
+    SECTION("and carries out an order to the earlier instance seconds later")
+    {
+        sim.run(Millis(8000));
+        sim.killHost(0, Millis(300));
+        sim.run(Millis(3000));
+        bool isFirst = true;
+        sim.servers.lateOrder = [&isFirst](OrderKind kind, const std::string &) {
+            return kind == OrderKind::Start && std::exchange(isFirst, false)
+                ? std::optional<LateOrder>({Millis(3000), false})
+                : std::nullopt;
+        };
+        sim.submit(wholeServerJob(1300, 1200), 0);
+        sim.run(Millis(50));
+        sim.restartServer(0, Millis(1), Millis(2));
+        sim.run(Millis(1150));
+        sim.resetConnections(0); // the job is submitted again 2500 ms after its first submission
+        sim.run(Millis(1200));
+        sim.submit({"other", {1300}, 1200, 16000}, 0); // at the restarted server, so that the job runs at the other one
+        sim.run(afterwards);
+        requireNoViolation(sim);
+    }
+}
+
+// Guards against a server that gets no tasks for minutes, since its fencing tokens are below those of the earlier
+// instance.
+TEST_CASE("A host accepts tasks again soon after its server has restarted under the same id", "[run-faults]")
+{
+    setLogLevel(LogLevel::Error);
+    RunSim sim;
+    sim.run(Millis(8000));
+    sim.killHost(0, Millis(300));
+    sim.run(Millis(3000));
+    REQUIRE(sim.hosts[0]->core().isReady());
+    sim.restartServer(0, Millis(1), Millis(40));
+    sim.run(Millis(5));
+    sim.submit(wholeServerJob(300, 300), 0);
+    // All leases run out within 1020 ms, and the server registers every 1500 ms.
+    sim.run(Millis(3000));
+    CHECK(sim.hosts[0]->core().isReady());
+}
+
+// Guards against tasks that an entry orders from a request that it reads long after its caller has submitted the job
+// elsewhere.
+TEST_CASE("An entry that wakes orders no task of a caller that has disconnected", "[run-faults]")
+{
+    setLogLevel(LogLevel::Error);
+    RunSim sim;
+    sim.freezeEntry(0, Millis(3000));
+    sim.submit(wholeServerJob(1200, 1000), 0); // submitted again at the other entry after 2800 ms
+    sim.run(afterwards);
+    requireNoViolation(sim);
+}
+
+// Guards against leases of entry and server that together last longer than the caller waits.
+TEST_CASE("A task does not run twice when its entry and then its host are lost", "[run-faults]")
+{
+    setLogLevel(LogLevel::Error);
+    RunSim sim;
+    sim.submit(wholeServerJob(2400, 1400), 0);
+    sim.run(Millis(40));
+    sim.killEntry(0, Millis(9000));
+
+    SECTION("and the host is killed")
+    {
+        sim.run(Millis(740));
+        sim.killHost(0, Millis(2000));
+    }
+    SECTION("and the host is frozen")
+    {
+        sim.run(Millis(740));
+        sim.freezeHost(0, Millis(2000));
+    }
+    sim.run(afterwards);
+    requireNoViolation(sim);
+}
+
+// Guards against a lease that is renewed for a run whose entry has lost its own lease.
+TEST_CASE("A run that must stop ends in time although its stops get no answer", "[run-faults]")
+{
+    setLogLevel(LogLevel::Error);
+    RunSim sim;
+    sim.submit(wholeServerJob(2400, 1400), 0);
+    sim.run(Millis(40));
+    sim.killEntry(0, Millis(9000));
+    sim.servers.lateOrder = [](OrderKind kind, const std::string &) {
+        return kind == OrderKind::Stop ? std::optional<LateOrder>({Millis(5000), false}) : std::nullopt;
+    };
+    sim.run(afterwards);
+    requireNoViolation(sim);
+}
+
+// Guards against a second run while a replaced server, which its host no longer asks, still runs the first one.
+TEST_CASE("A task does not run twice when its server is replaced at another address", "[run-faults]")
+{
+    setLogLevel(LogLevel::Error);
+    RunSim sim;
+    sim.submit(wholeServerJob(1200, 1100), 0);
+    sim.run(Millis(100));
+    sim.replaceServer(0, Millis(4000));
+    sim.run(afterwards);
+    requireNoViolation(sim);
+}
+
+// Guards against runs that outlive their host because polls that it sent earlier are carried out after its loss.
+TEST_CASE("Late polls of a lost host keep no run alive until the job is submitted again", "[run-faults]")
+{
+    setLogLevel(LogLevel::Error);
+    RunSim sim;
+    int polls = 0;
+    sim.servers.lateOrder = [&polls](OrderKind kind, const std::string &host) {
+        const bool isLate = kind == OrderKind::Poll && host == RunSim::hostName(0) && ++polls % 2 == 0;
+        return isLate ? std::optional<LateOrder>({Millis(2500), true}) : std::nullopt;
+    };
+    sim.run(Millis(5000));
+    sim.server(0)->workFactor = 2.0;
+    sim.submit(wholeServerJob(2400, 1400), 0);
+    sim.run(Millis(40));
+
+    SECTION("its entry is lost as well, and the caller submits the job again 1300 ms later")
+    {
+        sim.killEntry(0, Millis(9000));
+        sim.killHost(0, Millis(9000));
+    }
+    SECTION("its entry tells the caller that the host was lost")
+    {
+        sim.killHost(0, Millis(9000));
+    }
+    sim.run(afterwards);
+    requireNoViolation(sim);
+}
