Start the token of a backend server's instance at that instance's clock, also if it is 0

Evidence: test-host-lease failed before, and in test-run-faults a host that restarted while its backend server had first registered at clock 0 needed more than 2.5 s of refused polls: the token contained the host's own uptime.

Change: the reading of a registration counts from the registration, whatever its value.

--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -64,8 +64,8 @@
     this->leaseGrantedUntil = Time {};
     this->registered = registration;
     this->registered->isDraining = false;
-    this->serverClockMs = 0;
-    this->updateClock(registration.clockMs);
+    this->serverClockMs = registration.clockMs;
+    this->serverClockReadAt = this->clock.now();
     this->fenceStep = 1;
     this->raiseFence(1);
     logEvent(component, "server_life",
--- a/tests/test_host_lease.cpp
+++ b/tests/test_host_lease.cpp
@@ -163,6 +163,13 @@
         REQUIRE(later.server.polls.back().order.fence > earlierFence);
     }
 
+    SECTION("the token does not depend on how long the host has been up if the next instance's clock is at 0")
+    {
+        next.clockMs = 0;
+        host.core.registerServer(next);
+        REQUIRE(host.server.polls.back().order.fence < next.server.startedAtMs + 1000);
+    }
+
     SECTION("the end of a task is reported only when the next instance has accepted the new token")
     {
         host.core.registerServer(next);
