Do not run a request that has waited for longer than its caller

What callers saw: a task ran twice at the same time after an entry had been frozen: the caller had given up, and had sent its job to another entry, when the frozen one woke and read the request.

Cause: the entry ordered the tasks of each request that it read, and looked only at the next tick whether the caller was still there. The HTTP server delivers a request before it notices the close that follows it in the socket.

Evidence: "An entry that wakes orders no task" of test-run-faults and the new section of test-http-server failed before; so did test-dispatch, "An entry does not run a request that has waited".

An entry that has not ticked for a second refuses requests until 100 ms after its next tick, since it cannot know their age; "not run" is true.

--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -174,6 +174,12 @@
 #define AGATEDRUM_ENTRY_BODY_BYTES (512LL * 1024 * 1024)
 #endif
 
+/// Time in milliseconds without a tick after which an entry counts as stalled. Requests that it reads after a stall may
+/// be older than their callers' time-outs, so this must be shorter than the time for which callers wait.
+#ifndef AGATEDRUM_ENTRY_STALL_MS
+#define AGATEDRUM_ENTRY_STALL_MS 1000
+#endif
+
 /// Interval at which a host reports its capacity to each entry, in milliseconds.
 #ifndef AGATEDRUM_HOST_REPORT_MS
 #define AGATEDRUM_HOST_REPORT_MS 200
--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -11,6 +11,8 @@
 constexpr auto component = "dispatch";
 /// Longer than a task can continue to run at a host that is unreachable.
 constexpr Millis stopRetention {3000};
+/// Time after a stall within which the requests and disconnections that waited in the sockets are read.
+constexpr Millis stallSettleTime {100};
 
 } // namespace
 
@@ -139,6 +141,7 @@
     MemberReport report;
     {
         const std::lock_guard lock(this->mutex);
+        this->recordTick();
         this->failLostHosts(answers);
         this->checkJobs(answers);
         this->sendStops();
@@ -149,6 +152,16 @@
     this->link.tick(report);
 }
 
+void DispatchCore::recordTick()
+{
+    const auto now = this->clock.now();
+    if (this->tickedAt != Time {} && now - this->tickedAt >= this->options.stallTime) {
+        logEvent(component, "stalled", {{"forMs", toMillis(now - this->tickedAt)}});
+        this->stalledUntil = now + stallSettleTime;
+    }
+    this->tickedAt = now;
+}
+
 // Implementation of CoreI.
 
 nlohmann::json DispatchCore::dump() const
--- a/src/dispatch_core_jobs.cpp
+++ b/src/dispatch_core_jobs.cpp
@@ -71,6 +71,10 @@
             const std::string reason = "the job is already in flight at this entry";
             logEvent(component, "refused", {{"job", request.id}, {"route", route.name}, {"reason", reason}});
             answers.emplace_back(std::move(handler), JobOutcome {JobEnd::Unfinished, reason, defaultRetryDelay});
+        } else if (const auto reason = this->staleReason(request); !reason.empty()) {
+            ++this->counters.refused;
+            logEvent(component, "refused", {{"job", request.id}, {"route", route.name}, {"reason", reason}});
+            answers.emplace_back(std::move(handler), JobOutcome {JobEnd::Refused, reason, defaultRetryDelay});
         } else {
             this->admit(route, this->makeJob(route, std::move(request), std::move(handler)), answers);
         }
@@ -78,6 +82,17 @@
     deliverAnswers(answers);
 }
 
+std::string DispatchCore::staleReason(const JobRequest &request) const
+{
+    if (request.isCallerDisconnected()) {
+        return "the caller disconnected before the request was read";
+    }
+    const auto now = this->clock.now();
+    const bool isStalled = this->tickedAt != Time {} && now - this->tickedAt >= this->options.stallTime;
+    return isStalled || now < this->stalledUntil ? "this entry was stalled while the request may have been waiting"
+                                                 : "";
+}
+
 DispatchCore::Job DispatchCore::makeJob(const RouteConfig &route, JobRequest request, JobHandler handler) const
 {
     Job job;
--- a/src/dispatch_core_p.h
+++ b/src/dispatch_core_p.h
@@ -29,6 +29,7 @@
     double maxLateness = 0.0; ///< see Admission
     double farFactor = 1.0; ///< run time factor of a task that runs remote from its data
     std::size_t maxJobs = 20000; ///< maximum number of jobs in flight
+    Millis stallTime {AGATEDRUM_ENTRY_STALL_MS};
     Millis drainTime {0}; ///< time after the start of a stop during which jobs are still accepted
 };
 
@@ -142,6 +143,10 @@
     static PlacementGoal placementGoalOf(const Job &job, Time now);
     static void deliverAnswers(const Answers &answers);
     bool isClosedLocked() const;
+    /// Returns why a new request must not be run, or an empty string.
+    std::string staleReason(const JobRequest &request) const;
+    /// Records that a tick begins, and whether the process has stood still since the last one.
+    void recordTick();
     std::vector<HostCandidate> candidatesFor(const Job &job) const;
 
     MessageSinkI &sink;
@@ -157,6 +162,8 @@
     DispatchStops stops;
     DispatchHosts hosts;
     std::int64_t lastOrder = 0;
+    Time tickedAt; ///< begin of the newest tick; Time {} before the first one
+    Time stalledUntil; ///< requests that are read until then may have arrived while the process stood still
     bool isStopping = false;
     Time closesAt; ///< end of the drain time; valid once a stop has begun
     Counters counters;
--- a/tests/test_dispatch.cpp
+++ b/tests/test_dispatch.cpp
@@ -486,6 +486,41 @@
     }
 }
 
+TEST_CASE("An entry does not run a request that has waited for longer than its caller", "[dispatch]")
+{
+    // Guards against two runs of one task: after a freeze, an entry reads requests whose callers have resubmitted them.
+    DispatchFixture entry;
+    entry.core.tick();
+    entry.receiveReport("host-1");
+
+    SECTION("a request whose caller has disconnected before it was read")
+    {
+        entry.submit("a", 1, [] { return true; });
+        REQUIRE(entry.takeOrders().empty());
+        REQUIRE(entry.outcomes.at(0).end == JobEnd::Refused);
+    }
+
+    SECTION("a request that is read after a freeze, before or shortly after the next tick")
+    {
+        entry.clock.advance(Millis(AGATEDRUM_ENTRY_STALL_MS));
+        entry.receiveReport("host-1");
+        entry.submit("a", 1);
+        entry.core.tick();
+        entry.submit("b", 1);
+        REQUIRE(entry.takeOrders().empty());
+        REQUIRE(entry.outcomes.at(0).end == JobEnd::Refused);
+        REQUIRE(entry.outcomes.at(1).end == JobEnd::Refused);
+
+        SECTION("later requests run")
+        {
+            entry.clock.advance(Millis(100));
+            entry.core.tick();
+            entry.submit("c", 1);
+            REQUIRE(entry.takeOrders().size() == 1);
+        }
+    }
+}
+
 TEST_CASE("A stopping entry accepts jobs until the end of its drain time", "[dispatch]")
 {
     // Guards against connections that are cut because the load balancer has not yet noticed the stop.
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -470,3 +470,44 @@
         REQUIRE_THAT(client.receive(), Catch::Contains("413"));
     }
 }
+
+// Guards against a request that is run although its caller has given it up and sent it elsewhere while the server stood
+// still.
+TEST_CASE("A handler learns at once that its caller has disconnected before the request was read", "[http]")
+{
+    auto options = serverOptions();
+    options.threads = 1;
+    std::promise<void> stalled;
+    std::promise<bool> isDisconnected;
+    const auto running = startServer(options, [&stalled, &isDisconnected](HttpServer &server) {
+        server.route("GET", "/stall", [&stalled](const HttpRequest &, const HttpReply &reply) {
+            stalled.set_value();
+            std::this_thread::sleep_for(Millis(300));
+            reply(text("stalled"));
+        });
+        server.route("GET", "/job", [&isDisconnected](const HttpRequest &request, const HttpReply &reply) {
+            isDisconnected.set_value(request.isCallerDisconnected());
+            reply(text("run"));
+        });
+    });
+    RawClient first(options.address.port);
+    RawClient patient(options.address.port);
+    first.send("GET /stall HTTP/1.1\r\nHost: x\r\n\r\n");
+    stalled.get_future().wait();
+
+    SECTION("a caller that has closed its connection")
+    {
+        {
+            RawClient impatient(options.address.port);
+            impatient.send("GET /job HTTP/1.1\r\nHost: x\r\n\r\n");
+        }
+        REQUIRE(isDisconnected.get_future().get());
+    }
+
+    SECTION("a caller that waits is answered")
+    {
+        patient.send("GET /job HTTP/1.1\r\nHost: x\r\n\r\n");
+        REQUIRE_FALSE(isDisconnected.get_future().get());
+        REQUIRE(endsWith(patient.receive(), "run"));
+    }
+}
