Tell the entries at once when a host stops, and refuse late orders for a short time

What callers saw: 502 "the host of a task is unresponsive" after the planned stop of a host, for 0.7 s.

Cause: a host without tasks ended 1 ms after SIGTERM, before its next periodic report, so no entry heard of the stop, and orders that were sent meanwhile met a closed port.

The new section of test-host failed before: no report at the stop, and drained at once.

Change: the report that the host accepts nothing goes out with the stop, and the host refuses orders as not run for 250 ms before it ends.

--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr auto component = "host";
+/// Time for which a stopping host still refuses orders: entries learn of the stop, and the orders that they sent before
+/// arrive.
+constexpr Millis stopNoticeTime {250};
 constexpr Micros maxAcceptedDelay = Millis(10); ///< longer than a detour through the entry to another host
 
 } // namespace
@@ -250,13 +253,14 @@
     return expectedStartDelay(this->registered->capacity, reserving, this->queue.waitingOnTime(now), demand);
 }
 
-void HostCore::sendHostReport(const std::vector<wire::Endpoint> &to)
+void HostCore::announce()
 {
+    this->nextReport = this->clock.now() + this->options.reportInterval;
     const auto report = this->hostReport();
-    for (const auto &address : to) {
+    for (const auto &entry : this->link.view().entries) {
         auto message = report;
         message.sequence = ++this->reportSequence;
-        this->sink.send(address, std::move(message));
+        this->sink.send(entry.address, std::move(message));
     }
 }
 
@@ -265,7 +269,6 @@
 void HostCore::tick()
 {
     MemberReport memberReport;
-    std::vector<wire::Endpoint> due;
     {
         const std::lock_guard lock(this->mutex);
         const auto now = this->clock.now();
@@ -282,11 +285,7 @@
             }
         }
         if (isChanged || now >= this->nextReport) {
-            this->nextReport = now + this->options.reportInterval;
-            for (const auto &entry : this->link.view().entries) {
-                due.push_back(entry.address);
-            }
-            this->sendHostReport(due);
+            this->announce();
             this->entries.removeUnresponsive(now);
         }
         memberReport.isLeaving = this->isStopping;
@@ -343,15 +342,20 @@
 void HostCore::beginStop()
 {
     const std::lock_guard lock(this->mutex);
+    if (this->isStopping) {
+        return;
+    }
     this->isStopping = true;
+    this->stopsAt = this->clock.now() + stopNoticeTime;
     this->refuseWaiting("the host is stopping");
     this->sendReports();
+    this->announce();
 }
 
 bool HostCore::isDrained() const
 {
     const std::lock_guard lock(this->mutex);
-    return this->tasks.empty();
+    return this->tasks.empty() && this->clock.now() >= this->stopsAt;
 }
 
 std::int64_t HostCore::configNumber() const
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -52,7 +52,7 @@
     std::vector<prometheus::MetricFamily> latencyHistograms() const override;
     bool isReady() const override;
     void beginStop() override;
-    /// Returns true if no task is waiting or running.
+    /// Returns true if no task is waiting or running and, once a stop has begun, the entries have learned of it.
     bool isDrained() const override;
     std::int64_t configNumber() const override;
 
@@ -134,7 +134,8 @@
     void report(const HostTask &task, wire::TaskPhase::type phase, const std::string &reason, Micros runTime = {});
     void report(const HostTask &task, wire::TaskReport report);
     void sendReports();
-    void sendHostReport(const std::vector<wire::Endpoint> &to);
+    /// Sends the host's report to all known entries.
+    void announce();
     wire::HostReport hostReport() const;
 
     // Task life cycle.
@@ -208,6 +209,7 @@
     std::optional<ServerRegistration> registered;
     bool hasLeft = false;
     bool isStopping = false;
+    Time stopsAt; ///< a stopping host refuses orders until then, and ends when its runs have ended
 
     std::int64_t fence = 0; ///< fencing token of the orders that are sent now
     std::int64_t fenceStep = 1; ///< by how much the token rises after the next refusal
--- a/tests/test_host.cpp
+++ b/tests/test_host.cpp
@@ -357,9 +357,32 @@
         REQUIRE_FALSE(host.core.isDrained());
         host.receiveFromEntry(host.makeOrder("b", {0}));
         REQUIRE(host.server.starts.size() == 1);
+        host.clock.advance(Millis(250));
         host.answerPoll(HostFixture::pollReply({}, {{1, {"a", 0}, 1, RunEnd::Done}}));
         REQUIRE(host.core.isDrained());
     }
+
+    SECTION("a stopping host without tasks tells the entries at once, and refuses their orders for a short time")
+    {
+        // Guards against jobs that are lost because entries order their tasks at a host that has ended.
+        wire::ClusterView view;
+        view.version = 1;
+        wire::MemberRef entry;
+        entry.id = processId("entry-1");
+        entry.address = endpoint(43001);
+        view.entries = {entry};
+        host.core.handle(incoming("control-1", wire::Role::CONTROL, 43000, view));
+        host.sink.take();
+        host.core.beginStop();
+        const auto reports = host.sink.all<wire::HostReport>();
+        REQUIRE(reports.size() == 1);
+        REQUIRE_FALSE(reports[0].accepting);
+        REQUIRE_FALSE(host.core.isDrained());
+        host.receiveFromEntry(host.makeOrder("b", {0}));
+        REQUIRE(host.takeReports().at(0).phase == wire::TaskPhase::REFUSED);
+        host.clock.advance(Millis(250));
+        REQUIRE(host.core.isDrained());
+    }
 }
 
 TEST_CASE("A host resends its reports until the entry has acknowledged them", "[host]")
