--- a/tests/run_process.h
+++ b/tests/run_process.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -239,6 +240,7 @@
     /// Called when a host sends a start order.
     std::function<void(const std::string &host)> onStartSent = [](const std::string &) {};
     std::function<Micros()> drawStopDelay = [] { return Millis(50); };
+    std::function<void(const std::string &)> trace = [](const std::string &) {};
 
     std::shared_ptr<SimServer> find(const TaskServerRef &ref) const
     {
@@ -290,6 +292,16 @@
 private:
     static constexpr Micros orderTimeout = Millis(100);
 
+    static std::string textOf(const PollOrder & /*order*/)
+    {
+        return "poll";
+    }
+    template<typename Order>
+    static std::string textOf(const Order &order)
+    {
+        return fmt::format("{} of run {} of {}/{}", std::is_same_v<Order, StartOrder> ? "start" : "stop", order.run,
+                           order.task.job, order.task.index);
+    }
     static std::int64_t *leaseOf(StopOrder & /*order*/)
     {
         return nullptr;
@@ -311,6 +323,10 @@
         const auto sendTo = this->servers.find(order.server);
         if (const auto late = this->servers.lateOrder(kind, this->host.self.name)) {
             const auto sentClockMs = sendTo ? sendTo->clockMs() : 0;
+            if (kind != OrderKind::Poll) {
+                this->servers.trace(fmt::format("{} by {} is late by {} ms", textOf(order), this->host.self.name,
+                                                toMillis(late->delay)));
+            }
             this->timeline.after(late->delay,
                                  [servers = &this->servers, order = order, late, sentClockMs, apply]() mutable {
                                      const auto server = servers->find(order.server);
--- a/tests/run_server.h
+++ b/tests/run_server.h
@@ -19,6 +19,13 @@
 
 namespace agatedrum::test {
 
+/// Whether the simulations print what happens, with the simulated time. Initially set by AGATEDRUM_TEST_LOG.
+inline bool &isTracingRuns()
+{
+    static bool isTracing = std::getenv("AGATEDRUM_TEST_LOG") != nullptr;
+    return isTracing;
+}
+
 /// Records the runs of all simulated backend servers and detects runs that must not exist.
 class RunRecord
 {
@@ -76,10 +83,9 @@
         return static_cast<std::size_t>(std::count_if(this->runs.begin(), this->runs.end(),
                                                       [&](const Run &run) { return run.outcome == outcome; }));
     }
-    /// Prints a line with the simulated time if AGATEDRUM_TEST_LOG or AGATEDRUM_TEST_SEED is set.
     void trace(std::int64_t nowMs, const std::string &text) const
     {
-        if (this->isTracing) {
+        if (isTracingRuns()) {
             fmt::print("{:>7} ms  {}\n", nowMs, text);
         }
     }
@@ -90,7 +96,6 @@
 private:
     std::map<TaskName, std::set<std::size_t>> activeRuns;
     std::set<std::string> refusedJobs;
-    bool isTracing = std::getenv("AGATEDRUM_TEST_LOG") != nullptr || std::getenv("AGATEDRUM_TEST_SEED") != nullptr;
 };
 
 /// One instance of a simulated backend server. The spec of a job is the list of its tasks' work in milliseconds.
@@ -144,6 +149,9 @@
             return *refused;
         }
         const auto found = this->active.find({order.task, order.run});
+        this->record.trace(this->timeline.elapsedMs(),
+                           fmt::format("server {} takes a stop of run {} of {}/{}", this->name(), order.run,
+                                       order.task.job, order.task.index));
         if (found == this->active.end()) {
             auto &floor = this->lastEnded[order.task];
             floor = std::max(floor, order.run);
--- a/tests/run_sim.h
+++ b/tests/run_sim.h
@@ -1,44 +1,30 @@
 #pragma once
 
-#include "run_process.h"
+#include "run_callers.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <list>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace agatedrum::test {
 
-/// A job as its caller submits it.
-struct SimJob
-{
-    std::string id;
-    std::vector<int> workMs; ///< work of each task
-    int estimateMs = 300; ///< estimate of each task
-    std::int64_t cpuMillis = 4000; ///< demand of each task
-};
-
 /// Entries, hosts, backend servers and callers on one simulated clock. The entries and hosts run the real cores.
-///
-/// A caller submits a job again, with the same id and at another entry, after an unfinished job, a broken connection or
-/// no answer until its deadline.
 class RunSim
 {
 public:
-    static constexpr Millis callerDeadline {1500};
-    static constexpr Millis resubmitDelay {1300};
     static constexpr Millis registrationInterval {1500};
 
     explicit RunSim(std::uint64_t seed = 1, int entryCount = 2, int hostCount = 2)
         : random(seed)
+        , callers(timeline, record, entries, entryCount)
         , network(timeline)
         , entryCount(entryCount)
         , hostCount(hostCount)
     {
+        this->servers.trace = [this](const std::string &text) { this->trace(text); };
         for (int i = 0; i < hostCount; ++i) {
             this->startHost(i);
             this->startServer(i);
@@ -71,7 +57,7 @@
         }
         this->trace(fmt::format("entry-{} is killed for {} ms", index, toMillis(downtime)));
         this->entries[index].reset();
-        this->resetConnections(index);
+        this->callers.resetConnections(index);
         this->timeline.after(downtime, [this, index] { this->startEntry(index); });
     }
     void killHost(int index, Micros downtime)
@@ -120,16 +106,6 @@
             this->network.cut(hostPort(host), entryPort(entry), time, isHeld);
         }
     }
-    /// Breaks the connections of all callers to an entry.
-    void resetConnections(int entry)
-    {
-        this->trace(fmt::format("the connections to entry-{} are reset", entry));
-        for (auto &request : this->requests) {
-            if (request->entry == entry && !request->isOver) {
-                this->resubmitLater(request);
-            }
-        }
-    }
     /// Sets the wall clock of a host's machine back, which lowers the incarnations of later processes.
     void stepWallClockBack(int host, std::int64_t byMs)
     {
@@ -199,40 +175,13 @@
         }
     }
 
-    // Callers.
-
-    void submit(const SimJob &job, int entry, int attempt = 1)
-    {
-        auto request = std::make_shared<Request>();
-        request->job = job;
-        request->entry = entry;
-        request->attempt = attempt;
-        this->requests.push_back(request);
-        this->trace(fmt::format("job {} is submitted at entry-{} (attempt {})", job.id, entry, attempt));
-        if (!this->entries[entry]) {
-            this->resubmitLater(request);
-            return;
-        }
-        this->timeline.after(callerDeadline, [this, request] { this->resubmitLater(request); });
-        this->timeline.after(hopDelay, [this, request, weak = std::weak_ptr<EntryProcess>(this->entries[entry])] {
-            if (const auto process = weak.lock()) {
-                process->postRequest([this, request, target = process.get()] { this->deliver(request, *target); });
-            }
-        });
-    }
-    /// Returns the number of jobs that were answered with this end.
-    int answered(JobEnd end) const
-    {
-        const auto found = this->answers.find(end);
-        return found == this->answers.end() ? 0 : found->second;
-    }
-
     Timeline timeline;
     RandomSource random;
     RunRecord record;
     SimServers servers;
     std::map<int, std::shared_ptr<HostProcess>> hosts; ///< null while a process is down
-    std::map<int, std::shared_ptr<EntryProcess>> entries; ///< null while a process is down
+    SimEntries entries;
+    SimCallers callers;
 
     static std::string hostName(int index)
     {
@@ -240,17 +189,6 @@
     }
 
 private:
-    /// One submission of a job, from the caller's point of view.
-    struct Request
-    {
-        SimJob job;
-        int entry = 0;
-        int attempt = 1;
-        bool isOver = false; ///< answered, broken or given up
-    };
-
-    static constexpr int maxAttempts = 4;
-
     static int entryPort(int index)
     {
         return 43000 + index;
@@ -341,74 +279,11 @@
         });
     }
 
-    static RouteConfig route()
-    {
-        RouteConfig result;
-        result.name = "r";
-        result.serviceName = "visits";
-        result.timeout = callerDeadline;
-        result.latencyObjective = Millis(60);
-        result.stretch = 1.6;
-        result.maxAttempts = 2;
-        return result;
-    }
-    /// Hands a request that has arrived to the entry.
-    void deliver(const std::shared_ptr<Request> &request, EntryProcess &process)
-    {
-        JobRequest job;
-        job.id = request->job.id;
-        job.routeName = "r";
-        job.timeLeft = callerDeadline;
-        job.isCallerDisconnected = [request] { return request->isOver; };
-        for (const auto work : request->job.workMs) {
-            job.spec += fmt::format("{} ", work);
-            TaskRequest task;
-            task.demand.cpuMillis = request->job.cpuMillis;
-            task.demand.memoryMb = 10;
-            task.estimate = Millis(request->job.estimateMs);
-            job.tasks.push_back(task);
-        }
-        process.core().submit(route(), std::move(job), [this, request](const JobOutcome &outcome) {
-            this->timeline.after(hopDelay, [this, request, outcome] { this->receiveAnswer(request, outcome); });
-        });
-    }
-    void receiveAnswer(const std::shared_ptr<Request> &request, const JobOutcome &outcome)
-    {
-        if (request->isOver) {
-            return;
-        }
-        ++this->answers[outcome.end];
-        this->trace(fmt::format("job {} is answered by entry-{}: {} {}", request->job.id, request->entry,
-                                static_cast<int>(outcome.end), outcome.reason));
-        if (outcome.end == JobEnd::Unfinished) {
-            this->resubmitLater(request);
-            return;
-        }
-        request->isOver = true;
-        if (outcome.end == JobEnd::Refused && request->attempt == 1) {
-            this->record.recordRefusal(request->job.id);
-        }
-    }
-    void resubmitLater(const std::shared_ptr<Request> &request)
-    {
-        if (request->isOver) {
-            return;
-        }
-        request->isOver = true;
-        if (request->attempt < maxAttempts) {
-            this->timeline.after(resubmitDelay, [this, request] {
-                this->submit(request->job, (request->entry + 1) % this->entryCount, request->attempt + 1);
-            });
-        }
-    }
-
     SimNetwork network;
     const int entryCount;
     const int hostCount;
     std::map<int, std::shared_ptr<SimServer>> current; ///< newest server of each host; null while it is down
     std::map<int, std::int64_t> wallOffsetMs;
-    std::list<std::shared_ptr<Request>> requests;
-    std::map<JobEnd, int> answers;
     int lastReplacement = 0;
 };
 
