Test the loss of a host whose entry cannot reach it

The entry answers the caller as unfinished, but its stop does not reach the host; the host is lost before the lease of the entry has expired there, and the run ends only with the lease of its server.

--- a/tests/test_run_faults.cpp
+++ b/tests/test_run_faults.cpp
@@ -260,18 +260,26 @@
     RunSim sim;
     sim.callers.submit(wholeServerJob(2400, 1400), 0);
     sim.run(Millis(40));
-    sim.killEntry(0, Millis(9000));
 
-    SECTION("and the host is killed")
+    SECTION("the entry is killed and then the host")
     {
+        sim.killEntry(0, Millis(9000));
         sim.run(Millis(740));
         sim.killHost(0, Millis(2000));
     }
-    SECTION("and the host is frozen")
+    SECTION("the entry is killed and then the host is frozen")
     {
+        sim.killEntry(0, Millis(9000));
         sim.run(Millis(740));
         sim.freezeHost(0, Millis(2000));
     }
+    SECTION("the entry cannot reach the host to stop the task of a disconnected caller, and then the host is killed")
+    {
+        sim.cut(0, 0, Millis(4000), true, true, false);
+        sim.callers.resetConnections(0);
+        sim.run(Millis(740));
+        sim.killHost(0, Millis(2000));
+    }
     sim.run(afterwards);
     requireNoViolation(sim);
 }
