--- a/tests/test_odd_input.cpp
+++ b/tests/test_odd_input.cpp
@@ -18,6 +18,15 @@
 using namespace agatedrum;
 using namespace agatedrum::platform;
 
+namespace {
+
+PollReply pollReply(const std::string &fields)
+{
+    return decodePollReply(200, "{\"born\":99," + fields + "}", TaskServerRef {"i-1", 99, {}});
+}
+
+} // namespace
+
 TEST_CASE("A refusal whose reason is no text is decoded without an exception", "[odd]")
 {
     // The replies are decoded on the thread of the HTTP client, which an exception would end together with the process.
@@ -59,3 +68,55 @@
     REQUIRE(answer.wait_for(std::chrono::seconds(5)) == std::future_status::ready);
     REQUIRE(answer.get().outcome == OrderOutcome::Invalid);
 }
+
+TEST_CASE("A reply with a number out of range is decoded as far as it makes sense", "[odd]")
+{
+    SECTION("a clock value that cannot be counts as unknown")
+    {
+        for (const auto *clock : {"9223372036854775807", "18446744073709551615", "-5", "1e400", "1.5", "\"5\"", "[5]",
+                                  "100000000000000000", "null"}) {
+            INFO(clock);
+            REQUIRE(decodeOrderReply(200, std::string("{\"ClockMs\":") + clock + "}").clockMs == 0);
+        }
+    }
+    SECTION("a percentage stays within 0 to 100, so that it predicts no wrong end")
+    {
+        const auto percentOf = [](const std::string &percent) {
+            const auto reply = pollReply(R"("Running":[["ab.0.0.3",2,"",)" + percent + R"(]],"EndedRuns":[])");
+            REQUIRE(reply.running.size() == 1);
+            return reply.running[0].percent;
+        };
+        REQUIRE(percentOf("41") == 41);
+        REQUIRE(percentOf("-1") == 0);
+        REQUIRE(percentOf("101") == 100);
+        REQUIRE(percentOf("4294967297") == 100);
+        REQUIRE(percentOf("9223372036854775807") == 100);
+        REQUIRE(percentOf("18446744073709551615") == 100);
+        REQUIRE(percentOf("-9223372036854775808") == 0);
+        REQUIRE(percentOf("\"41\"") == 0);
+    }
+    SECTION("a row whose run or end number cannot be is skipped, and the other rows hold")
+    {
+        for (const auto *number : {"9223372036854775807", "18446744073709551615", "-1", "0", "1.5"}) {
+            INFO(number);
+            const auto reply = pollReply(R"("Running":[["ab.0.0.3",)" + std::string(number)
+                                         + R"(,"",1],["ab.0.0.4",2,"",1]],"EndedRuns":[[)" + number
+                                         + R"(,"ab.0.0.1",1,"done",""],[58,"ab.0.0.2",)" + number
+                                         + R"(,"done",""],[59,"ab.0.0.5",1,"done",""]])");
+            REQUIRE(reply.outcome == OrderOutcome::Accepted);
+            REQUIRE(reply.running.size() == 1);
+            REQUIRE(reply.running[0].run == 2);
+            REQUIRE(reply.ended.size() == 1);
+            REQUIRE(reply.ended[0].number == 59);
+        }
+    }
+    SECTION("a task name with an index out of range keeps its text, so that a stop names the right task")
+    {
+        const auto reply
+            = pollReply(R"("Running":[["ab.0.0.99999999999",1,"",0],["ab.0.0.-1",1,"",0]],"EndedRuns":[])");
+        REQUIRE(reply.running.at(0).task == TaskName {"ab.0.0.99999999999", -1});
+        StopOrder stop;
+        stop.task = reply.running.at(1).task;
+        REQUIRE(encodeStop(stop).find("\"ab.0.0.-1\"") != std::string::npos);
+    }
+}
