--- a/src/wire_message.cpp
+++ b/src/wire_message.cpp
@@ -101,7 +101,8 @@
     const auto [end, code] = std::from_chars(text.data() + colon + 1, textEnd, endpoint.port);
     in_addr address {};
     const bool isPort = code == std::errc() && end == textEnd && endpoint.port > 0 && endpoint.port <= maxPort;
-    if (!isPort || inet_pton(AF_INET, endpoint.host.c_str(), &address) != 1) {
+    const bool isTerminatedEarly = endpoint.host.find('\0') != std::string::npos; // inet_pton() reads a C string
+    if (!isPort || isTerminatedEarly || inet_pton(AF_INET, endpoint.host.c_str(), &address) != 1) {
         return std::nullopt;
     }
     return endpoint;
--- a/tests/test_odd_input.cpp
+++ b/tests/test_odd_input.cpp
@@ -20,6 +20,19 @@
 
 namespace {
 
+std::string registrationWith(const std::string &fields)
+{
+    return R"({"Backend":"svc","Zone":"z","State":"ready",)" + fields + "}";
+}
+
+const std::string address = R"("Address":"10.0.0.9:80")";
+const std::string capacity = R"("Capacity":{"Cpu":16000})";
+
+bool isRegistration(const std::string &fields, const std::string &id = "i-1")
+{
+    return isOk(decodeRegistration(id, registrationWith(fields)));
+}
+
 PollReply pollReply(const std::string &fields)
 {
     return decodePollReply(200, "{\"born\":99," + fields + "}", TaskServerRef {"i-1", 99, {}});
@@ -69,6 +82,62 @@
     REQUIRE(answer.get().outcome == OrderOutcome::Invalid);
 }
 
+TEST_CASE("A registration with a number or an address that cannot be is refused", "[odd]")
+{
+    REQUIRE(isRegistration(address + "," + capacity + ",\"Sequence\":1,\"born\":1790000000000,\"ClockMs\":482113"));
+
+    SECTION("numbers beyond the range of their type or of what they count")
+    {
+        for (const auto *number : {"9223372036854775807", "18446744073709551615", "100000000000000000000", "1e400",
+                                   "-1", "-9223372036854775808", "1.5", "1e18"}) {
+            INFO(number);
+            REQUIRE_FALSE(isRegistration(address + "," + capacity + ",\"Sequence\":" + number));
+            REQUIRE_FALSE(isRegistration(address + "," + capacity + ",\"Sequence\":1,\"born\":" + number));
+            REQUIRE_FALSE(isRegistration(address + "," + capacity + ",\"Sequence\":1,\"ClockMs\":" + number));
+            for (const auto *resource : {"Cpu", "MemMb", "Gpus"}) {
+                REQUIRE_FALSE(isRegistration(address + R"(,"Sequence":1,"Capacity":{"Cpu":1,")" + resource
+                                             + "\":" + number + "}"));
+            }
+        }
+    }
+    SECTION("ports out of range, and texts around an address that a later parser would cut off or misread")
+    {
+        for (const auto *text : {"10.0.0.9",
+                                 "10.0.0.9:",
+                                 "10.0.0.9:0",
+                                 "10.0.0.9:-1",
+                                 "10.0.0.9:65536",
+                                 "10.0.0.9:4294967376",
+                                 "10.0.0.9:99999999999999999999",
+                                 "10.0.0.9:80x",
+                                 "10.0.0.9: 80",
+                                 "10.0.0.9:+80",
+                                 "10.0.0.9:80 ",
+                                 "10.0.0.9:1e3",
+                                 ":80",
+                                 "10.0.0:80",
+                                 "10.0.0.256:80",
+                                 "host:80",
+                                 " 10.0.0.9:80",
+                                 "[::1]:80",
+                                 "10.0.0.9/x:80",
+                                 R"(10.0.0.9\u0000:80)",
+                                 R"(10.0.0.9\u0000.example:80)",
+                                 R"(10.0.0.9:80\u0000)"}) {
+            INFO(text);
+            REQUIRE_FALSE(isRegistration(std::string("\"Address\":\"") + text + "\"," + capacity + ",\"Sequence\":1"));
+        }
+    }
+    SECTION("an id that cannot be sent in a header")
+    {
+        const auto fields = address + "," + capacity + ",\"Sequence\":1";
+        REQUIRE_FALSE(isRegistration(fields, "i-1\r\nX: y"));
+        REQUIRE_FALSE(isRegistration(fields, "i 1"));
+        REQUIRE_FALSE(isRegistration(fields, std::string("i\0001", 3)));
+        REQUIRE_FALSE(isRegistration(fields, std::string(5000, 'i')));
+    }
+}
+
 TEST_CASE("A reply with a number out of range is decoded as far as it makes sense", "[odd]")
 {
     SECTION("a clock value that cannot be counts as unknown")
