Keep a backend server that answers, whatever another registration claims

Cause: registerServer() followed any other id, address or service whose start time was not lower, at once, and ignored all later registrations with a lower start time; for the same instance it ignored all with a lower sequence number. A registration with a start in the far future or a huge sequence number outranked the backend server for good. So did a true instance that was started before the clock of its machine was set back.

Change: RegistrationReview decides on each registration with what the polls show. An instance that has answered a poll as itself is kept. A registration of another instance is deferred, and followed as soon as a poll is answered by another instance, the backend server leaves, or it is silent for AGATEDRUM_SERVER_SILENT_MS (5 s if the start lies more than a minute ahead of the wall clock, or before the present one). A restart at the same place, whose sequence and clock start anew, is followed at once as before. An instance that has never answered gives way to any later registration, and after the same silence to an earlier one. Rising sequence numbers below the highest are taken up after 3 s without a higher one; a single delayed registration never is.

Not covered: a registration with the same id, address and service, a plausible later start, and low counts cannot be told from a true restart. It is followed, and the true registrations are followed again after the silence.

--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -21,6 +21,7 @@
     , link(link)
     , server(server)
     , options(std::move(options))
+    , registrations(this->options.serverTimeout)
     , entries(this->options.entryLease, this->options.repeatInterval)
 {
 }
@@ -266,6 +267,7 @@
     {
         const std::lock_guard lock(this->mutex);
         const auto now = this->clock.now();
+        this->applyDeferredRegistration();
         this->checkTasks();
         this->sendDuePolls();
         this->startWaitingTasks();
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -7,6 +7,7 @@
 #include "host_holds_p.h"
 #include "host_progress_p.h"
 #include "host_queue_p.h"
+#include "host_registration_p.h"
 #include "host_server_p.h"
 #include "member_link_p.h"
 
@@ -54,7 +55,8 @@
     bool isDrained() const override;
     std::int64_t configNumber() const override;
 
-    /// Applies a registration of the backend server. Ignores registrations of an earlier instance and outdated ones.
+    /// Applies a registration of the backend server. Ignores outdated ones, those of an earlier instance, and those of
+    /// another instance while the present one answers; see RegistrationReview.
     void registerServer(const ServerRegistration &registration);
     /// Handles the departure of the backend server: refuses the waiting tasks and accepts no new ones.
     void removeServer(const std::string &id);
@@ -147,6 +149,11 @@
     void stopOrphanedRun(const RunningTask &running);
     void reportLateRuns();
     void sendDuePolls();
+    void reviewRegistration(const ServerRegistration &registration);
+    void applyRegistration(const ServerRegistration &registration, bool isOtherInstance);
+    /// Follows the deferred registration if the present instance no longer answers.
+    void applyDeferredRegistration();
+    ServerEvidence serverEvidence() const;
     void beginInstance(const ServerRegistration &registration);
     void endInstance(const std::string &reason);
     void updateClock(std::int64_t newClockMs);
@@ -174,6 +181,7 @@
 
     mutable std::mutex mutex;
     std::optional<ServerRegistration> registered;
+    RegistrationReview registrations;
     bool hasLeft = false;
     bool isStopping = false;
 
--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -51,17 +51,27 @@
 void HostCore::registerServer(const ServerRegistration &registration)
 {
     const std::lock_guard lock(this->mutex);
-    const bool isSameInstance = this->registered && this->registered->server.id == registration.server.id
-        && this->registered->server.startedAtMs == registration.server.startedAtMs;
-    if (this->registered && !isSameInstance && registration.server.startedAtMs < this->registered->server.startedAtMs) {
-        logEvent(component, "late_registration",
-                 {{"server", registration.server.id}, {"born", registration.server.startedAtMs}});
-        return;
-    }
-    if (isSameInstance && registration.sequence < this->registered->sequence) {
+    this->reviewRegistration(registration);
+}
+
+void HostCore::reviewRegistration(const ServerRegistration &registration)
+{
+    const auto verdict
+        = this->registrations.review(registration, this->serverEvidence(), this->clock.now(), this->clock.wallMs());
+    if (verdict == RegistrationVerdict::Follow || verdict == RegistrationVerdict::Update) {
+        this->applyRegistration(registration, verdict == RegistrationVerdict::Follow);
         return;
     }
-    if (!isSameInstance) {
+    logEvent(component, verdict == RegistrationVerdict::Defer ? "deferred_registration" : "late_registration",
+             {{"server", registration.server.id},
+              {"born", registration.server.startedAtMs},
+              {"sequence", registration.sequence},
+              {"present", this->instanceName()}});
+}
+
+void HostCore::applyRegistration(const ServerRegistration &registration, bool isOtherInstance)
+{
+    if (isOtherInstance) {
         this->beginInstance(registration);
     }
     const bool isDrainStart = registration.isDraining && !this->registered->isDraining;
@@ -75,6 +85,28 @@
     this->sendReports();
 }
 
+void HostCore::applyDeferredRegistration()
+{
+    const auto deferred
+        = this->registrations.takeDeferred(this->serverEvidence(), this->clock.now(), this->clock.wallMs());
+    if (deferred) {
+        this->reviewRegistration(*deferred);
+    }
+}
+
+ServerEvidence HostCore::serverEvidence() const
+{
+    ServerEvidence evidence;
+    evidence.registration = this->registered ? &*this->registered : nullptr;
+    const auto now = this->clock.now();
+    evidence.clockMs = this->serverClockMs + toMillis(now - this->serverClockReadAt);
+    if (this->polledAt != Time {}) {
+        evidence.sinceAnswer = now - this->polledAt;
+    }
+    evidence.isGone = this->hasLeft || this->lastPollOutcome == OrderOutcome::OtherInstance;
+    return evidence;
+}
+
 void HostCore::beginInstance(const ServerRegistration &registration)
 {
     this->endInstance("a new instance of the backend server was registered");
@@ -113,6 +145,7 @@
 void HostCore::removeServer(const std::string &id)
 {
     const std::lock_guard lock(this->mutex);
+    this->registrations.drop(id);
     if (!this->registered || this->registered->server.id != id) {
         return;
     }
@@ -193,6 +226,7 @@
             this->pollSchedule.delayUntil(this->clock.now() + failedPollDelay);
         }
     }
+    this->applyDeferredRegistration();
     this->checkTasks();
     this->sendDuePolls();
 }
