--- a/tests/test_odd_input.cpp
+++ b/tests/test_odd_input.cpp
@@ -20,6 +20,27 @@
 
 namespace {
 
+constexpr std::int64_t secondsPerDay = 86400;
+
+std::string repeated(const std::string &text, std::size_t count)
+{
+    std::string result;
+    result.reserve(text.size() * count);
+    for (std::size_t i = 0; i < count; ++i) {
+        result += text;
+    }
+    return result;
+}
+
+/// Returns JSON values that are nested very deeply, in arrays and in objects, complete and truncated. All are smaller
+/// than the largest body that is read.
+std::vector<std::string> nestedValues()
+{
+    constexpr std::size_t depth = 400000;
+    return {repeated("[", depth) + repeated("]", depth), repeated("{\"a\":", depth) + "1" + repeated("}", depth),
+            repeated("[", depth), repeated("{\"a\":", depth)};
+}
+
 std::string registrationWith(const std::string &fields)
 {
     return R"({"Backend":"svc","Zone":"z","State":"ready",)" + fields + "}";
@@ -33,6 +54,17 @@
     return isOk(decodeRegistration(id, registrationWith(fields)));
 }
 
+std::string jobWith(const std::string &stepFields)
+{
+    return R"({"Spec":"s","BestEffort":true,"Steps":[{)" + stepFields + "}]}";
+}
+
+std::string configWith(const std::string &routeFields, const std::string &limits = "{}")
+{
+    return R"({"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/a/","Backend":"svc",)" + routeFields
+        + R"(}],"Services":[{"Name":"svc"}],"Limits":)" + limits + "}";
+}
+
 PollReply pollReply(const std::string &fields)
 {
     return decodePollReply(200, "{\"born\":99," + fields + "}", TaskServerRef {"i-1", 99, {}});
@@ -40,6 +72,32 @@
 
 } // namespace
 
+TEST_CASE("A very deeply nested document ends no process", "[odd]")
+{
+    for (const auto &nested : nestedValues()) {
+        INFO(nested.substr(0, 10));
+        REQUIRE_FALSE(isOk(decodeRegistration("i-1", nested)));
+        REQUIRE_FALSE(isRegistration(address + ",\"Sequence\":1,\"Capacity\":" + nested));
+        REQUIRE_FALSE(isRegistration(address + "," + capacity + ",\"Sequence\":1,\"Labels\":[" + nested + "]"));
+        REQUIRE_FALSE(isOk(decodeJob(nested)));
+        REQUIRE_FALSE(isOk(decodeJob("{\"Spec\":\"s\",\"Steps\":" + nested + "}")));
+        REQUIRE_FALSE(isOk(decodeJob(jobWith("\"Count\":" + nested))));
+        REQUIRE_FALSE(isOk(decodeConfig(nested)));
+        REQUIRE_FALSE(isOk(decodeConfig("{\"Version\":1,\"Routes\":[" + nested + "],\"Services\":[]}")));
+        REQUIRE(decodeOrderReply(409, nested).outcome == OrderOutcome::Invalid);
+        REQUIRE(pollReply("\"Running\":" + nested).outcome == OrderOutcome::Invalid);
+    }
+    SECTION("a field without a meaning here may be nested; the rest of the document holds")
+    {
+        const auto nested = nestedValues().front();
+        REQUIRE(isRegistration(address + "," + capacity + ",\"Sequence\":1,\"New\":" + nested));
+        const auto config = decodeConfig(configWith("\"TimeoutMs\":1500,\"New\":" + nested));
+        REQUIRE(isOk(config));
+        REQUIRE(isOk(parseRouting(serializeRouting(value(config)))));
+        REQUIRE(pollReply("\"Running\":[[" + nested + ",1]],\"EndedRuns\":[]").outcome == OrderOutcome::Accepted);
+    }
+}
+
 TEST_CASE("A refusal whose reason is no text is decoded without an exception", "[odd]")
 {
     // The replies are decoded on the thread of the HTTP client, which an exception would end together with the process.
@@ -189,3 +247,31 @@
         REQUIRE(encodeStop(stop).find("\"ab.0.0.-1\"") != std::string::npos);
     }
 }
+
+TEST_CASE("A job with a huge number is decoded to values that do not overflow", "[odd]")
+{
+    for (const auto *number : {"9223372036854775807", "4294967296", "2147483648", "4294967297"}) {
+        INFO(number);
+        const auto text = std::string(number);
+        const auto decoded = decodeJob(jobWith("\"Cpu\":" + text + ",\"MemMb\":" + text + ",\"Gpus\":" + text
+                                               + ",\"EstimatedMs\":" + text + ",\"MaxPerServer\":" + text));
+        REQUIRE(isOk(decoded));
+        const auto &task = value(decoded).tasks.at(0);
+        REQUIRE(task.maxPerHost == std::numeric_limits<int>::max());
+        REQUIRE(task.estimate == std::chrono::seconds(secondsPerDay));
+        REQUIRE(task.demand.cpuMillis > 1000000000);
+        REQUIRE(task.demand.cpuMillis < std::numeric_limits<std::int64_t>::max() / 1000000);
+        REQUIRE(task.demand.memoryMb < std::numeric_limits<std::int64_t>::max() / 1000000);
+    }
+    for (const auto *step : {"[]", "5", "null", "\"a\"", "[[]]"}) {
+        INFO(step);
+        REQUIRE_FALSE(isOk(decodeJob(std::string(R"({"Spec":"s","BestEffort":true,"Steps":[)") + step + "]}")));
+    }
+    for (const auto *number : {"18446744073709551615", "100000000000000000000", "1e400", "-1", "1.5"}) {
+        INFO(number);
+        for (const auto *field : {"Count", "Cpu", "MemMb", "Gpus", "EstimatedMs", "MaxPerServer"}) {
+            INFO(field);
+            REQUIRE_FALSE(isOk(decodeJob(jobWith(std::string("\"") + field + "\":" + number))));
+        }
+    }
+}
