--- a/src/config_routing.cpp
+++ b/src/config_routing.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -12,6 +13,21 @@
 
 using Json = nlohmann::json;
 
+// Larger values are reduced to these, whose sums and products do not overflow. No request takes that long.
+constexpr std::int64_t maxTimeMs = 86400000;
+constexpr std::size_t maxLimitBytes = 1UL << 30U;
+constexpr double maxStretch = 1e6;
+
+Millis readTime(const Json &json, const char *name)
+{
+    return Millis(std::min(json.at(name).get<std::int64_t>(), maxTimeMs));
+}
+
+std::size_t readLimit(const Json &json, const char *name)
+{
+    return std::min(json.at(name).get<std::size_t>(), maxLimitBytes);
+}
+
 Json toJson(const RouteConfig &route)
 {
     return {{"name", route.name},
@@ -32,9 +48,9 @@
     route.host = json.at("host").get<std::string>();
     route.pathPrefix = json.at("pathPrefix").get<std::string>();
     route.serviceName = json.at("service").get<std::string>();
-    route.timeout = Millis(json.at("timeoutMs").get<std::int64_t>());
-    route.latencyObjective = Millis(json.at("latencyObjectiveMs").get<std::int64_t>());
-    route.stretch = json.at("stretch").get<double>();
+    route.timeout = readTime(json, "timeoutMs");
+    route.latencyObjective = readTime(json, "latencyObjectiveMs");
+    route.stretch = std::min(json.at("stretch").get<double>(), maxStretch);
     route.priority = json.at("priority").get<int>();
     route.maxAttempts = json.at("maxAttempts").get<int>();
     return route;
@@ -65,10 +81,10 @@
 CallerLimits limitsFromJson(const Json &json)
 {
     CallerLimits limits;
-    limits.maxHeaderBytes = json.at("maxHeaderBytes").get<std::size_t>();
-    limits.maxBodyBytes = json.at("maxBodyBytes").get<std::size_t>();
-    limits.headerTimeout = Millis(json.at("headerTimeoutMs").get<std::int64_t>());
-    limits.idleTimeout = Millis(json.at("idleTimeoutMs").get<std::int64_t>());
+    limits.maxHeaderBytes = readLimit(json, "maxHeaderBytes");
+    limits.maxBodyBytes = readLimit(json, "maxBodyBytes");
+    limits.headerTimeout = readTime(json, "headerTimeoutMs");
+    limits.idleTimeout = readTime(json, "idleTimeoutMs");
     return limits;
 }
 
--- a/tests/test_odd_input.cpp
+++ b/tests/test_odd_input.cpp
@@ -275,3 +275,67 @@
         }
     }
 }
+
+TEST_CASE("A configuration with huge numbers is read by every entry as values that do not overflow", "[odd]")
+{
+    const auto parsed = [](const std::string &text) {
+        const auto decoded = decodeConfig(text);
+        REQUIRE(isOk(decoded));
+        REQUIRE(checkRouting(value(decoded)).empty());
+        const auto routing = parseRouting(serializeRouting(value(decoded)));
+        REQUIRE(isOk(routing));
+        REQUIRE(value(routing).source == text);
+        return value(routing);
+    };
+    const std::string huge = "9223372036854775807";
+
+    SECTION("times are at most a day")
+    {
+        const auto route = parsed(configWith("\"TimeoutMs\":" + huge + ",\"TargetDurationMs\":" + huge)).routes.at(0);
+        REQUIRE(route.timeout == std::chrono::seconds(secondsPerDay));
+        REQUIRE(route.latencyObjective == std::chrono::seconds(secondsPerDay));
+    }
+    SECTION("a number of attempts beyond an int does not become a small or a negative one")
+    {
+        for (const auto *attempts : {"2147483648", "4294967296", "4294967297", "9223372036854775807"}) {
+            INFO(attempts);
+            const auto route = parsed(configWith("\"TimeoutMs\":1,\"MaxAttempts\":" + std::string(attempts)));
+            REQUIRE(route.routes.at(0).maxAttempts == std::numeric_limits<int>::max());
+        }
+    }
+    SECTION("a stretch is finite and small enough to multiply a time by it")
+    {
+        REQUIRE(parsed(configWith("\"TimeoutMs\":1,\"Stretch\":1e308")).routes.at(0).stretch <= 1e6);
+        REQUIRE_FALSE(isOk(decodeConfig(configWith("\"TimeoutMs\":1,\"Stretch\":1e400"))));
+    }
+    SECTION("limits on requests can be added and multiplied")
+    {
+        const auto limits
+            = parsed(configWith("\"TimeoutMs\":1",
+                                R"({"MaxHeaderBytes":)" + huge + R"(,"MaxBodyBytes":)" + huge + R"(,"HeaderTimeoutMs":)"
+                                    + huge + R"(,"IdleTimeoutMs":)" + huge + "}"))
+                  .limits;
+        REQUIRE(limits.maxHeaderBytes <= std::numeric_limits<std::size_t>::max() / 1000);
+        REQUIRE(limits.maxBodyBytes <= std::numeric_limits<std::size_t>::max() / 1000);
+        REQUIRE(limits.maxBodyBytes >= 1000000000);
+        REQUIRE(limits.headerTimeout == std::chrono::seconds(secondsPerDay));
+        REQUIRE(limits.idleTimeout == std::chrono::seconds(secondsPerDay));
+    }
+    SECTION("limits and lists of another type are refused")
+    {
+        for (const auto *limits : {"[]", "5", "null", "\"a\""}) {
+            INFO(limits);
+            REQUIRE_FALSE(isOk(decodeConfig(configWith("\"TimeoutMs\":1", limits))));
+        }
+    }
+    SECTION("numbers out of range are refused")
+    {
+        for (const auto *number : {"18446744073709551615", "100000000000000000000", "-1", "1.5", "1e400"}) {
+            INFO(number);
+            for (const auto *field : {"TimeoutMs", "TargetDurationMs", "MaxAttempts", "Priority"}) {
+                REQUIRE_FALSE(
+                    isOk(decodeConfig(configWith(std::string("\"TimeoutMs\":1,\"") + field + "\":" + number))));
+            }
+        }
+    }
+}
