Refuse a YAML document that contains itself or expands without limit

One configuration such as "teams: &a [*a]" ends the control process that checks it, and the caller sends it again to the next one.

Cause: an alias may refer to a node that contains it. The check for repeated keys follows the aliases and recurses until the stack is exhausted. A few lines of aliases that refer to each other also describe billions of nodes, all of which were checked.

Change: the check of the keys stops at 32 levels or a million nodes and refuses the document.

--- a/src/base_yaml.cpp
+++ b/src/base_yaml.cpp
@@ -18,28 +18,56 @@
     return mark.is_null() ? 0 : mark.line + 1;
 }
 
-void reportInvalidKeys(const YAML::Node &node, std::vector<YamlError> &errors)
+/// Checks the keys of a document. An alias may make a node contain itself, or a short document describe a huge one, so
+/// the depth and the number of the checked nodes are limited.
+class KeyCheck
 {
-    if (node.IsSequence()) {
-        for (const auto &child : node) {
-            reportInvalidKeys(child, errors);
-        }
-    }
-    if (!node.IsMap()) {
-        return;
+public:
+    explicit KeyCheck(std::vector<YamlError> &errors)
+        : errors(errors)
+    {
     }
-    std::set<std::string> keys;
-    for (const auto &pair : node) {
-        if (!pair.first.IsScalar()) {
-            errors.push_back({lineOfMark(pair.first.Mark()), "", "a key must be a string"});
-            continue;
+
+    void check(const YAML::Node &node, int depth = 0)
+    {
+        if (depth > maxDepth || ++this->checkedNodes > maxNodes) {
+            if (!std::exchange(this->isTooLarge, true)) {
+                this->errors.push_back({lineOfMark(node.Mark()), "", "the document is nested too deeply or too large"});
+            }
+            return;
         }
-        if (!keys.insert(pair.first.Scalar()).second) {
-            errors.push_back({lineOfMark(pair.first.Mark()), pair.first.Scalar(), "the key appears twice"});
+        if (node.IsSequence()) {
+            for (const auto &child : node) {
+                this->check(child, depth + 1);
+            }
+        } else if (node.IsMap()) {
+            this->checkMap(node, depth);
         }
-        reportInvalidKeys(pair.second, errors);
     }
-}
+
+private:
+    static constexpr int maxDepth = 32;
+    static constexpr int maxNodes = 1000000;
+
+    void checkMap(const YAML::Node &node, int depth)
+    {
+        std::set<std::string> keys;
+        for (const auto &pair : node) {
+            if (!pair.first.IsScalar()) {
+                this->errors.push_back({lineOfMark(pair.first.Mark()), "", "a key must be a string"});
+                continue;
+            }
+            if (!keys.insert(pair.first.Scalar()).second) {
+                this->errors.push_back({lineOfMark(pair.first.Mark()), pair.first.Scalar(), "the key appears twice"});
+            }
+            this->check(pair.second, depth + 1);
+        }
+    }
+
+    std::vector<YamlError> &errors;
+    int checkedNodes = 0;
+    bool isTooLarge = false;
+};
 
 template<typename Number>
 std::optional<Number> parseNumber(const std::string &text)
@@ -79,7 +107,7 @@
         if (!documents[0].IsMap()) {
             return std::vector<YamlError> {{1, "", "the top level of the file must be a map of keys"}};
         }
-        reportInvalidKeys(documents[0], errors);
+        KeyCheck(errors).check(documents[0]);
         if (!errors.empty()) {
             return errors;
         }
--- a/tests/test_odd_input.cpp
+++ b/tests/test_odd_input.cpp
@@ -348,3 +348,27 @@
         }
     }
 }
+
+TEST_CASE("A YAML document that contains itself, or is nested or expanded without limit, is refused", "[odd]")
+{
+    // Guards against a configuration or a settings file that ends each process that reads it.
+    const auto isConfig = [](const std::string &text) { return isOk(parseConfig(text + "\n...\n")); };
+    const std::string services = "number: 1\nservices: [{name: visits}]\n";
+    REQUIRE(isConfig(services));
+    REQUIRE_FALSE(isConfig(services + "teams: &a [*a]"));
+    REQUIRE_FALSE(isConfig(services + "teams: &a [{name: x, b: *a}]"));
+    REQUIRE_FALSE(isConfig(services + "teams: " + repeated("[", 100000) + repeated("]", 100000)));
+    REQUIRE_FALSE(isConfig(services + "teams: " + repeated("{a: ", 100000) + "1" + repeated("}", 100000)));
+    REQUIRE_FALSE(isConfig(services + repeated("- ", 100000)));
+
+    std::string expanded = "a0: &a0 [x]\n";
+    for (int i = 1; i < 12; ++i) {
+        const auto reference = "*a" + std::to_string(i - 1);
+        expanded += "a" + std::to_string(i) + ": &a" + std::to_string(i) + " [" + reference;
+        for (int copies = 1; copies < 9; ++copies) {
+            expanded += ", " + reference;
+        }
+        expanded += "]\n";
+    }
+    REQUIRE_FALSE(isConfig(services + expanded));
+}
