--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -31,17 +31,27 @@
 void HostCore::registerServer(const ServerRegistration &registration)
 {
     const std::lock_guard lock(this->mutex);
-    const bool isSameInstance = this->registered && this->registered->server.id == registration.server.id
-        && this->registered->server.startedAtMs == registration.server.startedAtMs;
-    if (this->registered && !isSameInstance && registration.server.startedAtMs < this->registered->server.startedAtMs) {
-        logEvent(component, "late_registration",
-                 {{"server", registration.server.id}, {"born", registration.server.startedAtMs}});
-        return;
-    }
-    if (isSameInstance && registration.sequence < this->registered->sequence) {
+    this->reviewRegistration(registration);
+}
+
+void HostCore::reviewRegistration(const ServerRegistration &registration)
+{
+    const auto verdict
+        = this->registrations.review(registration, this->serverEvidence(), this->clock.now(), this->clock.wallMs());
+    if (verdict == RegistrationVerdict::Follow || verdict == RegistrationVerdict::Update) {
+        this->applyRegistration(registration, verdict == RegistrationVerdict::Follow);
         return;
     }
-    if (!isSameInstance) {
+    logEvent(component, verdict == RegistrationVerdict::Defer ? "deferred_registration" : "late_registration",
+             {{"server", registration.server.id},
+              {"born", registration.server.startedAtMs},
+              {"sequence", registration.sequence},
+              {"present", this->instanceName()}});
+}
+
+void HostCore::applyRegistration(const ServerRegistration &registration, bool isOtherInstance)
+{
+    if (isOtherInstance) {
         this->beginInstance(registration);
     }
     const bool isDrainStart = registration.isDraining && !this->registered->isDraining;
@@ -55,6 +65,28 @@
     this->sendReports();
 }
 
+void HostCore::applyDeferredRegistration()
+{
+    const auto deferred
+        = this->registrations.takeDeferred(this->serverEvidence(), this->clock.now(), this->clock.wallMs());
+    if (deferred) {
+        this->reviewRegistration(*deferred);
+    }
+}
+
+ServerEvidence HostCore::serverEvidence() const
+{
+    ServerEvidence evidence;
+    evidence.registration = this->registered ? &*this->registered : nullptr;
+    const auto now = this->clock.now();
+    evidence.clockMs = this->serverClockMs + toMillis(now - this->serverClockReadAt);
+    if (this->polledAt != Time {}) {
+        evidence.sinceAnswer = now - this->polledAt;
+    }
+    evidence.isGone = this->hasLeft || this->lastPollOutcome == OrderOutcome::OtherInstance;
+    return evidence;
+}
+
 void HostCore::beginInstance(const ServerRegistration &registration)
 {
     const bool isAddressReused = this->registered && this->registered->server.address == registration.server.address;
@@ -119,6 +151,7 @@
 void HostCore::removeServer(const std::string &id)
 {
     const std::lock_guard lock(this->mutex);
+    this->registrations.drop(id);
     if (!this->registered || this->registered->server.id != id) {
         return;
     }
@@ -206,6 +239,7 @@
             this->pollSchedule.delayUntil(this->clock.now() + failedPollDelay);
         }
     }
+    this->applyDeferredRegistration();
     this->checkTasks();
     this->sendDuePolls();
 }
