Keep writing after the disk has refused a write

A control store gave up for good after the first error that was not a plain "no space" of an append or a new file: a failed sync, a failed truncation of the incomplete frame, a folder that could not be synced, or any other error code. Its thread ended, nothing was written any more, and the process took no further part in votes and commits. If that happens to two processes one after another, the group has no majority for the rest of their runs. If the refused truncation was reported as "no space", the next attempt even appended behind the incomplete frame, and the log was unreadable afterwards.

The frame is then appended anew, so that a successful sync covers it even if the kernel dropped pages after a failed one. The store retries after every error, every 100 ms, logs an error once and logs when it can write again. A write of zero bytes no longer loops, and a failed rename removes its temporary file.

--- a/src/control_disk.cpp
+++ b/src/control_disk.cpp
@@ -28,6 +28,9 @@
 {
     for (std::size_t done = 0; done < bytes.size();) {
         const auto count = ::write(descriptor, bytes.data() + done, bytes.size() - done);
+        if (count == 0) {
+            return {DiskStatus::Failed, context + ": no bytes were written"};
+        }
         if (count < 0 && errno != EINTR) {
             return outcomeFromErrno(errno, context);
         }
@@ -136,19 +139,14 @@
 DiskOutcome FileDisk::sync(const std::string &name)
 {
     const int descriptor = this->appendDescriptor(name);
-    if (descriptor < 0 || ::fdatasync(descriptor) != 0) {
-        // After a failed sync the kernel may have dropped the dirty pages, so a successful retry would not mean that
-        // the data is durable.
-        return {DiskStatus::Failed, fmt::format("{}: {}", this->path(name), std::strerror(errno))};
-    }
-    return {};
+    return descriptor < 0 || ::fdatasync(descriptor) != 0 ? outcomeFromErrno(errno, this->path(name)) : DiskOutcome {};
 }
 
 DiskOutcome FileDisk::truncate(const std::string &name, std::int64_t size)
 {
     const int descriptor = this->appendDescriptor(name);
     if (descriptor < 0 || ::ftruncate(descriptor, size) != 0 || ::fsync(descriptor) != 0) {
-        return {DiskStatus::Failed, fmt::format("{}: {}", this->path(name), std::strerror(errno))};
+        return outcomeFromErrno(errno, this->path(name));
     }
     return {};
 }
@@ -170,7 +168,9 @@
         return outcome;
     }
     if (::rename(temporary.c_str(), this->path(name).c_str()) != 0) {
-        return outcomeFromErrno(errno, temporary);
+        outcome = outcomeFromErrno(errno, temporary);
+        ::unlink(temporary.c_str());
+        return outcome;
     }
     this->closeAppendDescriptor(name);
     return this->syncFolder();
@@ -180,12 +180,11 @@
 {
     const int descriptor = ::open(this->folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     if (descriptor < 0) {
-        return {DiskStatus::Failed, fmt::format("{}: {}", this->folder, std::strerror(errno))};
+        return outcomeFromErrno(errno, this->folder);
     }
     const int code = ::fsync(descriptor) == 0 ? 0 : errno;
     ::close(descriptor);
-    return code == 0 ? DiskOutcome {}
-                     : DiskOutcome {DiskStatus::Failed, fmt::format("{}: {}", this->folder, std::strerror(code))};
+    return outcomeFromErrno(code, this->folder);
 }
 
 std::int64_t FileDisk::freeBytes() const
--- a/src/control_disk_p.h
+++ b/src/control_disk_p.h
@@ -36,7 +36,8 @@
     virtual Result<std::optional<std::string>, ControlStoreError> read(const std::string &name) = 0;
     /// Appends bytes without syncing. After Full or Failed, a part of the bytes may have been appended.
     virtual DiskOutcome append(const std::string &name, const std::string &bytes) = 0;
-    /// Makes all appended bytes durable.
+    /// Makes all appended bytes durable. After Full or Failed they must be truncated and appended again, since a later
+    /// successful sync does not mean that they are durable.
     virtual DiskOutcome sync(const std::string &name) = 0;
     /// Truncates a file to a size, durably.
     virtual DiskOutcome truncate(const std::string &name, std::int64_t size) = 0;
--- a/src/control_journal.cpp
+++ b/src/control_journal.cpp
@@ -276,19 +276,35 @@
 
 DiskOutcome ControlJournal::appendFrame(const std::string &frame)
 {
-    auto outcome = this->disk.append(logName, frame);
+    auto outcome = this->removeUnsyncedTail();
+    if (outcome.status != DiskStatus::Ok) {
+        return outcome;
+    }
+    this->hasUnsyncedTail = true;
+    outcome = this->disk.append(logName, frame);
     if (outcome.status == DiskStatus::Ok) {
         outcome = this->disk.sync(logName);
     }
-    if (outcome.status == DiskStatus::Full) {
-        // Removes the part of the frame that was written, since the next attempt appends the frame again.
-        const auto truncation = this->disk.truncate(logName, this->logSize);
-        return truncation.status == DiskStatus::Ok ? outcome : truncation;
+    if (outcome.status != DiskStatus::Ok) {
+        // If this fails too, the next attempt repeats it.
+        this->removeUnsyncedTail();
+        return outcome;
     }
-    if (outcome.status == DiskStatus::Ok) {
-        this->logSize += static_cast<std::int64_t>(frame.size());
-        ++this->nextFrameNumber;
+    this->hasUnsyncedTail = false;
+    this->logSize += static_cast<std::int64_t>(frame.size());
+    ++this->nextFrameNumber;
+    return outcome;
+}
+
+DiskOutcome ControlJournal::removeUnsyncedTail()
+{
+    if (!this->hasUnsyncedTail) {
+        return {};
     }
+    // Appending the frame again after a truncation makes all its pages dirty again, also those that the kernel dropped
+    // after a failed sync, so the next successful sync does mean that the frame is durable.
+    auto outcome = this->disk.truncate(logName, this->logSize);
+    this->hasUnsyncedTail = outcome.status != DiskStatus::Ok;
     return outcome;
 }
 
@@ -314,6 +330,7 @@
     if (outcome.status == DiskStatus::Ok) {
         this->logSize = static_cast<std::int64_t>(bytes.size());
         this->nextFrameNumber = 2;
+        this->hasUnsyncedTail = false;
     }
     return outcome;
 }
--- a/src/control_journal_p.h
+++ b/src/control_journal_p.h
@@ -23,8 +23,8 @@
 
     /// Returns the content of the folder when it was opened.
     const ControlStoreContent &loaded() const;
-    /// Makes the writes durable. After Full nothing has changed, and the same writes may be tried again; after Failed
-    /// the journal cannot be used any more.
+    /// Makes the writes durable. After Full or Failed, the same writes must be tried again before any others; until
+    /// then they may be lost or durable.
     DiskOutcome write(const std::vector<ControlWrite> &writes);
 
 private:
@@ -37,10 +37,13 @@
     DiskOutcome writeSnapshot(const ControlWrite &write);
     DiskOutcome replaceLog(const wire::LogRecord &record);
     DiskOutcome appendFrame(const std::string &frame);
+    /// Removes what a failed attempt has left behind the last synced frame.
+    DiskOutcome removeUnsyncedTail();
 
     DiskI &disk;
     ControlStoreContent loadedContent;
     std::int64_t logSize = 0; ///< size of the log file up to the last synced frame
+    bool hasUnsyncedTail = false; ///< whether the log file may contain bytes after logSize
     std::uint64_t nextFrameNumber = 1;
 };
 
--- a/src/control_store.cpp
+++ b/src/control_store.cpp
@@ -94,9 +94,9 @@
         }
         const auto batch = std::exchange(this->waiting, {});
         lock.unlock();
-        const bool isUsable = this->writeBatch(batch);
+        const bool isWritten = this->writeBatch(batch);
         lock.lock();
-        if (!isUsable) {
+        if (!isWritten) {
             return;
         }
     }
@@ -104,21 +104,28 @@
 
 bool ControlStore::writeBatch(const std::vector<ControlWrite> &batch)
 {
+    std::string lastError;
     while (true) {
         const auto outcome = this->journal->write(batch);
         if (outcome.status == DiskStatus::Ok) {
+            if (!lastError.empty()) {
+                log(LogLevel::Info, "control", "the control store can be written again");
+            }
             this->updateStatus([&batch](ControlStoreStatus &status) {
                 status.written = batch.back().sequence;
                 status.isFull = false;
+                status.failure.clear();
             });
             return true;
         }
-        log(LogLevel::Error, "control", "cannot write to the control store: {}", outcome.message);
-        if (outcome.status == DiskStatus::Failed) {
-            this->updateStatus([&outcome](ControlStoreStatus &status) { status.failure = outcome.message; });
-            return false;
+        if (outcome.message != lastError) {
+            log(LogLevel::Error, "control", "cannot write to the control store, will retry: {}", outcome.message);
+            lastError = outcome.message;
         }
-        this->updateStatus([](ControlStoreStatus &status) { status.isFull = true; });
+        this->updateStatus([&outcome](ControlStoreStatus &status) {
+            status.isFull = outcome.status == DiskStatus::Full;
+            status.failure = outcome.status == DiskStatus::Failed ? outcome.message : std::string();
+        });
         std::unique_lock lock(this->mutex);
         if (this->wakeUp.wait_for(lock, retryInterval, [this] { return this->isStopping; })) {
             return false;
--- a/src/control_store_p.h
+++ b/src/control_store_p.h
@@ -42,7 +42,7 @@
 {
     std::int64_t written = 0; ///< highest sequence that is on disk
     bool isFull = false; ///< whether the last write failed for lack of disk space; it is retried
-    std::string failure; ///< error after which nothing can be written any more, or empty
+    std::string failure; ///< any other error of the last write, which is retried too, or empty
 };
 
 /// Persistent store of one member of the control group. Implementations are thread-safe.
@@ -94,7 +94,7 @@
     /// Fails if the folder is in use, or if its data is corrupt anywhere but in the last write. The error contains the
     /// file and the offset.
     static Result<std::unique_ptr<ControlStore>, ControlStoreError> open(const std::string &folder);
-    /// Writes the queued requests, unless the disk is full.
+    /// Writes the queued requests, unless the disk refuses writes.
     ~ControlStore() override;
     ControlStore(const ControlStore &) = delete;
     ControlStore &operator=(const ControlStore &) = delete;
@@ -108,6 +108,7 @@
 private:
     ControlStore(std::unique_ptr<FileDisk> disk, std::unique_ptr<ControlJournal> journal);
     void run();
+    /// Writes the requests, and retries until that succeeds. @return false if the store is closed before.
     bool writeBatch(const std::vector<ControlWrite> &batch);
     void updateStatus(const std::function<void(ControlStoreStatus &)> &change);
 
--- a/tests/control_faults.h
+++ b/tests/control_faults.h
@@ -18,6 +18,15 @@
 {
 };
 
+/// What a full disk refuses besides new files, and how.
+struct FullDisk
+{
+    DiskStatus status = DiskStatus::Full;
+    std::size_t appendedPercent = 50; ///< part of the bytes of a refused append that is written
+    bool isRefusedAtSync = false; ///< whether appends succeed and their sync fails, as with delayed allocation
+    bool refusesTruncation = false;
+};
+
 /// In-memory disk that loses unsynced data: after a crash, any of the sectors of an unsynced append may be missing.
 class FakeDisk : public DiskI
 {
@@ -30,9 +39,9 @@
     DiskOutcome append(const std::string &name, const std::string &bytes) override
     {
         auto &file = this->files.at(name);
-        if (this->isFull) {
-            file.content += bytes.substr(0, bytes.size() / 2);
-            return {DiskStatus::Full, "no space"};
+        if (this->isFull && !this->full.isRefusedAtSync) {
+            file.content += bytes.substr(0, bytes.size() * this->full.appendedPercent / 100);
+            return this->refusal();
         }
         file.content += bytes;
         this->countOperation();
@@ -42,23 +51,32 @@
     {
         this->countOperation();
         auto &file = this->files.at(name);
-        file.synced = file.content.size();
+        if (this->isFull && this->full.isRefusedAtSync) {
+            // The kernel drops the unsynced pages, so that later syncs succeed without writing them.
+            file.dropped = true;
+            return this->refusal();
+        }
+        file.synced = file.dropped ? file.synced : file.content.size();
         return {};
     }
     DiskOutcome truncate(const std::string &name, std::int64_t size) override
     {
+        if (this->isFull && this->full.refusesTruncation) {
+            return this->refusal();
+        }
         auto &file = this->files.at(name);
         file.content.resize(static_cast<std::size_t>(size));
-        file.synced = file.content.size();
+        file.dropped = file.dropped && file.content.size() > file.synced;
+        file.synced = file.dropped ? file.synced : file.content.size();
         return {};
     }
     DiskOutcome replace(const std::string &name, const std::string &bytes) override
     {
         if (this->isFull) {
-            return {DiskStatus::Full, "no space"};
+            return this->refusal();
         }
         this->countOperation();
-        this->files[name] = {bytes, bytes.size()};
+        this->files[name] = {bytes, bytes.size(), false};
         this->countOperation();
         return {};
     }
@@ -82,6 +100,7 @@
                 }
             }
             file.synced = file.content.size();
+            file.dropped = false;
         }
     }
     /// Makes the disk throw PowerCut after this number of further operations; never if negative.
@@ -101,13 +120,20 @@
     {
         std::string content;
         std::size_t synced = 0;
+        bool dropped = false; ///< whether a failed sync has dropped the unsynced bytes, so that no sync writes them
     };
     std::map<std::string, File> files;
     bool isFull = false;
+    FullDisk full;
 
 private:
     static constexpr std::size_t sectorBytes = 64;
 
+    DiskOutcome refusal() const
+    {
+        return {this->full.status, "no space"};
+    }
+
     void countOperation()
     {
         if (this->operationsLeft >= 0 && this->operationsLeft-- == 0) {
@@ -165,6 +191,7 @@
         }
         const auto outcome = this->journal->write(this->waiting);
         this->currentStatus.isFull = outcome.status == DiskStatus::Full;
+        this->currentStatus.failure = outcome.status == DiskStatus::Failed ? outcome.message : std::string();
         if (outcome.status == DiskStatus::Ok) {
             this->currentStatus.written = this->waiting.back().sequence;
             this->waiting.clear();
--- a/tests/test_control_store.cpp
+++ b/tests/test_control_store.cpp
@@ -6,9 +6,12 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <random>
+#include <sys/resource.h>
 #include <thread>
 
 using namespace agatedrum;
@@ -69,12 +72,59 @@
     return takeValue(std::move(opened));
 }
 
-void waitUntilWritten(const ControlStore &store, std::int64_t sequence)
+void waitUntil(const std::function<bool()> &condition)
 {
-    for (int i = 0; i < 500 && store.status().written < sequence; ++i) {
+    for (int i = 0; i < 500 && !condition(); ++i) {
         std::this_thread::sleep_for(std::chrono::milliseconds(2));
     }
-    REQUIRE(store.status().written >= sequence);
+    REQUIRE(condition());
+}
+
+void waitUntilWritten(const ControlStore &store, std::int64_t sequence)
+{
+    waitUntil([&] { return store.status().written >= sequence; });
+}
+
+/// Makes writes to files of the process fail beyond a size, after a partial write, as long as the object exists.
+class FileSizeLimit
+{
+public:
+    explicit FileSizeLimit(std::uintmax_t bytes)
+    {
+        // The default action of this signal ends the process.
+        this->previousHandler = std::signal(SIGXFSZ, SIG_IGN);
+        ::getrlimit(RLIMIT_FSIZE, &this->previousLimit);
+        auto limit = this->previousLimit;
+        limit.rlim_cur = bytes;
+        REQUIRE(::setrlimit(RLIMIT_FSIZE, &limit) == 0);
+    }
+    ~FileSizeLimit()
+    {
+        ::setrlimit(RLIMIT_FSIZE, &this->previousLimit);
+        std::signal(SIGXFSZ, this->previousHandler);
+    }
+    FileSizeLimit(const FileSizeLimit &) = delete;
+    FileSizeLimit &operator=(const FileSizeLimit &) = delete;
+
+private:
+    void (*previousHandler)(int) = SIG_DFL;
+    struct rlimit previousLimit = {};
+};
+
+/// Returns all ways in which a full disk refuses writes.
+std::vector<FullDisk> fullDisks()
+{
+    std::vector<FullDisk> result;
+    for (const auto status : {DiskStatus::Full, DiskStatus::Failed}) {
+        for (const bool isRefusedAtSync : {false, true}) {
+            for (const bool refusesTruncation : {false, true}) {
+                for (const std::size_t percent : {0, 50, 100}) {
+                    result.push_back({status, percent, isRefusedAtSync, refusesTruncation});
+                }
+            }
+        }
+    }
+    return result;
 }
 
 } // namespace
@@ -145,6 +195,33 @@
         REQUIRE(openJournal(disk)->loaded().entries.size() == 4);
     }
 
+    SECTION("however a full disk refuses writes, they succeed once it has room, and survive a crash then")
+    {
+        std::mt19937_64 random(7);
+        const auto files = disk.files;
+        for (const auto &full : fullDisks()) {
+            disk.files = files;
+            disk.full = full;
+            auto writer = openJournal(disk);
+            for (int index = 4; index <= 6; ++index) {
+                disk.isFull = true;
+                REQUIRE(writer->write({makeEntryWrite(index, "late")}).status == full.status);
+                REQUIRE(writer->write({makeEntryWrite(index, "late")}).status == full.status);
+                disk.isFull = false;
+                REQUIRE(writer->write({makeEntryWrite(index, "late")}).status == DiskStatus::Ok);
+                disk.crash(random);
+                REQUIRE(openJournal(disk)->loaded().entries.size() == static_cast<std::size_t>(index));
+            }
+            disk.isFull = true;
+            REQUIRE(writer->write({makeEntryWrite(7, "late")}).status == full.status);
+            REQUIRE(writer->write({makeSnapshotWrite(7)}).status == full.status);
+            disk.isFull = false;
+            REQUIRE(writer->write({makeSnapshotWrite(7)}).status == DiskStatus::Ok);
+            REQUIRE(writer->write({makeEntryWrite(8, "next")}).status == DiskStatus::Ok);
+            REQUIRE(openJournal(disk)->loaded().entries.size() == 1);
+        }
+    }
+
     SECTION("after a crash between writing the snapshot and the log, both are readable and accept further writes")
     {
         const auto files = disk.files;
@@ -232,6 +309,33 @@
         REQUIRE(loaded.state.term == 4);
     }
 
+    SECTION("writes that the disk refuses are retried until it accepts them")
+    {
+        const auto isRefused = [&store] { return store->status().isFull || !store->status().failure.empty(); };
+        {
+            const FileSizeLimit limit(std::filesystem::file_size(folder.path + "/log") + 20);
+            store->submit(makeEntryWrite(3, std::string(4000, 'x'), 4));
+            waitUntil(isRefused);
+            REQUIRE(store->status().written == 3);
+        }
+        waitUntilWritten(*store, 4);
+        REQUIRE_FALSE(isRefused());
+        {
+            const FileSizeLimit limit(20);
+            auto snapshot = makeSnapshotWrite(3);
+            snapshot.sequence = 5;
+            store->submit(snapshot);
+            store->submit(makeEntryWrite(4, "d", 6));
+            waitUntil(isRefused);
+        }
+        waitUntilWritten(*store, 6);
+        store.reset();
+        const auto loaded = openStore(folder.path)->load();
+        REQUIRE(loaded.snapshot->lastIndex == 3);
+        REQUIRE(loaded.entries.size() == 1);
+        REQUIRE(loaded.entries[0].command == "d");
+    }
+
     SECTION("the error for corrupt data contains the full path")
     {
         store.reset();
