Hand over the leadership while the leader's disk is full

A leader whose disk is full refuses changes but keeps its leadership, since its heartbeats go on; the majority that could accept them is never asked. And a process that saw one failed write never campaigned again: once all processes had seen one, one after another, nobody could be elected.

A leader now hands over when its disk refuses writes and the others have committed an entry that it has not written itself, which shows that they can write. A change that is refused for lack of space appends an empty entry, so that this is found out even if nothing else is written. As long as its disk refuses writes, a process starts no election; afterwards it does again.

--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -78,14 +78,10 @@
 void ControlCore::tick()
 {
     const std::lock_guard lock(this->mutex);
+    this->log.setWritesRefused(this->areWritesRefused());
     this->log.tick(this->clock.now());
     this->expireForwarded();
     this->drain();
-    if (!this->store.status().failure.empty()) {
-        this->log.stopCampaigning();
-        this->log.transferLeadership(this->clock.now());
-        this->drain();
-    }
     if (this->leadershipTerm != 0) {
         this->members.tick(this->log.hasLease(this->clock.now()));
         this->drain();
@@ -132,6 +128,12 @@
     return config;
 }
 
+bool ControlCore::areWritesRefused() const
+{
+    const auto status = this->store.status();
+    return status.isFull || !status.failure.empty();
+}
+
 std::string ControlCore::leaderToAsk() const
 {
     // A leader that lost its lease may be partitioned from the group, so it does not name itself.
@@ -171,6 +173,10 @@
         return;
     }
     if (!this->store.hasSpace(request.text.size()) || this->store.status().isFull) {
+        // If the disk refuses this entry and the other processes write it, they take over the leadership.
+        wire::Command command;
+        command.__set_noop(true);
+        this->propose(command);
         this->reply(pending, {false, "unavailable", "the leader's disk is full; nothing was changed"});
         return;
     }
--- a/src/control_core_p.h
+++ b/src/control_core_p.h
@@ -112,6 +112,7 @@
     nlohmann::json answer(const wire::ControlQuery &query, bool &isOk) const;
     void reply(const PendingApply &pending, const ConfigDecision &decision);
     std::string leaderToAsk() const;
+    bool areWritesRefused() const;
     std::vector<wire::ControlEndpoint> groupEndpoints() const;
     std::optional<std::int64_t> propose(const wire::Command &command);
     /// Processes the output of the log until there is no more.
--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -93,12 +93,16 @@
             this->resetElectionTimer(now);
             return;
         }
+        if (this->areWritesRefused && this->committedIndex > this->durableIndex) {
+            log(LogLevel::Warning, "control", "the disk refuses writes; handing over the leadership");
+            this->transferLeadership(now);
+            return;
+        }
         this->proposeMembershipChange(now);
         if (now >= this->heartbeatDueAt) {
             this->replicateToAll(now);
         }
-    } else if (now >= this->electionDueAt && this->isVoter(this->hardState.member) && !this->isCampaigningStopped
-               && this->hardStateSequence <= this->writtenSequence) {
+    } else if (now >= this->electionDueAt && this->mayCampaign() && this->hardStateSequence <= this->writtenSequence) {
         // An election cannot be won before the newest term and vote are on disk.
         this->startPreVote(now);
     }
--- a/src/control_log_election.cpp
+++ b/src/control_log_election.cpp
@@ -119,6 +119,11 @@
     return now < lastHeardAt + this->options.minElectionTimeout;
 }
 
+bool ControlLog::mayCampaign() const
+{
+    return this->isVoter(this->hardState.member) && !this->isCampaigningStopped && !this->areWritesRefused;
+}
+
 void ControlLog::handleRequestVote(const std::string &from, const wire::RequestVote &request, Time now)
 {
     if (request.group.empty()) {
@@ -298,12 +303,16 @@
 
 void ControlLog::handleTimeoutNow(const wire::TimeoutNow &order, Time now)
 {
-    if (order.term == this->hardState.term && this->status == Status::Follower && this->isVoter(this->hardState.member)
-        && !this->isCampaigningStopped) {
+    if (order.term == this->hardState.term && this->status == Status::Follower && this->mayCampaign()) {
         this->campaign(true, now);
     }
 }
 
+void ControlLog::setWritesRefused(bool areRefused)
+{
+    this->areWritesRefused = areRefused;
+}
+
 void ControlLog::stopCampaigning()
 {
     this->isCampaigningStopped = true;
--- a/src/control_log_p.h
+++ b/src/control_log_p.h
@@ -78,6 +78,9 @@
     void compact(std::int64_t index, std::string data);
     /// Transfers leadership to the voter with the highest matching index, if there is another voter.
     void transferLeadership(Time now);
+    /// Sets whether this member's store cannot write at present. Such a member starts no election, and a leader hands
+    /// over once the other voters have committed an entry without it, which shows that they can write.
+    void setWritesRefused(bool areRefused);
     /// Makes this member start no more elections; for a process that is stopping.
     void stopCampaigning();
     /// Returns the work that has accumulated since the last call, and clears it.
@@ -146,6 +149,7 @@
     void bootstrapGroup(Time now);
     bool isUpToDate(const wire::RequestVote &request) const;
     bool hasLiveLeader(Time now) const;
+    bool mayCampaign() const;
     /// Returns the send time of the newest AppendEntries messages that a quorum has acknowledged.
     Time quorumAcknowledgedAt() const;
 
@@ -209,6 +213,7 @@
     Status status = Status::Follower;
     bool isPreVoting = false;
     bool isCampaigningStopped = false;
+    bool areWritesRefused = false;
     std::string leader; ///< identity of the known leader, or empty
     std::set<std::string> votes; ///< identities of the members that granted their vote or pre-vote
     std::map<std::string, Progress> progress;
