Add a soak test with real processes and the platform's protocols

The tests with real processes covered the product's own interface only. The entries, hosts and control processes that the operators run speak the platform's protocols, and nothing here ran them as processes under load, stops and kills.

test-soak starts control processes, entries and hosts on loopback addresses, with a stand-in for an executor beside each host that follows PROTOCOL.md (registrations, starts, stops, polls with leases, fencing tokens, run numbers and lists of ended runs) and records each run.

--- /dev/null
+++ b/tests/soak_executor.h
@@ -0,0 +1,333 @@
+#pragma once
+
+#include "http_server_p.h"
+#include "soak_record.h"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <random>
+#include <thread>
+#include <utility>
+
+namespace agatedrum::test {
+
+struct SoakExecutorOptions
+{
+    std::string id;
+    std::string service;
+    std::string zone;
+    SoakAddress address; ///< where it serves its host's calls
+    SoakAddress registrar; ///< its host
+    std::int64_t cpuMillis = 16000;
+    double clockRate = 1.0; ///< steps of its clock per step of the real one
+    std::uint64_t seed = 1;
+};
+
+/// Stand-in for an executor: registers at its host and carries out the host's calls as the platform's pages tell.
+/// Everything that ends by itself is given the time at which it was due, however late the thread wakes.
+class SoakExecutor
+{
+public:
+    SoakExecutor(SoakRecord &record, SoakExecutorOptions executorOptions)
+        : record(record)
+        , options(std::move(executorOptions))
+        , startedAt(soakNow())
+        , bornMs(std::chrono::duration_cast<SoakMillis>(std::chrono::system_clock::now().time_since_epoch()).count())
+        , random(this->options.seed)
+        , server(serverOptions(this->options.address))
+    {
+        this->leaseUntil = this->startedAt;
+        this->addRoute(soak_wire::startPath,
+                       [this](const auto &call, const auto &reply) { this->handleStart(call, reply); });
+        this->addRoute(soak_wire::stopPath,
+                       [this](const auto &call, const auto &reply) { this->handleStop(call, reply); });
+        this->addRoute(soak_wire::pollPath,
+                       [this](const auto &call, const auto &reply) { this->handlePoll(call, reply); });
+        this->server.start();
+        this->ticker = std::thread([this] { this->runTicker(); });
+        this->registrant = std::thread([this] { this->runRegistrations(); });
+    }
+    ~SoakExecutor()
+    {
+        this->isStopping = true;
+        this->registrant.join();
+        this->ticker.join();
+        this->server.stop();
+        const std::lock_guard lock(this->mutex);
+        this->advance(soakNow());
+    }
+    SoakExecutor(const SoakExecutor &) = delete;
+    SoakExecutor &operator=(const SoakExecutor &) = delete;
+
+private:
+    using Call = soak_wire::ExecutorCall;
+
+    static constexpr SoakMillis maxLease {1000};
+    static constexpr SoakMillis registrationInterval {1500};
+    static constexpr SoakMillis registrationRetry {250};
+    static constexpr std::size_t maxEndsPerReply = 500;
+    static constexpr int maxStopMs = 50;
+
+    struct Running
+    {
+        std::string task;
+        std::int64_t run = 0;
+        SoakTime startedAt;
+        SoakTime endsAt;
+        const char *end = "done";
+        std::int64_t cpuMillis = 0;
+        std::size_t recordIndex = 0;
+    };
+    struct WaitingPoll
+    {
+        SoakTime until;
+        HttpReply reply;
+    };
+
+    static HttpServerOptions serverOptions(const SoakAddress &address)
+    {
+        HttpServerOptions result;
+        result.address.host = address.host;
+        result.address.port = address.port;
+        result.threads = 1;
+        return result;
+    }
+
+    void addRoute(const char *path, std::function<void(const Call &, const HttpReply &)> handler)
+    {
+        this->server.route("POST", path,
+                           [this, handler = std::move(handler)](const HttpRequest &request, const HttpReply &reply) {
+                               const auto named = request.headers.find(soak_wire::instanceHeader);
+                               if (named != request.headers.end() && named->second != this->options.id) {
+                                   respond(reply, 421, soak_wire::encodeRefusal(this->clockMs(), "instance"));
+                                   return;
+                               }
+                               const auto call = soak_wire::decodeCall(request.body);
+                               const std::lock_guard lock(this->mutex);
+                               this->advance(soakNow());
+                               if (call.fence < this->highestFence) {
+                                   this->refuse(reply, "fence");
+                                   return;
+                               }
+                               this->highestFence = call.fence;
+                               handler(call, reply);
+                           });
+    }
+
+    static void respond(const HttpReply &reply, int status, std::string body)
+    {
+        HttpResponse response;
+        response.status = status;
+        response.body = std::move(body);
+        reply(response);
+    }
+    void refuse(const HttpReply &reply, const char *reason) const
+    {
+        respond(reply, 409, soak_wire::encodeRefusal(this->clockMs(), reason));
+    }
+
+    // Clock of this executor: milliseconds since its start, with an offset.
+
+    std::int64_t clockMs() const
+    {
+        const auto elapsed = std::chrono::duration<double, std::milli>(soakNow() - this->startedAt);
+        return clockOffsetMs + static_cast<std::int64_t>(elapsed.count() * this->options.clockRate);
+    }
+    SoakTime realTime(std::int64_t clockMs) const
+    {
+        const auto real = static_cast<double>(clockMs - clockOffsetMs) / this->options.clockRate;
+        return this->startedAt
+            + std::chrono::duration_cast<SoakTime::duration>(std::chrono::duration<double, std::milli>(real));
+    }
+
+    /// Extends the lease to the end that a call gives, at most by the longest lease. Never shortens it.
+    void extendLease(std::int64_t untilMs)
+    {
+        const auto latest = this->clockMs() + maxLease.count();
+        this->leaseUntil = std::max(this->leaseUntil, this->realTime(std::min(untilMs, latest)));
+    }
+
+    // Calls. The mutex is held.
+
+    void handleStart(const Call &call, const HttpReply &reply)
+    {
+        if (call.leaseUntilMs <= this->clockMs()) {
+            this->refuse(reply, "late");
+            return;
+        }
+        this->extendLease(call.leaseUntilMs);
+        const auto isThere = std::any_of(this->running.begin(), this->running.end(), [&call](const Running &each) {
+            return each.task == call.task && each.run == call.run;
+        });
+        if (!isThere && call.run <= this->highestEnded[call.task]) {
+            this->refuse(reply, "old");
+            return;
+        }
+        if (!isThere) {
+            this->begin(call);
+        }
+        respond(reply, 200, soak_wire::encodeClock(this->clockMs()));
+    }
+
+    void begin(const Call &call)
+    {
+        const auto now = soakNow();
+        const auto spec = soak_wire::decodeSpec(call.spec, soak_wire::indexOfTask(call.task));
+        Running run;
+        run.task = call.task;
+        run.run = call.run;
+        run.startedAt = now;
+        run.endsAt = now + SoakMillis(spec.runMs);
+        run.end = this->record.failuresOf(call.task) < spec.failures ? "failed" : "done";
+        run.cpuMillis = spec.cpuMillis;
+        run.recordIndex = this->record.runStarted(call.task, call.run, this->options.id, now);
+        this->running.push_back(run);
+        std::int64_t used = 0;
+        for (const auto &each : this->running) {
+            used += each.cpuMillis;
+        }
+        if (used > this->options.cpuMillis) {
+            this->record.addViolation(fmt::format("{} runs {} of {} thousandths of a core after the start of {}",
+                                                  this->options.id, used, this->options.cpuMillis, call.task));
+        }
+    }
+
+    void handleStop(const Call &call, const HttpReply &reply)
+    {
+        auto &highest = this->highestEnded[call.task];
+        highest = std::max(highest, call.run);
+        for (auto &run : this->running) {
+            if (run.task == call.task && run.run == call.run) {
+                const auto stopAt = soakNow() + SoakMillis(static_cast<int>(this->random() % maxStopMs));
+                run.end = stopAt < run.endsAt ? "stopped" : run.end;
+                run.endsAt = std::min(run.endsAt, stopAt);
+            }
+        }
+        respond(reply, 200, soak_wire::encodeClock(this->clockMs()));
+    }
+
+    void handlePoll(const Call &call, const HttpReply &reply)
+    {
+        if (call.leaseUntilMs > 0) {
+            this->extendLease(call.leaseUntilMs);
+        }
+        while (!this->ended.empty() && this->ended.front().number <= call.seenEnd) {
+            this->ended.erase(this->ended.begin());
+        }
+        if (this->ended.empty() && call.waitMs > 0) {
+            this->waitingPolls.push_back({soakNow() + SoakMillis(call.waitMs), reply});
+        } else {
+            this->answerPoll(reply);
+        }
+    }
+
+    void answerPoll(const HttpReply &reply) const
+    {
+        std::vector<soak_wire::RunningRow> rows;
+        for (const auto &run : this->running) {
+            const auto total = std::max<std::int64_t>(1, (run.endsAt - run.startedAt).count());
+            const auto percent = 100 * (soakNow() - run.startedAt).count() / total;
+            rows.push_back(
+                {run.task, run.run, static_cast<int>(std::clamp<std::int64_t>(percent, 0, 99)), run.cpuMillis});
+        }
+        const auto count = static_cast<std::ptrdiff_t>(std::min(this->ended.size(), maxEndsPerReply));
+        respond(reply, 200,
+                soak_wire::encodePollReply(this->clockMs(), this->bornMs, rows,
+                                           {this->ended.begin(), this->ended.begin() + count}));
+    }
+
+    // Time. The mutex is held.
+
+    /// Ends, in the order of time, all runs that were due by now or whose lease had run out.
+    void advance(SoakTime now)
+    {
+        while (!this->running.empty()) {
+            const auto next = std::min_element(
+                this->running.begin(), this->running.end(),
+                [](const Running &left, const Running &right) { return left.endsAt < right.endsAt; });
+            if (std::min(next->endsAt, this->leaseUntil) > now) {
+                return;
+            }
+            const bool isLapsed = this->leaseUntil < next->endsAt;
+            this->finish(next, isLapsed ? "lapsed" : next->end, isLapsed ? this->leaseUntil : next->endsAt);
+        }
+    }
+
+    void finish(std::vector<Running>::iterator run, const char *end, SoakTime at)
+    {
+        auto &highest = this->highestEnded[run->task];
+        highest = std::max(highest, run->run);
+        this->ended.push_back({++this->lastEnd, run->task, run->run, end});
+        this->record.runEnded(run->recordIndex, end, at);
+        this->running.erase(run);
+    }
+
+    void runTicker()
+    {
+        while (!this->isStopping) {
+            std::this_thread::sleep_for(SoakMillis(2));
+            const std::lock_guard lock(this->mutex);
+            const auto now = soakNow();
+            this->advance(now);
+            auto waiting = std::exchange(this->waitingPolls, {});
+            for (auto &poll : waiting) {
+                if (this->ended.empty() && poll.until > now) {
+                    this->waitingPolls.push_back(std::move(poll));
+                } else {
+                    this->answerPoll(poll.reply);
+                }
+            }
+        }
+    }
+
+    void runRegistrations()
+    {
+        soak_wire::Registration registration;
+        registration.id = this->options.id;
+        registration.service = this->options.service;
+        registration.address = fmt::format("{}:{}", this->options.address.host, this->options.address.port);
+        registration.zone = this->options.zone;
+        registration.bornMs = this->bornMs;
+        registration.cpuMillis = this->options.cpuMillis;
+        auto nextAt = soakNow();
+        while (!this->isStopping) {
+            if (soakNow() < nextAt) {
+                std::this_thread::sleep_for(SoakMillis(10));
+                continue;
+            }
+            ++registration.sequence;
+            registration.clockMs = this->clockMs();
+            const auto request = soakRequest("PUT", soak_wire::registrationPath(registration),
+                                             this->options.registrar.host, soak_wire::encodeRegistration(registration));
+            const auto result = soakCall(this->options.registrar, request, SoakMillis(1000));
+            const bool isAccepted = result.status == 200;
+            nextAt = soakNow() + (isAccepted ? registrationInterval : registrationRetry);
+        }
+    }
+
+    static constexpr std::int64_t clockOffsetMs = 100000;
+
+    SoakRecord &record;
+    const SoakExecutorOptions options;
+    const SoakTime startedAt;
+    const std::int64_t bornMs;
+    std::atomic<bool> isStopping {false};
+
+    /// Guards all members up to the server. Recursive: a reply may dispatch the next call of its connection at once.
+    std::recursive_mutex mutex;
+    std::mt19937_64 random;
+    std::int64_t highestFence = 0;
+    SoakTime leaseUntil;
+    std::vector<Running> running;
+    std::map<std::string, std::int64_t> highestEnded; ///< by task: highest run that was stopped or has ended
+    std::vector<soak_wire::EndedRow> ended;
+    std::int64_t lastEnd = 0;
+    std::vector<WaitingPoll> waitingPolls;
+
+    HttpServer server;
+    std::thread ticker;
+    std::thread registrant;
+};
+
+} // namespace agatedrum::test
