--- a/tests/soak_checks.h
+++ b/tests/soak_checks.h
@@ -110,11 +110,15 @@
     }
 
     /// A request that was read must get its whole answer. It counts as read if it was passed on to an executor, or if
-    /// its connection ended later than readTime after its last byte. Not after the caller's own deadline.
+    /// its connection ended later than readTime after its last byte. Not after the caller's own deadline. A connection
+    /// on which nothing comes neither serves nor is closed.
     void checkCuts(const SoakSubmission &submission)
     {
         for (const auto &attempt : submission.attempts) {
             const auto &exchange = attempt.exchange;
+            if (exchange.end == SoakExchange::End::TimedOut) {
+                this->add(submission.job.id, fmt::format("{} gave no answer in time", attempt.entry));
+            }
             if (exchange.end != SoakExchange::End::Cut || exchange.endedAt >= exchange.sentAt + submission.timeLimit) {
                 continue;
             }
--- a/tests/soak_cluster.h
+++ b/tests/soak_cluster.h
@@ -16,6 +16,8 @@
     int hosts = 4;
     int maxInFlight = 20000; ///< of each entry
     int maxConnections = 10000; ///< of each entry
+    bool hasSlowExecutor = false; ///< runs at the first executor take 2.5 times as long
+    bool hasLateCalls = false; ///< see SoakExecutorOptions
     int number = 0; ///< 0 to 9; distinguishes clusters that one test process runs at the same time
     std::uint64_t seed = 1;
 };
@@ -49,6 +51,8 @@
             executor.address = {this->hostAddress("agent", i), executorPort};
             executor.registrar = {this->hostAddress("agent", i), registrationPort};
             executor.clockRate = random() % 2 == 0 ? 1.0 : 0.98;
+            executor.slowness = options.hasSlowExecutor && i == 1 ? 2.5 : 1.0;
+            executor.hasLateCalls = options.hasLateCalls;
             executor.seed = random();
             this->executors.push_back(std::make_unique<SoakExecutor>(record, executor));
         }
--- a/tests/soak_run.h
+++ b/tests/soak_run.h
@@ -94,6 +94,8 @@
         SoakClusterOptions options;
         options.number = number;
         options.seed = this->seed;
+        options.hasSlowExecutor = this->kind != SoakKind::Planned;
+        options.hasLateCalls = this->kind != SoakKind::Planned && this->seed % 2 == 0;
         if (this->kind == SoakKind::Limits) {
             options.maxInFlight = 6;
             options.maxConnections = 10;
@@ -105,6 +107,10 @@
     {
         SoakCallerOptions options;
         options.seed = this->seed;
+        options.threads = this->kind == SoakKind::Planned ? 8 : 14;
+        if (this->kind == SoakKind::Planned) {
+            options.answerSlack = SoakMillis(1000);
+        }
         if (this->kind == SoakKind::Limits) {
             options.threads = 24;
             options.maxTasks = 24;
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -69,6 +69,92 @@
     }
 }
 
+// Each check of the soak test must report the violation that it is for. Otherwise the soak test passes for nothing.
+TEST_CASE("The checks of the soak test report violations", "[soak]")
+{
+    const auto start = soakNow();
+    SoakRecord record(start);
+    SoakSubmission submission;
+    submission.job.id = "00000000000000aa";
+    submission.job.service = SoakCluster::serviceName;
+    submission.job.taskMs = {100};
+    submission.job.failures = {0};
+    submission.timeLimit = SoakMillis(1500);
+    SoakExchange exchange;
+    exchange.beganAt = start;
+    exchange.sentAt = start + SoakMillis(1);
+    exchange.endedAt = start + SoakMillis(150);
+    const auto task = soak_wire::taskName(submission.job.id, 0);
+    const auto violations = [&] {
+        submission.attempts = {{"entry-1", exchange}};
+        record.addSubmission(submission);
+        return SoakChecks(record, true).violations();
+    };
+
+    SECTION("a completed job with a run that ended as done is no violation")
+    {
+        exchange.end = SoakExchange::End::Answered;
+        exchange.status = 200;
+        exchange.body = R"({"State":"completed"})";
+        record.runEnded(record.runStarted(task, 1, "i-1", start), "done", start + SoakMillis(100));
+        CHECK(violations().empty());
+
+        SECTION("a second run of its task that begins before the end of the first one is a violation")
+        {
+            record.runStarted(task, 2, "i-2", start + SoakMillis(99));
+            CHECK(violations().size() == 1);
+        }
+        SECTION("a second run of its task that begins after the end of the first one is none")
+        {
+            record.runStarted(task, 2, "i-2", start + SoakMillis(101));
+            CHECK(violations().empty());
+        }
+    }
+    SECTION("a completed job whose run was stopped is a violation")
+    {
+        exchange.end = SoakExchange::End::Answered;
+        exchange.status = 200;
+        exchange.body = R"({"State":"completed"})";
+        record.runEnded(record.runStarted(task, 1, "i-1", start), "stopped", start + SoakMillis(100));
+        CHECK(violations().size() == 1);
+    }
+    SECTION("a rejected job that ran is a violation")
+    {
+        exchange.end = SoakExchange::End::Answered;
+        exchange.status = 503;
+        record.runStarted(task, 1, "i-1", start);
+        CHECK(violations().size() == 1);
+    }
+    SECTION("a cut request that was passed on is a violation")
+    {
+        exchange.end = SoakExchange::End::Cut;
+        record.runStarted(task, 1, "i-1", start + SoakMillis(50));
+        CHECK(violations().size() == 1);
+    }
+    SECTION("a cut request that waited longer than a read takes is a violation")
+    {
+        exchange.end = SoakExchange::End::Cut;
+        exchange.endedAt = start + SoakMillis(300);
+        CHECK(violations().size() == 1);
+    }
+    SECTION("a request without an answer is a violation")
+    {
+        exchange.end = SoakExchange::End::TimedOut;
+        CHECK(violations().size() == 1);
+    }
+    SECTION("a connection that was closed as the request arrived is none")
+    {
+        exchange.end = SoakExchange::End::Cut;
+        CHECK(violations().empty());
+    }
+    SECTION("a reset of an idle connection is a violation")
+    {
+        exchange.end = SoakExchange::End::Cut;
+        record.addIdleReset("entry-1");
+        CHECK(violations().size() == 1);
+    }
+}
+
 // A process that is stopped or reloaded must not cut a request that it has read, reset an idle connection, or lose an
 // acknowledged configuration.
 TEST_CASE("Planned stops and reloads cut no request", "[soak]")
