Let the test of a replaced server wait for the leases at its former address

Change: the test lets the leases expire and answers the poll of the next instance before it expects the end of the task. The end is still required.

--- a/tests/test_odd_registrations.cpp
+++ b/tests/test_odd_registrations.cpp
@@ -91,8 +91,10 @@
     {
         host.core.registerServer(otherServer(2000));
         host.answerPoll(failedPoll(OrderOutcome::OtherInstance));
-        REQUIRE(host.takeReports().at(0).phase == wire::TaskPhase::ENDED);
         REQUIRE(polledServer(host) == "i-odd");
+        host.clock.advance(Millis(2 * AGATEDRUM_SERVER_HOLD_MS)); // the leases at the earlier address have expired
+        host.answerPoll(HostFixture::pollReply());
+        REQUIRE(host.takeReports().at(0).phase == wire::TaskPhase::ENDED);
     }
 
     SECTION("it is followed when the present backend server no longer answers")
