Conclude no end of a run from answers that do not show it

What callers could see: two runs of one task.

- A row of the list of runs that could not be read was left out, and the run that it named counted as ended.
Such a list now ends no run, and does not show that no foreign runs are left.
New test in test-host-lease.
- A second instance at the same new address erased the time until which the first instance, at another address, may run its tasks.
New section in test-host-lease.
- A host ended with an exception if it refused an order at once whose time had passed, since it then reported on the task.
The random sequences of test-run-faults showed it (std::out_of_range in acceptOrder); new test in test-host-lease.

--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -145,8 +145,10 @@
     this->idByName[name] = id;
     this->tasks.emplace(id, std::move(task));
     this->startWaitingTasks();
-    const auto &accepted = this->tasks.at(id);
-    this->report(accepted, accepted.phase == Phase::Waiting ? wire::TaskPhase::QUEUED : wire::TaskPhase::RUNNING, {});
+    if (const auto accepted = this->tasks.find(id); accepted != this->tasks.end()) {
+        const bool isWaiting = accepted->second.phase == Phase::Waiting;
+        this->report(accepted->second, isWaiting ? wire::TaskPhase::QUEUED : wire::TaskPhase::RUNNING, {});
+    }
 }
 
 void HostCore::apply(const wire::StopTasks &message, const IncomingMessage &incoming)
--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -92,7 +92,9 @@
     const bool isAddressReused = this->registered && this->registered->server.address == registration.server.address;
     this->endInstance("a new instance of the backend server was registered");
     ++this->counters.serverInstances;
-    this->replacedRunsEnd = isAddressReused ? Time {} : std::max(this->replacedRunsEnd, this->leaseGrantedUntil);
+    if (!isAddressReused) {
+        this->replacedRunsEnd = std::max(this->replacedRunsEnd, this->leaseGrantedUntil);
+    }
     this->leaseGrantedUntil = Time {};
     this->registered = registration;
     this->registered->isDraining = false;
@@ -308,20 +310,22 @@
     std::vector<std::int64_t> endedIds;
     for (auto &[id, task] : this->tasks) {
         if (task.phase == Phase::Starting && task.startedAt + this->options.startConfirmTimeout < sentAt
-            && listed.count(task.name) == 0) {
+            && listed.count(task.name) == 0 && reply.hasAllRuns) {
             this->markUnconfirmed(task);
         }
         const bool isConclusive = (task.phase == Phase::Running && task.changedAt < sentAt)
             || (task.phase == Phase::Unconfirmed && task.stopAcceptedAt && *task.stopAcceptedAt < sentAt);
-        if (isConclusive && listed.count(task.name) == 0 && reply.ended.size() < maxEndsPerReply) {
+        const bool isListComplete = reply.hasAllRuns && reply.ended.size() < maxEndsPerReply;
+        if (isConclusive && listed.count(task.name) == 0 && isListComplete) {
             endedIds.push_back(id);
         }
     }
     for (const auto id : endedIds) {
         this->finish(id, wire::TaskPhase::ENDED, "the run is no longer listed by the backend server");
     }
-    if (this->hasOnlyOwnRuns != !hasOrphanedRuns) {
-        this->hasOnlyOwnRuns = !hasOrphanedRuns;
+    const bool showsOnlyOwnRuns = !hasOrphanedRuns && (reply.hasAllRuns || this->hasOnlyOwnRuns);
+    if (this->hasOnlyOwnRuns != showsOnlyOwnRuns) {
+        this->hasOnlyOwnRuns = showsOnlyOwnRuns;
         logEvent(component, this->hasOnlyOwnRuns ? "server_clean" : "server_has_foreign_runs",
                  {{"server", this->instanceName()}});
     }
--- a/src/host_server_p.h
+++ b/src/host_server_p.h
@@ -132,6 +132,7 @@
     std::int64_t clockMs = 0;
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended; ///< those after PollOrder::lastSeenEnd, in ascending order of their numbers
+    bool hasAllRuns = true; ///< false if some active runs could not be read
 };
 
 /// Client of a backend server that runs tasks with resource demands. Implementations are thread-safe and never block.
--- a/tests/run_server.h
+++ b/tests/run_server.h
@@ -164,7 +164,7 @@
     {
         this->advance();
         if (const auto refused = this->checkFence(order.fence)) {
-            handler({refused->outcome, refused->clockMs, {}, {}});
+            handler({refused->outcome, refused->clockMs, {}, {}, true});
             return;
         }
         if (order.leaseUntilMs > 0) {
--- a/tests/test_host_lease.cpp
+++ b/tests/test_host_lease.cpp
@@ -141,6 +141,30 @@
     REQUIRE(host.server.stops.size() == 1);
 }
 
+TEST_CASE("An order whose time has passed at its arrival is refused", "[host]")
+{
+    // Guards against a host that ends because it reports on a task that it has refused at once.
+    HostFixture host;
+    host.becomeAccepting();
+    auto order = host.makeOrder("a", {0});
+    order.timeLeftMicros = 0;
+    host.receiveFromEntry(order);
+    REQUIRE(host.takeReports().at(0).phase == wire::TaskPhase::REFUSED);
+    REQUIRE(host.server.starts.empty());
+}
+
+TEST_CASE("A list of runs with an unreadable row does not end the runs that it lacks", "[host]")
+{
+    // Guards against two runs of one task: the unreadable row may be the one of the run.
+    RunningTaskFixture host;
+    auto reply = HostFixture::pollReply();
+    reply.hasAllRuns = false;
+    host.answerPoll(reply);
+    REQUIRE(host.takeReports().empty());
+    host.answerPoll(HostFixture::pollReply());
+    REQUIRE(host.takeReports().at(0).phase == wire::TaskPhase::ENDED);
+}
+
 TEST_CASE("Orders for an earlier instance of a backend server have no effect on its next instance", "[host]")
 {
     // Guards against two runs of one task: a backend server that starts again under its id remembers no token and its
@@ -196,6 +220,9 @@
         next.server.id = "i-2";
         next.server.address = endpoint(8081);
         host.core.registerServer(next);
+        PollReply ofNext;
+        ofNext.outcome = OrderOutcome::OtherInstance;
+        host.server.polls.back().reply(ofNext); // until then, the present instance is kept
         host.answerPoll(HostFixture::pollReply());
         REQUIRE(host.core.isReady());
         REQUIRE(host.takeReports().empty());
@@ -203,6 +230,20 @@
         host.answerPoll(HostFixture::pollReply());
         REQUIRE(host.takeReports().at(0).phase == wire::TaskPhase::ENDED);
     }
+
+    SECTION("a restart of the next instance at its own address does not shorten the earlier one's lease")
+    {
+        PollReply ofNext;
+        ofNext.outcome = OrderOutcome::OtherInstance;
+        next.server.address = endpoint(8081);
+        next.server.id = "i-2";
+        host.core.registerServer(next);
+        host.server.polls.back().reply(ofNext);
+        next.server.startedAtMs += 100;
+        host.core.registerServer(next);
+        host.answerPoll(HostFixture::pollReply());
+        REQUIRE(host.takeReports().empty());
+    }
 }
 
 TEST_CASE("An order without an answer cannot be carried out after a later poll was accepted", "[host]")
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -118,6 +118,10 @@
         REQUIRE(outcome("late") == OrderOutcome::Late);
         REQUIRE(outcome("room") == OrderOutcome::NoCapacity);
         REQUIRE(outcome("new reason") == OrderOutcome::Invalid);
+        // An undefined status does not mean that the order was not carried out.
+        REQUIRE(decodeOrderReply(500, "").outcome == OrderOutcome::Unanswered);
+        REQUIRE(decodeOrderReply(504, "").outcome == OrderOutcome::Unanswered);
+        REQUIRE(decodeOrderReply(400, "").outcome == OrderOutcome::Invalid);
         REQUIRE(decodeOrderReply(421, "").outcome == OrderOutcome::OtherInstance);
         REQUIRE(decodeOrderReply(503, "").outcome == OrderOutcome::Unhealthy);
     }
