Write responses in small chunks

Chunks are 16 KiB now.

Not covered by a unit test: the sockets of a normal kernel take a large part of a chunk at once.

--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -20,8 +20,9 @@
 constexpr std::chrono::seconds lingerTime {2};
 // Connections above the limit that may stay open until the caller has read its refusal: one eighth of the limit.
 constexpr std::size_t refusedConnectionsDivisor = 8;
-// Responses are written in chunks, because Pistache copies the whole rest of a write each time the socket is full.
-constexpr std::size_t writeChunkBytes = 256UL * 1024;
+// Responses are written in chunks, because Pistache copies the whole rest of a write each time the socket is full, and
+// a socket with a small window is full after every few kilobytes.
+constexpr std::size_t writeChunkBytes = 16UL * 1024;
 
 /// Returns the response as HTTP/1.1 bytes.
 std::string serialize(const HttpResponse &response, bool mustClose)
