Do not dispatch a request whose caller has closed the connection

Cause: a request was dispatched as soon as it was read. That its caller had closed the connection behind it was reported only after the input, so the entry started the tasks and stopped them at its next tick.

Change: the server of callers asks the socket before it dispatches a request, and closes the connection if the caller has closed it.

--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -1,10 +1,12 @@
 #include "http_connection_p.h"
 
+#include "base_event_p.h"
 #include "base_log_p.h"
 
 #include <fmt/format.h>
 #include <pistache/peer.h>
 
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -276,8 +278,21 @@
     }
 }
 
+bool HttpConnection::hasCallerClosed()
+{
+    const std::lock_guard lock(this->mutex);
+    pollfd state {this->descriptor, POLLRDHUP, 0};
+    return !this->isOpen || ::poll(&state, 1, 0) > 0;
+}
+
 void HttpConnection::dispatch(FramedRequest &&framed)
 {
+    // After a freeze, requests are read whose callers gave up long ago and may have submitted the job elsewhere.
+    if (this->serverState->options.dropsAbandonedRequests && this->hasCallerClosed()) {
+        logEvent(component, "request_abandoned", {{"method", framed.method}, {"target", framed.target}});
+        this->forceClose();
+        return;
+    }
     const auto responder = std::make_shared<Responder>(this->shared_from_this(), framed.closeAfter);
     auto found = this->serverState->router.find(std::move(framed));
     if (const auto *refusal = std::get_if<HttpResponse>(&found)) {
--- a/src/http_connection_p.h
+++ b/src/http_connection_p.h
@@ -93,6 +93,8 @@
     void refuse();
     void dispatchNext();
     void dispatch(FramedRequest &&framed);
+    /// Returns true if the caller has closed the connection, even if Pistache has not reported it yet.
+    bool hasCallerClosed();
     void write(const HttpResponse &response, const std::shared_ptr<WriteTracker> &tracker, bool closeAfter);
     /// Writes the chunk of the response that starts at the offset and, when that write has ended, the next chunk.
     void writeChunk(const std::shared_ptr<const std::string> &bytes, std::size_t offset,
--- a/src/http_server_p.h
+++ b/src/http_server_p.h
@@ -51,6 +51,9 @@
     int threads = 2;
     HttpLimits limits;
     int maxConnections = 10000;
+    /// A request is not dispatched if its caller closed the connection before the request was read. Callers that only
+    /// shut down their sending side get no response then.
+    bool dropsAbandonedRequests = false;
 };
 
 /// HTTP/1.1 server based on Pistache. Responses on a connection are sent completely and in the order of the requests.
