--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -11,7 +11,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <utility>
 
 namespace agatedrum {
@@ -229,15 +228,6 @@
     return !this->isOpen;
 }
 
-void HttpConnection::detectDisconnection()
-{
-    const std::lock_guard lock(this->mutex);
-    char next = 0;
-    const auto count = this->isOpen ? ::recv(this->descriptor, &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT) : 0;
-    const bool isStillOpen = count > 0 || (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR));
-    this->isOpen = this->isOpen && isStillOpen;
-}
-
 void HttpConnection::closeIfIdle(std::chrono::steady_clock::time_point now, const HttpLimits &limits)
 {
     const std::lock_guard lock(this->mutex);
@@ -311,7 +301,6 @@
         return;
     }
     auto &match = std::get<HttpRouter::Match>(found);
-    this->detectDisconnection(); // the request may have waited in the socket for longer than its caller did
     match.request.isCallerDisconnected = [connection = this->weak_from_this()] {
         const auto locked = connection.lock();
         return !locked || locked->isDisconnected();
--- a/src/http_connection_p.h
+++ b/src/http_connection_p.h
@@ -84,8 +84,6 @@
     void closeIfIdle(std::chrono::steady_clock::time_point now, const HttpLimits &limits);
     /// Returns true if the caller has disconnected or the connection has been closed by forceClose().
     bool isDisconnected();
-    /// Looks at the socket for a close that follows the input read so far, and from then on counts as disconnected.
-    void detectDisconnection();
     /// Closes the connection at once. No response is sent after the call.
     void forceClose();
 
