Count waiting tasks in the limit of the lease

Cause: a task that waits at its host did not limit the lease that polls grant, and a lease never shortens. A task that started after its entry was lost inherited the full lease of the other runs.

Change: waiting tasks limit the lease as well.

--- a/src/host_core_lease.cpp
+++ b/src/host_core_lease.cpp
@@ -52,7 +52,8 @@
 {
     auto limit = now + this->options.taskLease;
     for (const auto &[id, task] : this->tasks) {
-        if (task.phase != Phase::Waiting && task.phase != Phase::ServerReplaced) {
+        // A waiting task counts as well: a lease never shortens, so its run would inherit a longer one.
+        if (task.phase != Phase::ServerReplaced) {
             const auto entryLimit = this->entries.leaseEnd(task.entry) + this->options.expiryStopTime;
             limit = std::min({limit, entryLimit, task.mustEndBy.value_or(limit)});
         }
--- a/tests/test_host_lease.cpp
+++ b/tests/test_host_lease.cpp
@@ -90,6 +90,21 @@
         REQUIRE(host.server.polls.back().order.leaseUntilMs > serverClockMs + 500);
     }
 
+    SECTION("nor does the lease under which a task of that entry starts after it has waited")
+    {
+        host.renewLease("entry-2");
+        host.receiveFromEntry(host.makeOrder("b", {0}, 12000), "entry-2");
+        while (host.clock.now() < host.startedAt + Millis(600)) {
+            host.clock.advance(Millis(50));
+            host.renewLease();
+            REQUIRE(host.nextGrantMs() <= lastEndMs);
+        }
+        host.answerPoll(HostFixture::pollReply({}, {{1, {"a", 0}, 1, RunEnd::Done}}));
+        REQUIRE(host.server.starts.size() == 2);
+        REQUIRE(host.server.starts[1].order.leaseUntilMs - serverClockMs + toMillis(host.clock.now() - host.startedAt)
+                <= lastEndMs);
+    }
+
     SECTION("a waiting task does not start after the entry's lease, even before the next periodic check")
     {
         auto large = host.makeOrder("b", {0}, 12000);
