Read the backend server's clock in one place, and say what bounds promise

Found when reading the whole change again; behaviour stays as it is.

- The review of registrations computed the backend server's clock by itself; it now calls serverClock().
- mustRenewFence becomes mustRaiseFence, after the function that it leads to.
- The comment on raiseFence() promised more than holds: a later process of the host may start below the token of an earlier one that was ahead of its clock, and is refused until onFenced() has raised it.
- The comment on the stall of an entry gave a wrong reason for its bound.

--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -175,7 +175,8 @@
 #endif
 
 /// Time in milliseconds without a tick after which an entry counts as stalled. Requests that it reads after a stall may
-/// be older than their callers' time-outs, so this must be shorter than the time for which callers wait.
+/// be older than their callers' time-outs. A shorter stall must end before a caller resubmits an unanswered job, so
+/// this must be shorter than the time for which callers wait plus the time after which they resubmit.
 #ifndef AGATEDRUM_ENTRY_STALL_MS
 #define AGATEDRUM_ENTRY_STALL_MS 1000
 #endif
--- a/src/host_core_lease.cpp
+++ b/src/host_core_lease.cpp
@@ -35,7 +35,7 @@
     // The sum of start time and clock rises over the instances of a backend server, whose clocks start anew.
     const auto serverTime = this->registered->server.startedAtMs + this->serverClock(this->clock.now());
     this->fence = std::max(this->fence + step, serverTime);
-    this->mustRenewFence = false;
+    this->mustRaiseFence = false;
 }
 
 void HostCore::onFenced(const OrderContext &context)
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -184,8 +184,8 @@
     OrderContext orderContext() const;
     void updateClock(std::int64_t newClockMs);
     std::int64_t serverClock(Time at) const;
-    /// Takes a token above those of all orders that were sent before, and above those of earlier processes of this
-    /// host and earlier instances of the backend server.
+    /// Takes a token above those of all orders that this process has sent. It normally is above those of earlier
+    /// processes of this host and earlier instances of the backend server as well; onFenced() handles the exceptions.
     void raiseFence(std::int64_t step);
     /// Handles an order that was refused because of its token. Raises the token if no newer one was in use, since
     /// another process has used a higher one; the runs there must then be listed again.
@@ -221,7 +221,7 @@
 
     std::int64_t fence = 0; ///< fencing token of the orders that are sent now
     std::int64_t fenceStep = 1; ///< by how much the token rises after the next refusal
-    bool mustRenewFence = false; ///< an order was not answered; the next poll rules out that it is carried out late
+    bool mustRaiseFence = false; ///< an order was not answered; the next poll rules out that it is carried out late
     Time leaseGrantedUntil; ///< until then the present instance may run tasks without a further order
     Time replacedRunsEnd; ///< until then an earlier instance at another address may run tasks
     std::int64_t serverClockMs = 0; ///< last known time of the backend server's clock
--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -79,7 +79,7 @@
     ServerEvidence evidence;
     evidence.registration = this->registered ? &*this->registered : nullptr;
     const auto now = this->clock.now();
-    evidence.clockMs = this->serverClockMs + toMillis(now - this->serverClockReadAt);
+    evidence.clockMs = this->serverClock(now);
     if (this->polledAt != Time {}) {
         evidence.sinceAnswer = now - this->polledAt;
     }
@@ -177,7 +177,7 @@
 
 void HostCore::sendPoll(const PollSchedule::Poll &poll)
 {
-    if (this->mustRenewFence) {
+    if (this->mustRaiseFence) {
         this->raiseFence(1);
     }
     PollOrder order;
@@ -215,7 +215,7 @@
         return;
     }
     if (reply.outcome == OrderOutcome::Unanswered) {
-        this->mustRenewFence = true;
+        this->mustRaiseFence = true;
         this->pollSchedule.recordLoss(poll, this->clock.now());
     } else {
         this->pollSchedule.recordAnswer(poll);
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -157,7 +157,7 @@
               {"afterMs", toMillis(now - task.startedAt)}});
     task.phase = Phase::Unconfirmed;
     task.changedAt = std::min(now, task.startedAt + this->options.startConfirmTimeout);
-    this->mustRenewFence = true;
+    this->mustRaiseFence = true;
     this->pollSchedule.recordLoss(now);
 }
 
@@ -208,7 +208,7 @@
     } else {
         task->isStopSent = false; // resent by the next check
         if (reply.outcome == OrderOutcome::Unanswered) {
-            this->mustRenewFence = true;
+            this->mustRaiseFence = true;
             this->pollSchedule.recordLoss(this->clock.now());
         }
     }
