--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -127,13 +127,21 @@
 // host is an agent whose backend server accepts tasks by their resource demands instead of by slots.
 struct Resources { 1: i64 cpuMillis; 2: i64 memoryMb; 3: i64 accelerators; }
 enum TaskPhase {
-  QUEUED = 1,     // waits at the host for capacity
-  RUNNING = 2,
+  QUEUED = 1,     // accepted; waits at the host for capacity, or its start order has no answer yet
+  RUNNING = 2,    // the backend server has started the run
   SUCCEEDED = 3,
   FAILED = 4,     // ended by an error of the task or of the backend server
   ENDED = 5,      // was stopped or lost; it is certainly no longer running
   REFUSED = 6     // did not run at this host and never will by this order
 }
+// hostIncarnation: the process of the host that received the order to run the tasks.
+struct TaskPlace { 1: string host; 2: i64 hostIncarnation; 3: list<i32> indexes; }
+// Tasks of a job whose start orders may have had no answer and may still be carried out at these places.
+// leftMicros: time after which they cannot.
+struct JobInDoubt { 1: string job; 2: list<TaskPlace> places; 3: i64 leftMicros; }
+// entry -> host -> all entries, or host -> all entries: the places cannot be asked, because the host is lost, or the
+// entry that ordered the tasks.
+struct StartsInDoubt { 1: list<JobInDoubt> jobs; }
 // host -> entry. sentAtMicros: host's clock; an entry echoes the newest value as heardAtMicros.
 struct HostReport {
   1: string serviceName; 2: string server; 3: bool accepting; 4: Resources capacity; 5: Resources reserved;
@@ -141,6 +149,7 @@
   7: double slowness;       // run time of recent tasks relative to their estimates
   8: double failureShare;   // share of recent tasks that failed
   9: list<string> labels; 10: i64 sentAtMicros; 11: string failureDomain; 12: i64 sequence;
+  13: list<JobInDoubt> unanswered;  // start orders that were found to have no answer since the last reports
 }
 // entry -> host. Extends the time for which the host runs the entry's tasks. reportsSeen: all reports up to this number
 // have been received.
@@ -150,10 +159,14 @@
 // once.
 struct TaskOrder { 1: i32 index; 2: i64 order; 3: Resources demand; 4: i64 estimateMicros; 5: bool mayWait; }
 // startWithinMicros: time until the latest useful start of the tasks; the host's queue is ordered by it.
+// elsewhere: places of other tasks of the job, which the host reports to all entries if it loses this one.
 struct RunTasks {
   1: i64 hostIncarnation; 2: i64 heardAtMicros; 3: string job; 4: string spec; 5: i64 startWithinMicros;
   6: i64 timeLeftMicros; 7: i32 priority; 8: list<TaskOrder> orders; 9: string serviceName; 10: i64 reportsSeen;
+  11: list<TaskPlace> elsewhere;
 }
+// entry -> host. The same to a host without a task of the job, if all tasks were ordered at one host.
+struct OrdersElsewhere { 1: string job; 2: list<TaskPlace> places; 3: i64 timeLeftMicros; }
 struct StopTasks { 1: i64 hostIncarnation; 2: string job; 3: list<i32> indexes; }
 // number: increases with each report of one host to an entry. A message contains all reports that the entry has not yet
 // confirmed by reportsSeen.
@@ -281,7 +294,7 @@
   33: ApplyConfig applyConfig; 34: ApplyReply applyReply; 35: ControlQuery controlQuery;
   36: ControlAnswer controlAnswer;
   50: HostReport hostReport; 51: HostContact hostContact; 52: RunTasks runTasks; 53: StopTasks stopTasks;
-  54: TaskReports taskReports;
+  54: TaskReports taskReports; 55: StartsInDoubt startsInDoubt; 56: OrdersElsewhere ordersElsewhere;
   40: RequestVote requestVote; 41: VoteReply voteReply; 42: AppendEntries appendEntries; 43: AppendReply appendReply;
   44: InstallSnapshot installSnapshot; 45: InstallReply installReply; 46: TimeoutNow timeoutNow;
 }
--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -228,6 +228,13 @@
 #define AGATEDRUM_SERVER_HOLD_MS 1000
 #endif
 
+/// Time in milliseconds after a start order was sent within which it may have an effect, if it got no answer: it may be
+/// carried out up to 12 s late, the run then has a lease of up to 1 s on a clock that may be 2% slow, and takes 50 ms
+/// to stop.
+#ifndef AGATEDRUM_LATE_START_MS
+#define AGATEDRUM_LATE_START_MS 13070
+#endif
+
 /// Time without an answer from its backend server after which a host accepts no tasks, in milliseconds.
 #ifndef AGATEDRUM_SERVER_SILENT_MS
 #define AGATEDRUM_SERVER_SILENT_MS 700
--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -23,6 +23,7 @@
     , options(std::move(options))
     , admission(this->options.maxLateness)
     , stops(this->options.repeatInterval, stopRetention)
+    , doubts(this->options.repeatInterval)
     , hosts(this->options.hostTimeout)
 {
 }
@@ -61,6 +62,8 @@
             this->apply(incoming, *report);
         } else if (const auto *reports = std::get_if<wire::TaskReports>(&incoming.payload)) {
             this->apply(incoming, *reports, answers);
+        } else if (const auto *starts = std::get_if<wire::StartsInDoubt>(&incoming.payload)) {
+            this->apply(incoming, *starts);
         }
     }
     deliverAnswers(answers);
@@ -103,6 +106,7 @@
     if (host == nullptr) {
         return;
     }
+    this->doubts.learn(report.unanswered, this->clock.now());
     wire::HostContact contact;
     contact.hostIncarnation = host->id.incarnation;
     contact.heardAtMicros = host->report.sentAtMicros;
@@ -110,6 +114,12 @@
     this->sink.send(host->address, std::move(contact));
 }
 
+void DispatchCore::apply(const IncomingMessage &incoming, const wire::StartsInDoubt &message)
+{
+    logEvent(component, "starts_in_doubt", {{"from", incoming.sender.name}, {"jobs", message.jobs.size()}});
+    this->doubts.learn(message.jobs, this->clock.now());
+}
+
 void DispatchCore::apply(const IncomingMessage &incoming, const wire::TaskReports &message, Answers &answers)
 {
     auto *host = this->hosts.update(incoming, message.host, this->clock.now());
@@ -143,9 +153,11 @@
         const std::lock_guard lock(this->mutex);
         this->recordTick();
         this->failLostHosts(answers);
+        this->announceLostStarts();
         this->checkJobs(answers);
         this->sendStops();
         this->hosts.removeUnresponsive(this->clock.now());
+        this->doubts.removeExpired(this->clock.now());
         report.isLeaving = this->isStopping;
     }
     deliverAnswers(answers);
@@ -196,6 +208,9 @@
               {"dispatch_tasks_failed_total", this->counters.tasksFailed},
               {"dispatch_tasks_moved_total", this->counters.tasksRelocated},
               {"dispatch_hosts_lost_total", this->counters.hostsLost},
+              {"dispatch_starts_in_doubt_total", this->counters.startsInDoubt},
+              {"dispatch_jobs_held_for_doubt_total", this->counters.heldForDoubt},
+              {"dispatch_tasks_in_doubt", this->doubts.size()},
               {"dispatch_jobs_in_flight", this->jobs.size()}}}};
 }
 
--- a/src/dispatch_core_jobs.cpp
+++ b/src/dispatch_core_jobs.cpp
@@ -75,6 +75,10 @@
             ++this->counters.refused;
             logEvent(component, "refused", {{"job", request.id}, {"route", route.name}, {"reason", reason}});
             answers.emplace_back(std::move(handler), JobOutcome {JobEnd::Refused, reason, defaultRetryDelay});
+        } else if (const auto reason = this->doubtReason(request); !reason.empty()) {
+            ++this->counters.heldForDoubt;
+            logEvent(component, "refused", {{"job", request.id}, {"route", route.name}, {"reason", reason}});
+            answers.emplace_back(std::move(handler), JobOutcome {JobEnd::Unfinished, reason, defaultRetryDelay});
         } else {
             this->admit(route, this->makeJob(route, std::move(request), std::move(handler)), answers);
         }
@@ -135,9 +139,10 @@
     auto &accepted = this->jobs.emplace(id, std::move(job)).first->second;
     std::vector<std::int32_t> indexes(accepted.tasks.size());
     std::iota(indexes.begin(), indexes.end(), 0);
-    const bool hasPendingStops = std::any_of(
-        indexes.begin(), indexes.end(), [this, &id](std::int32_t index) { return this->stops.isPending(id, index); });
-    if (hasPendingStops) {
+    const bool mustWait = std::any_of(indexes.begin(), indexes.end(), [this, &id](std::int32_t index) {
+        return this->stops.isPending(id, index) || this->startInDoubt(id, index);
+    });
+    if (mustWait) {
         this->placeUnassigned(id, accepted); // tasks of an earlier request for this job must end first
     } else {
         this->orderPlacedTasks(id, accepted, indexes, candidates, placements);
@@ -166,7 +171,8 @@
     std::vector<TaskRequest> requests;
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
         if (job.tasks[i].phase == TaskPhase::Unassigned && now >= job.tasks[i].retryAt
-            && !this->stops.isPending(id, static_cast<std::int32_t>(i))) {
+            && !this->stops.isPending(id, static_cast<std::int32_t>(i))
+            && !this->startInDoubt(id, static_cast<std::int32_t>(i))) {
             indexes.push_back(static_cast<std::int32_t>(i));
             requests.push_back(job.request.tasks[i]);
             requests.back().estimate = job.tasks[i].observedWork.value_or(requests.back().estimate);
@@ -199,6 +205,7 @@
         const bool mustWait = placement.start > Micros(0);
         const auto runTime = placement.end - placement.start;
         task.phase = TaskPhase::Ordered;
+        task.isStarted = false;
         task.host = candidates[static_cast<std::size_t>(placement.host)].name;
         auto &host = *this->hosts.find(task.host);
         task.hostIncarnation = host.id.incarnation;
@@ -243,6 +250,7 @@
         message.startWithinMicros
             = message.orders.size() == 1 ? slack : std::min<std::int64_t>(message.startWithinMicros, slack);
     }
+    this->addWitnesses(id, job.deadline - now, messages);
     for (auto &[name, message] : messages) {
         const auto *host = this->hosts.find(name);
         message.hostIncarnation = host->id.incarnation;
@@ -257,12 +265,19 @@
     }
 }
 
-void DispatchCore::stopTasks(const std::string &id, Job &job)
+StoppingTask DispatchCore::stoppingTask(const Job &job, std::size_t index)
+{
+    const auto &task = job.tasks[index];
+    return {job.request.id, static_cast<std::int32_t>(index), task.host, task.hostIncarnation, task.isStarted,
+            job.deadline};
+}
+
+void DispatchCore::stopTasks(const Job &job)
 {
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
         const auto &task = job.tasks[i];
         if (task.phase == TaskPhase::Ordered || task.phase == TaskPhase::Accepted) {
-            this->stops.add(task.order, {id, static_cast<std::int32_t>(i), task.host}, this->clock.now());
+            this->stops.add(task.order, stoppingTask(job, i), this->clock.now());
         }
     }
     this->sendStops();
@@ -288,7 +303,7 @@
 {
     auto node = this->jobs.extract(id);
     auto &job = node.mapped();
-    this->stopTasks(id, job);
+    this->stopTasks(job);
     const auto elapsed = this->clock.now() - job.arrivedAt;
     const bool isLate = this->clock.now() > job.objective;
     (end == JobEnd::Completed ? this->answerLatency : this->unsuccessfulLatency).observe(elapsed);
@@ -331,6 +346,7 @@
     case wire::TaskPhase::QUEUED:
     case wire::TaskPhase::RUNNING:
         task.phase = TaskPhase::Accepted;
+        task.isStarted = task.isStarted || report.phase == wire::TaskPhase::RUNNING;
         if (report.remainingMicros > 0) {
             this->reviewLateRun(report, job, answers);
         }
@@ -420,7 +436,7 @@
     ++this->counters.tasksRelocated;
     task.observedWork = request.estimate;
     task.excludedHost = task.host;
-    this->stops.add(task.order, {report.job, report.index, task.host}, this->clock.now());
+    this->stops.add(task.order, stoppingTask(job, static_cast<std::size_t>(report.index)), this->clock.now());
     this->sendStops();
 }
 
--- a/src/dispatch_core_p.h
+++ b/src/dispatch_core_p.h
@@ -5,6 +5,7 @@
 #include "base_latency_p.h"
 #include "config_routing_p.h"
 #include "dispatch_admission_p.h"
+#include "dispatch_doubts_p.h"
 #include "dispatch_hosts_p.h"
 #include "dispatch_job_p.h"
 #include "dispatch_stops_p.h"
@@ -30,6 +31,7 @@
     double farFactor = 1.0; ///< run time factor of a task that runs remote from its data
     std::size_t maxJobs = 20000; ///< maximum number of jobs in flight
     Millis stallTime {AGATEDRUM_ENTRY_STALL_MS};
+    Millis lateStartTime {AGATEDRUM_LATE_START_MS};
     Millis drainTime {0}; ///< time after the start of a stop during which jobs are still accepted
 };
 
@@ -79,6 +81,7 @@
         std::optional<Micros> observedWork; ///< run time at slowness 1, derived from an earlier run
         std::string excludedHost; ///< host from which the task was relocated
         int refusals = 0; ///< number of refusals by hosts
+        bool isStarted = false; ///< the host has reported the run, so its start order is not carried out late any more
         bool mayWait = false; ///< whether the host may queue the task under the current order
     };
 
@@ -112,11 +115,14 @@
         std::uint64_t tasksFailed = 0;
         std::uint64_t tasksRelocated = 0;
         std::uint64_t hostsLost = 0;
+        std::uint64_t startsInDoubt = 0;
+        std::uint64_t heldForDoubt = 0;
     };
 
     void updateRouting();
     void apply(const IncomingMessage &incoming, const wire::HostReport &report);
     void apply(const IncomingMessage &incoming, const wire::TaskReports &message, Answers &answers);
+    void apply(const IncomingMessage &incoming, const wire::StartsInDoubt &message);
     void handleReport(const wire::TaskReport &report, const wire::ProcessId &host, Answers &answers);
     void handleSuccess(const std::string &id, Job &job, Task &task, Answers &answers);
     /// Decides about a task that is expected to end late: keeps it, relocates it, or abandons its job.
@@ -132,9 +138,19 @@
     void orderPlacedTasks(const std::string &id, Job &job, const std::vector<std::int32_t> &indexes,
                           const std::vector<HostCandidate> &candidates, const std::vector<Placement> &placements);
     void sendOrders(const std::string &id, Job &job, const std::vector<std::int32_t> &indexes);
-    void stopTasks(const std::string &id, Job &job);
+    /// Tells other hosts where the tasks are ordered, so that this is known if this entry and the task's host are lost.
+    void addWitnesses(const std::string &id, Micros timeLeft, std::map<std::string, wire::RunTasks> &messages);
+    static StoppingTask stoppingTask(const Job &job, std::size_t index);
+    void stopTasks(const Job &job);
     void sendStops();
     void endJob(const std::string &id, JobEnd end, const std::string &reason, Answers &answers, Millis retryAfter = {});
+    /// Announces the tasks that are stopping at lost hosts, whose start orders may still be carried out.
+    void announceLostStarts();
+    /// Returns a start order of the task that may still be carried out although no host can rule it out now.
+    std::optional<StartInDoubt> startInDoubt(const std::string &job, std::int32_t index) const;
+    /// Returns why a new request cannot be run now, or an empty string: a start order of one of its tasks may still be
+    /// carried out, and its host is not heard.
+    std::string doubtReason(const JobRequest &request) const;
     void failLostHosts(Answers &answers);
     /// Returns why the run of the task is out of this entry's control, or an empty string while its host is live.
     std::string lossReason(const Task &task, Time now) const;
@@ -160,6 +176,7 @@
     std::function<void(const RoutingConfig &)> routingListener;
     std::map<std::string, Job> jobs; ///< keyed by job id
     DispatchStops stops;
+    DispatchDoubts doubts;
     DispatchHosts hosts;
     std::int64_t lastOrder = 0;
     Time tickedAt; ///< begin of the newest tick; Time {} before the first one
--- a/src/dispatch_hosts.cpp
+++ b/src/dispatch_hosts.cpp
@@ -3,12 +3,16 @@
 #include "host_resources_p.h"
 
 #include <algorithm>
+#include <set>
 
 namespace agatedrum {
 
 namespace {
 
 constexpr Millis removeAfter(30000);
+constexpr Millis freshTime(300); ///< a report interval and its delay
+/// Time in which a host that has been away finds its starts without an answer and raises its fencing token.
+constexpr Millis settleTime(300);
 
 } // namespace
 
@@ -29,7 +33,11 @@
         host.id = incoming.sender;
     }
     host.address = incoming.address;
+    const bool wasAccepting = host.report.accepting && this->isLive(host, now);
     if (report.sequence > host.report.sequence) {
+        if (report.accepting && !wasAccepting) {
+            host.acceptingSince = now;
+        }
         host.report = report;
         host.unreportedDemand = wire::Resources();
         host.unreportedQueueTime = Micros(0);
@@ -63,6 +71,42 @@
     return now - host.lastHeardAt < this->timeout;
 }
 
+bool DispatchHosts::isLost(const std::string &name, std::int64_t incarnation, Time now) const
+{
+    const auto *host = this->find(name);
+    return host == nullptr || !this->isLive(*host, now) || host->id.incarnation != incarnation;
+}
+
+bool DispatchHosts::hasRuledOut(const StartInDoubt &start, Time now) const
+{
+    const auto *host = this->find(start.host);
+    if (host == nullptr || !host->report.accepting || now - host->lastHeardAt >= freshTime) {
+        return false;
+    }
+    return host->id.incarnation != start.hostIncarnation || now - host->acceptingSince >= settleTime;
+}
+
+std::vector<const DispatchHost *> DispatchHosts::relays(std::size_t count, const std::string &exceptHost,
+                                                        std::size_t seed, Time now) const
+{
+    std::vector<const DispatchHost *> live;
+    for (const auto &[name, host] : this->hosts) {
+        if (name != exceptHost && this->isLive(host, now)) {
+            live.push_back(&host);
+        }
+    }
+    if (live.empty()) {
+        return live;
+    }
+    std::rotate(live.begin(), live.begin() + static_cast<std::ptrdiff_t>(seed % live.size()), live.end());
+    std::set<std::string> domains;
+    std::stable_partition(live.begin(), live.end(), [&domains](const DispatchHost *host) {
+        return domains.insert(host->report.failureDomain).second;
+    });
+    live.resize(std::min(live.size(), count));
+    return live;
+}
+
 std::vector<HostCandidate> DispatchHosts::candidates(const std::string &service, Time now) const
 {
     std::vector<HostCandidate> result;
--- a/src/dispatch_hosts_p.h
+++ b/src/dispatch_hosts_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch_doubts_p.h"
 #include "dispatch_placement_p.h"
 
 #include <cstdint>
@@ -16,6 +17,7 @@
     wire::Endpoint address;
     wire::HostReport report;
     Time lastHeardAt;
+    Time acceptingSince; ///< begin of the time in which all its reports have said that it accepts tasks
     std::int64_t reportsSeen = 0; ///< number of the newest processed task report
     wire::Resources unreportedDemand; ///< demand of orders not yet covered by a report of the host
     /// Run time of those orders that have to wait, scaled by their share of the host's capacity.
@@ -37,6 +39,15 @@
     void recordOrder(DispatchHost &host, const wire::Resources &demand, Micros runTime, bool mustWait);
 
     bool isLive(const DispatchHost &host, Time now) const;
+    /// Returns true if the process of the host is lost: it has been silent, or another one has taken its place.
+    bool isLost(const std::string &name, std::int64_t incarnation, Time now) const;
+    /// Returns true if the host has ruled out that the order is still carried out. A host that accepts tasks has made
+    /// its backend server refuse all unanswered orders of its earlier processes, and those of its own shortly after.
+    bool hasRuledOut(const StartInDoubt &start, Time now) const;
+    /// Returns up to the given number of live hosts, without the named one, from different failure domains if possible.
+    /// @param seed spreads the choice over the hosts
+    std::vector<const DispatchHost *> relays(std::size_t count, const std::string &exceptHost, std::size_t seed,
+                                             Time now) const;
     /// Returns the live hosts of the service that are accepting tasks.
     std::vector<HostCandidate> candidates(const std::string &service, Time now) const;
     const std::map<std::string, DispatchHost> &all() const
--- a/src/dispatch_stops.cpp
+++ b/src/dispatch_stops.cpp
@@ -13,7 +13,7 @@
 
 void DispatchStops::add(std::int64_t order, StoppingTask task, Time now)
 {
-    this->entries.try_emplace(order, Entry {std::move(task), now, Time {}});
+    this->entries.try_emplace(order, Entry {std::move(task), now, Time {}, false});
 }
 
 void DispatchStops::confirm(std::int64_t order)
@@ -46,4 +46,23 @@
     return due;
 }
 
+std::vector<StoppingTask> DispatchStops::takeLost(const std::function<bool(const StoppingTask &)> &isLost)
+{
+    std::vector<StoppingTask> lost;
+    for (auto &[order, entry] : this->entries) {
+        if (!entry.isLost && isLost(entry.task)) {
+            entry.isLost = true;
+            lost.push_back(entry.task);
+        }
+    }
+    return lost;
+}
+
+void DispatchStops::removeIf(const std::function<bool(const StoppingTask &)> &isObsolete)
+{
+    for (auto entry = this->entries.begin(); entry != this->entries.end();) {
+        entry = isObsolete(entry->second.task) ? this->entries.erase(entry) : std::next(entry);
+    }
+}
+
 } // namespace agatedrum
--- a/src/dispatch_stops_p.h
+++ b/src/dispatch_stops_p.h
@@ -3,6 +3,7 @@
 #include "base_clock_p.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -15,6 +16,9 @@
     std::string job;
     std::int32_t index = 0;
     std::string host; ///< process name of the host
+    std::int64_t hostIncarnation = 0; ///< process that received the order
+    bool isStarted = false; ///< the host had reported the run
+    Time startsBefore {}; ///< the host sends no start order of the task after this time
 };
 
 /// Keeps the stops that hosts have not confirmed. Not thread-safe.
@@ -34,6 +38,10 @@
     /// Returns the stops to send now: new ones, and those not confirmed within the repeat interval. Drops stops whose
     /// retention has expired.
     std::vector<StoppingTask> takeDue(Time now);
+    /// Returns the tasks of whose hosts the predicate is true now, each task once.
+    std::vector<StoppingTask> takeLost(const std::function<bool(const StoppingTask &)> &isLost);
+    /// Removes the stops that the predicate selects.
+    void removeIf(const std::function<bool(const StoppingTask &)> &isObsolete);
 
 private:
     struct Entry
@@ -41,6 +49,7 @@
         StoppingTask task;
         Time addedAt;
         Time lastSentAt; ///< Time {} before the first send
+        bool isLost = false; ///< takeLost() has returned it
     };
 
     const Millis repeatInterval;
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -5609,6 +5609,457 @@
 }
 
 
+TaskPlace::~TaskPlace() noexcept {
+}
+
+
+void TaskPlace::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void TaskPlace::__set_hostIncarnation(const int64_t val) {
+  this->hostIncarnation = val;
+}
+
+void TaskPlace::__set_indexes(const std::vector<int32_t> & val) {
+  this->indexes = val;
+}
+std::ostream& operator<<(std::ostream& out, const TaskPlace& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TaskPlace::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hostIncarnation);
+          this->__isset.hostIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->indexes.clear();
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _etype201;
+            xfer += iprot->readListBegin(_etype201, _size198);
+            this->indexes.resize(_size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
+            {
+              xfer += iprot->readI32(this->indexes[_i202]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.indexes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TaskPlace::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TaskPlace");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hostIncarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->hostIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("indexes", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->indexes.size()));
+    std::vector<int32_t> ::const_iterator _iter203;
+    for (_iter203 = this->indexes.begin(); _iter203 != this->indexes.end(); ++_iter203)
+    {
+      xfer += oprot->writeI32((*_iter203));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TaskPlace &a, TaskPlace &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.hostIncarnation, b.hostIncarnation);
+  swap(a.indexes, b.indexes);
+  swap(a.__isset, b.__isset);
+}
+
+TaskPlace::TaskPlace(const TaskPlace& other204) {
+  host = other204.host;
+  hostIncarnation = other204.hostIncarnation;
+  indexes = other204.indexes;
+  __isset = other204.__isset;
+}
+TaskPlace::TaskPlace(TaskPlace&& other205) noexcept {
+  host = std::move(other205.host);
+  hostIncarnation = other205.hostIncarnation;
+  indexes = std::move(other205.indexes);
+  __isset = other205.__isset;
+}
+TaskPlace& TaskPlace::operator=(const TaskPlace& other206) {
+  host = other206.host;
+  hostIncarnation = other206.hostIncarnation;
+  indexes = other206.indexes;
+  __isset = other206.__isset;
+  return *this;
+}
+TaskPlace& TaskPlace::operator=(TaskPlace&& other207) noexcept {
+  host = std::move(other207.host);
+  hostIncarnation = other207.hostIncarnation;
+  indexes = std::move(other207.indexes);
+  __isset = other207.__isset;
+  return *this;
+}
+void TaskPlace::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TaskPlace(";
+  out << "host=" << to_string(host);
+  out << ", " << "hostIncarnation=" << to_string(hostIncarnation);
+  out << ", " << "indexes=" << to_string(indexes);
+  out << ")";
+}
+
+
+JobInDoubt::~JobInDoubt() noexcept {
+}
+
+
+void JobInDoubt::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void JobInDoubt::__set_places(const std::vector<TaskPlace> & val) {
+  this->places = val;
+}
+
+void JobInDoubt::__set_leftMicros(const int64_t val) {
+  this->leftMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobInDoubt& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobInDoubt::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->places.clear();
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->places.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
+            {
+              xfer += this->places[_i212].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.places = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leftMicros);
+          this->__isset.leftMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobInDoubt::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobInDoubt");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("places", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->places.size()));
+    std::vector<TaskPlace> ::const_iterator _iter213;
+    for (_iter213 = this->places.begin(); _iter213 != this->places.end(); ++_iter213)
+    {
+      xfer += (*_iter213).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leftMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->leftMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobInDoubt &a, JobInDoubt &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.places, b.places);
+  swap(a.leftMicros, b.leftMicros);
+  swap(a.__isset, b.__isset);
+}
+
+JobInDoubt::JobInDoubt(const JobInDoubt& other214) {
+  job = other214.job;
+  places = other214.places;
+  leftMicros = other214.leftMicros;
+  __isset = other214.__isset;
+}
+JobInDoubt::JobInDoubt(JobInDoubt&& other215) noexcept {
+  job = std::move(other215.job);
+  places = std::move(other215.places);
+  leftMicros = other215.leftMicros;
+  __isset = other215.__isset;
+}
+JobInDoubt& JobInDoubt::operator=(const JobInDoubt& other216) {
+  job = other216.job;
+  places = other216.places;
+  leftMicros = other216.leftMicros;
+  __isset = other216.__isset;
+  return *this;
+}
+JobInDoubt& JobInDoubt::operator=(JobInDoubt&& other217) noexcept {
+  job = std::move(other217.job);
+  places = std::move(other217.places);
+  leftMicros = other217.leftMicros;
+  __isset = other217.__isset;
+  return *this;
+}
+void JobInDoubt::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobInDoubt(";
+  out << "job=" << to_string(job);
+  out << ", " << "places=" << to_string(places);
+  out << ", " << "leftMicros=" << to_string(leftMicros);
+  out << ")";
+}
+
+
+StartsInDoubt::~StartsInDoubt() noexcept {
+}
+
+
+void StartsInDoubt::__set_jobs(const std::vector<JobInDoubt> & val) {
+  this->jobs = val;
+}
+std::ostream& operator<<(std::ostream& out, const StartsInDoubt& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StartsInDoubt::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->jobs.clear();
+            uint32_t _size218;
+            ::apache::thrift::protocol::TType _etype221;
+            xfer += iprot->readListBegin(_etype221, _size218);
+            this->jobs.resize(_size218);
+            uint32_t _i222;
+            for (_i222 = 0; _i222 < _size218; ++_i222)
+            {
+              xfer += this->jobs[_i222].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.jobs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StartsInDoubt::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StartsInDoubt");
+
+  xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->jobs.size()));
+    std::vector<JobInDoubt> ::const_iterator _iter223;
+    for (_iter223 = this->jobs.begin(); _iter223 != this->jobs.end(); ++_iter223)
+    {
+      xfer += (*_iter223).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StartsInDoubt &a, StartsInDoubt &b) {
+  using ::std::swap;
+  swap(a.jobs, b.jobs);
+  swap(a.__isset, b.__isset);
+}
+
+StartsInDoubt::StartsInDoubt(const StartsInDoubt& other224) {
+  jobs = other224.jobs;
+  __isset = other224.__isset;
+}
+StartsInDoubt::StartsInDoubt(StartsInDoubt&& other225) noexcept {
+  jobs = std::move(other225.jobs);
+  __isset = other225.__isset;
+}
+StartsInDoubt& StartsInDoubt::operator=(const StartsInDoubt& other226) {
+  jobs = other226.jobs;
+  __isset = other226.__isset;
+  return *this;
+}
+StartsInDoubt& StartsInDoubt::operator=(StartsInDoubt&& other227) noexcept {
+  jobs = std::move(other227.jobs);
+  __isset = other227.__isset;
+  return *this;
+}
+void StartsInDoubt::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StartsInDoubt(";
+  out << "jobs=" << to_string(jobs);
+  out << ")";
+}
+
+
 HostReport::~HostReport() noexcept {
 }
 
@@ -5660,6 +6111,10 @@
 void HostReport::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
+
+void HostReport::__set_unanswered(const std::vector<JobInDoubt> & val) {
+  this->unanswered = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -5756,14 +6211,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->labels.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size228;
+            ::apache::thrift::protocol::TType _etype231;
+            xfer += iprot->readListBegin(_etype231, _size228);
+            this->labels.resize(_size228);
+            uint32_t _i232;
+            for (_i232 = 0; _i232 < _size228; ++_i232)
             {
-              xfer += iprot->readString(this->labels[_i202]);
+              xfer += iprot->readString(this->labels[_i232]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5796,6 +6251,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unanswered.clear();
+            uint32_t _size233;
+            ::apache::thrift::protocol::TType _etype236;
+            xfer += iprot->readListBegin(_etype236, _size233);
+            this->unanswered.resize(_size233);
+            uint32_t _i237;
+            for (_i237 = 0; _i237 < _size233; ++_i237)
+            {
+              xfer += this->unanswered[_i237].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unanswered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5848,10 +6323,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter203;
-    for (_iter203 = this->labels.begin(); _iter203 != this->labels.end(); ++_iter203)
+    std::vector<std::string> ::const_iterator _iter238;
+    for (_iter238 = this->labels.begin(); _iter238 != this->labels.end(); ++_iter238)
     {
-      xfer += oprot->writeString((*_iter203));
+      xfer += oprot->writeString((*_iter238));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5869,6 +6344,18 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("unanswered", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unanswered.size()));
+    std::vector<JobInDoubt> ::const_iterator _iter239;
+    for (_iter239 = this->unanswered.begin(); _iter239 != this->unanswered.end(); ++_iter239)
+    {
+      xfer += (*_iter239).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5888,69 +6375,74 @@
   swap(a.sentAtMicros, b.sentAtMicros);
   swap(a.failureDomain, b.failureDomain);
   swap(a.sequence, b.sequence);
+  swap(a.unanswered, b.unanswered);
   swap(a.__isset, b.__isset);
 }
 
-HostReport::HostReport(const HostReport& other204) {
-  serviceName = other204.serviceName;
-  server = other204.server;
-  accepting = other204.accepting;
-  capacity = other204.capacity;
-  reserved = other204.reserved;
-  startDelayMicros = other204.startDelayMicros;
-  slowness = other204.slowness;
-  failureShare = other204.failureShare;
-  labels = other204.labels;
-  sentAtMicros = other204.sentAtMicros;
-  failureDomain = other204.failureDomain;
-  sequence = other204.sequence;
-  __isset = other204.__isset;
-}
-HostReport::HostReport(HostReport&& other205) noexcept {
-  serviceName = std::move(other205.serviceName);
-  server = std::move(other205.server);
-  accepting = other205.accepting;
-  capacity = std::move(other205.capacity);
-  reserved = std::move(other205.reserved);
-  startDelayMicros = other205.startDelayMicros;
-  slowness = other205.slowness;
-  failureShare = other205.failureShare;
-  labels = std::move(other205.labels);
-  sentAtMicros = other205.sentAtMicros;
-  failureDomain = std::move(other205.failureDomain);
-  sequence = other205.sequence;
-  __isset = other205.__isset;
-}
-HostReport& HostReport::operator=(const HostReport& other206) {
-  serviceName = other206.serviceName;
-  server = other206.server;
-  accepting = other206.accepting;
-  capacity = other206.capacity;
-  reserved = other206.reserved;
-  startDelayMicros = other206.startDelayMicros;
-  slowness = other206.slowness;
-  failureShare = other206.failureShare;
-  labels = other206.labels;
-  sentAtMicros = other206.sentAtMicros;
-  failureDomain = other206.failureDomain;
-  sequence = other206.sequence;
-  __isset = other206.__isset;
-  return *this;
+HostReport::HostReport(const HostReport& other240) {
+  serviceName = other240.serviceName;
+  server = other240.server;
+  accepting = other240.accepting;
+  capacity = other240.capacity;
+  reserved = other240.reserved;
+  startDelayMicros = other240.startDelayMicros;
+  slowness = other240.slowness;
+  failureShare = other240.failureShare;
+  labels = other240.labels;
+  sentAtMicros = other240.sentAtMicros;
+  failureDomain = other240.failureDomain;
+  sequence = other240.sequence;
+  unanswered = other240.unanswered;
+  __isset = other240.__isset;
 }
-HostReport& HostReport::operator=(HostReport&& other207) noexcept {
-  serviceName = std::move(other207.serviceName);
-  server = std::move(other207.server);
-  accepting = other207.accepting;
-  capacity = std::move(other207.capacity);
-  reserved = std::move(other207.reserved);
-  startDelayMicros = other207.startDelayMicros;
-  slowness = other207.slowness;
-  failureShare = other207.failureShare;
-  labels = std::move(other207.labels);
-  sentAtMicros = other207.sentAtMicros;
-  failureDomain = std::move(other207.failureDomain);
-  sequence = other207.sequence;
-  __isset = other207.__isset;
+HostReport::HostReport(HostReport&& other241) noexcept {
+  serviceName = std::move(other241.serviceName);
+  server = std::move(other241.server);
+  accepting = other241.accepting;
+  capacity = std::move(other241.capacity);
+  reserved = std::move(other241.reserved);
+  startDelayMicros = other241.startDelayMicros;
+  slowness = other241.slowness;
+  failureShare = other241.failureShare;
+  labels = std::move(other241.labels);
+  sentAtMicros = other241.sentAtMicros;
+  failureDomain = std::move(other241.failureDomain);
+  sequence = other241.sequence;
+  unanswered = std::move(other241.unanswered);
+  __isset = other241.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other242) {
+  serviceName = other242.serviceName;
+  server = other242.server;
+  accepting = other242.accepting;
+  capacity = other242.capacity;
+  reserved = other242.reserved;
+  startDelayMicros = other242.startDelayMicros;
+  slowness = other242.slowness;
+  failureShare = other242.failureShare;
+  labels = other242.labels;
+  sentAtMicros = other242.sentAtMicros;
+  failureDomain = other242.failureDomain;
+  sequence = other242.sequence;
+  unanswered = other242.unanswered;
+  __isset = other242.__isset;
+  return *this;
+}
+HostReport& HostReport::operator=(HostReport&& other243) noexcept {
+  serviceName = std::move(other243.serviceName);
+  server = std::move(other243.server);
+  accepting = other243.accepting;
+  capacity = std::move(other243.capacity);
+  reserved = std::move(other243.reserved);
+  startDelayMicros = other243.startDelayMicros;
+  slowness = other243.slowness;
+  failureShare = other243.failureShare;
+  labels = std::move(other243.labels);
+  sentAtMicros = other243.sentAtMicros;
+  failureDomain = std::move(other243.failureDomain);
+  sequence = other243.sequence;
+  unanswered = std::move(other243.unanswered);
+  __isset = other243.__isset;
   return *this;
 }
 void HostReport::printTo(std::ostream& out) const {
@@ -5968,6 +6460,7 @@
   out << ", " << "sentAtMicros=" << to_string(sentAtMicros);
   out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "unanswered=" << to_string(unanswered);
   out << ")";
 }
 
@@ -6081,30 +6574,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HostContact::HostContact(const HostContact& other208) noexcept {
-  hostIncarnation = other208.hostIncarnation;
-  heardAtMicros = other208.heardAtMicros;
-  reportsSeen = other208.reportsSeen;
-  __isset = other208.__isset;
+HostContact::HostContact(const HostContact& other244) noexcept {
+  hostIncarnation = other244.hostIncarnation;
+  heardAtMicros = other244.heardAtMicros;
+  reportsSeen = other244.reportsSeen;
+  __isset = other244.__isset;
 }
-HostContact::HostContact(HostContact&& other209) noexcept {
-  hostIncarnation = other209.hostIncarnation;
-  heardAtMicros = other209.heardAtMicros;
-  reportsSeen = other209.reportsSeen;
-  __isset = other209.__isset;
+HostContact::HostContact(HostContact&& other245) noexcept {
+  hostIncarnation = other245.hostIncarnation;
+  heardAtMicros = other245.heardAtMicros;
+  reportsSeen = other245.reportsSeen;
+  __isset = other245.__isset;
 }
-HostContact& HostContact::operator=(const HostContact& other210) noexcept {
-  hostIncarnation = other210.hostIncarnation;
-  heardAtMicros = other210.heardAtMicros;
-  reportsSeen = other210.reportsSeen;
-  __isset = other210.__isset;
+HostContact& HostContact::operator=(const HostContact& other246) noexcept {
+  hostIncarnation = other246.hostIncarnation;
+  heardAtMicros = other246.heardAtMicros;
+  reportsSeen = other246.reportsSeen;
+  __isset = other246.__isset;
   return *this;
 }
-HostContact& HostContact::operator=(HostContact&& other211) noexcept {
-  hostIncarnation = other211.hostIncarnation;
-  heardAtMicros = other211.heardAtMicros;
-  reportsSeen = other211.reportsSeen;
-  __isset = other211.__isset;
+HostContact& HostContact::operator=(HostContact&& other247) noexcept {
+  hostIncarnation = other247.hostIncarnation;
+  heardAtMicros = other247.heardAtMicros;
+  reportsSeen = other247.reportsSeen;
+  __isset = other247.__isset;
   return *this;
 }
 void HostContact::printTo(std::ostream& out) const {
@@ -6260,38 +6753,38 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskOrder::TaskOrder(const TaskOrder& other212) noexcept {
-  index = other212.index;
-  order = other212.order;
-  demand = other212.demand;
-  estimateMicros = other212.estimateMicros;
-  mayWait = other212.mayWait;
-  __isset = other212.__isset;
-}
-TaskOrder::TaskOrder(TaskOrder&& other213) noexcept {
-  index = other213.index;
-  order = other213.order;
-  demand = std::move(other213.demand);
-  estimateMicros = other213.estimateMicros;
-  mayWait = other213.mayWait;
-  __isset = other213.__isset;
-}
-TaskOrder& TaskOrder::operator=(const TaskOrder& other214) noexcept {
-  index = other214.index;
-  order = other214.order;
-  demand = other214.demand;
-  estimateMicros = other214.estimateMicros;
-  mayWait = other214.mayWait;
-  __isset = other214.__isset;
+TaskOrder::TaskOrder(const TaskOrder& other248) noexcept {
+  index = other248.index;
+  order = other248.order;
+  demand = other248.demand;
+  estimateMicros = other248.estimateMicros;
+  mayWait = other248.mayWait;
+  __isset = other248.__isset;
+}
+TaskOrder::TaskOrder(TaskOrder&& other249) noexcept {
+  index = other249.index;
+  order = other249.order;
+  demand = std::move(other249.demand);
+  estimateMicros = other249.estimateMicros;
+  mayWait = other249.mayWait;
+  __isset = other249.__isset;
+}
+TaskOrder& TaskOrder::operator=(const TaskOrder& other250) noexcept {
+  index = other250.index;
+  order = other250.order;
+  demand = other250.demand;
+  estimateMicros = other250.estimateMicros;
+  mayWait = other250.mayWait;
+  __isset = other250.__isset;
   return *this;
 }
-TaskOrder& TaskOrder::operator=(TaskOrder&& other215) noexcept {
-  index = other215.index;
-  order = other215.order;
-  demand = std::move(other215.demand);
-  estimateMicros = other215.estimateMicros;
-  mayWait = other215.mayWait;
-  __isset = other215.__isset;
+TaskOrder& TaskOrder::operator=(TaskOrder&& other251) noexcept {
+  index = other251.index;
+  order = other251.order;
+  demand = std::move(other251.demand);
+  estimateMicros = other251.estimateMicros;
+  mayWait = other251.mayWait;
+  __isset = other251.__isset;
   return *this;
 }
 void TaskOrder::printTo(std::ostream& out) const {
@@ -6349,6 +6842,10 @@
 void RunTasks::__set_reportsSeen(const int64_t val) {
   this->reportsSeen = val;
 }
+
+void RunTasks::__set_elsewhere(const std::vector<TaskPlace> & val) {
+  this->elsewhere = val;
+}
 std::ostream& operator<<(std::ostream& out, const RunTasks& obj)
 {
   obj.printTo(out);
@@ -6437,14 +6934,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size216;
-            ::apache::thrift::protocol::TType _etype219;
-            xfer += iprot->readListBegin(_etype219, _size216);
-            this->orders.resize(_size216);
-            uint32_t _i220;
-            for (_i220 = 0; _i220 < _size216; ++_i220)
+            uint32_t _size252;
+            ::apache::thrift::protocol::TType _etype255;
+            xfer += iprot->readListBegin(_etype255, _size252);
+            this->orders.resize(_size252);
+            uint32_t _i256;
+            for (_i256 = 0; _i256 < _size252; ++_i256)
             {
-              xfer += this->orders[_i220].read(iprot);
+              xfer += this->orders[_i256].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6469,6 +6966,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->elsewhere.clear();
+            uint32_t _size257;
+            ::apache::thrift::protocol::TType _etype260;
+            xfer += iprot->readListBegin(_etype260, _size257);
+            this->elsewhere.resize(_size257);
+            uint32_t _i261;
+            for (_i261 = 0; _i261 < _size257; ++_i261)
+            {
+              xfer += this->elsewhere[_i261].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.elsewhere = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6517,10 +7034,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<TaskOrder> ::const_iterator _iter221;
-    for (_iter221 = this->orders.begin(); _iter221 != this->orders.end(); ++_iter221)
+    std::vector<TaskOrder> ::const_iterator _iter262;
+    for (_iter262 = this->orders.begin(); _iter262 != this->orders.end(); ++_iter262)
     {
-      xfer += (*_iter221).write(oprot);
+      xfer += (*_iter262).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6534,6 +7051,18 @@
   xfer += oprot->writeI64(this->reportsSeen);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("elsewhere", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->elsewhere.size()));
+    std::vector<TaskPlace> ::const_iterator _iter263;
+    for (_iter263 = this->elsewhere.begin(); _iter263 != this->elsewhere.end(); ++_iter263)
+    {
+      xfer += (*_iter263).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6551,76 +7080,247 @@
   swap(a.orders, b.orders);
   swap(a.serviceName, b.serviceName);
   swap(a.reportsSeen, b.reportsSeen);
+  swap(a.elsewhere, b.elsewhere);
   swap(a.__isset, b.__isset);
 }
 
-RunTasks::RunTasks(const RunTasks& other222) {
-  hostIncarnation = other222.hostIncarnation;
-  heardAtMicros = other222.heardAtMicros;
-  job = other222.job;
-  spec = other222.spec;
-  startWithinMicros = other222.startWithinMicros;
-  timeLeftMicros = other222.timeLeftMicros;
-  priority = other222.priority;
-  orders = other222.orders;
-  serviceName = other222.serviceName;
-  reportsSeen = other222.reportsSeen;
-  __isset = other222.__isset;
-}
-RunTasks::RunTasks(RunTasks&& other223) noexcept {
-  hostIncarnation = other223.hostIncarnation;
-  heardAtMicros = other223.heardAtMicros;
-  job = std::move(other223.job);
-  spec = std::move(other223.spec);
-  startWithinMicros = other223.startWithinMicros;
-  timeLeftMicros = other223.timeLeftMicros;
-  priority = other223.priority;
-  orders = std::move(other223.orders);
-  serviceName = std::move(other223.serviceName);
-  reportsSeen = other223.reportsSeen;
-  __isset = other223.__isset;
-}
-RunTasks& RunTasks::operator=(const RunTasks& other224) {
-  hostIncarnation = other224.hostIncarnation;
-  heardAtMicros = other224.heardAtMicros;
-  job = other224.job;
-  spec = other224.spec;
-  startWithinMicros = other224.startWithinMicros;
-  timeLeftMicros = other224.timeLeftMicros;
-  priority = other224.priority;
-  orders = other224.orders;
-  serviceName = other224.serviceName;
-  reportsSeen = other224.reportsSeen;
-  __isset = other224.__isset;
+RunTasks::RunTasks(const RunTasks& other264) {
+  hostIncarnation = other264.hostIncarnation;
+  heardAtMicros = other264.heardAtMicros;
+  job = other264.job;
+  spec = other264.spec;
+  startWithinMicros = other264.startWithinMicros;
+  timeLeftMicros = other264.timeLeftMicros;
+  priority = other264.priority;
+  orders = other264.orders;
+  serviceName = other264.serviceName;
+  reportsSeen = other264.reportsSeen;
+  elsewhere = other264.elsewhere;
+  __isset = other264.__isset;
+}
+RunTasks::RunTasks(RunTasks&& other265) noexcept {
+  hostIncarnation = other265.hostIncarnation;
+  heardAtMicros = other265.heardAtMicros;
+  job = std::move(other265.job);
+  spec = std::move(other265.spec);
+  startWithinMicros = other265.startWithinMicros;
+  timeLeftMicros = other265.timeLeftMicros;
+  priority = other265.priority;
+  orders = std::move(other265.orders);
+  serviceName = std::move(other265.serviceName);
+  reportsSeen = other265.reportsSeen;
+  elsewhere = std::move(other265.elsewhere);
+  __isset = other265.__isset;
+}
+RunTasks& RunTasks::operator=(const RunTasks& other266) {
+  hostIncarnation = other266.hostIncarnation;
+  heardAtMicros = other266.heardAtMicros;
+  job = other266.job;
+  spec = other266.spec;
+  startWithinMicros = other266.startWithinMicros;
+  timeLeftMicros = other266.timeLeftMicros;
+  priority = other266.priority;
+  orders = other266.orders;
+  serviceName = other266.serviceName;
+  reportsSeen = other266.reportsSeen;
+  elsewhere = other266.elsewhere;
+  __isset = other266.__isset;
+  return *this;
+}
+RunTasks& RunTasks::operator=(RunTasks&& other267) noexcept {
+  hostIncarnation = other267.hostIncarnation;
+  heardAtMicros = other267.heardAtMicros;
+  job = std::move(other267.job);
+  spec = std::move(other267.spec);
+  startWithinMicros = other267.startWithinMicros;
+  timeLeftMicros = other267.timeLeftMicros;
+  priority = other267.priority;
+  orders = std::move(other267.orders);
+  serviceName = std::move(other267.serviceName);
+  reportsSeen = other267.reportsSeen;
+  elsewhere = std::move(other267.elsewhere);
+  __isset = other267.__isset;
+  return *this;
+}
+void RunTasks::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunTasks(";
+  out << "hostIncarnation=" << to_string(hostIncarnation);
+  out << ", " << "heardAtMicros=" << to_string(heardAtMicros);
+  out << ", " << "job=" << to_string(job);
+  out << ", " << "spec=" << to_string(spec);
+  out << ", " << "startWithinMicros=" << to_string(startWithinMicros);
+  out << ", " << "timeLeftMicros=" << to_string(timeLeftMicros);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "orders=" << to_string(orders);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "reportsSeen=" << to_string(reportsSeen);
+  out << ", " << "elsewhere=" << to_string(elsewhere);
+  out << ")";
+}
+
+
+OrdersElsewhere::~OrdersElsewhere() noexcept {
+}
+
+
+void OrdersElsewhere::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void OrdersElsewhere::__set_places(const std::vector<TaskPlace> & val) {
+  this->places = val;
+}
+
+void OrdersElsewhere::__set_timeLeftMicros(const int64_t val) {
+  this->timeLeftMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const OrdersElsewhere& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OrdersElsewhere::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->places.clear();
+            uint32_t _size268;
+            ::apache::thrift::protocol::TType _etype271;
+            xfer += iprot->readListBegin(_etype271, _size268);
+            this->places.resize(_size268);
+            uint32_t _i272;
+            for (_i272 = 0; _i272 < _size268; ++_i272)
+            {
+              xfer += this->places[_i272].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.places = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->timeLeftMicros);
+          this->__isset.timeLeftMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OrdersElsewhere::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OrdersElsewhere");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("places", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->places.size()));
+    std::vector<TaskPlace> ::const_iterator _iter273;
+    for (_iter273 = this->places.begin(); _iter273 != this->places.end(); ++_iter273)
+    {
+      xfer += (*_iter273).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timeLeftMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->timeLeftMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OrdersElsewhere &a, OrdersElsewhere &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.places, b.places);
+  swap(a.timeLeftMicros, b.timeLeftMicros);
+  swap(a.__isset, b.__isset);
+}
+
+OrdersElsewhere::OrdersElsewhere(const OrdersElsewhere& other274) {
+  job = other274.job;
+  places = other274.places;
+  timeLeftMicros = other274.timeLeftMicros;
+  __isset = other274.__isset;
+}
+OrdersElsewhere::OrdersElsewhere(OrdersElsewhere&& other275) noexcept {
+  job = std::move(other275.job);
+  places = std::move(other275.places);
+  timeLeftMicros = other275.timeLeftMicros;
+  __isset = other275.__isset;
+}
+OrdersElsewhere& OrdersElsewhere::operator=(const OrdersElsewhere& other276) {
+  job = other276.job;
+  places = other276.places;
+  timeLeftMicros = other276.timeLeftMicros;
+  __isset = other276.__isset;
   return *this;
 }
-RunTasks& RunTasks::operator=(RunTasks&& other225) noexcept {
-  hostIncarnation = other225.hostIncarnation;
-  heardAtMicros = other225.heardAtMicros;
-  job = std::move(other225.job);
-  spec = std::move(other225.spec);
-  startWithinMicros = other225.startWithinMicros;
-  timeLeftMicros = other225.timeLeftMicros;
-  priority = other225.priority;
-  orders = std::move(other225.orders);
-  serviceName = std::move(other225.serviceName);
-  reportsSeen = other225.reportsSeen;
-  __isset = other225.__isset;
+OrdersElsewhere& OrdersElsewhere::operator=(OrdersElsewhere&& other277) noexcept {
+  job = std::move(other277.job);
+  places = std::move(other277.places);
+  timeLeftMicros = other277.timeLeftMicros;
+  __isset = other277.__isset;
   return *this;
 }
-void RunTasks::printTo(std::ostream& out) const {
+void OrdersElsewhere::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RunTasks(";
-  out << "hostIncarnation=" << to_string(hostIncarnation);
-  out << ", " << "heardAtMicros=" << to_string(heardAtMicros);
-  out << ", " << "job=" << to_string(job);
-  out << ", " << "spec=" << to_string(spec);
-  out << ", " << "startWithinMicros=" << to_string(startWithinMicros);
+  out << "OrdersElsewhere(";
+  out << "job=" << to_string(job);
+  out << ", " << "places=" << to_string(places);
   out << ", " << "timeLeftMicros=" << to_string(timeLeftMicros);
-  out << ", " << "priority=" << to_string(priority);
-  out << ", " << "orders=" << to_string(orders);
-  out << ", " << "serviceName=" << to_string(serviceName);
-  out << ", " << "reportsSeen=" << to_string(reportsSeen);
   out << ")";
 }
 
@@ -6688,14 +7388,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->indexes.clear();
-            uint32_t _size226;
-            ::apache::thrift::protocol::TType _etype229;
-            xfer += iprot->readListBegin(_etype229, _size226);
-            this->indexes.resize(_size226);
-            uint32_t _i230;
-            for (_i230 = 0; _i230 < _size226; ++_i230)
+            uint32_t _size278;
+            ::apache::thrift::protocol::TType _etype281;
+            xfer += iprot->readListBegin(_etype281, _size278);
+            this->indexes.resize(_size278);
+            uint32_t _i282;
+            for (_i282 = 0; _i282 < _size278; ++_i282)
             {
-              xfer += iprot->readI32(this->indexes[_i230]);
+              xfer += iprot->readI32(this->indexes[_i282]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6732,10 +7432,10 @@
   xfer += oprot->writeFieldBegin("indexes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->indexes.size()));
-    std::vector<int32_t> ::const_iterator _iter231;
-    for (_iter231 = this->indexes.begin(); _iter231 != this->indexes.end(); ++_iter231)
+    std::vector<int32_t> ::const_iterator _iter283;
+    for (_iter283 = this->indexes.begin(); _iter283 != this->indexes.end(); ++_iter283)
     {
-      xfer += oprot->writeI32((*_iter231));
+      xfer += oprot->writeI32((*_iter283));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6754,30 +7454,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StopTasks::StopTasks(const StopTasks& other232) {
-  hostIncarnation = other232.hostIncarnation;
-  job = other232.job;
-  indexes = other232.indexes;
-  __isset = other232.__isset;
+StopTasks::StopTasks(const StopTasks& other284) {
+  hostIncarnation = other284.hostIncarnation;
+  job = other284.job;
+  indexes = other284.indexes;
+  __isset = other284.__isset;
 }
-StopTasks::StopTasks(StopTasks&& other233) noexcept {
-  hostIncarnation = other233.hostIncarnation;
-  job = std::move(other233.job);
-  indexes = std::move(other233.indexes);
-  __isset = other233.__isset;
+StopTasks::StopTasks(StopTasks&& other285) noexcept {
+  hostIncarnation = other285.hostIncarnation;
+  job = std::move(other285.job);
+  indexes = std::move(other285.indexes);
+  __isset = other285.__isset;
 }
-StopTasks& StopTasks::operator=(const StopTasks& other234) {
-  hostIncarnation = other234.hostIncarnation;
-  job = other234.job;
-  indexes = other234.indexes;
-  __isset = other234.__isset;
+StopTasks& StopTasks::operator=(const StopTasks& other286) {
+  hostIncarnation = other286.hostIncarnation;
+  job = other286.job;
+  indexes = other286.indexes;
+  __isset = other286.__isset;
   return *this;
 }
-StopTasks& StopTasks::operator=(StopTasks&& other235) noexcept {
-  hostIncarnation = other235.hostIncarnation;
-  job = std::move(other235.job);
-  indexes = std::move(other235.indexes);
-  __isset = other235.__isset;
+StopTasks& StopTasks::operator=(StopTasks&& other287) noexcept {
+  hostIncarnation = other287.hostIncarnation;
+  job = std::move(other287.job);
+  indexes = std::move(other287.indexes);
+  __isset = other287.__isset;
   return *this;
 }
 void StopTasks::printTo(std::ostream& out) const {
@@ -6887,9 +7587,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast236;
-          xfer += iprot->readI32(ecast236);
-          this->phase = static_cast<TaskPhase::type>(ecast236);
+          int32_t ecast288;
+          xfer += iprot->readI32(ecast288);
+          this->phase = static_cast<TaskPhase::type>(ecast288);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7020,58 +7720,58 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskReport::TaskReport(const TaskReport& other237) {
-  job = other237.job;
-  index = other237.index;
-  order = other237.order;
-  phase = other237.phase;
-  runMicros = other237.runMicros;
-  reason = other237.reason;
-  number = other237.number;
-  remainingMicros = other237.remainingMicros;
-  workMicros = other237.workMicros;
-  leastRemainingMicros = other237.leastRemainingMicros;
-  __isset = other237.__isset;
-}
-TaskReport::TaskReport(TaskReport&& other238) noexcept {
-  job = std::move(other238.job);
-  index = other238.index;
-  order = other238.order;
-  phase = other238.phase;
-  runMicros = other238.runMicros;
-  reason = std::move(other238.reason);
-  number = other238.number;
-  remainingMicros = other238.remainingMicros;
-  workMicros = other238.workMicros;
-  leastRemainingMicros = other238.leastRemainingMicros;
-  __isset = other238.__isset;
-}
-TaskReport& TaskReport::operator=(const TaskReport& other239) {
-  job = other239.job;
-  index = other239.index;
-  order = other239.order;
-  phase = other239.phase;
-  runMicros = other239.runMicros;
-  reason = other239.reason;
-  number = other239.number;
-  remainingMicros = other239.remainingMicros;
-  workMicros = other239.workMicros;
-  leastRemainingMicros = other239.leastRemainingMicros;
-  __isset = other239.__isset;
-  return *this;
-}
-TaskReport& TaskReport::operator=(TaskReport&& other240) noexcept {
-  job = std::move(other240.job);
-  index = other240.index;
-  order = other240.order;
-  phase = other240.phase;
-  runMicros = other240.runMicros;
-  reason = std::move(other240.reason);
-  number = other240.number;
-  remainingMicros = other240.remainingMicros;
-  workMicros = other240.workMicros;
-  leastRemainingMicros = other240.leastRemainingMicros;
-  __isset = other240.__isset;
+TaskReport::TaskReport(const TaskReport& other289) {
+  job = other289.job;
+  index = other289.index;
+  order = other289.order;
+  phase = other289.phase;
+  runMicros = other289.runMicros;
+  reason = other289.reason;
+  number = other289.number;
+  remainingMicros = other289.remainingMicros;
+  workMicros = other289.workMicros;
+  leastRemainingMicros = other289.leastRemainingMicros;
+  __isset = other289.__isset;
+}
+TaskReport::TaskReport(TaskReport&& other290) noexcept {
+  job = std::move(other290.job);
+  index = other290.index;
+  order = other290.order;
+  phase = other290.phase;
+  runMicros = other290.runMicros;
+  reason = std::move(other290.reason);
+  number = other290.number;
+  remainingMicros = other290.remainingMicros;
+  workMicros = other290.workMicros;
+  leastRemainingMicros = other290.leastRemainingMicros;
+  __isset = other290.__isset;
+}
+TaskReport& TaskReport::operator=(const TaskReport& other291) {
+  job = other291.job;
+  index = other291.index;
+  order = other291.order;
+  phase = other291.phase;
+  runMicros = other291.runMicros;
+  reason = other291.reason;
+  number = other291.number;
+  remainingMicros = other291.remainingMicros;
+  workMicros = other291.workMicros;
+  leastRemainingMicros = other291.leastRemainingMicros;
+  __isset = other291.__isset;
+  return *this;
+}
+TaskReport& TaskReport::operator=(TaskReport&& other292) noexcept {
+  job = std::move(other292.job);
+  index = other292.index;
+  order = other292.order;
+  phase = other292.phase;
+  runMicros = other292.runMicros;
+  reason = std::move(other292.reason);
+  number = other292.number;
+  remainingMicros = other292.remainingMicros;
+  workMicros = other292.workMicros;
+  leastRemainingMicros = other292.leastRemainingMicros;
+  __isset = other292.__isset;
   return *this;
 }
 void TaskReport::printTo(std::ostream& out) const {
@@ -7134,14 +7834,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size241;
-            ::apache::thrift::protocol::TType _etype244;
-            xfer += iprot->readListBegin(_etype244, _size241);
-            this->reports.resize(_size241);
-            uint32_t _i245;
-            for (_i245 = 0; _i245 < _size241; ++_i245)
+            uint32_t _size293;
+            ::apache::thrift::protocol::TType _etype296;
+            xfer += iprot->readListBegin(_etype296, _size293);
+            this->reports.resize(_size293);
+            uint32_t _i297;
+            for (_i297 = 0; _i297 < _size293; ++_i297)
             {
-              xfer += this->reports[_i245].read(iprot);
+              xfer += this->reports[_i297].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7178,10 +7878,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<TaskReport> ::const_iterator _iter246;
-    for (_iter246 = this->reports.begin(); _iter246 != this->reports.end(); ++_iter246)
+    std::vector<TaskReport> ::const_iterator _iter298;
+    for (_iter298 = this->reports.begin(); _iter298 != this->reports.end(); ++_iter298)
     {
-      xfer += (*_iter246).write(oprot);
+      xfer += (*_iter298).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7203,26 +7903,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskReports::TaskReports(const TaskReports& other247) {
-  reports = other247.reports;
-  host = other247.host;
-  __isset = other247.__isset;
+TaskReports::TaskReports(const TaskReports& other299) {
+  reports = other299.reports;
+  host = other299.host;
+  __isset = other299.__isset;
 }
-TaskReports::TaskReports(TaskReports&& other248) noexcept {
-  reports = std::move(other248.reports);
-  host = std::move(other248.host);
-  __isset = other248.__isset;
+TaskReports::TaskReports(TaskReports&& other300) noexcept {
+  reports = std::move(other300.reports);
+  host = std::move(other300.host);
+  __isset = other300.__isset;
 }
-TaskReports& TaskReports::operator=(const TaskReports& other249) {
-  reports = other249.reports;
-  host = other249.host;
-  __isset = other249.__isset;
+TaskReports& TaskReports::operator=(const TaskReports& other301) {
+  reports = other301.reports;
+  host = other301.host;
+  __isset = other301.__isset;
   return *this;
 }
-TaskReports& TaskReports::operator=(TaskReports&& other250) noexcept {
-  reports = std::move(other250.reports);
-  host = std::move(other250.host);
-  __isset = other250.__isset;
+TaskReports& TaskReports::operator=(TaskReports&& other302) noexcept {
+  reports = std::move(other302.reports);
+  host = std::move(other302.host);
+  __isset = other302.__isset;
   return *this;
 }
 void TaskReports::printTo(std::ostream& out) const {
@@ -7321,14 +8021,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wholeHolders.clear();
-            uint32_t _size251;
-            ::apache::thrift::protocol::TType _etype254;
-            xfer += iprot->readListBegin(_etype254, _size251);
-            this->wholeHolders.resize(_size251);
-            uint32_t _i255;
-            for (_i255 = 0; _i255 < _size251; ++_i255)
+            uint32_t _size303;
+            ::apache::thrift::protocol::TType _etype306;
+            xfer += iprot->readListBegin(_etype306, _size303);
+            this->wholeHolders.resize(_size303);
+            uint32_t _i307;
+            for (_i307 = 0; _i307 < _size303; ++_i307)
             {
-              xfer += iprot->readString(this->wholeHolders[_i255]);
+              xfer += iprot->readString(this->wholeHolders[_i307]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7373,10 +8073,10 @@
   xfer += oprot->writeFieldBegin("wholeHolders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wholeHolders.size()));
-    std::vector<std::string> ::const_iterator _iter256;
-    for (_iter256 = this->wholeHolders.begin(); _iter256 != this->wholeHolders.end(); ++_iter256)
+    std::vector<std::string> ::const_iterator _iter308;
+    for (_iter308 = this->wholeHolders.begin(); _iter308 != this->wholeHolders.end(); ++_iter308)
     {
-      xfer += oprot->writeString((*_iter256));
+      xfer += oprot->writeString((*_iter308));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7397,38 +8097,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CellReport::CellReport(const CellReport& other257) {
-  cell = other257.cell;
-  epoch = other257.epoch;
-  owned = other257.owned;
-  whole = other257.whole;
-  wholeHolders = other257.wholeHolders;
-  __isset = other257.__isset;
-}
-CellReport::CellReport(CellReport&& other258) noexcept {
-  cell = other258.cell;
-  epoch = other258.epoch;
-  owned = other258.owned;
-  whole = other258.whole;
-  wholeHolders = std::move(other258.wholeHolders);
-  __isset = other258.__isset;
-}
-CellReport& CellReport::operator=(const CellReport& other259) {
-  cell = other259.cell;
-  epoch = other259.epoch;
-  owned = other259.owned;
-  whole = other259.whole;
-  wholeHolders = other259.wholeHolders;
-  __isset = other259.__isset;
-  return *this;
-}
-CellReport& CellReport::operator=(CellReport&& other260) noexcept {
-  cell = other260.cell;
-  epoch = other260.epoch;
-  owned = other260.owned;
-  whole = other260.whole;
-  wholeHolders = std::move(other260.wholeHolders);
-  __isset = other260.__isset;
+CellReport::CellReport(const CellReport& other309) {
+  cell = other309.cell;
+  epoch = other309.epoch;
+  owned = other309.owned;
+  whole = other309.whole;
+  wholeHolders = other309.wholeHolders;
+  __isset = other309.__isset;
+}
+CellReport::CellReport(CellReport&& other310) noexcept {
+  cell = other310.cell;
+  epoch = other310.epoch;
+  owned = other310.owned;
+  whole = other310.whole;
+  wholeHolders = std::move(other310.wholeHolders);
+  __isset = other310.__isset;
+}
+CellReport& CellReport::operator=(const CellReport& other311) {
+  cell = other311.cell;
+  epoch = other311.epoch;
+  owned = other311.owned;
+  whole = other311.whole;
+  wholeHolders = other311.wholeHolders;
+  __isset = other311.__isset;
+  return *this;
+}
+CellReport& CellReport::operator=(CellReport&& other312) noexcept {
+  cell = other312.cell;
+  epoch = other312.epoch;
+  owned = other312.owned;
+  whole = other312.whole;
+  wholeHolders = std::move(other312.wholeHolders);
+  __isset = other312.__isset;
   return *this;
 }
 void CellReport::printTo(std::ostream& out) const {
@@ -7513,9 +8213,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast261;
-          xfer += iprot->readI32(ecast261);
-          this->role = static_cast<Role::type>(ecast261);
+          int32_t ecast313;
+          xfer += iprot->readI32(ecast313);
+          this->role = static_cast<Role::type>(ecast313);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7565,14 +8265,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size262;
-            ::apache::thrift::protocol::TType _etype265;
-            xfer += iprot->readListBegin(_etype265, _size262);
-            this->cells.resize(_size262);
-            uint32_t _i266;
-            for (_i266 = 0; _i266 < _size262; ++_i266)
+            uint32_t _size314;
+            ::apache::thrift::protocol::TType _etype317;
+            xfer += iprot->readListBegin(_etype317, _size314);
+            this->cells.resize(_size314);
+            uint32_t _i318;
+            for (_i318 = 0; _i318 < _size314; ++_i318)
             {
-              xfer += this->cells[_i266].read(iprot);
+              xfer += this->cells[_i318].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7641,10 +8341,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellReport> ::const_iterator _iter267;
-    for (_iter267 = this->cells.begin(); _iter267 != this->cells.end(); ++_iter267)
+    std::vector<CellReport> ::const_iterator _iter319;
+    for (_iter319 = this->cells.begin(); _iter319 != this->cells.end(); ++_iter319)
     {
-      xfer += (*_iter267).write(oprot);
+      xfer += (*_iter319).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7678,54 +8378,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberHeartbeat::MemberHeartbeat(const MemberHeartbeat& other268) {
-  role = other268.role;
-  failureDomain = other268.failureDomain;
-  address = other268.address;
-  sentAtMicros = other268.sentAtMicros;
-  configNumber = other268.configNumber;
-  viewVersion = other268.viewVersion;
-  cells = other268.cells;
-  leaving = other268.leaving;
-  server = other268.server;
-  __isset = other268.__isset;
-}
-MemberHeartbeat::MemberHeartbeat(MemberHeartbeat&& other269) noexcept {
-  role = other269.role;
-  failureDomain = std::move(other269.failureDomain);
-  address = std::move(other269.address);
-  sentAtMicros = other269.sentAtMicros;
-  configNumber = other269.configNumber;
-  viewVersion = other269.viewVersion;
-  cells = std::move(other269.cells);
-  leaving = other269.leaving;
-  server = std::move(other269.server);
-  __isset = other269.__isset;
-}
-MemberHeartbeat& MemberHeartbeat::operator=(const MemberHeartbeat& other270) {
-  role = other270.role;
-  failureDomain = other270.failureDomain;
-  address = other270.address;
-  sentAtMicros = other270.sentAtMicros;
-  configNumber = other270.configNumber;
-  viewVersion = other270.viewVersion;
-  cells = other270.cells;
-  leaving = other270.leaving;
-  server = other270.server;
-  __isset = other270.__isset;
-  return *this;
-}
-MemberHeartbeat& MemberHeartbeat::operator=(MemberHeartbeat&& other271) noexcept {
-  role = other271.role;
-  failureDomain = std::move(other271.failureDomain);
-  address = std::move(other271.address);
-  sentAtMicros = other271.sentAtMicros;
-  configNumber = other271.configNumber;
-  viewVersion = other271.viewVersion;
-  cells = std::move(other271.cells);
-  leaving = other271.leaving;
-  server = std::move(other271.server);
-  __isset = other271.__isset;
+MemberHeartbeat::MemberHeartbeat(const MemberHeartbeat& other320) {
+  role = other320.role;
+  failureDomain = other320.failureDomain;
+  address = other320.address;
+  sentAtMicros = other320.sentAtMicros;
+  configNumber = other320.configNumber;
+  viewVersion = other320.viewVersion;
+  cells = other320.cells;
+  leaving = other320.leaving;
+  server = other320.server;
+  __isset = other320.__isset;
+}
+MemberHeartbeat::MemberHeartbeat(MemberHeartbeat&& other321) noexcept {
+  role = other321.role;
+  failureDomain = std::move(other321.failureDomain);
+  address = std::move(other321.address);
+  sentAtMicros = other321.sentAtMicros;
+  configNumber = other321.configNumber;
+  viewVersion = other321.viewVersion;
+  cells = std::move(other321.cells);
+  leaving = other321.leaving;
+  server = std::move(other321.server);
+  __isset = other321.__isset;
+}
+MemberHeartbeat& MemberHeartbeat::operator=(const MemberHeartbeat& other322) {
+  role = other322.role;
+  failureDomain = other322.failureDomain;
+  address = other322.address;
+  sentAtMicros = other322.sentAtMicros;
+  configNumber = other322.configNumber;
+  viewVersion = other322.viewVersion;
+  cells = other322.cells;
+  leaving = other322.leaving;
+  server = other322.server;
+  __isset = other322.__isset;
+  return *this;
+}
+MemberHeartbeat& MemberHeartbeat::operator=(MemberHeartbeat&& other323) noexcept {
+  role = other323.role;
+  failureDomain = std::move(other323.failureDomain);
+  address = std::move(other323.address);
+  sentAtMicros = other323.sentAtMicros;
+  configNumber = other323.configNumber;
+  viewVersion = other323.viewVersion;
+  cells = std::move(other323.cells);
+  leaving = other323.leaving;
+  server = std::move(other323.server);
+  __isset = other323.__isset;
   return *this;
 }
 void MemberHeartbeat::printTo(std::ostream& out) const {
@@ -7836,26 +8536,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlEndpoint::ControlEndpoint(const ControlEndpoint& other272) {
-  name = other272.name;
-  address = other272.address;
-  __isset = other272.__isset;
+ControlEndpoint::ControlEndpoint(const ControlEndpoint& other324) {
+  name = other324.name;
+  address = other324.address;
+  __isset = other324.__isset;
 }
-ControlEndpoint::ControlEndpoint(ControlEndpoint&& other273) noexcept {
-  name = std::move(other273.name);
-  address = std::move(other273.address);
-  __isset = other273.__isset;
+ControlEndpoint::ControlEndpoint(ControlEndpoint&& other325) noexcept {
+  name = std::move(other325.name);
+  address = std::move(other325.address);
+  __isset = other325.__isset;
 }
-ControlEndpoint& ControlEndpoint::operator=(const ControlEndpoint& other274) {
-  name = other274.name;
-  address = other274.address;
-  __isset = other274.__isset;
+ControlEndpoint& ControlEndpoint::operator=(const ControlEndpoint& other326) {
+  name = other326.name;
+  address = other326.address;
+  __isset = other326.__isset;
   return *this;
 }
-ControlEndpoint& ControlEndpoint::operator=(ControlEndpoint&& other275) noexcept {
-  name = std::move(other275.name);
-  address = std::move(other275.address);
-  __isset = other275.__isset;
+ControlEndpoint& ControlEndpoint::operator=(ControlEndpoint&& other327) noexcept {
+  name = std::move(other327.name);
+  address = std::move(other327.address);
+  __isset = other327.__isset;
   return *this;
 }
 void ControlEndpoint::printTo(std::ostream& out) const {
@@ -7966,14 +8666,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->group.clear();
-            uint32_t _size276;
-            ::apache::thrift::protocol::TType _etype279;
-            xfer += iprot->readListBegin(_etype279, _size276);
-            this->group.resize(_size276);
-            uint32_t _i280;
-            for (_i280 = 0; _i280 < _size276; ++_i280)
+            uint32_t _size328;
+            ::apache::thrift::protocol::TType _etype331;
+            xfer += iprot->readListBegin(_etype331, _size328);
+            this->group.resize(_size328);
+            uint32_t _i332;
+            for (_i332 = 0; _i332 < _size328; ++_i332)
             {
-              xfer += this->group[_i280].read(iprot);
+              xfer += this->group[_i332].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8022,10 +8722,10 @@
   xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->group.size()));
-    std::vector<ControlEndpoint> ::const_iterator _iter281;
-    for (_iter281 = this->group.begin(); _iter281 != this->group.end(); ++_iter281)
+    std::vector<ControlEndpoint> ::const_iterator _iter333;
+    for (_iter333 = this->group.begin(); _iter333 != this->group.end(); ++_iter333)
     {
-      xfer += (*_iter281).write(oprot);
+      xfer += (*_iter333).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8047,42 +8747,42 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other282) {
-  sentAtMicros = other282.sentAtMicros;
-  accepted = other282.accepted;
-  leader = other282.leader;
-  viewVersion = other282.viewVersion;
-  term = other282.term;
-  group = other282.group;
-  __isset = other282.__isset;
-}
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other283) noexcept {
-  sentAtMicros = other283.sentAtMicros;
-  accepted = other283.accepted;
-  leader = std::move(other283.leader);
-  viewVersion = other283.viewVersion;
-  term = other283.term;
-  group = std::move(other283.group);
-  __isset = other283.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other284) {
-  sentAtMicros = other284.sentAtMicros;
-  accepted = other284.accepted;
-  leader = other284.leader;
-  viewVersion = other284.viewVersion;
-  term = other284.term;
-  group = other284.group;
-  __isset = other284.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other334) {
+  sentAtMicros = other334.sentAtMicros;
+  accepted = other334.accepted;
+  leader = other334.leader;
+  viewVersion = other334.viewVersion;
+  term = other334.term;
+  group = other334.group;
+  __isset = other334.__isset;
+}
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other335) noexcept {
+  sentAtMicros = other335.sentAtMicros;
+  accepted = other335.accepted;
+  leader = std::move(other335.leader);
+  viewVersion = other335.viewVersion;
+  term = other335.term;
+  group = std::move(other335.group);
+  __isset = other335.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other336) {
+  sentAtMicros = other336.sentAtMicros;
+  accepted = other336.accepted;
+  leader = other336.leader;
+  viewVersion = other336.viewVersion;
+  term = other336.term;
+  group = other336.group;
+  __isset = other336.__isset;
   return *this;
 }
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other285) noexcept {
-  sentAtMicros = other285.sentAtMicros;
-  accepted = other285.accepted;
-  leader = std::move(other285.leader);
-  viewVersion = other285.viewVersion;
-  term = other285.term;
-  group = std::move(other285.group);
-  __isset = other285.__isset;
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other337) noexcept {
+  sentAtMicros = other337.sentAtMicros;
+  accepted = other337.accepted;
+  leader = std::move(other337.leader);
+  viewVersion = other337.viewVersion;
+  term = other337.term;
+  group = std::move(other337.group);
+  __isset = other337.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -8207,30 +8907,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRef::MemberRef(const MemberRef& other286) {
-  id = other286.id;
-  address = other286.address;
-  failureDomain = other286.failureDomain;
-  __isset = other286.__isset;
+MemberRef::MemberRef(const MemberRef& other338) {
+  id = other338.id;
+  address = other338.address;
+  failureDomain = other338.failureDomain;
+  __isset = other338.__isset;
 }
-MemberRef::MemberRef(MemberRef&& other287) noexcept {
-  id = std::move(other287.id);
-  address = std::move(other287.address);
-  failureDomain = std::move(other287.failureDomain);
-  __isset = other287.__isset;
+MemberRef::MemberRef(MemberRef&& other339) noexcept {
+  id = std::move(other339.id);
+  address = std::move(other339.address);
+  failureDomain = std::move(other339.failureDomain);
+  __isset = other339.__isset;
 }
-MemberRef& MemberRef::operator=(const MemberRef& other288) {
-  id = other288.id;
-  address = other288.address;
-  failureDomain = other288.failureDomain;
-  __isset = other288.__isset;
+MemberRef& MemberRef::operator=(const MemberRef& other340) {
+  id = other340.id;
+  address = other340.address;
+  failureDomain = other340.failureDomain;
+  __isset = other340.__isset;
   return *this;
 }
-MemberRef& MemberRef::operator=(MemberRef&& other289) noexcept {
-  id = std::move(other289.id);
-  address = std::move(other289.address);
-  failureDomain = std::move(other289.failureDomain);
-  __isset = other289.__isset;
+MemberRef& MemberRef::operator=(MemberRef&& other341) noexcept {
+  id = std::move(other341.id);
+  address = std::move(other341.address);
+  failureDomain = std::move(other341.failureDomain);
+  __isset = other341.__isset;
   return *this;
 }
 void MemberRef::printTo(std::ostream& out) const {
@@ -8339,14 +9039,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size290;
-            ::apache::thrift::protocol::TType _etype293;
-            xfer += iprot->readListBegin(_etype293, _size290);
-            this->holders.resize(_size290);
-            uint32_t _i294;
-            for (_i294 = 0; _i294 < _size290; ++_i294)
+            uint32_t _size342;
+            ::apache::thrift::protocol::TType _etype345;
+            xfer += iprot->readListBegin(_etype345, _size342);
+            this->holders.resize(_size342);
+            uint32_t _i346;
+            for (_i346 = 0; _i346 < _size342; ++_i346)
             {
-              xfer += this->holders[_i294].read(iprot);
+              xfer += this->holders[_i346].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8359,14 +9059,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->agents.clear();
-            uint32_t _size295;
-            ::apache::thrift::protocol::TType _etype298;
-            xfer += iprot->readListBegin(_etype298, _size295);
-            this->agents.resize(_size295);
-            uint32_t _i299;
-            for (_i299 = 0; _i299 < _size295; ++_i299)
+            uint32_t _size347;
+            ::apache::thrift::protocol::TType _etype350;
+            xfer += iprot->readListBegin(_etype350, _size347);
+            this->agents.resize(_size347);
+            uint32_t _i351;
+            for (_i351 = 0; _i351 < _size347; ++_i351)
             {
-              xfer += this->agents[_i299].read(iprot);
+              xfer += this->agents[_i351].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8420,10 +9120,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<MemberRef> ::const_iterator _iter300;
-    for (_iter300 = this->holders.begin(); _iter300 != this->holders.end(); ++_iter300)
+    std::vector<MemberRef> ::const_iterator _iter352;
+    for (_iter352 = this->holders.begin(); _iter352 != this->holders.end(); ++_iter352)
     {
-      xfer += (*_iter300).write(oprot);
+      xfer += (*_iter352).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8432,10 +9132,10 @@
   xfer += oprot->writeFieldBegin("agents", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->agents.size()));
-    std::vector<MemberRef> ::const_iterator _iter301;
-    for (_iter301 = this->agents.begin(); _iter301 != this->agents.end(); ++_iter301)
+    std::vector<MemberRef> ::const_iterator _iter353;
+    for (_iter353 = this->agents.begin(); _iter353 != this->agents.end(); ++_iter353)
     {
-      xfer += (*_iter301).write(oprot);
+      xfer += (*_iter353).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8462,46 +9162,46 @@
   swap(a.__isset, b.__isset);
 }
 
-CellView::CellView(const CellView& other302) {
-  cell = other302.cell;
-  serviceName = other302.serviceName;
-  epoch = other302.epoch;
-  owner = other302.owner;
-  holders = other302.holders;
-  agents = other302.agents;
-  floorMs = other302.floorMs;
-  __isset = other302.__isset;
+CellView::CellView(const CellView& other354) {
+  cell = other354.cell;
+  serviceName = other354.serviceName;
+  epoch = other354.epoch;
+  owner = other354.owner;
+  holders = other354.holders;
+  agents = other354.agents;
+  floorMs = other354.floorMs;
+  __isset = other354.__isset;
+}
+CellView::CellView(CellView&& other355) noexcept {
+  cell = other355.cell;
+  serviceName = std::move(other355.serviceName);
+  epoch = other355.epoch;
+  owner = std::move(other355.owner);
+  holders = std::move(other355.holders);
+  agents = std::move(other355.agents);
+  floorMs = other355.floorMs;
+  __isset = other355.__isset;
+}
+CellView& CellView::operator=(const CellView& other356) {
+  cell = other356.cell;
+  serviceName = other356.serviceName;
+  epoch = other356.epoch;
+  owner = other356.owner;
+  holders = other356.holders;
+  agents = other356.agents;
+  floorMs = other356.floorMs;
+  __isset = other356.__isset;
+  return *this;
 }
-CellView::CellView(CellView&& other303) noexcept {
-  cell = other303.cell;
-  serviceName = std::move(other303.serviceName);
-  epoch = other303.epoch;
-  owner = std::move(other303.owner);
-  holders = std::move(other303.holders);
-  agents = std::move(other303.agents);
-  floorMs = other303.floorMs;
-  __isset = other303.__isset;
-}
-CellView& CellView::operator=(const CellView& other304) {
-  cell = other304.cell;
-  serviceName = other304.serviceName;
-  epoch = other304.epoch;
-  owner = other304.owner;
-  holders = other304.holders;
-  agents = other304.agents;
-  floorMs = other304.floorMs;
-  __isset = other304.__isset;
-  return *this;
-}
-CellView& CellView::operator=(CellView&& other305) noexcept {
-  cell = other305.cell;
-  serviceName = std::move(other305.serviceName);
-  epoch = other305.epoch;
-  owner = std::move(other305.owner);
-  holders = std::move(other305.holders);
-  agents = std::move(other305.agents);
-  floorMs = other305.floorMs;
-  __isset = other305.__isset;
+CellView& CellView::operator=(CellView&& other357) noexcept {
+  cell = other357.cell;
+  serviceName = std::move(other357.serviceName);
+  epoch = other357.epoch;
+  owner = std::move(other357.owner);
+  holders = std::move(other357.holders);
+  agents = std::move(other357.agents);
+  floorMs = other357.floorMs;
+  __isset = other357.__isset;
   return *this;
 }
 void CellView::printTo(std::ostream& out) const {
@@ -8678,42 +9378,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigFile::ConfigFile(const ConfigFile& other306) {
-  number = other306.number;
-  digest = other306.digest;
-  text = other306.text;
-  author = other306.author;
-  acceptedAtMs = other306.acceptedAtMs;
-  ignoreIfNotHigher = other306.ignoreIfNotHigher;
-  __isset = other306.__isset;
-}
-ConfigFile::ConfigFile(ConfigFile&& other307) noexcept {
-  number = other307.number;
-  digest = std::move(other307.digest);
-  text = std::move(other307.text);
-  author = std::move(other307.author);
-  acceptedAtMs = other307.acceptedAtMs;
-  ignoreIfNotHigher = other307.ignoreIfNotHigher;
-  __isset = other307.__isset;
-}
-ConfigFile& ConfigFile::operator=(const ConfigFile& other308) {
-  number = other308.number;
-  digest = other308.digest;
-  text = other308.text;
-  author = other308.author;
-  acceptedAtMs = other308.acceptedAtMs;
-  ignoreIfNotHigher = other308.ignoreIfNotHigher;
-  __isset = other308.__isset;
-  return *this;
-}
-ConfigFile& ConfigFile::operator=(ConfigFile&& other309) noexcept {
-  number = other309.number;
-  digest = std::move(other309.digest);
-  text = std::move(other309.text);
-  author = std::move(other309.author);
-  acceptedAtMs = other309.acceptedAtMs;
-  ignoreIfNotHigher = other309.ignoreIfNotHigher;
-  __isset = other309.__isset;
+ConfigFile::ConfigFile(const ConfigFile& other358) {
+  number = other358.number;
+  digest = other358.digest;
+  text = other358.text;
+  author = other358.author;
+  acceptedAtMs = other358.acceptedAtMs;
+  ignoreIfNotHigher = other358.ignoreIfNotHigher;
+  __isset = other358.__isset;
+}
+ConfigFile::ConfigFile(ConfigFile&& other359) noexcept {
+  number = other359.number;
+  digest = std::move(other359.digest);
+  text = std::move(other359.text);
+  author = std::move(other359.author);
+  acceptedAtMs = other359.acceptedAtMs;
+  ignoreIfNotHigher = other359.ignoreIfNotHigher;
+  __isset = other359.__isset;
+}
+ConfigFile& ConfigFile::operator=(const ConfigFile& other360) {
+  number = other360.number;
+  digest = other360.digest;
+  text = other360.text;
+  author = other360.author;
+  acceptedAtMs = other360.acceptedAtMs;
+  ignoreIfNotHigher = other360.ignoreIfNotHigher;
+  __isset = other360.__isset;
+  return *this;
+}
+ConfigFile& ConfigFile::operator=(ConfigFile&& other361) noexcept {
+  number = other361.number;
+  digest = std::move(other361.digest);
+  text = std::move(other361.text);
+  author = std::move(other361.author);
+  acceptedAtMs = other361.acceptedAtMs;
+  ignoreIfNotHigher = other361.ignoreIfNotHigher;
+  __isset = other361.__isset;
   return *this;
 }
 void ConfigFile::printTo(std::ostream& out) const {
@@ -8800,14 +9500,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size310;
-            ::apache::thrift::protocol::TType _etype313;
-            xfer += iprot->readListBegin(_etype313, _size310);
-            this->cells.resize(_size310);
-            uint32_t _i314;
-            for (_i314 = 0; _i314 < _size310; ++_i314)
+            uint32_t _size362;
+            ::apache::thrift::protocol::TType _etype365;
+            xfer += iprot->readListBegin(_etype365, _size362);
+            this->cells.resize(_size362);
+            uint32_t _i366;
+            for (_i366 = 0; _i366 < _size362; ++_i366)
             {
-              xfer += this->cells[_i314].read(iprot);
+              xfer += this->cells[_i366].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8828,14 +9528,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size315;
-            ::apache::thrift::protocol::TType _etype318;
-            xfer += iprot->readListBegin(_etype318, _size315);
-            this->entries.resize(_size315);
-            uint32_t _i319;
-            for (_i319 = 0; _i319 < _size315; ++_i319)
+            uint32_t _size367;
+            ::apache::thrift::protocol::TType _etype370;
+            xfer += iprot->readListBegin(_etype370, _size367);
+            this->entries.resize(_size367);
+            uint32_t _i371;
+            for (_i371 = 0; _i371 < _size367; ++_i371)
             {
-              xfer += this->entries[_i319].read(iprot);
+              xfer += this->entries[_i371].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8872,10 +9572,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellView> ::const_iterator _iter320;
-    for (_iter320 = this->cells.begin(); _iter320 != this->cells.end(); ++_iter320)
+    std::vector<CellView> ::const_iterator _iter372;
+    for (_iter372 = this->cells.begin(); _iter372 != this->cells.end(); ++_iter372)
     {
-      xfer += (*_iter320).write(oprot);
+      xfer += (*_iter372).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8888,10 +9588,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<MemberRef> ::const_iterator _iter321;
-    for (_iter321 = this->entries.begin(); _iter321 != this->entries.end(); ++_iter321)
+    std::vector<MemberRef> ::const_iterator _iter373;
+    for (_iter373 = this->entries.begin(); _iter373 != this->entries.end(); ++_iter373)
     {
-      xfer += (*_iter321).write(oprot);
+      xfer += (*_iter373).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8912,38 +9612,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ClusterView::ClusterView(const ClusterView& other322) {
-  version = other322.version;
-  config = other322.config;
-  cells = other322.cells;
-  term = other322.term;
-  entries = other322.entries;
-  __isset = other322.__isset;
-}
-ClusterView::ClusterView(ClusterView&& other323) noexcept {
-  version = other323.version;
-  config = std::move(other323.config);
-  cells = std::move(other323.cells);
-  term = other323.term;
-  entries = std::move(other323.entries);
-  __isset = other323.__isset;
-}
-ClusterView& ClusterView::operator=(const ClusterView& other324) {
-  version = other324.version;
-  config = other324.config;
-  cells = other324.cells;
-  term = other324.term;
-  entries = other324.entries;
-  __isset = other324.__isset;
-  return *this;
-}
-ClusterView& ClusterView::operator=(ClusterView&& other325) noexcept {
-  version = other325.version;
-  config = std::move(other325.config);
-  cells = std::move(other325.cells);
-  term = other325.term;
-  entries = std::move(other325.entries);
-  __isset = other325.__isset;
+ClusterView::ClusterView(const ClusterView& other374) {
+  version = other374.version;
+  config = other374.config;
+  cells = other374.cells;
+  term = other374.term;
+  entries = other374.entries;
+  __isset = other374.__isset;
+}
+ClusterView::ClusterView(ClusterView&& other375) noexcept {
+  version = other375.version;
+  config = std::move(other375.config);
+  cells = std::move(other375.cells);
+  term = other375.term;
+  entries = std::move(other375.entries);
+  __isset = other375.__isset;
+}
+ClusterView& ClusterView::operator=(const ClusterView& other376) {
+  version = other376.version;
+  config = other376.config;
+  cells = other376.cells;
+  term = other376.term;
+  entries = other376.entries;
+  __isset = other376.__isset;
+  return *this;
+}
+ClusterView& ClusterView::operator=(ClusterView&& other377) noexcept {
+  version = other377.version;
+  config = std::move(other377.config);
+  cells = std::move(other377.cells);
+  term = other377.term;
+  entries = std::move(other377.entries);
+  __isset = other377.__isset;
   return *this;
 }
 void ClusterView::printTo(std::ostream& out) const {
@@ -9101,38 +9801,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ApplyConfig::ApplyConfig(const ApplyConfig& other326) {
-  requestId = other326.requestId;
-  text = other326.text;
-  author = other326.author;
-  dryRun = other326.dryRun;
-  ignoreIfNotHigher = other326.ignoreIfNotHigher;
-  __isset = other326.__isset;
-}
-ApplyConfig::ApplyConfig(ApplyConfig&& other327) noexcept {
-  requestId = other327.requestId;
-  text = std::move(other327.text);
-  author = std::move(other327.author);
-  dryRun = other327.dryRun;
-  ignoreIfNotHigher = other327.ignoreIfNotHigher;
-  __isset = other327.__isset;
-}
-ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other328) {
-  requestId = other328.requestId;
-  text = other328.text;
-  author = other328.author;
-  dryRun = other328.dryRun;
-  ignoreIfNotHigher = other328.ignoreIfNotHigher;
-  __isset = other328.__isset;
-  return *this;
-}
-ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other329) noexcept {
-  requestId = other329.requestId;
-  text = std::move(other329.text);
-  author = std::move(other329.author);
-  dryRun = other329.dryRun;
-  ignoreIfNotHigher = other329.ignoreIfNotHigher;
-  __isset = other329.__isset;
+ApplyConfig::ApplyConfig(const ApplyConfig& other378) {
+  requestId = other378.requestId;
+  text = other378.text;
+  author = other378.author;
+  dryRun = other378.dryRun;
+  ignoreIfNotHigher = other378.ignoreIfNotHigher;
+  __isset = other378.__isset;
+}
+ApplyConfig::ApplyConfig(ApplyConfig&& other379) noexcept {
+  requestId = other379.requestId;
+  text = std::move(other379.text);
+  author = std::move(other379.author);
+  dryRun = other379.dryRun;
+  ignoreIfNotHigher = other379.ignoreIfNotHigher;
+  __isset = other379.__isset;
+}
+ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other380) {
+  requestId = other380.requestId;
+  text = other380.text;
+  author = other380.author;
+  dryRun = other380.dryRun;
+  ignoreIfNotHigher = other380.ignoreIfNotHigher;
+  __isset = other380.__isset;
+  return *this;
+}
+ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other381) noexcept {
+  requestId = other381.requestId;
+  text = std::move(other381.text);
+  author = std::move(other381.author);
+  dryRun = other381.dryRun;
+  ignoreIfNotHigher = other381.ignoreIfNotHigher;
+  __isset = other381.__isset;
   return *this;
 }
 void ApplyConfig::printTo(std::ostream& out) const {
@@ -9246,14 +9946,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lagging.clear();
-            uint32_t _size330;
-            ::apache::thrift::protocol::TType _etype333;
-            xfer += iprot->readListBegin(_etype333, _size330);
-            this->lagging.resize(_size330);
-            uint32_t _i334;
-            for (_i334 = 0; _i334 < _size330; ++_i334)
+            uint32_t _size382;
+            ::apache::thrift::protocol::TType _etype385;
+            xfer += iprot->readListBegin(_etype385, _size382);
+            this->lagging.resize(_size382);
+            uint32_t _i386;
+            for (_i386 = 0; _i386 < _size382; ++_i386)
             {
-              xfer += iprot->readString(this->lagging[_i334]);
+              xfer += iprot->readString(this->lagging[_i386]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9302,10 +10002,10 @@
   xfer += oprot->writeFieldBegin("lagging", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lagging.size()));
-    std::vector<std::string> ::const_iterator _iter335;
-    for (_iter335 = this->lagging.begin(); _iter335 != this->lagging.end(); ++_iter335)
+    std::vector<std::string> ::const_iterator _iter387;
+    for (_iter387 = this->lagging.begin(); _iter387 != this->lagging.end(); ++_iter387)
     {
-      xfer += oprot->writeString((*_iter335));
+      xfer += oprot->writeString((*_iter387));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9327,42 +10027,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ApplyReply::ApplyReply(const ApplyReply& other336) {
-  requestId = other336.requestId;
-  accepted = other336.accepted;
-  code = other336.code;
-  message = other336.message;
-  inForce = other336.inForce;
-  lagging = other336.lagging;
-  __isset = other336.__isset;
+ApplyReply::ApplyReply(const ApplyReply& other388) {
+  requestId = other388.requestId;
+  accepted = other388.accepted;
+  code = other388.code;
+  message = other388.message;
+  inForce = other388.inForce;
+  lagging = other388.lagging;
+  __isset = other388.__isset;
 }
-ApplyReply::ApplyReply(ApplyReply&& other337) noexcept {
-  requestId = other337.requestId;
-  accepted = other337.accepted;
-  code = std::move(other337.code);
-  message = std::move(other337.message);
-  inForce = std::move(other337.inForce);
-  lagging = std::move(other337.lagging);
-  __isset = other337.__isset;
+ApplyReply::ApplyReply(ApplyReply&& other389) noexcept {
+  requestId = other389.requestId;
+  accepted = other389.accepted;
+  code = std::move(other389.code);
+  message = std::move(other389.message);
+  inForce = std::move(other389.inForce);
+  lagging = std::move(other389.lagging);
+  __isset = other389.__isset;
 }
-ApplyReply& ApplyReply::operator=(const ApplyReply& other338) {
-  requestId = other338.requestId;
-  accepted = other338.accepted;
-  code = other338.code;
-  message = other338.message;
-  inForce = other338.inForce;
-  lagging = other338.lagging;
-  __isset = other338.__isset;
+ApplyReply& ApplyReply::operator=(const ApplyReply& other390) {
+  requestId = other390.requestId;
+  accepted = other390.accepted;
+  code = other390.code;
+  message = other390.message;
+  inForce = other390.inForce;
+  lagging = other390.lagging;
+  __isset = other390.__isset;
   return *this;
 }
-ApplyReply& ApplyReply::operator=(ApplyReply&& other339) noexcept {
-  requestId = other339.requestId;
-  accepted = other339.accepted;
-  code = std::move(other339.code);
-  message = std::move(other339.message);
-  inForce = std::move(other339.inForce);
-  lagging = std::move(other339.lagging);
-  __isset = other339.__isset;
+ApplyReply& ApplyReply::operator=(ApplyReply&& other391) noexcept {
+  requestId = other391.requestId;
+  accepted = other391.accepted;
+  code = std::move(other391.code);
+  message = std::move(other391.message);
+  inForce = std::move(other391.inForce);
+  lagging = std::move(other391.lagging);
+  __isset = other391.__isset;
   return *this;
 }
 void ApplyReply::printTo(std::ostream& out) const {
@@ -9487,30 +10187,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlQuery::ControlQuery(const ControlQuery& other340) {
-  requestId = other340.requestId;
-  kind = other340.kind;
-  argument = other340.argument;
-  __isset = other340.__isset;
+ControlQuery::ControlQuery(const ControlQuery& other392) {
+  requestId = other392.requestId;
+  kind = other392.kind;
+  argument = other392.argument;
+  __isset = other392.__isset;
 }
-ControlQuery::ControlQuery(ControlQuery&& other341) noexcept {
-  requestId = other341.requestId;
-  kind = std::move(other341.kind);
-  argument = std::move(other341.argument);
-  __isset = other341.__isset;
+ControlQuery::ControlQuery(ControlQuery&& other393) noexcept {
+  requestId = other393.requestId;
+  kind = std::move(other393.kind);
+  argument = std::move(other393.argument);
+  __isset = other393.__isset;
 }
-ControlQuery& ControlQuery::operator=(const ControlQuery& other342) {
-  requestId = other342.requestId;
-  kind = other342.kind;
-  argument = other342.argument;
-  __isset = other342.__isset;
+ControlQuery& ControlQuery::operator=(const ControlQuery& other394) {
+  requestId = other394.requestId;
+  kind = other394.kind;
+  argument = other394.argument;
+  __isset = other394.__isset;
   return *this;
 }
-ControlQuery& ControlQuery::operator=(ControlQuery&& other343) noexcept {
-  requestId = other343.requestId;
-  kind = std::move(other343.kind);
-  argument = std::move(other343.argument);
-  __isset = other343.__isset;
+ControlQuery& ControlQuery::operator=(ControlQuery&& other395) noexcept {
+  requestId = other395.requestId;
+  kind = std::move(other395.kind);
+  argument = std::move(other395.argument);
+  __isset = other395.__isset;
   return *this;
 }
 void ControlQuery::printTo(std::ostream& out) const {
@@ -9632,30 +10332,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlAnswer::ControlAnswer(const ControlAnswer& other344) {
-  requestId = other344.requestId;
-  ok = other344.ok;
-  json = other344.json;
-  __isset = other344.__isset;
+ControlAnswer::ControlAnswer(const ControlAnswer& other396) {
+  requestId = other396.requestId;
+  ok = other396.ok;
+  json = other396.json;
+  __isset = other396.__isset;
 }
-ControlAnswer::ControlAnswer(ControlAnswer&& other345) noexcept {
-  requestId = other345.requestId;
-  ok = other345.ok;
-  json = std::move(other345.json);
-  __isset = other345.__isset;
+ControlAnswer::ControlAnswer(ControlAnswer&& other397) noexcept {
+  requestId = other397.requestId;
+  ok = other397.ok;
+  json = std::move(other397.json);
+  __isset = other397.__isset;
 }
-ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other346) {
-  requestId = other346.requestId;
-  ok = other346.ok;
-  json = other346.json;
-  __isset = other346.__isset;
+ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other398) {
+  requestId = other398.requestId;
+  ok = other398.ok;
+  json = other398.json;
+  __isset = other398.__isset;
   return *this;
 }
-ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other347) noexcept {
-  requestId = other347.requestId;
-  ok = other347.ok;
-  json = std::move(other347.json);
-  __isset = other347.__isset;
+ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other399) noexcept {
+  requestId = other399.requestId;
+  ok = other399.ok;
+  json = std::move(other399.json);
+  __isset = other399.__isset;
   return *this;
 }
 void ControlAnswer::printTo(std::ostream& out) const {
@@ -9777,30 +10477,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other348) {
-  index = other348.index;
-  term = other348.term;
-  command = other348.command;
-  __isset = other348.__isset;
+LogEntry::LogEntry(const LogEntry& other400) {
+  index = other400.index;
+  term = other400.term;
+  command = other400.command;
+  __isset = other400.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other349) noexcept {
-  index = other349.index;
-  term = other349.term;
-  command = std::move(other349.command);
-  __isset = other349.__isset;
+LogEntry::LogEntry(LogEntry&& other401) noexcept {
+  index = other401.index;
+  term = other401.term;
+  command = std::move(other401.command);
+  __isset = other401.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other350) {
-  index = other350.index;
-  term = other350.term;
-  command = other350.command;
-  __isset = other350.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other402) {
+  index = other402.index;
+  term = other402.term;
+  command = other402.command;
+  __isset = other402.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other351) noexcept {
-  index = other351.index;
-  term = other351.term;
-  command = std::move(other351.command);
-  __isset = other351.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other403) noexcept {
+  index = other403.index;
+  term = other403.term;
+  command = std::move(other403.command);
+  __isset = other403.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -9990,46 +10690,46 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestVote::RequestVote(const RequestVote& other352) {
-  term = other352.term;
-  lastIndex = other352.lastIndex;
-  lastTerm = other352.lastTerm;
-  preVote = other352.preVote;
-  member = other352.member;
-  group = other352.group;
-  transfer = other352.transfer;
-  __isset = other352.__isset;
-}
-RequestVote::RequestVote(RequestVote&& other353) noexcept {
-  term = other353.term;
-  lastIndex = other353.lastIndex;
-  lastTerm = other353.lastTerm;
-  preVote = other353.preVote;
-  member = std::move(other353.member);
-  group = std::move(other353.group);
-  transfer = other353.transfer;
-  __isset = other353.__isset;
-}
-RequestVote& RequestVote::operator=(const RequestVote& other354) {
-  term = other354.term;
-  lastIndex = other354.lastIndex;
-  lastTerm = other354.lastTerm;
-  preVote = other354.preVote;
-  member = other354.member;
-  group = other354.group;
-  transfer = other354.transfer;
-  __isset = other354.__isset;
+RequestVote::RequestVote(const RequestVote& other404) {
+  term = other404.term;
+  lastIndex = other404.lastIndex;
+  lastTerm = other404.lastTerm;
+  preVote = other404.preVote;
+  member = other404.member;
+  group = other404.group;
+  transfer = other404.transfer;
+  __isset = other404.__isset;
+}
+RequestVote::RequestVote(RequestVote&& other405) noexcept {
+  term = other405.term;
+  lastIndex = other405.lastIndex;
+  lastTerm = other405.lastTerm;
+  preVote = other405.preVote;
+  member = std::move(other405.member);
+  group = std::move(other405.group);
+  transfer = other405.transfer;
+  __isset = other405.__isset;
+}
+RequestVote& RequestVote::operator=(const RequestVote& other406) {
+  term = other406.term;
+  lastIndex = other406.lastIndex;
+  lastTerm = other406.lastTerm;
+  preVote = other406.preVote;
+  member = other406.member;
+  group = other406.group;
+  transfer = other406.transfer;
+  __isset = other406.__isset;
   return *this;
 }
-RequestVote& RequestVote::operator=(RequestVote&& other355) noexcept {
-  term = other355.term;
-  lastIndex = other355.lastIndex;
-  lastTerm = other355.lastTerm;
-  preVote = other355.preVote;
-  member = std::move(other355.member);
-  group = std::move(other355.group);
-  transfer = other355.transfer;
-  __isset = other355.__isset;
+RequestVote& RequestVote::operator=(RequestVote&& other407) noexcept {
+  term = other407.term;
+  lastIndex = other407.lastIndex;
+  lastTerm = other407.lastTerm;
+  preVote = other407.preVote;
+  member = std::move(other407.member);
+  group = std::move(other407.group);
+  transfer = other407.transfer;
+  __isset = other407.__isset;
   return *this;
 }
 void RequestVote::printTo(std::ostream& out) const {
@@ -10206,42 +10906,42 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other356) {
-  term = other356.term;
-  granted = other356.granted;
-  preVote = other356.preVote;
-  member = other356.member;
-  group = other356.group;
-  fresh = other356.fresh;
-  __isset = other356.__isset;
+VoteReply::VoteReply(const VoteReply& other408) {
+  term = other408.term;
+  granted = other408.granted;
+  preVote = other408.preVote;
+  member = other408.member;
+  group = other408.group;
+  fresh = other408.fresh;
+  __isset = other408.__isset;
 }
-VoteReply::VoteReply(VoteReply&& other357) noexcept {
-  term = other357.term;
-  granted = other357.granted;
-  preVote = other357.preVote;
-  member = std::move(other357.member);
-  group = std::move(other357.group);
-  fresh = other357.fresh;
-  __isset = other357.__isset;
+VoteReply::VoteReply(VoteReply&& other409) noexcept {
+  term = other409.term;
+  granted = other409.granted;
+  preVote = other409.preVote;
+  member = std::move(other409.member);
+  group = std::move(other409.group);
+  fresh = other409.fresh;
+  __isset = other409.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other358) {
-  term = other358.term;
-  granted = other358.granted;
-  preVote = other358.preVote;
-  member = other358.member;
-  group = other358.group;
-  fresh = other358.fresh;
-  __isset = other358.__isset;
+VoteReply& VoteReply::operator=(const VoteReply& other410) {
+  term = other410.term;
+  granted = other410.granted;
+  preVote = other410.preVote;
+  member = other410.member;
+  group = other410.group;
+  fresh = other410.fresh;
+  __isset = other410.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other359) noexcept {
-  term = other359.term;
-  granted = other359.granted;
-  preVote = other359.preVote;
-  member = std::move(other359.member);
-  group = std::move(other359.group);
-  fresh = other359.fresh;
-  __isset = other359.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other411) noexcept {
+  term = other411.term;
+  granted = other411.granted;
+  preVote = other411.preVote;
+  member = std::move(other411.member);
+  group = std::move(other411.group);
+  fresh = other411.fresh;
+  __isset = other411.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -10348,14 +11048,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size360;
-            ::apache::thrift::protocol::TType _etype363;
-            xfer += iprot->readListBegin(_etype363, _size360);
-            this->entries.resize(_size360);
-            uint32_t _i364;
-            for (_i364 = 0; _i364 < _size360; ++_i364)
+            uint32_t _size412;
+            ::apache::thrift::protocol::TType _etype415;
+            xfer += iprot->readListBegin(_etype415, _size412);
+            this->entries.resize(_size412);
+            uint32_t _i416;
+            for (_i416 = 0; _i416 < _size412; ++_i416)
             {
-              xfer += this->entries[_i364].read(iprot);
+              xfer += this->entries[_i416].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10428,10 +11128,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter365;
-    for (_iter365 = this->entries.begin(); _iter365 != this->entries.end(); ++_iter365)
+    std::vector<LogEntry> ::const_iterator _iter417;
+    for (_iter417 = this->entries.begin(); _iter417 != this->entries.end(); ++_iter417)
     {
-      xfer += (*_iter365).write(oprot);
+      xfer += (*_iter417).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10471,50 +11171,50 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendEntries::AppendEntries(const AppendEntries& other366) {
-  term = other366.term;
-  prevIndex = other366.prevIndex;
-  prevTerm = other366.prevTerm;
-  entries = other366.entries;
-  commitIndex = other366.commitIndex;
-  round = other366.round;
-  member = other366.member;
-  group = other366.group;
-  __isset = other366.__isset;
-}
-AppendEntries::AppendEntries(AppendEntries&& other367) noexcept {
-  term = other367.term;
-  prevIndex = other367.prevIndex;
-  prevTerm = other367.prevTerm;
-  entries = std::move(other367.entries);
-  commitIndex = other367.commitIndex;
-  round = other367.round;
-  member = std::move(other367.member);
-  group = std::move(other367.group);
-  __isset = other367.__isset;
-}
-AppendEntries& AppendEntries::operator=(const AppendEntries& other368) {
-  term = other368.term;
-  prevIndex = other368.prevIndex;
-  prevTerm = other368.prevTerm;
-  entries = other368.entries;
-  commitIndex = other368.commitIndex;
-  round = other368.round;
-  member = other368.member;
-  group = other368.group;
-  __isset = other368.__isset;
-  return *this;
-}
-AppendEntries& AppendEntries::operator=(AppendEntries&& other369) noexcept {
-  term = other369.term;
-  prevIndex = other369.prevIndex;
-  prevTerm = other369.prevTerm;
-  entries = std::move(other369.entries);
-  commitIndex = other369.commitIndex;
-  round = other369.round;
-  member = std::move(other369.member);
-  group = std::move(other369.group);
-  __isset = other369.__isset;
+AppendEntries::AppendEntries(const AppendEntries& other418) {
+  term = other418.term;
+  prevIndex = other418.prevIndex;
+  prevTerm = other418.prevTerm;
+  entries = other418.entries;
+  commitIndex = other418.commitIndex;
+  round = other418.round;
+  member = other418.member;
+  group = other418.group;
+  __isset = other418.__isset;
+}
+AppendEntries::AppendEntries(AppendEntries&& other419) noexcept {
+  term = other419.term;
+  prevIndex = other419.prevIndex;
+  prevTerm = other419.prevTerm;
+  entries = std::move(other419.entries);
+  commitIndex = other419.commitIndex;
+  round = other419.round;
+  member = std::move(other419.member);
+  group = std::move(other419.group);
+  __isset = other419.__isset;
+}
+AppendEntries& AppendEntries::operator=(const AppendEntries& other420) {
+  term = other420.term;
+  prevIndex = other420.prevIndex;
+  prevTerm = other420.prevTerm;
+  entries = other420.entries;
+  commitIndex = other420.commitIndex;
+  round = other420.round;
+  member = other420.member;
+  group = other420.group;
+  __isset = other420.__isset;
+  return *this;
+}
+AppendEntries& AppendEntries::operator=(AppendEntries&& other421) noexcept {
+  term = other421.term;
+  prevIndex = other421.prevIndex;
+  prevTerm = other421.prevTerm;
+  entries = std::move(other421.entries);
+  commitIndex = other421.commitIndex;
+  round = other421.round;
+  member = std::move(other421.member);
+  group = std::move(other421.group);
+  __isset = other421.__isset;
   return *this;
 }
 void AppendEntries::printTo(std::ostream& out) const {
@@ -10692,42 +11392,42 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other370) {
-  term = other370.term;
-  ok = other370.ok;
-  matchIndex = other370.matchIndex;
-  round = other370.round;
-  member = other370.member;
-  group = other370.group;
-  __isset = other370.__isset;
-}
-AppendReply::AppendReply(AppendReply&& other371) noexcept {
-  term = other371.term;
-  ok = other371.ok;
-  matchIndex = other371.matchIndex;
-  round = other371.round;
-  member = std::move(other371.member);
-  group = std::move(other371.group);
-  __isset = other371.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other372) {
-  term = other372.term;
-  ok = other372.ok;
-  matchIndex = other372.matchIndex;
-  round = other372.round;
-  member = other372.member;
-  group = other372.group;
-  __isset = other372.__isset;
-  return *this;
-}
-AppendReply& AppendReply::operator=(AppendReply&& other373) noexcept {
-  term = other373.term;
-  ok = other373.ok;
-  matchIndex = other373.matchIndex;
-  round = other373.round;
-  member = std::move(other373.member);
-  group = std::move(other373.group);
-  __isset = other373.__isset;
+AppendReply::AppendReply(const AppendReply& other422) {
+  term = other422.term;
+  ok = other422.ok;
+  matchIndex = other422.matchIndex;
+  round = other422.round;
+  member = other422.member;
+  group = other422.group;
+  __isset = other422.__isset;
+}
+AppendReply::AppendReply(AppendReply&& other423) noexcept {
+  term = other423.term;
+  ok = other423.ok;
+  matchIndex = other423.matchIndex;
+  round = other423.round;
+  member = std::move(other423.member);
+  group = std::move(other423.group);
+  __isset = other423.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other424) {
+  term = other424.term;
+  ok = other424.ok;
+  matchIndex = other424.matchIndex;
+  round = other424.round;
+  member = other424.member;
+  group = other424.group;
+  __isset = other424.__isset;
+  return *this;
+}
+AppendReply& AppendReply::operator=(AppendReply&& other425) noexcept {
+  term = other425.term;
+  ok = other425.ok;
+  matchIndex = other425.matchIndex;
+  round = other425.round;
+  member = std::move(other425.member);
+  group = std::move(other425.group);
+  __isset = other425.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -10846,14 +11546,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size374;
-            ::apache::thrift::protocol::TType _etype377;
-            xfer += iprot->readListBegin(_etype377, _size374);
-            this->voters.resize(_size374);
-            uint32_t _i378;
-            for (_i378 = 0; _i378 < _size374; ++_i378)
+            uint32_t _size426;
+            ::apache::thrift::protocol::TType _etype429;
+            xfer += iprot->readListBegin(_etype429, _size426);
+            this->voters.resize(_size426);
+            uint32_t _i430;
+            for (_i430 = 0; _i430 < _size426; ++_i430)
             {
-              xfer += iprot->readString(this->voters[_i378]);
+              xfer += iprot->readString(this->voters[_i430]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10866,14 +11566,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size379;
-            ::apache::thrift::protocol::TType _etype382;
-            xfer += iprot->readListBegin(_etype382, _size379);
-            this->learners.resize(_size379);
-            uint32_t _i383;
-            for (_i383 = 0; _i383 < _size379; ++_i383)
+            uint32_t _size431;
+            ::apache::thrift::protocol::TType _etype434;
+            xfer += iprot->readListBegin(_etype434, _size431);
+            this->learners.resize(_size431);
+            uint32_t _i435;
+            for (_i435 = 0; _i435 < _size431; ++_i435)
             {
-              xfer += iprot->readString(this->learners[_i383]);
+              xfer += iprot->readString(this->learners[_i435]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10942,10 +11642,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter384;
-    for (_iter384 = this->voters.begin(); _iter384 != this->voters.end(); ++_iter384)
+    std::vector<std::string> ::const_iterator _iter436;
+    for (_iter436 = this->voters.begin(); _iter436 != this->voters.end(); ++_iter436)
     {
-      xfer += oprot->writeString((*_iter384));
+      xfer += oprot->writeString((*_iter436));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10954,10 +11654,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter385;
-    for (_iter385 = this->learners.begin(); _iter385 != this->learners.end(); ++_iter385)
+    std::vector<std::string> ::const_iterator _iter437;
+    for (_iter437 = this->learners.begin(); _iter437 != this->learners.end(); ++_iter437)
     {
-      xfer += oprot->writeString((*_iter385));
+      xfer += oprot->writeString((*_iter437));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10994,54 +11694,54 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallSnapshot::InstallSnapshot(const InstallSnapshot& other386) {
-  term = other386.term;
-  lastIndex = other386.lastIndex;
-  lastTerm = other386.lastTerm;
-  data = other386.data;
-  voters = other386.voters;
-  learners = other386.learners;
-  member = other386.member;
-  group = other386.group;
-  round = other386.round;
-  __isset = other386.__isset;
-}
-InstallSnapshot::InstallSnapshot(InstallSnapshot&& other387) noexcept {
-  term = other387.term;
-  lastIndex = other387.lastIndex;
-  lastTerm = other387.lastTerm;
-  data = std::move(other387.data);
-  voters = std::move(other387.voters);
-  learners = std::move(other387.learners);
-  member = std::move(other387.member);
-  group = std::move(other387.group);
-  round = other387.round;
-  __isset = other387.__isset;
-}
-InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other388) {
-  term = other388.term;
-  lastIndex = other388.lastIndex;
-  lastTerm = other388.lastTerm;
-  data = other388.data;
-  voters = other388.voters;
-  learners = other388.learners;
-  member = other388.member;
-  group = other388.group;
-  round = other388.round;
-  __isset = other388.__isset;
+InstallSnapshot::InstallSnapshot(const InstallSnapshot& other438) {
+  term = other438.term;
+  lastIndex = other438.lastIndex;
+  lastTerm = other438.lastTerm;
+  data = other438.data;
+  voters = other438.voters;
+  learners = other438.learners;
+  member = other438.member;
+  group = other438.group;
+  round = other438.round;
+  __isset = other438.__isset;
+}
+InstallSnapshot::InstallSnapshot(InstallSnapshot&& other439) noexcept {
+  term = other439.term;
+  lastIndex = other439.lastIndex;
+  lastTerm = other439.lastTerm;
+  data = std::move(other439.data);
+  voters = std::move(other439.voters);
+  learners = std::move(other439.learners);
+  member = std::move(other439.member);
+  group = std::move(other439.group);
+  round = other439.round;
+  __isset = other439.__isset;
+}
+InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other440) {
+  term = other440.term;
+  lastIndex = other440.lastIndex;
+  lastTerm = other440.lastTerm;
+  data = other440.data;
+  voters = other440.voters;
+  learners = other440.learners;
+  member = other440.member;
+  group = other440.group;
+  round = other440.round;
+  __isset = other440.__isset;
   return *this;
 }
-InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other389) noexcept {
-  term = other389.term;
-  lastIndex = other389.lastIndex;
-  lastTerm = other389.lastTerm;
-  data = std::move(other389.data);
-  voters = std::move(other389.voters);
-  learners = std::move(other389.learners);
-  member = std::move(other389.member);
-  group = std::move(other389.group);
-  round = other389.round;
-  __isset = other389.__isset;
+InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other441) noexcept {
+  term = other441.term;
+  lastIndex = other441.lastIndex;
+  lastTerm = other441.lastTerm;
+  data = std::move(other441.data);
+  voters = std::move(other441.voters);
+  learners = std::move(other441.learners);
+  member = std::move(other441.member);
+  group = std::move(other441.group);
+  round = other441.round;
+  __isset = other441.__isset;
   return *this;
 }
 void InstallSnapshot::printTo(std::ostream& out) const {
@@ -11203,38 +11903,38 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallReply::InstallReply(const InstallReply& other390) {
-  term = other390.term;
-  lastIndex = other390.lastIndex;
-  member = other390.member;
-  group = other390.group;
-  round = other390.round;
-  __isset = other390.__isset;
+InstallReply::InstallReply(const InstallReply& other442) {
+  term = other442.term;
+  lastIndex = other442.lastIndex;
+  member = other442.member;
+  group = other442.group;
+  round = other442.round;
+  __isset = other442.__isset;
 }
-InstallReply::InstallReply(InstallReply&& other391) noexcept {
-  term = other391.term;
-  lastIndex = other391.lastIndex;
-  member = std::move(other391.member);
-  group = std::move(other391.group);
-  round = other391.round;
-  __isset = other391.__isset;
+InstallReply::InstallReply(InstallReply&& other443) noexcept {
+  term = other443.term;
+  lastIndex = other443.lastIndex;
+  member = std::move(other443.member);
+  group = std::move(other443.group);
+  round = other443.round;
+  __isset = other443.__isset;
 }
-InstallReply& InstallReply::operator=(const InstallReply& other392) {
-  term = other392.term;
-  lastIndex = other392.lastIndex;
-  member = other392.member;
-  group = other392.group;
-  round = other392.round;
-  __isset = other392.__isset;
+InstallReply& InstallReply::operator=(const InstallReply& other444) {
+  term = other444.term;
+  lastIndex = other444.lastIndex;
+  member = other444.member;
+  group = other444.group;
+  round = other444.round;
+  __isset = other444.__isset;
   return *this;
 }
-InstallReply& InstallReply::operator=(InstallReply&& other393) noexcept {
-  term = other393.term;
-  lastIndex = other393.lastIndex;
-  member = std::move(other393.member);
-  group = std::move(other393.group);
-  round = other393.round;
-  __isset = other393.__isset;
+InstallReply& InstallReply::operator=(InstallReply&& other445) noexcept {
+  term = other445.term;
+  lastIndex = other445.lastIndex;
+  member = std::move(other445.member);
+  group = std::move(other445.group);
+  round = other445.round;
+  __isset = other445.__isset;
   return *this;
 }
 void InstallReply::printTo(std::ostream& out) const {
@@ -11324,22 +12024,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other394) noexcept {
-  term = other394.term;
-  __isset = other394.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other446) noexcept {
+  term = other446.term;
+  __isset = other446.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other395) noexcept {
-  term = other395.term;
-  __isset = other395.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other447) noexcept {
+  term = other447.term;
+  __isset = other447.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other396) noexcept {
-  term = other396.term;
-  __isset = other396.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other448) noexcept {
+  term = other448.term;
+  __isset = other448.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other397) noexcept {
-  term = other397.term;
-  __isset = other397.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other449) noexcept {
+  term = other449.term;
+  __isset = other449.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -11425,22 +12125,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SetConfig::SetConfig(const SetConfig& other398) {
-  file = other398.file;
-  __isset = other398.__isset;
+SetConfig::SetConfig(const SetConfig& other450) {
+  file = other450.file;
+  __isset = other450.__isset;
 }
-SetConfig::SetConfig(SetConfig&& other399) noexcept {
-  file = std::move(other399.file);
-  __isset = other399.__isset;
+SetConfig::SetConfig(SetConfig&& other451) noexcept {
+  file = std::move(other451.file);
+  __isset = other451.__isset;
 }
-SetConfig& SetConfig::operator=(const SetConfig& other400) {
-  file = other400.file;
-  __isset = other400.__isset;
+SetConfig& SetConfig::operator=(const SetConfig& other452) {
+  file = other452.file;
+  __isset = other452.__isset;
   return *this;
 }
-SetConfig& SetConfig::operator=(SetConfig&& other401) noexcept {
-  file = std::move(other401.file);
-  __isset = other401.__isset;
+SetConfig& SetConfig::operator=(SetConfig&& other453) noexcept {
+  file = std::move(other453.file);
+  __isset = other453.__isset;
   return *this;
 }
 void SetConfig::printTo(std::ostream& out) const {
@@ -11521,9 +12221,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast402;
-          xfer += iprot->readI32(ecast402);
-          this->role = static_cast<Role::type>(ecast402);
+          int32_t ecast454;
+          xfer += iprot->readI32(ecast454);
+          this->role = static_cast<Role::type>(ecast454);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -11632,46 +12332,46 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberJoin::MemberJoin(const MemberJoin& other403) {
-  id = other403.id;
-  role = other403.role;
-  address = other403.address;
-  failureDomain = other403.failureDomain;
-  server = other403.server;
-  atMs = other403.atMs;
-  replaces = other403.replaces;
-  __isset = other403.__isset;
+MemberJoin::MemberJoin(const MemberJoin& other455) {
+  id = other455.id;
+  role = other455.role;
+  address = other455.address;
+  failureDomain = other455.failureDomain;
+  server = other455.server;
+  atMs = other455.atMs;
+  replaces = other455.replaces;
+  __isset = other455.__isset;
 }
-MemberJoin::MemberJoin(MemberJoin&& other404) noexcept {
-  id = std::move(other404.id);
-  role = other404.role;
-  address = std::move(other404.address);
-  failureDomain = std::move(other404.failureDomain);
-  server = std::move(other404.server);
-  atMs = other404.atMs;
-  replaces = other404.replaces;
-  __isset = other404.__isset;
+MemberJoin::MemberJoin(MemberJoin&& other456) noexcept {
+  id = std::move(other456.id);
+  role = other456.role;
+  address = std::move(other456.address);
+  failureDomain = std::move(other456.failureDomain);
+  server = std::move(other456.server);
+  atMs = other456.atMs;
+  replaces = other456.replaces;
+  __isset = other456.__isset;
 }
-MemberJoin& MemberJoin::operator=(const MemberJoin& other405) {
-  id = other405.id;
-  role = other405.role;
-  address = other405.address;
-  failureDomain = other405.failureDomain;
-  server = other405.server;
-  atMs = other405.atMs;
-  replaces = other405.replaces;
-  __isset = other405.__isset;
+MemberJoin& MemberJoin::operator=(const MemberJoin& other457) {
+  id = other457.id;
+  role = other457.role;
+  address = other457.address;
+  failureDomain = other457.failureDomain;
+  server = other457.server;
+  atMs = other457.atMs;
+  replaces = other457.replaces;
+  __isset = other457.__isset;
   return *this;
 }
-MemberJoin& MemberJoin::operator=(MemberJoin&& other406) noexcept {
-  id = std::move(other406.id);
-  role = other406.role;
-  address = std::move(other406.address);
-  failureDomain = std::move(other406.failureDomain);
-  server = std::move(other406.server);
-  atMs = other406.atMs;
-  replaces = other406.replaces;
-  __isset = other406.__isset;
+MemberJoin& MemberJoin::operator=(MemberJoin&& other458) noexcept {
+  id = std::move(other458.id);
+  role = other458.role;
+  address = std::move(other458.address);
+  failureDomain = std::move(other458.failureDomain);
+  server = std::move(other458.server);
+  atMs = other458.atMs;
+  replaces = other458.replaces;
+  __isset = other458.__isset;
   return *this;
 }
 void MemberJoin::printTo(std::ostream& out) const {
@@ -11797,30 +12497,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberGone::MemberGone(const MemberGone& other407) {
-  id = other407.id;
-  planned = other407.planned;
-  atMs = other407.atMs;
-  __isset = other407.__isset;
+MemberGone::MemberGone(const MemberGone& other459) {
+  id = other459.id;
+  planned = other459.planned;
+  atMs = other459.atMs;
+  __isset = other459.__isset;
 }
-MemberGone::MemberGone(MemberGone&& other408) noexcept {
-  id = std::move(other408.id);
-  planned = other408.planned;
-  atMs = other408.atMs;
-  __isset = other408.__isset;
+MemberGone::MemberGone(MemberGone&& other460) noexcept {
+  id = std::move(other460.id);
+  planned = other460.planned;
+  atMs = other460.atMs;
+  __isset = other460.__isset;
 }
-MemberGone& MemberGone::operator=(const MemberGone& other409) {
-  id = other409.id;
-  planned = other409.planned;
-  atMs = other409.atMs;
-  __isset = other409.__isset;
+MemberGone& MemberGone::operator=(const MemberGone& other461) {
+  id = other461.id;
+  planned = other461.planned;
+  atMs = other461.atMs;
+  __isset = other461.__isset;
   return *this;
 }
-MemberGone& MemberGone::operator=(MemberGone&& other410) noexcept {
-  id = std::move(other410.id);
-  planned = other410.planned;
-  atMs = other410.atMs;
-  __isset = other410.__isset;
+MemberGone& MemberGone::operator=(MemberGone&& other462) noexcept {
+  id = std::move(other462.id);
+  planned = other462.planned;
+  atMs = other462.atMs;
+  __isset = other462.__isset;
   return *this;
 }
 void MemberGone::printTo(std::ostream& out) const {
@@ -11908,22 +12608,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberLeaving::MemberLeaving(const MemberLeaving& other411) {
-  id = other411.id;
-  __isset = other411.__isset;
+MemberLeaving::MemberLeaving(const MemberLeaving& other463) {
+  id = other463.id;
+  __isset = other463.__isset;
 }
-MemberLeaving::MemberLeaving(MemberLeaving&& other412) noexcept {
-  id = std::move(other412.id);
-  __isset = other412.__isset;
+MemberLeaving::MemberLeaving(MemberLeaving&& other464) noexcept {
+  id = std::move(other464.id);
+  __isset = other464.__isset;
 }
-MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other413) {
-  id = other413.id;
-  __isset = other413.__isset;
+MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other465) {
+  id = other465.id;
+  __isset = other465.__isset;
   return *this;
 }
-MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other414) noexcept {
-  id = std::move(other414.id);
-  __isset = other414.__isset;
+MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other466) noexcept {
+  id = std::move(other466.id);
+  __isset = other466.__isset;
   return *this;
 }
 void MemberLeaving::printTo(std::ostream& out) const {
@@ -12060,34 +12760,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderWhole::HolderWhole(const HolderWhole& other415) {
-  cell = other415.cell;
-  epoch = other415.epoch;
-  holder = other415.holder;
-  viewVersion = other415.viewVersion;
-  __isset = other415.__isset;
-}
-HolderWhole::HolderWhole(HolderWhole&& other416) noexcept {
-  cell = other416.cell;
-  epoch = other416.epoch;
-  holder = std::move(other416.holder);
-  viewVersion = other416.viewVersion;
-  __isset = other416.__isset;
-}
-HolderWhole& HolderWhole::operator=(const HolderWhole& other417) {
-  cell = other417.cell;
-  epoch = other417.epoch;
-  holder = other417.holder;
-  viewVersion = other417.viewVersion;
-  __isset = other417.__isset;
-  return *this;
-}
-HolderWhole& HolderWhole::operator=(HolderWhole&& other418) noexcept {
-  cell = other418.cell;
-  epoch = other418.epoch;
-  holder = std::move(other418.holder);
-  viewVersion = other418.viewVersion;
-  __isset = other418.__isset;
+HolderWhole::HolderWhole(const HolderWhole& other467) {
+  cell = other467.cell;
+  epoch = other467.epoch;
+  holder = other467.holder;
+  viewVersion = other467.viewVersion;
+  __isset = other467.__isset;
+}
+HolderWhole::HolderWhole(HolderWhole&& other468) noexcept {
+  cell = other468.cell;
+  epoch = other468.epoch;
+  holder = std::move(other468.holder);
+  viewVersion = other468.viewVersion;
+  __isset = other468.__isset;
+}
+HolderWhole& HolderWhole::operator=(const HolderWhole& other469) {
+  cell = other469.cell;
+  epoch = other469.epoch;
+  holder = other469.holder;
+  viewVersion = other469.viewVersion;
+  __isset = other469.__isset;
+  return *this;
+}
+HolderWhole& HolderWhole::operator=(HolderWhole&& other470) noexcept {
+  cell = other470.cell;
+  epoch = other470.epoch;
+  holder = std::move(other470.holder);
+  viewVersion = other470.viewVersion;
+  __isset = other470.__isset;
   return *this;
 }
 void HolderWhole::printTo(std::ostream& out) const {
@@ -12227,34 +12927,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HandOver::HandOver(const HandOver& other419) {
-  cell = other419.cell;
-  epoch = other419.epoch;
-  previousOwner = other419.previousOwner;
-  atMs = other419.atMs;
-  __isset = other419.__isset;
+HandOver::HandOver(const HandOver& other471) {
+  cell = other471.cell;
+  epoch = other471.epoch;
+  previousOwner = other471.previousOwner;
+  atMs = other471.atMs;
+  __isset = other471.__isset;
 }
-HandOver::HandOver(HandOver&& other420) noexcept {
-  cell = other420.cell;
-  epoch = other420.epoch;
-  previousOwner = std::move(other420.previousOwner);
-  atMs = other420.atMs;
-  __isset = other420.__isset;
+HandOver::HandOver(HandOver&& other472) noexcept {
+  cell = other472.cell;
+  epoch = other472.epoch;
+  previousOwner = std::move(other472.previousOwner);
+  atMs = other472.atMs;
+  __isset = other472.__isset;
 }
-HandOver& HandOver::operator=(const HandOver& other421) {
-  cell = other421.cell;
-  epoch = other421.epoch;
-  previousOwner = other421.previousOwner;
-  atMs = other421.atMs;
-  __isset = other421.__isset;
+HandOver& HandOver::operator=(const HandOver& other473) {
+  cell = other473.cell;
+  epoch = other473.epoch;
+  previousOwner = other473.previousOwner;
+  atMs = other473.atMs;
+  __isset = other473.__isset;
   return *this;
 }
-HandOver& HandOver::operator=(HandOver&& other422) noexcept {
-  cell = other422.cell;
-  epoch = other422.epoch;
-  previousOwner = std::move(other422.previousOwner);
-  atMs = other422.atMs;
-  __isset = other422.__isset;
+HandOver& HandOver::operator=(HandOver&& other474) noexcept {
+  cell = other474.cell;
+  epoch = other474.epoch;
+  previousOwner = std::move(other474.previousOwner);
+  atMs = other474.atMs;
+  __isset = other474.__isset;
   return *this;
 }
 void HandOver::printTo(std::ostream& out) const {
@@ -12311,14 +13011,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size423;
-            ::apache::thrift::protocol::TType _etype426;
-            xfer += iprot->readListBegin(_etype426, _size423);
-            this->voters.resize(_size423);
-            uint32_t _i427;
-            for (_i427 = 0; _i427 < _size423; ++_i427)
+            uint32_t _size475;
+            ::apache::thrift::protocol::TType _etype478;
+            xfer += iprot->readListBegin(_etype478, _size475);
+            this->voters.resize(_size475);
+            uint32_t _i479;
+            for (_i479 = 0; _i479 < _size475; ++_i479)
             {
-              xfer += iprot->readString(this->voters[_i427]);
+              xfer += iprot->readString(this->voters[_i479]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12331,14 +13031,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size428;
-            ::apache::thrift::protocol::TType _etype431;
-            xfer += iprot->readListBegin(_etype431, _size428);
-            this->learners.resize(_size428);
-            uint32_t _i432;
-            for (_i432 = 0; _i432 < _size428; ++_i432)
+            uint32_t _size480;
+            ::apache::thrift::protocol::TType _etype483;
+            xfer += iprot->readListBegin(_etype483, _size480);
+            this->learners.resize(_size480);
+            uint32_t _i484;
+            for (_i484 = 0; _i484 < _size480; ++_i484)
             {
-              xfer += iprot->readString(this->learners[_i432]);
+              xfer += iprot->readString(this->learners[_i484]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12367,10 +13067,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter433;
-    for (_iter433 = this->voters.begin(); _iter433 != this->voters.end(); ++_iter433)
+    std::vector<std::string> ::const_iterator _iter485;
+    for (_iter485 = this->voters.begin(); _iter485 != this->voters.end(); ++_iter485)
     {
-      xfer += oprot->writeString((*_iter433));
+      xfer += oprot->writeString((*_iter485));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12379,10 +13079,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter434;
-    for (_iter434 = this->learners.begin(); _iter434 != this->learners.end(); ++_iter434)
+    std::vector<std::string> ::const_iterator _iter486;
+    for (_iter486 = this->learners.begin(); _iter486 != this->learners.end(); ++_iter486)
     {
-      xfer += oprot->writeString((*_iter434));
+      xfer += oprot->writeString((*_iter486));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12400,26 +13100,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SetVoters::SetVoters(const SetVoters& other435) {
-  voters = other435.voters;
-  learners = other435.learners;
-  __isset = other435.__isset;
+SetVoters::SetVoters(const SetVoters& other487) {
+  voters = other487.voters;
+  learners = other487.learners;
+  __isset = other487.__isset;
 }
-SetVoters::SetVoters(SetVoters&& other436) noexcept {
-  voters = std::move(other436.voters);
-  learners = std::move(other436.learners);
-  __isset = other436.__isset;
+SetVoters::SetVoters(SetVoters&& other488) noexcept {
+  voters = std::move(other488.voters);
+  learners = std::move(other488.learners);
+  __isset = other488.__isset;
 }
-SetVoters& SetVoters::operator=(const SetVoters& other437) {
-  voters = other437.voters;
-  learners = other437.learners;
-  __isset = other437.__isset;
+SetVoters& SetVoters::operator=(const SetVoters& other489) {
+  voters = other489.voters;
+  learners = other489.learners;
+  __isset = other489.__isset;
   return *this;
 }
-SetVoters& SetVoters::operator=(SetVoters&& other438) noexcept {
-  voters = std::move(other438.voters);
-  learners = std::move(other438.learners);
-  __isset = other438.__isset;
+SetVoters& SetVoters::operator=(SetVoters&& other490) noexcept {
+  voters = std::move(other490.voters);
+  learners = std::move(other490.learners);
+  __isset = other490.__isset;
   return *this;
 }
 void SetVoters::printTo(std::ostream& out) const {
@@ -12641,50 +13341,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other439) {
-  setConfig = other439.setConfig;
-  memberJoin = other439.memberJoin;
-  memberGone = other439.memberGone;
-  memberLeaving = other439.memberLeaving;
-  holderWhole = other439.holderWhole;
-  handOver = other439.handOver;
-  setVoters = other439.setVoters;
-  noop = other439.noop;
-  __isset = other439.__isset;
-}
-Command::Command(Command&& other440) noexcept {
-  setConfig = std::move(other440.setConfig);
-  memberJoin = std::move(other440.memberJoin);
-  memberGone = std::move(other440.memberGone);
-  memberLeaving = std::move(other440.memberLeaving);
-  holderWhole = std::move(other440.holderWhole);
-  handOver = std::move(other440.handOver);
-  setVoters = std::move(other440.setVoters);
-  noop = other440.noop;
-  __isset = other440.__isset;
-}
-Command& Command::operator=(const Command& other441) {
-  setConfig = other441.setConfig;
-  memberJoin = other441.memberJoin;
-  memberGone = other441.memberGone;
-  memberLeaving = other441.memberLeaving;
-  holderWhole = other441.holderWhole;
-  handOver = other441.handOver;
-  setVoters = other441.setVoters;
-  noop = other441.noop;
-  __isset = other441.__isset;
+Command::Command(const Command& other491) {
+  setConfig = other491.setConfig;
+  memberJoin = other491.memberJoin;
+  memberGone = other491.memberGone;
+  memberLeaving = other491.memberLeaving;
+  holderWhole = other491.holderWhole;
+  handOver = other491.handOver;
+  setVoters = other491.setVoters;
+  noop = other491.noop;
+  __isset = other491.__isset;
+}
+Command::Command(Command&& other492) noexcept {
+  setConfig = std::move(other492.setConfig);
+  memberJoin = std::move(other492.memberJoin);
+  memberGone = std::move(other492.memberGone);
+  memberLeaving = std::move(other492.memberLeaving);
+  holderWhole = std::move(other492.holderWhole);
+  handOver = std::move(other492.handOver);
+  setVoters = std::move(other492.setVoters);
+  noop = other492.noop;
+  __isset = other492.__isset;
+}
+Command& Command::operator=(const Command& other493) {
+  setConfig = other493.setConfig;
+  memberJoin = other493.memberJoin;
+  memberGone = other493.memberGone;
+  memberLeaving = other493.memberLeaving;
+  holderWhole = other493.holderWhole;
+  handOver = other493.handOver;
+  setVoters = other493.setVoters;
+  noop = other493.noop;
+  __isset = other493.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other442) noexcept {
-  setConfig = std::move(other442.setConfig);
-  memberJoin = std::move(other442.memberJoin);
-  memberGone = std::move(other442.memberGone);
-  memberLeaving = std::move(other442.memberLeaving);
-  holderWhole = std::move(other442.holderWhole);
-  handOver = std::move(other442.handOver);
-  setVoters = std::move(other442.setVoters);
-  noop = other442.noop;
-  __isset = other442.__isset;
+Command& Command::operator=(Command&& other494) noexcept {
+  setConfig = std::move(other494.setConfig);
+  memberJoin = std::move(other494.memberJoin);
+  memberGone = std::move(other494.memberGone);
+  memberLeaving = std::move(other494.memberLeaving);
+  holderWhole = std::move(other494.holderWhole);
+  handOver = std::move(other494.handOver);
+  setVoters = std::move(other494.setVoters);
+  noop = other494.noop;
+  __isset = other494.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -12828,34 +13528,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other443) {
-  member = other443.member;
-  group = other443.group;
-  term = other443.term;
-  vote = other443.vote;
-  __isset = other443.__isset;
+HardState::HardState(const HardState& other495) {
+  member = other495.member;
+  group = other495.group;
+  term = other495.term;
+  vote = other495.vote;
+  __isset = other495.__isset;
 }
-HardState::HardState(HardState&& other444) noexcept {
-  member = std::move(other444.member);
-  group = std::move(other444.group);
-  term = other444.term;
-  vote = std::move(other444.vote);
-  __isset = other444.__isset;
+HardState::HardState(HardState&& other496) noexcept {
+  member = std::move(other496.member);
+  group = std::move(other496.group);
+  term = other496.term;
+  vote = std::move(other496.vote);
+  __isset = other496.__isset;
 }
-HardState& HardState::operator=(const HardState& other445) {
-  member = other445.member;
-  group = other445.group;
-  term = other445.term;
-  vote = other445.vote;
-  __isset = other445.__isset;
+HardState& HardState::operator=(const HardState& other497) {
+  member = other497.member;
+  group = other497.group;
+  term = other497.term;
+  vote = other497.vote;
+  __isset = other497.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other446) noexcept {
-  member = std::move(other446.member);
-  group = std::move(other446.group);
-  term = other446.term;
-  vote = std::move(other446.vote);
-  __isset = other446.__isset;
+HardState& HardState::operator=(HardState&& other498) noexcept {
+  member = std::move(other498.member);
+  group = std::move(other498.group);
+  term = other498.term;
+  vote = std::move(other498.vote);
+  __isset = other498.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -12933,14 +13633,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size447;
-            ::apache::thrift::protocol::TType _etype450;
-            xfer += iprot->readListBegin(_etype450, _size447);
-            this->entries.resize(_size447);
-            uint32_t _i451;
-            for (_i451 = 0; _i451 < _size447; ++_i451)
+            uint32_t _size499;
+            ::apache::thrift::protocol::TType _etype502;
+            xfer += iprot->readListBegin(_etype502, _size499);
+            this->entries.resize(_size499);
+            uint32_t _i503;
+            for (_i503 = 0; _i503 < _size499; ++_i503)
             {
-              xfer += this->entries[_i451].read(iprot);
+              xfer += this->entries[_i503].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12978,10 +13678,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter452;
-    for (_iter452 = this->entries.begin(); _iter452 != this->entries.end(); ++_iter452)
+    std::vector<LogEntry> ::const_iterator _iter504;
+    for (_iter504 = this->entries.begin(); _iter504 != this->entries.end(); ++_iter504)
     {
-      xfer += (*_iter452).write(oprot);
+      xfer += (*_iter504).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13000,30 +13700,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogRecord::LogRecord(const LogRecord& other453) {
-  state = other453.state;
-  truncateFrom = other453.truncateFrom;
-  entries = other453.entries;
-  __isset = other453.__isset;
+LogRecord::LogRecord(const LogRecord& other505) {
+  state = other505.state;
+  truncateFrom = other505.truncateFrom;
+  entries = other505.entries;
+  __isset = other505.__isset;
 }
-LogRecord::LogRecord(LogRecord&& other454) noexcept {
-  state = std::move(other454.state);
-  truncateFrom = other454.truncateFrom;
-  entries = std::move(other454.entries);
-  __isset = other454.__isset;
+LogRecord::LogRecord(LogRecord&& other506) noexcept {
+  state = std::move(other506.state);
+  truncateFrom = other506.truncateFrom;
+  entries = std::move(other506.entries);
+  __isset = other506.__isset;
 }
-LogRecord& LogRecord::operator=(const LogRecord& other455) {
-  state = other455.state;
-  truncateFrom = other455.truncateFrom;
-  entries = other455.entries;
-  __isset = other455.__isset;
+LogRecord& LogRecord::operator=(const LogRecord& other507) {
+  state = other507.state;
+  truncateFrom = other507.truncateFrom;
+  entries = other507.entries;
+  __isset = other507.__isset;
   return *this;
 }
-LogRecord& LogRecord::operator=(LogRecord&& other456) noexcept {
-  state = std::move(other456.state);
-  truncateFrom = other456.truncateFrom;
-  entries = std::move(other456.entries);
-  __isset = other456.__isset;
+LogRecord& LogRecord::operator=(LogRecord&& other508) noexcept {
+  state = std::move(other508.state);
+  truncateFrom = other508.truncateFrom;
+  entries = std::move(other508.entries);
+  __isset = other508.__isset;
   return *this;
 }
 void LogRecord::printTo(std::ostream& out) const {
@@ -13075,14 +13775,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size457;
-            ::apache::thrift::protocol::TType _etype460;
-            xfer += iprot->readListBegin(_etype460, _size457);
-            this->records.resize(_size457);
-            uint32_t _i461;
-            for (_i461 = 0; _i461 < _size457; ++_i461)
+            uint32_t _size509;
+            ::apache::thrift::protocol::TType _etype512;
+            xfer += iprot->readListBegin(_etype512, _size509);
+            this->records.resize(_size509);
+            uint32_t _i513;
+            for (_i513 = 0; _i513 < _size509; ++_i513)
             {
-              xfer += this->records[_i461].read(iprot);
+              xfer += this->records[_i513].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13111,10 +13811,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<LogRecord> ::const_iterator _iter462;
-    for (_iter462 = this->records.begin(); _iter462 != this->records.end(); ++_iter462)
+    std::vector<LogRecord> ::const_iterator _iter514;
+    for (_iter514 = this->records.begin(); _iter514 != this->records.end(); ++_iter514)
     {
-      xfer += (*_iter462).write(oprot);
+      xfer += (*_iter514).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13131,22 +13831,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LogFrame::LogFrame(const LogFrame& other463) {
-  records = other463.records;
-  __isset = other463.__isset;
+LogFrame::LogFrame(const LogFrame& other515) {
+  records = other515.records;
+  __isset = other515.__isset;
 }
-LogFrame::LogFrame(LogFrame&& other464) noexcept {
-  records = std::move(other464.records);
-  __isset = other464.__isset;
+LogFrame::LogFrame(LogFrame&& other516) noexcept {
+  records = std::move(other516.records);
+  __isset = other516.__isset;
 }
-LogFrame& LogFrame::operator=(const LogFrame& other465) {
-  records = other465.records;
-  __isset = other465.__isset;
+LogFrame& LogFrame::operator=(const LogFrame& other517) {
+  records = other517.records;
+  __isset = other517.__isset;
   return *this;
 }
-LogFrame& LogFrame::operator=(LogFrame&& other466) noexcept {
-  records = std::move(other466.records);
-  __isset = other466.__isset;
+LogFrame& LogFrame::operator=(LogFrame&& other518) noexcept {
+  records = std::move(other518.records);
+  __isset = other518.__isset;
   return *this;
 }
 void LogFrame::printTo(std::ostream& out) const {
@@ -13228,14 +13928,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size467;
-            ::apache::thrift::protocol::TType _etype470;
-            xfer += iprot->readListBegin(_etype470, _size467);
-            this->voters.resize(_size467);
-            uint32_t _i471;
-            for (_i471 = 0; _i471 < _size467; ++_i471)
+            uint32_t _size519;
+            ::apache::thrift::protocol::TType _etype522;
+            xfer += iprot->readListBegin(_etype522, _size519);
+            this->voters.resize(_size519);
+            uint32_t _i523;
+            for (_i523 = 0; _i523 < _size519; ++_i523)
             {
-              xfer += iprot->readString(this->voters[_i471]);
+              xfer += iprot->readString(this->voters[_i523]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13248,14 +13948,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size472;
-            ::apache::thrift::protocol::TType _etype475;
-            xfer += iprot->readListBegin(_etype475, _size472);
-            this->learners.resize(_size472);
-            uint32_t _i476;
-            for (_i476 = 0; _i476 < _size472; ++_i476)
+            uint32_t _size524;
+            ::apache::thrift::protocol::TType _etype527;
+            xfer += iprot->readListBegin(_etype527, _size524);
+            this->learners.resize(_size524);
+            uint32_t _i528;
+            for (_i528 = 0; _i528 < _size524; ++_i528)
             {
-              xfer += iprot->readString(this->learners[_i476]);
+              xfer += iprot->readString(this->learners[_i528]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13300,10 +14000,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter477;
-    for (_iter477 = this->voters.begin(); _iter477 != this->voters.end(); ++_iter477)
+    std::vector<std::string> ::const_iterator _iter529;
+    for (_iter529 = this->voters.begin(); _iter529 != this->voters.end(); ++_iter529)
     {
-      xfer += oprot->writeString((*_iter477));
+      xfer += oprot->writeString((*_iter529));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13312,10 +14012,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter478;
-    for (_iter478 = this->learners.begin(); _iter478 != this->learners.end(); ++_iter478)
+    std::vector<std::string> ::const_iterator _iter530;
+    for (_iter530 = this->learners.begin(); _iter530 != this->learners.end(); ++_iter530)
     {
-      xfer += oprot->writeString((*_iter478));
+      xfer += oprot->writeString((*_iter530));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13340,38 +14040,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotFile::SnapshotFile(const SnapshotFile& other479) {
-  lastIndex = other479.lastIndex;
-  lastTerm = other479.lastTerm;
-  voters = other479.voters;
-  learners = other479.learners;
-  data = other479.data;
-  __isset = other479.__isset;
-}
-SnapshotFile::SnapshotFile(SnapshotFile&& other480) noexcept {
-  lastIndex = other480.lastIndex;
-  lastTerm = other480.lastTerm;
-  voters = std::move(other480.voters);
-  learners = std::move(other480.learners);
-  data = std::move(other480.data);
-  __isset = other480.__isset;
-}
-SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other481) {
-  lastIndex = other481.lastIndex;
-  lastTerm = other481.lastTerm;
-  voters = other481.voters;
-  learners = other481.learners;
-  data = other481.data;
-  __isset = other481.__isset;
-  return *this;
-}
-SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other482) noexcept {
-  lastIndex = other482.lastIndex;
-  lastTerm = other482.lastTerm;
-  voters = std::move(other482.voters);
-  learners = std::move(other482.learners);
-  data = std::move(other482.data);
-  __isset = other482.__isset;
+SnapshotFile::SnapshotFile(const SnapshotFile& other531) {
+  lastIndex = other531.lastIndex;
+  lastTerm = other531.lastTerm;
+  voters = other531.voters;
+  learners = other531.learners;
+  data = other531.data;
+  __isset = other531.__isset;
+}
+SnapshotFile::SnapshotFile(SnapshotFile&& other532) noexcept {
+  lastIndex = other532.lastIndex;
+  lastTerm = other532.lastTerm;
+  voters = std::move(other532.voters);
+  learners = std::move(other532.learners);
+  data = std::move(other532.data);
+  __isset = other532.__isset;
+}
+SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other533) {
+  lastIndex = other533.lastIndex;
+  lastTerm = other533.lastTerm;
+  voters = other533.voters;
+  learners = other533.learners;
+  data = other533.data;
+  __isset = other533.__isset;
+  return *this;
+}
+SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other534) noexcept {
+  lastIndex = other534.lastIndex;
+  lastTerm = other534.lastTerm;
+  voters = std::move(other534.voters);
+  learners = std::move(other534.learners);
+  data = std::move(other534.data);
+  __isset = other534.__isset;
   return *this;
 }
 void SnapshotFile::printTo(std::ostream& out) const {
@@ -13495,30 +14195,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderRecord::HolderRecord(const HolderRecord& other483) {
-  name = other483.name;
-  since = other483.since;
-  whole = other483.whole;
-  __isset = other483.__isset;
+HolderRecord::HolderRecord(const HolderRecord& other535) {
+  name = other535.name;
+  since = other535.since;
+  whole = other535.whole;
+  __isset = other535.__isset;
 }
-HolderRecord::HolderRecord(HolderRecord&& other484) noexcept {
-  name = std::move(other484.name);
-  since = other484.since;
-  whole = other484.whole;
-  __isset = other484.__isset;
+HolderRecord::HolderRecord(HolderRecord&& other536) noexcept {
+  name = std::move(other536.name);
+  since = other536.since;
+  whole = other536.whole;
+  __isset = other536.__isset;
 }
-HolderRecord& HolderRecord::operator=(const HolderRecord& other485) {
-  name = other485.name;
-  since = other485.since;
-  whole = other485.whole;
-  __isset = other485.__isset;
+HolderRecord& HolderRecord::operator=(const HolderRecord& other537) {
+  name = other537.name;
+  since = other537.since;
+  whole = other537.whole;
+  __isset = other537.__isset;
   return *this;
 }
-HolderRecord& HolderRecord::operator=(HolderRecord&& other486) noexcept {
-  name = std::move(other486.name);
-  since = other486.since;
-  whole = other486.whole;
-  __isset = other486.__isset;
+HolderRecord& HolderRecord::operator=(HolderRecord&& other538) noexcept {
+  name = std::move(other538.name);
+  since = other538.since;
+  whole = other538.whole;
+  __isset = other538.__isset;
   return *this;
 }
 void HolderRecord::printTo(std::ostream& out) const {
@@ -13630,14 +14330,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size487;
-            ::apache::thrift::protocol::TType _etype490;
-            xfer += iprot->readListBegin(_etype490, _size487);
-            this->holders.resize(_size487);
-            uint32_t _i491;
-            for (_i491 = 0; _i491 < _size487; ++_i491)
+            uint32_t _size539;
+            ::apache::thrift::protocol::TType _etype542;
+            xfer += iprot->readListBegin(_etype542, _size539);
+            this->holders.resize(_size539);
+            uint32_t _i543;
+            for (_i543 = 0; _i543 < _size539; ++_i543)
             {
-              xfer += this->holders[_i491].read(iprot);
+              xfer += this->holders[_i543].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13706,10 +14406,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<HolderRecord> ::const_iterator _iter492;
-    for (_iter492 = this->holders.begin(); _iter492 != this->holders.end(); ++_iter492)
+    std::vector<HolderRecord> ::const_iterator _iter544;
+    for (_iter544 = this->holders.begin(); _iter544 != this->holders.end(); ++_iter544)
     {
-      xfer += (*_iter492).write(oprot);
+      xfer += (*_iter544).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13745,50 +14445,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CellRecord::CellRecord(const CellRecord& other493) {
-  cell = other493.cell;
-  serviceName = other493.serviceName;
-  epoch = other493.epoch;
-  owner = other493.owner;
-  holders = other493.holders;
-  floorMs = other493.floorMs;
-  routeVersion = other493.routeVersion;
-  agentsVersion = other493.agentsVersion;
-  __isset = other493.__isset;
-}
-CellRecord::CellRecord(CellRecord&& other494) noexcept {
-  cell = other494.cell;
-  serviceName = std::move(other494.serviceName);
-  epoch = other494.epoch;
-  owner = std::move(other494.owner);
-  holders = std::move(other494.holders);
-  floorMs = other494.floorMs;
-  routeVersion = other494.routeVersion;
-  agentsVersion = other494.agentsVersion;
-  __isset = other494.__isset;
-}
-CellRecord& CellRecord::operator=(const CellRecord& other495) {
-  cell = other495.cell;
-  serviceName = other495.serviceName;
-  epoch = other495.epoch;
-  owner = other495.owner;
-  holders = other495.holders;
-  floorMs = other495.floorMs;
-  routeVersion = other495.routeVersion;
-  agentsVersion = other495.agentsVersion;
-  __isset = other495.__isset;
-  return *this;
-}
-CellRecord& CellRecord::operator=(CellRecord&& other496) noexcept {
-  cell = other496.cell;
-  serviceName = std::move(other496.serviceName);
-  epoch = other496.epoch;
-  owner = std::move(other496.owner);
-  holders = std::move(other496.holders);
-  floorMs = other496.floorMs;
-  routeVersion = other496.routeVersion;
-  agentsVersion = other496.agentsVersion;
-  __isset = other496.__isset;
+CellRecord::CellRecord(const CellRecord& other545) {
+  cell = other545.cell;
+  serviceName = other545.serviceName;
+  epoch = other545.epoch;
+  owner = other545.owner;
+  holders = other545.holders;
+  floorMs = other545.floorMs;
+  routeVersion = other545.routeVersion;
+  agentsVersion = other545.agentsVersion;
+  __isset = other545.__isset;
+}
+CellRecord::CellRecord(CellRecord&& other546) noexcept {
+  cell = other546.cell;
+  serviceName = std::move(other546.serviceName);
+  epoch = other546.epoch;
+  owner = std::move(other546.owner);
+  holders = std::move(other546.holders);
+  floorMs = other546.floorMs;
+  routeVersion = other546.routeVersion;
+  agentsVersion = other546.agentsVersion;
+  __isset = other546.__isset;
+}
+CellRecord& CellRecord::operator=(const CellRecord& other547) {
+  cell = other547.cell;
+  serviceName = other547.serviceName;
+  epoch = other547.epoch;
+  owner = other547.owner;
+  holders = other547.holders;
+  floorMs = other547.floorMs;
+  routeVersion = other547.routeVersion;
+  agentsVersion = other547.agentsVersion;
+  __isset = other547.__isset;
+  return *this;
+}
+CellRecord& CellRecord::operator=(CellRecord&& other548) noexcept {
+  cell = other548.cell;
+  serviceName = std::move(other548.serviceName);
+  epoch = other548.epoch;
+  owner = std::move(other548.owner);
+  holders = std::move(other548.holders);
+  floorMs = other548.floorMs;
+  routeVersion = other548.routeVersion;
+  agentsVersion = other548.agentsVersion;
+  __isset = other548.__isset;
   return *this;
 }
 void CellRecord::printTo(std::ostream& out) const {
@@ -13883,9 +14583,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast497;
-          xfer += iprot->readI32(ecast497);
-          this->role = static_cast<Role::type>(ecast497);
+          int32_t ecast549;
+          xfer += iprot->readI32(ecast549);
+          this->role = static_cast<Role::type>(ecast549);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -14019,54 +14719,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other498) {
-  id = other498.id;
-  role = other498.role;
-  address = other498.address;
-  failureDomain = other498.failureDomain;
-  serviceName = other498.serviceName;
-  cell = other498.cell;
-  leaving = other498.leaving;
-  version = other498.version;
-  leaseVersion = other498.leaseVersion;
-  __isset = other498.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other499) noexcept {
-  id = std::move(other499.id);
-  role = other499.role;
-  address = std::move(other499.address);
-  failureDomain = std::move(other499.failureDomain);
-  serviceName = std::move(other499.serviceName);
-  cell = other499.cell;
-  leaving = other499.leaving;
-  version = other499.version;
-  leaseVersion = other499.leaseVersion;
-  __isset = other499.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other500) {
-  id = other500.id;
-  role = other500.role;
-  address = other500.address;
-  failureDomain = other500.failureDomain;
-  serviceName = other500.serviceName;
-  cell = other500.cell;
-  leaving = other500.leaving;
-  version = other500.version;
-  leaseVersion = other500.leaseVersion;
-  __isset = other500.__isset;
-  return *this;
-}
-MemberRecord& MemberRecord::operator=(MemberRecord&& other501) noexcept {
-  id = std::move(other501.id);
-  role = other501.role;
-  address = std::move(other501.address);
-  failureDomain = std::move(other501.failureDomain);
-  serviceName = std::move(other501.serviceName);
-  cell = other501.cell;
-  leaving = other501.leaving;
-  version = other501.version;
-  leaseVersion = other501.leaseVersion;
-  __isset = other501.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other550) {
+  id = other550.id;
+  role = other550.role;
+  address = other550.address;
+  failureDomain = other550.failureDomain;
+  serviceName = other550.serviceName;
+  cell = other550.cell;
+  leaving = other550.leaving;
+  version = other550.version;
+  leaseVersion = other550.leaseVersion;
+  __isset = other550.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other551) noexcept {
+  id = std::move(other551.id);
+  role = other551.role;
+  address = std::move(other551.address);
+  failureDomain = std::move(other551.failureDomain);
+  serviceName = std::move(other551.serviceName);
+  cell = other551.cell;
+  leaving = other551.leaving;
+  version = other551.version;
+  leaseVersion = other551.leaseVersion;
+  __isset = other551.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other552) {
+  id = other552.id;
+  role = other552.role;
+  address = other552.address;
+  failureDomain = other552.failureDomain;
+  serviceName = other552.serviceName;
+  cell = other552.cell;
+  leaving = other552.leaving;
+  version = other552.version;
+  leaseVersion = other552.leaseVersion;
+  __isset = other552.__isset;
+  return *this;
+}
+MemberRecord& MemberRecord::operator=(MemberRecord&& other553) noexcept {
+  id = std::move(other553.id);
+  role = other553.role;
+  address = std::move(other553.address);
+  failureDomain = std::move(other553.failureDomain);
+  serviceName = std::move(other553.serviceName);
+  cell = other553.cell;
+  leaving = other553.leaving;
+  version = other553.version;
+  leaseVersion = other553.leaseVersion;
+  __isset = other553.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -14148,14 +14848,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size502;
-            ::apache::thrift::protocol::TType _etype505;
-            xfer += iprot->readListBegin(_etype505, _size502);
-            this->history.resize(_size502);
-            uint32_t _i506;
-            for (_i506 = 0; _i506 < _size502; ++_i506)
+            uint32_t _size554;
+            ::apache::thrift::protocol::TType _etype557;
+            xfer += iprot->readListBegin(_etype557, _size554);
+            this->history.resize(_size554);
+            uint32_t _i558;
+            for (_i558 = 0; _i558 < _size554; ++_i558)
             {
-              xfer += this->history[_i506].read(iprot);
+              xfer += this->history[_i558].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14168,14 +14868,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size507;
-            ::apache::thrift::protocol::TType _etype510;
-            xfer += iprot->readListBegin(_etype510, _size507);
-            this->members.resize(_size507);
-            uint32_t _i511;
-            for (_i511 = 0; _i511 < _size507; ++_i511)
+            uint32_t _size559;
+            ::apache::thrift::protocol::TType _etype562;
+            xfer += iprot->readListBegin(_etype562, _size559);
+            this->members.resize(_size559);
+            uint32_t _i563;
+            for (_i563 = 0; _i563 < _size559; ++_i563)
             {
-              xfer += this->members[_i511].read(iprot);
+              xfer += this->members[_i563].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14188,14 +14888,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size512;
-            ::apache::thrift::protocol::TType _etype515;
-            xfer += iprot->readListBegin(_etype515, _size512);
-            this->cells.resize(_size512);
-            uint32_t _i516;
-            for (_i516 = 0; _i516 < _size512; ++_i516)
+            uint32_t _size564;
+            ::apache::thrift::protocol::TType _etype567;
+            xfer += iprot->readListBegin(_etype567, _size564);
+            this->cells.resize(_size564);
+            uint32_t _i568;
+            for (_i568 = 0; _i568 < _size564; ++_i568)
             {
-              xfer += this->cells[_i516].read(iprot);
+              xfer += this->cells[_i568].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14256,10 +14956,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<ConfigFile> ::const_iterator _iter517;
-    for (_iter517 = this->history.begin(); _iter517 != this->history.end(); ++_iter517)
+    std::vector<ConfigFile> ::const_iterator _iter569;
+    for (_iter569 = this->history.begin(); _iter569 != this->history.end(); ++_iter569)
     {
-      xfer += (*_iter517).write(oprot);
+      xfer += (*_iter569).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14268,10 +14968,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter518;
-    for (_iter518 = this->members.begin(); _iter518 != this->members.end(); ++_iter518)
+    std::vector<MemberRecord> ::const_iterator _iter570;
+    for (_iter570 = this->members.begin(); _iter570 != this->members.end(); ++_iter570)
     {
-      xfer += (*_iter518).write(oprot);
+      xfer += (*_iter570).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14280,10 +14980,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellRecord> ::const_iterator _iter519;
-    for (_iter519 = this->cells.begin(); _iter519 != this->cells.end(); ++_iter519)
+    std::vector<CellRecord> ::const_iterator _iter571;
+    for (_iter571 = this->cells.begin(); _iter571 != this->cells.end(); ++_iter571)
     {
-      xfer += (*_iter519).write(oprot);
+      xfer += (*_iter571).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14322,46 +15022,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlImage::ControlImage(const ControlImage& other520) {
-  history = other520.history;
-  members = other520.members;
-  cells = other520.cells;
-  nextCell = other520.nextCell;
-  configVersion = other520.configVersion;
-  routesVersion = other520.routesVersion;
-  entriesVersion = other520.entriesVersion;
-  __isset = other520.__isset;
-}
-ControlImage::ControlImage(ControlImage&& other521) noexcept {
-  history = std::move(other521.history);
-  members = std::move(other521.members);
-  cells = std::move(other521.cells);
-  nextCell = other521.nextCell;
-  configVersion = other521.configVersion;
-  routesVersion = other521.routesVersion;
-  entriesVersion = other521.entriesVersion;
-  __isset = other521.__isset;
-}
-ControlImage& ControlImage::operator=(const ControlImage& other522) {
-  history = other522.history;
-  members = other522.members;
-  cells = other522.cells;
-  nextCell = other522.nextCell;
-  configVersion = other522.configVersion;
-  routesVersion = other522.routesVersion;
-  entriesVersion = other522.entriesVersion;
-  __isset = other522.__isset;
-  return *this;
-}
-ControlImage& ControlImage::operator=(ControlImage&& other523) noexcept {
-  history = std::move(other523.history);
-  members = std::move(other523.members);
-  cells = std::move(other523.cells);
-  nextCell = other523.nextCell;
-  configVersion = other523.configVersion;
-  routesVersion = other523.routesVersion;
-  entriesVersion = other523.entriesVersion;
-  __isset = other523.__isset;
+ControlImage::ControlImage(const ControlImage& other572) {
+  history = other572.history;
+  members = other572.members;
+  cells = other572.cells;
+  nextCell = other572.nextCell;
+  configVersion = other572.configVersion;
+  routesVersion = other572.routesVersion;
+  entriesVersion = other572.entriesVersion;
+  __isset = other572.__isset;
+}
+ControlImage::ControlImage(ControlImage&& other573) noexcept {
+  history = std::move(other573.history);
+  members = std::move(other573.members);
+  cells = std::move(other573.cells);
+  nextCell = other573.nextCell;
+  configVersion = other573.configVersion;
+  routesVersion = other573.routesVersion;
+  entriesVersion = other573.entriesVersion;
+  __isset = other573.__isset;
+}
+ControlImage& ControlImage::operator=(const ControlImage& other574) {
+  history = other574.history;
+  members = other574.members;
+  cells = other574.cells;
+  nextCell = other574.nextCell;
+  configVersion = other574.configVersion;
+  routesVersion = other574.routesVersion;
+  entriesVersion = other574.entriesVersion;
+  __isset = other574.__isset;
+  return *this;
+}
+ControlImage& ControlImage::operator=(ControlImage&& other575) noexcept {
+  history = std::move(other575.history);
+  members = std::move(other575.members);
+  cells = std::move(other575.cells);
+  nextCell = other575.nextCell;
+  configVersion = other575.configVersion;
+  routesVersion = other575.routesVersion;
+  entriesVersion = other575.entriesVersion;
+  __isset = other575.__isset;
   return *this;
 }
 void ControlImage::printTo(std::ostream& out) const {
@@ -14522,6 +15222,16 @@
 __isset.taskReports = true;
 }
 
+void Message::__set_startsInDoubt(const StartsInDoubt& val) {
+  this->startsInDoubt = val;
+__isset.startsInDoubt = true;
+}
+
+void Message::__set_ordersElsewhere(const OrdersElsewhere& val) {
+  this->ordersElsewhere = val;
+__isset.ordersElsewhere = true;
+}
+
 void Message::__set_requestVote(const RequestVote& val) {
   this->requestVote = val;
 __isset.requestVote = true;
@@ -14808,6 +15518,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 55:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->startsInDoubt.read(iprot);
+          this->__isset.startsInDoubt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 56:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ordersElsewhere.read(iprot);
+          this->__isset.ordersElsewhere = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 40:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->requestVote.read(iprot);
@@ -15056,6 +15782,16 @@
     xfer += this->taskReports.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.startsInDoubt) {
+    xfer += oprot->writeFieldBegin("startsInDoubt", ::apache::thrift::protocol::T_STRUCT, 55);
+    xfer += this->startsInDoubt.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ordersElsewhere) {
+    xfer += oprot->writeFieldBegin("ordersElsewhere", ::apache::thrift::protocol::T_STRUCT, 56);
+    xfer += this->ordersElsewhere.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -15091,6 +15827,8 @@
   swap(a.runTasks, b.runTasks);
   swap(a.stopTasks, b.stopTasks);
   swap(a.taskReports, b.taskReports);
+  swap(a.startsInDoubt, b.startsInDoubt);
+  swap(a.ordersElsewhere, b.ordersElsewhere);
   swap(a.requestVote, b.requestVote);
   swap(a.voteReply, b.voteReply);
   swap(a.appendEntries, b.appendEntries);
