@@ -15101,158 +15839,166 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other524) {
-  submitJob = other524.submitJob;
-  cancelJob = other524.cancelJob;
-  queryJob = other524.queryJob;
-  jobReply = other524.jobReply;
-  notOwner = other524.notOwner;
-  recordBatch = other524.recordBatch;
-  recordSnapshot = other524.recordSnapshot;
-  recordAck = other524.recordAck;
-  startBatch = other524.startBatch;
-  cancelBatch = other524.cancelBatch;
-  resultAck = other524.resultAck;
-  fence = other524.fence;
-  agentHello = other524.agentHello;
-  resultBatch = other524.resultBatch;
-  startRefused = other524.startRefused;
-  agentState = other524.agentState;
-  memberHeartbeat = other524.memberHeartbeat;
-  heartbeatReply = other524.heartbeatReply;
-  clusterView = other524.clusterView;
-  applyConfig = other524.applyConfig;
-  applyReply = other524.applyReply;
-  controlQuery = other524.controlQuery;
-  controlAnswer = other524.controlAnswer;
-  hostReport = other524.hostReport;
-  hostContact = other524.hostContact;
-  runTasks = other524.runTasks;
-  stopTasks = other524.stopTasks;
-  taskReports = other524.taskReports;
-  requestVote = other524.requestVote;
-  voteReply = other524.voteReply;
-  appendEntries = other524.appendEntries;
-  appendReply = other524.appendReply;
-  installSnapshot = other524.installSnapshot;
-  installReply = other524.installReply;
-  timeoutNow = other524.timeoutNow;
-  __isset = other524.__isset;
-}
-Message::Message(Message&& other525) noexcept {
-  submitJob = std::move(other525.submitJob);
-  cancelJob = std::move(other525.cancelJob);
-  queryJob = std::move(other525.queryJob);
-  jobReply = std::move(other525.jobReply);
-  notOwner = std::move(other525.notOwner);
-  recordBatch = std::move(other525.recordBatch);
-  recordSnapshot = std::move(other525.recordSnapshot);
-  recordAck = std::move(other525.recordAck);
-  startBatch = std::move(other525.startBatch);
-  cancelBatch = std::move(other525.cancelBatch);
-  resultAck = std::move(other525.resultAck);
-  fence = std::move(other525.fence);
-  agentHello = std::move(other525.agentHello);
-  resultBatch = std::move(other525.resultBatch);
-  startRefused = std::move(other525.startRefused);
-  agentState = std::move(other525.agentState);
-  memberHeartbeat = std::move(other525.memberHeartbeat);
-  heartbeatReply = std::move(other525.heartbeatReply);
-  clusterView = std::move(other525.clusterView);
-  applyConfig = std::move(other525.applyConfig);
-  applyReply = std::move(other525.applyReply);
-  controlQuery = std::move(other525.controlQuery);
-  controlAnswer = std::move(other525.controlAnswer);
-  hostReport = std::move(other525.hostReport);
-  hostContact = std::move(other525.hostContact);
-  runTasks = std::move(other525.runTasks);
-  stopTasks = std::move(other525.stopTasks);
-  taskReports = std::move(other525.taskReports);
-  requestVote = std::move(other525.requestVote);
-  voteReply = std::move(other525.voteReply);
-  appendEntries = std::move(other525.appendEntries);
-  appendReply = std::move(other525.appendReply);
-  installSnapshot = std::move(other525.installSnapshot);
-  installReply = std::move(other525.installReply);
-  timeoutNow = std::move(other525.timeoutNow);
-  __isset = other525.__isset;
-}
-Message& Message::operator=(const Message& other526) {
-  submitJob = other526.submitJob;
-  cancelJob = other526.cancelJob;
-  queryJob = other526.queryJob;
-  jobReply = other526.jobReply;
-  notOwner = other526.notOwner;
-  recordBatch = other526.recordBatch;
-  recordSnapshot = other526.recordSnapshot;
-  recordAck = other526.recordAck;
-  startBatch = other526.startBatch;
-  cancelBatch = other526.cancelBatch;
-  resultAck = other526.resultAck;
-  fence = other526.fence;
-  agentHello = other526.agentHello;
-  resultBatch = other526.resultBatch;
-  startRefused = other526.startRefused;
-  agentState = other526.agentState;
-  memberHeartbeat = other526.memberHeartbeat;
-  heartbeatReply = other526.heartbeatReply;
-  clusterView = other526.clusterView;
-  applyConfig = other526.applyConfig;
-  applyReply = other526.applyReply;
-  controlQuery = other526.controlQuery;
-  controlAnswer = other526.controlAnswer;
-  hostReport = other526.hostReport;
-  hostContact = other526.hostContact;
-  runTasks = other526.runTasks;
-  stopTasks = other526.stopTasks;
-  taskReports = other526.taskReports;
-  requestVote = other526.requestVote;
-  voteReply = other526.voteReply;
-  appendEntries = other526.appendEntries;
-  appendReply = other526.appendReply;
-  installSnapshot = other526.installSnapshot;
-  installReply = other526.installReply;
-  timeoutNow = other526.timeoutNow;
-  __isset = other526.__isset;
-  return *this;
-}
-Message& Message::operator=(Message&& other527) noexcept {
-  submitJob = std::move(other527.submitJob);
-  cancelJob = std::move(other527.cancelJob);
-  queryJob = std::move(other527.queryJob);
-  jobReply = std::move(other527.jobReply);
-  notOwner = std::move(other527.notOwner);
-  recordBatch = std::move(other527.recordBatch);
-  recordSnapshot = std::move(other527.recordSnapshot);
-  recordAck = std::move(other527.recordAck);
-  startBatch = std::move(other527.startBatch);
-  cancelBatch = std::move(other527.cancelBatch);
-  resultAck = std::move(other527.resultAck);
-  fence = std::move(other527.fence);
-  agentHello = std::move(other527.agentHello);
-  resultBatch = std::move(other527.resultBatch);
-  startRefused = std::move(other527.startRefused);
-  agentState = std::move(other527.agentState);
-  memberHeartbeat = std::move(other527.memberHeartbeat);
-  heartbeatReply = std::move(other527.heartbeatReply);
-  clusterView = std::move(other527.clusterView);
-  applyConfig = std::move(other527.applyConfig);
-  applyReply = std::move(other527.applyReply);
-  controlQuery = std::move(other527.controlQuery);
-  controlAnswer = std::move(other527.controlAnswer);
-  hostReport = std::move(other527.hostReport);
-  hostContact = std::move(other527.hostContact);
-  runTasks = std::move(other527.runTasks);
-  stopTasks = std::move(other527.stopTasks);
-  taskReports = std::move(other527.taskReports);
-  requestVote = std::move(other527.requestVote);
-  voteReply = std::move(other527.voteReply);
-  appendEntries = std::move(other527.appendEntries);
-  appendReply = std::move(other527.appendReply);
-  installSnapshot = std::move(other527.installSnapshot);
-  installReply = std::move(other527.installReply);
-  timeoutNow = std::move(other527.timeoutNow);
-  __isset = other527.__isset;
+Message::Message(const Message& other576) {
+  submitJob = other576.submitJob;
+  cancelJob = other576.cancelJob;
+  queryJob = other576.queryJob;
+  jobReply = other576.jobReply;
+  notOwner = other576.notOwner;
+  recordBatch = other576.recordBatch;
+  recordSnapshot = other576.recordSnapshot;
+  recordAck = other576.recordAck;
+  startBatch = other576.startBatch;
+  cancelBatch = other576.cancelBatch;
+  resultAck = other576.resultAck;
+  fence = other576.fence;
+  agentHello = other576.agentHello;
+  resultBatch = other576.resultBatch;
+  startRefused = other576.startRefused;
+  agentState = other576.agentState;
+  memberHeartbeat = other576.memberHeartbeat;
+  heartbeatReply = other576.heartbeatReply;
+  clusterView = other576.clusterView;
+  applyConfig = other576.applyConfig;
+  applyReply = other576.applyReply;
+  controlQuery = other576.controlQuery;
+  controlAnswer = other576.controlAnswer;
+  hostReport = other576.hostReport;
+  hostContact = other576.hostContact;
+  runTasks = other576.runTasks;
+  stopTasks = other576.stopTasks;
+  taskReports = other576.taskReports;
+  startsInDoubt = other576.startsInDoubt;
+  ordersElsewhere = other576.ordersElsewhere;
+  requestVote = other576.requestVote;
+  voteReply = other576.voteReply;
+  appendEntries = other576.appendEntries;
+  appendReply = other576.appendReply;
+  installSnapshot = other576.installSnapshot;
+  installReply = other576.installReply;
+  timeoutNow = other576.timeoutNow;
+  __isset = other576.__isset;
+}
+Message::Message(Message&& other577) noexcept {
+  submitJob = std::move(other577.submitJob);
+  cancelJob = std::move(other577.cancelJob);
+  queryJob = std::move(other577.queryJob);
+  jobReply = std::move(other577.jobReply);
+  notOwner = std::move(other577.notOwner);
+  recordBatch = std::move(other577.recordBatch);
+  recordSnapshot = std::move(other577.recordSnapshot);
+  recordAck = std::move(other577.recordAck);
+  startBatch = std::move(other577.startBatch);
+  cancelBatch = std::move(other577.cancelBatch);
+  resultAck = std::move(other577.resultAck);
+  fence = std::move(other577.fence);
+  agentHello = std::move(other577.agentHello);
+  resultBatch = std::move(other577.resultBatch);
+  startRefused = std::move(other577.startRefused);
+  agentState = std::move(other577.agentState);
+  memberHeartbeat = std::move(other577.memberHeartbeat);
+  heartbeatReply = std::move(other577.heartbeatReply);
+  clusterView = std::move(other577.clusterView);
+  applyConfig = std::move(other577.applyConfig);
+  applyReply = std::move(other577.applyReply);
+  controlQuery = std::move(other577.controlQuery);
+  controlAnswer = std::move(other577.controlAnswer);
+  hostReport = std::move(other577.hostReport);
+  hostContact = std::move(other577.hostContact);
+  runTasks = std::move(other577.runTasks);
+  stopTasks = std::move(other577.stopTasks);
+  taskReports = std::move(other577.taskReports);
+  startsInDoubt = std::move(other577.startsInDoubt);
+  ordersElsewhere = std::move(other577.ordersElsewhere);
+  requestVote = std::move(other577.requestVote);
+  voteReply = std::move(other577.voteReply);
+  appendEntries = std::move(other577.appendEntries);
+  appendReply = std::move(other577.appendReply);
+  installSnapshot = std::move(other577.installSnapshot);
+  installReply = std::move(other577.installReply);
+  timeoutNow = std::move(other577.timeoutNow);
+  __isset = other577.__isset;
+}
+Message& Message::operator=(const Message& other578) {
+  submitJob = other578.submitJob;
+  cancelJob = other578.cancelJob;
+  queryJob = other578.queryJob;
+  jobReply = other578.jobReply;
+  notOwner = other578.notOwner;
+  recordBatch = other578.recordBatch;
+  recordSnapshot = other578.recordSnapshot;
+  recordAck = other578.recordAck;
+  startBatch = other578.startBatch;
+  cancelBatch = other578.cancelBatch;
+  resultAck = other578.resultAck;
+  fence = other578.fence;
+  agentHello = other578.agentHello;
+  resultBatch = other578.resultBatch;
+  startRefused = other578.startRefused;
+  agentState = other578.agentState;
+  memberHeartbeat = other578.memberHeartbeat;
+  heartbeatReply = other578.heartbeatReply;
+  clusterView = other578.clusterView;
+  applyConfig = other578.applyConfig;
+  applyReply = other578.applyReply;
+  controlQuery = other578.controlQuery;
+  controlAnswer = other578.controlAnswer;
+  hostReport = other578.hostReport;
+  hostContact = other578.hostContact;
+  runTasks = other578.runTasks;
+  stopTasks = other578.stopTasks;
+  taskReports = other578.taskReports;
+  startsInDoubt = other578.startsInDoubt;
+  ordersElsewhere = other578.ordersElsewhere;
+  requestVote = other578.requestVote;
+  voteReply = other578.voteReply;
+  appendEntries = other578.appendEntries;
+  appendReply = other578.appendReply;
+  installSnapshot = other578.installSnapshot;
+  installReply = other578.installReply;
+  timeoutNow = other578.timeoutNow;
+  __isset = other578.__isset;
+  return *this;
+}
+Message& Message::operator=(Message&& other579) noexcept {
+  submitJob = std::move(other579.submitJob);
+  cancelJob = std::move(other579.cancelJob);
+  queryJob = std::move(other579.queryJob);
+  jobReply = std::move(other579.jobReply);
+  notOwner = std::move(other579.notOwner);
+  recordBatch = std::move(other579.recordBatch);
+  recordSnapshot = std::move(other579.recordSnapshot);
+  recordAck = std::move(other579.recordAck);
+  startBatch = std::move(other579.startBatch);
+  cancelBatch = std::move(other579.cancelBatch);
+  resultAck = std::move(other579.resultAck);
+  fence = std::move(other579.fence);
+  agentHello = std::move(other579.agentHello);
+  resultBatch = std::move(other579.resultBatch);
+  startRefused = std::move(other579.startRefused);
+  agentState = std::move(other579.agentState);
+  memberHeartbeat = std::move(other579.memberHeartbeat);
+  heartbeatReply = std::move(other579.heartbeatReply);
+  clusterView = std::move(other579.clusterView);
+  applyConfig = std::move(other579.applyConfig);
+  applyReply = std::move(other579.applyReply);
+  controlQuery = std::move(other579.controlQuery);
+  controlAnswer = std::move(other579.controlAnswer);
+  hostReport = std::move(other579.hostReport);
+  hostContact = std::move(other579.hostContact);
+  runTasks = std::move(other579.runTasks);
+  stopTasks = std::move(other579.stopTasks);
+  taskReports = std::move(other579.taskReports);
+  startsInDoubt = std::move(other579.startsInDoubt);
+  ordersElsewhere = std::move(other579.ordersElsewhere);
+  requestVote = std::move(other579.requestVote);
+  voteReply = std::move(other579.voteReply);
+  appendEntries = std::move(other579.appendEntries);
+  appendReply = std::move(other579.appendReply);
+  installSnapshot = std::move(other579.installSnapshot);
+  installReply = std::move(other579.installReply);
+  timeoutNow = std::move(other579.timeoutNow);
+  __isset = other579.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -15286,6 +16032,8 @@
   out << ", " << "runTasks="; (__isset.runTasks ? (out << to_string(runTasks)) : (out << "<null>"));
   out << ", " << "stopTasks="; (__isset.stopTasks ? (out << to_string(stopTasks)) : (out << "<null>"));
   out << ", " << "taskReports="; (__isset.taskReports ? (out << to_string(taskReports)) : (out << "<null>"));
+  out << ", " << "startsInDoubt="; (__isset.startsInDoubt ? (out << to_string(startsInDoubt)) : (out << "<null>"));
+  out << ", " << "ordersElsewhere="; (__isset.ordersElsewhere ? (out << to_string(ordersElsewhere)) : (out << "<null>"));
   out << ", " << "requestVote="; (__isset.requestVote ? (out << to_string(requestVote)) : (out << "<null>"));
   out << ", " << "voteReply="; (__isset.voteReply ? (out << to_string(voteReply)) : (out << "<null>"));
   out << ", " << "appendEntries="; (__isset.appendEntries ? (out << to_string(appendEntries)) : (out << "<null>"));
@@ -15358,9 +16106,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast528;
-          xfer += iprot->readI32(ecast528);
-          this->role = static_cast<Role::type>(ecast528);
+          int32_t ecast580;
+          xfer += iprot->readI32(ecast580);
+          this->role = static_cast<Role::type>(ecast580);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -15386,14 +16134,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size529;
-            ::apache::thrift::protocol::TType _etype532;
-            xfer += iprot->readListBegin(_etype532, _size529);
-            this->messages.resize(_size529);
-            uint32_t _i533;
-            for (_i533 = 0; _i533 < _size529; ++_i533)
+            uint32_t _size581;
+            ::apache::thrift::protocol::TType _etype584;
+            xfer += iprot->readListBegin(_etype584, _size581);
+            this->messages.resize(_size581);
+            uint32_t _i585;
+            for (_i585 = 0; _i585 < _size581; ++_i585)
             {
-              xfer += this->messages[_i533].read(iprot);
+              xfer += this->messages[_i585].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15438,10 +16186,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<Message> ::const_iterator _iter534;
-    for (_iter534 = this->messages.begin(); _iter534 != this->messages.end(); ++_iter534)
+    std::vector<Message> ::const_iterator _iter586;
+    for (_iter586 = this->messages.begin(); _iter586 != this->messages.end(); ++_iter586)
     {
-      xfer += (*_iter534).write(oprot);
+      xfer += (*_iter586).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15462,38 +16210,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other535) {
-  sender = other535.sender;
-  role = other535.role;
-  address = other535.address;
-  configNumber = other535.configNumber;
-  messages = other535.messages;
-  __isset = other535.__isset;
-}
-Envelope::Envelope(Envelope&& other536) noexcept {
-  sender = std::move(other536.sender);
-  role = other536.role;
-  address = std::move(other536.address);
-  configNumber = other536.configNumber;
-  messages = std::move(other536.messages);
-  __isset = other536.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other537) {
-  sender = other537.sender;
-  role = other537.role;
-  address = other537.address;
-  configNumber = other537.configNumber;
-  messages = other537.messages;
-  __isset = other537.__isset;
-  return *this;
-}
-Envelope& Envelope::operator=(Envelope&& other538) noexcept {
-  sender = std::move(other538.sender);
-  role = other538.role;
-  address = std::move(other538.address);
-  configNumber = other538.configNumber;
-  messages = std::move(other538.messages);
-  __isset = other538.__isset;
+Envelope::Envelope(const Envelope& other587) {
+  sender = other587.sender;
+  role = other587.role;
+  address = other587.address;
+  configNumber = other587.configNumber;
+  messages = other587.messages;
+  __isset = other587.__isset;
+}
+Envelope::Envelope(Envelope&& other588) noexcept {
+  sender = std::move(other588.sender);
+  role = other588.role;
+  address = std::move(other588.address);
+  configNumber = other588.configNumber;
+  messages = std::move(other588.messages);
+  __isset = other588.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other589) {
+  sender = other589.sender;
+  role = other589.role;
+  address = other589.address;
+  configNumber = other589.configNumber;
+  messages = other589.messages;
+  __isset = other589.__isset;
+  return *this;
+}
+Envelope& Envelope::operator=(Envelope&& other590) noexcept {
+  sender = std::move(other590.sender);
+  role = other590.role;
+  address = std::move(other590.address);
+  configNumber = other590.configNumber;
+  messages = std::move(other590.messages);
+  __isset = other590.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -162,6 +162,12 @@
 
 class Resources;
 
+class TaskPlace;
+
+class JobInDoubt;
+
+class StartsInDoubt;
+
 class HostReport;
 
 class HostContact;
@@ -170,6 +176,8 @@
 
 class RunTasks;
 
+class OrdersElsewhere;
+
 class StopTasks;
 
 class TaskReport;
@@ -2281,8 +2289,168 @@
 
 std::ostream& operator<<(std::ostream& out, const Resources& obj);
 
+typedef struct _TaskPlace__isset {
+  _TaskPlace__isset() : host(false), hostIncarnation(false), indexes(false) {}
+  bool host :1;
+  bool hostIncarnation :1;
+  bool indexes :1;
+} _TaskPlace__isset;
+
+class TaskPlace : public virtual ::apache::thrift::TBase {
+ public:
+
+  TaskPlace(const TaskPlace&);
+  TaskPlace(TaskPlace&&) noexcept;
+  TaskPlace& operator=(const TaskPlace&);
+  TaskPlace& operator=(TaskPlace&&) noexcept;
+  TaskPlace() noexcept
+            : host(),
+              hostIncarnation(0) {
+  }
+
+  virtual ~TaskPlace() noexcept;
+  std::string host;
+  int64_t hostIncarnation;
+  std::vector<int32_t>  indexes;
+
+  _TaskPlace__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_hostIncarnation(const int64_t val);
+
+  void __set_indexes(const std::vector<int32_t> & val);
+
+  bool operator == (const TaskPlace & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(hostIncarnation == rhs.hostIncarnation))
+      return false;
+    if (!(indexes == rhs.indexes))
+      return false;
+    return true;
+  }
+  bool operator != (const TaskPlace &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TaskPlace & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TaskPlace &a, TaskPlace &b);
+
+std::ostream& operator<<(std::ostream& out, const TaskPlace& obj);
+
+typedef struct _JobInDoubt__isset {
+  _JobInDoubt__isset() : job(false), places(false), leftMicros(false) {}
+  bool job :1;
+  bool places :1;
+  bool leftMicros :1;
+} _JobInDoubt__isset;
+
+class JobInDoubt : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobInDoubt(const JobInDoubt&);
+  JobInDoubt(JobInDoubt&&) noexcept;
+  JobInDoubt& operator=(const JobInDoubt&);
+  JobInDoubt& operator=(JobInDoubt&&) noexcept;
+  JobInDoubt() noexcept
+             : job(),
+               leftMicros(0) {
+  }
+
+  virtual ~JobInDoubt() noexcept;
+  std::string job;
+  std::vector<TaskPlace>  places;
+  int64_t leftMicros;
+
+  _JobInDoubt__isset __isset;
+
+  void __set_job(const std::string& val);
+
+  void __set_places(const std::vector<TaskPlace> & val);
+
+  void __set_leftMicros(const int64_t val);
+
+  bool operator == (const JobInDoubt & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(places == rhs.places))
+      return false;
+    if (!(leftMicros == rhs.leftMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const JobInDoubt &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobInDoubt & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobInDoubt &a, JobInDoubt &b);
+
+std::ostream& operator<<(std::ostream& out, const JobInDoubt& obj);
+
+typedef struct _StartsInDoubt__isset {
+  _StartsInDoubt__isset() : jobs(false) {}
+  bool jobs :1;
+} _StartsInDoubt__isset;
+
+class StartsInDoubt : public virtual ::apache::thrift::TBase {
+ public:
+
+  StartsInDoubt(const StartsInDoubt&);
+  StartsInDoubt(StartsInDoubt&&) noexcept;
+  StartsInDoubt& operator=(const StartsInDoubt&);
+  StartsInDoubt& operator=(StartsInDoubt&&) noexcept;
+  StartsInDoubt() noexcept {
+  }
+
+  virtual ~StartsInDoubt() noexcept;
+  std::vector<JobInDoubt>  jobs;
+
+  _StartsInDoubt__isset __isset;
+
+  void __set_jobs(const std::vector<JobInDoubt> & val);
+
+  bool operator == (const StartsInDoubt & rhs) const
+  {
+    if (!(jobs == rhs.jobs))
+      return false;
+    return true;
+  }
+  bool operator != (const StartsInDoubt &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StartsInDoubt & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StartsInDoubt &a, StartsInDoubt &b);
+
+std::ostream& operator<<(std::ostream& out, const StartsInDoubt& obj);
+
 typedef struct _HostReport__isset {
-  _HostReport__isset() : serviceName(false), server(false), accepting(false), capacity(false), reserved(false), startDelayMicros(false), slowness(false), failureShare(false), labels(false), sentAtMicros(false), failureDomain(false), sequence(false) {}
+  _HostReport__isset() : serviceName(false), server(false), accepting(false), capacity(false), reserved(false), startDelayMicros(false), slowness(false), failureShare(false), labels(false), sentAtMicros(false), failureDomain(false), sequence(false), unanswered(false) {}
   bool serviceName :1;
   bool server :1;
   bool accepting :1;
@@ -2295,6 +2463,7 @@
   bool sentAtMicros :1;
   bool failureDomain :1;
   bool sequence :1;
+  bool unanswered :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -2329,6 +2498,7 @@
   int64_t sentAtMicros;
   std::string failureDomain;
   int64_t sequence;
+  std::vector<JobInDoubt>  unanswered;
 
   _HostReport__isset __isset;
 
@@ -2356,6 +2526,8 @@
 
   void __set_sequence(const int64_t val);
 
+  void __set_unanswered(const std::vector<JobInDoubt> & val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -2382,6 +2554,8 @@
       return false;
     if (!(sequence == rhs.sequence))
       return false;
+    if (!(unanswered == rhs.unanswered))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
@@ -2532,7 +2706,7 @@
 std::ostream& operator<<(std::ostream& out, const TaskOrder& obj);
 
 typedef struct _RunTasks__isset {
-  _RunTasks__isset() : hostIncarnation(false), heardAtMicros(false), job(false), spec(false), startWithinMicros(false), timeLeftMicros(false), priority(false), orders(false), serviceName(false), reportsSeen(false) {}
+  _RunTasks__isset() : hostIncarnation(false), heardAtMicros(false), job(false), spec(false), startWithinMicros(false), timeLeftMicros(false), priority(false), orders(false), serviceName(false), reportsSeen(false), elsewhere(false) {}
   bool hostIncarnation :1;
   bool heardAtMicros :1;
   bool job :1;
@@ -2543,6 +2717,7 @@
   bool orders :1;
   bool serviceName :1;
   bool reportsSeen :1;
+  bool elsewhere :1;
 } _RunTasks__isset;
 
 class RunTasks : public virtual ::apache::thrift::TBase {
@@ -2575,6 +2750,7 @@
   std::vector<TaskOrder>  orders;
   std::string serviceName;
   int64_t reportsSeen;
+  std::vector<TaskPlace>  elsewhere;
 
   _RunTasks__isset __isset;
 
@@ -2598,6 +2774,8 @@
 
   void __set_reportsSeen(const int64_t val);
 
+  void __set_elsewhere(const std::vector<TaskPlace> & val);
+
   bool operator == (const RunTasks & rhs) const
   {
     if (!(hostIncarnation == rhs.hostIncarnation))
@@ -2620,6 +2798,8 @@
       return false;
     if (!(reportsSeen == rhs.reportsSeen))
       return false;
+    if (!(elsewhere == rhs.elsewhere))
+      return false;
     return true;
   }
   bool operator != (const RunTasks &rhs) const {
@@ -2638,6 +2818,64 @@
 
 std::ostream& operator<<(std::ostream& out, const RunTasks& obj);
 
+typedef struct _OrdersElsewhere__isset {
+  _OrdersElsewhere__isset() : job(false), places(false), timeLeftMicros(false) {}
+  bool job :1;
+  bool places :1;
+  bool timeLeftMicros :1;
+} _OrdersElsewhere__isset;
+
+class OrdersElsewhere : public virtual ::apache::thrift::TBase {
+ public:
+
+  OrdersElsewhere(const OrdersElsewhere&);
+  OrdersElsewhere(OrdersElsewhere&&) noexcept;
+  OrdersElsewhere& operator=(const OrdersElsewhere&);
+  OrdersElsewhere& operator=(OrdersElsewhere&&) noexcept;
+  OrdersElsewhere() noexcept
+                  : job(),
+                    timeLeftMicros(0) {
+  }
+
+  virtual ~OrdersElsewhere() noexcept;
+  std::string job;
+  std::vector<TaskPlace>  places;
+  int64_t timeLeftMicros;
+
+  _OrdersElsewhere__isset __isset;
+
+  void __set_job(const std::string& val);
+
+  void __set_places(const std::vector<TaskPlace> & val);
+
+  void __set_timeLeftMicros(const int64_t val);
+
+  bool operator == (const OrdersElsewhere & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(places == rhs.places))
+      return false;
+    if (!(timeLeftMicros == rhs.timeLeftMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const OrdersElsewhere &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OrdersElsewhere & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OrdersElsewhere &a, OrdersElsewhere &b);
+
+std::ostream& operator<<(std::ostream& out, const OrdersElsewhere& obj);
+
 typedef struct _StopTasks__isset {
   _StopTasks__isset() : hostIncarnation(false), job(false), indexes(false) {}
   bool hostIncarnation :1;
@@ -5443,7 +5681,7 @@
 std::ostream& operator<<(std::ostream& out, const ControlImage& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : submitJob(false), cancelJob(false), queryJob(false), jobReply(false), notOwner(false), recordBatch(false), recordSnapshot(false), recordAck(false), startBatch(false), cancelBatch(false), resultAck(false), fence(false), agentHello(false), resultBatch(false), startRefused(false), agentState(false), memberHeartbeat(false), heartbeatReply(false), clusterView(false), applyConfig(false), applyReply(false), controlQuery(false), controlAnswer(false), hostReport(false), hostContact(false), runTasks(false), stopTasks(false), taskReports(false), requestVote(false), voteReply(false), appendEntries(false), appendReply(false), installSnapshot(false), installReply(false), timeoutNow(false) {}
+  _Message__isset() : submitJob(false), cancelJob(false), queryJob(false), jobReply(false), notOwner(false), recordBatch(false), recordSnapshot(false), recordAck(false), startBatch(false), cancelBatch(false), resultAck(false), fence(false), agentHello(false), resultBatch(false), startRefused(false), agentState(false), memberHeartbeat(false), heartbeatReply(false), clusterView(false), applyConfig(false), applyReply(false), controlQuery(false), controlAnswer(false), hostReport(false), hostContact(false), runTasks(false), stopTasks(false), taskReports(false), startsInDoubt(false), ordersElsewhere(false), requestVote(false), voteReply(false), appendEntries(false), appendReply(false), installSnapshot(false), installReply(false), timeoutNow(false) {}
   bool submitJob :1;
   bool cancelJob :1;
   bool queryJob :1;
@@ -5472,6 +5710,8 @@
   bool runTasks :1;
   bool stopTasks :1;
   bool taskReports :1;
+  bool startsInDoubt :1;
+  bool ordersElsewhere :1;
   bool requestVote :1;
   bool voteReply :1;
   bool appendEntries :1;
@@ -5520,6 +5760,8 @@
   RunTasks runTasks;
   StopTasks stopTasks;
   TaskReports taskReports;
+  StartsInDoubt startsInDoubt;
+  OrdersElsewhere ordersElsewhere;
   RequestVote requestVote;
   VoteReply voteReply;
   AppendEntries appendEntries;
@@ -5586,6 +5828,10 @@
 
   void __set_taskReports(const TaskReports& val);
 
+  void __set_startsInDoubt(const StartsInDoubt& val);
+
+  void __set_ordersElsewhere(const OrdersElsewhere& val);
+
   void __set_requestVote(const RequestVote& val);
 
   void __set_voteReply(const VoteReply& val);
@@ -5714,6 +5960,14 @@
       return false;
     else if (__isset.taskReports && !(taskReports == rhs.taskReports))
       return false;
+    if (__isset.startsInDoubt != rhs.__isset.startsInDoubt)
+      return false;
+    else if (__isset.startsInDoubt && !(startsInDoubt == rhs.startsInDoubt))
+      return false;
+    if (__isset.ordersElsewhere != rhs.__isset.ordersElsewhere)
+      return false;
+    else if (__isset.ordersElsewhere && !(ordersElsewhere == rhs.ordersElsewhere))
+      return false;
     if (__isset.requestVote != rhs.__isset.requestVote)
       return false;
     else if (__isset.requestVote && !(requestVote == rhs.requestVote))
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -26,6 +26,7 @@
     , options(std::move(options))
     , registrations(this->options.serverTimeout)
     , entries(this->options.entryLease, this->options.repeatInterval)
+    , witness(this->options.lateStartTime, this->options.entryLease)
 {
 }
 
@@ -43,6 +44,10 @@
         this->apply(*stop, incoming);
     } else if (const auto *contact = std::get_if<wire::HostContact>(&incoming.payload)) {
         this->apply(*contact, incoming);
+    } else if (const auto *starts = std::get_if<wire::StartsInDoubt>(&incoming.payload)) {
+        this->apply(*starts, incoming);
+    } else if (const auto *elsewhere = std::get_if<wire::OrdersElsewhere>(&incoming.payload)) {
+        this->apply(*elsewhere, incoming);
     }
     this->startWaitingTasks();
     this->sendReports();
@@ -50,11 +55,36 @@
 
 void HostCore::apply(const wire::HostContact &message, const IncomingMessage &incoming)
 {
+    this->greetNewEntry(incoming);
     if (message.hostIncarnation == this->options.self.incarnation) {
         this->entries.handleContact(incoming, message.heardAtMicros, message.reportsSeen, this->clock.now());
     }
 }
 
+void HostCore::apply(const wire::StartsInDoubt &message, const IncomingMessage &incoming)
+{
+    logEvent(component, "starts_in_doubt", {{"from", incoming.sender.name}, {"jobs", message.jobs.size()}});
+    this->sendToEntries(message);
+}
+
+void HostCore::apply(const wire::OrdersElsewhere &message, const IncomingMessage &incoming)
+{
+    this->witness.record(incoming.sender, message.job, message.places,
+                         this->clock.now() + Micros(message.timeLeftMicros));
+}
+
+void HostCore::greetNewEntry(const IncomingMessage &incoming)
+{
+    if (this->entries.isKnown(incoming.sender)) {
+        return;
+    }
+    wire::StartsInDoubt message;
+    message.jobs = this->witness.learned(this->clock.now());
+    if (!message.jobs.empty()) {
+        this->sink.send(incoming.address, std::move(message));
+    }
+}
+
 void HostCore::apply(const wire::RunTasks &message, const IncomingMessage &incoming)
 {
     const auto now = this->clock.now();
@@ -63,6 +93,7 @@
         return; // the reports of this process tell the entry that the earlier process no longer exists
     }
     const bool isLeaseValid = this->entries.handleContact(incoming, message.heardAtMicros, message.reportsSeen, now);
+    this->witness.record(incoming.sender, message.job, message.elsewhere, now + Micros(message.timeLeftMicros));
     const auto spec = std::make_shared<const std::string>(message.spec);
     std::int64_t maxEstimateMicros = 0;
     for (const auto &order : message.orders) {
@@ -96,7 +127,7 @@
     if (task.entry != entry || task.order != order.order) {
         return false;
     }
-    this->report(task, task.phase == Phase::Waiting ? wire::TaskPhase::QUEUED : wire::TaskPhase::RUNNING, {});
+    this->reportPhase(task);
     return true;
 }
 
@@ -146,8 +177,10 @@
     this->tasks.emplace(id, std::move(task));
     this->startWaitingTasks();
     if (const auto accepted = this->tasks.find(id); accepted != this->tasks.end()) {
-        const bool isWaiting = accepted->second.phase == Phase::Waiting;
-        this->report(accepted->second, isWaiting ? wire::TaskPhase::QUEUED : wire::TaskPhase::RUNNING, {});
+        // A run is reported once its start is known, since the entry must know which start orders may be late.
+        if (accepted->second.phase == Phase::Waiting) {
+            this->reportPhase(accepted->second);
+        }
     }
 }
 
@@ -194,6 +227,11 @@
     this->entries.addReport(task.entry, std::move(report));
 }
 
+void HostCore::reportPhase(const HostTask &task)
+{
+    this->report(task, task.isStarted ? wire::TaskPhase::RUNNING : wire::TaskPhase::QUEUED, {});
+}
+
 void HostCore::sendReports()
 {
     const auto now = this->clock.now();
@@ -259,7 +297,11 @@
 void HostCore::announce()
 {
     this->nextReport = this->clock.now() + this->options.reportInterval;
-    const auto report = this->hostReport();
+    auto report = this->hostReport();
+    // Each order is listed in two reports, since one may be lost.
+    report.unanswered = std::exchange(this->announcedUnanswered, std::exchange(this->unanswered, {}));
+    report.unanswered.insert(report.unanswered.end(), this->announcedUnanswered.begin(),
+                             this->announcedUnanswered.end());
     for (const auto &entry : this->link.view().entries) {
         auto message = report;
         message.sequence = ++this->reportSequence;
@@ -267,6 +309,24 @@
     }
 }
 
+void HostCore::sendToEntries(const wire::StartsInDoubt &message)
+{
+    this->witness.learn(message.jobs, this->clock.now());
+    for (const auto &entry : this->link.view().entries) {
+        this->sink.send(entry.address, message);
+    }
+}
+
+void HostCore::reportWitnessed()
+{
+    wire::StartsInDoubt message;
+    message.jobs = this->witness.takeLost(this->entries, this->clock.now());
+    if (!message.jobs.empty()) {
+        logEvent(component, "entry_lost_with_orders", {{"jobs", message.jobs.size()}});
+        this->sendToEntries(message);
+    }
+}
+
 // Implementation of CoreI.
 
 void HostCore::tick()
@@ -277,6 +337,7 @@
         const auto now = this->clock.now();
         this->applyDeferredRegistration();
         this->checkTasks();
+        this->reportWitnessed();
         this->sendDuePolls();
         this->startWaitingTasks();
         this->sendReports();
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -9,6 +9,7 @@
 #include "host_queue_p.h"
 #include "host_registration_p.h"
 #include "host_server_p.h"
+#include "host_witness_p.h"
 #include "member_link_p.h"
 
 #include <cstdint>
@@ -33,6 +34,7 @@
     Millis orderedStopTime {AGATEDRUM_HOST_ORDERED_STOP_MS};
     Millis serverTimeout {AGATEDRUM_SERVER_SILENT_MS};
     Millis startConfirmTimeout {AGATEDRUM_START_DOUBT_MS};
+    Millis lateStartTime {AGATEDRUM_LATE_START_MS};
 };
 
 /// Manages the capacity of one backend server that runs tasks with resource demands. Thread-safe.
@@ -89,6 +91,7 @@
         Time changedAt; ///< last change of the phase, or when the last stop was sent
         RunProgress progress;
         Time warnedAt; ///< when the entry was last warned that the task is expected to end late
+        bool isStarted = false; ///< the backend server has shown that it has started the run
         bool mustStop = false;
         std::optional<Time>
             mustEndBy; ///< set with mustStop; no lease is granted beyond this time until the run has ended
@@ -127,6 +130,8 @@
     void apply(const wire::RunTasks &message, const IncomingMessage &incoming);
     void apply(const wire::StopTasks &message, const IncomingMessage &incoming);
     void apply(const wire::HostContact &message, const IncomingMessage &incoming);
+    void apply(const wire::StartsInDoubt &message, const IncomingMessage &incoming);
+    void apply(const wire::OrdersElsewhere &message, const IncomingMessage &incoming);
     /// Returns true if this process already has the order; in that case reports the current phase of its task.
     bool handleDuplicate(const std::string &job, const wire::TaskOrder &order, const wire::ProcessId &entry);
     void acceptOrder(const wire::RunTasks &message, const wire::TaskOrder &order, const wire::ProcessId &entry,
@@ -135,9 +140,18 @@
                 const std::string &reason);
     void report(const HostTask &task, wire::TaskPhase::type phase, const std::string &reason, Micros runTime = {});
     void report(const HostTask &task, wire::TaskReport report);
+    /// Reports whether the run of a task that has not ended is known to have started.
+    void reportPhase(const HostTask &task);
+    void recordStarted(HostTask &task);
     void sendReports();
     /// Sends the host's report to all known entries.
     void announce();
+    /// Tells all known entries which tasks may still be started.
+    void sendToEntries(const wire::StartsInDoubt &message);
+    /// Reports the tasks of lost entries that were ordered at other hosts.
+    void reportWitnessed();
+    /// Tells an entry process that was not known before which tasks may still be started.
+    void greetNewEntry(const IncomingMessage &incoming);
     wire::HostReport hostReport() const;
 
     // Task life cycle.
@@ -237,6 +251,9 @@
     std::map<TaskName, LastRun> lastRuns; ///< highest run numbers of recent tasks
     HostQueue queue;
     HostEntries entries;
+    HostWitness witness;
+    std::vector<wire::JobInDoubt> unanswered; ///< start orders found to have no answer since the last announcement
+    std::vector<wire::JobInDoubt> announcedUnanswered; ///< those of the announcement before
     std::int64_t lastTaskId = 0;
     wire::Resources lastDemand; ///< demand of the last accepted order
     RunTimeEstimator runTimeEstimator;
--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -300,7 +300,7 @@
         auto &task = this->tasks.at(known->second);
         task.progress.observe(running.percent, this->clock.now());
         if (task.phase == Phase::Starting || task.phase == Phase::Unconfirmed) {
-            task.phase = Phase::Running;
+            this->recordStarted(task);
             task.changedAt = this->clock.now(); // a reply to an earlier poll may show the state before the start
             task.isStopSent = false;
             task.stopAcceptedAt.reset();
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -128,7 +128,7 @@
     }
     if (reply.outcome == OrderOutcome::Accepted) {
         ++this->counters.started;
-        task.phase = Phase::Running;
+        this->recordStarted(task);
         if (task.mustStop) {
             this->sendStop(id, task);
         }
@@ -146,6 +146,13 @@
     this->finish(id, wire::TaskPhase::REFUSED, outcomeName(reply.outcome));
 }
 
+void HostCore::recordStarted(HostTask &task)
+{
+    task.phase = Phase::Running;
+    task.isStarted = true;
+    this->reportPhase(task);
+}
+
 void HostCore::markUnconfirmed(HostTask &task)
 {
     const auto now = this->clock.now();
@@ -159,6 +166,17 @@
     task.changedAt = std::min(now, task.startedAt + this->options.startConfirmTimeout);
     this->mustRaiseFence = true;
     this->pollSchedule.recordLoss(now);
+    wire::TaskPlace place;
+    place.host = this->options.self.name;
+    place.hostIncarnation = this->options.self.incarnation;
+    place.indexes = {task.name.index};
+    wire::JobInDoubt job;
+    job.job = task.name.job;
+    job.places = {std::move(place)};
+    job.leftMicros = (task.startedAt + this->options.lateStartTime - now).count();
+    this->witness.learn({job}, now);
+    this->unanswered.push_back(std::move(job));
+    this->reportPhase(task);
 }
 
 void HostCore::stopTask(std::int64_t id, HostTask &task, Time mustEndBy, const std::string &reason)
--- a/src/host_entries.cpp
+++ b/src/host_entries.cpp
@@ -44,6 +44,12 @@
     return now < reportSentAt + this->lease;
 }
 
+bool HostEntries::isKnown(const wire::ProcessId &entry) const
+{
+    const auto found = this->entries.find(entry.name);
+    return found != this->entries.end() && found->second.id == entry;
+}
+
 bool HostEntries::hasLease(const wire::ProcessId &entry, Time now) const
 {
     return now < this->leaseEnd(entry);
--- a/src/host_entries_p.h
+++ b/src/host_entries_p.h
@@ -40,6 +40,8 @@
     /// Renews the lease from an echoed clock value and drops the acknowledged reports.
     /// @return false if the resulting lease has expired already, or if the sender has been replaced by a later process
     bool handleContact(const IncomingMessage &incoming, std::int64_t heardAtMicros, std::int64_t reportsSeen, Time now);
+    /// Returns true if the entry process has contacted the host and is its newest one of this name.
+    bool isKnown(const wire::ProcessId &entry) const;
     bool hasLease(const wire::ProcessId &entry, Time now) const;
     /// Returns the end of the entry's lease, or Time {} if the entry process is unknown or has been replaced.
     Time leaseEnd(const wire::ProcessId &entry) const;
--- a/src/wire_message.cpp
+++ b/src/wire_message.cpp
@@ -56,6 +56,8 @@
     AGATEDRUM_MEMBER(runTasks);
     AGATEDRUM_MEMBER(stopTasks);
     AGATEDRUM_MEMBER(taskReports);
+    AGATEDRUM_MEMBER(startsInDoubt);
+    AGATEDRUM_MEMBER(ordersElsewhere);
 #undef AGATEDRUM_MEMBER
 }
 
--- a/tests/run_callers.h
+++ b/tests/run_callers.h
@@ -39,6 +39,8 @@
     {
     }
 
+    int maxAttempts = 4; ///< number of submissions of one job
+
     /// Breaks the connections of all callers to an entry.
     void resetConnections(int entry)
     {
@@ -85,8 +87,6 @@
         bool isOver = false; ///< answered, broken or given up
     };
 
-    static constexpr int maxAttempts = 4;
-
     static RouteConfig route()
     {
         RouteConfig result;
@@ -141,7 +141,7 @@
             return;
         }
         request->isOver = true;
-        if (request->attempt < maxAttempts) {
+        if (request->attempt < this->maxAttempts) {
             this->timeline.after(resubmitDelay, [this, request] {
                 this->submit(request->job, (request->entry + 1) % this->entryCount, request->attempt + 1);
             });
--- a/tests/test_host.cpp
+++ b/tests/test_host.cpp
@@ -107,6 +107,7 @@
             host.sink.take();
             host.core.tick();
             host.receiveFromEntry(host.makeOrder("d", {7}, 500));
+            host.answerStart(3, OrderOutcome::Accepted);
             const auto reports = host.sink.all<wire::TaskReports>();
             REQUIRE(reports.back().host.startDelayMicros >= 25000);
         }
@@ -391,6 +392,7 @@
     HostFixture host;
     host.becomeAccepting();
     host.receiveFromEntry(host.makeOrder("a", {0}));
+    host.answerStart(0, OrderOutcome::Accepted);
     host.takeReports();
     host.clock.advance(Millis(AGATEDRUM_HOST_REPEAT_MS));
     host.renewLease();
@@ -417,6 +419,7 @@
         }
         host.sink.take();
         host.receiveFromEntry(host.makeOrder("b", {0}));
+        host.answerStart(1, OrderOutcome::Accepted);
         REQUIRE(host.takeReports().at(0).number > repeated.at(0).number);
     }
 }
--- a/tests/test_run_faults.cpp
+++ b/tests/test_run_faults.cpp
@@ -375,7 +375,10 @@
     }
     SECTION("a start order with its original lease")
     {
+        sim.callers.maxAttempts = 14; // entries start no task of the job elsewhere until its host is heard again
         loseHostWithLateStart(sim, false, Millis(9000));
+        sim.run(afterwards);
+        CHECK(sim.callers.answered(JobEnd::Completed) == 1);
     }
     SECTION("a start order whose token is lower than that of the restarted host")
     {
@@ -393,9 +396,9 @@
     checkSequences({});
 }
 
-// The same for all faults but the two that still lead to overlapping runs, so that the others stay guarded.
-TEST_CASE("No two runs of a task overlap in random faults without late grants and restarts of servers", "[run-faults]")
+// The same for all faults but the one that still leads to overlapping runs, so that the others stay guarded.
+TEST_CASE("No two runs of a task overlap in random sequences of faults without restarts of servers", "[run-faults]")
 {
     setLogLevel(LogLevel::Error);
-    checkSequences({RunFault::LateGrants, RunFault::ServerRestart});
+    checkSequences({RunFault::ServerRestart});
 }
