Derive the leases at a host from the time after which callers come again

What callers could see: two runs of one task on a deployment whose callers submit a lost job again sooner than 1172 ms. The entry's lease at a host (900 ms) and the time of a stop (200 ms) were constants that nothing compared with that time; their runs may last 1172 ms on a clock that is 2% slow, with 50 ms for the stop. The known deployments (1300 ms) are not affected.

The agent on a platform has the required setting callerRetryMs, which the template takes from the deployment. HostLeaseTerms::forCallerRetry() derives the lease of an entry, the stop time at its end and that of an ordered stop, so that all runs have ended before. The present constants are the maximum: 1300 ms gives 900, 200 and 800 ms as before, 1000 ms gives 730, 200 and 800 ms. Times below 867 ms are refused, since the lease would end after two lost reports.

Evidence: before, test-settings failed on each section of the new case that compiles ("callerRetryMs: unknown key", 8 assertions). Now test-settings, test-host-lease-terms (every time from 0 to 5000 ms), test-host, test-host-lease, test-host-trouble and test-host-holds pass, as do the case "A job is served through one entry and one host" of test-soak, whose agents need the setting, and the random sequences of test-run-faults without late grants and restarts of servers.

--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -186,10 +186,9 @@
 #define AGATEDRUM_HOST_REPORT_MS 200
 #endif
 
-/// Lease of an entry at a host: time for which the host runs the entry's tasks, counted from the sending of the last
-/// report that the entry has echoed, in milliseconds. This time plus AGATEDRUM_HOST_EXPIRY_STOP_MS, with 2% for the
-/// backend server's clock and 50 ms for its stop, must be shorter than the time after which callers resubmit a lost
-/// job.
+/// Maximum lease of an entry at a host: time for which the host runs the entry's tasks, counted from the sending of the
+/// last report that the entry has echoed, in milliseconds. It is shorter where callers resubmit a lost job so soon that
+/// it would not end before, see HostLeaseTerms.
 #ifndef AGATEDRUM_HOST_ENTRY_LEASE_MS
 #define AGATEDRUM_HOST_ENTRY_LEASE_MS 900
 #endif
@@ -201,8 +200,8 @@
 #endif
 
 /// Time in milliseconds after an entry's order to stop a run at which the run loses its lease at the backend server if
-/// it could not be stopped. The caller may have been told at the time of the order, so this time must be shorter than
-/// the time after which callers resubmit a lost job. A shorter time would end other runs there while answers are lost.
+/// it could not be stopped. The caller may have been told at the time of the order, so this time is shorter where
+/// callers resubmit a lost job sooner. A shorter time ends other runs there while answers are lost.
 #ifndef AGATEDRUM_HOST_ORDERED_STOP_MS
 #define AGATEDRUM_HOST_ORDERED_STOP_MS 800
 #endif
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -25,7 +25,7 @@
     , server(server)
     , options(std::move(options))
     , registrations(this->options.serverTimeout)
-    , entries(this->options.entryLease, this->options.repeatInterval)
+    , entries(this->options.leaseTerms.entryLease(), this->options.repeatInterval)
 {
 }
 
@@ -158,7 +158,7 @@
         if (message.hostIncarnation == this->options.self.incarnation && found != this->idByName.end()
             && this->tasks.at(found->second).entry == incoming.sender) {
             const auto id = found->second;
-            this->stopTask(id, this->tasks.at(id), this->clock.now() + this->options.orderedStopTime,
+            this->stopTask(id, this->tasks.at(id), this->clock.now() + this->options.leaseTerms.orderedStopTime(),
                            "stopped by the entry");
         }
     }
--- a/src/host_core_lease.cpp
+++ b/src/host_core_lease.cpp
@@ -7,8 +7,6 @@
 namespace {
 
 constexpr std::int64_t maxFenceStep = std::int64_t {1} << 40;
-constexpr int maxClockDriftPercent = 2; ///< by which the clock of a backend server may be slow
-constexpr Millis maxStopTime {50}; ///< time that a backend server takes to end a run
 
 } // namespace
 
@@ -54,7 +52,7 @@
     for (const auto &[id, task] : this->tasks) {
         // A waiting task counts as well: a lease never shortens, so its run would inherit a longer one.
         if (task.phase != Phase::ServerReplaced) {
-            const auto entryLimit = this->entries.leaseEnd(task.entry) + this->options.expiryStopTime;
+            const auto entryLimit = this->entries.leaseEnd(task.entry) + this->options.leaseTerms.expiryStopTime();
             limit = std::min({limit, entryLimit, task.mustEndBy.value_or(limit)});
         }
     }
@@ -64,7 +62,7 @@
 std::int64_t HostCore::grantLease(Time limit)
 {
     const auto now = this->clock.now();
-    const auto longest = (limit - now) * (100 + maxClockDriftPercent) / 100 + maxStopTime;
+    const auto longest = (limit - now) * (100 + maxServerClockDriftPercent) / 100 + maxServerStopTime;
     this->leaseGrantedUntil = std::max(this->leaseGrantedUntil, now + longest);
     return this->serverClock(limit);
 }
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -5,6 +5,7 @@
 #include "base_latency_p.h"
 #include "host_entries_p.h"
 #include "host_holds_p.h"
+#include "host_lease_terms_p.h"
 #include "host_progress_p.h"
 #include "host_queue_p.h"
 #include "host_registration_p.h"
@@ -26,11 +27,9 @@
 {
     wire::ProcessId self;
     Millis reportInterval {AGATEDRUM_HOST_REPORT_MS};
-    Millis entryLease {AGATEDRUM_HOST_ENTRY_LEASE_MS};
+    HostLeaseTerms leaseTerms;
     Millis repeatInterval {AGATEDRUM_HOST_REPEAT_MS};
     Millis taskLease {AGATEDRUM_SERVER_HOLD_MS};
-    Millis expiryStopTime {AGATEDRUM_HOST_EXPIRY_STOP_MS};
-    Millis orderedStopTime {AGATEDRUM_HOST_ORDERED_STOP_MS};
     Millis serverTimeout {AGATEDRUM_SERVER_SILENT_MS};
     Millis startConfirmTimeout {AGATEDRUM_START_DOUBT_MS};
 };
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -264,11 +264,13 @@
         if (!task.mustStop && !this->entries.hasLease(task.entry, now)) {
             ++this->counters.leasesExpired;
             const auto expiredAt = this->entries.leaseEnd(task.entry);
-            this->stopTask(id, task, expiredAt + this->options.expiryStopTime, "the lease of the entry has expired");
+            this->stopTask(id, task, expiredAt + this->options.leaseTerms.expiryStopTime(),
+                           "the lease of the entry has expired");
             continue;
         }
         if (!task.mustStop && now >= task.abandonAt) {
-            this->stopTask(id, task, task.abandonAt + this->options.expiryStopTime, "the caller's deadline has passed");
+            this->stopTask(id, task, task.abandonAt + this->options.leaseTerms.expiryStopTime(),
+                           "the caller's deadline has passed");
             continue;
         }
         const bool mayBeRunning = task.phase == Phase::Running || task.phase == Phase::Unconfirmed;
--- a/src/settings_process.cpp
+++ b/src/settings_process.cpp
@@ -115,6 +115,23 @@
     return seeds;
 }
 
+/// Reads the time after which callers submit a lost job again, and derives the terms of a host's leases from it.
+HostLeaseTerms readLeaseTerms(YamlReader &reader)
+{
+    const auto *const key = "callerRetryMs";
+    if (!reader.has(key)) {
+        reader.requiredInteger(key, 1, maxDurationMs);
+        return {};
+    }
+    const auto minRetry = HostLeaseTerms::minCallerRetry();
+    const auto terms = HostLeaseTerms::forCallerRetry(Millis(reader.integer(key, minRetry.count(), 1, maxDurationMs)));
+    if (!terms) {
+        reader.addError(
+            key, fmt::format("must be at least {}, since runs of a lost entry may last until then", minRetry.count()));
+    }
+    return terms.value_or(HostLeaseTerms());
+}
+
 void readPlatformKeys(YamlReader &reader, ProcessSettings &settings)
 {
     constexpr double maxFarFactor = 100;
@@ -134,6 +151,7 @@
         break;
     case wire::Role::AGENT:
         settings.registrations = readAddress(reader, "registrations");
+        settings.hostLease = readLeaseTerms(reader);
         break;
     case wire::Role::CONTROL:
         settings.operators = readAddress(reader, "operators");
@@ -260,6 +278,7 @@
                                                 {"readiness", "entry"},
                                                 {"farFactor", "entry"},
                                                 {"registrations", "agent"},
+                                                {"callerRetryMs", "agent"},
                                                 {"operators", "control"},
                                                 {"mayFormGroup", "control"},
                                                 {"maxVoters", "control"}};
--- a/src/settings_process_p.h
+++ b/src/settings_process_p.h
@@ -3,6 +3,7 @@
 #include "agatedrum/result.h"
 #include "base_log_p.h"
 #include "base_yaml_p.h"
+#include "host_lease_terms_p.h"
 #include "member_link_p.h"
 
 #include <string>
@@ -38,6 +39,7 @@
     wire::Endpoint callers; ///< entry on a platform: address for callers
     wire::Endpoint readiness; ///< entry on a platform: address for readiness checks
     wire::Endpoint registrations; ///< agent on a platform: address for the registration of its backend server
+    HostLeaseTerms hostLease; ///< agent on a platform: follows from the time after which callers submit a job again
     wire::Endpoint operators; ///< control on a platform: address for operators
 };
 
--- a/tests/host_fixture.h
+++ b/tests/host_fixture.h
@@ -50,9 +50,9 @@
     std::int64_t lastOrder = 0;
     std::vector<EndedTask> endedTasks;
 
-    HostFixture()
+    explicit HostFixture(const HostLeaseTerms &terms = {})
         : link(sink, clock, memberOptions())
-        , core(sink, clock, link, server, hostOptions())
+        , core(sink, clock, link, server, hostOptions(terms))
     {
     }
 
@@ -65,10 +65,11 @@
         options.control = {{"control-1", endpoint(43000)}};
         return options;
     }
-    static HostOptions hostOptions()
+    static HostOptions hostOptions(const HostLeaseTerms &terms)
     {
         HostOptions options;
         options.self = processId("host-1");
+        options.leaseTerms = terms;
         return options;
     }
 
--- a/tests/soak_cluster.h
+++ b/tests/soak_cluster.h
@@ -182,7 +182,7 @@
             file << fmt::format("operators: \"{}:{}\"\ndataFolder: {}/data-{}\nmayFormGroup: {}\n", host, operatorPort,
                                 this->folder, index, mayFormGroup);
         } else {
-            file << fmt::format("registrations: \"{}:{}\"\n", host, registrationPort);
+            file << fmt::format("registrations: \"{}:{}\"\ncallerRetryMs: 1300\n", host, registrationPort);
         }
     }
 
--- a/tests/test_host_lease.cpp
+++ b/tests/test_host_lease.cpp
@@ -13,7 +13,8 @@
 /// A host with one running task of entry-1. The backend server's clock and the entry's lease start at the same time.
 struct RunningTaskFixture : HostFixture
 {
-    RunningTaskFixture()
+    explicit RunningTaskFixture(const HostLeaseTerms &terms = {})
+        : HostFixture(terms)
     {
         this->becomeAccepting();
         this->receiveFromEntry(this->makeOrder("a", {0}));
@@ -303,3 +304,20 @@
         REQUIRE(refusals < 40);
     }
 }
+
+TEST_CASE("A host keeps to the terms that follow from the time after which callers submit a job again", "[host]")
+{
+    // Guards against a shorter time that is read from the settings but has no effect on the leases.
+    const auto terms = HostLeaseTerms::forCallerRetry(HostLeaseTerms::minCallerRetry());
+    REQUIRE(terms);
+    RunningTaskFixture host(*terms);
+    const auto lastEndMs = (terms->entryLease() + terms->expiryStopTime()).count();
+    while (host.clock.now() < host.startedAt + terms->entryLease() - Millis(60)) {
+        host.clock.advance(Millis(50));
+        REQUIRE(host.nextGrantMs() <= lastEndMs);
+    }
+    REQUIRE(host.server.stops.empty());
+    host.clock.advance(host.startedAt + terms->entryLease() - host.clock.now());
+    host.core.tick();
+    REQUIRE(host.server.stops.size() == 1);
+}
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -24,6 +24,15 @@
     return error(result).text();
 }
 
+/// Returns the settings of an agent on a platform whose callers submit a lost job again after a time.
+std::string platformAgent(const std::string &callerRetryLine)
+{
+    return "role: agent\ninterface: platform\nname: a\nfailureDomain: z\npeers: {host: 10.0.0.1, port: 7000}\n"
+           "http: {host: 10.0.0.1, port: 9103}\ncontrolSeeds: [\"10.0.0.2:7000\"]\ncontrolPort: 7000\n"
+           "registrations: \"10.0.0.1:7001\"\n"
+        + callerRetryLine;
+}
+
 } // namespace
 
 TEST_CASE("A settings file is validated completely", "[settings]")
@@ -80,3 +89,51 @@
         }
     }
 }
+
+// Guards against a host that runs tasks for a lost entry until after their callers have submitted them again.
+TEST_CASE("The leases of a host on a platform are compared with the time after which callers submit a job again",
+          "[settings]")
+{
+    SECTION("the terms follow from the time")
+    {
+        const auto result = parseSettings(platformAgent("callerRetryMs: 1000\n"));
+        INFO((isOk(result) ? "" : error(result).text()));
+        REQUIRE(isOk(result));
+        // 730 ms and 200 ms take less than 950 ms on a clock that is 2% slow; 50 ms are for the stop.
+        CHECK(value(result).hostLease.entryLease() == Millis(730));
+        CHECK(value(result).hostLease.expiryStopTime() == Millis(200));
+        CHECK(value(result).hostLease.orderedStopTime() == Millis(800));
+    }
+
+    SECTION("a missing time is refused")
+    {
+        CHECK_THAT(errorsOf(platformAgent("")), Catch::Contains("callerRetryMs: is required"));
+    }
+
+    SECTION("a time that is too short is refused with the shortest one")
+    {
+        CHECK_THAT(
+            errorsOf(platformAgent("callerRetryMs: 866\n")),
+            Catch::Contains("callerRetryMs: must be at least 867, since runs of a lost entry may last until then"));
+        CHECK(isOk(parseSettings(platformAgent("callerRetryMs: 867\n"))));
+    }
+
+    SECTION("a time that is not a positive number is refused")
+    {
+        CHECK_THAT(errorsOf(platformAgent("callerRetryMs: 0\n")),
+                   Catch::Contains("callerRetryMs: must be a whole number from 1"));
+        CHECK_THAT(errorsOf(platformAgent("callerRetryMs: soon\n")),
+                   Catch::Contains("callerRetryMs: must be a whole number from 1"));
+    }
+
+    SECTION("other roles do not have the setting")
+    {
+        CHECK_THAT(errorsOf(readFile("samples/settings/agent.yaml") + "callerRetryMs: 1300\n"),
+                   Catch::Contains("callerRetryMs: unknown key"));
+    }
+
+    SECTION("the template of the platform sets it")
+    {
+        CHECK_THAT(readFile("deploy/agent.yaml"), Catch::Contains("callerRetryMs: {{Bounds.RetryDelayMs}}"));
+    }
+}
