Check starts against capacities of backend servers that shrink and grow

The simulated backend servers of the run tests can change their capacity, and record each start that brings them over it: runs that are being stopped count, a shrunk capacity counts as soon as its registration has reached the host, and 4500 ms after the shrink in any case. Registrations that a frozen host reads after 1000 ms can be lost. The existing checks and sequences are unchanged; their starts are not checked against the capacity.

--- a/tests/run_callers.h
+++ b/tests/run_callers.h
@@ -56,6 +56,7 @@
         request->entry = entry;
         request->attempt = attempt;
         this->requests.push_back(request);
+        this->record.recordDemand(job.id, job.cpuMillis);
         this->trace(fmt::format("job {} is submitted at entry-{} (attempt {})", job.id, entry, attempt));
         if (!this->entries[entry]) {
             this->resubmitLater(request);
--- a/tests/run_faults.h
+++ b/tests/run_faults.h
@@ -4,7 +4,9 @@
 
 #include <array>
 #include <cmath>
+#include <deque>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -219,20 +221,55 @@
 struct RunSequenceResult
 {
     std::vector<std::string> violations;
+    std::vector<std::string> overloads;
     std::size_t runs = 0;
     int completed = 0;
     int unfinished = 0;
     std::size_t lapsed = 0;
 };
 
+/// Changes the capacity of each backend server at random times, to less or more than at its start or to none.
+class CapacityDriver
+{
+public:
+    CapacityDriver(RunSim &sim, std::uint64_t seed, int hostCount)
+        : sim(sim)
+    {
+        for (int host = 0; host < hostCount; ++host) {
+            this->randoms.emplace_back(seed * 100 + static_cast<std::uint64_t>(host));
+            this->scheduleNext(host);
+        }
+    }
+
+private:
+    void scheduleNext(int host)
+    {
+        auto &random = this->randoms[static_cast<std::size_t>(host)];
+        this->sim.timeline.after(random.drawBetween(Millis(300), Millis(8000)), [this, host, &random] {
+            constexpr std::array capacities {0, 2000, 4000, 8000, 12000, 16000, 16000, 24000};
+            this->sim.resizeServer(host, capacities.at(static_cast<std::size_t>(random.drawBelow(capacities.size()))));
+            this->scheduleNext(host);
+        });
+    }
+
+    RunSim &sim;
+    std::deque<RandomSource> randoms; ///< one for each host
+};
+
 /// Simulates a minute of jobs and random faults of the given kinds.
-inline RunSequenceResult runSequence(std::uint64_t seed, const RunFaults &kinds)
+/// @param changesCapacity whether the capacities of the backend servers change as well
+inline RunSequenceResult runSequence(std::uint64_t seed, const RunFaults &kinds, bool changesCapacity = false)
 {
     const int entryCount = 2 + static_cast<int>(seed % 2);
     const int hostCount = 3 + static_cast<int>(seed / 2 % 2);
     RunSim sim(seed, entryCount, hostCount);
     sim.servers.drawStopDelay = [&sim] { return sim.random.drawBetween(Millis(1), Millis(50)); };
     RunFaultDriver driver(sim, seed, kinds, entryCount, hostCount);
+    std::optional<CapacityDriver> capacityDriver;
+    if (changesCapacity) {
+        sim.losesLateRegistrations = true;
+        capacityDriver.emplace(sim, seed, hostCount);
+    }
     RandomSource callers(seed + 1000000);
     const auto endMs = sim.timeline.elapsedMs() + 60000;
     for (int i = 0; sim.timeline.elapsedMs() < endMs; ++i) {
@@ -243,6 +280,7 @@
     sim.run(Millis(12000)); // longer than all submissions of one job take
     RunSequenceResult result;
     result.violations = sim.record.violations;
+    result.overloads = sim.record.overloads;
     result.runs = sim.record.runs.size();
     result.completed = sim.callers.answered(JobEnd::Completed);
     result.unfinished = sim.callers.answered(JobEnd::Unfinished);
--- a/tests/run_server.h
+++ b/tests/run_server.h
@@ -68,6 +68,16 @@
                     fmt::format("run {} of {}/{} ends at {}: {}", run.number, run.task.job, run.task.index, run.server,
                                 outcome));
     }
+    /// Records the demand of each task of a job.
+    void recordDemand(const std::string &job, std::int64_t cpuMillis)
+    {
+        this->demands[job] = cpuMillis;
+    }
+    std::int64_t demandOf(const std::string &job) const
+    {
+        const auto found = this->demands.find(job);
+        return found == this->demands.end() ? 0 : found->second;
+    }
     /// Records that all submissions of the job were refused as not run.
     void recordRefusal(const std::string &job)
     {
@@ -92,13 +102,66 @@
 
     std::vector<Run> runs;
     std::vector<std::string> violations;
+    std::vector<std::string> overloads; ///< starts that brought a server over its capacity
 
 private:
+    std::map<std::string, std::int64_t> demands; ///< keyed by job, in thousandths of a core
     std::map<TaskName, std::set<std::size_t>> activeRuns;
     std::set<std::string> refusedJobs;
 };
 
-/// One instance of a simulated backend server. The spec of a job is the list of its tasks' work in milliseconds.
+/// The capacities that a simulated backend server has had. A larger one counts at once. An earlier one may be used for
+/// a limited time, but no longer once its host knows a later one.
+class CapacityHistory
+{
+public:
+    static constexpr Millis shrinkAllowance {4500}; ///< ContactMs and one interval of registrations
+
+    void change(std::int64_t cpuMillis, Time now)
+    {
+        this->entries.back().usableUntil = now + shrinkAllowance;
+        this->entries.push_back({cpuMillis, std::nullopt});
+    }
+    /// Records that a registration with the capacity of this number has arrived at the host.
+    void recordArrival(std::size_t number, Time now)
+    {
+        for (std::size_t i = 0; i < number; ++i) {
+            auto &until = this->entries[i].usableUntil;
+            until = std::min(until.value_or(now + orderTime), now + orderTime);
+        }
+    }
+    std::size_t newest() const
+    {
+        return this->entries.size() - 1;
+    }
+    std::int64_t cpuMillis() const
+    {
+        return this->entries.back().cpuMillis;
+    }
+    /// Returns the largest capacity that may be used now.
+    std::int64_t usable(Time now) const
+    {
+        std::int64_t largest = 0;
+        for (const auto &entry : this->entries) {
+            largest = !entry.usableUntil || now < *entry.usableUntil ? std::max(largest, entry.cpuMillis) : largest;
+        }
+        return largest;
+    }
+
+private:
+    struct Entry
+    {
+        std::int64_t cpuMillis = 0;
+        std::optional<Time> usableUntil; ///< none for the present capacity
+    };
+
+    static constexpr Millis orderTime {1}; ///< time that an order is on its way
+
+    std::vector<Entry> entries {{16000, std::nullopt}};
+};
+
+/// One instance of a simulated backend server. It does not guard its capacity. The spec of a job is the list of its
+/// tasks' work in milliseconds.
 ///
 /// Each order names the highest fencing token that its sender knows; orders with a lower one than seen do nothing. One
 /// lease covers all runs; it never shortens and is counted on the server's own clock, which starts at 0.
@@ -139,6 +202,7 @@
         run.workMs = workOf(order);
         run.key = this->record.begin(order.task, order.run, this->name(), this->timeline.elapsedMs());
         this->active.emplace(std::make_pair(order.task, order.run), run);
+        this->checkCapacity(order.task);
         return this->reply(OrderOutcome::Accepted);
     }
     /// @param delay time until the run has stopped
@@ -218,12 +282,17 @@
     {
         return fmt::format("{}@{}", this->ref.id, this->ref.startedAtMs);
     }
+    void resize(std::int64_t cpuMillis)
+    {
+        this->capacities.change(cpuMillis, this->timeline.now());
+    }
     bool isIdle() const
     {
         return this->active.empty();
     }
 
     const TaskServerRef ref;
+    CapacityHistory capacities;
     double workFactor = 1.0; ///< time that a task takes relative to its work
     std::function<void()> prepareBegin = [] {}; ///< called before a run begins
 
@@ -254,6 +323,21 @@
         }
         return work;
     }
+    /// Runs that are being stopped count as well.
+    void checkCapacity(const TaskName &started)
+    {
+        std::int64_t used = 0;
+        for (const auto &[name, run] : this->active) {
+            used += this->record.demandOf(name.first.job);
+        }
+        const auto usable = this->capacities.usable(this->timeline.now());
+        if (used > usable) {
+            this->record.overloads.push_back(fmt::format("{} ms: the start of {}/{} brings {} to {} of {}",
+                                                         this->timeline.elapsedMs(), started.job, started.index,
+                                                         this->name(), used, usable));
+            this->record.trace(this->timeline.elapsedMs(), this->record.overloads.back());
+        }
+    }
     OrderReply reply(OrderOutcome outcome) const
     {
         return {outcome, this->clockMs()};
--- a/tests/run_sim.h
+++ b/tests/run_sim.h
@@ -163,6 +163,14 @@
             target->workFactor = 1.0;
         });
     }
+    /// Changes the capacity of the current server of a host. The next registration of the server shows it.
+    void resizeServer(int host, std::int64_t cpuMillis)
+    {
+        if (const auto target = this->current[host]) {
+            this->trace(fmt::format("server {} has a capacity of {}", target->name(), cpuMillis));
+            target->resize(cpuMillis);
+        }
+    }
     SimServer *server(int host)
     {
         return this->current[host].get();
@@ -182,6 +190,8 @@
     std::map<int, std::shared_ptr<HostProcess>> hosts; ///< null while a process is down
     SimEntries entries;
     SimCallers callers;
+    /// Whether a registration is lost that its host reads later than a server waits for the answer.
+    bool losesLateRegistrations = false;
 
     static std::string hostName(int index)
     {
@@ -189,6 +199,8 @@
     }
 
 private:
+    static constexpr Millis registrationTimeout {1000}; ///< for which a server waits for the answer
+
     static int entryPort(int index)
     {
         return 43000 + index;
@@ -256,25 +268,33 @@
             if (!sender || this->servers.find(sender->ref) != sender) {
                 return false;
             }
-            this->sendRegistration(host, *sender, ++*sequence, delay);
+            this->sendRegistration(host, sender, ++*sequence, delay);
             return true;
         };
         sendRegistration(registrationDelay);
         this->timeline.every(registrationInterval, [sendRegistration] { return sendRegistration(Millis(2)); });
     }
-    void sendRegistration(int host, const SimServer &server, std::int64_t sequence, Micros delay)
+    void sendRegistration(int host, const std::shared_ptr<SimServer> &server, std::int64_t sequence, Micros delay)
     {
         ServerRegistration registration;
-        registration.server = server.ref;
+        registration.server = server->ref;
         registration.serviceName = "visits";
-        registration.capacity.cpuMillis = 16000;
+        registration.capacity.cpuMillis = server->capacities.cpuMillis();
         registration.capacity.memoryMb = 1000;
-        registration.clockMs = server.clockMs();
+        registration.clockMs = server->clockMs();
         registration.sequence = sequence;
-        registration.isDraining = this->current[host].get() != &server;
-        this->timeline.after(delay, [this, host, registration] {
+        registration.isDraining = this->current[host] != server;
+        const auto apply = [this, registration, server, capacity = server->capacities.newest(),
+                            sentAt = this->timeline.now()](HostCore &core) {
+            if (this->losesLateRegistrations && this->timeline.now() - sentAt > registrationTimeout) {
+                return;
+            }
+            server->capacities.recordArrival(capacity, this->timeline.now());
+            core.registerServer(registration);
+        };
+        this->timeline.after(delay, [this, host, apply] {
             if (const auto process = this->hosts[host]) {
-                process->post([core = &process->core(), registration] { core->registerServer(registration); });
+                process->post([core = &process->core(), apply] { apply(*core); });
             }
         });
     }
