Refuse waiting tasks at once that exceed a shrunk capacity

A caller whose task waited at a host when the backend server's capacity shrank below its demand got no result: the task stayed in the queue until the caller's deadline. The capacity was compared with a demand only when its order arrived.

Before, the new section failed: tests/test_host_capacity.cpp: REQUIRE( reports.count(0) == 1 ) with expansion: 0 == 1

--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -152,6 +152,8 @@
     void finish(std::int64_t id, wire::TaskPhase::type phase, const std::string &reason, Micros runTime = {});
     void checkTasks();
     void refuseWaiting(const std::string &reason);
+    /// Refuses the waiting tasks whose demand exceeds the whole capacity. Precondition: a backend server is registered.
+    void refuseOversized();
 
     // Communication with the backend server.
     /// Returns the task whose order was answered, or null if the task has ended or the answer belongs to an earlier
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -248,6 +248,16 @@
     }
 }
 
+void HostCore::refuseOversized()
+{
+    const auto waiting = this->queue.waiting();
+    for (const auto &task : waiting) {
+        if (!fits(task.demand, this->registered->capacity)) {
+            this->finish(task.id, wire::TaskPhase::REFUSED, "the demand exceeds the capacity of the backend server");
+        }
+    }
+}
+
 void HostCore::checkTasks()
 {
     const auto now = this->clock.now();
--- a/tests/test_host_capacity.cpp
+++ b/tests/test_host_capacity.cpp
@@ -170,6 +170,34 @@
     }
 }
 
+TEST_CASE("Tasks that wait at a host follow the capacity of its backend server", "[capacity]")
+{
+    HostFixture host;
+    host.becomeAccepting();
+    runTasks(host, "a", {0}, 10000);
+    host.receiveFromEntry(host.makeOrder("b", {0}, 12000));
+    host.receiveFromEntry(host.makeOrder("c", {1}, 7000));
+    REQUIRE(host.server.starts.size() == 1);
+    host.takeReports();
+
+    SECTION("one that can no longer run there is refused at once, so that its entry places it elsewhere")
+    {
+        host.core.registerServer(registrationOf(2, resources(8000)));
+        const auto reports = host.takeReports();
+        REQUIRE(reports.count(0) == 1);
+        REQUIRE(reports.at(0).phase == wire::TaskPhase::REFUSED);
+
+        SECTION("and one that still fits starts when the others have ended")
+        {
+            REQUIRE(reports.at(1).phase == wire::TaskPhase::QUEUED);
+            host.answerPoll(HostFixture::pollReply({}, {{1, {"a", 0}, 1, RunEnd::Done}}));
+            REQUIRE(host.server.starts.size() == 2);
+            REQUIRE(host.server.starts.back().order.task.job == "c");
+        }
+    }
+
+}
+
 TEST_CASE("A host reports a true start delay while its tasks exceed the capacity", "[capacity]")
 {
     HostFixture host;
