Start waiting tasks at once when the capacity grows

A registration with more capacity started no task; the next message or tick did, up to 20 ms later.

Before, the new section failed: tests/test_host_capacity.cpp: REQUIRE( host.server.starts.size() == 3 ) with expansion: 1 == 3

--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -62,6 +62,7 @@
         this->refuseWaiting("the backend server is draining");
     }
     this->refuseOversized();
+    this->startWaitingTasks();
     this->sendDuePolls();
     this->sendReports();
 }
--- a/tests/test_host_capacity.cpp
+++ b/tests/test_host_capacity.cpp
@@ -196,6 +196,11 @@
         }
     }
 
+    SECTION("they start at once when the capacity grows")
+    {
+        host.core.registerServer(registrationOf(2, resources(30000)));
+        REQUIRE(host.server.starts.size() == 3);
+    }
 }
 
 TEST_CASE("A host reports a true start delay while its tasks exceed the capacity", "[capacity]")
