Report a changed capacity to the entries at once, and log it

Entries learned of a changed capacity with the next periodic report, up to 200 ms later. Until then they ordered tasks that the host refused, or left the new capacity unused. The host now announces itself with such a registration, and logs capacity_changed with the server, the sequence number and both capacities.

Before, the new section failed, since no report was sent: tests/test_host_capacity.cpp: REQUIRE_FALSE( reports.empty() ) with expansion: !true

--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -14,6 +14,12 @@
 constexpr Millis warningInterval {150}; ///< minimum time between two warnings about one task
 constexpr std::size_t maxEndsPerReply = 100; ///< a reply with this many ended runs may be incomplete
 
+/// Returns the resources as CPU/MEMORY/ACCELERATORS.
+std::string textOf(const wire::Resources &resources)
+{
+    return fmt::format("{}/{}/{}", resources.cpuMillis, resources.memoryMb, resources.accelerators);
+}
+
 } // namespace
 
 std::string HostCore::instanceName() const
@@ -55,6 +61,7 @@
         this->beginInstance(registration);
     }
     const bool isDrainStart = registration.isDraining && !this->registered->isDraining;
+    const auto previousCapacity = this->registered->capacity;
     this->registered = registration;
     this->hasLeft = false;
     if (isDrainStart) {
@@ -65,6 +72,14 @@
     this->startWaitingTasks();
     this->sendDuePolls();
     this->sendReports();
+    if (registration.capacity != previousCapacity) {
+        logEvent(component, "capacity_changed",
+                 {{"server", registration.server.id},
+                  {"sequence", registration.sequence},
+                  {"old", textOf(previousCapacity)},
+                  {"new", textOf(registration.capacity)}});
+        this->announce();
+    }
 }
 
 void HostCore::applyDeferredRegistration()
--- a/tests/test_host_capacity.cpp
+++ b/tests/test_host_capacity.cpp
@@ -203,6 +203,28 @@
     }
 }
 
+TEST_CASE("The entries learn of a changed capacity at once", "[capacity]")
+{
+    HostFixture host;
+    host.becomeAccepting();
+    announceEntry(host);
+
+    SECTION("when it shrinks and when it grows again")
+    {
+        for (const auto cpuMillis : {8000, 12000}) {
+            host.core.registerServer(registrationOf(2, resources(cpuMillis)));
+            REQUIRE(newestReport(host).capacity.cpuMillis == cpuMillis);
+            host.sink.take();
+        }
+    }
+
+    SECTION("and not of each registration")
+    {
+        host.core.registerServer(registrationOf(2, resources(16000)));
+        REQUIRE(host.sink.all<wire::HostReport>().empty());
+    }
+}
+
 TEST_CASE("A host reports a true start delay while its tasks exceed the capacity", "[capacity]")
 {
     HostFixture host;
