Estimate the start delay without demands that exceed a shrunk capacity

A host reports the start delay of its last accepted demand. If that was accepted at a larger capacity, it never fits, and the host reported the time until all of its tasks end. Entries avoided it, or refused jobs for a backlog that it did not have. Such a demand is now left out: the smallest one that has to wait counts.

Before, the new section failed: tests/test_host_capacity.cpp: REQUIRE( delay <= Millis(100) ) with expansion: {?} <= {?}

--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -232,7 +232,8 @@
 
 wire::Resources HostCore::demandBeyondFreeCapacity() const
 {
-    auto demand = this->lastDemand;
+    // A demand that was accepted when the capacity was larger would never fit.
+    auto demand = fits(this->lastDemand, this->registered->capacity) ? this->lastDemand : wire::Resources();
     const auto free = this->freeCapacity();
     if (fits(demand, free)) {
         demand.cpuMillis = free.cpuMillis + 1;
--- a/tests/test_host_capacity.cpp
+++ b/tests/test_host_capacity.cpp
@@ -237,6 +237,21 @@
         return Micros(newestReport(host).startDelayMicros);
     };
 
+    SECTION("the delay of a demand that fits into the capacity, although the last task was larger")
+    {
+        host.receiveFromEntry(host.makeOrder("a", {0}, 4000));
+        auto longTask = host.makeOrder("b", {0}, 1000);
+        longTask.orders.front().estimateMicros = 1200000;
+        host.receiveFromEntry(longTask);
+        host.receiveFromEntry(host.makeOrder("c", {0}, 9000)); // the last task
+        REQUIRE(host.server.starts.size() == 3);
+        host.answerPoll(HostFixture::pollReply({{{"a", 0}, 1, 0}, {{"b", 0}, 1, 0}}, {{1, {"c", 0}, 1, RunEnd::Done}}));
+        // 3000 are free. The smallest demand that has to wait can start when the short task has ended.
+        const auto delay = startDelayAfter(registrationOf(2, resources(8000)));
+        REQUIRE(delay > Micros(0));
+        REQUIRE(delay <= Millis(100)); // the estimate of the short task
+    }
+
     SECTION("the time until enough tasks have ended")
     {
         runTasks(host, "a", {0, 1}, 8000);
