Ignore delayed registrations that arrive in their order

Lower sequence numbers are taken for a new numbering if two of them rise and the last higher one is 3 s old. Two delayed registrations fulfil that while newer ones are lost, and brought an earlier, larger capacity back. A registration whose time on the backend server's clock is 3 s behind the clock that polls show is now ignored; a true new numbering is not behind.

Before, the new section failed, since the start order was sent: tests/test_host_capacity.cpp: REQUIRE_FALSE( startsLargeTask() ) with expansion: !true

--- a/src/host_registration.cpp
+++ b/src/host_registration.cpp
@@ -98,6 +98,9 @@
     if (arrived.sequence >= present.registration->sequence) {
         return RegistrationVerdict::Update;
     }
+    if (present.sinceAnswer && arrived.clockMs + sequenceRetention.count() <= present.clockMs) {
+        return RegistrationVerdict::Ignore; // the backend server's clock shows that it is a delayed one
+    }
     // A single delayed registration says nothing. Rising numbers without any higher one show the true numbering.
     const bool isContinued = this->outdatedSequence && arrived.sequence > *this->outdatedSequence;
     this->outdatedSequence = arrived.sequence;
--- a/tests/test_host_capacity.cpp
+++ b/tests/test_host_capacity.cpp
@@ -67,6 +67,20 @@
     }
 }
 
+/// Lets time pass while polls are answered and no registration arrives.
+void pollFor(HostFixture &host, Millis time, std::int64_t &clockMs)
+{
+    constexpr Millis step {100};
+    for (Millis passed {0}; passed < time; passed += step) {
+        host.clock.advance(step - Millis(1));
+        clockMs += step.count();
+        auto reply = HostFixture::pollReply();
+        reply.clockMs = clockMs;
+        host.answerPoll(reply);
+        host.core.tick();
+    }
+}
+
 wire::HostReport newestReport(HostFixture &host)
 {
     const auto reports = host.sink.all<wire::HostReport>();
@@ -283,6 +297,15 @@
         REQUIRE_FALSE(startsLargeTask());
     }
 
+    SECTION("several delayed ones in their order, while newer ones are lost")
+    {
+        std::int64_t clockMs = 5000;
+        pollFor(host, Millis(3500), clockMs);
+        host.core.registerServer(registrationOf(8, resources(16000), 3000));
+        host.core.registerServer(registrationOf(9, resources(16000), 4500));
+        REQUIRE_FALSE(startsLargeTask());
+    }
+
 }
 
 TEST_CASE("A new instance with less capacity starts nothing beside the tasks of the earlier one", "[capacity]")
