Keep the newest deferred registration

A registration of another instance is deferred while the present one answers. A delayed one of the same instance replaced the newer one, so the host followed the instance with its earlier, larger capacity until the next registration.

Before, the new section failed, since the start order was sent: tests/test_host_capacity.cpp: REQUIRE_FALSE( startsLargeTask() ) with expansion: !true

--- a/src/host_registration.cpp
+++ b/src/host_registration.cpp
@@ -46,6 +46,10 @@
 {
     const auto verdict = this->decide(arrived, present, now, wallMs);
     if (verdict == RegistrationVerdict::Defer) {
+        if (this->deferred && isSameInstance(arrived.server, this->deferred->server)
+            && arrived.sequence < this->deferred->sequence) {
+            return verdict; // a newer one is deferred already
+        }
         this->deferred = arrived;
         this->deferredAt = now;
     } else if (verdict != RegistrationVerdict::Ignore) {
--- a/tests/test_host_capacity.cpp
+++ b/tests/test_host_capacity.cpp
@@ -306,6 +306,22 @@
         REQUIRE_FALSE(startsLargeTask());
     }
 
+    SECTION("a delayed one of the next instance, which the host cannot follow yet")
+    {
+        auto next = HostFixture::registration(2000, 12);
+        next.capacity = resources(4000);
+        host.core.registerServer(next);
+        next.sequence = 11;
+        next.capacity = resources(16000);
+        host.core.registerServer(next);
+        PollReply reply;
+        reply.outcome = OrderOutcome::OtherInstance;
+        host.answerPoll(reply);
+        REQUIRE(host.server.polls.back().order.server.startedAtMs == 2000);
+        host.answerPoll(HostFixture::pollReply());
+        REQUIRE(host.core.isReady());
+        REQUIRE_FALSE(startsLargeTask());
+    }
 }
 
 TEST_CASE("A new instance with less capacity starts nothing beside the tasks of the earlier one", "[capacity]")
