Start nothing on a capacity that has not been confirmed for 3.4 s

A host relied on the last registration without limit as long as its polls were answered. After a freeze during which the registrations that showed a shrunk capacity were lost, it started tasks over the capacity until the next one arrived. A shrunk capacity counts 4500 ms after the shrink, whatever the host has missed. The host now accepts no tasks if the newest registration was sent more than 3.4 s ago, by the backend server's clock: two registrations in a row may be lost, and one of them may be on its way for a second.

The test of huge sequence numbers lets up to 20 s pass without an applied registration, and uses isReady() to see that a delayed registration was ignored. It now sets the validity of the capacity to 60 s, since the numbering is its subject; its assertions, times and numbers are unchanged.

--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -233,6 +233,13 @@
 #define AGATEDRUM_SERVER_SILENT_MS 700
 #endif
 
+/// Time in milliseconds for which a host relies on the capacity that a registration of its backend server has shown.
+/// Must be longer than two intervals of registrations (1500 ms), and shorter than the time for which a larger capacity
+/// than the present one may be used (4500 ms) less the time that a registration may be on its way (1000 ms).
+#ifndef AGATEDRUM_CAPACITY_VALID_MS
+#define AGATEDRUM_CAPACITY_VALID_MS 3400
+#endif
+
 /// Time in milliseconds after which a host treats an unanswered start as unconfirmed and queries its state. The backend
 /// server is on the same machine and answers within a few milliseconds.
 #ifndef AGATEDRUM_START_DOUBT_MS
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -33,6 +33,7 @@
     Millis orderedStopTime {AGATEDRUM_HOST_ORDERED_STOP_MS};
     Millis serverTimeout {AGATEDRUM_SERVER_SILENT_MS};
     Millis startConfirmTimeout {AGATEDRUM_START_DOUBT_MS};
+    Millis capacityValidity {AGATEDRUM_CAPACITY_VALID_MS};
 };
 
 /// Manages the capacity of one backend server that runs tasks with resource demands. Thread-safe.
@@ -198,6 +199,11 @@
     /// Returns the end of the lease to send with an order, on the backend server's clock.
     std::int64_t grantLease(Time limit);
     bool isAccepting() const;
+    /// Returns false if the newest registration is so old that the backend server may have had less capacity for longer
+    /// than it allows. Precondition: a backend server is registered.
+    bool isCapacityCurrent() const;
+    /// Returns when the present instance sent the registration, by its clock; now if that is unknown.
+    Time sendTimeOf(const ServerRegistration &registration) const;
     wire::Resources reserved() const;
     /// Returns the capacity that no task has reserved. Precondition: a backend server is registered.
     wire::Resources freeCapacity() const;
@@ -216,6 +222,7 @@
 
     mutable std::mutex mutex;
     std::optional<ServerRegistration> registered;
+    Time registeredAt; ///< when the newest registration was sent, or applied if the former is unknown
     RegistrationReview registrations;
     bool hasLeft = false;
     bool isStopping = false;
--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -31,7 +31,20 @@
 bool HostCore::isAccepting() const
 {
     return this->registered && !this->registered->isDraining && !this->hasLeft && !this->isStopping
-        && this->hasOnlyOwnRuns && this->clock.now() - this->polledAt < this->options.serverTimeout;
+        && this->hasOnlyOwnRuns && this->clock.now() - this->polledAt < this->options.serverTimeout
+        && this->isCapacityCurrent();
+}
+
+Time HostCore::sendTimeOf(const ServerRegistration &registration) const
+{
+    const auto now = this->clock.now();
+    const auto ageMs = registration.clockMs == 0 ? 0 : this->serverClock(now) - registration.clockMs;
+    return now - Millis(std::max<std::int64_t>(0, ageMs));
+}
+
+bool HostCore::isCapacityCurrent() const
+{
+    return this->clock.now() - this->registeredAt < this->options.capacityValidity;
 }
 
 void HostCore::registerServer(const ServerRegistration &registration)
@@ -63,6 +76,7 @@
     const bool isDrainStart = registration.isDraining && !this->registered->isDraining;
     const auto previousCapacity = this->registered->capacity;
     this->registered = registration;
+    this->registeredAt = isOtherInstance ? this->clock.now() : this->sendTimeOf(registration);
     this->hasLeft = false;
     if (isDrainStart) {
         logEvent(component, "server_drains", {{"server", registration.server.id}});
--- a/tests/host_fixture.h
+++ b/tests/host_fixture.h
@@ -50,9 +50,9 @@
     std::int64_t lastOrder = 0;
     std::vector<EndedTask> endedTasks;
 
-    HostFixture()
+    explicit HostFixture(HostOptions options = hostOptions())
         : link(sink, clock, memberOptions())
-        , core(sink, clock, link, server, hostOptions())
+        , core(sink, clock, link, server, std::move(options))
     {
     }
 
--- a/tests/test_host_capacity.cpp
+++ b/tests/test_host_capacity.cpp
@@ -17,6 +17,11 @@
 
 namespace {
 
+/// Time after which a shrunk capacity counts: ContactMs and one interval of registrations.
+constexpr Millis shrinkAllowance {3000 + 1500};
+constexpr Millis longestDelivery {1000}; ///< after which a backend server gives up sending a registration
+constexpr Millis registrationInterval {1500};
+
 wire::Resources resources(std::int64_t cpuMillis, std::int64_t memoryMb = 1000, std::int64_t accelerators = 0)
 {
     wire::Resources result;
@@ -324,6 +329,42 @@
     }
 }
 
+// The backend server may have shrunk since, and its registrations may have been lost, as while the host was frozen.
+TEST_CASE("A host starts nothing once the registered capacity may be outdated", "[capacity]")
+{
+    HostFixture host;
+    host.becomeAccepting();
+    std::int64_t clockMs = 5000;
+
+    SECTION("while two registrations in a row are lost it goes on")
+    {
+        pollFor(host, 2 * registrationInterval + Millis(200), clockMs);
+        host.receiveFromEntry(host.makeOrder("a", {0}));
+        REQUIRE(host.server.starts.size() == 1);
+    }
+
+    SECTION("after the time for which an earlier capacity may be used it refuses tasks")
+    {
+        pollFor(host, shrinkAllowance - longestDelivery, clockMs);
+        host.receiveFromEntry(host.makeOrder("a", {0}));
+        REQUIRE(host.server.starts.empty());
+        REQUIRE_FALSE(host.core.isReady());
+
+        SECTION("until the backend server registers again")
+        {
+            host.core.registerServer(registrationOf(4, resources(8000), clockMs));
+            host.receiveFromEntry(host.makeOrder("b", {0}));
+            REQUIRE(host.server.starts.size() == 1);
+        }
+        SECTION("also if a registration is read that was sent long before")
+        {
+            host.core.registerServer(registrationOf(2, resources(16000), 5000));
+            host.receiveFromEntry(host.makeOrder("b", {0}));
+            REQUIRE(host.server.starts.empty());
+        }
+    }
+}
+
 TEST_CASE("A new instance with less capacity starts nothing beside the tasks of the earlier one", "[capacity]")
 {
     HostFixture host;
--- a/tests/test_odd_registrations.cpp
+++ b/tests/test_odd_registrations.cpp
@@ -37,6 +37,14 @@
     return reply;
 }
 
+/// Returns options of a host that accepts tasks without registrations, so that only the numbering decides.
+HostOptions optionsWithLongValidity()
+{
+    auto options = HostFixture::hostOptions();
+    options.capacityValidity = Millis(60000);
+    return options;
+}
+
 /// Returns the id of the backend server that the host polled last.
 std::string polledServer(const HostFixture &host)
 {
@@ -175,7 +183,7 @@
 
 TEST_CASE("A huge sequence number does not hide the later registrations of the same instance", "[odd]")
 {
-    HostFixture host;
+    HostFixture host(optionsWithLongValidity());
     host.becomeAccepting();
     const auto waitOneSecond = [&host] {
         host.clock.advance(Millis(1000));
--- a/tests/test_run_capacity.cpp
+++ b/tests/test_run_capacity.cpp
@@ -153,4 +153,9 @@
         checkSequences({RunFault::HostKill, RunFault::HostKillAfterStart, RunFault::HostFreeze, RunFault::EntryKill,
                         RunFault::EntryFreeze});
     }
+    SECTION("with links and servers in trouble")
+    {
+        checkSequences({RunFault::HostFreeze, RunFault::LinkLost, RunFault::LinkHeld, RunFault::ServerSlow,
+                        RunFault::ServerStall, RunFault::ServerReplace, RunFault::ConnectionReset});
+    }
 }
