--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -64,6 +64,10 @@
     REQUIRE(value(decoded).labels.size() == 2);
 
     REQUIRE(value(decodeRegistration("i-1", replaceOnce(registrationText, "ready", "draining"))).isDraining);
+    // A registration that is refused would leave the earlier capacity in use.
+    const auto shrunk = decodeRegistration("i-1", replaceOnce(registrationText, "\"Cpu\":16000", "\"Cpu\":0"));
+    REQUIRE(isOk(shrunk));
+    REQUIRE(value(shrunk).capacity.cpuMillis == 0);
     for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>> {
              {"\"ready\"", "\"resting\""},
              {"\"Sequence\":4", "\"Sequence\":\"4\""},
