--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -14,6 +14,12 @@
 constexpr Millis warningInterval {150}; ///< minimum time between two warnings about one task
 constexpr std::size_t maxEndsPerReply = 100; ///< a reply with this many ended runs may be incomplete
 
+/// Returns the resources as CPU/MEMORY/ACCELERATORS.
+std::string textOf(const wire::Resources &resources)
+{
+    return fmt::format("{}/{}/{}", resources.cpuMillis, resources.memoryMb, resources.accelerators);
+}
+
 } // namespace
 
 std::string HostCore::instanceName() const
@@ -25,7 +31,20 @@
 bool HostCore::isAccepting() const
 {
     return this->registered && !this->registered->isDraining && !this->hasLeft && !this->isStopping
-        && this->hasOnlyOwnRuns && this->clock.now() - this->polledAt < this->options.serverTimeout;
+        && this->hasOnlyOwnRuns && this->clock.now() - this->polledAt < this->options.serverTimeout
+        && this->isCapacityCurrent();
+}
+
+Time HostCore::sendTimeOf(const ServerRegistration &registration) const
+{
+    const auto now = this->clock.now();
+    const auto ageMs = registration.clockMs == 0 ? 0 : this->serverClock(now) - registration.clockMs;
+    return now - Millis(std::max<std::int64_t>(0, ageMs));
+}
+
+bool HostCore::isCapacityCurrent() const
+{
+    return this->clock.now() - this->registeredAt < this->options.capacityValidity;
 }
 
 void HostCore::registerServer(const ServerRegistration &registration)
@@ -55,14 +74,26 @@
         this->beginInstance(registration);
     }
     const bool isDrainStart = registration.isDraining && !this->registered->isDraining;
+    const auto previousCapacity = this->registered->capacity;
     this->registered = registration;
+    this->registeredAt = isOtherInstance ? this->clock.now() : this->sendTimeOf(registration);
     this->hasLeft = false;
     if (isDrainStart) {
         logEvent(component, "server_drains", {{"server", registration.server.id}});
         this->refuseWaiting("the backend server is draining");
     }
+    this->refuseOversized();
+    this->startWaitingTasks();
     this->sendDuePolls();
     this->sendReports();
+    if (registration.capacity != previousCapacity) {
+        logEvent(component, "capacity_changed",
+                 {{"server", registration.server.id},
+                  {"sequence", registration.sequence},
+                  {"old", textOf(previousCapacity)},
+                  {"new", textOf(registration.capacity)}});
+        this->announce();
+    }
 }
 
 void HostCore::applyDeferredRegistration()
--- a/src/host_registration.cpp
+++ b/src/host_registration.cpp
@@ -46,6 +46,10 @@
 {
     const auto verdict = this->decide(arrived, present, now, wallMs);
     if (verdict == RegistrationVerdict::Defer) {
+        if (this->deferred && isSameInstance(arrived.server, this->deferred->server)
+            && arrived.sequence < this->deferred->sequence) {
+            return verdict; // a newer one is deferred already
+        }
         this->deferred = arrived;
         this->deferredAt = now;
     } else if (verdict != RegistrationVerdict::Ignore) {
@@ -98,6 +102,9 @@
     if (arrived.sequence >= present.registration->sequence) {
         return RegistrationVerdict::Update;
     }
+    if (present.sinceAnswer && arrived.clockMs + sequenceRetention.count() <= present.clockMs) {
+        return RegistrationVerdict::Ignore; // the backend server's clock shows that it is a delayed one
+    }
     // A single delayed registration says nothing. Rising numbers without any higher one show the true numbering.
     const bool isContinued = this->outdatedSequence && arrived.sequence > *this->outdatedSequence;
     this->outdatedSequence = arrived.sequence;
--- a/tests/host_fixture.h
+++ b/tests/host_fixture.h
@@ -50,9 +50,9 @@
     std::int64_t lastOrder = 0;
     std::vector<EndedTask> endedTasks;
 
-    explicit HostFixture(const HostLeaseTerms &terms = {})
+    explicit HostFixture(HostOptions options = hostOptions())
         : link(sink, clock, memberOptions())
-        , core(sink, clock, link, server, hostOptions(terms))
+        , core(sink, clock, link, server, std::move(options))
     {
     }
 
@@ -65,7 +65,7 @@
         options.control = {{"control-1", endpoint(43000)}};
         return options;
     }
-    static HostOptions hostOptions(const HostLeaseTerms &terms)
+    static HostOptions hostOptions(const HostLeaseTerms &terms = {})
     {
         HostOptions options;
         options.self = processId("host-1");
--- a/tests/test_host_lease.cpp
+++ b/tests/test_host_lease.cpp
@@ -14,7 +14,7 @@
 struct RunningTaskFixture : HostFixture
 {
     explicit RunningTaskFixture(const HostLeaseTerms &terms = {})
-        : HostFixture(terms)
+        : HostFixture(hostOptions(terms))
     {
         this->becomeAccepting();
         this->receiveFromEntry(this->makeOrder("a", {0}));
