Confirm an owner's lease by the applied view, not the received one

Cause: control answers a heartbeat before it sends the view, so the renewed lease waits for the view. The wait ended as soon as the view was received. A thread that had looked for a new view just before then confirmed the lease while another thread still had to apply the view, and the owner acted for a cell that already had another owner.

Evidence: the new test lets a view arrive while the view before it is applied.

Change: a lease counts once the view under which it was granted has been applied to all cells.

--- a/src/owner_core.cpp
+++ b/src/owner_core.cpp
@@ -34,9 +34,9 @@
     return *this->shards[static_cast<std::size_t>(cell) % this->shards.size()];
 }
 
-/// Returns whether the lease is valid and the view is at least as new as the one under which control granted the lease.
-/// Without the check of the view, a process that resumes after a freeze could renew its lease before it learns that the
-/// cell has a new owner.
+/// Returns whether the lease is valid and the applied view is at least as new as the one under which control granted
+/// the lease. Without the check of the view, a process that resumes after a freeze could renew its lease before it
+/// learns that the cell has a new owner.
 bool OwnerCore::mayAct() const
 {
     if (this->options.defects != nullptr && this->options.defects->ignoresLease) {
@@ -57,7 +57,8 @@
 
 void OwnerCore::confirmLease()
 {
-    const auto version = this->link.viewVersion();
+    // Not the version of the received view: another thread may not have applied that view yet.
+    const auto version = std::max<std::int64_t>(0, this->appliedViewVersion);
     const std::lock_guard lock(this->leaseMutex);
     while (!this->unconfirmedLeaseEnds.empty() && this->unconfirmedLeaseEnds.begin()->first <= version) {
         const auto leaseEnd = this->unconfirmedLeaseEnds.begin()->second;
--- a/src/owner_core_p.h
+++ b/src/owner_core_p.h
@@ -83,7 +83,8 @@
     std::vector<std::unique_ptr<Shard>> shards;
 
     std::mutex viewMutex; ///< held while a new view is applied; must be locked before the mutex of a shard
-    std::int64_t appliedViewVersion = -1; ///< version of the last applied view; guarded by viewMutex
+    /// version of the last applied view; written only under viewMutex, after the view has been applied to all cells
+    std::atomic<std::int64_t> appliedViewVersion {-1};
     ClusterConfig config; ///< configuration of the last applied view; guarded by viewMutex
     std::atomic<std::int64_t> leaseUntilMicros {0}; ///< end of the lease that is confirmed by the applied view
     std::mutex leaseMutex;
--- a/tests/test_owner_core.cpp
+++ b/tests/test_owner_core.cpp
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
+#include <utility>
+
 using namespace agatedrum;
 using namespace agatedrum::test;
 
@@ -22,10 +25,25 @@
     return ref;
 }
 
+/// Calls a function once, the next time that the wall time is read, so that a test can act between two steps of the
+/// code under test.
+class HookedClock : public ManualClock
+{
+public:
+    std::int64_t wallMs() const override
+    {
+        if (const auto hook = std::exchange(this->onWallMs, nullptr)) {
+            hook();
+        }
+        return ManualClock::wallMs();
+    }
+    mutable std::function<void()> onWallMs;
+};
+
 /// An owner with one agent. The test acts as control, holder, agent and entry.
 struct OwnerFixture
 {
-    ManualClock clock;
+    HookedClock clock;
     RecordingSink sink;
     MemberLink link;
     OwnerDefects defects;
@@ -66,14 +84,18 @@
         cell.agents = {member("agent-1", 42003)};
         return cell;
     }
-    void receiveView(int copies, const wire::CellView &cell)
+    wire::ClusterView nextView(int copies, const std::vector<wire::CellView> &cells)
     {
         wire::ClusterView view;
         view.version = ++this->viewVersion;
         view.config.number = 1;
         view.config.text = configText(copies);
-        view.cells = {cell};
-        this->core.handle(incoming("control-1", wire::Role::CONTROL, 42000, view));
+        view.cells = cells;
+        return view;
+    }
+    void receiveView(int copies, const wire::CellView &cell)
+    {
+        this->core.handle(incoming("control-1", wire::Role::CONTROL, 42000, Payload(this->nextView(copies, {cell}))));
     }
     void renewLease()
     {
@@ -364,6 +386,46 @@
     }
 }
 
+// A woken owner must not start tasks of a cell that has a new owner, although another thread has already received the
+// view under which its lease was renewed.
+TEST_CASE("A lease renewed under a received view is not valid before that view is applied", "[owner]")
+{
+    OwnerFixture fixture;
+    fixture.receiveView(1, fixture.cellView(1, {}));
+    fixture.renewLease();
+    fixture.core.tick();
+    fixture.answerFences();
+    fixture.clock.advance(Millis(AGATEDRUM_OWNER_LEASE_MS));
+
+    auto otherCell = fixture.cellView(2, {});
+    otherCell.cell = 1;
+    const auto earlierView = fixture.nextView(1, {fixture.cellView(1, {}), otherCell});
+    auto moved = fixture.cellView(2, {});
+    moved.__set_owner(member("owner-2", 42002));
+    const auto newestView = fixture.nextView(1, {moved, otherCell});
+    fixture.renewLease();
+
+    // The newest view arrives on another thread while the earlier one is applied.
+    fixture.clock.onWallMs = [&fixture, &newestView] {
+        fixture.link.handle(incoming("control-1", wire::Role::CONTROL, 42000, Payload(newestView)));
+    };
+    fixture.core.handle(incoming("control-1", wire::Role::CONTROL, 42000, Payload(earlierView)));
+    REQUIRE(fixture.clock.onWallMs == nullptr);
+    wire::AgentHello hello;
+    hello.epoch = 1;
+    hello.server = OwnerFixture::serverInfo();
+    fixture.receiveFromAgent(hello);
+    fixture.submit(11, OwnerFixture::jobSpec("s1", 1, fixture.clock.wallMs()));
+    CHECK(startCount(fixture.sink) == 0);
+    CHECK_FALSE(fixture.core.isReady());
+
+    SECTION("it is valid once the view is applied")
+    {
+        fixture.core.tick();
+        CHECK(fixture.core.isReady());
+    }
+}
+
 // Guards against starts that are sent after the lease has expired, which happens if the owner is frozen after it has
 // decided on a start and before the message is sent.
 TEST_CASE("A start may be sent only while the lease is valid", "[owner]")
