Send no start of an epoch that is over

Cause: a batch of starts waits in the queue of its peer for up to 2 s. The check before it is sent looked only at the lease of the link, which a reply of control renews before the owner knows that the cell has another owner; nothing looked at the epoch of the batch.

Evidence: in the new test, maySend() returned true for a batch of epoch 1 before the view with epoch 2 had arrived and after it had been applied.

Change: a batch is sent only if the owner may act and the epoch of the batch is still the highest known one of its cell. What remains: an owner that is frozen between this check and the write to the socket sends the batch when it wakes. The agent's check of the epoch refuses it.

--- a/src/owner_core.cpp
+++ b/src/owner_core.cpp
@@ -374,7 +374,17 @@
 
 bool OwnerCore::maySend(const Payload &payload) const
 {
-    return !std::holds_alternative<wire::StartBatch>(payload) || this->link.hasLease();
+    const auto *batch = std::get_if<wire::StartBatch>(&payload);
+    if (batch == nullptr) {
+        return true;
+    }
+    if (!this->mayAct()) {
+        return false;
+    }
+    const auto &shard = *this->shards[static_cast<std::size_t>(batch->cell) % this->shards.size()];
+    const std::lock_guard lock(shard.mutex);
+    const auto highest = shard.highestEpoch.find(batch->cell);
+    return highest == shard.highestEpoch.end() || batch->epoch >= highest->second;
 }
 
 } // namespace agatedrum
--- a/src/owner_core_p.h
+++ b/src/owner_core_p.h
@@ -41,7 +41,8 @@
     void beginStop() override;
     bool isDrained() const override;
     std::int64_t configNumber() const override;
-    /// Returns false for a batch of starts if the lease has expired, which can happen while the batch waits to be sent.
+    /// Returns false for a batch of starts if the lease is not valid or the epoch of the batch is over. Either can
+    /// happen while the batch waits to be sent. Locks the cell's shard.
     bool maySend(const Payload &payload) const override;
 
 private:
--- a/tests/test_owner_core.cpp
+++ b/tests/test_owner_core.cpp
@@ -437,3 +437,37 @@
     REQUIRE_FALSE(fixture.core.maySend(wire::StartBatch()));
     REQUIRE(fixture.core.maySend(wire::RecordAck()));
 }
+
+// A batch of starts that waited to be sent while the owner was frozen must not be sent by the woken owner, whose lease
+// is renewed before it knows or after it has learned that the cell has a new owner.
+TEST_CASE("A start that waited during a freeze is not sent after the cell has got a new owner", "[owner]")
+{
+    OwnerFixture fixture;
+    fixture.receiveView(1, fixture.cellView(1, {}));
+    fixture.renewLease();
+    wire::StartBatch waiting;
+    waiting.epoch = 1;
+    REQUIRE(fixture.core.maySend(waiting));
+    fixture.clock.advance(Millis(AGATEDRUM_OWNER_LEASE_MS));
+    auto moved = fixture.cellView(2, {});
+    moved.__set_owner(member("owner-2", 42002));
+    const auto newestView = fixture.nextView(1, {moved});
+    fixture.renewLease();
+
+    SECTION("before the view arrives")
+    {
+        CHECK_FALSE(fixture.core.maySend(waiting));
+    }
+    SECTION("after the view is applied")
+    {
+        fixture.core.handle(incoming("control-1", wire::Role::CONTROL, 42000, Payload(newestView)));
+        CHECK_FALSE(fixture.core.maySend(waiting));
+        CHECK(fixture.core.isReady());
+    }
+    SECTION("a batch of a later epoch may be sent once the view is applied")
+    {
+        fixture.core.handle(incoming("control-1", wire::Role::CONTROL, 42000, Payload(newestView)));
+        waiting.epoch = 2;
+        CHECK(fixture.core.maySend(waiting));
+    }
+}
