Soak test: start orders carried out late, with lost hosts and callers

Seeds from 1000 on play a new kind: stand-in servers give no answer to one start order of ten and carry it out 2 to 12 s late, every other server with the lease counted from then. The host of such an order is killed or frozen within some milliseconds of the arrival. Half of the callers' jobs lose their connections and are submitted again at another entry after 1300 ms. Seeds below 1000 play as before.

A task was ordered at one server, its host was killed at once; the caller submitted it again at another entry, where it ran from 10555 to 11183 ms; the first order was carried out at 11138 ms, 2633 ms late. The check, its bound and the seeds stay as they are.

--- a/tests/soak_callers.h
+++ b/tests/soak_callers.h
@@ -9,9 +9,12 @@
 {
     int threads = 8;
     int maxTasks = 4;
+    int maxAttempts = 3; ///< of one job
     int maxPauseMs = 500; ///< between two jobs; the connection stays open
     SoakMillis answerSlack {300}; ///< time beyond its limit for which a caller waits for an answer
     bool exceedsLimits = false; ///< some requests are larger than the limits of the configuration
+    int extraTaskMs = 0; ///< added to the run time of each task
+    bool losesConnections = false; ///< closes some connections before the answer and submits the job elsewhere
     std::uint64_t seed = 1;
 };
 
@@ -21,7 +24,6 @@
 {
 public:
     static constexpr SoakMillis retryDelay {1300};
-    static constexpr int maxAttempts = 3;
 
     SoakCallers(SoakRecord &record, const SoakCluster &cluster, const SoakCallerOptions &options)
         : record(record)
@@ -92,6 +94,7 @@
             SoakSubmission submission;
             submission.job = drawJob(random, this->options.maxTasks);
             submission.timeLimit = SoakMillis(1500 + 500 * static_cast<int>(random() % 4));
+            this->drawTrouble(random, submission);
             std::string headers = fmt::format("{}: {}\r\n", soak_wire::timeLimitHeader, submission.timeLimit.count());
             if (this->options.exceedsLimits && random() % 20 == 0) {
                 submission.job.paddingBytes = 20000;
@@ -104,11 +107,31 @@
         }
     }
 
+    void drawTrouble(std::mt19937_64 &random, SoakSubmission &submission) const
+    {
+        constexpr int lossShare = 2; ///< one job of so many loses its connection at its first attempts
+        for (auto &taskMs : submission.job.taskMs) {
+            taskMs += this->options.extraTaskMs;
+        }
+        if (this->options.losesConnections && random() % lossShare == 0) {
+            submission.connectionLossAfter = SoakMillis(50 + static_cast<int>(random() % 900));
+        }
+    }
+
+    /// Returns how long the caller keeps its connection open for the answer.
+    SoakMillis patience(const SoakSubmission &submission, int attempt) const
+    {
+        const auto whole = submission.timeLimit + this->options.answerSlack;
+        return submission.connectionLossAfter > SoakMillis(0) && attempt + 1 < this->options.maxAttempts
+            ? submission.connectionLossAfter
+            : whole;
+    }
+
     void submit(Line &line, SoakSubmission &submission, const std::string &headers)
     {
         const auto request = soakRequest("POST", soak_wire::jobPath(submission.job), soak_wire::callerHost,
                                          soak_wire::encodeJob(submission.job), headers);
-        for (int attempt = 0; attempt < maxAttempts; ++attempt) {
+        for (int attempt = 0; attempt < this->options.maxAttempts; ++attempt) {
             if (attempt > 0) {
                 std::this_thread::sleep_for(retryDelay);
             }
@@ -116,7 +139,7 @@
                 continue;
             }
             const auto name = SoakCluster::nameOf("entry", line.entry);
-            auto result = line.connection.exchange(request, submission.timeLimit + this->options.answerSlack);
+            auto result = line.connection.exchange(request, this->patience(submission, attempt));
             const bool isDone = !mustRetry(result);
             submission.attempts.push_back({name, std::move(result)});
             if (!line.connection.isOpen()) {
--- a/tests/soak_cluster.h
+++ b/tests/soak_cluster.h
@@ -18,6 +18,7 @@
     int maxConnections = 10000; ///< of each entry
     bool hasSlowExecutor = false; ///< runs at the first executor take 2.5 times as long
     bool hasLateCalls = false; ///< see SoakExecutorOptions
+    bool hasLateStarts = false; ///< see SoakExecutorOptions; every other executor also grants leases late
     int number = 0; ///< 0 to 9; distinguishes clusters that one test process runs at the same time
     std::uint64_t seed = 1;
 };
@@ -53,6 +54,9 @@
             executor.clockRate = random() % 2 == 0 ? 1.0 : 0.98;
             executor.slowness = options.hasSlowExecutor && i == 1 ? 2.5 : 1.0;
             executor.hasLateCalls = options.hasLateCalls;
+            executor.hasLateStarts = options.hasLateStarts;
+            executor.grantsLateLeases = options.hasLateStarts && i % 2 == 0;
+            executor.onLateStart = [this, i] { this->lateStartHost = i; };
             executor.seed = random();
             this->executors.push_back(std::make_unique<SoakExecutor>(record, executor));
         }
@@ -109,6 +113,13 @@
     {
         return {this->hostAddress("control", index), operatorPort};
     }
+    /// Returns the host that last sent a start order that will be carried out late, once for each such order, or an
+    /// empty string. Thread-safe.
+    std::string takeLateStartHost()
+    {
+        const int index = this->lateStartHost.exchange(0);
+        return index == 0 ? std::string() : nameOf("agent", index);
+    }
     const std::string &logFolder() const
     {
         return this->folder;
@@ -189,6 +200,7 @@
     const SoakClusterOptions options;
     std::string folder;
     std::map<std::string, std::unique_ptr<ChildProcess>> processes;
+    std::atomic<int> lateStartHost {0}; ///< index of a host, 0 for none
     std::vector<std::unique_ptr<SoakExecutor>> executors;
 };
 
--- a/tests/soak_executor.h
+++ b/tests/soak_executor.h
@@ -4,6 +4,7 @@
 #include "soak_record.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -23,6 +24,9 @@
     double clockRate = 1.0; ///< steps of its clock per step of the real one
     double slowness = 1.0; ///< how much longer its runs take than the job tells
     bool hasLateCalls = false; ///< in some seconds, it answers only a part of the calls and carries out the others late
+    bool hasLateStarts = false; ///< it gives no answer to some start orders and carries them out seconds late
+    bool grantsLateLeases = false; ///< the lease of a late start order is counted from when it is carried out
+    std::function<void()> onLateStart = [] {}; ///< called when a start order arrives that will be carried out late
     std::uint64_t seed = 1;
 };
 
@@ -89,6 +93,7 @@
         Call call;
         Handler handler;
         HttpReply reply;
+        std::int64_t leaseGrantedMs = 0; ///< if not 0, the length of the lease from when the call is carried out
     };
     struct WaitingPoll
     {
@@ -117,8 +122,10 @@
                                const auto call = soak_wire::decodeCall(request.body);
                                const std::lock_guard lock(this->mutex);
                                this->advance(soakNow());
-                               if (const auto delay = this->drawDelay(); delay > SoakMillis(0)) {
-                                   this->lateCalls.push_back({soakNow() + delay, call, handler, reply});
+                               if (!call.spec.empty() && this->drawsLateStart()) {
+                                   this->delayStart(call, handler, reply);
+                               } else if (const auto delay = this->drawDelay(); delay > SoakMillis(0)) {
+                                   this->lateCalls.push_back({soakNow() + delay, call, handler, reply, 0});
                                } else {
                                    this->carryOut(call, handler, reply);
                                }
@@ -135,6 +142,28 @@
         handler(call, reply);
     }
 
+    bool drawsLateStart()
+    {
+        constexpr int lateShare = 10; ///< one start order of so many is carried out late
+        return this->options.hasLateStarts && this->random() % lateShare == 0;
+    }
+    /// Carries out the start order 2 to 12 s later. Half of the delays are below 4 s, since callers submit lost jobs
+    /// again within that time.
+    void delayStart(const Call &call, const Handler &handler, const HttpReply &reply)
+    {
+        const int range = this->random() % 2 == 0 ? 2000 : 10000;
+        const SoakMillis delay(2000 + static_cast<int>(this->random() % static_cast<std::uint64_t>(range)));
+        const auto granted = this->options.grantsLateLeases ? call.leaseUntilMs - this->clockMs() : 0;
+        this->unanswered.push_back(reply);
+        const auto countOutcome = [this](const HttpResponse &response) {
+            constexpr int accepted = 200;
+            this->record.countTrouble(response.status == accepted ? "late starts obeyed" : "late starts refused");
+        };
+        this->lateCalls.push_back({soakNow() + delay, call, handler, countOutcome, granted});
+        this->record.countTrouble("late starts");
+        this->options.onLateStart();
+    }
+
     /// Returns 0 if the call is carried out at once.
     SoakMillis drawDelay()
     {
@@ -325,6 +354,9 @@
             if (late.at > now) {
                 this->lateCalls.push_back(std::move(late));
             } else {
+                if (late.leaseGrantedMs > 0) {
+                    late.call.leaseUntilMs = this->clockMs() + late.leaseGrantedMs;
+                }
                 this->carryOut(late.call, late.handler, late.reply);
             }
         }
@@ -374,6 +406,7 @@
     std::int64_t lastEnd = 0;
     std::vector<WaitingPoll> waitingPolls;
     std::vector<LateCall> lateCalls;
+    std::vector<HttpReply> unanswered; ///< kept, since dropping one would send an answer
     SoakTime troubleDrawnAt;
     bool isTroubled = false;
 
--- a/tests/soak_faults.h
+++ b/tests/soak_faults.h
@@ -8,6 +8,7 @@
     Planned, ///< stops with SIGTERM and reloads with SIGHUP, one process of a role at a time
     Crash, ///< also kills and freezes, also several at a time
     Limits, ///< as Crash, with callers that go up to the limits of the settings and the configuration
+    LateStarts, ///< as Crash, with start orders that are carried out late and whose hosts are then killed or frozen
 };
 
 /// Stops, kills, freezes and reloads the processes of a cluster as a seed tells, and starts them again.
@@ -18,6 +19,7 @@
         : record(record)
         , cluster(cluster)
         , isPlannedOnly(kind == SoakKind::Planned)
+        , aimsAtLateStarts(kind == SoakKind::LateStarts)
         , random(seed)
     {
         for (const auto &name : cluster.processNames()) {
@@ -32,11 +34,14 @@
         auto nextAt = soakNow();
         while (soakNow() < end || !this->isAllUp()) {
             this->superviseAll();
+            if (this->aimsAtLateStarts && soakNow() < end) {
+                this->disturbLateStartHost();
+            }
             if (soakNow() >= nextAt && soakNow() < end) {
                 this->disturb();
                 nextAt = soakNow() + this->drawPause();
             }
-            std::this_thread::sleep_for(SoakMillis(5));
+            std::this_thread::sleep_for(SoakMillis(this->aimsAtLateStarts ? 1 : 5));
         }
     }
 
@@ -196,6 +201,35 @@
         this->cluster.process(name).sendSignal(SIGSTOP);
     }
 
+    /// Kills or freezes the host of a start order that has just arrived and will be carried out late. A killed host
+    /// stays away until such an order may have been carried out. Two other hosts run.
+    void disturbLateStartHost()
+    {
+        const auto name = this->cluster.takeLateStartHost();
+        const auto running = this->runningOf("agent");
+        if (running.size() < 3 || std::find(running.begin(), running.end(), name) == running.end()) {
+            return;
+        }
+        if (this->random() % 3 == 0) {
+            this->freeze(name);
+        } else {
+            this->kill(name);
+            this->states[name].backAt = soakNow() + this->draw(1000, 8000);
+        }
+    }
+
+    /// Returns the processes of a role that may be disturbed now.
+    std::vector<std::string> runningOf(const std::string &role) const
+    {
+        std::vector<std::string> running;
+        for (const auto &[name, state] : this->states) {
+            if (SoakCluster::roleOf(name) == role && state.phase == Phase::Up && soakNow() >= state.since + startTime) {
+                running.push_back(name);
+            }
+        }
+        return running;
+    }
+
     void disturb()
     {
         this->hasLostEntry = false;
@@ -229,15 +263,10 @@
             : luck < 8                                   ? "agent"
                                                          : "control";
         this->nextRole.clear();
-        std::vector<std::string> running;
-        std::size_t disturbed = 0;
-        for (const auto &[name, state] : this->states) {
-            const bool isOfRole = SoakCluster::roleOf(name) == role;
-            disturbed += isOfRole && state.phase != Phase::Up ? 1 : 0;
-            if (isOfRole && state.phase == Phase::Up && soakNow() >= state.since + startTime) {
-                running.push_back(name);
-            }
-        }
+        const auto running = this->runningOf(role);
+        const auto disturbed = std::count_if(this->states.begin(), this->states.end(), [&role](const auto &each) {
+            return SoakCluster::roleOf(each.first) == role && each.second.phase != Phase::Up;
+        });
         if (running.empty() || (this->isPlannedOnly && disturbed > 0) || (role != "control" && running.size() < 2)) {
             return {};
         }
@@ -247,6 +276,7 @@
     SoakRecord &record;
     SoakCluster &cluster;
     const bool isPlannedOnly;
+    const bool aimsAtLateStarts;
     std::mt19937_64 random;
     std::map<std::string, State> states;
     int faults = 0;
--- a/tests/soak_record.h
+++ b/tests/soak_record.h
@@ -32,6 +32,7 @@
 {
     SoakJob job;
     SoakMillis timeLimit {0}; ///< of each attempt
+    SoakMillis connectionLossAfter {0}; ///< if not 0, when the caller closes its connection, except at the last attempt
     std::vector<SoakAttempt> attempts;
 };
 
@@ -102,7 +103,18 @@
         this->allFaults[index].until = soakNow();
     }
 
+    /// Counts something that an executor did to disturb its host.
+    void countTrouble(const std::string &kind)
+    {
+        const std::lock_guard lock(this->mutex);
+        ++this->troubles[kind];
+    }
+
     // Read after all threads that record have ended.
+    const std::map<std::string, int> &troubleCounts() const
+    {
+        return this->troubles;
+    }
     const std::vector<SoakTaskRun> &runs() const
     {
         return this->taskRuns;
@@ -171,6 +183,7 @@
     std::vector<SoakSubmission> allSubmissions;
     std::vector<SoakFault> allFaults;
     std::vector<std::string> allIdleResets;
+    std::map<std::string, int> troubles; ///< number of times, by kind
     std::vector<std::string> found;
 };
 
--- a/tests/soak_run.h
+++ b/tests/soak_run.h
@@ -13,12 +13,16 @@
     std::vector<std::string> violations;
     std::string summary;
     std::string timeline; ///< of the faults
+    std::map<std::string, int> troubles; ///< what executors did to disturb their hosts, by kind
 };
 
+/// First seed of the kind that has a range of its own.
+constexpr std::uint64_t firstLateStartsSeed = 1000;
+
 inline SoakKind soakKindOf(std::uint64_t seed)
 {
-    constexpr std::uint64_t kinds = 3;
-    return static_cast<SoakKind>(seed % kinds);
+    constexpr std::uint64_t mixedKinds = 3;
+    return seed >= firstLateStartsSeed ? SoakKind::LateStarts : static_cast<SoakKind>(seed % mixedKinds);
 }
 
 /// Submits one job to an entry. Returns true if it was completed.
@@ -100,6 +104,8 @@
             options.maxInFlight = 6;
             options.maxConnections = 10;
         }
+        options.hasLateStarts = this->kind == SoakKind::LateStarts;
+        options.hosts = options.hasLateStarts ? 8 : options.hosts;
         return options;
     }
 
@@ -117,6 +123,10 @@
             options.maxPauseMs = 100;
             options.exceedsLimits = true;
         }
+        if (this->kind == SoakKind::LateStarts) {
+            options.extraTaskMs = 500;
+            options.losesConnections = true;
+        }
         return options;
     }
 
@@ -146,17 +156,27 @@
             result.violations.insert(result.violations.end(), found->begin(), found->end());
         }
         result.timeline = this->record.faultTimeline();
+        result.troubles = this->record.troubleCounts();
         result.summary
             = fmt::format("seed {} ({}): {} faults, {} jobs, {} runs, {} acknowledged configurations, {} "
-                          "reads, {} probes; answers:{}",
+                          "reads, {} probes;{} answers:{}",
                           this->seed, kindName(this->kind), faults.faultCount(), this->record.submissions().size(),
                           this->record.runs().size(), operators.allAcks().size(), operators.allReads().size(),
-                          operators.allProbes().size(), this->answerCounts());
+                          operators.allProbes().size(), this->troubleText(), this->answerCounts());
+    }
+
+    std::string troubleText() const
+    {
+        std::string text;
+        for (const auto &[name, count] : this->record.troubleCounts()) {
+            text += fmt::format(" {} {};", count, name);
+        }
+        return text;
     }
 
     static const char *kindName(SoakKind kind)
     {
-        const char *names[] = {"planned", "crash", "limits"};
+        const char *names[] = {"planned", "crash", "limits", "late starts"};
         return names[static_cast<int>(kind)];
     }
 
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 /// Runs seeds, two at a time, and checks that none finds a violation.
-void runSeeds(const std::vector<std::uint64_t> &seeds)
+/// @param trouble what the executors must have done in each run; empty for nothing particular.
+void runSeeds(const std::vector<std::uint64_t> &seeds, const std::string &trouble = {})
 {
     constexpr std::size_t seedsAtOnce = 2;
     setLogLevel(LogLevel::Error);
@@ -32,6 +33,7 @@
                 UNSCOPED_INFO(violation);
             }
             CHECK(result.violations.empty());
+            CHECK((trouble.empty() || result.troubles.count(trouble) > 0));
         }
     }
 }
@@ -153,6 +155,15 @@
         record.addIdleReset("entry-1");
         CHECK(violations().size() == 1);
     }
+    SECTION("a late start order that begins a run while the resubmitted task runs elsewhere is a violation")
+    {
+        exchange.end = SoakExchange::End::Answered;
+        exchange.status = 200;
+        exchange.body = R"({"State":"completed"})";
+        record.runEnded(record.runStarted(task, 1, "i-2", start), "done", start + SoakMillis(100));
+        record.runEnded(record.runStarted(task, 1, "i-1", start + SoakMillis(50)), "done", start + SoakMillis(150));
+        CHECK(violations().size() == 1);
+    }
 }
 
 // A process that is stopped or reloaded must not cut a request that it has read, reset an idle connection, or lose an
@@ -174,6 +185,12 @@
     runSeeds({2, 5});
 }
 
+// A start order that is carried out seconds late, after its host was lost, must not run beside the resubmitted task.
+TEST_CASE("Late start orders of lost hosts run no task twice", "[soak]")
+{
+    runSeeds({1001, 1002}, "late starts");
+}
+
 // Runs the seeds of the environment variable AGATEDRUM_SOAK_SEEDS, such as 1-50. Started by hand only.
 TEST_CASE("A range of seeds given by hand holds all guarantees", "[.soak-range]")
 {
