Soak test: tasks that crash servers, and a capacity that shrinks and grows

Check: after three servers have crashed under such a task, it is started at most two more times. No run of another kind has crashes of servers, so that check is as strict for them as it was.

Check: no start brings a server over the largest capacity that it had within the last 3000 ms (ContactMs) and 1500 ms (one report).

--- a/tests/soak_callers.h
+++ b/tests/soak_callers.h
@@ -15,6 +15,7 @@
     bool exceedsLimits = false; ///< some requests are larger than the limits of the configuration
     int extraTaskMs = 0; ///< added to the run time of each task
     bool losesConnections = false; ///< closes some connections before the answer and submits the job elsewhere
+    bool hasDeadlyTasks = false; ///< some jobs have a task that crashes executors
     std::uint64_t seed = 1;
 };
 
@@ -51,6 +52,12 @@
         this->threads.clear();
     }
 
+    /// Submits no further jobs with deadly tasks.
+    void spareExecutors()
+    {
+        this->isSparing = true;
+    }
+
     static bool isRejection(int status)
     {
         return status >= 400 && status < 500 ? status != 408 : status == 503;
@@ -109,10 +116,15 @@
 
     void drawTrouble(std::mt19937_64 &random, SoakSubmission &submission) const
     {
+        constexpr int deadlyShare = 40; ///< one job of so many has a deadly task
         constexpr int lossShare = 2; ///< one job of so many loses its connection at its first attempts
-        for (auto &taskMs : submission.job.taskMs) {
+        auto &job = submission.job;
+        for (auto &taskMs : job.taskMs) {
             taskMs += this->options.extraTaskMs;
         }
+        if (this->options.hasDeadlyTasks && !this->isSparing && random() % deadlyShare == 0) {
+            job.deadlyTask = static_cast<int>(random() % job.taskMs.size());
+        }
         if (this->options.losesConnections && random() % lossShare == 0) {
             submission.connectionLossAfter = SoakMillis(50 + static_cast<int>(random() % 900));
         }
@@ -185,6 +197,7 @@
     const SoakCluster &cluster;
     const SoakCallerOptions options;
     std::atomic<bool> isStopping {false};
+    std::atomic<bool> isSparing {false};
     std::vector<std::thread> threads;
 };
 
--- a/tests/soak_checks.h
+++ b/tests/soak_checks.h
@@ -24,6 +24,7 @@
         this->checkOverlaps();
         for (const auto &submission : record.submissions()) {
             this->checkRejection(submission);
+            this->checkCrashes(submission);
             this->checkCompletion(submission);
             if (isPlannedOnly) {
                 this->checkCuts(submission);
@@ -76,21 +77,56 @@
         }
     }
 
-    /// A completed job needs a run of each task that ended as done, a failed one a task that failed three times.
+    /// After three executors have crashed under a task that crashes them, it must be started at most two more times.
+    void checkCrashes(const SoakSubmission &submission)
+    {
+        constexpr std::size_t crashLimit = 3;
+        constexpr std::size_t furtherStartLimit = 3;
+        const auto task = soak_wire::taskName(submission.job.id, static_cast<std::size_t>(submission.job.deadlyTask));
+        const auto found = this->runsByTask.find(task);
+        if (submission.job.deadlyTask < 0 || found == this->runsByTask.end()) {
+            return;
+        }
+        std::vector<SoakTime> crashes;
+        for (const auto *run : found->second) {
+            if (run->end == "crashed") {
+                crashes.push_back(run->endedAt);
+            }
+        }
+        std::sort(crashes.begin(), crashes.end());
+        if (crashes.size() < crashLimit) {
+            return;
+        }
+        const auto furtherStarts = std::count_if(found->second.begin(), found->second.end(), [&](const auto *run) {
+            return run->startedAt > crashes[crashLimit - 1];
+        });
+        if (static_cast<std::size_t>(furtherStarts) >= furtherStartLimit) {
+            this->add(submission.job.id,
+                      fmt::format("{} was started {} more times after {} executors had crashed under it", task,
+                                  furtherStarts, crashLimit));
+        }
+    }
+
+    /// A completed job needs a run of each task that ended as done. A failed one needs a task that failed three times,
+    /// or a task under which two executors have crashed.
     void checkCompletion(const SoakSubmission &submission)
     {
         constexpr int maxAttempts = 3;
+        constexpr int maxCrashes = 2;
         for (const auto &attempt : submission.attempts) {
             const auto state = attempt.exchange.status == 200 ? soak_wire::jobState(attempt.exchange.body) : "";
             int done = 0;
             int mostFailures = 0;
+            int mostCrashes = 0;
             for (std::size_t i = 0; i < submission.job.taskMs.size(); ++i) {
                 const auto task = soak_wire::taskName(submission.job.id, i);
                 done += this->countRuns(task, "done", attempt.exchange.endedAt) > 0 ? 1 : 0;
                 mostFailures = std::max(mostFailures, this->countRuns(task, "failed", attempt.exchange.endedAt));
+                mostCrashes = std::max(mostCrashes, this->countRuns(task, "crashed", attempt.exchange.endedAt));
             }
-            const bool isWrong = state == "completed" ? done != static_cast<int>(submission.job.taskMs.size())
-                                                      : state == "failed" && mostFailures < maxAttempts;
+            const bool isWrong = state == "completed"
+                ? done != static_cast<int>(submission.job.taskMs.size())
+                : state == "failed" && mostFailures < maxAttempts && mostCrashes < maxCrashes;
             if (isWrong || (attempt.exchange.status == 200 && state.empty())) {
                 this->add(submission.job.id,
                           fmt::format("job {} was answered as {} with {} of {} tasks done and at most {} failures",
--- a/tests/soak_cluster.h
+++ b/tests/soak_cluster.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "child_process.h"
-#include "soak_executor.h"
+#include "soak_machine.h"
 
 #include <filesystem>
 #include <fstream>
@@ -19,6 +19,7 @@
     bool hasSlowExecutor = false; ///< runs at the first executor take 2.5 times as long
     bool hasLateCalls = false; ///< see SoakExecutorOptions
     bool hasLateStarts = false; ///< see SoakExecutorOptions; every other executor also grants leases late
+    bool changesCapacity = false; ///< see SoakExecutorOptions
     int number = 0; ///< 0 to 9; distinguishes clusters that one test process runs at the same time
     std::uint64_t seed = 1;
 };
@@ -56,9 +57,10 @@
             executor.hasLateCalls = options.hasLateCalls;
             executor.hasLateStarts = options.hasLateStarts;
             executor.grantsLateLeases = options.hasLateStarts && i % 2 == 0;
+            executor.changesCapacity = options.changesCapacity;
             executor.onLateStart = [this, i] { this->lateStartHost = i; };
             executor.seed = random();
-            this->executors.push_back(std::make_unique<SoakExecutor>(record, executor));
+            this->executors.push_back(std::make_unique<SoakMachine>(record, executor));
         }
     }
     ~SoakCluster()
@@ -201,7 +203,7 @@
     std::string folder;
     std::map<std::string, std::unique_ptr<ChildProcess>> processes;
     std::atomic<int> lateStartHost {0}; ///< index of a host, 0 for none
-    std::vector<std::unique_ptr<SoakExecutor>> executors;
+    std::vector<std::unique_ptr<SoakMachine>> executors;
 };
 
 } // namespace agatedrum::test
--- a/tests/soak_executor.h
+++ b/tests/soak_executor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http_server_p.h"
+#include "soak_capacity.h"
 #include "soak_record.h"
 
 #include <atomic>
@@ -26,6 +27,7 @@
     bool hasLateCalls = false; ///< in some seconds, it answers only a part of the calls and carries out the others late
     bool hasLateStarts = false; ///< it gives no answer to some start orders and carries them out seconds late
     bool grantsLateLeases = false; ///< the lease of a late start order is counted from when it is carried out
+    bool changesCapacity = false; ///< its capacity shrinks and grows
     std::function<void()> onLateStart = [] {}; ///< called when a start order arrives that will be carried out late
     std::uint64_t seed = 1;
 };
@@ -41,9 +43,11 @@
         , startedAt(soakNow())
         , bornMs(std::chrono::duration_cast<SoakMillis>(std::chrono::system_clock::now().time_since_epoch()).count())
         , random(this->options.seed)
+        , capacity(this->options.cpuMillis, this->startedAt)
         , server(serverOptions(this->options.address))
     {
         this->leaseUntil = this->startedAt;
+        this->capacityChangeAt = this->startedAt + SoakMillis(leastDwellMs);
         this->addRoute(soak_wire::startPath,
                        [this](const auto &call, const auto &reply) { this->handleStart(call, reply); });
         this->addRoute(soak_wire::stopPath,
@@ -66,6 +70,12 @@
     SoakExecutor(const SoakExecutor &) = delete;
     SoakExecutor &operator=(const SoakExecutor &) = delete;
 
+    /// Returns whether a task has crashed it. It then neither runs, answers nor registers.
+    bool hasCrashed() const
+    {
+        return this->isCrashed;
+    }
+
 private:
     using Call = soak_wire::ExecutorCall;
     using Handler = std::function<void(const Call &, const HttpReply &)>;
@@ -75,6 +85,8 @@
     static constexpr SoakMillis registrationRetry {250};
     static constexpr std::size_t maxEndsPerReply = 500;
     static constexpr int maxStopMs = 50;
+    static constexpr int leastDwellMs = 1500; ///< of a capacity
+    static constexpr int dwellRangeMs = 7500;
 
     struct Running
     {
@@ -122,7 +134,9 @@
                                const auto call = soak_wire::decodeCall(request.body);
                                const std::lock_guard lock(this->mutex);
                                this->advance(soakNow());
-                               if (!call.spec.empty() && this->drawsLateStart()) {
+                               if (this->isCrashed) {
+                                   this->unanswered.push_back(reply);
+                               } else if (!call.spec.empty() && this->drawsLateStart()) {
                                    this->delayStart(call, handler, reply);
                                } else if (const auto delay = this->drawDelay(); delay > SoakMillis(0)) {
                                    this->lateCalls.push_back({soakNow() + delay, call, handler, reply, 0});
@@ -248,13 +262,25 @@
         run.cpuMillis = spec.cpuMillis;
         run.recordIndex = this->record.runStarted(call.task, call.run, this->options.id, now);
         this->running.push_back(run);
+        if (spec.isDeadly) {
+            constexpr int mostCrashDelayMs = 25;
+            this->crashAt
+                = std::min(this->crashAt, now + SoakMillis(static_cast<int>(this->random() % mostCrashDelayMs)));
+        }
+        this->checkCapacity(call.task, now);
+    }
+
+    /// Records a violation if the runs need more than the executor has or lately had.
+    void checkCapacity(const std::string &task, SoakTime now)
+    {
         std::int64_t used = 0;
         for (const auto &each : this->running) {
             used += each.cpuMillis;
         }
-        if (used > this->options.cpuMillis) {
+        const auto limit = this->capacity.limitAt(now);
+        if (used > limit) {
             this->record.addViolation(fmt::format("{} runs {} of {} thousandths of a core after the start of {}",
-                                                  this->options.id, used, this->options.cpuMillis, call.task));
+                                                  this->options.id, used, limit, task));
         }
     }
 
@@ -306,6 +332,19 @@
 
     /// Ends, in the order of time, all runs that were due by now or whose lease had run out.
     void advance(SoakTime now)
+    {
+        this->endRuns(std::min(now, this->crashAt));
+        if (now >= this->crashAt && !this->isCrashed) {
+            this->isCrashed = true;
+            for (const auto &run : this->running) {
+                this->record.runEnded(run.recordIndex, "crashed", this->crashAt);
+            }
+            this->running.clear();
+            this->record.countTrouble("crashes");
+        }
+    }
+
+    void endRuns(SoakTime now)
     {
         while (!this->running.empty()) {
             const auto next = std::min_element(
@@ -335,6 +374,10 @@
             const std::lock_guard lock(this->mutex);
             const auto now = soakNow();
             this->advance(now);
+            if (this->isCrashed) {
+                return;
+            }
+            this->changeCapacity(now);
             this->carryOutLateCalls(now);
             auto waiting = std::exchange(this->waitingPolls, {});
             for (auto &poll : waiting) {
@@ -347,6 +390,17 @@
         }
     }
 
+    void changeCapacity(SoakTime now)
+    {
+        if (!this->options.changesCapacity || now < this->capacityChangeAt) {
+            return;
+        }
+        const auto quarters = static_cast<std::int64_t>(1 + this->random() % 4);
+        this->capacity.change(this->options.cpuMillis * quarters / 4, now);
+        this->capacityChangeAt = now + SoakMillis(leastDwellMs + static_cast<int>(this->random() % dwellRangeMs));
+        this->record.countTrouble("changes of capacity");
+    }
+
     void carryOutLateCalls(SoakTime now)
     {
         auto calls = std::exchange(this->lateCalls, {});
@@ -362,6 +416,12 @@
         }
     }
 
+    std::int64_t currentCapacity()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->capacity.current();
+    }
+
     void runRegistrations()
     {
         soak_wire::Registration registration;
@@ -372,13 +432,14 @@
         registration.bornMs = this->bornMs;
         registration.cpuMillis = this->options.cpuMillis;
         auto nextAt = soakNow();
-        while (!this->isStopping) {
+        while (!this->isStopping && !this->isCrashed) {
             if (soakNow() < nextAt) {
                 std::this_thread::sleep_for(SoakMillis(10));
                 continue;
             }
             ++registration.sequence;
             registration.clockMs = this->clockMs();
+            registration.cpuMillis = this->currentCapacity();
             const auto request = soakRequest("PUT", soak_wire::registrationPath(registration),
                                              this->options.registrar.host, soak_wire::encodeRegistration(registration));
             const auto result = soakCall(this->options.registrar, request, SoakMillis(1000));
@@ -407,6 +468,10 @@
     std::vector<WaitingPoll> waitingPolls;
     std::vector<LateCall> lateCalls;
     std::vector<HttpReply> unanswered; ///< kept, since dropping one would send an answer
+    SoakCapacity capacity;
+    SoakTime capacityChangeAt;
+    SoakTime crashAt = SoakTime::max();
+    std::atomic<bool> isCrashed {false};
     SoakTime troubleDrawnAt;
     bool isTroubled = false;
 
--- a/tests/soak_faults.h
+++ b/tests/soak_faults.h
@@ -9,6 +9,8 @@
     Crash, ///< also kills and freezes, also several at a time
     Limits, ///< as Crash, with callers that go up to the limits of the settings and the configuration
     LateStarts, ///< as Crash, with start orders that are carried out late and whose hosts are then killed or frozen
+    DeadlyTasks, ///< as Planned, with tasks that crash the executors that start them
+    Capacity, ///< as Crash, with executors whose capacity shrinks and grows
 };
 
 /// Stops, kills, freezes and reloads the processes of a cluster as a seed tells, and starts them again.
@@ -18,7 +20,7 @@
     SoakFaults(SoakRecord &record, SoakCluster &cluster, SoakKind kind, std::uint64_t seed)
         : record(record)
         , cluster(cluster)
-        , isPlannedOnly(kind == SoakKind::Planned)
+        , isPlannedOnly(kind == SoakKind::Planned || kind == SoakKind::DeadlyTasks)
         , aimsAtLateStarts(kind == SoakKind::LateStarts)
         , random(seed)
     {
--- a/tests/soak_platform.h
+++ b/tests/soak_platform.h
@@ -19,6 +19,7 @@
     std::int64_t cpuMillis = 1000; ///< demand of each task
     std::vector<int> taskMs; ///< run time of each task
     std::vector<int> failures; ///< for each task, how many of its first runs fail
+    int deadlyTask = -1; ///< index of the task that crashes each executor that starts it; -1 for none
     std::size_t paddingBytes = 0; ///< filler of the body, for jobs that exceed the size limit
 };
 
@@ -77,7 +78,10 @@
 
 inline std::string encodeJob(const SoakJob &job)
 {
-    const Json spec = {{"taskMs", job.taskMs}, {"failures", job.failures}, {"cpuMillis", job.cpuMillis}};
+    Json spec = {{"taskMs", job.taskMs}, {"failures", job.failures}, {"cpuMillis", job.cpuMillis}};
+    if (job.deadlyTask >= 0) {
+        spec["deadlyTask"] = job.deadlyTask;
+    }
     const auto longestMs = *std::max_element(job.taskMs.begin(), job.taskMs.end());
     const Json step = {{"Count", job.taskMs.size()}, {"Cpu", job.cpuMillis}, {"MemMb", 64}, {"EstimatedMs", longestMs}};
     Json body = {{"Spec", spec.dump()}, {"Steps", Json::array({step})}, {"BestEffort", true}};
@@ -211,12 +215,14 @@
     int runMs = 0;
     int failures = 0;
     std::int64_t cpuMillis = 0;
+    bool isDeadly = false; ///< crashes the executor
 };
 
 inline TaskSpec decodeSpec(const std::string &spec, std::size_t index)
 {
     const auto json = Json::parse(spec);
-    return {json.at("taskMs").at(index), json.at("failures").at(index), json.at("cpuMillis")};
+    return {json.at("taskMs").at(index), json.at("failures").at(index), json.at("cpuMillis"),
+            json.value("deadlyTask", -1) == static_cast<int>(index)};
 }
 
 inline std::string encodeClock(std::int64_t clockMs)
--- a/tests/soak_run.h
+++ b/tests/soak_run.h
@@ -16,13 +16,18 @@
     std::map<std::string, int> troubles; ///< what executors did to disturb their hosts, by kind
 };
 
-/// First seed of the kind that has a range of its own.
+/// First seeds of the kinds that have a range of their own.
 constexpr std::uint64_t firstLateStartsSeed = 1000;
+constexpr std::uint64_t firstDeadlyTasksSeed = 2000;
+constexpr std::uint64_t firstCapacitySeed = 3000;
 
 inline SoakKind soakKindOf(std::uint64_t seed)
 {
     constexpr std::uint64_t mixedKinds = 3;
-    return seed >= firstLateStartsSeed ? SoakKind::LateStarts : static_cast<SoakKind>(seed % mixedKinds);
+    return seed >= firstCapacitySeed   ? SoakKind::Capacity
+        : seed >= firstDeadlyTasksSeed ? SoakKind::DeadlyTasks
+        : seed >= firstLateStartsSeed  ? SoakKind::LateStarts
+                                       : static_cast<SoakKind>(seed % mixedKinds);
 }
 
 /// Submits one job to an entry. Returns true if it was completed.
@@ -77,7 +82,8 @@
         SoakOperators operators(this->record, this->cluster, this->seed);
         SoakCallers callers(this->record, this->cluster, this->callerOptions());
         faults.watch(calmTime);
-        faults.run(faultTime);
+        faults.run(this->timeOfFaults());
+        callers.spareExecutors();
         this->checkRecovery(faults);
         callers.stop();
         operators.stop();
@@ -90,9 +96,18 @@
 private:
     static constexpr SoakMillis calmTime {500};
     static constexpr SoakMillis faultTime {9000};
+    static constexpr SoakMillis deadlyFaultTime {4500}; ///< shorter, since the callers go on submitting deadly tasks
+    static constexpr SoakMillis capacityFaultTime {16000}; ///< longer than a shrunk capacity takes to count, twice
     static constexpr SoakMillis readBackTime {1500};
     static constexpr SoakMillis recoveryTime {12000}; ///< within which jobs are served after the last fault
 
+    SoakMillis timeOfFaults() const
+    {
+        return this->kind == SoakKind::Capacity   ? capacityFaultTime
+            : this->kind == SoakKind::DeadlyTasks ? deadlyFaultTime
+                                                  : faultTime;
+    }
+
     SoakClusterOptions clusterOptions(int number)
     {
         SoakClusterOptions options;
@@ -106,6 +121,7 @@
         }
         options.hasLateStarts = this->kind == SoakKind::LateStarts;
         options.hosts = options.hasLateStarts ? 8 : options.hosts;
+        options.changesCapacity = this->kind == SoakKind::Capacity;
         return options;
     }
 
@@ -127,6 +143,15 @@
             options.extraTaskMs = 500;
             options.losesConnections = true;
         }
+        if (this->kind == SoakKind::DeadlyTasks) {
+            options.hasDeadlyTasks = true;
+            options.maxAttempts = 7; // more than a deadly task may be started in all
+        }
+        if (this->kind == SoakKind::Capacity) {
+            options.threads = 24;
+            options.maxTasks = 8;
+            options.maxPauseMs = 100;
+        }
         return options;
     }
 
@@ -176,7 +201,7 @@
 
     static const char *kindName(SoakKind kind)
     {
-        const char *names[] = {"planned", "crash", "limits", "late starts"};
+        const char *names[] = {"planned", "crash", "limits", "late starts", "deadly tasks", "capacity"};
         return names[static_cast<int>(kind)];
     }
 
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -164,6 +164,62 @@
         record.runEnded(record.runStarted(task, 1, "i-1", start + SoakMillis(50)), "done", start + SoakMillis(150));
         CHECK(violations().size() == 1);
     }
+    SECTION("with a task that crashes the executors that start it")
+    {
+        submission.job.deadlyTask = 0;
+        exchange.end = SoakExchange::End::Answered;
+        exchange.status = 200;
+        exchange.body = R"({"State":"failed"})";
+        exchange.endedAt = start + SoakMillis(1000);
+        const auto crash = [&record, &task, &start](int count) {
+            for (int i = 0; i < count; ++i) {
+                const auto at = start + SoakMillis(20 * i);
+                record.runEnded(record.runStarted(task, i + 1, fmt::format("i-{}", i), at), "crashed",
+                                at + SoakMillis(10));
+            }
+        };
+        SECTION("a job that has failed after two crashes is no violation")
+        {
+            crash(2);
+            CHECK(violations().empty());
+        }
+        SECTION("a job that has failed after one crash is a violation")
+        {
+            crash(1);
+            CHECK(violations().size() == 1);
+        }
+        SECTION("two more starts after three crashes are no violation")
+        {
+            crash(5);
+            CHECK(violations().empty());
+        }
+        SECTION("three more starts after three crashes are a violation")
+        {
+            crash(6);
+            CHECK(violations().size() == 1);
+        }
+    }
+}
+
+// A capacity that has shrunk must count for the time that the platform allows and no longer. Otherwise the check of the
+// soak test would report starts that are allowed or miss others.
+TEST_CASE("A shrunk capacity of a stand-in counts after the time that the platform allows", "[soak]")
+{
+    const auto start = soakNow();
+    SoakCapacity capacity(16000, start);
+    const auto shrunkAt = start + SoakMillis(10000);
+    capacity.change(4000, shrunkAt);
+    const auto allowedUntil = shrunkAt + SoakMillis(4500);
+    CHECK(capacity.current() == 4000);
+    CHECK(capacity.limitAt(allowedUntil - SoakMillis(1)) == 16000);
+    CHECK(capacity.limitAt(allowedUntil) == 4000);
+
+    SECTION("a capacity that has grown counts at once, and the smaller one no more")
+    {
+        capacity.change(8000, allowedUntil + SoakMillis(100));
+        CHECK(capacity.limitAt(allowedUntil + SoakMillis(99)) == 4000);
+        CHECK(capacity.limitAt(allowedUntil + SoakMillis(100)) == 8000);
+    }
 }
 
 // A process that is stopped or reloaded must not cut a request that it has read, reset an idle connection, or lose an
@@ -191,6 +247,18 @@
     runSeeds({1001, 1002}, "late starts");
 }
 
+// A task that crashes the executors that start it must not be started on and on.
+TEST_CASE("Deadly tasks are given up after a few crashes", "[soak]")
+{
+    runSeeds({2001, 2002}, "crashes");
+}
+
+// No start may bring an executor over its capacity after the capacity has shrunk.
+TEST_CASE("Starts heed a capacity that shrinks and grows", "[soak]")
+{
+    runSeeds({3001, 3002}, "changes of capacity");
+}
+
 // Runs the seeds of the environment variable AGATEDRUM_SOAK_SEEDS, such as 1-50. Started by hand only.
 TEST_CASE("A range of seeds given by hand holds all guarantees", "[.soak-range]")
 {
