--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -12,7 +12,7 @@
 # A test program with known failing cases runs directly, with all its other cases.
 programs=$(printf '%s\n' "${red[@]+"${red[@]}"}" | sed -n 's/ :: .*//p' | sort -u)
 for program in $programs; do
-    excluded=()
+    excluded=('~[.]') # Catch2 would run hidden cases, which are started by hand only, if cases are only excluded
     for entry in "${red[@]}"; do
         if [ "${entry%% :: *}" = "$program" ]; then excluded+=("~\"${entry#* :: }\""); fi
     done
