--- a/src/owner_core_p.h
+++ b/src/owner_core_p.h
@@ -41,7 +41,8 @@
     void beginStop() override;
     bool isDrained() const override;
     std::int64_t configNumber() const override;
-    /// Returns false for a batch of starts if the lease has expired, which can happen while the batch waits to be sent.
+    /// Returns false for a batch of starts if the lease is not valid or the epoch of the batch is over. Either can
+    /// happen while the batch waits to be sent. Locks the cell's shard.
     bool maySend(const Payload &payload) const override;
 
 private:
@@ -83,7 +84,8 @@
     std::vector<std::unique_ptr<Shard>> shards;
 
     std::mutex viewMutex; ///< held while a new view is applied; must be locked before the mutex of a shard
-    std::int64_t appliedViewVersion = -1; ///< version of the last applied view; guarded by viewMutex
+    /// version of the last applied view; written only under viewMutex, after the view has been applied to all cells
+    std::atomic<std::int64_t> appliedViewVersion {-1};
     ClusterConfig config; ///< configuration of the last applied view; guarded by viewMutex
     std::atomic<std::int64_t> leaseUntilMicros {0}; ///< end of the lease that is confirmed by the applied view
     std::mutex leaseMutex;
--- a/tests/soak_executor.h
+++ b/tests/soak_executor.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "http_server_p.h"
+#include "soak_capacity.h"
 #include "soak_record.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -23,6 +25,10 @@
     double clockRate = 1.0; ///< steps of its clock per step of the real one
     double slowness = 1.0; ///< how much longer its runs take than the job tells
     bool hasLateCalls = false; ///< in some seconds, it answers only a part of the calls and carries out the others late
+    bool hasLateStarts = false; ///< it gives no answer to some start orders and carries them out seconds late
+    bool grantsLateLeases = false; ///< the lease of a late start order is counted from when it is carried out
+    bool changesCapacity = false; ///< its capacity shrinks and grows
+    std::function<void()> onLateStart = [] {}; ///< called when a start order arrives that will be carried out late
     std::uint64_t seed = 1;
 };
 
@@ -37,9 +43,11 @@
         , startedAt(soakNow())
         , bornMs(std::chrono::duration_cast<SoakMillis>(std::chrono::system_clock::now().time_since_epoch()).count())
         , random(this->options.seed)
+        , capacity(this->options.cpuMillis, this->startedAt)
         , server(serverOptions(this->options.address))
     {
         this->leaseUntil = this->startedAt;
+        this->capacityChangeAt = this->startedAt + SoakMillis(leastDwellMs);
         this->addRoute(soak_wire::startPath,
                        [this](const auto &call, const auto &reply) { this->handleStart(call, reply); });
         this->addRoute(soak_wire::stopPath,
@@ -62,6 +70,12 @@
     SoakExecutor(const SoakExecutor &) = delete;
     SoakExecutor &operator=(const SoakExecutor &) = delete;
 
+    /// Returns whether a task has crashed it. It then neither runs, answers nor registers.
+    bool hasCrashed() const
+    {
+        return this->isCrashed;
+    }
+
 private:
     using Call = soak_wire::ExecutorCall;
     using Handler = std::function<void(const Call &, const HttpReply &)>;
@@ -71,6 +85,8 @@
     static constexpr SoakMillis registrationRetry {250};
     static constexpr std::size_t maxEndsPerReply = 500;
     static constexpr int maxStopMs = 50;
+    static constexpr int leastDwellMs = 1500; ///< of a capacity
+    static constexpr int dwellRangeMs = 7500;
 
     struct Running
     {
@@ -89,6 +105,7 @@
         Call call;
         Handler handler;
         HttpReply reply;
+        std::int64_t leaseGrantedMs = 0; ///< if not 0, the length of the lease from when the call is carried out
     };
     struct WaitingPoll
     {
@@ -117,8 +134,12 @@
                                const auto call = soak_wire::decodeCall(request.body);
                                const std::lock_guard lock(this->mutex);
                                this->advance(soakNow());
-                               if (const auto delay = this->drawDelay(); delay > SoakMillis(0)) {
-                                   this->lateCalls.push_back({soakNow() + delay, call, handler, reply});
+                               if (this->isCrashed) {
+                                   this->unanswered.push_back(reply);
+                               } else if (!call.spec.empty() && this->drawsLateStart()) {
+                                   this->delayStart(call, handler, reply);
+                               } else if (const auto delay = this->drawDelay(); delay > SoakMillis(0)) {
+                                   this->lateCalls.push_back({soakNow() + delay, call, handler, reply, 0});
                                } else {
                                    this->carryOut(call, handler, reply);
                                }
@@ -135,6 +156,28 @@
         handler(call, reply);
     }
 
+    bool drawsLateStart()
+    {
+        constexpr int lateShare = 10; ///< one start order of so many is carried out late
+        return this->options.hasLateStarts && this->random() % lateShare == 0;
+    }
+    /// Carries out the start order 2 to 12 s later. Half of the delays are below 4 s, since callers submit lost jobs
+    /// again within that time.
+    void delayStart(const Call &call, const Handler &handler, const HttpReply &reply)
+    {
+        const int range = this->random() % 2 == 0 ? 2000 : 10000;
+        const SoakMillis delay(2000 + static_cast<int>(this->random() % static_cast<std::uint64_t>(range)));
+        const auto granted = this->options.grantsLateLeases ? call.leaseUntilMs - this->clockMs() : 0;
+        this->unanswered.push_back(reply);
+        const auto countOutcome = [this](const HttpResponse &response) {
+            constexpr int accepted = 200;
+            this->record.countTrouble(response.status == accepted ? "late starts obeyed" : "late starts refused");
+        };
+        this->lateCalls.push_back({soakNow() + delay, call, handler, countOutcome, granted});
+        this->record.countTrouble("late starts");
+        this->options.onLateStart();
+    }
+
     /// Returns 0 if the call is carried out at once.
     SoakMillis drawDelay()
     {
@@ -219,13 +262,25 @@
         run.cpuMillis = spec.cpuMillis;
         run.recordIndex = this->record.runStarted(call.task, call.run, this->options.id, now);
         this->running.push_back(run);
+        if (spec.isDeadly) {
+            constexpr int mostCrashDelayMs = 25;
+            this->crashAt
+                = std::min(this->crashAt, now + SoakMillis(static_cast<int>(this->random() % mostCrashDelayMs)));
+        }
+        this->checkCapacity(call.task, now);
+    }
+
+    /// Records a violation if the runs need more than the executor has or lately had.
+    void checkCapacity(const std::string &task, SoakTime now)
+    {
         std::int64_t used = 0;
         for (const auto &each : this->running) {
             used += each.cpuMillis;
         }
-        if (used > this->options.cpuMillis) {
+        const auto limit = this->capacity.limitAt(now);
+        if (used > limit) {
             this->record.addViolation(fmt::format("{} runs {} of {} thousandths of a core after the start of {}",
-                                                  this->options.id, used, this->options.cpuMillis, call.task));
+                                                  this->options.id, used, limit, task));
         }
     }
 
@@ -277,6 +332,19 @@
 
     /// Ends, in the order of time, all runs that were due by now or whose lease had run out.
     void advance(SoakTime now)
+    {
+        this->endRuns(std::min(now, this->crashAt));
+        if (now >= this->crashAt && !this->isCrashed) {
+            this->isCrashed = true;
+            for (const auto &run : this->running) {
+                this->record.runEnded(run.recordIndex, "crashed", this->crashAt);
+            }
+            this->running.clear();
+            this->record.countTrouble("crashes");
+        }
+    }
+
+    void endRuns(SoakTime now)
     {
         while (!this->running.empty()) {
             const auto next = std::min_element(
@@ -306,6 +374,10 @@
             const std::lock_guard lock(this->mutex);
             const auto now = soakNow();
             this->advance(now);
+            if (this->isCrashed) {
+                return;
+            }
+            this->changeCapacity(now);
             this->carryOutLateCalls(now);
             auto waiting = std::exchange(this->waitingPolls, {});
             for (auto &poll : waiting) {
@@ -318,6 +390,17 @@
         }
     }
 
+    void changeCapacity(SoakTime now)
+    {
+        if (!this->options.changesCapacity || now < this->capacityChangeAt) {
+            return;
+        }
+        const auto quarters = static_cast<std::int64_t>(1 + this->random() % 4);
+        this->capacity.change(this->options.cpuMillis * quarters / 4, now);
+        this->capacityChangeAt = now + SoakMillis(leastDwellMs + static_cast<int>(this->random() % dwellRangeMs));
+        this->record.countTrouble("changes of capacity");
+    }
+
     void carryOutLateCalls(SoakTime now)
     {
         auto calls = std::exchange(this->lateCalls, {});
@@ -325,11 +408,20 @@
             if (late.at > now) {
                 this->lateCalls.push_back(std::move(late));
             } else {
+                if (late.leaseGrantedMs > 0) {
+                    late.call.leaseUntilMs = this->clockMs() + late.leaseGrantedMs;
+                }
                 this->carryOut(late.call, late.handler, late.reply);
             }
         }
     }
 
+    std::int64_t currentCapacity()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->capacity.current();
+    }
+
     void runRegistrations()
     {
         soak_wire::Registration registration;
@@ -340,13 +432,14 @@
         registration.bornMs = this->bornMs;
         registration.cpuMillis = this->options.cpuMillis;
         auto nextAt = soakNow();
-        while (!this->isStopping) {
+        while (!this->isStopping && !this->isCrashed) {
             if (soakNow() < nextAt) {
                 std::this_thread::sleep_for(SoakMillis(10));
                 continue;
             }
             ++registration.sequence;
             registration.clockMs = this->clockMs();
+            registration.cpuMillis = this->currentCapacity();
             const auto request = soakRequest("PUT", soak_wire::registrationPath(registration),
                                              this->options.registrar.host, soak_wire::encodeRegistration(registration));
             const auto result = soakCall(this->options.registrar, request, SoakMillis(1000));
@@ -374,6 +467,11 @@
     std::int64_t lastEnd = 0;
     std::vector<WaitingPoll> waitingPolls;
     std::vector<LateCall> lateCalls;
+    std::vector<HttpReply> unanswered; ///< kept, since dropping one would send an answer
+    SoakCapacity capacity;
+    SoakTime capacityChangeAt;
+    SoakTime crashAt = SoakTime::max();
+    std::atomic<bool> isCrashed {false};
     SoakTime troubleDrawnAt;
     bool isTroubled = false;
 
