--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -134,6 +134,10 @@
   ENDED = 5,      // was stopped or lost; it is certainly no longer running
   REFUSED = 6     // did not run at this host and never will by this order
 }
+struct CrashedTask { 1: string job; 2: i32 index; }
+// The runs that were active when a backend server crashed. server: identifies the crashed instance. No tasks: the
+// instance runs after all.
+struct ServerCrash { 1: string server; 2: list<CrashedTask> tasks; }
 // host -> entry. sentAtMicros: host's clock; an entry echoes the newest value as heardAtMicros.
 struct HostReport {
   1: string serviceName; 2: string server; 3: bool accepting; 4: Resources capacity; 5: Resources reserved;
@@ -141,6 +145,7 @@
   7: double slowness;       // run time of recent tasks relative to their estimates
   8: double failureShare;   // share of recent tasks that failed
   9: list<string> labels; 10: i64 sentAtMicros; 11: string failureDomain; 12: i64 sequence;
+  20: list<ServerCrash> crashes;  // recent crashes; only in reports that are sent to all entries
 }
 // entry -> host. Extends the time for which the host runs the entry's tasks. reportsSeen: all reports up to this number
 // have been received.
@@ -148,7 +153,10 @@
 // order: number of the order, unique within one entry process.
 // mayWait: the entry knows that the task has to wait at the host; otherwise a host without free capacity refuses it at
 // once.
-struct TaskOrder { 1: i32 index; 2: i64 order; 3: Resources demand; 4: i64 estimateMicros; 5: bool mayWait; }
+// suspected: a backend server has crashed under the task, so that it must not run beside another such task.
+struct TaskOrder {
+  1: i32 index; 2: i64 order; 3: Resources demand; 4: i64 estimateMicros; 5: bool mayWait; 20: bool suspected;
+}
 // startWithinMicros: time until the latest useful start of the tasks; the host's queue is ordered by it.
 struct RunTasks {
   1: i64 hostIncarnation; 2: i64 heardAtMicros; 3: string job; 4: string spec; 5: i64 startWithinMicros;
@@ -162,6 +170,7 @@
   8: i64 remainingMicros;  // with RUNNING, for a task expected to end too late: time until its end; 0 if not set
   9: i64 workMicros;       // with remainingMicros: run time at the speed that the estimates assume
   10: i64 leastRemainingMicros;  // with remainingMicros: minimum time until the end that the run's progress allows
+  20: bool serverLost;           // with ENDED: the backend server crashed or was replaced during the run
 }
 struct TaskReports { 1: list<TaskReport> reports; 2: HostReport host; }
 
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -5609,6 +5609,272 @@
 }
 
 
+CrashedTask::~CrashedTask() noexcept {
+}
+
+
+void CrashedTask::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void CrashedTask::__set_index(const int32_t val) {
+  this->index = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashedTask& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashedTask::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashedTask::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashedTask");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashedTask &a, CrashedTask &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.index, b.index);
+  swap(a.__isset, b.__isset);
+}
+
+CrashedTask::CrashedTask(const CrashedTask& other198) {
+  job = other198.job;
+  index = other198.index;
+  __isset = other198.__isset;
+}
+CrashedTask::CrashedTask(CrashedTask&& other199) noexcept {
+  job = std::move(other199.job);
+  index = other199.index;
+  __isset = other199.__isset;
+}
+CrashedTask& CrashedTask::operator=(const CrashedTask& other200) {
+  job = other200.job;
+  index = other200.index;
+  __isset = other200.__isset;
+  return *this;
+}
+CrashedTask& CrashedTask::operator=(CrashedTask&& other201) noexcept {
+  job = std::move(other201.job);
+  index = other201.index;
+  __isset = other201.__isset;
+  return *this;
+}
+void CrashedTask::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashedTask(";
+  out << "job=" << to_string(job);
+  out << ", " << "index=" << to_string(index);
+  out << ")";
+}
+
+
+ServerCrash::~ServerCrash() noexcept {
+}
+
+
+void ServerCrash::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void ServerCrash::__set_tasks(const std::vector<CrashedTask> & val) {
+  this->tasks = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerCrash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tasks.clear();
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->tasks.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
+            {
+              xfer += this->tasks[_i206].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tasks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerCrash");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
+    std::vector<CrashedTask> ::const_iterator _iter207;
+    for (_iter207 = this->tasks.begin(); _iter207 != this->tasks.end(); ++_iter207)
+    {
+      xfer += (*_iter207).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerCrash &a, ServerCrash &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.tasks, b.tasks);
+  swap(a.__isset, b.__isset);
+}
+
+ServerCrash::ServerCrash(const ServerCrash& other208) {
+  server = other208.server;
+  tasks = other208.tasks;
+  __isset = other208.__isset;
+}
+ServerCrash::ServerCrash(ServerCrash&& other209) noexcept {
+  server = std::move(other209.server);
+  tasks = std::move(other209.tasks);
+  __isset = other209.__isset;
+}
+ServerCrash& ServerCrash::operator=(const ServerCrash& other210) {
+  server = other210.server;
+  tasks = other210.tasks;
+  __isset = other210.__isset;
+  return *this;
+}
+ServerCrash& ServerCrash::operator=(ServerCrash&& other211) noexcept {
+  server = std::move(other211.server);
+  tasks = std::move(other211.tasks);
+  __isset = other211.__isset;
+  return *this;
+}
+void ServerCrash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerCrash(";
+  out << "server=" << to_string(server);
+  out << ", " << "tasks=" << to_string(tasks);
+  out << ")";
+}
+
+
 HostReport::~HostReport() noexcept {
 }
 
@@ -5660,6 +5926,10 @@
 void HostReport::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
+
+void HostReport::__set_crashes(const std::vector<ServerCrash> & val) {
+  this->crashes = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -5756,14 +6026,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->labels.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size212;
+            ::apache::thrift::protocol::TType _etype215;
+            xfer += iprot->readListBegin(_etype215, _size212);
+            this->labels.resize(_size212);
+            uint32_t _i216;
+            for (_i216 = 0; _i216 < _size212; ++_i216)
             {
-              xfer += iprot->readString(this->labels[_i202]);
+              xfer += iprot->readString(this->labels[_i216]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5796,6 +6066,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->crashes.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
+            {
+              xfer += this->crashes[_i221].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5848,10 +6138,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter203;
-    for (_iter203 = this->labels.begin(); _iter203 != this->labels.end(); ++_iter203)
+    std::vector<std::string> ::const_iterator _iter222;
+    for (_iter222 = this->labels.begin(); _iter222 != this->labels.end(); ++_iter222)
     {
-      xfer += oprot->writeString((*_iter203));
+      xfer += oprot->writeString((*_iter222));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5869,6 +6159,18 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 20);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<ServerCrash> ::const_iterator _iter223;
+    for (_iter223 = this->crashes.begin(); _iter223 != this->crashes.end(); ++_iter223)
+    {
+      xfer += (*_iter223).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5888,69 +6190,74 @@
   swap(a.sentAtMicros, b.sentAtMicros);
   swap(a.failureDomain, b.failureDomain);
   swap(a.sequence, b.sequence);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-HostReport::HostReport(const HostReport& other204) {
-  serviceName = other204.serviceName;
-  server = other204.server;
-  accepting = other204.accepting;
-  capacity = other204.capacity;
-  reserved = other204.reserved;
-  startDelayMicros = other204.startDelayMicros;
-  slowness = other204.slowness;
-  failureShare = other204.failureShare;
-  labels = other204.labels;
-  sentAtMicros = other204.sentAtMicros;
-  failureDomain = other204.failureDomain;
-  sequence = other204.sequence;
-  __isset = other204.__isset;
-}
-HostReport::HostReport(HostReport&& other205) noexcept {
-  serviceName = std::move(other205.serviceName);
-  server = std::move(other205.server);
-  accepting = other205.accepting;
-  capacity = std::move(other205.capacity);
-  reserved = std::move(other205.reserved);
-  startDelayMicros = other205.startDelayMicros;
-  slowness = other205.slowness;
-  failureShare = other205.failureShare;
-  labels = std::move(other205.labels);
-  sentAtMicros = other205.sentAtMicros;
-  failureDomain = std::move(other205.failureDomain);
-  sequence = other205.sequence;
-  __isset = other205.__isset;
-}
-HostReport& HostReport::operator=(const HostReport& other206) {
-  serviceName = other206.serviceName;
-  server = other206.server;
-  accepting = other206.accepting;
-  capacity = other206.capacity;
-  reserved = other206.reserved;
-  startDelayMicros = other206.startDelayMicros;
-  slowness = other206.slowness;
-  failureShare = other206.failureShare;
-  labels = other206.labels;
-  sentAtMicros = other206.sentAtMicros;
-  failureDomain = other206.failureDomain;
-  sequence = other206.sequence;
-  __isset = other206.__isset;
-  return *this;
-}
-HostReport& HostReport::operator=(HostReport&& other207) noexcept {
-  serviceName = std::move(other207.serviceName);
-  server = std::move(other207.server);
-  accepting = other207.accepting;
-  capacity = std::move(other207.capacity);
-  reserved = std::move(other207.reserved);
-  startDelayMicros = other207.startDelayMicros;
-  slowness = other207.slowness;
-  failureShare = other207.failureShare;
-  labels = std::move(other207.labels);
-  sentAtMicros = other207.sentAtMicros;
-  failureDomain = std::move(other207.failureDomain);
-  sequence = other207.sequence;
-  __isset = other207.__isset;
+HostReport::HostReport(const HostReport& other224) {
+  serviceName = other224.serviceName;
+  server = other224.server;
+  accepting = other224.accepting;
+  capacity = other224.capacity;
+  reserved = other224.reserved;
+  startDelayMicros = other224.startDelayMicros;
+  slowness = other224.slowness;
+  failureShare = other224.failureShare;
+  labels = other224.labels;
+  sentAtMicros = other224.sentAtMicros;
+  failureDomain = other224.failureDomain;
+  sequence = other224.sequence;
+  crashes = other224.crashes;
+  __isset = other224.__isset;
+}
+HostReport::HostReport(HostReport&& other225) noexcept {
+  serviceName = std::move(other225.serviceName);
+  server = std::move(other225.server);
+  accepting = other225.accepting;
+  capacity = std::move(other225.capacity);
+  reserved = std::move(other225.reserved);
+  startDelayMicros = other225.startDelayMicros;
+  slowness = other225.slowness;
+  failureShare = other225.failureShare;
+  labels = std::move(other225.labels);
+  sentAtMicros = other225.sentAtMicros;
+  failureDomain = std::move(other225.failureDomain);
+  sequence = other225.sequence;
+  crashes = std::move(other225.crashes);
+  __isset = other225.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other226) {
+  serviceName = other226.serviceName;
+  server = other226.server;
+  accepting = other226.accepting;
+  capacity = other226.capacity;
+  reserved = other226.reserved;
+  startDelayMicros = other226.startDelayMicros;
+  slowness = other226.slowness;
+  failureShare = other226.failureShare;
+  labels = other226.labels;
+  sentAtMicros = other226.sentAtMicros;
+  failureDomain = other226.failureDomain;
+  sequence = other226.sequence;
+  crashes = other226.crashes;
+  __isset = other226.__isset;
+  return *this;
+}
+HostReport& HostReport::operator=(HostReport&& other227) noexcept {
+  serviceName = std::move(other227.serviceName);
+  server = std::move(other227.server);
+  accepting = other227.accepting;
+  capacity = std::move(other227.capacity);
+  reserved = std::move(other227.reserved);
+  startDelayMicros = other227.startDelayMicros;
+  slowness = other227.slowness;
+  failureShare = other227.failureShare;
+  labels = std::move(other227.labels);
+  sentAtMicros = other227.sentAtMicros;
+  failureDomain = std::move(other227.failureDomain);
+  sequence = other227.sequence;
+  crashes = std::move(other227.crashes);
+  __isset = other227.__isset;
   return *this;
 }
 void HostReport::printTo(std::ostream& out) const {
@@ -5968,6 +6275,7 @@
   out << ", " << "sentAtMicros=" << to_string(sentAtMicros);
   out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "crashes=" << to_string(crashes);
   out << ")";
 }
 
@@ -6081,30 +6389,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HostContact::HostContact(const HostContact& other208) noexcept {
-  hostIncarnation = other208.hostIncarnation;
-  heardAtMicros = other208.heardAtMicros;
-  reportsSeen = other208.reportsSeen;
-  __isset = other208.__isset;
+HostContact::HostContact(const HostContact& other228) noexcept {
+  hostIncarnation = other228.hostIncarnation;
+  heardAtMicros = other228.heardAtMicros;
+  reportsSeen = other228.reportsSeen;
+  __isset = other228.__isset;
 }
-HostContact::HostContact(HostContact&& other209) noexcept {
-  hostIncarnation = other209.hostIncarnation;
-  heardAtMicros = other209.heardAtMicros;
-  reportsSeen = other209.reportsSeen;
-  __isset = other209.__isset;
+HostContact::HostContact(HostContact&& other229) noexcept {
+  hostIncarnation = other229.hostIncarnation;
+  heardAtMicros = other229.heardAtMicros;
+  reportsSeen = other229.reportsSeen;
+  __isset = other229.__isset;
 }
-HostContact& HostContact::operator=(const HostContact& other210) noexcept {
-  hostIncarnation = other210.hostIncarnation;
-  heardAtMicros = other210.heardAtMicros;
-  reportsSeen = other210.reportsSeen;
-  __isset = other210.__isset;
+HostContact& HostContact::operator=(const HostContact& other230) noexcept {
+  hostIncarnation = other230.hostIncarnation;
+  heardAtMicros = other230.heardAtMicros;
+  reportsSeen = other230.reportsSeen;
+  __isset = other230.__isset;
   return *this;
 }
-HostContact& HostContact::operator=(HostContact&& other211) noexcept {
-  hostIncarnation = other211.hostIncarnation;
-  heardAtMicros = other211.heardAtMicros;
-  reportsSeen = other211.reportsSeen;
-  __isset = other211.__isset;
+HostContact& HostContact::operator=(HostContact&& other231) noexcept {
+  hostIncarnation = other231.hostIncarnation;
+  heardAtMicros = other231.heardAtMicros;
+  reportsSeen = other231.reportsSeen;
+  __isset = other231.__isset;
   return *this;
 }
 void HostContact::printTo(std::ostream& out) const {
@@ -6140,6 +6448,10 @@
 void TaskOrder::__set_mayWait(const bool val) {
   this->mayWait = val;
 }
+
+void TaskOrder::__set_suspected(const bool val) {
+  this->suspected = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskOrder& obj)
 {
   obj.printTo(out);
@@ -6208,6 +6520,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->suspected);
+          this->__isset.suspected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6245,6 +6565,10 @@
   xfer += oprot->writeBool(this->mayWait);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("suspected", ::apache::thrift::protocol::T_BOOL, 20);
+  xfer += oprot->writeBool(this->suspected);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6257,41 +6581,46 @@
   swap(a.demand, b.demand);
   swap(a.estimateMicros, b.estimateMicros);
   swap(a.mayWait, b.mayWait);
+  swap(a.suspected, b.suspected);
   swap(a.__isset, b.__isset);
 }
 
-TaskOrder::TaskOrder(const TaskOrder& other212) noexcept {
-  index = other212.index;
-  order = other212.order;
-  demand = other212.demand;
-  estimateMicros = other212.estimateMicros;
-  mayWait = other212.mayWait;
-  __isset = other212.__isset;
-}
-TaskOrder::TaskOrder(TaskOrder&& other213) noexcept {
-  index = other213.index;
-  order = other213.order;
-  demand = std::move(other213.demand);
-  estimateMicros = other213.estimateMicros;
-  mayWait = other213.mayWait;
-  __isset = other213.__isset;
-}
-TaskOrder& TaskOrder::operator=(const TaskOrder& other214) noexcept {
-  index = other214.index;
-  order = other214.order;
-  demand = other214.demand;
-  estimateMicros = other214.estimateMicros;
-  mayWait = other214.mayWait;
-  __isset = other214.__isset;
-  return *this;
-}
-TaskOrder& TaskOrder::operator=(TaskOrder&& other215) noexcept {
-  index = other215.index;
-  order = other215.order;
-  demand = std::move(other215.demand);
-  estimateMicros = other215.estimateMicros;
-  mayWait = other215.mayWait;
-  __isset = other215.__isset;
+TaskOrder::TaskOrder(const TaskOrder& other232) noexcept {
+  index = other232.index;
+  order = other232.order;
+  demand = other232.demand;
+  estimateMicros = other232.estimateMicros;
+  mayWait = other232.mayWait;
+  suspected = other232.suspected;
+  __isset = other232.__isset;
+}
+TaskOrder::TaskOrder(TaskOrder&& other233) noexcept {
+  index = other233.index;
+  order = other233.order;
+  demand = std::move(other233.demand);
+  estimateMicros = other233.estimateMicros;
+  mayWait = other233.mayWait;
+  suspected = other233.suspected;
+  __isset = other233.__isset;
+}
+TaskOrder& TaskOrder::operator=(const TaskOrder& other234) noexcept {
+  index = other234.index;
+  order = other234.order;
+  demand = other234.demand;
+  estimateMicros = other234.estimateMicros;
+  mayWait = other234.mayWait;
+  suspected = other234.suspected;
+  __isset = other234.__isset;
+  return *this;
+}
+TaskOrder& TaskOrder::operator=(TaskOrder&& other235) noexcept {
+  index = other235.index;
+  order = other235.order;
+  demand = std::move(other235.demand);
+  estimateMicros = other235.estimateMicros;
+  mayWait = other235.mayWait;
+  suspected = other235.suspected;
+  __isset = other235.__isset;
   return *this;
 }
 void TaskOrder::printTo(std::ostream& out) const {
@@ -6302,6 +6631,7 @@
   out << ", " << "demand=" << to_string(demand);
   out << ", " << "estimateMicros=" << to_string(estimateMicros);
   out << ", " << "mayWait=" << to_string(mayWait);
+  out << ", " << "suspected=" << to_string(suspected);
   out << ")";
 }
 
@@ -6437,14 +6767,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size216;
-            ::apache::thrift::protocol::TType _etype219;
-            xfer += iprot->readListBegin(_etype219, _size216);
-            this->orders.resize(_size216);
-            uint32_t _i220;
-            for (_i220 = 0; _i220 < _size216; ++_i220)
+            uint32_t _size236;
+            ::apache::thrift::protocol::TType _etype239;
+            xfer += iprot->readListBegin(_etype239, _size236);
+            this->orders.resize(_size236);
+            uint32_t _i240;
+            for (_i240 = 0; _i240 < _size236; ++_i240)
             {
-              xfer += this->orders[_i220].read(iprot);
+              xfer += this->orders[_i240].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6517,10 +6847,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<TaskOrder> ::const_iterator _iter221;
-    for (_iter221 = this->orders.begin(); _iter221 != this->orders.end(); ++_iter221)
+    std::vector<TaskOrder> ::const_iterator _iter241;
+    for (_iter241 = this->orders.begin(); _iter241 != this->orders.end(); ++_iter241)
     {
-      xfer += (*_iter221).write(oprot);
+      xfer += (*_iter241).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6554,58 +6884,58 @@
   swap(a.__isset, b.__isset);
 }
 
-RunTasks::RunTasks(const RunTasks& other222) {
-  hostIncarnation = other222.hostIncarnation;
-  heardAtMicros = other222.heardAtMicros;
-  job = other222.job;
-  spec = other222.spec;
-  startWithinMicros = other222.startWithinMicros;
-  timeLeftMicros = other222.timeLeftMicros;
-  priority = other222.priority;
-  orders = other222.orders;
-  serviceName = other222.serviceName;
-  reportsSeen = other222.reportsSeen;
-  __isset = other222.__isset;
-}
-RunTasks::RunTasks(RunTasks&& other223) noexcept {
-  hostIncarnation = other223.hostIncarnation;
-  heardAtMicros = other223.heardAtMicros;
-  job = std::move(other223.job);
-  spec = std::move(other223.spec);
-  startWithinMicros = other223.startWithinMicros;
-  timeLeftMicros = other223.timeLeftMicros;
-  priority = other223.priority;
-  orders = std::move(other223.orders);
-  serviceName = std::move(other223.serviceName);
-  reportsSeen = other223.reportsSeen;
-  __isset = other223.__isset;
-}
-RunTasks& RunTasks::operator=(const RunTasks& other224) {
-  hostIncarnation = other224.hostIncarnation;
-  heardAtMicros = other224.heardAtMicros;
-  job = other224.job;
-  spec = other224.spec;
-  startWithinMicros = other224.startWithinMicros;
-  timeLeftMicros = other224.timeLeftMicros;
-  priority = other224.priority;
-  orders = other224.orders;
-  serviceName = other224.serviceName;
-  reportsSeen = other224.reportsSeen;
-  __isset = other224.__isset;
-  return *this;
-}
-RunTasks& RunTasks::operator=(RunTasks&& other225) noexcept {
-  hostIncarnation = other225.hostIncarnation;
-  heardAtMicros = other225.heardAtMicros;
-  job = std::move(other225.job);
-  spec = std::move(other225.spec);
-  startWithinMicros = other225.startWithinMicros;
-  timeLeftMicros = other225.timeLeftMicros;
-  priority = other225.priority;
-  orders = std::move(other225.orders);
-  serviceName = std::move(other225.serviceName);
-  reportsSeen = other225.reportsSeen;
-  __isset = other225.__isset;
+RunTasks::RunTasks(const RunTasks& other242) {
+  hostIncarnation = other242.hostIncarnation;
+  heardAtMicros = other242.heardAtMicros;
+  job = other242.job;
+  spec = other242.spec;
+  startWithinMicros = other242.startWithinMicros;
+  timeLeftMicros = other242.timeLeftMicros;
+  priority = other242.priority;
+  orders = other242.orders;
+  serviceName = other242.serviceName;
+  reportsSeen = other242.reportsSeen;
+  __isset = other242.__isset;
+}
+RunTasks::RunTasks(RunTasks&& other243) noexcept {
+  hostIncarnation = other243.hostIncarnation;
+  heardAtMicros = other243.heardAtMicros;
+  job = std::move(other243.job);
+  spec = std::move(other243.spec);
+  startWithinMicros = other243.startWithinMicros;
+  timeLeftMicros = other243.timeLeftMicros;
+  priority = other243.priority;
+  orders = std::move(other243.orders);
+  serviceName = std::move(other243.serviceName);
+  reportsSeen = other243.reportsSeen;
+  __isset = other243.__isset;
+}
+RunTasks& RunTasks::operator=(const RunTasks& other244) {
+  hostIncarnation = other244.hostIncarnation;
+  heardAtMicros = other244.heardAtMicros;
+  job = other244.job;
+  spec = other244.spec;
+  startWithinMicros = other244.startWithinMicros;
+  timeLeftMicros = other244.timeLeftMicros;
+  priority = other244.priority;
+  orders = other244.orders;
+  serviceName = other244.serviceName;
+  reportsSeen = other244.reportsSeen;
+  __isset = other244.__isset;
+  return *this;
+}
+RunTasks& RunTasks::operator=(RunTasks&& other245) noexcept {
+  hostIncarnation = other245.hostIncarnation;
+  heardAtMicros = other245.heardAtMicros;
+  job = std::move(other245.job);
+  spec = std::move(other245.spec);
+  startWithinMicros = other245.startWithinMicros;
+  timeLeftMicros = other245.timeLeftMicros;
+  priority = other245.priority;
+  orders = std::move(other245.orders);
+  serviceName = std::move(other245.serviceName);
+  reportsSeen = other245.reportsSeen;
+  __isset = other245.__isset;
   return *this;
 }
 void RunTasks::printTo(std::ostream& out) const {
@@ -6688,14 +7018,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->indexes.clear();
-            uint32_t _size226;
-            ::apache::thrift::protocol::TType _etype229;
-            xfer += iprot->readListBegin(_etype229, _size226);
-            this->indexes.resize(_size226);
-            uint32_t _i230;
-            for (_i230 = 0; _i230 < _size226; ++_i230)
+            uint32_t _size246;
+            ::apache::thrift::protocol::TType _etype249;
+            xfer += iprot->readListBegin(_etype249, _size246);
+            this->indexes.resize(_size246);
+            uint32_t _i250;
+            for (_i250 = 0; _i250 < _size246; ++_i250)
             {
-              xfer += iprot->readI32(this->indexes[_i230]);
+              xfer += iprot->readI32(this->indexes[_i250]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6732,10 +7062,10 @@
   xfer += oprot->writeFieldBegin("indexes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->indexes.size()));
-    std::vector<int32_t> ::const_iterator _iter231;
-    for (_iter231 = this->indexes.begin(); _iter231 != this->indexes.end(); ++_iter231)
+    std::vector<int32_t> ::const_iterator _iter251;
+    for (_iter251 = this->indexes.begin(); _iter251 != this->indexes.end(); ++_iter251)
     {
-      xfer += oprot->writeI32((*_iter231));
+      xfer += oprot->writeI32((*_iter251));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6754,30 +7084,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StopTasks::StopTasks(const StopTasks& other232) {
-  hostIncarnation = other232.hostIncarnation;
-  job = other232.job;
-  indexes = other232.indexes;
-  __isset = other232.__isset;
+StopTasks::StopTasks(const StopTasks& other252) {
+  hostIncarnation = other252.hostIncarnation;
+  job = other252.job;
+  indexes = other252.indexes;
+  __isset = other252.__isset;
 }
-StopTasks::StopTasks(StopTasks&& other233) noexcept {
-  hostIncarnation = other233.hostIncarnation;
-  job = std::move(other233.job);
-  indexes = std::move(other233.indexes);
-  __isset = other233.__isset;
+StopTasks::StopTasks(StopTasks&& other253) noexcept {
+  hostIncarnation = other253.hostIncarnation;
+  job = std::move(other253.job);
+  indexes = std::move(other253.indexes);
+  __isset = other253.__isset;
 }
-StopTasks& StopTasks::operator=(const StopTasks& other234) {
-  hostIncarnation = other234.hostIncarnation;
-  job = other234.job;
-  indexes = other234.indexes;
-  __isset = other234.__isset;
+StopTasks& StopTasks::operator=(const StopTasks& other254) {
+  hostIncarnation = other254.hostIncarnation;
+  job = other254.job;
+  indexes = other254.indexes;
+  __isset = other254.__isset;
   return *this;
 }
-StopTasks& StopTasks::operator=(StopTasks&& other235) noexcept {
-  hostIncarnation = other235.hostIncarnation;
-  job = std::move(other235.job);
-  indexes = std::move(other235.indexes);
-  __isset = other235.__isset;
+StopTasks& StopTasks::operator=(StopTasks&& other255) noexcept {
+  hostIncarnation = other255.hostIncarnation;
+  job = std::move(other255.job);
+  indexes = std::move(other255.indexes);
+  __isset = other255.__isset;
   return *this;
 }
 void StopTasks::printTo(std::ostream& out) const {
@@ -6833,6 +7163,10 @@
 void TaskReport::__set_leastRemainingMicros(const int64_t val) {
   this->leastRemainingMicros = val;
 }
+
+void TaskReport::__set_serverLost(const bool val) {
+  this->serverLost = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskReport& obj)
 {
   obj.printTo(out);
@@ -6887,9 +7221,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast236;
-          xfer += iprot->readI32(ecast236);
-          this->phase = static_cast<TaskPhase::type>(ecast236);
+          int32_t ecast256;
+          xfer += iprot->readI32(ecast256);
+          this->phase = static_cast<TaskPhase::type>(ecast256);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6943,6 +7277,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->serverLost);
+          this->__isset.serverLost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7000,6 +7342,10 @@
   xfer += oprot->writeI64(this->leastRemainingMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("serverLost", ::apache::thrift::protocol::T_BOOL, 20);
+  xfer += oprot->writeBool(this->serverLost);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7017,61 +7363,66 @@
   swap(a.remainingMicros, b.remainingMicros);
   swap(a.workMicros, b.workMicros);
   swap(a.leastRemainingMicros, b.leastRemainingMicros);
+  swap(a.serverLost, b.serverLost);
   swap(a.__isset, b.__isset);
 }
 
-TaskReport::TaskReport(const TaskReport& other237) {
-  job = other237.job;
-  index = other237.index;
-  order = other237.order;
-  phase = other237.phase;
-  runMicros = other237.runMicros;
-  reason = other237.reason;
-  number = other237.number;
-  remainingMicros = other237.remainingMicros;
-  workMicros = other237.workMicros;
-  leastRemainingMicros = other237.leastRemainingMicros;
-  __isset = other237.__isset;
-}
-TaskReport::TaskReport(TaskReport&& other238) noexcept {
-  job = std::move(other238.job);
-  index = other238.index;
-  order = other238.order;
-  phase = other238.phase;
-  runMicros = other238.runMicros;
-  reason = std::move(other238.reason);
-  number = other238.number;
-  remainingMicros = other238.remainingMicros;
-  workMicros = other238.workMicros;
-  leastRemainingMicros = other238.leastRemainingMicros;
-  __isset = other238.__isset;
-}
-TaskReport& TaskReport::operator=(const TaskReport& other239) {
-  job = other239.job;
-  index = other239.index;
-  order = other239.order;
-  phase = other239.phase;
-  runMicros = other239.runMicros;
-  reason = other239.reason;
-  number = other239.number;
-  remainingMicros = other239.remainingMicros;
-  workMicros = other239.workMicros;
-  leastRemainingMicros = other239.leastRemainingMicros;
-  __isset = other239.__isset;
-  return *this;
-}
-TaskReport& TaskReport::operator=(TaskReport&& other240) noexcept {
-  job = std::move(other240.job);
-  index = other240.index;
-  order = other240.order;
-  phase = other240.phase;
-  runMicros = other240.runMicros;
-  reason = std::move(other240.reason);
-  number = other240.number;
-  remainingMicros = other240.remainingMicros;
-  workMicros = other240.workMicros;
-  leastRemainingMicros = other240.leastRemainingMicros;
-  __isset = other240.__isset;
+TaskReport::TaskReport(const TaskReport& other257) {
+  job = other257.job;
+  index = other257.index;
+  order = other257.order;
+  phase = other257.phase;
+  runMicros = other257.runMicros;
+  reason = other257.reason;
+  number = other257.number;
+  remainingMicros = other257.remainingMicros;
+  workMicros = other257.workMicros;
+  leastRemainingMicros = other257.leastRemainingMicros;
+  serverLost = other257.serverLost;
+  __isset = other257.__isset;
+}
+TaskReport::TaskReport(TaskReport&& other258) noexcept {
+  job = std::move(other258.job);
+  index = other258.index;
+  order = other258.order;
+  phase = other258.phase;
+  runMicros = other258.runMicros;
+  reason = std::move(other258.reason);
+  number = other258.number;
+  remainingMicros = other258.remainingMicros;
+  workMicros = other258.workMicros;
+  leastRemainingMicros = other258.leastRemainingMicros;
+  serverLost = other258.serverLost;
+  __isset = other258.__isset;
+}
+TaskReport& TaskReport::operator=(const TaskReport& other259) {
+  job = other259.job;
+  index = other259.index;
+  order = other259.order;
+  phase = other259.phase;
+  runMicros = other259.runMicros;
+  reason = other259.reason;
+  number = other259.number;
+  remainingMicros = other259.remainingMicros;
+  workMicros = other259.workMicros;
+  leastRemainingMicros = other259.leastRemainingMicros;
+  serverLost = other259.serverLost;
+  __isset = other259.__isset;
+  return *this;
+}
+TaskReport& TaskReport::operator=(TaskReport&& other260) noexcept {
+  job = std::move(other260.job);
+  index = other260.index;
+  order = other260.order;
+  phase = other260.phase;
+  runMicros = other260.runMicros;
+  reason = std::move(other260.reason);
+  number = other260.number;
+  remainingMicros = other260.remainingMicros;
+  workMicros = other260.workMicros;
+  leastRemainingMicros = other260.leastRemainingMicros;
+  serverLost = other260.serverLost;
+  __isset = other260.__isset;
   return *this;
 }
 void TaskReport::printTo(std::ostream& out) const {
@@ -7087,6 +7438,7 @@
   out << ", " << "remainingMicros=" << to_string(remainingMicros);
   out << ", " << "workMicros=" << to_string(workMicros);
   out << ", " << "leastRemainingMicros=" << to_string(leastRemainingMicros);
+  out << ", " << "serverLost=" << to_string(serverLost);
   out << ")";
 }
 
@@ -7134,14 +7486,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size241;
-            ::apache::thrift::protocol::TType _etype244;
-            xfer += iprot->readListBegin(_etype244, _size241);
-            this->reports.resize(_size241);
-            uint32_t _i245;
-            for (_i245 = 0; _i245 < _size241; ++_i245)
+            uint32_t _size261;
+            ::apache::thrift::protocol::TType _etype264;
+            xfer += iprot->readListBegin(_etype264, _size261);
+            this->reports.resize(_size261);
+            uint32_t _i265;
+            for (_i265 = 0; _i265 < _size261; ++_i265)
             {
-              xfer += this->reports[_i245].read(iprot);
+              xfer += this->reports[_i265].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7178,10 +7530,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<TaskReport> ::const_iterator _iter246;
-    for (_iter246 = this->reports.begin(); _iter246 != this->reports.end(); ++_iter246)
+    std::vector<TaskReport> ::const_iterator _iter266;
+    for (_iter266 = this->reports.begin(); _iter266 != this->reports.end(); ++_iter266)
     {
-      xfer += (*_iter246).write(oprot);
+      xfer += (*_iter266).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7203,26 +7555,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskReports::TaskReports(const TaskReports& other247) {
-  reports = other247.reports;
-  host = other247.host;
-  __isset = other247.__isset;
+TaskReports::TaskReports(const TaskReports& other267) {
+  reports = other267.reports;
+  host = other267.host;
+  __isset = other267.__isset;
 }
-TaskReports::TaskReports(TaskReports&& other248) noexcept {
-  reports = std::move(other248.reports);
-  host = std::move(other248.host);
-  __isset = other248.__isset;
+TaskReports::TaskReports(TaskReports&& other268) noexcept {
+  reports = std::move(other268.reports);
+  host = std::move(other268.host);
+  __isset = other268.__isset;
 }
-TaskReports& TaskReports::operator=(const TaskReports& other249) {
-  reports = other249.reports;
-  host = other249.host;
-  __isset = other249.__isset;
+TaskReports& TaskReports::operator=(const TaskReports& other269) {
+  reports = other269.reports;
+  host = other269.host;
+  __isset = other269.__isset;
   return *this;
 }
-TaskReports& TaskReports::operator=(TaskReports&& other250) noexcept {
-  reports = std::move(other250.reports);
-  host = std::move(other250.host);
-  __isset = other250.__isset;
+TaskReports& TaskReports::operator=(TaskReports&& other270) noexcept {
+  reports = std::move(other270.reports);
+  host = std::move(other270.host);
+  __isset = other270.__isset;
   return *this;
 }
 void TaskReports::printTo(std::ostream& out) const {
@@ -7321,14 +7673,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wholeHolders.clear();
-            uint32_t _size251;
-            ::apache::thrift::protocol::TType _etype254;
-            xfer += iprot->readListBegin(_etype254, _size251);
-            this->wholeHolders.resize(_size251);
-            uint32_t _i255;
-            for (_i255 = 0; _i255 < _size251; ++_i255)
+            uint32_t _size271;
+            ::apache::thrift::protocol::TType _etype274;
+            xfer += iprot->readListBegin(_etype274, _size271);
+            this->wholeHolders.resize(_size271);
+            uint32_t _i275;
+            for (_i275 = 0; _i275 < _size271; ++_i275)
             {
-              xfer += iprot->readString(this->wholeHolders[_i255]);
+              xfer += iprot->readString(this->wholeHolders[_i275]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7373,10 +7725,10 @@
   xfer += oprot->writeFieldBegin("wholeHolders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wholeHolders.size()));
-    std::vector<std::string> ::const_iterator _iter256;
-    for (_iter256 = this->wholeHolders.begin(); _iter256 != this->wholeHolders.end(); ++_iter256)
+    std::vector<std::string> ::const_iterator _iter276;
+    for (_iter276 = this->wholeHolders.begin(); _iter276 != this->wholeHolders.end(); ++_iter276)
     {
-      xfer += oprot->writeString((*_iter256));
+      xfer += oprot->writeString((*_iter276));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7397,38 +7749,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CellReport::CellReport(const CellReport& other257) {
-  cell = other257.cell;
-  epoch = other257.epoch;
-  owned = other257.owned;
-  whole = other257.whole;
-  wholeHolders = other257.wholeHolders;
-  __isset = other257.__isset;
-}
-CellReport::CellReport(CellReport&& other258) noexcept {
-  cell = other258.cell;
-  epoch = other258.epoch;
-  owned = other258.owned;
-  whole = other258.whole;
-  wholeHolders = std::move(other258.wholeHolders);
-  __isset = other258.__isset;
-}
-CellReport& CellReport::operator=(const CellReport& other259) {
-  cell = other259.cell;
-  epoch = other259.epoch;
-  owned = other259.owned;
-  whole = other259.whole;
-  wholeHolders = other259.wholeHolders;
-  __isset = other259.__isset;
-  return *this;
-}
-CellReport& CellReport::operator=(CellReport&& other260) noexcept {
-  cell = other260.cell;
-  epoch = other260.epoch;
-  owned = other260.owned;
-  whole = other260.whole;
-  wholeHolders = std::move(other260.wholeHolders);
-  __isset = other260.__isset;
+CellReport::CellReport(const CellReport& other277) {
+  cell = other277.cell;
+  epoch = other277.epoch;
+  owned = other277.owned;
+  whole = other277.whole;
+  wholeHolders = other277.wholeHolders;
+  __isset = other277.__isset;
+}
+CellReport::CellReport(CellReport&& other278) noexcept {
+  cell = other278.cell;
+  epoch = other278.epoch;
+  owned = other278.owned;
+  whole = other278.whole;
+  wholeHolders = std::move(other278.wholeHolders);
+  __isset = other278.__isset;
+}
+CellReport& CellReport::operator=(const CellReport& other279) {
+  cell = other279.cell;
+  epoch = other279.epoch;
+  owned = other279.owned;
+  whole = other279.whole;
+  wholeHolders = other279.wholeHolders;
+  __isset = other279.__isset;
+  return *this;
+}
+CellReport& CellReport::operator=(CellReport&& other280) noexcept {
+  cell = other280.cell;
+  epoch = other280.epoch;
+  owned = other280.owned;
+  whole = other280.whole;
+  wholeHolders = std::move(other280.wholeHolders);
+  __isset = other280.__isset;
   return *this;
 }
 void CellReport::printTo(std::ostream& out) const {
@@ -7513,9 +7865,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast261;
-          xfer += iprot->readI32(ecast261);
-          this->role = static_cast<Role::type>(ecast261);
+          int32_t ecast281;
+          xfer += iprot->readI32(ecast281);
+          this->role = static_cast<Role::type>(ecast281);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7565,14 +7917,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size262;
-            ::apache::thrift::protocol::TType _etype265;
-            xfer += iprot->readListBegin(_etype265, _size262);
-            this->cells.resize(_size262);
-            uint32_t _i266;
-            for (_i266 = 0; _i266 < _size262; ++_i266)
+            uint32_t _size282;
+            ::apache::thrift::protocol::TType _etype285;
+            xfer += iprot->readListBegin(_etype285, _size282);
+            this->cells.resize(_size282);
+            uint32_t _i286;
+            for (_i286 = 0; _i286 < _size282; ++_i286)
             {
-              xfer += this->cells[_i266].read(iprot);
+              xfer += this->cells[_i286].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7641,10 +7993,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellReport> ::const_iterator _iter267;
-    for (_iter267 = this->cells.begin(); _iter267 != this->cells.end(); ++_iter267)
+    std::vector<CellReport> ::const_iterator _iter287;
+    for (_iter287 = this->cells.begin(); _iter287 != this->cells.end(); ++_iter287)
     {
-      xfer += (*_iter267).write(oprot);
+      xfer += (*_iter287).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7678,54 +8030,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberHeartbeat::MemberHeartbeat(const MemberHeartbeat& other268) {
-  role = other268.role;
-  failureDomain = other268.failureDomain;
-  address = other268.address;
-  sentAtMicros = other268.sentAtMicros;
-  configNumber = other268.configNumber;
-  viewVersion = other268.viewVersion;
-  cells = other268.cells;
-  leaving = other268.leaving;
-  server = other268.server;
-  __isset = other268.__isset;
-}
-MemberHeartbeat::MemberHeartbeat(MemberHeartbeat&& other269) noexcept {
-  role = other269.role;
-  failureDomain = std::move(other269.failureDomain);
-  address = std::move(other269.address);
-  sentAtMicros = other269.sentAtMicros;
-  configNumber = other269.configNumber;
-  viewVersion = other269.viewVersion;
-  cells = std::move(other269.cells);
-  leaving = other269.leaving;
-  server = std::move(other269.server);
-  __isset = other269.__isset;
+MemberHeartbeat::MemberHeartbeat(const MemberHeartbeat& other288) {
+  role = other288.role;
+  failureDomain = other288.failureDomain;
+  address = other288.address;
+  sentAtMicros = other288.sentAtMicros;
+  configNumber = other288.configNumber;
+  viewVersion = other288.viewVersion;
+  cells = other288.cells;
+  leaving = other288.leaving;
+  server = other288.server;
+  __isset = other288.__isset;
 }
-MemberHeartbeat& MemberHeartbeat::operator=(const MemberHeartbeat& other270) {
-  role = other270.role;
-  failureDomain = other270.failureDomain;
-  address = other270.address;
-  sentAtMicros = other270.sentAtMicros;
-  configNumber = other270.configNumber;
-  viewVersion = other270.viewVersion;
-  cells = other270.cells;
-  leaving = other270.leaving;
-  server = other270.server;
-  __isset = other270.__isset;
-  return *this;
+MemberHeartbeat::MemberHeartbeat(MemberHeartbeat&& other289) noexcept {
+  role = other289.role;
+  failureDomain = std::move(other289.failureDomain);
+  address = std::move(other289.address);
+  sentAtMicros = other289.sentAtMicros;
+  configNumber = other289.configNumber;
+  viewVersion = other289.viewVersion;
+  cells = std::move(other289.cells);
+  leaving = other289.leaving;
+  server = std::move(other289.server);
+  __isset = other289.__isset;
 }
-MemberHeartbeat& MemberHeartbeat::operator=(MemberHeartbeat&& other271) noexcept {
-  role = other271.role;
-  failureDomain = std::move(other271.failureDomain);
-  address = std::move(other271.address);
-  sentAtMicros = other271.sentAtMicros;
-  configNumber = other271.configNumber;
-  viewVersion = other271.viewVersion;
-  cells = std::move(other271.cells);
-  leaving = other271.leaving;
-  server = std::move(other271.server);
-  __isset = other271.__isset;
+MemberHeartbeat& MemberHeartbeat::operator=(const MemberHeartbeat& other290) {
+  role = other290.role;
+  failureDomain = other290.failureDomain;
+  address = other290.address;
+  sentAtMicros = other290.sentAtMicros;
+  configNumber = other290.configNumber;
+  viewVersion = other290.viewVersion;
+  cells = other290.cells;
+  leaving = other290.leaving;
+  server = other290.server;
+  __isset = other290.__isset;
+  return *this;
+}
+MemberHeartbeat& MemberHeartbeat::operator=(MemberHeartbeat&& other291) noexcept {
+  role = other291.role;
+  failureDomain = std::move(other291.failureDomain);
+  address = std::move(other291.address);
+  sentAtMicros = other291.sentAtMicros;
+  configNumber = other291.configNumber;
+  viewVersion = other291.viewVersion;
+  cells = std::move(other291.cells);
+  leaving = other291.leaving;
+  server = std::move(other291.server);
+  __isset = other291.__isset;
   return *this;
 }
 void MemberHeartbeat::printTo(std::ostream& out) const {
@@ -7836,26 +8188,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlEndpoint::ControlEndpoint(const ControlEndpoint& other272) {
-  name = other272.name;
-  address = other272.address;
-  __isset = other272.__isset;
+ControlEndpoint::ControlEndpoint(const ControlEndpoint& other292) {
+  name = other292.name;
+  address = other292.address;
+  __isset = other292.__isset;
 }
-ControlEndpoint::ControlEndpoint(ControlEndpoint&& other273) noexcept {
-  name = std::move(other273.name);
-  address = std::move(other273.address);
-  __isset = other273.__isset;
+ControlEndpoint::ControlEndpoint(ControlEndpoint&& other293) noexcept {
+  name = std::move(other293.name);
+  address = std::move(other293.address);
+  __isset = other293.__isset;
 }
-ControlEndpoint& ControlEndpoint::operator=(const ControlEndpoint& other274) {
-  name = other274.name;
-  address = other274.address;
-  __isset = other274.__isset;
+ControlEndpoint& ControlEndpoint::operator=(const ControlEndpoint& other294) {
+  name = other294.name;
+  address = other294.address;
+  __isset = other294.__isset;
   return *this;
 }
-ControlEndpoint& ControlEndpoint::operator=(ControlEndpoint&& other275) noexcept {
-  name = std::move(other275.name);
-  address = std::move(other275.address);
-  __isset = other275.__isset;
+ControlEndpoint& ControlEndpoint::operator=(ControlEndpoint&& other295) noexcept {
+  name = std::move(other295.name);
+  address = std::move(other295.address);
+  __isset = other295.__isset;
   return *this;
 }
 void ControlEndpoint::printTo(std::ostream& out) const {
@@ -7966,14 +8318,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->group.clear();
-            uint32_t _size276;
-            ::apache::thrift::protocol::TType _etype279;
-            xfer += iprot->readListBegin(_etype279, _size276);
-            this->group.resize(_size276);
-            uint32_t _i280;
-            for (_i280 = 0; _i280 < _size276; ++_i280)
+            uint32_t _size296;
+            ::apache::thrift::protocol::TType _etype299;
+            xfer += iprot->readListBegin(_etype299, _size296);
+            this->group.resize(_size296);
+            uint32_t _i300;
+            for (_i300 = 0; _i300 < _size296; ++_i300)
             {
-              xfer += this->group[_i280].read(iprot);
+              xfer += this->group[_i300].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8022,10 +8374,10 @@
   xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->group.size()));
-    std::vector<ControlEndpoint> ::const_iterator _iter281;
-    for (_iter281 = this->group.begin(); _iter281 != this->group.end(); ++_iter281)
+    std::vector<ControlEndpoint> ::const_iterator _iter301;
+    for (_iter301 = this->group.begin(); _iter301 != this->group.end(); ++_iter301)
     {
-      xfer += (*_iter281).write(oprot);
+      xfer += (*_iter301).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8047,42 +8399,42 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other282) {
-  sentAtMicros = other282.sentAtMicros;
-  accepted = other282.accepted;
-  leader = other282.leader;
-  viewVersion = other282.viewVersion;
-  term = other282.term;
-  group = other282.group;
-  __isset = other282.__isset;
-}
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other283) noexcept {
-  sentAtMicros = other283.sentAtMicros;
-  accepted = other283.accepted;
-  leader = std::move(other283.leader);
-  viewVersion = other283.viewVersion;
-  term = other283.term;
-  group = std::move(other283.group);
-  __isset = other283.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other284) {
-  sentAtMicros = other284.sentAtMicros;
-  accepted = other284.accepted;
-  leader = other284.leader;
-  viewVersion = other284.viewVersion;
-  term = other284.term;
-  group = other284.group;
-  __isset = other284.__isset;
-  return *this;
-}
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other285) noexcept {
-  sentAtMicros = other285.sentAtMicros;
-  accepted = other285.accepted;
-  leader = std::move(other285.leader);
-  viewVersion = other285.viewVersion;
-  term = other285.term;
-  group = std::move(other285.group);
-  __isset = other285.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other302) {
+  sentAtMicros = other302.sentAtMicros;
+  accepted = other302.accepted;
+  leader = other302.leader;
+  viewVersion = other302.viewVersion;
+  term = other302.term;
+  group = other302.group;
+  __isset = other302.__isset;
+}
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other303) noexcept {
+  sentAtMicros = other303.sentAtMicros;
+  accepted = other303.accepted;
+  leader = std::move(other303.leader);
+  viewVersion = other303.viewVersion;
+  term = other303.term;
+  group = std::move(other303.group);
+  __isset = other303.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other304) {
+  sentAtMicros = other304.sentAtMicros;
+  accepted = other304.accepted;
+  leader = other304.leader;
+  viewVersion = other304.viewVersion;
+  term = other304.term;
+  group = other304.group;
+  __isset = other304.__isset;
+  return *this;
+}
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other305) noexcept {
+  sentAtMicros = other305.sentAtMicros;
+  accepted = other305.accepted;
+  leader = std::move(other305.leader);
+  viewVersion = other305.viewVersion;
+  term = other305.term;
+  group = std::move(other305.group);
+  __isset = other305.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -8207,30 +8559,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRef::MemberRef(const MemberRef& other286) {
-  id = other286.id;
-  address = other286.address;
-  failureDomain = other286.failureDomain;
-  __isset = other286.__isset;
+MemberRef::MemberRef(const MemberRef& other306) {
+  id = other306.id;
+  address = other306.address;
+  failureDomain = other306.failureDomain;
+  __isset = other306.__isset;
 }
-MemberRef::MemberRef(MemberRef&& other287) noexcept {
-  id = std::move(other287.id);
-  address = std::move(other287.address);
-  failureDomain = std::move(other287.failureDomain);
-  __isset = other287.__isset;
+MemberRef::MemberRef(MemberRef&& other307) noexcept {
+  id = std::move(other307.id);
+  address = std::move(other307.address);
+  failureDomain = std::move(other307.failureDomain);
+  __isset = other307.__isset;
 }
-MemberRef& MemberRef::operator=(const MemberRef& other288) {
-  id = other288.id;
-  address = other288.address;
-  failureDomain = other288.failureDomain;
-  __isset = other288.__isset;
+MemberRef& MemberRef::operator=(const MemberRef& other308) {
+  id = other308.id;
+  address = other308.address;
+  failureDomain = other308.failureDomain;
+  __isset = other308.__isset;
   return *this;
 }
-MemberRef& MemberRef::operator=(MemberRef&& other289) noexcept {
-  id = std::move(other289.id);
-  address = std::move(other289.address);
-  failureDomain = std::move(other289.failureDomain);
-  __isset = other289.__isset;
+MemberRef& MemberRef::operator=(MemberRef&& other309) noexcept {
+  id = std::move(other309.id);
+  address = std::move(other309.address);
+  failureDomain = std::move(other309.failureDomain);
+  __isset = other309.__isset;
   return *this;
 }
 void MemberRef::printTo(std::ostream& out) const {
@@ -8339,14 +8691,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size290;
-            ::apache::thrift::protocol::TType _etype293;
-            xfer += iprot->readListBegin(_etype293, _size290);
-            this->holders.resize(_size290);
-            uint32_t _i294;
-            for (_i294 = 0; _i294 < _size290; ++_i294)
+            uint32_t _size310;
+            ::apache::thrift::protocol::TType _etype313;
+            xfer += iprot->readListBegin(_etype313, _size310);
+            this->holders.resize(_size310);
+            uint32_t _i314;
+            for (_i314 = 0; _i314 < _size310; ++_i314)
             {
-              xfer += this->holders[_i294].read(iprot);
+              xfer += this->holders[_i314].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8359,14 +8711,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->agents.clear();
-            uint32_t _size295;
-            ::apache::thrift::protocol::TType _etype298;
-            xfer += iprot->readListBegin(_etype298, _size295);
-            this->agents.resize(_size295);
-            uint32_t _i299;
-            for (_i299 = 0; _i299 < _size295; ++_i299)
+            uint32_t _size315;
+            ::apache::thrift::protocol::TType _etype318;
+            xfer += iprot->readListBegin(_etype318, _size315);
+            this->agents.resize(_size315);
+            uint32_t _i319;
+            for (_i319 = 0; _i319 < _size315; ++_i319)
             {
-              xfer += this->agents[_i299].read(iprot);
+              xfer += this->agents[_i319].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8420,10 +8772,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<MemberRef> ::const_iterator _iter300;
-    for (_iter300 = this->holders.begin(); _iter300 != this->holders.end(); ++_iter300)
+    std::vector<MemberRef> ::const_iterator _iter320;
+    for (_iter320 = this->holders.begin(); _iter320 != this->holders.end(); ++_iter320)
     {
-      xfer += (*_iter300).write(oprot);
+      xfer += (*_iter320).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8432,10 +8784,10 @@
   xfer += oprot->writeFieldBegin("agents", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->agents.size()));
-    std::vector<MemberRef> ::const_iterator _iter301;
-    for (_iter301 = this->agents.begin(); _iter301 != this->agents.end(); ++_iter301)
+    std::vector<MemberRef> ::const_iterator _iter321;
+    for (_iter321 = this->agents.begin(); _iter321 != this->agents.end(); ++_iter321)
     {
-      xfer += (*_iter301).write(oprot);
+      xfer += (*_iter321).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8462,46 +8814,46 @@
   swap(a.__isset, b.__isset);
 }
 
-CellView::CellView(const CellView& other302) {
-  cell = other302.cell;
-  serviceName = other302.serviceName;
-  epoch = other302.epoch;
-  owner = other302.owner;
-  holders = other302.holders;
-  agents = other302.agents;
-  floorMs = other302.floorMs;
-  __isset = other302.__isset;
+CellView::CellView(const CellView& other322) {
+  cell = other322.cell;
+  serviceName = other322.serviceName;
+  epoch = other322.epoch;
+  owner = other322.owner;
+  holders = other322.holders;
+  agents = other322.agents;
+  floorMs = other322.floorMs;
+  __isset = other322.__isset;
 }
-CellView::CellView(CellView&& other303) noexcept {
-  cell = other303.cell;
-  serviceName = std::move(other303.serviceName);
-  epoch = other303.epoch;
-  owner = std::move(other303.owner);
-  holders = std::move(other303.holders);
-  agents = std::move(other303.agents);
-  floorMs = other303.floorMs;
-  __isset = other303.__isset;
+CellView::CellView(CellView&& other323) noexcept {
+  cell = other323.cell;
+  serviceName = std::move(other323.serviceName);
+  epoch = other323.epoch;
+  owner = std::move(other323.owner);
+  holders = std::move(other323.holders);
+  agents = std::move(other323.agents);
+  floorMs = other323.floorMs;
+  __isset = other323.__isset;
 }
-CellView& CellView::operator=(const CellView& other304) {
-  cell = other304.cell;
-  serviceName = other304.serviceName;
-  epoch = other304.epoch;
-  owner = other304.owner;
-  holders = other304.holders;
-  agents = other304.agents;
-  floorMs = other304.floorMs;
-  __isset = other304.__isset;
+CellView& CellView::operator=(const CellView& other324) {
+  cell = other324.cell;
+  serviceName = other324.serviceName;
+  epoch = other324.epoch;
+  owner = other324.owner;
+  holders = other324.holders;
+  agents = other324.agents;
+  floorMs = other324.floorMs;
+  __isset = other324.__isset;
   return *this;
 }
-CellView& CellView::operator=(CellView&& other305) noexcept {
-  cell = other305.cell;
-  serviceName = std::move(other305.serviceName);
-  epoch = other305.epoch;
-  owner = std::move(other305.owner);
-  holders = std::move(other305.holders);
-  agents = std::move(other305.agents);
-  floorMs = other305.floorMs;
-  __isset = other305.__isset;
+CellView& CellView::operator=(CellView&& other325) noexcept {
+  cell = other325.cell;
+  serviceName = std::move(other325.serviceName);
+  epoch = other325.epoch;
+  owner = std::move(other325.owner);
+  holders = std::move(other325.holders);
+  agents = std::move(other325.agents);
+  floorMs = other325.floorMs;
+  __isset = other325.__isset;
   return *this;
 }
 void CellView::printTo(std::ostream& out) const {
@@ -8678,42 +9030,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigFile::ConfigFile(const ConfigFile& other306) {
-  number = other306.number;
-  digest = other306.digest;
-  text = other306.text;
-  author = other306.author;
-  acceptedAtMs = other306.acceptedAtMs;
-  ignoreIfNotHigher = other306.ignoreIfNotHigher;
-  __isset = other306.__isset;
+ConfigFile::ConfigFile(const ConfigFile& other326) {
+  number = other326.number;
+  digest = other326.digest;
+  text = other326.text;
+  author = other326.author;
+  acceptedAtMs = other326.acceptedAtMs;
+  ignoreIfNotHigher = other326.ignoreIfNotHigher;
+  __isset = other326.__isset;
 }
-ConfigFile::ConfigFile(ConfigFile&& other307) noexcept {
-  number = other307.number;
-  digest = std::move(other307.digest);
-  text = std::move(other307.text);
-  author = std::move(other307.author);
-  acceptedAtMs = other307.acceptedAtMs;
-  ignoreIfNotHigher = other307.ignoreIfNotHigher;
-  __isset = other307.__isset;
+ConfigFile::ConfigFile(ConfigFile&& other327) noexcept {
+  number = other327.number;
+  digest = std::move(other327.digest);
+  text = std::move(other327.text);
+  author = std::move(other327.author);
+  acceptedAtMs = other327.acceptedAtMs;
+  ignoreIfNotHigher = other327.ignoreIfNotHigher;
+  __isset = other327.__isset;
 }
-ConfigFile& ConfigFile::operator=(const ConfigFile& other308) {
-  number = other308.number;
-  digest = other308.digest;
-  text = other308.text;
-  author = other308.author;
-  acceptedAtMs = other308.acceptedAtMs;
-  ignoreIfNotHigher = other308.ignoreIfNotHigher;
-  __isset = other308.__isset;
+ConfigFile& ConfigFile::operator=(const ConfigFile& other328) {
+  number = other328.number;
+  digest = other328.digest;
+  text = other328.text;
+  author = other328.author;
+  acceptedAtMs = other328.acceptedAtMs;
+  ignoreIfNotHigher = other328.ignoreIfNotHigher;
+  __isset = other328.__isset;
   return *this;
 }
-ConfigFile& ConfigFile::operator=(ConfigFile&& other309) noexcept {
-  number = other309.number;
-  digest = std::move(other309.digest);
-  text = std::move(other309.text);
-  author = std::move(other309.author);
-  acceptedAtMs = other309.acceptedAtMs;
-  ignoreIfNotHigher = other309.ignoreIfNotHigher;
-  __isset = other309.__isset;
+ConfigFile& ConfigFile::operator=(ConfigFile&& other329) noexcept {
+  number = other329.number;
+  digest = std::move(other329.digest);
+  text = std::move(other329.text);
+  author = std::move(other329.author);
+  acceptedAtMs = other329.acceptedAtMs;
+  ignoreIfNotHigher = other329.ignoreIfNotHigher;
+  __isset = other329.__isset;
   return *this;
 }
 void ConfigFile::printTo(std::ostream& out) const {
@@ -8800,14 +9152,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size310;
-            ::apache::thrift::protocol::TType _etype313;
-            xfer += iprot->readListBegin(_etype313, _size310);
-            this->cells.resize(_size310);
-            uint32_t _i314;
-            for (_i314 = 0; _i314 < _size310; ++_i314)
+            uint32_t _size330;
+            ::apache::thrift::protocol::TType _etype333;
+            xfer += iprot->readListBegin(_etype333, _size330);
+            this->cells.resize(_size330);
+            uint32_t _i334;
+            for (_i334 = 0; _i334 < _size330; ++_i334)
             {
-              xfer += this->cells[_i314].read(iprot);
+              xfer += this->cells[_i334].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8828,14 +9180,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size315;
-            ::apache::thrift::protocol::TType _etype318;
-            xfer += iprot->readListBegin(_etype318, _size315);
-            this->entries.resize(_size315);
-            uint32_t _i319;
-            for (_i319 = 0; _i319 < _size315; ++_i319)
+            uint32_t _size335;
+            ::apache::thrift::protocol::TType _etype338;
+            xfer += iprot->readListBegin(_etype338, _size335);
+            this->entries.resize(_size335);
+            uint32_t _i339;
+            for (_i339 = 0; _i339 < _size335; ++_i339)
             {
-              xfer += this->entries[_i319].read(iprot);
+              xfer += this->entries[_i339].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8872,10 +9224,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellView> ::const_iterator _iter320;
-    for (_iter320 = this->cells.begin(); _iter320 != this->cells.end(); ++_iter320)
+    std::vector<CellView> ::const_iterator _iter340;
+    for (_iter340 = this->cells.begin(); _iter340 != this->cells.end(); ++_iter340)
     {
-      xfer += (*_iter320).write(oprot);
+      xfer += (*_iter340).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8888,10 +9240,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<MemberRef> ::const_iterator _iter321;
-    for (_iter321 = this->entries.begin(); _iter321 != this->entries.end(); ++_iter321)
+    std::vector<MemberRef> ::const_iterator _iter341;
+    for (_iter341 = this->entries.begin(); _iter341 != this->entries.end(); ++_iter341)
     {
-      xfer += (*_iter321).write(oprot);
+      xfer += (*_iter341).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8912,38 +9264,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ClusterView::ClusterView(const ClusterView& other322) {
-  version = other322.version;
-  config = other322.config;
-  cells = other322.cells;
-  term = other322.term;
-  entries = other322.entries;
-  __isset = other322.__isset;
+ClusterView::ClusterView(const ClusterView& other342) {
+  version = other342.version;
+  config = other342.config;
+  cells = other342.cells;
+  term = other342.term;
+  entries = other342.entries;
+  __isset = other342.__isset;
 }
-ClusterView::ClusterView(ClusterView&& other323) noexcept {
-  version = other323.version;
-  config = std::move(other323.config);
-  cells = std::move(other323.cells);
-  term = other323.term;
-  entries = std::move(other323.entries);
-  __isset = other323.__isset;
+ClusterView::ClusterView(ClusterView&& other343) noexcept {
+  version = other343.version;
+  config = std::move(other343.config);
+  cells = std::move(other343.cells);
+  term = other343.term;
+  entries = std::move(other343.entries);
+  __isset = other343.__isset;
 }
-ClusterView& ClusterView::operator=(const ClusterView& other324) {
-  version = other324.version;
-  config = other324.config;
-  cells = other324.cells;
-  term = other324.term;
-  entries = other324.entries;
-  __isset = other324.__isset;
+ClusterView& ClusterView::operator=(const ClusterView& other344) {
+  version = other344.version;
+  config = other344.config;
+  cells = other344.cells;
+  term = other344.term;
+  entries = other344.entries;
+  __isset = other344.__isset;
   return *this;
 }
-ClusterView& ClusterView::operator=(ClusterView&& other325) noexcept {
-  version = other325.version;
-  config = std::move(other325.config);
-  cells = std::move(other325.cells);
-  term = other325.term;
-  entries = std::move(other325.entries);
-  __isset = other325.__isset;
+ClusterView& ClusterView::operator=(ClusterView&& other345) noexcept {
+  version = other345.version;
+  config = std::move(other345.config);
+  cells = std::move(other345.cells);
+  term = other345.term;
+  entries = std::move(other345.entries);
+  __isset = other345.__isset;
   return *this;
 }
 void ClusterView::printTo(std::ostream& out) const {
@@ -9101,38 +9453,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ApplyConfig::ApplyConfig(const ApplyConfig& other326) {
-  requestId = other326.requestId;
-  text = other326.text;
-  author = other326.author;
-  dryRun = other326.dryRun;
-  ignoreIfNotHigher = other326.ignoreIfNotHigher;
-  __isset = other326.__isset;
+ApplyConfig::ApplyConfig(const ApplyConfig& other346) {
+  requestId = other346.requestId;
+  text = other346.text;
+  author = other346.author;
+  dryRun = other346.dryRun;
+  ignoreIfNotHigher = other346.ignoreIfNotHigher;
+  __isset = other346.__isset;
 }
-ApplyConfig::ApplyConfig(ApplyConfig&& other327) noexcept {
-  requestId = other327.requestId;
-  text = std::move(other327.text);
-  author = std::move(other327.author);
-  dryRun = other327.dryRun;
-  ignoreIfNotHigher = other327.ignoreIfNotHigher;
-  __isset = other327.__isset;
+ApplyConfig::ApplyConfig(ApplyConfig&& other347) noexcept {
+  requestId = other347.requestId;
+  text = std::move(other347.text);
+  author = std::move(other347.author);
+  dryRun = other347.dryRun;
+  ignoreIfNotHigher = other347.ignoreIfNotHigher;
+  __isset = other347.__isset;
 }
-ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other328) {
-  requestId = other328.requestId;
-  text = other328.text;
-  author = other328.author;
-  dryRun = other328.dryRun;
-  ignoreIfNotHigher = other328.ignoreIfNotHigher;
-  __isset = other328.__isset;
+ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other348) {
+  requestId = other348.requestId;
+  text = other348.text;
+  author = other348.author;
+  dryRun = other348.dryRun;
+  ignoreIfNotHigher = other348.ignoreIfNotHigher;
+  __isset = other348.__isset;
   return *this;
 }
-ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other329) noexcept {
-  requestId = other329.requestId;
-  text = std::move(other329.text);
-  author = std::move(other329.author);
-  dryRun = other329.dryRun;
-  ignoreIfNotHigher = other329.ignoreIfNotHigher;
-  __isset = other329.__isset;
+ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other349) noexcept {
+  requestId = other349.requestId;
+  text = std::move(other349.text);
+  author = std::move(other349.author);
+  dryRun = other349.dryRun;
+  ignoreIfNotHigher = other349.ignoreIfNotHigher;
+  __isset = other349.__isset;
   return *this;
 }
 void ApplyConfig::printTo(std::ostream& out) const {
@@ -9246,14 +9598,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lagging.clear();
-            uint32_t _size330;
-            ::apache::thrift::protocol::TType _etype333;
-            xfer += iprot->readListBegin(_etype333, _size330);
-            this->lagging.resize(_size330);
-            uint32_t _i334;
-            for (_i334 = 0; _i334 < _size330; ++_i334)
+            uint32_t _size350;
+            ::apache::thrift::protocol::TType _etype353;
+            xfer += iprot->readListBegin(_etype353, _size350);
+            this->lagging.resize(_size350);
+            uint32_t _i354;
+            for (_i354 = 0; _i354 < _size350; ++_i354)
             {
-              xfer += iprot->readString(this->lagging[_i334]);
+              xfer += iprot->readString(this->lagging[_i354]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9302,10 +9654,10 @@
   xfer += oprot->writeFieldBegin("lagging", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lagging.size()));
-    std::vector<std::string> ::const_iterator _iter335;
-    for (_iter335 = this->lagging.begin(); _iter335 != this->lagging.end(); ++_iter335)
+    std::vector<std::string> ::const_iterator _iter355;
+    for (_iter355 = this->lagging.begin(); _iter355 != this->lagging.end(); ++_iter355)
     {
-      xfer += oprot->writeString((*_iter335));
+      xfer += oprot->writeString((*_iter355));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9327,42 +9679,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ApplyReply::ApplyReply(const ApplyReply& other336) {
-  requestId = other336.requestId;
-  accepted = other336.accepted;
-  code = other336.code;
-  message = other336.message;
-  inForce = other336.inForce;
-  lagging = other336.lagging;
-  __isset = other336.__isset;
-}
-ApplyReply::ApplyReply(ApplyReply&& other337) noexcept {
-  requestId = other337.requestId;
-  accepted = other337.accepted;
-  code = std::move(other337.code);
-  message = std::move(other337.message);
-  inForce = std::move(other337.inForce);
-  lagging = std::move(other337.lagging);
-  __isset = other337.__isset;
-}
-ApplyReply& ApplyReply::operator=(const ApplyReply& other338) {
-  requestId = other338.requestId;
-  accepted = other338.accepted;
-  code = other338.code;
-  message = other338.message;
-  inForce = other338.inForce;
-  lagging = other338.lagging;
-  __isset = other338.__isset;
-  return *this;
-}
-ApplyReply& ApplyReply::operator=(ApplyReply&& other339) noexcept {
-  requestId = other339.requestId;
-  accepted = other339.accepted;
-  code = std::move(other339.code);
-  message = std::move(other339.message);
-  inForce = std::move(other339.inForce);
-  lagging = std::move(other339.lagging);
-  __isset = other339.__isset;
+ApplyReply::ApplyReply(const ApplyReply& other356) {
+  requestId = other356.requestId;
+  accepted = other356.accepted;
+  code = other356.code;
+  message = other356.message;
+  inForce = other356.inForce;
+  lagging = other356.lagging;
+  __isset = other356.__isset;
+}
+ApplyReply::ApplyReply(ApplyReply&& other357) noexcept {
+  requestId = other357.requestId;
+  accepted = other357.accepted;
+  code = std::move(other357.code);
+  message = std::move(other357.message);
+  inForce = std::move(other357.inForce);
+  lagging = std::move(other357.lagging);
+  __isset = other357.__isset;
+}
+ApplyReply& ApplyReply::operator=(const ApplyReply& other358) {
+  requestId = other358.requestId;
+  accepted = other358.accepted;
+  code = other358.code;
+  message = other358.message;
+  inForce = other358.inForce;
+  lagging = other358.lagging;
+  __isset = other358.__isset;
+  return *this;
+}
+ApplyReply& ApplyReply::operator=(ApplyReply&& other359) noexcept {
+  requestId = other359.requestId;
+  accepted = other359.accepted;
+  code = std::move(other359.code);
+  message = std::move(other359.message);
+  inForce = std::move(other359.inForce);
+  lagging = std::move(other359.lagging);
+  __isset = other359.__isset;
   return *this;
 }
 void ApplyReply::printTo(std::ostream& out) const {
@@ -9487,30 +9839,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlQuery::ControlQuery(const ControlQuery& other340) {
-  requestId = other340.requestId;
-  kind = other340.kind;
-  argument = other340.argument;
-  __isset = other340.__isset;
+ControlQuery::ControlQuery(const ControlQuery& other360) {
+  requestId = other360.requestId;
+  kind = other360.kind;
+  argument = other360.argument;
+  __isset = other360.__isset;
 }
-ControlQuery::ControlQuery(ControlQuery&& other341) noexcept {
-  requestId = other341.requestId;
-  kind = std::move(other341.kind);
-  argument = std::move(other341.argument);
-  __isset = other341.__isset;
+ControlQuery::ControlQuery(ControlQuery&& other361) noexcept {
+  requestId = other361.requestId;
+  kind = std::move(other361.kind);
+  argument = std::move(other361.argument);
+  __isset = other361.__isset;
 }
-ControlQuery& ControlQuery::operator=(const ControlQuery& other342) {
-  requestId = other342.requestId;
-  kind = other342.kind;
-  argument = other342.argument;
-  __isset = other342.__isset;
+ControlQuery& ControlQuery::operator=(const ControlQuery& other362) {
+  requestId = other362.requestId;
+  kind = other362.kind;
+  argument = other362.argument;
+  __isset = other362.__isset;
   return *this;
 }
-ControlQuery& ControlQuery::operator=(ControlQuery&& other343) noexcept {
-  requestId = other343.requestId;
-  kind = std::move(other343.kind);
-  argument = std::move(other343.argument);
-  __isset = other343.__isset;
+ControlQuery& ControlQuery::operator=(ControlQuery&& other363) noexcept {
+  requestId = other363.requestId;
+  kind = std::move(other363.kind);
+  argument = std::move(other363.argument);
+  __isset = other363.__isset;
   return *this;
 }
 void ControlQuery::printTo(std::ostream& out) const {
@@ -9632,30 +9984,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlAnswer::ControlAnswer(const ControlAnswer& other344) {
-  requestId = other344.requestId;
-  ok = other344.ok;
-  json = other344.json;
-  __isset = other344.__isset;
+ControlAnswer::ControlAnswer(const ControlAnswer& other364) {
+  requestId = other364.requestId;
+  ok = other364.ok;
+  json = other364.json;
+  __isset = other364.__isset;
 }
-ControlAnswer::ControlAnswer(ControlAnswer&& other345) noexcept {
-  requestId = other345.requestId;
-  ok = other345.ok;
-  json = std::move(other345.json);
-  __isset = other345.__isset;
+ControlAnswer::ControlAnswer(ControlAnswer&& other365) noexcept {
+  requestId = other365.requestId;
+  ok = other365.ok;
+  json = std::move(other365.json);
+  __isset = other365.__isset;
 }
-ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other346) {
-  requestId = other346.requestId;
-  ok = other346.ok;
-  json = other346.json;
-  __isset = other346.__isset;
+ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other366) {
+  requestId = other366.requestId;
+  ok = other366.ok;
+  json = other366.json;
+  __isset = other366.__isset;
   return *this;
 }
-ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other347) noexcept {
-  requestId = other347.requestId;
-  ok = other347.ok;
-  json = std::move(other347.json);
-  __isset = other347.__isset;
+ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other367) noexcept {
+  requestId = other367.requestId;
+  ok = other367.ok;
+  json = std::move(other367.json);
+  __isset = other367.__isset;
   return *this;
 }
 void ControlAnswer::printTo(std::ostream& out) const {
@@ -9777,30 +10129,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other348) {
-  index = other348.index;
-  term = other348.term;
-  command = other348.command;
-  __isset = other348.__isset;
+LogEntry::LogEntry(const LogEntry& other368) {
+  index = other368.index;
+  term = other368.term;
+  command = other368.command;
+  __isset = other368.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other349) noexcept {
-  index = other349.index;
-  term = other349.term;
-  command = std::move(other349.command);
-  __isset = other349.__isset;
+LogEntry::LogEntry(LogEntry&& other369) noexcept {
+  index = other369.index;
+  term = other369.term;
+  command = std::move(other369.command);
+  __isset = other369.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other350) {
-  index = other350.index;
-  term = other350.term;
-  command = other350.command;
-  __isset = other350.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other370) {
+  index = other370.index;
+  term = other370.term;
+  command = other370.command;
+  __isset = other370.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other351) noexcept {
-  index = other351.index;
-  term = other351.term;
-  command = std::move(other351.command);
-  __isset = other351.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other371) noexcept {
+  index = other371.index;
+  term = other371.term;
+  command = std::move(other371.command);
+  __isset = other371.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -9990,46 +10342,46 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestVote::RequestVote(const RequestVote& other352) {
-  term = other352.term;
-  lastIndex = other352.lastIndex;
-  lastTerm = other352.lastTerm;
-  preVote = other352.preVote;
-  member = other352.member;
-  group = other352.group;
-  transfer = other352.transfer;
-  __isset = other352.__isset;
-}
-RequestVote::RequestVote(RequestVote&& other353) noexcept {
-  term = other353.term;
-  lastIndex = other353.lastIndex;
-  lastTerm = other353.lastTerm;
-  preVote = other353.preVote;
-  member = std::move(other353.member);
-  group = std::move(other353.group);
-  transfer = other353.transfer;
-  __isset = other353.__isset;
-}
-RequestVote& RequestVote::operator=(const RequestVote& other354) {
-  term = other354.term;
-  lastIndex = other354.lastIndex;
-  lastTerm = other354.lastTerm;
-  preVote = other354.preVote;
-  member = other354.member;
-  group = other354.group;
-  transfer = other354.transfer;
-  __isset = other354.__isset;
-  return *this;
-}
-RequestVote& RequestVote::operator=(RequestVote&& other355) noexcept {
-  term = other355.term;
-  lastIndex = other355.lastIndex;
-  lastTerm = other355.lastTerm;
-  preVote = other355.preVote;
-  member = std::move(other355.member);
-  group = std::move(other355.group);
-  transfer = other355.transfer;
-  __isset = other355.__isset;
+RequestVote::RequestVote(const RequestVote& other372) {
+  term = other372.term;
+  lastIndex = other372.lastIndex;
+  lastTerm = other372.lastTerm;
+  preVote = other372.preVote;
+  member = other372.member;
+  group = other372.group;
+  transfer = other372.transfer;
+  __isset = other372.__isset;
+}
+RequestVote::RequestVote(RequestVote&& other373) noexcept {
+  term = other373.term;
+  lastIndex = other373.lastIndex;
+  lastTerm = other373.lastTerm;
+  preVote = other373.preVote;
+  member = std::move(other373.member);
+  group = std::move(other373.group);
+  transfer = other373.transfer;
+  __isset = other373.__isset;
+}
+RequestVote& RequestVote::operator=(const RequestVote& other374) {
+  term = other374.term;
+  lastIndex = other374.lastIndex;
+  lastTerm = other374.lastTerm;
+  preVote = other374.preVote;
+  member = other374.member;
+  group = other374.group;
+  transfer = other374.transfer;
+  __isset = other374.__isset;
+  return *this;
+}
+RequestVote& RequestVote::operator=(RequestVote&& other375) noexcept {
+  term = other375.term;
+  lastIndex = other375.lastIndex;
+  lastTerm = other375.lastTerm;
+  preVote = other375.preVote;
+  member = std::move(other375.member);
+  group = std::move(other375.group);
+  transfer = other375.transfer;
+  __isset = other375.__isset;
   return *this;
 }
 void RequestVote::printTo(std::ostream& out) const {
@@ -10206,42 +10558,42 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other356) {
-  term = other356.term;
-  granted = other356.granted;
-  preVote = other356.preVote;
-  member = other356.member;
-  group = other356.group;
-  fresh = other356.fresh;
-  __isset = other356.__isset;
-}
-VoteReply::VoteReply(VoteReply&& other357) noexcept {
-  term = other357.term;
-  granted = other357.granted;
-  preVote = other357.preVote;
-  member = std::move(other357.member);
-  group = std::move(other357.group);
-  fresh = other357.fresh;
-  __isset = other357.__isset;
-}
-VoteReply& VoteReply::operator=(const VoteReply& other358) {
-  term = other358.term;
-  granted = other358.granted;
-  preVote = other358.preVote;
-  member = other358.member;
-  group = other358.group;
-  fresh = other358.fresh;
-  __isset = other358.__isset;
-  return *this;
-}
-VoteReply& VoteReply::operator=(VoteReply&& other359) noexcept {
-  term = other359.term;
-  granted = other359.granted;
-  preVote = other359.preVote;
-  member = std::move(other359.member);
-  group = std::move(other359.group);
-  fresh = other359.fresh;
-  __isset = other359.__isset;
+VoteReply::VoteReply(const VoteReply& other376) {
+  term = other376.term;
+  granted = other376.granted;
+  preVote = other376.preVote;
+  member = other376.member;
+  group = other376.group;
+  fresh = other376.fresh;
+  __isset = other376.__isset;
+}
+VoteReply::VoteReply(VoteReply&& other377) noexcept {
+  term = other377.term;
+  granted = other377.granted;
+  preVote = other377.preVote;
+  member = std::move(other377.member);
+  group = std::move(other377.group);
+  fresh = other377.fresh;
+  __isset = other377.__isset;
+}
+VoteReply& VoteReply::operator=(const VoteReply& other378) {
+  term = other378.term;
+  granted = other378.granted;
+  preVote = other378.preVote;
+  member = other378.member;
+  group = other378.group;
+  fresh = other378.fresh;
+  __isset = other378.__isset;
+  return *this;
+}
+VoteReply& VoteReply::operator=(VoteReply&& other379) noexcept {
+  term = other379.term;
+  granted = other379.granted;
+  preVote = other379.preVote;
+  member = std::move(other379.member);
+  group = std::move(other379.group);
+  fresh = other379.fresh;
+  __isset = other379.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -10348,14 +10700,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size360;
-            ::apache::thrift::protocol::TType _etype363;
-            xfer += iprot->readListBegin(_etype363, _size360);
-            this->entries.resize(_size360);
-            uint32_t _i364;
-            for (_i364 = 0; _i364 < _size360; ++_i364)
+            uint32_t _size380;
+            ::apache::thrift::protocol::TType _etype383;
+            xfer += iprot->readListBegin(_etype383, _size380);
+            this->entries.resize(_size380);
+            uint32_t _i384;
+            for (_i384 = 0; _i384 < _size380; ++_i384)
             {
-              xfer += this->entries[_i364].read(iprot);
+              xfer += this->entries[_i384].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10428,10 +10780,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter365;
-    for (_iter365 = this->entries.begin(); _iter365 != this->entries.end(); ++_iter365)
+    std::vector<LogEntry> ::const_iterator _iter385;
+    for (_iter385 = this->entries.begin(); _iter385 != this->entries.end(); ++_iter385)
     {
-      xfer += (*_iter365).write(oprot);
+      xfer += (*_iter385).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10471,50 +10823,50 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendEntries::AppendEntries(const AppendEntries& other366) {
-  term = other366.term;
-  prevIndex = other366.prevIndex;
-  prevTerm = other366.prevTerm;
-  entries = other366.entries;
-  commitIndex = other366.commitIndex;
-  round = other366.round;
-  member = other366.member;
-  group = other366.group;
-  __isset = other366.__isset;
+AppendEntries::AppendEntries(const AppendEntries& other386) {
+  term = other386.term;
+  prevIndex = other386.prevIndex;
+  prevTerm = other386.prevTerm;
+  entries = other386.entries;
+  commitIndex = other386.commitIndex;
+  round = other386.round;
+  member = other386.member;
+  group = other386.group;
+  __isset = other386.__isset;
 }
-AppendEntries::AppendEntries(AppendEntries&& other367) noexcept {
-  term = other367.term;
-  prevIndex = other367.prevIndex;
-  prevTerm = other367.prevTerm;
-  entries = std::move(other367.entries);
-  commitIndex = other367.commitIndex;
-  round = other367.round;
-  member = std::move(other367.member);
-  group = std::move(other367.group);
-  __isset = other367.__isset;
+AppendEntries::AppendEntries(AppendEntries&& other387) noexcept {
+  term = other387.term;
+  prevIndex = other387.prevIndex;
+  prevTerm = other387.prevTerm;
+  entries = std::move(other387.entries);
+  commitIndex = other387.commitIndex;
+  round = other387.round;
+  member = std::move(other387.member);
+  group = std::move(other387.group);
+  __isset = other387.__isset;
 }
-AppendEntries& AppendEntries::operator=(const AppendEntries& other368) {
-  term = other368.term;
-  prevIndex = other368.prevIndex;
-  prevTerm = other368.prevTerm;
-  entries = other368.entries;
-  commitIndex = other368.commitIndex;
-  round = other368.round;
-  member = other368.member;
-  group = other368.group;
-  __isset = other368.__isset;
+AppendEntries& AppendEntries::operator=(const AppendEntries& other388) {
+  term = other388.term;
+  prevIndex = other388.prevIndex;
+  prevTerm = other388.prevTerm;
+  entries = other388.entries;
+  commitIndex = other388.commitIndex;
+  round = other388.round;
+  member = other388.member;
+  group = other388.group;
+  __isset = other388.__isset;
   return *this;
 }
-AppendEntries& AppendEntries::operator=(AppendEntries&& other369) noexcept {
-  term = other369.term;
-  prevIndex = other369.prevIndex;
-  prevTerm = other369.prevTerm;
-  entries = std::move(other369.entries);
-  commitIndex = other369.commitIndex;
-  round = other369.round;
-  member = std::move(other369.member);
-  group = std::move(other369.group);
-  __isset = other369.__isset;
+AppendEntries& AppendEntries::operator=(AppendEntries&& other389) noexcept {
+  term = other389.term;
+  prevIndex = other389.prevIndex;
+  prevTerm = other389.prevTerm;
+  entries = std::move(other389.entries);
+  commitIndex = other389.commitIndex;
+  round = other389.round;
+  member = std::move(other389.member);
+  group = std::move(other389.group);
+  __isset = other389.__isset;
   return *this;
 }
 void AppendEntries::printTo(std::ostream& out) const {
@@ -10692,42 +11044,42 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other370) {
-  term = other370.term;
-  ok = other370.ok;
-  matchIndex = other370.matchIndex;
-  round = other370.round;
-  member = other370.member;
-  group = other370.group;
-  __isset = other370.__isset;
+AppendReply::AppendReply(const AppendReply& other390) {
+  term = other390.term;
+  ok = other390.ok;
+  matchIndex = other390.matchIndex;
+  round = other390.round;
+  member = other390.member;
+  group = other390.group;
+  __isset = other390.__isset;
 }
-AppendReply::AppendReply(AppendReply&& other371) noexcept {
-  term = other371.term;
-  ok = other371.ok;
-  matchIndex = other371.matchIndex;
-  round = other371.round;
-  member = std::move(other371.member);
-  group = std::move(other371.group);
-  __isset = other371.__isset;
+AppendReply::AppendReply(AppendReply&& other391) noexcept {
+  term = other391.term;
+  ok = other391.ok;
+  matchIndex = other391.matchIndex;
+  round = other391.round;
+  member = std::move(other391.member);
+  group = std::move(other391.group);
+  __isset = other391.__isset;
 }
-AppendReply& AppendReply::operator=(const AppendReply& other372) {
-  term = other372.term;
-  ok = other372.ok;
-  matchIndex = other372.matchIndex;
-  round = other372.round;
-  member = other372.member;
-  group = other372.group;
-  __isset = other372.__isset;
+AppendReply& AppendReply::operator=(const AppendReply& other392) {
+  term = other392.term;
+  ok = other392.ok;
+  matchIndex = other392.matchIndex;
+  round = other392.round;
+  member = other392.member;
+  group = other392.group;
+  __isset = other392.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other373) noexcept {
-  term = other373.term;
-  ok = other373.ok;
-  matchIndex = other373.matchIndex;
-  round = other373.round;
-  member = std::move(other373.member);
-  group = std::move(other373.group);
-  __isset = other373.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other393) noexcept {
+  term = other393.term;
+  ok = other393.ok;
+  matchIndex = other393.matchIndex;
+  round = other393.round;
+  member = std::move(other393.member);
+  group = std::move(other393.group);
+  __isset = other393.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -10846,14 +11198,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size374;
-            ::apache::thrift::protocol::TType _etype377;
-            xfer += iprot->readListBegin(_etype377, _size374);
-            this->voters.resize(_size374);
-            uint32_t _i378;
-            for (_i378 = 0; _i378 < _size374; ++_i378)
+            uint32_t _size394;
+            ::apache::thrift::protocol::TType _etype397;
+            xfer += iprot->readListBegin(_etype397, _size394);
+            this->voters.resize(_size394);
+            uint32_t _i398;
+            for (_i398 = 0; _i398 < _size394; ++_i398)
             {
-              xfer += iprot->readString(this->voters[_i378]);
+              xfer += iprot->readString(this->voters[_i398]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10866,14 +11218,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size379;
-            ::apache::thrift::protocol::TType _etype382;
-            xfer += iprot->readListBegin(_etype382, _size379);
-            this->learners.resize(_size379);
-            uint32_t _i383;
-            for (_i383 = 0; _i383 < _size379; ++_i383)
+            uint32_t _size399;
+            ::apache::thrift::protocol::TType _etype402;
+            xfer += iprot->readListBegin(_etype402, _size399);
+            this->learners.resize(_size399);
+            uint32_t _i403;
+            for (_i403 = 0; _i403 < _size399; ++_i403)
             {
-              xfer += iprot->readString(this->learners[_i383]);
+              xfer += iprot->readString(this->learners[_i403]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10942,10 +11294,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter384;
-    for (_iter384 = this->voters.begin(); _iter384 != this->voters.end(); ++_iter384)
+    std::vector<std::string> ::const_iterator _iter404;
+    for (_iter404 = this->voters.begin(); _iter404 != this->voters.end(); ++_iter404)
     {
-      xfer += oprot->writeString((*_iter384));
+      xfer += oprot->writeString((*_iter404));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10954,10 +11306,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter385;
-    for (_iter385 = this->learners.begin(); _iter385 != this->learners.end(); ++_iter385)
+    std::vector<std::string> ::const_iterator _iter405;
+    for (_iter405 = this->learners.begin(); _iter405 != this->learners.end(); ++_iter405)
     {
-      xfer += oprot->writeString((*_iter385));
+      xfer += oprot->writeString((*_iter405));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10994,54 +11346,54 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallSnapshot::InstallSnapshot(const InstallSnapshot& other386) {
-  term = other386.term;
-  lastIndex = other386.lastIndex;
-  lastTerm = other386.lastTerm;
-  data = other386.data;
-  voters = other386.voters;
-  learners = other386.learners;
-  member = other386.member;
-  group = other386.group;
-  round = other386.round;
-  __isset = other386.__isset;
+InstallSnapshot::InstallSnapshot(const InstallSnapshot& other406) {
+  term = other406.term;
+  lastIndex = other406.lastIndex;
+  lastTerm = other406.lastTerm;
+  data = other406.data;
+  voters = other406.voters;
+  learners = other406.learners;
+  member = other406.member;
+  group = other406.group;
+  round = other406.round;
+  __isset = other406.__isset;
 }
-InstallSnapshot::InstallSnapshot(InstallSnapshot&& other387) noexcept {
-  term = other387.term;
-  lastIndex = other387.lastIndex;
-  lastTerm = other387.lastTerm;
-  data = std::move(other387.data);
-  voters = std::move(other387.voters);
-  learners = std::move(other387.learners);
-  member = std::move(other387.member);
-  group = std::move(other387.group);
-  round = other387.round;
-  __isset = other387.__isset;
+InstallSnapshot::InstallSnapshot(InstallSnapshot&& other407) noexcept {
+  term = other407.term;
+  lastIndex = other407.lastIndex;
+  lastTerm = other407.lastTerm;
+  data = std::move(other407.data);
+  voters = std::move(other407.voters);
+  learners = std::move(other407.learners);
+  member = std::move(other407.member);
+  group = std::move(other407.group);
+  round = other407.round;
+  __isset = other407.__isset;
 }
-InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other388) {
-  term = other388.term;
-  lastIndex = other388.lastIndex;
-  lastTerm = other388.lastTerm;
-  data = other388.data;
-  voters = other388.voters;
-  learners = other388.learners;
-  member = other388.member;
-  group = other388.group;
-  round = other388.round;
-  __isset = other388.__isset;
+InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other408) {
+  term = other408.term;
+  lastIndex = other408.lastIndex;
+  lastTerm = other408.lastTerm;
+  data = other408.data;
+  voters = other408.voters;
+  learners = other408.learners;
+  member = other408.member;
+  group = other408.group;
+  round = other408.round;
+  __isset = other408.__isset;
   return *this;
 }
-InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other389) noexcept {
-  term = other389.term;
-  lastIndex = other389.lastIndex;
-  lastTerm = other389.lastTerm;
-  data = std::move(other389.data);
-  voters = std::move(other389.voters);
-  learners = std::move(other389.learners);
-  member = std::move(other389.member);
-  group = std::move(other389.group);
-  round = other389.round;
-  __isset = other389.__isset;
+InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other409) noexcept {
+  term = other409.term;
+  lastIndex = other409.lastIndex;
+  lastTerm = other409.lastTerm;
+  data = std::move(other409.data);
+  voters = std::move(other409.voters);
+  learners = std::move(other409.learners);
+  member = std::move(other409.member);
+  group = std::move(other409.group);
+  round = other409.round;
+  __isset = other409.__isset;
   return *this;
 }
 void InstallSnapshot::printTo(std::ostream& out) const {
@@ -11203,38 +11555,38 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallReply::InstallReply(const InstallReply& other390) {
-  term = other390.term;
-  lastIndex = other390.lastIndex;
-  member = other390.member;
-  group = other390.group;
-  round = other390.round;
-  __isset = other390.__isset;
+InstallReply::InstallReply(const InstallReply& other410) {
+  term = other410.term;
+  lastIndex = other410.lastIndex;
+  member = other410.member;
+  group = other410.group;
+  round = other410.round;
+  __isset = other410.__isset;
 }
-InstallReply::InstallReply(InstallReply&& other391) noexcept {
-  term = other391.term;
-  lastIndex = other391.lastIndex;
-  member = std::move(other391.member);
-  group = std::move(other391.group);
-  round = other391.round;
-  __isset = other391.__isset;
+InstallReply::InstallReply(InstallReply&& other411) noexcept {
+  term = other411.term;
+  lastIndex = other411.lastIndex;
+  member = std::move(other411.member);
+  group = std::move(other411.group);
+  round = other411.round;
+  __isset = other411.__isset;
 }
-InstallReply& InstallReply::operator=(const InstallReply& other392) {
-  term = other392.term;
-  lastIndex = other392.lastIndex;
-  member = other392.member;
-  group = other392.group;
-  round = other392.round;
-  __isset = other392.__isset;
+InstallReply& InstallReply::operator=(const InstallReply& other412) {
+  term = other412.term;
+  lastIndex = other412.lastIndex;
+  member = other412.member;
+  group = other412.group;
+  round = other412.round;
+  __isset = other412.__isset;
   return *this;
 }
-InstallReply& InstallReply::operator=(InstallReply&& other393) noexcept {
-  term = other393.term;
-  lastIndex = other393.lastIndex;
-  member = std::move(other393.member);
-  group = std::move(other393.group);
-  round = other393.round;
-  __isset = other393.__isset;
+InstallReply& InstallReply::operator=(InstallReply&& other413) noexcept {
+  term = other413.term;
+  lastIndex = other413.lastIndex;
+  member = std::move(other413.member);
+  group = std::move(other413.group);
+  round = other413.round;
+  __isset = other413.__isset;
   return *this;
 }
 void InstallReply::printTo(std::ostream& out) const {
@@ -11324,22 +11676,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other394) noexcept {
-  term = other394.term;
-  __isset = other394.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other414) noexcept {
+  term = other414.term;
+  __isset = other414.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other395) noexcept {
-  term = other395.term;
-  __isset = other395.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other415) noexcept {
+  term = other415.term;
+  __isset = other415.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other396) noexcept {
-  term = other396.term;
-  __isset = other396.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other416) noexcept {
+  term = other416.term;
+  __isset = other416.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other397) noexcept {
-  term = other397.term;
-  __isset = other397.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other417) noexcept {
+  term = other417.term;
+  __isset = other417.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -11425,22 +11777,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SetConfig::SetConfig(const SetConfig& other398) {
-  file = other398.file;
-  __isset = other398.__isset;
+SetConfig::SetConfig(const SetConfig& other418) {
+  file = other418.file;
+  __isset = other418.__isset;
 }
-SetConfig::SetConfig(SetConfig&& other399) noexcept {
-  file = std::move(other399.file);
-  __isset = other399.__isset;
+SetConfig::SetConfig(SetConfig&& other419) noexcept {
+  file = std::move(other419.file);
+  __isset = other419.__isset;
 }
-SetConfig& SetConfig::operator=(const SetConfig& other400) {
-  file = other400.file;
-  __isset = other400.__isset;
+SetConfig& SetConfig::operator=(const SetConfig& other420) {
+  file = other420.file;
+  __isset = other420.__isset;
   return *this;
 }
-SetConfig& SetConfig::operator=(SetConfig&& other401) noexcept {
-  file = std::move(other401.file);
-  __isset = other401.__isset;
+SetConfig& SetConfig::operator=(SetConfig&& other421) noexcept {
+  file = std::move(other421.file);
+  __isset = other421.__isset;
   return *this;
 }
 void SetConfig::printTo(std::ostream& out) const {
@@ -11521,9 +11873,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast402;
-          xfer += iprot->readI32(ecast402);
-          this->role = static_cast<Role::type>(ecast402);
+          int32_t ecast422;
+          xfer += iprot->readI32(ecast422);
+          this->role = static_cast<Role::type>(ecast422);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -11632,46 +11984,46 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberJoin::MemberJoin(const MemberJoin& other403) {
-  id = other403.id;
-  role = other403.role;
-  address = other403.address;
-  failureDomain = other403.failureDomain;
-  server = other403.server;
-  atMs = other403.atMs;
-  replaces = other403.replaces;
-  __isset = other403.__isset;
-}
-MemberJoin::MemberJoin(MemberJoin&& other404) noexcept {
-  id = std::move(other404.id);
-  role = other404.role;
-  address = std::move(other404.address);
-  failureDomain = std::move(other404.failureDomain);
-  server = std::move(other404.server);
-  atMs = other404.atMs;
-  replaces = other404.replaces;
-  __isset = other404.__isset;
-}
-MemberJoin& MemberJoin::operator=(const MemberJoin& other405) {
-  id = other405.id;
-  role = other405.role;
-  address = other405.address;
-  failureDomain = other405.failureDomain;
-  server = other405.server;
-  atMs = other405.atMs;
-  replaces = other405.replaces;
-  __isset = other405.__isset;
-  return *this;
-}
-MemberJoin& MemberJoin::operator=(MemberJoin&& other406) noexcept {
-  id = std::move(other406.id);
-  role = other406.role;
-  address = std::move(other406.address);
-  failureDomain = std::move(other406.failureDomain);
-  server = std::move(other406.server);
-  atMs = other406.atMs;
-  replaces = other406.replaces;
-  __isset = other406.__isset;
+MemberJoin::MemberJoin(const MemberJoin& other423) {
+  id = other423.id;
+  role = other423.role;
+  address = other423.address;
+  failureDomain = other423.failureDomain;
+  server = other423.server;
+  atMs = other423.atMs;
+  replaces = other423.replaces;
+  __isset = other423.__isset;
+}
+MemberJoin::MemberJoin(MemberJoin&& other424) noexcept {
+  id = std::move(other424.id);
+  role = other424.role;
+  address = std::move(other424.address);
+  failureDomain = std::move(other424.failureDomain);
+  server = std::move(other424.server);
+  atMs = other424.atMs;
+  replaces = other424.replaces;
+  __isset = other424.__isset;
+}
+MemberJoin& MemberJoin::operator=(const MemberJoin& other425) {
+  id = other425.id;
+  role = other425.role;
+  address = other425.address;
+  failureDomain = other425.failureDomain;
+  server = other425.server;
+  atMs = other425.atMs;
+  replaces = other425.replaces;
+  __isset = other425.__isset;
+  return *this;
+}
+MemberJoin& MemberJoin::operator=(MemberJoin&& other426) noexcept {
+  id = std::move(other426.id);
+  role = other426.role;
+  address = std::move(other426.address);
+  failureDomain = std::move(other426.failureDomain);
+  server = std::move(other426.server);
+  atMs = other426.atMs;
+  replaces = other426.replaces;
+  __isset = other426.__isset;
   return *this;
 }
 void MemberJoin::printTo(std::ostream& out) const {
@@ -11797,30 +12149,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberGone::MemberGone(const MemberGone& other407) {
-  id = other407.id;
-  planned = other407.planned;
-  atMs = other407.atMs;
-  __isset = other407.__isset;
+MemberGone::MemberGone(const MemberGone& other427) {
+  id = other427.id;
+  planned = other427.planned;
+  atMs = other427.atMs;
+  __isset = other427.__isset;
 }
-MemberGone::MemberGone(MemberGone&& other408) noexcept {
-  id = std::move(other408.id);
-  planned = other408.planned;
-  atMs = other408.atMs;
-  __isset = other408.__isset;
+MemberGone::MemberGone(MemberGone&& other428) noexcept {
+  id = std::move(other428.id);
+  planned = other428.planned;
+  atMs = other428.atMs;
+  __isset = other428.__isset;
 }
-MemberGone& MemberGone::operator=(const MemberGone& other409) {
-  id = other409.id;
-  planned = other409.planned;
-  atMs = other409.atMs;
-  __isset = other409.__isset;
+MemberGone& MemberGone::operator=(const MemberGone& other429) {
+  id = other429.id;
+  planned = other429.planned;
+  atMs = other429.atMs;
+  __isset = other429.__isset;
   return *this;
 }
-MemberGone& MemberGone::operator=(MemberGone&& other410) noexcept {
-  id = std::move(other410.id);
-  planned = other410.planned;
-  atMs = other410.atMs;
-  __isset = other410.__isset;
+MemberGone& MemberGone::operator=(MemberGone&& other430) noexcept {
+  id = std::move(other430.id);
+  planned = other430.planned;
+  atMs = other430.atMs;
+  __isset = other430.__isset;
   return *this;
 }
 void MemberGone::printTo(std::ostream& out) const {
@@ -11908,22 +12260,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberLeaving::MemberLeaving(const MemberLeaving& other411) {
-  id = other411.id;
-  __isset = other411.__isset;
+MemberLeaving::MemberLeaving(const MemberLeaving& other431) {
+  id = other431.id;
+  __isset = other431.__isset;
 }
-MemberLeaving::MemberLeaving(MemberLeaving&& other412) noexcept {
-  id = std::move(other412.id);
-  __isset = other412.__isset;
+MemberLeaving::MemberLeaving(MemberLeaving&& other432) noexcept {
+  id = std::move(other432.id);
+  __isset = other432.__isset;
 }
-MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other413) {
-  id = other413.id;
-  __isset = other413.__isset;
+MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other433) {
+  id = other433.id;
+  __isset = other433.__isset;
   return *this;
 }
-MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other414) noexcept {
-  id = std::move(other414.id);
-  __isset = other414.__isset;
+MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other434) noexcept {
+  id = std::move(other434.id);
+  __isset = other434.__isset;
   return *this;
 }
 void MemberLeaving::printTo(std::ostream& out) const {
@@ -12060,34 +12412,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderWhole::HolderWhole(const HolderWhole& other415) {
-  cell = other415.cell;
-  epoch = other415.epoch;
-  holder = other415.holder;
-  viewVersion = other415.viewVersion;
-  __isset = other415.__isset;
+HolderWhole::HolderWhole(const HolderWhole& other435) {
+  cell = other435.cell;
+  epoch = other435.epoch;
+  holder = other435.holder;
+  viewVersion = other435.viewVersion;
+  __isset = other435.__isset;
 }
-HolderWhole::HolderWhole(HolderWhole&& other416) noexcept {
-  cell = other416.cell;
-  epoch = other416.epoch;
-  holder = std::move(other416.holder);
-  viewVersion = other416.viewVersion;
-  __isset = other416.__isset;
+HolderWhole::HolderWhole(HolderWhole&& other436) noexcept {
+  cell = other436.cell;
+  epoch = other436.epoch;
+  holder = std::move(other436.holder);
+  viewVersion = other436.viewVersion;
+  __isset = other436.__isset;
 }
-HolderWhole& HolderWhole::operator=(const HolderWhole& other417) {
-  cell = other417.cell;
-  epoch = other417.epoch;
-  holder = other417.holder;
-  viewVersion = other417.viewVersion;
-  __isset = other417.__isset;
+HolderWhole& HolderWhole::operator=(const HolderWhole& other437) {
+  cell = other437.cell;
+  epoch = other437.epoch;
+  holder = other437.holder;
+  viewVersion = other437.viewVersion;
+  __isset = other437.__isset;
   return *this;
 }
-HolderWhole& HolderWhole::operator=(HolderWhole&& other418) noexcept {
-  cell = other418.cell;
-  epoch = other418.epoch;
-  holder = std::move(other418.holder);
-  viewVersion = other418.viewVersion;
-  __isset = other418.__isset;
+HolderWhole& HolderWhole::operator=(HolderWhole&& other438) noexcept {
+  cell = other438.cell;
+  epoch = other438.epoch;
+  holder = std::move(other438.holder);
+  viewVersion = other438.viewVersion;
+  __isset = other438.__isset;
   return *this;
 }
 void HolderWhole::printTo(std::ostream& out) const {
@@ -12227,34 +12579,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HandOver::HandOver(const HandOver& other419) {
-  cell = other419.cell;
-  epoch = other419.epoch;
-  previousOwner = other419.previousOwner;
-  atMs = other419.atMs;
-  __isset = other419.__isset;
+HandOver::HandOver(const HandOver& other439) {
+  cell = other439.cell;
+  epoch = other439.epoch;
+  previousOwner = other439.previousOwner;
+  atMs = other439.atMs;
+  __isset = other439.__isset;
 }
-HandOver::HandOver(HandOver&& other420) noexcept {
-  cell = other420.cell;
-  epoch = other420.epoch;
-  previousOwner = std::move(other420.previousOwner);
-  atMs = other420.atMs;
-  __isset = other420.__isset;
+HandOver::HandOver(HandOver&& other440) noexcept {
+  cell = other440.cell;
+  epoch = other440.epoch;
+  previousOwner = std::move(other440.previousOwner);
+  atMs = other440.atMs;
+  __isset = other440.__isset;
 }
-HandOver& HandOver::operator=(const HandOver& other421) {
-  cell = other421.cell;
-  epoch = other421.epoch;
-  previousOwner = other421.previousOwner;
-  atMs = other421.atMs;
-  __isset = other421.__isset;
+HandOver& HandOver::operator=(const HandOver& other441) {
+  cell = other441.cell;
+  epoch = other441.epoch;
+  previousOwner = other441.previousOwner;
+  atMs = other441.atMs;
+  __isset = other441.__isset;
   return *this;
 }
-HandOver& HandOver::operator=(HandOver&& other422) noexcept {
-  cell = other422.cell;
-  epoch = other422.epoch;
-  previousOwner = std::move(other422.previousOwner);
-  atMs = other422.atMs;
-  __isset = other422.__isset;
+HandOver& HandOver::operator=(HandOver&& other442) noexcept {
+  cell = other442.cell;
+  epoch = other442.epoch;
+  previousOwner = std::move(other442.previousOwner);
+  atMs = other442.atMs;
+  __isset = other442.__isset;
   return *this;
 }
 void HandOver::printTo(std::ostream& out) const {
@@ -12311,14 +12663,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size423;
-            ::apache::thrift::protocol::TType _etype426;
-            xfer += iprot->readListBegin(_etype426, _size423);
-            this->voters.resize(_size423);
-            uint32_t _i427;
-            for (_i427 = 0; _i427 < _size423; ++_i427)
+            uint32_t _size443;
+            ::apache::thrift::protocol::TType _etype446;
+            xfer += iprot->readListBegin(_etype446, _size443);
+            this->voters.resize(_size443);
+            uint32_t _i447;
+            for (_i447 = 0; _i447 < _size443; ++_i447)
             {
-              xfer += iprot->readString(this->voters[_i427]);
+              xfer += iprot->readString(this->voters[_i447]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12331,14 +12683,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size428;
-            ::apache::thrift::protocol::TType _etype431;
-            xfer += iprot->readListBegin(_etype431, _size428);
-            this->learners.resize(_size428);
-            uint32_t _i432;
-            for (_i432 = 0; _i432 < _size428; ++_i432)
+            uint32_t _size448;
+            ::apache::thrift::protocol::TType _etype451;
+            xfer += iprot->readListBegin(_etype451, _size448);
+            this->learners.resize(_size448);
+            uint32_t _i452;
+            for (_i452 = 0; _i452 < _size448; ++_i452)
             {
-              xfer += iprot->readString(this->learners[_i432]);
+              xfer += iprot->readString(this->learners[_i452]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12367,10 +12719,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter433;
-    for (_iter433 = this->voters.begin(); _iter433 != this->voters.end(); ++_iter433)
+    std::vector<std::string> ::const_iterator _iter453;
+    for (_iter453 = this->voters.begin(); _iter453 != this->voters.end(); ++_iter453)
     {
-      xfer += oprot->writeString((*_iter433));
+      xfer += oprot->writeString((*_iter453));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12379,10 +12731,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter434;
-    for (_iter434 = this->learners.begin(); _iter434 != this->learners.end(); ++_iter434)
+    std::vector<std::string> ::const_iterator _iter454;
+    for (_iter454 = this->learners.begin(); _iter454 != this->learners.end(); ++_iter454)
     {
-      xfer += oprot->writeString((*_iter434));
+      xfer += oprot->writeString((*_iter454));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12400,26 +12752,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SetVoters::SetVoters(const SetVoters& other435) {
-  voters = other435.voters;
-  learners = other435.learners;
-  __isset = other435.__isset;
+SetVoters::SetVoters(const SetVoters& other455) {
+  voters = other455.voters;
+  learners = other455.learners;
+  __isset = other455.__isset;
 }
-SetVoters::SetVoters(SetVoters&& other436) noexcept {
-  voters = std::move(other436.voters);
-  learners = std::move(other436.learners);
-  __isset = other436.__isset;
+SetVoters::SetVoters(SetVoters&& other456) noexcept {
+  voters = std::move(other456.voters);
+  learners = std::move(other456.learners);
+  __isset = other456.__isset;
 }
-SetVoters& SetVoters::operator=(const SetVoters& other437) {
-  voters = other437.voters;
-  learners = other437.learners;
-  __isset = other437.__isset;
+SetVoters& SetVoters::operator=(const SetVoters& other457) {
+  voters = other457.voters;
+  learners = other457.learners;
+  __isset = other457.__isset;
   return *this;
 }
-SetVoters& SetVoters::operator=(SetVoters&& other438) noexcept {
-  voters = std::move(other438.voters);
-  learners = std::move(other438.learners);
-  __isset = other438.__isset;
+SetVoters& SetVoters::operator=(SetVoters&& other458) noexcept {
+  voters = std::move(other458.voters);
+  learners = std::move(other458.learners);
+  __isset = other458.__isset;
   return *this;
 }
 void SetVoters::printTo(std::ostream& out) const {
@@ -12641,50 +12993,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other439) {
-  setConfig = other439.setConfig;
-  memberJoin = other439.memberJoin;
-  memberGone = other439.memberGone;
-  memberLeaving = other439.memberLeaving;
-  holderWhole = other439.holderWhole;
-  handOver = other439.handOver;
-  setVoters = other439.setVoters;
-  noop = other439.noop;
-  __isset = other439.__isset;
-}
-Command::Command(Command&& other440) noexcept {
-  setConfig = std::move(other440.setConfig);
-  memberJoin = std::move(other440.memberJoin);
-  memberGone = std::move(other440.memberGone);
-  memberLeaving = std::move(other440.memberLeaving);
-  holderWhole = std::move(other440.holderWhole);
-  handOver = std::move(other440.handOver);
-  setVoters = std::move(other440.setVoters);
-  noop = other440.noop;
-  __isset = other440.__isset;
-}
-Command& Command::operator=(const Command& other441) {
-  setConfig = other441.setConfig;
-  memberJoin = other441.memberJoin;
-  memberGone = other441.memberGone;
-  memberLeaving = other441.memberLeaving;
-  holderWhole = other441.holderWhole;
-  handOver = other441.handOver;
-  setVoters = other441.setVoters;
-  noop = other441.noop;
-  __isset = other441.__isset;
-  return *this;
-}
-Command& Command::operator=(Command&& other442) noexcept {
-  setConfig = std::move(other442.setConfig);
-  memberJoin = std::move(other442.memberJoin);
-  memberGone = std::move(other442.memberGone);
-  memberLeaving = std::move(other442.memberLeaving);
-  holderWhole = std::move(other442.holderWhole);
-  handOver = std::move(other442.handOver);
-  setVoters = std::move(other442.setVoters);
-  noop = other442.noop;
-  __isset = other442.__isset;
+Command::Command(const Command& other459) {
+  setConfig = other459.setConfig;
+  memberJoin = other459.memberJoin;
+  memberGone = other459.memberGone;
+  memberLeaving = other459.memberLeaving;
+  holderWhole = other459.holderWhole;
+  handOver = other459.handOver;
+  setVoters = other459.setVoters;
+  noop = other459.noop;
+  __isset = other459.__isset;
+}
+Command::Command(Command&& other460) noexcept {
+  setConfig = std::move(other460.setConfig);
+  memberJoin = std::move(other460.memberJoin);
+  memberGone = std::move(other460.memberGone);
+  memberLeaving = std::move(other460.memberLeaving);
+  holderWhole = std::move(other460.holderWhole);
+  handOver = std::move(other460.handOver);
+  setVoters = std::move(other460.setVoters);
+  noop = other460.noop;
+  __isset = other460.__isset;
+}
+Command& Command::operator=(const Command& other461) {
+  setConfig = other461.setConfig;
+  memberJoin = other461.memberJoin;
+  memberGone = other461.memberGone;
+  memberLeaving = other461.memberLeaving;
+  holderWhole = other461.holderWhole;
+  handOver = other461.handOver;
+  setVoters = other461.setVoters;
+  noop = other461.noop;
+  __isset = other461.__isset;
+  return *this;
+}
+Command& Command::operator=(Command&& other462) noexcept {
+  setConfig = std::move(other462.setConfig);
+  memberJoin = std::move(other462.memberJoin);
+  memberGone = std::move(other462.memberGone);
+  memberLeaving = std::move(other462.memberLeaving);
+  holderWhole = std::move(other462.holderWhole);
+  handOver = std::move(other462.handOver);
+  setVoters = std::move(other462.setVoters);
+  noop = other462.noop;
+  __isset = other462.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -12828,34 +13180,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other443) {
-  member = other443.member;
-  group = other443.group;
-  term = other443.term;
-  vote = other443.vote;
-  __isset = other443.__isset;
+HardState::HardState(const HardState& other463) {
+  member = other463.member;
+  group = other463.group;
+  term = other463.term;
+  vote = other463.vote;
+  __isset = other463.__isset;
 }
-HardState::HardState(HardState&& other444) noexcept {
-  member = std::move(other444.member);
-  group = std::move(other444.group);
-  term = other444.term;
-  vote = std::move(other444.vote);
-  __isset = other444.__isset;
+HardState::HardState(HardState&& other464) noexcept {
+  member = std::move(other464.member);
+  group = std::move(other464.group);
+  term = other464.term;
+  vote = std::move(other464.vote);
+  __isset = other464.__isset;
 }
-HardState& HardState::operator=(const HardState& other445) {
-  member = other445.member;
-  group = other445.group;
-  term = other445.term;
-  vote = other445.vote;
-  __isset = other445.__isset;
+HardState& HardState::operator=(const HardState& other465) {
+  member = other465.member;
+  group = other465.group;
+  term = other465.term;
+  vote = other465.vote;
+  __isset = other465.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other446) noexcept {
-  member = std::move(other446.member);
-  group = std::move(other446.group);
-  term = other446.term;
-  vote = std::move(other446.vote);
-  __isset = other446.__isset;
+HardState& HardState::operator=(HardState&& other466) noexcept {
+  member = std::move(other466.member);
+  group = std::move(other466.group);
+  term = other466.term;
+  vote = std::move(other466.vote);
+  __isset = other466.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -12933,14 +13285,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size447;
-            ::apache::thrift::protocol::TType _etype450;
-            xfer += iprot->readListBegin(_etype450, _size447);
-            this->entries.resize(_size447);
-            uint32_t _i451;
-            for (_i451 = 0; _i451 < _size447; ++_i451)
+            uint32_t _size467;
+            ::apache::thrift::protocol::TType _etype470;
+            xfer += iprot->readListBegin(_etype470, _size467);
+            this->entries.resize(_size467);
+            uint32_t _i471;
+            for (_i471 = 0; _i471 < _size467; ++_i471)
             {
-              xfer += this->entries[_i451].read(iprot);
+              xfer += this->entries[_i471].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12978,10 +13330,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter452;
-    for (_iter452 = this->entries.begin(); _iter452 != this->entries.end(); ++_iter452)
+    std::vector<LogEntry> ::const_iterator _iter472;
+    for (_iter472 = this->entries.begin(); _iter472 != this->entries.end(); ++_iter472)
     {
-      xfer += (*_iter452).write(oprot);
+      xfer += (*_iter472).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13000,30 +13352,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogRecord::LogRecord(const LogRecord& other453) {
-  state = other453.state;
-  truncateFrom = other453.truncateFrom;
-  entries = other453.entries;
-  __isset = other453.__isset;
+LogRecord::LogRecord(const LogRecord& other473) {
+  state = other473.state;
+  truncateFrom = other473.truncateFrom;
+  entries = other473.entries;
+  __isset = other473.__isset;
 }
-LogRecord::LogRecord(LogRecord&& other454) noexcept {
-  state = std::move(other454.state);
-  truncateFrom = other454.truncateFrom;
-  entries = std::move(other454.entries);
-  __isset = other454.__isset;
+LogRecord::LogRecord(LogRecord&& other474) noexcept {
+  state = std::move(other474.state);
+  truncateFrom = other474.truncateFrom;
+  entries = std::move(other474.entries);
+  __isset = other474.__isset;
 }
-LogRecord& LogRecord::operator=(const LogRecord& other455) {
-  state = other455.state;
-  truncateFrom = other455.truncateFrom;
-  entries = other455.entries;
-  __isset = other455.__isset;
+LogRecord& LogRecord::operator=(const LogRecord& other475) {
+  state = other475.state;
+  truncateFrom = other475.truncateFrom;
+  entries = other475.entries;
+  __isset = other475.__isset;
   return *this;
 }
-LogRecord& LogRecord::operator=(LogRecord&& other456) noexcept {
-  state = std::move(other456.state);
-  truncateFrom = other456.truncateFrom;
-  entries = std::move(other456.entries);
-  __isset = other456.__isset;
+LogRecord& LogRecord::operator=(LogRecord&& other476) noexcept {
+  state = std::move(other476.state);
+  truncateFrom = other476.truncateFrom;
+  entries = std::move(other476.entries);
+  __isset = other476.__isset;
   return *this;
 }
 void LogRecord::printTo(std::ostream& out) const {
@@ -13075,14 +13427,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size457;
-            ::apache::thrift::protocol::TType _etype460;
-            xfer += iprot->readListBegin(_etype460, _size457);
-            this->records.resize(_size457);
-            uint32_t _i461;
-            for (_i461 = 0; _i461 < _size457; ++_i461)
+            uint32_t _size477;
+            ::apache::thrift::protocol::TType _etype480;
+            xfer += iprot->readListBegin(_etype480, _size477);
+            this->records.resize(_size477);
+            uint32_t _i481;
+            for (_i481 = 0; _i481 < _size477; ++_i481)
             {
-              xfer += this->records[_i461].read(iprot);
+              xfer += this->records[_i481].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13111,10 +13463,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<LogRecord> ::const_iterator _iter462;
-    for (_iter462 = this->records.begin(); _iter462 != this->records.end(); ++_iter462)
+    std::vector<LogRecord> ::const_iterator _iter482;
+    for (_iter482 = this->records.begin(); _iter482 != this->records.end(); ++_iter482)
     {
-      xfer += (*_iter462).write(oprot);
+      xfer += (*_iter482).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13131,22 +13483,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LogFrame::LogFrame(const LogFrame& other463) {
-  records = other463.records;
-  __isset = other463.__isset;
+LogFrame::LogFrame(const LogFrame& other483) {
+  records = other483.records;
+  __isset = other483.__isset;
 }
-LogFrame::LogFrame(LogFrame&& other464) noexcept {
-  records = std::move(other464.records);
-  __isset = other464.__isset;
+LogFrame::LogFrame(LogFrame&& other484) noexcept {
+  records = std::move(other484.records);
+  __isset = other484.__isset;
 }
-LogFrame& LogFrame::operator=(const LogFrame& other465) {
-  records = other465.records;
-  __isset = other465.__isset;
+LogFrame& LogFrame::operator=(const LogFrame& other485) {
+  records = other485.records;
+  __isset = other485.__isset;
   return *this;
 }
-LogFrame& LogFrame::operator=(LogFrame&& other466) noexcept {
-  records = std::move(other466.records);
-  __isset = other466.__isset;
+LogFrame& LogFrame::operator=(LogFrame&& other486) noexcept {
+  records = std::move(other486.records);
+  __isset = other486.__isset;
   return *this;
 }
 void LogFrame::printTo(std::ostream& out) const {
@@ -13228,14 +13580,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size467;
-            ::apache::thrift::protocol::TType _etype470;
-            xfer += iprot->readListBegin(_etype470, _size467);
-            this->voters.resize(_size467);
-            uint32_t _i471;
-            for (_i471 = 0; _i471 < _size467; ++_i471)
+            uint32_t _size487;
+            ::apache::thrift::protocol::TType _etype490;
+            xfer += iprot->readListBegin(_etype490, _size487);
+            this->voters.resize(_size487);
+            uint32_t _i491;
+            for (_i491 = 0; _i491 < _size487; ++_i491)
             {
-              xfer += iprot->readString(this->voters[_i471]);
+              xfer += iprot->readString(this->voters[_i491]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13248,14 +13600,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size472;
-            ::apache::thrift::protocol::TType _etype475;
-            xfer += iprot->readListBegin(_etype475, _size472);
-            this->learners.resize(_size472);
-            uint32_t _i476;
-            for (_i476 = 0; _i476 < _size472; ++_i476)
+            uint32_t _size492;
+            ::apache::thrift::protocol::TType _etype495;
+            xfer += iprot->readListBegin(_etype495, _size492);
+            this->learners.resize(_size492);
+            uint32_t _i496;
+            for (_i496 = 0; _i496 < _size492; ++_i496)
             {
-              xfer += iprot->readString(this->learners[_i476]);
+              xfer += iprot->readString(this->learners[_i496]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13300,10 +13652,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter477;
-    for (_iter477 = this->voters.begin(); _iter477 != this->voters.end(); ++_iter477)
+    std::vector<std::string> ::const_iterator _iter497;
+    for (_iter497 = this->voters.begin(); _iter497 != this->voters.end(); ++_iter497)
     {
-      xfer += oprot->writeString((*_iter477));
+      xfer += oprot->writeString((*_iter497));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13312,10 +13664,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter478;
-    for (_iter478 = this->learners.begin(); _iter478 != this->learners.end(); ++_iter478)
+    std::vector<std::string> ::const_iterator _iter498;
+    for (_iter498 = this->learners.begin(); _iter498 != this->learners.end(); ++_iter498)
     {
-      xfer += oprot->writeString((*_iter478));
+      xfer += oprot->writeString((*_iter498));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13340,38 +13692,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotFile::SnapshotFile(const SnapshotFile& other479) {
-  lastIndex = other479.lastIndex;
-  lastTerm = other479.lastTerm;
-  voters = other479.voters;
-  learners = other479.learners;
-  data = other479.data;
-  __isset = other479.__isset;
-}
-SnapshotFile::SnapshotFile(SnapshotFile&& other480) noexcept {
-  lastIndex = other480.lastIndex;
-  lastTerm = other480.lastTerm;
-  voters = std::move(other480.voters);
-  learners = std::move(other480.learners);
-  data = std::move(other480.data);
-  __isset = other480.__isset;
-}
-SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other481) {
-  lastIndex = other481.lastIndex;
-  lastTerm = other481.lastTerm;
-  voters = other481.voters;
-  learners = other481.learners;
-  data = other481.data;
-  __isset = other481.__isset;
-  return *this;
-}
-SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other482) noexcept {
-  lastIndex = other482.lastIndex;
-  lastTerm = other482.lastTerm;
-  voters = std::move(other482.voters);
-  learners = std::move(other482.learners);
-  data = std::move(other482.data);
-  __isset = other482.__isset;
+SnapshotFile::SnapshotFile(const SnapshotFile& other499) {
+  lastIndex = other499.lastIndex;
+  lastTerm = other499.lastTerm;
+  voters = other499.voters;
+  learners = other499.learners;
+  data = other499.data;
+  __isset = other499.__isset;
+}
+SnapshotFile::SnapshotFile(SnapshotFile&& other500) noexcept {
+  lastIndex = other500.lastIndex;
+  lastTerm = other500.lastTerm;
+  voters = std::move(other500.voters);
+  learners = std::move(other500.learners);
+  data = std::move(other500.data);
+  __isset = other500.__isset;
+}
+SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other501) {
+  lastIndex = other501.lastIndex;
+  lastTerm = other501.lastTerm;
+  voters = other501.voters;
+  learners = other501.learners;
+  data = other501.data;
+  __isset = other501.__isset;
+  return *this;
+}
+SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other502) noexcept {
+  lastIndex = other502.lastIndex;
+  lastTerm = other502.lastTerm;
+  voters = std::move(other502.voters);
+  learners = std::move(other502.learners);
+  data = std::move(other502.data);
+  __isset = other502.__isset;
   return *this;
 }
 void SnapshotFile::printTo(std::ostream& out) const {
@@ -13495,30 +13847,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderRecord::HolderRecord(const HolderRecord& other483) {
-  name = other483.name;
-  since = other483.since;
-  whole = other483.whole;
-  __isset = other483.__isset;
+HolderRecord::HolderRecord(const HolderRecord& other503) {
+  name = other503.name;
+  since = other503.since;
+  whole = other503.whole;
+  __isset = other503.__isset;
 }
-HolderRecord::HolderRecord(HolderRecord&& other484) noexcept {
-  name = std::move(other484.name);
-  since = other484.since;
-  whole = other484.whole;
-  __isset = other484.__isset;
+HolderRecord::HolderRecord(HolderRecord&& other504) noexcept {
+  name = std::move(other504.name);
+  since = other504.since;
+  whole = other504.whole;
+  __isset = other504.__isset;
 }
-HolderRecord& HolderRecord::operator=(const HolderRecord& other485) {
-  name = other485.name;
-  since = other485.since;
-  whole = other485.whole;
-  __isset = other485.__isset;
+HolderRecord& HolderRecord::operator=(const HolderRecord& other505) {
+  name = other505.name;
+  since = other505.since;
+  whole = other505.whole;
+  __isset = other505.__isset;
   return *this;
 }
-HolderRecord& HolderRecord::operator=(HolderRecord&& other486) noexcept {
-  name = std::move(other486.name);
-  since = other486.since;
-  whole = other486.whole;
-  __isset = other486.__isset;
+HolderRecord& HolderRecord::operator=(HolderRecord&& other506) noexcept {
+  name = std::move(other506.name);
+  since = other506.since;
+  whole = other506.whole;
+  __isset = other506.__isset;
   return *this;
 }
 void HolderRecord::printTo(std::ostream& out) const {
@@ -13630,14 +13982,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size487;
-            ::apache::thrift::protocol::TType _etype490;
-            xfer += iprot->readListBegin(_etype490, _size487);
-            this->holders.resize(_size487);
-            uint32_t _i491;
-            for (_i491 = 0; _i491 < _size487; ++_i491)
+            uint32_t _size507;
+            ::apache::thrift::protocol::TType _etype510;
+            xfer += iprot->readListBegin(_etype510, _size507);
+            this->holders.resize(_size507);
+            uint32_t _i511;
+            for (_i511 = 0; _i511 < _size507; ++_i511)
             {
-              xfer += this->holders[_i491].read(iprot);
+              xfer += this->holders[_i511].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13706,10 +14058,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<HolderRecord> ::const_iterator _iter492;
-    for (_iter492 = this->holders.begin(); _iter492 != this->holders.end(); ++_iter492)
+    std::vector<HolderRecord> ::const_iterator _iter512;
+    for (_iter512 = this->holders.begin(); _iter512 != this->holders.end(); ++_iter512)
     {
-      xfer += (*_iter492).write(oprot);
+      xfer += (*_iter512).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13745,50 +14097,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CellRecord::CellRecord(const CellRecord& other493) {
-  cell = other493.cell;
-  serviceName = other493.serviceName;
-  epoch = other493.epoch;
-  owner = other493.owner;
-  holders = other493.holders;
-  floorMs = other493.floorMs;
-  routeVersion = other493.routeVersion;
-  agentsVersion = other493.agentsVersion;
-  __isset = other493.__isset;
-}
-CellRecord::CellRecord(CellRecord&& other494) noexcept {
-  cell = other494.cell;
-  serviceName = std::move(other494.serviceName);
-  epoch = other494.epoch;
-  owner = std::move(other494.owner);
-  holders = std::move(other494.holders);
-  floorMs = other494.floorMs;
-  routeVersion = other494.routeVersion;
-  agentsVersion = other494.agentsVersion;
-  __isset = other494.__isset;
-}
-CellRecord& CellRecord::operator=(const CellRecord& other495) {
-  cell = other495.cell;
-  serviceName = other495.serviceName;
-  epoch = other495.epoch;
-  owner = other495.owner;
-  holders = other495.holders;
-  floorMs = other495.floorMs;
-  routeVersion = other495.routeVersion;
-  agentsVersion = other495.agentsVersion;
-  __isset = other495.__isset;
-  return *this;
-}
-CellRecord& CellRecord::operator=(CellRecord&& other496) noexcept {
-  cell = other496.cell;
-  serviceName = std::move(other496.serviceName);
-  epoch = other496.epoch;
-  owner = std::move(other496.owner);
-  holders = std::move(other496.holders);
-  floorMs = other496.floorMs;
-  routeVersion = other496.routeVersion;
-  agentsVersion = other496.agentsVersion;
-  __isset = other496.__isset;
+CellRecord::CellRecord(const CellRecord& other513) {
+  cell = other513.cell;
+  serviceName = other513.serviceName;
+  epoch = other513.epoch;
+  owner = other513.owner;
+  holders = other513.holders;
+  floorMs = other513.floorMs;
+  routeVersion = other513.routeVersion;
+  agentsVersion = other513.agentsVersion;
+  __isset = other513.__isset;
+}
+CellRecord::CellRecord(CellRecord&& other514) noexcept {
+  cell = other514.cell;
+  serviceName = std::move(other514.serviceName);
+  epoch = other514.epoch;
+  owner = std::move(other514.owner);
+  holders = std::move(other514.holders);
+  floorMs = other514.floorMs;
+  routeVersion = other514.routeVersion;
+  agentsVersion = other514.agentsVersion;
+  __isset = other514.__isset;
+}
+CellRecord& CellRecord::operator=(const CellRecord& other515) {
+  cell = other515.cell;
+  serviceName = other515.serviceName;
+  epoch = other515.epoch;
+  owner = other515.owner;
+  holders = other515.holders;
+  floorMs = other515.floorMs;
+  routeVersion = other515.routeVersion;
+  agentsVersion = other515.agentsVersion;
+  __isset = other515.__isset;
+  return *this;
+}
+CellRecord& CellRecord::operator=(CellRecord&& other516) noexcept {
+  cell = other516.cell;
+  serviceName = std::move(other516.serviceName);
+  epoch = other516.epoch;
+  owner = std::move(other516.owner);
+  holders = std::move(other516.holders);
+  floorMs = other516.floorMs;
+  routeVersion = other516.routeVersion;
+  agentsVersion = other516.agentsVersion;
+  __isset = other516.__isset;
   return *this;
 }
 void CellRecord::printTo(std::ostream& out) const {
@@ -13883,9 +14235,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast497;
-          xfer += iprot->readI32(ecast497);
-          this->role = static_cast<Role::type>(ecast497);
+          int32_t ecast517;
+          xfer += iprot->readI32(ecast517);
+          this->role = static_cast<Role::type>(ecast517);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -14019,54 +14371,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other498) {
-  id = other498.id;
-  role = other498.role;
-  address = other498.address;
-  failureDomain = other498.failureDomain;
-  serviceName = other498.serviceName;
-  cell = other498.cell;
-  leaving = other498.leaving;
-  version = other498.version;
-  leaseVersion = other498.leaseVersion;
-  __isset = other498.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other499) noexcept {
-  id = std::move(other499.id);
-  role = other499.role;
-  address = std::move(other499.address);
-  failureDomain = std::move(other499.failureDomain);
-  serviceName = std::move(other499.serviceName);
-  cell = other499.cell;
-  leaving = other499.leaving;
-  version = other499.version;
-  leaseVersion = other499.leaseVersion;
-  __isset = other499.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other500) {
-  id = other500.id;
-  role = other500.role;
-  address = other500.address;
-  failureDomain = other500.failureDomain;
-  serviceName = other500.serviceName;
-  cell = other500.cell;
-  leaving = other500.leaving;
-  version = other500.version;
-  leaseVersion = other500.leaseVersion;
-  __isset = other500.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other518) {
+  id = other518.id;
+  role = other518.role;
+  address = other518.address;
+  failureDomain = other518.failureDomain;
+  serviceName = other518.serviceName;
+  cell = other518.cell;
+  leaving = other518.leaving;
+  version = other518.version;
+  leaseVersion = other518.leaseVersion;
+  __isset = other518.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other519) noexcept {
+  id = std::move(other519.id);
+  role = other519.role;
+  address = std::move(other519.address);
+  failureDomain = std::move(other519.failureDomain);
+  serviceName = std::move(other519.serviceName);
+  cell = other519.cell;
+  leaving = other519.leaving;
+  version = other519.version;
+  leaseVersion = other519.leaseVersion;
+  __isset = other519.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other520) {
+  id = other520.id;
+  role = other520.role;
+  address = other520.address;
+  failureDomain = other520.failureDomain;
+  serviceName = other520.serviceName;
+  cell = other520.cell;
+  leaving = other520.leaving;
+  version = other520.version;
+  leaseVersion = other520.leaseVersion;
+  __isset = other520.__isset;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other501) noexcept {
-  id = std::move(other501.id);
-  role = other501.role;
-  address = std::move(other501.address);
-  failureDomain = std::move(other501.failureDomain);
-  serviceName = std::move(other501.serviceName);
-  cell = other501.cell;
-  leaving = other501.leaving;
-  version = other501.version;
-  leaseVersion = other501.leaseVersion;
-  __isset = other501.__isset;
+MemberRecord& MemberRecord::operator=(MemberRecord&& other521) noexcept {
+  id = std::move(other521.id);
+  role = other521.role;
+  address = std::move(other521.address);
+  failureDomain = std::move(other521.failureDomain);
+  serviceName = std::move(other521.serviceName);
+  cell = other521.cell;
+  leaving = other521.leaving;
+  version = other521.version;
+  leaseVersion = other521.leaseVersion;
+  __isset = other521.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -14148,14 +14500,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size502;
-            ::apache::thrift::protocol::TType _etype505;
-            xfer += iprot->readListBegin(_etype505, _size502);
-            this->history.resize(_size502);
-            uint32_t _i506;
-            for (_i506 = 0; _i506 < _size502; ++_i506)
+            uint32_t _size522;
+            ::apache::thrift::protocol::TType _etype525;
+            xfer += iprot->readListBegin(_etype525, _size522);
+            this->history.resize(_size522);
+            uint32_t _i526;
+            for (_i526 = 0; _i526 < _size522; ++_i526)
             {
-              xfer += this->history[_i506].read(iprot);
+              xfer += this->history[_i526].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14168,14 +14520,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size507;
-            ::apache::thrift::protocol::TType _etype510;
-            xfer += iprot->readListBegin(_etype510, _size507);
-            this->members.resize(_size507);
-            uint32_t _i511;
-            for (_i511 = 0; _i511 < _size507; ++_i511)
+            uint32_t _size527;
+            ::apache::thrift::protocol::TType _etype530;
+            xfer += iprot->readListBegin(_etype530, _size527);
+            this->members.resize(_size527);
+            uint32_t _i531;
+            for (_i531 = 0; _i531 < _size527; ++_i531)
             {
-              xfer += this->members[_i511].read(iprot);
+              xfer += this->members[_i531].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14188,14 +14540,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size512;
-            ::apache::thrift::protocol::TType _etype515;
-            xfer += iprot->readListBegin(_etype515, _size512);
-            this->cells.resize(_size512);
-            uint32_t _i516;
-            for (_i516 = 0; _i516 < _size512; ++_i516)
+            uint32_t _size532;
+            ::apache::thrift::protocol::TType _etype535;
+            xfer += iprot->readListBegin(_etype535, _size532);
+            this->cells.resize(_size532);
+            uint32_t _i536;
+            for (_i536 = 0; _i536 < _size532; ++_i536)
             {
-              xfer += this->cells[_i516].read(iprot);
+              xfer += this->cells[_i536].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14256,10 +14608,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<ConfigFile> ::const_iterator _iter517;
-    for (_iter517 = this->history.begin(); _iter517 != this->history.end(); ++_iter517)
+    std::vector<ConfigFile> ::const_iterator _iter537;
+    for (_iter537 = this->history.begin(); _iter537 != this->history.end(); ++_iter537)
     {
-      xfer += (*_iter517).write(oprot);
+      xfer += (*_iter537).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14268,10 +14620,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter518;
-    for (_iter518 = this->members.begin(); _iter518 != this->members.end(); ++_iter518)
+    std::vector<MemberRecord> ::const_iterator _iter538;
+    for (_iter538 = this->members.begin(); _iter538 != this->members.end(); ++_iter538)
     {
-      xfer += (*_iter518).write(oprot);
+      xfer += (*_iter538).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14280,10 +14632,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellRecord> ::const_iterator _iter519;
-    for (_iter519 = this->cells.begin(); _iter519 != this->cells.end(); ++_iter519)
+    std::vector<CellRecord> ::const_iterator _iter539;
+    for (_iter539 = this->cells.begin(); _iter539 != this->cells.end(); ++_iter539)
     {
-      xfer += (*_iter519).write(oprot);
+      xfer += (*_iter539).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14322,46 +14674,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlImage::ControlImage(const ControlImage& other520) {
-  history = other520.history;
-  members = other520.members;
-  cells = other520.cells;
-  nextCell = other520.nextCell;
-  configVersion = other520.configVersion;
-  routesVersion = other520.routesVersion;
-  entriesVersion = other520.entriesVersion;
-  __isset = other520.__isset;
-}
-ControlImage::ControlImage(ControlImage&& other521) noexcept {
-  history = std::move(other521.history);
-  members = std::move(other521.members);
-  cells = std::move(other521.cells);
-  nextCell = other521.nextCell;
-  configVersion = other521.configVersion;
-  routesVersion = other521.routesVersion;
-  entriesVersion = other521.entriesVersion;
-  __isset = other521.__isset;
-}
-ControlImage& ControlImage::operator=(const ControlImage& other522) {
-  history = other522.history;
-  members = other522.members;
-  cells = other522.cells;
-  nextCell = other522.nextCell;
-  configVersion = other522.configVersion;
-  routesVersion = other522.routesVersion;
-  entriesVersion = other522.entriesVersion;
-  __isset = other522.__isset;
-  return *this;
-}
-ControlImage& ControlImage::operator=(ControlImage&& other523) noexcept {
-  history = std::move(other523.history);
-  members = std::move(other523.members);
-  cells = std::move(other523.cells);
-  nextCell = other523.nextCell;
-  configVersion = other523.configVersion;
-  routesVersion = other523.routesVersion;
-  entriesVersion = other523.entriesVersion;
-  __isset = other523.__isset;
+ControlImage::ControlImage(const ControlImage& other540) {
+  history = other540.history;
+  members = other540.members;
+  cells = other540.cells;
+  nextCell = other540.nextCell;
+  configVersion = other540.configVersion;
+  routesVersion = other540.routesVersion;
+  entriesVersion = other540.entriesVersion;
+  __isset = other540.__isset;
+}
+ControlImage::ControlImage(ControlImage&& other541) noexcept {
+  history = std::move(other541.history);
+  members = std::move(other541.members);
+  cells = std::move(other541.cells);
+  nextCell = other541.nextCell;
+  configVersion = other541.configVersion;
+  routesVersion = other541.routesVersion;
+  entriesVersion = other541.entriesVersion;
+  __isset = other541.__isset;
+}
+ControlImage& ControlImage::operator=(const ControlImage& other542) {
+  history = other542.history;
+  members = other542.members;
+  cells = other542.cells;
+  nextCell = other542.nextCell;
+  configVersion = other542.configVersion;
+  routesVersion = other542.routesVersion;
+  entriesVersion = other542.entriesVersion;
+  __isset = other542.__isset;
+  return *this;
+}
+ControlImage& ControlImage::operator=(ControlImage&& other543) noexcept {
+  history = std::move(other543.history);
+  members = std::move(other543.members);
+  cells = std::move(other543.cells);
+  nextCell = other543.nextCell;
+  configVersion = other543.configVersion;
+  routesVersion = other543.routesVersion;
+  entriesVersion = other543.entriesVersion;
+  __isset = other543.__isset;
   return *this;
 }
 void ControlImage::printTo(std::ostream& out) const {
@@ -15101,158 +15453,158 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other524) {
-  submitJob = other524.submitJob;
-  cancelJob = other524.cancelJob;
-  queryJob = other524.queryJob;
-  jobReply = other524.jobReply;
-  notOwner = other524.notOwner;
-  recordBatch = other524.recordBatch;
-  recordSnapshot = other524.recordSnapshot;
-  recordAck = other524.recordAck;
-  startBatch = other524.startBatch;
-  cancelBatch = other524.cancelBatch;
-  resultAck = other524.resultAck;
-  fence = other524.fence;
-  agentHello = other524.agentHello;
-  resultBatch = other524.resultBatch;
-  startRefused = other524.startRefused;
-  agentState = other524.agentState;
-  memberHeartbeat = other524.memberHeartbeat;
-  heartbeatReply = other524.heartbeatReply;
-  clusterView = other524.clusterView;
-  applyConfig = other524.applyConfig;
-  applyReply = other524.applyReply;
-  controlQuery = other524.controlQuery;
-  controlAnswer = other524.controlAnswer;
-  hostReport = other524.hostReport;
-  hostContact = other524.hostContact;
-  runTasks = other524.runTasks;
-  stopTasks = other524.stopTasks;
-  taskReports = other524.taskReports;
-  requestVote = other524.requestVote;
-  voteReply = other524.voteReply;
-  appendEntries = other524.appendEntries;
-  appendReply = other524.appendReply;
-  installSnapshot = other524.installSnapshot;
-  installReply = other524.installReply;
-  timeoutNow = other524.timeoutNow;
-  __isset = other524.__isset;
-}
-Message::Message(Message&& other525) noexcept {
-  submitJob = std::move(other525.submitJob);
-  cancelJob = std::move(other525.cancelJob);
-  queryJob = std::move(other525.queryJob);
-  jobReply = std::move(other525.jobReply);
-  notOwner = std::move(other525.notOwner);
-  recordBatch = std::move(other525.recordBatch);
-  recordSnapshot = std::move(other525.recordSnapshot);
-  recordAck = std::move(other525.recordAck);
-  startBatch = std::move(other525.startBatch);
-  cancelBatch = std::move(other525.cancelBatch);
-  resultAck = std::move(other525.resultAck);
-  fence = std::move(other525.fence);
-  agentHello = std::move(other525.agentHello);
-  resultBatch = std::move(other525.resultBatch);
-  startRefused = std::move(other525.startRefused);
-  agentState = std::move(other525.agentState);
-  memberHeartbeat = std::move(other525.memberHeartbeat);
-  heartbeatReply = std::move(other525.heartbeatReply);
-  clusterView = std::move(other525.clusterView);
-  applyConfig = std::move(other525.applyConfig);
-  applyReply = std::move(other525.applyReply);
-  controlQuery = std::move(other525.controlQuery);
-  controlAnswer = std::move(other525.controlAnswer);
-  hostReport = std::move(other525.hostReport);
-  hostContact = std::move(other525.hostContact);
-  runTasks = std::move(other525.runTasks);
-  stopTasks = std::move(other525.stopTasks);
-  taskReports = std::move(other525.taskReports);
-  requestVote = std::move(other525.requestVote);
-  voteReply = std::move(other525.voteReply);
-  appendEntries = std::move(other525.appendEntries);
-  appendReply = std::move(other525.appendReply);
-  installSnapshot = std::move(other525.installSnapshot);
-  installReply = std::move(other525.installReply);
-  timeoutNow = std::move(other525.timeoutNow);
-  __isset = other525.__isset;
-}
-Message& Message::operator=(const Message& other526) {
-  submitJob = other526.submitJob;
-  cancelJob = other526.cancelJob;
-  queryJob = other526.queryJob;
-  jobReply = other526.jobReply;
-  notOwner = other526.notOwner;
-  recordBatch = other526.recordBatch;
-  recordSnapshot = other526.recordSnapshot;
-  recordAck = other526.recordAck;
-  startBatch = other526.startBatch;
-  cancelBatch = other526.cancelBatch;
-  resultAck = other526.resultAck;
-  fence = other526.fence;
-  agentHello = other526.agentHello;
-  resultBatch = other526.resultBatch;
-  startRefused = other526.startRefused;
-  agentState = other526.agentState;
-  memberHeartbeat = other526.memberHeartbeat;
-  heartbeatReply = other526.heartbeatReply;
-  clusterView = other526.clusterView;
-  applyConfig = other526.applyConfig;
-  applyReply = other526.applyReply;
-  controlQuery = other526.controlQuery;
-  controlAnswer = other526.controlAnswer;
-  hostReport = other526.hostReport;
-  hostContact = other526.hostContact;
-  runTasks = other526.runTasks;
-  stopTasks = other526.stopTasks;
-  taskReports = other526.taskReports;
-  requestVote = other526.requestVote;
-  voteReply = other526.voteReply;
-  appendEntries = other526.appendEntries;
-  appendReply = other526.appendReply;
-  installSnapshot = other526.installSnapshot;
-  installReply = other526.installReply;
-  timeoutNow = other526.timeoutNow;
-  __isset = other526.__isset;
-  return *this;
-}
-Message& Message::operator=(Message&& other527) noexcept {
-  submitJob = std::move(other527.submitJob);
-  cancelJob = std::move(other527.cancelJob);
-  queryJob = std::move(other527.queryJob);
-  jobReply = std::move(other527.jobReply);
-  notOwner = std::move(other527.notOwner);
-  recordBatch = std::move(other527.recordBatch);
-  recordSnapshot = std::move(other527.recordSnapshot);
-  recordAck = std::move(other527.recordAck);
-  startBatch = std::move(other527.startBatch);
-  cancelBatch = std::move(other527.cancelBatch);
-  resultAck = std::move(other527.resultAck);
-  fence = std::move(other527.fence);
-  agentHello = std::move(other527.agentHello);
-  resultBatch = std::move(other527.resultBatch);
-  startRefused = std::move(other527.startRefused);
-  agentState = std::move(other527.agentState);
-  memberHeartbeat = std::move(other527.memberHeartbeat);
-  heartbeatReply = std::move(other527.heartbeatReply);
-  clusterView = std::move(other527.clusterView);
-  applyConfig = std::move(other527.applyConfig);
-  applyReply = std::move(other527.applyReply);
-  controlQuery = std::move(other527.controlQuery);
-  controlAnswer = std::move(other527.controlAnswer);
-  hostReport = std::move(other527.hostReport);
-  hostContact = std::move(other527.hostContact);
-  runTasks = std::move(other527.runTasks);
-  stopTasks = std::move(other527.stopTasks);
-  taskReports = std::move(other527.taskReports);
-  requestVote = std::move(other527.requestVote);
-  voteReply = std::move(other527.voteReply);
-  appendEntries = std::move(other527.appendEntries);
-  appendReply = std::move(other527.appendReply);
-  installSnapshot = std::move(other527.installSnapshot);
-  installReply = std::move(other527.installReply);
-  timeoutNow = std::move(other527.timeoutNow);
-  __isset = other527.__isset;
+Message::Message(const Message& other544) {
+  submitJob = other544.submitJob;
+  cancelJob = other544.cancelJob;
+  queryJob = other544.queryJob;
+  jobReply = other544.jobReply;
+  notOwner = other544.notOwner;
+  recordBatch = other544.recordBatch;
+  recordSnapshot = other544.recordSnapshot;
+  recordAck = other544.recordAck;
+  startBatch = other544.startBatch;
+  cancelBatch = other544.cancelBatch;
+  resultAck = other544.resultAck;
+  fence = other544.fence;
+  agentHello = other544.agentHello;
+  resultBatch = other544.resultBatch;
+  startRefused = other544.startRefused;
+  agentState = other544.agentState;
+  memberHeartbeat = other544.memberHeartbeat;
+  heartbeatReply = other544.heartbeatReply;
+  clusterView = other544.clusterView;
+  applyConfig = other544.applyConfig;
+  applyReply = other544.applyReply;
+  controlQuery = other544.controlQuery;
+  controlAnswer = other544.controlAnswer;
+  hostReport = other544.hostReport;
+  hostContact = other544.hostContact;
+  runTasks = other544.runTasks;
+  stopTasks = other544.stopTasks;
+  taskReports = other544.taskReports;
+  requestVote = other544.requestVote;
+  voteReply = other544.voteReply;
+  appendEntries = other544.appendEntries;
+  appendReply = other544.appendReply;
+  installSnapshot = other544.installSnapshot;
+  installReply = other544.installReply;
+  timeoutNow = other544.timeoutNow;
+  __isset = other544.__isset;
+}
+Message::Message(Message&& other545) noexcept {
+  submitJob = std::move(other545.submitJob);
+  cancelJob = std::move(other545.cancelJob);
+  queryJob = std::move(other545.queryJob);
+  jobReply = std::move(other545.jobReply);
+  notOwner = std::move(other545.notOwner);
+  recordBatch = std::move(other545.recordBatch);
+  recordSnapshot = std::move(other545.recordSnapshot);
+  recordAck = std::move(other545.recordAck);
+  startBatch = std::move(other545.startBatch);
+  cancelBatch = std::move(other545.cancelBatch);
+  resultAck = std::move(other545.resultAck);
+  fence = std::move(other545.fence);
+  agentHello = std::move(other545.agentHello);
+  resultBatch = std::move(other545.resultBatch);
+  startRefused = std::move(other545.startRefused);
+  agentState = std::move(other545.agentState);
+  memberHeartbeat = std::move(other545.memberHeartbeat);
+  heartbeatReply = std::move(other545.heartbeatReply);
+  clusterView = std::move(other545.clusterView);
+  applyConfig = std::move(other545.applyConfig);
+  applyReply = std::move(other545.applyReply);
+  controlQuery = std::move(other545.controlQuery);
+  controlAnswer = std::move(other545.controlAnswer);
+  hostReport = std::move(other545.hostReport);
+  hostContact = std::move(other545.hostContact);
+  runTasks = std::move(other545.runTasks);
+  stopTasks = std::move(other545.stopTasks);
+  taskReports = std::move(other545.taskReports);
+  requestVote = std::move(other545.requestVote);
+  voteReply = std::move(other545.voteReply);
+  appendEntries = std::move(other545.appendEntries);
+  appendReply = std::move(other545.appendReply);
+  installSnapshot = std::move(other545.installSnapshot);
+  installReply = std::move(other545.installReply);
+  timeoutNow = std::move(other545.timeoutNow);
+  __isset = other545.__isset;
+}
+Message& Message::operator=(const Message& other546) {
+  submitJob = other546.submitJob;
+  cancelJob = other546.cancelJob;
+  queryJob = other546.queryJob;
+  jobReply = other546.jobReply;
+  notOwner = other546.notOwner;
+  recordBatch = other546.recordBatch;
+  recordSnapshot = other546.recordSnapshot;
+  recordAck = other546.recordAck;
+  startBatch = other546.startBatch;
+  cancelBatch = other546.cancelBatch;
+  resultAck = other546.resultAck;
+  fence = other546.fence;
+  agentHello = other546.agentHello;
+  resultBatch = other546.resultBatch;
+  startRefused = other546.startRefused;
+  agentState = other546.agentState;
+  memberHeartbeat = other546.memberHeartbeat;
+  heartbeatReply = other546.heartbeatReply;
+  clusterView = other546.clusterView;
+  applyConfig = other546.applyConfig;
+  applyReply = other546.applyReply;
+  controlQuery = other546.controlQuery;
+  controlAnswer = other546.controlAnswer;
+  hostReport = other546.hostReport;
+  hostContact = other546.hostContact;
+  runTasks = other546.runTasks;
+  stopTasks = other546.stopTasks;
+  taskReports = other546.taskReports;
+  requestVote = other546.requestVote;
+  voteReply = other546.voteReply;
+  appendEntries = other546.appendEntries;
+  appendReply = other546.appendReply;
+  installSnapshot = other546.installSnapshot;
+  installReply = other546.installReply;
+  timeoutNow = other546.timeoutNow;
+  __isset = other546.__isset;
+  return *this;
+}
+Message& Message::operator=(Message&& other547) noexcept {
+  submitJob = std::move(other547.submitJob);
+  cancelJob = std::move(other547.cancelJob);
+  queryJob = std::move(other547.queryJob);
+  jobReply = std::move(other547.jobReply);
+  notOwner = std::move(other547.notOwner);
+  recordBatch = std::move(other547.recordBatch);
+  recordSnapshot = std::move(other547.recordSnapshot);
+  recordAck = std::move(other547.recordAck);
+  startBatch = std::move(other547.startBatch);
+  cancelBatch = std::move(other547.cancelBatch);
+  resultAck = std::move(other547.resultAck);
+  fence = std::move(other547.fence);
+  agentHello = std::move(other547.agentHello);
+  resultBatch = std::move(other547.resultBatch);
+  startRefused = std::move(other547.startRefused);
+  agentState = std::move(other547.agentState);
+  memberHeartbeat = std::move(other547.memberHeartbeat);
+  heartbeatReply = std::move(other547.heartbeatReply);
+  clusterView = std::move(other547.clusterView);
+  applyConfig = std::move(other547.applyConfig);
+  applyReply = std::move(other547.applyReply);
+  controlQuery = std::move(other547.controlQuery);
+  controlAnswer = std::move(other547.controlAnswer);
+  hostReport = std::move(other547.hostReport);
+  hostContact = std::move(other547.hostContact);
+  runTasks = std::move(other547.runTasks);
+  stopTasks = std::move(other547.stopTasks);
+  taskReports = std::move(other547.taskReports);
+  requestVote = std::move(other547.requestVote);
+  voteReply = std::move(other547.voteReply);
+  appendEntries = std::move(other547.appendEntries);
+  appendReply = std::move(other547.appendReply);
+  installSnapshot = std::move(other547.installSnapshot);
+  installReply = std::move(other547.installReply);
+  timeoutNow = std::move(other547.timeoutNow);
+  __isset = other547.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -15358,9 +15710,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast528;
-          xfer += iprot->readI32(ecast528);
-          this->role = static_cast<Role::type>(ecast528);
+          int32_t ecast548;
+          xfer += iprot->readI32(ecast548);
+          this->role = static_cast<Role::type>(ecast548);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -15386,14 +15738,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size529;
-            ::apache::thrift::protocol::TType _etype532;
-            xfer += iprot->readListBegin(_etype532, _size529);
-            this->messages.resize(_size529);
-            uint32_t _i533;
-            for (_i533 = 0; _i533 < _size529; ++_i533)
+            uint32_t _size549;
+            ::apache::thrift::protocol::TType _etype552;
+            xfer += iprot->readListBegin(_etype552, _size549);
+            this->messages.resize(_size549);
+            uint32_t _i553;
+            for (_i553 = 0; _i553 < _size549; ++_i553)
             {
-              xfer += this->messages[_i533].read(iprot);
+              xfer += this->messages[_i553].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15438,10 +15790,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<Message> ::const_iterator _iter534;
-    for (_iter534 = this->messages.begin(); _iter534 != this->messages.end(); ++_iter534)
+    std::vector<Message> ::const_iterator _iter554;
+    for (_iter554 = this->messages.begin(); _iter554 != this->messages.end(); ++_iter554)
     {
-      xfer += (*_iter534).write(oprot);
+      xfer += (*_iter554).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15462,38 +15814,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other535) {
-  sender = other535.sender;
-  role = other535.role;
-  address = other535.address;
-  configNumber = other535.configNumber;
-  messages = other535.messages;
-  __isset = other535.__isset;
-}
-Envelope::Envelope(Envelope&& other536) noexcept {
-  sender = std::move(other536.sender);
-  role = other536.role;
-  address = std::move(other536.address);
-  configNumber = other536.configNumber;
-  messages = std::move(other536.messages);
-  __isset = other536.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other537) {
-  sender = other537.sender;
-  role = other537.role;
-  address = other537.address;
-  configNumber = other537.configNumber;
-  messages = other537.messages;
-  __isset = other537.__isset;
-  return *this;
-}
-Envelope& Envelope::operator=(Envelope&& other538) noexcept {
-  sender = std::move(other538.sender);
-  role = other538.role;
-  address = std::move(other538.address);
-  configNumber = other538.configNumber;
-  messages = std::move(other538.messages);
-  __isset = other538.__isset;
+Envelope::Envelope(const Envelope& other555) {
+  sender = other555.sender;
+  role = other555.role;
+  address = other555.address;
+  configNumber = other555.configNumber;
+  messages = other555.messages;
+  __isset = other555.__isset;
+}
+Envelope::Envelope(Envelope&& other556) noexcept {
+  sender = std::move(other556.sender);
+  role = other556.role;
+  address = std::move(other556.address);
+  configNumber = other556.configNumber;
+  messages = std::move(other556.messages);
+  __isset = other556.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other557) {
+  sender = other557.sender;
+  role = other557.role;
+  address = other557.address;
+  configNumber = other557.configNumber;
+  messages = other557.messages;
+  __isset = other557.__isset;
+  return *this;
+}
+Envelope& Envelope::operator=(Envelope&& other558) noexcept {
+  sender = std::move(other558.sender);
+  role = other558.role;
+  address = std::move(other558.address);
+  configNumber = other558.configNumber;
+  messages = std::move(other558.messages);
+  __isset = other558.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -162,6 +162,10 @@
 
 class Resources;
 
+class CrashedTask;
+
+class ServerCrash;
+
 class HostReport;
 
 class HostContact;
@@ -2281,8 +2285,111 @@
 
 std::ostream& operator<<(std::ostream& out, const Resources& obj);
 
+typedef struct _CrashedTask__isset {
+  _CrashedTask__isset() : job(false), index(false) {}
+  bool job :1;
+  bool index :1;
+} _CrashedTask__isset;
+
+class CrashedTask : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashedTask(const CrashedTask&);
+  CrashedTask(CrashedTask&&) noexcept;
+  CrashedTask& operator=(const CrashedTask&);
+  CrashedTask& operator=(CrashedTask&&) noexcept;
+  CrashedTask() noexcept
+              : job(),
+                index(0) {
+  }
+
+  virtual ~CrashedTask() noexcept;
+  std::string job;
+  int32_t index;
+
+  _CrashedTask__isset __isset;
+
+  void __set_job(const std::string& val);
+
+  void __set_index(const int32_t val);
+
+  bool operator == (const CrashedTask & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashedTask &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashedTask & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashedTask &a, CrashedTask &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashedTask& obj);
+
+typedef struct _ServerCrash__isset {
+  _ServerCrash__isset() : server(false), tasks(false) {}
+  bool server :1;
+  bool tasks :1;
+} _ServerCrash__isset;
+
+class ServerCrash : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerCrash(const ServerCrash&);
+  ServerCrash(ServerCrash&&) noexcept;
+  ServerCrash& operator=(const ServerCrash&);
+  ServerCrash& operator=(ServerCrash&&) noexcept;
+  ServerCrash() noexcept
+              : server() {
+  }
+
+  virtual ~ServerCrash() noexcept;
+  std::string server;
+  std::vector<CrashedTask>  tasks;
+
+  _ServerCrash__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_tasks(const std::vector<CrashedTask> & val);
+
+  bool operator == (const ServerCrash & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(tasks == rhs.tasks))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerCrash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerCrash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerCrash &a, ServerCrash &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerCrash& obj);
+
 typedef struct _HostReport__isset {
-  _HostReport__isset() : serviceName(false), server(false), accepting(false), capacity(false), reserved(false), startDelayMicros(false), slowness(false), failureShare(false), labels(false), sentAtMicros(false), failureDomain(false), sequence(false) {}
+  _HostReport__isset() : serviceName(false), server(false), accepting(false), capacity(false), reserved(false), startDelayMicros(false), slowness(false), failureShare(false), labels(false), sentAtMicros(false), failureDomain(false), sequence(false), crashes(false) {}
   bool serviceName :1;
   bool server :1;
   bool accepting :1;
@@ -2295,6 +2402,7 @@
   bool sentAtMicros :1;
   bool failureDomain :1;
   bool sequence :1;
+  bool crashes :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -2329,6 +2437,7 @@
   int64_t sentAtMicros;
   std::string failureDomain;
   int64_t sequence;
+  std::vector<ServerCrash>  crashes;
 
   _HostReport__isset __isset;
 
@@ -2356,6 +2465,8 @@
 
   void __set_sequence(const int64_t val);
 
+  void __set_crashes(const std::vector<ServerCrash> & val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -2382,6 +2493,8 @@
       return false;
     if (!(sequence == rhs.sequence))
       return false;
+    if (!(crashes == rhs.crashes))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
@@ -2460,12 +2573,13 @@
 std::ostream& operator<<(std::ostream& out, const HostContact& obj);
 
 typedef struct _TaskOrder__isset {
-  _TaskOrder__isset() : index(false), order(false), demand(false), estimateMicros(false), mayWait(false) {}
+  _TaskOrder__isset() : index(false), order(false), demand(false), estimateMicros(false), mayWait(false), suspected(false) {}
   bool index :1;
   bool order :1;
   bool demand :1;
   bool estimateMicros :1;
   bool mayWait :1;
+  bool suspected :1;
 } _TaskOrder__isset;
 
 class TaskOrder : public virtual ::apache::thrift::TBase {
@@ -2479,7 +2593,8 @@
             : index(0),
               order(0),
               estimateMicros(0),
-              mayWait(0) {
+              mayWait(0),
+              suspected(0) {
   }
 
   virtual ~TaskOrder() noexcept;
@@ -2488,6 +2603,7 @@
   Resources demand;
   int64_t estimateMicros;
   bool mayWait;
+  bool suspected;
 
   _TaskOrder__isset __isset;
 
@@ -2501,6 +2617,8 @@
 
   void __set_mayWait(const bool val);
 
+  void __set_suspected(const bool val);
+
   bool operator == (const TaskOrder & rhs) const
   {
     if (!(index == rhs.index))
@@ -2513,6 +2631,8 @@
       return false;
     if (!(mayWait == rhs.mayWait))
       return false;
+    if (!(suspected == rhs.suspected))
+      return false;
     return true;
   }
   bool operator != (const TaskOrder &rhs) const {
@@ -2697,7 +2817,7 @@
 std::ostream& operator<<(std::ostream& out, const StopTasks& obj);
 
 typedef struct _TaskReport__isset {
-  _TaskReport__isset() : job(false), index(false), order(false), phase(false), runMicros(false), reason(false), number(false), remainingMicros(false), workMicros(false), leastRemainingMicros(false) {}
+  _TaskReport__isset() : job(false), index(false), order(false), phase(false), runMicros(false), reason(false), number(false), remainingMicros(false), workMicros(false), leastRemainingMicros(false), serverLost(false) {}
   bool job :1;
   bool index :1;
   bool order :1;
@@ -2708,6 +2828,7 @@
   bool remainingMicros :1;
   bool workMicros :1;
   bool leastRemainingMicros :1;
+  bool serverLost :1;
 } _TaskReport__isset;
 
 class TaskReport : public virtual ::apache::thrift::TBase {
@@ -2727,7 +2848,8 @@
                number(0),
                remainingMicros(0),
                workMicros(0),
-               leastRemainingMicros(0) {
+               leastRemainingMicros(0),
+               serverLost(0) {
   }
 
   virtual ~TaskReport() noexcept;
@@ -2745,6 +2867,7 @@
   int64_t remainingMicros;
   int64_t workMicros;
   int64_t leastRemainingMicros;
+  bool serverLost;
 
   _TaskReport__isset __isset;
 
@@ -2768,6 +2891,8 @@
 
   void __set_leastRemainingMicros(const int64_t val);
 
+  void __set_serverLost(const bool val);
+
   bool operator == (const TaskReport & rhs) const
   {
     if (!(job == rhs.job))
@@ -2790,6 +2915,8 @@
       return false;
     if (!(leastRemainingMicros == rhs.leastRemainingMicros))
       return false;
+    if (!(serverLost == rhs.serverLost))
+      return false;
     return true;
   }
   bool operator != (const TaskReport &rhs) const {
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -259,7 +259,8 @@
 void HostCore::announce()
 {
     this->nextReport = this->clock.now() + this->options.reportInterval;
-    const auto report = this->hostReport();
+    auto report = this->hostReport();
+    report.crashes = this->crashes.notices(this->clock.now());
     for (const auto &entry : this->link.view().entries) {
         auto message = report;
         message.sequence = ++this->reportSequence;
@@ -325,6 +326,7 @@
               {"host_starts_unanswered_total", this->counters.unanswered},
               {"host_entry_leases_lapsed_total", this->counters.leasesExpired},
               {"host_server_lives_total", this->counters.serverInstances},
+              {"host_servers_lost_total", this->counters.serversLost},
               {"host_tasks_waiting", this->queue.waiting().size()},
               {"host_cpu_millis_reserved", reserved.cpuMillis},
               {"host_slowness", this->runTimeEstimator.slowness()},
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -3,6 +3,7 @@
 #include "agatedrum/config.h"
 #include "base_core_p.h"
 #include "base_latency_p.h"
+#include "host_crashes_p.h"
 #include "host_entries_p.h"
 #include "host_holds_p.h"
 #include "host_progress_p.h"
@@ -121,6 +122,7 @@
         std::uint64_t unanswered = 0;
         std::uint64_t leasesExpired = 0;
         std::uint64_t serverInstances = 0;
+        std::uint64_t serversLost = 0;
     };
 
     // Messages from and to entries.
@@ -164,6 +166,10 @@
     /// Returns, for each run whose start is not confirmed, the time after which a poll must be sent to give new
     /// information about it.
     std::vector<Time> unconfirmedSince() const;
+    /// Evaluates whether the reply shows that the backend server has crashed, or that it has not.
+    void reviewServerLoss(const PollSchedule::Poll &poll, const PollReply &reply);
+    /// Records, unless that is done, that the present instance of the backend server has crashed with its active runs.
+    void recordServerLoss(const std::string &reason);
     void handleEndedRuns(const PollReply &reply);
     void handleListedRuns(const PollReply &reply, Time sentAt);
     void stopOrphanedRun(const RunningTask &running);
@@ -231,6 +237,7 @@
     PollSchedule pollSchedule;
     Time polledAt; ///< when the newest successful poll was sent
     OrderOutcome lastPollOutcome = OrderOutcome::Accepted;
+    HostCrashes crashes;
 
     std::map<std::int64_t, HostTask> tasks;
     std::map<TaskName, std::int64_t> idByName;
--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -89,6 +89,7 @@
 
 void HostCore::beginInstance(const ServerRegistration &registration)
 {
+    this->recordServerLoss("a new instance was registered");
     const bool isAddressReused = this->registered && this->registered->server.address == registration.server.address;
     this->endInstance("a new instance of the backend server was registered");
     ++this->counters.serverInstances;
@@ -221,6 +222,7 @@
         this->pollSchedule.recordAnswer(poll);
     }
     this->updateClock(reply.clockMs);
+    this->reviewServerLoss(poll, reply);
     const auto previous = std::exchange(this->lastPollOutcome, reply.outcome);
     if (reply.outcome == OrderOutcome::Accepted) {
         this->polledAt = std::max(this->polledAt, poll.sentAt);
