Give up a task under which two backend servers have crashed

A task that crashes each backend server that starts it was placed again after each crash, without limit: an entry counted runs that failed, but not runs that ended with their backend server, and nothing remembered a crash when the job was submitted again.

Which task: after one crash all its tasks are suspected. A host runs at most one suspected task at a time, so a second crash has one that is repeated; it is given up, its job is answered as failed at once, and the crashes that it explains count for no other task. A task that ended well is cleared.

A run that ended because its backend server was replaced is marked in its report (TaskReport.serverLost), logged and counted by the entry.

--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -59,6 +59,7 @@
         const std::lock_guard lock(this->mutex);
         if (const auto *report = std::get_if<wire::HostReport>(&incoming.payload)) {
             this->apply(incoming, *report);
+            this->applyCrashes(*report, answers);
         } else if (const auto *reports = std::get_if<wire::TaskReports>(&incoming.payload)) {
             this->apply(incoming, *reports, answers);
         }
@@ -196,6 +197,9 @@
               {"dispatch_tasks_failed_total", this->counters.tasksFailed},
               {"dispatch_tasks_moved_total", this->counters.tasksRelocated},
               {"dispatch_hosts_lost_total", this->counters.hostsLost},
+              {"dispatch_tasks_lost_with_server_total", this->counters.serversLost},
+              {"dispatch_jobs_given_up_total", this->counters.givenUp},
+              {"dispatch_server_crashes_known", this->crashes.count()},
               {"dispatch_jobs_in_flight", this->jobs.size()}}}};
 }
 
--- a/src/dispatch_core_jobs.cpp
+++ b/src/dispatch_core_jobs.cpp
@@ -75,6 +75,11 @@
             ++this->counters.refused;
             logEvent(component, "refused", {{"job", request.id}, {"route", route.name}, {"reason", reason}});
             answers.emplace_back(std::move(handler), JobOutcome {JobEnd::Refused, reason, defaultRetryDelay});
+        } else if (const auto cause = this->givenUpReason(request); !cause.empty()) {
+            ++this->counters.givenUp;
+            ++this->counters.failed;
+            logEvent(component, "failed", {{"job", request.id}, {"route", route.name}, {"reason", cause}});
+            answers.emplace_back(std::move(handler), JobOutcome {JobEnd::Failed, cause, {}});
         } else {
             this->admit(route, this->makeJob(route, std::move(request), std::move(handler)), answers);
         }
@@ -238,6 +243,7 @@
         const auto estimate = task.observedWork.value_or(request.estimate);
         order.estimateMicros = estimate.count();
         order.mayWait = task.mayWait;
+        order.suspected = this->crashes.isSuspected({id, index});
         message.orders.push_back(std::move(order));
         const auto slack = (job.objective - now - estimate).count();
         message.startWithinMicros
@@ -336,6 +342,7 @@
         }
         return;
     case wire::TaskPhase::SUCCEEDED:
+        this->crashes.clear({report.job, report.index});
         this->handleSuccess(report.job, job, task, answers);
         return;
     case wire::TaskPhase::FAILED:
@@ -367,6 +374,7 @@
               {"incarnation", task.hostIncarnation},
               {"order", report.order},
               {"phase", static_cast<int>(report.phase)},
+              {"serverLost", report.serverLost},
               {"reason", report.reason}});
     task.phase = TaskPhase::Unassigned;
     task.host.clear();
@@ -378,6 +386,7 @@
         }
     } else if (report.phase == wire::TaskPhase::ENDED) {
         ++this->counters.tasksEnded;
+        this->counters.serversLost += report.serverLost ? 1 : 0;
     } else {
         ++this->counters.tasksRefused;
         // The refusal contains the host's newest report, so the task is placed again at once. A delay follows only
--- a/src/dispatch_core_p.h
+++ b/src/dispatch_core_p.h
@@ -5,6 +5,7 @@
 #include "base_latency_p.h"
 #include "config_routing_p.h"
 #include "dispatch_admission_p.h"
+#include "dispatch_crashes_p.h"
 #include "dispatch_hosts_p.h"
 #include "dispatch_job_p.h"
 #include "dispatch_stops_p.h"
@@ -112,11 +113,17 @@
         std::uint64_t tasksFailed = 0;
         std::uint64_t tasksRelocated = 0;
         std::uint64_t hostsLost = 0;
+        std::uint64_t serversLost = 0;
+        std::uint64_t givenUp = 0;
     };
 
     void updateRouting();
     void apply(const IncomingMessage &incoming, const wire::HostReport &report);
     void apply(const IncomingMessage &incoming, const wire::TaskReports &message, Answers &answers);
+    /// Applies the crashes that a host reports, and fails the jobs of the tasks that are given up because of them.
+    void applyCrashes(const wire::HostReport &report, Answers &answers);
+    /// Returns why the job must not run because of earlier crashes, or an empty string.
+    std::string givenUpReason(const JobRequest &request) const;
     void handleReport(const wire::TaskReport &report, const wire::ProcessId &host, Answers &answers);
     void handleSuccess(const std::string &id, Job &job, Task &task, Answers &answers);
     /// Decides about a task that is expected to end late: keeps it, relocates it, or abandons its job.
@@ -164,6 +171,7 @@
     std::int64_t lastOrder = 0;
     Time tickedAt; ///< begin of the newest tick; Time {} before the first one
     Time stalledUntil; ///< requests that are read until then may have arrived while the process stood still
+    DispatchCrashes crashes;
     bool isStopping = false;
     Time closesAt; ///< end of the drain time; valid once a stop has begun
     Counters counters;
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -116,6 +116,10 @@
         this->refuse(entry, message.job, order, "the demand exceeds the capacity of the backend server");
         return;
     }
+    if (order.suspected && this->hasSuspectedTask()) {
+        this->refuse(entry, message.job, order, "another task under which a backend server has crashed is running");
+        return;
+    }
     const bool fitsNow = fits(order.demand, this->freeCapacity());
     if (!order.mayWait && !fitsNow && this->startDelayOf(order.demand) > maxAcceptedDelay) {
         this->refuse(entry, message.job, order, "the backend server has no free capacity for the task");
@@ -129,6 +133,7 @@
     task.entry = entry;
     task.spec = spec;
     task.demand = order.demand;
+    task.isSuspected = order.suspected;
     task.estimate = Micros(std::max<std::int64_t>(order.estimateMicros, 1000));
     task.objective = objective;
     task.abandonAt = now + Micros(message.timeLeftMicros);
@@ -191,6 +196,7 @@
     report.job = task.name.job;
     report.index = task.name.index;
     report.order = task.order;
+    report.serverLost = task.phase == Phase::ServerReplaced;
     this->entries.addReport(task.entry, std::move(report));
 }
 
--- a/src/host_core_loss.cpp
+++ b/src/host_core_loss.cpp
@@ -2,6 +2,8 @@
 
 #include "base_event_p.h"
 
+#include <algorithm>
+
 namespace agatedrum {
 
 namespace {
@@ -48,4 +50,10 @@
     this->nextReport = now; // the entries learn of it with the next tick
 }
 
+bool HostCore::hasSuspectedTask() const
+{
+    return std::any_of(this->tasks.begin(), this->tasks.end(),
+                       [](const auto &task) { return task.second.isSuspected; });
+}
+
 } // namespace agatedrum
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -90,6 +90,7 @@
         Time changedAt; ///< last change of the phase, or when the last stop was sent
         RunProgress progress;
         Time warnedAt; ///< when the entry was last warned that the task is expected to end late
+        bool isSuspected = false; ///< a backend server has crashed under the task
         bool mustStop = false;
         std::optional<Time>
             mustEndBy; ///< set with mustStop; no lease is granted beyond this time until the run has ended
@@ -202,6 +203,8 @@
     /// Returns the end of the lease to send with an order, on the backend server's clock.
     std::int64_t grantLease(Time limit);
     bool isAccepting() const;
+    /// Returns true if a suspected task may be running. Another one must not start beside it.
+    bool hasSuspectedTask() const;
     wire::Resources reserved() const;
     /// Returns the capacity that no task has reserved. Precondition: a backend server is registered.
     wire::Resources freeCapacity() const;
--- a/tests/run_server.h
+++ b/tests/run_server.h
@@ -135,6 +135,7 @@
             return this->reply(OrderOutcome::RunTooLow);
         }
         this->prepareBegin();
+        this->onBegin(order.task);
         ActiveRun run;
         run.workMs = workOf(order);
         run.key = this->record.begin(order.task, order.run, this->name(), this->timeline.elapsedMs());
@@ -226,6 +227,7 @@
     const TaskServerRef ref;
     double workFactor = 1.0; ///< time that a task takes relative to its work
     std::function<void()> prepareBegin = [] {}; ///< called before a run begins
+    std::function<void(const TaskName &)> onBegin = [](const TaskName &) {}; ///< called as a run begins
 
 private:
     static constexpr std::int64_t maxLeaseMs = 1000;
--- a/tests/run_sim.h
+++ b/tests/run_sim.h
@@ -16,6 +16,8 @@
 {
 public:
     static constexpr Millis registrationInterval {1500};
+    static constexpr Millis crashDelay {5}; ///< from the start of a deadly task to the crash
+    static constexpr Millis crashDowntime {3300};
 
     explicit RunSim(std::uint64_t seed = 1, int entryCount = 2, int hostCount = 2)
         : random(seed)
@@ -130,6 +132,22 @@
             this->startServer(host, ref.id, ref.address.port, registrationDelay);
         });
     }
+    /// Crashes the current server of a host. Another one starts at its address, under another id.
+    void crashServer(int host, Micros downtime)
+    {
+        const auto old = this->current[host];
+        if (!old) {
+            return;
+        }
+        this->trace(fmt::format("server {} crashes", old->name()));
+        ++this->crashCount;
+        old->crash();
+        this->servers.byPort.erase(old->ref.address.port);
+        this->current[host].reset();
+        const auto id = fmt::format("c-{}", ++this->lastReplacement);
+        this->timeline.after(downtime,
+                             [this, host, id, port = old->ref.address.port] { this->startServer(host, id, port); });
+    }
     /// Starts a server with another id at another address. The old one continues to run its tasks for some time.
     void replaceServer(int host, Micros drainTime)
     {
@@ -175,6 +193,8 @@
         }
     }
 
+    std::set<TaskName> deadlyTasks; ///< a server that starts one of them crashes
+    int crashCount = 0;
     Timeline timeline;
     RandomSource random;
     RunRecord record;
@@ -247,6 +267,15 @@
         const auto clockRate = 1.0 - 0.02 * this->random.drawFraction();
         auto server = std::make_shared<SimServer>(this->timeline, this->record, std::move(ref), clockRate);
         server->prepareBegin = [this] { this->advanceServers(); };
+        server->onBegin = [this, host, weak = std::weak_ptr<SimServer>(server)](const TaskName &task) {
+            if (this->deadlyTasks.count(task) > 0) {
+                this->timeline.after(crashDelay, [this, host, weak] {
+                    if (const auto crashing = weak.lock(); crashing && crashing == this->current[host]) {
+                        this->crashServer(host, crashDowntime);
+                    }
+                });
+            }
+        };
         this->trace(fmt::format("server {} of host-{} starts", server->name(), host));
         this->servers.byPort[port] = server;
         this->current[host] = server;
--- a/tests/test_host_crashes.cpp
+++ b/tests/test_host_crashes.cpp
@@ -138,3 +138,33 @@
         REQUIRE(host.serversLost() == 0);
     }
 }
+
+// Guards against suspected tasks that run at the same second crash, so that innocent ones are failed with the culprit.
+TEST_CASE("A host runs one suspected task at a time", "[host]")
+{
+    HostFixture host;
+    host.becomeAccepting();
+    auto first = host.makeOrder("a", {0}, 1000);
+    first.orders[0].suspected = true;
+    host.receiveFromEntry(first);
+    host.answerStart(0, OrderOutcome::Accepted);
+    host.takeReports();
+
+    SECTION("it refuses a second one, and starts one that is not suspected")
+    {
+        auto second = host.makeOrder("b", {1}, 1000);
+        second.orders[0].suspected = true;
+        host.receiveFromEntry(second);
+        CHECK(host.takeReports().at(1).phase == wire::TaskPhase::REFUSED);
+        host.receiveFromEntry(host.makeOrder("c", {2}, 1000));
+        CHECK(host.takeReports().at(2).phase == wire::TaskPhase::RUNNING);
+    }
+    SECTION("it starts the second one after the first has ended")
+    {
+        host.answerPoll(HostFixture::pollReply({}, {{1, {"a", 0}, 1, RunEnd::Done}}));
+        auto second = host.makeOrder("b", {1}, 1000);
+        second.orders[0].suspected = true;
+        host.receiveFromEntry(second);
+        CHECK(host.takeReports().at(1).phase == wire::TaskPhase::RUNNING);
+    }
+}
