Send no tasks to a backend server that refuses connections

Cause: an order that was not sent counted like one without an answer. A refused connection is not silence.

A host now accepts nothing from the first refused poll until the next one is answered. That one follows after 10 ms, so that one refused connection of a busy backend server costs no more than about that time; later ones follow every 100 ms. Runs are not treated as ended: nothing in the protocol says that a backend server that refuses connections runs nothing.

Evidence: the new case of test-host-crashes failed before (isReady() was true, an order was accepted and started).

--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -25,7 +25,8 @@
 bool HostCore::isAccepting() const
 {
     return this->registered && !this->registered->isDraining && !this->hasLeft && !this->isStopping
-        && this->hasOnlyOwnRuns && this->clock.now() - this->polledAt < this->options.serverTimeout;
+        && this->hasOnlyOwnRuns && !this->crashes.isRefusing()
+        && this->clock.now() - this->polledAt < this->options.serverTimeout;
 }
 
 void HostCore::registerServer(const ServerRegistration &registration)
@@ -240,7 +241,8 @@
                      {{"server", this->instanceName()}, {"outcome", outcomeName(reply.outcome)}});
         }
         if (reply.outcome != OrderOutcome::Unanswered) {
-            this->pollSchedule.delayUntil(this->clock.now() + failedPollDelay);
+            this->pollSchedule.delayUntil(
+                this->clock.now() + (this->crashes.isRefusing() ? this->crashes.retryDelay() : failedPollDelay));
         }
     }
     this->applyDeferredRegistration();
--- a/src/host_crashes.cpp
+++ b/src/host_crashes.cpp
@@ -22,8 +22,11 @@
     if (now - sentAt > maxRefusalTime) {
         return false;
     }
+    if (this->refusals > 0 && sentAt <= this->refusedSince) {
+        return false; // sent together with the first one
+    }
     if (++this->refusals == 1) {
-        this->refusedSince = sentAt;
+        this->refusedSince = now;
     }
     return this->refusals > 1 && now - this->refusedSince >= confirmTime;
 }
--- a/src/host_crashes_p.h
+++ b/src/host_crashes_p.h
@@ -45,7 +45,7 @@
         Time addedAt;
     };
 
-    Time refusedSince; ///< first refused poll since the last answer; Time {} if there is none
+    Time refusedSince; ///< when the first poll since the last answer was refused
     int refusals = 0; ///< number of refused polls since the last answer
     std::string lostInstance; ///< newest instance that counts as crashed
     std::deque<Notice> crashes;
--- a/tests/test_host_crashes.cpp
+++ b/tests/test_host_crashes.cpp
@@ -139,6 +139,33 @@
     }
 }
 
+// Guards against a host that entries send task after task for 0.7 s although its backend server refuses connections.
+TEST_CASE("A host accepts no tasks while its backend server refuses connections", "[host]")
+{
+    CrashFixture host;
+    REQUIRE(host.core.isReady());
+    host.beginRefusals();
+    host.refuseConnections(Millis(5));
+
+    SECTION("it refuses orders from the first refused poll on")
+    {
+        CHECK_FALSE(host.core.isReady());
+        host.takeReports();
+        host.receiveFromEntry(host.makeOrder("b", {3}));
+        CHECK(host.takeReports().at(3).phase == wire::TaskPhase::REFUSED);
+        CHECK(host.server.starts.size() == 1);
+    }
+    SECTION("it asks again within 20 ms, so that one refused connection of a busy backend server costs no more")
+    {
+        const auto pollCount = host.server.polls.size();
+        host.clock.advance(Millis(20));
+        host.core.tick();
+        REQUIRE(host.server.polls.size() > pollCount);
+        host.answerPoll(HostFixture::pollReply({{{"a", 0}, 1, 50}}));
+        CHECK(host.core.isReady());
+    }
+}
+
 // Guards against suspected tasks that run at the same second crash, so that innocent ones are failed with the culprit.
 TEST_CASE("A host runs one suspected task at a time", "[host]")
 {
