--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -60,6 +60,7 @@
         const std::lock_guard lock(this->mutex);
         if (const auto *report = std::get_if<wire::HostReport>(&incoming.payload)) {
             this->apply(incoming, *report);
+            this->applyCrashes(*report, answers);
         } else if (const auto *reports = std::get_if<wire::TaskReports>(&incoming.payload)) {
             this->apply(incoming, *reports, answers);
         } else if (const auto *starts = std::get_if<wire::StartsInDoubt>(&incoming.payload)) {
@@ -211,6 +212,9 @@
               {"dispatch_starts_in_doubt_total", this->counters.startsInDoubt},
               {"dispatch_jobs_held_for_doubt_total", this->counters.heldForDoubt},
               {"dispatch_tasks_in_doubt", this->doubts.size()},
+              {"dispatch_tasks_lost_with_server_total", this->counters.serversLost},
+              {"dispatch_jobs_given_up_total", this->counters.givenUp},
+              {"dispatch_server_crashes_known", this->crashes.count()},
               {"dispatch_jobs_in_flight", this->jobs.size()}}}};
 }
 
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -6060,6 +6060,272 @@
 }
 
 
+CrashedTask::~CrashedTask() noexcept {
+}
+
+
+void CrashedTask::__set_job(const std::string& val) {
+  this->job = val;
+}
+
+void CrashedTask::__set_index(const int32_t val) {
+  this->index = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashedTask& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashedTask::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->job);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashedTask::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashedTask");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->job);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashedTask &a, CrashedTask &b) {
+  using ::std::swap;
+  swap(a.job, b.job);
+  swap(a.index, b.index);
+  swap(a.__isset, b.__isset);
+}
+
+CrashedTask::CrashedTask(const CrashedTask& other228) {
+  job = other228.job;
+  index = other228.index;
+  __isset = other228.__isset;
+}
+CrashedTask::CrashedTask(CrashedTask&& other229) noexcept {
+  job = std::move(other229.job);
+  index = other229.index;
+  __isset = other229.__isset;
+}
+CrashedTask& CrashedTask::operator=(const CrashedTask& other230) {
+  job = other230.job;
+  index = other230.index;
+  __isset = other230.__isset;
+  return *this;
+}
+CrashedTask& CrashedTask::operator=(CrashedTask&& other231) noexcept {
+  job = std::move(other231.job);
+  index = other231.index;
+  __isset = other231.__isset;
+  return *this;
+}
+void CrashedTask::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashedTask(";
+  out << "job=" << to_string(job);
+  out << ", " << "index=" << to_string(index);
+  out << ")";
+}
+
+
+ServerCrash::~ServerCrash() noexcept {
+}
+
+
+void ServerCrash::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void ServerCrash::__set_tasks(const std::vector<CrashedTask> & val) {
+  this->tasks = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerCrash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tasks.clear();
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->tasks.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
+            {
+              xfer += this->tasks[_i236].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tasks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerCrash");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
+    std::vector<CrashedTask> ::const_iterator _iter237;
+    for (_iter237 = this->tasks.begin(); _iter237 != this->tasks.end(); ++_iter237)
+    {
+      xfer += (*_iter237).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerCrash &a, ServerCrash &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.tasks, b.tasks);
+  swap(a.__isset, b.__isset);
+}
+
+ServerCrash::ServerCrash(const ServerCrash& other238) {
+  server = other238.server;
+  tasks = other238.tasks;
+  __isset = other238.__isset;
+}
+ServerCrash::ServerCrash(ServerCrash&& other239) noexcept {
+  server = std::move(other239.server);
+  tasks = std::move(other239.tasks);
+  __isset = other239.__isset;
+}
+ServerCrash& ServerCrash::operator=(const ServerCrash& other240) {
+  server = other240.server;
+  tasks = other240.tasks;
+  __isset = other240.__isset;
+  return *this;
+}
+ServerCrash& ServerCrash::operator=(ServerCrash&& other241) noexcept {
+  server = std::move(other241.server);
+  tasks = std::move(other241.tasks);
+  __isset = other241.__isset;
+  return *this;
+}
+void ServerCrash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerCrash(";
+  out << "server=" << to_string(server);
+  out << ", " << "tasks=" << to_string(tasks);
+  out << ")";
+}
+
+
 HostReport::~HostReport() noexcept {
 }
 
@@ -6115,6 +6381,10 @@
 void HostReport::__set_unanswered(const std::vector<JobInDoubt> & val) {
   this->unanswered = val;
 }
+
+void HostReport::__set_crashes(const std::vector<ServerCrash> & val) {
+  this->crashes = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -6211,14 +6481,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size228;
-            ::apache::thrift::protocol::TType _etype231;
-            xfer += iprot->readListBegin(_etype231, _size228);
-            this->labels.resize(_size228);
-            uint32_t _i232;
-            for (_i232 = 0; _i232 < _size228; ++_i232)
+            uint32_t _size242;
+            ::apache::thrift::protocol::TType _etype245;
+            xfer += iprot->readListBegin(_etype245, _size242);
+            this->labels.resize(_size242);
+            uint32_t _i246;
+            for (_i246 = 0; _i246 < _size242; ++_i246)
             {
-              xfer += iprot->readString(this->labels[_i232]);
+              xfer += iprot->readString(this->labels[_i246]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6255,14 +6525,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unanswered.clear();
-            uint32_t _size233;
-            ::apache::thrift::protocol::TType _etype236;
-            xfer += iprot->readListBegin(_etype236, _size233);
-            this->unanswered.resize(_size233);
-            uint32_t _i237;
-            for (_i237 = 0; _i237 < _size233; ++_i237)
+            uint32_t _size247;
+            ::apache::thrift::protocol::TType _etype250;
+            xfer += iprot->readListBegin(_etype250, _size247);
+            this->unanswered.resize(_size247);
+            uint32_t _i251;
+            for (_i251 = 0; _i251 < _size247; ++_i251)
             {
-              xfer += this->unanswered[_i237].read(iprot);
+              xfer += this->unanswered[_i251].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6271,6 +6541,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size252;
+            ::apache::thrift::protocol::TType _etype255;
+            xfer += iprot->readListBegin(_etype255, _size252);
+            this->crashes.resize(_size252);
+            uint32_t _i256;
+            for (_i256 = 0; _i256 < _size252; ++_i256)
+            {
+              xfer += this->crashes[_i256].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6323,10 +6613,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter238;
-    for (_iter238 = this->labels.begin(); _iter238 != this->labels.end(); ++_iter238)
+    std::vector<std::string> ::const_iterator _iter257;
+    for (_iter257 = this->labels.begin(); _iter257 != this->labels.end(); ++_iter257)
     {
-      xfer += oprot->writeString((*_iter238));
+      xfer += oprot->writeString((*_iter257));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6347,10 +6637,22 @@
   xfer += oprot->writeFieldBegin("unanswered", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unanswered.size()));
-    std::vector<JobInDoubt> ::const_iterator _iter239;
-    for (_iter239 = this->unanswered.begin(); _iter239 != this->unanswered.end(); ++_iter239)
+    std::vector<JobInDoubt> ::const_iterator _iter258;
+    for (_iter258 = this->unanswered.begin(); _iter258 != this->unanswered.end(); ++_iter258)
     {
-      xfer += (*_iter239).write(oprot);
+      xfer += (*_iter258).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 20);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<ServerCrash> ::const_iterator _iter259;
+    for (_iter259 = this->crashes.begin(); _iter259 != this->crashes.end(); ++_iter259)
+    {
+      xfer += (*_iter259).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6376,73 +6678,78 @@
   swap(a.failureDomain, b.failureDomain);
   swap(a.sequence, b.sequence);
   swap(a.unanswered, b.unanswered);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-HostReport::HostReport(const HostReport& other240) {
-  serviceName = other240.serviceName;
-  server = other240.server;
-  accepting = other240.accepting;
-  capacity = other240.capacity;
-  reserved = other240.reserved;
-  startDelayMicros = other240.startDelayMicros;
-  slowness = other240.slowness;
-  failureShare = other240.failureShare;
-  labels = other240.labels;
-  sentAtMicros = other240.sentAtMicros;
-  failureDomain = other240.failureDomain;
-  sequence = other240.sequence;
-  unanswered = other240.unanswered;
-  __isset = other240.__isset;
-}
-HostReport::HostReport(HostReport&& other241) noexcept {
-  serviceName = std::move(other241.serviceName);
-  server = std::move(other241.server);
-  accepting = other241.accepting;
-  capacity = std::move(other241.capacity);
-  reserved = std::move(other241.reserved);
-  startDelayMicros = other241.startDelayMicros;
-  slowness = other241.slowness;
-  failureShare = other241.failureShare;
-  labels = std::move(other241.labels);
-  sentAtMicros = other241.sentAtMicros;
-  failureDomain = std::move(other241.failureDomain);
-  sequence = other241.sequence;
-  unanswered = std::move(other241.unanswered);
-  __isset = other241.__isset;
+HostReport::HostReport(const HostReport& other260) {
+  serviceName = other260.serviceName;
+  server = other260.server;
+  accepting = other260.accepting;
+  capacity = other260.capacity;
+  reserved = other260.reserved;
+  startDelayMicros = other260.startDelayMicros;
+  slowness = other260.slowness;
+  failureShare = other260.failureShare;
+  labels = other260.labels;
+  sentAtMicros = other260.sentAtMicros;
+  failureDomain = other260.failureDomain;
+  sequence = other260.sequence;
+  unanswered = other260.unanswered;
+  crashes = other260.crashes;
+  __isset = other260.__isset;
+}
+HostReport::HostReport(HostReport&& other261) noexcept {
+  serviceName = std::move(other261.serviceName);
+  server = std::move(other261.server);
+  accepting = other261.accepting;
+  capacity = std::move(other261.capacity);
+  reserved = std::move(other261.reserved);
+  startDelayMicros = other261.startDelayMicros;
+  slowness = other261.slowness;
+  failureShare = other261.failureShare;
+  labels = std::move(other261.labels);
+  sentAtMicros = other261.sentAtMicros;
+  failureDomain = std::move(other261.failureDomain);
+  sequence = other261.sequence;
+  unanswered = std::move(other261.unanswered);
+  crashes = std::move(other261.crashes);
+  __isset = other261.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other262) {
+  serviceName = other262.serviceName;
+  server = other262.server;
+  accepting = other262.accepting;
+  capacity = other262.capacity;
+  reserved = other262.reserved;
+  startDelayMicros = other262.startDelayMicros;
+  slowness = other262.slowness;
+  failureShare = other262.failureShare;
+  labels = other262.labels;
+  sentAtMicros = other262.sentAtMicros;
+  failureDomain = other262.failureDomain;
+  sequence = other262.sequence;
+  unanswered = other262.unanswered;
+  crashes = other262.crashes;
+  __isset = other262.__isset;
+  return *this;
 }
-HostReport& HostReport::operator=(const HostReport& other242) {
-  serviceName = other242.serviceName;
-  server = other242.server;
-  accepting = other242.accepting;
-  capacity = other242.capacity;
-  reserved = other242.reserved;
-  startDelayMicros = other242.startDelayMicros;
-  slowness = other242.slowness;
-  failureShare = other242.failureShare;
-  labels = other242.labels;
-  sentAtMicros = other242.sentAtMicros;
-  failureDomain = other242.failureDomain;
-  sequence = other242.sequence;
-  unanswered = other242.unanswered;
-  __isset = other242.__isset;
-  return *this;
-}
-HostReport& HostReport::operator=(HostReport&& other243) noexcept {
-  serviceName = std::move(other243.serviceName);
-  server = std::move(other243.server);
-  accepting = other243.accepting;
-  capacity = std::move(other243.capacity);
-  reserved = std::move(other243.reserved);
-  startDelayMicros = other243.startDelayMicros;
-  slowness = other243.slowness;
-  failureShare = other243.failureShare;
-  labels = std::move(other243.labels);
-  sentAtMicros = other243.sentAtMicros;
-  failureDomain = std::move(other243.failureDomain);
-  sequence = other243.sequence;
-  unanswered = std::move(other243.unanswered);
-  __isset = other243.__isset;
+HostReport& HostReport::operator=(HostReport&& other263) noexcept {
+  serviceName = std::move(other263.serviceName);
+  server = std::move(other263.server);
+  accepting = other263.accepting;
+  capacity = std::move(other263.capacity);
+  reserved = std::move(other263.reserved);
+  startDelayMicros = other263.startDelayMicros;
+  slowness = other263.slowness;
+  failureShare = other263.failureShare;
+  labels = std::move(other263.labels);
+  sentAtMicros = other263.sentAtMicros;
+  failureDomain = std::move(other263.failureDomain);
+  sequence = other263.sequence;
+  unanswered = std::move(other263.unanswered);
+  crashes = std::move(other263.crashes);
+  __isset = other263.__isset;
   return *this;
 }
 void HostReport::printTo(std::ostream& out) const {
@@ -6461,6 +6768,7 @@
   out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "unanswered=" << to_string(unanswered);
+  out << ", " << "crashes=" << to_string(crashes);
   out << ")";
 }
 
@@ -6574,30 +6882,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HostContact::HostContact(const HostContact& other244) noexcept {
-  hostIncarnation = other244.hostIncarnation;
-  heardAtMicros = other244.heardAtMicros;
-  reportsSeen = other244.reportsSeen;
-  __isset = other244.__isset;
+HostContact::HostContact(const HostContact& other264) noexcept {
+  hostIncarnation = other264.hostIncarnation;
+  heardAtMicros = other264.heardAtMicros;
+  reportsSeen = other264.reportsSeen;
+  __isset = other264.__isset;
 }
-HostContact::HostContact(HostContact&& other245) noexcept {
-  hostIncarnation = other245.hostIncarnation;
-  heardAtMicros = other245.heardAtMicros;
-  reportsSeen = other245.reportsSeen;
-  __isset = other245.__isset;
+HostContact::HostContact(HostContact&& other265) noexcept {
+  hostIncarnation = other265.hostIncarnation;
+  heardAtMicros = other265.heardAtMicros;
+  reportsSeen = other265.reportsSeen;
+  __isset = other265.__isset;
 }
-HostContact& HostContact::operator=(const HostContact& other246) noexcept {
-  hostIncarnation = other246.hostIncarnation;
-  heardAtMicros = other246.heardAtMicros;
-  reportsSeen = other246.reportsSeen;
-  __isset = other246.__isset;
+HostContact& HostContact::operator=(const HostContact& other266) noexcept {
+  hostIncarnation = other266.hostIncarnation;
+  heardAtMicros = other266.heardAtMicros;
+  reportsSeen = other266.reportsSeen;
+  __isset = other266.__isset;
   return *this;
 }
-HostContact& HostContact::operator=(HostContact&& other247) noexcept {
-  hostIncarnation = other247.hostIncarnation;
-  heardAtMicros = other247.heardAtMicros;
-  reportsSeen = other247.reportsSeen;
-  __isset = other247.__isset;
+HostContact& HostContact::operator=(HostContact&& other267) noexcept {
+  hostIncarnation = other267.hostIncarnation;
+  heardAtMicros = other267.heardAtMicros;
+  reportsSeen = other267.reportsSeen;
+  __isset = other267.__isset;
   return *this;
 }
 void HostContact::printTo(std::ostream& out) const {
@@ -6633,6 +6941,10 @@
 void TaskOrder::__set_mayWait(const bool val) {
   this->mayWait = val;
 }
+
+void TaskOrder::__set_suspected(const bool val) {
+  this->suspected = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskOrder& obj)
 {
   obj.printTo(out);
@@ -6701,6 +7013,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->suspected);
+          this->__isset.suspected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6738,6 +7058,10 @@
   xfer += oprot->writeBool(this->mayWait);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("suspected", ::apache::thrift::protocol::T_BOOL, 20);
+  xfer += oprot->writeBool(this->suspected);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6750,41 +7074,46 @@
   swap(a.demand, b.demand);
   swap(a.estimateMicros, b.estimateMicros);
   swap(a.mayWait, b.mayWait);
+  swap(a.suspected, b.suspected);
   swap(a.__isset, b.__isset);
 }
 
-TaskOrder::TaskOrder(const TaskOrder& other248) noexcept {
-  index = other248.index;
-  order = other248.order;
-  demand = other248.demand;
-  estimateMicros = other248.estimateMicros;
-  mayWait = other248.mayWait;
-  __isset = other248.__isset;
-}
-TaskOrder::TaskOrder(TaskOrder&& other249) noexcept {
-  index = other249.index;
-  order = other249.order;
-  demand = std::move(other249.demand);
-  estimateMicros = other249.estimateMicros;
-  mayWait = other249.mayWait;
-  __isset = other249.__isset;
-}
-TaskOrder& TaskOrder::operator=(const TaskOrder& other250) noexcept {
-  index = other250.index;
-  order = other250.order;
-  demand = other250.demand;
-  estimateMicros = other250.estimateMicros;
-  mayWait = other250.mayWait;
-  __isset = other250.__isset;
-  return *this;
-}
-TaskOrder& TaskOrder::operator=(TaskOrder&& other251) noexcept {
-  index = other251.index;
-  order = other251.order;
-  demand = std::move(other251.demand);
-  estimateMicros = other251.estimateMicros;
-  mayWait = other251.mayWait;
-  __isset = other251.__isset;
+TaskOrder::TaskOrder(const TaskOrder& other268) noexcept {
+  index = other268.index;
+  order = other268.order;
+  demand = other268.demand;
+  estimateMicros = other268.estimateMicros;
+  mayWait = other268.mayWait;
+  suspected = other268.suspected;
+  __isset = other268.__isset;
+}
+TaskOrder::TaskOrder(TaskOrder&& other269) noexcept {
+  index = other269.index;
+  order = other269.order;
+  demand = std::move(other269.demand);
+  estimateMicros = other269.estimateMicros;
+  mayWait = other269.mayWait;
+  suspected = other269.suspected;
+  __isset = other269.__isset;
+}
+TaskOrder& TaskOrder::operator=(const TaskOrder& other270) noexcept {
+  index = other270.index;
+  order = other270.order;
+  demand = other270.demand;
+  estimateMicros = other270.estimateMicros;
+  mayWait = other270.mayWait;
+  suspected = other270.suspected;
+  __isset = other270.__isset;
+  return *this;
+}
+TaskOrder& TaskOrder::operator=(TaskOrder&& other271) noexcept {
+  index = other271.index;
+  order = other271.order;
+  demand = std::move(other271.demand);
+  estimateMicros = other271.estimateMicros;
+  mayWait = other271.mayWait;
+  suspected = other271.suspected;
+  __isset = other271.__isset;
   return *this;
 }
 void TaskOrder::printTo(std::ostream& out) const {
@@ -6795,6 +7124,7 @@
   out << ", " << "demand=" << to_string(demand);
   out << ", " << "estimateMicros=" << to_string(estimateMicros);
   out << ", " << "mayWait=" << to_string(mayWait);
+  out << ", " << "suspected=" << to_string(suspected);
   out << ")";
 }
 
@@ -6934,14 +7264,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size252;
-            ::apache::thrift::protocol::TType _etype255;
-            xfer += iprot->readListBegin(_etype255, _size252);
-            this->orders.resize(_size252);
-            uint32_t _i256;
-            for (_i256 = 0; _i256 < _size252; ++_i256)
+            uint32_t _size272;
+            ::apache::thrift::protocol::TType _etype275;
+            xfer += iprot->readListBegin(_etype275, _size272);
+            this->orders.resize(_size272);
+            uint32_t _i276;
+            for (_i276 = 0; _i276 < _size272; ++_i276)
             {
-              xfer += this->orders[_i256].read(iprot);
+              xfer += this->orders[_i276].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6970,14 +7300,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->elsewhere.clear();
-            uint32_t _size257;
-            ::apache::thrift::protocol::TType _etype260;
-            xfer += iprot->readListBegin(_etype260, _size257);
-            this->elsewhere.resize(_size257);
-            uint32_t _i261;
-            for (_i261 = 0; _i261 < _size257; ++_i261)
+            uint32_t _size277;
+            ::apache::thrift::protocol::TType _etype280;
+            xfer += iprot->readListBegin(_etype280, _size277);
+            this->elsewhere.resize(_size277);
+            uint32_t _i281;
+            for (_i281 = 0; _i281 < _size277; ++_i281)
             {
-              xfer += this->elsewhere[_i261].read(iprot);
+              xfer += this->elsewhere[_i281].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7034,10 +7364,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<TaskOrder> ::const_iterator _iter262;
-    for (_iter262 = this->orders.begin(); _iter262 != this->orders.end(); ++_iter262)
+    std::vector<TaskOrder> ::const_iterator _iter282;
+    for (_iter282 = this->orders.begin(); _iter282 != this->orders.end(); ++_iter282)
     {
-      xfer += (*_iter262).write(oprot);
+      xfer += (*_iter282).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7054,10 +7384,10 @@
   xfer += oprot->writeFieldBegin("elsewhere", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->elsewhere.size()));
-    std::vector<TaskPlace> ::const_iterator _iter263;
-    for (_iter263 = this->elsewhere.begin(); _iter263 != this->elsewhere.end(); ++_iter263)
+    std::vector<TaskPlace> ::const_iterator _iter283;
+    for (_iter283 = this->elsewhere.begin(); _iter283 != this->elsewhere.end(); ++_iter283)
     {
-      xfer += (*_iter263).write(oprot);
+      xfer += (*_iter283).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7084,62 +7414,62 @@
   swap(a.__isset, b.__isset);
 }
 
-RunTasks::RunTasks(const RunTasks& other264) {
-  hostIncarnation = other264.hostIncarnation;
-  heardAtMicros = other264.heardAtMicros;
-  job = other264.job;
-  spec = other264.spec;
-  startWithinMicros = other264.startWithinMicros;
-  timeLeftMicros = other264.timeLeftMicros;
-  priority = other264.priority;
-  orders = other264.orders;
-  serviceName = other264.serviceName;
-  reportsSeen = other264.reportsSeen;
-  elsewhere = other264.elsewhere;
-  __isset = other264.__isset;
+RunTasks::RunTasks(const RunTasks& other284) {
+  hostIncarnation = other284.hostIncarnation;
+  heardAtMicros = other284.heardAtMicros;
+  job = other284.job;
+  spec = other284.spec;
+  startWithinMicros = other284.startWithinMicros;
+  timeLeftMicros = other284.timeLeftMicros;
+  priority = other284.priority;
+  orders = other284.orders;
+  serviceName = other284.serviceName;
+  reportsSeen = other284.reportsSeen;
+  elsewhere = other284.elsewhere;
+  __isset = other284.__isset;
 }
-RunTasks::RunTasks(RunTasks&& other265) noexcept {
-  hostIncarnation = other265.hostIncarnation;
-  heardAtMicros = other265.heardAtMicros;
-  job = std::move(other265.job);
-  spec = std::move(other265.spec);
-  startWithinMicros = other265.startWithinMicros;
-  timeLeftMicros = other265.timeLeftMicros;
-  priority = other265.priority;
-  orders = std::move(other265.orders);
-  serviceName = std::move(other265.serviceName);
-  reportsSeen = other265.reportsSeen;
-  elsewhere = std::move(other265.elsewhere);
-  __isset = other265.__isset;
+RunTasks::RunTasks(RunTasks&& other285) noexcept {
+  hostIncarnation = other285.hostIncarnation;
+  heardAtMicros = other285.heardAtMicros;
+  job = std::move(other285.job);
+  spec = std::move(other285.spec);
+  startWithinMicros = other285.startWithinMicros;
+  timeLeftMicros = other285.timeLeftMicros;
+  priority = other285.priority;
+  orders = std::move(other285.orders);
+  serviceName = std::move(other285.serviceName);
+  reportsSeen = other285.reportsSeen;
+  elsewhere = std::move(other285.elsewhere);
+  __isset = other285.__isset;
 }
-RunTasks& RunTasks::operator=(const RunTasks& other266) {
-  hostIncarnation = other266.hostIncarnation;
-  heardAtMicros = other266.heardAtMicros;
-  job = other266.job;
-  spec = other266.spec;
-  startWithinMicros = other266.startWithinMicros;
-  timeLeftMicros = other266.timeLeftMicros;
-  priority = other266.priority;
-  orders = other266.orders;
-  serviceName = other266.serviceName;
-  reportsSeen = other266.reportsSeen;
-  elsewhere = other266.elsewhere;
-  __isset = other266.__isset;
+RunTasks& RunTasks::operator=(const RunTasks& other286) {
+  hostIncarnation = other286.hostIncarnation;
+  heardAtMicros = other286.heardAtMicros;
+  job = other286.job;
+  spec = other286.spec;
+  startWithinMicros = other286.startWithinMicros;
+  timeLeftMicros = other286.timeLeftMicros;
+  priority = other286.priority;
+  orders = other286.orders;
+  serviceName = other286.serviceName;
+  reportsSeen = other286.reportsSeen;
+  elsewhere = other286.elsewhere;
+  __isset = other286.__isset;
   return *this;
 }
-RunTasks& RunTasks::operator=(RunTasks&& other267) noexcept {
-  hostIncarnation = other267.hostIncarnation;
-  heardAtMicros = other267.heardAtMicros;
-  job = std::move(other267.job);
-  spec = std::move(other267.spec);
-  startWithinMicros = other267.startWithinMicros;
-  timeLeftMicros = other267.timeLeftMicros;
-  priority = other267.priority;
-  orders = std::move(other267.orders);
-  serviceName = std::move(other267.serviceName);
-  reportsSeen = other267.reportsSeen;
-  elsewhere = std::move(other267.elsewhere);
-  __isset = other267.__isset;
+RunTasks& RunTasks::operator=(RunTasks&& other287) noexcept {
+  hostIncarnation = other287.hostIncarnation;
+  heardAtMicros = other287.heardAtMicros;
+  job = std::move(other287.job);
+  spec = std::move(other287.spec);
+  startWithinMicros = other287.startWithinMicros;
+  timeLeftMicros = other287.timeLeftMicros;
+  priority = other287.priority;
+  orders = std::move(other287.orders);
+  serviceName = std::move(other287.serviceName);
+  reportsSeen = other287.reportsSeen;
+  elsewhere = std::move(other287.elsewhere);
+  __isset = other287.__isset;
   return *this;
 }
 void RunTasks::printTo(std::ostream& out) const {
@@ -7215,14 +7545,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->places.clear();
-            uint32_t _size268;
-            ::apache::thrift::protocol::TType _etype271;
-            xfer += iprot->readListBegin(_etype271, _size268);
-            this->places.resize(_size268);
-            uint32_t _i272;
-            for (_i272 = 0; _i272 < _size268; ++_i272)
+            uint32_t _size288;
+            ::apache::thrift::protocol::TType _etype291;
+            xfer += iprot->readListBegin(_etype291, _size288);
+            this->places.resize(_size288);
+            uint32_t _i292;
+            for (_i292 = 0; _i292 < _size288; ++_i292)
             {
-              xfer += this->places[_i272].read(iprot);
+              xfer += this->places[_i292].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7263,10 +7593,10 @@
   xfer += oprot->writeFieldBegin("places", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->places.size()));
-    std::vector<TaskPlace> ::const_iterator _iter273;
-    for (_iter273 = this->places.begin(); _iter273 != this->places.end(); ++_iter273)
+    std::vector<TaskPlace> ::const_iterator _iter293;
+    for (_iter293 = this->places.begin(); _iter293 != this->places.end(); ++_iter293)
     {
-      xfer += (*_iter273).write(oprot);
+      xfer += (*_iter293).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7289,30 +7619,30 @@
   swap(a.__isset, b.__isset);
 }
 
-OrdersElsewhere::OrdersElsewhere(const OrdersElsewhere& other274) {
-  job = other274.job;
-  places = other274.places;
-  timeLeftMicros = other274.timeLeftMicros;
-  __isset = other274.__isset;
+OrdersElsewhere::OrdersElsewhere(const OrdersElsewhere& other294) {
+  job = other294.job;
+  places = other294.places;
+  timeLeftMicros = other294.timeLeftMicros;
+  __isset = other294.__isset;
 }
-OrdersElsewhere::OrdersElsewhere(OrdersElsewhere&& other275) noexcept {
-  job = std::move(other275.job);
-  places = std::move(other275.places);
-  timeLeftMicros = other275.timeLeftMicros;
-  __isset = other275.__isset;
+OrdersElsewhere::OrdersElsewhere(OrdersElsewhere&& other295) noexcept {
+  job = std::move(other295.job);
+  places = std::move(other295.places);
+  timeLeftMicros = other295.timeLeftMicros;
+  __isset = other295.__isset;
 }
-OrdersElsewhere& OrdersElsewhere::operator=(const OrdersElsewhere& other276) {
-  job = other276.job;
-  places = other276.places;
-  timeLeftMicros = other276.timeLeftMicros;
-  __isset = other276.__isset;
+OrdersElsewhere& OrdersElsewhere::operator=(const OrdersElsewhere& other296) {
+  job = other296.job;
+  places = other296.places;
+  timeLeftMicros = other296.timeLeftMicros;
+  __isset = other296.__isset;
   return *this;
 }
-OrdersElsewhere& OrdersElsewhere::operator=(OrdersElsewhere&& other277) noexcept {
-  job = std::move(other277.job);
-  places = std::move(other277.places);
-  timeLeftMicros = other277.timeLeftMicros;
-  __isset = other277.__isset;
+OrdersElsewhere& OrdersElsewhere::operator=(OrdersElsewhere&& other297) noexcept {
+  job = std::move(other297.job);
+  places = std::move(other297.places);
+  timeLeftMicros = other297.timeLeftMicros;
+  __isset = other297.__isset;
   return *this;
 }
 void OrdersElsewhere::printTo(std::ostream& out) const {
@@ -7388,14 +7718,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->indexes.clear();
-            uint32_t _size278;
-            ::apache::thrift::protocol::TType _etype281;
-            xfer += iprot->readListBegin(_etype281, _size278);
-            this->indexes.resize(_size278);
-            uint32_t _i282;
-            for (_i282 = 0; _i282 < _size278; ++_i282)
+            uint32_t _size298;
+            ::apache::thrift::protocol::TType _etype301;
+            xfer += iprot->readListBegin(_etype301, _size298);
+            this->indexes.resize(_size298);
+            uint32_t _i302;
+            for (_i302 = 0; _i302 < _size298; ++_i302)
             {
-              xfer += iprot->readI32(this->indexes[_i282]);
+              xfer += iprot->readI32(this->indexes[_i302]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7432,10 +7762,10 @@
   xfer += oprot->writeFieldBegin("indexes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->indexes.size()));
-    std::vector<int32_t> ::const_iterator _iter283;
-    for (_iter283 = this->indexes.begin(); _iter283 != this->indexes.end(); ++_iter283)
+    std::vector<int32_t> ::const_iterator _iter303;
+    for (_iter303 = this->indexes.begin(); _iter303 != this->indexes.end(); ++_iter303)
     {
-      xfer += oprot->writeI32((*_iter283));
+      xfer += oprot->writeI32((*_iter303));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7454,30 +7784,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StopTasks::StopTasks(const StopTasks& other284) {
-  hostIncarnation = other284.hostIncarnation;
-  job = other284.job;
-  indexes = other284.indexes;
-  __isset = other284.__isset;
+StopTasks::StopTasks(const StopTasks& other304) {
+  hostIncarnation = other304.hostIncarnation;
+  job = other304.job;
+  indexes = other304.indexes;
+  __isset = other304.__isset;
 }
-StopTasks::StopTasks(StopTasks&& other285) noexcept {
-  hostIncarnation = other285.hostIncarnation;
-  job = std::move(other285.job);
-  indexes = std::move(other285.indexes);
-  __isset = other285.__isset;
+StopTasks::StopTasks(StopTasks&& other305) noexcept {
+  hostIncarnation = other305.hostIncarnation;
+  job = std::move(other305.job);
+  indexes = std::move(other305.indexes);
+  __isset = other305.__isset;
 }
-StopTasks& StopTasks::operator=(const StopTasks& other286) {
-  hostIncarnation = other286.hostIncarnation;
-  job = other286.job;
-  indexes = other286.indexes;
-  __isset = other286.__isset;
+StopTasks& StopTasks::operator=(const StopTasks& other306) {
+  hostIncarnation = other306.hostIncarnation;
+  job = other306.job;
+  indexes = other306.indexes;
+  __isset = other306.__isset;
   return *this;
 }
-StopTasks& StopTasks::operator=(StopTasks&& other287) noexcept {
-  hostIncarnation = other287.hostIncarnation;
-  job = std::move(other287.job);
-  indexes = std::move(other287.indexes);
-  __isset = other287.__isset;
+StopTasks& StopTasks::operator=(StopTasks&& other307) noexcept {
+  hostIncarnation = other307.hostIncarnation;
+  job = std::move(other307.job);
+  indexes = std::move(other307.indexes);
+  __isset = other307.__isset;
   return *this;
 }
 void StopTasks::printTo(std::ostream& out) const {
@@ -7533,6 +7863,10 @@
 void TaskReport::__set_leastRemainingMicros(const int64_t val) {
   this->leastRemainingMicros = val;
 }
+
+void TaskReport::__set_serverLost(const bool val) {
+  this->serverLost = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskReport& obj)
 {
   obj.printTo(out);
@@ -7587,9 +7921,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast288;
-          xfer += iprot->readI32(ecast288);
-          this->phase = static_cast<TaskPhase::type>(ecast288);
+          int32_t ecast308;
+          xfer += iprot->readI32(ecast308);
+          this->phase = static_cast<TaskPhase::type>(ecast308);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7643,6 +7977,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->serverLost);
+          this->__isset.serverLost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7700,6 +8042,10 @@
   xfer += oprot->writeI64(this->leastRemainingMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("serverLost", ::apache::thrift::protocol::T_BOOL, 20);
+  xfer += oprot->writeBool(this->serverLost);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7717,61 +8063,66 @@
   swap(a.remainingMicros, b.remainingMicros);
   swap(a.workMicros, b.workMicros);
   swap(a.leastRemainingMicros, b.leastRemainingMicros);
+  swap(a.serverLost, b.serverLost);
   swap(a.__isset, b.__isset);
 }
 
-TaskReport::TaskReport(const TaskReport& other289) {
-  job = other289.job;
-  index = other289.index;
-  order = other289.order;
-  phase = other289.phase;
-  runMicros = other289.runMicros;
-  reason = other289.reason;
-  number = other289.number;
-  remainingMicros = other289.remainingMicros;
-  workMicros = other289.workMicros;
-  leastRemainingMicros = other289.leastRemainingMicros;
-  __isset = other289.__isset;
-}
-TaskReport::TaskReport(TaskReport&& other290) noexcept {
-  job = std::move(other290.job);
-  index = other290.index;
-  order = other290.order;
-  phase = other290.phase;
-  runMicros = other290.runMicros;
-  reason = std::move(other290.reason);
-  number = other290.number;
-  remainingMicros = other290.remainingMicros;
-  workMicros = other290.workMicros;
-  leastRemainingMicros = other290.leastRemainingMicros;
-  __isset = other290.__isset;
-}
-TaskReport& TaskReport::operator=(const TaskReport& other291) {
-  job = other291.job;
-  index = other291.index;
-  order = other291.order;
-  phase = other291.phase;
-  runMicros = other291.runMicros;
-  reason = other291.reason;
-  number = other291.number;
-  remainingMicros = other291.remainingMicros;
-  workMicros = other291.workMicros;
-  leastRemainingMicros = other291.leastRemainingMicros;
-  __isset = other291.__isset;
-  return *this;
-}
-TaskReport& TaskReport::operator=(TaskReport&& other292) noexcept {
-  job = std::move(other292.job);
-  index = other292.index;
-  order = other292.order;
-  phase = other292.phase;
-  runMicros = other292.runMicros;
-  reason = std::move(other292.reason);
-  number = other292.number;
-  remainingMicros = other292.remainingMicros;
-  workMicros = other292.workMicros;
-  leastRemainingMicros = other292.leastRemainingMicros;
-  __isset = other292.__isset;
+TaskReport::TaskReport(const TaskReport& other309) {
+  job = other309.job;
+  index = other309.index;
+  order = other309.order;
+  phase = other309.phase;
+  runMicros = other309.runMicros;
+  reason = other309.reason;
+  number = other309.number;
+  remainingMicros = other309.remainingMicros;
+  workMicros = other309.workMicros;
+  leastRemainingMicros = other309.leastRemainingMicros;
+  serverLost = other309.serverLost;
+  __isset = other309.__isset;
+}
+TaskReport::TaskReport(TaskReport&& other310) noexcept {
+  job = std::move(other310.job);
+  index = other310.index;
+  order = other310.order;
+  phase = other310.phase;
+  runMicros = other310.runMicros;
+  reason = std::move(other310.reason);
+  number = other310.number;
+  remainingMicros = other310.remainingMicros;
+  workMicros = other310.workMicros;
+  leastRemainingMicros = other310.leastRemainingMicros;
+  serverLost = other310.serverLost;
+  __isset = other310.__isset;
+}
+TaskReport& TaskReport::operator=(const TaskReport& other311) {
+  job = other311.job;
+  index = other311.index;
+  order = other311.order;
+  phase = other311.phase;
+  runMicros = other311.runMicros;
+  reason = other311.reason;
+  number = other311.number;
+  remainingMicros = other311.remainingMicros;
+  workMicros = other311.workMicros;
+  leastRemainingMicros = other311.leastRemainingMicros;
+  serverLost = other311.serverLost;
+  __isset = other311.__isset;
+  return *this;
+}
+TaskReport& TaskReport::operator=(TaskReport&& other312) noexcept {
+  job = std::move(other312.job);
+  index = other312.index;
+  order = other312.order;
+  phase = other312.phase;
+  runMicros = other312.runMicros;
+  reason = std::move(other312.reason);
+  number = other312.number;
+  remainingMicros = other312.remainingMicros;
+  workMicros = other312.workMicros;
+  leastRemainingMicros = other312.leastRemainingMicros;
+  serverLost = other312.serverLost;
+  __isset = other312.__isset;
   return *this;
 }
 void TaskReport::printTo(std::ostream& out) const {
@@ -7787,6 +8138,7 @@
   out << ", " << "remainingMicros=" << to_string(remainingMicros);
   out << ", " << "workMicros=" << to_string(workMicros);
   out << ", " << "leastRemainingMicros=" << to_string(leastRemainingMicros);
+  out << ", " << "serverLost=" << to_string(serverLost);
   out << ")";
 }
 
@@ -7834,14 +8186,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size293;
-            ::apache::thrift::protocol::TType _etype296;
-            xfer += iprot->readListBegin(_etype296, _size293);
-            this->reports.resize(_size293);
-            uint32_t _i297;
-            for (_i297 = 0; _i297 < _size293; ++_i297)
+            uint32_t _size313;
+            ::apache::thrift::protocol::TType _etype316;
+            xfer += iprot->readListBegin(_etype316, _size313);
+            this->reports.resize(_size313);
+            uint32_t _i317;
+            for (_i317 = 0; _i317 < _size313; ++_i317)
             {
-              xfer += this->reports[_i297].read(iprot);
+              xfer += this->reports[_i317].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7878,10 +8230,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<TaskReport> ::const_iterator _iter298;
-    for (_iter298 = this->reports.begin(); _iter298 != this->reports.end(); ++_iter298)
+    std::vector<TaskReport> ::const_iterator _iter318;
+    for (_iter318 = this->reports.begin(); _iter318 != this->reports.end(); ++_iter318)
     {
-      xfer += (*_iter298).write(oprot);
+      xfer += (*_iter318).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7903,26 +8255,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskReports::TaskReports(const TaskReports& other299) {
-  reports = other299.reports;
-  host = other299.host;
-  __isset = other299.__isset;
+TaskReports::TaskReports(const TaskReports& other319) {
+  reports = other319.reports;
+  host = other319.host;
+  __isset = other319.__isset;
 }
-TaskReports::TaskReports(TaskReports&& other300) noexcept {
-  reports = std::move(other300.reports);
-  host = std::move(other300.host);
-  __isset = other300.__isset;
+TaskReports::TaskReports(TaskReports&& other320) noexcept {
+  reports = std::move(other320.reports);
+  host = std::move(other320.host);
+  __isset = other320.__isset;
 }
-TaskReports& TaskReports::operator=(const TaskReports& other301) {
-  reports = other301.reports;
-  host = other301.host;
-  __isset = other301.__isset;
+TaskReports& TaskReports::operator=(const TaskReports& other321) {
+  reports = other321.reports;
+  host = other321.host;
+  __isset = other321.__isset;
   return *this;
 }
-TaskReports& TaskReports::operator=(TaskReports&& other302) noexcept {
-  reports = std::move(other302.reports);
-  host = std::move(other302.host);
-  __isset = other302.__isset;
+TaskReports& TaskReports::operator=(TaskReports&& other322) noexcept {
+  reports = std::move(other322.reports);
+  host = std::move(other322.host);
+  __isset = other322.__isset;
   return *this;
 }
 void TaskReports::printTo(std::ostream& out) const {
@@ -8021,14 +8373,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wholeHolders.clear();
-            uint32_t _size303;
-            ::apache::thrift::protocol::TType _etype306;
-            xfer += iprot->readListBegin(_etype306, _size303);
-            this->wholeHolders.resize(_size303);
-            uint32_t _i307;
-            for (_i307 = 0; _i307 < _size303; ++_i307)
+            uint32_t _size323;
+            ::apache::thrift::protocol::TType _etype326;
+            xfer += iprot->readListBegin(_etype326, _size323);
+            this->wholeHolders.resize(_size323);
+            uint32_t _i327;
+            for (_i327 = 0; _i327 < _size323; ++_i327)
             {
-              xfer += iprot->readString(this->wholeHolders[_i307]);
+              xfer += iprot->readString(this->wholeHolders[_i327]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8073,10 +8425,10 @@
   xfer += oprot->writeFieldBegin("wholeHolders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wholeHolders.size()));
-    std::vector<std::string> ::const_iterator _iter308;
-    for (_iter308 = this->wholeHolders.begin(); _iter308 != this->wholeHolders.end(); ++_iter308)
+    std::vector<std::string> ::const_iterator _iter328;
+    for (_iter328 = this->wholeHolders.begin(); _iter328 != this->wholeHolders.end(); ++_iter328)
     {
-      xfer += oprot->writeString((*_iter308));
+      xfer += oprot->writeString((*_iter328));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8097,38 +8449,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CellReport::CellReport(const CellReport& other309) {
-  cell = other309.cell;
-  epoch = other309.epoch;
-  owned = other309.owned;
-  whole = other309.whole;
-  wholeHolders = other309.wholeHolders;
-  __isset = other309.__isset;
-}
-CellReport::CellReport(CellReport&& other310) noexcept {
-  cell = other310.cell;
-  epoch = other310.epoch;
-  owned = other310.owned;
-  whole = other310.whole;
-  wholeHolders = std::move(other310.wholeHolders);
-  __isset = other310.__isset;
-}
-CellReport& CellReport::operator=(const CellReport& other311) {
-  cell = other311.cell;
-  epoch = other311.epoch;
-  owned = other311.owned;
-  whole = other311.whole;
-  wholeHolders = other311.wholeHolders;
-  __isset = other311.__isset;
+CellReport::CellReport(const CellReport& other329) {
+  cell = other329.cell;
+  epoch = other329.epoch;
+  owned = other329.owned;
+  whole = other329.whole;
+  wholeHolders = other329.wholeHolders;
+  __isset = other329.__isset;
+}
+CellReport::CellReport(CellReport&& other330) noexcept {
+  cell = other330.cell;
+  epoch = other330.epoch;
+  owned = other330.owned;
+  whole = other330.whole;
+  wholeHolders = std::move(other330.wholeHolders);
+  __isset = other330.__isset;
+}
+CellReport& CellReport::operator=(const CellReport& other331) {
+  cell = other331.cell;
+  epoch = other331.epoch;
+  owned = other331.owned;
+  whole = other331.whole;
+  wholeHolders = other331.wholeHolders;
+  __isset = other331.__isset;
   return *this;
 }
-CellReport& CellReport::operator=(CellReport&& other312) noexcept {
-  cell = other312.cell;
-  epoch = other312.epoch;
-  owned = other312.owned;
-  whole = other312.whole;
-  wholeHolders = std::move(other312.wholeHolders);
-  __isset = other312.__isset;
+CellReport& CellReport::operator=(CellReport&& other332) noexcept {
+  cell = other332.cell;
+  epoch = other332.epoch;
+  owned = other332.owned;
+  whole = other332.whole;
+  wholeHolders = std::move(other332.wholeHolders);
+  __isset = other332.__isset;
   return *this;
 }
 void CellReport::printTo(std::ostream& out) const {
@@ -8213,9 +8565,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast313;
-          xfer += iprot->readI32(ecast313);
-          this->role = static_cast<Role::type>(ecast313);
+          int32_t ecast333;
+          xfer += iprot->readI32(ecast333);
+          this->role = static_cast<Role::type>(ecast333);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8265,14 +8617,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size314;
-            ::apache::thrift::protocol::TType _etype317;
-            xfer += iprot->readListBegin(_etype317, _size314);
-            this->cells.resize(_size314);
-            uint32_t _i318;
-            for (_i318 = 0; _i318 < _size314; ++_i318)
+            uint32_t _size334;
+            ::apache::thrift::protocol::TType _etype337;
+            xfer += iprot->readListBegin(_etype337, _size334);
+            this->cells.resize(_size334);
+            uint32_t _i338;
+            for (_i338 = 0; _i338 < _size334; ++_i338)
             {
-              xfer += this->cells[_i318].read(iprot);
+              xfer += this->cells[_i338].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8341,10 +8693,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellReport> ::const_iterator _iter319;
-    for (_iter319 = this->cells.begin(); _iter319 != this->cells.end(); ++_iter319)
+    std::vector<CellReport> ::const_iterator _iter339;
+    for (_iter339 = this->cells.begin(); _iter339 != this->cells.end(); ++_iter339)
     {
-      xfer += (*_iter319).write(oprot);
+      xfer += (*_iter339).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8378,54 +8730,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberHeartbeat::MemberHeartbeat(const MemberHeartbeat& other320) {
-  role = other320.role;
-  failureDomain = other320.failureDomain;
-  address = other320.address;
-  sentAtMicros = other320.sentAtMicros;
-  configNumber = other320.configNumber;
-  viewVersion = other320.viewVersion;
-  cells = other320.cells;
-  leaving = other320.leaving;
-  server = other320.server;
-  __isset = other320.__isset;
+MemberHeartbeat::MemberHeartbeat(const MemberHeartbeat& other340) {
+  role = other340.role;
+  failureDomain = other340.failureDomain;
+  address = other340.address;
+  sentAtMicros = other340.sentAtMicros;
+  configNumber = other340.configNumber;
+  viewVersion = other340.viewVersion;
+  cells = other340.cells;
+  leaving = other340.leaving;
+  server = other340.server;
+  __isset = other340.__isset;
 }
-MemberHeartbeat::MemberHeartbeat(MemberHeartbeat&& other321) noexcept {
-  role = other321.role;
-  failureDomain = std::move(other321.failureDomain);
-  address = std::move(other321.address);
-  sentAtMicros = other321.sentAtMicros;
-  configNumber = other321.configNumber;
-  viewVersion = other321.viewVersion;
-  cells = std::move(other321.cells);
-  leaving = other321.leaving;
-  server = std::move(other321.server);
-  __isset = other321.__isset;
+MemberHeartbeat::MemberHeartbeat(MemberHeartbeat&& other341) noexcept {
+  role = other341.role;
+  failureDomain = std::move(other341.failureDomain);
+  address = std::move(other341.address);
+  sentAtMicros = other341.sentAtMicros;
+  configNumber = other341.configNumber;
+  viewVersion = other341.viewVersion;
+  cells = std::move(other341.cells);
+  leaving = other341.leaving;
+  server = std::move(other341.server);
+  __isset = other341.__isset;
 }
-MemberHeartbeat& MemberHeartbeat::operator=(const MemberHeartbeat& other322) {
-  role = other322.role;
-  failureDomain = other322.failureDomain;
-  address = other322.address;
-  sentAtMicros = other322.sentAtMicros;
-  configNumber = other322.configNumber;
-  viewVersion = other322.viewVersion;
-  cells = other322.cells;
-  leaving = other322.leaving;
-  server = other322.server;
-  __isset = other322.__isset;
+MemberHeartbeat& MemberHeartbeat::operator=(const MemberHeartbeat& other342) {
+  role = other342.role;
+  failureDomain = other342.failureDomain;
+  address = other342.address;
+  sentAtMicros = other342.sentAtMicros;
+  configNumber = other342.configNumber;
+  viewVersion = other342.viewVersion;
+  cells = other342.cells;
+  leaving = other342.leaving;
+  server = other342.server;
+  __isset = other342.__isset;
   return *this;
 }
-MemberHeartbeat& MemberHeartbeat::operator=(MemberHeartbeat&& other323) noexcept {
-  role = other323.role;
-  failureDomain = std::move(other323.failureDomain);
-  address = std::move(other323.address);
-  sentAtMicros = other323.sentAtMicros;
-  configNumber = other323.configNumber;
-  viewVersion = other323.viewVersion;
-  cells = std::move(other323.cells);
-  leaving = other323.leaving;
-  server = std::move(other323.server);
-  __isset = other323.__isset;
+MemberHeartbeat& MemberHeartbeat::operator=(MemberHeartbeat&& other343) noexcept {
+  role = other343.role;
+  failureDomain = std::move(other343.failureDomain);
+  address = std::move(other343.address);
+  sentAtMicros = other343.sentAtMicros;
+  configNumber = other343.configNumber;
+  viewVersion = other343.viewVersion;
+  cells = std::move(other343.cells);
+  leaving = other343.leaving;
+  server = std::move(other343.server);
+  __isset = other343.__isset;
   return *this;
 }
 void MemberHeartbeat::printTo(std::ostream& out) const {
@@ -8536,26 +8888,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlEndpoint::ControlEndpoint(const ControlEndpoint& other324) {
-  name = other324.name;
-  address = other324.address;
-  __isset = other324.__isset;
+ControlEndpoint::ControlEndpoint(const ControlEndpoint& other344) {
+  name = other344.name;
+  address = other344.address;
+  __isset = other344.__isset;
 }
-ControlEndpoint::ControlEndpoint(ControlEndpoint&& other325) noexcept {
-  name = std::move(other325.name);
-  address = std::move(other325.address);
-  __isset = other325.__isset;
+ControlEndpoint::ControlEndpoint(ControlEndpoint&& other345) noexcept {
+  name = std::move(other345.name);
+  address = std::move(other345.address);
+  __isset = other345.__isset;
 }
-ControlEndpoint& ControlEndpoint::operator=(const ControlEndpoint& other326) {
-  name = other326.name;
-  address = other326.address;
-  __isset = other326.__isset;
+ControlEndpoint& ControlEndpoint::operator=(const ControlEndpoint& other346) {
+  name = other346.name;
+  address = other346.address;
+  __isset = other346.__isset;
   return *this;
 }
-ControlEndpoint& ControlEndpoint::operator=(ControlEndpoint&& other327) noexcept {
-  name = std::move(other327.name);
-  address = std::move(other327.address);
-  __isset = other327.__isset;
+ControlEndpoint& ControlEndpoint::operator=(ControlEndpoint&& other347) noexcept {
+  name = std::move(other347.name);
+  address = std::move(other347.address);
+  __isset = other347.__isset;
   return *this;
 }
 void ControlEndpoint::printTo(std::ostream& out) const {
@@ -8666,14 +9018,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->group.clear();
-            uint32_t _size328;
-            ::apache::thrift::protocol::TType _etype331;
-            xfer += iprot->readListBegin(_etype331, _size328);
-            this->group.resize(_size328);
-            uint32_t _i332;
-            for (_i332 = 0; _i332 < _size328; ++_i332)
+            uint32_t _size348;
+            ::apache::thrift::protocol::TType _etype351;
+            xfer += iprot->readListBegin(_etype351, _size348);
+            this->group.resize(_size348);
+            uint32_t _i352;
+            for (_i352 = 0; _i352 < _size348; ++_i352)
             {
-              xfer += this->group[_i332].read(iprot);
+              xfer += this->group[_i352].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8722,10 +9074,10 @@
   xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->group.size()));
-    std::vector<ControlEndpoint> ::const_iterator _iter333;
-    for (_iter333 = this->group.begin(); _iter333 != this->group.end(); ++_iter333)
+    std::vector<ControlEndpoint> ::const_iterator _iter353;
+    for (_iter353 = this->group.begin(); _iter353 != this->group.end(); ++_iter353)
     {
-      xfer += (*_iter333).write(oprot);
+      xfer += (*_iter353).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8747,42 +9099,42 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other334) {
-  sentAtMicros = other334.sentAtMicros;
-  accepted = other334.accepted;
-  leader = other334.leader;
-  viewVersion = other334.viewVersion;
-  term = other334.term;
-  group = other334.group;
-  __isset = other334.__isset;
-}
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other335) noexcept {
-  sentAtMicros = other335.sentAtMicros;
-  accepted = other335.accepted;
-  leader = std::move(other335.leader);
-  viewVersion = other335.viewVersion;
-  term = other335.term;
-  group = std::move(other335.group);
-  __isset = other335.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other336) {
-  sentAtMicros = other336.sentAtMicros;
-  accepted = other336.accepted;
-  leader = other336.leader;
-  viewVersion = other336.viewVersion;
-  term = other336.term;
-  group = other336.group;
-  __isset = other336.__isset;
-  return *this;
-}
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other337) noexcept {
-  sentAtMicros = other337.sentAtMicros;
-  accepted = other337.accepted;
-  leader = std::move(other337.leader);
-  viewVersion = other337.viewVersion;
-  term = other337.term;
-  group = std::move(other337.group);
-  __isset = other337.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other354) {
+  sentAtMicros = other354.sentAtMicros;
+  accepted = other354.accepted;
+  leader = other354.leader;
+  viewVersion = other354.viewVersion;
+  term = other354.term;
+  group = other354.group;
+  __isset = other354.__isset;
+}
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other355) noexcept {
+  sentAtMicros = other355.sentAtMicros;
+  accepted = other355.accepted;
+  leader = std::move(other355.leader);
+  viewVersion = other355.viewVersion;
+  term = other355.term;
+  group = std::move(other355.group);
+  __isset = other355.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other356) {
+  sentAtMicros = other356.sentAtMicros;
+  accepted = other356.accepted;
+  leader = other356.leader;
+  viewVersion = other356.viewVersion;
+  term = other356.term;
+  group = other356.group;
+  __isset = other356.__isset;
+  return *this;
+}
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other357) noexcept {
+  sentAtMicros = other357.sentAtMicros;
+  accepted = other357.accepted;
+  leader = std::move(other357.leader);
+  viewVersion = other357.viewVersion;
+  term = other357.term;
+  group = std::move(other357.group);
+  __isset = other357.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -8907,30 +9259,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRef::MemberRef(const MemberRef& other338) {
-  id = other338.id;
-  address = other338.address;
-  failureDomain = other338.failureDomain;
-  __isset = other338.__isset;
+MemberRef::MemberRef(const MemberRef& other358) {
+  id = other358.id;
+  address = other358.address;
+  failureDomain = other358.failureDomain;
+  __isset = other358.__isset;
 }
-MemberRef::MemberRef(MemberRef&& other339) noexcept {
-  id = std::move(other339.id);
-  address = std::move(other339.address);
-  failureDomain = std::move(other339.failureDomain);
-  __isset = other339.__isset;
+MemberRef::MemberRef(MemberRef&& other359) noexcept {
+  id = std::move(other359.id);
+  address = std::move(other359.address);
+  failureDomain = std::move(other359.failureDomain);
+  __isset = other359.__isset;
 }
-MemberRef& MemberRef::operator=(const MemberRef& other340) {
-  id = other340.id;
-  address = other340.address;
-  failureDomain = other340.failureDomain;
-  __isset = other340.__isset;
+MemberRef& MemberRef::operator=(const MemberRef& other360) {
+  id = other360.id;
+  address = other360.address;
+  failureDomain = other360.failureDomain;
+  __isset = other360.__isset;
   return *this;
 }
-MemberRef& MemberRef::operator=(MemberRef&& other341) noexcept {
-  id = std::move(other341.id);
-  address = std::move(other341.address);
-  failureDomain = std::move(other341.failureDomain);
-  __isset = other341.__isset;
+MemberRef& MemberRef::operator=(MemberRef&& other361) noexcept {
+  id = std::move(other361.id);
+  address = std::move(other361.address);
+  failureDomain = std::move(other361.failureDomain);
+  __isset = other361.__isset;
   return *this;
 }
 void MemberRef::printTo(std::ostream& out) const {
@@ -9039,14 +9391,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size342;
-            ::apache::thrift::protocol::TType _etype345;
-            xfer += iprot->readListBegin(_etype345, _size342);
-            this->holders.resize(_size342);
-            uint32_t _i346;
-            for (_i346 = 0; _i346 < _size342; ++_i346)
+            uint32_t _size362;
+            ::apache::thrift::protocol::TType _etype365;
+            xfer += iprot->readListBegin(_etype365, _size362);
+            this->holders.resize(_size362);
+            uint32_t _i366;
+            for (_i366 = 0; _i366 < _size362; ++_i366)
             {
-              xfer += this->holders[_i346].read(iprot);
+              xfer += this->holders[_i366].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9059,14 +9411,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->agents.clear();
-            uint32_t _size347;
-            ::apache::thrift::protocol::TType _etype350;
-            xfer += iprot->readListBegin(_etype350, _size347);
-            this->agents.resize(_size347);
-            uint32_t _i351;
-            for (_i351 = 0; _i351 < _size347; ++_i351)
+            uint32_t _size367;
+            ::apache::thrift::protocol::TType _etype370;
+            xfer += iprot->readListBegin(_etype370, _size367);
+            this->agents.resize(_size367);
+            uint32_t _i371;
+            for (_i371 = 0; _i371 < _size367; ++_i371)
             {
-              xfer += this->agents[_i351].read(iprot);
+              xfer += this->agents[_i371].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9120,10 +9472,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<MemberRef> ::const_iterator _iter352;
-    for (_iter352 = this->holders.begin(); _iter352 != this->holders.end(); ++_iter352)
+    std::vector<MemberRef> ::const_iterator _iter372;
+    for (_iter372 = this->holders.begin(); _iter372 != this->holders.end(); ++_iter372)
     {
-      xfer += (*_iter352).write(oprot);
+      xfer += (*_iter372).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9132,10 +9484,10 @@
   xfer += oprot->writeFieldBegin("agents", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->agents.size()));
-    std::vector<MemberRef> ::const_iterator _iter353;
-    for (_iter353 = this->agents.begin(); _iter353 != this->agents.end(); ++_iter353)
+    std::vector<MemberRef> ::const_iterator _iter373;
+    for (_iter373 = this->agents.begin(); _iter373 != this->agents.end(); ++_iter373)
     {
-      xfer += (*_iter353).write(oprot);
+      xfer += (*_iter373).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9162,46 +9514,46 @@
   swap(a.__isset, b.__isset);
 }
 
-CellView::CellView(const CellView& other354) {
-  cell = other354.cell;
-  serviceName = other354.serviceName;
-  epoch = other354.epoch;
-  owner = other354.owner;
-  holders = other354.holders;
-  agents = other354.agents;
-  floorMs = other354.floorMs;
-  __isset = other354.__isset;
+CellView::CellView(const CellView& other374) {
+  cell = other374.cell;
+  serviceName = other374.serviceName;
+  epoch = other374.epoch;
+  owner = other374.owner;
+  holders = other374.holders;
+  agents = other374.agents;
+  floorMs = other374.floorMs;
+  __isset = other374.__isset;
 }
-CellView::CellView(CellView&& other355) noexcept {
-  cell = other355.cell;
-  serviceName = std::move(other355.serviceName);
-  epoch = other355.epoch;
-  owner = std::move(other355.owner);
-  holders = std::move(other355.holders);
-  agents = std::move(other355.agents);
-  floorMs = other355.floorMs;
-  __isset = other355.__isset;
+CellView::CellView(CellView&& other375) noexcept {
+  cell = other375.cell;
+  serviceName = std::move(other375.serviceName);
+  epoch = other375.epoch;
+  owner = std::move(other375.owner);
+  holders = std::move(other375.holders);
+  agents = std::move(other375.agents);
+  floorMs = other375.floorMs;
+  __isset = other375.__isset;
 }
-CellView& CellView::operator=(const CellView& other356) {
-  cell = other356.cell;
-  serviceName = other356.serviceName;
-  epoch = other356.epoch;
-  owner = other356.owner;
-  holders = other356.holders;
-  agents = other356.agents;
-  floorMs = other356.floorMs;
-  __isset = other356.__isset;
+CellView& CellView::operator=(const CellView& other376) {
+  cell = other376.cell;
+  serviceName = other376.serviceName;
+  epoch = other376.epoch;
+  owner = other376.owner;
+  holders = other376.holders;
+  agents = other376.agents;
+  floorMs = other376.floorMs;
+  __isset = other376.__isset;
   return *this;
 }
-CellView& CellView::operator=(CellView&& other357) noexcept {
-  cell = other357.cell;
-  serviceName = std::move(other357.serviceName);
-  epoch = other357.epoch;
-  owner = std::move(other357.owner);
-  holders = std::move(other357.holders);
-  agents = std::move(other357.agents);
-  floorMs = other357.floorMs;
-  __isset = other357.__isset;
+CellView& CellView::operator=(CellView&& other377) noexcept {
+  cell = other377.cell;
+  serviceName = std::move(other377.serviceName);
+  epoch = other377.epoch;
+  owner = std::move(other377.owner);
+  holders = std::move(other377.holders);
+  agents = std::move(other377.agents);
+  floorMs = other377.floorMs;
+  __isset = other377.__isset;
   return *this;
 }
 void CellView::printTo(std::ostream& out) const {
@@ -9378,42 +9730,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigFile::ConfigFile(const ConfigFile& other358) {
-  number = other358.number;
-  digest = other358.digest;
-  text = other358.text;
-  author = other358.author;
-  acceptedAtMs = other358.acceptedAtMs;
-  ignoreIfNotHigher = other358.ignoreIfNotHigher;
-  __isset = other358.__isset;
+ConfigFile::ConfigFile(const ConfigFile& other378) {
+  number = other378.number;
+  digest = other378.digest;
+  text = other378.text;
+  author = other378.author;
+  acceptedAtMs = other378.acceptedAtMs;
+  ignoreIfNotHigher = other378.ignoreIfNotHigher;
+  __isset = other378.__isset;
 }
-ConfigFile::ConfigFile(ConfigFile&& other359) noexcept {
-  number = other359.number;
-  digest = std::move(other359.digest);
-  text = std::move(other359.text);
-  author = std::move(other359.author);
-  acceptedAtMs = other359.acceptedAtMs;
-  ignoreIfNotHigher = other359.ignoreIfNotHigher;
-  __isset = other359.__isset;
+ConfigFile::ConfigFile(ConfigFile&& other379) noexcept {
+  number = other379.number;
+  digest = std::move(other379.digest);
+  text = std::move(other379.text);
+  author = std::move(other379.author);
+  acceptedAtMs = other379.acceptedAtMs;
+  ignoreIfNotHigher = other379.ignoreIfNotHigher;
+  __isset = other379.__isset;
 }
-ConfigFile& ConfigFile::operator=(const ConfigFile& other360) {
-  number = other360.number;
-  digest = other360.digest;
-  text = other360.text;
-  author = other360.author;
-  acceptedAtMs = other360.acceptedAtMs;
-  ignoreIfNotHigher = other360.ignoreIfNotHigher;
-  __isset = other360.__isset;
+ConfigFile& ConfigFile::operator=(const ConfigFile& other380) {
+  number = other380.number;
+  digest = other380.digest;
+  text = other380.text;
+  author = other380.author;
+  acceptedAtMs = other380.acceptedAtMs;
+  ignoreIfNotHigher = other380.ignoreIfNotHigher;
+  __isset = other380.__isset;
   return *this;
 }
-ConfigFile& ConfigFile::operator=(ConfigFile&& other361) noexcept {
-  number = other361.number;
-  digest = std::move(other361.digest);
-  text = std::move(other361.text);
-  author = std::move(other361.author);
-  acceptedAtMs = other361.acceptedAtMs;
-  ignoreIfNotHigher = other361.ignoreIfNotHigher;
-  __isset = other361.__isset;
+ConfigFile& ConfigFile::operator=(ConfigFile&& other381) noexcept {
+  number = other381.number;
+  digest = std::move(other381.digest);
+  text = std::move(other381.text);
+  author = std::move(other381.author);
+  acceptedAtMs = other381.acceptedAtMs;
+  ignoreIfNotHigher = other381.ignoreIfNotHigher;
+  __isset = other381.__isset;
   return *this;
 }
 void ConfigFile::printTo(std::ostream& out) const {
@@ -9500,14 +9852,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size362;
-            ::apache::thrift::protocol::TType _etype365;
-            xfer += iprot->readListBegin(_etype365, _size362);
-            this->cells.resize(_size362);
-            uint32_t _i366;
-            for (_i366 = 0; _i366 < _size362; ++_i366)
+            uint32_t _size382;
+            ::apache::thrift::protocol::TType _etype385;
+            xfer += iprot->readListBegin(_etype385, _size382);
+            this->cells.resize(_size382);
+            uint32_t _i386;
+            for (_i386 = 0; _i386 < _size382; ++_i386)
             {
-              xfer += this->cells[_i366].read(iprot);
+              xfer += this->cells[_i386].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9528,14 +9880,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size367;
-            ::apache::thrift::protocol::TType _etype370;
-            xfer += iprot->readListBegin(_etype370, _size367);
-            this->entries.resize(_size367);
-            uint32_t _i371;
-            for (_i371 = 0; _i371 < _size367; ++_i371)
+            uint32_t _size387;
+            ::apache::thrift::protocol::TType _etype390;
+            xfer += iprot->readListBegin(_etype390, _size387);
+            this->entries.resize(_size387);
+            uint32_t _i391;
+            for (_i391 = 0; _i391 < _size387; ++_i391)
             {
-              xfer += this->entries[_i371].read(iprot);
+              xfer += this->entries[_i391].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9572,10 +9924,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellView> ::const_iterator _iter372;
-    for (_iter372 = this->cells.begin(); _iter372 != this->cells.end(); ++_iter372)
+    std::vector<CellView> ::const_iterator _iter392;
+    for (_iter392 = this->cells.begin(); _iter392 != this->cells.end(); ++_iter392)
     {
-      xfer += (*_iter372).write(oprot);
+      xfer += (*_iter392).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9588,10 +9940,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<MemberRef> ::const_iterator _iter373;
-    for (_iter373 = this->entries.begin(); _iter373 != this->entries.end(); ++_iter373)
+    std::vector<MemberRef> ::const_iterator _iter393;
+    for (_iter393 = this->entries.begin(); _iter393 != this->entries.end(); ++_iter393)
     {
-      xfer += (*_iter373).write(oprot);
+      xfer += (*_iter393).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9612,38 +9964,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ClusterView::ClusterView(const ClusterView& other374) {
-  version = other374.version;
-  config = other374.config;
-  cells = other374.cells;
-  term = other374.term;
-  entries = other374.entries;
-  __isset = other374.__isset;
+ClusterView::ClusterView(const ClusterView& other394) {
+  version = other394.version;
+  config = other394.config;
+  cells = other394.cells;
+  term = other394.term;
+  entries = other394.entries;
+  __isset = other394.__isset;
 }
-ClusterView::ClusterView(ClusterView&& other375) noexcept {
-  version = other375.version;
-  config = std::move(other375.config);
-  cells = std::move(other375.cells);
-  term = other375.term;
-  entries = std::move(other375.entries);
-  __isset = other375.__isset;
+ClusterView::ClusterView(ClusterView&& other395) noexcept {
+  version = other395.version;
+  config = std::move(other395.config);
+  cells = std::move(other395.cells);
+  term = other395.term;
+  entries = std::move(other395.entries);
+  __isset = other395.__isset;
 }
-ClusterView& ClusterView::operator=(const ClusterView& other376) {
-  version = other376.version;
-  config = other376.config;
-  cells = other376.cells;
-  term = other376.term;
-  entries = other376.entries;
-  __isset = other376.__isset;
+ClusterView& ClusterView::operator=(const ClusterView& other396) {
+  version = other396.version;
+  config = other396.config;
+  cells = other396.cells;
+  term = other396.term;
+  entries = other396.entries;
+  __isset = other396.__isset;
   return *this;
 }
-ClusterView& ClusterView::operator=(ClusterView&& other377) noexcept {
-  version = other377.version;
-  config = std::move(other377.config);
-  cells = std::move(other377.cells);
-  term = other377.term;
-  entries = std::move(other377.entries);
-  __isset = other377.__isset;
+ClusterView& ClusterView::operator=(ClusterView&& other397) noexcept {
+  version = other397.version;
+  config = std::move(other397.config);
+  cells = std::move(other397.cells);
+  term = other397.term;
+  entries = std::move(other397.entries);
+  __isset = other397.__isset;
   return *this;
 }
 void ClusterView::printTo(std::ostream& out) const {
@@ -9801,38 +10153,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ApplyConfig::ApplyConfig(const ApplyConfig& other378) {
-  requestId = other378.requestId;
-  text = other378.text;
-  author = other378.author;
-  dryRun = other378.dryRun;
-  ignoreIfNotHigher = other378.ignoreIfNotHigher;
-  __isset = other378.__isset;
+ApplyConfig::ApplyConfig(const ApplyConfig& other398) {
+  requestId = other398.requestId;
+  text = other398.text;
+  author = other398.author;
+  dryRun = other398.dryRun;
+  ignoreIfNotHigher = other398.ignoreIfNotHigher;
+  __isset = other398.__isset;
 }
-ApplyConfig::ApplyConfig(ApplyConfig&& other379) noexcept {
-  requestId = other379.requestId;
-  text = std::move(other379.text);
-  author = std::move(other379.author);
-  dryRun = other379.dryRun;
-  ignoreIfNotHigher = other379.ignoreIfNotHigher;
-  __isset = other379.__isset;
+ApplyConfig::ApplyConfig(ApplyConfig&& other399) noexcept {
+  requestId = other399.requestId;
+  text = std::move(other399.text);
+  author = std::move(other399.author);
+  dryRun = other399.dryRun;
+  ignoreIfNotHigher = other399.ignoreIfNotHigher;
+  __isset = other399.__isset;
 }
-ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other380) {
-  requestId = other380.requestId;
-  text = other380.text;
-  author = other380.author;
-  dryRun = other380.dryRun;
-  ignoreIfNotHigher = other380.ignoreIfNotHigher;
-  __isset = other380.__isset;
+ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other400) {
+  requestId = other400.requestId;
+  text = other400.text;
+  author = other400.author;
+  dryRun = other400.dryRun;
+  ignoreIfNotHigher = other400.ignoreIfNotHigher;
+  __isset = other400.__isset;
   return *this;
 }
-ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other381) noexcept {
-  requestId = other381.requestId;
-  text = std::move(other381.text);
-  author = std::move(other381.author);
-  dryRun = other381.dryRun;
-  ignoreIfNotHigher = other381.ignoreIfNotHigher;
-  __isset = other381.__isset;
+ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other401) noexcept {
+  requestId = other401.requestId;
+  text = std::move(other401.text);
+  author = std::move(other401.author);
+  dryRun = other401.dryRun;
+  ignoreIfNotHigher = other401.ignoreIfNotHigher;
+  __isset = other401.__isset;
   return *this;
 }
 void ApplyConfig::printTo(std::ostream& out) const {
@@ -9946,14 +10298,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lagging.clear();
-            uint32_t _size382;
-            ::apache::thrift::protocol::TType _etype385;
-            xfer += iprot->readListBegin(_etype385, _size382);
-            this->lagging.resize(_size382);
-            uint32_t _i386;
-            for (_i386 = 0; _i386 < _size382; ++_i386)
+            uint32_t _size402;
+            ::apache::thrift::protocol::TType _etype405;
+            xfer += iprot->readListBegin(_etype405, _size402);
+            this->lagging.resize(_size402);
+            uint32_t _i406;
+            for (_i406 = 0; _i406 < _size402; ++_i406)
             {
-              xfer += iprot->readString(this->lagging[_i386]);
+              xfer += iprot->readString(this->lagging[_i406]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10002,10 +10354,10 @@
   xfer += oprot->writeFieldBegin("lagging", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lagging.size()));
-    std::vector<std::string> ::const_iterator _iter387;
-    for (_iter387 = this->lagging.begin(); _iter387 != this->lagging.end(); ++_iter387)
+    std::vector<std::string> ::const_iterator _iter407;
+    for (_iter407 = this->lagging.begin(); _iter407 != this->lagging.end(); ++_iter407)
     {
-      xfer += oprot->writeString((*_iter387));
+      xfer += oprot->writeString((*_iter407));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10027,42 +10379,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ApplyReply::ApplyReply(const ApplyReply& other388) {
-  requestId = other388.requestId;
-  accepted = other388.accepted;
-  code = other388.code;
-  message = other388.message;
-  inForce = other388.inForce;
-  lagging = other388.lagging;
-  __isset = other388.__isset;
-}
-ApplyReply::ApplyReply(ApplyReply&& other389) noexcept {
-  requestId = other389.requestId;
-  accepted = other389.accepted;
-  code = std::move(other389.code);
-  message = std::move(other389.message);
-  inForce = std::move(other389.inForce);
-  lagging = std::move(other389.lagging);
-  __isset = other389.__isset;
-}
-ApplyReply& ApplyReply::operator=(const ApplyReply& other390) {
-  requestId = other390.requestId;
-  accepted = other390.accepted;
-  code = other390.code;
-  message = other390.message;
-  inForce = other390.inForce;
-  lagging = other390.lagging;
-  __isset = other390.__isset;
-  return *this;
-}
-ApplyReply& ApplyReply::operator=(ApplyReply&& other391) noexcept {
-  requestId = other391.requestId;
-  accepted = other391.accepted;
-  code = std::move(other391.code);
-  message = std::move(other391.message);
-  inForce = std::move(other391.inForce);
-  lagging = std::move(other391.lagging);
-  __isset = other391.__isset;
+ApplyReply::ApplyReply(const ApplyReply& other408) {
+  requestId = other408.requestId;
+  accepted = other408.accepted;
+  code = other408.code;
+  message = other408.message;
+  inForce = other408.inForce;
+  lagging = other408.lagging;
+  __isset = other408.__isset;
+}
+ApplyReply::ApplyReply(ApplyReply&& other409) noexcept {
+  requestId = other409.requestId;
+  accepted = other409.accepted;
+  code = std::move(other409.code);
+  message = std::move(other409.message);
+  inForce = std::move(other409.inForce);
+  lagging = std::move(other409.lagging);
+  __isset = other409.__isset;
+}
+ApplyReply& ApplyReply::operator=(const ApplyReply& other410) {
+  requestId = other410.requestId;
+  accepted = other410.accepted;
+  code = other410.code;
+  message = other410.message;
+  inForce = other410.inForce;
+  lagging = other410.lagging;
+  __isset = other410.__isset;
+  return *this;
+}
+ApplyReply& ApplyReply::operator=(ApplyReply&& other411) noexcept {
+  requestId = other411.requestId;
+  accepted = other411.accepted;
+  code = std::move(other411.code);
+  message = std::move(other411.message);
+  inForce = std::move(other411.inForce);
+  lagging = std::move(other411.lagging);
+  __isset = other411.__isset;
   return *this;
 }
 void ApplyReply::printTo(std::ostream& out) const {
@@ -10187,30 +10539,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlQuery::ControlQuery(const ControlQuery& other392) {
-  requestId = other392.requestId;
-  kind = other392.kind;
-  argument = other392.argument;
-  __isset = other392.__isset;
+ControlQuery::ControlQuery(const ControlQuery& other412) {
+  requestId = other412.requestId;
+  kind = other412.kind;
+  argument = other412.argument;
+  __isset = other412.__isset;
 }
-ControlQuery::ControlQuery(ControlQuery&& other393) noexcept {
-  requestId = other393.requestId;
-  kind = std::move(other393.kind);
-  argument = std::move(other393.argument);
-  __isset = other393.__isset;
+ControlQuery::ControlQuery(ControlQuery&& other413) noexcept {
+  requestId = other413.requestId;
+  kind = std::move(other413.kind);
+  argument = std::move(other413.argument);
+  __isset = other413.__isset;
 }
-ControlQuery& ControlQuery::operator=(const ControlQuery& other394) {
-  requestId = other394.requestId;
-  kind = other394.kind;
-  argument = other394.argument;
-  __isset = other394.__isset;
+ControlQuery& ControlQuery::operator=(const ControlQuery& other414) {
+  requestId = other414.requestId;
+  kind = other414.kind;
+  argument = other414.argument;
+  __isset = other414.__isset;
   return *this;
 }
-ControlQuery& ControlQuery::operator=(ControlQuery&& other395) noexcept {
-  requestId = other395.requestId;
-  kind = std::move(other395.kind);
-  argument = std::move(other395.argument);
-  __isset = other395.__isset;
+ControlQuery& ControlQuery::operator=(ControlQuery&& other415) noexcept {
+  requestId = other415.requestId;
+  kind = std::move(other415.kind);
+  argument = std::move(other415.argument);
+  __isset = other415.__isset;
   return *this;
 }
 void ControlQuery::printTo(std::ostream& out) const {
@@ -10332,30 +10684,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlAnswer::ControlAnswer(const ControlAnswer& other396) {
-  requestId = other396.requestId;
-  ok = other396.ok;
-  json = other396.json;
-  __isset = other396.__isset;
+ControlAnswer::ControlAnswer(const ControlAnswer& other416) {
+  requestId = other416.requestId;
+  ok = other416.ok;
+  json = other416.json;
+  __isset = other416.__isset;
 }
-ControlAnswer::ControlAnswer(ControlAnswer&& other397) noexcept {
-  requestId = other397.requestId;
-  ok = other397.ok;
-  json = std::move(other397.json);
-  __isset = other397.__isset;
-}
-ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other398) {
-  requestId = other398.requestId;
-  ok = other398.ok;
-  json = other398.json;
-  __isset = other398.__isset;
+ControlAnswer::ControlAnswer(ControlAnswer&& other417) noexcept {
+  requestId = other417.requestId;
+  ok = other417.ok;
+  json = std::move(other417.json);
+  __isset = other417.__isset;
+}
+ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other418) {
+  requestId = other418.requestId;
+  ok = other418.ok;
+  json = other418.json;
+  __isset = other418.__isset;
   return *this;
 }
-ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other399) noexcept {
-  requestId = other399.requestId;
-  ok = other399.ok;
-  json = std::move(other399.json);
-  __isset = other399.__isset;
+ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other419) noexcept {
+  requestId = other419.requestId;
+  ok = other419.ok;
+  json = std::move(other419.json);
+  __isset = other419.__isset;
   return *this;
 }
 void ControlAnswer::printTo(std::ostream& out) const {
@@ -10477,30 +10829,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other400) {
-  index = other400.index;
-  term = other400.term;
-  command = other400.command;
-  __isset = other400.__isset;
+LogEntry::LogEntry(const LogEntry& other420) {
+  index = other420.index;
+  term = other420.term;
+  command = other420.command;
+  __isset = other420.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other401) noexcept {
-  index = other401.index;
-  term = other401.term;
-  command = std::move(other401.command);
-  __isset = other401.__isset;
+LogEntry::LogEntry(LogEntry&& other421) noexcept {
+  index = other421.index;
+  term = other421.term;
+  command = std::move(other421.command);
+  __isset = other421.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other402) {
-  index = other402.index;
-  term = other402.term;
-  command = other402.command;
-  __isset = other402.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other422) {
+  index = other422.index;
+  term = other422.term;
+  command = other422.command;
+  __isset = other422.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other403) noexcept {
-  index = other403.index;
-  term = other403.term;
-  command = std::move(other403.command);
-  __isset = other403.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other423) noexcept {
+  index = other423.index;
+  term = other423.term;
+  command = std::move(other423.command);
+  __isset = other423.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -10690,46 +11042,46 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestVote::RequestVote(const RequestVote& other404) {
-  term = other404.term;
-  lastIndex = other404.lastIndex;
-  lastTerm = other404.lastTerm;
-  preVote = other404.preVote;
-  member = other404.member;
-  group = other404.group;
-  transfer = other404.transfer;
-  __isset = other404.__isset;
-}
-RequestVote::RequestVote(RequestVote&& other405) noexcept {
-  term = other405.term;
-  lastIndex = other405.lastIndex;
-  lastTerm = other405.lastTerm;
-  preVote = other405.preVote;
-  member = std::move(other405.member);
-  group = std::move(other405.group);
-  transfer = other405.transfer;
-  __isset = other405.__isset;
-}
-RequestVote& RequestVote::operator=(const RequestVote& other406) {
-  term = other406.term;
-  lastIndex = other406.lastIndex;
-  lastTerm = other406.lastTerm;
-  preVote = other406.preVote;
-  member = other406.member;
-  group = other406.group;
-  transfer = other406.transfer;
-  __isset = other406.__isset;
-  return *this;
-}
-RequestVote& RequestVote::operator=(RequestVote&& other407) noexcept {
-  term = other407.term;
-  lastIndex = other407.lastIndex;
-  lastTerm = other407.lastTerm;
-  preVote = other407.preVote;
-  member = std::move(other407.member);
-  group = std::move(other407.group);
-  transfer = other407.transfer;
-  __isset = other407.__isset;
+RequestVote::RequestVote(const RequestVote& other424) {
+  term = other424.term;
+  lastIndex = other424.lastIndex;
+  lastTerm = other424.lastTerm;
+  preVote = other424.preVote;
+  member = other424.member;
+  group = other424.group;
+  transfer = other424.transfer;
+  __isset = other424.__isset;
+}
+RequestVote::RequestVote(RequestVote&& other425) noexcept {
+  term = other425.term;
+  lastIndex = other425.lastIndex;
+  lastTerm = other425.lastTerm;
+  preVote = other425.preVote;
+  member = std::move(other425.member);
+  group = std::move(other425.group);
+  transfer = other425.transfer;
+  __isset = other425.__isset;
+}
+RequestVote& RequestVote::operator=(const RequestVote& other426) {
+  term = other426.term;
+  lastIndex = other426.lastIndex;
+  lastTerm = other426.lastTerm;
+  preVote = other426.preVote;
+  member = other426.member;
+  group = other426.group;
+  transfer = other426.transfer;
+  __isset = other426.__isset;
+  return *this;
+}
+RequestVote& RequestVote::operator=(RequestVote&& other427) noexcept {
+  term = other427.term;
+  lastIndex = other427.lastIndex;
+  lastTerm = other427.lastTerm;
+  preVote = other427.preVote;
+  member = std::move(other427.member);
+  group = std::move(other427.group);
+  transfer = other427.transfer;
+  __isset = other427.__isset;
   return *this;
 }
 void RequestVote::printTo(std::ostream& out) const {
@@ -10906,42 +11258,42 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other408) {
-  term = other408.term;
-  granted = other408.granted;
-  preVote = other408.preVote;
-  member = other408.member;
-  group = other408.group;
-  fresh = other408.fresh;
-  __isset = other408.__isset;
-}
-VoteReply::VoteReply(VoteReply&& other409) noexcept {
-  term = other409.term;
-  granted = other409.granted;
-  preVote = other409.preVote;
-  member = std::move(other409.member);
-  group = std::move(other409.group);
-  fresh = other409.fresh;
-  __isset = other409.__isset;
-}
-VoteReply& VoteReply::operator=(const VoteReply& other410) {
-  term = other410.term;
-  granted = other410.granted;
-  preVote = other410.preVote;
-  member = other410.member;
-  group = other410.group;
-  fresh = other410.fresh;
-  __isset = other410.__isset;
+VoteReply::VoteReply(const VoteReply& other428) {
+  term = other428.term;
+  granted = other428.granted;
+  preVote = other428.preVote;
+  member = other428.member;
+  group = other428.group;
+  fresh = other428.fresh;
+  __isset = other428.__isset;
+}
+VoteReply::VoteReply(VoteReply&& other429) noexcept {
+  term = other429.term;
+  granted = other429.granted;
+  preVote = other429.preVote;
+  member = std::move(other429.member);
+  group = std::move(other429.group);
+  fresh = other429.fresh;
+  __isset = other429.__isset;
+}
+VoteReply& VoteReply::operator=(const VoteReply& other430) {
+  term = other430.term;
+  granted = other430.granted;
+  preVote = other430.preVote;
+  member = other430.member;
+  group = other430.group;
+  fresh = other430.fresh;
+  __isset = other430.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other411) noexcept {
-  term = other411.term;
-  granted = other411.granted;
-  preVote = other411.preVote;
-  member = std::move(other411.member);
-  group = std::move(other411.group);
-  fresh = other411.fresh;
-  __isset = other411.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other431) noexcept {
+  term = other431.term;
+  granted = other431.granted;
+  preVote = other431.preVote;
+  member = std::move(other431.member);
+  group = std::move(other431.group);
+  fresh = other431.fresh;
+  __isset = other431.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -11048,14 +11400,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size412;
-            ::apache::thrift::protocol::TType _etype415;
-            xfer += iprot->readListBegin(_etype415, _size412);
-            this->entries.resize(_size412);
-            uint32_t _i416;
-            for (_i416 = 0; _i416 < _size412; ++_i416)
+            uint32_t _size432;
+            ::apache::thrift::protocol::TType _etype435;
+            xfer += iprot->readListBegin(_etype435, _size432);
+            this->entries.resize(_size432);
+            uint32_t _i436;
+            for (_i436 = 0; _i436 < _size432; ++_i436)
             {
-              xfer += this->entries[_i416].read(iprot);
+              xfer += this->entries[_i436].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11128,10 +11480,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter417;
-    for (_iter417 = this->entries.begin(); _iter417 != this->entries.end(); ++_iter417)
+    std::vector<LogEntry> ::const_iterator _iter437;
+    for (_iter437 = this->entries.begin(); _iter437 != this->entries.end(); ++_iter437)
     {
-      xfer += (*_iter417).write(oprot);
+      xfer += (*_iter437).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11171,50 +11523,50 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendEntries::AppendEntries(const AppendEntries& other418) {
-  term = other418.term;
-  prevIndex = other418.prevIndex;
-  prevTerm = other418.prevTerm;
-  entries = other418.entries;
-  commitIndex = other418.commitIndex;
-  round = other418.round;
-  member = other418.member;
-  group = other418.group;
-  __isset = other418.__isset;
+AppendEntries::AppendEntries(const AppendEntries& other438) {
+  term = other438.term;
+  prevIndex = other438.prevIndex;
+  prevTerm = other438.prevTerm;
+  entries = other438.entries;
+  commitIndex = other438.commitIndex;
+  round = other438.round;
+  member = other438.member;
+  group = other438.group;
+  __isset = other438.__isset;
 }
-AppendEntries::AppendEntries(AppendEntries&& other419) noexcept {
-  term = other419.term;
-  prevIndex = other419.prevIndex;
-  prevTerm = other419.prevTerm;
-  entries = std::move(other419.entries);
-  commitIndex = other419.commitIndex;
-  round = other419.round;
-  member = std::move(other419.member);
-  group = std::move(other419.group);
-  __isset = other419.__isset;
+AppendEntries::AppendEntries(AppendEntries&& other439) noexcept {
+  term = other439.term;
+  prevIndex = other439.prevIndex;
+  prevTerm = other439.prevTerm;
+  entries = std::move(other439.entries);
+  commitIndex = other439.commitIndex;
+  round = other439.round;
+  member = std::move(other439.member);
+  group = std::move(other439.group);
+  __isset = other439.__isset;
 }
-AppendEntries& AppendEntries::operator=(const AppendEntries& other420) {
-  term = other420.term;
-  prevIndex = other420.prevIndex;
-  prevTerm = other420.prevTerm;
-  entries = other420.entries;
-  commitIndex = other420.commitIndex;
-  round = other420.round;
-  member = other420.member;
-  group = other420.group;
-  __isset = other420.__isset;
+AppendEntries& AppendEntries::operator=(const AppendEntries& other440) {
+  term = other440.term;
+  prevIndex = other440.prevIndex;
+  prevTerm = other440.prevTerm;
+  entries = other440.entries;
+  commitIndex = other440.commitIndex;
+  round = other440.round;
+  member = other440.member;
+  group = other440.group;
+  __isset = other440.__isset;
   return *this;
 }
-AppendEntries& AppendEntries::operator=(AppendEntries&& other421) noexcept {
-  term = other421.term;
-  prevIndex = other421.prevIndex;
-  prevTerm = other421.prevTerm;
-  entries = std::move(other421.entries);
-  commitIndex = other421.commitIndex;
-  round = other421.round;
-  member = std::move(other421.member);
-  group = std::move(other421.group);
-  __isset = other421.__isset;
+AppendEntries& AppendEntries::operator=(AppendEntries&& other441) noexcept {
+  term = other441.term;
+  prevIndex = other441.prevIndex;
+  prevTerm = other441.prevTerm;
+  entries = std::move(other441.entries);
+  commitIndex = other441.commitIndex;
+  round = other441.round;
+  member = std::move(other441.member);
+  group = std::move(other441.group);
+  __isset = other441.__isset;
   return *this;
 }
 void AppendEntries::printTo(std::ostream& out) const {
@@ -11392,42 +11744,42 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other422) {
-  term = other422.term;
-  ok = other422.ok;
-  matchIndex = other422.matchIndex;
-  round = other422.round;
-  member = other422.member;
-  group = other422.group;
-  __isset = other422.__isset;
+AppendReply::AppendReply(const AppendReply& other442) {
+  term = other442.term;
+  ok = other442.ok;
+  matchIndex = other442.matchIndex;
+  round = other442.round;
+  member = other442.member;
+  group = other442.group;
+  __isset = other442.__isset;
 }
-AppendReply::AppendReply(AppendReply&& other423) noexcept {
-  term = other423.term;
-  ok = other423.ok;
-  matchIndex = other423.matchIndex;
-  round = other423.round;
-  member = std::move(other423.member);
-  group = std::move(other423.group);
-  __isset = other423.__isset;
+AppendReply::AppendReply(AppendReply&& other443) noexcept {
+  term = other443.term;
+  ok = other443.ok;
+  matchIndex = other443.matchIndex;
+  round = other443.round;
+  member = std::move(other443.member);
+  group = std::move(other443.group);
+  __isset = other443.__isset;
 }
-AppendReply& AppendReply::operator=(const AppendReply& other424) {
-  term = other424.term;
-  ok = other424.ok;
-  matchIndex = other424.matchIndex;
-  round = other424.round;
-  member = other424.member;
-  group = other424.group;
-  __isset = other424.__isset;
+AppendReply& AppendReply::operator=(const AppendReply& other444) {
+  term = other444.term;
+  ok = other444.ok;
+  matchIndex = other444.matchIndex;
+  round = other444.round;
+  member = other444.member;
+  group = other444.group;
+  __isset = other444.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other425) noexcept {
-  term = other425.term;
-  ok = other425.ok;
-  matchIndex = other425.matchIndex;
-  round = other425.round;
-  member = std::move(other425.member);
-  group = std::move(other425.group);
-  __isset = other425.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other445) noexcept {
+  term = other445.term;
+  ok = other445.ok;
+  matchIndex = other445.matchIndex;
+  round = other445.round;
+  member = std::move(other445.member);
+  group = std::move(other445.group);
+  __isset = other445.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -11546,14 +11898,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size426;
-            ::apache::thrift::protocol::TType _etype429;
-            xfer += iprot->readListBegin(_etype429, _size426);
-            this->voters.resize(_size426);
-            uint32_t _i430;
-            for (_i430 = 0; _i430 < _size426; ++_i430)
+            uint32_t _size446;
+            ::apache::thrift::protocol::TType _etype449;
+            xfer += iprot->readListBegin(_etype449, _size446);
+            this->voters.resize(_size446);
+            uint32_t _i450;
+            for (_i450 = 0; _i450 < _size446; ++_i450)
             {
-              xfer += iprot->readString(this->voters[_i430]);
+              xfer += iprot->readString(this->voters[_i450]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11566,14 +11918,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size431;
-            ::apache::thrift::protocol::TType _etype434;
-            xfer += iprot->readListBegin(_etype434, _size431);
-            this->learners.resize(_size431);
-            uint32_t _i435;
-            for (_i435 = 0; _i435 < _size431; ++_i435)
+            uint32_t _size451;
+            ::apache::thrift::protocol::TType _etype454;
+            xfer += iprot->readListBegin(_etype454, _size451);
+            this->learners.resize(_size451);
+            uint32_t _i455;
+            for (_i455 = 0; _i455 < _size451; ++_i455)
             {
-              xfer += iprot->readString(this->learners[_i435]);
+              xfer += iprot->readString(this->learners[_i455]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11642,10 +11994,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter436;
-    for (_iter436 = this->voters.begin(); _iter436 != this->voters.end(); ++_iter436)
+    std::vector<std::string> ::const_iterator _iter456;
+    for (_iter456 = this->voters.begin(); _iter456 != this->voters.end(); ++_iter456)
     {
-      xfer += oprot->writeString((*_iter436));
+      xfer += oprot->writeString((*_iter456));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11654,10 +12006,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter437;
-    for (_iter437 = this->learners.begin(); _iter437 != this->learners.end(); ++_iter437)
+    std::vector<std::string> ::const_iterator _iter457;
+    for (_iter457 = this->learners.begin(); _iter457 != this->learners.end(); ++_iter457)
     {
-      xfer += oprot->writeString((*_iter437));
+      xfer += oprot->writeString((*_iter457));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11694,54 +12046,54 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallSnapshot::InstallSnapshot(const InstallSnapshot& other438) {
-  term = other438.term;
-  lastIndex = other438.lastIndex;
-  lastTerm = other438.lastTerm;
-  data = other438.data;
-  voters = other438.voters;
-  learners = other438.learners;
-  member = other438.member;
-  group = other438.group;
-  round = other438.round;
-  __isset = other438.__isset;
+InstallSnapshot::InstallSnapshot(const InstallSnapshot& other458) {
+  term = other458.term;
+  lastIndex = other458.lastIndex;
+  lastTerm = other458.lastTerm;
+  data = other458.data;
+  voters = other458.voters;
+  learners = other458.learners;
+  member = other458.member;
+  group = other458.group;
+  round = other458.round;
+  __isset = other458.__isset;
 }
-InstallSnapshot::InstallSnapshot(InstallSnapshot&& other439) noexcept {
-  term = other439.term;
-  lastIndex = other439.lastIndex;
-  lastTerm = other439.lastTerm;
-  data = std::move(other439.data);
-  voters = std::move(other439.voters);
-  learners = std::move(other439.learners);
-  member = std::move(other439.member);
-  group = std::move(other439.group);
-  round = other439.round;
-  __isset = other439.__isset;
+InstallSnapshot::InstallSnapshot(InstallSnapshot&& other459) noexcept {
+  term = other459.term;
+  lastIndex = other459.lastIndex;
+  lastTerm = other459.lastTerm;
+  data = std::move(other459.data);
+  voters = std::move(other459.voters);
+  learners = std::move(other459.learners);
+  member = std::move(other459.member);
+  group = std::move(other459.group);
+  round = other459.round;
+  __isset = other459.__isset;
 }
-InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other440) {
-  term = other440.term;
-  lastIndex = other440.lastIndex;
-  lastTerm = other440.lastTerm;
-  data = other440.data;
-  voters = other440.voters;
-  learners = other440.learners;
-  member = other440.member;
-  group = other440.group;
-  round = other440.round;
-  __isset = other440.__isset;
+InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other460) {
+  term = other460.term;
+  lastIndex = other460.lastIndex;
+  lastTerm = other460.lastTerm;
+  data = other460.data;
+  voters = other460.voters;
+  learners = other460.learners;
+  member = other460.member;
+  group = other460.group;
+  round = other460.round;
+  __isset = other460.__isset;
   return *this;
 }
-InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other441) noexcept {
-  term = other441.term;
-  lastIndex = other441.lastIndex;
-  lastTerm = other441.lastTerm;
-  data = std::move(other441.data);
-  voters = std::move(other441.voters);
-  learners = std::move(other441.learners);
-  member = std::move(other441.member);
-  group = std::move(other441.group);
-  round = other441.round;
-  __isset = other441.__isset;
+InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other461) noexcept {
+  term = other461.term;
+  lastIndex = other461.lastIndex;
+  lastTerm = other461.lastTerm;
+  data = std::move(other461.data);
+  voters = std::move(other461.voters);
+  learners = std::move(other461.learners);
+  member = std::move(other461.member);
+  group = std::move(other461.group);
+  round = other461.round;
+  __isset = other461.__isset;
   return *this;
 }
 void InstallSnapshot::printTo(std::ostream& out) const {
@@ -11903,38 +12255,38 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallReply::InstallReply(const InstallReply& other442) {
-  term = other442.term;
-  lastIndex = other442.lastIndex;
-  member = other442.member;
-  group = other442.group;
-  round = other442.round;
-  __isset = other442.__isset;
+InstallReply::InstallReply(const InstallReply& other462) {
+  term = other462.term;
+  lastIndex = other462.lastIndex;
+  member = other462.member;
+  group = other462.group;
+  round = other462.round;
+  __isset = other462.__isset;
 }
-InstallReply::InstallReply(InstallReply&& other443) noexcept {
-  term = other443.term;
-  lastIndex = other443.lastIndex;
-  member = std::move(other443.member);
-  group = std::move(other443.group);
-  round = other443.round;
-  __isset = other443.__isset;
+InstallReply::InstallReply(InstallReply&& other463) noexcept {
+  term = other463.term;
+  lastIndex = other463.lastIndex;
+  member = std::move(other463.member);
+  group = std::move(other463.group);
+  round = other463.round;
+  __isset = other463.__isset;
 }
-InstallReply& InstallReply::operator=(const InstallReply& other444) {
-  term = other444.term;
-  lastIndex = other444.lastIndex;
-  member = other444.member;
-  group = other444.group;
-  round = other444.round;
-  __isset = other444.__isset;
+InstallReply& InstallReply::operator=(const InstallReply& other464) {
+  term = other464.term;
+  lastIndex = other464.lastIndex;
+  member = other464.member;
+  group = other464.group;
+  round = other464.round;
+  __isset = other464.__isset;
   return *this;
 }
-InstallReply& InstallReply::operator=(InstallReply&& other445) noexcept {
-  term = other445.term;
-  lastIndex = other445.lastIndex;
-  member = std::move(other445.member);
-  group = std::move(other445.group);
-  round = other445.round;
-  __isset = other445.__isset;
+InstallReply& InstallReply::operator=(InstallReply&& other465) noexcept {
+  term = other465.term;
+  lastIndex = other465.lastIndex;
+  member = std::move(other465.member);
+  group = std::move(other465.group);
+  round = other465.round;
+  __isset = other465.__isset;
   return *this;
 }
 void InstallReply::printTo(std::ostream& out) const {
@@ -12024,22 +12376,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other446) noexcept {
-  term = other446.term;
-  __isset = other446.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other466) noexcept {
+  term = other466.term;
+  __isset = other466.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other447) noexcept {
-  term = other447.term;
-  __isset = other447.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other467) noexcept {
+  term = other467.term;
+  __isset = other467.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other448) noexcept {
-  term = other448.term;
-  __isset = other448.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other468) noexcept {
+  term = other468.term;
+  __isset = other468.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other449) noexcept {
-  term = other449.term;
-  __isset = other449.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other469) noexcept {
+  term = other469.term;
+  __isset = other469.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -12125,22 +12477,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SetConfig::SetConfig(const SetConfig& other450) {
-  file = other450.file;
-  __isset = other450.__isset;
+SetConfig::SetConfig(const SetConfig& other470) {
+  file = other470.file;
+  __isset = other470.__isset;
 }
-SetConfig::SetConfig(SetConfig&& other451) noexcept {
-  file = std::move(other451.file);
-  __isset = other451.__isset;
+SetConfig::SetConfig(SetConfig&& other471) noexcept {
+  file = std::move(other471.file);
+  __isset = other471.__isset;
 }
-SetConfig& SetConfig::operator=(const SetConfig& other452) {
-  file = other452.file;
-  __isset = other452.__isset;
+SetConfig& SetConfig::operator=(const SetConfig& other472) {
+  file = other472.file;
+  __isset = other472.__isset;
   return *this;
 }
-SetConfig& SetConfig::operator=(SetConfig&& other453) noexcept {
-  file = std::move(other453.file);
-  __isset = other453.__isset;
+SetConfig& SetConfig::operator=(SetConfig&& other473) noexcept {
+  file = std::move(other473.file);
+  __isset = other473.__isset;
   return *this;
 }
 void SetConfig::printTo(std::ostream& out) const {
@@ -12221,9 +12573,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast454;
-          xfer += iprot->readI32(ecast454);
-          this->role = static_cast<Role::type>(ecast454);
+          int32_t ecast474;
+          xfer += iprot->readI32(ecast474);
+          this->role = static_cast<Role::type>(ecast474);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -12332,46 +12684,46 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberJoin::MemberJoin(const MemberJoin& other455) {
-  id = other455.id;
-  role = other455.role;
-  address = other455.address;
-  failureDomain = other455.failureDomain;
-  server = other455.server;
-  atMs = other455.atMs;
-  replaces = other455.replaces;
-  __isset = other455.__isset;
-}
-MemberJoin::MemberJoin(MemberJoin&& other456) noexcept {
-  id = std::move(other456.id);
-  role = other456.role;
-  address = std::move(other456.address);
-  failureDomain = std::move(other456.failureDomain);
-  server = std::move(other456.server);
-  atMs = other456.atMs;
-  replaces = other456.replaces;
-  __isset = other456.__isset;
-}
-MemberJoin& MemberJoin::operator=(const MemberJoin& other457) {
-  id = other457.id;
-  role = other457.role;
-  address = other457.address;
-  failureDomain = other457.failureDomain;
-  server = other457.server;
-  atMs = other457.atMs;
-  replaces = other457.replaces;
-  __isset = other457.__isset;
-  return *this;
-}
-MemberJoin& MemberJoin::operator=(MemberJoin&& other458) noexcept {
-  id = std::move(other458.id);
-  role = other458.role;
-  address = std::move(other458.address);
-  failureDomain = std::move(other458.failureDomain);
-  server = std::move(other458.server);
-  atMs = other458.atMs;
-  replaces = other458.replaces;
-  __isset = other458.__isset;
+MemberJoin::MemberJoin(const MemberJoin& other475) {
+  id = other475.id;
+  role = other475.role;
+  address = other475.address;
+  failureDomain = other475.failureDomain;
+  server = other475.server;
+  atMs = other475.atMs;
+  replaces = other475.replaces;
+  __isset = other475.__isset;
+}
+MemberJoin::MemberJoin(MemberJoin&& other476) noexcept {
+  id = std::move(other476.id);
+  role = other476.role;
+  address = std::move(other476.address);
+  failureDomain = std::move(other476.failureDomain);
+  server = std::move(other476.server);
+  atMs = other476.atMs;
+  replaces = other476.replaces;
+  __isset = other476.__isset;
+}
+MemberJoin& MemberJoin::operator=(const MemberJoin& other477) {
+  id = other477.id;
+  role = other477.role;
+  address = other477.address;
+  failureDomain = other477.failureDomain;
+  server = other477.server;
+  atMs = other477.atMs;
+  replaces = other477.replaces;
+  __isset = other477.__isset;
+  return *this;
+}
+MemberJoin& MemberJoin::operator=(MemberJoin&& other478) noexcept {
+  id = std::move(other478.id);
+  role = other478.role;
+  address = std::move(other478.address);
+  failureDomain = std::move(other478.failureDomain);
+  server = std::move(other478.server);
+  atMs = other478.atMs;
+  replaces = other478.replaces;
+  __isset = other478.__isset;
   return *this;
 }
 void MemberJoin::printTo(std::ostream& out) const {
@@ -12497,30 +12849,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberGone::MemberGone(const MemberGone& other459) {
-  id = other459.id;
-  planned = other459.planned;
-  atMs = other459.atMs;
-  __isset = other459.__isset;
+MemberGone::MemberGone(const MemberGone& other479) {
+  id = other479.id;
+  planned = other479.planned;
+  atMs = other479.atMs;
+  __isset = other479.__isset;
 }
-MemberGone::MemberGone(MemberGone&& other460) noexcept {
-  id = std::move(other460.id);
-  planned = other460.planned;
-  atMs = other460.atMs;
-  __isset = other460.__isset;
+MemberGone::MemberGone(MemberGone&& other480) noexcept {
+  id = std::move(other480.id);
+  planned = other480.planned;
+  atMs = other480.atMs;
+  __isset = other480.__isset;
 }
-MemberGone& MemberGone::operator=(const MemberGone& other461) {
-  id = other461.id;
-  planned = other461.planned;
-  atMs = other461.atMs;
-  __isset = other461.__isset;
+MemberGone& MemberGone::operator=(const MemberGone& other481) {
+  id = other481.id;
+  planned = other481.planned;
+  atMs = other481.atMs;
+  __isset = other481.__isset;
   return *this;
 }
-MemberGone& MemberGone::operator=(MemberGone&& other462) noexcept {
-  id = std::move(other462.id);
-  planned = other462.planned;
-  atMs = other462.atMs;
-  __isset = other462.__isset;
+MemberGone& MemberGone::operator=(MemberGone&& other482) noexcept {
+  id = std::move(other482.id);
+  planned = other482.planned;
+  atMs = other482.atMs;
+  __isset = other482.__isset;
   return *this;
 }
 void MemberGone::printTo(std::ostream& out) const {
@@ -12608,22 +12960,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberLeaving::MemberLeaving(const MemberLeaving& other463) {
-  id = other463.id;
-  __isset = other463.__isset;
+MemberLeaving::MemberLeaving(const MemberLeaving& other483) {
+  id = other483.id;
+  __isset = other483.__isset;
 }
-MemberLeaving::MemberLeaving(MemberLeaving&& other464) noexcept {
-  id = std::move(other464.id);
-  __isset = other464.__isset;
+MemberLeaving::MemberLeaving(MemberLeaving&& other484) noexcept {
+  id = std::move(other484.id);
+  __isset = other484.__isset;
 }
-MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other465) {
-  id = other465.id;
-  __isset = other465.__isset;
+MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other485) {
+  id = other485.id;
+  __isset = other485.__isset;
   return *this;
 }
-MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other466) noexcept {
-  id = std::move(other466.id);
-  __isset = other466.__isset;
+MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other486) noexcept {
+  id = std::move(other486.id);
+  __isset = other486.__isset;
   return *this;
 }
 void MemberLeaving::printTo(std::ostream& out) const {
@@ -12760,34 +13112,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderWhole::HolderWhole(const HolderWhole& other467) {
-  cell = other467.cell;
-  epoch = other467.epoch;
-  holder = other467.holder;
-  viewVersion = other467.viewVersion;
-  __isset = other467.__isset;
+HolderWhole::HolderWhole(const HolderWhole& other487) {
+  cell = other487.cell;
+  epoch = other487.epoch;
+  holder = other487.holder;
+  viewVersion = other487.viewVersion;
+  __isset = other487.__isset;
 }
-HolderWhole::HolderWhole(HolderWhole&& other468) noexcept {
-  cell = other468.cell;
-  epoch = other468.epoch;
-  holder = std::move(other468.holder);
-  viewVersion = other468.viewVersion;
-  __isset = other468.__isset;
+HolderWhole::HolderWhole(HolderWhole&& other488) noexcept {
+  cell = other488.cell;
+  epoch = other488.epoch;
+  holder = std::move(other488.holder);
+  viewVersion = other488.viewVersion;
+  __isset = other488.__isset;
 }
-HolderWhole& HolderWhole::operator=(const HolderWhole& other469) {
-  cell = other469.cell;
-  epoch = other469.epoch;
-  holder = other469.holder;
-  viewVersion = other469.viewVersion;
-  __isset = other469.__isset;
+HolderWhole& HolderWhole::operator=(const HolderWhole& other489) {
+  cell = other489.cell;
+  epoch = other489.epoch;
+  holder = other489.holder;
+  viewVersion = other489.viewVersion;
+  __isset = other489.__isset;
   return *this;
 }
-HolderWhole& HolderWhole::operator=(HolderWhole&& other470) noexcept {
-  cell = other470.cell;
-  epoch = other470.epoch;
-  holder = std::move(other470.holder);
-  viewVersion = other470.viewVersion;
-  __isset = other470.__isset;
+HolderWhole& HolderWhole::operator=(HolderWhole&& other490) noexcept {
+  cell = other490.cell;
+  epoch = other490.epoch;
+  holder = std::move(other490.holder);
+  viewVersion = other490.viewVersion;
+  __isset = other490.__isset;
   return *this;
 }
 void HolderWhole::printTo(std::ostream& out) const {
@@ -12927,34 +13279,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HandOver::HandOver(const HandOver& other471) {
-  cell = other471.cell;
-  epoch = other471.epoch;
-  previousOwner = other471.previousOwner;
-  atMs = other471.atMs;
-  __isset = other471.__isset;
+HandOver::HandOver(const HandOver& other491) {
+  cell = other491.cell;
+  epoch = other491.epoch;
+  previousOwner = other491.previousOwner;
+  atMs = other491.atMs;
+  __isset = other491.__isset;
 }
-HandOver::HandOver(HandOver&& other472) noexcept {
-  cell = other472.cell;
-  epoch = other472.epoch;
-  previousOwner = std::move(other472.previousOwner);
-  atMs = other472.atMs;
-  __isset = other472.__isset;
+HandOver::HandOver(HandOver&& other492) noexcept {
+  cell = other492.cell;
+  epoch = other492.epoch;
+  previousOwner = std::move(other492.previousOwner);
+  atMs = other492.atMs;
+  __isset = other492.__isset;
 }
-HandOver& HandOver::operator=(const HandOver& other473) {
-  cell = other473.cell;
-  epoch = other473.epoch;
-  previousOwner = other473.previousOwner;
-  atMs = other473.atMs;
-  __isset = other473.__isset;
+HandOver& HandOver::operator=(const HandOver& other493) {
+  cell = other493.cell;
+  epoch = other493.epoch;
+  previousOwner = other493.previousOwner;
+  atMs = other493.atMs;
+  __isset = other493.__isset;
   return *this;
 }
-HandOver& HandOver::operator=(HandOver&& other474) noexcept {
-  cell = other474.cell;
-  epoch = other474.epoch;
-  previousOwner = std::move(other474.previousOwner);
-  atMs = other474.atMs;
-  __isset = other474.__isset;
+HandOver& HandOver::operator=(HandOver&& other494) noexcept {
+  cell = other494.cell;
+  epoch = other494.epoch;
+  previousOwner = std::move(other494.previousOwner);
+  atMs = other494.atMs;
+  __isset = other494.__isset;
   return *this;
 }
 void HandOver::printTo(std::ostream& out) const {
@@ -13011,14 +13363,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size475;
-            ::apache::thrift::protocol::TType _etype478;
-            xfer += iprot->readListBegin(_etype478, _size475);
-            this->voters.resize(_size475);
-            uint32_t _i479;
-            for (_i479 = 0; _i479 < _size475; ++_i479)
+            uint32_t _size495;
+            ::apache::thrift::protocol::TType _etype498;
+            xfer += iprot->readListBegin(_etype498, _size495);
+            this->voters.resize(_size495);
+            uint32_t _i499;
+            for (_i499 = 0; _i499 < _size495; ++_i499)
             {
-              xfer += iprot->readString(this->voters[_i479]);
+              xfer += iprot->readString(this->voters[_i499]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13031,14 +13383,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size480;
-            ::apache::thrift::protocol::TType _etype483;
-            xfer += iprot->readListBegin(_etype483, _size480);
-            this->learners.resize(_size480);
-            uint32_t _i484;
-            for (_i484 = 0; _i484 < _size480; ++_i484)
+            uint32_t _size500;
+            ::apache::thrift::protocol::TType _etype503;
+            xfer += iprot->readListBegin(_etype503, _size500);
+            this->learners.resize(_size500);
+            uint32_t _i504;
+            for (_i504 = 0; _i504 < _size500; ++_i504)
             {
-              xfer += iprot->readString(this->learners[_i484]);
+              xfer += iprot->readString(this->learners[_i504]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13067,10 +13419,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter485;
-    for (_iter485 = this->voters.begin(); _iter485 != this->voters.end(); ++_iter485)
+    std::vector<std::string> ::const_iterator _iter505;
+    for (_iter505 = this->voters.begin(); _iter505 != this->voters.end(); ++_iter505)
     {
-      xfer += oprot->writeString((*_iter485));
+      xfer += oprot->writeString((*_iter505));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13079,10 +13431,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter486;
-    for (_iter486 = this->learners.begin(); _iter486 != this->learners.end(); ++_iter486)
+    std::vector<std::string> ::const_iterator _iter506;
+    for (_iter506 = this->learners.begin(); _iter506 != this->learners.end(); ++_iter506)
     {
-      xfer += oprot->writeString((*_iter486));
+      xfer += oprot->writeString((*_iter506));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13100,26 +13452,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SetVoters::SetVoters(const SetVoters& other487) {
-  voters = other487.voters;
-  learners = other487.learners;
-  __isset = other487.__isset;
+SetVoters::SetVoters(const SetVoters& other507) {
+  voters = other507.voters;
+  learners = other507.learners;
+  __isset = other507.__isset;
 }
-SetVoters::SetVoters(SetVoters&& other488) noexcept {
-  voters = std::move(other488.voters);
-  learners = std::move(other488.learners);
-  __isset = other488.__isset;
+SetVoters::SetVoters(SetVoters&& other508) noexcept {
+  voters = std::move(other508.voters);
+  learners = std::move(other508.learners);
+  __isset = other508.__isset;
 }
-SetVoters& SetVoters::operator=(const SetVoters& other489) {
-  voters = other489.voters;
-  learners = other489.learners;
-  __isset = other489.__isset;
+SetVoters& SetVoters::operator=(const SetVoters& other509) {
+  voters = other509.voters;
+  learners = other509.learners;
+  __isset = other509.__isset;
   return *this;
 }
-SetVoters& SetVoters::operator=(SetVoters&& other490) noexcept {
-  voters = std::move(other490.voters);
-  learners = std::move(other490.learners);
-  __isset = other490.__isset;
+SetVoters& SetVoters::operator=(SetVoters&& other510) noexcept {
+  voters = std::move(other510.voters);
+  learners = std::move(other510.learners);
+  __isset = other510.__isset;
   return *this;
 }
 void SetVoters::printTo(std::ostream& out) const {
@@ -13341,50 +13693,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other491) {
-  setConfig = other491.setConfig;
-  memberJoin = other491.memberJoin;
-  memberGone = other491.memberGone;
-  memberLeaving = other491.memberLeaving;
-  holderWhole = other491.holderWhole;
-  handOver = other491.handOver;
-  setVoters = other491.setVoters;
-  noop = other491.noop;
-  __isset = other491.__isset;
-}
-Command::Command(Command&& other492) noexcept {
-  setConfig = std::move(other492.setConfig);
-  memberJoin = std::move(other492.memberJoin);
-  memberGone = std::move(other492.memberGone);
-  memberLeaving = std::move(other492.memberLeaving);
-  holderWhole = std::move(other492.holderWhole);
-  handOver = std::move(other492.handOver);
-  setVoters = std::move(other492.setVoters);
-  noop = other492.noop;
-  __isset = other492.__isset;
-}
-Command& Command::operator=(const Command& other493) {
-  setConfig = other493.setConfig;
-  memberJoin = other493.memberJoin;
-  memberGone = other493.memberGone;
-  memberLeaving = other493.memberLeaving;
-  holderWhole = other493.holderWhole;
-  handOver = other493.handOver;
-  setVoters = other493.setVoters;
-  noop = other493.noop;
-  __isset = other493.__isset;
+Command::Command(const Command& other511) {
+  setConfig = other511.setConfig;
+  memberJoin = other511.memberJoin;
+  memberGone = other511.memberGone;
+  memberLeaving = other511.memberLeaving;
+  holderWhole = other511.holderWhole;
+  handOver = other511.handOver;
+  setVoters = other511.setVoters;
+  noop = other511.noop;
+  __isset = other511.__isset;
+}
+Command::Command(Command&& other512) noexcept {
+  setConfig = std::move(other512.setConfig);
+  memberJoin = std::move(other512.memberJoin);
+  memberGone = std::move(other512.memberGone);
+  memberLeaving = std::move(other512.memberLeaving);
+  holderWhole = std::move(other512.holderWhole);
+  handOver = std::move(other512.handOver);
+  setVoters = std::move(other512.setVoters);
+  noop = other512.noop;
+  __isset = other512.__isset;
+}
+Command& Command::operator=(const Command& other513) {
+  setConfig = other513.setConfig;
+  memberJoin = other513.memberJoin;
+  memberGone = other513.memberGone;
+  memberLeaving = other513.memberLeaving;
+  holderWhole = other513.holderWhole;
+  handOver = other513.handOver;
+  setVoters = other513.setVoters;
+  noop = other513.noop;
+  __isset = other513.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other494) noexcept {
-  setConfig = std::move(other494.setConfig);
-  memberJoin = std::move(other494.memberJoin);
-  memberGone = std::move(other494.memberGone);
-  memberLeaving = std::move(other494.memberLeaving);
-  holderWhole = std::move(other494.holderWhole);
-  handOver = std::move(other494.handOver);
-  setVoters = std::move(other494.setVoters);
-  noop = other494.noop;
-  __isset = other494.__isset;
+Command& Command::operator=(Command&& other514) noexcept {
+  setConfig = std::move(other514.setConfig);
+  memberJoin = std::move(other514.memberJoin);
+  memberGone = std::move(other514.memberGone);
+  memberLeaving = std::move(other514.memberLeaving);
+  holderWhole = std::move(other514.holderWhole);
+  handOver = std::move(other514.handOver);
+  setVoters = std::move(other514.setVoters);
+  noop = other514.noop;
+  __isset = other514.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -13528,34 +13880,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other495) {
-  member = other495.member;
-  group = other495.group;
-  term = other495.term;
-  vote = other495.vote;
-  __isset = other495.__isset;
+HardState::HardState(const HardState& other515) {
+  member = other515.member;
+  group = other515.group;
+  term = other515.term;
+  vote = other515.vote;
+  __isset = other515.__isset;
 }
-HardState::HardState(HardState&& other496) noexcept {
-  member = std::move(other496.member);
-  group = std::move(other496.group);
-  term = other496.term;
-  vote = std::move(other496.vote);
-  __isset = other496.__isset;
+HardState::HardState(HardState&& other516) noexcept {
+  member = std::move(other516.member);
+  group = std::move(other516.group);
+  term = other516.term;
+  vote = std::move(other516.vote);
+  __isset = other516.__isset;
 }
-HardState& HardState::operator=(const HardState& other497) {
-  member = other497.member;
-  group = other497.group;
-  term = other497.term;
-  vote = other497.vote;
-  __isset = other497.__isset;
+HardState& HardState::operator=(const HardState& other517) {
+  member = other517.member;
+  group = other517.group;
+  term = other517.term;
+  vote = other517.vote;
+  __isset = other517.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other498) noexcept {
-  member = std::move(other498.member);
-  group = std::move(other498.group);
-  term = other498.term;
-  vote = std::move(other498.vote);
-  __isset = other498.__isset;
+HardState& HardState::operator=(HardState&& other518) noexcept {
+  member = std::move(other518.member);
+  group = std::move(other518.group);
+  term = other518.term;
+  vote = std::move(other518.vote);
+  __isset = other518.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -13633,14 +13985,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size499;
-            ::apache::thrift::protocol::TType _etype502;
-            xfer += iprot->readListBegin(_etype502, _size499);
-            this->entries.resize(_size499);
-            uint32_t _i503;
-            for (_i503 = 0; _i503 < _size499; ++_i503)
+            uint32_t _size519;
+            ::apache::thrift::protocol::TType _etype522;
+            xfer += iprot->readListBegin(_etype522, _size519);
+            this->entries.resize(_size519);
+            uint32_t _i523;
+            for (_i523 = 0; _i523 < _size519; ++_i523)
             {
-              xfer += this->entries[_i503].read(iprot);
+              xfer += this->entries[_i523].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13678,10 +14030,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter504;
-    for (_iter504 = this->entries.begin(); _iter504 != this->entries.end(); ++_iter504)
+    std::vector<LogEntry> ::const_iterator _iter524;
+    for (_iter524 = this->entries.begin(); _iter524 != this->entries.end(); ++_iter524)
     {
-      xfer += (*_iter504).write(oprot);
+      xfer += (*_iter524).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13700,30 +14052,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogRecord::LogRecord(const LogRecord& other505) {
-  state = other505.state;
-  truncateFrom = other505.truncateFrom;
-  entries = other505.entries;
-  __isset = other505.__isset;
+LogRecord::LogRecord(const LogRecord& other525) {
+  state = other525.state;
+  truncateFrom = other525.truncateFrom;
+  entries = other525.entries;
+  __isset = other525.__isset;
 }
-LogRecord::LogRecord(LogRecord&& other506) noexcept {
-  state = std::move(other506.state);
-  truncateFrom = other506.truncateFrom;
-  entries = std::move(other506.entries);
-  __isset = other506.__isset;
+LogRecord::LogRecord(LogRecord&& other526) noexcept {
+  state = std::move(other526.state);
+  truncateFrom = other526.truncateFrom;
+  entries = std::move(other526.entries);
+  __isset = other526.__isset;
 }
-LogRecord& LogRecord::operator=(const LogRecord& other507) {
-  state = other507.state;
-  truncateFrom = other507.truncateFrom;
-  entries = other507.entries;
-  __isset = other507.__isset;
+LogRecord& LogRecord::operator=(const LogRecord& other527) {
+  state = other527.state;
+  truncateFrom = other527.truncateFrom;
+  entries = other527.entries;
+  __isset = other527.__isset;
   return *this;
 }
-LogRecord& LogRecord::operator=(LogRecord&& other508) noexcept {
-  state = std::move(other508.state);
-  truncateFrom = other508.truncateFrom;
-  entries = std::move(other508.entries);
-  __isset = other508.__isset;
+LogRecord& LogRecord::operator=(LogRecord&& other528) noexcept {
+  state = std::move(other528.state);
+  truncateFrom = other528.truncateFrom;
+  entries = std::move(other528.entries);
+  __isset = other528.__isset;
   return *this;
 }
 void LogRecord::printTo(std::ostream& out) const {
@@ -13775,14 +14127,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size509;
-            ::apache::thrift::protocol::TType _etype512;
-            xfer += iprot->readListBegin(_etype512, _size509);
-            this->records.resize(_size509);
-            uint32_t _i513;
-            for (_i513 = 0; _i513 < _size509; ++_i513)
+            uint32_t _size529;
+            ::apache::thrift::protocol::TType _etype532;
+            xfer += iprot->readListBegin(_etype532, _size529);
+            this->records.resize(_size529);
+            uint32_t _i533;
+            for (_i533 = 0; _i533 < _size529; ++_i533)
             {
-              xfer += this->records[_i513].read(iprot);
+              xfer += this->records[_i533].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13811,10 +14163,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<LogRecord> ::const_iterator _iter514;
-    for (_iter514 = this->records.begin(); _iter514 != this->records.end(); ++_iter514)
+    std::vector<LogRecord> ::const_iterator _iter534;
+    for (_iter534 = this->records.begin(); _iter534 != this->records.end(); ++_iter534)
     {
-      xfer += (*_iter514).write(oprot);
+      xfer += (*_iter534).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13831,22 +14183,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LogFrame::LogFrame(const LogFrame& other515) {
-  records = other515.records;
-  __isset = other515.__isset;
+LogFrame::LogFrame(const LogFrame& other535) {
+  records = other535.records;
+  __isset = other535.__isset;
 }
-LogFrame::LogFrame(LogFrame&& other516) noexcept {
-  records = std::move(other516.records);
-  __isset = other516.__isset;
+LogFrame::LogFrame(LogFrame&& other536) noexcept {
+  records = std::move(other536.records);
+  __isset = other536.__isset;
 }
-LogFrame& LogFrame::operator=(const LogFrame& other517) {
-  records = other517.records;
-  __isset = other517.__isset;
+LogFrame& LogFrame::operator=(const LogFrame& other537) {
+  records = other537.records;
+  __isset = other537.__isset;
   return *this;
 }
-LogFrame& LogFrame::operator=(LogFrame&& other518) noexcept {
-  records = std::move(other518.records);
-  __isset = other518.__isset;
+LogFrame& LogFrame::operator=(LogFrame&& other538) noexcept {
+  records = std::move(other538.records);
+  __isset = other538.__isset;
   return *this;
 }
 void LogFrame::printTo(std::ostream& out) const {
@@ -13928,14 +14280,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size519;
-            ::apache::thrift::protocol::TType _etype522;
-            xfer += iprot->readListBegin(_etype522, _size519);
-            this->voters.resize(_size519);
-            uint32_t _i523;
-            for (_i523 = 0; _i523 < _size519; ++_i523)
+            uint32_t _size539;
+            ::apache::thrift::protocol::TType _etype542;
+            xfer += iprot->readListBegin(_etype542, _size539);
+            this->voters.resize(_size539);
+            uint32_t _i543;
+            for (_i543 = 0; _i543 < _size539; ++_i543)
             {
-              xfer += iprot->readString(this->voters[_i523]);
+              xfer += iprot->readString(this->voters[_i543]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13948,14 +14300,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size524;
-            ::apache::thrift::protocol::TType _etype527;
-            xfer += iprot->readListBegin(_etype527, _size524);
-            this->learners.resize(_size524);
-            uint32_t _i528;
-            for (_i528 = 0; _i528 < _size524; ++_i528)
+            uint32_t _size544;
+            ::apache::thrift::protocol::TType _etype547;
+            xfer += iprot->readListBegin(_etype547, _size544);
+            this->learners.resize(_size544);
+            uint32_t _i548;
+            for (_i548 = 0; _i548 < _size544; ++_i548)
             {
-              xfer += iprot->readString(this->learners[_i528]);
+              xfer += iprot->readString(this->learners[_i548]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14000,10 +14352,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter529;
-    for (_iter529 = this->voters.begin(); _iter529 != this->voters.end(); ++_iter529)
+    std::vector<std::string> ::const_iterator _iter549;
+    for (_iter549 = this->voters.begin(); _iter549 != this->voters.end(); ++_iter549)
     {
-      xfer += oprot->writeString((*_iter529));
+      xfer += oprot->writeString((*_iter549));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14012,10 +14364,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter530;
-    for (_iter530 = this->learners.begin(); _iter530 != this->learners.end(); ++_iter530)
+    std::vector<std::string> ::const_iterator _iter550;
+    for (_iter550 = this->learners.begin(); _iter550 != this->learners.end(); ++_iter550)
     {
-      xfer += oprot->writeString((*_iter530));
+      xfer += oprot->writeString((*_iter550));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14040,38 +14392,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotFile::SnapshotFile(const SnapshotFile& other531) {
-  lastIndex = other531.lastIndex;
-  lastTerm = other531.lastTerm;
-  voters = other531.voters;
-  learners = other531.learners;
-  data = other531.data;
-  __isset = other531.__isset;
-}
-SnapshotFile::SnapshotFile(SnapshotFile&& other532) noexcept {
-  lastIndex = other532.lastIndex;
-  lastTerm = other532.lastTerm;
-  voters = std::move(other532.voters);
-  learners = std::move(other532.learners);
-  data = std::move(other532.data);
-  __isset = other532.__isset;
-}
-SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other533) {
-  lastIndex = other533.lastIndex;
-  lastTerm = other533.lastTerm;
-  voters = other533.voters;
-  learners = other533.learners;
-  data = other533.data;
-  __isset = other533.__isset;
-  return *this;
-}
-SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other534) noexcept {
-  lastIndex = other534.lastIndex;
-  lastTerm = other534.lastTerm;
-  voters = std::move(other534.voters);
-  learners = std::move(other534.learners);
-  data = std::move(other534.data);
-  __isset = other534.__isset;
+SnapshotFile::SnapshotFile(const SnapshotFile& other551) {
+  lastIndex = other551.lastIndex;
+  lastTerm = other551.lastTerm;
+  voters = other551.voters;
+  learners = other551.learners;
+  data = other551.data;
+  __isset = other551.__isset;
+}
+SnapshotFile::SnapshotFile(SnapshotFile&& other552) noexcept {
+  lastIndex = other552.lastIndex;
+  lastTerm = other552.lastTerm;
+  voters = std::move(other552.voters);
+  learners = std::move(other552.learners);
+  data = std::move(other552.data);
+  __isset = other552.__isset;
+}
+SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other553) {
+  lastIndex = other553.lastIndex;
+  lastTerm = other553.lastTerm;
+  voters = other553.voters;
+  learners = other553.learners;
+  data = other553.data;
+  __isset = other553.__isset;
+  return *this;
+}
+SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other554) noexcept {
+  lastIndex = other554.lastIndex;
+  lastTerm = other554.lastTerm;
+  voters = std::move(other554.voters);
+  learners = std::move(other554.learners);
+  data = std::move(other554.data);
+  __isset = other554.__isset;
   return *this;
 }
 void SnapshotFile::printTo(std::ostream& out) const {
@@ -14195,30 +14547,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderRecord::HolderRecord(const HolderRecord& other535) {
-  name = other535.name;
-  since = other535.since;
-  whole = other535.whole;
-  __isset = other535.__isset;
+HolderRecord::HolderRecord(const HolderRecord& other555) {
+  name = other555.name;
+  since = other555.since;
+  whole = other555.whole;
+  __isset = other555.__isset;
 }
-HolderRecord::HolderRecord(HolderRecord&& other536) noexcept {
-  name = std::move(other536.name);
-  since = other536.since;
-  whole = other536.whole;
-  __isset = other536.__isset;
+HolderRecord::HolderRecord(HolderRecord&& other556) noexcept {
+  name = std::move(other556.name);
+  since = other556.since;
+  whole = other556.whole;
+  __isset = other556.__isset;
 }
-HolderRecord& HolderRecord::operator=(const HolderRecord& other537) {
-  name = other537.name;
-  since = other537.since;
-  whole = other537.whole;
-  __isset = other537.__isset;
+HolderRecord& HolderRecord::operator=(const HolderRecord& other557) {
+  name = other557.name;
+  since = other557.since;
+  whole = other557.whole;
+  __isset = other557.__isset;
   return *this;
 }
-HolderRecord& HolderRecord::operator=(HolderRecord&& other538) noexcept {
-  name = std::move(other538.name);
-  since = other538.since;
-  whole = other538.whole;
-  __isset = other538.__isset;
+HolderRecord& HolderRecord::operator=(HolderRecord&& other558) noexcept {
+  name = std::move(other558.name);
+  since = other558.since;
+  whole = other558.whole;
+  __isset = other558.__isset;
   return *this;
 }
 void HolderRecord::printTo(std::ostream& out) const {
@@ -14330,14 +14682,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size539;
-            ::apache::thrift::protocol::TType _etype542;
-            xfer += iprot->readListBegin(_etype542, _size539);
-            this->holders.resize(_size539);
-            uint32_t _i543;
-            for (_i543 = 0; _i543 < _size539; ++_i543)
+            uint32_t _size559;
+            ::apache::thrift::protocol::TType _etype562;
+            xfer += iprot->readListBegin(_etype562, _size559);
+            this->holders.resize(_size559);
+            uint32_t _i563;
+            for (_i563 = 0; _i563 < _size559; ++_i563)
             {
-              xfer += this->holders[_i543].read(iprot);
+              xfer += this->holders[_i563].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14406,10 +14758,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<HolderRecord> ::const_iterator _iter544;
-    for (_iter544 = this->holders.begin(); _iter544 != this->holders.end(); ++_iter544)
+    std::vector<HolderRecord> ::const_iterator _iter564;
+    for (_iter564 = this->holders.begin(); _iter564 != this->holders.end(); ++_iter564)
     {
-      xfer += (*_iter544).write(oprot);
+      xfer += (*_iter564).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14445,50 +14797,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CellRecord::CellRecord(const CellRecord& other545) {
-  cell = other545.cell;
-  serviceName = other545.serviceName;
-  epoch = other545.epoch;
-  owner = other545.owner;
-  holders = other545.holders;
-  floorMs = other545.floorMs;
-  routeVersion = other545.routeVersion;
-  agentsVersion = other545.agentsVersion;
-  __isset = other545.__isset;
-}
-CellRecord::CellRecord(CellRecord&& other546) noexcept {
-  cell = other546.cell;
-  serviceName = std::move(other546.serviceName);
-  epoch = other546.epoch;
-  owner = std::move(other546.owner);
-  holders = std::move(other546.holders);
-  floorMs = other546.floorMs;
-  routeVersion = other546.routeVersion;
-  agentsVersion = other546.agentsVersion;
-  __isset = other546.__isset;
-}
-CellRecord& CellRecord::operator=(const CellRecord& other547) {
-  cell = other547.cell;
-  serviceName = other547.serviceName;
-  epoch = other547.epoch;
-  owner = other547.owner;
-  holders = other547.holders;
-  floorMs = other547.floorMs;
-  routeVersion = other547.routeVersion;
-  agentsVersion = other547.agentsVersion;
-  __isset = other547.__isset;
-  return *this;
-}
-CellRecord& CellRecord::operator=(CellRecord&& other548) noexcept {
-  cell = other548.cell;
-  serviceName = std::move(other548.serviceName);
-  epoch = other548.epoch;
-  owner = std::move(other548.owner);
-  holders = std::move(other548.holders);
-  floorMs = other548.floorMs;
-  routeVersion = other548.routeVersion;
-  agentsVersion = other548.agentsVersion;
-  __isset = other548.__isset;
+CellRecord::CellRecord(const CellRecord& other565) {
+  cell = other565.cell;
+  serviceName = other565.serviceName;
+  epoch = other565.epoch;
+  owner = other565.owner;
+  holders = other565.holders;
+  floorMs = other565.floorMs;
+  routeVersion = other565.routeVersion;
+  agentsVersion = other565.agentsVersion;
+  __isset = other565.__isset;
+}
+CellRecord::CellRecord(CellRecord&& other566) noexcept {
+  cell = other566.cell;
+  serviceName = std::move(other566.serviceName);
+  epoch = other566.epoch;
+  owner = std::move(other566.owner);
+  holders = std::move(other566.holders);
+  floorMs = other566.floorMs;
+  routeVersion = other566.routeVersion;
+  agentsVersion = other566.agentsVersion;
+  __isset = other566.__isset;
+}
+CellRecord& CellRecord::operator=(const CellRecord& other567) {
+  cell = other567.cell;
+  serviceName = other567.serviceName;
+  epoch = other567.epoch;
+  owner = other567.owner;
+  holders = other567.holders;
+  floorMs = other567.floorMs;
+  routeVersion = other567.routeVersion;
+  agentsVersion = other567.agentsVersion;
+  __isset = other567.__isset;
+  return *this;
+}
+CellRecord& CellRecord::operator=(CellRecord&& other568) noexcept {
+  cell = other568.cell;
+  serviceName = std::move(other568.serviceName);
+  epoch = other568.epoch;
+  owner = std::move(other568.owner);
+  holders = std::move(other568.holders);
+  floorMs = other568.floorMs;
+  routeVersion = other568.routeVersion;
+  agentsVersion = other568.agentsVersion;
+  __isset = other568.__isset;
   return *this;
 }
 void CellRecord::printTo(std::ostream& out) const {
@@ -14583,9 +14935,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast549;
-          xfer += iprot->readI32(ecast549);
-          this->role = static_cast<Role::type>(ecast549);
+          int32_t ecast569;
+          xfer += iprot->readI32(ecast569);
+          this->role = static_cast<Role::type>(ecast569);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -14719,54 +15071,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other550) {
-  id = other550.id;
-  role = other550.role;
-  address = other550.address;
-  failureDomain = other550.failureDomain;
-  serviceName = other550.serviceName;
-  cell = other550.cell;
-  leaving = other550.leaving;
-  version = other550.version;
-  leaseVersion = other550.leaseVersion;
-  __isset = other550.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other551) noexcept {
-  id = std::move(other551.id);
-  role = other551.role;
-  address = std::move(other551.address);
-  failureDomain = std::move(other551.failureDomain);
-  serviceName = std::move(other551.serviceName);
-  cell = other551.cell;
-  leaving = other551.leaving;
-  version = other551.version;
-  leaseVersion = other551.leaseVersion;
-  __isset = other551.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other552) {
-  id = other552.id;
-  role = other552.role;
-  address = other552.address;
-  failureDomain = other552.failureDomain;
-  serviceName = other552.serviceName;
-  cell = other552.cell;
-  leaving = other552.leaving;
-  version = other552.version;
-  leaseVersion = other552.leaseVersion;
-  __isset = other552.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other570) {
+  id = other570.id;
+  role = other570.role;
+  address = other570.address;
+  failureDomain = other570.failureDomain;
+  serviceName = other570.serviceName;
+  cell = other570.cell;
+  leaving = other570.leaving;
+  version = other570.version;
+  leaseVersion = other570.leaseVersion;
+  __isset = other570.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other571) noexcept {
+  id = std::move(other571.id);
+  role = other571.role;
+  address = std::move(other571.address);
+  failureDomain = std::move(other571.failureDomain);
+  serviceName = std::move(other571.serviceName);
+  cell = other571.cell;
+  leaving = other571.leaving;
+  version = other571.version;
+  leaseVersion = other571.leaseVersion;
+  __isset = other571.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other572) {
+  id = other572.id;
+  role = other572.role;
+  address = other572.address;
+  failureDomain = other572.failureDomain;
+  serviceName = other572.serviceName;
+  cell = other572.cell;
+  leaving = other572.leaving;
+  version = other572.version;
+  leaseVersion = other572.leaseVersion;
+  __isset = other572.__isset;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other553) noexcept {
-  id = std::move(other553.id);
-  role = other553.role;
-  address = std::move(other553.address);
-  failureDomain = std::move(other553.failureDomain);
-  serviceName = std::move(other553.serviceName);
-  cell = other553.cell;
-  leaving = other553.leaving;
-  version = other553.version;
-  leaseVersion = other553.leaseVersion;
-  __isset = other553.__isset;
+MemberRecord& MemberRecord::operator=(MemberRecord&& other573) noexcept {
+  id = std::move(other573.id);
+  role = other573.role;
+  address = std::move(other573.address);
+  failureDomain = std::move(other573.failureDomain);
+  serviceName = std::move(other573.serviceName);
+  cell = other573.cell;
+  leaving = other573.leaving;
+  version = other573.version;
+  leaseVersion = other573.leaseVersion;
+  __isset = other573.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -14848,14 +15200,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size554;
-            ::apache::thrift::protocol::TType _etype557;
-            xfer += iprot->readListBegin(_etype557, _size554);
-            this->history.resize(_size554);
-            uint32_t _i558;
-            for (_i558 = 0; _i558 < _size554; ++_i558)
+            uint32_t _size574;
+            ::apache::thrift::protocol::TType _etype577;
+            xfer += iprot->readListBegin(_etype577, _size574);
+            this->history.resize(_size574);
+            uint32_t _i578;
+            for (_i578 = 0; _i578 < _size574; ++_i578)
             {
-              xfer += this->history[_i558].read(iprot);
+              xfer += this->history[_i578].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14868,14 +15220,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size559;
-            ::apache::thrift::protocol::TType _etype562;
-            xfer += iprot->readListBegin(_etype562, _size559);
-            this->members.resize(_size559);
-            uint32_t _i563;
-            for (_i563 = 0; _i563 < _size559; ++_i563)
+            uint32_t _size579;
+            ::apache::thrift::protocol::TType _etype582;
+            xfer += iprot->readListBegin(_etype582, _size579);
+            this->members.resize(_size579);
+            uint32_t _i583;
+            for (_i583 = 0; _i583 < _size579; ++_i583)
             {
-              xfer += this->members[_i563].read(iprot);
+              xfer += this->members[_i583].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14888,14 +15240,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size564;
-            ::apache::thrift::protocol::TType _etype567;
-            xfer += iprot->readListBegin(_etype567, _size564);
-            this->cells.resize(_size564);
-            uint32_t _i568;
-            for (_i568 = 0; _i568 < _size564; ++_i568)
+            uint32_t _size584;
+            ::apache::thrift::protocol::TType _etype587;
+            xfer += iprot->readListBegin(_etype587, _size584);
+            this->cells.resize(_size584);
+            uint32_t _i588;
+            for (_i588 = 0; _i588 < _size584; ++_i588)
             {
-              xfer += this->cells[_i568].read(iprot);
+              xfer += this->cells[_i588].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14956,10 +15308,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<ConfigFile> ::const_iterator _iter569;
-    for (_iter569 = this->history.begin(); _iter569 != this->history.end(); ++_iter569)
+    std::vector<ConfigFile> ::const_iterator _iter589;
+    for (_iter589 = this->history.begin(); _iter589 != this->history.end(); ++_iter589)
     {
-      xfer += (*_iter569).write(oprot);
+      xfer += (*_iter589).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14968,10 +15320,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter570;
-    for (_iter570 = this->members.begin(); _iter570 != this->members.end(); ++_iter570)
+    std::vector<MemberRecord> ::const_iterator _iter590;
+    for (_iter590 = this->members.begin(); _iter590 != this->members.end(); ++_iter590)
     {
-      xfer += (*_iter570).write(oprot);
+      xfer += (*_iter590).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14980,10 +15332,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellRecord> ::const_iterator _iter571;
-    for (_iter571 = this->cells.begin(); _iter571 != this->cells.end(); ++_iter571)
+    std::vector<CellRecord> ::const_iterator _iter591;
+    for (_iter591 = this->cells.begin(); _iter591 != this->cells.end(); ++_iter591)
     {
-      xfer += (*_iter571).write(oprot);
+      xfer += (*_iter591).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15022,46 +15374,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlImage::ControlImage(const ControlImage& other572) {
-  history = other572.history;
-  members = other572.members;
-  cells = other572.cells;
-  nextCell = other572.nextCell;
-  configVersion = other572.configVersion;
-  routesVersion = other572.routesVersion;
-  entriesVersion = other572.entriesVersion;
-  __isset = other572.__isset;
-}
-ControlImage::ControlImage(ControlImage&& other573) noexcept {
-  history = std::move(other573.history);
-  members = std::move(other573.members);
-  cells = std::move(other573.cells);
-  nextCell = other573.nextCell;
-  configVersion = other573.configVersion;
-  routesVersion = other573.routesVersion;
-  entriesVersion = other573.entriesVersion;
-  __isset = other573.__isset;
-}
-ControlImage& ControlImage::operator=(const ControlImage& other574) {
-  history = other574.history;
-  members = other574.members;
-  cells = other574.cells;
-  nextCell = other574.nextCell;
-  configVersion = other574.configVersion;
-  routesVersion = other574.routesVersion;
-  entriesVersion = other574.entriesVersion;
-  __isset = other574.__isset;
+ControlImage::ControlImage(const ControlImage& other592) {
+  history = other592.history;
+  members = other592.members;
+  cells = other592.cells;
+  nextCell = other592.nextCell;
+  configVersion = other592.configVersion;
+  routesVersion = other592.routesVersion;
+  entriesVersion = other592.entriesVersion;
+  __isset = other592.__isset;
+}
+ControlImage::ControlImage(ControlImage&& other593) noexcept {
+  history = std::move(other593.history);
+  members = std::move(other593.members);
+  cells = std::move(other593.cells);
+  nextCell = other593.nextCell;
+  configVersion = other593.configVersion;
+  routesVersion = other593.routesVersion;
+  entriesVersion = other593.entriesVersion;
+  __isset = other593.__isset;
+}
+ControlImage& ControlImage::operator=(const ControlImage& other594) {
+  history = other594.history;
+  members = other594.members;
+  cells = other594.cells;
+  nextCell = other594.nextCell;
+  configVersion = other594.configVersion;
+  routesVersion = other594.routesVersion;
+  entriesVersion = other594.entriesVersion;
+  __isset = other594.__isset;
   return *this;
 }
-ControlImage& ControlImage::operator=(ControlImage&& other575) noexcept {
-  history = std::move(other575.history);
-  members = std::move(other575.members);
-  cells = std::move(other575.cells);
-  nextCell = other575.nextCell;
-  configVersion = other575.configVersion;
-  routesVersion = other575.routesVersion;
-  entriesVersion = other575.entriesVersion;
-  __isset = other575.__isset;
+ControlImage& ControlImage::operator=(ControlImage&& other595) noexcept {
+  history = std::move(other595.history);
+  members = std::move(other595.members);
+  cells = std::move(other595.cells);
+  nextCell = other595.nextCell;
+  configVersion = other595.configVersion;
+  routesVersion = other595.routesVersion;
+  entriesVersion = other595.entriesVersion;
+  __isset = other595.__isset;
   return *this;
 }
 void ControlImage::printTo(std::ostream& out) const {
@@ -15839,166 +16191,166 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other576) {
-  submitJob = other576.submitJob;
-  cancelJob = other576.cancelJob;
-  queryJob = other576.queryJob;
-  jobReply = other576.jobReply;
-  notOwner = other576.notOwner;
-  recordBatch = other576.recordBatch;
-  recordSnapshot = other576.recordSnapshot;
-  recordAck = other576.recordAck;
-  startBatch = other576.startBatch;
-  cancelBatch = other576.cancelBatch;
-  resultAck = other576.resultAck;
-  fence = other576.fence;
-  agentHello = other576.agentHello;
-  resultBatch = other576.resultBatch;
-  startRefused = other576.startRefused;
-  agentState = other576.agentState;
-  memberHeartbeat = other576.memberHeartbeat;
-  heartbeatReply = other576.heartbeatReply;
-  clusterView = other576.clusterView;
-  applyConfig = other576.applyConfig;
-  applyReply = other576.applyReply;
-  controlQuery = other576.controlQuery;
-  controlAnswer = other576.controlAnswer;
-  hostReport = other576.hostReport;
-  hostContact = other576.hostContact;
-  runTasks = other576.runTasks;
-  stopTasks = other576.stopTasks;
-  taskReports = other576.taskReports;
-  startsInDoubt = other576.startsInDoubt;
-  ordersElsewhere = other576.ordersElsewhere;
-  requestVote = other576.requestVote;
-  voteReply = other576.voteReply;
-  appendEntries = other576.appendEntries;
-  appendReply = other576.appendReply;
-  installSnapshot = other576.installSnapshot;
-  installReply = other576.installReply;
-  timeoutNow = other576.timeoutNow;
-  __isset = other576.__isset;
-}
-Message::Message(Message&& other577) noexcept {
-  submitJob = std::move(other577.submitJob);
-  cancelJob = std::move(other577.cancelJob);
-  queryJob = std::move(other577.queryJob);
-  jobReply = std::move(other577.jobReply);
-  notOwner = std::move(other577.notOwner);
-  recordBatch = std::move(other577.recordBatch);
-  recordSnapshot = std::move(other577.recordSnapshot);
-  recordAck = std::move(other577.recordAck);
-  startBatch = std::move(other577.startBatch);
-  cancelBatch = std::move(other577.cancelBatch);
-  resultAck = std::move(other577.resultAck);
-  fence = std::move(other577.fence);
-  agentHello = std::move(other577.agentHello);
-  resultBatch = std::move(other577.resultBatch);
-  startRefused = std::move(other577.startRefused);
-  agentState = std::move(other577.agentState);
-  memberHeartbeat = std::move(other577.memberHeartbeat);
-  heartbeatReply = std::move(other577.heartbeatReply);
-  clusterView = std::move(other577.clusterView);
-  applyConfig = std::move(other577.applyConfig);
-  applyReply = std::move(other577.applyReply);
-  controlQuery = std::move(other577.controlQuery);
-  controlAnswer = std::move(other577.controlAnswer);
-  hostReport = std::move(other577.hostReport);
-  hostContact = std::move(other577.hostContact);
-  runTasks = std::move(other577.runTasks);
-  stopTasks = std::move(other577.stopTasks);
-  taskReports = std::move(other577.taskReports);
-  startsInDoubt = std::move(other577.startsInDoubt);
-  ordersElsewhere = std::move(other577.ordersElsewhere);
-  requestVote = std::move(other577.requestVote);
-  voteReply = std::move(other577.voteReply);
-  appendEntries = std::move(other577.appendEntries);
-  appendReply = std::move(other577.appendReply);
-  installSnapshot = std::move(other577.installSnapshot);
-  installReply = std::move(other577.installReply);
-  timeoutNow = std::move(other577.timeoutNow);
-  __isset = other577.__isset;
-}
-Message& Message::operator=(const Message& other578) {
-  submitJob = other578.submitJob;
-  cancelJob = other578.cancelJob;
-  queryJob = other578.queryJob;
-  jobReply = other578.jobReply;
-  notOwner = other578.notOwner;
-  recordBatch = other578.recordBatch;
-  recordSnapshot = other578.recordSnapshot;
-  recordAck = other578.recordAck;
-  startBatch = other578.startBatch;
-  cancelBatch = other578.cancelBatch;
-  resultAck = other578.resultAck;
-  fence = other578.fence;
-  agentHello = other578.agentHello;
-  resultBatch = other578.resultBatch;
-  startRefused = other578.startRefused;
-  agentState = other578.agentState;
-  memberHeartbeat = other578.memberHeartbeat;
-  heartbeatReply = other578.heartbeatReply;
-  clusterView = other578.clusterView;
-  applyConfig = other578.applyConfig;
-  applyReply = other578.applyReply;
-  controlQuery = other578.controlQuery;
-  controlAnswer = other578.controlAnswer;
-  hostReport = other578.hostReport;
-  hostContact = other578.hostContact;
-  runTasks = other578.runTasks;
-  stopTasks = other578.stopTasks;
-  taskReports = other578.taskReports;
-  startsInDoubt = other578.startsInDoubt;
-  ordersElsewhere = other578.ordersElsewhere;
-  requestVote = other578.requestVote;
-  voteReply = other578.voteReply;
-  appendEntries = other578.appendEntries;
-  appendReply = other578.appendReply;
-  installSnapshot = other578.installSnapshot;
-  installReply = other578.installReply;
-  timeoutNow = other578.timeoutNow;
-  __isset = other578.__isset;
-  return *this;
-}
-Message& Message::operator=(Message&& other579) noexcept {
-  submitJob = std::move(other579.submitJob);
-  cancelJob = std::move(other579.cancelJob);
-  queryJob = std::move(other579.queryJob);
-  jobReply = std::move(other579.jobReply);
-  notOwner = std::move(other579.notOwner);
-  recordBatch = std::move(other579.recordBatch);
-  recordSnapshot = std::move(other579.recordSnapshot);
-  recordAck = std::move(other579.recordAck);
-  startBatch = std::move(other579.startBatch);
-  cancelBatch = std::move(other579.cancelBatch);
-  resultAck = std::move(other579.resultAck);
-  fence = std::move(other579.fence);
-  agentHello = std::move(other579.agentHello);
-  resultBatch = std::move(other579.resultBatch);
-  startRefused = std::move(other579.startRefused);
-  agentState = std::move(other579.agentState);
-  memberHeartbeat = std::move(other579.memberHeartbeat);
-  heartbeatReply = std::move(other579.heartbeatReply);
-  clusterView = std::move(other579.clusterView);
-  applyConfig = std::move(other579.applyConfig);
-  applyReply = std::move(other579.applyReply);
-  controlQuery = std::move(other579.controlQuery);
-  controlAnswer = std::move(other579.controlAnswer);
-  hostReport = std::move(other579.hostReport);
-  hostContact = std::move(other579.hostContact);
-  runTasks = std::move(other579.runTasks);
-  stopTasks = std::move(other579.stopTasks);
-  taskReports = std::move(other579.taskReports);
-  startsInDoubt = std::move(other579.startsInDoubt);
-  ordersElsewhere = std::move(other579.ordersElsewhere);
-  requestVote = std::move(other579.requestVote);
-  voteReply = std::move(other579.voteReply);
-  appendEntries = std::move(other579.appendEntries);
-  appendReply = std::move(other579.appendReply);
-  installSnapshot = std::move(other579.installSnapshot);
-  installReply = std::move(other579.installReply);
-  timeoutNow = std::move(other579.timeoutNow);
-  __isset = other579.__isset;
+Message::Message(const Message& other596) {
+  submitJob = other596.submitJob;
+  cancelJob = other596.cancelJob;
+  queryJob = other596.queryJob;
+  jobReply = other596.jobReply;
+  notOwner = other596.notOwner;
+  recordBatch = other596.recordBatch;
+  recordSnapshot = other596.recordSnapshot;
+  recordAck = other596.recordAck;
+  startBatch = other596.startBatch;
+  cancelBatch = other596.cancelBatch;
+  resultAck = other596.resultAck;
+  fence = other596.fence;
+  agentHello = other596.agentHello;
+  resultBatch = other596.resultBatch;
+  startRefused = other596.startRefused;
+  agentState = other596.agentState;
+  memberHeartbeat = other596.memberHeartbeat;
+  heartbeatReply = other596.heartbeatReply;
+  clusterView = other596.clusterView;
+  applyConfig = other596.applyConfig;
+  applyReply = other596.applyReply;
+  controlQuery = other596.controlQuery;
+  controlAnswer = other596.controlAnswer;
+  hostReport = other596.hostReport;
+  hostContact = other596.hostContact;
+  runTasks = other596.runTasks;
+  stopTasks = other596.stopTasks;
+  taskReports = other596.taskReports;
+  startsInDoubt = other596.startsInDoubt;
+  ordersElsewhere = other596.ordersElsewhere;
+  requestVote = other596.requestVote;
+  voteReply = other596.voteReply;
+  appendEntries = other596.appendEntries;
+  appendReply = other596.appendReply;
+  installSnapshot = other596.installSnapshot;
+  installReply = other596.installReply;
+  timeoutNow = other596.timeoutNow;
+  __isset = other596.__isset;
+}
+Message::Message(Message&& other597) noexcept {
+  submitJob = std::move(other597.submitJob);
+  cancelJob = std::move(other597.cancelJob);
+  queryJob = std::move(other597.queryJob);
+  jobReply = std::move(other597.jobReply);
+  notOwner = std::move(other597.notOwner);
+  recordBatch = std::move(other597.recordBatch);
+  recordSnapshot = std::move(other597.recordSnapshot);
+  recordAck = std::move(other597.recordAck);
+  startBatch = std::move(other597.startBatch);
+  cancelBatch = std::move(other597.cancelBatch);
+  resultAck = std::move(other597.resultAck);
+  fence = std::move(other597.fence);
+  agentHello = std::move(other597.agentHello);
+  resultBatch = std::move(other597.resultBatch);
+  startRefused = std::move(other597.startRefused);
+  agentState = std::move(other597.agentState);
+  memberHeartbeat = std::move(other597.memberHeartbeat);
+  heartbeatReply = std::move(other597.heartbeatReply);
+  clusterView = std::move(other597.clusterView);
+  applyConfig = std::move(other597.applyConfig);
+  applyReply = std::move(other597.applyReply);
+  controlQuery = std::move(other597.controlQuery);
+  controlAnswer = std::move(other597.controlAnswer);
+  hostReport = std::move(other597.hostReport);
+  hostContact = std::move(other597.hostContact);
+  runTasks = std::move(other597.runTasks);
+  stopTasks = std::move(other597.stopTasks);
+  taskReports = std::move(other597.taskReports);
+  startsInDoubt = std::move(other597.startsInDoubt);
+  ordersElsewhere = std::move(other597.ordersElsewhere);
+  requestVote = std::move(other597.requestVote);
+  voteReply = std::move(other597.voteReply);
+  appendEntries = std::move(other597.appendEntries);
+  appendReply = std::move(other597.appendReply);
+  installSnapshot = std::move(other597.installSnapshot);
+  installReply = std::move(other597.installReply);
+  timeoutNow = std::move(other597.timeoutNow);
+  __isset = other597.__isset;
+}
+Message& Message::operator=(const Message& other598) {
+  submitJob = other598.submitJob;
+  cancelJob = other598.cancelJob;
+  queryJob = other598.queryJob;
+  jobReply = other598.jobReply;
+  notOwner = other598.notOwner;
+  recordBatch = other598.recordBatch;
+  recordSnapshot = other598.recordSnapshot;
+  recordAck = other598.recordAck;
+  startBatch = other598.startBatch;
+  cancelBatch = other598.cancelBatch;
+  resultAck = other598.resultAck;
+  fence = other598.fence;
+  agentHello = other598.agentHello;
+  resultBatch = other598.resultBatch;
+  startRefused = other598.startRefused;
+  agentState = other598.agentState;
+  memberHeartbeat = other598.memberHeartbeat;
+  heartbeatReply = other598.heartbeatReply;
+  clusterView = other598.clusterView;
+  applyConfig = other598.applyConfig;
+  applyReply = other598.applyReply;
+  controlQuery = other598.controlQuery;
+  controlAnswer = other598.controlAnswer;
+  hostReport = other598.hostReport;
+  hostContact = other598.hostContact;
+  runTasks = other598.runTasks;
+  stopTasks = other598.stopTasks;
+  taskReports = other598.taskReports;
+  startsInDoubt = other598.startsInDoubt;
+  ordersElsewhere = other598.ordersElsewhere;
+  requestVote = other598.requestVote;
+  voteReply = other598.voteReply;
+  appendEntries = other598.appendEntries;
+  appendReply = other598.appendReply;
+  installSnapshot = other598.installSnapshot;
+  installReply = other598.installReply;
+  timeoutNow = other598.timeoutNow;
+  __isset = other598.__isset;
+  return *this;
+}
+Message& Message::operator=(Message&& other599) noexcept {
+  submitJob = std::move(other599.submitJob);
+  cancelJob = std::move(other599.cancelJob);
+  queryJob = std::move(other599.queryJob);
+  jobReply = std::move(other599.jobReply);
+  notOwner = std::move(other599.notOwner);
+  recordBatch = std::move(other599.recordBatch);
+  recordSnapshot = std::move(other599.recordSnapshot);
+  recordAck = std::move(other599.recordAck);
+  startBatch = std::move(other599.startBatch);
+  cancelBatch = std::move(other599.cancelBatch);
+  resultAck = std::move(other599.resultAck);
+  fence = std::move(other599.fence);
+  agentHello = std::move(other599.agentHello);
+  resultBatch = std::move(other599.resultBatch);
+  startRefused = std::move(other599.startRefused);
+  agentState = std::move(other599.agentState);
+  memberHeartbeat = std::move(other599.memberHeartbeat);
+  heartbeatReply = std::move(other599.heartbeatReply);
+  clusterView = std::move(other599.clusterView);
+  applyConfig = std::move(other599.applyConfig);
+  applyReply = std::move(other599.applyReply);
+  controlQuery = std::move(other599.controlQuery);
+  controlAnswer = std::move(other599.controlAnswer);
+  hostReport = std::move(other599.hostReport);
+  hostContact = std::move(other599.hostContact);
+  runTasks = std::move(other599.runTasks);
+  stopTasks = std::move(other599.stopTasks);
+  taskReports = std::move(other599.taskReports);
+  startsInDoubt = std::move(other599.startsInDoubt);
+  ordersElsewhere = std::move(other599.ordersElsewhere);
+  requestVote = std::move(other599.requestVote);
+  voteReply = std::move(other599.voteReply);
+  appendEntries = std::move(other599.appendEntries);
+  appendReply = std::move(other599.appendReply);
+  installSnapshot = std::move(other599.installSnapshot);
+  installReply = std::move(other599.installReply);
+  timeoutNow = std::move(other599.timeoutNow);
+  __isset = other599.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -16106,9 +16458,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast580;
-          xfer += iprot->readI32(ecast580);
-          this->role = static_cast<Role::type>(ecast580);
+          int32_t ecast600;
+          xfer += iprot->readI32(ecast600);
+          this->role = static_cast<Role::type>(ecast600);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -16134,14 +16486,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size581;
-            ::apache::thrift::protocol::TType _etype584;
-            xfer += iprot->readListBegin(_etype584, _size581);
-            this->messages.resize(_size581);
-            uint32_t _i585;
-            for (_i585 = 0; _i585 < _size581; ++_i585)
+            uint32_t _size601;
+            ::apache::thrift::protocol::TType _etype604;
+            xfer += iprot->readListBegin(_etype604, _size601);
+            this->messages.resize(_size601);
+            uint32_t _i605;
+            for (_i605 = 0; _i605 < _size601; ++_i605)
             {
-              xfer += this->messages[_i585].read(iprot);
+              xfer += this->messages[_i605].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16186,10 +16538,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<Message> ::const_iterator _iter586;
-    for (_iter586 = this->messages.begin(); _iter586 != this->messages.end(); ++_iter586)
+    std::vector<Message> ::const_iterator _iter606;
+    for (_iter606 = this->messages.begin(); _iter606 != this->messages.end(); ++_iter606)
     {
-      xfer += (*_iter586).write(oprot);
+      xfer += (*_iter606).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16210,38 +16562,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other587) {
-  sender = other587.sender;
-  role = other587.role;
-  address = other587.address;
-  configNumber = other587.configNumber;
-  messages = other587.messages;
-  __isset = other587.__isset;
-}
-Envelope::Envelope(Envelope&& other588) noexcept {
-  sender = std::move(other588.sender);
-  role = other588.role;
-  address = std::move(other588.address);
-  configNumber = other588.configNumber;
-  messages = std::move(other588.messages);
-  __isset = other588.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other589) {
-  sender = other589.sender;
-  role = other589.role;
-  address = other589.address;
-  configNumber = other589.configNumber;
-  messages = other589.messages;
-  __isset = other589.__isset;
-  return *this;
-}
-Envelope& Envelope::operator=(Envelope&& other590) noexcept {
-  sender = std::move(other590.sender);
-  role = other590.role;
-  address = std::move(other590.address);
-  configNumber = other590.configNumber;
-  messages = std::move(other590.messages);
-  __isset = other590.__isset;
+Envelope::Envelope(const Envelope& other607) {
+  sender = other607.sender;
+  role = other607.role;
+  address = other607.address;
+  configNumber = other607.configNumber;
+  messages = other607.messages;
+  __isset = other607.__isset;
+}
+Envelope::Envelope(Envelope&& other608) noexcept {
+  sender = std::move(other608.sender);
+  role = other608.role;
+  address = std::move(other608.address);
+  configNumber = other608.configNumber;
+  messages = std::move(other608.messages);
+  __isset = other608.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other609) {
+  sender = other609.sender;
+  role = other609.role;
+  address = other609.address;
+  configNumber = other609.configNumber;
+  messages = other609.messages;
+  __isset = other609.__isset;
+  return *this;
+}
+Envelope& Envelope::operator=(Envelope&& other610) noexcept {
+  sender = std::move(other610.sender);
+  role = other610.role;
+  address = std::move(other610.address);
+  configNumber = other610.configNumber;
+  messages = std::move(other610.messages);
+  __isset = other610.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -147,6 +147,10 @@
         this->refuse(entry, message.job, order, "the demand exceeds the capacity of the backend server");
         return;
     }
+    if (order.suspected && this->hasSuspectedTask()) {
+        this->refuse(entry, message.job, order, "another task under which a backend server has crashed is running");
+        return;
+    }
     const bool fitsNow = fits(order.demand, this->freeCapacity());
     if (!order.mayWait && !fitsNow && this->startDelayOf(order.demand) > maxAcceptedDelay) {
         this->refuse(entry, message.job, order, "the backend server has no free capacity for the task");
@@ -160,6 +164,7 @@
     task.entry = entry;
     task.spec = spec;
     task.demand = order.demand;
+    task.isSuspected = order.suspected;
     task.estimate = Micros(std::max<std::int64_t>(order.estimateMicros, 1000));
     task.objective = objective;
     task.abandonAt = now + Micros(message.timeLeftMicros);
@@ -224,6 +229,7 @@
     report.job = task.name.job;
     report.index = task.name.index;
     report.order = task.order;
+    report.serverLost = task.phase == Phase::ServerReplaced;
     this->entries.addReport(task.entry, std::move(report));
 }
 
@@ -303,6 +309,7 @@
     report.unanswered = std::exchange(this->announcedUnanswered, std::exchange(this->unanswered, {}));
     report.unanswered.insert(report.unanswered.end(), this->announcedUnanswered.begin(),
                              this->announcedUnanswered.end());
+    report.crashes = this->crashes.notices(this->clock.now());
     for (const auto &entry : this->link.view().entries) {
         auto message = report;
         message.sequence = ++this->reportSequence;
@@ -387,6 +394,7 @@
               {"host_starts_unanswered_total", this->counters.unanswered},
               {"host_entry_leases_lapsed_total", this->counters.leasesExpired},
               {"host_server_lives_total", this->counters.serverInstances},
+              {"host_servers_lost_total", this->counters.serversLost},
               {"host_tasks_waiting", this->queue.waiting().size()},
               {"host_cpu_millis_reserved", reserved.cpuMillis},
               {"host_slowness", this->runTimeEstimator.slowness()},
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -3,6 +3,7 @@
 #include "agatedrum/config.h"
 #include "base_core_p.h"
 #include "base_latency_p.h"
+#include "host_crashes_p.h"
 #include "host_entries_p.h"
 #include "host_holds_p.h"
 #include "host_lease_terms_p.h"
@@ -92,6 +93,7 @@
         RunProgress progress;
         Time warnedAt; ///< when the entry was last warned that the task is expected to end late
         bool isStarted = false; ///< the backend server has shown that it has started the run
+        bool isSuspected = false; ///< a backend server has crashed under the task
         bool mustStop = false;
         std::optional<Time>
             mustEndBy; ///< set with mustStop; no lease is granted beyond this time until the run has ended
@@ -124,6 +126,7 @@
         std::uint64_t unanswered = 0;
         std::uint64_t leasesExpired = 0;
         std::uint64_t serverInstances = 0;
+        std::uint64_t serversLost = 0;
     };
 
     // Messages from and to entries.
@@ -180,6 +183,10 @@
     /// Returns, for each run whose start is not confirmed, the time after which a poll must be sent to give new
     /// information about it.
     std::vector<Time> unconfirmedSince() const;
+    /// Evaluates whether the reply shows that the backend server has crashed, or that it has not.
+    void reviewServerLoss(const PollSchedule::Poll &poll, const PollReply &reply);
+    /// Records, unless that is done, that the present instance of the backend server has crashed with its active runs.
+    void recordServerLoss(const std::string &reason);
     void handleEndedRuns(const PollReply &reply);
     void handleListedRuns(const PollReply &reply, Time sentAt);
     void stopOrphanedRun(const RunningTask &running);
@@ -217,6 +224,8 @@
     bool isCapacityCurrent() const;
     /// Returns when the present instance sent the registration, by its clock; now if that is unknown.
     Time sendTimeOf(const ServerRegistration &registration) const;
+    /// Returns true if a suspected task may be running. Another one must not start beside it.
+    bool hasSuspectedTask() const;
     wire::Resources reserved() const;
     /// Returns the capacity that no task has reserved. Precondition: a backend server is registered.
     wire::Resources freeCapacity() const;
@@ -253,6 +262,7 @@
     PollSchedule pollSchedule;
     Time polledAt; ///< when the newest successful poll was sent
     OrderOutcome lastPollOutcome = OrderOutcome::Accepted;
+    HostCrashes crashes;
 
     std::map<std::int64_t, HostTask> tasks;
     std::map<TaskName, std::int64_t> idByName;
--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -31,8 +31,8 @@
 bool HostCore::isAccepting() const
 {
     return this->registered && !this->registered->isDraining && !this->hasLeft && !this->isStopping
-        && this->hasOnlyOwnRuns && this->clock.now() - this->polledAt < this->options.serverTimeout
-        && this->isCapacityCurrent();
+        && this->hasOnlyOwnRuns && !this->crashes.isRefusing()
+        && this->clock.now() - this->polledAt < this->options.serverTimeout && this->isCapacityCurrent();
 }
 
 Time HostCore::sendTimeOf(const ServerRegistration &registration) const
@@ -120,6 +120,7 @@
 
 void HostCore::beginInstance(const ServerRegistration &registration)
 {
+    this->recordServerLoss("a new instance was registered");
     const bool isAddressReused = this->registered && this->registered->server.address == registration.server.address;
     this->endInstance("a new instance of the backend server was registered");
     ++this->counters.serverInstances;
@@ -252,6 +253,7 @@
         this->pollSchedule.recordAnswer(poll);
     }
     this->updateClock(reply.clockMs);
+    this->reviewServerLoss(poll, reply);
     const auto previous = std::exchange(this->lastPollOutcome, reply.outcome);
     if (reply.outcome == OrderOutcome::Accepted) {
         this->polledAt = std::max(this->polledAt, poll.sentAt);
@@ -269,7 +271,8 @@
                      {{"server", this->instanceName()}, {"outcome", outcomeName(reply.outcome)}});
         }
         if (reply.outcome != OrderOutcome::Unanswered) {
-            this->pollSchedule.delayUntil(this->clock.now() + failedPollDelay);
+            this->pollSchedule.delayUntil(
+                this->clock.now() + (this->crashes.isRefusing() ? this->crashes.retryDelay() : failedPollDelay));
         }
     }
     this->applyDeferredRegistration();
--- a/tests/host_fixture.h
+++ b/tests/host_fixture.h
@@ -65,7 +65,11 @@
         options.control = {{"control-1", endpoint(43000)}};
         return options;
     }
-    static HostOptions hostOptions(const HostLeaseTerms &terms = {})
+    static HostOptions hostOptions()
+    {
+        return hostOptions(HostLeaseTerms());
+    }
+    static HostOptions hostOptions(const HostLeaseTerms &terms)
     {
         HostOptions options;
         options.self = processId("host-1");
