Test that a host that starts again at the same time of day speaks for itself only

Callers saw a task that ran twice at the same time. An incarnation is the wall clock in milliseconds at the start of a process, and nothing compares it with that of the earlier process. If the clock of the machine is set back by the time between two starts, both processes of a host have the same incarnation. The entry then repeats an unanswered order to the new process, takes its refusal ("the backend server is not accepting tasks") as "not run", and orders the task elsewhere, while the backend server still runs it.

The new test fails in both sections on the unchanged sources:

921 ms: run 1 of j/0 begins at i-1 while run 1 runs at i-0 since 501 ms 1721 ms: run 1 of j/0 begins at i-1 while run 1 runs at i-0 since 1301 ms

--- a/tests/run_sim.h
+++ b/tests/run_sim.h
@@ -112,6 +112,12 @@
         this->trace(fmt::format("the wall clock of host-{} is set back by {} ms", host, byMs));
         this->wallOffsetMs[host] -= byMs;
     }
+    /// Sets the wall clock of a host's machine back at each of the next starts of the host by the time since its last
+    /// one, so that the new process has the incarnation of the earlier one.
+    void repeatStartTime(int host)
+    {
+        this->hostsRepeatingStartTime.insert(host);
+    }
 
     // Backend servers.
 
@@ -221,6 +227,10 @@
     void startHost(int index)
     {
         this->trace(hostName(index) + " starts");
+        if (this->hostsRepeatingStartTime.count(index) > 0) {
+            this->stepWallClockBack(index, this->wallMs(index) - this->hostStartMs[index]);
+        }
+        this->hostStartMs[index] = this->wallMs(index);
         auto process = std::make_shared<HostProcess>(this->timeline, this->network, this->servers,
                                                      processId(hostName(index), this->wallMs(index)), hostPort(index));
         this->network.add(process);
@@ -284,6 +294,8 @@
     const int hostCount;
     std::map<int, std::shared_ptr<SimServer>> current; ///< newest server of each host; null while it is down
     std::map<int, std::int64_t> wallOffsetMs;
+    std::map<int, std::int64_t> hostStartMs; ///< wall clock at the newest start of each host
+    std::set<int> hostsRepeatingStartTime;
     int lastReplacement = 0;
 };
 
--- a/tests/test_run_faults.cpp
+++ b/tests/test_run_faults.cpp
@@ -203,6 +203,32 @@
     }
 }
 
+// Guards against answers of a restarted host that count for its earlier process, since a wall clock that was set back
+// gives both the same incarnation.
+TEST_CASE("A task does not run twice when its host is killed and starts again at the same wall clock time",
+          "[run-faults]")
+{
+    setLogLevel(LogLevel::Error);
+    RunSim sim;
+    sim.repeatStartTime(0);
+
+    SECTION("and the restarted host does not know its server yet")
+    {
+        sim.killHostAfterStart(0, Millis(1), Millis(300));
+        sim.callers.submit(wholeServerJob(1000, 900), 0);
+        sim.run(afterwards);
+        requireNoViolation(sim);
+    }
+    SECTION("and the restarted host finds the run in the list of its server")
+    {
+        sim.run(Millis(800)); // the server registers again after the restart of the host
+        sim.killHostAfterStart(0, Millis(1), Millis(300));
+        sim.callers.submit(wholeServerJob(1000, 900), 0);
+        sim.run(afterwards);
+        requireNoViolation(sim);
+    }
+}
+
 // Guards against a run at a restarted server that its host believes to have ended with the earlier instance.
 TEST_CASE("A task does not run twice when its server restarts under the same id", "[run-faults]")
 {
