Confirm a stop only by a report on the same task

Order numbers start at 1 in each process of an entry. A host that does not know the next process yet repeats its reports for the earlier one to the same address. A report with an equal order number removed the stop of another task, whose earlier run could then overlap with the next one.

The new section of test-relocation checks that a report on another job, or another index, confirms nothing; confirm() did not take them before.

--- a/src/dispatch_core_jobs.cpp
+++ b/src/dispatch_core_jobs.cpp
@@ -333,7 +333,7 @@
 void DispatchCore::handleReport(const wire::TaskReport &report, const wire::ProcessId &host, Answers &answers)
 {
     if (report.phase != wire::TaskPhase::QUEUED && report.phase != wire::TaskPhase::RUNNING) {
-        this->stops.confirm(report.order);
+        this->stops.confirm(report.order, report.job, report.index);
     }
     const auto found = this->jobs.find(report.job);
     if (found == this->jobs.end() || report.index < 0
--- a/src/dispatch_stops.cpp
+++ b/src/dispatch_stops.cpp
@@ -16,9 +16,12 @@
     this->entries.try_emplace(order, Entry {std::move(task), now, Time {}, false});
 }
 
-void DispatchStops::confirm(std::int64_t order)
+void DispatchStops::confirm(std::int64_t order, const std::string &job, std::int32_t index)
 {
-    this->entries.erase(order);
+    const auto found = this->entries.find(order);
+    if (found != this->entries.end() && found->second.task.job == job && found->second.task.index == index) {
+        this->entries.erase(found);
+    }
 }
 
 bool DispatchStops::isPending(const std::string &job, std::int32_t index) const
--- a/src/dispatch_stops_p.h
+++ b/src/dispatch_stops_p.h
@@ -32,8 +32,9 @@
     DispatchStops(Millis repeatInterval, Millis retention);
 
     void add(std::int64_t order, StoppingTask task, Time now);
-    /// Handles a host's report that the order has ended: removes its stop.
-    void confirm(std::int64_t order);
+    /// Handles a host's report that the order has ended: removes its stop. Ignores a report on an order of an earlier
+    /// process of this entry, which may have the same number.
+    void confirm(std::int64_t order, const std::string &job, std::int32_t index);
     bool isPending(const std::string &job, std::int32_t index) const;
     /// Returns the stops to send now: new ones, and those not confirmed within the repeat interval. Drops stops whose
     /// retention has expired.
--- a/tests/test_relocation.cpp
+++ b/tests/test_relocation.cpp
@@ -168,9 +168,15 @@
 
     SECTION("the task may be placed again after its end is reported")
     {
-        stops.confirm(7);
+        stops.confirm(7, "a", 1);
         REQUIRE_FALSE(stops.isPending("a", 1));
     }
+    SECTION("the end of an order of an earlier process of the entry, which has the same number, confirms nothing")
+    {
+        stops.confirm(7, "b", 1);
+        stops.confirm(7, "a", 2);
+        REQUIRE(stops.isPending("a", 1));
+    }
     SECTION("the stop is removed after all leases have expired")
     {
         REQUIRE(stops.takeDue(at(3001)).empty());
