Place no returned task of a caller that has left

An entry that wakes handles the waiting reports before its first check of its callers. A task that its host has ended meanwhile was placed at another host, although its caller might have submitted the job again elsewhere; the run ended with the next tick. With a deadline of 1.5 s and resubmission after 1.3 s the overlap could last 0.2 s.

placeUnassigned() now looks at the caller's connection first, as the periodic check does. No test of its own: test-run-faults freezes entries in its random sequences and passes before and after.

--- a/src/dispatch_core_jobs.cpp
+++ b/src/dispatch_core_jobs.cpp
@@ -172,6 +172,9 @@
 void DispatchCore::placeUnassigned(const std::string &id, Job &job)
 {
     const auto now = this->clock.now();
+    if (job.request.isCallerDisconnected()) {
+        return; // the next tick ends the job; its caller may have submitted it again elsewhere
+    }
     std::vector<std::int32_t> indexes;
     std::vector<TaskRequest> requests;
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
