Count the time of an order in doubt from when its host may send it, and bound it

- A host accepts tasks for 0.7 s after the last answer of its backend server.
That the same process of a host accepts tasks says that its token is in use only if it does so 1 s after the loss of the entry was reported.
- A new entry process is told of the orders in doubt also if its first message to a host is an order.
- What exceeds a limit is logged when it is dropped.
Expired orders are removed once a second, not each tick, and a host keeps each order once.

--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -107,7 +107,7 @@
     if (host == nullptr) {
         return;
     }
-    this->doubts.learn(report.unanswered, this->clock.now());
+    this->doubts.learnUnanswered(report.unanswered, this->clock.now());
     wire::HostContact contact;
     contact.hostIncarnation = host->id.incarnation;
     contact.heardAtMicros = host->report.sentAtMicros;
--- a/src/dispatch_core_doubts.cpp
+++ b/src/dispatch_core_doubts.cpp
@@ -34,7 +34,7 @@
         return !stop.isStarted && this->hosts.isLost(stop.host, stop.hostIncarnation, now);
     };
     for (const auto &stop : this->stops.takeLost(isLost)) {
-        const auto until = stop.startsBefore + this->options.lateStartTime;
+        const auto until = stop.startsBefore + this->options.hostEntryLease + this->options.lateStartTime;
         ++this->counters.startsInDoubt;
         logEvent(component, "start_in_doubt",
                  {{"job", stop.job},
@@ -42,7 +42,7 @@
                   {"host", stop.host},
                   {"incarnation", stop.hostIncarnation},
                   {"forMs", toMillis(until - now)}});
-        this->doubts.announce({stop.job, stop.index}, {stop.host, stop.hostIncarnation, until}, now);
+        this->doubts.announce({stop.job, stop.index}, {stop.host, stop.hostIncarnation, until, now}, now);
     }
     // A later process of the host does not know the order; startInDoubt() tells when the task may run again.
     this->stops.removeIf([this](const StoppingTask &stop) {
--- a/src/dispatch_core_p.h
+++ b/src/dispatch_core_p.h
@@ -33,6 +33,7 @@
     std::size_t maxJobs = 20000; ///< maximum number of jobs in flight
     Millis stallTime {AGATEDRUM_ENTRY_STALL_MS};
     Millis lateStartTime {AGATEDRUM_LATE_START_MS};
+    Millis hostEntryLease {AGATEDRUM_HOST_ENTRY_LEASE_MS}; ///< longest time after which a host still accepts an order
     Millis drainTime {0}; ///< time after the start of a stop during which jobs are still accepted
 };
 
--- a/src/dispatch_doubts.cpp
+++ b/src/dispatch_doubts.cpp
@@ -1,5 +1,7 @@
 #include "dispatch_doubts_p.h"
 
+#include "base_event_p.h"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -8,6 +10,8 @@
 
 namespace {
 
+constexpr auto component = "dispatch";
+constexpr Millis sweepInterval {1000};
 constexpr int announcementCount = 3; ///< a relaying host may be lost as well
 constexpr Millis maxTime {60000}; ///< longer than an order may have an effect
 constexpr std::size_t maxTasks = 100000; ///< far more than the tasks that are started while an order may be late
@@ -20,12 +24,22 @@
 }
 
 void DispatchDoubts::learn(const std::vector<wire::JobInDoubt> &jobs, Time now)
+{
+    this->add(jobs, now, now);
+}
+
+void DispatchDoubts::learnUnanswered(const std::vector<wire::JobInDoubt> &jobs, Time now)
+{
+    this->add(jobs, Time {}, now);
+}
+
+void DispatchDoubts::add(const std::vector<wire::JobInDoubt> &jobs, Time reportedAt, Time now)
 {
     for (const auto &job : jobs) {
         for (const auto &place : job.places) {
             for (const auto index : place.indexes) {
                 const auto left = std::min<Micros>(maxTime, Micros(job.leftMicros));
-                this->add({job.job, index}, {place.host, place.hostIncarnation, now + left});
+                this->add({job.job, index}, {place.host, place.hostIncarnation, now + left, reportedAt});
             }
         }
     }
@@ -74,6 +88,10 @@
 
 void DispatchDoubts::removeExpired(Time now)
 {
+    if (now - this->sweptAt < sweepInterval) {
+        return;
+    }
+    this->sweptAt = now;
     for (auto task = this->starts.begin(); task != this->starts.end();) {
         auto &known = task->second;
         known.erase(
@@ -86,6 +104,7 @@
 void DispatchDoubts::add(const TaskName &task, StartInDoubt start)
 {
     if (this->starts.size() >= maxTasks && this->starts.count(task) == 0) {
+        logEvent(component, "start_in_doubt_dropped", {{"job", task.job}, {"task", task.index}, {"host", start.host}});
         return;
     }
     auto &known = this->starts[task];
@@ -96,6 +115,7 @@
         known.push_back(std::move(start));
     } else {
         same->until = std::max(same->until, start.until);
+        same->reportedAt = std::max(same->reportedAt, start.reportedAt);
     }
 }
 
--- a/src/dispatch_doubts_p.h
+++ b/src/dispatch_doubts_p.h
@@ -17,6 +17,8 @@
     std::string host;
     std::int64_t hostIncarnation = 0;
     Time until; ///< the order can have no effect after this time
+    /// When a lost host or entry was reported; Time {} if the host itself has found the order without an answer.
+    Time reportedAt {};
 };
 
 /// Remembers which tasks may still be started by an order that was given before, and tells the other entries. Not
@@ -30,8 +32,10 @@
     /// @param repeatInterval time between two announcements of one order
     explicit DispatchDoubts(Millis repeatInterval);
 
-    /// Records what a host or another entry has reported.
+    /// Records the orders of lost hosts and entries.
     void learn(const std::vector<wire::JobInDoubt> &jobs, Time now);
+    /// Records the orders that a host, which lives, has found without an answer.
+    void learnUnanswered(const std::vector<wire::JobInDoubt> &jobs, Time now);
     /// Records an order of this entry, and announces it several times.
     void announce(const TaskName &task, const StartInDoubt &start, Time now);
     /// Returns the announcements to send now.
@@ -53,11 +57,13 @@
         Time nextAt;
     };
 
+    void add(const std::vector<wire::JobInDoubt> &jobs, Time reportedAt, Time now);
     void add(const TaskName &task, StartInDoubt start);
 
     const Millis repeatInterval;
     std::map<TaskName, std::vector<StartInDoubt>> starts;
     std::vector<Announcement> announcements;
+    Time sweptAt;
 };
 
 } // namespace agatedrum
--- a/src/dispatch_hosts.cpp
+++ b/src/dispatch_hosts.cpp
@@ -1,5 +1,6 @@
 #include "dispatch_hosts_p.h"
 
+#include "agatedrum/config.h"
 #include "host_resources_p.h"
 
 #include <algorithm>
@@ -11,8 +12,9 @@
 
 constexpr Millis removeAfter(30000);
 constexpr Millis freshTime(300); ///< a report interval and its delay
-/// Time in which a host that has been away finds its starts without an answer and raises its fencing token.
-constexpr Millis settleTime(300);
+/// A host accepts tasks for this long after the last answer of its backend server; if it still does, its token is in
+/// use.
+constexpr Millis settleTime(AGATEDRUM_SERVER_SILENT_MS + freshTime.count());
 
 } // namespace
 
@@ -83,7 +85,8 @@
     if (host == nullptr || !host->report.accepting || now - host->lastHeardAt >= freshTime) {
         return false;
     }
-    return host->id.incarnation != start.hostIncarnation || now - host->acceptingSince >= settleTime;
+    const auto knownSince = std::max(host->acceptingSince, start.reportedAt);
+    return host->id.incarnation != start.hostIncarnation || now - knownSince >= settleTime;
 }
 
 std::vector<const DispatchHost *> DispatchHosts::relays(std::size_t count, const std::string &exceptHost,
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -92,6 +92,7 @@
     if (!isForThisProcess) {
         return; // the reports of this process tell the entry that the earlier process no longer exists
     }
+    this->greetNewEntry(incoming);
     const bool isLeaseValid = this->entries.handleContact(incoming, message.heardAtMicros, message.reportsSeen, now);
     this->witness.record(incoming.sender, message.job, message.elsewhere, now + Micros(message.timeLeftMicros));
     const auto spec = std::make_shared<const std::string>(message.spec);
--- a/src/host_witness.cpp
+++ b/src/host_witness.cpp
@@ -1,12 +1,16 @@
 #include "host_witness_p.h"
 
+#include "base_event_p.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace agatedrum {
 
 namespace {
 
-constexpr std::size_t maxRecords = 10000; ///< far more than the jobs that an entry orders at one host in two seconds
+constexpr auto component = "host";
+constexpr std::size_t maxRecords = 2000; ///< far more than the jobs that an entry orders at one host in two seconds
 
 } // namespace
 
@@ -27,8 +31,9 @@
     wire::JobInDoubt placed;
     placed.job = job;
     placed.places = places;
-    known.records.push_back({std::move(placed), startsBefore + this->lateStartTime});
+    known.records.push_back({std::move(placed), startsBefore + this->entryLease + this->lateStartTime});
     if (known.records.size() > maxRecords) {
+        logEvent(component, "start_in_doubt_dropped", {{"job", known.records.front().job.job}});
         known.records.pop_front();
     }
 }
@@ -39,7 +44,7 @@
     for (auto known = this->entries.begin(); known != this->entries.end();) {
         auto &records = known->second.records;
         // After its deadline and a lease, the job has ended at an entry that lives.
-        while (!records.empty() && now >= records.front().until - this->lateStartTime + this->entryLease) {
+        while (!records.empty() && now >= records.front().until - this->lateStartTime) {
             records.pop_front();
         }
         if (leases.hasLease(known->second.entry, now)) {
@@ -57,11 +62,19 @@
 
 void HostWitness::learn(const std::vector<wire::JobInDoubt> &jobs, Time now)
 {
+    const auto isExpired = [now](const Record &record) { return now >= record.until; };
+    this->reported.erase(std::remove_if(this->reported.begin(), this->reported.end(), isExpired), this->reported.end());
     for (const auto &job : jobs) {
-        this->reported.push_back({job, now + Micros(job.leftMicros)});
-    }
-    while (this->reported.size() > maxRecords) {
-        this->reported.pop_front();
+        const auto same = std::find_if(this->reported.begin(), this->reported.end(), [&job](const Record &record) {
+            return record.job.job == job.job && record.job.places == job.places;
+        });
+        if (same != this->reported.end()) {
+            same->until = std::max(same->until, now + Micros(job.leftMicros));
+        } else if (this->reported.size() < maxRecords) {
+            this->reported.push_back({job, now + Micros(job.leftMicros)});
+        } else {
+            logEvent(component, "start_in_doubt_dropped", {{"job", job.job}});
+        }
     }
 }
 
