Keep the stop of a started run whose host has restarted

Found by reading: the stop was dropped as soon as another process of the host was heard, also for a run that had started and may have a lease for up to 1 s. An entry places no task again while a stop of it is pending, so the stop stays until then, as before the change for start orders in doubt.

--- a/src/dispatch_core_doubts.cpp
+++ b/src/dispatch_core_doubts.cpp
@@ -44,10 +44,11 @@
                   {"forMs", toMillis(until - now)}});
         this->doubts.announce({stop.job, stop.index}, {stop.host, stop.hostIncarnation, until, now}, now);
     }
-    // A later process of the host does not know the order; startInDoubt() tells when the task may run again.
+    // A later process of the host does not know the order; startInDoubt() tells when the task may run again. A run that
+    // has started may still have a lease.
     this->stops.removeIf([this](const StoppingTask &stop) {
         const auto *host = this->hosts.find(stop.host);
-        return host != nullptr && host->id.incarnation != stop.hostIncarnation;
+        return !stop.isStarted && host != nullptr && host->id.incarnation != stop.hostIncarnation;
     });
     wire::StartsInDoubt message;
     message.jobs = this->doubts.takeDue(now);
