--- a/src/dispatch_core_listening.cpp
+++ b/src/dispatch_core_listening.cpp
@@ -31,6 +31,10 @@
 
 void DispatchCore::askForReports()
 {
+    // Messages to lost hosts would delay the end of this process, which waits until its messages are sent.
+    if (this->isClosedLocked()) {
+        return;
+    }
     for (const auto *host : this->listening.takeUnheard(this->hosts, this->clock.now())) {
         this->sendContact(*host);
     }
--- a/tests/test_listening.cpp
+++ b/tests/test_listening.cpp
@@ -493,6 +493,15 @@
         CHECK(entry.takeAsked().size() == 2);
         CHECK(entry.outcomes.empty());
     }
+    SECTION("an entry that accepts no more jobs asks no hosts, since messages to lost hosts would delay its end")
+    {
+        entry.tickAfter(Millis(2000));
+        CHECK_FALSE(entry.takeAsked().empty());
+        entry.core.beginStop();
+        entry.tickAfter(Millis(2000));
+        CHECK(entry.core.isClosed());
+        CHECK(entry.takeAsked().empty());
+    }
     SECTION("a host that restarts is asked again as soon as its first summary comes")
     {
         entry.receiveReport(heard, false);
