Let a host introduce itself to a new entry process for 3 s

Cause: three reports within 0.4 s could all be lost on a connection to the entry's earlier process, which is closed only after 1 s without an answer; the next summary came up to 5 s later. Change: five reports at doubling intervals, up to 3 s.

--- a/src/host_audience.cpp
+++ b/src/host_audience.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-/// Number of reports to a new entry process. The first ones may be lost on the connection to its predecessor.
-constexpr int introductionCount = 3;
+/// Number of reports to a new entry process, at intervals that double. The first ones may be lost on a connection to
+/// its predecessor, which is not closed before AGATEDRUM_PEER_SILENT_MS.
+constexpr int introductionCount = 5;
+constexpr Millis firstIntroductionInterval {200};
 /// Shortest time between two summaries that tell an entry whether the host accepts tasks.
 constexpr Millis minChangeInterval {1000};
 
@@ -32,10 +34,11 @@
         const Key key {entry.address.host, entry.address.port};
         const auto before = this->reportedTo.find(key);
         const bool isNewProcess = before == this->reportedTo.end() || before->second.id != entry.id;
-        auto reported = isNewProcess ? Reported {entry.id, {}, {}, false, introductionCount} : before->second;
+        auto reported = isNewProcess ? Reported {entry.id, {}, {}, {}, false, introductionCount} : before->second;
         const bool isListening = listening.erase(key) > 0;
         if (isListening || this->isSummaryDue(reported, occasion)) {
-            recipients.push_back({entry.address, !isListening, reported.introductionsLeft > 0});
+            const bool isIntroduction = occasion.now >= reported.nextIntroductionAt;
+            recipients.push_back({entry.address, !isListening, isIntroduction});
             this->recordReport(key, reported, occasion);
         }
         next.emplace(key, std::move(reported));
@@ -57,7 +60,7 @@
 {
     const bool isChangeDue
         = reported.wasAccepting != occasion.isAccepting && occasion.now - reported.lastAt >= minChangeInterval;
-    return occasion.concernsAll || reported.introductionsLeft > 0 || isChangeDue
+    return occasion.concernsAll || isChangeDue || occasion.now >= reported.nextIntroductionAt
         || occasion.now >= reported.nextSummaryAt;
 }
 
@@ -65,8 +68,10 @@
 {
     reported.lastAt = occasion.now;
     reported.wasAccepting = occasion.isAccepting;
-    if (reported.introductionsLeft > 0) {
-        --reported.introductionsLeft;
+    if (occasion.now >= reported.nextIntroductionAt) {
+        const auto sent = introductionCount - reported.introductionsLeft;
+        reported.nextIntroductionAt
+            = --reported.introductionsLeft > 0 ? occasion.now + firstIntroductionInterval * (1 << sent) : Time::max();
     }
     if (occasion.now < reported.nextSummaryAt) {
         return;
--- a/src/host_audience_p.h
+++ b/src/host_audience_p.h
@@ -51,6 +51,7 @@
         wire::ProcessId id;
         Time lastAt;
         Time nextSummaryAt;
+        Time nextIntroductionAt; ///< Time::max() after the last one
         bool wasAccepting = false;
         int introductionsLeft = 0;
     };
