Report a changed capacity to all entries at once

Cause: since hosts introduce themselves at doubling intervals, an entry that does not listen learned of a changed capacity with the next summary only; test-host-capacity, 'The entries learn of a changed capacity at once', failed on. Change: the report of a changed capacity goes to all entries. Result: test-host-capacity passes, 258 assertions; test-host and test-listening pass.

--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -100,6 +100,7 @@
                   {"sequence", registration.sequence},
                   {"old", textOf(previousCapacity)},
                   {"new", textOf(registration.capacity)}});
+        this->urgentReports = std::max(this->urgentReports, 1); // all entries know the capacity
         this->announce();
     }
 }
