--- a/review/4/case.py
+++ b/review/4/case.py
@@ -7,8 +7,8 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 
-from common.deployment import (CannotRun, configuration, leader_of, read_back, run_case, start_control_group,
-                               status_line)
+from common.deployment import (CannotRun, configuration, read_back, run_case, start_control_group, status_line,
+                               wait_for_leader)
 
 SUCCESSOR_AFTER_S = 1.0  # replace_core: "an empty one comes x s (1) later at another address"
 CATCH_UP_S = 4.0  # CatchUpS, counted from the start of the successor
@@ -20,7 +20,7 @@
 def body(deployment, record, has_trouble):
     operator = start_control_group(deployment, record, 3)
     time.sleep(2)
-    lost = leader_of(deployment)
+    lost = wait_for_leader(deployment)
     if lost is None:
         raise CannotRun("no leader")
     zone = lost.zone
@@ -45,7 +45,7 @@
     if status != 200:
         raise CannotRun(f"version 2 was not accepted: {status} {answer!r}")
     time.sleep(max(0.0, started + CATCH_UP_S + MARGIN_S - time.monotonic()))
-    second = leader_of(deployment)
+    second = wait_for_leader(deployment)
     if second is None:
         raise CannotRun("no leader before the second loss")
     record(f"{time.monotonic() - started:.1f} s after the start of the successor; {status_line(deployment)}")
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -327,6 +327,17 @@
     return None
 
 
+def wait_for_leader(deployment, limit=5.0):
+    """Returns the machine that leads, or None if there is none within the limit."""
+    deadline = time.monotonic() + limit
+    while time.monotonic() < deadline:
+        leader = leader_of(deployment)
+        if leader is not None:
+            return leader
+        time.sleep(0.05)
+    return None
+
+
 def run_case(folder, body):
     """Runs a case and exits with its result.
 
