--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -245,8 +245,8 @@
         connection.close()
 
 
-def configuration(version, routes):
-    """A complete configuration as PROTOCOL.md shows it, with this number of routes."""
+def configuration(version, routes, route_fields=None):
+    """A complete configuration as PROTOCOL.md shows it, with this number of routes, which have the given fields."""
     listed = []
     for number in range(routes):
         listed.append({
@@ -260,6 +260,7 @@
             "Backend": "huvo11a",
             "MaxAttempts": 2,
             "Stretch": 1.6,
+            **(route_fields or {}),
         })
     content = {
         "Version": version,
@@ -359,12 +360,12 @@
     raise SystemExit(EXIT_BROKEN if broken else EXIT_HELD)
 
 
-def start_control_group(deployment, record, routes):
+def start_control_group(deployment, record, routes, route_fields=None):
     """Starts all control processes and has the first configuration accepted. Returns the operator."""
     for machine in deployment.machines:
         machine.start("control")
     operator = Operator(deployment, deployment.machines)
-    ip, status, answer = operator.order("PUT", "/config", configuration(1, routes))
+    ip, status, answer = operator.order("PUT", "/config", configuration(1, routes, route_fields))
     record(f"PUT version 1 with {routes} routes: {status} from {ip}")
     if status != 200:
         raise CannotRun(f"the first configuration was not accepted: {status} {answer!r}")
