--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -158,6 +158,17 @@
 #define AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES 4096
 #endif
 
+/// Size of the entries in the control group's log after which a snapshot replaces them, in bytes. A larger snapshot is
+/// replaced once the entries have its size.
+#ifndef AGATEDRUM_CONTROL_SNAPSHOT_BYTES
+#define AGATEDRUM_CONTROL_SNAPSHOT_BYTES (8LL * 1024 * 1024)
+#endif
+
+/// Maximum size of the texts of earlier configuration files that are kept, in bytes.
+#ifndef AGATEDRUM_CONFIG_HISTORY_BYTES
+#define AGATEDRUM_CONFIG_HISTORY_BYTES (4UL * 1024 * 1024)
+#endif
+
 /// Time without a heartbeat after which a member that has reported that it is leaving is removed, in milliseconds.
 #ifndef AGATEDRUM_LEAVING_SILENT_MS
 #define AGATEDRUM_LEAVING_SILENT_MS 3000
--- a/src/control_codec_p.h
+++ b/src/control_codec_p.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace agatedrum {
 
@@ -23,7 +24,7 @@
 /// Deserializes a Thrift structure from the compact protocol. Thread-safe.
 /// @return std::nullopt if the bytes are not a valid encoding of the structure.
 template<typename T>
-std::optional<T> decodeCompact(const std::string &bytes)
+std::optional<T> decodeCompact(std::string_view bytes)
 {
     // In observe mode TMemoryBuffer only reads the bytes, although its constructor requires a mutable pointer.
     auto *data = reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data())); // NOLINT
--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -336,7 +336,10 @@
 void ControlCore::compactIfDue()
 {
     const auto appliedIndex = this->log.commitIndex();
-    if (appliedIndex - this->log.snapshotIndex() >= this->options.snapshotEntries) {
+    // Entries as large as the snapshot make it worth writing, however large it is.
+    const auto maxBytes = std::max(this->options.snapshotBytes, this->log.snapshotBytes());
+    if (appliedIndex - this->log.snapshotIndex() >= this->options.snapshotEntries
+        || this->log.committedBytes() >= maxBytes) {
         this->log.compact(appliedIndex, encodeCompact(this->stateMachine.image()));
         this->drainOnce();
     }
--- a/src/control_core_p.h
+++ b/src/control_core_p.h
@@ -28,6 +28,8 @@
     bool mayBootstrap = true; ///< whether a process with an empty disk may take part in bootstrapping the group
     std::size_t maxVoters = SIZE_MAX;
     std::int64_t snapshotEntries = AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES; ///< log entries after which a snapshot is taken
+    std::int64_t snapshotBytes
+        = AGATEDRUM_CONTROL_SNAPSHOT_BYTES; ///< size of the log entries after which a snapshot is taken
     std::uint64_t seed = 0; ///< seed of the election timeouts and id of a new disk; 0 for a random one
 };
 
--- a/src/control_disk.cpp
+++ b/src/control_disk.cpp
@@ -2,11 +2,13 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
 #include <sys/file.h>
+#include <sys/stat.h>
 #include <sys/statvfs.h>
 #include <unistd.h>
 #include <utility>
@@ -106,7 +108,8 @@
     }
 }
 
-Result<std::optional<std::string>, ControlStoreError> FileDisk::read(const std::string &name)
+Result<std::optional<std::string>, ControlStoreError> FileDisk::read(const std::string &name, std::int64_t offset,
+                                                                     std::size_t maxBytes)
 {
     const auto path = this->path(name);
     const int descriptor = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
@@ -116,17 +119,25 @@
         }
         return ControlStoreError {path, 0, std::strerror(errno)};
     }
-    std::string content;
-    std::string block(65536, '\0');
-    ssize_t count = 0;
-    while ((count = ::read(descriptor, block.data(), block.size())) > 0) {
-        content.append(block, 0, static_cast<std::size_t>(count));
+    struct stat info = {};
+    int code = ::fstat(descriptor, &info) == 0 ? 0 : errno;
+    const auto available = static_cast<std::size_t>(std::max<std::int64_t>(0, info.st_size - offset));
+    std::string content(code == 0 ? std::min(maxBytes, available) : 0, '\0');
+    std::size_t done = 0;
+    while (code == 0 && done < content.size()) {
+        const auto count = ::pread(descriptor, content.data() + done, content.size() - done,
+                                   static_cast<off_t>(offset + static_cast<std::int64_t>(done)));
+        if (count == 0) {
+            break;
+        }
+        code = count < 0 && errno != EINTR ? errno : 0;
+        done += count > 0 ? static_cast<std::size_t>(count) : 0;
     }
-    const int code = errno;
     ::close(descriptor);
-    if (count < 0) {
-        return ControlStoreError {path, static_cast<std::int64_t>(content.size()), std::strerror(code)};
+    if (code != 0) {
+        return ControlStoreError {path, offset + static_cast<std::int64_t>(done), std::strerror(code)};
     }
+    content.resize(done);
     return std::make_optional(std::move(content));
 }
 
--- a/src/control_disk_p.h
+++ b/src/control_disk_p.h
@@ -32,8 +32,11 @@
 struct DiskI
 {
     virtual ~DiskI() = default;
-    /// Returns the content of the file, or std::nullopt if there is no such file.
-    virtual Result<std::optional<std::string>, ControlStoreError> read(const std::string &name) = 0;
+    /// Returns up to maxBytes bytes of the file from the offset on, fewer only at its end, or std::nullopt if there is
+    /// no such file.
+    virtual Result<std::optional<std::string>, ControlStoreError> read(const std::string &name, std::int64_t offset,
+                                                                       std::size_t maxBytes)
+        = 0;
     /// Appends bytes without syncing. After Full or Failed, a part of the bytes may have been appended.
     virtual DiskOutcome append(const std::string &name, const std::string &bytes) = 0;
     /// Makes all appended bytes durable. After Full or Failed they must be truncated and appended again, since a later
@@ -57,7 +60,8 @@
     FileDisk(const FileDisk &) = delete;
     FileDisk &operator=(const FileDisk &) = delete;
 
-    Result<std::optional<std::string>, ControlStoreError> read(const std::string &name) override;
+    Result<std::optional<std::string>, ControlStoreError> read(const std::string &name, std::int64_t offset,
+                                                               std::size_t maxBytes) override;
     DiskOutcome append(const std::string &name, const std::string &bytes) override;
     DiskOutcome sync(const std::string &name) override;
     DiskOutcome truncate(const std::string &name, std::int64_t size) override;
--- a/src/control_journal.cpp
+++ b/src/control_journal.cpp
@@ -2,12 +2,15 @@
 
 #include "base_log_p.h"
 #include "control_codec_p.h"
+#include "control_file_reader_p.h"
 
 #include <fmt/format.h>
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <cstring>
+#include <string_view>
 #include <utility>
 
 namespace agatedrum {
@@ -48,34 +51,70 @@
     return bytes + payload;
 }
 
-/// Returns the header of the frame at the offset, with any frame number, or std::nullopt if there is no intact frame.
-std::optional<FrameHeader> readIntactFrameHeader(const std::string &content, std::size_t offset)
+/// An intact frame of the log. The payload is valid until the reader's next call.
+struct Frame
 {
     FrameHeader header;
-    if (content.size() - offset < sizeof(header)) {
-        return std::nullopt;
+    std::string_view payload;
+};
+
+using FrameResult = Result<std::optional<Frame>, ControlStoreError>;
+
+/// Returns the frame at the offset, with any frame number, or std::nullopt if there is no intact frame.
+FrameResult readFrame(ControlFileReader &reader, std::int64_t offset)
+{
+    FrameHeader header;
+    auto bytes = reader.view(offset, sizeof(header));
+    if (!isOk(bytes)) {
+        return error(bytes);
     }
-    std::memcpy(&header, content.data() + offset, sizeof(header));
-    const auto rest = content.size() - offset - sizeof(header);
-    if (header.magic != frameMagic || header.headerChecksum != headerChecksum(header) || header.length > rest
-        || header.payloadChecksum != XXH3_64bits(content.data() + offset + sizeof(header), header.length)) {
-        return std::nullopt;
+    if (value(bytes).size() < sizeof(header)) {
+        return std::optional<Frame>();
+    }
+    std::memcpy(&header, value(bytes).data(), sizeof(header));
+    if (header.magic != frameMagic || header.headerChecksum != headerChecksum(header)) {
+        return std::optional<Frame>();
+    }
+    bytes = reader.view(offset + static_cast<std::int64_t>(sizeof(header)), header.length);
+    if (!isOk(bytes)) {
+        return error(bytes);
+    }
+    const auto payload = value(bytes);
+    if (payload.size() < header.length || header.payloadChecksum != XXH3_64bits(payload.data(), payload.size())) {
+        return std::optional<Frame>();
     }
-    return header;
+    return std::make_optional(Frame {header, payload});
 }
 
 /// Returns whether an intact frame with a higher number exists anywhere at or after the offset.
-bool hasLaterFrame(const std::string &content, std::size_t offset, std::uint64_t number)
+Result<bool, ControlStoreError> hasLaterFrame(ControlFileReader &reader, std::int64_t offset, std::uint64_t number)
 {
+    constexpr std::size_t scanBytes = 64UL * 1024;
     const std::string magic(reinterpret_cast<const char *>(&frameMagic), sizeof(frameMagic)); // NOLINT
-    for (auto position = content.find(magic, offset); position != std::string::npos;
-         position = content.find(magic, position + 1)) {
-        const auto header = readIntactFrameHeader(content, position);
-        if (header && header->number > number) {
+    while (true) {
+        const auto scanned = reader.view(offset, scanBytes);
+        if (!isOk(scanned)) {
+            return error(scanned);
+        }
+        const auto found = value(scanned).find(magic);
+        if (found == std::string_view::npos) {
+            if (value(scanned).size() < scanBytes) {
+                return false;
+            }
+            // The magic number may begin in the last bytes of this part.
+            offset += static_cast<std::int64_t>(scanBytes - magic.size() + 1);
+            continue;
+        }
+        offset += static_cast<std::int64_t>(found);
+        const auto frame = readFrame(reader, offset);
+        if (!isOk(frame)) {
+            return error(frame);
+        }
+        if (value(frame) && value(frame)->header.number > number) {
             return true;
         }
+        ++offset;
     }
-    return false;
 }
 
 wire::LogRecord toLogRecord(const ControlWrite &write)
@@ -113,11 +152,16 @@
     return this->loadedContent;
 }
 
+ControlStoreContent ControlJournal::takeLoaded()
+{
+    return std::exchange(this->loadedContent, {});
+}
+
 // Reading.
 
 std::optional<ControlStoreError> ControlJournal::readSnapshot()
 {
-    auto read = this->disk.read(snapshotName);
+    auto read = this->disk.read(snapshotName, 0, SIZE_MAX);
     if (!isOk(read)) {
         return error(read);
     }
@@ -131,7 +175,7 @@
         return ControlStoreError {snapshotName, 0, "not a snapshot of format version 1"};
     }
     std::memcpy(&checksum, bytes->data() + snapshotMagic.size(), sizeof(checksum));
-    auto snapshot = decodeCompact<wire::SnapshotFile>(bytes->substr(start));
+    auto snapshot = decodeCompact<wire::SnapshotFile>(std::string_view(*bytes).substr(start));
     if (checksum != XXH3_64bits(bytes->data() + start, bytes->size() - start) || !snapshot) {
         return ControlStoreError {snapshotName, static_cast<std::int64_t>(start), "the checksum does not match"};
     }
@@ -141,13 +185,13 @@
 
 std::optional<ControlStoreError> ControlJournal::readLog()
 {
-    auto read = this->disk.read(logName);
-    if (!isOk(read)) {
-        return error(read);
+    auto start = this->disk.read(logName, 0, logMagic.size());
+    if (!isOk(start)) {
+        return error(start);
     }
-    const auto &bytes = value(read);
-    if (bytes) {
-        return this->readFrames(*bytes);
+    if (const auto &magic = value(start)) {
+        return *magic == logMagic ? this->readFrames()
+                                  : std::make_optional(ControlStoreError {logName, 0, "not a log of format version 1"});
     }
     if (this->loadedContent.snapshot) {
         return ControlStoreError {logName, 0, "the log file is missing although a snapshot exists"};
@@ -158,68 +202,86 @@
                                             : std::make_optional(ControlStoreError {logName, 0, outcome.message});
 }
 
-std::optional<ControlStoreError> ControlJournal::readFrames(const std::string &bytes)
+std::optional<ControlStoreError> ControlJournal::readFrames()
 {
-    if (bytes.compare(0, logMagic.size(), logMagic) != 0) {
-        return ControlStoreError {logName, 0, "not a log of format version 1"};
-    }
-    auto offset = logMagic.size();
-    while (offset < bytes.size()) {
-        const auto header = readIntactFrameHeader(bytes, offset);
-        const auto errorOffset = static_cast<std::int64_t>(offset);
-        if (!header) {
-            // If there is a snapshot, the first frame was written by replacing the file atomically, so it cannot be an
-            // incomplete write.
-            if (hasLaterFrame(bytes, offset, this->nextFrameNumber)
-                || (this->loadedContent.snapshot && this->nextFrameNumber == 1)) {
-                return ControlStoreError {logName, errorOffset, "corruption in data that had been synced"};
-            }
-            log(LogLevel::Warning, "control", "discarding {} bytes of an incomplete last write", bytes.size() - offset);
-            break;
+    ControlFileReader reader(this->disk, logName);
+    auto offset = static_cast<std::int64_t>(logMagic.size());
+    while (true) {
+        const auto next = reader.view(offset, 1);
+        if (!isOk(next)) {
+            return error(next);
         }
-        if (header->number != this->nextFrameNumber) {
-            return ControlStoreError {
-                logName, errorOffset,
-                fmt::format("found frame {}, expected frame {}", header->number, this->nextFrameNumber)};
+        this->logSize = offset;
+        if (value(next).empty()) {
+            return std::nullopt;
         }
-        const auto frame = decodeCompact<wire::LogFrame>(bytes.substr(offset + sizeof(*header), header->length));
-        if (!frame) {
-            return ControlStoreError {logName, errorOffset, "the content of the frame cannot be decoded"};
+        auto frame = readFrame(reader, offset);
+        if (!isOk(frame)) {
+            return error(frame);
         }
-        for (const auto &record : frame->records) {
-            if (auto failure = this->replayRecord(record, offset)) {
-                return failure;
-            }
+        if (!value(frame)) {
+            return this->discardIncompleteWrite(reader, offset);
         }
-        offset += sizeof(*header) + header->length;
+        if (auto failure = this->replayFrame(value(frame)->header.number, value(frame)->payload, offset)) {
+            return failure;
+        }
+        offset += static_cast<std::int64_t>(sizeof(FrameHeader) + value(frame)->header.length);
         ++this->nextFrameNumber;
     }
-    this->logSize = static_cast<std::int64_t>(offset);
-    if (offset == bytes.size()) {
-        return std::nullopt;
+}
+
+std::optional<ControlStoreError> ControlJournal::discardIncompleteWrite(ControlFileReader &reader, std::int64_t offset)
+{
+    const auto later = hasLaterFrame(reader, offset, this->nextFrameNumber);
+    if (!isOk(later)) {
+        return error(later);
+    }
+    // If there is a snapshot, the first frame was written by replacing the file atomically, so it cannot be an
+    // incomplete write.
+    if (value(later) || (this->loadedContent.snapshot && this->nextFrameNumber == 1)) {
+        return ControlStoreError {logName, offset, "corruption in data that had been synced"};
     }
-    const auto outcome = this->disk.truncate(logName, this->logSize);
-    return outcome.status == DiskStatus::Ok
-        ? std::nullopt
-        : std::make_optional(ControlStoreError {logName, this->logSize, outcome.message});
+    log(LogLevel::Warning, "control", "discarding an incomplete last write at offset {}", offset);
+    const auto outcome = this->disk.truncate(logName, offset);
+    return outcome.status == DiskStatus::Ok ? std::nullopt
+                                            : std::make_optional(ControlStoreError {logName, offset, outcome.message});
+}
+
+std::optional<ControlStoreError> ControlJournal::replayFrame(std::uint64_t number, std::string_view payload,
+                                                             std::int64_t offset)
+{
+    if (number != this->nextFrameNumber) {
+        return ControlStoreError {logName, offset,
+                                  fmt::format("found frame {}, expected frame {}", number, this->nextFrameNumber)};
+    }
+    auto frame = decodeCompact<wire::LogFrame>(payload);
+    if (!frame) {
+        return ControlStoreError {logName, offset, "the content of the frame cannot be decoded"};
+    }
+    for (auto &record : frame->records) {
+        if (auto failure = this->replayRecord(std::move(record), offset)) {
+            return failure;
+        }
+    }
+    return std::nullopt;
 }
 
-std::optional<ControlStoreError> ControlJournal::replayRecord(const wire::LogRecord &record, std::size_t offset)
+std::optional<ControlStoreError> ControlJournal::replayRecord(wire::LogRecord &&record, std::int64_t offset)
 {
     auto &entries = this->loadedContent.entries;
     if (record.__isset.state) {
-        this->loadedContent.state = record.state;
+        this->loadedContent.state = std::move(record.state);
     }
     while (record.truncateFrom > 0 && !entries.empty() && entries.back().index >= record.truncateFrom) {
         entries.pop_back();
     }
-    for (const auto &entry : record.entries) {
+    for (auto &entry : record.entries) {
         if (!entries.empty() && entry.index != entries.back().index + 1) {
-            return ControlStoreError {logName, static_cast<std::int64_t>(offset),
+            return ControlStoreError {logName, offset,
                                       fmt::format("entry {} follows entry {}, so entries are missing or out of order",
                                                   entry.index, entries.back().index)};
         }
-        entries.push_back(entry);
+        entries.push_back(std::move(entry));
     }
     return std::nullopt;
 }
--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -14,6 +14,8 @@
 
 /// Limit of the entries in one AppendEntries message.
 constexpr std::size_t maxEntriesPerMessage = 256;
+/// Size of the committed entries after which takeOutput() leaves further ones to the next call.
+constexpr std::size_t maxOutputBytes = 1024UL * 1024;
 /// Time after which an unacknowledged snapshot is sent again.
 constexpr Millis snapshotRetryInterval(500);
 /// Minimum time between two immediate retries after rejected AppendEntries. Rejections that arrive sooner are handled
@@ -21,6 +23,11 @@
 /// rejecting.
 constexpr Millis rejectionRetryInterval(5);
 
+std::int64_t entryBytes(const wire::LogEntry &entry)
+{
+    return static_cast<std::int64_t>(entry.command.size());
+}
+
 } // namespace
 
 std::string memberIdentity(const std::string &name, std::uint64_t diskId)
@@ -43,6 +50,7 @@
         this->output.restoredSnapshot = this->snapshot;
     }
     this->committedIndex = this->snapshot.lastIndex;
+    this->deliveredIndex = this->snapshot.lastIndex;
     this->memberships.push_back({this->snapshot.lastIndex, this->snapshot.voters, this->snapshot.learners});
     for (auto &entry : loaded.entries) {
         this->adoptMembership(entry.index, entry.command);
@@ -141,7 +149,7 @@
 
 void ControlLog::compact(std::int64_t index, std::string data)
 {
-    if (index <= this->snapshot.lastIndex || index > this->committedIndex) {
+    if (index <= this->snapshot.lastIndex || index > this->deliveredIndex) {
         return;
     }
     wire::SnapshotFile newSnapshot;
@@ -153,6 +161,7 @@
     newSnapshot.learners = membershipAtIndex->learners;
     newSnapshot.data = std::move(data);
     while (!this->entries.empty() && this->entries.front().index <= index) {
+        this->committedEntryBytes -= entryBytes(this->entries.front());
         this->entries.pop_front();
     }
     this->memberships.erase(this->memberships.begin(), std::prev(membershipAtIndex.base()));
@@ -166,6 +175,12 @@
 
 ControlLogOutput ControlLog::takeOutput()
 {
+    std::size_t bytes = 0;
+    while (this->deliveredIndex < this->committedIndex && bytes < maxOutputBytes) {
+        const auto *entry = this->entryAt(++this->deliveredIndex);
+        bytes += entry->command.size();
+        this->output.committed.push_back(*entry);
+    }
     return std::exchange(this->output, {});
 }
 
@@ -419,7 +434,8 @@
     this->snapshot.learners = install.learners;
     this->snapshot.data = install.data;
     this->committedIndex = install.lastIndex;
-    this->output.committed.clear();
+    this->deliveredIndex = install.lastIndex;
+    this->committedEntryBytes = 0;
     this->output.restoredSnapshot = this->snapshot;
     ControlWrite write;
     write.state = this->hardState;
@@ -463,7 +479,7 @@
 {
     while (this->committedIndex < index) {
         ++this->committedIndex;
-        this->output.committed.push_back(*this->entryAt(this->committedIndex));
+        this->committedEntryBytes += entryBytes(*this->entryAt(this->committedIndex));
     }
 }
 
@@ -582,6 +598,16 @@
     return this->snapshot.lastIndex;
 }
 
+std::int64_t ControlLog::committedBytes() const
+{
+    return this->committedEntryBytes;
+}
+
+std::int64_t ControlLog::snapshotBytes() const
+{
+    return static_cast<std::int64_t>(this->snapshot.data.size());
+}
+
 const std::string &ControlLog::member() const
 {
     return this->hardState.member;
--- a/src/control_log_p.h
+++ b/src/control_log_p.h
@@ -47,7 +47,7 @@
     std::vector<ControlWrite> writes;
     std::vector<ControlLogMessage> messages;
     std::optional<wire::SnapshotFile> restoredSnapshot; ///< snapshot that replaces the state of the state machine
-    std::vector<wire::LogEntry> committed; ///< entries to apply, after the snapshot is restored
+    std::vector<wire::LogEntry> committed; ///< entries to apply, after the snapshot is restored; more may follow
 };
 
 /// Returns the identity of a member: its process name and the random id of its disk.
@@ -74,7 +74,8 @@
     void onWritten(std::int64_t sequence, Time now);
     /// Appends a command to the log. @return its index, or std::nullopt if this member is not the leader.
     std::optional<std::int64_t> propose(std::string command, Time now);
-    /// Replaces the entries up to the index by a snapshot with the given data. Precondition: the index is committed.
+    /// Replaces the entries up to the index by a snapshot with the given data. Precondition: takeOutput() has returned
+    /// the entries up to the index.
     void compact(std::int64_t index, std::string data);
     /// Transfers leadership to the voter with the highest matching index, if there is another voter.
     void transferLeadership(Time now);
@@ -83,7 +84,8 @@
     void setWritesRefused(bool areRefused);
     /// Makes this member start no more elections; for a process that is stopping.
     void stopCampaigning();
-    /// Returns the work that has accumulated since the last call, and clears it.
+    /// Returns the work that has accumulated since the last call, and clears it. Of many large committed entries it
+    /// returns a part, and the next ones in the following calls.
     ControlLogOutput takeOutput();
 
     bool isLeader() const;
@@ -98,6 +100,10 @@
     std::int64_t commitIndex() const;
     std::int64_t lastIndex() const;
     std::int64_t snapshotIndex() const;
+    /// Returns the size of the committed entries after the snapshot, in bytes.
+    std::int64_t committedBytes() const;
+    /// Returns the size of the snapshot's data, in bytes.
+    std::int64_t snapshotBytes() const;
     const std::string &member() const;
     std::vector<std::string> voters() const;
     std::vector<std::string> learners() const;
@@ -201,6 +207,8 @@
     std::deque<wire::LogEntry> entries; ///< starting at index snapshot.lastIndex + 1
     std::vector<Membership> memberships; ///< of the snapshot and of later entries; the last one is in force
     std::int64_t committedIndex = 0;
+    std::int64_t deliveredIndex = 0; ///< takeOutput() has returned the committed entries up to this index
+    std::int64_t committedEntryBytes = 0; ///< size of the committed entries after the snapshot
     std::int64_t durableIndex = 0; ///< all entries up to this index are on disk
     std::int64_t nextSequence = 1;
     std::int64_t writtenSequence = 0;
--- a/src/control_state.cpp
+++ b/src/control_state.cpp
@@ -1,5 +1,7 @@
 #include "control_state_p.h"
 
+#include "agatedrum/config.h"
+
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
@@ -14,6 +16,7 @@
 /// Maximum number of accepted files that are kept, and of those that are kept with their text.
 constexpr std::size_t maxHistoryFiles = 256;
 constexpr std::size_t maxHistoryTexts = 16;
+constexpr std::size_t maxHistoryBytes = AGATEDRUM_CONFIG_HISTORY_BYTES;
 constexpr std::int32_t noCell = -1;
 
 const wire::ConfigFile emptyFile;
@@ -89,12 +92,7 @@
     }
     this->parsedConfig = std::move(*next);
     this->acceptedFiles.push_back(file);
-    if (this->acceptedFiles.size() > maxHistoryFiles) {
-        this->acceptedFiles.erase(this->acceptedFiles.begin());
-    }
-    if (this->acceptedFiles.size() > maxHistoryTexts) {
-        this->acceptedFiles[this->acceptedFiles.size() - maxHistoryTexts - 1].text.clear();
-    }
+    this->limitHistory();
     this->configVersion = index;
     this->updateCells(index);
     for (auto &[name, member] : this->memberRecords) {
@@ -106,6 +104,21 @@
     return decision;
 }
 
+void ControlState::limitHistory()
+{
+    if (this->acceptedFiles.size() > maxHistoryFiles) {
+        this->acceptedFiles.erase(this->acceptedFiles.begin());
+    }
+    std::size_t texts = 0;
+    std::size_t bytes = 0;
+    for (auto file = this->acceptedFiles.rbegin(); file != this->acceptedFiles.rend() && !file->text.empty(); ++file) {
+        bytes += file->text.size();
+        if (++texts > 1 && (texts > maxHistoryTexts || bytes > maxHistoryBytes)) {
+            std::string().swap(file->text); // unlike clear(), frees the memory
+        }
+    }
+}
+
 void ControlState::updateCells(std::int64_t index)
 {
     std::set<std::string> servicesWithCells;
--- a/src/control_state_p.h
+++ b/src/control_state_p.h
@@ -71,6 +71,8 @@
 
     ValidatedConfig validate(const wire::ConfigFile &file) const;
     ConfigDecision setConfig(std::int64_t index, const wire::ConfigFile &file);
+    /// Removes the texts of earlier files beyond the limits of their number and size.
+    void limitHistory();
     void applyMemberJoin(std::int64_t index, const wire::MemberJoin &command);
     void applyMemberGone(std::int64_t index, const wire::MemberGone &command);
     void applyMemberLeaving(std::int64_t index, const wire::MemberLeaving &command);
--- a/src/control_store.cpp
+++ b/src/control_store.cpp
@@ -55,7 +55,7 @@
 
 ControlStoreContent ControlStore::load()
 {
-    return this->journal->loaded();
+    return this->journal->takeLoaded();
 }
 
 void ControlStore::submit(ControlWrite write)
--- a/src/control_store_p.h
+++ b/src/control_store_p.h
@@ -49,7 +49,7 @@
 struct ControlStoreI
 {
     virtual ~ControlStoreI() = default;
-    /// Returns the content at the time when the store was opened.
+    /// Moves out the content at the time when the store was opened. To be called once, before the first submit().
     virtual ControlStoreContent load() = 0;
     /// Queues a write request and returns immediately.
     virtual void submit(ControlWrite write) = 0;
@@ -113,7 +113,7 @@
     void updateStatus(const std::function<void(ControlStoreStatus &)> &change);
 
     std::unique_ptr<FileDisk> disk;
-    std::unique_ptr<ControlJournal> journal; ///< once the thread runs, used by it only, except for loaded()
+    std::unique_ptr<ControlJournal> journal; ///< once the thread runs, used by it only, except for takeLoaded()
     mutable std::mutex mutex;
     std::condition_variable wakeUp;
     std::vector<ControlWrite> waiting;
--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -56,6 +56,11 @@
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
 
+    /// Returns the process id, or -1 after the process has exited.
+    pid_t id() const
+    {
+        return this->pid;
+    }
     void sendSignal(int number) const
     {
         if (this->pid > 0) {
--- a/tests/control_faults.h
+++ b/tests/control_faults.h
@@ -31,10 +31,18 @@
 class FakeDisk : public DiskI
 {
 public:
-    Result<std::optional<std::string>, ControlStoreError> read(const std::string &name) override
+    Result<std::optional<std::string>, ControlStoreError> read(const std::string &name, std::int64_t offset,
+                                                               std::size_t maxBytes) override
     {
         const auto found = this->files.find(name);
-        return found == this->files.end() ? std::optional<std::string>() : found->second.content;
+        if (found == this->files.end()) {
+            return std::optional<std::string>();
+        }
+        const auto &content = found->second.content;
+        const auto start = std::min(content.size(), static_cast<std::size_t>(offset));
+        auto bytes = content.substr(start, maxBytes);
+        this->largestRead = std::max(this->largestRead, bytes.size());
+        return std::make_optional(std::move(bytes));
     }
     DiskOutcome append(const std::string &name, const std::string &bytes) override
     {
@@ -125,6 +133,7 @@
     std::map<std::string, File> files;
     bool isFull = false;
     FullDisk full;
+    std::size_t largestRead = 0; ///< largest number of bytes that one call of read() has returned
 
 private:
     static constexpr std::size_t sectorBytes = 64;
@@ -161,7 +170,7 @@
     }
     ControlStoreContent load() override
     {
-        return this->journal->loaded();
+        return this->journal->takeLoaded();
     }
     void submit(ControlWrite write) override
     {
