--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -252,6 +252,17 @@
   1: i64 term; 2: i64 lastIndex; 3: i64 lastTerm; 4: binary data; 5: list<string> voters; 6: list<string> learners;
   7: string member; 8: string group; 9: i64 round;
 }
+// A part of a snapshot that is too large for one message. A version that does not know this message ignores it.
+struct SnapshotChunk {
+  1: i64 term; 2: i64 lastIndex; 3: i64 lastTerm; 4: binary data; 5: list<string> voters; 6: list<string> learners;
+  7: string member; 8: string group; 9: i64 round;
+  10: i64 offset;             // of the part in the snapshot's data
+  11: i64 totalBytes;         // size of the snapshot's data
+}
+// nextOffset: the receiver has the data of the snapshot up to here.
+struct SnapshotChunkReply {
+  1: i64 term; 2: i64 lastIndex; 3: i64 nextOffset; 4: string member; 5: string group; 6: i64 round;
+}
 struct InstallReply { 1: i64 term; 2: i64 lastIndex; 3: string member; 4: string group; 5: i64 round; }
 struct TimeoutNow { 1: i64 term; }
 
@@ -309,6 +320,7 @@
   54: TaskReports taskReports; 55: StartsInDoubt startsInDoubt; 56: OrdersElsewhere ordersElsewhere;
   40: RequestVote requestVote; 41: VoteReply voteReply; 42: AppendEntries appendEntries; 43: AppendReply appendReply;
   44: InstallSnapshot installSnapshot; 45: InstallReply installReply; 46: TimeoutNow timeoutNow;
+  47: SnapshotChunk snapshotChunk; 48: SnapshotChunkReply snapshotChunkReply;
 }
 
 struct Envelope {
--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -164,6 +164,17 @@
 #define AGATEDRUM_CONTROL_SNAPSHOT_BYTES (8LL * 1024 * 1024)
 #endif
 
+/// Size of log entries or snapshot data in one message between control processes, in bytes. A message contains at least
+/// one entry, however large it is.
+#ifndef AGATEDRUM_CONTROL_MESSAGE_BYTES
+#define AGATEDRUM_CONTROL_MESSAGE_BYTES (1LL * 1024 * 1024)
+#endif
+
+/// Size of log entries that a control process has not acknowledged, in bytes, above which it is sent no further ones.
+#ifndef AGATEDRUM_CONTROL_WINDOW_BYTES
+#define AGATEDRUM_CONTROL_WINDOW_BYTES (4LL * 1024 * 1024)
+#endif
+
 /// Maximum size of the texts of earlier configuration files that are kept, in bytes.
 #ifndef AGATEDRUM_CONFIG_HISTORY_BYTES
 #define AGATEDRUM_CONFIG_HISTORY_BYTES (4UL * 1024 * 1024)
--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -1,5 +1,6 @@
 #include "control_log_p.h"
 
+#include "agatedrum/config.h"
 #include "base_log_p.h"
 #include "control_codec_p.h"
 
@@ -13,7 +14,9 @@
 namespace {
 
 /// Limit of the entries in one AppendEntries message.
-constexpr std::size_t maxEntriesPerMessage = 256;
+constexpr std::int64_t maxEntriesPerMessage = 256;
+constexpr std::int64_t maxMessageBytes = AGATEDRUM_CONTROL_MESSAGE_BYTES;
+constexpr std::int64_t maxUnacknowledgedBytes = AGATEDRUM_CONTROL_WINDOW_BYTES;
 /// Size of the committed entries after which takeOutput() leaves further ones to the next call.
 constexpr std::size_t maxOutputBytes = 1024UL * 1024;
 /// Time after which an unacknowledged snapshot is sent again.
@@ -80,6 +83,10 @@
         this->handleInstallSnapshot(from, *install, now);
     } else if (const auto *installReply = std::get_if<wire::InstallReply>(&payload)) {
         this->handleInstallReply(*installReply, now);
+    } else if (const auto *chunk = std::get_if<wire::SnapshotChunk>(&payload)) {
+        this->handleSnapshotChunk(from, *chunk, now);
+    } else if (const auto *chunkReply = std::get_if<wire::SnapshotChunkReply>(&payload)) {
+        this->handleChunkReply(*chunkReply, now);
     } else if (const auto *order = std::get_if<wire::TimeoutNow>(&payload)) {
         this->handleTimeoutNow(*order, now);
     }
@@ -222,33 +229,76 @@
     // election.
     append.prevIndex = std::max(progress.nextIndex - 1, this->snapshot.lastIndex);
     append.prevTerm = this->termAt(append.prevIndex);
-    const auto first = static_cast<std::size_t>(append.prevIndex - this->snapshot.lastIndex);
-    const auto last = std::min(this->entries.size(), first + maxEntriesPerMessage);
-    if (progress.nextIndex > this->snapshot.lastIndex && first < last) {
-        append.entries.assign(this->entries.begin() + static_cast<std::ptrdiff_t>(first),
-                              this->entries.begin() + static_cast<std::ptrdiff_t>(last));
-        progress.nextIndex = append.entries.back().index + 1;
+    for (const auto last = this->lastIndexToSend(progress); progress.nextIndex <= last; ++progress.nextIndex) {
+        append.entries.push_back(*this->entryAt(progress.nextIndex));
     }
     this->send(memberName(identity), std::move(append));
 }
 
+std::int64_t ControlLog::lastIndexToSend(const Progress &progress) const
+{
+    if (progress.nextIndex <= this->snapshot.lastIndex) {
+        return progress.nextIndex - 1;
+    }
+    std::int64_t unacknowledgedBytes = 0;
+    for (auto index = std::max(progress.matchIndex, this->snapshot.lastIndex) + 1; index < progress.nextIndex;
+         ++index) {
+        unacknowledgedBytes += entryBytes(*this->entryAt(index));
+        if (unacknowledgedBytes >= maxUnacknowledgedBytes) {
+            return progress.nextIndex - 1;
+        }
+    }
+    const auto end = std::min(this->lastIndex(), progress.nextIndex + maxEntriesPerMessage - 1);
+    auto last = progress.nextIndex - 1;
+    std::int64_t bytes = 0;
+    while (last < end) {
+        bytes += entryBytes(*this->entryAt(last + 1));
+        if (bytes > maxMessageBytes && last >= progress.nextIndex) {
+            break;
+        }
+        ++last;
+    }
+    return last;
+}
+
 void ControlLog::sendSnapshot(const std::string &identity, Progress &progress, Time now)
 {
+    if (progress.snapshotIndex != this->snapshot.lastIndex) {
+        progress.snapshotIndex = this->snapshot.lastIndex;
+        progress.snapshotOffset = 0;
+        progress.snapshotSentAt = Time {};
+    }
     if (progress.snapshotSentAt != Time {} && now - progress.snapshotSentAt < snapshotRetryInterval) {
         return;
     }
     progress.snapshotSentAt = now;
-    wire::InstallSnapshot install;
-    install.term = this->hardState.term;
-    install.member = this->hardState.member;
-    install.group = this->hardState.group;
-    install.lastIndex = this->snapshot.lastIndex;
-    install.lastTerm = this->snapshot.lastTerm;
-    install.voters = this->snapshot.voters;
-    install.learners = this->snapshot.learners;
-    install.data = this->snapshot.data;
-    install.round = now.time_since_epoch().count();
-    this->send(memberName(identity), std::move(install));
+    this->send(memberName(identity), this->snapshotMessage(progress, now));
+}
+
+Payload ControlLog::snapshotMessage(const Progress &progress, Time now) const
+{
+    const auto fill = [&](auto &message) {
+        message.term = this->hardState.term;
+        message.member = this->hardState.member;
+        message.group = this->hardState.group;
+        message.lastIndex = this->snapshot.lastIndex;
+        message.lastTerm = this->snapshot.lastTerm;
+        message.voters = this->snapshot.voters;
+        message.learners = this->snapshot.learners;
+        message.round = now.time_since_epoch().count();
+    };
+    if (this->snapshotBytes() <= maxMessageBytes) {
+        wire::InstallSnapshot install;
+        fill(install);
+        install.data = this->snapshot.data;
+        return install;
+    }
+    wire::SnapshotChunk chunk;
+    fill(chunk);
+    chunk.offset = progress.snapshotOffset;
+    chunk.totalBytes = this->snapshotBytes();
+    chunk.data = this->snapshot.data.substr(static_cast<std::size_t>(chunk.offset), maxMessageBytes);
+    return chunk;
 }
 
 void ControlLog::handleAppendEntries(const std::string &from, const wire::AppendEntries &append, Time now)
@@ -384,7 +434,7 @@
     progress.matchIndex = std::max(progress.matchIndex, reply.matchIndex);
     progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
     this->advanceCommittedIndex();
-    if (progress.nextIndex <= this->lastIndex()) {
+    if (this->lastIndexToSend(progress) >= progress.nextIndex) {
         this->replicate(reply.member, progress, now);
     }
 }
@@ -444,6 +494,80 @@
     this->pendingEntryWrites.emplace_back(this->submit(std::move(write)), this->lastIndex());
 }
 
+void ControlLog::handleSnapshotChunk(const std::string &from, const wire::SnapshotChunk &chunk, Time now)
+{
+    if (!this->acceptsGroup(chunk.group) || chunk.term < this->hardState.term || chunk.totalBytes <= 0) {
+        return;
+    }
+    this->receiveChunk(chunk);
+    auto &received = this->incomingSnapshot;
+    if (static_cast<std::int64_t>(received.data.size()) == received.totalBytes
+        || chunk.lastIndex <= this->committedIndex) {
+        wire::InstallSnapshot install;
+        install.term = chunk.term;
+        install.lastIndex = chunk.lastIndex;
+        install.lastTerm = chunk.lastTerm;
+        install.data = std::move(received.data);
+        install.voters = chunk.voters;
+        install.learners = chunk.learners;
+        install.member = chunk.member;
+        install.group = chunk.group;
+        install.round = chunk.round;
+        received = {};
+        this->handleInstallSnapshot(from, install, now);
+        return;
+    }
+    if (this->hardState.group.empty()) {
+        this->hardState.group = chunk.group;
+    }
+    this->becomeFollower(chunk.term, chunk.member);
+    this->leaderLastHeardAt = now;
+    this->resetElectionTimer(now);
+    wire::SnapshotChunkReply reply;
+    reply.term = this->hardState.term;
+    reply.lastIndex = chunk.lastIndex;
+    reply.nextOffset = static_cast<std::int64_t>(received.data.size());
+    reply.member = this->hardState.member;
+    reply.group = this->hardState.group;
+    reply.round = chunk.round;
+    this->sendAfterWrite(from, std::move(reply));
+}
+
+void ControlLog::receiveChunk(const wire::SnapshotChunk &chunk)
+{
+    auto &received = this->incomingSnapshot;
+    // A leader sends the same snapshot during its whole term; another one may encode the same state differently.
+    if (chunk.term != received.term || chunk.lastIndex != received.lastIndex
+        || chunk.totalBytes != received.totalBytes) {
+        received = {};
+        received.term = chunk.term;
+        received.lastIndex = chunk.lastIndex;
+        received.totalBytes = chunk.totalBytes;
+    }
+    if (chunk.offset == static_cast<std::int64_t>(received.data.size())) {
+        received.data += chunk.data;
+    }
+}
+
+void ControlLog::handleChunkReply(const wire::SnapshotChunkReply &reply, Time now)
+{
+    const auto found = this->progress.find(reply.member);
+    if (this->status != Status::Leader || reply.term != this->hardState.term || found == this->progress.end()) {
+        return;
+    }
+    auto &progress = found->second;
+    progress.lastHeardAt = now;
+    const bool isNextOffset = reply.nextOffset >= 0 && reply.nextOffset < this->snapshotBytes()
+        && reply.nextOffset != progress.snapshotOffset;
+    if (reply.lastIndex != this->snapshot.lastIndex || progress.snapshotIndex != reply.lastIndex || !isNextOffset
+        || progress.nextIndex > this->snapshot.lastIndex) {
+        return;
+    }
+    progress.snapshotOffset = reply.nextOffset;
+    progress.snapshotSentAt = Time {};
+    this->sendSnapshot(reply.member, progress, now);
+}
+
 void ControlLog::handleInstallReply(const wire::InstallReply &reply, Time now)
 {
     const auto found = this->progress.find(reply.member);
--- a/src/control_log_p.h
+++ b/src/control_log_p.h
@@ -117,7 +117,9 @@
         std::int64_t matchIndex = 0; ///< highest index known to be replicated on the member
         Time acknowledgedSentAt; ///< send time of the newest AppendEntries that the member replied to
         Time lastHeardAt; ///< when the last reply was received
-        Time snapshotSentAt; ///< zero if no snapshot is outstanding
+        Time snapshotSentAt; ///< zero if no snapshot or part of one is outstanding
+        std::int64_t snapshotIndex = 0; ///< last entry of the snapshot that is being sent
+        std::int64_t snapshotOffset = 0; ///< the member has the data of that snapshot up to here
         Time rejectionRetriedAt; ///< when a rejected AppendEntries was last retried immediately
     };
 
@@ -137,6 +139,10 @@
     void handleAppendReply(const std::string &from, const wire::AppendReply &reply, Time now);
     void handleInstallSnapshot(const std::string &from, const wire::InstallSnapshot &install, Time now);
     void installSnapshot(const wire::InstallSnapshot &install);
+    void handleSnapshotChunk(const std::string &from, const wire::SnapshotChunk &chunk, Time now);
+    /// Adds the part to the snapshot that is being received, if it is the next one.
+    void receiveChunk(const wire::SnapshotChunk &chunk);
+    void handleChunkReply(const wire::SnapshotChunkReply &reply, Time now);
     void handleInstallReply(const wire::InstallReply &reply, Time now);
     void handleTimeoutNow(const wire::TimeoutNow &order, Time now);
     bool acceptsGroup(const std::string &group) const;
@@ -164,6 +170,10 @@
     void replicateToAll(Time now);
     void replicate(const std::string &identity, Progress &progress, Time now);
     void sendSnapshot(const std::string &identity, Progress &progress, Time now);
+    /// Returns the message with the snapshot, or with the part of it that the member needs next.
+    Payload snapshotMessage(const Progress &progress, Time now) const;
+    /// Returns the last index up to which entries may be sent to the member now; nextIndex - 1 if none may be sent.
+    std::int64_t lastIndexToSend(const Progress &progress) const;
     void sendAppendReply(const std::string &to, const wire::AppendEntries &append, std::int64_t lastMatchIndex);
     bool appendReceivedEntries(const std::vector<wire::LogEntry> &entries);
     void advanceCommittedIndex();
@@ -204,6 +214,7 @@
 
     wire::HardState hardState;
     wire::SnapshotFile snapshot;
+    wire::SnapshotChunk incomingSnapshot; ///< the parts that have been received of a snapshot
     std::deque<wire::LogEntry> entries; ///< starting at index snapshot.lastIndex + 1
     std::vector<Membership> memberships; ///< of the snapshot and of later entries; the last one is in force
     std::int64_t committedIndex = 0;
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -12178,6 +12178,578 @@
 }
 
 
+SnapshotChunk::~SnapshotChunk() noexcept {
+}
+
+
+void SnapshotChunk::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void SnapshotChunk::__set_lastIndex(const int64_t val) {
+  this->lastIndex = val;
+}
+
+void SnapshotChunk::__set_lastTerm(const int64_t val) {
+  this->lastTerm = val;
+}
+
+void SnapshotChunk::__set_data(const std::string& val) {
+  this->data = val;
+}
+
+void SnapshotChunk::__set_voters(const std::vector<std::string> & val) {
+  this->voters = val;
+}
+
+void SnapshotChunk::__set_learners(const std::vector<std::string> & val) {
+  this->learners = val;
+}
+
+void SnapshotChunk::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void SnapshotChunk::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void SnapshotChunk::__set_round(const int64_t val) {
+  this->round = val;
+}
+
+void SnapshotChunk::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void SnapshotChunk::__set_totalBytes(const int64_t val) {
+  this->totalBytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotChunk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotChunk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastIndex);
+          this->__isset.lastIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastTerm);
+          this->__isset.lastTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->data);
+          this->__isset.data = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->voters.clear();
+            uint32_t _size462;
+            ::apache::thrift::protocol::TType _etype465;
+            xfer += iprot->readListBegin(_etype465, _size462);
+            this->voters.resize(_size462);
+            uint32_t _i466;
+            for (_i466 = 0; _i466 < _size462; ++_i466)
+            {
+              xfer += iprot->readString(this->voters[_i466]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.voters = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->learners.clear();
+            uint32_t _size467;
+            ::apache::thrift::protocol::TType _etype470;
+            xfer += iprot->readListBegin(_etype470, _size467);
+            this->learners.resize(_size467);
+            uint32_t _i471;
+            for (_i471 = 0; _i471 < _size467; ++_i471)
+            {
+              xfer += iprot->readString(this->learners[_i471]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.learners = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->totalBytes);
+          this->__isset.totalBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotChunk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotChunk");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->lastIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastTerm", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->lastTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->data);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
+    std::vector<std::string> ::const_iterator _iter472;
+    for (_iter472 = this->voters.begin(); _iter472 != this->voters.end(); ++_iter472)
+    {
+      xfer += oprot->writeString((*_iter472));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
+    std::vector<std::string> ::const_iterator _iter473;
+    for (_iter473 = this->learners.begin(); _iter473 != this->learners.end(); ++_iter473)
+    {
+      xfer += oprot->writeString((*_iter473));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("totalBytes", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->totalBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotChunk &a, SnapshotChunk &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.lastIndex, b.lastIndex);
+  swap(a.lastTerm, b.lastTerm);
+  swap(a.data, b.data);
+  swap(a.voters, b.voters);
+  swap(a.learners, b.learners);
+  swap(a.member, b.member);
+  swap(a.group, b.group);
+  swap(a.round, b.round);
+  swap(a.offset, b.offset);
+  swap(a.totalBytes, b.totalBytes);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other474) {
+  term = other474.term;
+  lastIndex = other474.lastIndex;
+  lastTerm = other474.lastTerm;
+  data = other474.data;
+  voters = other474.voters;
+  learners = other474.learners;
+  member = other474.member;
+  group = other474.group;
+  round = other474.round;
+  offset = other474.offset;
+  totalBytes = other474.totalBytes;
+  __isset = other474.__isset;
+}
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other475) noexcept {
+  term = other475.term;
+  lastIndex = other475.lastIndex;
+  lastTerm = other475.lastTerm;
+  data = std::move(other475.data);
+  voters = std::move(other475.voters);
+  learners = std::move(other475.learners);
+  member = std::move(other475.member);
+  group = std::move(other475.group);
+  round = other475.round;
+  offset = other475.offset;
+  totalBytes = other475.totalBytes;
+  __isset = other475.__isset;
+}
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other476) {
+  term = other476.term;
+  lastIndex = other476.lastIndex;
+  lastTerm = other476.lastTerm;
+  data = other476.data;
+  voters = other476.voters;
+  learners = other476.learners;
+  member = other476.member;
+  group = other476.group;
+  round = other476.round;
+  offset = other476.offset;
+  totalBytes = other476.totalBytes;
+  __isset = other476.__isset;
+  return *this;
+}
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other477) noexcept {
+  term = other477.term;
+  lastIndex = other477.lastIndex;
+  lastTerm = other477.lastTerm;
+  data = std::move(other477.data);
+  voters = std::move(other477.voters);
+  learners = std::move(other477.learners);
+  member = std::move(other477.member);
+  group = std::move(other477.group);
+  round = other477.round;
+  offset = other477.offset;
+  totalBytes = other477.totalBytes;
+  __isset = other477.__isset;
+  return *this;
+}
+void SnapshotChunk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotChunk(";
+  out << "term=" << to_string(term);
+  out << ", " << "lastIndex=" << to_string(lastIndex);
+  out << ", " << "lastTerm=" << to_string(lastTerm);
+  out << ", " << "data=" << to_string(data);
+  out << ", " << "voters=" << to_string(voters);
+  out << ", " << "learners=" << to_string(learners);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "round=" << to_string(round);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "totalBytes=" << to_string(totalBytes);
+  out << ")";
+}
+
+
+SnapshotChunkReply::~SnapshotChunkReply() noexcept {
+}
+
+
+void SnapshotChunkReply::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void SnapshotChunkReply::__set_lastIndex(const int64_t val) {
+  this->lastIndex = val;
+}
+
+void SnapshotChunkReply::__set_nextOffset(const int64_t val) {
+  this->nextOffset = val;
+}
+
+void SnapshotChunkReply::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void SnapshotChunkReply::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void SnapshotChunkReply::__set_round(const int64_t val) {
+  this->round = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotChunkReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotChunkReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastIndex);
+          this->__isset.lastIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextOffset);
+          this->__isset.nextOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotChunkReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotChunkReply");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->lastIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nextOffset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->nextOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotChunkReply &a, SnapshotChunkReply &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.lastIndex, b.lastIndex);
+  swap(a.nextOffset, b.nextOffset);
+  swap(a.member, b.member);
+  swap(a.group, b.group);
+  swap(a.round, b.round);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotChunkReply::SnapshotChunkReply(const SnapshotChunkReply& other478) {
+  term = other478.term;
+  lastIndex = other478.lastIndex;
+  nextOffset = other478.nextOffset;
+  member = other478.member;
+  group = other478.group;
+  round = other478.round;
+  __isset = other478.__isset;
+}
+SnapshotChunkReply::SnapshotChunkReply(SnapshotChunkReply&& other479) noexcept {
+  term = other479.term;
+  lastIndex = other479.lastIndex;
+  nextOffset = other479.nextOffset;
+  member = std::move(other479.member);
+  group = std::move(other479.group);
+  round = other479.round;
+  __isset = other479.__isset;
+}
+SnapshotChunkReply& SnapshotChunkReply::operator=(const SnapshotChunkReply& other480) {
+  term = other480.term;
+  lastIndex = other480.lastIndex;
+  nextOffset = other480.nextOffset;
+  member = other480.member;
+  group = other480.group;
+  round = other480.round;
+  __isset = other480.__isset;
+  return *this;
+}
+SnapshotChunkReply& SnapshotChunkReply::operator=(SnapshotChunkReply&& other481) noexcept {
+  term = other481.term;
+  lastIndex = other481.lastIndex;
+  nextOffset = other481.nextOffset;
+  member = std::move(other481.member);
+  group = std::move(other481.group);
+  round = other481.round;
+  __isset = other481.__isset;
+  return *this;
+}
+void SnapshotChunkReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotChunkReply(";
+  out << "term=" << to_string(term);
+  out << ", " << "lastIndex=" << to_string(lastIndex);
+  out << ", " << "nextOffset=" << to_string(nextOffset);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "round=" << to_string(round);
+  out << ")";
+}
+
+
 InstallReply::~InstallReply() noexcept {
 }
 
@@ -12321,38 +12893,38 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallReply::InstallReply(const InstallReply& other462) {
-  term = other462.term;
-  lastIndex = other462.lastIndex;
-  member = other462.member;
-  group = other462.group;
-  round = other462.round;
-  __isset = other462.__isset;
-}
-InstallReply::InstallReply(InstallReply&& other463) noexcept {
-  term = other463.term;
-  lastIndex = other463.lastIndex;
-  member = std::move(other463.member);
-  group = std::move(other463.group);
-  round = other463.round;
-  __isset = other463.__isset;
-}
-InstallReply& InstallReply::operator=(const InstallReply& other464) {
-  term = other464.term;
-  lastIndex = other464.lastIndex;
-  member = other464.member;
-  group = other464.group;
-  round = other464.round;
-  __isset = other464.__isset;
+InstallReply::InstallReply(const InstallReply& other482) {
+  term = other482.term;
+  lastIndex = other482.lastIndex;
+  member = other482.member;
+  group = other482.group;
+  round = other482.round;
+  __isset = other482.__isset;
+}
+InstallReply::InstallReply(InstallReply&& other483) noexcept {
+  term = other483.term;
+  lastIndex = other483.lastIndex;
+  member = std::move(other483.member);
+  group = std::move(other483.group);
+  round = other483.round;
+  __isset = other483.__isset;
+}
+InstallReply& InstallReply::operator=(const InstallReply& other484) {
+  term = other484.term;
+  lastIndex = other484.lastIndex;
+  member = other484.member;
+  group = other484.group;
+  round = other484.round;
+  __isset = other484.__isset;
   return *this;
 }
-InstallReply& InstallReply::operator=(InstallReply&& other465) noexcept {
-  term = other465.term;
-  lastIndex = other465.lastIndex;
-  member = std::move(other465.member);
-  group = std::move(other465.group);
-  round = other465.round;
-  __isset = other465.__isset;
+InstallReply& InstallReply::operator=(InstallReply&& other485) noexcept {
+  term = other485.term;
+  lastIndex = other485.lastIndex;
+  member = std::move(other485.member);
+  group = std::move(other485.group);
+  round = other485.round;
+  __isset = other485.__isset;
   return *this;
 }
 void InstallReply::printTo(std::ostream& out) const {
@@ -12442,22 +13014,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other466) noexcept {
-  term = other466.term;
-  __isset = other466.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other486) noexcept {
+  term = other486.term;
+  __isset = other486.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other467) noexcept {
-  term = other467.term;
-  __isset = other467.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other487) noexcept {
+  term = other487.term;
+  __isset = other487.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other468) noexcept {
-  term = other468.term;
-  __isset = other468.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other488) noexcept {
+  term = other488.term;
+  __isset = other488.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other469) noexcept {
-  term = other469.term;
-  __isset = other469.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other489) noexcept {
+  term = other489.term;
+  __isset = other489.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -12543,22 +13115,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SetConfig::SetConfig(const SetConfig& other470) {
-  file = other470.file;
-  __isset = other470.__isset;
+SetConfig::SetConfig(const SetConfig& other490) {
+  file = other490.file;
+  __isset = other490.__isset;
 }
-SetConfig::SetConfig(SetConfig&& other471) noexcept {
-  file = std::move(other471.file);
-  __isset = other471.__isset;
+SetConfig::SetConfig(SetConfig&& other491) noexcept {
+  file = std::move(other491.file);
+  __isset = other491.__isset;
 }
-SetConfig& SetConfig::operator=(const SetConfig& other472) {
-  file = other472.file;
-  __isset = other472.__isset;
+SetConfig& SetConfig::operator=(const SetConfig& other492) {
+  file = other492.file;
+  __isset = other492.__isset;
   return *this;
 }
-SetConfig& SetConfig::operator=(SetConfig&& other473) noexcept {
-  file = std::move(other473.file);
-  __isset = other473.__isset;
+SetConfig& SetConfig::operator=(SetConfig&& other493) noexcept {
+  file = std::move(other493.file);
+  __isset = other493.__isset;
   return *this;
 }
 void SetConfig::printTo(std::ostream& out) const {
@@ -12639,9 +13211,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast474;
-          xfer += iprot->readI32(ecast474);
-          this->role = static_cast<Role::type>(ecast474);
+          int32_t ecast494;
+          xfer += iprot->readI32(ecast494);
+          this->role = static_cast<Role::type>(ecast494);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -12750,46 +13322,46 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberJoin::MemberJoin(const MemberJoin& other475) {
-  id = other475.id;
-  role = other475.role;
-  address = other475.address;
-  failureDomain = other475.failureDomain;
-  server = other475.server;
-  atMs = other475.atMs;
-  replaces = other475.replaces;
-  __isset = other475.__isset;
-}
-MemberJoin::MemberJoin(MemberJoin&& other476) noexcept {
-  id = std::move(other476.id);
-  role = other476.role;
-  address = std::move(other476.address);
-  failureDomain = std::move(other476.failureDomain);
-  server = std::move(other476.server);
-  atMs = other476.atMs;
-  replaces = other476.replaces;
-  __isset = other476.__isset;
-}
-MemberJoin& MemberJoin::operator=(const MemberJoin& other477) {
-  id = other477.id;
-  role = other477.role;
-  address = other477.address;
-  failureDomain = other477.failureDomain;
-  server = other477.server;
-  atMs = other477.atMs;
-  replaces = other477.replaces;
-  __isset = other477.__isset;
+MemberJoin::MemberJoin(const MemberJoin& other495) {
+  id = other495.id;
+  role = other495.role;
+  address = other495.address;
+  failureDomain = other495.failureDomain;
+  server = other495.server;
+  atMs = other495.atMs;
+  replaces = other495.replaces;
+  __isset = other495.__isset;
+}
+MemberJoin::MemberJoin(MemberJoin&& other496) noexcept {
+  id = std::move(other496.id);
+  role = other496.role;
+  address = std::move(other496.address);
+  failureDomain = std::move(other496.failureDomain);
+  server = std::move(other496.server);
+  atMs = other496.atMs;
+  replaces = other496.replaces;
+  __isset = other496.__isset;
+}
+MemberJoin& MemberJoin::operator=(const MemberJoin& other497) {
+  id = other497.id;
+  role = other497.role;
+  address = other497.address;
+  failureDomain = other497.failureDomain;
+  server = other497.server;
+  atMs = other497.atMs;
+  replaces = other497.replaces;
+  __isset = other497.__isset;
   return *this;
 }
-MemberJoin& MemberJoin::operator=(MemberJoin&& other478) noexcept {
-  id = std::move(other478.id);
-  role = other478.role;
-  address = std::move(other478.address);
-  failureDomain = std::move(other478.failureDomain);
-  server = std::move(other478.server);
-  atMs = other478.atMs;
-  replaces = other478.replaces;
-  __isset = other478.__isset;
+MemberJoin& MemberJoin::operator=(MemberJoin&& other498) noexcept {
+  id = std::move(other498.id);
+  role = other498.role;
+  address = std::move(other498.address);
+  failureDomain = std::move(other498.failureDomain);
+  server = std::move(other498.server);
+  atMs = other498.atMs;
+  replaces = other498.replaces;
+  __isset = other498.__isset;
   return *this;
 }
 void MemberJoin::printTo(std::ostream& out) const {
@@ -12915,30 +13487,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberGone::MemberGone(const MemberGone& other479) {
-  id = other479.id;
-  planned = other479.planned;
-  atMs = other479.atMs;
-  __isset = other479.__isset;
+MemberGone::MemberGone(const MemberGone& other499) {
+  id = other499.id;
+  planned = other499.planned;
+  atMs = other499.atMs;
+  __isset = other499.__isset;
 }
-MemberGone::MemberGone(MemberGone&& other480) noexcept {
-  id = std::move(other480.id);
-  planned = other480.planned;
-  atMs = other480.atMs;
-  __isset = other480.__isset;
+MemberGone::MemberGone(MemberGone&& other500) noexcept {
+  id = std::move(other500.id);
+  planned = other500.planned;
+  atMs = other500.atMs;
+  __isset = other500.__isset;
 }
-MemberGone& MemberGone::operator=(const MemberGone& other481) {
-  id = other481.id;
-  planned = other481.planned;
-  atMs = other481.atMs;
-  __isset = other481.__isset;
+MemberGone& MemberGone::operator=(const MemberGone& other501) {
+  id = other501.id;
+  planned = other501.planned;
+  atMs = other501.atMs;
+  __isset = other501.__isset;
   return *this;
 }
-MemberGone& MemberGone::operator=(MemberGone&& other482) noexcept {
-  id = std::move(other482.id);
-  planned = other482.planned;
-  atMs = other482.atMs;
-  __isset = other482.__isset;
+MemberGone& MemberGone::operator=(MemberGone&& other502) noexcept {
+  id = std::move(other502.id);
+  planned = other502.planned;
+  atMs = other502.atMs;
+  __isset = other502.__isset;
   return *this;
 }
 void MemberGone::printTo(std::ostream& out) const {
@@ -13026,22 +13598,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberLeaving::MemberLeaving(const MemberLeaving& other483) {
-  id = other483.id;
-  __isset = other483.__isset;
+MemberLeaving::MemberLeaving(const MemberLeaving& other503) {
+  id = other503.id;
+  __isset = other503.__isset;
 }
-MemberLeaving::MemberLeaving(MemberLeaving&& other484) noexcept {
-  id = std::move(other484.id);
-  __isset = other484.__isset;
+MemberLeaving::MemberLeaving(MemberLeaving&& other504) noexcept {
+  id = std::move(other504.id);
+  __isset = other504.__isset;
 }
-MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other485) {
-  id = other485.id;
-  __isset = other485.__isset;
+MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other505) {
+  id = other505.id;
+  __isset = other505.__isset;
   return *this;
 }
-MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other486) noexcept {
-  id = std::move(other486.id);
-  __isset = other486.__isset;
+MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other506) noexcept {
+  id = std::move(other506.id);
+  __isset = other506.__isset;
   return *this;
 }
 void MemberLeaving::printTo(std::ostream& out) const {
@@ -13178,34 +13750,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderWhole::HolderWhole(const HolderWhole& other487) {
-  cell = other487.cell;
-  epoch = other487.epoch;
-  holder = other487.holder;
-  viewVersion = other487.viewVersion;
-  __isset = other487.__isset;
+HolderWhole::HolderWhole(const HolderWhole& other507) {
+  cell = other507.cell;
+  epoch = other507.epoch;
+  holder = other507.holder;
+  viewVersion = other507.viewVersion;
+  __isset = other507.__isset;
 }
-HolderWhole::HolderWhole(HolderWhole&& other488) noexcept {
-  cell = other488.cell;
-  epoch = other488.epoch;
-  holder = std::move(other488.holder);
-  viewVersion = other488.viewVersion;
-  __isset = other488.__isset;
+HolderWhole::HolderWhole(HolderWhole&& other508) noexcept {
+  cell = other508.cell;
+  epoch = other508.epoch;
+  holder = std::move(other508.holder);
+  viewVersion = other508.viewVersion;
+  __isset = other508.__isset;
 }
-HolderWhole& HolderWhole::operator=(const HolderWhole& other489) {
-  cell = other489.cell;
-  epoch = other489.epoch;
-  holder = other489.holder;
-  viewVersion = other489.viewVersion;
-  __isset = other489.__isset;
+HolderWhole& HolderWhole::operator=(const HolderWhole& other509) {
+  cell = other509.cell;
+  epoch = other509.epoch;
+  holder = other509.holder;
+  viewVersion = other509.viewVersion;
+  __isset = other509.__isset;
   return *this;
 }
-HolderWhole& HolderWhole::operator=(HolderWhole&& other490) noexcept {
-  cell = other490.cell;
-  epoch = other490.epoch;
-  holder = std::move(other490.holder);
-  viewVersion = other490.viewVersion;
-  __isset = other490.__isset;
+HolderWhole& HolderWhole::operator=(HolderWhole&& other510) noexcept {
+  cell = other510.cell;
+  epoch = other510.epoch;
+  holder = std::move(other510.holder);
+  viewVersion = other510.viewVersion;
+  __isset = other510.__isset;
   return *this;
 }
 void HolderWhole::printTo(std::ostream& out) const {
@@ -13345,34 +13917,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HandOver::HandOver(const HandOver& other491) {
-  cell = other491.cell;
-  epoch = other491.epoch;
-  previousOwner = other491.previousOwner;
-  atMs = other491.atMs;
-  __isset = other491.__isset;
+HandOver::HandOver(const HandOver& other511) {
+  cell = other511.cell;
+  epoch = other511.epoch;
+  previousOwner = other511.previousOwner;
+  atMs = other511.atMs;
+  __isset = other511.__isset;
 }
-HandOver::HandOver(HandOver&& other492) noexcept {
-  cell = other492.cell;
-  epoch = other492.epoch;
-  previousOwner = std::move(other492.previousOwner);
-  atMs = other492.atMs;
-  __isset = other492.__isset;
+HandOver::HandOver(HandOver&& other512) noexcept {
+  cell = other512.cell;
+  epoch = other512.epoch;
+  previousOwner = std::move(other512.previousOwner);
+  atMs = other512.atMs;
+  __isset = other512.__isset;
 }
-HandOver& HandOver::operator=(const HandOver& other493) {
-  cell = other493.cell;
-  epoch = other493.epoch;
-  previousOwner = other493.previousOwner;
-  atMs = other493.atMs;
-  __isset = other493.__isset;
+HandOver& HandOver::operator=(const HandOver& other513) {
+  cell = other513.cell;
+  epoch = other513.epoch;
+  previousOwner = other513.previousOwner;
+  atMs = other513.atMs;
+  __isset = other513.__isset;
   return *this;
 }
-HandOver& HandOver::operator=(HandOver&& other494) noexcept {
-  cell = other494.cell;
-  epoch = other494.epoch;
-  previousOwner = std::move(other494.previousOwner);
-  atMs = other494.atMs;
-  __isset = other494.__isset;
+HandOver& HandOver::operator=(HandOver&& other514) noexcept {
+  cell = other514.cell;
+  epoch = other514.epoch;
+  previousOwner = std::move(other514.previousOwner);
+  atMs = other514.atMs;
+  __isset = other514.__isset;
   return *this;
 }
 void HandOver::printTo(std::ostream& out) const {
@@ -13429,14 +14001,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size495;
-            ::apache::thrift::protocol::TType _etype498;
-            xfer += iprot->readListBegin(_etype498, _size495);
-            this->voters.resize(_size495);
-            uint32_t _i499;
-            for (_i499 = 0; _i499 < _size495; ++_i499)
+            uint32_t _size515;
+            ::apache::thrift::protocol::TType _etype518;
+            xfer += iprot->readListBegin(_etype518, _size515);
+            this->voters.resize(_size515);
+            uint32_t _i519;
+            for (_i519 = 0; _i519 < _size515; ++_i519)
             {
-              xfer += iprot->readString(this->voters[_i499]);
+              xfer += iprot->readString(this->voters[_i519]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13449,14 +14021,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size500;
-            ::apache::thrift::protocol::TType _etype503;
-            xfer += iprot->readListBegin(_etype503, _size500);
-            this->learners.resize(_size500);
-            uint32_t _i504;
-            for (_i504 = 0; _i504 < _size500; ++_i504)
+            uint32_t _size520;
+            ::apache::thrift::protocol::TType _etype523;
+            xfer += iprot->readListBegin(_etype523, _size520);
+            this->learners.resize(_size520);
+            uint32_t _i524;
+            for (_i524 = 0; _i524 < _size520; ++_i524)
             {
-              xfer += iprot->readString(this->learners[_i504]);
+              xfer += iprot->readString(this->learners[_i524]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13485,10 +14057,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter505;
-    for (_iter505 = this->voters.begin(); _iter505 != this->voters.end(); ++_iter505)
+    std::vector<std::string> ::const_iterator _iter525;
+    for (_iter525 = this->voters.begin(); _iter525 != this->voters.end(); ++_iter525)
     {
-      xfer += oprot->writeString((*_iter505));
+      xfer += oprot->writeString((*_iter525));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13497,10 +14069,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter506;
-    for (_iter506 = this->learners.begin(); _iter506 != this->learners.end(); ++_iter506)
+    std::vector<std::string> ::const_iterator _iter526;
+    for (_iter526 = this->learners.begin(); _iter526 != this->learners.end(); ++_iter526)
     {
-      xfer += oprot->writeString((*_iter506));
+      xfer += oprot->writeString((*_iter526));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13518,26 +14090,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SetVoters::SetVoters(const SetVoters& other507) {
-  voters = other507.voters;
-  learners = other507.learners;
-  __isset = other507.__isset;
+SetVoters::SetVoters(const SetVoters& other527) {
+  voters = other527.voters;
+  learners = other527.learners;
+  __isset = other527.__isset;
 }
-SetVoters::SetVoters(SetVoters&& other508) noexcept {
-  voters = std::move(other508.voters);
-  learners = std::move(other508.learners);
-  __isset = other508.__isset;
+SetVoters::SetVoters(SetVoters&& other528) noexcept {
+  voters = std::move(other528.voters);
+  learners = std::move(other528.learners);
+  __isset = other528.__isset;
 }
-SetVoters& SetVoters::operator=(const SetVoters& other509) {
-  voters = other509.voters;
-  learners = other509.learners;
-  __isset = other509.__isset;
+SetVoters& SetVoters::operator=(const SetVoters& other529) {
+  voters = other529.voters;
+  learners = other529.learners;
+  __isset = other529.__isset;
   return *this;
 }
-SetVoters& SetVoters::operator=(SetVoters&& other510) noexcept {
-  voters = std::move(other510.voters);
-  learners = std::move(other510.learners);
-  __isset = other510.__isset;
+SetVoters& SetVoters::operator=(SetVoters&& other530) noexcept {
+  voters = std::move(other530.voters);
+  learners = std::move(other530.learners);
+  __isset = other530.__isset;
   return *this;
 }
 void SetVoters::printTo(std::ostream& out) const {
@@ -13759,50 +14331,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other511) {
-  setConfig = other511.setConfig;
-  memberJoin = other511.memberJoin;
-  memberGone = other511.memberGone;
-  memberLeaving = other511.memberLeaving;
-  holderWhole = other511.holderWhole;
-  handOver = other511.handOver;
-  setVoters = other511.setVoters;
-  noop = other511.noop;
-  __isset = other511.__isset;
-}
-Command::Command(Command&& other512) noexcept {
-  setConfig = std::move(other512.setConfig);
-  memberJoin = std::move(other512.memberJoin);
-  memberGone = std::move(other512.memberGone);
-  memberLeaving = std::move(other512.memberLeaving);
-  holderWhole = std::move(other512.holderWhole);
-  handOver = std::move(other512.handOver);
-  setVoters = std::move(other512.setVoters);
-  noop = other512.noop;
-  __isset = other512.__isset;
-}
-Command& Command::operator=(const Command& other513) {
-  setConfig = other513.setConfig;
-  memberJoin = other513.memberJoin;
-  memberGone = other513.memberGone;
-  memberLeaving = other513.memberLeaving;
-  holderWhole = other513.holderWhole;
-  handOver = other513.handOver;
-  setVoters = other513.setVoters;
-  noop = other513.noop;
-  __isset = other513.__isset;
+Command::Command(const Command& other531) {
+  setConfig = other531.setConfig;
+  memberJoin = other531.memberJoin;
+  memberGone = other531.memberGone;
+  memberLeaving = other531.memberLeaving;
+  holderWhole = other531.holderWhole;
+  handOver = other531.handOver;
+  setVoters = other531.setVoters;
+  noop = other531.noop;
+  __isset = other531.__isset;
+}
+Command::Command(Command&& other532) noexcept {
+  setConfig = std::move(other532.setConfig);
+  memberJoin = std::move(other532.memberJoin);
+  memberGone = std::move(other532.memberGone);
+  memberLeaving = std::move(other532.memberLeaving);
+  holderWhole = std::move(other532.holderWhole);
+  handOver = std::move(other532.handOver);
+  setVoters = std::move(other532.setVoters);
+  noop = other532.noop;
+  __isset = other532.__isset;
+}
+Command& Command::operator=(const Command& other533) {
+  setConfig = other533.setConfig;
+  memberJoin = other533.memberJoin;
+  memberGone = other533.memberGone;
+  memberLeaving = other533.memberLeaving;
+  holderWhole = other533.holderWhole;
+  handOver = other533.handOver;
+  setVoters = other533.setVoters;
+  noop = other533.noop;
+  __isset = other533.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other514) noexcept {
-  setConfig = std::move(other514.setConfig);
-  memberJoin = std::move(other514.memberJoin);
-  memberGone = std::move(other514.memberGone);
-  memberLeaving = std::move(other514.memberLeaving);
-  holderWhole = std::move(other514.holderWhole);
-  handOver = std::move(other514.handOver);
-  setVoters = std::move(other514.setVoters);
-  noop = other514.noop;
-  __isset = other514.__isset;
+Command& Command::operator=(Command&& other534) noexcept {
+  setConfig = std::move(other534.setConfig);
+  memberJoin = std::move(other534.memberJoin);
+  memberGone = std::move(other534.memberGone);
+  memberLeaving = std::move(other534.memberLeaving);
+  holderWhole = std::move(other534.holderWhole);
+  handOver = std::move(other534.handOver);
+  setVoters = std::move(other534.setVoters);
+  noop = other534.noop;
+  __isset = other534.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -13946,34 +14518,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other515) {
-  member = other515.member;
-  group = other515.group;
-  term = other515.term;
-  vote = other515.vote;
-  __isset = other515.__isset;
-}
-HardState::HardState(HardState&& other516) noexcept {
-  member = std::move(other516.member);
-  group = std::move(other516.group);
-  term = other516.term;
-  vote = std::move(other516.vote);
-  __isset = other516.__isset;
-}
-HardState& HardState::operator=(const HardState& other517) {
-  member = other517.member;
-  group = other517.group;
-  term = other517.term;
-  vote = other517.vote;
-  __isset = other517.__isset;
+HardState::HardState(const HardState& other535) {
+  member = other535.member;
+  group = other535.group;
+  term = other535.term;
+  vote = other535.vote;
+  __isset = other535.__isset;
+}
+HardState::HardState(HardState&& other536) noexcept {
+  member = std::move(other536.member);
+  group = std::move(other536.group);
+  term = other536.term;
+  vote = std::move(other536.vote);
+  __isset = other536.__isset;
+}
+HardState& HardState::operator=(const HardState& other537) {
+  member = other537.member;
+  group = other537.group;
+  term = other537.term;
+  vote = other537.vote;
+  __isset = other537.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other518) noexcept {
-  member = std::move(other518.member);
-  group = std::move(other518.group);
-  term = other518.term;
-  vote = std::move(other518.vote);
-  __isset = other518.__isset;
+HardState& HardState::operator=(HardState&& other538) noexcept {
+  member = std::move(other538.member);
+  group = std::move(other538.group);
+  term = other538.term;
+  vote = std::move(other538.vote);
+  __isset = other538.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -14051,14 +14623,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size519;
-            ::apache::thrift::protocol::TType _etype522;
-            xfer += iprot->readListBegin(_etype522, _size519);
-            this->entries.resize(_size519);
-            uint32_t _i523;
-            for (_i523 = 0; _i523 < _size519; ++_i523)
+            uint32_t _size539;
+            ::apache::thrift::protocol::TType _etype542;
+            xfer += iprot->readListBegin(_etype542, _size539);
+            this->entries.resize(_size539);
+            uint32_t _i543;
+            for (_i543 = 0; _i543 < _size539; ++_i543)
             {
-              xfer += this->entries[_i523].read(iprot);
+              xfer += this->entries[_i543].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14096,10 +14668,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter524;
-    for (_iter524 = this->entries.begin(); _iter524 != this->entries.end(); ++_iter524)
+    std::vector<LogEntry> ::const_iterator _iter544;
+    for (_iter544 = this->entries.begin(); _iter544 != this->entries.end(); ++_iter544)
     {
-      xfer += (*_iter524).write(oprot);
+      xfer += (*_iter544).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14118,30 +14690,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogRecord::LogRecord(const LogRecord& other525) {
-  state = other525.state;
-  truncateFrom = other525.truncateFrom;
-  entries = other525.entries;
-  __isset = other525.__isset;
+LogRecord::LogRecord(const LogRecord& other545) {
+  state = other545.state;
+  truncateFrom = other545.truncateFrom;
+  entries = other545.entries;
+  __isset = other545.__isset;
 }
-LogRecord::LogRecord(LogRecord&& other526) noexcept {
-  state = std::move(other526.state);
-  truncateFrom = other526.truncateFrom;
-  entries = std::move(other526.entries);
-  __isset = other526.__isset;
+LogRecord::LogRecord(LogRecord&& other546) noexcept {
+  state = std::move(other546.state);
+  truncateFrom = other546.truncateFrom;
+  entries = std::move(other546.entries);
+  __isset = other546.__isset;
 }
-LogRecord& LogRecord::operator=(const LogRecord& other527) {
-  state = other527.state;
-  truncateFrom = other527.truncateFrom;
-  entries = other527.entries;
-  __isset = other527.__isset;
+LogRecord& LogRecord::operator=(const LogRecord& other547) {
+  state = other547.state;
+  truncateFrom = other547.truncateFrom;
+  entries = other547.entries;
+  __isset = other547.__isset;
   return *this;
 }
-LogRecord& LogRecord::operator=(LogRecord&& other528) noexcept {
-  state = std::move(other528.state);
-  truncateFrom = other528.truncateFrom;
-  entries = std::move(other528.entries);
-  __isset = other528.__isset;
+LogRecord& LogRecord::operator=(LogRecord&& other548) noexcept {
+  state = std::move(other548.state);
+  truncateFrom = other548.truncateFrom;
+  entries = std::move(other548.entries);
+  __isset = other548.__isset;
   return *this;
 }
 void LogRecord::printTo(std::ostream& out) const {
@@ -14193,14 +14765,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size529;
-            ::apache::thrift::protocol::TType _etype532;
-            xfer += iprot->readListBegin(_etype532, _size529);
-            this->records.resize(_size529);
-            uint32_t _i533;
-            for (_i533 = 0; _i533 < _size529; ++_i533)
+            uint32_t _size549;
+            ::apache::thrift::protocol::TType _etype552;
+            xfer += iprot->readListBegin(_etype552, _size549);
+            this->records.resize(_size549);
+            uint32_t _i553;
+            for (_i553 = 0; _i553 < _size549; ++_i553)
             {
-              xfer += this->records[_i533].read(iprot);
+              xfer += this->records[_i553].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14229,10 +14801,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<LogRecord> ::const_iterator _iter534;
-    for (_iter534 = this->records.begin(); _iter534 != this->records.end(); ++_iter534)
+    std::vector<LogRecord> ::const_iterator _iter554;
+    for (_iter554 = this->records.begin(); _iter554 != this->records.end(); ++_iter554)
     {
-      xfer += (*_iter534).write(oprot);
+      xfer += (*_iter554).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14249,22 +14821,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LogFrame::LogFrame(const LogFrame& other535) {
-  records = other535.records;
-  __isset = other535.__isset;
+LogFrame::LogFrame(const LogFrame& other555) {
+  records = other555.records;
+  __isset = other555.__isset;
 }
-LogFrame::LogFrame(LogFrame&& other536) noexcept {
-  records = std::move(other536.records);
-  __isset = other536.__isset;
+LogFrame::LogFrame(LogFrame&& other556) noexcept {
+  records = std::move(other556.records);
+  __isset = other556.__isset;
 }
-LogFrame& LogFrame::operator=(const LogFrame& other537) {
-  records = other537.records;
-  __isset = other537.__isset;
+LogFrame& LogFrame::operator=(const LogFrame& other557) {
+  records = other557.records;
+  __isset = other557.__isset;
   return *this;
 }
-LogFrame& LogFrame::operator=(LogFrame&& other538) noexcept {
-  records = std::move(other538.records);
-  __isset = other538.__isset;
+LogFrame& LogFrame::operator=(LogFrame&& other558) noexcept {
+  records = std::move(other558.records);
+  __isset = other558.__isset;
   return *this;
 }
 void LogFrame::printTo(std::ostream& out) const {
@@ -14346,14 +14918,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size539;
-            ::apache::thrift::protocol::TType _etype542;
-            xfer += iprot->readListBegin(_etype542, _size539);
-            this->voters.resize(_size539);
-            uint32_t _i543;
-            for (_i543 = 0; _i543 < _size539; ++_i543)
+            uint32_t _size559;
+            ::apache::thrift::protocol::TType _etype562;
+            xfer += iprot->readListBegin(_etype562, _size559);
+            this->voters.resize(_size559);
+            uint32_t _i563;
+            for (_i563 = 0; _i563 < _size559; ++_i563)
             {
-              xfer += iprot->readString(this->voters[_i543]);
+              xfer += iprot->readString(this->voters[_i563]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14366,14 +14938,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size544;
-            ::apache::thrift::protocol::TType _etype547;
-            xfer += iprot->readListBegin(_etype547, _size544);
-            this->learners.resize(_size544);
-            uint32_t _i548;
-            for (_i548 = 0; _i548 < _size544; ++_i548)
+            uint32_t _size564;
+            ::apache::thrift::protocol::TType _etype567;
+            xfer += iprot->readListBegin(_etype567, _size564);
+            this->learners.resize(_size564);
+            uint32_t _i568;
+            for (_i568 = 0; _i568 < _size564; ++_i568)
             {
-              xfer += iprot->readString(this->learners[_i548]);
+              xfer += iprot->readString(this->learners[_i568]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14418,10 +14990,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter549;
-    for (_iter549 = this->voters.begin(); _iter549 != this->voters.end(); ++_iter549)
+    std::vector<std::string> ::const_iterator _iter569;
+    for (_iter569 = this->voters.begin(); _iter569 != this->voters.end(); ++_iter569)
     {
-      xfer += oprot->writeString((*_iter549));
+      xfer += oprot->writeString((*_iter569));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14430,10 +15002,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter550;
-    for (_iter550 = this->learners.begin(); _iter550 != this->learners.end(); ++_iter550)
+    std::vector<std::string> ::const_iterator _iter570;
+    for (_iter570 = this->learners.begin(); _iter570 != this->learners.end(); ++_iter570)
     {
-      xfer += oprot->writeString((*_iter550));
+      xfer += oprot->writeString((*_iter570));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14458,38 +15030,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotFile::SnapshotFile(const SnapshotFile& other551) {
-  lastIndex = other551.lastIndex;
-  lastTerm = other551.lastTerm;
-  voters = other551.voters;
-  learners = other551.learners;
-  data = other551.data;
-  __isset = other551.__isset;
-}
-SnapshotFile::SnapshotFile(SnapshotFile&& other552) noexcept {
-  lastIndex = other552.lastIndex;
-  lastTerm = other552.lastTerm;
-  voters = std::move(other552.voters);
-  learners = std::move(other552.learners);
-  data = std::move(other552.data);
-  __isset = other552.__isset;
-}
-SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other553) {
-  lastIndex = other553.lastIndex;
-  lastTerm = other553.lastTerm;
-  voters = other553.voters;
-  learners = other553.learners;
-  data = other553.data;
-  __isset = other553.__isset;
+SnapshotFile::SnapshotFile(const SnapshotFile& other571) {
+  lastIndex = other571.lastIndex;
+  lastTerm = other571.lastTerm;
+  voters = other571.voters;
+  learners = other571.learners;
+  data = other571.data;
+  __isset = other571.__isset;
+}
+SnapshotFile::SnapshotFile(SnapshotFile&& other572) noexcept {
+  lastIndex = other572.lastIndex;
+  lastTerm = other572.lastTerm;
+  voters = std::move(other572.voters);
+  learners = std::move(other572.learners);
+  data = std::move(other572.data);
+  __isset = other572.__isset;
+}
+SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other573) {
+  lastIndex = other573.lastIndex;
+  lastTerm = other573.lastTerm;
+  voters = other573.voters;
+  learners = other573.learners;
+  data = other573.data;
+  __isset = other573.__isset;
   return *this;
 }
-SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other554) noexcept {
-  lastIndex = other554.lastIndex;
-  lastTerm = other554.lastTerm;
-  voters = std::move(other554.voters);
-  learners = std::move(other554.learners);
-  data = std::move(other554.data);
-  __isset = other554.__isset;
+SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other574) noexcept {
+  lastIndex = other574.lastIndex;
+  lastTerm = other574.lastTerm;
+  voters = std::move(other574.voters);
+  learners = std::move(other574.learners);
+  data = std::move(other574.data);
+  __isset = other574.__isset;
   return *this;
 }
 void SnapshotFile::printTo(std::ostream& out) const {
@@ -14613,30 +15185,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderRecord::HolderRecord(const HolderRecord& other555) {
-  name = other555.name;
-  since = other555.since;
-  whole = other555.whole;
-  __isset = other555.__isset;
+HolderRecord::HolderRecord(const HolderRecord& other575) {
+  name = other575.name;
+  since = other575.since;
+  whole = other575.whole;
+  __isset = other575.__isset;
 }
-HolderRecord::HolderRecord(HolderRecord&& other556) noexcept {
-  name = std::move(other556.name);
-  since = other556.since;
-  whole = other556.whole;
-  __isset = other556.__isset;
+HolderRecord::HolderRecord(HolderRecord&& other576) noexcept {
+  name = std::move(other576.name);
+  since = other576.since;
+  whole = other576.whole;
+  __isset = other576.__isset;
 }
-HolderRecord& HolderRecord::operator=(const HolderRecord& other557) {
-  name = other557.name;
-  since = other557.since;
-  whole = other557.whole;
-  __isset = other557.__isset;
+HolderRecord& HolderRecord::operator=(const HolderRecord& other577) {
+  name = other577.name;
+  since = other577.since;
+  whole = other577.whole;
+  __isset = other577.__isset;
   return *this;
 }
-HolderRecord& HolderRecord::operator=(HolderRecord&& other558) noexcept {
-  name = std::move(other558.name);
-  since = other558.since;
-  whole = other558.whole;
-  __isset = other558.__isset;
+HolderRecord& HolderRecord::operator=(HolderRecord&& other578) noexcept {
+  name = std::move(other578.name);
+  since = other578.since;
+  whole = other578.whole;
+  __isset = other578.__isset;
   return *this;
 }
 void HolderRecord::printTo(std::ostream& out) const {
@@ -14748,14 +15320,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size559;
-            ::apache::thrift::protocol::TType _etype562;
-            xfer += iprot->readListBegin(_etype562, _size559);
-            this->holders.resize(_size559);
-            uint32_t _i563;
-            for (_i563 = 0; _i563 < _size559; ++_i563)
+            uint32_t _size579;
+            ::apache::thrift::protocol::TType _etype582;
+            xfer += iprot->readListBegin(_etype582, _size579);
+            this->holders.resize(_size579);
+            uint32_t _i583;
+            for (_i583 = 0; _i583 < _size579; ++_i583)
             {
-              xfer += this->holders[_i563].read(iprot);
+              xfer += this->holders[_i583].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14824,10 +15396,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<HolderRecord> ::const_iterator _iter564;
-    for (_iter564 = this->holders.begin(); _iter564 != this->holders.end(); ++_iter564)
+    std::vector<HolderRecord> ::const_iterator _iter584;
+    for (_iter584 = this->holders.begin(); _iter584 != this->holders.end(); ++_iter584)
     {
-      xfer += (*_iter564).write(oprot);
+      xfer += (*_iter584).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14863,50 +15435,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CellRecord::CellRecord(const CellRecord& other565) {
-  cell = other565.cell;
-  serviceName = other565.serviceName;
-  epoch = other565.epoch;
-  owner = other565.owner;
-  holders = other565.holders;
-  floorMs = other565.floorMs;
-  routeVersion = other565.routeVersion;
-  agentsVersion = other565.agentsVersion;
-  __isset = other565.__isset;
-}
-CellRecord::CellRecord(CellRecord&& other566) noexcept {
-  cell = other566.cell;
-  serviceName = std::move(other566.serviceName);
-  epoch = other566.epoch;
-  owner = std::move(other566.owner);
-  holders = std::move(other566.holders);
-  floorMs = other566.floorMs;
-  routeVersion = other566.routeVersion;
-  agentsVersion = other566.agentsVersion;
-  __isset = other566.__isset;
-}
-CellRecord& CellRecord::operator=(const CellRecord& other567) {
-  cell = other567.cell;
-  serviceName = other567.serviceName;
-  epoch = other567.epoch;
-  owner = other567.owner;
-  holders = other567.holders;
-  floorMs = other567.floorMs;
-  routeVersion = other567.routeVersion;
-  agentsVersion = other567.agentsVersion;
-  __isset = other567.__isset;
+CellRecord::CellRecord(const CellRecord& other585) {
+  cell = other585.cell;
+  serviceName = other585.serviceName;
+  epoch = other585.epoch;
+  owner = other585.owner;
+  holders = other585.holders;
+  floorMs = other585.floorMs;
+  routeVersion = other585.routeVersion;
+  agentsVersion = other585.agentsVersion;
+  __isset = other585.__isset;
+}
+CellRecord::CellRecord(CellRecord&& other586) noexcept {
+  cell = other586.cell;
+  serviceName = std::move(other586.serviceName);
+  epoch = other586.epoch;
+  owner = std::move(other586.owner);
+  holders = std::move(other586.holders);
+  floorMs = other586.floorMs;
+  routeVersion = other586.routeVersion;
+  agentsVersion = other586.agentsVersion;
+  __isset = other586.__isset;
+}
+CellRecord& CellRecord::operator=(const CellRecord& other587) {
+  cell = other587.cell;
+  serviceName = other587.serviceName;
+  epoch = other587.epoch;
+  owner = other587.owner;
+  holders = other587.holders;
+  floorMs = other587.floorMs;
+  routeVersion = other587.routeVersion;
+  agentsVersion = other587.agentsVersion;
+  __isset = other587.__isset;
   return *this;
 }
-CellRecord& CellRecord::operator=(CellRecord&& other568) noexcept {
-  cell = other568.cell;
-  serviceName = std::move(other568.serviceName);
-  epoch = other568.epoch;
-  owner = std::move(other568.owner);
-  holders = std::move(other568.holders);
-  floorMs = other568.floorMs;
-  routeVersion = other568.routeVersion;
-  agentsVersion = other568.agentsVersion;
-  __isset = other568.__isset;
+CellRecord& CellRecord::operator=(CellRecord&& other588) noexcept {
+  cell = other588.cell;
+  serviceName = std::move(other588.serviceName);
+  epoch = other588.epoch;
+  owner = std::move(other588.owner);
+  holders = std::move(other588.holders);
+  floorMs = other588.floorMs;
+  routeVersion = other588.routeVersion;
+  agentsVersion = other588.agentsVersion;
+  __isset = other588.__isset;
   return *this;
 }
 void CellRecord::printTo(std::ostream& out) const {
@@ -15001,9 +15573,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast569;
-          xfer += iprot->readI32(ecast569);
-          this->role = static_cast<Role::type>(ecast569);
+          int32_t ecast589;
+          xfer += iprot->readI32(ecast589);
+          this->role = static_cast<Role::type>(ecast589);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -15137,54 +15709,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other570) {
-  id = other570.id;
-  role = other570.role;
-  address = other570.address;
-  failureDomain = other570.failureDomain;
-  serviceName = other570.serviceName;
-  cell = other570.cell;
-  leaving = other570.leaving;
-  version = other570.version;
-  leaseVersion = other570.leaseVersion;
-  __isset = other570.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other571) noexcept {
-  id = std::move(other571.id);
-  role = other571.role;
-  address = std::move(other571.address);
-  failureDomain = std::move(other571.failureDomain);
-  serviceName = std::move(other571.serviceName);
-  cell = other571.cell;
-  leaving = other571.leaving;
-  version = other571.version;
-  leaseVersion = other571.leaseVersion;
-  __isset = other571.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other572) {
-  id = other572.id;
-  role = other572.role;
-  address = other572.address;
-  failureDomain = other572.failureDomain;
-  serviceName = other572.serviceName;
-  cell = other572.cell;
-  leaving = other572.leaving;
-  version = other572.version;
-  leaseVersion = other572.leaseVersion;
-  __isset = other572.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other590) {
+  id = other590.id;
+  role = other590.role;
+  address = other590.address;
+  failureDomain = other590.failureDomain;
+  serviceName = other590.serviceName;
+  cell = other590.cell;
+  leaving = other590.leaving;
+  version = other590.version;
+  leaseVersion = other590.leaseVersion;
+  __isset = other590.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other591) noexcept {
+  id = std::move(other591.id);
+  role = other591.role;
+  address = std::move(other591.address);
+  failureDomain = std::move(other591.failureDomain);
+  serviceName = std::move(other591.serviceName);
+  cell = other591.cell;
+  leaving = other591.leaving;
+  version = other591.version;
+  leaseVersion = other591.leaseVersion;
+  __isset = other591.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other592) {
+  id = other592.id;
+  role = other592.role;
+  address = other592.address;
+  failureDomain = other592.failureDomain;
+  serviceName = other592.serviceName;
+  cell = other592.cell;
+  leaving = other592.leaving;
+  version = other592.version;
+  leaseVersion = other592.leaseVersion;
+  __isset = other592.__isset;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other573) noexcept {
-  id = std::move(other573.id);
-  role = other573.role;
-  address = std::move(other573.address);
-  failureDomain = std::move(other573.failureDomain);
-  serviceName = std::move(other573.serviceName);
-  cell = other573.cell;
-  leaving = other573.leaving;
-  version = other573.version;
-  leaseVersion = other573.leaseVersion;
-  __isset = other573.__isset;
+MemberRecord& MemberRecord::operator=(MemberRecord&& other593) noexcept {
+  id = std::move(other593.id);
+  role = other593.role;
+  address = std::move(other593.address);
+  failureDomain = std::move(other593.failureDomain);
+  serviceName = std::move(other593.serviceName);
+  cell = other593.cell;
+  leaving = other593.leaving;
+  version = other593.version;
+  leaseVersion = other593.leaseVersion;
+  __isset = other593.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -15266,14 +15838,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size574;
-            ::apache::thrift::protocol::TType _etype577;
-            xfer += iprot->readListBegin(_etype577, _size574);
-            this->history.resize(_size574);
-            uint32_t _i578;
-            for (_i578 = 0; _i578 < _size574; ++_i578)
+            uint32_t _size594;
+            ::apache::thrift::protocol::TType _etype597;
+            xfer += iprot->readListBegin(_etype597, _size594);
+            this->history.resize(_size594);
+            uint32_t _i598;
+            for (_i598 = 0; _i598 < _size594; ++_i598)
             {
-              xfer += this->history[_i578].read(iprot);
+              xfer += this->history[_i598].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15286,14 +15858,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size579;
-            ::apache::thrift::protocol::TType _etype582;
-            xfer += iprot->readListBegin(_etype582, _size579);
-            this->members.resize(_size579);
-            uint32_t _i583;
-            for (_i583 = 0; _i583 < _size579; ++_i583)
+            uint32_t _size599;
+            ::apache::thrift::protocol::TType _etype602;
+            xfer += iprot->readListBegin(_etype602, _size599);
+            this->members.resize(_size599);
+            uint32_t _i603;
+            for (_i603 = 0; _i603 < _size599; ++_i603)
             {
-              xfer += this->members[_i583].read(iprot);
+              xfer += this->members[_i603].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15306,14 +15878,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size584;
-            ::apache::thrift::protocol::TType _etype587;
-            xfer += iprot->readListBegin(_etype587, _size584);
-            this->cells.resize(_size584);
-            uint32_t _i588;
-            for (_i588 = 0; _i588 < _size584; ++_i588)
+            uint32_t _size604;
+            ::apache::thrift::protocol::TType _etype607;
+            xfer += iprot->readListBegin(_etype607, _size604);
+            this->cells.resize(_size604);
+            uint32_t _i608;
+            for (_i608 = 0; _i608 < _size604; ++_i608)
             {
-              xfer += this->cells[_i588].read(iprot);
+              xfer += this->cells[_i608].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15374,10 +15946,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<ConfigFile> ::const_iterator _iter589;
-    for (_iter589 = this->history.begin(); _iter589 != this->history.end(); ++_iter589)
+    std::vector<ConfigFile> ::const_iterator _iter609;
+    for (_iter609 = this->history.begin(); _iter609 != this->history.end(); ++_iter609)
     {
-      xfer += (*_iter589).write(oprot);
+      xfer += (*_iter609).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15386,10 +15958,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter590;
-    for (_iter590 = this->members.begin(); _iter590 != this->members.end(); ++_iter590)
+    std::vector<MemberRecord> ::const_iterator _iter610;
+    for (_iter610 = this->members.begin(); _iter610 != this->members.end(); ++_iter610)
     {
-      xfer += (*_iter590).write(oprot);
+      xfer += (*_iter610).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15398,10 +15970,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellRecord> ::const_iterator _iter591;
-    for (_iter591 = this->cells.begin(); _iter591 != this->cells.end(); ++_iter591)
+    std::vector<CellRecord> ::const_iterator _iter611;
+    for (_iter611 = this->cells.begin(); _iter611 != this->cells.end(); ++_iter611)
     {
-      xfer += (*_iter591).write(oprot);
+      xfer += (*_iter611).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15440,46 +16012,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlImage::ControlImage(const ControlImage& other592) {
-  history = other592.history;
-  members = other592.members;
-  cells = other592.cells;
-  nextCell = other592.nextCell;
-  configVersion = other592.configVersion;
-  routesVersion = other592.routesVersion;
-  entriesVersion = other592.entriesVersion;
-  __isset = other592.__isset;
-}
-ControlImage::ControlImage(ControlImage&& other593) noexcept {
-  history = std::move(other593.history);
-  members = std::move(other593.members);
-  cells = std::move(other593.cells);
-  nextCell = other593.nextCell;
-  configVersion = other593.configVersion;
-  routesVersion = other593.routesVersion;
-  entriesVersion = other593.entriesVersion;
-  __isset = other593.__isset;
-}
-ControlImage& ControlImage::operator=(const ControlImage& other594) {
-  history = other594.history;
-  members = other594.members;
-  cells = other594.cells;
-  nextCell = other594.nextCell;
-  configVersion = other594.configVersion;
-  routesVersion = other594.routesVersion;
-  entriesVersion = other594.entriesVersion;
-  __isset = other594.__isset;
+ControlImage::ControlImage(const ControlImage& other612) {
+  history = other612.history;
+  members = other612.members;
+  cells = other612.cells;
+  nextCell = other612.nextCell;
+  configVersion = other612.configVersion;
+  routesVersion = other612.routesVersion;
+  entriesVersion = other612.entriesVersion;
+  __isset = other612.__isset;
+}
+ControlImage::ControlImage(ControlImage&& other613) noexcept {
+  history = std::move(other613.history);
+  members = std::move(other613.members);
+  cells = std::move(other613.cells);
+  nextCell = other613.nextCell;
+  configVersion = other613.configVersion;
+  routesVersion = other613.routesVersion;
+  entriesVersion = other613.entriesVersion;
+  __isset = other613.__isset;
+}
+ControlImage& ControlImage::operator=(const ControlImage& other614) {
+  history = other614.history;
+  members = other614.members;
+  cells = other614.cells;
+  nextCell = other614.nextCell;
+  configVersion = other614.configVersion;
+  routesVersion = other614.routesVersion;
+  entriesVersion = other614.entriesVersion;
+  __isset = other614.__isset;
   return *this;
 }
-ControlImage& ControlImage::operator=(ControlImage&& other595) noexcept {
-  history = std::move(other595.history);
-  members = std::move(other595.members);
-  cells = std::move(other595.cells);
-  nextCell = other595.nextCell;
-  configVersion = other595.configVersion;
-  routesVersion = other595.routesVersion;
-  entriesVersion = other595.entriesVersion;
-  __isset = other595.__isset;
+ControlImage& ControlImage::operator=(ControlImage&& other615) noexcept {
+  history = std::move(other615.history);
+  members = std::move(other615.members);
+  cells = std::move(other615.cells);
+  nextCell = other615.nextCell;
+  configVersion = other615.configVersion;
+  routesVersion = other615.routesVersion;
+  entriesVersion = other615.entriesVersion;
+  __isset = other615.__isset;
   return *this;
 }
 void ControlImage::printTo(std::ostream& out) const {
@@ -15684,6 +16256,16 @@
   this->timeoutNow = val;
 __isset.timeoutNow = true;
 }
+
+void Message::__set_snapshotChunk(const SnapshotChunk& val) {
+  this->snapshotChunk = val;
+__isset.snapshotChunk = true;
+}
+
+void Message::__set_snapshotChunkReply(const SnapshotChunkReply& val) {
+  this->snapshotChunkReply = val;
+__isset.snapshotChunkReply = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -16008,6 +16590,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 47:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->snapshotChunk.read(iprot);
+          this->__isset.snapshotChunk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 48:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->snapshotChunkReply.read(iprot);
+          this->__isset.snapshotChunkReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -16175,6 +16773,16 @@
     xfer += this->timeoutNow.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.snapshotChunk) {
+    xfer += oprot->writeFieldBegin("snapshotChunk", ::apache::thrift::protocol::T_STRUCT, 47);
+    xfer += this->snapshotChunk.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.snapshotChunkReply) {
+    xfer += oprot->writeFieldBegin("snapshotChunkReply", ::apache::thrift::protocol::T_STRUCT, 48);
+    xfer += this->snapshotChunkReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.hostReport) {
     xfer += oprot->writeFieldBegin("hostReport", ::apache::thrift::protocol::T_STRUCT, 50);
     xfer += this->hostReport.write(oprot);
@@ -16254,169 +16862,179 @@
   swap(a.installSnapshot, b.installSnapshot);
   swap(a.installReply, b.installReply);
   swap(a.timeoutNow, b.timeoutNow);
+  swap(a.snapshotChunk, b.snapshotChunk);
+  swap(a.snapshotChunkReply, b.snapshotChunkReply);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other596) {
-  submitJob = other596.submitJob;
-  cancelJob = other596.cancelJob;
-  queryJob = other596.queryJob;
-  jobReply = other596.jobReply;
-  notOwner = other596.notOwner;
-  recordBatch = other596.recordBatch;
-  recordSnapshot = other596.recordSnapshot;
-  recordAck = other596.recordAck;
-  startBatch = other596.startBatch;
-  cancelBatch = other596.cancelBatch;
-  resultAck = other596.resultAck;
-  fence = other596.fence;
-  agentHello = other596.agentHello;
-  resultBatch = other596.resultBatch;
-  startRefused = other596.startRefused;
-  agentState = other596.agentState;
-  memberHeartbeat = other596.memberHeartbeat;
-  heartbeatReply = other596.heartbeatReply;
-  clusterView = other596.clusterView;
-  applyConfig = other596.applyConfig;
-  applyReply = other596.applyReply;
-  controlQuery = other596.controlQuery;
-  controlAnswer = other596.controlAnswer;
-  hostReport = other596.hostReport;
-  hostContact = other596.hostContact;
-  runTasks = other596.runTasks;
-  stopTasks = other596.stopTasks;
-  taskReports = other596.taskReports;
-  startsInDoubt = other596.startsInDoubt;
-  ordersElsewhere = other596.ordersElsewhere;
-  requestVote = other596.requestVote;
-  voteReply = other596.voteReply;
-  appendEntries = other596.appendEntries;
-  appendReply = other596.appendReply;
-  installSnapshot = other596.installSnapshot;
-  installReply = other596.installReply;
-  timeoutNow = other596.timeoutNow;
-  __isset = other596.__isset;
-}
-Message::Message(Message&& other597) noexcept {
-  submitJob = std::move(other597.submitJob);
-  cancelJob = std::move(other597.cancelJob);
-  queryJob = std::move(other597.queryJob);
-  jobReply = std::move(other597.jobReply);
-  notOwner = std::move(other597.notOwner);
-  recordBatch = std::move(other597.recordBatch);
-  recordSnapshot = std::move(other597.recordSnapshot);
-  recordAck = std::move(other597.recordAck);
-  startBatch = std::move(other597.startBatch);
-  cancelBatch = std::move(other597.cancelBatch);
-  resultAck = std::move(other597.resultAck);
-  fence = std::move(other597.fence);
-  agentHello = std::move(other597.agentHello);
-  resultBatch = std::move(other597.resultBatch);
-  startRefused = std::move(other597.startRefused);
-  agentState = std::move(other597.agentState);
-  memberHeartbeat = std::move(other597.memberHeartbeat);
-  heartbeatReply = std::move(other597.heartbeatReply);
-  clusterView = std::move(other597.clusterView);
-  applyConfig = std::move(other597.applyConfig);
-  applyReply = std::move(other597.applyReply);
-  controlQuery = std::move(other597.controlQuery);
-  controlAnswer = std::move(other597.controlAnswer);
-  hostReport = std::move(other597.hostReport);
-  hostContact = std::move(other597.hostContact);
-  runTasks = std::move(other597.runTasks);
-  stopTasks = std::move(other597.stopTasks);
-  taskReports = std::move(other597.taskReports);
-  startsInDoubt = std::move(other597.startsInDoubt);
-  ordersElsewhere = std::move(other597.ordersElsewhere);
-  requestVote = std::move(other597.requestVote);
-  voteReply = std::move(other597.voteReply);
-  appendEntries = std::move(other597.appendEntries);
-  appendReply = std::move(other597.appendReply);
-  installSnapshot = std::move(other597.installSnapshot);
-  installReply = std::move(other597.installReply);
-  timeoutNow = std::move(other597.timeoutNow);
-  __isset = other597.__isset;
-}
-Message& Message::operator=(const Message& other598) {
-  submitJob = other598.submitJob;
-  cancelJob = other598.cancelJob;
-  queryJob = other598.queryJob;
-  jobReply = other598.jobReply;
-  notOwner = other598.notOwner;
-  recordBatch = other598.recordBatch;
-  recordSnapshot = other598.recordSnapshot;
-  recordAck = other598.recordAck;
-  startBatch = other598.startBatch;
-  cancelBatch = other598.cancelBatch;
-  resultAck = other598.resultAck;
-  fence = other598.fence;
-  agentHello = other598.agentHello;
-  resultBatch = other598.resultBatch;
-  startRefused = other598.startRefused;
-  agentState = other598.agentState;
-  memberHeartbeat = other598.memberHeartbeat;
-  heartbeatReply = other598.heartbeatReply;
-  clusterView = other598.clusterView;
-  applyConfig = other598.applyConfig;
-  applyReply = other598.applyReply;
-  controlQuery = other598.controlQuery;
-  controlAnswer = other598.controlAnswer;
-  hostReport = other598.hostReport;
-  hostContact = other598.hostContact;
-  runTasks = other598.runTasks;
-  stopTasks = other598.stopTasks;
-  taskReports = other598.taskReports;
-  startsInDoubt = other598.startsInDoubt;
-  ordersElsewhere = other598.ordersElsewhere;
-  requestVote = other598.requestVote;
-  voteReply = other598.voteReply;
-  appendEntries = other598.appendEntries;
-  appendReply = other598.appendReply;
-  installSnapshot = other598.installSnapshot;
-  installReply = other598.installReply;
-  timeoutNow = other598.timeoutNow;
-  __isset = other598.__isset;
+Message::Message(const Message& other616) {
+  submitJob = other616.submitJob;
+  cancelJob = other616.cancelJob;
+  queryJob = other616.queryJob;
+  jobReply = other616.jobReply;
+  notOwner = other616.notOwner;
+  recordBatch = other616.recordBatch;
+  recordSnapshot = other616.recordSnapshot;
+  recordAck = other616.recordAck;
+  startBatch = other616.startBatch;
+  cancelBatch = other616.cancelBatch;
+  resultAck = other616.resultAck;
+  fence = other616.fence;
+  agentHello = other616.agentHello;
+  resultBatch = other616.resultBatch;
+  startRefused = other616.startRefused;
+  agentState = other616.agentState;
+  memberHeartbeat = other616.memberHeartbeat;
+  heartbeatReply = other616.heartbeatReply;
+  clusterView = other616.clusterView;
+  applyConfig = other616.applyConfig;
+  applyReply = other616.applyReply;
+  controlQuery = other616.controlQuery;
+  controlAnswer = other616.controlAnswer;
+  hostReport = other616.hostReport;
+  hostContact = other616.hostContact;
+  runTasks = other616.runTasks;
+  stopTasks = other616.stopTasks;
+  taskReports = other616.taskReports;
+  startsInDoubt = other616.startsInDoubt;
+  ordersElsewhere = other616.ordersElsewhere;
+  requestVote = other616.requestVote;
+  voteReply = other616.voteReply;
+  appendEntries = other616.appendEntries;
+  appendReply = other616.appendReply;
+  installSnapshot = other616.installSnapshot;
+  installReply = other616.installReply;
+  timeoutNow = other616.timeoutNow;
+  snapshotChunk = other616.snapshotChunk;
+  snapshotChunkReply = other616.snapshotChunkReply;
+  __isset = other616.__isset;
+}
+Message::Message(Message&& other617) noexcept {
+  submitJob = std::move(other617.submitJob);
+  cancelJob = std::move(other617.cancelJob);
+  queryJob = std::move(other617.queryJob);
+  jobReply = std::move(other617.jobReply);
+  notOwner = std::move(other617.notOwner);
+  recordBatch = std::move(other617.recordBatch);
+  recordSnapshot = std::move(other617.recordSnapshot);
+  recordAck = std::move(other617.recordAck);
+  startBatch = std::move(other617.startBatch);
+  cancelBatch = std::move(other617.cancelBatch);
+  resultAck = std::move(other617.resultAck);
+  fence = std::move(other617.fence);
+  agentHello = std::move(other617.agentHello);
+  resultBatch = std::move(other617.resultBatch);
+  startRefused = std::move(other617.startRefused);
+  agentState = std::move(other617.agentState);
+  memberHeartbeat = std::move(other617.memberHeartbeat);
+  heartbeatReply = std::move(other617.heartbeatReply);
+  clusterView = std::move(other617.clusterView);
+  applyConfig = std::move(other617.applyConfig);
+  applyReply = std::move(other617.applyReply);
+  controlQuery = std::move(other617.controlQuery);
+  controlAnswer = std::move(other617.controlAnswer);
+  hostReport = std::move(other617.hostReport);
+  hostContact = std::move(other617.hostContact);
+  runTasks = std::move(other617.runTasks);
+  stopTasks = std::move(other617.stopTasks);
+  taskReports = std::move(other617.taskReports);
+  startsInDoubt = std::move(other617.startsInDoubt);
+  ordersElsewhere = std::move(other617.ordersElsewhere);
+  requestVote = std::move(other617.requestVote);
+  voteReply = std::move(other617.voteReply);
+  appendEntries = std::move(other617.appendEntries);
+  appendReply = std::move(other617.appendReply);
+  installSnapshot = std::move(other617.installSnapshot);
+  installReply = std::move(other617.installReply);
+  timeoutNow = std::move(other617.timeoutNow);
+  snapshotChunk = std::move(other617.snapshotChunk);
+  snapshotChunkReply = std::move(other617.snapshotChunkReply);
+  __isset = other617.__isset;
+}
+Message& Message::operator=(const Message& other618) {
+  submitJob = other618.submitJob;
+  cancelJob = other618.cancelJob;
+  queryJob = other618.queryJob;
+  jobReply = other618.jobReply;
+  notOwner = other618.notOwner;
+  recordBatch = other618.recordBatch;
+  recordSnapshot = other618.recordSnapshot;
+  recordAck = other618.recordAck;
+  startBatch = other618.startBatch;
+  cancelBatch = other618.cancelBatch;
+  resultAck = other618.resultAck;
+  fence = other618.fence;
+  agentHello = other618.agentHello;
+  resultBatch = other618.resultBatch;
+  startRefused = other618.startRefused;
+  agentState = other618.agentState;
+  memberHeartbeat = other618.memberHeartbeat;
+  heartbeatReply = other618.heartbeatReply;
+  clusterView = other618.clusterView;
+  applyConfig = other618.applyConfig;
+  applyReply = other618.applyReply;
+  controlQuery = other618.controlQuery;
+  controlAnswer = other618.controlAnswer;
+  hostReport = other618.hostReport;
+  hostContact = other618.hostContact;
+  runTasks = other618.runTasks;
+  stopTasks = other618.stopTasks;
+  taskReports = other618.taskReports;
+  startsInDoubt = other618.startsInDoubt;
+  ordersElsewhere = other618.ordersElsewhere;
+  requestVote = other618.requestVote;
+  voteReply = other618.voteReply;
+  appendEntries = other618.appendEntries;
+  appendReply = other618.appendReply;
+  installSnapshot = other618.installSnapshot;
+  installReply = other618.installReply;
+  timeoutNow = other618.timeoutNow;
+  snapshotChunk = other618.snapshotChunk;
+  snapshotChunkReply = other618.snapshotChunkReply;
+  __isset = other618.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other599) noexcept {
-  submitJob = std::move(other599.submitJob);
-  cancelJob = std::move(other599.cancelJob);
-  queryJob = std::move(other599.queryJob);
-  jobReply = std::move(other599.jobReply);
-  notOwner = std::move(other599.notOwner);
-  recordBatch = std::move(other599.recordBatch);
-  recordSnapshot = std::move(other599.recordSnapshot);
-  recordAck = std::move(other599.recordAck);
-  startBatch = std::move(other599.startBatch);
-  cancelBatch = std::move(other599.cancelBatch);
-  resultAck = std::move(other599.resultAck);
-  fence = std::move(other599.fence);
-  agentHello = std::move(other599.agentHello);
-  resultBatch = std::move(other599.resultBatch);
-  startRefused = std::move(other599.startRefused);
-  agentState = std::move(other599.agentState);
-  memberHeartbeat = std::move(other599.memberHeartbeat);
-  heartbeatReply = std::move(other599.heartbeatReply);
-  clusterView = std::move(other599.clusterView);
-  applyConfig = std::move(other599.applyConfig);
-  applyReply = std::move(other599.applyReply);
-  controlQuery = std::move(other599.controlQuery);
-  controlAnswer = std::move(other599.controlAnswer);
-  hostReport = std::move(other599.hostReport);
-  hostContact = std::move(other599.hostContact);
-  runTasks = std::move(other599.runTasks);
-  stopTasks = std::move(other599.stopTasks);
-  taskReports = std::move(other599.taskReports);
-  startsInDoubt = std::move(other599.startsInDoubt);
-  ordersElsewhere = std::move(other599.ordersElsewhere);
-  requestVote = std::move(other599.requestVote);
-  voteReply = std::move(other599.voteReply);
-  appendEntries = std::move(other599.appendEntries);
-  appendReply = std::move(other599.appendReply);
-  installSnapshot = std::move(other599.installSnapshot);
-  installReply = std::move(other599.installReply);
-  timeoutNow = std::move(other599.timeoutNow);
-  __isset = other599.__isset;
+Message& Message::operator=(Message&& other619) noexcept {
+  submitJob = std::move(other619.submitJob);
+  cancelJob = std::move(other619.cancelJob);
+  queryJob = std::move(other619.queryJob);
+  jobReply = std::move(other619.jobReply);
+  notOwner = std::move(other619.notOwner);
+  recordBatch = std::move(other619.recordBatch);
+  recordSnapshot = std::move(other619.recordSnapshot);
+  recordAck = std::move(other619.recordAck);
+  startBatch = std::move(other619.startBatch);
+  cancelBatch = std::move(other619.cancelBatch);
+  resultAck = std::move(other619.resultAck);
+  fence = std::move(other619.fence);
+  agentHello = std::move(other619.agentHello);
+  resultBatch = std::move(other619.resultBatch);
+  startRefused = std::move(other619.startRefused);
+  agentState = std::move(other619.agentState);
+  memberHeartbeat = std::move(other619.memberHeartbeat);
+  heartbeatReply = std::move(other619.heartbeatReply);
+  clusterView = std::move(other619.clusterView);
+  applyConfig = std::move(other619.applyConfig);
+  applyReply = std::move(other619.applyReply);
+  controlQuery = std::move(other619.controlQuery);
+  controlAnswer = std::move(other619.controlAnswer);
+  hostReport = std::move(other619.hostReport);
+  hostContact = std::move(other619.hostContact);
+  runTasks = std::move(other619.runTasks);
+  stopTasks = std::move(other619.stopTasks);
+  taskReports = std::move(other619.taskReports);
+  startsInDoubt = std::move(other619.startsInDoubt);
+  ordersElsewhere = std::move(other619.ordersElsewhere);
+  requestVote = std::move(other619.requestVote);
+  voteReply = std::move(other619.voteReply);
+  appendEntries = std::move(other619.appendEntries);
+  appendReply = std::move(other619.appendReply);
+  installSnapshot = std::move(other619.installSnapshot);
+  installReply = std::move(other619.installReply);
+  timeoutNow = std::move(other619.timeoutNow);
+  snapshotChunk = std::move(other619.snapshotChunk);
+  snapshotChunkReply = std::move(other619.snapshotChunkReply);
+  __isset = other619.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -16459,6 +17077,8 @@
   out << ", " << "installSnapshot="; (__isset.installSnapshot ? (out << to_string(installSnapshot)) : (out << "<null>"));
   out << ", " << "installReply="; (__isset.installReply ? (out << to_string(installReply)) : (out << "<null>"));
   out << ", " << "timeoutNow="; (__isset.timeoutNow ? (out << to_string(timeoutNow)) : (out << "<null>"));
+  out << ", " << "snapshotChunk="; (__isset.snapshotChunk ? (out << to_string(snapshotChunk)) : (out << "<null>"));
+  out << ", " << "snapshotChunkReply="; (__isset.snapshotChunkReply ? (out << to_string(snapshotChunkReply)) : (out << "<null>"));
   out << ")";
 }
 
@@ -16524,9 +17144,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast600;
-          xfer += iprot->readI32(ecast600);
-          this->role = static_cast<Role::type>(ecast600);
+          int32_t ecast620;
+          xfer += iprot->readI32(ecast620);
+          this->role = static_cast<Role::type>(ecast620);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -16552,14 +17172,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size601;
-            ::apache::thrift::protocol::TType _etype604;
-            xfer += iprot->readListBegin(_etype604, _size601);
-            this->messages.resize(_size601);
-            uint32_t _i605;
-            for (_i605 = 0; _i605 < _size601; ++_i605)
+            uint32_t _size621;
+            ::apache::thrift::protocol::TType _etype624;
+            xfer += iprot->readListBegin(_etype624, _size621);
+            this->messages.resize(_size621);
+            uint32_t _i625;
+            for (_i625 = 0; _i625 < _size621; ++_i625)
             {
-              xfer += this->messages[_i605].read(iprot);
+              xfer += this->messages[_i625].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16604,10 +17224,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<Message> ::const_iterator _iter606;
-    for (_iter606 = this->messages.begin(); _iter606 != this->messages.end(); ++_iter606)
+    std::vector<Message> ::const_iterator _iter626;
+    for (_iter626 = this->messages.begin(); _iter626 != this->messages.end(); ++_iter626)
     {
-      xfer += (*_iter606).write(oprot);
+      xfer += (*_iter626).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16628,38 +17248,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other607) {
-  sender = other607.sender;
-  role = other607.role;
-  address = other607.address;
-  configNumber = other607.configNumber;
-  messages = other607.messages;
-  __isset = other607.__isset;
-}
-Envelope::Envelope(Envelope&& other608) noexcept {
-  sender = std::move(other608.sender);
-  role = other608.role;
-  address = std::move(other608.address);
-  configNumber = other608.configNumber;
-  messages = std::move(other608.messages);
-  __isset = other608.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other609) {
-  sender = other609.sender;
-  role = other609.role;
-  address = other609.address;
-  configNumber = other609.configNumber;
-  messages = other609.messages;
-  __isset = other609.__isset;
+Envelope::Envelope(const Envelope& other627) {
+  sender = other627.sender;
+  role = other627.role;
+  address = other627.address;
+  configNumber = other627.configNumber;
+  messages = other627.messages;
+  __isset = other627.__isset;
+}
+Envelope::Envelope(Envelope&& other628) noexcept {
+  sender = std::move(other628.sender);
+  role = other628.role;
+  address = std::move(other628.address);
+  configNumber = other628.configNumber;
+  messages = std::move(other628.messages);
+  __isset = other628.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other629) {
+  sender = other629.sender;
+  role = other629.role;
+  address = other629.address;
+  configNumber = other629.configNumber;
+  messages = other629.messages;
+  __isset = other629.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other610) noexcept {
-  sender = std::move(other610.sender);
-  role = other610.role;
-  address = std::move(other610.address);
-  configNumber = other610.configNumber;
-  messages = std::move(other610.messages);
-  __isset = other610.__isset;
+Envelope& Envelope::operator=(Envelope&& other630) noexcept {
+  sender = std::move(other630.sender);
+  role = other630.role;
+  address = std::move(other630.address);
+  configNumber = other630.configNumber;
+  messages = std::move(other630.messages);
+  __isset = other630.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -224,6 +224,10 @@
 
 class InstallSnapshot;
 
+class SnapshotChunk;
+
+class SnapshotChunkReply;
+
 class InstallReply;
 
 class TimeoutNow;
@@ -4610,6 +4614,199 @@
 
 std::ostream& operator<<(std::ostream& out, const InstallSnapshot& obj);
 
+typedef struct _SnapshotChunk__isset {
+  _SnapshotChunk__isset() : term(false), lastIndex(false), lastTerm(false), data(false), voters(false), learners(false), member(false), group(false), round(false), offset(false), totalBytes(false) {}
+  bool term :1;
+  bool lastIndex :1;
+  bool lastTerm :1;
+  bool data :1;
+  bool voters :1;
+  bool learners :1;
+  bool member :1;
+  bool group :1;
+  bool round :1;
+  bool offset :1;
+  bool totalBytes :1;
+} _SnapshotChunk__isset;
+
+class SnapshotChunk : public virtual ::apache::thrift::TBase {
+ public:
+
+  SnapshotChunk(const SnapshotChunk&);
+  SnapshotChunk(SnapshotChunk&&) noexcept;
+  SnapshotChunk& operator=(const SnapshotChunk&);
+  SnapshotChunk& operator=(SnapshotChunk&&) noexcept;
+  SnapshotChunk() noexcept
+                : term(0),
+                  lastIndex(0),
+                  lastTerm(0),
+                  data(),
+                  member(),
+                  group(),
+                  round(0),
+                  offset(0),
+                  totalBytes(0) {
+  }
+
+  virtual ~SnapshotChunk() noexcept;
+  int64_t term;
+  int64_t lastIndex;
+  int64_t lastTerm;
+  std::string data;
+  std::vector<std::string>  voters;
+  std::vector<std::string>  learners;
+  std::string member;
+  std::string group;
+  int64_t round;
+  int64_t offset;
+  int64_t totalBytes;
+
+  _SnapshotChunk__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_lastIndex(const int64_t val);
+
+  void __set_lastTerm(const int64_t val);
+
+  void __set_data(const std::string& val);
+
+  void __set_voters(const std::vector<std::string> & val);
+
+  void __set_learners(const std::vector<std::string> & val);
+
+  void __set_member(const std::string& val);
+
+  void __set_group(const std::string& val);
+
+  void __set_round(const int64_t val);
+
+  void __set_offset(const int64_t val);
+
+  void __set_totalBytes(const int64_t val);
+
+  bool operator == (const SnapshotChunk & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(lastIndex == rhs.lastIndex))
+      return false;
+    if (!(lastTerm == rhs.lastTerm))
+      return false;
+    if (!(data == rhs.data))
+      return false;
+    if (!(voters == rhs.voters))
+      return false;
+    if (!(learners == rhs.learners))
+      return false;
+    if (!(member == rhs.member))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(round == rhs.round))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(totalBytes == rhs.totalBytes))
+      return false;
+    return true;
+  }
+  bool operator != (const SnapshotChunk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SnapshotChunk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SnapshotChunk &a, SnapshotChunk &b);
+
+std::ostream& operator<<(std::ostream& out, const SnapshotChunk& obj);
+
+typedef struct _SnapshotChunkReply__isset {
+  _SnapshotChunkReply__isset() : term(false), lastIndex(false), nextOffset(false), member(false), group(false), round(false) {}
+  bool term :1;
+  bool lastIndex :1;
+  bool nextOffset :1;
+  bool member :1;
+  bool group :1;
+  bool round :1;
+} _SnapshotChunkReply__isset;
+
+class SnapshotChunkReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  SnapshotChunkReply(const SnapshotChunkReply&);
+  SnapshotChunkReply(SnapshotChunkReply&&) noexcept;
+  SnapshotChunkReply& operator=(const SnapshotChunkReply&);
+  SnapshotChunkReply& operator=(SnapshotChunkReply&&) noexcept;
+  SnapshotChunkReply() noexcept
+                     : term(0),
+                       lastIndex(0),
+                       nextOffset(0),
+                       member(),
+                       group(),
+                       round(0) {
+  }
+
+  virtual ~SnapshotChunkReply() noexcept;
+  int64_t term;
+  int64_t lastIndex;
+  int64_t nextOffset;
+  std::string member;
+  std::string group;
+  int64_t round;
+
+  _SnapshotChunkReply__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_lastIndex(const int64_t val);
+
+  void __set_nextOffset(const int64_t val);
+
+  void __set_member(const std::string& val);
+
+  void __set_group(const std::string& val);
+
+  void __set_round(const int64_t val);
+
+  bool operator == (const SnapshotChunkReply & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(lastIndex == rhs.lastIndex))
+      return false;
+    if (!(nextOffset == rhs.nextOffset))
+      return false;
+    if (!(member == rhs.member))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(round == rhs.round))
+      return false;
+    return true;
+  }
+  bool operator != (const SnapshotChunkReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SnapshotChunkReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SnapshotChunkReply &a, SnapshotChunkReply &b);
+
+std::ostream& operator<<(std::ostream& out, const SnapshotChunkReply& obj);
+
 typedef struct _InstallReply__isset {
   _InstallReply__isset() : term(false), lastIndex(false), member(false), group(false), round(false) {}
   bool term :1;
@@ -5829,7 +6026,7 @@
 std::ostream& operator<<(std::ostream& out, const ControlImage& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : submitJob(false), cancelJob(false), queryJob(false), jobReply(false), notOwner(false), recordBatch(false), recordSnapshot(false), recordAck(false), startBatch(false), cancelBatch(false), resultAck(false), fence(false), agentHello(false), resultBatch(false), startRefused(false), agentState(false), memberHeartbeat(false), heartbeatReply(false), clusterView(false), applyConfig(false), applyReply(false), controlQuery(false), controlAnswer(false), hostReport(false), hostContact(false), runTasks(false), stopTasks(false), taskReports(false), startsInDoubt(false), ordersElsewhere(false), requestVote(false), voteReply(false), appendEntries(false), appendReply(false), installSnapshot(false), installReply(false), timeoutNow(false) {}
+  _Message__isset() : submitJob(false), cancelJob(false), queryJob(false), jobReply(false), notOwner(false), recordBatch(false), recordSnapshot(false), recordAck(false), startBatch(false), cancelBatch(false), resultAck(false), fence(false), agentHello(false), resultBatch(false), startRefused(false), agentState(false), memberHeartbeat(false), heartbeatReply(false), clusterView(false), applyConfig(false), applyReply(false), controlQuery(false), controlAnswer(false), hostReport(false), hostContact(false), runTasks(false), stopTasks(false), taskReports(false), startsInDoubt(false), ordersElsewhere(false), requestVote(false), voteReply(false), appendEntries(false), appendReply(false), installSnapshot(false), installReply(false), timeoutNow(false), snapshotChunk(false), snapshotChunkReply(false) {}
   bool submitJob :1;
   bool cancelJob :1;
   bool queryJob :1;
@@ -5867,6 +6064,8 @@
   bool installSnapshot :1;
   bool installReply :1;
   bool timeoutNow :1;
+  bool snapshotChunk :1;
+  bool snapshotChunkReply :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -5917,6 +6116,8 @@
   InstallSnapshot installSnapshot;
   InstallReply installReply;
   TimeoutNow timeoutNow;
+  SnapshotChunk snapshotChunk;
+  SnapshotChunkReply snapshotChunkReply;
 
   _Message__isset __isset;
 
@@ -5994,6 +6195,10 @@
 
   void __set_timeoutNow(const TimeoutNow& val);
 
+  void __set_snapshotChunk(const SnapshotChunk& val);
+
+  void __set_snapshotChunkReply(const SnapshotChunkReply& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.submitJob != rhs.__isset.submitJob)
@@ -6144,6 +6349,14 @@
       return false;
     else if (__isset.timeoutNow && !(timeoutNow == rhs.timeoutNow))
       return false;
+    if (__isset.snapshotChunk != rhs.__isset.snapshotChunk)
+      return false;
+    else if (__isset.snapshotChunk && !(snapshotChunk == rhs.snapshotChunk))
+      return false;
+    if (__isset.snapshotChunkReply != rhs.__isset.snapshotChunkReply)
+      return false;
+    else if (__isset.snapshotChunkReply && !(snapshotChunkReply == rhs.snapshotChunkReply))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/wire_bus.cpp
+++ b/src/wire_bus.cpp
@@ -66,34 +66,6 @@
     std::size_t bytes = 0; ///< estimated size, set when the message is queued
 };
 
-/// Returns the approximate size of a message, for the size limit of a queue.
-std::size_t estimateBytes(const Payload &payload)
-{
-    std::size_t bytes = 256;
-    if (const auto *batch = std::get_if<wire::StartBatch>(&payload)) {
-        for (const auto &start : batch->starts) {
-            bytes += 128 + start.body.size();
-        }
-    } else if (const auto *results = std::get_if<wire::ResultBatch>(&payload)) {
-        for (const auto &result : results->results) {
-            bytes += 128 + result.result.body.size();
-        }
-    } else if (const auto *submit = std::get_if<wire::SubmitJob>(&payload)) {
-        for (const auto &task : submit->spec.tasks) {
-            bytes += 64 + task.body.size();
-        }
-    } else if (const auto *reply = std::get_if<wire::JobReply>(&payload)) {
-        for (const auto &result : reply->answer.results) {
-            bytes += 64 + result.body.size();
-        }
-    } else if (const auto *append = std::get_if<wire::AppendEntries>(&payload)) {
-        for (const auto &entry : append->entries) {
-            bytes += 64 + entry.command.size();
-        }
-    }
-    return bytes;
-}
-
 class DeliverHandler : public wire::PeerIf
 {
 public:
--- a/src/wire_message.cpp
+++ b/src/wire_message.cpp
@@ -51,6 +51,8 @@
     AGATEDRUM_MEMBER(installSnapshot);
     AGATEDRUM_MEMBER(installReply);
     AGATEDRUM_MEMBER(timeoutNow);
+    AGATEDRUM_MEMBER(snapshotChunk);
+    AGATEDRUM_MEMBER(snapshotChunkReply);
     AGATEDRUM_MEMBER(hostReport);
     AGATEDRUM_MEMBER(hostContact);
     AGATEDRUM_MEMBER(runTasks);
--- a/src/wire_message_p.h
+++ b/src/wire_message_p.h
@@ -2,6 +2,7 @@
 
 #include "agatedrum_types.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,9 +18,9 @@
                    wire::Fence, wire::AgentHello, wire::ResultBatch, wire::StartRefused, wire::AgentState,
                    wire::MemberHeartbeat, wire::HeartbeatReply, wire::ClusterView, wire::ApplyConfig, wire::ApplyReply,
                    wire::ControlQuery, wire::ControlAnswer, wire::RequestVote, wire::VoteReply, wire::AppendEntries,
-                   wire::AppendReply, wire::InstallSnapshot, wire::InstallReply, wire::TimeoutNow, wire::HostReport,
-                   wire::HostContact, wire::RunTasks, wire::StopTasks, wire::TaskReports, wire::StartsInDoubt,
-                   wire::OrdersElsewhere>;
+                   wire::AppendReply, wire::InstallSnapshot, wire::InstallReply, wire::TimeoutNow, wire::SnapshotChunk,
+                   wire::SnapshotChunkReply, wire::HostReport, wire::HostContact, wire::RunTasks, wire::StopTasks,
+                   wire::TaskReports, wire::StartsInDoubt, wire::OrdersElsewhere>;
 
 /// A received message with the sender's data from its envelope.
 struct IncomingMessage
@@ -46,6 +47,9 @@
 /// Parses "IP:PORT". @return std::nullopt if the text is not a valid IPv4 address and port.
 std::optional<wire::Endpoint> parseEndpoint(const std::string &text);
 
+/// Returns the approximate size of a message when it is sent, in bytes.
+std::size_t estimateBytes(const Payload &payload);
+
 /// Converts a payload to the wire::Message union that is sent.
 wire::Message toMessage(Payload &&payload);
 
