--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -240,6 +240,7 @@
 struct VoteReply {
   1: i64 term; 2: bool granted; 3: bool preVote; 4: string member; 5: string group;
   6: bool fresh;              // the disk contains no term, vote or entry
+  7: string leader;           // name of the leader that the sender knows; empty if there is none
 }
 struct AppendEntries {
   1: i64 term; 2: i64 prevIndex; 3: i64 prevTerm; 4: list<LogEntry> entries; 5: i64 commitIndex; 6: i64 round;
@@ -265,6 +266,8 @@
 }
 struct InstallReply { 1: i64 term; 2: i64 lastIndex; 3: string member; 4: string group; 5: i64 round; }
 struct TimeoutNow { 1: i64 term; }
+// A voter is about to stop: a learner shall replace it at once.
+struct VoterLeaving { 1: string member; 2: string group; }
 
 // Commands in the log of the control group.
 struct SetConfig { 1: ConfigFile file; }
@@ -320,7 +323,7 @@
   54: TaskReports taskReports; 55: StartsInDoubt startsInDoubt; 56: OrdersElsewhere ordersElsewhere;
   40: RequestVote requestVote; 41: VoteReply voteReply; 42: AppendEntries appendEntries; 43: AppendReply appendReply;
   44: InstallSnapshot installSnapshot; 45: InstallReply installReply; 46: TimeoutNow timeoutNow;
-  47: SnapshotChunk snapshotChunk; 48: SnapshotChunkReply snapshotChunkReply;
+  47: SnapshotChunk snapshotChunk; 48: SnapshotChunkReply snapshotChunkReply; 49: VoterLeaving voterLeaving;
 }
 
 struct Envelope {
--- a/src/base_yaml.cpp
+++ b/src/base_yaml.cpp
@@ -227,7 +227,8 @@
 double YamlReader::real(const std::string &key, double fallback, double minValue, double maxValue)
 {
     const auto value = this->child(key);
-    if (!value.IsDefined()) {
+    // A template leaves a key without a value where it has none.
+    if (!value.IsDefined() || value.IsNull()) {
         return fallback;
     }
     const auto number = value.IsScalar() ? parseNumber<double>(value.Scalar()) : std::nullopt;
--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -14,6 +14,8 @@
 /// Timeout of the leader's reply to a forwarded request. Below 1 s, the time after which an operator tries another
 /// process.
 constexpr Millis forwardTimeout {800};
+/// Time for which a stopping process waits until another one has taken its place as a voter.
+constexpr Millis replacementTimeout {1500};
 
 ControlLogOptions logOptions(const ControlOptions &options)
 {
@@ -23,6 +25,7 @@
     result.isOpen = options.isOpen;
     result.mayBootstrap = options.mayBootstrap;
     result.maxVoters = options.maxVoters;
+    result.voterReplacementTimeout = options.voterReplacementTimeout;
     for (const auto &peer : options.group) {
         result.group.push_back(peer.name);
     }
@@ -384,7 +387,8 @@
 {
     const std::lock_guard lock(this->mutex);
     this->isStopping = true;
-    this->log.stopCampaigning();
+    this->stopStartedAt = this->clock.now();
+    this->log.beginLeaving();
     this->log.transferLeadership(this->clock.now());
     this->drain();
 }
@@ -392,7 +396,8 @@
 bool ControlCore::isDrained() const
 {
     const std::lock_guard lock(this->mutex);
-    return this->isStopping && (!this->log.isLeader() || this->log.voters().size() == 1);
+    const bool isReplaced = this->log.mayLeave() || this->clock.now() - this->stopStartedAt > replacementTimeout;
+    return this->isStopping && ((!this->log.isLeader() && isReplaced) || this->log.voters().size() == 1);
 }
 
 std::int64_t ControlCore::configNumber() const
--- a/src/control_core_p.h
+++ b/src/control_core_p.h
@@ -27,6 +27,7 @@
     bool isOpen = false; ///< whether other processes may join; their names are their addresses, "IP:PORT"
     bool mayBootstrap = true; ///< whether a process with an empty disk may take part in bootstrapping the group
     std::size_t maxVoters = SIZE_MAX;
+    Millis voterReplacementTimeout = ControlLogOptions().voterReplacementTimeout;
     std::int64_t snapshotEntries = AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES; ///< log entries after which a snapshot is taken
     std::int64_t snapshotBytes
         = AGATEDRUM_CONTROL_SNAPSHOT_BYTES; ///< size of the log entries after which a snapshot is taken
@@ -66,7 +67,7 @@
     void tick() override;
     nlohmann::json dump() const override;
     bool isReady() const override;
-    /// Gives up leadership and prevents this process from becoming leader again.
+    /// Gives up leadership, prevents this process from becoming leader again, and has a learner take its vote.
     void beginStop() override;
     bool isDrained() const override;
     std::int64_t configNumber() const override;
@@ -142,6 +143,7 @@
     std::int64_t writtenSequence = 0;
     std::int64_t leadershipTerm = 0; ///< term in which this process leads, as last processed; 0 if it does not lead
     bool isStopping = false;
+    Time stopStartedAt; ///< set if isStopping
 };
 
 } // namespace agatedrum
--- a/src/control_log_election.cpp
+++ b/src/control_log_election.cpp
@@ -11,6 +11,9 @@
 
 /// Interval at which a process that is not a voter announces itself to the group.
 constexpr Millis probeInterval(200);
+/// Time without contact from a leader after which a voter announces itself too: the group may have replaced it while it
+/// was away. Longer than an election takes.
+constexpr Millis announcementTimeout(1500);
 /// Acknowledgement time of this member itself: later than any other time. Half of the range, so that adding a lease
 /// does not overflow.
 constexpr Time selfAcknowledgedAt = Time(Micros(INT64_MAX / 2));
@@ -64,14 +67,31 @@
         return;
     }
     this->probeDueAt = now + probeInterval;
-    for (const auto &name : this->options.group) {
-        if (name != this->options.name) {
-            wire::RequestVote probe;
-            probe.preVote = true;
-            probe.member = this->hardState.member;
-            this->sendAfterWrite(name, std::move(probe));
+    for (const auto &name : this->processesToContact()) {
+        wire::RequestVote probe;
+        probe.preVote = true;
+        probe.member = this->hardState.member;
+        this->sendAfterWrite(name, std::move(probe));
+    }
+}
+
+bool ControlLog::isWithoutLeader(Time now) const
+{
+    return this->status != Status::Leader && now - this->leaderLastHeardAt > announcementTimeout;
+}
+
+std::set<std::string> ControlLog::processesToContact() const
+{
+    std::set<std::string> names(this->options.group.begin(), this->options.group.end());
+    for (const auto &list : {this->membership().voters, this->membership().learners}) {
+        for (const auto &identity : list) {
+            names.insert(memberName(identity));
         }
     }
+    names.insert(this->namedLeader);
+    names.erase(this->options.name);
+    names.erase(std::string());
+    return names;
 }
 
 void ControlLog::handleProbe(const std::string &from, const wire::RequestVote &request, Time now)
@@ -84,6 +104,7 @@
     reply.fresh = this->hardState.group.empty() && this->hardState.term == 0 && this->lastIndex() == 0;
     reply.member = this->hardState.member;
     reply.group = this->hardState.group;
+    reply.leader = this->leaderName();
     this->sendAfterWrite(from, std::move(reply));
 }
 
@@ -121,7 +142,7 @@
 
 bool ControlLog::mayCampaign() const
 {
-    return this->isVoter(this->hardState.member) && !this->isCampaigningStopped && !this->areWritesRefused;
+    return this->isVoter(this->hardState.member) && !this->isLeaving && !this->areWritesRefused;
 }
 
 void ControlLog::handleRequestVote(const std::string &from, const wire::RequestVote &request, Time now)
@@ -159,6 +180,9 @@
 
 void ControlLog::handleVoteReply(const wire::VoteReply &reply, Time now)
 {
+    if (!reply.leader.empty()) {
+        this->namedLeader = reply.leader;
+    }
     if (this->hardState.group.empty()) {
         if (reply.fresh) {
             this->emptyDiskMembers[memberName(reply.member)] = reply.member;
@@ -313,9 +337,4 @@
     this->areWritesRefused = areRefused;
 }
 
-void ControlLog::stopCampaigning()
-{
-    this->isCampaigningStopped = true;
-}
-
 } // namespace agatedrum
--- a/src/control_log_p.h
+++ b/src/control_log_p.h
@@ -30,8 +30,9 @@
     Millis heartbeatInterval {50}; ///< interval between a leader's AppendEntries messages
     Millis lease {250}; ///< must be below the minimum election timeout, since clocks may run at different speeds
     Millis learnerRemovalTimeout {10000}; ///< time without contact after which a learner is removed
-    /// Time without contact after which an open group replaces a voter by a learner.
-    Millis voterReplacementTimeout {6000};
+    /// Time without contact after which an open group replaces a voter by a learner. With an election before it and the
+    /// membership changes after it, a lost voter must be replaced before the next one may be lost.
+    Millis voterReplacementTimeout {1500};
 };
 
 /// Message to another process of the group.
@@ -82,8 +83,11 @@
     /// Sets whether this member's store cannot write at present. Such a member starts no election, and a leader hands
     /// over once the other voters have committed an entry without it, which shows that they can write.
     void setWritesRefused(bool areRefused);
-    /// Makes this member start no more elections; for a process that is stopping.
-    void stopCampaigning();
+    /// Makes this member start no more elections, and ask the leader for a replacement if it is a voter of an open
+    /// group; for a process that is stopping.
+    void beginLeaving();
+    /// Returns whether the group needs this member no more: it isn't a voter, or no learner can replace it.
+    bool mayLeave() const;
     /// Returns the work that has accumulated since the last call, and clears it. Of many large committed entries it
     /// returns a part, and the next ones in the following calls.
     ControlLogOutput takeOutput();
@@ -120,6 +124,7 @@
         Time snapshotSentAt; ///< zero if no snapshot or part of one is outstanding
         std::int64_t snapshotIndex = 0; ///< last entry of the snapshot that is being sent
         std::int64_t snapshotOffset = 0; ///< the member has the data of that snapshot up to here
+        Time leavingUntil; ///< the member is stopping, as reported; it repeats the report before this time
         Time rejectionRetriedAt; ///< when a rejected AppendEntries was last retried immediately
     };
 
@@ -145,6 +150,7 @@
     void handleChunkReply(const wire::SnapshotChunkReply &reply, Time now);
     void handleInstallReply(const wire::InstallReply &reply, Time now);
     void handleTimeoutNow(const wire::TimeoutNow &order, Time now);
+    void handleVoterLeaving(const wire::VoterLeaving &leaving, Time now);
     bool acceptsGroup(const std::string &group) const;
 
     // Elections.
@@ -158,6 +164,11 @@
     /// Bootstraps the group if this process may do so and all others have empty disks, else announces this process to
     /// the others.
     void bootstrapOrAnnounce(Time now);
+    /// Returns whether no leader replicates to this member, so that the group may not know it (any more).
+    bool isWithoutLeader(Time now) const;
+    /// Returns the names of the processes to which this one announces itself.
+    std::set<std::string> processesToContact() const;
+    void requestReplacement(Time now);
     void bootstrapGroup(Time now);
     bool isUpToDate(const wire::RequestVote &request) const;
     bool hasLiveLeader(Time now) const;
@@ -189,9 +200,9 @@
     bool isVoter(const std::string &identity) const;
     void proposeMembershipChange(Time now);
     std::optional<Membership> nextMembership(Time now) const;
-    /// Returns the identity of a voter that has been unresponsive long enough to be replaced by a learner, or an empty
-    /// string if there is none.
-    std::string unresponsiveVoter(Time now) const;
+    /// Returns the identity of a voter that a learner shall replace, because it is stopping or has been unresponsive
+    /// for long enough, or an empty string if there is none.
+    std::string voterToReplace(Time now) const;
     void proposeMembership(const Membership &next, Time now);
     /// Adds and removes entries of progress according to the membership.
     void syncProgress(Time now);
@@ -231,17 +242,19 @@
 
     Status status = Status::Follower;
     bool isPreVoting = false;
-    bool isCampaigningStopped = false;
+    bool isLeaving = false;
     bool areWritesRefused = false;
     std::string leader; ///< identity of the known leader, or empty
     std::set<std::string> votes; ///< identities of the members that granted their vote or pre-vote
     std::map<std::string, Progress> progress;
     std::map<std::string, std::pair<std::string, Time>> unknownMembers; ///< by name: identity, time of last message
+    std::string namedLeader; ///< leader that another process has named in its answer to an announcement
     std::map<std::string, std::string> emptyDiskMembers; ///< identities by name, for bootstrapGroup()
     Time leaderLastHeardAt;
     Time electionDueAt;
     Time heartbeatDueAt;
     Time probeDueAt;
+    Time replacementRequestDueAt;
     Time leadershipStartedAt;
 
     ControlLogOutput output;
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -232,6 +232,8 @@
 
 class TimeoutNow;
 
+class VoterLeaving;
+
 class SetConfig;
 
 class MemberJoin;
@@ -4263,13 +4265,14 @@
 std::ostream& operator<<(std::ostream& out, const RequestVote& obj);
 
 typedef struct _VoteReply__isset {
-  _VoteReply__isset() : term(false), granted(false), preVote(false), member(false), group(false), fresh(false) {}
+  _VoteReply__isset() : term(false), granted(false), preVote(false), member(false), group(false), fresh(false), leader(false) {}
   bool term :1;
   bool granted :1;
   bool preVote :1;
   bool member :1;
   bool group :1;
   bool fresh :1;
+  bool leader :1;
 } _VoteReply__isset;
 
 class VoteReply : public virtual ::apache::thrift::TBase {
@@ -4285,7 +4288,8 @@
               preVote(0),
               member(),
               group(),
-              fresh(0) {
+              fresh(0),
+              leader() {
   }
 
   virtual ~VoteReply() noexcept;
@@ -4295,6 +4299,7 @@
   std::string member;
   std::string group;
   bool fresh;
+  std::string leader;
 
   _VoteReply__isset __isset;
 
@@ -4310,6 +4315,8 @@
 
   void __set_fresh(const bool val);
 
+  void __set_leader(const std::string& val);
+
   bool operator == (const VoteReply & rhs) const
   {
     if (!(term == rhs.term))
@@ -4324,6 +4331,8 @@
       return false;
     if (!(fresh == rhs.fresh))
       return false;
+    if (!(leader == rhs.leader))
+      return false;
     return true;
   }
   bool operator != (const VoteReply &rhs) const {
@@ -4925,6 +4934,58 @@
 
 std::ostream& operator<<(std::ostream& out, const TimeoutNow& obj);
 
+typedef struct _VoterLeaving__isset {
+  _VoterLeaving__isset() : member(false), group(false) {}
+  bool member :1;
+  bool group :1;
+} _VoterLeaving__isset;
+
+class VoterLeaving : public virtual ::apache::thrift::TBase {
+ public:
+
+  VoterLeaving(const VoterLeaving&);
+  VoterLeaving(VoterLeaving&&) noexcept;
+  VoterLeaving& operator=(const VoterLeaving&);
+  VoterLeaving& operator=(VoterLeaving&&) noexcept;
+  VoterLeaving() noexcept
+               : member(),
+                 group() {
+  }
+
+  virtual ~VoterLeaving() noexcept;
+  std::string member;
+  std::string group;
+
+  _VoterLeaving__isset __isset;
+
+  void __set_member(const std::string& val);
+
+  void __set_group(const std::string& val);
+
+  bool operator == (const VoterLeaving & rhs) const
+  {
+    if (!(member == rhs.member))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    return true;
+  }
+  bool operator != (const VoterLeaving &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VoterLeaving & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VoterLeaving &a, VoterLeaving &b);
+
+std::ostream& operator<<(std::ostream& out, const VoterLeaving& obj);
+
 typedef struct _SetConfig__isset {
   _SetConfig__isset() : file(false) {}
   bool file :1;
@@ -6026,7 +6087,7 @@
 std::ostream& operator<<(std::ostream& out, const ControlImage& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : submitJob(false), cancelJob(false), queryJob(false), jobReply(false), notOwner(false), recordBatch(false), recordSnapshot(false), recordAck(false), startBatch(false), cancelBatch(false), resultAck(false), fence(false), agentHello(false), resultBatch(false), startRefused(false), agentState(false), memberHeartbeat(false), heartbeatReply(false), clusterView(false), applyConfig(false), applyReply(false), controlQuery(false), controlAnswer(false), hostReport(false), hostContact(false), runTasks(false), stopTasks(false), taskReports(false), startsInDoubt(false), ordersElsewhere(false), requestVote(false), voteReply(false), appendEntries(false), appendReply(false), installSnapshot(false), installReply(false), timeoutNow(false), snapshotChunk(false), snapshotChunkReply(false) {}
+  _Message__isset() : submitJob(false), cancelJob(false), queryJob(false), jobReply(false), notOwner(false), recordBatch(false), recordSnapshot(false), recordAck(false), startBatch(false), cancelBatch(false), resultAck(false), fence(false), agentHello(false), resultBatch(false), startRefused(false), agentState(false), memberHeartbeat(false), heartbeatReply(false), clusterView(false), applyConfig(false), applyReply(false), controlQuery(false), controlAnswer(false), hostReport(false), hostContact(false), runTasks(false), stopTasks(false), taskReports(false), startsInDoubt(false), ordersElsewhere(false), requestVote(false), voteReply(false), appendEntries(false), appendReply(false), installSnapshot(false), installReply(false), timeoutNow(false), snapshotChunk(false), snapshotChunkReply(false), voterLeaving(false) {}
   bool submitJob :1;
   bool cancelJob :1;
   bool queryJob :1;
@@ -6066,6 +6127,7 @@
   bool timeoutNow :1;
   bool snapshotChunk :1;
   bool snapshotChunkReply :1;
+  bool voterLeaving :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -6118,6 +6180,7 @@
   TimeoutNow timeoutNow;
   SnapshotChunk snapshotChunk;
   SnapshotChunkReply snapshotChunkReply;
+  VoterLeaving voterLeaving;
 
   _Message__isset __isset;
 
@@ -6199,6 +6262,8 @@
 
   void __set_snapshotChunkReply(const SnapshotChunkReply& val);
 
+  void __set_voterLeaving(const VoterLeaving& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.submitJob != rhs.__isset.submitJob)
@@ -6357,6 +6422,10 @@
       return false;
     else if (__isset.snapshotChunkReply && !(snapshotChunkReply == rhs.snapshotChunkReply))
       return false;
+    if (__isset.voterLeaving != rhs.__isset.voterLeaving)
+      return false;
+    else if (__isset.voterLeaving && !(voterLeaving == rhs.voterLeaving))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/settings_process.cpp
+++ b/src/settings_process.cpp
@@ -132,8 +132,19 @@
     return terms.value_or(HostLeaseTerms());
 }
 
+/// Returns the time without contact after which a voter is replaced, for the time within which that must be done. An
+/// election may come before the replacement, and two changes of the membership belong to it.
+Millis replacementTimeout(double repairSeconds)
+{
+    constexpr Millis maxTimeout(6000);
+    constexpr double shareOfRepair = 0.375;
+    return std::min(maxTimeout, Millis(static_cast<std::int64_t>(repairSeconds * 1000 * shareOfRepair)));
+}
+
 void readPlatformKeys(YamlReader &reader, ProcessSettings &settings)
 {
+    constexpr double defaultRepairSeconds = 4;
+    constexpr double maxRepairSeconds = 3600;
     constexpr double maxFarFactor = 100;
     constexpr double maxGraceSeconds = 3600;
     /// Time for sending the last messages and joining the threads before the platform kills the process.
@@ -157,6 +168,8 @@
         settings.operators = readAddress(reader, "operators");
         settings.mayFormGroup = reader.boolean("mayFormGroup", true);
         settings.maxVoters = readInt(reader, "maxVoters", 3, maxThreads);
+        settings.voterReplacementTimeout
+            = replacementTimeout(reader.real("repairSeconds", defaultRepairSeconds, 1, maxRepairSeconds));
         break;
     default:
         reader.addError("interface", "this role has no platform interface");
@@ -281,7 +294,8 @@
                                                 {"callerRetryMs", "agent"},
                                                 {"operators", "control"},
                                                 {"mayFormGroup", "control"},
-                                                {"maxVoters", "control"}};
+                                                {"maxVoters", "control"},
+                                                {"repairSeconds", "control"}};
     return keys;
 }
 
--- a/src/settings_process_p.h
+++ b/src/settings_process_p.h
@@ -35,6 +35,7 @@
     bool isOnPlatform = false;
     bool mayFormGroup = true; ///< control on a platform: whether a process with an empty disk may bootstrap a group
     int maxVoters = 0; ///< control on a platform: maximum number of voters; other processes are learners
+    Millis voterReplacementTimeout {0}; ///< control on a platform: time without contact until a voter is replaced
     double farFactor = 1.0; ///< entry on a platform: factor on the run time of a task that runs remote from its data
     wire::Endpoint callers; ///< entry on a platform: address for callers
     wire::Endpoint readiness; ///< entry on a platform: address for readiness checks
