--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <thread>
 #include <utility>
 
 namespace agatedrum {
@@ -94,6 +95,39 @@
     }
 }
 
+void HttpServerState::deferDispatch(std::weak_ptr<HttpConnection> connection)
+{
+    {
+        const std::lock_guard lock(this->deferredMutex);
+        this->deferred.push_back(std::move(connection));
+    }
+    this->deferredChanged.notify_all();
+}
+
+void HttpServerState::dispatchDeferred(std::chrono::milliseconds maxWait)
+{
+    std::vector<std::weak_ptr<HttpConnection>> connections;
+    {
+        std::unique_lock lock(this->deferredMutex);
+        this->deferredChanged.wait_for(lock, maxWait, [this] { return this->isWoken || !this->deferred.empty(); });
+        connections.swap(this->deferred);
+    }
+    for (const auto &connection : connections) {
+        if (const auto locked = connection.lock()) {
+            locked->dispatchNext();
+        }
+    }
+}
+
+void HttpServerState::wake()
+{
+    {
+        const std::lock_guard lock(this->deferredMutex);
+        this->isWoken = true;
+    }
+    this->deferredChanged.notify_all();
+}
+
 WriteTracker::WriteTracker(std::shared_ptr<HttpServerState> serverState)
     : serverState(std::move(serverState))
 {
@@ -258,17 +292,23 @@
 }
 
 void HttpConnection::dispatchNext()
+{
+    while (this->dispatchOne()) {
+    }
+}
+
+bool HttpConnection::dispatchOne()
 {
     std::unique_lock lock(this->mutex);
     if (!this->isOpen || this->isResponsePending || this->isClosing) {
-        return;
+        return false;
     }
     auto next = this->framer.next();
     if (std::holds_alternative<FrameIncomplete>(next)) {
         if (this->framer.takeContinueExpected()) {
             this->sendContinue();
         }
-        return;
+        return false;
     }
     this->isResponsePending = true;
     lock.unlock();
@@ -277,6 +317,7 @@
     } else {
         this->dispatch(std::get<FramedRequest>(std::move(next)));
     }
+    return true;
 }
 
 bool HttpConnection::hasCallerClosed()
@@ -338,27 +379,34 @@
     lock.unlock();
     const auto self = this->shared_from_this();
     const auto nextOffset = offset + size;
+    const auto thread = std::this_thread::get_id();
+    // The callback may outlive this call, so it compares threads only while the flag is set.
+    const auto isAttaching = std::make_shared<std::atomic<bool>>(true);
+    const auto isAnswering = [isAttaching, thread] { return *isAttaching && std::this_thread::get_id() == thread; };
     written.then(
-        [self, bytes, nextOffset, tracker, mustClose](ssize_t) {
+        [self, bytes, nextOffset, tracker, mustClose, isAnswering](ssize_t) {
             --tracker->pendingWrites;
             if (nextOffset < bytes->size()) {
                 self->writeChunk(bytes, nextOffset, tracker, mustClose);
             } else {
-                self->finishWrite(true, mustClose);
+                self->finishWrite(true, mustClose, isAnswering());
             }
         },
-        [self, tracker](const std::exception_ptr &) {
+        [self, tracker, isAnswering](const std::exception_ptr &) {
             --tracker->pendingWrites;
-            self->finishWrite(false, true);
+            self->finishWrite(false, true, isAnswering());
         });
+    *isAttaching = false;
 }
 
-void HttpConnection::finishWrite(bool isWritten, bool closeAfter)
+void HttpConnection::finishWrite(bool isWritten, bool closeAfter, bool isAnswering)
 {
+    bool hasInput = false;
     {
         const std::lock_guard lock(this->mutex);
         this->isResponsePending = false;
         this->isClosing = closeAfter;
+        hasInput = !this->framer.isEmpty();
         this->lastActivity = std::chrono::steady_clock::now();
         if (closeAfter && this->isOpen) {
             // Only the sending side is shut down: closing with unread bytes would reset the connection before the
@@ -366,7 +414,13 @@
             ::shutdown(this->descriptor, isWritten ? SHUT_WR : SHUT_RDWR);
         }
     }
-    this->dispatchNext();
+    // The next request must not be handled within the answer to this one: its handler may take a lock that the
+    // answering thread holds.
+    if (!isAnswering) {
+        this->dispatchNext();
+    } else if (hasInput) {
+        this->serverState->deferDispatch(this->weak_from_this());
+    }
 }
 
 void HttpConnection::sendContinue()
--- a/src/http_connection_p.h
+++ b/src/http_connection_p.h
@@ -8,10 +8,12 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <memory>
 #include <mutex>
 #include <set>
 #include <string_view>
+#include <vector>
 
 namespace agatedrum {
 
@@ -26,6 +28,12 @@
     void closeIdle();
     /// Closes all connections at once. Later responses are dropped.
     void forceCloseAll();
+    /// Has the housekeeping thread dispatch the connection's next request.
+    void deferDispatch(std::weak_ptr<HttpConnection> connection);
+    /// Waits for a time, or until a dispatch is deferred or wake() is called, and then dispatches.
+    void dispatchDeferred(std::chrono::milliseconds maxWait);
+    /// Ends the wait of dispatchDeferred().
+    void wake();
 
     void setLimits(const HttpLimits &limits);
     HttpLimits limits() const;
@@ -43,6 +51,10 @@
 private:
     mutable std::mutex limitsMutex;
     HttpLimits currentLimits;
+    std::mutex deferredMutex;
+    std::condition_variable deferredChanged;
+    bool isWoken = false; ///< guarded by deferredMutex, as is deferred
+    std::vector<std::weak_ptr<HttpConnection>> deferred;
 };
 
 /// Tracks the writes of one response. Exists while the request is unanswered or Pistache holds a write of its response,
@@ -86,12 +98,16 @@
     bool isDisconnected();
     /// Closes the connection at once. No response is sent after the call.
     void forceClose();
+    /// Dispatches the next request, if one has been read and the response to the one before has been written.
+    /// Precondition: the caller holds no lock that a request handler may take.
+    void dispatchNext();
 
 private:
     struct Responder;
 
     void refuse();
-    void dispatchNext();
+    /// Dispatches one request. @return false if there was none to dispatch.
+    bool dispatchOne();
     void dispatch(FramedRequest &&framed);
     /// Returns true if the caller has closed the connection, even if Pistache has not reported it yet.
     bool hasCallerClosed();
@@ -99,7 +115,8 @@
     /// Writes the chunk of the response that starts at the offset and, when that write has ended, the next chunk.
     void writeChunk(const std::shared_ptr<const std::string> &bytes, std::size_t offset,
                     const std::shared_ptr<WriteTracker> &tracker, bool mustClose);
-    void finishWrite(bool isWritten, bool closeAfter);
+    /// @param isAnswering this runs within a call that answers a request, so the calling thread may hold any lock
+    void finishWrite(bool isWritten, bool closeAfter, bool isAnswering);
     /// Must be called with mutex held.
     void sendContinue();
     /// Returns true if the connection is not closing and no byte of a further request has arrived, not even one that is
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -7,7 +7,8 @@
 #include <pistache/endpoint.h>
 #include <pistache/peer.h>
 
-#include <condition_variable>
+#include <atomic>
+#include <chrono>
 #include <map>
 #include <thread>
 #include <utility>
@@ -100,19 +101,19 @@
     std::shared_ptr<HttpServerState> serverState;
     std::unique_ptr<Pistache::Http::Endpoint> endpoint;
     std::thread housekeepingThread;
-    std::mutex mutex;
-    std::condition_variable mustEndChanged;
-    bool mustEnd = false;
+    std::atomic<bool> mustEnd {false};
 };
 
 void HttpServer::Impl::runHousekeeping()
 {
-    std::unique_lock lock(this->mutex);
+    auto closedIdleAt = std::chrono::steady_clock::now();
     while (!this->mustEnd) {
-        this->mustEndChanged.wait_for(lock, housekeepingInterval);
-        lock.unlock();
-        this->serverState->closeIdle();
-        lock.lock();
+        this->serverState->dispatchDeferred(housekeepingInterval);
+        const auto now = std::chrono::steady_clock::now();
+        if (now - closedIdleAt >= housekeepingInterval) {
+            closedIdleAt = now;
+            this->serverState->closeIdle();
+        }
     }
 }
 
@@ -182,11 +183,8 @@
     if (!this->impl->endpoint) {
         return;
     }
-    {
-        const std::lock_guard lock(this->impl->mutex);
-        this->impl->mustEnd = true;
-    }
-    this->impl->mustEndChanged.notify_all();
+    this->impl->mustEnd = true;
+    this->impl->serverState->wake();
     this->impl->housekeepingThread.join();
     this->impl->serverState->isStopping = true;
     this->impl->serverState->forceCloseAll();
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -78,6 +78,51 @@
 
 } // namespace
 
+// Guards against a server that hangs: a thread that answers a request may hold a lock, which the handler of the next
+// request on the connection takes as well.
+TEST_CASE("A server handles no request within the answer to another one", "[http]")
+{
+    constexpr int rounds = 2000;
+    constexpr int requestsPerRound = 8;
+    static thread_local bool isAnswering = false;
+    std::atomic<int> nestedRequests {0};
+    PendingRequests waiting;
+    auto options = serverOptions();
+    const auto running = startServer(options, [&](HttpServer &server) {
+        server.route("GET", "/wait/:name", [&](const HttpRequest &request, HttpReply reply) {
+            nestedRequests += isAnswering ? 1 : 0;
+            waiting.add(request, std::move(reply));
+        });
+    });
+    std::thread answering([&waiting] {
+        for (int i = 0; i < rounds * requestsPerRound; ++i) {
+            const auto [name, reply] = waiting.take();
+            if (!reply) {
+                return;
+            }
+            isAnswering = true;
+            reply(text(name));
+            isAnswering = false;
+        }
+    });
+    RawClient client(options.address.port);
+    int answers = 0;
+    for (int round = 0; round < rounds; ++round) {
+        std::string requests;
+        for (int i = 0; i < requestsPerRound; ++i) {
+            requests += "GET /wait/" + std::to_string(i) + " HTTP/1.1\r\nHost: h\r\n\r\n";
+        }
+        client.send(requests);
+        for (int i = 0; i < requestsPerRound; ++i) {
+            const auto answer = client.receive();
+            answers += !answer.empty() && answer.back() == static_cast<char>('0' + i) ? 1 : 0;
+        }
+    }
+    answering.join();
+    REQUIRE(answers == rounds * requestsPerRound);
+    REQUIRE(nestedRequests == 0);
+}
+
 // Guards against responses that are lost, truncated or sent to another caller, and against requests that get no
 // response.
 TEST_CASE("A server sends each response to the caller of its request", "[http]")
