--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -137,3 +137,36 @@
         CHECK_THAT(readFile("deploy/agent.yaml"), Catch::Contains("callerRetryMs: {{Bounds.RetryDelayMs}}"));
     }
 }
+
+// Guards against a control group that replaces a lost voter only after the next machine may be lost.
+TEST_CASE("The time after which a voter is replaced follows from the time within which a loss must be repaired",
+          "[settings]")
+{
+    const std::string controlText
+        = "role: control\ninterface: platform\nname: 10.0.0.1:7000\nfailureDomain: z\n"
+          "peers: {host: 10.0.0.1, port: 7000}\nhttp: {host: 10.0.0.1, port: 9102}\n"
+          "controlSeeds: [\"10.0.0.2:7000\"]\ncontrolPort: 7000\noperators: \"10.0.0.1:7001\"\ndataFolder: /data\n";
+    const auto timeoutWith = [&controlText](const std::string &line) {
+        const auto result = parseSettings(controlText + line);
+        INFO(line << (isOk(result) ? "" : error(result).text()));
+        REQUIRE(isOk(result));
+        return value(result).voterReplacementTimeout;
+    };
+
+    SECTION("the time is a part of it, and at most 6 s")
+    {
+        CHECK(timeoutWith("repairSeconds: 4\n") == Millis(1500));
+        CHECK(timeoutWith("repairSeconds: 8\n") == Millis(3000));
+        CHECK(timeoutWith("repairSeconds: 100\n") == Millis(6000));
+    }
+    SECTION("without a value it is 4 s, since a template leaves the key empty where the platform has none")
+    {
+        CHECK(timeoutWith("repairSeconds:\n") == Millis(1500));
+        CHECK(timeoutWith("") == Millis(1500));
+    }
+    SECTION("other values are refused")
+    {
+        CHECK_THAT(errorsOf(controlText + "repairSeconds: soon\n"), Catch::Contains("repairSeconds: must be a number"));
+        CHECK_THAT(errorsOf(controlText + "repairSeconds: 0\n"), Catch::Contains("repairSeconds: must be a number"));
+    }
+}
