--- a/tests/test_control_size.cpp
+++ b/tests/test_control_size.cpp
@@ -228,16 +228,18 @@
         auto disk = takeValue(FileDisk::open(folder.path + "/data"));
         number = writeLargeLog(*disk, "control-1", 105 * megabyte);
     }
-    const int port = 42000 + ::getpid() % 1000;
+    // An address of its own, since an outgoing connection of any process may occupy a port of 127.0.0.1.
+    const auto host = fmt::format("127.{}.{}.3", 1 + ::getpid() / 250 % 250, 1 + ::getpid() % 250);
+    constexpr int port = 42000;
     std::ofstream(folder.path + "/settings.yaml")
-        << fmt::format("role: control\nname: control-1\nfailureDomain: d1\npeers: {{host: 127.0.0.1, port: {0}}}\n"
-                       "http: {{host: 127.0.0.1, port: {1}}}\ndataFolder: {2}/data\n"
-                       "control:\n  - {{name: control-1, address: {{host: 127.0.0.1, port: {0}}}}}\n",
-                       port, port + 1000, folder.path);
+        << fmt::format("role: control\nname: control-1\nfailureDomain: d1\npeers: {{host: {0}, port: {1}}}\n"
+                       "http: {{host: {0}, port: {2}}}\ndataFolder: {3}/data\n"
+                       "control:\n  - {{name: control-1, address: {{host: {0}, port: {1}}}}}\n",
+                       host, port, port + 1, folder.path);
     const ChildProcess process("agatedrumd", {"--settings", folder.path + "/settings.yaml"}, folder.path + "/log.txt");
     REQUIRE(eventually(
         [&] {
-            const auto dump = httpCall("GET", fmt::format("http://127.0.0.1:{}/v1/dump", port + 1000), {}, 2000).json();
+            const auto dump = httpCall("GET", fmt::format("http://{}:{}/v1/dump", host, port + 1), {}, 2000).json();
             return dump.is_object() && dump.value("lease", false)
                 && dump.value("configNumber", std::int64_t {0}) == number;
         },
