--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -266,8 +266,6 @@
 }
 struct InstallReply { 1: i64 term; 2: i64 lastIndex; 3: string member; 4: string group; 5: i64 round; }
 struct TimeoutNow { 1: i64 term; }
-// A voter is about to stop: a learner shall replace it at once.
-struct VoterLeaving { 1: string member; 2: string group; }
 
 // Commands in the log of the control group.
 struct SetConfig { 1: ConfigFile file; }
@@ -323,7 +321,7 @@
   54: TaskReports taskReports; 55: StartsInDoubt startsInDoubt; 56: OrdersElsewhere ordersElsewhere;
   40: RequestVote requestVote; 41: VoteReply voteReply; 42: AppendEntries appendEntries; 43: AppendReply appendReply;
   44: InstallSnapshot installSnapshot; 45: InstallReply installReply; 46: TimeoutNow timeoutNow;
-  47: SnapshotChunk snapshotChunk; 48: SnapshotChunkReply snapshotChunkReply; 49: VoterLeaving voterLeaving;
+  47: SnapshotChunk snapshotChunk; 48: SnapshotChunkReply snapshotChunkReply;
 }
 
 struct Envelope {
--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -14,8 +14,6 @@
 /// Timeout of the leader's reply to a forwarded request. Below 1 s, the time after which an operator tries another
 /// process.
 constexpr Millis forwardTimeout {800};
-/// Time for which a stopping process waits until another one has taken its place as a voter.
-constexpr Millis replacementTimeout {1500};
 
 ControlLogOptions logOptions(const ControlOptions &options)
 {
@@ -387,8 +385,7 @@
 {
     const std::lock_guard lock(this->mutex);
     this->isStopping = true;
-    this->stopStartedAt = this->clock.now();
-    this->log.beginLeaving();
+    this->log.stopCampaigning();
     this->log.transferLeadership(this->clock.now());
     this->drain();
 }
@@ -396,8 +393,7 @@
 bool ControlCore::isDrained() const
 {
     const std::lock_guard lock(this->mutex);
-    const bool isReplaced = this->log.mayLeave() || this->clock.now() - this->stopStartedAt > replacementTimeout;
-    return this->isStopping && ((!this->log.isLeader() && isReplaced) || this->log.voters().size() == 1);
+    return this->isStopping && (!this->log.isLeader() || this->log.voters().size() == 1);
 }
 
 std::int64_t ControlCore::configNumber() const
--- a/src/control_core_p.h
+++ b/src/control_core_p.h
@@ -67,7 +67,7 @@
     void tick() override;
     nlohmann::json dump() const override;
     bool isReady() const override;
-    /// Gives up leadership, prevents this process from becoming leader again, and has a learner take its vote.
+    /// Gives up leadership and prevents this process from becoming leader again.
     void beginStop() override;
     bool isDrained() const override;
     std::int64_t configNumber() const override;
@@ -143,7 +143,6 @@
     std::int64_t writtenSequence = 0;
     std::int64_t leadershipTerm = 0; ///< term in which this process leads, as last processed; 0 if it does not lead
     bool isStopping = false;
-    Time stopStartedAt; ///< set if isStopping
 };
 
 } // namespace agatedrum
--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -89,8 +89,6 @@
         this->handleChunkReply(*chunkReply, now);
     } else if (const auto *order = std::get_if<wire::TimeoutNow>(&payload)) {
         this->handleTimeoutNow(*order, now);
-    } else if (const auto *leaving = std::get_if<wire::VoterLeaving>(&payload)) {
-        this->handleVoterLeaving(*leaving, now);
     }
 }
 
@@ -99,7 +97,6 @@
     if (this->hardState.group.empty() || !this->isVoter(this->hardState.member) || this->isWithoutLeader(now)) {
         this->bootstrapOrAnnounce(now);
     }
-    this->requestReplacement(now);
     if (this->hardState.group.empty()) {
         return;
     }
--- a/src/control_log_election.cpp
+++ b/src/control_log_election.cpp
@@ -142,7 +142,7 @@
 
 bool ControlLog::mayCampaign() const
 {
-    return this->isVoter(this->hardState.member) && !this->isLeaving && !this->areWritesRefused;
+    return this->isVoter(this->hardState.member) && !this->isCampaigningStopped && !this->areWritesRefused;
 }
 
 void ControlLog::handleRequestVote(const std::string &from, const wire::RequestVote &request, Time now)
@@ -337,4 +337,9 @@
     this->areWritesRefused = areRefused;
 }
 
+void ControlLog::stopCampaigning()
+{
+    this->isCampaigningStopped = true;
+}
+
 } // namespace agatedrum
--- a/src/control_log_members.cpp
+++ b/src/control_log_members.cpp
@@ -11,10 +11,6 @@
 
 /// A member that sent a message within this time counts as reachable.
 constexpr Millis reachableTimeout(2000);
-/// Interval at which a voter that is stopping asks for its replacement.
-constexpr Millis replacementRequestInterval(50);
-/// Time after the last such request for which a voter counts as stopping. A restarted process sends none.
-constexpr Millis leavingTimeout(300);
 
 bool contains(const std::vector<std::string> &list, const std::string &item)
 {
@@ -109,9 +105,9 @@
 std::optional<ControlLog::Membership> ControlLog::nextMembership(Time now) const
 {
     auto next = this->membership();
-    const auto replaced = this->voterToReplace(now);
-    if (!replaced.empty() && next.voters.size() > this->options.maxVoters) {
-        next.voters = without(next.voters, replaced);
+    const auto unresponsive = this->unresponsiveVoter(now);
+    if (!unresponsive.empty() && next.voters.size() > this->options.maxVoters) {
+        next.voters = without(next.voters, unresponsive);
         return next;
     }
     if (next.voters.size() > this->options.maxVoters) {
@@ -146,7 +142,7 @@
             next.voters = without(next.voters, replacedVoter);
             return next;
         }
-        if (next.voters.size() >= this->options.maxVoters && replaced.empty()) {
+        if (next.voters.size() >= this->options.maxVoters && unresponsive.empty()) {
             continue;
         }
         next.voters.push_back(learner);
@@ -156,56 +152,17 @@
     return std::nullopt;
 }
 
-std::string ControlLog::voterToReplace(Time now) const
+std::string ControlLog::unresponsiveVoter(Time now) const
 {
-    std::string leaving;
     for (const auto &voter : this->membership().voters) {
         const auto found = this->progress.find(voter);
-        if (!this->options.isOpen || voter == this->hardState.member || found == this->progress.end()) {
-            continue;
-        }
-        const auto contactAt = std::max(found->second.lastHeardAt, this->leadershipStartedAt);
-        if (now - contactAt > this->options.voterReplacementTimeout) {
+        if (this->options.isOpen && voter != this->hardState.member && found != this->progress.end()
+            && now - std::max(found->second.lastHeardAt, this->leadershipStartedAt)
+                > this->options.voterReplacementTimeout) {
             return voter;
         }
-        if (now < found->second.leavingUntil) {
-            leaving = voter;
-        }
-    }
-    return leaving;
-}
-
-// Leaving.
-
-void ControlLog::beginLeaving()
-{
-    this->isLeaving = true;
-}
-
-bool ControlLog::mayLeave() const
-{
-    return !this->options.isOpen || !this->isVoter(this->hardState.member) || this->membership().learners.empty();
-}
-
-void ControlLog::requestReplacement(Time now)
-{
-    if (!this->isLeaving || this->mayLeave() || this->status == Status::Leader || this->leader.empty()
-        || now < this->replacementRequestDueAt) {
-        return;
-    }
-    this->replacementRequestDueAt = now + replacementRequestInterval;
-    wire::VoterLeaving leaving;
-    leaving.member = this->hardState.member;
-    leaving.group = this->hardState.group;
-    this->send(memberName(this->leader), std::move(leaving));
-}
-
-void ControlLog::handleVoterLeaving(const wire::VoterLeaving &leaving, Time now)
-{
-    const auto found = this->progress.find(leaving.member);
-    if (this->status == Status::Leader && leaving.group == this->hardState.group && found != this->progress.end()) {
-        found->second.leavingUntil = now + leavingTimeout;
     }
+    return {};
 }
 
 void ControlLog::proposeMembership(const Membership &next, Time now)
--- a/src/control_log_p.h
+++ b/src/control_log_p.h
@@ -83,11 +83,8 @@
     /// Sets whether this member's store cannot write at present. Such a member starts no election, and a leader hands
     /// over once the other voters have committed an entry without it, which shows that they can write.
     void setWritesRefused(bool areRefused);
-    /// Makes this member start no more elections, and ask the leader for a replacement if it is a voter of an open
-    /// group; for a process that is stopping.
-    void beginLeaving();
-    /// Returns whether the group needs this member no more: it isn't a voter, or no learner can replace it.
-    bool mayLeave() const;
+    /// Makes this member start no more elections; for a process that is stopping.
+    void stopCampaigning();
     /// Returns the work that has accumulated since the last call, and clears it. Of many large committed entries it
     /// returns a part, and the next ones in the following calls.
     ControlLogOutput takeOutput();
@@ -124,7 +121,6 @@
         Time snapshotSentAt; ///< zero if no snapshot or part of one is outstanding
         std::int64_t snapshotIndex = 0; ///< last entry of the snapshot that is being sent
         std::int64_t snapshotOffset = 0; ///< the member has the data of that snapshot up to here
-        Time leavingUntil; ///< the member is stopping, as reported; it repeats the report before this time
         Time rejectionRetriedAt; ///< when a rejected AppendEntries was last retried immediately
     };
 
@@ -150,7 +146,6 @@
     void handleChunkReply(const wire::SnapshotChunkReply &reply, Time now);
     void handleInstallReply(const wire::InstallReply &reply, Time now);
     void handleTimeoutNow(const wire::TimeoutNow &order, Time now);
-    void handleVoterLeaving(const wire::VoterLeaving &leaving, Time now);
     bool acceptsGroup(const std::string &group) const;
 
     // Elections.
@@ -168,7 +163,6 @@
     bool isWithoutLeader(Time now) const;
     /// Returns the names of the processes to which this one announces itself.
     std::set<std::string> processesToContact() const;
-    void requestReplacement(Time now);
     void bootstrapGroup(Time now);
     bool isUpToDate(const wire::RequestVote &request) const;
     bool hasLiveLeader(Time now) const;
@@ -200,9 +194,9 @@
     bool isVoter(const std::string &identity) const;
     void proposeMembershipChange(Time now);
     std::optional<Membership> nextMembership(Time now) const;
-    /// Returns the identity of a voter that a learner shall replace, because it is stopping or has been unresponsive
-    /// for long enough, or an empty string if there is none.
-    std::string voterToReplace(Time now) const;
+    /// Returns the identity of a voter that has been unresponsive long enough to be replaced by a learner, or an empty
+    /// string if there is none.
+    std::string unresponsiveVoter(Time now) const;
     void proposeMembership(const Membership &next, Time now);
     /// Adds and removes entries of progress according to the membership.
     void syncProgress(Time now);
@@ -242,7 +236,7 @@
 
     Status status = Status::Follower;
     bool isPreVoting = false;
-    bool isLeaving = false;
+    bool isCampaigningStopped = false;
     bool areWritesRefused = false;
     std::string leader; ///< identity of the known leader, or empty
     std::set<std::string> votes; ///< identities of the members that granted their vote or pre-vote
@@ -254,7 +248,6 @@
     Time electionDueAt;
     Time heartbeatDueAt;
     Time probeDueAt;
-    Time replacementRequestDueAt;
     Time leadershipStartedAt;
 
     ControlLogOutput output;
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -13062,129 +13062,6 @@
 }
 
 
-VoterLeaving::~VoterLeaving() noexcept {
-}
-
-
-void VoterLeaving::__set_member(const std::string& val) {
-  this->member = val;
-}
-
-void VoterLeaving::__set_group(const std::string& val) {
-  this->group = val;
-}
-std::ostream& operator<<(std::ostream& out, const VoterLeaving& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t VoterLeaving::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->member);
-          this->__isset.member = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->group);
-          this->__isset.group = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t VoterLeaving::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoterLeaving");
-
-  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->member);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->group);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(VoterLeaving &a, VoterLeaving &b) {
-  using ::std::swap;
-  swap(a.member, b.member);
-  swap(a.group, b.group);
-  swap(a.__isset, b.__isset);
-}
-
-VoterLeaving::VoterLeaving(const VoterLeaving& other490) {
-  member = other490.member;
-  group = other490.group;
-  __isset = other490.__isset;
-}
-VoterLeaving::VoterLeaving(VoterLeaving&& other491) noexcept {
-  member = std::move(other491.member);
-  group = std::move(other491.group);
-  __isset = other491.__isset;
-}
-VoterLeaving& VoterLeaving::operator=(const VoterLeaving& other492) {
-  member = other492.member;
-  group = other492.group;
-  __isset = other492.__isset;
-  return *this;
-}
-VoterLeaving& VoterLeaving::operator=(VoterLeaving&& other493) noexcept {
-  member = std::move(other493.member);
-  group = std::move(other493.group);
-  __isset = other493.__isset;
-  return *this;
-}
-void VoterLeaving::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "VoterLeaving(";
-  out << "member=" << to_string(member);
-  out << ", " << "group=" << to_string(group);
-  out << ")";
-}
-
-
 SetConfig::~SetConfig() noexcept {
 }
 
@@ -13260,22 +13137,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SetConfig::SetConfig(const SetConfig& other494) {
-  file = other494.file;
-  __isset = other494.__isset;
+SetConfig::SetConfig(const SetConfig& other490) {
+  file = other490.file;
+  __isset = other490.__isset;
 }
-SetConfig::SetConfig(SetConfig&& other495) noexcept {
-  file = std::move(other495.file);
-  __isset = other495.__isset;
+SetConfig::SetConfig(SetConfig&& other491) noexcept {
+  file = std::move(other491.file);
+  __isset = other491.__isset;
 }
-SetConfig& SetConfig::operator=(const SetConfig& other496) {
-  file = other496.file;
-  __isset = other496.__isset;
+SetConfig& SetConfig::operator=(const SetConfig& other492) {
+  file = other492.file;
+  __isset = other492.__isset;
   return *this;
 }
-SetConfig& SetConfig::operator=(SetConfig&& other497) noexcept {
-  file = std::move(other497.file);
-  __isset = other497.__isset;
+SetConfig& SetConfig::operator=(SetConfig&& other493) noexcept {
+  file = std::move(other493.file);
+  __isset = other493.__isset;
   return *this;
 }
 void SetConfig::printTo(std::ostream& out) const {
@@ -13356,9 +13233,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast498;
-          xfer += iprot->readI32(ecast498);
-          this->role = static_cast<Role::type>(ecast498);
+          int32_t ecast494;
+          xfer += iprot->readI32(ecast494);
+          this->role = static_cast<Role::type>(ecast494);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -13467,46 +13344,46 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberJoin::MemberJoin(const MemberJoin& other499) {
-  id = other499.id;
-  role = other499.role;
-  address = other499.address;
-  failureDomain = other499.failureDomain;
-  server = other499.server;
-  atMs = other499.atMs;
-  replaces = other499.replaces;
-  __isset = other499.__isset;
+MemberJoin::MemberJoin(const MemberJoin& other495) {
+  id = other495.id;
+  role = other495.role;
+  address = other495.address;
+  failureDomain = other495.failureDomain;
+  server = other495.server;
+  atMs = other495.atMs;
+  replaces = other495.replaces;
+  __isset = other495.__isset;
 }
-MemberJoin::MemberJoin(MemberJoin&& other500) noexcept {
-  id = std::move(other500.id);
-  role = other500.role;
-  address = std::move(other500.address);
-  failureDomain = std::move(other500.failureDomain);
-  server = std::move(other500.server);
-  atMs = other500.atMs;
-  replaces = other500.replaces;
-  __isset = other500.__isset;
+MemberJoin::MemberJoin(MemberJoin&& other496) noexcept {
+  id = std::move(other496.id);
+  role = other496.role;
+  address = std::move(other496.address);
+  failureDomain = std::move(other496.failureDomain);
+  server = std::move(other496.server);
+  atMs = other496.atMs;
+  replaces = other496.replaces;
+  __isset = other496.__isset;
 }
-MemberJoin& MemberJoin::operator=(const MemberJoin& other501) {
-  id = other501.id;
-  role = other501.role;
-  address = other501.address;
-  failureDomain = other501.failureDomain;
-  server = other501.server;
-  atMs = other501.atMs;
-  replaces = other501.replaces;
-  __isset = other501.__isset;
+MemberJoin& MemberJoin::operator=(const MemberJoin& other497) {
+  id = other497.id;
+  role = other497.role;
+  address = other497.address;
+  failureDomain = other497.failureDomain;
+  server = other497.server;
+  atMs = other497.atMs;
+  replaces = other497.replaces;
+  __isset = other497.__isset;
   return *this;
 }
-MemberJoin& MemberJoin::operator=(MemberJoin&& other502) noexcept {
-  id = std::move(other502.id);
-  role = other502.role;
-  address = std::move(other502.address);
-  failureDomain = std::move(other502.failureDomain);
-  server = std::move(other502.server);
-  atMs = other502.atMs;
-  replaces = other502.replaces;
-  __isset = other502.__isset;
+MemberJoin& MemberJoin::operator=(MemberJoin&& other498) noexcept {
+  id = std::move(other498.id);
+  role = other498.role;
+  address = std::move(other498.address);
+  failureDomain = std::move(other498.failureDomain);
+  server = std::move(other498.server);
+  atMs = other498.atMs;
+  replaces = other498.replaces;
+  __isset = other498.__isset;
   return *this;
 }
 void MemberJoin::printTo(std::ostream& out) const {
@@ -13632,30 +13509,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberGone::MemberGone(const MemberGone& other503) {
-  id = other503.id;
-  planned = other503.planned;
-  atMs = other503.atMs;
-  __isset = other503.__isset;
+MemberGone::MemberGone(const MemberGone& other499) {
+  id = other499.id;
+  planned = other499.planned;
+  atMs = other499.atMs;
+  __isset = other499.__isset;
 }
-MemberGone::MemberGone(MemberGone&& other504) noexcept {
-  id = std::move(other504.id);
-  planned = other504.planned;
-  atMs = other504.atMs;
-  __isset = other504.__isset;
+MemberGone::MemberGone(MemberGone&& other500) noexcept {
+  id = std::move(other500.id);
+  planned = other500.planned;
+  atMs = other500.atMs;
+  __isset = other500.__isset;
 }
-MemberGone& MemberGone::operator=(const MemberGone& other505) {
-  id = other505.id;
-  planned = other505.planned;
-  atMs = other505.atMs;
-  __isset = other505.__isset;
+MemberGone& MemberGone::operator=(const MemberGone& other501) {
+  id = other501.id;
+  planned = other501.planned;
+  atMs = other501.atMs;
+  __isset = other501.__isset;
   return *this;
 }
-MemberGone& MemberGone::operator=(MemberGone&& other506) noexcept {
-  id = std::move(other506.id);
-  planned = other506.planned;
-  atMs = other506.atMs;
-  __isset = other506.__isset;
+MemberGone& MemberGone::operator=(MemberGone&& other502) noexcept {
+  id = std::move(other502.id);
+  planned = other502.planned;
+  atMs = other502.atMs;
+  __isset = other502.__isset;
   return *this;
 }
 void MemberGone::printTo(std::ostream& out) const {
@@ -13743,22 +13620,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberLeaving::MemberLeaving(const MemberLeaving& other507) {
-  id = other507.id;
-  __isset = other507.__isset;
+MemberLeaving::MemberLeaving(const MemberLeaving& other503) {
+  id = other503.id;
+  __isset = other503.__isset;
 }
-MemberLeaving::MemberLeaving(MemberLeaving&& other508) noexcept {
-  id = std::move(other508.id);
-  __isset = other508.__isset;
+MemberLeaving::MemberLeaving(MemberLeaving&& other504) noexcept {
+  id = std::move(other504.id);
+  __isset = other504.__isset;
 }
-MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other509) {
-  id = other509.id;
-  __isset = other509.__isset;
+MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other505) {
+  id = other505.id;
+  __isset = other505.__isset;
   return *this;
 }
-MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other510) noexcept {
-  id = std::move(other510.id);
-  __isset = other510.__isset;
+MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other506) noexcept {
+  id = std::move(other506.id);
+  __isset = other506.__isset;
   return *this;
 }
 void MemberLeaving::printTo(std::ostream& out) const {
@@ -13895,34 +13772,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderWhole::HolderWhole(const HolderWhole& other511) {
-  cell = other511.cell;
-  epoch = other511.epoch;
-  holder = other511.holder;
-  viewVersion = other511.viewVersion;
-  __isset = other511.__isset;
+HolderWhole::HolderWhole(const HolderWhole& other507) {
+  cell = other507.cell;
+  epoch = other507.epoch;
+  holder = other507.holder;
+  viewVersion = other507.viewVersion;
+  __isset = other507.__isset;
 }
-HolderWhole::HolderWhole(HolderWhole&& other512) noexcept {
-  cell = other512.cell;
-  epoch = other512.epoch;
-  holder = std::move(other512.holder);
-  viewVersion = other512.viewVersion;
-  __isset = other512.__isset;
+HolderWhole::HolderWhole(HolderWhole&& other508) noexcept {
+  cell = other508.cell;
+  epoch = other508.epoch;
+  holder = std::move(other508.holder);
+  viewVersion = other508.viewVersion;
+  __isset = other508.__isset;
 }
-HolderWhole& HolderWhole::operator=(const HolderWhole& other513) {
-  cell = other513.cell;
-  epoch = other513.epoch;
-  holder = other513.holder;
-  viewVersion = other513.viewVersion;
-  __isset = other513.__isset;
+HolderWhole& HolderWhole::operator=(const HolderWhole& other509) {
+  cell = other509.cell;
+  epoch = other509.epoch;
+  holder = other509.holder;
+  viewVersion = other509.viewVersion;
+  __isset = other509.__isset;
   return *this;
 }
-HolderWhole& HolderWhole::operator=(HolderWhole&& other514) noexcept {
-  cell = other514.cell;
-  epoch = other514.epoch;
-  holder = std::move(other514.holder);
-  viewVersion = other514.viewVersion;
-  __isset = other514.__isset;
+HolderWhole& HolderWhole::operator=(HolderWhole&& other510) noexcept {
+  cell = other510.cell;
+  epoch = other510.epoch;
+  holder = std::move(other510.holder);
+  viewVersion = other510.viewVersion;
+  __isset = other510.__isset;
   return *this;
 }
 void HolderWhole::printTo(std::ostream& out) const {
@@ -14062,34 +13939,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HandOver::HandOver(const HandOver& other515) {
-  cell = other515.cell;
-  epoch = other515.epoch;
-  previousOwner = other515.previousOwner;
-  atMs = other515.atMs;
-  __isset = other515.__isset;
-}
-HandOver::HandOver(HandOver&& other516) noexcept {
-  cell = other516.cell;
-  epoch = other516.epoch;
-  previousOwner = std::move(other516.previousOwner);
-  atMs = other516.atMs;
-  __isset = other516.__isset;
-}
-HandOver& HandOver::operator=(const HandOver& other517) {
-  cell = other517.cell;
-  epoch = other517.epoch;
-  previousOwner = other517.previousOwner;
-  atMs = other517.atMs;
-  __isset = other517.__isset;
+HandOver::HandOver(const HandOver& other511) {
+  cell = other511.cell;
+  epoch = other511.epoch;
+  previousOwner = other511.previousOwner;
+  atMs = other511.atMs;
+  __isset = other511.__isset;
+}
+HandOver::HandOver(HandOver&& other512) noexcept {
+  cell = other512.cell;
+  epoch = other512.epoch;
+  previousOwner = std::move(other512.previousOwner);
+  atMs = other512.atMs;
+  __isset = other512.__isset;
+}
+HandOver& HandOver::operator=(const HandOver& other513) {
+  cell = other513.cell;
+  epoch = other513.epoch;
+  previousOwner = other513.previousOwner;
+  atMs = other513.atMs;
+  __isset = other513.__isset;
   return *this;
 }
-HandOver& HandOver::operator=(HandOver&& other518) noexcept {
-  cell = other518.cell;
-  epoch = other518.epoch;
-  previousOwner = std::move(other518.previousOwner);
-  atMs = other518.atMs;
-  __isset = other518.__isset;
+HandOver& HandOver::operator=(HandOver&& other514) noexcept {
+  cell = other514.cell;
+  epoch = other514.epoch;
+  previousOwner = std::move(other514.previousOwner);
+  atMs = other514.atMs;
+  __isset = other514.__isset;
   return *this;
 }
 void HandOver::printTo(std::ostream& out) const {
@@ -14146,14 +14023,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size519;
-            ::apache::thrift::protocol::TType _etype522;
-            xfer += iprot->readListBegin(_etype522, _size519);
-            this->voters.resize(_size519);
-            uint32_t _i523;
-            for (_i523 = 0; _i523 < _size519; ++_i523)
+            uint32_t _size515;
+            ::apache::thrift::protocol::TType _etype518;
+            xfer += iprot->readListBegin(_etype518, _size515);
+            this->voters.resize(_size515);
+            uint32_t _i519;
+            for (_i519 = 0; _i519 < _size515; ++_i519)
             {
-              xfer += iprot->readString(this->voters[_i523]);
+              xfer += iprot->readString(this->voters[_i519]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14166,14 +14043,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size524;
-            ::apache::thrift::protocol::TType _etype527;
-            xfer += iprot->readListBegin(_etype527, _size524);
-            this->learners.resize(_size524);
-            uint32_t _i528;
-            for (_i528 = 0; _i528 < _size524; ++_i528)
+            uint32_t _size520;
+            ::apache::thrift::protocol::TType _etype523;
+            xfer += iprot->readListBegin(_etype523, _size520);
+            this->learners.resize(_size520);
+            uint32_t _i524;
+            for (_i524 = 0; _i524 < _size520; ++_i524)
             {
-              xfer += iprot->readString(this->learners[_i528]);
+              xfer += iprot->readString(this->learners[_i524]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14202,10 +14079,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter529;
-    for (_iter529 = this->voters.begin(); _iter529 != this->voters.end(); ++_iter529)
+    std::vector<std::string> ::const_iterator _iter525;
+    for (_iter525 = this->voters.begin(); _iter525 != this->voters.end(); ++_iter525)
     {
-      xfer += oprot->writeString((*_iter529));
+      xfer += oprot->writeString((*_iter525));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14214,10 +14091,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter530;
-    for (_iter530 = this->learners.begin(); _iter530 != this->learners.end(); ++_iter530)
+    std::vector<std::string> ::const_iterator _iter526;
+    for (_iter526 = this->learners.begin(); _iter526 != this->learners.end(); ++_iter526)
     {
-      xfer += oprot->writeString((*_iter530));
+      xfer += oprot->writeString((*_iter526));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14235,26 +14112,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SetVoters::SetVoters(const SetVoters& other531) {
-  voters = other531.voters;
-  learners = other531.learners;
-  __isset = other531.__isset;
+SetVoters::SetVoters(const SetVoters& other527) {
+  voters = other527.voters;
+  learners = other527.learners;
+  __isset = other527.__isset;
 }
-SetVoters::SetVoters(SetVoters&& other532) noexcept {
-  voters = std::move(other532.voters);
-  learners = std::move(other532.learners);
-  __isset = other532.__isset;
+SetVoters::SetVoters(SetVoters&& other528) noexcept {
+  voters = std::move(other528.voters);
+  learners = std::move(other528.learners);
+  __isset = other528.__isset;
 }
-SetVoters& SetVoters::operator=(const SetVoters& other533) {
-  voters = other533.voters;
-  learners = other533.learners;
-  __isset = other533.__isset;
+SetVoters& SetVoters::operator=(const SetVoters& other529) {
+  voters = other529.voters;
+  learners = other529.learners;
+  __isset = other529.__isset;
   return *this;
 }
-SetVoters& SetVoters::operator=(SetVoters&& other534) noexcept {
-  voters = std::move(other534.voters);
-  learners = std::move(other534.learners);
-  __isset = other534.__isset;
+SetVoters& SetVoters::operator=(SetVoters&& other530) noexcept {
+  voters = std::move(other530.voters);
+  learners = std::move(other530.learners);
+  __isset = other530.__isset;
   return *this;
 }
 void SetVoters::printTo(std::ostream& out) const {
@@ -14476,50 +14353,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other535) {
-  setConfig = other535.setConfig;
-  memberJoin = other535.memberJoin;
-  memberGone = other535.memberGone;
-  memberLeaving = other535.memberLeaving;
-  holderWhole = other535.holderWhole;
-  handOver = other535.handOver;
-  setVoters = other535.setVoters;
-  noop = other535.noop;
-  __isset = other535.__isset;
+Command::Command(const Command& other531) {
+  setConfig = other531.setConfig;
+  memberJoin = other531.memberJoin;
+  memberGone = other531.memberGone;
+  memberLeaving = other531.memberLeaving;
+  holderWhole = other531.holderWhole;
+  handOver = other531.handOver;
+  setVoters = other531.setVoters;
+  noop = other531.noop;
+  __isset = other531.__isset;
 }
-Command::Command(Command&& other536) noexcept {
-  setConfig = std::move(other536.setConfig);
-  memberJoin = std::move(other536.memberJoin);
-  memberGone = std::move(other536.memberGone);
-  memberLeaving = std::move(other536.memberLeaving);
-  holderWhole = std::move(other536.holderWhole);
-  handOver = std::move(other536.handOver);
-  setVoters = std::move(other536.setVoters);
-  noop = other536.noop;
-  __isset = other536.__isset;
+Command::Command(Command&& other532) noexcept {
+  setConfig = std::move(other532.setConfig);
+  memberJoin = std::move(other532.memberJoin);
+  memberGone = std::move(other532.memberGone);
+  memberLeaving = std::move(other532.memberLeaving);
+  holderWhole = std::move(other532.holderWhole);
+  handOver = std::move(other532.handOver);
+  setVoters = std::move(other532.setVoters);
+  noop = other532.noop;
+  __isset = other532.__isset;
 }
-Command& Command::operator=(const Command& other537) {
-  setConfig = other537.setConfig;
-  memberJoin = other537.memberJoin;
-  memberGone = other537.memberGone;
-  memberLeaving = other537.memberLeaving;
-  holderWhole = other537.holderWhole;
-  handOver = other537.handOver;
-  setVoters = other537.setVoters;
-  noop = other537.noop;
-  __isset = other537.__isset;
+Command& Command::operator=(const Command& other533) {
+  setConfig = other533.setConfig;
+  memberJoin = other533.memberJoin;
+  memberGone = other533.memberGone;
+  memberLeaving = other533.memberLeaving;
+  holderWhole = other533.holderWhole;
+  handOver = other533.handOver;
+  setVoters = other533.setVoters;
+  noop = other533.noop;
+  __isset = other533.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other538) noexcept {
-  setConfig = std::move(other538.setConfig);
-  memberJoin = std::move(other538.memberJoin);
-  memberGone = std::move(other538.memberGone);
-  memberLeaving = std::move(other538.memberLeaving);
-  holderWhole = std::move(other538.holderWhole);
-  handOver = std::move(other538.handOver);
-  setVoters = std::move(other538.setVoters);
-  noop = other538.noop;
-  __isset = other538.__isset;
+Command& Command::operator=(Command&& other534) noexcept {
+  setConfig = std::move(other534.setConfig);
+  memberJoin = std::move(other534.memberJoin);
+  memberGone = std::move(other534.memberGone);
+  memberLeaving = std::move(other534.memberLeaving);
+  holderWhole = std::move(other534.holderWhole);
+  handOver = std::move(other534.handOver);
+  setVoters = std::move(other534.setVoters);
+  noop = other534.noop;
+  __isset = other534.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -14663,34 +14540,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other539) {
-  member = other539.member;
-  group = other539.group;
-  term = other539.term;
-  vote = other539.vote;
-  __isset = other539.__isset;
-}
-HardState::HardState(HardState&& other540) noexcept {
-  member = std::move(other540.member);
-  group = std::move(other540.group);
-  term = other540.term;
-  vote = std::move(other540.vote);
-  __isset = other540.__isset;
-}
-HardState& HardState::operator=(const HardState& other541) {
-  member = other541.member;
-  group = other541.group;
-  term = other541.term;
-  vote = other541.vote;
-  __isset = other541.__isset;
+HardState::HardState(const HardState& other535) {
+  member = other535.member;
+  group = other535.group;
+  term = other535.term;
+  vote = other535.vote;
+  __isset = other535.__isset;
+}
+HardState::HardState(HardState&& other536) noexcept {
+  member = std::move(other536.member);
+  group = std::move(other536.group);
+  term = other536.term;
+  vote = std::move(other536.vote);
+  __isset = other536.__isset;
+}
+HardState& HardState::operator=(const HardState& other537) {
+  member = other537.member;
+  group = other537.group;
+  term = other537.term;
+  vote = other537.vote;
+  __isset = other537.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other542) noexcept {
-  member = std::move(other542.member);
-  group = std::move(other542.group);
-  term = other542.term;
-  vote = std::move(other542.vote);
-  __isset = other542.__isset;
+HardState& HardState::operator=(HardState&& other538) noexcept {
+  member = std::move(other538.member);
+  group = std::move(other538.group);
+  term = other538.term;
+  vote = std::move(other538.vote);
+  __isset = other538.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -14768,14 +14645,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size543;
-            ::apache::thrift::protocol::TType _etype546;
-            xfer += iprot->readListBegin(_etype546, _size543);
-            this->entries.resize(_size543);
-            uint32_t _i547;
-            for (_i547 = 0; _i547 < _size543; ++_i547)
+            uint32_t _size539;
+            ::apache::thrift::protocol::TType _etype542;
+            xfer += iprot->readListBegin(_etype542, _size539);
+            this->entries.resize(_size539);
+            uint32_t _i543;
+            for (_i543 = 0; _i543 < _size539; ++_i543)
             {
-              xfer += this->entries[_i547].read(iprot);
+              xfer += this->entries[_i543].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14813,10 +14690,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter548;
-    for (_iter548 = this->entries.begin(); _iter548 != this->entries.end(); ++_iter548)
+    std::vector<LogEntry> ::const_iterator _iter544;
+    for (_iter544 = this->entries.begin(); _iter544 != this->entries.end(); ++_iter544)
     {
-      xfer += (*_iter548).write(oprot);
+      xfer += (*_iter544).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14835,30 +14712,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogRecord::LogRecord(const LogRecord& other549) {
-  state = other549.state;
-  truncateFrom = other549.truncateFrom;
-  entries = other549.entries;
-  __isset = other549.__isset;
+LogRecord::LogRecord(const LogRecord& other545) {
+  state = other545.state;
+  truncateFrom = other545.truncateFrom;
+  entries = other545.entries;
+  __isset = other545.__isset;
 }
-LogRecord::LogRecord(LogRecord&& other550) noexcept {
-  state = std::move(other550.state);
-  truncateFrom = other550.truncateFrom;
-  entries = std::move(other550.entries);
-  __isset = other550.__isset;
+LogRecord::LogRecord(LogRecord&& other546) noexcept {
+  state = std::move(other546.state);
+  truncateFrom = other546.truncateFrom;
+  entries = std::move(other546.entries);
+  __isset = other546.__isset;
 }
-LogRecord& LogRecord::operator=(const LogRecord& other551) {
-  state = other551.state;
-  truncateFrom = other551.truncateFrom;
-  entries = other551.entries;
-  __isset = other551.__isset;
+LogRecord& LogRecord::operator=(const LogRecord& other547) {
+  state = other547.state;
+  truncateFrom = other547.truncateFrom;
+  entries = other547.entries;
+  __isset = other547.__isset;
   return *this;
 }
-LogRecord& LogRecord::operator=(LogRecord&& other552) noexcept {
-  state = std::move(other552.state);
-  truncateFrom = other552.truncateFrom;
-  entries = std::move(other552.entries);
-  __isset = other552.__isset;
+LogRecord& LogRecord::operator=(LogRecord&& other548) noexcept {
+  state = std::move(other548.state);
+  truncateFrom = other548.truncateFrom;
+  entries = std::move(other548.entries);
+  __isset = other548.__isset;
   return *this;
 }
 void LogRecord::printTo(std::ostream& out) const {
@@ -14910,14 +14787,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size553;
-            ::apache::thrift::protocol::TType _etype556;
-            xfer += iprot->readListBegin(_etype556, _size553);
-            this->records.resize(_size553);
-            uint32_t _i557;
-            for (_i557 = 0; _i557 < _size553; ++_i557)
+            uint32_t _size549;
+            ::apache::thrift::protocol::TType _etype552;
+            xfer += iprot->readListBegin(_etype552, _size549);
+            this->records.resize(_size549);
+            uint32_t _i553;
+            for (_i553 = 0; _i553 < _size549; ++_i553)
             {
-              xfer += this->records[_i557].read(iprot);
+              xfer += this->records[_i553].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14946,10 +14823,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<LogRecord> ::const_iterator _iter558;
-    for (_iter558 = this->records.begin(); _iter558 != this->records.end(); ++_iter558)
+    std::vector<LogRecord> ::const_iterator _iter554;
+    for (_iter554 = this->records.begin(); _iter554 != this->records.end(); ++_iter554)
     {
-      xfer += (*_iter558).write(oprot);
+      xfer += (*_iter554).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14966,22 +14843,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LogFrame::LogFrame(const LogFrame& other559) {
-  records = other559.records;
-  __isset = other559.__isset;
+LogFrame::LogFrame(const LogFrame& other555) {
+  records = other555.records;
+  __isset = other555.__isset;
 }
-LogFrame::LogFrame(LogFrame&& other560) noexcept {
-  records = std::move(other560.records);
-  __isset = other560.__isset;
+LogFrame::LogFrame(LogFrame&& other556) noexcept {
+  records = std::move(other556.records);
+  __isset = other556.__isset;
 }
-LogFrame& LogFrame::operator=(const LogFrame& other561) {
-  records = other561.records;
-  __isset = other561.__isset;
+LogFrame& LogFrame::operator=(const LogFrame& other557) {
+  records = other557.records;
+  __isset = other557.__isset;
   return *this;
 }
-LogFrame& LogFrame::operator=(LogFrame&& other562) noexcept {
-  records = std::move(other562.records);
-  __isset = other562.__isset;
+LogFrame& LogFrame::operator=(LogFrame&& other558) noexcept {
+  records = std::move(other558.records);
+  __isset = other558.__isset;
   return *this;
 }
 void LogFrame::printTo(std::ostream& out) const {
@@ -15063,14 +14940,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size563;
-            ::apache::thrift::protocol::TType _etype566;
-            xfer += iprot->readListBegin(_etype566, _size563);
-            this->voters.resize(_size563);
-            uint32_t _i567;
-            for (_i567 = 0; _i567 < _size563; ++_i567)
+            uint32_t _size559;
+            ::apache::thrift::protocol::TType _etype562;
+            xfer += iprot->readListBegin(_etype562, _size559);
+            this->voters.resize(_size559);
+            uint32_t _i563;
+            for (_i563 = 0; _i563 < _size559; ++_i563)
             {
-              xfer += iprot->readString(this->voters[_i567]);
+              xfer += iprot->readString(this->voters[_i563]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15083,14 +14960,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size568;
-            ::apache::thrift::protocol::TType _etype571;
-            xfer += iprot->readListBegin(_etype571, _size568);
-            this->learners.resize(_size568);
-            uint32_t _i572;
-            for (_i572 = 0; _i572 < _size568; ++_i572)
+            uint32_t _size564;
+            ::apache::thrift::protocol::TType _etype567;
+            xfer += iprot->readListBegin(_etype567, _size564);
+            this->learners.resize(_size564);
+            uint32_t _i568;
+            for (_i568 = 0; _i568 < _size564; ++_i568)
             {
-              xfer += iprot->readString(this->learners[_i572]);
+              xfer += iprot->readString(this->learners[_i568]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15135,10 +15012,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter573;
-    for (_iter573 = this->voters.begin(); _iter573 != this->voters.end(); ++_iter573)
+    std::vector<std::string> ::const_iterator _iter569;
+    for (_iter569 = this->voters.begin(); _iter569 != this->voters.end(); ++_iter569)
     {
-      xfer += oprot->writeString((*_iter573));
+      xfer += oprot->writeString((*_iter569));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15147,10 +15024,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter574;
-    for (_iter574 = this->learners.begin(); _iter574 != this->learners.end(); ++_iter574)
+    std::vector<std::string> ::const_iterator _iter570;
+    for (_iter570 = this->learners.begin(); _iter570 != this->learners.end(); ++_iter570)
     {
-      xfer += oprot->writeString((*_iter574));
+      xfer += oprot->writeString((*_iter570));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15175,38 +15052,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotFile::SnapshotFile(const SnapshotFile& other575) {
-  lastIndex = other575.lastIndex;
-  lastTerm = other575.lastTerm;
-  voters = other575.voters;
-  learners = other575.learners;
-  data = other575.data;
-  __isset = other575.__isset;
-}
-SnapshotFile::SnapshotFile(SnapshotFile&& other576) noexcept {
-  lastIndex = other576.lastIndex;
-  lastTerm = other576.lastTerm;
-  voters = std::move(other576.voters);
-  learners = std::move(other576.learners);
-  data = std::move(other576.data);
-  __isset = other576.__isset;
-}
-SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other577) {
-  lastIndex = other577.lastIndex;
-  lastTerm = other577.lastTerm;
-  voters = other577.voters;
-  learners = other577.learners;
-  data = other577.data;
-  __isset = other577.__isset;
+SnapshotFile::SnapshotFile(const SnapshotFile& other571) {
+  lastIndex = other571.lastIndex;
+  lastTerm = other571.lastTerm;
+  voters = other571.voters;
+  learners = other571.learners;
+  data = other571.data;
+  __isset = other571.__isset;
+}
+SnapshotFile::SnapshotFile(SnapshotFile&& other572) noexcept {
+  lastIndex = other572.lastIndex;
+  lastTerm = other572.lastTerm;
+  voters = std::move(other572.voters);
+  learners = std::move(other572.learners);
+  data = std::move(other572.data);
+  __isset = other572.__isset;
+}
+SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other573) {
+  lastIndex = other573.lastIndex;
+  lastTerm = other573.lastTerm;
+  voters = other573.voters;
+  learners = other573.learners;
+  data = other573.data;
+  __isset = other573.__isset;
   return *this;
 }
-SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other578) noexcept {
-  lastIndex = other578.lastIndex;
-  lastTerm = other578.lastTerm;
-  voters = std::move(other578.voters);
-  learners = std::move(other578.learners);
-  data = std::move(other578.data);
-  __isset = other578.__isset;
+SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other574) noexcept {
+  lastIndex = other574.lastIndex;
+  lastTerm = other574.lastTerm;
+  voters = std::move(other574.voters);
+  learners = std::move(other574.learners);
+  data = std::move(other574.data);
+  __isset = other574.__isset;
   return *this;
 }
 void SnapshotFile::printTo(std::ostream& out) const {
@@ -15330,30 +15207,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderRecord::HolderRecord(const HolderRecord& other579) {
-  name = other579.name;
-  since = other579.since;
-  whole = other579.whole;
-  __isset = other579.__isset;
+HolderRecord::HolderRecord(const HolderRecord& other575) {
+  name = other575.name;
+  since = other575.since;
+  whole = other575.whole;
+  __isset = other575.__isset;
 }
-HolderRecord::HolderRecord(HolderRecord&& other580) noexcept {
-  name = std::move(other580.name);
-  since = other580.since;
-  whole = other580.whole;
-  __isset = other580.__isset;
+HolderRecord::HolderRecord(HolderRecord&& other576) noexcept {
+  name = std::move(other576.name);
+  since = other576.since;
+  whole = other576.whole;
+  __isset = other576.__isset;
 }
-HolderRecord& HolderRecord::operator=(const HolderRecord& other581) {
-  name = other581.name;
-  since = other581.since;
-  whole = other581.whole;
-  __isset = other581.__isset;
+HolderRecord& HolderRecord::operator=(const HolderRecord& other577) {
+  name = other577.name;
+  since = other577.since;
+  whole = other577.whole;
+  __isset = other577.__isset;
   return *this;
 }
-HolderRecord& HolderRecord::operator=(HolderRecord&& other582) noexcept {
-  name = std::move(other582.name);
-  since = other582.since;
-  whole = other582.whole;
-  __isset = other582.__isset;
+HolderRecord& HolderRecord::operator=(HolderRecord&& other578) noexcept {
+  name = std::move(other578.name);
+  since = other578.since;
+  whole = other578.whole;
+  __isset = other578.__isset;
   return *this;
 }
 void HolderRecord::printTo(std::ostream& out) const {
@@ -15465,14 +15342,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size583;
-            ::apache::thrift::protocol::TType _etype586;
-            xfer += iprot->readListBegin(_etype586, _size583);
-            this->holders.resize(_size583);
-            uint32_t _i587;
-            for (_i587 = 0; _i587 < _size583; ++_i587)
+            uint32_t _size579;
+            ::apache::thrift::protocol::TType _etype582;
+            xfer += iprot->readListBegin(_etype582, _size579);
+            this->holders.resize(_size579);
+            uint32_t _i583;
+            for (_i583 = 0; _i583 < _size579; ++_i583)
             {
-              xfer += this->holders[_i587].read(iprot);
+              xfer += this->holders[_i583].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15541,10 +15418,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<HolderRecord> ::const_iterator _iter588;
-    for (_iter588 = this->holders.begin(); _iter588 != this->holders.end(); ++_iter588)
+    std::vector<HolderRecord> ::const_iterator _iter584;
+    for (_iter584 = this->holders.begin(); _iter584 != this->holders.end(); ++_iter584)
     {
-      xfer += (*_iter588).write(oprot);
+      xfer += (*_iter584).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15580,50 +15457,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CellRecord::CellRecord(const CellRecord& other589) {
-  cell = other589.cell;
-  serviceName = other589.serviceName;
-  epoch = other589.epoch;
-  owner = other589.owner;
-  holders = other589.holders;
-  floorMs = other589.floorMs;
-  routeVersion = other589.routeVersion;
-  agentsVersion = other589.agentsVersion;
-  __isset = other589.__isset;
-}
-CellRecord::CellRecord(CellRecord&& other590) noexcept {
-  cell = other590.cell;
-  serviceName = std::move(other590.serviceName);
-  epoch = other590.epoch;
-  owner = std::move(other590.owner);
-  holders = std::move(other590.holders);
-  floorMs = other590.floorMs;
-  routeVersion = other590.routeVersion;
-  agentsVersion = other590.agentsVersion;
-  __isset = other590.__isset;
-}
-CellRecord& CellRecord::operator=(const CellRecord& other591) {
-  cell = other591.cell;
-  serviceName = other591.serviceName;
-  epoch = other591.epoch;
-  owner = other591.owner;
-  holders = other591.holders;
-  floorMs = other591.floorMs;
-  routeVersion = other591.routeVersion;
-  agentsVersion = other591.agentsVersion;
-  __isset = other591.__isset;
+CellRecord::CellRecord(const CellRecord& other585) {
+  cell = other585.cell;
+  serviceName = other585.serviceName;
+  epoch = other585.epoch;
+  owner = other585.owner;
+  holders = other585.holders;
+  floorMs = other585.floorMs;
+  routeVersion = other585.routeVersion;
+  agentsVersion = other585.agentsVersion;
+  __isset = other585.__isset;
+}
+CellRecord::CellRecord(CellRecord&& other586) noexcept {
+  cell = other586.cell;
+  serviceName = std::move(other586.serviceName);
+  epoch = other586.epoch;
+  owner = std::move(other586.owner);
+  holders = std::move(other586.holders);
+  floorMs = other586.floorMs;
+  routeVersion = other586.routeVersion;
+  agentsVersion = other586.agentsVersion;
+  __isset = other586.__isset;
+}
+CellRecord& CellRecord::operator=(const CellRecord& other587) {
+  cell = other587.cell;
+  serviceName = other587.serviceName;
+  epoch = other587.epoch;
+  owner = other587.owner;
+  holders = other587.holders;
+  floorMs = other587.floorMs;
+  routeVersion = other587.routeVersion;
+  agentsVersion = other587.agentsVersion;
+  __isset = other587.__isset;
   return *this;
 }
-CellRecord& CellRecord::operator=(CellRecord&& other592) noexcept {
-  cell = other592.cell;
-  serviceName = std::move(other592.serviceName);
-  epoch = other592.epoch;
-  owner = std::move(other592.owner);
-  holders = std::move(other592.holders);
-  floorMs = other592.floorMs;
-  routeVersion = other592.routeVersion;
-  agentsVersion = other592.agentsVersion;
-  __isset = other592.__isset;
+CellRecord& CellRecord::operator=(CellRecord&& other588) noexcept {
+  cell = other588.cell;
+  serviceName = std::move(other588.serviceName);
+  epoch = other588.epoch;
+  owner = std::move(other588.owner);
+  holders = std::move(other588.holders);
+  floorMs = other588.floorMs;
+  routeVersion = other588.routeVersion;
+  agentsVersion = other588.agentsVersion;
+  __isset = other588.__isset;
   return *this;
 }
 void CellRecord::printTo(std::ostream& out) const {
@@ -15718,9 +15595,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast593;
-          xfer += iprot->readI32(ecast593);
-          this->role = static_cast<Role::type>(ecast593);
+          int32_t ecast589;
+          xfer += iprot->readI32(ecast589);
+          this->role = static_cast<Role::type>(ecast589);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -15854,54 +15731,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other594) {
-  id = other594.id;
-  role = other594.role;
-  address = other594.address;
-  failureDomain = other594.failureDomain;
-  serviceName = other594.serviceName;
-  cell = other594.cell;
-  leaving = other594.leaving;
-  version = other594.version;
-  leaseVersion = other594.leaseVersion;
-  __isset = other594.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other595) noexcept {
-  id = std::move(other595.id);
-  role = other595.role;
-  address = std::move(other595.address);
-  failureDomain = std::move(other595.failureDomain);
-  serviceName = std::move(other595.serviceName);
-  cell = other595.cell;
-  leaving = other595.leaving;
-  version = other595.version;
-  leaseVersion = other595.leaseVersion;
-  __isset = other595.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other596) {
-  id = other596.id;
-  role = other596.role;
-  address = other596.address;
-  failureDomain = other596.failureDomain;
-  serviceName = other596.serviceName;
-  cell = other596.cell;
-  leaving = other596.leaving;
-  version = other596.version;
-  leaseVersion = other596.leaseVersion;
-  __isset = other596.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other590) {
+  id = other590.id;
+  role = other590.role;
+  address = other590.address;
+  failureDomain = other590.failureDomain;
+  serviceName = other590.serviceName;
+  cell = other590.cell;
+  leaving = other590.leaving;
+  version = other590.version;
+  leaseVersion = other590.leaseVersion;
+  __isset = other590.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other591) noexcept {
+  id = std::move(other591.id);
+  role = other591.role;
+  address = std::move(other591.address);
+  failureDomain = std::move(other591.failureDomain);
+  serviceName = std::move(other591.serviceName);
+  cell = other591.cell;
+  leaving = other591.leaving;
+  version = other591.version;
+  leaseVersion = other591.leaseVersion;
+  __isset = other591.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other592) {
+  id = other592.id;
+  role = other592.role;
+  address = other592.address;
+  failureDomain = other592.failureDomain;
+  serviceName = other592.serviceName;
+  cell = other592.cell;
+  leaving = other592.leaving;
+  version = other592.version;
+  leaseVersion = other592.leaseVersion;
+  __isset = other592.__isset;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other597) noexcept {
-  id = std::move(other597.id);
-  role = other597.role;
-  address = std::move(other597.address);
-  failureDomain = std::move(other597.failureDomain);
-  serviceName = std::move(other597.serviceName);
-  cell = other597.cell;
-  leaving = other597.leaving;
-  version = other597.version;
-  leaseVersion = other597.leaseVersion;
-  __isset = other597.__isset;
+MemberRecord& MemberRecord::operator=(MemberRecord&& other593) noexcept {
+  id = std::move(other593.id);
+  role = other593.role;
+  address = std::move(other593.address);
+  failureDomain = std::move(other593.failureDomain);
+  serviceName = std::move(other593.serviceName);
+  cell = other593.cell;
+  leaving = other593.leaving;
+  version = other593.version;
+  leaseVersion = other593.leaseVersion;
+  __isset = other593.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -15983,14 +15860,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size598;
-            ::apache::thrift::protocol::TType _etype601;
-            xfer += iprot->readListBegin(_etype601, _size598);
-            this->history.resize(_size598);
-            uint32_t _i602;
-            for (_i602 = 0; _i602 < _size598; ++_i602)
+            uint32_t _size594;
+            ::apache::thrift::protocol::TType _etype597;
+            xfer += iprot->readListBegin(_etype597, _size594);
+            this->history.resize(_size594);
+            uint32_t _i598;
+            for (_i598 = 0; _i598 < _size594; ++_i598)
             {
-              xfer += this->history[_i602].read(iprot);
+              xfer += this->history[_i598].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16003,14 +15880,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size603;
-            ::apache::thrift::protocol::TType _etype606;
-            xfer += iprot->readListBegin(_etype606, _size603);
-            this->members.resize(_size603);
-            uint32_t _i607;
-            for (_i607 = 0; _i607 < _size603; ++_i607)
+            uint32_t _size599;
+            ::apache::thrift::protocol::TType _etype602;
+            xfer += iprot->readListBegin(_etype602, _size599);
+            this->members.resize(_size599);
+            uint32_t _i603;
+            for (_i603 = 0; _i603 < _size599; ++_i603)
             {
-              xfer += this->members[_i607].read(iprot);
+              xfer += this->members[_i603].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16023,14 +15900,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size608;
-            ::apache::thrift::protocol::TType _etype611;
-            xfer += iprot->readListBegin(_etype611, _size608);
-            this->cells.resize(_size608);
-            uint32_t _i612;
-            for (_i612 = 0; _i612 < _size608; ++_i612)
+            uint32_t _size604;
+            ::apache::thrift::protocol::TType _etype607;
+            xfer += iprot->readListBegin(_etype607, _size604);
+            this->cells.resize(_size604);
+            uint32_t _i608;
+            for (_i608 = 0; _i608 < _size604; ++_i608)
             {
-              xfer += this->cells[_i612].read(iprot);
+              xfer += this->cells[_i608].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16091,10 +15968,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<ConfigFile> ::const_iterator _iter613;
-    for (_iter613 = this->history.begin(); _iter613 != this->history.end(); ++_iter613)
+    std::vector<ConfigFile> ::const_iterator _iter609;
+    for (_iter609 = this->history.begin(); _iter609 != this->history.end(); ++_iter609)
     {
-      xfer += (*_iter613).write(oprot);
+      xfer += (*_iter609).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16103,10 +15980,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter614;
-    for (_iter614 = this->members.begin(); _iter614 != this->members.end(); ++_iter614)
+    std::vector<MemberRecord> ::const_iterator _iter610;
+    for (_iter610 = this->members.begin(); _iter610 != this->members.end(); ++_iter610)
     {
-      xfer += (*_iter614).write(oprot);
+      xfer += (*_iter610).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16115,10 +15992,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellRecord> ::const_iterator _iter615;
-    for (_iter615 = this->cells.begin(); _iter615 != this->cells.end(); ++_iter615)
+    std::vector<CellRecord> ::const_iterator _iter611;
+    for (_iter611 = this->cells.begin(); _iter611 != this->cells.end(); ++_iter611)
     {
-      xfer += (*_iter615).write(oprot);
+      xfer += (*_iter611).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16157,46 +16034,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlImage::ControlImage(const ControlImage& other616) {
-  history = other616.history;
-  members = other616.members;
-  cells = other616.cells;
-  nextCell = other616.nextCell;
-  configVersion = other616.configVersion;
-  routesVersion = other616.routesVersion;
-  entriesVersion = other616.entriesVersion;
-  __isset = other616.__isset;
-}
-ControlImage::ControlImage(ControlImage&& other617) noexcept {
-  history = std::move(other617.history);
-  members = std::move(other617.members);
-  cells = std::move(other617.cells);
-  nextCell = other617.nextCell;
-  configVersion = other617.configVersion;
-  routesVersion = other617.routesVersion;
-  entriesVersion = other617.entriesVersion;
-  __isset = other617.__isset;
-}
-ControlImage& ControlImage::operator=(const ControlImage& other618) {
-  history = other618.history;
-  members = other618.members;
-  cells = other618.cells;
-  nextCell = other618.nextCell;
-  configVersion = other618.configVersion;
-  routesVersion = other618.routesVersion;
-  entriesVersion = other618.entriesVersion;
-  __isset = other618.__isset;
+ControlImage::ControlImage(const ControlImage& other612) {
+  history = other612.history;
+  members = other612.members;
+  cells = other612.cells;
+  nextCell = other612.nextCell;
+  configVersion = other612.configVersion;
+  routesVersion = other612.routesVersion;
+  entriesVersion = other612.entriesVersion;
+  __isset = other612.__isset;
+}
+ControlImage::ControlImage(ControlImage&& other613) noexcept {
+  history = std::move(other613.history);
+  members = std::move(other613.members);
+  cells = std::move(other613.cells);
+  nextCell = other613.nextCell;
+  configVersion = other613.configVersion;
+  routesVersion = other613.routesVersion;
+  entriesVersion = other613.entriesVersion;
+  __isset = other613.__isset;
+}
+ControlImage& ControlImage::operator=(const ControlImage& other614) {
+  history = other614.history;
+  members = other614.members;
+  cells = other614.cells;
+  nextCell = other614.nextCell;
+  configVersion = other614.configVersion;
+  routesVersion = other614.routesVersion;
+  entriesVersion = other614.entriesVersion;
+  __isset = other614.__isset;
   return *this;
 }
-ControlImage& ControlImage::operator=(ControlImage&& other619) noexcept {
-  history = std::move(other619.history);
-  members = std::move(other619.members);
-  cells = std::move(other619.cells);
-  nextCell = other619.nextCell;
-  configVersion = other619.configVersion;
-  routesVersion = other619.routesVersion;
-  entriesVersion = other619.entriesVersion;
-  __isset = other619.__isset;
+ControlImage& ControlImage::operator=(ControlImage&& other615) noexcept {
+  history = std::move(other615.history);
+  members = std::move(other615.members);
+  cells = std::move(other615.cells);
+  nextCell = other615.nextCell;
+  configVersion = other615.configVersion;
+  routesVersion = other615.routesVersion;
+  entriesVersion = other615.entriesVersion;
+  __isset = other615.__isset;
   return *this;
 }
 void ControlImage::printTo(std::ostream& out) const {
@@ -16411,11 +16288,6 @@
   this->snapshotChunkReply = val;
 __isset.snapshotChunkReply = true;
 }
-
-void Message::__set_voterLeaving(const VoterLeaving& val) {
-  this->voterLeaving = val;
-__isset.voterLeaving = true;
-}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -16756,14 +16628,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 49:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->voterLeaving.read(iprot);
-          this->__isset.voterLeaving = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -16941,11 +16805,6 @@
     xfer += this->snapshotChunkReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.voterLeaving) {
-    xfer += oprot->writeFieldBegin("voterLeaving", ::apache::thrift::protocol::T_STRUCT, 49);
-    xfer += this->voterLeaving.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   if (this->__isset.hostReport) {
     xfer += oprot->writeFieldBegin("hostReport", ::apache::thrift::protocol::T_STRUCT, 50);
     xfer += this->hostReport.write(oprot);
@@ -17027,182 +16886,177 @@
   swap(a.timeoutNow, b.timeoutNow);
   swap(a.snapshotChunk, b.snapshotChunk);
   swap(a.snapshotChunkReply, b.snapshotChunkReply);
-  swap(a.voterLeaving, b.voterLeaving);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other620) {
-  submitJob = other620.submitJob;
-  cancelJob = other620.cancelJob;
-  queryJob = other620.queryJob;
-  jobReply = other620.jobReply;
-  notOwner = other620.notOwner;
-  recordBatch = other620.recordBatch;
-  recordSnapshot = other620.recordSnapshot;
-  recordAck = other620.recordAck;
-  startBatch = other620.startBatch;
-  cancelBatch = other620.cancelBatch;
-  resultAck = other620.resultAck;
-  fence = other620.fence;
-  agentHello = other620.agentHello;
-  resultBatch = other620.resultBatch;
-  startRefused = other620.startRefused;
-  agentState = other620.agentState;
-  memberHeartbeat = other620.memberHeartbeat;
-  heartbeatReply = other620.heartbeatReply;
-  clusterView = other620.clusterView;
-  applyConfig = other620.applyConfig;
-  applyReply = other620.applyReply;
-  controlQuery = other620.controlQuery;
-  controlAnswer = other620.controlAnswer;
-  hostReport = other620.hostReport;
-  hostContact = other620.hostContact;
-  runTasks = other620.runTasks;
-  stopTasks = other620.stopTasks;
-  taskReports = other620.taskReports;
-  startsInDoubt = other620.startsInDoubt;
-  ordersElsewhere = other620.ordersElsewhere;
-  requestVote = other620.requestVote;
-  voteReply = other620.voteReply;
-  appendEntries = other620.appendEntries;
-  appendReply = other620.appendReply;
-  installSnapshot = other620.installSnapshot;
-  installReply = other620.installReply;
-  timeoutNow = other620.timeoutNow;
-  snapshotChunk = other620.snapshotChunk;
-  snapshotChunkReply = other620.snapshotChunkReply;
-  voterLeaving = other620.voterLeaving;
-  __isset = other620.__isset;
-}
-Message::Message(Message&& other621) noexcept {
-  submitJob = std::move(other621.submitJob);
-  cancelJob = std::move(other621.cancelJob);
-  queryJob = std::move(other621.queryJob);
-  jobReply = std::move(other621.jobReply);
-  notOwner = std::move(other621.notOwner);
-  recordBatch = std::move(other621.recordBatch);
-  recordSnapshot = std::move(other621.recordSnapshot);
-  recordAck = std::move(other621.recordAck);
-  startBatch = std::move(other621.startBatch);
-  cancelBatch = std::move(other621.cancelBatch);
-  resultAck = std::move(other621.resultAck);
-  fence = std::move(other621.fence);
-  agentHello = std::move(other621.agentHello);
-  resultBatch = std::move(other621.resultBatch);
-  startRefused = std::move(other621.startRefused);
-  agentState = std::move(other621.agentState);
-  memberHeartbeat = std::move(other621.memberHeartbeat);
-  heartbeatReply = std::move(other621.heartbeatReply);
-  clusterView = std::move(other621.clusterView);
-  applyConfig = std::move(other621.applyConfig);
-  applyReply = std::move(other621.applyReply);
-  controlQuery = std::move(other621.controlQuery);
-  controlAnswer = std::move(other621.controlAnswer);
-  hostReport = std::move(other621.hostReport);
-  hostContact = std::move(other621.hostContact);
-  runTasks = std::move(other621.runTasks);
-  stopTasks = std::move(other621.stopTasks);
-  taskReports = std::move(other621.taskReports);
-  startsInDoubt = std::move(other621.startsInDoubt);
-  ordersElsewhere = std::move(other621.ordersElsewhere);
-  requestVote = std::move(other621.requestVote);
-  voteReply = std::move(other621.voteReply);
-  appendEntries = std::move(other621.appendEntries);
-  appendReply = std::move(other621.appendReply);
-  installSnapshot = std::move(other621.installSnapshot);
-  installReply = std::move(other621.installReply);
-  timeoutNow = std::move(other621.timeoutNow);
-  snapshotChunk = std::move(other621.snapshotChunk);
-  snapshotChunkReply = std::move(other621.snapshotChunkReply);
-  voterLeaving = std::move(other621.voterLeaving);
-  __isset = other621.__isset;
-}
-Message& Message::operator=(const Message& other622) {
-  submitJob = other622.submitJob;
-  cancelJob = other622.cancelJob;
-  queryJob = other622.queryJob;
-  jobReply = other622.jobReply;
-  notOwner = other622.notOwner;
-  recordBatch = other622.recordBatch;
-  recordSnapshot = other622.recordSnapshot;
-  recordAck = other622.recordAck;
-  startBatch = other622.startBatch;
-  cancelBatch = other622.cancelBatch;
-  resultAck = other622.resultAck;
-  fence = other622.fence;
-  agentHello = other622.agentHello;
-  resultBatch = other622.resultBatch;
-  startRefused = other622.startRefused;
-  agentState = other622.agentState;
-  memberHeartbeat = other622.memberHeartbeat;
-  heartbeatReply = other622.heartbeatReply;
-  clusterView = other622.clusterView;
-  applyConfig = other622.applyConfig;
-  applyReply = other622.applyReply;
-  controlQuery = other622.controlQuery;
-  controlAnswer = other622.controlAnswer;
-  hostReport = other622.hostReport;
-  hostContact = other622.hostContact;
-  runTasks = other622.runTasks;
-  stopTasks = other622.stopTasks;
-  taskReports = other622.taskReports;
-  startsInDoubt = other622.startsInDoubt;
-  ordersElsewhere = other622.ordersElsewhere;
-  requestVote = other622.requestVote;
-  voteReply = other622.voteReply;
-  appendEntries = other622.appendEntries;
-  appendReply = other622.appendReply;
-  installSnapshot = other622.installSnapshot;
-  installReply = other622.installReply;
-  timeoutNow = other622.timeoutNow;
-  snapshotChunk = other622.snapshotChunk;
-  snapshotChunkReply = other622.snapshotChunkReply;
-  voterLeaving = other622.voterLeaving;
-  __isset = other622.__isset;
+Message::Message(const Message& other616) {
+  submitJob = other616.submitJob;
+  cancelJob = other616.cancelJob;
+  queryJob = other616.queryJob;
+  jobReply = other616.jobReply;
+  notOwner = other616.notOwner;
+  recordBatch = other616.recordBatch;
+  recordSnapshot = other616.recordSnapshot;
+  recordAck = other616.recordAck;
+  startBatch = other616.startBatch;
+  cancelBatch = other616.cancelBatch;
+  resultAck = other616.resultAck;
+  fence = other616.fence;
+  agentHello = other616.agentHello;
+  resultBatch = other616.resultBatch;
+  startRefused = other616.startRefused;
+  agentState = other616.agentState;
+  memberHeartbeat = other616.memberHeartbeat;
+  heartbeatReply = other616.heartbeatReply;
+  clusterView = other616.clusterView;
+  applyConfig = other616.applyConfig;
+  applyReply = other616.applyReply;
+  controlQuery = other616.controlQuery;
+  controlAnswer = other616.controlAnswer;
+  hostReport = other616.hostReport;
+  hostContact = other616.hostContact;
+  runTasks = other616.runTasks;
+  stopTasks = other616.stopTasks;
+  taskReports = other616.taskReports;
+  startsInDoubt = other616.startsInDoubt;
+  ordersElsewhere = other616.ordersElsewhere;
+  requestVote = other616.requestVote;
+  voteReply = other616.voteReply;
+  appendEntries = other616.appendEntries;
+  appendReply = other616.appendReply;
+  installSnapshot = other616.installSnapshot;
+  installReply = other616.installReply;
+  timeoutNow = other616.timeoutNow;
+  snapshotChunk = other616.snapshotChunk;
+  snapshotChunkReply = other616.snapshotChunkReply;
+  __isset = other616.__isset;
+}
+Message::Message(Message&& other617) noexcept {
+  submitJob = std::move(other617.submitJob);
+  cancelJob = std::move(other617.cancelJob);
+  queryJob = std::move(other617.queryJob);
+  jobReply = std::move(other617.jobReply);
+  notOwner = std::move(other617.notOwner);
+  recordBatch = std::move(other617.recordBatch);
+  recordSnapshot = std::move(other617.recordSnapshot);
+  recordAck = std::move(other617.recordAck);
+  startBatch = std::move(other617.startBatch);
+  cancelBatch = std::move(other617.cancelBatch);
+  resultAck = std::move(other617.resultAck);
+  fence = std::move(other617.fence);
+  agentHello = std::move(other617.agentHello);
+  resultBatch = std::move(other617.resultBatch);
+  startRefused = std::move(other617.startRefused);
+  agentState = std::move(other617.agentState);
+  memberHeartbeat = std::move(other617.memberHeartbeat);
+  heartbeatReply = std::move(other617.heartbeatReply);
+  clusterView = std::move(other617.clusterView);
+  applyConfig = std::move(other617.applyConfig);
+  applyReply = std::move(other617.applyReply);
+  controlQuery = std::move(other617.controlQuery);
+  controlAnswer = std::move(other617.controlAnswer);
+  hostReport = std::move(other617.hostReport);
+  hostContact = std::move(other617.hostContact);
+  runTasks = std::move(other617.runTasks);
+  stopTasks = std::move(other617.stopTasks);
+  taskReports = std::move(other617.taskReports);
+  startsInDoubt = std::move(other617.startsInDoubt);
+  ordersElsewhere = std::move(other617.ordersElsewhere);
+  requestVote = std::move(other617.requestVote);
+  voteReply = std::move(other617.voteReply);
+  appendEntries = std::move(other617.appendEntries);
+  appendReply = std::move(other617.appendReply);
+  installSnapshot = std::move(other617.installSnapshot);
+  installReply = std::move(other617.installReply);
+  timeoutNow = std::move(other617.timeoutNow);
+  snapshotChunk = std::move(other617.snapshotChunk);
+  snapshotChunkReply = std::move(other617.snapshotChunkReply);
+  __isset = other617.__isset;
+}
+Message& Message::operator=(const Message& other618) {
+  submitJob = other618.submitJob;
+  cancelJob = other618.cancelJob;
+  queryJob = other618.queryJob;
+  jobReply = other618.jobReply;
+  notOwner = other618.notOwner;
+  recordBatch = other618.recordBatch;
+  recordSnapshot = other618.recordSnapshot;
+  recordAck = other618.recordAck;
+  startBatch = other618.startBatch;
+  cancelBatch = other618.cancelBatch;
+  resultAck = other618.resultAck;
+  fence = other618.fence;
+  agentHello = other618.agentHello;
+  resultBatch = other618.resultBatch;
+  startRefused = other618.startRefused;
+  agentState = other618.agentState;
+  memberHeartbeat = other618.memberHeartbeat;
+  heartbeatReply = other618.heartbeatReply;
+  clusterView = other618.clusterView;
+  applyConfig = other618.applyConfig;
+  applyReply = other618.applyReply;
+  controlQuery = other618.controlQuery;
+  controlAnswer = other618.controlAnswer;
+  hostReport = other618.hostReport;
+  hostContact = other618.hostContact;
+  runTasks = other618.runTasks;
+  stopTasks = other618.stopTasks;
+  taskReports = other618.taskReports;
+  startsInDoubt = other618.startsInDoubt;
+  ordersElsewhere = other618.ordersElsewhere;
+  requestVote = other618.requestVote;
+  voteReply = other618.voteReply;
+  appendEntries = other618.appendEntries;
+  appendReply = other618.appendReply;
+  installSnapshot = other618.installSnapshot;
+  installReply = other618.installReply;
+  timeoutNow = other618.timeoutNow;
+  snapshotChunk = other618.snapshotChunk;
+  snapshotChunkReply = other618.snapshotChunkReply;
+  __isset = other618.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other623) noexcept {
-  submitJob = std::move(other623.submitJob);
-  cancelJob = std::move(other623.cancelJob);
-  queryJob = std::move(other623.queryJob);
-  jobReply = std::move(other623.jobReply);
-  notOwner = std::move(other623.notOwner);
-  recordBatch = std::move(other623.recordBatch);
-  recordSnapshot = std::move(other623.recordSnapshot);
-  recordAck = std::move(other623.recordAck);
-  startBatch = std::move(other623.startBatch);
-  cancelBatch = std::move(other623.cancelBatch);
-  resultAck = std::move(other623.resultAck);
-  fence = std::move(other623.fence);
-  agentHello = std::move(other623.agentHello);
-  resultBatch = std::move(other623.resultBatch);
-  startRefused = std::move(other623.startRefused);
-  agentState = std::move(other623.agentState);
-  memberHeartbeat = std::move(other623.memberHeartbeat);
-  heartbeatReply = std::move(other623.heartbeatReply);
-  clusterView = std::move(other623.clusterView);
-  applyConfig = std::move(other623.applyConfig);
-  applyReply = std::move(other623.applyReply);
-  controlQuery = std::move(other623.controlQuery);
-  controlAnswer = std::move(other623.controlAnswer);
-  hostReport = std::move(other623.hostReport);
-  hostContact = std::move(other623.hostContact);
-  runTasks = std::move(other623.runTasks);
-  stopTasks = std::move(other623.stopTasks);
-  taskReports = std::move(other623.taskReports);
-  startsInDoubt = std::move(other623.startsInDoubt);
-  ordersElsewhere = std::move(other623.ordersElsewhere);
-  requestVote = std::move(other623.requestVote);
-  voteReply = std::move(other623.voteReply);
-  appendEntries = std::move(other623.appendEntries);
-  appendReply = std::move(other623.appendReply);
-  installSnapshot = std::move(other623.installSnapshot);
-  installReply = std::move(other623.installReply);
-  timeoutNow = std::move(other623.timeoutNow);
-  snapshotChunk = std::move(other623.snapshotChunk);
-  snapshotChunkReply = std::move(other623.snapshotChunkReply);
-  voterLeaving = std::move(other623.voterLeaving);
-  __isset = other623.__isset;
+Message& Message::operator=(Message&& other619) noexcept {
+  submitJob = std::move(other619.submitJob);
+  cancelJob = std::move(other619.cancelJob);
+  queryJob = std::move(other619.queryJob);
+  jobReply = std::move(other619.jobReply);
+  notOwner = std::move(other619.notOwner);
+  recordBatch = std::move(other619.recordBatch);
+  recordSnapshot = std::move(other619.recordSnapshot);
+  recordAck = std::move(other619.recordAck);
+  startBatch = std::move(other619.startBatch);
+  cancelBatch = std::move(other619.cancelBatch);
+  resultAck = std::move(other619.resultAck);
+  fence = std::move(other619.fence);
+  agentHello = std::move(other619.agentHello);
+  resultBatch = std::move(other619.resultBatch);
+  startRefused = std::move(other619.startRefused);
+  agentState = std::move(other619.agentState);
+  memberHeartbeat = std::move(other619.memberHeartbeat);
+  heartbeatReply = std::move(other619.heartbeatReply);
+  clusterView = std::move(other619.clusterView);
+  applyConfig = std::move(other619.applyConfig);
+  applyReply = std::move(other619.applyReply);
+  controlQuery = std::move(other619.controlQuery);
+  controlAnswer = std::move(other619.controlAnswer);
+  hostReport = std::move(other619.hostReport);
+  hostContact = std::move(other619.hostContact);
+  runTasks = std::move(other619.runTasks);
+  stopTasks = std::move(other619.stopTasks);
+  taskReports = std::move(other619.taskReports);
+  startsInDoubt = std::move(other619.startsInDoubt);
+  ordersElsewhere = std::move(other619.ordersElsewhere);
+  requestVote = std::move(other619.requestVote);
+  voteReply = std::move(other619.voteReply);
+  appendEntries = std::move(other619.appendEntries);
+  appendReply = std::move(other619.appendReply);
+  installSnapshot = std::move(other619.installSnapshot);
+  installReply = std::move(other619.installReply);
+  timeoutNow = std::move(other619.timeoutNow);
+  snapshotChunk = std::move(other619.snapshotChunk);
+  snapshotChunkReply = std::move(other619.snapshotChunkReply);
+  __isset = other619.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -17247,7 +17101,6 @@
   out << ", " << "timeoutNow="; (__isset.timeoutNow ? (out << to_string(timeoutNow)) : (out << "<null>"));
   out << ", " << "snapshotChunk="; (__isset.snapshotChunk ? (out << to_string(snapshotChunk)) : (out << "<null>"));
   out << ", " << "snapshotChunkReply="; (__isset.snapshotChunkReply ? (out << to_string(snapshotChunkReply)) : (out << "<null>"));
-  out << ", " << "voterLeaving="; (__isset.voterLeaving ? (out << to_string(voterLeaving)) : (out << "<null>"));
   out << ")";
 }
 
@@ -17313,9 +17166,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast624;
-          xfer += iprot->readI32(ecast624);
-          this->role = static_cast<Role::type>(ecast624);
+          int32_t ecast620;
+          xfer += iprot->readI32(ecast620);
+          this->role = static_cast<Role::type>(ecast620);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -17341,14 +17194,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size625;
-            ::apache::thrift::protocol::TType _etype628;
-            xfer += iprot->readListBegin(_etype628, _size625);
-            this->messages.resize(_size625);
-            uint32_t _i629;
-            for (_i629 = 0; _i629 < _size625; ++_i629)
+            uint32_t _size621;
+            ::apache::thrift::protocol::TType _etype624;
+            xfer += iprot->readListBegin(_etype624, _size621);
+            this->messages.resize(_size621);
+            uint32_t _i625;
+            for (_i625 = 0; _i625 < _size621; ++_i625)
             {
-              xfer += this->messages[_i629].read(iprot);
+              xfer += this->messages[_i625].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -17393,10 +17246,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<Message> ::const_iterator _iter630;
-    for (_iter630 = this->messages.begin(); _iter630 != this->messages.end(); ++_iter630)
+    std::vector<Message> ::const_iterator _iter626;
+    for (_iter626 = this->messages.begin(); _iter626 != this->messages.end(); ++_iter626)
     {
-      xfer += (*_iter630).write(oprot);
+      xfer += (*_iter626).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -17417,38 +17270,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other631) {
-  sender = other631.sender;
-  role = other631.role;
-  address = other631.address;
-  configNumber = other631.configNumber;
-  messages = other631.messages;
-  __isset = other631.__isset;
-}
-Envelope::Envelope(Envelope&& other632) noexcept {
-  sender = std::move(other632.sender);
-  role = other632.role;
-  address = std::move(other632.address);
-  configNumber = other632.configNumber;
-  messages = std::move(other632.messages);
-  __isset = other632.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other633) {
-  sender = other633.sender;
-  role = other633.role;
-  address = other633.address;
-  configNumber = other633.configNumber;
-  messages = other633.messages;
-  __isset = other633.__isset;
+Envelope::Envelope(const Envelope& other627) {
+  sender = other627.sender;
+  role = other627.role;
+  address = other627.address;
+  configNumber = other627.configNumber;
+  messages = other627.messages;
+  __isset = other627.__isset;
+}
+Envelope::Envelope(Envelope&& other628) noexcept {
+  sender = std::move(other628.sender);
+  role = other628.role;
+  address = std::move(other628.address);
+  configNumber = other628.configNumber;
+  messages = std::move(other628.messages);
+  __isset = other628.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other629) {
+  sender = other629.sender;
+  role = other629.role;
+  address = other629.address;
+  configNumber = other629.configNumber;
+  messages = other629.messages;
+  __isset = other629.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other634) noexcept {
-  sender = std::move(other634.sender);
-  role = other634.role;
-  address = std::move(other634.address);
-  configNumber = other634.configNumber;
-  messages = std::move(other634.messages);
-  __isset = other634.__isset;
+Envelope& Envelope::operator=(Envelope&& other630) noexcept {
+  sender = std::move(other630.sender);
+  role = other630.role;
+  address = std::move(other630.address);
+  configNumber = other630.configNumber;
+  messages = std::move(other630.messages);
+  __isset = other630.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -232,8 +232,6 @@
 
 class TimeoutNow;
 
-class VoterLeaving;
-
 class SetConfig;
 
 class MemberJoin;
@@ -4934,58 +4932,6 @@
 
 std::ostream& operator<<(std::ostream& out, const TimeoutNow& obj);
 
-typedef struct _VoterLeaving__isset {
-  _VoterLeaving__isset() : member(false), group(false) {}
-  bool member :1;
-  bool group :1;
-} _VoterLeaving__isset;
-
-class VoterLeaving : public virtual ::apache::thrift::TBase {
- public:
-
-  VoterLeaving(const VoterLeaving&);
-  VoterLeaving(VoterLeaving&&) noexcept;
-  VoterLeaving& operator=(const VoterLeaving&);
-  VoterLeaving& operator=(VoterLeaving&&) noexcept;
-  VoterLeaving() noexcept
-               : member(),
-                 group() {
-  }
-
-  virtual ~VoterLeaving() noexcept;
-  std::string member;
-  std::string group;
-
-  _VoterLeaving__isset __isset;
-
-  void __set_member(const std::string& val);
-
-  void __set_group(const std::string& val);
-
-  bool operator == (const VoterLeaving & rhs) const
-  {
-    if (!(member == rhs.member))
-      return false;
-    if (!(group == rhs.group))
-      return false;
-    return true;
-  }
-  bool operator != (const VoterLeaving &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const VoterLeaving & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(VoterLeaving &a, VoterLeaving &b);
-
-std::ostream& operator<<(std::ostream& out, const VoterLeaving& obj);
-
 typedef struct _SetConfig__isset {
   _SetConfig__isset() : file(false) {}
   bool file :1;
@@ -6087,7 +6033,7 @@
 std::ostream& operator<<(std::ostream& out, const ControlImage& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : submitJob(false), cancelJob(false), queryJob(false), jobReply(false), notOwner(false), recordBatch(false), recordSnapshot(false), recordAck(false), startBatch(false), cancelBatch(false), resultAck(false), fence(false), agentHello(false), resultBatch(false), startRefused(false), agentState(false), memberHeartbeat(false), heartbeatReply(false), clusterView(false), applyConfig(false), applyReply(false), controlQuery(false), controlAnswer(false), hostReport(false), hostContact(false), runTasks(false), stopTasks(false), taskReports(false), startsInDoubt(false), ordersElsewhere(false), requestVote(false), voteReply(false), appendEntries(false), appendReply(false), installSnapshot(false), installReply(false), timeoutNow(false), snapshotChunk(false), snapshotChunkReply(false), voterLeaving(false) {}
+  _Message__isset() : submitJob(false), cancelJob(false), queryJob(false), jobReply(false), notOwner(false), recordBatch(false), recordSnapshot(false), recordAck(false), startBatch(false), cancelBatch(false), resultAck(false), fence(false), agentHello(false), resultBatch(false), startRefused(false), agentState(false), memberHeartbeat(false), heartbeatReply(false), clusterView(false), applyConfig(false), applyReply(false), controlQuery(false), controlAnswer(false), hostReport(false), hostContact(false), runTasks(false), stopTasks(false), taskReports(false), startsInDoubt(false), ordersElsewhere(false), requestVote(false), voteReply(false), appendEntries(false), appendReply(false), installSnapshot(false), installReply(false), timeoutNow(false), snapshotChunk(false), snapshotChunkReply(false) {}
   bool submitJob :1;
   bool cancelJob :1;
   bool queryJob :1;
@@ -6127,7 +6073,6 @@
   bool timeoutNow :1;
   bool snapshotChunk :1;
   bool snapshotChunkReply :1;
-  bool voterLeaving :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -6180,7 +6125,6 @@
   TimeoutNow timeoutNow;
   SnapshotChunk snapshotChunk;
   SnapshotChunkReply snapshotChunkReply;
-  VoterLeaving voterLeaving;
 
   _Message__isset __isset;
 
@@ -6262,8 +6206,6 @@
 
   void __set_snapshotChunkReply(const SnapshotChunkReply& val);
 
-  void __set_voterLeaving(const VoterLeaving& val);
-
   bool operator == (const Message & rhs) const
   {
     if (__isset.submitJob != rhs.__isset.submitJob)
@@ -6422,10 +6364,6 @@
       return false;
     else if (__isset.snapshotChunkReply && !(snapshotChunkReply == rhs.snapshotChunkReply))
       return false;
-    if (__isset.voterLeaving != rhs.__isset.voterLeaving)
-      return false;
-    else if (__isset.voterLeaving && !(voterLeaving == rhs.voterLeaving))
-      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
