--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -315,12 +315,7 @@
         this->sendAfterWrite(from, std::move(reply));
         return;
     }
-    if (this->hardState.group.empty()) {
-        this->hardState.group = append.group;
-    }
-    this->becomeFollower(append.term, append.member);
-    this->leaderLastHeardAt = now;
-    this->resetElectionTimer(now);
+    this->followLeader(append.group, append.term, append.member, now);
 
     reply.term = this->hardState.term;
     reply.group = this->hardState.group;
@@ -444,12 +439,7 @@
     if (!this->acceptsGroup(install.group) || install.term < this->hardState.term) {
         return;
     }
-    if (this->hardState.group.empty()) {
-        this->hardState.group = install.group;
-    }
-    this->becomeFollower(install.term, install.member);
-    this->leaderLastHeardAt = now;
-    this->resetElectionTimer(now);
+    this->followLeader(install.group, install.term, install.member, now);
     if (install.lastIndex > this->committedIndex) {
         this->installSnapshot(install);
     }
@@ -517,12 +507,7 @@
         this->handleInstallSnapshot(from, install, now);
         return;
     }
-    if (this->hardState.group.empty()) {
-        this->hardState.group = chunk.group;
-    }
-    this->becomeFollower(chunk.term, chunk.member);
-    this->leaderLastHeardAt = now;
-    this->resetElectionTimer(now);
+    this->followLeader(chunk.group, chunk.term, chunk.member, now);
     wire::SnapshotChunkReply reply;
     reply.term = this->hardState.term;
     reply.lastIndex = chunk.lastIndex;
--- a/src/control_log_election.cpp
+++ b/src/control_log_election.cpp
@@ -47,6 +47,16 @@
     this->leader = newLeader;
 }
 
+void ControlLog::followLeader(const std::string &group, std::int64_t term, const std::string &member, Time now)
+{
+    if (this->hardState.group.empty()) {
+        this->hardState.group = group;
+    }
+    this->becomeFollower(term, member);
+    this->leaderLastHeardAt = now;
+    this->resetElectionTimer(now);
+}
+
 // Bootstrapping a group.
 
 void ControlLog::bootstrapOrAnnounce(Time now)
--- a/src/control_log_p.h
+++ b/src/control_log_p.h
@@ -150,6 +150,9 @@
 
     // Elections.
     void becomeFollower(std::int64_t term, const std::string &leader);
+    /// Handles the sender of a message as the leader, and joins its group if this member has none. Precondition: the
+    /// message's group is accepted, and its term is not lower than the own one.
+    void followLeader(const std::string &group, std::int64_t term, const std::string &member, Time now);
     void becomeLeader(Time now);
     void startPreVote(Time now);
     void campaign(bool isTransfer, Time now);
