--- a/tests/test_control_open.cpp
+++ b/tests/test_control_open.cpp
@@ -5,6 +5,25 @@
 using namespace agatedrum;
 using namespace agatedrum::test;
 
+namespace {
+
+/// Starts all processes and waits until three vote and the fourth is a learner. Later starts do not bootstrap a group.
+void formGroup(DurableCluster &cluster)
+{
+    cluster.startAll();
+    REQUIRE(cluster.waitForLeader());
+    REQUIRE(cluster.runUntil(Millis(3000), [&] { return cluster.learners().size() == 1; }));
+    cluster.mayBootstrap = false;
+}
+
+void acceptConfig(DurableCluster &cluster, std::int64_t number)
+{
+    auto &operatorTool = cluster.addMember("tool", wire::Role::ENTRY, 41101, "d1");
+    REQUIRE(cluster.apply(operatorTool, configText(number)).accepted);
+}
+
+} // namespace
+
 // Guards against an open group that cannot replace failed voters, or that lets a process with a wiped disk vote again.
 TEST_CASE("Processes that are not listed can join an open control group", "[control]")
 {
@@ -56,12 +75,8 @@
 TEST_CASE("The group survives losses that follow each other as closely as they may", "[control]")
 {
     DurableCluster cluster;
-    cluster.startAll();
-    REQUIRE(cluster.waitForLeader());
-    REQUIRE(cluster.runUntil(Millis(3000), [&] { return cluster.learners().size() == 1; }));
-    auto &operatorTool = cluster.addMember("tool", wire::Role::ENTRY, 41101, "d1");
-    REQUIRE(cluster.apply(operatorTool, configText(7)).accepted);
-    cluster.mayBootstrap = false;
+    formGroup(cluster);
+    acceptConfig(cluster, 7);
 
     SECTION("the leader is lost for good, and a second one loses its disk when the successor has run for 4 s")
     {
@@ -93,12 +108,8 @@
 TEST_CASE("The group survives a loss right after the planned stop of a replaced voter", "[control]")
 {
     DurableCluster cluster;
-    cluster.startAll();
-    REQUIRE(cluster.waitForLeader());
-    REQUIRE(cluster.runUntil(Millis(3000), [&] { return cluster.learners().size() == 1; }));
-    auto &operatorTool = cluster.addMember("tool", wire::Role::ENTRY, 41101, "d1");
-    REQUIRE(cluster.apply(operatorTool, configText(7)).accepted);
-    cluster.mayBootstrap = false;
+    formGroup(cluster);
+    acceptConfig(cluster, 7);
     const auto stopping = cluster.followerNumber();
     cluster.addSuccessor();
     cluster.run(Millis(4000));
@@ -117,10 +128,7 @@
 TEST_CASE("A process finds its way back into the group", "[control]")
 {
     DurableCluster cluster;
-    cluster.startAll();
-    REQUIRE(cluster.waitForLeader());
-    REQUIRE(cluster.runUntil(Millis(3000), [&] { return cluster.learners().size() == 1; }));
-    cluster.mayBootstrap = false;
+    formGroup(cluster);
 
     SECTION("a voter that was replaced while it was cut off")
     {
