--- a/src/control_journal.cpp
+++ b/src/control_journal.cpp
@@ -1,5 +1,6 @@
 #include "control_journal_p.h"
 
+#include "base_event_p.h"
 #include "base_log_p.h"
 #include "control_codec_p.h"
 #include "control_file_reader_p.h"
@@ -242,6 +243,7 @@
         return ControlStoreError {logName, offset, "corruption in data that had been synced"};
     }
     log(LogLevel::Warning, "control", "discarding an incomplete last write at offset {}", offset);
+    logEvent("control", "incomplete_write_discarded", {{"file", logName}, {"offset", offset}});
     const auto outcome = this->disk.truncate(logName, offset);
     return outcome.status == DiskStatus::Ok ? std::nullopt
                                             : std::make_optional(ControlStoreError {logName, offset, outcome.message});
--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -3,6 +3,7 @@
 #include "agatedrum/config.h"
 #include "base_log_p.h"
 #include "control_codec_p.h"
+#include "control_events_p.h"
 
 #include <fmt/format.h>
 
@@ -60,10 +61,14 @@
         this->entries.push_back(std::move(entry));
     }
     this->durableIndex = this->lastIndex();
-    if (this->hardState.member.empty()) {
+    const bool isNewDisk = this->hardState.member.empty();
+    if (isNewDisk) {
         this->hardState.member = this->options.newMemberId;
         this->persistHardState();
     }
+    logStoreOpened({this->hardState.member, isNewDisk, this->hardState.group, this->hardState.term,
+                    this->hardState.vote, this->snapshot.lastIndex, this->lastIndex(), this->termAt(this->lastIndex()),
+                    this->membership().voters, this->membership().learners});
     // Before a restart this member may have acknowledged a leader's lease, so it treats the leader as alive for now.
     this->leaderLastHeardAt = now;
     this->resetElectionTimer(now);
@@ -104,12 +109,15 @@
         if (now - this->quorumAcknowledgedAt() > this->options.maxElectionTimeout
             && now - this->leadershipStartedAt > this->options.maxElectionTimeout) {
             log(LogLevel::Warning, "control", "lost the quorum in term {}", this->hardState.term);
+            logLeadership("quorum_lost", this->hardState.member, this->hardState.term, "no answers of a quorum");
             this->becomeFollower(this->hardState.term, {});
             this->resetElectionTimer(now);
             return;
         }
         if (this->areWritesRefused && this->committedIndex > this->durableIndex) {
             log(LogLevel::Warning, "control", "the disk refuses writes; handing over the leadership");
+            logLeadership("leadership_handed_over", this->hardState.member, this->hardState.term,
+                          "the disk refuses writes");
             this->transferLeadership(now);
             return;
         }
@@ -402,7 +410,7 @@
     const auto found = this->progress.find(reply.member);
     if (found == this->progress.end()) {
         if (memberName(reply.member) == from && (reply.group.empty() || reply.group == this->hardState.group)) {
-            this->unknownMembers[from] = {reply.member, now};
+            this->rememberUnknownMember(from, reply.member, now);
         }
         return;
     }
--- a/src/control_log_election.cpp
+++ b/src/control_log_election.cpp
@@ -1,8 +1,10 @@
 #include "base_log_p.h"
 #include "control_codec_p.h"
+#include "control_events_p.h"
 #include "control_log_p.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace agatedrum {
@@ -39,6 +41,11 @@
         this->hardState.vote.clear();
         this->persistHardState();
     }
+    if (this->status == Status::Leader) {
+        logLeadership("leadership_ended", newLeader, this->hardState.term, {});
+    } else if (newLeader != this->leader && !newLeader.empty()) {
+        logLeadership("leader_followed", newLeader, this->hardState.term, {});
+    }
     this->status = Status::Follower;
     this->isPreVoting = false;
     this->votes.clear();
@@ -107,7 +114,7 @@
 void ControlLog::handleProbe(const std::string &from, const wire::RequestVote &request, Time now)
 {
     if (this->status == Status::Leader && memberName(request.member) == from) {
-        this->unknownMembers[from] = {request.member, now};
+        this->rememberUnknownMember(from, request.member, now);
     }
     wire::VoteReply reply;
     reply.preVote = true;
@@ -118,6 +125,15 @@
     this->sendAfterWrite(from, std::move(reply));
 }
 
+void ControlLog::rememberUnknownMember(const std::string &name, const std::string &identity, Time now)
+{
+    const auto [known, isNew] = this->unknownMembers.try_emplace(name, identity, now);
+    if (isNew || known->second.first != identity) {
+        logLeadership("member_announced", identity, this->hardState.term, {});
+    }
+    known->second = {identity, now};
+}
+
 void ControlLog::bootstrapGroup(Time now)
 {
     log(LogLevel::Info, "control", "bootstrapping a control group of {} members", this->emptyDiskMembers.size());
@@ -162,6 +178,7 @@
         return;
     }
     if (!this->acceptsGroup(request.group) || (!request.transfer && this->hasLiveLeader(now))) {
+        this->logVote(request, false, this->acceptsGroup(request.group) ? "live leader" : "other group");
         return;
     }
     wire::VoteReply reply;
@@ -184,10 +201,35 @@
             this->resetElectionTimer(now);
         }
     }
+    this->logVote(request, reply.granted, this->refusalReason(request));
     reply.group = this->hardState.group;
     this->sendAfterWrite(from, std::move(reply));
 }
 
+std::string_view ControlLog::refusalReason(const wire::RequestVote &request) const
+{
+    if (!this->isUpToDate(request)) {
+        return "older log";
+    }
+    return request.preVote || request.term < this->hardState.term ? "older term" : "voted for another";
+}
+
+void ControlLog::logVote(const wire::RequestVote &request, bool isGranted, std::string_view reason) const
+{
+    VoteDecision decision;
+    decision.candidate = request.member;
+    decision.isPreVote = request.preVote;
+    decision.isGranted = isGranted;
+    decision.term = request.term;
+    decision.ownTerm = this->hardState.term;
+    decision.lastTerm = request.lastTerm;
+    decision.lastIndex = request.lastIndex;
+    decision.ownLastTerm = this->termAt(this->lastIndex());
+    decision.ownLastIndex = this->lastIndex();
+    decision.reason = isGranted ? std::string_view() : reason;
+    logVoteDecision(decision);
+}
+
 void ControlLog::handleVoteReply(const wire::VoteReply &reply, Time now)
 {
     if (!reply.leader.empty()) {
@@ -220,6 +262,7 @@
 
 void ControlLog::startPreVote(Time now)
 {
+    this->logElectionStart(true);
     this->resetElectionTimer(now);
     this->status = Status::Candidate;
     this->isPreVoting = true;
@@ -231,6 +274,7 @@
 
 void ControlLog::campaign(bool isTransfer, Time now)
 {
+    this->logElectionStart(false);
     this->resetElectionTimer(now);
     this->status = Status::Candidate;
     this->isPreVoting = false;
@@ -243,6 +287,17 @@
     this->requestVotes(false, isTransfer, true);
 }
 
+void ControlLog::logElectionStart(bool preVote) const
+{
+    std::vector<std::string> missing;
+    if (this->status == Status::Candidate) {
+        std::copy_if(this->membership().voters.begin(), this->membership().voters.end(), std::back_inserter(missing),
+                     [this](const std::string &voter) { return this->votes.count(voter) == 0; });
+    }
+    logElection(preVote, this->hardState.term + 1, this->termAt(this->lastIndex()), this->lastIndex(),
+                this->membership().voters, missing);
+}
+
 void ControlLog::requestVotes(bool preVote, bool isTransfer, bool waitsForWrite)
 {
     wire::RequestVote request;
@@ -283,6 +338,7 @@
 void ControlLog::becomeLeader(Time now)
 {
     log(LogLevel::Info, "control", "{} became leader in term {}", this->options.name, this->hardState.term);
+    logLeadership("leader_elected", this->hardState.member, this->hardState.term, {});
     this->status = Status::Leader;
     this->leader = this->hardState.member;
     this->votes.clear();
--- a/src/control_log_members.cpp
+++ b/src/control_log_members.cpp
@@ -1,5 +1,6 @@
 #include "base_log_p.h"
 #include "control_codec_p.h"
+#include "control_events_p.h"
 #include "control_log_p.h"
 
 #include <algorithm>
@@ -49,6 +50,7 @@
     if (decoded && decoded->__isset.setVoters) {
         // A membership takes effect when it is appended, as Raft requires for single-server changes.
         this->memberships.push_back({index, decoded->setVoters.voters, decoded->setVoters.learners});
+        logMembership("membership_adopted", index, decoded->setVoters.voters, decoded->setVoters.learners);
     }
 }
 
@@ -56,6 +58,8 @@
 {
     while (this->memberships.size() > 1 && this->memberships.back().index >= from) {
         this->memberships.pop_back();
+        logMembership("membership_taken_back", this->membership().index, this->membership().voters,
+                      this->membership().learners);
     }
 }
 
--- a/src/control_log_p.h
+++ b/src/control_log_p.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -166,9 +167,16 @@
     bool isWithoutLeader(Time now) const;
     /// Returns the names of the processes to which this one announces itself.
     std::set<std::string> processesToContact() const;
+    /// Keeps the identity of a process that is not in the membership, so that it can be added. Precondition: this
+    /// member leads.
+    void rememberUnknownMember(const std::string &name, const std::string &identity, Time now);
     void bootstrapGroup(Time now);
     bool isUpToDate(const wire::RequestVote &request) const;
     bool hasLiveLeader(Time now) const;
+    /// Returns why the request gets no vote. Precondition: it got none.
+    std::string_view refusalReason(const wire::RequestVote &request) const;
+    void logVote(const wire::RequestVote &request, bool isGranted, std::string_view reason) const;
+    void logElectionStart(bool preVote) const;
     bool mayCampaign() const;
     /// Returns the send time of the newest AppendEntries messages that a quorum has acknowledged.
     Time quorumAcknowledgedAt() const;
--- a/src/control_store.cpp
+++ b/src/control_store.cpp
@@ -1,5 +1,6 @@
 #include "control_store_p.h"
 
+#include "base_event_p.h"
 #include "base_log_p.h"
 #include "control_journal_p.h"
 
@@ -110,6 +111,7 @@
         if (outcome.status == DiskStatus::Ok) {
             if (!lastError.empty()) {
                 log(LogLevel::Info, "control", "the control store can be written again");
+                logEvent("control", "store_writable", {{"sequence", batch.back().sequence}});
             }
             this->updateStatus([&batch](ControlStoreStatus &status) {
                 status.written = batch.back().sequence;
@@ -120,6 +122,8 @@
         }
         if (outcome.message != lastError) {
             log(LogLevel::Error, "control", "cannot write to the control store, will retry: {}", outcome.message);
+            logEvent("control", "store_refused_write",
+                     {{"sequence", batch.back().sequence}, {"reason", outcome.message}});
             lastError = outcome.message;
         }
         this->updateStatus([&outcome](ControlStoreStatus &status) {
@@ -149,6 +153,7 @@
 {
     auto opened = ControlStore::open(folder);
     if (!isOk(opened)) {
+        logEvent("control", "store_unreadable", {{"reason", error(opened).text()}});
         throw std::runtime_error(error(opened).text());
     }
     return takeValue(std::move(opened));
