--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -236,11 +236,16 @@
 struct RequestVote {
   1: i64 term; 2: i64 lastIndex; 3: i64 lastTerm; 4: bool preVote; 5: string member; 6: string group;
   7: bool transfer;           // the leader requested this election
+  8: string failureDomain;    // of an announcing process
+  9: bool observer;           // an announcing process without a disk: it only asks who leads
 }
 struct VoteReply {
   1: i64 term; 2: bool granted; 3: bool preVote; 4: string member; 5: string group;
   6: bool fresh;              // the disk contains no term, vote or entry
   7: string leader;           // name of the leader that the sender knows; empty if there is none
+  8: string failureDomain; 9: bool observer;
+  10: list<string> processes; // names of the group's voters, to an observer
+  11: string founder;         // name of the process that shall bootstrap the group, if no listed one has a disk
 }
 struct AppendEntries {
   1: i64 term; 2: i64 prevIndex; 3: i64 prevTerm; 4: list<LogEntry> entries; 5: i64 commitIndex; 6: i64 round;
@@ -248,10 +253,12 @@
 }
 struct AppendReply {
   1: i64 term; 2: bool ok; 3: i64 matchIndex; 4: i64 round; 5: string member; 6: string group;
+  7: string failureDomain;
 }
 struct InstallSnapshot {
   1: i64 term; 2: i64 lastIndex; 3: i64 lastTerm; 4: binary data; 5: list<string> voters; 6: list<string> learners;
   7: string member; 8: string group; 9: i64 round;
+  10: map<string, string> domains; // as in SetVoters
 }
 // A part of a snapshot that is too large for one message. A version that does not know this message ignores it.
 struct SnapshotChunk {
@@ -259,6 +266,7 @@
   7: string member; 8: string group; 9: i64 round;
   10: i64 offset;             // of the part in the snapshot's data
   11: i64 totalBytes;         // size of the snapshot's data
+  12: map<string, string> domains; // as in SetVoters
 }
 // nextOffset: the receiver has the data of the snapshot up to here.
 struct SnapshotChunkReply {
@@ -266,6 +274,8 @@
 }
 struct InstallReply { 1: i64 term; 2: i64 lastIndex; 3: string member; 4: string group; 5: i64 round; }
 struct TimeoutNow { 1: i64 term; }
+// A voter is about to stop: a learner shall replace it at once.
+struct VoterLeaving { 1: string member; 2: string group; }
 
 // Commands in the log of the control group.
 struct SetConfig { 1: ConfigFile file; }
@@ -281,7 +291,10 @@
   4: i64 viewVersion;         // the owner's view version when it reported
 }
 struct HandOver { 1: i32 cell; 2: i64 epoch; 3: string previousOwner; 4: i64 atMs; }
-struct SetVoters { 1: list<string> voters; 2: list<string> learners; }
+struct SetVoters {
+  1: list<string> voters; 2: list<string> learners;
+  3: map<string, string> domains; // failure domains of the members, where they are known
+}
 union Command {
   1: SetConfig setConfig; 2: MemberJoin memberJoin; 3: MemberGone memberGone; 4: MemberLeaving memberLeaving;
   5: HolderWhole holderWhole; 6: HandOver handOver; 7: SetVoters setVoters; 8: bool noop;
@@ -293,6 +306,7 @@
 struct LogFrame { 1: list<LogRecord> records; }
 struct SnapshotFile {
   1: i64 lastIndex; 2: i64 lastTerm; 3: list<string> voters; 4: list<string> learners; 5: binary data;
+  6: map<string, string> domains; // as in SetVoters
 }
 struct HolderRecord { 1: string name; 2: i64 since; 3: bool whole; }
 struct CellRecord {
@@ -321,7 +335,7 @@
   54: TaskReports taskReports; 55: StartsInDoubt startsInDoubt; 56: OrdersElsewhere ordersElsewhere;
   40: RequestVote requestVote; 41: VoteReply voteReply; 42: AppendEntries appendEntries; 43: AppendReply appendReply;
   44: InstallSnapshot installSnapshot; 45: InstallReply installReply; 46: TimeoutNow timeoutNow;
-  47: SnapshotChunk snapshotChunk; 48: SnapshotChunkReply snapshotChunkReply;
+  47: SnapshotChunk snapshotChunk; 48: SnapshotChunkReply snapshotChunkReply; 49: VoterLeaving voterLeaving;
 }
 
 struct Envelope {
--- a/src/base_yaml.cpp
+++ b/src/base_yaml.cpp
@@ -178,6 +178,13 @@
     return value.Scalar();
 }
 
+std::string YamlReader::optionalText(const std::string &key)
+{
+    // A template leaves a key without a value where it has none.
+    const auto value = this->child(key);
+    return value.IsDefined() && value.IsNull() ? std::string() : this->text(key, "");
+}
+
 std::string YamlReader::requiredText(const std::string &key)
 {
     const auto previousErrorCount = this->errors->size();
--- a/src/base_yaml_p.h
+++ b/src/base_yaml_p.h
@@ -38,6 +38,8 @@
     /// Returns the string, or fallback if the key is missing. Returns fallback and reports an error if the value is not
     /// a string.
     std::string text(const std::string &key, const std::string &fallback);
+    /// Returns the text, or an empty one if the key is absent or has no value.
+    std::string optionalText(const std::string &key);
     /// Like text(), but reports an error if the value is missing or empty.
     std::string requiredText(const std::string &key);
     /// Reads a string that must be one of the accepted values.
--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -3,6 +3,8 @@
 #include "base_log_p.h"
 #include "control_codec_p.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -11,6 +13,8 @@
 
 namespace {
 
+/// Time for which a stopping process waits until another one has taken its place as a voter.
+constexpr Millis replacementTimeout {1500};
 /// Timeout of the leader's reply to a forwarded request. Below 1 s, the time after which an operator tries another
 /// process.
 constexpr Millis forwardTimeout {800};
@@ -22,7 +26,9 @@
     result.name = options.self.name;
     result.isOpen = options.isOpen;
     result.mayBootstrap = options.mayBootstrap;
-    result.maxVoters = options.maxVoters;
+    result.isObserver = options.isObserver;
+    result.failureDomain = options.failureDomain;
+    result.tolerance = options.tolerance;
     result.voterReplacementTimeout = options.voterReplacementTimeout;
     for (const auto &peer : options.group) {
         result.group.push_back(peer.name);
@@ -102,7 +108,7 @@
     }
     reply.term = this->log.term();
     // A leader that lost its lease may be partitioned from the group: the member should try another process.
-    reply.leader = this->log.isLeader() && !hasLease ? std::string() : this->log.leaderName();
+    reply.leader = this->log.isLeader() && !hasLease ? std::string() : this->log.leaderName(this->clock.now());
     if (reply.accepted) {
         reply.group = this->groupEndpoints();
     }
@@ -138,7 +144,7 @@
 std::string ControlCore::leaderToAsk() const
 {
     // A leader that lost its lease may be partitioned from the group, so it does not name itself.
-    return this->log.isLeader() ? std::string() : this->log.leaderName();
+    return this->log.isLeader() ? std::string() : this->log.leaderName(this->clock.now());
 }
 
 void ControlCore::handleApply(PendingApply pending, const wire::ApplyConfig &request)
@@ -165,6 +171,17 @@
         return;
     }
     file.number = value(parsed).number;
+    if (!this->log.bearsLosses() && !request.dryRun) {
+        // Also for a change that is in force already: its acknowledgement would promise that it survives.
+        this->reply(
+            pending,
+            {false, "unavailable",
+             fmt::format("{} processes with a disk hold the log, too few to bear the losses of {} processes and "
+                         "{} failure domains",
+                         this->log.voters().size(), this->options.tolerance.machines,
+                         this->options.tolerance.domains)});
+        return;
+    }
     auto decision = this->stateMachine.evaluate(file);
     if (!decision.isAccepted || request.dryRun || file.number <= this->stateMachine.file().number) {
         for (const auto &line : diffConfigs(this->stateMachine.config(), value(parsed))) {
@@ -377,7 +394,7 @@
 bool ControlCore::isReady() const
 {
     const std::lock_guard lock(this->mutex);
-    return !this->isStopping && this->store.status().failure.empty() && !this->log.leaderName().empty()
+    return !this->isStopping && this->store.status().failure.empty() && !this->log.leaderName(this->clock.now()).empty()
         && (!this->log.isLeader() || this->log.hasLease(this->clock.now()));
 }
 
@@ -385,7 +402,8 @@
 {
     const std::lock_guard lock(this->mutex);
     this->isStopping = true;
-    this->log.stopCampaigning();
+    this->stopStartedAt = this->clock.now();
+    this->log.beginLeaving();
     this->log.transferLeadership(this->clock.now());
     this->drain();
 }
@@ -393,7 +411,8 @@
 bool ControlCore::isDrained() const
 {
     const std::lock_guard lock(this->mutex);
-    return this->isStopping && (!this->log.isLeader() || this->log.voters().size() == 1);
+    const bool isReplaced = this->log.mayLeave() || this->clock.now() - this->stopStartedAt > replacementTimeout;
+    return this->isStopping && ((!this->log.isLeader() && isReplaced) || this->log.voters().size() == 1);
 }
 
 std::int64_t ControlCore::configNumber() const
--- a/src/control_core_p.h
+++ b/src/control_core_p.h
@@ -26,7 +26,9 @@
     std::vector<ControlPeer> group; ///< all processes of the group; in an open group, those to contact first
     bool isOpen = false; ///< whether other processes may join; their names are their addresses, "IP:PORT"
     bool mayBootstrap = true; ///< whether a process with an empty disk may take part in bootstrapping the group
-    std::size_t maxVoters = SIZE_MAX;
+    bool isObserver = false; ///< whether this process has no disk: it serves operators, but joins no group
+    std::string failureDomain;
+    LossTolerance tolerance; ///< of an open group
     Millis voterReplacementTimeout = ControlLogOptions().voterReplacementTimeout;
     std::int64_t snapshotEntries = AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES; ///< log entries after which a snapshot is taken
     std::int64_t snapshotBytes
@@ -67,7 +69,7 @@
     void tick() override;
     nlohmann::json dump() const override;
     bool isReady() const override;
-    /// Gives up leadership and prevents this process from becoming leader again.
+    /// Gives up leadership, prevents this process from becoming leader again, and has a learner take its vote.
     void beginStop() override;
     bool isDrained() const override;
     std::int64_t configNumber() const override;
@@ -143,6 +145,7 @@
     std::int64_t writtenSequence = 0;
     std::int64_t leadershipTerm = 0; ///< term in which this process leads, as last processed; 0 if it does not lead
     bool isStopping = false;
+    Time stopStartedAt; ///< set if isStopping
 };
 
 } // namespace agatedrum
--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -27,6 +27,9 @@
 /// rejecting.
 constexpr Millis rejectionRetryInterval(5);
 
+/// Time for which an observer believes the last answer on who leads; several questions fall into it.
+constexpr Millis namedLeaderTimeout(1000);
+
 std::int64_t entryBytes(const wire::LogEntry &entry)
 {
     return static_cast<std::int64_t>(entry.command.size());
@@ -55,7 +58,8 @@
     }
     this->committedIndex = this->snapshot.lastIndex;
     this->deliveredIndex = this->snapshot.lastIndex;
-    this->memberships.push_back({this->snapshot.lastIndex, this->snapshot.voters, this->snapshot.learners});
+    this->memberships.push_back(
+        {this->snapshot.lastIndex, this->snapshot.voters, this->snapshot.learners, this->snapshot.domains});
     for (auto &entry : loaded.entries) {
         this->adoptMembership(entry.index, entry.command);
         this->entries.push_back(std::move(entry));
@@ -76,6 +80,12 @@
 
 void ControlLog::handle(const std::string &from, const Payload &payload, Time now)
 {
+    const auto *announcement = std::get_if<wire::RequestVote>(&payload);
+    const bool isForObserver
+        = std::holds_alternative<wire::VoteReply>(payload) || (announcement && announcement->group.empty());
+    if (this->options.isObserver && !isForObserver) {
+        return;
+    }
     if (const auto *request = std::get_if<wire::RequestVote>(&payload)) {
         this->handleRequestVote(from, *request, now);
     } else if (const auto *vote = std::get_if<wire::VoteReply>(&payload)) {
@@ -94,14 +104,17 @@
         this->handleChunkReply(*chunkReply, now);
     } else if (const auto *order = std::get_if<wire::TimeoutNow>(&payload)) {
         this->handleTimeoutNow(*order, now);
+    } else if (const auto *leaving = std::get_if<wire::VoterLeaving>(&payload)) {
+        this->handleVoterLeaving(*leaving, now);
     }
 }
 
 void ControlLog::tick(Time now)
 {
-    if (this->hardState.group.empty() || !this->isVoter(this->hardState.member) || this->isWithoutLeader(now)) {
+    if (this->hardState.group.empty() || !this->isMember(this->hardState.member) || this->isWithoutLeader(now)) {
         this->bootstrapOrAnnounce(now);
     }
+    this->requestReplacement(now);
     if (this->hardState.group.empty()) {
         return;
     }
@@ -122,6 +135,7 @@
             return;
         }
         this->proposeMembershipChange(now);
+        this->announceLeadership(now);
         if (now >= this->heartbeatDueAt) {
             this->replicateToAll(now);
         }
@@ -174,6 +188,7 @@
                                                 [index](const Membership &each) { return each.index <= index; });
     newSnapshot.voters = membershipAtIndex->voters;
     newSnapshot.learners = membershipAtIndex->learners;
+    newSnapshot.domains = membershipAtIndex->domains;
     newSnapshot.data = std::move(data);
     while (!this->entries.empty() && this->entries.front().index <= index) {
         this->committedEntryBytes -= entryBytes(this->entries.front());
@@ -208,6 +223,7 @@
     entry.term = this->hardState.term;
     entry.command = std::move(command);
     this->adoptMembership(entry.index, entry.command);
+    this->logAdoptedMembership(entry.index);
     this->entries.push_back(entry);
     ControlWrite write;
     write.entries.push_back(std::move(entry));
@@ -293,6 +309,7 @@
         message.lastTerm = this->snapshot.lastTerm;
         message.voters = this->snapshot.voters;
         message.learners = this->snapshot.learners;
+        message.domains = this->snapshot.domains;
         message.round = now.time_since_epoch().count();
     };
     if (this->snapshotBytes() <= maxMessageBytes) {
@@ -317,6 +334,7 @@
     wire::AppendReply reply;
     reply.round = append.round;
     reply.member = this->hardState.member;
+    reply.failureDomain = this->options.failureDomain;
     if (append.term < this->hardState.term) {
         reply.term = this->hardState.term;
         reply.group = this->hardState.group;
@@ -356,6 +374,7 @@
     reply.ok = true;
     reply.round = append.round;
     reply.member = this->hardState.member;
+    reply.failureDomain = this->options.failureDomain;
     reply.group = this->hardState.group;
     reply.matchIndex = std::min(lastMatchIndex, this->durableIndex);
     const bool isDurable = lastMatchIndex <= this->durableIndex;
@@ -389,6 +408,7 @@
             write.truncateFrom = entry.index;
         }
         this->adoptMembership(entry.index, entry.command);
+        this->logAdoptedMembership(entry.index);
         this->entries.push_back(entry);
         write.entries.push_back(entry);
     }
@@ -410,7 +430,7 @@
     const auto found = this->progress.find(reply.member);
     if (found == this->progress.end()) {
         if (memberName(reply.member) == from && (reply.group.empty() || reply.group == this->hardState.group)) {
-            this->rememberUnknownMember(from, reply.member, now);
+            this->rememberUnknownMember(from, {reply.member, reply.failureDomain, now});
         }
         return;
     }
@@ -419,6 +439,7 @@
     }
     auto &progress = found->second;
     progress.lastHeardAt = now;
+    progress.failureDomain = reply.failureDomain;
     progress.acknowledgedSentAt = std::max(progress.acknowledgedSentAt, Time(Micros(reply.round)));
     this->unknownMembers.erase(from);
     if (!reply.ok) {
@@ -475,11 +496,13 @@
     this->memberships.erase(std::remove_if(this->memberships.begin(), this->memberships.end(),
                                            [&](const Membership &each) { return each.index <= install.lastIndex; }),
                             this->memberships.end());
-    this->memberships.insert(this->memberships.begin(), {install.lastIndex, install.voters, install.learners});
+    this->memberships.insert(this->memberships.begin(),
+                             {install.lastIndex, install.voters, install.learners, install.domains});
     this->snapshot.lastIndex = install.lastIndex;
     this->snapshot.lastTerm = install.lastTerm;
     this->snapshot.voters = install.voters;
     this->snapshot.learners = install.learners;
+    this->snapshot.domains = install.domains;
     this->snapshot.data = install.data;
     this->committedIndex = install.lastIndex;
     this->deliveredIndex = install.lastIndex;
@@ -508,6 +531,7 @@
         install.data = std::move(received.data);
         install.voters = chunk.voters;
         install.learners = chunk.learners;
+        install.domains = chunk.domains;
         install.member = chunk.member;
         install.group = chunk.group;
         install.round = chunk.round;
@@ -695,8 +719,18 @@
     return this->leadershipStartedAt;
 }
 
-std::string ControlLog::leaderName() const
+bool ControlLog::bearsLosses() const
 {
+    return !this->options.isOpen
+        || agatedrum::bearsLosses(this->domainsOf(this->membership(), this->membership().voters),
+                                  this->options.tolerance);
+}
+
+std::string ControlLog::leaderName(Time now) const
+{
+    if (this->options.isObserver) {
+        return now - this->leaderNamedAt < namedLeaderTimeout ? this->namedLeader : std::string();
+    }
     return this->leader.empty() ? std::string() : memberName(this->leader);
 }
 
--- a/src/control_log_election.cpp
+++ b/src/control_log_election.cpp
@@ -13,6 +13,11 @@
 
 /// Interval at which a process that is not a voter announces itself to the group.
 constexpr Millis probeInterval(200);
+/// Interval at which a process without a disk asks who leads.
+constexpr Millis observerProbeInterval(300);
+/// Time for which announcements are collected before one of the announcing processes is told to bootstrap the group.
+/// All processes start within 0.3 s.
+constexpr Millis designationDelay(1000);
 /// Time without contact from a leader after which a voter announces itself too: the group may have replaced it while it
 /// was away. Longer than an election takes.
 constexpr Millis announcementTimeout(1500);
@@ -68,43 +73,118 @@
 
 void ControlLog::bootstrapOrAnnounce(Time now)
 {
-    // Only the process with the lowest name may bootstrap, else two groups could form out of the same empty disks.
-    const bool mayBootstrap = this->options.mayBootstrap && this->hardState.group.empty()
-        && !this->options.group.empty()
-        && this->options.name == *std::min_element(this->options.group.begin(), this->options.group.end());
-    if (mayBootstrap) {
-        this->emptyDiskMembers[this->options.name] = this->hardState.member;
-        if (this->emptyDiskMembers.size() == this->options.group.size()) {
-            this->bootstrapGroup(now);
-            return;
-        }
+    if (this->mustBootstrap()) {
+        this->bootstrapGroup(now);
+        return;
     }
     // A leader that does not know this member adds it as a learner.
     if (now < this->probeDueAt || this->status == Status::Leader) {
         return;
     }
-    this->probeDueAt = now + probeInterval;
-    for (const auto &name : this->processesToContact()) {
+    this->probeDueAt = now + (this->options.isObserver ? observerProbeInterval : probeInterval);
+    for (const auto &name : this->processesToContact(now)) {
         wire::RequestVote probe;
         probe.preVote = true;
+        probe.term = this->hardState.term;
+        probe.lastIndex = this->lastIndex();
         probe.member = this->hardState.member;
+        probe.failureDomain = this->options.failureDomain;
+        probe.observer = this->options.isObserver;
         this->sendAfterWrite(name, std::move(probe));
     }
 }
 
+bool ControlLog::mustBootstrap() const
+{
+    if (!this->options.mayBootstrap || this->options.isObserver || !this->hardState.group.empty()) {
+        return false;
+    }
+    if (this->isNamedFounder) {
+        return true;
+    }
+    // Only the process with the lowest name of those with a disk may bootstrap, else two groups could form out of the
+    // same empty disks.
+    std::string lowestName = this->options.name;
+    bool isListed = false;
+    for (const auto &name : this->options.group) {
+        const bool isSelf = name == this->options.name;
+        isListed = isListed || isSelf;
+        if (!isSelf && this->observers.count(name) == 0) {
+            if (this->emptyDiskMembers.count(name) == 0) {
+                return false;
+            }
+            lowestName = std::min(lowestName, name);
+        }
+    }
+    return isListed && lowestName == this->options.name;
+}
+
+bool ControlLog::isDesignator() const
+{
+    // The lowest of the listed processes, which all know, if none of them has a disk.
+    const auto &group = this->options.group;
+    return this->options.isObserver && this->options.mayBootstrap && !group.empty()
+        && this->options.name == *std::min_element(group.begin(), group.end())
+        && std::all_of(group.begin(), group.end(), [this](const std::string &name) {
+               return name == this->options.name || this->observers.count(name) > 0;
+           });
+}
+
+void ControlLog::nameFounder(const std::string &from, const wire::RequestVote &probe, Time now)
+{
+    if (this->designationDueAt == Time {}) {
+        this->designationDueAt = now + designationDelay;
+    }
+    const bool isFresh = probe.term == 0 && probe.lastIndex == 0;
+    if (!probe.observer && isFresh && this->founder.empty()) {
+        this->emptyDiskMembers[from] = {probe.member, probe.failureDomain, now};
+    }
+    if (now >= this->designationDueAt && this->founder.empty() && !this->emptyDiskMembers.empty()
+        && this->namedLeader.empty()) {
+        this->founder = this->emptyDiskMembers.begin()->first;
+    }
+}
+
+void ControlLog::announceLeadership(Time now)
+{
+    if (now < this->probeDueAt) {
+        return;
+    }
+    this->probeDueAt = now + observerProbeInterval;
+    std::set<std::string> names(this->options.group.begin(), this->options.group.end());
+    for (const auto &list : {this->membership().voters, this->membership().learners}) {
+        for (const auto &identity : list) {
+            names.erase(memberName(identity));
+        }
+    }
+    for (const auto &name : names) {
+        wire::VoteReply announcement;
+        announcement.preVote = true;
+        announcement.term = this->hardState.term;
+        announcement.member = this->hardState.member;
+        announcement.group = this->hardState.group;
+        announcement.leader = this->options.name;
+        this->send(name, std::move(announcement));
+    }
+}
+
 bool ControlLog::isWithoutLeader(Time now) const
 {
     return this->status != Status::Leader && now - this->leaderLastHeardAt > announcementTimeout;
 }
 
-std::set<std::string> ControlLog::processesToContact() const
+std::set<std::string> ControlLog::processesToContact(Time now) const
 {
+    if (this->options.isObserver && now - this->leaderNamedAt < 2 * observerProbeInterval) {
+        return {this->namedLeader};
+    }
     std::set<std::string> names(this->options.group.begin(), this->options.group.end());
     for (const auto &list : {this->membership().voters, this->membership().learners}) {
         for (const auto &identity : list) {
             names.insert(memberName(identity));
         }
     }
+    names.insert(this->namedProcesses.begin(), this->namedProcesses.end());
     names.insert(this->namedLeader);
     names.erase(this->options.name);
     names.erase(std::string());
@@ -113,33 +193,47 @@
 
 void ControlLog::handleProbe(const std::string &from, const wire::RequestVote &request, Time now)
 {
-    if (this->status == Status::Leader && memberName(request.member) == from) {
-        this->rememberUnknownMember(from, request.member, now);
+    if (this->status == Status::Leader && memberName(request.member) == from && !request.observer) {
+        this->rememberUnknownMember(from, {request.member, request.failureDomain, now});
     }
     wire::VoteReply reply;
     reply.preVote = true;
-    reply.fresh = this->hardState.group.empty() && this->hardState.term == 0 && this->lastIndex() == 0;
+    reply.observer = this->options.isObserver;
+    reply.fresh
+        = !reply.observer && this->hardState.group.empty() && this->hardState.term == 0 && this->lastIndex() == 0;
     reply.member = this->hardState.member;
+    reply.failureDomain = this->options.failureDomain;
     reply.group = this->hardState.group;
-    reply.leader = this->leaderName();
+    reply.leader = this->leaderName(now);
+    if (request.observer) {
+        for (const auto &voter : this->membership().voters) {
+            reply.processes.push_back(memberName(voter));
+        }
+    }
+    if (this->isDesignator()) {
+        this->nameFounder(from, request, now);
+        reply.founder = this->founder;
+    }
     this->sendAfterWrite(from, std::move(reply));
 }
 
-void ControlLog::rememberUnknownMember(const std::string &name, const std::string &identity, Time now)
+void ControlLog::rememberUnknownMember(const std::string &name, const UnknownMember &member)
 {
-    const auto [known, isNew] = this->unknownMembers.try_emplace(name, identity, now);
-    if (isNew || known->second.first != identity) {
-        logLeadership("member_announced", identity, this->hardState.term, {});
+    auto &known = this->unknownMembers[name];
+    if (known.identity != member.identity && !this->isMember(member.identity)) {
+        logLeadership("member_announced", member.identity, this->hardState.term, {});
     }
-    known->second = {identity, now};
+    known = member;
 }
 
 void ControlLog::bootstrapGroup(Time now)
 {
+    this->emptyDiskMembers[this->options.name] = {this->hardState.member, this->options.failureDomain, now};
     log(LogLevel::Info, "control", "bootstrapping a control group of {} members", this->emptyDiskMembers.size());
     wire::SetVoters voters;
-    for (const auto &[name, identity] : this->emptyDiskMembers) {
-        voters.voters.push_back(identity);
+    for (const auto &[name, member] : this->emptyDiskMembers) {
+        voters.voters.push_back(member.identity);
+        voters.domains[member.identity] = member.failureDomain;
     }
     this->hardState.group = this->hardState.member;
     this->hardState.term = 1;
@@ -168,7 +262,7 @@
 
 bool ControlLog::mayCampaign() const
 {
-    return this->isVoter(this->hardState.member) && !this->isCampaigningStopped && !this->areWritesRefused;
+    return this->isVoter(this->hardState.member) && !this->isLeaving && !this->areWritesRefused;
 }
 
 void ControlLog::handleRequestVote(const std::string &from, const wire::RequestVote &request, Time now)
@@ -234,13 +328,13 @@
 {
     if (!reply.leader.empty()) {
         this->namedLeader = reply.leader;
+        this->leaderNamedAt = now;
+    }
+    if (!reply.processes.empty()) {
+        this->namedProcesses = reply.processes;
     }
     if (this->hardState.group.empty()) {
-        if (reply.fresh) {
-            this->emptyDiskMembers[memberName(reply.member)] = reply.member;
-        } else {
-            this->emptyDiskMembers.clear();
-        }
+        this->learnOfDisk(reply, now);
         return;
     }
     if (!reply.group.empty() && reply.group != this->hardState.group) {
@@ -258,6 +352,21 @@
     }
 }
 
+void ControlLog::learnOfDisk(const wire::VoteReply &reply, Time now)
+{
+    const auto name = memberName(reply.member);
+    this->isNamedFounder = this->isNamedFounder || reply.founder == this->options.name;
+    if (reply.observer) {
+        this->observers.insert(name);
+    } else if (this->options.isObserver) {
+        return;
+    } else if (reply.fresh) {
+        this->emptyDiskMembers[name] = {reply.member, reply.failureDomain, now};
+    } else {
+        this->emptyDiskMembers.clear();
+    }
+}
+
 // Campaigning.
 
 void ControlLog::startPreVote(Time now)
@@ -374,7 +483,9 @@
     std::int64_t bestMatch = -1;
     for (const auto &voter : this->membership().voters) {
         const auto found = this->progress.find(voter);
-        if (voter != this->hardState.member && found != this->progress.end() && found->second.matchIndex > bestMatch) {
+        // A member that is stopping too would not campaign.
+        if (voter != this->hardState.member && found != this->progress.end() && found->second.matchIndex > bestMatch
+            && !this->isLeavingMember(voter, now)) {
             bestVoter = voter;
             bestMatch = found->second.matchIndex;
         }
@@ -403,9 +514,4 @@
     this->areWritesRefused = areRefused;
 }
 
-void ControlLog::stopCampaigning()
-{
-    this->isCampaigningStopped = true;
-}
-
 } // namespace agatedrum
--- a/src/control_log_members.cpp
+++ b/src/control_log_members.cpp
@@ -12,6 +12,10 @@
 
 /// A member that sent a message within this time counts as reachable.
 constexpr Millis reachableTimeout(2000);
+/// Interval at which a voter that is stopping asks for its replacement.
+constexpr Millis replacementRequestInterval(50);
+/// Time after the last such request for which a voter counts as stopping. A restarted process sends none.
+constexpr Millis leavingTimeout(300);
 
 bool contains(const std::vector<std::string> &list, const std::string &item)
 {
@@ -39,6 +43,11 @@
     return this->memberships.back();
 }
 
+bool ControlLog::isMember(const std::string &identity) const
+{
+    return this->isVoter(identity) || contains(this->membership().learners, identity);
+}
+
 bool ControlLog::isVoter(const std::string &identity) const
 {
     return contains(this->membership().voters, identity);
@@ -49,8 +58,15 @@
     const auto decoded = decodeCompact<wire::Command>(command);
     if (decoded && decoded->__isset.setVoters) {
         // A membership takes effect when it is appended, as Raft requires for single-server changes.
-        this->memberships.push_back({index, decoded->setVoters.voters, decoded->setVoters.learners});
-        logMembership("membership_adopted", index, decoded->setVoters.voters, decoded->setVoters.learners);
+        this->memberships.push_back(
+            {index, decoded->setVoters.voters, decoded->setVoters.learners, decoded->setVoters.domains});
+    }
+}
+
+void ControlLog::logAdoptedMembership(std::int64_t index) const
+{
+    if (this->membership().index == index) {
+        logMembership("membership_adopted", index, this->membership().voters, this->membership().learners);
     }
 }
 
@@ -107,66 +123,248 @@
 }
 
 std::optional<ControlLog::Membership> ControlLog::nextMembership(Time now) const
+{
+    for (const auto step : {&ControlLog::withoutSurplusVoter, &ControlLog::withUnknownMember,
+                            &ControlLog::withoutLostLearner, &ControlLog::withPromotedLearner}) {
+        if (auto next = (this->*step)(now)) {
+            return next;
+        }
+    }
+    return this->withReportedDomains();
+}
+
+std::optional<ControlLog::Membership> ControlLog::withoutSurplusVoter(Time now) const
 {
     auto next = this->membership();
-    const auto unresponsive = this->unresponsiveVoter(now);
-    if (!unresponsive.empty() && next.voters.size() > this->options.maxVoters) {
-        next.voters = without(next.voters, unresponsive);
-        return next;
+    if (next.voters.size() <= this->targetVoters()) {
+        return std::nullopt;
     }
-    if (next.voters.size() > this->options.maxVoters) {
+    auto surplus = this->voterToReplace(now);
+    const bool isLost = !surplus.empty() && !this->isLeavingMember(surplus, now);
+    if (surplus.empty() && !this->haveAllVotersAnswered()) {
+        return std::nullopt;
+    }
+    if (surplus.empty()) {
         // The voter that was to be replaced has come back in the meantime.
-        const auto surplus = std::find_if(next.voters.rbegin(), next.voters.rend(),
-                                          [this](const std::string &voter) { return voter != this->hardState.member; });
-        next.learners.push_back(*surplus);
-        next.voters = without(next.voters, next.learners.back());
-        return next;
-    }
-    for (const auto &[name, unknownMember] : this->unknownMembers) {
-        const auto &[identity, lastHeardAt] = unknownMember;
-        const bool isKnown = contains(next.voters, identity) || contains(next.learners, identity);
-        if (!isKnown && now - lastHeardAt < reachableTimeout
+        for (const auto &voter : next.voters) {
+            const bool isMoreCrowded
+                = surplus.empty() || this->votersBeside(next, voter) >= this->votersBeside(next, surplus);
+            if (voter != this->hardState.member && isMoreCrowded) {
+                surplus = voter;
+            }
+        }
+    }
+    next.voters = without(next.voters, surplus);
+    if (!isLost) {
+        next.learners.push_back(surplus);
+    }
+    return next;
+}
+
+bool ControlLog::haveAllVotersAnswered() const
+{
+    const auto &voters = this->membership().voters;
+    return std::all_of(voters.begin(), voters.end(), [this](const std::string &voter) {
+        const auto found = this->progress.find(voter);
+        return voter == this->hardState.member
+            || (found != this->progress.end() && found->second.lastHeardAt > this->leadershipStartedAt);
+    });
+}
+
+std::optional<ControlLog::Membership> ControlLog::withUnknownMember(Time now) const
+{
+    auto next = this->membership();
+    for (const auto &[name, unknown] : this->unknownMembers) {
+        const bool isKnown = contains(next.voters, unknown.identity) || contains(next.learners, unknown.identity);
+        if (!isKnown && now - unknown.lastHeardAt < reachableTimeout
             && (this->options.isOpen || contains(this->options.group, name))) {
             next.learners = without(next.learners, findIdentity(next.learners, name));
-            next.learners.push_back(identity);
+            next.learners.push_back(unknown.identity);
+            next.domains[unknown.identity] = unknown.failureDomain;
             return next;
         }
     }
+    return std::nullopt;
+}
+
+std::optional<ControlLog::Membership> ControlLog::withoutLostLearner(Time now) const
+{
+    auto next = this->membership();
     for (const auto &learner : next.learners) {
-        const auto &progress = this->progress.at(learner);
-        if (now - std::max(progress.lastHeardAt, this->leadershipStartedAt) > this->options.learnerRemovalTimeout) {
+        const auto lastHeardAt = this->progress.at(learner).lastHeardAt;
+        if (now - std::max(lastHeardAt, this->leadershipStartedAt) > this->options.learnerRemovalTimeout) {
             next.learners = without(next.learners, learner);
             return next;
         }
-        if (progress.matchIndex < this->committedIndex || now - progress.lastHeardAt > reachableTimeout) {
-            continue;
-        }
-        const auto replacedVoter = findIdentity(next.voters, memberName(learner));
-        if (!replacedVoter.empty() && replacedVoter != this->hardState.member) {
-            next.voters = without(next.voters, replacedVoter);
-            return next;
+    }
+    return std::nullopt;
+}
+
+std::optional<ControlLog::Membership> ControlLog::withPromotedLearner(Time now) const
+{
+    auto next = this->membership();
+    const auto replaced = this->voterToReplace(now);
+    std::string promoted;
+    for (const auto &learner : next.learners) {
+        const bool isLessCrowded
+            = promoted.empty() || this->votersBeside(next, learner) < this->votersBeside(next, promoted);
+        if (this->canBePromoted(learner, now) && isLessCrowded) {
+            promoted = learner;
         }
-        if (next.voters.size() >= this->options.maxVoters && unresponsive.empty()) {
-            continue;
+    }
+    // With the replaced voter still in place, the group never has fewer voters than it needs.
+    const bool isNeeded = next.voters.size() < this->targetVoters() || !replaced.empty();
+    if (promoted.empty() || !(isNeeded || this->isBetterSpread(next, promoted))) {
+        return std::nullopt;
+    }
+    next.voters.push_back(promoted);
+    next.learners = without(next.learners, promoted);
+    return next;
+}
+
+bool ControlLog::isBetterSpread(const Membership &members, const std::string &learner) const
+{
+    if (this->bearsLosses()) {
+        return false;
+    }
+    const auto beside = this->votersBeside(members, learner);
+    return std::any_of(members.voters.begin(), members.voters.end(), [&](const std::string &voter) {
+        return voter != this->hardState.member && this->votersBeside(members, voter) > beside + 1;
+    });
+}
+
+bool ControlLog::canBePromoted(const std::string &learner, Time now) const
+{
+    const auto &progress = this->progress.at(learner);
+    return progress.matchIndex >= this->committedIndex && now - progress.lastHeardAt <= reachableTimeout
+        && now >= progress.leavingUntil;
+}
+
+std::optional<ControlLog::Membership> ControlLog::withReportedDomains() const
+{
+    auto next = this->membership();
+    std::map<std::string, std::string> domains;
+    for (const auto &list : {next.voters, next.learners}) {
+        for (const auto &identity : list) {
+            const auto found = this->progress.find(identity);
+            const auto &reported = identity == this->hardState.member ? this->options.failureDomain
+                : found == this->progress.end()                       ? std::string()
+                                                                      : found->second.failureDomain;
+            domains[identity] = reported.empty() ? this->domainOf(next, identity) : reported;
         }
-        next.voters.push_back(learner);
-        next.learners = without(next.learners, learner);
-        return next;
     }
-    return std::nullopt;
+    const bool isSame = std::all_of(domains.begin(), domains.end(), [&](const auto &domain) {
+        return this->domainOf(next, domain.first) == domain.second;
+    });
+    next.domains = std::move(domains);
+    return isSame ? std::nullopt : std::make_optional(std::move(next));
 }
 
-std::string ControlLog::unresponsiveVoter(Time now) const
+std::size_t ControlLog::targetVoters() const
 {
+    if (!this->options.isOpen) {
+        return this->options.group.size();
+    }
+    auto members = this->membership().voters;
+    members.insert(members.end(), this->membership().learners.begin(), this->membership().learners.end());
+    return votersNeeded(this->domainsOf(this->membership(), members), this->options.tolerance);
+}
+
+std::string ControlLog::voterToReplace(Time now) const
+{
+    std::string leaving;
+    std::string unresponsive;
     for (const auto &voter : this->membership().voters) {
         const auto found = this->progress.find(voter);
-        if (this->options.isOpen && voter != this->hardState.member && found != this->progress.end()
-            && now - std::max(found->second.lastHeardAt, this->leadershipStartedAt)
-                > this->options.voterReplacementTimeout) {
+        if (voter == this->hardState.member || found == this->progress.end()) {
+            continue;
+        }
+        if (this->isSuperseded(voter)) {
             return voter;
         }
+        const auto contactAt = std::max(found->second.lastHeardAt, this->leadershipStartedAt);
+        if (this->options.isOpen && now - contactAt > this->options.voterReplacementTimeout) {
+            unresponsive = voter;
+        }
+        if (this->options.isOpen && this->isLeavingMember(voter, now)) {
+            leaving = voter;
+        }
+    }
+    return unresponsive.empty() ? leaving : unresponsive;
+}
+
+bool ControlLog::isSuperseded(const std::string &identity) const
+{
+    const auto own = this->progress.find(identity);
+    return own != this->progress.end()
+        && std::any_of(this->progress.begin(), this->progress.end(), [&](const auto &other) {
+               return other.first != identity && memberName(other.first) == memberName(identity)
+                   && other.second.lastHeardAt > own->second.lastHeardAt;
+           });
+}
+
+bool ControlLog::isLeavingMember(const std::string &identity, Time now) const
+{
+    const auto found = this->progress.find(identity);
+    return found != this->progress.end() && now < found->second.leavingUntil;
+}
+
+std::string ControlLog::domainOf(const Membership &members, const std::string &identity) const
+{
+    const auto found = members.domains.find(identity);
+    return found == members.domains.end() ? std::string() : found->second;
+}
+
+std::vector<std::string> ControlLog::domainsOf(const Membership &members,
+                                               const std::vector<std::string> &identities) const
+{
+    std::vector<std::string> domains;
+    for (const auto &identity : identities) {
+        domains.push_back(this->domainOf(members, identity));
+    }
+    return domains;
+}
+
+std::size_t ControlLog::votersBeside(const Membership &members, const std::string &identity) const
+{
+    const auto domain = this->domainOf(members, identity);
+    return static_cast<std::size_t>(
+        std::count_if(members.voters.begin(), members.voters.end(), [&](const std::string &voter) {
+            return !domain.empty() && this->domainOf(members, voter) == domain;
+        }));
+}
+
+// Leaving.
+
+void ControlLog::beginLeaving()
+{
+    this->isLeaving = true;
+}
+
+bool ControlLog::mayLeave() const
+{
+    return !this->options.isOpen || !this->isVoter(this->hardState.member) || this->membership().learners.empty();
+}
+
+void ControlLog::requestReplacement(Time now)
+{
+    if (!this->isLeaving || this->mayLeave() || this->status == Status::Leader || this->leader.empty()
+        || now < this->replacementRequestDueAt) {
+        return;
+    }
+    this->replacementRequestDueAt = now + replacementRequestInterval;
+    wire::VoterLeaving leaving;
+    leaving.member = this->hardState.member;
+    leaving.group = this->hardState.group;
+    this->send(memberName(this->leader), std::move(leaving));
+}
+
+void ControlLog::handleVoterLeaving(const wire::VoterLeaving &leaving, Time now)
+{
+    const auto found = this->progress.find(leaving.member);
+    if (this->status == Status::Leader && leaving.group == this->hardState.group && found != this->progress.end()) {
+        found->second.leavingUntil = now + leavingTimeout;
     }
-    return {};
 }
 
 void ControlLog::proposeMembership(const Membership &next, Time now)
@@ -176,6 +374,11 @@
     wire::SetVoters voters;
     voters.voters = next.voters;
     voters.learners = next.learners;
+    for (const auto &list : {next.voters, next.learners}) {
+        for (const auto &identity : list) {
+            voters.domains[identity] = this->domainOf(next, identity);
+        }
+    }
     wire::Command command;
     command.__set_setVoters(voters);
     this->unknownMembers.clear();
--- a/src/control_log_p.h
+++ b/src/control_log_p.h
@@ -2,6 +2,7 @@
 
 #include "base_clock_p.h"
 #include "control_store_p.h"
+#include "control_tolerance_p.h"
 #include "wire_message_p.h"
 
 #include <deque>
@@ -23,7 +24,12 @@
     bool isOpen = false; ///< whether processes that are not listed in group may join
     /// False on a later start: a process with an empty disk then waits to be added by the group.
     bool mayBootstrap = true;
-    std::size_t maxVoters = SIZE_MAX; ///< further members remain learners, which can replace failed voters
+    /// True for a process without a disk: it joins no group, and only asks the others who leads.
+    bool isObserver = false;
+    std::string failureDomain; ///< of this process
+    /// In an open group, the losses to bear. Members beyond the voters that this needs remain learners, which can
+    /// replace voters. In a closed group all members vote.
+    LossTolerance tolerance;
     std::string newMemberId; ///< identity for a disk that has none, as made by memberIdentity()
     std::uint64_t seed = 0; ///< seed of the randomized election timeouts
     Millis minElectionTimeout {300}; ///< minimum time without contact from a leader before an election may start
@@ -84,8 +90,11 @@
     /// Sets whether this member's store cannot write at present. Such a member starts no election, and a leader hands
     /// over once the other voters have committed an entry without it, which shows that they can write.
     void setWritesRefused(bool areRefused);
-    /// Makes this member start no more elections; for a process that is stopping.
-    void stopCampaigning();
+    /// Makes this member start no more elections, and ask the leader for a replacement if it is a voter of an open
+    /// group; for a process that is stopping.
+    void beginLeaving();
+    /// Returns whether the group needs this member no more: it isn't a voter, or no learner can replace it.
+    bool mayLeave() const;
     /// Returns the work that has accumulated since the last call, and clears it. Of many large committed entries it
     /// returns a part, and the next ones in the following calls.
     ControlLogOutput takeOutput();
@@ -94,10 +103,12 @@
     /// Returns whether this member leads, has committed an entry of its term, and holds a lease under which no other
     /// member can be leader at this time.
     bool hasLease(Time now) const;
+    /// Returns whether an entry that is committed under the newest membership survives the losses to bear.
+    bool bearsLosses() const;
     /// Returns when the current leadership started. Precondition: isLeader().
     Time leaderSince() const;
     /// Returns the process name of the known leader, or an empty string if none is known.
-    std::string leaderName() const;
+    std::string leaderName(Time now) const;
     std::int64_t term() const;
     std::int64_t commitIndex() const;
     std::int64_t lastIndex() const;
@@ -122,7 +133,9 @@
         Time snapshotSentAt; ///< zero if no snapshot or part of one is outstanding
         std::int64_t snapshotIndex = 0; ///< last entry of the snapshot that is being sent
         std::int64_t snapshotOffset = 0; ///< the member has the data of that snapshot up to here
+        Time leavingUntil; ///< the member is stopping, as reported; it repeats the report before this time
         Time rejectionRetriedAt; ///< when a rejected AppendEntries was last retried immediately
+        std::string failureDomain; ///< as reported; empty if not known
     };
 
     /// Voters and learners as of a log entry or snapshot.
@@ -131,6 +144,15 @@
         std::int64_t index = 0; ///< of the entry or snapshot that defines the membership
         std::vector<std::string> voters;
         std::vector<std::string> learners;
+        std::map<std::string, std::string> domains; ///< failure domains of members by identity, where known
+    };
+
+    /// A process that has announced itself to this leader.
+    struct UnknownMember
+    {
+        std::string identity;
+        std::string failureDomain;
+        Time lastHeardAt;
     };
 
     // Message handlers.
@@ -147,6 +169,7 @@
     void handleChunkReply(const wire::SnapshotChunkReply &reply, Time now);
     void handleInstallReply(const wire::InstallReply &reply, Time now);
     void handleTimeoutNow(const wire::TimeoutNow &order, Time now);
+    void handleVoterLeaving(const wire::VoterLeaving &leaving, Time now);
     bool acceptsGroup(const std::string &group) const;
 
     // Elections.
@@ -163,13 +186,22 @@
     /// Bootstraps the group if this process may do so and all others have empty disks, else announces this process to
     /// the others.
     void bootstrapOrAnnounce(Time now);
+    /// Tells the listed processes that are not members who leads: they may have no disk, and others ask them.
+    void announceLeadership(Time now);
     /// Returns whether no leader replicates to this member, so that the group may not know it (any more).
     bool isWithoutLeader(Time now) const;
     /// Returns the names of the processes to which this one announces itself.
-    std::set<std::string> processesToContact() const;
+    std::set<std::string> processesToContact(Time now) const;
     /// Keeps the identity of a process that is not in the membership, so that it can be added. Precondition: this
     /// member leads.
-    void rememberUnknownMember(const std::string &name, const std::string &identity, Time now);
+    void rememberUnknownMember(const std::string &name, const UnknownMember &member);
+    /// Handles what an answer to an announcement tells about other processes' disks, while this one has no group.
+    void learnOfDisk(const wire::VoteReply &reply, Time now);
+    /// Returns whether this process has to bootstrap the group now.
+    bool mustBootstrap() const;
+    /// Returns whether this process, which has no disk, names the one that bootstraps the group.
+    bool isDesignator() const;
+    void nameFounder(const std::string &from, const wire::RequestVote &probe, Time now);
     void bootstrapGroup(Time now);
     bool isUpToDate(const wire::RequestVote &request) const;
     bool hasLiveLeader(Time now) const;
@@ -200,14 +232,36 @@
     // Membership.
     /// Adds the membership of a command to memberships, if it is a SetVoters command.
     void adoptMembership(std::int64_t index, const std::string &command);
+    void logAdoptedMembership(std::int64_t index) const;
     void removeMembershipsFrom(std::int64_t from);
     const Membership &membership() const;
     bool isVoter(const std::string &identity) const;
+    bool isMember(const std::string &identity) const;
     void proposeMembershipChange(Time now);
     std::optional<Membership> nextMembership(Time now) const;
-    /// Returns the identity of a voter that has been unresponsive long enough to be replaced by a learner, or an empty
-    /// string if there is none.
-    std::string unresponsiveVoter(Time now) const;
+    std::optional<Membership> withoutSurplusVoter(Time now) const;
+    std::optional<Membership> withUnknownMember(Time now) const;
+    std::optional<Membership> withoutLostLearner(Time now) const;
+    std::optional<Membership> withPromotedLearner(Time now) const;
+    std::optional<Membership> withReportedDomains() const;
+    /// Returns whether each voter has answered this leader, so that it knows which ones are lost.
+    bool haveAllVotersAnswered() const;
+    /// Returns the number of voters that the group shall have.
+    std::size_t targetVoters() const;
+    /// Returns the identity of a voter that a learner shall replace, or an empty string if there is none: one whose
+    /// disk was lost, one that has been unresponsive for long enough, or one that is stopping.
+    std::string voterToReplace(Time now) const;
+    /// Returns whether another identity of the same process has been heard since this one, so that its disk is lost.
+    bool isSuperseded(const std::string &identity) const;
+    bool isLeavingMember(const std::string &identity, Time now) const;
+    /// Returns whether the learner in place of another voter brings the group closer to bearing the losses.
+    bool isBetterSpread(const Membership &members, const std::string &learner) const;
+    bool canBePromoted(const std::string &learner, Time now) const;
+    std::string domainOf(const Membership &members, const std::string &identity) const;
+    std::vector<std::string> domainsOf(const Membership &members, const std::vector<std::string> &identities) const;
+    /// Returns how many voters of the membership are in the same failure domain as the member.
+    std::size_t votersBeside(const Membership &members, const std::string &identity) const;
+    void requestReplacement(Time now);
     void proposeMembership(const Membership &next, Time now);
     /// Adds and removes entries of progress according to the membership.
     void syncProgress(Time now);
@@ -247,18 +301,25 @@
 
     Status status = Status::Follower;
     bool isPreVoting = false;
-    bool isCampaigningStopped = false;
+    bool isLeaving = false;
     bool areWritesRefused = false;
     std::string leader; ///< identity of the known leader, or empty
     std::set<std::string> votes; ///< identities of the members that granted their vote or pre-vote
     std::map<std::string, Progress> progress;
-    std::map<std::string, std::pair<std::string, Time>> unknownMembers; ///< by name: identity, time of last message
+    std::map<std::string, UnknownMember> unknownMembers; ///< by name
     std::string namedLeader; ///< leader that another process has named in its answer to an announcement
-    std::map<std::string, std::string> emptyDiskMembers; ///< identities by name, for bootstrapGroup()
+    Time leaderNamedAt; ///< when that answer came
+    std::vector<std::string> namedProcesses; ///< voters that another process has named, for an observer
+    std::map<std::string, UnknownMember> emptyDiskMembers; ///< by name, for bootstrapGroup()
+    std::set<std::string> observers; ///< listed processes that have no disk, for bootstrapGroup()
+    std::string founder; ///< process that this observer has told to bootstrap the group
+    Time designationDueAt; ///< when an observer that has to name a founder does so
+    bool isNamedFounder = false;
     Time leaderLastHeardAt;
     Time electionDueAt;
     Time heartbeatDueAt;
     Time probeDueAt;
+    Time replacementRequestDueAt;
     Time leadershipStartedAt;
 
     ControlLogOutput output;
--- a/src/control_query.cpp
+++ b/src/control_query.cpp
@@ -156,13 +156,14 @@
 {
     isOk = false;
     if (!this->log.hasLease(this->clock.now())) {
-        return {{"error", "not-leader"}, {"leader", this->log.isLeader() ? std::string() : this->log.leaderName()}};
+        return {{"error", "not-leader"},
+                {"leader", this->log.isLeader() ? std::string() : this->log.leaderName(this->clock.now())}};
     }
     isOk = true;
     if (query.kind == "overview") {
         // {"leader", "term", "voters", "learners", "configuration", "lagging", "members", "problems"}
         const auto number = this->stateMachine.file().number;
-        return {{"leader", this->log.leaderName()},
+        return {{"leader", this->log.leaderName(this->clock.now())},
                 {"term", this->log.term()},
                 {"voters", this->log.voters()},
                 {"learners", this->log.learners()},
@@ -202,7 +203,7 @@
     const auto store = this->store.status();
     return {{"member", this->log.member()},
             {"term", this->log.term()},
-            {"leader", this->log.leaderName()},
+            {"leader", this->log.leaderName(this->clock.now())},
             {"lease", this->log.hasLease(this->clock.now())},
             {"commitIndex", this->log.commitIndex()},
             {"lastIndex", this->log.lastIndex()},
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -10962,6 +10962,14 @@
 void RequestVote::__set_transfer(const bool val) {
   this->transfer = val;
 }
+
+void RequestVote::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void RequestVote::__set_observer(const bool val) {
+  this->observer = val;
+}
 std::ostream& operator<<(std::ostream& out, const RequestVote& obj)
 {
   obj.printTo(out);
@@ -11046,6 +11054,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->observer);
+          this->__isset.observer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11091,6 +11115,14 @@
   xfer += oprot->writeBool(this->transfer);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("observer", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->observer);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11105,6 +11137,8 @@
   swap(a.member, b.member);
   swap(a.group, b.group);
   swap(a.transfer, b.transfer);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.observer, b.observer);
   swap(a.__isset, b.__isset);
 }
 
@@ -11116,6 +11150,8 @@
   member = other424.member;
   group = other424.group;
   transfer = other424.transfer;
+  failureDomain = other424.failureDomain;
+  observer = other424.observer;
   __isset = other424.__isset;
 }
 RequestVote::RequestVote(RequestVote&& other425) noexcept {
@@ -11126,6 +11162,8 @@
   member = std::move(other425.member);
   group = std::move(other425.group);
   transfer = other425.transfer;
+  failureDomain = std::move(other425.failureDomain);
+  observer = other425.observer;
   __isset = other425.__isset;
 }
 RequestVote& RequestVote::operator=(const RequestVote& other426) {
@@ -11136,6 +11174,8 @@
   member = other426.member;
   group = other426.group;
   transfer = other426.transfer;
+  failureDomain = other426.failureDomain;
+  observer = other426.observer;
   __isset = other426.__isset;
   return *this;
 }
@@ -11147,6 +11187,8 @@
   member = std::move(other427.member);
   group = std::move(other427.group);
   transfer = other427.transfer;
+  failureDomain = std::move(other427.failureDomain);
+  observer = other427.observer;
   __isset = other427.__isset;
   return *this;
 }
@@ -11160,6 +11202,8 @@
   out << ", " << "member=" << to_string(member);
   out << ", " << "group=" << to_string(group);
   out << ", " << "transfer=" << to_string(transfer);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "observer=" << to_string(observer);
   out << ")";
 }
 
@@ -11195,6 +11239,22 @@
 void VoteReply::__set_leader(const std::string& val) {
   this->leader = val;
 }
+
+void VoteReply::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void VoteReply::__set_observer(const bool val) {
+  this->observer = val;
+}
+
+void VoteReply::__set_processes(const std::vector<std::string> & val) {
+  this->processes = val;
+}
+
+void VoteReply::__set_founder(const std::string& val) {
+  this->founder = val;
+}
 std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
 {
   obj.printTo(out);
@@ -11279,6 +11339,50 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->observer);
+          this->__isset.observer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->processes.clear();
+            uint32_t _size428;
+            ::apache::thrift::protocol::TType _etype431;
+            xfer += iprot->readListBegin(_etype431, _size428);
+            this->processes.resize(_size428);
+            uint32_t _i432;
+            for (_i432 = 0; _i432 < _size428; ++_i432)
+            {
+              xfer += iprot->readString(this->processes[_i432]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.processes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->founder);
+          this->__isset.founder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11324,6 +11428,30 @@
   xfer += oprot->writeString(this->leader);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("observer", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->observer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("processes", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->processes.size()));
+    std::vector<std::string> ::const_iterator _iter433;
+    for (_iter433 = this->processes.begin(); _iter433 != this->processes.end(); ++_iter433)
+    {
+      xfer += oprot->writeString((*_iter433));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("founder", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->founder);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11338,49 +11466,69 @@
   swap(a.group, b.group);
   swap(a.fresh, b.fresh);
   swap(a.leader, b.leader);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.observer, b.observer);
+  swap(a.processes, b.processes);
+  swap(a.founder, b.founder);
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other428) {
-  term = other428.term;
-  granted = other428.granted;
-  preVote = other428.preVote;
-  member = other428.member;
-  group = other428.group;
-  fresh = other428.fresh;
-  leader = other428.leader;
-  __isset = other428.__isset;
-}
-VoteReply::VoteReply(VoteReply&& other429) noexcept {
-  term = other429.term;
-  granted = other429.granted;
-  preVote = other429.preVote;
-  member = std::move(other429.member);
-  group = std::move(other429.group);
-  fresh = other429.fresh;
-  leader = std::move(other429.leader);
-  __isset = other429.__isset;
-}
-VoteReply& VoteReply::operator=(const VoteReply& other430) {
-  term = other430.term;
-  granted = other430.granted;
-  preVote = other430.preVote;
-  member = other430.member;
-  group = other430.group;
-  fresh = other430.fresh;
-  leader = other430.leader;
-  __isset = other430.__isset;
+VoteReply::VoteReply(const VoteReply& other434) {
+  term = other434.term;
+  granted = other434.granted;
+  preVote = other434.preVote;
+  member = other434.member;
+  group = other434.group;
+  fresh = other434.fresh;
+  leader = other434.leader;
+  failureDomain = other434.failureDomain;
+  observer = other434.observer;
+  processes = other434.processes;
+  founder = other434.founder;
+  __isset = other434.__isset;
+}
+VoteReply::VoteReply(VoteReply&& other435) noexcept {
+  term = other435.term;
+  granted = other435.granted;
+  preVote = other435.preVote;
+  member = std::move(other435.member);
+  group = std::move(other435.group);
+  fresh = other435.fresh;
+  leader = std::move(other435.leader);
+  failureDomain = std::move(other435.failureDomain);
+  observer = other435.observer;
+  processes = std::move(other435.processes);
+  founder = std::move(other435.founder);
+  __isset = other435.__isset;
+}
+VoteReply& VoteReply::operator=(const VoteReply& other436) {
+  term = other436.term;
+  granted = other436.granted;
+  preVote = other436.preVote;
+  member = other436.member;
+  group = other436.group;
+  fresh = other436.fresh;
+  leader = other436.leader;
+  failureDomain = other436.failureDomain;
+  observer = other436.observer;
+  processes = other436.processes;
+  founder = other436.founder;
+  __isset = other436.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other431) noexcept {
-  term = other431.term;
-  granted = other431.granted;
-  preVote = other431.preVote;
-  member = std::move(other431.member);
-  group = std::move(other431.group);
-  fresh = other431.fresh;
-  leader = std::move(other431.leader);
-  __isset = other431.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other437) noexcept {
+  term = other437.term;
+  granted = other437.granted;
+  preVote = other437.preVote;
+  member = std::move(other437.member);
+  group = std::move(other437.group);
+  fresh = other437.fresh;
+  leader = std::move(other437.leader);
+  failureDomain = std::move(other437.failureDomain);
+  observer = other437.observer;
+  processes = std::move(other437.processes);
+  founder = std::move(other437.founder);
+  __isset = other437.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -11393,6 +11541,10 @@
   out << ", " << "group=" << to_string(group);
   out << ", " << "fresh=" << to_string(fresh);
   out << ", " << "leader=" << to_string(leader);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "observer=" << to_string(observer);
+  out << ", " << "processes=" << to_string(processes);
+  out << ", " << "founder=" << to_string(founder);
   out << ")";
 }
 
@@ -11488,14 +11640,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size432;
-            ::apache::thrift::protocol::TType _etype435;
-            xfer += iprot->readListBegin(_etype435, _size432);
-            this->entries.resize(_size432);
-            uint32_t _i436;
-            for (_i436 = 0; _i436 < _size432; ++_i436)
+            uint32_t _size438;
+            ::apache::thrift::protocol::TType _etype441;
+            xfer += iprot->readListBegin(_etype441, _size438);
+            this->entries.resize(_size438);
+            uint32_t _i442;
+            for (_i442 = 0; _i442 < _size438; ++_i442)
             {
-              xfer += this->entries[_i436].read(iprot);
+              xfer += this->entries[_i442].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11568,10 +11720,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter437;
-    for (_iter437 = this->entries.begin(); _iter437 != this->entries.end(); ++_iter437)
+    std::vector<LogEntry> ::const_iterator _iter443;
+    for (_iter443 = this->entries.begin(); _iter443 != this->entries.end(); ++_iter443)
     {
-      xfer += (*_iter437).write(oprot);
+      xfer += (*_iter443).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11611,50 +11763,50 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendEntries::AppendEntries(const AppendEntries& other438) {
-  term = other438.term;
-  prevIndex = other438.prevIndex;
-  prevTerm = other438.prevTerm;
-  entries = other438.entries;
-  commitIndex = other438.commitIndex;
-  round = other438.round;
-  member = other438.member;
-  group = other438.group;
-  __isset = other438.__isset;
-}
-AppendEntries::AppendEntries(AppendEntries&& other439) noexcept {
-  term = other439.term;
-  prevIndex = other439.prevIndex;
-  prevTerm = other439.prevTerm;
-  entries = std::move(other439.entries);
-  commitIndex = other439.commitIndex;
-  round = other439.round;
-  member = std::move(other439.member);
-  group = std::move(other439.group);
-  __isset = other439.__isset;
-}
-AppendEntries& AppendEntries::operator=(const AppendEntries& other440) {
-  term = other440.term;
-  prevIndex = other440.prevIndex;
-  prevTerm = other440.prevTerm;
-  entries = other440.entries;
-  commitIndex = other440.commitIndex;
-  round = other440.round;
-  member = other440.member;
-  group = other440.group;
-  __isset = other440.__isset;
+AppendEntries::AppendEntries(const AppendEntries& other444) {
+  term = other444.term;
+  prevIndex = other444.prevIndex;
+  prevTerm = other444.prevTerm;
+  entries = other444.entries;
+  commitIndex = other444.commitIndex;
+  round = other444.round;
+  member = other444.member;
+  group = other444.group;
+  __isset = other444.__isset;
+}
+AppendEntries::AppendEntries(AppendEntries&& other445) noexcept {
+  term = other445.term;
+  prevIndex = other445.prevIndex;
+  prevTerm = other445.prevTerm;
+  entries = std::move(other445.entries);
+  commitIndex = other445.commitIndex;
+  round = other445.round;
+  member = std::move(other445.member);
+  group = std::move(other445.group);
+  __isset = other445.__isset;
+}
+AppendEntries& AppendEntries::operator=(const AppendEntries& other446) {
+  term = other446.term;
+  prevIndex = other446.prevIndex;
+  prevTerm = other446.prevTerm;
+  entries = other446.entries;
+  commitIndex = other446.commitIndex;
+  round = other446.round;
+  member = other446.member;
+  group = other446.group;
+  __isset = other446.__isset;
   return *this;
 }
-AppendEntries& AppendEntries::operator=(AppendEntries&& other441) noexcept {
-  term = other441.term;
-  prevIndex = other441.prevIndex;
-  prevTerm = other441.prevTerm;
-  entries = std::move(other441.entries);
-  commitIndex = other441.commitIndex;
-  round = other441.round;
-  member = std::move(other441.member);
-  group = std::move(other441.group);
-  __isset = other441.__isset;
+AppendEntries& AppendEntries::operator=(AppendEntries&& other447) noexcept {
+  term = other447.term;
+  prevIndex = other447.prevIndex;
+  prevTerm = other447.prevTerm;
+  entries = std::move(other447.entries);
+  commitIndex = other447.commitIndex;
+  round = other447.round;
+  member = std::move(other447.member);
+  group = std::move(other447.group);
+  __isset = other447.__isset;
   return *this;
 }
 void AppendEntries::printTo(std::ostream& out) const {
@@ -11699,6 +11851,10 @@
 void AppendReply::__set_group(const std::string& val) {
   this->group = val;
 }
+
+void AppendReply::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
 std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
 {
   obj.printTo(out);
@@ -11775,6 +11931,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11816,6 +11980,10 @@
   xfer += oprot->writeString(this->group);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11829,45 +11997,50 @@
   swap(a.round, b.round);
   swap(a.member, b.member);
   swap(a.group, b.group);
+  swap(a.failureDomain, b.failureDomain);
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other442) {
-  term = other442.term;
-  ok = other442.ok;
-  matchIndex = other442.matchIndex;
-  round = other442.round;
-  member = other442.member;
-  group = other442.group;
-  __isset = other442.__isset;
-}
-AppendReply::AppendReply(AppendReply&& other443) noexcept {
-  term = other443.term;
-  ok = other443.ok;
-  matchIndex = other443.matchIndex;
-  round = other443.round;
-  member = std::move(other443.member);
-  group = std::move(other443.group);
-  __isset = other443.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other444) {
-  term = other444.term;
-  ok = other444.ok;
-  matchIndex = other444.matchIndex;
-  round = other444.round;
-  member = other444.member;
-  group = other444.group;
-  __isset = other444.__isset;
+AppendReply::AppendReply(const AppendReply& other448) {
+  term = other448.term;
+  ok = other448.ok;
+  matchIndex = other448.matchIndex;
+  round = other448.round;
+  member = other448.member;
+  group = other448.group;
+  failureDomain = other448.failureDomain;
+  __isset = other448.__isset;
+}
+AppendReply::AppendReply(AppendReply&& other449) noexcept {
+  term = other449.term;
+  ok = other449.ok;
+  matchIndex = other449.matchIndex;
+  round = other449.round;
+  member = std::move(other449.member);
+  group = std::move(other449.group);
+  failureDomain = std::move(other449.failureDomain);
+  __isset = other449.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other450) {
+  term = other450.term;
+  ok = other450.ok;
+  matchIndex = other450.matchIndex;
+  round = other450.round;
+  member = other450.member;
+  group = other450.group;
+  failureDomain = other450.failureDomain;
+  __isset = other450.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other445) noexcept {
-  term = other445.term;
-  ok = other445.ok;
-  matchIndex = other445.matchIndex;
-  round = other445.round;
-  member = std::move(other445.member);
-  group = std::move(other445.group);
-  __isset = other445.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other451) noexcept {
+  term = other451.term;
+  ok = other451.ok;
+  matchIndex = other451.matchIndex;
+  round = other451.round;
+  member = std::move(other451.member);
+  group = std::move(other451.group);
+  failureDomain = std::move(other451.failureDomain);
+  __isset = other451.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -11879,6 +12052,7 @@
   out << ", " << "round=" << to_string(round);
   out << ", " << "member=" << to_string(member);
   out << ", " << "group=" << to_string(group);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ")";
 }
 
@@ -11922,6 +12096,10 @@
 void InstallSnapshot::__set_round(const int64_t val) {
   this->round = val;
 }
+
+void InstallSnapshot::__set_domains(const std::map<std::string, std::string> & val) {
+  this->domains = val;
+}
 std::ostream& operator<<(std::ostream& out, const InstallSnapshot& obj)
 {
   obj.printTo(out);
@@ -11986,14 +12164,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size446;
-            ::apache::thrift::protocol::TType _etype449;
-            xfer += iprot->readListBegin(_etype449, _size446);
-            this->voters.resize(_size446);
-            uint32_t _i450;
-            for (_i450 = 0; _i450 < _size446; ++_i450)
+            uint32_t _size452;
+            ::apache::thrift::protocol::TType _etype455;
+            xfer += iprot->readListBegin(_etype455, _size452);
+            this->voters.resize(_size452);
+            uint32_t _i456;
+            for (_i456 = 0; _i456 < _size452; ++_i456)
             {
-              xfer += iprot->readString(this->voters[_i450]);
+              xfer += iprot->readString(this->voters[_i456]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12006,14 +12184,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size451;
-            ::apache::thrift::protocol::TType _etype454;
-            xfer += iprot->readListBegin(_etype454, _size451);
-            this->learners.resize(_size451);
-            uint32_t _i455;
-            for (_i455 = 0; _i455 < _size451; ++_i455)
+            uint32_t _size457;
+            ::apache::thrift::protocol::TType _etype460;
+            xfer += iprot->readListBegin(_etype460, _size457);
+            this->learners.resize(_size457);
+            uint32_t _i461;
+            for (_i461 = 0; _i461 < _size457; ++_i461)
             {
-              xfer += iprot->readString(this->learners[_i455]);
+              xfer += iprot->readString(this->learners[_i461]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12046,6 +12224,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->domains.clear();
+            uint32_t _size462;
+            ::apache::thrift::protocol::TType _ktype463;
+            ::apache::thrift::protocol::TType _vtype464;
+            xfer += iprot->readMapBegin(_ktype463, _vtype464, _size462);
+            uint32_t _i466;
+            for (_i466 = 0; _i466 < _size462; ++_i466)
+            {
+              std::string _key467;
+              xfer += iprot->readString(_key467);
+              std::string& _val468 = this->domains[_key467];
+              xfer += iprot->readString(_val468);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12082,10 +12283,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter456;
-    for (_iter456 = this->voters.begin(); _iter456 != this->voters.end(); ++_iter456)
+    std::vector<std::string> ::const_iterator _iter469;
+    for (_iter469 = this->voters.begin(); _iter469 != this->voters.end(); ++_iter469)
     {
-      xfer += oprot->writeString((*_iter456));
+      xfer += oprot->writeString((*_iter469));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12094,10 +12295,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter457;
-    for (_iter457 = this->learners.begin(); _iter457 != this->learners.end(); ++_iter457)
+    std::vector<std::string> ::const_iterator _iter470;
+    for (_iter470 = this->learners.begin(); _iter470 != this->learners.end(); ++_iter470)
     {
-      xfer += oprot->writeString((*_iter457));
+      xfer += oprot->writeString((*_iter470));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12115,6 +12316,19 @@
   xfer += oprot->writeI64(this->round);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 10);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
+    std::map<std::string, std::string> ::const_iterator _iter471;
+    for (_iter471 = this->domains.begin(); _iter471 != this->domains.end(); ++_iter471)
+    {
+      xfer += oprot->writeString(_iter471->first);
+      xfer += oprot->writeString(_iter471->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12131,57 +12345,62 @@
   swap(a.member, b.member);
   swap(a.group, b.group);
   swap(a.round, b.round);
+  swap(a.domains, b.domains);
   swap(a.__isset, b.__isset);
 }
 
-InstallSnapshot::InstallSnapshot(const InstallSnapshot& other458) {
-  term = other458.term;
-  lastIndex = other458.lastIndex;
-  lastTerm = other458.lastTerm;
-  data = other458.data;
-  voters = other458.voters;
-  learners = other458.learners;
-  member = other458.member;
-  group = other458.group;
-  round = other458.round;
-  __isset = other458.__isset;
-}
-InstallSnapshot::InstallSnapshot(InstallSnapshot&& other459) noexcept {
-  term = other459.term;
-  lastIndex = other459.lastIndex;
-  lastTerm = other459.lastTerm;
-  data = std::move(other459.data);
-  voters = std::move(other459.voters);
-  learners = std::move(other459.learners);
-  member = std::move(other459.member);
-  group = std::move(other459.group);
-  round = other459.round;
-  __isset = other459.__isset;
-}
-InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other460) {
-  term = other460.term;
-  lastIndex = other460.lastIndex;
-  lastTerm = other460.lastTerm;
-  data = other460.data;
-  voters = other460.voters;
-  learners = other460.learners;
-  member = other460.member;
-  group = other460.group;
-  round = other460.round;
-  __isset = other460.__isset;
+InstallSnapshot::InstallSnapshot(const InstallSnapshot& other472) {
+  term = other472.term;
+  lastIndex = other472.lastIndex;
+  lastTerm = other472.lastTerm;
+  data = other472.data;
+  voters = other472.voters;
+  learners = other472.learners;
+  member = other472.member;
+  group = other472.group;
+  round = other472.round;
+  domains = other472.domains;
+  __isset = other472.__isset;
+}
+InstallSnapshot::InstallSnapshot(InstallSnapshot&& other473) noexcept {
+  term = other473.term;
+  lastIndex = other473.lastIndex;
+  lastTerm = other473.lastTerm;
+  data = std::move(other473.data);
+  voters = std::move(other473.voters);
+  learners = std::move(other473.learners);
+  member = std::move(other473.member);
+  group = std::move(other473.group);
+  round = other473.round;
+  domains = std::move(other473.domains);
+  __isset = other473.__isset;
+}
+InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other474) {
+  term = other474.term;
+  lastIndex = other474.lastIndex;
+  lastTerm = other474.lastTerm;
+  data = other474.data;
+  voters = other474.voters;
+  learners = other474.learners;
+  member = other474.member;
+  group = other474.group;
+  round = other474.round;
+  domains = other474.domains;
+  __isset = other474.__isset;
   return *this;
 }
-InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other461) noexcept {
-  term = other461.term;
-  lastIndex = other461.lastIndex;
-  lastTerm = other461.lastTerm;
-  data = std::move(other461.data);
-  voters = std::move(other461.voters);
-  learners = std::move(other461.learners);
-  member = std::move(other461.member);
-  group = std::move(other461.group);
-  round = other461.round;
-  __isset = other461.__isset;
+InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other475) noexcept {
+  term = other475.term;
+  lastIndex = other475.lastIndex;
+  lastTerm = other475.lastTerm;
+  data = std::move(other475.data);
+  voters = std::move(other475.voters);
+  learners = std::move(other475.learners);
+  member = std::move(other475.member);
+  group = std::move(other475.group);
+  round = other475.round;
+  domains = std::move(other475.domains);
+  __isset = other475.__isset;
   return *this;
 }
 void InstallSnapshot::printTo(std::ostream& out) const {
@@ -12196,6 +12415,7 @@
   out << ", " << "member=" << to_string(member);
   out << ", " << "group=" << to_string(group);
   out << ", " << "round=" << to_string(round);
+  out << ", " << "domains=" << to_string(domains);
   out << ")";
 }
 
@@ -12247,6 +12467,10 @@
 void SnapshotChunk::__set_totalBytes(const int64_t val) {
   this->totalBytes = val;
 }
+
+void SnapshotChunk::__set_domains(const std::map<std::string, std::string> & val) {
+  this->domains = val;
+}
 std::ostream& operator<<(std::ostream& out, const SnapshotChunk& obj)
 {
   obj.printTo(out);
@@ -12311,14 +12535,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size462;
-            ::apache::thrift::protocol::TType _etype465;
-            xfer += iprot->readListBegin(_etype465, _size462);
-            this->voters.resize(_size462);
-            uint32_t _i466;
-            for (_i466 = 0; _i466 < _size462; ++_i466)
+            uint32_t _size476;
+            ::apache::thrift::protocol::TType _etype479;
+            xfer += iprot->readListBegin(_etype479, _size476);
+            this->voters.resize(_size476);
+            uint32_t _i480;
+            for (_i480 = 0; _i480 < _size476; ++_i480)
             {
-              xfer += iprot->readString(this->voters[_i466]);
+              xfer += iprot->readString(this->voters[_i480]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12331,14 +12555,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size467;
-            ::apache::thrift::protocol::TType _etype470;
-            xfer += iprot->readListBegin(_etype470, _size467);
-            this->learners.resize(_size467);
-            uint32_t _i471;
-            for (_i471 = 0; _i471 < _size467; ++_i471)
+            uint32_t _size481;
+            ::apache::thrift::protocol::TType _etype484;
+            xfer += iprot->readListBegin(_etype484, _size481);
+            this->learners.resize(_size481);
+            uint32_t _i485;
+            for (_i485 = 0; _i485 < _size481; ++_i485)
             {
-              xfer += iprot->readString(this->learners[_i471]);
+              xfer += iprot->readString(this->learners[_i485]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12387,6 +12611,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->domains.clear();
+            uint32_t _size486;
+            ::apache::thrift::protocol::TType _ktype487;
+            ::apache::thrift::protocol::TType _vtype488;
+            xfer += iprot->readMapBegin(_ktype487, _vtype488, _size486);
+            uint32_t _i490;
+            for (_i490 = 0; _i490 < _size486; ++_i490)
+            {
+              std::string _key491;
+              xfer += iprot->readString(_key491);
+              std::string& _val492 = this->domains[_key491];
+              xfer += iprot->readString(_val492);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12423,10 +12670,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter472;
-    for (_iter472 = this->voters.begin(); _iter472 != this->voters.end(); ++_iter472)
+    std::vector<std::string> ::const_iterator _iter493;
+    for (_iter493 = this->voters.begin(); _iter493 != this->voters.end(); ++_iter493)
     {
-      xfer += oprot->writeString((*_iter472));
+      xfer += oprot->writeString((*_iter493));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12435,10 +12682,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter473;
-    for (_iter473 = this->learners.begin(); _iter473 != this->learners.end(); ++_iter473)
+    std::vector<std::string> ::const_iterator _iter494;
+    for (_iter494 = this->learners.begin(); _iter494 != this->learners.end(); ++_iter494)
     {
-      xfer += oprot->writeString((*_iter473));
+      xfer += oprot->writeString((*_iter494));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12464,6 +12711,19 @@
   xfer += oprot->writeI64(this->totalBytes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 12);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
+    std::map<std::string, std::string> ::const_iterator _iter495;
+    for (_iter495 = this->domains.begin(); _iter495 != this->domains.end(); ++_iter495)
+    {
+      xfer += oprot->writeString(_iter495->first);
+      xfer += oprot->writeString(_iter495->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12482,65 +12742,70 @@
   swap(a.round, b.round);
   swap(a.offset, b.offset);
   swap(a.totalBytes, b.totalBytes);
+  swap(a.domains, b.domains);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other474) {
-  term = other474.term;
-  lastIndex = other474.lastIndex;
-  lastTerm = other474.lastTerm;
-  data = other474.data;
-  voters = other474.voters;
-  learners = other474.learners;
-  member = other474.member;
-  group = other474.group;
-  round = other474.round;
-  offset = other474.offset;
-  totalBytes = other474.totalBytes;
-  __isset = other474.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other496) {
+  term = other496.term;
+  lastIndex = other496.lastIndex;
+  lastTerm = other496.lastTerm;
+  data = other496.data;
+  voters = other496.voters;
+  learners = other496.learners;
+  member = other496.member;
+  group = other496.group;
+  round = other496.round;
+  offset = other496.offset;
+  totalBytes = other496.totalBytes;
+  domains = other496.domains;
+  __isset = other496.__isset;
 }
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other475) noexcept {
-  term = other475.term;
-  lastIndex = other475.lastIndex;
-  lastTerm = other475.lastTerm;
-  data = std::move(other475.data);
-  voters = std::move(other475.voters);
-  learners = std::move(other475.learners);
-  member = std::move(other475.member);
-  group = std::move(other475.group);
-  round = other475.round;
-  offset = other475.offset;
-  totalBytes = other475.totalBytes;
-  __isset = other475.__isset;
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other497) noexcept {
+  term = other497.term;
+  lastIndex = other497.lastIndex;
+  lastTerm = other497.lastTerm;
+  data = std::move(other497.data);
+  voters = std::move(other497.voters);
+  learners = std::move(other497.learners);
+  member = std::move(other497.member);
+  group = std::move(other497.group);
+  round = other497.round;
+  offset = other497.offset;
+  totalBytes = other497.totalBytes;
+  domains = std::move(other497.domains);
+  __isset = other497.__isset;
 }
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other476) {
-  term = other476.term;
-  lastIndex = other476.lastIndex;
-  lastTerm = other476.lastTerm;
-  data = other476.data;
-  voters = other476.voters;
-  learners = other476.learners;
-  member = other476.member;
-  group = other476.group;
-  round = other476.round;
-  offset = other476.offset;
-  totalBytes = other476.totalBytes;
-  __isset = other476.__isset;
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other498) {
+  term = other498.term;
+  lastIndex = other498.lastIndex;
+  lastTerm = other498.lastTerm;
+  data = other498.data;
+  voters = other498.voters;
+  learners = other498.learners;
+  member = other498.member;
+  group = other498.group;
+  round = other498.round;
+  offset = other498.offset;
+  totalBytes = other498.totalBytes;
+  domains = other498.domains;
+  __isset = other498.__isset;
   return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other477) noexcept {
-  term = other477.term;
-  lastIndex = other477.lastIndex;
-  lastTerm = other477.lastTerm;
-  data = std::move(other477.data);
-  voters = std::move(other477.voters);
-  learners = std::move(other477.learners);
-  member = std::move(other477.member);
-  group = std::move(other477.group);
-  round = other477.round;
-  offset = other477.offset;
-  totalBytes = other477.totalBytes;
-  __isset = other477.__isset;
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other499) noexcept {
+  term = other499.term;
+  lastIndex = other499.lastIndex;
+  lastTerm = other499.lastTerm;
+  data = std::move(other499.data);
+  voters = std::move(other499.voters);
+  learners = std::move(other499.learners);
+  member = std::move(other499.member);
+  group = std::move(other499.group);
+  round = other499.round;
+  offset = other499.offset;
+  totalBytes = other499.totalBytes;
+  domains = std::move(other499.domains);
+  __isset = other499.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -12557,6 +12822,7 @@
   out << ", " << "round=" << to_string(round);
   out << ", " << "offset=" << to_string(offset);
   out << ", " << "totalBytes=" << to_string(totalBytes);
+  out << ", " << "domains=" << to_string(domains);
   out << ")";
 }
 
@@ -12721,42 +12987,42 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunkReply::SnapshotChunkReply(const SnapshotChunkReply& other478) {
-  term = other478.term;
-  lastIndex = other478.lastIndex;
-  nextOffset = other478.nextOffset;
-  member = other478.member;
-  group = other478.group;
-  round = other478.round;
-  __isset = other478.__isset;
-}
-SnapshotChunkReply::SnapshotChunkReply(SnapshotChunkReply&& other479) noexcept {
-  term = other479.term;
-  lastIndex = other479.lastIndex;
-  nextOffset = other479.nextOffset;
-  member = std::move(other479.member);
-  group = std::move(other479.group);
-  round = other479.round;
-  __isset = other479.__isset;
-}
-SnapshotChunkReply& SnapshotChunkReply::operator=(const SnapshotChunkReply& other480) {
-  term = other480.term;
-  lastIndex = other480.lastIndex;
-  nextOffset = other480.nextOffset;
-  member = other480.member;
-  group = other480.group;
-  round = other480.round;
-  __isset = other480.__isset;
+SnapshotChunkReply::SnapshotChunkReply(const SnapshotChunkReply& other500) {
+  term = other500.term;
+  lastIndex = other500.lastIndex;
+  nextOffset = other500.nextOffset;
+  member = other500.member;
+  group = other500.group;
+  round = other500.round;
+  __isset = other500.__isset;
+}
+SnapshotChunkReply::SnapshotChunkReply(SnapshotChunkReply&& other501) noexcept {
+  term = other501.term;
+  lastIndex = other501.lastIndex;
+  nextOffset = other501.nextOffset;
+  member = std::move(other501.member);
+  group = std::move(other501.group);
+  round = other501.round;
+  __isset = other501.__isset;
+}
+SnapshotChunkReply& SnapshotChunkReply::operator=(const SnapshotChunkReply& other502) {
+  term = other502.term;
+  lastIndex = other502.lastIndex;
+  nextOffset = other502.nextOffset;
+  member = other502.member;
+  group = other502.group;
+  round = other502.round;
+  __isset = other502.__isset;
   return *this;
 }
-SnapshotChunkReply& SnapshotChunkReply::operator=(SnapshotChunkReply&& other481) noexcept {
-  term = other481.term;
-  lastIndex = other481.lastIndex;
-  nextOffset = other481.nextOffset;
-  member = std::move(other481.member);
-  group = std::move(other481.group);
-  round = other481.round;
-  __isset = other481.__isset;
+SnapshotChunkReply& SnapshotChunkReply::operator=(SnapshotChunkReply&& other503) noexcept {
+  term = other503.term;
+  lastIndex = other503.lastIndex;
+  nextOffset = other503.nextOffset;
+  member = std::move(other503.member);
+  group = std::move(other503.group);
+  round = other503.round;
+  __isset = other503.__isset;
   return *this;
 }
 void SnapshotChunkReply::printTo(std::ostream& out) const {
@@ -12915,38 +13181,38 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallReply::InstallReply(const InstallReply& other482) {
-  term = other482.term;
-  lastIndex = other482.lastIndex;
-  member = other482.member;
-  group = other482.group;
-  round = other482.round;
-  __isset = other482.__isset;
-}
-InstallReply::InstallReply(InstallReply&& other483) noexcept {
-  term = other483.term;
-  lastIndex = other483.lastIndex;
-  member = std::move(other483.member);
-  group = std::move(other483.group);
-  round = other483.round;
-  __isset = other483.__isset;
-}
-InstallReply& InstallReply::operator=(const InstallReply& other484) {
-  term = other484.term;
-  lastIndex = other484.lastIndex;
-  member = other484.member;
-  group = other484.group;
-  round = other484.round;
-  __isset = other484.__isset;
+InstallReply::InstallReply(const InstallReply& other504) {
+  term = other504.term;
+  lastIndex = other504.lastIndex;
+  member = other504.member;
+  group = other504.group;
+  round = other504.round;
+  __isset = other504.__isset;
+}
+InstallReply::InstallReply(InstallReply&& other505) noexcept {
+  term = other505.term;
+  lastIndex = other505.lastIndex;
+  member = std::move(other505.member);
+  group = std::move(other505.group);
+  round = other505.round;
+  __isset = other505.__isset;
+}
+InstallReply& InstallReply::operator=(const InstallReply& other506) {
+  term = other506.term;
+  lastIndex = other506.lastIndex;
+  member = other506.member;
+  group = other506.group;
+  round = other506.round;
+  __isset = other506.__isset;
   return *this;
 }
-InstallReply& InstallReply::operator=(InstallReply&& other485) noexcept {
-  term = other485.term;
-  lastIndex = other485.lastIndex;
-  member = std::move(other485.member);
-  group = std::move(other485.group);
-  round = other485.round;
-  __isset = other485.__isset;
+InstallReply& InstallReply::operator=(InstallReply&& other507) noexcept {
+  term = other507.term;
+  lastIndex = other507.lastIndex;
+  member = std::move(other507.member);
+  group = std::move(other507.group);
+  round = other507.round;
+  __isset = other507.__isset;
   return *this;
 }
 void InstallReply::printTo(std::ostream& out) const {
@@ -13036,22 +13302,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other486) noexcept {
-  term = other486.term;
-  __isset = other486.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other508) noexcept {
+  term = other508.term;
+  __isset = other508.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other487) noexcept {
-  term = other487.term;
-  __isset = other487.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other509) noexcept {
+  term = other509.term;
+  __isset = other509.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other488) noexcept {
-  term = other488.term;
-  __isset = other488.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other510) noexcept {
+  term = other510.term;
+  __isset = other510.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other489) noexcept {
-  term = other489.term;
-  __isset = other489.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other511) noexcept {
+  term = other511.term;
+  __isset = other511.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -13062,6 +13328,129 @@
 }
 
 
+VoterLeaving::~VoterLeaving() noexcept {
+}
+
+
+void VoterLeaving::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void VoterLeaving::__set_group(const std::string& val) {
+  this->group = val;
+}
+std::ostream& operator<<(std::ostream& out, const VoterLeaving& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VoterLeaving::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VoterLeaving::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VoterLeaving");
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VoterLeaving &a, VoterLeaving &b) {
+  using ::std::swap;
+  swap(a.member, b.member);
+  swap(a.group, b.group);
+  swap(a.__isset, b.__isset);
+}
+
+VoterLeaving::VoterLeaving(const VoterLeaving& other512) {
+  member = other512.member;
+  group = other512.group;
+  __isset = other512.__isset;
+}
+VoterLeaving::VoterLeaving(VoterLeaving&& other513) noexcept {
+  member = std::move(other513.member);
+  group = std::move(other513.group);
+  __isset = other513.__isset;
+}
+VoterLeaving& VoterLeaving::operator=(const VoterLeaving& other514) {
+  member = other514.member;
+  group = other514.group;
+  __isset = other514.__isset;
+  return *this;
+}
+VoterLeaving& VoterLeaving::operator=(VoterLeaving&& other515) noexcept {
+  member = std::move(other515.member);
+  group = std::move(other515.group);
+  __isset = other515.__isset;
+  return *this;
+}
+void VoterLeaving::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VoterLeaving(";
+  out << "member=" << to_string(member);
+  out << ", " << "group=" << to_string(group);
+  out << ")";
+}
+
+
 SetConfig::~SetConfig() noexcept {
 }
 
@@ -13137,22 +13526,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SetConfig::SetConfig(const SetConfig& other490) {
-  file = other490.file;
-  __isset = other490.__isset;
+SetConfig::SetConfig(const SetConfig& other516) {
+  file = other516.file;
+  __isset = other516.__isset;
 }
-SetConfig::SetConfig(SetConfig&& other491) noexcept {
-  file = std::move(other491.file);
-  __isset = other491.__isset;
+SetConfig::SetConfig(SetConfig&& other517) noexcept {
+  file = std::move(other517.file);
+  __isset = other517.__isset;
 }
-SetConfig& SetConfig::operator=(const SetConfig& other492) {
-  file = other492.file;
-  __isset = other492.__isset;
+SetConfig& SetConfig::operator=(const SetConfig& other518) {
+  file = other518.file;
+  __isset = other518.__isset;
   return *this;
 }
-SetConfig& SetConfig::operator=(SetConfig&& other493) noexcept {
-  file = std::move(other493.file);
-  __isset = other493.__isset;
+SetConfig& SetConfig::operator=(SetConfig&& other519) noexcept {
+  file = std::move(other519.file);
+  __isset = other519.__isset;
   return *this;
 }
 void SetConfig::printTo(std::ostream& out) const {
@@ -13233,9 +13622,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast494;
-          xfer += iprot->readI32(ecast494);
-          this->role = static_cast<Role::type>(ecast494);
+          int32_t ecast520;
+          xfer += iprot->readI32(ecast520);
+          this->role = static_cast<Role::type>(ecast520);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -13344,46 +13733,46 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberJoin::MemberJoin(const MemberJoin& other495) {
-  id = other495.id;
-  role = other495.role;
-  address = other495.address;
-  failureDomain = other495.failureDomain;
-  server = other495.server;
-  atMs = other495.atMs;
-  replaces = other495.replaces;
-  __isset = other495.__isset;
-}
-MemberJoin::MemberJoin(MemberJoin&& other496) noexcept {
-  id = std::move(other496.id);
-  role = other496.role;
-  address = std::move(other496.address);
-  failureDomain = std::move(other496.failureDomain);
-  server = std::move(other496.server);
-  atMs = other496.atMs;
-  replaces = other496.replaces;
-  __isset = other496.__isset;
-}
-MemberJoin& MemberJoin::operator=(const MemberJoin& other497) {
-  id = other497.id;
-  role = other497.role;
-  address = other497.address;
-  failureDomain = other497.failureDomain;
-  server = other497.server;
-  atMs = other497.atMs;
-  replaces = other497.replaces;
-  __isset = other497.__isset;
+MemberJoin::MemberJoin(const MemberJoin& other521) {
+  id = other521.id;
+  role = other521.role;
+  address = other521.address;
+  failureDomain = other521.failureDomain;
+  server = other521.server;
+  atMs = other521.atMs;
+  replaces = other521.replaces;
+  __isset = other521.__isset;
+}
+MemberJoin::MemberJoin(MemberJoin&& other522) noexcept {
+  id = std::move(other522.id);
+  role = other522.role;
+  address = std::move(other522.address);
+  failureDomain = std::move(other522.failureDomain);
+  server = std::move(other522.server);
+  atMs = other522.atMs;
+  replaces = other522.replaces;
+  __isset = other522.__isset;
+}
+MemberJoin& MemberJoin::operator=(const MemberJoin& other523) {
+  id = other523.id;
+  role = other523.role;
+  address = other523.address;
+  failureDomain = other523.failureDomain;
+  server = other523.server;
+  atMs = other523.atMs;
+  replaces = other523.replaces;
+  __isset = other523.__isset;
   return *this;
 }
-MemberJoin& MemberJoin::operator=(MemberJoin&& other498) noexcept {
-  id = std::move(other498.id);
-  role = other498.role;
-  address = std::move(other498.address);
-  failureDomain = std::move(other498.failureDomain);
-  server = std::move(other498.server);
-  atMs = other498.atMs;
-  replaces = other498.replaces;
-  __isset = other498.__isset;
+MemberJoin& MemberJoin::operator=(MemberJoin&& other524) noexcept {
+  id = std::move(other524.id);
+  role = other524.role;
+  address = std::move(other524.address);
+  failureDomain = std::move(other524.failureDomain);
+  server = std::move(other524.server);
+  atMs = other524.atMs;
+  replaces = other524.replaces;
+  __isset = other524.__isset;
   return *this;
 }
 void MemberJoin::printTo(std::ostream& out) const {
@@ -13509,30 +13898,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberGone::MemberGone(const MemberGone& other499) {
-  id = other499.id;
-  planned = other499.planned;
-  atMs = other499.atMs;
-  __isset = other499.__isset;
+MemberGone::MemberGone(const MemberGone& other525) {
+  id = other525.id;
+  planned = other525.planned;
+  atMs = other525.atMs;
+  __isset = other525.__isset;
 }
-MemberGone::MemberGone(MemberGone&& other500) noexcept {
-  id = std::move(other500.id);
-  planned = other500.planned;
-  atMs = other500.atMs;
-  __isset = other500.__isset;
+MemberGone::MemberGone(MemberGone&& other526) noexcept {
+  id = std::move(other526.id);
+  planned = other526.planned;
+  atMs = other526.atMs;
+  __isset = other526.__isset;
 }
-MemberGone& MemberGone::operator=(const MemberGone& other501) {
-  id = other501.id;
-  planned = other501.planned;
-  atMs = other501.atMs;
-  __isset = other501.__isset;
+MemberGone& MemberGone::operator=(const MemberGone& other527) {
+  id = other527.id;
+  planned = other527.planned;
+  atMs = other527.atMs;
+  __isset = other527.__isset;
   return *this;
 }
-MemberGone& MemberGone::operator=(MemberGone&& other502) noexcept {
-  id = std::move(other502.id);
-  planned = other502.planned;
-  atMs = other502.atMs;
-  __isset = other502.__isset;
+MemberGone& MemberGone::operator=(MemberGone&& other528) noexcept {
+  id = std::move(other528.id);
+  planned = other528.planned;
+  atMs = other528.atMs;
+  __isset = other528.__isset;
   return *this;
 }
 void MemberGone::printTo(std::ostream& out) const {
@@ -13620,22 +14009,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberLeaving::MemberLeaving(const MemberLeaving& other503) {
-  id = other503.id;
-  __isset = other503.__isset;
+MemberLeaving::MemberLeaving(const MemberLeaving& other529) {
+  id = other529.id;
+  __isset = other529.__isset;
 }
-MemberLeaving::MemberLeaving(MemberLeaving&& other504) noexcept {
-  id = std::move(other504.id);
-  __isset = other504.__isset;
+MemberLeaving::MemberLeaving(MemberLeaving&& other530) noexcept {
+  id = std::move(other530.id);
+  __isset = other530.__isset;
 }
-MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other505) {
-  id = other505.id;
-  __isset = other505.__isset;
+MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other531) {
+  id = other531.id;
+  __isset = other531.__isset;
   return *this;
 }
-MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other506) noexcept {
-  id = std::move(other506.id);
-  __isset = other506.__isset;
+MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other532) noexcept {
+  id = std::move(other532.id);
+  __isset = other532.__isset;
   return *this;
 }
 void MemberLeaving::printTo(std::ostream& out) const {
@@ -13772,34 +14161,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderWhole::HolderWhole(const HolderWhole& other507) {
-  cell = other507.cell;
-  epoch = other507.epoch;
-  holder = other507.holder;
-  viewVersion = other507.viewVersion;
-  __isset = other507.__isset;
+HolderWhole::HolderWhole(const HolderWhole& other533) {
+  cell = other533.cell;
+  epoch = other533.epoch;
+  holder = other533.holder;
+  viewVersion = other533.viewVersion;
+  __isset = other533.__isset;
 }
-HolderWhole::HolderWhole(HolderWhole&& other508) noexcept {
-  cell = other508.cell;
-  epoch = other508.epoch;
-  holder = std::move(other508.holder);
-  viewVersion = other508.viewVersion;
-  __isset = other508.__isset;
+HolderWhole::HolderWhole(HolderWhole&& other534) noexcept {
+  cell = other534.cell;
+  epoch = other534.epoch;
+  holder = std::move(other534.holder);
+  viewVersion = other534.viewVersion;
+  __isset = other534.__isset;
 }
-HolderWhole& HolderWhole::operator=(const HolderWhole& other509) {
-  cell = other509.cell;
-  epoch = other509.epoch;
-  holder = other509.holder;
-  viewVersion = other509.viewVersion;
-  __isset = other509.__isset;
+HolderWhole& HolderWhole::operator=(const HolderWhole& other535) {
+  cell = other535.cell;
+  epoch = other535.epoch;
+  holder = other535.holder;
+  viewVersion = other535.viewVersion;
+  __isset = other535.__isset;
   return *this;
 }
-HolderWhole& HolderWhole::operator=(HolderWhole&& other510) noexcept {
-  cell = other510.cell;
-  epoch = other510.epoch;
-  holder = std::move(other510.holder);
-  viewVersion = other510.viewVersion;
-  __isset = other510.__isset;
+HolderWhole& HolderWhole::operator=(HolderWhole&& other536) noexcept {
+  cell = other536.cell;
+  epoch = other536.epoch;
+  holder = std::move(other536.holder);
+  viewVersion = other536.viewVersion;
+  __isset = other536.__isset;
   return *this;
 }
 void HolderWhole::printTo(std::ostream& out) const {
@@ -13939,34 +14328,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HandOver::HandOver(const HandOver& other511) {
-  cell = other511.cell;
-  epoch = other511.epoch;
-  previousOwner = other511.previousOwner;
-  atMs = other511.atMs;
-  __isset = other511.__isset;
+HandOver::HandOver(const HandOver& other537) {
+  cell = other537.cell;
+  epoch = other537.epoch;
+  previousOwner = other537.previousOwner;
+  atMs = other537.atMs;
+  __isset = other537.__isset;
 }
-HandOver::HandOver(HandOver&& other512) noexcept {
-  cell = other512.cell;
-  epoch = other512.epoch;
-  previousOwner = std::move(other512.previousOwner);
-  atMs = other512.atMs;
-  __isset = other512.__isset;
+HandOver::HandOver(HandOver&& other538) noexcept {
+  cell = other538.cell;
+  epoch = other538.epoch;
+  previousOwner = std::move(other538.previousOwner);
+  atMs = other538.atMs;
+  __isset = other538.__isset;
 }
-HandOver& HandOver::operator=(const HandOver& other513) {
-  cell = other513.cell;
-  epoch = other513.epoch;
-  previousOwner = other513.previousOwner;
-  atMs = other513.atMs;
-  __isset = other513.__isset;
+HandOver& HandOver::operator=(const HandOver& other539) {
+  cell = other539.cell;
+  epoch = other539.epoch;
+  previousOwner = other539.previousOwner;
+  atMs = other539.atMs;
+  __isset = other539.__isset;
   return *this;
 }
-HandOver& HandOver::operator=(HandOver&& other514) noexcept {
-  cell = other514.cell;
-  epoch = other514.epoch;
-  previousOwner = std::move(other514.previousOwner);
-  atMs = other514.atMs;
-  __isset = other514.__isset;
+HandOver& HandOver::operator=(HandOver&& other540) noexcept {
+  cell = other540.cell;
+  epoch = other540.epoch;
+  previousOwner = std::move(other540.previousOwner);
+  atMs = other540.atMs;
+  __isset = other540.__isset;
   return *this;
 }
 void HandOver::printTo(std::ostream& out) const {
@@ -13991,6 +14380,10 @@
 void SetVoters::__set_learners(const std::vector<std::string> & val) {
   this->learners = val;
 }
+
+void SetVoters::__set_domains(const std::map<std::string, std::string> & val) {
+  this->domains = val;
+}
 std::ostream& operator<<(std::ostream& out, const SetVoters& obj)
 {
   obj.printTo(out);
@@ -14023,14 +14416,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size515;
-            ::apache::thrift::protocol::TType _etype518;
-            xfer += iprot->readListBegin(_etype518, _size515);
-            this->voters.resize(_size515);
-            uint32_t _i519;
-            for (_i519 = 0; _i519 < _size515; ++_i519)
+            uint32_t _size541;
+            ::apache::thrift::protocol::TType _etype544;
+            xfer += iprot->readListBegin(_etype544, _size541);
+            this->voters.resize(_size541);
+            uint32_t _i545;
+            for (_i545 = 0; _i545 < _size541; ++_i545)
             {
-              xfer += iprot->readString(this->voters[_i519]);
+              xfer += iprot->readString(this->voters[_i545]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14043,14 +14436,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size520;
-            ::apache::thrift::protocol::TType _etype523;
-            xfer += iprot->readListBegin(_etype523, _size520);
-            this->learners.resize(_size520);
-            uint32_t _i524;
-            for (_i524 = 0; _i524 < _size520; ++_i524)
+            uint32_t _size546;
+            ::apache::thrift::protocol::TType _etype549;
+            xfer += iprot->readListBegin(_etype549, _size546);
+            this->learners.resize(_size546);
+            uint32_t _i550;
+            for (_i550 = 0; _i550 < _size546; ++_i550)
             {
-              xfer += iprot->readString(this->learners[_i524]);
+              xfer += iprot->readString(this->learners[_i550]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14059,6 +14452,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->domains.clear();
+            uint32_t _size551;
+            ::apache::thrift::protocol::TType _ktype552;
+            ::apache::thrift::protocol::TType _vtype553;
+            xfer += iprot->readMapBegin(_ktype552, _vtype553, _size551);
+            uint32_t _i555;
+            for (_i555 = 0; _i555 < _size551; ++_i555)
+            {
+              std::string _key556;
+              xfer += iprot->readString(_key556);
+              std::string& _val557 = this->domains[_key556];
+              xfer += iprot->readString(_val557);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14079,10 +14495,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter525;
-    for (_iter525 = this->voters.begin(); _iter525 != this->voters.end(); ++_iter525)
+    std::vector<std::string> ::const_iterator _iter558;
+    for (_iter558 = this->voters.begin(); _iter558 != this->voters.end(); ++_iter558)
     {
-      xfer += oprot->writeString((*_iter525));
+      xfer += oprot->writeString((*_iter558));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14091,15 +14507,28 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter526;
-    for (_iter526 = this->learners.begin(); _iter526 != this->learners.end(); ++_iter526)
+    std::vector<std::string> ::const_iterator _iter559;
+    for (_iter559 = this->learners.begin(); _iter559 != this->learners.end(); ++_iter559)
     {
-      xfer += oprot->writeString((*_iter526));
+      xfer += oprot->writeString((*_iter559));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 3);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
+    std::map<std::string, std::string> ::const_iterator _iter560;
+    for (_iter560 = this->domains.begin(); _iter560 != this->domains.end(); ++_iter560)
+    {
+      xfer += oprot->writeString(_iter560->first);
+      xfer += oprot->writeString(_iter560->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14109,29 +14538,34 @@
   using ::std::swap;
   swap(a.voters, b.voters);
   swap(a.learners, b.learners);
+  swap(a.domains, b.domains);
   swap(a.__isset, b.__isset);
 }
 
-SetVoters::SetVoters(const SetVoters& other527) {
-  voters = other527.voters;
-  learners = other527.learners;
-  __isset = other527.__isset;
+SetVoters::SetVoters(const SetVoters& other561) {
+  voters = other561.voters;
+  learners = other561.learners;
+  domains = other561.domains;
+  __isset = other561.__isset;
 }
-SetVoters::SetVoters(SetVoters&& other528) noexcept {
-  voters = std::move(other528.voters);
-  learners = std::move(other528.learners);
-  __isset = other528.__isset;
+SetVoters::SetVoters(SetVoters&& other562) noexcept {
+  voters = std::move(other562.voters);
+  learners = std::move(other562.learners);
+  domains = std::move(other562.domains);
+  __isset = other562.__isset;
 }
-SetVoters& SetVoters::operator=(const SetVoters& other529) {
-  voters = other529.voters;
-  learners = other529.learners;
-  __isset = other529.__isset;
+SetVoters& SetVoters::operator=(const SetVoters& other563) {
+  voters = other563.voters;
+  learners = other563.learners;
+  domains = other563.domains;
+  __isset = other563.__isset;
   return *this;
 }
-SetVoters& SetVoters::operator=(SetVoters&& other530) noexcept {
-  voters = std::move(other530.voters);
-  learners = std::move(other530.learners);
-  __isset = other530.__isset;
+SetVoters& SetVoters::operator=(SetVoters&& other564) noexcept {
+  voters = std::move(other564.voters);
+  learners = std::move(other564.learners);
+  domains = std::move(other564.domains);
+  __isset = other564.__isset;
   return *this;
 }
 void SetVoters::printTo(std::ostream& out) const {
@@ -14139,6 +14573,7 @@
   out << "SetVoters(";
   out << "voters=" << to_string(voters);
   out << ", " << "learners=" << to_string(learners);
+  out << ", " << "domains=" << to_string(domains);
   out << ")";
 }
 
@@ -14353,50 +14788,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other531) {
-  setConfig = other531.setConfig;
-  memberJoin = other531.memberJoin;
-  memberGone = other531.memberGone;
-  memberLeaving = other531.memberLeaving;
-  holderWhole = other531.holderWhole;
-  handOver = other531.handOver;
-  setVoters = other531.setVoters;
-  noop = other531.noop;
-  __isset = other531.__isset;
-}
-Command::Command(Command&& other532) noexcept {
-  setConfig = std::move(other532.setConfig);
-  memberJoin = std::move(other532.memberJoin);
-  memberGone = std::move(other532.memberGone);
-  memberLeaving = std::move(other532.memberLeaving);
-  holderWhole = std::move(other532.holderWhole);
-  handOver = std::move(other532.handOver);
-  setVoters = std::move(other532.setVoters);
-  noop = other532.noop;
-  __isset = other532.__isset;
-}
-Command& Command::operator=(const Command& other533) {
-  setConfig = other533.setConfig;
-  memberJoin = other533.memberJoin;
-  memberGone = other533.memberGone;
-  memberLeaving = other533.memberLeaving;
-  holderWhole = other533.holderWhole;
-  handOver = other533.handOver;
-  setVoters = other533.setVoters;
-  noop = other533.noop;
-  __isset = other533.__isset;
+Command::Command(const Command& other565) {
+  setConfig = other565.setConfig;
+  memberJoin = other565.memberJoin;
+  memberGone = other565.memberGone;
+  memberLeaving = other565.memberLeaving;
+  holderWhole = other565.holderWhole;
+  handOver = other565.handOver;
+  setVoters = other565.setVoters;
+  noop = other565.noop;
+  __isset = other565.__isset;
+}
+Command::Command(Command&& other566) noexcept {
+  setConfig = std::move(other566.setConfig);
+  memberJoin = std::move(other566.memberJoin);
+  memberGone = std::move(other566.memberGone);
+  memberLeaving = std::move(other566.memberLeaving);
+  holderWhole = std::move(other566.holderWhole);
+  handOver = std::move(other566.handOver);
+  setVoters = std::move(other566.setVoters);
+  noop = other566.noop;
+  __isset = other566.__isset;
+}
+Command& Command::operator=(const Command& other567) {
+  setConfig = other567.setConfig;
+  memberJoin = other567.memberJoin;
+  memberGone = other567.memberGone;
+  memberLeaving = other567.memberLeaving;
+  holderWhole = other567.holderWhole;
+  handOver = other567.handOver;
+  setVoters = other567.setVoters;
+  noop = other567.noop;
+  __isset = other567.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other534) noexcept {
-  setConfig = std::move(other534.setConfig);
-  memberJoin = std::move(other534.memberJoin);
-  memberGone = std::move(other534.memberGone);
-  memberLeaving = std::move(other534.memberLeaving);
-  holderWhole = std::move(other534.holderWhole);
-  handOver = std::move(other534.handOver);
-  setVoters = std::move(other534.setVoters);
-  noop = other534.noop;
-  __isset = other534.__isset;
+Command& Command::operator=(Command&& other568) noexcept {
+  setConfig = std::move(other568.setConfig);
+  memberJoin = std::move(other568.memberJoin);
+  memberGone = std::move(other568.memberGone);
+  memberLeaving = std::move(other568.memberLeaving);
+  holderWhole = std::move(other568.holderWhole);
+  handOver = std::move(other568.handOver);
+  setVoters = std::move(other568.setVoters);
+  noop = other568.noop;
+  __isset = other568.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -14540,34 +14975,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other535) {
-  member = other535.member;
-  group = other535.group;
-  term = other535.term;
-  vote = other535.vote;
-  __isset = other535.__isset;
-}
-HardState::HardState(HardState&& other536) noexcept {
-  member = std::move(other536.member);
-  group = std::move(other536.group);
-  term = other536.term;
-  vote = std::move(other536.vote);
-  __isset = other536.__isset;
-}
-HardState& HardState::operator=(const HardState& other537) {
-  member = other537.member;
-  group = other537.group;
-  term = other537.term;
-  vote = other537.vote;
-  __isset = other537.__isset;
+HardState::HardState(const HardState& other569) {
+  member = other569.member;
+  group = other569.group;
+  term = other569.term;
+  vote = other569.vote;
+  __isset = other569.__isset;
+}
+HardState::HardState(HardState&& other570) noexcept {
+  member = std::move(other570.member);
+  group = std::move(other570.group);
+  term = other570.term;
+  vote = std::move(other570.vote);
+  __isset = other570.__isset;
+}
+HardState& HardState::operator=(const HardState& other571) {
+  member = other571.member;
+  group = other571.group;
+  term = other571.term;
+  vote = other571.vote;
+  __isset = other571.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other538) noexcept {
-  member = std::move(other538.member);
-  group = std::move(other538.group);
-  term = other538.term;
-  vote = std::move(other538.vote);
-  __isset = other538.__isset;
+HardState& HardState::operator=(HardState&& other572) noexcept {
+  member = std::move(other572.member);
+  group = std::move(other572.group);
+  term = other572.term;
+  vote = std::move(other572.vote);
+  __isset = other572.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -14645,14 +15080,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size539;
-            ::apache::thrift::protocol::TType _etype542;
-            xfer += iprot->readListBegin(_etype542, _size539);
-            this->entries.resize(_size539);
-            uint32_t _i543;
-            for (_i543 = 0; _i543 < _size539; ++_i543)
+            uint32_t _size573;
+            ::apache::thrift::protocol::TType _etype576;
+            xfer += iprot->readListBegin(_etype576, _size573);
+            this->entries.resize(_size573);
+            uint32_t _i577;
+            for (_i577 = 0; _i577 < _size573; ++_i577)
             {
-              xfer += this->entries[_i543].read(iprot);
+              xfer += this->entries[_i577].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14690,10 +15125,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter544;
-    for (_iter544 = this->entries.begin(); _iter544 != this->entries.end(); ++_iter544)
+    std::vector<LogEntry> ::const_iterator _iter578;
+    for (_iter578 = this->entries.begin(); _iter578 != this->entries.end(); ++_iter578)
     {
-      xfer += (*_iter544).write(oprot);
+      xfer += (*_iter578).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14712,30 +15147,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogRecord::LogRecord(const LogRecord& other545) {
-  state = other545.state;
-  truncateFrom = other545.truncateFrom;
-  entries = other545.entries;
-  __isset = other545.__isset;
+LogRecord::LogRecord(const LogRecord& other579) {
+  state = other579.state;
+  truncateFrom = other579.truncateFrom;
+  entries = other579.entries;
+  __isset = other579.__isset;
 }
-LogRecord::LogRecord(LogRecord&& other546) noexcept {
-  state = std::move(other546.state);
-  truncateFrom = other546.truncateFrom;
-  entries = std::move(other546.entries);
-  __isset = other546.__isset;
+LogRecord::LogRecord(LogRecord&& other580) noexcept {
+  state = std::move(other580.state);
+  truncateFrom = other580.truncateFrom;
+  entries = std::move(other580.entries);
+  __isset = other580.__isset;
 }
-LogRecord& LogRecord::operator=(const LogRecord& other547) {
-  state = other547.state;
-  truncateFrom = other547.truncateFrom;
-  entries = other547.entries;
-  __isset = other547.__isset;
+LogRecord& LogRecord::operator=(const LogRecord& other581) {
+  state = other581.state;
+  truncateFrom = other581.truncateFrom;
+  entries = other581.entries;
+  __isset = other581.__isset;
   return *this;
 }
-LogRecord& LogRecord::operator=(LogRecord&& other548) noexcept {
-  state = std::move(other548.state);
-  truncateFrom = other548.truncateFrom;
-  entries = std::move(other548.entries);
-  __isset = other548.__isset;
+LogRecord& LogRecord::operator=(LogRecord&& other582) noexcept {
+  state = std::move(other582.state);
+  truncateFrom = other582.truncateFrom;
+  entries = std::move(other582.entries);
+  __isset = other582.__isset;
   return *this;
 }
 void LogRecord::printTo(std::ostream& out) const {
@@ -14787,14 +15222,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size549;
-            ::apache::thrift::protocol::TType _etype552;
-            xfer += iprot->readListBegin(_etype552, _size549);
-            this->records.resize(_size549);
-            uint32_t _i553;
-            for (_i553 = 0; _i553 < _size549; ++_i553)
+            uint32_t _size583;
+            ::apache::thrift::protocol::TType _etype586;
+            xfer += iprot->readListBegin(_etype586, _size583);
+            this->records.resize(_size583);
+            uint32_t _i587;
+            for (_i587 = 0; _i587 < _size583; ++_i587)
             {
-              xfer += this->records[_i553].read(iprot);
+              xfer += this->records[_i587].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14823,10 +15258,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<LogRecord> ::const_iterator _iter554;
-    for (_iter554 = this->records.begin(); _iter554 != this->records.end(); ++_iter554)
+    std::vector<LogRecord> ::const_iterator _iter588;
+    for (_iter588 = this->records.begin(); _iter588 != this->records.end(); ++_iter588)
     {
-      xfer += (*_iter554).write(oprot);
+      xfer += (*_iter588).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14843,22 +15278,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LogFrame::LogFrame(const LogFrame& other555) {
-  records = other555.records;
-  __isset = other555.__isset;
+LogFrame::LogFrame(const LogFrame& other589) {
+  records = other589.records;
+  __isset = other589.__isset;
 }
-LogFrame::LogFrame(LogFrame&& other556) noexcept {
-  records = std::move(other556.records);
-  __isset = other556.__isset;
+LogFrame::LogFrame(LogFrame&& other590) noexcept {
+  records = std::move(other590.records);
+  __isset = other590.__isset;
 }
-LogFrame& LogFrame::operator=(const LogFrame& other557) {
-  records = other557.records;
-  __isset = other557.__isset;
+LogFrame& LogFrame::operator=(const LogFrame& other591) {
+  records = other591.records;
+  __isset = other591.__isset;
   return *this;
 }
-LogFrame& LogFrame::operator=(LogFrame&& other558) noexcept {
-  records = std::move(other558.records);
-  __isset = other558.__isset;
+LogFrame& LogFrame::operator=(LogFrame&& other592) noexcept {
+  records = std::move(other592.records);
+  __isset = other592.__isset;
   return *this;
 }
 void LogFrame::printTo(std::ostream& out) const {
@@ -14892,6 +15327,10 @@
 void SnapshotFile::__set_data(const std::string& val) {
   this->data = val;
 }
+
+void SnapshotFile::__set_domains(const std::map<std::string, std::string> & val) {
+  this->domains = val;
+}
 std::ostream& operator<<(std::ostream& out, const SnapshotFile& obj)
 {
   obj.printTo(out);
@@ -14940,14 +15379,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size559;
-            ::apache::thrift::protocol::TType _etype562;
-            xfer += iprot->readListBegin(_etype562, _size559);
-            this->voters.resize(_size559);
-            uint32_t _i563;
-            for (_i563 = 0; _i563 < _size559; ++_i563)
+            uint32_t _size593;
+            ::apache::thrift::protocol::TType _etype596;
+            xfer += iprot->readListBegin(_etype596, _size593);
+            this->voters.resize(_size593);
+            uint32_t _i597;
+            for (_i597 = 0; _i597 < _size593; ++_i597)
             {
-              xfer += iprot->readString(this->voters[_i563]);
+              xfer += iprot->readString(this->voters[_i597]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14960,14 +15399,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size564;
-            ::apache::thrift::protocol::TType _etype567;
-            xfer += iprot->readListBegin(_etype567, _size564);
-            this->learners.resize(_size564);
-            uint32_t _i568;
-            for (_i568 = 0; _i568 < _size564; ++_i568)
+            uint32_t _size598;
+            ::apache::thrift::protocol::TType _etype601;
+            xfer += iprot->readListBegin(_etype601, _size598);
+            this->learners.resize(_size598);
+            uint32_t _i602;
+            for (_i602 = 0; _i602 < _size598; ++_i602)
             {
-              xfer += iprot->readString(this->learners[_i568]);
+              xfer += iprot->readString(this->learners[_i602]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14984,6 +15423,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->domains.clear();
+            uint32_t _size603;
+            ::apache::thrift::protocol::TType _ktype604;
+            ::apache::thrift::protocol::TType _vtype605;
+            xfer += iprot->readMapBegin(_ktype604, _vtype605, _size603);
+            uint32_t _i607;
+            for (_i607 = 0; _i607 < _size603; ++_i607)
+            {
+              std::string _key608;
+              xfer += iprot->readString(_key608);
+              std::string& _val609 = this->domains[_key608];
+              xfer += iprot->readString(_val609);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -15012,10 +15474,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter569;
-    for (_iter569 = this->voters.begin(); _iter569 != this->voters.end(); ++_iter569)
+    std::vector<std::string> ::const_iterator _iter610;
+    for (_iter610 = this->voters.begin(); _iter610 != this->voters.end(); ++_iter610)
     {
-      xfer += oprot->writeString((*_iter569));
+      xfer += oprot->writeString((*_iter610));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15024,10 +15486,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter570;
-    for (_iter570 = this->learners.begin(); _iter570 != this->learners.end(); ++_iter570)
+    std::vector<std::string> ::const_iterator _iter611;
+    for (_iter611 = this->learners.begin(); _iter611 != this->learners.end(); ++_iter611)
     {
-      xfer += oprot->writeString((*_iter570));
+      xfer += oprot->writeString((*_iter611));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15037,6 +15499,19 @@
   xfer += oprot->writeBinary(this->data);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 6);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
+    std::map<std::string, std::string> ::const_iterator _iter612;
+    for (_iter612 = this->domains.begin(); _iter612 != this->domains.end(); ++_iter612)
+    {
+      xfer += oprot->writeString(_iter612->first);
+      xfer += oprot->writeString(_iter612->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -15049,41 +15524,46 @@
   swap(a.voters, b.voters);
   swap(a.learners, b.learners);
   swap(a.data, b.data);
+  swap(a.domains, b.domains);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotFile::SnapshotFile(const SnapshotFile& other571) {
-  lastIndex = other571.lastIndex;
-  lastTerm = other571.lastTerm;
-  voters = other571.voters;
-  learners = other571.learners;
-  data = other571.data;
-  __isset = other571.__isset;
+SnapshotFile::SnapshotFile(const SnapshotFile& other613) {
+  lastIndex = other613.lastIndex;
+  lastTerm = other613.lastTerm;
+  voters = other613.voters;
+  learners = other613.learners;
+  data = other613.data;
+  domains = other613.domains;
+  __isset = other613.__isset;
 }
-SnapshotFile::SnapshotFile(SnapshotFile&& other572) noexcept {
-  lastIndex = other572.lastIndex;
-  lastTerm = other572.lastTerm;
-  voters = std::move(other572.voters);
-  learners = std::move(other572.learners);
-  data = std::move(other572.data);
-  __isset = other572.__isset;
+SnapshotFile::SnapshotFile(SnapshotFile&& other614) noexcept {
+  lastIndex = other614.lastIndex;
+  lastTerm = other614.lastTerm;
+  voters = std::move(other614.voters);
+  learners = std::move(other614.learners);
+  data = std::move(other614.data);
+  domains = std::move(other614.domains);
+  __isset = other614.__isset;
 }
-SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other573) {
-  lastIndex = other573.lastIndex;
-  lastTerm = other573.lastTerm;
-  voters = other573.voters;
-  learners = other573.learners;
-  data = other573.data;
-  __isset = other573.__isset;
+SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other615) {
+  lastIndex = other615.lastIndex;
+  lastTerm = other615.lastTerm;
+  voters = other615.voters;
+  learners = other615.learners;
+  data = other615.data;
+  domains = other615.domains;
+  __isset = other615.__isset;
   return *this;
 }
-SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other574) noexcept {
-  lastIndex = other574.lastIndex;
-  lastTerm = other574.lastTerm;
-  voters = std::move(other574.voters);
-  learners = std::move(other574.learners);
-  data = std::move(other574.data);
-  __isset = other574.__isset;
+SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other616) noexcept {
+  lastIndex = other616.lastIndex;
+  lastTerm = other616.lastTerm;
+  voters = std::move(other616.voters);
+  learners = std::move(other616.learners);
+  data = std::move(other616.data);
+  domains = std::move(other616.domains);
+  __isset = other616.__isset;
   return *this;
 }
 void SnapshotFile::printTo(std::ostream& out) const {
@@ -15094,6 +15574,7 @@
   out << ", " << "voters=" << to_string(voters);
   out << ", " << "learners=" << to_string(learners);
   out << ", " << "data=" << to_string(data);
+  out << ", " << "domains=" << to_string(domains);
   out << ")";
 }
 
@@ -15207,30 +15688,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderRecord::HolderRecord(const HolderRecord& other575) {
-  name = other575.name;
-  since = other575.since;
-  whole = other575.whole;
-  __isset = other575.__isset;
+HolderRecord::HolderRecord(const HolderRecord& other617) {
+  name = other617.name;
+  since = other617.since;
+  whole = other617.whole;
+  __isset = other617.__isset;
 }
-HolderRecord::HolderRecord(HolderRecord&& other576) noexcept {
-  name = std::move(other576.name);
-  since = other576.since;
-  whole = other576.whole;
-  __isset = other576.__isset;
+HolderRecord::HolderRecord(HolderRecord&& other618) noexcept {
+  name = std::move(other618.name);
+  since = other618.since;
+  whole = other618.whole;
+  __isset = other618.__isset;
 }
-HolderRecord& HolderRecord::operator=(const HolderRecord& other577) {
-  name = other577.name;
-  since = other577.since;
-  whole = other577.whole;
-  __isset = other577.__isset;
+HolderRecord& HolderRecord::operator=(const HolderRecord& other619) {
+  name = other619.name;
+  since = other619.since;
+  whole = other619.whole;
+  __isset = other619.__isset;
   return *this;
 }
-HolderRecord& HolderRecord::operator=(HolderRecord&& other578) noexcept {
-  name = std::move(other578.name);
-  since = other578.since;
-  whole = other578.whole;
-  __isset = other578.__isset;
+HolderRecord& HolderRecord::operator=(HolderRecord&& other620) noexcept {
+  name = std::move(other620.name);
+  since = other620.since;
+  whole = other620.whole;
+  __isset = other620.__isset;
   return *this;
 }
 void HolderRecord::printTo(std::ostream& out) const {
@@ -15342,14 +15823,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size579;
-            ::apache::thrift::protocol::TType _etype582;
-            xfer += iprot->readListBegin(_etype582, _size579);
-            this->holders.resize(_size579);
-            uint32_t _i583;
-            for (_i583 = 0; _i583 < _size579; ++_i583)
+            uint32_t _size621;
+            ::apache::thrift::protocol::TType _etype624;
+            xfer += iprot->readListBegin(_etype624, _size621);
+            this->holders.resize(_size621);
+            uint32_t _i625;
+            for (_i625 = 0; _i625 < _size621; ++_i625)
             {
-              xfer += this->holders[_i583].read(iprot);
+              xfer += this->holders[_i625].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15418,10 +15899,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<HolderRecord> ::const_iterator _iter584;
-    for (_iter584 = this->holders.begin(); _iter584 != this->holders.end(); ++_iter584)
+    std::vector<HolderRecord> ::const_iterator _iter626;
+    for (_iter626 = this->holders.begin(); _iter626 != this->holders.end(); ++_iter626)
     {
-      xfer += (*_iter584).write(oprot);
+      xfer += (*_iter626).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15457,50 +15938,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CellRecord::CellRecord(const CellRecord& other585) {
-  cell = other585.cell;
-  serviceName = other585.serviceName;
-  epoch = other585.epoch;
-  owner = other585.owner;
-  holders = other585.holders;
-  floorMs = other585.floorMs;
-  routeVersion = other585.routeVersion;
-  agentsVersion = other585.agentsVersion;
-  __isset = other585.__isset;
-}
-CellRecord::CellRecord(CellRecord&& other586) noexcept {
-  cell = other586.cell;
-  serviceName = std::move(other586.serviceName);
-  epoch = other586.epoch;
-  owner = std::move(other586.owner);
-  holders = std::move(other586.holders);
-  floorMs = other586.floorMs;
-  routeVersion = other586.routeVersion;
-  agentsVersion = other586.agentsVersion;
-  __isset = other586.__isset;
-}
-CellRecord& CellRecord::operator=(const CellRecord& other587) {
-  cell = other587.cell;
-  serviceName = other587.serviceName;
-  epoch = other587.epoch;
-  owner = other587.owner;
-  holders = other587.holders;
-  floorMs = other587.floorMs;
-  routeVersion = other587.routeVersion;
-  agentsVersion = other587.agentsVersion;
-  __isset = other587.__isset;
+CellRecord::CellRecord(const CellRecord& other627) {
+  cell = other627.cell;
+  serviceName = other627.serviceName;
+  epoch = other627.epoch;
+  owner = other627.owner;
+  holders = other627.holders;
+  floorMs = other627.floorMs;
+  routeVersion = other627.routeVersion;
+  agentsVersion = other627.agentsVersion;
+  __isset = other627.__isset;
+}
+CellRecord::CellRecord(CellRecord&& other628) noexcept {
+  cell = other628.cell;
+  serviceName = std::move(other628.serviceName);
+  epoch = other628.epoch;
+  owner = std::move(other628.owner);
+  holders = std::move(other628.holders);
+  floorMs = other628.floorMs;
+  routeVersion = other628.routeVersion;
+  agentsVersion = other628.agentsVersion;
+  __isset = other628.__isset;
+}
+CellRecord& CellRecord::operator=(const CellRecord& other629) {
+  cell = other629.cell;
+  serviceName = other629.serviceName;
+  epoch = other629.epoch;
+  owner = other629.owner;
+  holders = other629.holders;
+  floorMs = other629.floorMs;
+  routeVersion = other629.routeVersion;
+  agentsVersion = other629.agentsVersion;
+  __isset = other629.__isset;
   return *this;
 }
-CellRecord& CellRecord::operator=(CellRecord&& other588) noexcept {
-  cell = other588.cell;
-  serviceName = std::move(other588.serviceName);
-  epoch = other588.epoch;
-  owner = std::move(other588.owner);
-  holders = std::move(other588.holders);
-  floorMs = other588.floorMs;
-  routeVersion = other588.routeVersion;
-  agentsVersion = other588.agentsVersion;
-  __isset = other588.__isset;
+CellRecord& CellRecord::operator=(CellRecord&& other630) noexcept {
+  cell = other630.cell;
+  serviceName = std::move(other630.serviceName);
+  epoch = other630.epoch;
+  owner = std::move(other630.owner);
+  holders = std::move(other630.holders);
+  floorMs = other630.floorMs;
+  routeVersion = other630.routeVersion;
+  agentsVersion = other630.agentsVersion;
+  __isset = other630.__isset;
   return *this;
 }
 void CellRecord::printTo(std::ostream& out) const {
@@ -15595,9 +16076,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast589;
-          xfer += iprot->readI32(ecast589);
-          this->role = static_cast<Role::type>(ecast589);
+          int32_t ecast631;
+          xfer += iprot->readI32(ecast631);
+          this->role = static_cast<Role::type>(ecast631);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -15731,54 +16212,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other590) {
-  id = other590.id;
-  role = other590.role;
-  address = other590.address;
-  failureDomain = other590.failureDomain;
-  serviceName = other590.serviceName;
-  cell = other590.cell;
-  leaving = other590.leaving;
-  version = other590.version;
-  leaseVersion = other590.leaseVersion;
-  __isset = other590.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other591) noexcept {
-  id = std::move(other591.id);
-  role = other591.role;
-  address = std::move(other591.address);
-  failureDomain = std::move(other591.failureDomain);
-  serviceName = std::move(other591.serviceName);
-  cell = other591.cell;
-  leaving = other591.leaving;
-  version = other591.version;
-  leaseVersion = other591.leaseVersion;
-  __isset = other591.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other592) {
-  id = other592.id;
-  role = other592.role;
-  address = other592.address;
-  failureDomain = other592.failureDomain;
-  serviceName = other592.serviceName;
-  cell = other592.cell;
-  leaving = other592.leaving;
-  version = other592.version;
-  leaseVersion = other592.leaseVersion;
-  __isset = other592.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other632) {
+  id = other632.id;
+  role = other632.role;
+  address = other632.address;
+  failureDomain = other632.failureDomain;
+  serviceName = other632.serviceName;
+  cell = other632.cell;
+  leaving = other632.leaving;
+  version = other632.version;
+  leaseVersion = other632.leaseVersion;
+  __isset = other632.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other633) noexcept {
+  id = std::move(other633.id);
+  role = other633.role;
+  address = std::move(other633.address);
+  failureDomain = std::move(other633.failureDomain);
+  serviceName = std::move(other633.serviceName);
+  cell = other633.cell;
+  leaving = other633.leaving;
+  version = other633.version;
+  leaseVersion = other633.leaseVersion;
+  __isset = other633.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other634) {
+  id = other634.id;
+  role = other634.role;
+  address = other634.address;
+  failureDomain = other634.failureDomain;
+  serviceName = other634.serviceName;
+  cell = other634.cell;
+  leaving = other634.leaving;
+  version = other634.version;
+  leaseVersion = other634.leaseVersion;
+  __isset = other634.__isset;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other593) noexcept {
-  id = std::move(other593.id);
-  role = other593.role;
-  address = std::move(other593.address);
-  failureDomain = std::move(other593.failureDomain);
-  serviceName = std::move(other593.serviceName);
-  cell = other593.cell;
-  leaving = other593.leaving;
-  version = other593.version;
-  leaseVersion = other593.leaseVersion;
-  __isset = other593.__isset;
+MemberRecord& MemberRecord::operator=(MemberRecord&& other635) noexcept {
+  id = std::move(other635.id);
+  role = other635.role;
+  address = std::move(other635.address);
+  failureDomain = std::move(other635.failureDomain);
+  serviceName = std::move(other635.serviceName);
+  cell = other635.cell;
+  leaving = other635.leaving;
+  version = other635.version;
+  leaseVersion = other635.leaseVersion;
+  __isset = other635.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -15860,14 +16341,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size594;
-            ::apache::thrift::protocol::TType _etype597;
-            xfer += iprot->readListBegin(_etype597, _size594);
-            this->history.resize(_size594);
-            uint32_t _i598;
-            for (_i598 = 0; _i598 < _size594; ++_i598)
+            uint32_t _size636;
+            ::apache::thrift::protocol::TType _etype639;
+            xfer += iprot->readListBegin(_etype639, _size636);
+            this->history.resize(_size636);
+            uint32_t _i640;
+            for (_i640 = 0; _i640 < _size636; ++_i640)
             {
-              xfer += this->history[_i598].read(iprot);
+              xfer += this->history[_i640].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15880,14 +16361,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size599;
-            ::apache::thrift::protocol::TType _etype602;
-            xfer += iprot->readListBegin(_etype602, _size599);
-            this->members.resize(_size599);
-            uint32_t _i603;
-            for (_i603 = 0; _i603 < _size599; ++_i603)
+            uint32_t _size641;
+            ::apache::thrift::protocol::TType _etype644;
+            xfer += iprot->readListBegin(_etype644, _size641);
+            this->members.resize(_size641);
+            uint32_t _i645;
+            for (_i645 = 0; _i645 < _size641; ++_i645)
             {
-              xfer += this->members[_i603].read(iprot);
+              xfer += this->members[_i645].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15900,14 +16381,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size604;
-            ::apache::thrift::protocol::TType _etype607;
-            xfer += iprot->readListBegin(_etype607, _size604);
-            this->cells.resize(_size604);
-            uint32_t _i608;
-            for (_i608 = 0; _i608 < _size604; ++_i608)
+            uint32_t _size646;
+            ::apache::thrift::protocol::TType _etype649;
+            xfer += iprot->readListBegin(_etype649, _size646);
+            this->cells.resize(_size646);
+            uint32_t _i650;
+            for (_i650 = 0; _i650 < _size646; ++_i650)
             {
-              xfer += this->cells[_i608].read(iprot);
+              xfer += this->cells[_i650].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15968,10 +16449,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<ConfigFile> ::const_iterator _iter609;
-    for (_iter609 = this->history.begin(); _iter609 != this->history.end(); ++_iter609)
+    std::vector<ConfigFile> ::const_iterator _iter651;
+    for (_iter651 = this->history.begin(); _iter651 != this->history.end(); ++_iter651)
     {
-      xfer += (*_iter609).write(oprot);
+      xfer += (*_iter651).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15980,10 +16461,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter610;
-    for (_iter610 = this->members.begin(); _iter610 != this->members.end(); ++_iter610)
+    std::vector<MemberRecord> ::const_iterator _iter652;
+    for (_iter652 = this->members.begin(); _iter652 != this->members.end(); ++_iter652)
     {
-      xfer += (*_iter610).write(oprot);
+      xfer += (*_iter652).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15992,10 +16473,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellRecord> ::const_iterator _iter611;
-    for (_iter611 = this->cells.begin(); _iter611 != this->cells.end(); ++_iter611)
+    std::vector<CellRecord> ::const_iterator _iter653;
+    for (_iter653 = this->cells.begin(); _iter653 != this->cells.end(); ++_iter653)
     {
-      xfer += (*_iter611).write(oprot);
+      xfer += (*_iter653).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16034,46 +16515,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlImage::ControlImage(const ControlImage& other612) {
-  history = other612.history;
-  members = other612.members;
-  cells = other612.cells;
-  nextCell = other612.nextCell;
-  configVersion = other612.configVersion;
-  routesVersion = other612.routesVersion;
-  entriesVersion = other612.entriesVersion;
-  __isset = other612.__isset;
-}
-ControlImage::ControlImage(ControlImage&& other613) noexcept {
-  history = std::move(other613.history);
-  members = std::move(other613.members);
-  cells = std::move(other613.cells);
-  nextCell = other613.nextCell;
-  configVersion = other613.configVersion;
-  routesVersion = other613.routesVersion;
-  entriesVersion = other613.entriesVersion;
-  __isset = other613.__isset;
-}
-ControlImage& ControlImage::operator=(const ControlImage& other614) {
-  history = other614.history;
-  members = other614.members;
-  cells = other614.cells;
-  nextCell = other614.nextCell;
-  configVersion = other614.configVersion;
-  routesVersion = other614.routesVersion;
-  entriesVersion = other614.entriesVersion;
-  __isset = other614.__isset;
+ControlImage::ControlImage(const ControlImage& other654) {
+  history = other654.history;
+  members = other654.members;
+  cells = other654.cells;
+  nextCell = other654.nextCell;
+  configVersion = other654.configVersion;
+  routesVersion = other654.routesVersion;
+  entriesVersion = other654.entriesVersion;
+  __isset = other654.__isset;
+}
+ControlImage::ControlImage(ControlImage&& other655) noexcept {
+  history = std::move(other655.history);
+  members = std::move(other655.members);
+  cells = std::move(other655.cells);
+  nextCell = other655.nextCell;
+  configVersion = other655.configVersion;
+  routesVersion = other655.routesVersion;
+  entriesVersion = other655.entriesVersion;
+  __isset = other655.__isset;
+}
+ControlImage& ControlImage::operator=(const ControlImage& other656) {
+  history = other656.history;
+  members = other656.members;
+  cells = other656.cells;
+  nextCell = other656.nextCell;
+  configVersion = other656.configVersion;
+  routesVersion = other656.routesVersion;
+  entriesVersion = other656.entriesVersion;
+  __isset = other656.__isset;
   return *this;
 }
-ControlImage& ControlImage::operator=(ControlImage&& other615) noexcept {
-  history = std::move(other615.history);
-  members = std::move(other615.members);
-  cells = std::move(other615.cells);
-  nextCell = other615.nextCell;
-  configVersion = other615.configVersion;
-  routesVersion = other615.routesVersion;
-  entriesVersion = other615.entriesVersion;
-  __isset = other615.__isset;
+ControlImage& ControlImage::operator=(ControlImage&& other657) noexcept {
+  history = std::move(other657.history);
+  members = std::move(other657.members);
+  cells = std::move(other657.cells);
+  nextCell = other657.nextCell;
+  configVersion = other657.configVersion;
+  routesVersion = other657.routesVersion;
+  entriesVersion = other657.entriesVersion;
+  __isset = other657.__isset;
   return *this;
 }
 void ControlImage::printTo(std::ostream& out) const {
@@ -16288,6 +16769,11 @@
   this->snapshotChunkReply = val;
 __isset.snapshotChunkReply = true;
 }
+
+void Message::__set_voterLeaving(const VoterLeaving& val) {
+  this->voterLeaving = val;
+__isset.voterLeaving = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -16628,6 +17114,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 49:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->voterLeaving.read(iprot);
+          this->__isset.voterLeaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -16805,6 +17299,11 @@
     xfer += this->snapshotChunkReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.voterLeaving) {
+    xfer += oprot->writeFieldBegin("voterLeaving", ::apache::thrift::protocol::T_STRUCT, 49);
+    xfer += this->voterLeaving.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.hostReport) {
     xfer += oprot->writeFieldBegin("hostReport", ::apache::thrift::protocol::T_STRUCT, 50);
     xfer += this->hostReport.write(oprot);
@@ -16886,177 +17385,182 @@
   swap(a.timeoutNow, b.timeoutNow);
   swap(a.snapshotChunk, b.snapshotChunk);
   swap(a.snapshotChunkReply, b.snapshotChunkReply);
+  swap(a.voterLeaving, b.voterLeaving);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other616) {
-  submitJob = other616.submitJob;
-  cancelJob = other616.cancelJob;
-  queryJob = other616.queryJob;
-  jobReply = other616.jobReply;
-  notOwner = other616.notOwner;
-  recordBatch = other616.recordBatch;
-  recordSnapshot = other616.recordSnapshot;
-  recordAck = other616.recordAck;
-  startBatch = other616.startBatch;
-  cancelBatch = other616.cancelBatch;
-  resultAck = other616.resultAck;
-  fence = other616.fence;
-  agentHello = other616.agentHello;
-  resultBatch = other616.resultBatch;
-  startRefused = other616.startRefused;
-  agentState = other616.agentState;
-  memberHeartbeat = other616.memberHeartbeat;
-  heartbeatReply = other616.heartbeatReply;
-  clusterView = other616.clusterView;
-  applyConfig = other616.applyConfig;
-  applyReply = other616.applyReply;
-  controlQuery = other616.controlQuery;
-  controlAnswer = other616.controlAnswer;
-  hostReport = other616.hostReport;
-  hostContact = other616.hostContact;
-  runTasks = other616.runTasks;
-  stopTasks = other616.stopTasks;
-  taskReports = other616.taskReports;
-  startsInDoubt = other616.startsInDoubt;
-  ordersElsewhere = other616.ordersElsewhere;
-  requestVote = other616.requestVote;
-  voteReply = other616.voteReply;
-  appendEntries = other616.appendEntries;
-  appendReply = other616.appendReply;
-  installSnapshot = other616.installSnapshot;
-  installReply = other616.installReply;
-  timeoutNow = other616.timeoutNow;
-  snapshotChunk = other616.snapshotChunk;
-  snapshotChunkReply = other616.snapshotChunkReply;
-  __isset = other616.__isset;
-}
-Message::Message(Message&& other617) noexcept {
-  submitJob = std::move(other617.submitJob);
-  cancelJob = std::move(other617.cancelJob);
-  queryJob = std::move(other617.queryJob);
-  jobReply = std::move(other617.jobReply);
-  notOwner = std::move(other617.notOwner);
-  recordBatch = std::move(other617.recordBatch);
-  recordSnapshot = std::move(other617.recordSnapshot);
-  recordAck = std::move(other617.recordAck);
-  startBatch = std::move(other617.startBatch);
-  cancelBatch = std::move(other617.cancelBatch);
-  resultAck = std::move(other617.resultAck);
-  fence = std::move(other617.fence);
-  agentHello = std::move(other617.agentHello);
-  resultBatch = std::move(other617.resultBatch);
-  startRefused = std::move(other617.startRefused);
-  agentState = std::move(other617.agentState);
-  memberHeartbeat = std::move(other617.memberHeartbeat);
-  heartbeatReply = std::move(other617.heartbeatReply);
-  clusterView = std::move(other617.clusterView);
-  applyConfig = std::move(other617.applyConfig);
-  applyReply = std::move(other617.applyReply);
-  controlQuery = std::move(other617.controlQuery);
-  controlAnswer = std::move(other617.controlAnswer);
-  hostReport = std::move(other617.hostReport);
-  hostContact = std::move(other617.hostContact);
-  runTasks = std::move(other617.runTasks);
-  stopTasks = std::move(other617.stopTasks);
-  taskReports = std::move(other617.taskReports);
-  startsInDoubt = std::move(other617.startsInDoubt);
-  ordersElsewhere = std::move(other617.ordersElsewhere);
-  requestVote = std::move(other617.requestVote);
-  voteReply = std::move(other617.voteReply);
-  appendEntries = std::move(other617.appendEntries);
-  appendReply = std::move(other617.appendReply);
-  installSnapshot = std::move(other617.installSnapshot);
-  installReply = std::move(other617.installReply);
-  timeoutNow = std::move(other617.timeoutNow);
-  snapshotChunk = std::move(other617.snapshotChunk);
-  snapshotChunkReply = std::move(other617.snapshotChunkReply);
-  __isset = other617.__isset;
-}
-Message& Message::operator=(const Message& other618) {
-  submitJob = other618.submitJob;
-  cancelJob = other618.cancelJob;
-  queryJob = other618.queryJob;
-  jobReply = other618.jobReply;
-  notOwner = other618.notOwner;
-  recordBatch = other618.recordBatch;
-  recordSnapshot = other618.recordSnapshot;
-  recordAck = other618.recordAck;
-  startBatch = other618.startBatch;
-  cancelBatch = other618.cancelBatch;
-  resultAck = other618.resultAck;
-  fence = other618.fence;
-  agentHello = other618.agentHello;
-  resultBatch = other618.resultBatch;
-  startRefused = other618.startRefused;
-  agentState = other618.agentState;
-  memberHeartbeat = other618.memberHeartbeat;
-  heartbeatReply = other618.heartbeatReply;
-  clusterView = other618.clusterView;
-  applyConfig = other618.applyConfig;
-  applyReply = other618.applyReply;
-  controlQuery = other618.controlQuery;
-  controlAnswer = other618.controlAnswer;
-  hostReport = other618.hostReport;
-  hostContact = other618.hostContact;
-  runTasks = other618.runTasks;
-  stopTasks = other618.stopTasks;
-  taskReports = other618.taskReports;
-  startsInDoubt = other618.startsInDoubt;
-  ordersElsewhere = other618.ordersElsewhere;
-  requestVote = other618.requestVote;
-  voteReply = other618.voteReply;
-  appendEntries = other618.appendEntries;
-  appendReply = other618.appendReply;
-  installSnapshot = other618.installSnapshot;
-  installReply = other618.installReply;
-  timeoutNow = other618.timeoutNow;
-  snapshotChunk = other618.snapshotChunk;
-  snapshotChunkReply = other618.snapshotChunkReply;
-  __isset = other618.__isset;
+Message::Message(const Message& other658) {
+  submitJob = other658.submitJob;
+  cancelJob = other658.cancelJob;
+  queryJob = other658.queryJob;
+  jobReply = other658.jobReply;
+  notOwner = other658.notOwner;
+  recordBatch = other658.recordBatch;
+  recordSnapshot = other658.recordSnapshot;
+  recordAck = other658.recordAck;
+  startBatch = other658.startBatch;
+  cancelBatch = other658.cancelBatch;
+  resultAck = other658.resultAck;
+  fence = other658.fence;
+  agentHello = other658.agentHello;
+  resultBatch = other658.resultBatch;
+  startRefused = other658.startRefused;
+  agentState = other658.agentState;
+  memberHeartbeat = other658.memberHeartbeat;
+  heartbeatReply = other658.heartbeatReply;
+  clusterView = other658.clusterView;
+  applyConfig = other658.applyConfig;
+  applyReply = other658.applyReply;
+  controlQuery = other658.controlQuery;
+  controlAnswer = other658.controlAnswer;
+  hostReport = other658.hostReport;
+  hostContact = other658.hostContact;
+  runTasks = other658.runTasks;
+  stopTasks = other658.stopTasks;
+  taskReports = other658.taskReports;
+  startsInDoubt = other658.startsInDoubt;
+  ordersElsewhere = other658.ordersElsewhere;
+  requestVote = other658.requestVote;
+  voteReply = other658.voteReply;
+  appendEntries = other658.appendEntries;
+  appendReply = other658.appendReply;
+  installSnapshot = other658.installSnapshot;
+  installReply = other658.installReply;
+  timeoutNow = other658.timeoutNow;
+  snapshotChunk = other658.snapshotChunk;
+  snapshotChunkReply = other658.snapshotChunkReply;
+  voterLeaving = other658.voterLeaving;
+  __isset = other658.__isset;
+}
+Message::Message(Message&& other659) noexcept {
+  submitJob = std::move(other659.submitJob);
+  cancelJob = std::move(other659.cancelJob);
+  queryJob = std::move(other659.queryJob);
+  jobReply = std::move(other659.jobReply);
+  notOwner = std::move(other659.notOwner);
+  recordBatch = std::move(other659.recordBatch);
+  recordSnapshot = std::move(other659.recordSnapshot);
+  recordAck = std::move(other659.recordAck);
+  startBatch = std::move(other659.startBatch);
+  cancelBatch = std::move(other659.cancelBatch);
+  resultAck = std::move(other659.resultAck);
+  fence = std::move(other659.fence);
+  agentHello = std::move(other659.agentHello);
+  resultBatch = std::move(other659.resultBatch);
+  startRefused = std::move(other659.startRefused);
+  agentState = std::move(other659.agentState);
+  memberHeartbeat = std::move(other659.memberHeartbeat);
+  heartbeatReply = std::move(other659.heartbeatReply);
+  clusterView = std::move(other659.clusterView);
+  applyConfig = std::move(other659.applyConfig);
+  applyReply = std::move(other659.applyReply);
+  controlQuery = std::move(other659.controlQuery);
+  controlAnswer = std::move(other659.controlAnswer);
+  hostReport = std::move(other659.hostReport);
+  hostContact = std::move(other659.hostContact);
+  runTasks = std::move(other659.runTasks);
+  stopTasks = std::move(other659.stopTasks);
+  taskReports = std::move(other659.taskReports);
+  startsInDoubt = std::move(other659.startsInDoubt);
+  ordersElsewhere = std::move(other659.ordersElsewhere);
+  requestVote = std::move(other659.requestVote);
+  voteReply = std::move(other659.voteReply);
+  appendEntries = std::move(other659.appendEntries);
+  appendReply = std::move(other659.appendReply);
+  installSnapshot = std::move(other659.installSnapshot);
+  installReply = std::move(other659.installReply);
+  timeoutNow = std::move(other659.timeoutNow);
+  snapshotChunk = std::move(other659.snapshotChunk);
+  snapshotChunkReply = std::move(other659.snapshotChunkReply);
+  voterLeaving = std::move(other659.voterLeaving);
+  __isset = other659.__isset;
+}
+Message& Message::operator=(const Message& other660) {
+  submitJob = other660.submitJob;
+  cancelJob = other660.cancelJob;
+  queryJob = other660.queryJob;
+  jobReply = other660.jobReply;
+  notOwner = other660.notOwner;
+  recordBatch = other660.recordBatch;
+  recordSnapshot = other660.recordSnapshot;
+  recordAck = other660.recordAck;
+  startBatch = other660.startBatch;
+  cancelBatch = other660.cancelBatch;
+  resultAck = other660.resultAck;
+  fence = other660.fence;
+  agentHello = other660.agentHello;
+  resultBatch = other660.resultBatch;
+  startRefused = other660.startRefused;
+  agentState = other660.agentState;
+  memberHeartbeat = other660.memberHeartbeat;
+  heartbeatReply = other660.heartbeatReply;
+  clusterView = other660.clusterView;
+  applyConfig = other660.applyConfig;
+  applyReply = other660.applyReply;
+  controlQuery = other660.controlQuery;
+  controlAnswer = other660.controlAnswer;
+  hostReport = other660.hostReport;
+  hostContact = other660.hostContact;
+  runTasks = other660.runTasks;
+  stopTasks = other660.stopTasks;
+  taskReports = other660.taskReports;
+  startsInDoubt = other660.startsInDoubt;
+  ordersElsewhere = other660.ordersElsewhere;
+  requestVote = other660.requestVote;
+  voteReply = other660.voteReply;
+  appendEntries = other660.appendEntries;
+  appendReply = other660.appendReply;
+  installSnapshot = other660.installSnapshot;
+  installReply = other660.installReply;
+  timeoutNow = other660.timeoutNow;
+  snapshotChunk = other660.snapshotChunk;
+  snapshotChunkReply = other660.snapshotChunkReply;
+  voterLeaving = other660.voterLeaving;
+  __isset = other660.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other619) noexcept {
-  submitJob = std::move(other619.submitJob);
-  cancelJob = std::move(other619.cancelJob);
-  queryJob = std::move(other619.queryJob);
-  jobReply = std::move(other619.jobReply);
-  notOwner = std::move(other619.notOwner);
-  recordBatch = std::move(other619.recordBatch);
-  recordSnapshot = std::move(other619.recordSnapshot);
-  recordAck = std::move(other619.recordAck);
-  startBatch = std::move(other619.startBatch);
-  cancelBatch = std::move(other619.cancelBatch);
-  resultAck = std::move(other619.resultAck);
-  fence = std::move(other619.fence);
-  agentHello = std::move(other619.agentHello);
-  resultBatch = std::move(other619.resultBatch);
-  startRefused = std::move(other619.startRefused);
-  agentState = std::move(other619.agentState);
-  memberHeartbeat = std::move(other619.memberHeartbeat);
-  heartbeatReply = std::move(other619.heartbeatReply);
-  clusterView = std::move(other619.clusterView);
-  applyConfig = std::move(other619.applyConfig);
-  applyReply = std::move(other619.applyReply);
-  controlQuery = std::move(other619.controlQuery);
-  controlAnswer = std::move(other619.controlAnswer);
-  hostReport = std::move(other619.hostReport);
-  hostContact = std::move(other619.hostContact);
-  runTasks = std::move(other619.runTasks);
-  stopTasks = std::move(other619.stopTasks);
-  taskReports = std::move(other619.taskReports);
-  startsInDoubt = std::move(other619.startsInDoubt);
-  ordersElsewhere = std::move(other619.ordersElsewhere);
-  requestVote = std::move(other619.requestVote);
-  voteReply = std::move(other619.voteReply);
-  appendEntries = std::move(other619.appendEntries);
-  appendReply = std::move(other619.appendReply);
-  installSnapshot = std::move(other619.installSnapshot);
-  installReply = std::move(other619.installReply);
-  timeoutNow = std::move(other619.timeoutNow);
-  snapshotChunk = std::move(other619.snapshotChunk);
-  snapshotChunkReply = std::move(other619.snapshotChunkReply);
-  __isset = other619.__isset;
+Message& Message::operator=(Message&& other661) noexcept {
+  submitJob = std::move(other661.submitJob);
+  cancelJob = std::move(other661.cancelJob);
+  queryJob = std::move(other661.queryJob);
+  jobReply = std::move(other661.jobReply);
+  notOwner = std::move(other661.notOwner);
+  recordBatch = std::move(other661.recordBatch);
+  recordSnapshot = std::move(other661.recordSnapshot);
+  recordAck = std::move(other661.recordAck);
+  startBatch = std::move(other661.startBatch);
+  cancelBatch = std::move(other661.cancelBatch);
+  resultAck = std::move(other661.resultAck);
+  fence = std::move(other661.fence);
+  agentHello = std::move(other661.agentHello);
+  resultBatch = std::move(other661.resultBatch);
+  startRefused = std::move(other661.startRefused);
+  agentState = std::move(other661.agentState);
+  memberHeartbeat = std::move(other661.memberHeartbeat);
+  heartbeatReply = std::move(other661.heartbeatReply);
+  clusterView = std::move(other661.clusterView);
+  applyConfig = std::move(other661.applyConfig);
+  applyReply = std::move(other661.applyReply);
+  controlQuery = std::move(other661.controlQuery);
+  controlAnswer = std::move(other661.controlAnswer);
+  hostReport = std::move(other661.hostReport);
+  hostContact = std::move(other661.hostContact);
+  runTasks = std::move(other661.runTasks);
+  stopTasks = std::move(other661.stopTasks);
+  taskReports = std::move(other661.taskReports);
+  startsInDoubt = std::move(other661.startsInDoubt);
+  ordersElsewhere = std::move(other661.ordersElsewhere);
+  requestVote = std::move(other661.requestVote);
+  voteReply = std::move(other661.voteReply);
+  appendEntries = std::move(other661.appendEntries);
+  appendReply = std::move(other661.appendReply);
+  installSnapshot = std::move(other661.installSnapshot);
+  installReply = std::move(other661.installReply);
+  timeoutNow = std::move(other661.timeoutNow);
+  snapshotChunk = std::move(other661.snapshotChunk);
+  snapshotChunkReply = std::move(other661.snapshotChunkReply);
+  voterLeaving = std::move(other661.voterLeaving);
+  __isset = other661.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -17101,6 +17605,7 @@
   out << ", " << "timeoutNow="; (__isset.timeoutNow ? (out << to_string(timeoutNow)) : (out << "<null>"));
   out << ", " << "snapshotChunk="; (__isset.snapshotChunk ? (out << to_string(snapshotChunk)) : (out << "<null>"));
   out << ", " << "snapshotChunkReply="; (__isset.snapshotChunkReply ? (out << to_string(snapshotChunkReply)) : (out << "<null>"));
+  out << ", " << "voterLeaving="; (__isset.voterLeaving ? (out << to_string(voterLeaving)) : (out << "<null>"));
   out << ")";
 }
 
@@ -17166,9 +17671,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast620;
-          xfer += iprot->readI32(ecast620);
-          this->role = static_cast<Role::type>(ecast620);
+          int32_t ecast662;
+          xfer += iprot->readI32(ecast662);
+          this->role = static_cast<Role::type>(ecast662);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -17194,14 +17699,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size621;
-            ::apache::thrift::protocol::TType _etype624;
-            xfer += iprot->readListBegin(_etype624, _size621);
-            this->messages.resize(_size621);
-            uint32_t _i625;
-            for (_i625 = 0; _i625 < _size621; ++_i625)
+            uint32_t _size663;
+            ::apache::thrift::protocol::TType _etype666;
+            xfer += iprot->readListBegin(_etype666, _size663);
+            this->messages.resize(_size663);
+            uint32_t _i667;
+            for (_i667 = 0; _i667 < _size663; ++_i667)
             {
-              xfer += this->messages[_i625].read(iprot);
+              xfer += this->messages[_i667].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -17246,10 +17751,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<Message> ::const_iterator _iter626;
-    for (_iter626 = this->messages.begin(); _iter626 != this->messages.end(); ++_iter626)
+    std::vector<Message> ::const_iterator _iter668;
+    for (_iter668 = this->messages.begin(); _iter668 != this->messages.end(); ++_iter668)
     {
-      xfer += (*_iter626).write(oprot);
+      xfer += (*_iter668).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -17270,38 +17775,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other627) {
-  sender = other627.sender;
-  role = other627.role;
-  address = other627.address;
-  configNumber = other627.configNumber;
-  messages = other627.messages;
-  __isset = other627.__isset;
-}
-Envelope::Envelope(Envelope&& other628) noexcept {
-  sender = std::move(other628.sender);
-  role = other628.role;
-  address = std::move(other628.address);
-  configNumber = other628.configNumber;
-  messages = std::move(other628.messages);
-  __isset = other628.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other629) {
-  sender = other629.sender;
-  role = other629.role;
-  address = other629.address;
-  configNumber = other629.configNumber;
-  messages = other629.messages;
-  __isset = other629.__isset;
+Envelope::Envelope(const Envelope& other669) {
+  sender = other669.sender;
+  role = other669.role;
+  address = other669.address;
+  configNumber = other669.configNumber;
+  messages = other669.messages;
+  __isset = other669.__isset;
+}
+Envelope::Envelope(Envelope&& other670) noexcept {
+  sender = std::move(other670.sender);
+  role = other670.role;
+  address = std::move(other670.address);
+  configNumber = other670.configNumber;
+  messages = std::move(other670.messages);
+  __isset = other670.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other671) {
+  sender = other671.sender;
+  role = other671.role;
+  address = other671.address;
+  configNumber = other671.configNumber;
+  messages = other671.messages;
+  __isset = other671.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other630) noexcept {
-  sender = std::move(other630.sender);
-  role = other630.role;
-  address = std::move(other630.address);
-  configNumber = other630.configNumber;
-  messages = std::move(other630.messages);
-  __isset = other630.__isset;
+Envelope& Envelope::operator=(Envelope&& other672) noexcept {
+  sender = std::move(other672.sender);
+  role = other672.role;
+  address = std::move(other672.address);
+  configNumber = other672.configNumber;
+  messages = std::move(other672.messages);
+  __isset = other672.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -232,6 +232,8 @@
 
 class TimeoutNow;
 
+class VoterLeaving;
+
 class SetConfig;
 
 class MemberJoin;
@@ -4176,7 +4178,7 @@
 std::ostream& operator<<(std::ostream& out, const LogEntry& obj);
 
 typedef struct _RequestVote__isset {
-  _RequestVote__isset() : term(false), lastIndex(false), lastTerm(false), preVote(false), member(false), group(false), transfer(false) {}
+  _RequestVote__isset() : term(false), lastIndex(false), lastTerm(false), preVote(false), member(false), group(false), transfer(false), failureDomain(false), observer(false) {}
   bool term :1;
   bool lastIndex :1;
   bool lastTerm :1;
@@ -4184,6 +4186,8 @@
   bool member :1;
   bool group :1;
   bool transfer :1;
+  bool failureDomain :1;
+  bool observer :1;
 } _RequestVote__isset;
 
 class RequestVote : public virtual ::apache::thrift::TBase {
@@ -4200,7 +4204,9 @@
                 preVote(0),
                 member(),
                 group(),
-                transfer(0) {
+                transfer(0),
+                failureDomain(),
+                observer(0) {
   }
 
   virtual ~RequestVote() noexcept;
@@ -4211,6 +4217,8 @@
   std::string member;
   std::string group;
   bool transfer;
+  std::string failureDomain;
+  bool observer;
 
   _RequestVote__isset __isset;
 
@@ -4228,6 +4236,10 @@
 
   void __set_transfer(const bool val);
 
+  void __set_failureDomain(const std::string& val);
+
+  void __set_observer(const bool val);
+
   bool operator == (const RequestVote & rhs) const
   {
     if (!(term == rhs.term))
@@ -4244,6 +4256,10 @@
       return false;
     if (!(transfer == rhs.transfer))
       return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    if (!(observer == rhs.observer))
+      return false;
     return true;
   }
   bool operator != (const RequestVote &rhs) const {
@@ -4263,7 +4279,7 @@
 std::ostream& operator<<(std::ostream& out, const RequestVote& obj);
 
 typedef struct _VoteReply__isset {
-  _VoteReply__isset() : term(false), granted(false), preVote(false), member(false), group(false), fresh(false), leader(false) {}
+  _VoteReply__isset() : term(false), granted(false), preVote(false), member(false), group(false), fresh(false), leader(false), failureDomain(false), observer(false), processes(false), founder(false) {}
   bool term :1;
   bool granted :1;
   bool preVote :1;
@@ -4271,6 +4287,10 @@
   bool group :1;
   bool fresh :1;
   bool leader :1;
+  bool failureDomain :1;
+  bool observer :1;
+  bool processes :1;
+  bool founder :1;
 } _VoteReply__isset;
 
 class VoteReply : public virtual ::apache::thrift::TBase {
@@ -4287,7 +4307,10 @@
               member(),
               group(),
               fresh(0),
-              leader() {
+              leader(),
+              failureDomain(),
+              observer(0),
+              founder() {
   }
 
   virtual ~VoteReply() noexcept;
@@ -4298,6 +4321,10 @@
   std::string group;
   bool fresh;
   std::string leader;
+  std::string failureDomain;
+  bool observer;
+  std::vector<std::string>  processes;
+  std::string founder;
 
   _VoteReply__isset __isset;
 
@@ -4315,6 +4342,14 @@
 
   void __set_leader(const std::string& val);
 
+  void __set_failureDomain(const std::string& val);
+
+  void __set_observer(const bool val);
+
+  void __set_processes(const std::vector<std::string> & val);
+
+  void __set_founder(const std::string& val);
+
   bool operator == (const VoteReply & rhs) const
   {
     if (!(term == rhs.term))
@@ -4331,6 +4366,14 @@
       return false;
     if (!(leader == rhs.leader))
       return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    if (!(observer == rhs.observer))
+      return false;
+    if (!(processes == rhs.processes))
+      return false;
+    if (!(founder == rhs.founder))
+      return false;
     return true;
   }
   bool operator != (const VoteReply &rhs) const {
@@ -4443,13 +4486,14 @@
 std::ostream& operator<<(std::ostream& out, const AppendEntries& obj);
 
 typedef struct _AppendReply__isset {
-  _AppendReply__isset() : term(false), ok(false), matchIndex(false), round(false), member(false), group(false) {}
+  _AppendReply__isset() : term(false), ok(false), matchIndex(false), round(false), member(false), group(false), failureDomain(false) {}
   bool term :1;
   bool ok :1;
   bool matchIndex :1;
   bool round :1;
   bool member :1;
   bool group :1;
+  bool failureDomain :1;
 } _AppendReply__isset;
 
 class AppendReply : public virtual ::apache::thrift::TBase {
@@ -4465,7 +4509,8 @@
                 matchIndex(0),
                 round(0),
                 member(),
-                group() {
+                group(),
+                failureDomain() {
   }
 
   virtual ~AppendReply() noexcept;
@@ -4475,6 +4520,7 @@
   int64_t round;
   std::string member;
   std::string group;
+  std::string failureDomain;
 
   _AppendReply__isset __isset;
 
@@ -4490,6 +4536,8 @@
 
   void __set_group(const std::string& val);
 
+  void __set_failureDomain(const std::string& val);
+
   bool operator == (const AppendReply & rhs) const
   {
     if (!(term == rhs.term))
@@ -4504,6 +4552,8 @@
       return false;
     if (!(group == rhs.group))
       return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
     return true;
   }
   bool operator != (const AppendReply &rhs) const {
@@ -4523,7 +4573,7 @@
 std::ostream& operator<<(std::ostream& out, const AppendReply& obj);
 
 typedef struct _InstallSnapshot__isset {
-  _InstallSnapshot__isset() : term(false), lastIndex(false), lastTerm(false), data(false), voters(false), learners(false), member(false), group(false), round(false) {}
+  _InstallSnapshot__isset() : term(false), lastIndex(false), lastTerm(false), data(false), voters(false), learners(false), member(false), group(false), round(false), domains(false) {}
   bool term :1;
   bool lastIndex :1;
   bool lastTerm :1;
@@ -4533,6 +4583,7 @@
   bool member :1;
   bool group :1;
   bool round :1;
+  bool domains :1;
 } _InstallSnapshot__isset;
 
 class InstallSnapshot : public virtual ::apache::thrift::TBase {
@@ -4562,6 +4613,7 @@
   std::string member;
   std::string group;
   int64_t round;
+  std::map<std::string, std::string>  domains;
 
   _InstallSnapshot__isset __isset;
 
@@ -4583,6 +4635,8 @@
 
   void __set_round(const int64_t val);
 
+  void __set_domains(const std::map<std::string, std::string> & val);
+
   bool operator == (const InstallSnapshot & rhs) const
   {
     if (!(term == rhs.term))
@@ -4603,6 +4657,8 @@
       return false;
     if (!(round == rhs.round))
       return false;
+    if (!(domains == rhs.domains))
+      return false;
     return true;
   }
   bool operator != (const InstallSnapshot &rhs) const {
@@ -4622,7 +4678,7 @@
 std::ostream& operator<<(std::ostream& out, const InstallSnapshot& obj);
 
 typedef struct _SnapshotChunk__isset {
-  _SnapshotChunk__isset() : term(false), lastIndex(false), lastTerm(false), data(false), voters(false), learners(false), member(false), group(false), round(false), offset(false), totalBytes(false) {}
+  _SnapshotChunk__isset() : term(false), lastIndex(false), lastTerm(false), data(false), voters(false), learners(false), member(false), group(false), round(false), offset(false), totalBytes(false), domains(false) {}
   bool term :1;
   bool lastIndex :1;
   bool lastTerm :1;
@@ -4634,6 +4690,7 @@
   bool round :1;
   bool offset :1;
   bool totalBytes :1;
+  bool domains :1;
 } _SnapshotChunk__isset;
 
 class SnapshotChunk : public virtual ::apache::thrift::TBase {
@@ -4667,6 +4724,7 @@
   int64_t round;
   int64_t offset;
   int64_t totalBytes;
+  std::map<std::string, std::string>  domains;
 
   _SnapshotChunk__isset __isset;
 
@@ -4692,6 +4750,8 @@
 
   void __set_totalBytes(const int64_t val);
 
+  void __set_domains(const std::map<std::string, std::string> & val);
+
   bool operator == (const SnapshotChunk & rhs) const
   {
     if (!(term == rhs.term))
@@ -4716,6 +4776,8 @@
       return false;
     if (!(totalBytes == rhs.totalBytes))
       return false;
+    if (!(domains == rhs.domains))
+      return false;
     return true;
   }
   bool operator != (const SnapshotChunk &rhs) const {
@@ -4932,6 +4994,58 @@
 
 std::ostream& operator<<(std::ostream& out, const TimeoutNow& obj);
 
+typedef struct _VoterLeaving__isset {
+  _VoterLeaving__isset() : member(false), group(false) {}
+  bool member :1;
+  bool group :1;
+} _VoterLeaving__isset;
+
+class VoterLeaving : public virtual ::apache::thrift::TBase {
+ public:
+
+  VoterLeaving(const VoterLeaving&);
+  VoterLeaving(VoterLeaving&&) noexcept;
+  VoterLeaving& operator=(const VoterLeaving&);
+  VoterLeaving& operator=(VoterLeaving&&) noexcept;
+  VoterLeaving() noexcept
+               : member(),
+                 group() {
+  }
+
+  virtual ~VoterLeaving() noexcept;
+  std::string member;
+  std::string group;
+
+  _VoterLeaving__isset __isset;
+
+  void __set_member(const std::string& val);
+
+  void __set_group(const std::string& val);
+
+  bool operator == (const VoterLeaving & rhs) const
+  {
+    if (!(member == rhs.member))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    return true;
+  }
+  bool operator != (const VoterLeaving &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VoterLeaving & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VoterLeaving &a, VoterLeaving &b);
+
+std::ostream& operator<<(std::ostream& out, const VoterLeaving& obj);
+
 typedef struct _SetConfig__isset {
   _SetConfig__isset() : file(false) {}
   bool file :1;
@@ -5301,9 +5415,10 @@
 std::ostream& operator<<(std::ostream& out, const HandOver& obj);
 
 typedef struct _SetVoters__isset {
-  _SetVoters__isset() : voters(false), learners(false) {}
+  _SetVoters__isset() : voters(false), learners(false), domains(false) {}
   bool voters :1;
   bool learners :1;
+  bool domains :1;
 } _SetVoters__isset;
 
 class SetVoters : public virtual ::apache::thrift::TBase {
@@ -5319,6 +5434,7 @@
   virtual ~SetVoters() noexcept;
   std::vector<std::string>  voters;
   std::vector<std::string>  learners;
+  std::map<std::string, std::string>  domains;
 
   _SetVoters__isset __isset;
 
@@ -5326,12 +5442,16 @@
 
   void __set_learners(const std::vector<std::string> & val);
 
+  void __set_domains(const std::map<std::string, std::string> & val);
+
   bool operator == (const SetVoters & rhs) const
   {
     if (!(voters == rhs.voters))
       return false;
     if (!(learners == rhs.learners))
       return false;
+    if (!(domains == rhs.domains))
+      return false;
     return true;
   }
   bool operator != (const SetVoters &rhs) const {
@@ -5623,12 +5743,13 @@
 std::ostream& operator<<(std::ostream& out, const LogFrame& obj);
 
 typedef struct _SnapshotFile__isset {
-  _SnapshotFile__isset() : lastIndex(false), lastTerm(false), voters(false), learners(false), data(false) {}
+  _SnapshotFile__isset() : lastIndex(false), lastTerm(false), voters(false), learners(false), data(false), domains(false) {}
   bool lastIndex :1;
   bool lastTerm :1;
   bool voters :1;
   bool learners :1;
   bool data :1;
+  bool domains :1;
 } _SnapshotFile__isset;
 
 class SnapshotFile : public virtual ::apache::thrift::TBase {
@@ -5650,6 +5771,7 @@
   std::vector<std::string>  voters;
   std::vector<std::string>  learners;
   std::string data;
+  std::map<std::string, std::string>  domains;
 
   _SnapshotFile__isset __isset;
 
@@ -5663,6 +5785,8 @@
 
   void __set_data(const std::string& val);
 
+  void __set_domains(const std::map<std::string, std::string> & val);
+
   bool operator == (const SnapshotFile & rhs) const
   {
     if (!(lastIndex == rhs.lastIndex))
@@ -5675,6 +5799,8 @@
       return false;
     if (!(data == rhs.data))
       return false;
+    if (!(domains == rhs.domains))
+      return false;
     return true;
   }
   bool operator != (const SnapshotFile &rhs) const {
@@ -6033,7 +6159,7 @@
 std::ostream& operator<<(std::ostream& out, const ControlImage& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : submitJob(false), cancelJob(false), queryJob(false), jobReply(false), notOwner(false), recordBatch(false), recordSnapshot(false), recordAck(false), startBatch(false), cancelBatch(false), resultAck(false), fence(false), agentHello(false), resultBatch(false), startRefused(false), agentState(false), memberHeartbeat(false), heartbeatReply(false), clusterView(false), applyConfig(false), applyReply(false), controlQuery(false), controlAnswer(false), hostReport(false), hostContact(false), runTasks(false), stopTasks(false), taskReports(false), startsInDoubt(false), ordersElsewhere(false), requestVote(false), voteReply(false), appendEntries(false), appendReply(false), installSnapshot(false), installReply(false), timeoutNow(false), snapshotChunk(false), snapshotChunkReply(false) {}
+  _Message__isset() : submitJob(false), cancelJob(false), queryJob(false), jobReply(false), notOwner(false), recordBatch(false), recordSnapshot(false), recordAck(false), startBatch(false), cancelBatch(false), resultAck(false), fence(false), agentHello(false), resultBatch(false), startRefused(false), agentState(false), memberHeartbeat(false), heartbeatReply(false), clusterView(false), applyConfig(false), applyReply(false), controlQuery(false), controlAnswer(false), hostReport(false), hostContact(false), runTasks(false), stopTasks(false), taskReports(false), startsInDoubt(false), ordersElsewhere(false), requestVote(false), voteReply(false), appendEntries(false), appendReply(false), installSnapshot(false), installReply(false), timeoutNow(false), snapshotChunk(false), snapshotChunkReply(false), voterLeaving(false) {}
   bool submitJob :1;
   bool cancelJob :1;
   bool queryJob :1;
@@ -6073,6 +6199,7 @@
   bool timeoutNow :1;
   bool snapshotChunk :1;
   bool snapshotChunkReply :1;
+  bool voterLeaving :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -6125,6 +6252,7 @@
   TimeoutNow timeoutNow;
   SnapshotChunk snapshotChunk;
   SnapshotChunkReply snapshotChunkReply;
+  VoterLeaving voterLeaving;
 
   _Message__isset __isset;
 
@@ -6206,6 +6334,8 @@
 
   void __set_snapshotChunkReply(const SnapshotChunkReply& val);
 
+  void __set_voterLeaving(const VoterLeaving& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.submitJob != rhs.__isset.submitJob)
@@ -6364,6 +6494,10 @@
       return false;
     else if (__isset.snapshotChunkReply && !(snapshotChunkReply == rhs.snapshotChunkReply))
       return false;
+    if (__isset.voterLeaving != rhs.__isset.voterLeaving)
+      return false;
+    else if (__isset.voterLeaving && !(voterLeaving == rhs.voterLeaving))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/settings_process.cpp
+++ b/src/settings_process.cpp
@@ -83,6 +83,13 @@
     return static_cast<int>(reader.integer(key, fallback, 1, maxValue));
 }
 
+/// Reads a number of losses. A key without a value has the default.
+int readCount(YamlReader &reader, const std::string &key, int fallback)
+{
+    constexpr double maxLosses = 100;
+    return static_cast<int>(reader.real(key, fallback, 0, maxLosses));
+}
+
 /// Reads an address of the form "IP:PORT".
 wire::Endpoint readAddress(YamlReader &reader, const std::string &key)
 {
@@ -167,7 +174,8 @@
     case wire::Role::CONTROL:
         settings.operators = readAddress(reader, "operators");
         settings.mayFormGroup = reader.boolean("mayFormGroup", true);
-        settings.maxVoters = readInt(reader, "maxVoters", 3, maxThreads);
+        settings.tolerance.machines = readCount(reader, "toleratedMachines", LossTolerance().machines);
+        settings.tolerance.domains = readCount(reader, "toleratedDomains", LossTolerance().domains);
         settings.voterReplacementTimeout
             = replacementTimeout(reader.real("repairSeconds", defaultRepairSeconds, 1, maxRepairSeconds));
         break;
@@ -199,7 +207,8 @@
             = readInt(reader, "maxBackendConnections", settings.maxBackendConnections, maxConcurrency);
         break;
     case wire::Role::CONTROL:
-        settings.dataFolder = reader.requiredText("dataFolder");
+        settings.dataFolder
+            = settings.isOnPlatform ? reader.optionalText("dataFolder") : reader.requiredText("dataFolder");
         break;
     default:
         break;
@@ -294,7 +303,8 @@
                                                 {"callerRetryMs", "agent"},
                                                 {"operators", "control"},
                                                 {"mayFormGroup", "control"},
-                                                {"maxVoters", "control"},
+                                                {"toleratedMachines", "control"},
+                                                {"toleratedDomains", "control"},
                                                 {"repairSeconds", "control"}};
     return keys;
 }
--- a/src/settings_process_p.h
+++ b/src/settings_process_p.h
@@ -3,6 +3,7 @@
 #include "agatedrum/result.h"
 #include "base_log_p.h"
 #include "base_yaml_p.h"
+#include "control_tolerance_p.h"
 #include "host_lease_terms_p.h"
 #include "member_link_p.h"
 
@@ -30,11 +31,11 @@
     Millis requestTimeout {60000}; ///< entry
     int shards = 8; ///< owner
     int maxBackendConnections = 64; ///< agent
-    std::string dataFolder; ///< control
+    std::string dataFolder; ///< control; empty on a platform for a process without a disk, which never votes
     /// True if callers, operators and backend servers use the interface of a platform instead of agatedrum's own.
     bool isOnPlatform = false;
     bool mayFormGroup = true; ///< control on a platform: whether a process with an empty disk may bootstrap a group
-    int maxVoters = 0; ///< control on a platform: maximum number of voters; other processes are learners
+    LossTolerance tolerance; ///< control on a platform: losses that the group has to bear at the same time
     Millis voterReplacementTimeout {0}; ///< control on a platform: time without contact until a voter is replaced
     double farFactor = 1.0; ///< entry on a platform: factor on the run time of a task that runs remote from its data
     wire::Endpoint callers; ///< entry on a platform: address for callers
--- a/src/wire_message.cpp
+++ b/src/wire_message.cpp
@@ -53,6 +53,7 @@
     AGATEDRUM_MEMBER(timeoutNow);
     AGATEDRUM_MEMBER(snapshotChunk);
     AGATEDRUM_MEMBER(snapshotChunkReply);
+    AGATEDRUM_MEMBER(voterLeaving);
     AGATEDRUM_MEMBER(hostReport);
     AGATEDRUM_MEMBER(hostContact);
     AGATEDRUM_MEMBER(runTasks);
--- a/tests/control_full_disks.h
+++ b/tests/control_full_disks.h
@@ -140,7 +140,7 @@
             if (this->isOpen) {
                 options.group.resize(3);
                 options.isOpen = true;
-                options.maxVoters = 3;
+                options.tolerance = {1, 0}; // three voters
             }
             options.mayBootstrap = this->mayBootstrap;
         };
