--- a/tests/control_open.h
+++ b/tests/control_open.h
@@ -3,7 +3,10 @@
 #include "control_faults.h"
 #include "control_sim.h"
 
+#include <map>
 #include <memory>
+#include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -11,11 +14,11 @@
 
 constexpr std::size_t listedProcesses = 3;
 
-/// Four control processes, of which three are listed in the configuration; the name of each is its address.
+/// Control processes, of which the first three are listed in the configuration; the name of each is its address.
 struct OpenCluster : SimCluster
 {
-    OpenCluster()
-        : SimCluster(4)
+    explicit OpenCluster(int processes = 4, std::uint64_t seed = 1)
+        : SimCluster(processes, seed)
     {
         for (auto &peer : this->group) {
             peer.name = "127.0.0.1:" + std::to_string(peer.address.port);
@@ -24,7 +27,10 @@
             options.group.assign(this->group.begin(), this->group.begin() + listedProcesses);
             options.group = this->seeds.empty() ? options.group : this->seeds;
             options.isOpen = true;
-            options.maxVoters = listedProcesses;
+            options.tolerance = this->tolerance;
+            const auto domain = this->domains.find(options.self.name);
+            options.failureDomain = domain == this->domains.end() ? std::string() : domain->second;
+            options.isObserver = this->observers.count(options.self.name) > 0;
             options.mayBootstrap = this->mayBootstrap;
         };
     }
@@ -50,13 +56,17 @@
     }
 
     bool mayBootstrap = true;
+    LossTolerance tolerance; ///< by default, three processes vote
+    std::map<std::string, std::string> domains; ///< failure domains by name, if any
+    std::set<std::string> observers; ///< names of processes without a disk
     std::vector<ControlPeer> seeds; ///< processes that further ones are told of, if not empty
 };
 
 /// An open cluster whose processes have disks, which they keep over a restart.
 struct DurableCluster : OpenCluster
 {
-    DurableCluster()
+    explicit DurableCluster(int processes = 4, std::uint64_t seed = 1)
+        : OpenCluster(processes, seed)
     {
         for (std::size_t i = 0; i < this->group.size(); ++i) {
             this->addDisk(i);
@@ -74,6 +84,12 @@
         this->openStore(number);
         SimCluster::start(number);
     }
+    /// Takes the power of a process: writes that were not synced may be lost or torn.
+    void losePower(std::size_t number)
+    {
+        this->kill(number);
+        this->disks[number]->crash(this->powerRandom);
+    }
     /// Ends a process and empties its disk.
     void loseDisk(std::size_t number)
     {
@@ -94,6 +110,12 @@
         return number;
     }
 
+    /// Waits until the group has a leader and as many voters as it needs. @return whether it does within the time.
+    bool waitForVoters(std::size_t count, Millis timeout = Millis(5000))
+    {
+        return this->runUntil(timeout, [&] { return this->leader() >= 0 && this->voters().size() == count; });
+    }
+
 private:
     void addDisk(std::size_t number)
     {
@@ -107,6 +129,7 @@
         this->stores[number] = this->simStores[number];
     }
 
+    std::mt19937_64 powerRandom {1};
     std::vector<std::unique_ptr<FakeDisk>> disks;
     std::vector<std::shared_ptr<SimStore>> simStores;
 };
