--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -122,6 +122,16 @@
     this->drain();
 }
 
+void ControlCore::setContacts(const std::vector<ControlPeer> &peers)
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<std::string> names;
+    for (const auto &peer : peers) {
+        names.push_back(peer.name);
+    }
+    this->log.setContacts(std::move(names));
+}
+
 LocalConfig ControlCore::readConfig() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/control_core_p.h
+++ b/src/control_core_p.h
@@ -80,6 +80,8 @@
     /// during the call.
     void applyLocal(const wire::ApplyConfig &request, LocalDecisionHandler handler);
     LocalConfig readConfig() const;
+    /// Replaces the listed processes to contact. Only for an open group.
+    void setContacts(const std::vector<ControlPeer> &peers);
 
     /// Returns whether this process leads under a lease from a quorum.
     bool isLeader() const;
--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -50,6 +50,7 @@
 ControlLog::ControlLog(ControlLogOptions options, ControlStoreContent loaded, Time now)
     : options(std::move(options))
     , random(this->options.seed)
+    , contacts(this->options.group)
     , hardState(std::move(loaded.state))
 {
     if (loaded.snapshot) {
--- a/src/control_log_election.cpp
+++ b/src/control_log_election.cpp
@@ -151,7 +151,7 @@
         return;
     }
     this->probeDueAt = now + observerProbeInterval;
-    std::set<std::string> names(this->options.group.begin(), this->options.group.end());
+    std::set<std::string> names(this->contacts.begin(), this->contacts.end());
     for (const auto &list : {this->membership().voters, this->membership().learners}) {
         for (const auto &identity : list) {
             names.erase(memberName(identity));
@@ -173,12 +173,17 @@
     return this->status != Status::Leader && now - this->leaderLastHeardAt > announcementTimeout;
 }
 
+void ControlLog::setContacts(std::vector<std::string> names)
+{
+    this->contacts = std::move(names);
+}
+
 std::set<std::string> ControlLog::processesToContact(Time now) const
 {
     if (this->options.isObserver && now - this->leaderNamedAt < 2 * observerProbeInterval) {
         return {this->namedLeader};
     }
-    std::set<std::string> names(this->options.group.begin(), this->options.group.end());
+    std::set<std::string> names(this->contacts.begin(), this->contacts.end());
     for (const auto &list : {this->membership().voters, this->membership().learners}) {
         for (const auto &identity : list) {
             names.insert(memberName(identity));
--- a/src/control_log_p.h
+++ b/src/control_log_p.h
@@ -90,6 +90,8 @@
     /// Sets whether this member's store cannot write at present. Such a member starts no election, and a leader hands
     /// over once the other voters have committed an entry without it, which shows that they can write.
     void setWritesRefused(bool areRefused);
+    /// Replaces the listed processes to contact. They bootstrap no group: those of the first start do.
+    void setContacts(std::vector<std::string> names);
     /// Makes this member start no more elections, and ask the leader for a replacement if it is a voter of an open
     /// group; for a process that is stopping.
     void beginLeaving();
@@ -282,6 +284,7 @@
     ControlLogOptions options;
     std::mt19937_64 random;
 
+    std::vector<std::string> contacts; ///< names of listed processes, as of the newest settings
     wire::HardState hardState;
     wire::SnapshotFile snapshot;
     wire::SnapshotChunk incomingSnapshot; ///< the parts that have been received of a snapshot
--- a/tests/test_control_losses.cpp
+++ b/tests/test_control_losses.cpp
@@ -252,6 +252,13 @@
     REQUIRE_FALSE(observer.readConfig().isAuthoritative);
     REQUIRE(observer.readConfig().leader == cluster.group.at(static_cast<std::size_t>(cluster.leader())).name);
 
+    SECTION("it takes other listed processes from new settings")
+    {
+        const auto leader = static_cast<std::size_t>(cluster.leader());
+        observer.setContacts({cluster.group[leader]});
+        cluster.run(Millis(2000));
+        REQUIRE(observer.readConfig().leader == cluster.group[leader].name);
+    }
     SECTION("a restarted one finds the leader again")
     {
         cluster.mayBootstrap = false;
