--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -126,6 +126,7 @@
 {
     const std::lock_guard lock(this->mutex);
     std::vector<std::string> names;
+    names.reserve(peers.size());
     for (const auto &peer : peers) {
         names.push_back(peer.name);
     }
--- a/src/control_log_members.cpp
+++ b/src/control_log_members.cpp
@@ -319,6 +319,7 @@
                                                const std::vector<std::string> &identities) const
 {
     std::vector<std::string> domains;
+    domains.reserve(identities.size());
     for (const auto &identity : identities) {
         domains.push_back(this->domainOf(members, identity));
     }
