Give each start of a control process its own ids of forwarded requests

A control process forwards an operator's change to the leader and knows the answer by a request id that counted from 1 at each start. The answer to a request of the previous process, delayed by slow disks, was taken for the answer to another change that the successor had forwarded under the same id: a lost change was acknowledged, and the older one read back.

The ids now begin at a random number that follows from the incarnation.

The new test fails before (accepted, version 8 in force in place of 9) and passes now.

--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -19,6 +19,14 @@
 /// process.
 constexpr Millis forwardTimeout {800};
 
+/// Returns the id before that of the first forwarded request. Starts at the same address use different ids, since an
+/// answer to a request of the previous process may still arrive.
+std::int64_t firstForwardedId(std::int64_t incarnation)
+{
+    std::mt19937_64 random(static_cast<std::uint64_t>(incarnation));
+    return static_cast<std::int64_t>(random() >> 2U); // leaves positive ids to count up to
+}
+
 ControlLogOptions logOptions(const ControlOptions &options)
 {
     std::random_device device;
@@ -52,6 +60,7 @@
               this->sink.send(to, std::move(view));
           })
     , log(logOptions(this->options), store.load(), clock.now())
+    , lastForwardedId(firstForwardedId(this->options.self.incarnation))
 {
     this->drain();
     this->store.setListener([this] {
--- a/src/control_core_p.h
+++ b/src/control_core_p.h
@@ -143,7 +143,7 @@
     ControlLog log;
     std::map<std::int64_t, PendingApply> pendingApplies;
     std::map<std::int64_t, ForwardedApply> forwardedApplies; ///< by request id
-    std::int64_t lastForwardedId = 0;
+    std::int64_t lastForwardedId; ///< starts differ in their ids
     std::int64_t writtenSequence = 0;
     std::int64_t leadershipTerm = 0; ///< term in which this process leads, as last processed; 0 if it does not lead
     bool isStopping = false;
--- a/tests/test_control_open.cpp
+++ b/tests/test_control_open.cpp
@@ -234,3 +234,38 @@
         REQUIRE_FALSE(core.readConfig().isAuthoritative);
     }
 }
+
+// Guards against an acknowledgement of a change that was lost: the leader's answer to a request of the previous process
+// arrives at its successor on the same address, which has forwarded another request under the same id.
+TEST_CASE("A restarted control process takes no answer to a request of the previous process", "[control]")
+{
+    DurableCluster cluster;
+    formGroup(cluster);
+    acceptConfig(cluster, 7);
+    cluster.mayBootstrap = false;
+    const auto restarted = cluster.followerNumber();
+    const auto apply = [&](std::int64_t number, LocalDecisionHandler handler) {
+        wire::ApplyConfig request;
+        request.text = configText(number);
+        cluster.cores[restarted]->applyLocal(request, std::move(handler));
+    };
+    cluster.run(Millis(500));
+    const auto flushDisks = std::exchange(cluster.onStep, {}); // no disk completes a write
+    apply(8, [](const LocalDecision &) {});
+    cluster.run(Millis(20));
+    cluster.kill(restarted);
+    cluster.start(restarted);
+    cluster.run(Millis(60));
+
+    std::vector<LocalDecision> decisions;
+    const auto leaderPort = cluster.leaderPort();
+    cluster.net.setPartitioned(leaderPort, cluster.group[restarted].address.port, true);
+    apply(9, [&decisions](const LocalDecision &decision) { decisions.push_back(decision); });
+    cluster.run(Millis(20)); // the forwarded request is lost
+    cluster.net.healPartitions();
+    cluster.onStep = flushDisks;
+    cluster.run(Millis(1500));
+    REQUIRE(cluster.leaderCore().configNumber() == 8);
+    REQUIRE(decisions.size() == 1);
+    REQUIRE_FALSE(decisions[0].decision.isAccepted);
+}
