Acknowledge a change in force only under a committed membership

A change that is in force already is acknowledged without an entry of its own. The leader judged whether it survives the tolerated losses by the newest membership, which may be appended on the leader only. If the leader and one more disk were lost then, the group was left with four voters of which two were gone, and no leader came.

All memberships from the newest committed one on must bear the losses now. An entry that is proposed needs only the newest: its commit commits that one too.

--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -191,8 +191,10 @@
         return;
     }
     file.number = value(parsed).number;
-    if (!this->log.bearsLosses() && !request.dryRun) {
-        // Also for a change that is in force already: its acknowledgement would promise that it survives.
+    // The acknowledgement of a change that is in force already promises that it survives, too.
+    const bool isInForce = file.number <= this->stateMachine.file().number;
+    const bool bearsLosses = isInForce ? this->log.committedBearsLosses() : this->log.bearsLosses();
+    if (!bearsLosses && !request.dryRun) {
         this->reply(
             pending,
             {false, "unavailable",
@@ -203,7 +205,7 @@
         return;
     }
     auto decision = this->stateMachine.evaluate(file);
-    if (!decision.isAccepted || request.dryRun || file.number <= this->stateMachine.file().number) {
+    if (!decision.isAccepted || request.dryRun || isInForce) {
         for (const auto &line : diffConfigs(this->stateMachine.config(), value(parsed))) {
             decision.message += request.dryRun && decision.isAccepted ? "\n" + line : std::string();
         }
--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -722,9 +722,25 @@
 
 bool ControlLog::bearsLosses() const
 {
-    return !this->options.isOpen
-        || agatedrum::bearsLosses(this->domainsOf(this->membership(), this->membership().voters),
-                                  this->options.tolerance);
+    return !this->options.isOpen || this->bearsLosses(this->membership());
+}
+
+bool ControlLog::bearsLosses(const Membership &members) const
+{
+    return agatedrum::bearsLosses(this->domainsOf(members, members.voters), this->options.tolerance);
+}
+
+bool ControlLog::committedBearsLosses() const
+{
+    for (auto each = this->memberships.rbegin(); this->options.isOpen && each != this->memberships.rend(); ++each) {
+        if (!this->bearsLosses(*each)) {
+            return false;
+        }
+        if (each->index <= this->committedIndex) {
+            break; // earlier memberships have been replaced
+        }
+    }
+    return true;
 }
 
 std::string ControlLog::leaderName(Time now) const
--- a/src/control_log_p.h
+++ b/src/control_log_p.h
@@ -107,6 +107,9 @@
     bool hasLease(Time now) const;
     /// Returns whether an entry that is committed under the newest membership survives the losses to bear.
     bool bearsLosses() const;
+    /// Returns whether the entries that are committed already survive them. The newest membership may be known to this
+    /// member only, and be lost with it, so each membership from the newest committed one on must bear the losses.
+    bool committedBearsLosses() const;
     /// Returns when the current leadership started. Precondition: isLeader().
     Time leaderSince() const;
     /// Returns the process name of the known leader, or an empty string if none is known.
@@ -259,6 +262,7 @@
     /// Returns whether the learner in place of another voter brings the group closer to bearing the losses.
     bool isBetterSpread(const Membership &members, const std::string &learner) const;
     bool canBePromoted(const std::string &learner, Time now) const;
+    bool bearsLosses(const Membership &members) const;
     std::string domainOf(const Membership &members, const std::string &identity) const;
     std::vector<std::string> domainsOf(const Membership &members, const std::vector<std::string> &identities) const;
     /// Returns how many voters of the membership are in the same failure domain as the member.
--- a/tests/test_control_losses.cpp
+++ b/tests/test_control_losses.cpp
@@ -200,6 +200,33 @@
     REQUIRE(isKept(cluster, 8));
 }
 
+// Guards against an acknowledgement under a membership that is not committed: the leader has appended the fifth voter,
+// and is lost with another disk before any process has received it.
+TEST_CASE("A change that is in force is acknowledged again only under a committed membership", "[control]")
+{
+    DurableCluster cluster(5);
+    formGroup(cluster, 7); // three voters
+    for (std::size_t i = 0; i < cluster.group.size(); ++i) {
+        cluster.kill(i);
+    }
+    cluster.tolerance = {2, 0};
+    for (std::size_t i = 0; i < cluster.group.size(); ++i) {
+        cluster.start(i);
+    }
+    REQUIRE(cluster.waitForVoters(5));
+    const auto leader = static_cast<std::size_t>(cluster.leader());
+    wire::ApplyConfig request;
+    request.text = configText(7);
+    request.ignoreIfNotHigher = true;
+    std::vector<LocalDecision> decisions;
+    cluster.cores[leader]->applyLocal(request,
+                                      [&decisions](const LocalDecision &decision) { decisions.push_back(decision); });
+    REQUIRE(decisions.size() == 1);
+    const bool isAcknowledged = decisions[0].decision.isAccepted;
+    loseAtOnce(cluster, {leader, cluster.followerNumber()}, true);
+    REQUIRE((!isAcknowledged || isKept(cluster, 7)));
+}
+
 // Guards against voters that stand together: the loss of one failure domain takes a majority of them.
 TEST_CASE("An acknowledged configuration survives the loss of a failure domain", "[control]")
 {
