--- a/tests/control_open.h
+++ b/tests/control_open.h
@@ -3,6 +3,7 @@
 #include "control_faults.h"
 #include "control_sim.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -116,6 +117,12 @@
         return this->runUntil(timeout, [&] { return this->leader() >= 0 && this->voters().size() == count; });
     }
 
+    /// Makes the store of a process that starts; by default, one that reports writes once they are on the disk.
+    std::function<std::shared_ptr<SimStore>(FakeDisk &)> makeStore
+        = [](FakeDisk &disk) { return std::make_shared<SimStore>(disk, false); };
+    std::vector<std::unique_ptr<FakeDisk>> disks;
+    std::vector<std::shared_ptr<SimStore>> simStores;
+
 private:
     void addDisk(std::size_t number)
     {
@@ -125,13 +132,11 @@
     }
     void openStore(std::size_t number)
     {
-        this->simStores[number] = std::make_shared<SimStore>(*this->disks[number], false);
+        this->simStores[number] = this->makeStore(*this->disks[number]);
         this->stores[number] = this->simStores[number];
     }
 
     std::mt19937_64 powerRandom {1};
-    std::vector<std::unique_ptr<FakeDisk>> disks;
-    std::vector<std::shared_ptr<SimStore>> simStores;
 };
 
 } // namespace agatedrum::test
