--- a/src/control_log_members.cpp
+++ b/src/control_log_members.cpp
@@ -136,10 +136,15 @@
 std::optional<ControlLog::Membership> ControlLog::withoutSurplusVoter(Time now) const
 {
     auto next = this->membership();
-    if (next.voters.size() <= this->targetVoters()) {
+    auto surplus = this->voterToReplace(now);
+    // An identity whose disk is lost goes before its replacement comes: with both, a machine that loses its disk again
+    // would hold two votes that nobody can give.
+    const bool isReplaceable = !surplus.empty() && this->isSuperseded(surplus)
+        && std::any_of(next.learners.begin(), next.learners.end(),
+                       [&](const std::string &learner) { return this->canBePromoted(learner, now); });
+    if (next.voters.size() <= this->targetVoters() && !isReplaceable) {
         return std::nullopt;
     }
-    auto surplus = this->voterToReplace(now);
     const bool isLost = !surplus.empty() && !this->isLeavingMember(surplus, now);
     if (surplus.empty() && !this->haveAllVotersAnswered()) {
         return std::nullopt;
@@ -212,7 +217,7 @@
             promoted = learner;
         }
     }
-    // With the replaced voter still in place, the group never has fewer voters than it needs.
+    // A voter that is silent or stopping stays in place until its replacement votes.
     const bool isNeeded = next.voters.size() < this->targetVoters() || !replaced.empty();
     if (promoted.empty() || !(isNeeded || this->isBetterSpread(next, promoted))) {
         return std::nullopt;
--- a/tests/test_control_losses.cpp
+++ b/tests/test_control_losses.cpp
@@ -154,6 +154,28 @@
     }
 }
 
+// Guards against a group that keeps two identities of one machine as voters: the machine loses its disk, and loses it
+// again while it is being taken in.
+TEST_CASE("An acknowledged configuration survives a machine that loses its disk twice", "[control]")
+{
+    for (int delay = 0; delay < 900; delay += 6) {
+        DurableCluster cluster(3);
+        formGroup(cluster, 7);
+        const auto lost = cluster.followerNumber();
+        cluster.loseDisk(lost);
+        cluster.run(Millis(100));
+        cluster.start(lost);
+        cluster.run(Millis(delay));
+        cluster.loseDisk(lost);
+        cluster.run(Millis(100));
+        cluster.start(lost);
+        cluster.run(Millis(2000));
+        INFO(fmt::format("delay {} ms", delay));
+        REQUIRE(isKept(cluster, 7));
+        REQUIRE(cluster.waitForVoters(3, recoveryTime));
+    }
+}
+
 // Guards against an acknowledgement that the group cannot keep: too few disks hold the log for the losses to bear.
 TEST_CASE("A group with too few voters for the losses to bear accepts no change", "[control]")
 {
