--- a/tests/test_control_store.cpp
+++ b/tests/test_control_store.cpp
@@ -127,6 +127,36 @@
     return result;
 }
 
+/// A disk that renames files but refuses to sync their folder, so that a crash keeps or loses each new name.
+class UnsyncedNames : public FakeDisk
+{
+public:
+    DiskOutcome replace(const std::string &name, const std::string &bytes) override
+    {
+        const auto previous = this->files[name];
+        const auto outcome = FakeDisk::replace(name, bytes);
+        if (this->replacementsToSync-- > 0) {
+            this->previousFiles.clear(); // the sync covers earlier names too
+            return outcome;
+        }
+        this->previousFiles.emplace(name, previous);
+        return {DiskStatus::Failed, "the folder was not synced"};
+    }
+    void loseNames(std::mt19937_64 &random)
+    {
+        for (const auto &[name, file] : this->previousFiles) {
+            if (random() % 2 == 0) {
+                this->files[name] = file;
+            }
+        }
+        this->previousFiles.clear();
+    }
+    int replacementsToSync = 1000;
+
+private:
+    std::map<std::string, File> previousFiles;
+};
+
 } // namespace
 
 // Guards against a journal that loses synced entries or accepts corrupt ones. A crash can leave an incomplete last
@@ -265,6 +295,36 @@
     }
 }
 
+// Guards against a journal that cannot be read after a crash, or loses entries, when names were changed in a folder
+// that was not synced.
+TEST_CASE("A crash may keep or lose each replaced file whose folder was not synced", "[control]")
+{
+    setLogLevel(LogLevel::Error);
+    std::mt19937_64 random(7);
+    for (int round = 0; round < 100; ++round) {
+        UnsyncedNames disk;
+        auto journal = openJournal(disk);
+        REQUIRE(journal->write({makeEntryWrite(1, "a")}).status == DiskStatus::Ok);
+        REQUIRE(journal->write({makeSnapshotWrite(1)}).status == DiskStatus::Ok);
+        for (int index = 2; index <= 4; ++index) {
+            REQUIRE(journal->write({makeEntryWrite(index, "b")}).status == DiskStatus::Ok);
+        }
+        auto write = makeSnapshotWrite(3);
+        write.entries = makeEntryWrite(4, "b").entries;
+        for (int attempt = 0; attempt < 3; ++attempt) {
+            disk.replacementsToSync = static_cast<int>(random() % 2);
+            REQUIRE(journal->write({write}).status == DiskStatus::Failed);
+        }
+        disk.loseNames(random);
+        disk.replacementsToSync = 1000;
+        auto reopened = openJournal(disk);
+        REQUIRE(reopened->loaded().entries.back().index == 4);
+        REQUIRE(reopened->loaded().snapshot->lastIndex + 1 == reopened->loaded().entries.front().index);
+        REQUIRE(reopened->write({makeEntryWrite(5, "next")}).status == DiskStatus::Ok);
+        REQUIRE(openJournal(disk)->loaded().entries.back().command == "next");
+    }
+}
+
 // Guards against a store that loses votes or entries over a restart, or that two processes use at the same time.
 TEST_CASE("The store persists terms, entries and snapshots in a folder", "[control]")
 {
