--- a/tests/test_control_losses.cpp
+++ b/tests/test_control_losses.cpp
@@ -176,6 +176,50 @@
     }
 }
 
+// Guards against a lost voter that each new leader waits for anew: its successor has long had its time, so two further
+// machines may be lost, while it still has its vote.
+TEST_CASE("A voter that is gone for good is replaced although the leaders change", "[control]")
+{
+    DurableCluster cluster(8);
+    cluster.tolerance = {2, 0};
+    formGroup(cluster, 7);
+    const auto isVoter = [&cluster](std::size_t number) {
+        return cluster.voters().dump().find(cluster.group[number].name + "/") != std::string::npos;
+    };
+    std::size_t gone = 0;
+    while (static_cast<int>(gone) == cluster.leader() || !isVoter(gone)) {
+        ++gone;
+    }
+    cluster.loseDisk(gone);
+    cluster.run(Millis(1000));
+    cluster.addSuccessor();
+    const auto successorStartedAt = cluster.clock.now();
+    while (cluster.clock.now() - successorStartedAt < Millis(4000)) {
+        REQUIRE(cluster.runUntil(Millis(3000), [&] { return cluster.leader() >= 0; }));
+        // A split in halves, the leader in the one with the fewer voters.
+        std::set<std::size_t> half {static_cast<std::size_t>(cluster.leader())};
+        for (const bool areVoters : {false, true}) {
+            for (std::size_t i = 0; i < cluster.group.size() && half.size() < 4; ++i) {
+                if (i != gone && isVoter(i) == areVoters) {
+                    half.insert(i);
+                }
+            }
+        }
+        for (const auto inside : half) {
+            for (std::size_t i = 0; i < cluster.group.size(); ++i) {
+                if (half.count(i) == 0) {
+                    cluster.net.setPartitioned(cluster.group[inside].address.port, cluster.group[i].address.port, true);
+                }
+            }
+        }
+        cluster.run(Millis(800));
+        cluster.net.healPartitions();
+        cluster.run(Millis(400));
+    }
+    REQUIRE(cluster.runUntil(Millis(3000), [&] { return cluster.leader() >= 0; }));
+    REQUIRE_FALSE(isVoter(gone));
+}
+
 // Guards against an acknowledgement that the group cannot keep: too few disks hold the log for the losses to bear.
 TEST_CASE("A group with too few voters for the losses to bear accepts no change", "[control]")
 {
