--- a/tests/test_control_store.cpp
+++ b/tests/test_control_store.cpp
@@ -134,7 +134,7 @@
     DiskOutcome replace(const std::string &name, const std::string &bytes) override
     {
         const auto previous = this->files[name];
-        const auto outcome = FakeDisk::replace(name, bytes);
+        auto outcome = FakeDisk::replace(name, bytes);
         if (this->replacementsToSync-- > 0) {
             this->previousFiles.clear(); // the sync covers earlier names too
             return outcome;
