Name the losses to bear in the settings of the soak cluster

The case "A job is served through one entry and one host" of test-soak failed since groups accept no change that the losses to bear would take away: its single control process bears none, and the default of toleratedMachines is 1. The settings of the cluster now name the losses that its number of control processes bears, 0 for one and 1 for three as before. No check is changed.

--- a/tests/soak_cluster.h
+++ b/tests/soak_cluster.h
@@ -194,6 +194,8 @@
         } else if (role == "control") {
             file << fmt::format("operators: \"{}:{}\"\ndataFolder: {}/data-{}\nmayFormGroup: {}\n", host, operatorPort,
                                 this->folder, index, mayFormGroup);
+            // A group accepts no change if it has too few processes for the losses that its settings name.
+            file << fmt::format("toleratedMachines: {}\n", (this->options.controls - 1) / 2);
         } else {
             file << fmt::format("registrations: \"{}:{}\"\ncallerRetryMs: 1300\n", host, registrationPort);
         }
