List the members of the control group in one place

Behavior stays.

Measured: test-control-losses, -losses-random, -open, -core, -faults and test-platform pass with the same numbers of assertions; the linter is clean on the changed files.

--- a/src/control_log_election.cpp
+++ b/src/control_log_election.cpp
@@ -152,10 +152,8 @@
     }
     this->probeDueAt = now + observerProbeInterval;
     std::set<std::string> names(this->contacts.begin(), this->contacts.end());
-    for (const auto &list : {this->membership().voters, this->membership().learners}) {
-        for (const auto &identity : list) {
-            names.erase(memberName(identity));
-        }
+    for (const auto &identity : membersOf(this->membership())) {
+        names.erase(memberName(identity));
     }
     for (const auto &name : names) {
         wire::VoteReply announcement;
@@ -184,10 +182,8 @@
         return {this->namedLeader};
     }
     std::set<std::string> names(this->contacts.begin(), this->contacts.end());
-    for (const auto &list : {this->membership().voters, this->membership().learners}) {
-        for (const auto &identity : list) {
-            names.insert(memberName(identity));
-        }
+    for (const auto &identity : membersOf(this->membership())) {
+        names.insert(memberName(identity));
     }
     names.insert(this->namedProcesses.begin(), this->namedProcesses.end());
     names.insert(this->namedLeader);
--- a/src/control_log_members.cpp
+++ b/src/control_log_members.cpp
@@ -43,6 +43,13 @@
     return this->memberships.back();
 }
 
+std::vector<std::string> ControlLog::membersOf(const Membership &members)
+{
+    auto identities = members.voters;
+    identities.insert(identities.end(), members.learners.begin(), members.learners.end());
+    return identities;
+}
+
 bool ControlLog::isMember(const std::string &identity) const
 {
     return this->isVoter(identity) || contains(this->membership().learners, identity);
@@ -96,15 +103,13 @@
 void ControlLog::syncProgress(Time now)
 {
     std::map<std::string, Progress> next;
-    for (const auto &list : {this->membership().voters, this->membership().learners}) {
-        for (const auto &identity : list) {
-            const auto found = this->progress.find(identity);
-            if (found != this->progress.end()) {
-                next[identity] = found->second;
-            } else {
-                next[identity].nextIndex = this->lastIndex() + 1;
-                next[identity].lastHeardAt = now;
-            }
+    for (const auto &identity : membersOf(this->membership())) {
+        const auto found = this->progress.find(identity);
+        if (found != this->progress.end()) {
+            next[identity] = found->second;
+        } else {
+            next[identity].nextIndex = this->lastIndex() + 1;
+            next[identity].lastHeardAt = now;
         }
     }
     this->progress = std::move(next);
@@ -180,8 +185,7 @@
 {
     auto next = this->membership();
     for (const auto &[name, unknown] : this->unknownMembers) {
-        const bool isKnown = contains(next.voters, unknown.identity) || contains(next.learners, unknown.identity);
-        if (!isKnown && now - unknown.lastHeardAt < reachableTimeout
+        if (!this->isMember(unknown.identity) && now - unknown.lastHeardAt < reachableTimeout
             && (this->options.isOpen || contains(this->options.group, name))) {
             next.learners = without(next.learners, findIdentity(next.learners, name));
             next.learners.push_back(unknown.identity);
@@ -249,14 +253,12 @@
 {
     auto next = this->membership();
     std::map<std::string, std::string> domains;
-    for (const auto &list : {next.voters, next.learners}) {
-        for (const auto &identity : list) {
-            const auto found = this->progress.find(identity);
-            const auto &reported = identity == this->hardState.member ? this->options.failureDomain
-                : found == this->progress.end()                       ? std::string()
-                                                                      : found->second.failureDomain;
-            domains[identity] = reported.empty() ? this->domainOf(next, identity) : reported;
-        }
+    for (const auto &identity : membersOf(next)) {
+        const auto found = this->progress.find(identity);
+        const auto &reported = identity == this->hardState.member ? this->options.failureDomain
+            : found == this->progress.end()                       ? std::string()
+                                                                  : found->second.failureDomain;
+        domains[identity] = reported.empty() ? this->domainOf(next, identity) : reported;
     }
     const bool isSame = std::all_of(domains.begin(), domains.end(), [&](const auto &domain) {
         return this->domainOf(next, domain.first) == domain.second;
@@ -270,9 +272,7 @@
     if (!this->options.isOpen) {
         return this->options.group.size();
     }
-    auto members = this->membership().voters;
-    members.insert(members.end(), this->membership().learners.begin(), this->membership().learners.end());
-    return votersNeeded(this->domainsOf(this->membership(), members), this->options.tolerance);
+    return votersNeeded(this->domainsOf(this->membership(), membersOf(this->membership())), this->options.tolerance);
 }
 
 std::string ControlLog::voterToReplace(Time now) const
@@ -380,10 +380,8 @@
     wire::SetVoters voters;
     voters.voters = next.voters;
     voters.learners = next.learners;
-    for (const auto &list : {next.voters, next.learners}) {
-        for (const auto &identity : list) {
-            voters.domains[identity] = this->domainOf(next, identity);
-        }
+    for (const auto &identity : membersOf(next)) {
+        voters.domains[identity] = this->domainOf(next, identity);
     }
     wire::Command command;
     command.__set_setVoters(voters);
--- a/src/control_log_p.h
+++ b/src/control_log_p.h
@@ -240,6 +240,8 @@
     void logAdoptedMembership(std::int64_t index) const;
     void removeMembershipsFrom(std::int64_t from);
     const Membership &membership() const;
+    /// Returns the identities of the voters and learners.
+    static std::vector<std::string> membersOf(const Membership &members);
     bool isVoter(const std::string &identity) const;
     bool isMember(const std::string &identity) const;
     void proposeMembershipChange(Time now);
--- a/src/control_query.cpp
+++ b/src/control_query.cpp
@@ -156,8 +156,7 @@
 {
     isOk = false;
     if (!this->log.hasLease(this->clock.now())) {
-        return {{"error", "not-leader"},
-                {"leader", this->log.isLeader() ? std::string() : this->log.leaderName(this->clock.now())}};
+        return {{"error", "not-leader"}, {"leader", this->leaderToAsk()}};
     }
     isOk = true;
     if (query.kind == "overview") {
