--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,26 +1,25 @@
-"""Orders for a crashed executor reach its next life and bring it over its capacity: see claim.txt."""
+"""A voter that is gone for good keeps its vote while the leaders change, and one lost disk ends the group: see claim.txt."""
 import json
 import os
 import random
-import socket
-import struct
-import subprocess
+import re
+import shutil
+import signal
 import sys
-import threading
 import time
 
 sys.dont_write_bytecode = True
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, '..', 'common2'))
-from deployment import CannotRun, Deployment, call, free_ports, wait_until  # noqa: E402
+from deployment import CannotRun, Deployment, call, wait_until  # noqa: E402
 
-ROUNDS = 8
-DOWN_S = 0.15
-TASK_CPU = 6200
-TASKS = 15  # 93 cores
-CAPACITY = {'b': 96000, 'a': 64000}
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-EXECUTOR = os.path.join(HERE, '..', 'common2', 'executor.py')
+CATCH_UP_S = 4.0
+STOP_GAP_S = 1.1  # between two stops in turn
+START_SUCCESSOR_S = 1.0
+MARGIN_S = 0.3
+DARK_S = 1.0
+READ_BACK_S = 25.0  # RecoveryS is 12
 CONFIG = {
     'Version': 3,
     'Routes': [{'Name': 'r-1', 'Host': 'desk.example', 'PathPrefix': '/plan/', 'Type': 'unsafe', 'TimeoutMs': 1500,
@@ -30,145 +29,124 @@
     'Limits': {'MaxHeaderBytes': 16384, 'MaxBodyBytes': 262144, 'HeaderTimeoutMs': 3000, 'IdleTimeoutMs': 15000}}
 
 
-class Registrar:
-    """Passes an executor's connections on to its registrar, and resets the next ones if told to."""
-
-    def __init__(self, address, target):
-        self.target = target
-        self.to_reset = 0
-        self.listener = socket.create_server(address)
-        threading.Thread(target=self.run, daemon=True).start()
-
-    def run(self):
-        while True:
-            try:
-                near, _ = self.listener.accept()
-            except OSError:
-                return
-            if self.to_reset > 0:
-                self.to_reset -= 1
-                near.recv(1)
-                near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
-                near.close()
-                continue
+class Case:
+    def __init__(self):
+        self.deployment = Deployment(controls=5, entries=0, agents=0)  # the fifth is the successor's machine
+        self.machines = self.deployment.controls
+        self.successor = self.machines[4]
+        self.rows = []
+        self.began = time.monotonic()
+
+    def note(self, what, **fields):
+        self.rows.append(dict(at=round(time.monotonic() - self.began, 3), what=what, **fields))
+
+    def log_of(self, machine):
+        with open(machine.log, encoding='utf-8', errors='replace') as file:
+            return file.read()
+
+    def leader(self):
+        """Returns the machine that was elected last, as the logs tell; only to choose whom to stop."""
+        best, term = None, 0
+        for machine in self.machines:
+            if machine.child and machine.child.poll() is None:
+                for found in re.finditer(r'event=leader_elected .*?term=(\d+)', self.log_of(machine)):
+                    if int(found.group(1)) > term:
+                        best, term = machine, int(found.group(1))
+        return best
+
+    def voters(self):
+        """Returns the machines that vote, as the log of the leader tells; only to choose whose disk is lost."""
+        leader = self.leader()
+        found = re.findall(r'event=membership_adopted .*? voters=(\S*)', self.log_of(leader)) if leader else []
+        ips = [each.split(':')[0] for each in found[-1].split(',')] if found else []
+        return [self.machines[self.deployment.control_ips.index(ip)] for ip in ips]
+
+    def read(self):
+        """Reads the configuration back at all nodes, as the operator does; returns its version, or 0."""
+        for ip in random.sample(self.deployment.control_ips, len(self.deployment.control_ips)):
             try:
-                far = socket.create_connection(self.target, 1)
+                status, body = call(ip, self.deployment.port_api, 'GET', '/config', {}, '', 1.0)
             except OSError:
-                near.close()
                 continue
-            for source, sink in ((near, far), (far, near)):
-                threading.Thread(target=self.copy, args=(source, sink), daemon=True).start()
-
-    @staticmethod
-    def copy(source, sink):
+            if status == 200:
+                return json.loads(body)['Version']
+        return 0
+
+    def put(self, version):
+        self.deployment.put_config(dict(CONFIG, Version=version))
+        self.note('acknowledged', version=version)
+
+    def stop_in_turn(self, machine):
+        """SIGTERM, as in a planned restart; the process is started again as soon as it has ended."""
+        self.note('stopped', machine=machine.name)
+        machine.signal(signal.SIGTERM)
         try:
-            while data := source.recv(65536):
-                sink.sendall(data)
-            sink.shutdown(socket.SHUT_WR)
-        except OSError:
-            pass
-
-
-class Case:
-    def __init__(self):
-        self.deployment = Deployment(controls=3, entries=1, agents=2)
-        self.notes = os.path.join(self.deployment.folder, 'executors.jsonl')
-        self.executors = [None, None]
-        deployment = self.deployment
-        port = free_ports(1)[0]
-        self.registrars = [Registrar((ip, port), (ip, deployment.port_api)) for ip in deployment.agent_ips]
-        self.registrar_port = port
-        self.sent = []
-        self.lock = threading.Lock()
-
-    def start_executor(self, index, kind):
-        ip = self.deployment.agent_ips[index]
-        options = {'id': f'i-7f3a91c{index}', 'address': ip, 'port': self.deployment.port_app,
-                   'registrar': [ip, self.registrar_port], 'service': 'desk', 'zone': 'z1', 'cpu': CAPACITY[kind],
-                   'labels': [kind, f'r-{index}'], 'record': self.notes}
-        self.executors[index] = subprocess.Popen([sys.executable, EXECUTOR, json.dumps(options)])
-
-    def submit(self, count):
-        """Hands in one best-effort job for the rack of machine 0."""
-        job = f'{random.randrange(16**16):016x}'
-        step = {'Count': count, 'Cpu': TASK_CPU, 'MemMb': 64, 'EstimatedMs': 600, 'RequiredLabel': 'r-0'}
-        body = json.dumps({'Spec': json.dumps({'ms': 600, 'cpu': TASK_CPU}), 'BestEffort': True, 'Steps': [step]})
-        deployment = self.deployment
-        try:
-            status = call(deployment.entry_ips[0], deployment.port_front, 'POST', '/plan/' + job,
-                          {'Agatedrum-Deadline-Ms': 1500}, body, 2, host='desk.example')[0]
-        except OSError as failure:
-            status = type(failure).__name__
-        with self.lock:
-            self.sent.append((round(time.time(), 4), job, status))
-        return status
-
-    def round(self):
-        """The larger executor of machine 0 crashes and comes back as the smaller one, while callers go on."""
-        wait_until(lambda: self.submit(TASKS) == 200, 10, 'a job is served by the larger executor')
-        time.sleep(random.uniform(0.2, 0.5))
-        if TROUBLE:
-            self.registrars[0].to_reset = 1
-            self.executors[0].kill()
-            self.executors[0].wait()
-            time.sleep(DOWN_S)
-            self.start_executor(0, 'a')
-        end = time.monotonic() + 1.0
-        callers = []
-        while time.monotonic() < end:
-            callers.append(threading.Thread(target=self.submit, args=(TASKS,)))
-            callers[-1].start()
-            time.sleep(0.03)
-        for each in callers:
-            each.join()
-        if TROUBLE:
-            time.sleep(1)
-            self.executors[0].kill()
-            self.executors[0].wait()
-            time.sleep(1.5)
-            self.start_executor(0, 'b')
+            machine.child.wait(6)
+        except Exception:  # the platform kills it after GraceS
+            machine.kill()
+        machine.start()
+        self.note('started', machine=machine.name)
 
     def run(self):
-        self.deployment.start()
-        self.deployment.put_config(CONFIG)
-        self.start_executor(0, 'b')
-        self.start_executor(1, 'a')
-        for _ in range(ROUNDS):
-            self.round()
+        for machine in self.machines[:4]:
+            machine.start()
+        self.put(3)
+        wait_until(lambda: len(self.voters()) == 3 and self.leader() in self.voters(), 10, 'three processes vote')
+        time.sleep(2)
+        self.put(7)
+        for machine in self.machines:  # Bootstrap is true at the first start only
+            with open(machine.settings, encoding='utf-8') as file:
+                text = file.read()
+            with open(machine.settings, 'w', encoding='utf-8') as file:
+                file.write(text.replace('mayFormGroup: true', 'mayFormGroup: false'))
         time.sleep(1)
+        gone = next(each for each in self.voters() if each is not self.leader())
+        if TROUBLE:
+            self.note('gone for good', machine=gone.name)
+            gone.kill()
+            shutil.rmtree(os.path.join(self.deployment.folder, 'data-' + gone.name), ignore_errors=True)
+        lost_at = time.monotonic()
+        successor_at = None
+        last_stop = lost_at - 0.2  # the first stop comes some time after the loss
+        while successor_at is None or time.monotonic() < successor_at + CATCH_UP_S - 0.4:
+            if successor_at is None and time.monotonic() >= lost_at + START_SUCCESSOR_S:
+                self.successor.start()
+                successor_at = time.monotonic()
+                self.note('successor started')
+            leader = self.leader()
+            if time.monotonic() >= last_stop + STOP_GAP_S and leader and leader is not self.successor:
+                last_stop = time.monotonic()
+                self.stop_in_turn(leader)
+            time.sleep(0.02)
+        time.sleep(max(0.0, successor_at + CATCH_UP_S + MARGIN_S - time.monotonic()))
+        voters = self.voters()
+        self.note('voters', machines=[each.name for each in voters], leader=getattr(self.leader(), 'name', None))
+        if TROUBLE:
+            hit = next((each for each in voters if each not in (gone, self.successor, self.leader())),
+                       None) or self.leader()
+            self.note('disk lost', machine=hit.name)
+            hit.kill()
+            shutil.rmtree(os.path.join(self.deployment.folder, 'data-' + hit.name), ignore_errors=True)
+            time.sleep(DARK_S)
+            hit.start()
+            self.note('back with an empty disk', machine=hit.name)
+        end = time.monotonic() + READ_BACK_S
+        self.version = 0
+        while time.monotonic() < end:
+            self.version = self.read()
+            self.note('read back', version=self.version)
+            if self.version:
+                break
+            time.sleep(0.3)
 
     def judge(self):
-        with open(self.notes, encoding='utf-8') as file:
-            events = sorted((json.loads(line) for line in file), key=lambda each: each['at'])
-        broken = []
-        running = {}  # by process: thousandths of a core by task
-        for each in events:
-            tasks = running.setdefault(each['pid'], {})
-            if each['what'] == 'start':
-                tasks[each['task']] = each['spec']['cpu']
-                if sum(tasks.values()) > CAPACITY[each['labels'][0]]:
-                    broken.append(dict(each, used=sum(tasks.values()), capacity=CAPACITY[each['labels'][0]]))
-            elif each['what'] == 'end':
-                tasks.pop(each['task'], None)
+        broken = self.version < 7
         with open(os.path.join(HERE, 'record.txt'), 'w', encoding='utf-8') as file:
-            file.write(f'TROUBLE={int(TROUBLE)} rounds={ROUNDS} sent={len(self.sent)} '
-                       f'starts={sum(each["what"] == "start" for each in events)} over the capacity={len(broken)}\n')
-            for each in broken:
-                file.write('BROKEN ' + json.dumps(each) + '\n')
-            rows = [(each['at'], json.dumps(each)) for each in events]
-            rows += [(at, json.dumps({'at': at, 'what': 'answer', 'job': job, 'status': status}))
-                     for at, job, status in self.sent]
-            for _, row in sorted(rows):
-                file.write(row + '\n')
+            file.write(f'TROUBLE={int(TROUBLE)} acknowledged=7 read back={self.version or "nothing"}\n')
+            for row in self.rows:
+                file.write(json.dumps(row) + '\n')
         return 1 if broken else 0
 
-    def stop(self):
-        for each in self.executors:
-            if each and each.poll() is None:
-                each.kill()
-                each.wait()
-        self.deployment.stop(os.environ.get('KEEP') == '1')
-
 
 def main():
     case = None
@@ -181,7 +159,7 @@
         return 2
     finally:
         if case:
-            case.stop()
+            case.deployment.stop(os.environ.get('KEEP') == '1')
 
 
 sys.exit(main())
