--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -246,10 +246,14 @@
   8: string failureDomain; 9: bool observer;
   10: list<string> processes; // names of the group's voters, to an observer
   11: string founder;         // name of the process that shall bootstrap the group, if no listed one has a disk
+  12: map<string, i64> silentMs; // to a candidate: time since the last contact with each member that the sender knows of
 }
 struct AppendEntries {
   1: i64 term; 2: i64 prevIndex; 3: i64 prevTerm; 4: list<LogEntry> entries; 5: i64 commitIndex; 6: i64 round;
   7: string member; 8: string group;
+  // Time since the last contact with each member that has been silent for a while, by identity; the others were heard
+  // just now. Not set by versions that do not tell it.
+  9: optional map<string, i64> silentMs;
 }
 struct AppendReply {
   1: i64 term; 2: bool ok; 3: i64 matchIndex; 4: i64 round; 5: string member; 6: string group;
--- a/src/control_events.cpp
+++ b/src/control_events.cpp
@@ -63,6 +63,11 @@
     logEvent(component, event, {{"leader", leader}, {"term", term}, {"reason", reason}});
 }
 
+void logMemberSilent(const std::string &member, std::int64_t term, std::int64_t silentMs)
+{
+    logEvent(component, "member_silent", {{"member", member}, {"term", term}, {"silentMs", silentMs}});
+}
+
 void logMembership(std::string_view event, std::int64_t index, const std::vector<std::string> &voters,
                    const std::vector<std::string> &learners)
 {
--- a/src/control_events_p.h
+++ b/src/control_events_p.h
@@ -44,6 +44,8 @@
 void logElection(bool isPreVote, std::int64_t term, std::int64_t lastTerm, std::int64_t lastIndex,
                  const std::vector<std::string> &voters, const std::vector<std::string> &missing);
 void logLeadership(std::string_view event, const std::string &leader, std::int64_t term, std::string_view reason);
+/// A new leader counts this silence from before its term against the member.
+void logMemberSilent(const std::string &member, std::int64_t term, std::int64_t silentMs);
 void logMembership(std::string_view event, std::int64_t index, const std::vector<std::string> &voters,
                    const std::vector<std::string> &learners);
 
--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -50,7 +50,7 @@
 ControlLog::ControlLog(ControlLogOptions options, ControlStoreContent loaded, Time now)
     : options(std::move(options))
     , random(this->options.seed)
-    , contacts(this->options.group)
+    , listedNames(this->options.group)
     , hardState(std::move(loaded.state))
 {
     if (loaded.snapshot) {
@@ -250,6 +250,7 @@
     append.group = this->hardState.group;
     append.commitIndex = this->committedIndex;
     append.round = now.time_since_epoch().count();
+    append.__set_silentMs(this->contacts.notableSilences(now));
     // If the follower needs the snapshot, this message has no entries and serves as a heartbeat, which prevents an
     // election.
     append.prevIndex = std::max(progress.nextIndex - 1, this->snapshot.lastIndex);
@@ -343,6 +344,7 @@
         return;
     }
     this->followLeader(append.group, append.term, append.member, now);
+    this->learnSilences(append, now);
 
     reply.term = this->hardState.term;
     reply.group = this->hardState.group;
@@ -439,7 +441,7 @@
         return;
     }
     auto &progress = found->second;
-    progress.lastHeardAt = now;
+    this->noteHeard(reply.member, now);
     progress.failureDomain = reply.failureDomain;
     progress.acknowledgedSentAt = std::max(progress.acknowledgedSentAt, Time(Micros(reply.round)));
     this->unknownMembers.erase(from);
@@ -574,7 +576,7 @@
         return;
     }
     auto &progress = found->second;
-    progress.lastHeardAt = now;
+    this->noteHeard(reply.member, now);
     const bool isNextOffset = reply.nextOffset >= 0 && reply.nextOffset < this->snapshotBytes()
         && reply.nextOffset != progress.snapshotOffset;
     if (reply.lastIndex != this->snapshot.lastIndex || progress.snapshotIndex != reply.lastIndex || !isNextOffset
@@ -593,7 +595,7 @@
         return;
     }
     auto &progress = found->second;
-    progress.lastHeardAt = now;
+    this->noteHeard(reply.member, now);
     progress.matchIndex = std::max(progress.matchIndex, reply.lastIndex);
     progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
     progress.snapshotSentAt = Time {};
--- a/src/control_log_election.cpp
+++ b/src/control_log_election.cpp
@@ -151,7 +151,7 @@
         return;
     }
     this->probeDueAt = now + observerProbeInterval;
-    std::set<std::string> names(this->contacts.begin(), this->contacts.end());
+    std::set<std::string> names(this->listedNames.begin(), this->listedNames.end());
     for (const auto &identity : membersOf(this->membership())) {
         names.erase(memberName(identity));
     }
@@ -173,7 +173,7 @@
 
 void ControlLog::setContacts(std::vector<std::string> names)
 {
-    this->contacts = std::move(names);
+    this->listedNames = std::move(names);
 }
 
 std::set<std::string> ControlLog::processesToContact(Time now) const
@@ -181,7 +181,7 @@
     if (this->options.isObserver && now - this->leaderNamedAt < 2 * observerProbeInterval) {
         return {this->namedLeader};
     }
-    std::set<std::string> names(this->contacts.begin(), this->contacts.end());
+    std::set<std::string> names(this->listedNames.begin(), this->listedNames.end());
     for (const auto &identity : membersOf(this->membership())) {
         names.insert(memberName(identity));
     }
@@ -220,6 +220,7 @@
 
 void ControlLog::rememberUnknownMember(const std::string &name, const UnknownMember &member)
 {
+    this->noteHeard(member.identity, member.lastHeardAt);
     auto &known = this->unknownMembers[name];
     if (known.identity != member.identity && !this->isMember(member.identity)) {
         logLeadership("member_announced", member.identity, this->hardState.term, {});
@@ -298,6 +299,7 @@
     }
     this->logVote(request, reply.granted, this->refusalReason(request));
     reply.group = this->hardState.group;
+    reply.silentMs = this->contacts.silences(now);
     this->sendAfterWrite(from, std::move(reply));
 }
 
@@ -341,6 +343,8 @@
     if (!reply.group.empty() && reply.group != this->hardState.group) {
         return;
     }
+    this->noteHeard(reply.member, now);
+    this->contacts.noteToldByMember(reply.silentMs, now);
     if (!reply.granted && reply.term > this->hardState.term) {
         this->becomeFollower(reply.term, {});
         return;
@@ -455,6 +459,7 @@
     this->unknownMembers.clear();
     this->progress.clear();
     this->syncProgress(now);
+    this->logSilences(now);
     this->leadershipStartedAt = now;
     wire::Command noop;
     noop.__set_noop(true);
@@ -462,6 +467,13 @@
     this->replicateToAll(now);
 }
 
+void ControlLog::logSilences(Time now) const
+{
+    for (const auto &[member, silentMs] : this->contacts.notableSilences(now)) {
+        logMemberSilent(member, this->hardState.term, silentMs);
+    }
+}
+
 Time ControlLog::quorumAcknowledgedAt() const
 {
     std::vector<std::int64_t> times;
--- a/src/control_log_members.cpp
+++ b/src/control_log_members.cpp
@@ -16,6 +16,8 @@
 constexpr Millis replacementRequestInterval(50);
 /// Time after the last such request for which a voter counts as stopping. A restarted process sends none.
 constexpr Millis leavingTimeout(300);
+/// Heartbeats of a new leader that a member can answer before an earlier silence counts against it.
+constexpr int heartbeatsToAnswer = 4;
 
 bool contains(const std::vector<std::string> &list, const std::string &item)
 {
@@ -109,10 +111,12 @@
             next[identity] = found->second;
         } else {
             next[identity].nextIndex = this->lastIndex() + 1;
-            next[identity].lastHeardAt = now;
+            // A silence goes on from what earlier leaders have told.
+            next[identity].lastHeardAt = this->contacts.lastHeardAt(identity).value_or(now);
         }
     }
     this->progress = std::move(next);
+    this->contacts.keepOnly(membersOf(this->membership()));
 }
 
 void ControlLog::proposeMembershipChange(Time now)
@@ -200,8 +204,7 @@
 {
     auto next = this->membership();
     for (const auto &learner : next.learners) {
-        const auto lastHeardAt = this->progress.at(learner).lastHeardAt;
-        if (now - std::max(lastHeardAt, this->leadershipStartedAt) > this->options.learnerRemovalTimeout) {
+        if (this->isSilent(learner, this->options.learnerRemovalTimeout, now)) {
             next.learners = without(next.learners, learner);
             return next;
         }
@@ -287,8 +290,7 @@
         if (this->isSuperseded(voter)) {
             return voter;
         }
-        const auto contactAt = std::max(found->second.lastHeardAt, this->leadershipStartedAt);
-        if (this->options.isOpen && now - contactAt > this->options.voterReplacementTimeout) {
+        if (this->options.isOpen && this->isSilent(voter, this->options.voterReplacementTimeout, now)) {
             unresponsive = voter;
         }
         if (this->options.isOpen && this->isLeavingMember(voter, now)) {
@@ -298,6 +300,31 @@
     return unresponsive.empty() ? leaving : unresponsive;
 }
 
+bool ControlLog::isSilent(const std::string &member, Millis timeout, Time now) const
+{
+    const auto answerTime = this->options.heartbeatInterval * heartbeatsToAnswer;
+    return now - this->progress.at(member).lastHeardAt > timeout && now - this->leadershipStartedAt > answerTime;
+}
+
+void ControlLog::noteHeard(const std::string &member, Time now)
+{
+    this->contacts.noteHeard(member, now);
+    const auto found = this->progress.find(member);
+    if (found != this->progress.end()) {
+        found->second.lastHeardAt = now;
+    }
+}
+
+void ControlLog::learnSilences(const wire::AppendEntries &append, Time now)
+{
+    if (append.__isset.silentMs) {
+        this->contacts.noteToldByLeader(membersOf(this->membership()), append.silentMs, now);
+    } else {
+        // A leader of an earlier version hears the members without telling.
+        this->contacts.forget();
+    }
+}
+
 bool ControlLog::isSuperseded(const std::string &identity) const
 {
     const auto own = this->progress.find(identity);
--- a/src/control_log_p.h
+++ b/src/control_log_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base_clock_p.h"
+#include "control_contacts_p.h"
 #include "control_store_p.h"
 #include "control_tolerance_p.h"
 #include "wire_message_p.h"
@@ -37,8 +38,8 @@
     Millis heartbeatInterval {50}; ///< interval between a leader's AppendEntries messages
     Millis lease {250}; ///< must be below the minimum election timeout, since clocks may run at different speeds
     Millis learnerRemovalTimeout {10000}; ///< time without contact after which a learner is removed
-    /// Time without contact after which an open group replaces a voter by a learner. With an election before it and the
-    /// membership changes after it, a lost voter must be replaced before the next one may be lost.
+    /// Time without contact to any leader after which an open group replaces a voter by a learner. With an election
+    /// before it and the membership changes after it, a lost voter must be replaced before the next one may be lost.
     Millis voterReplacementTimeout {1500};
 };
 
@@ -134,7 +135,7 @@
         std::int64_t nextIndex = 1; ///< index of the next entry to send
         std::int64_t matchIndex = 0; ///< highest index known to be replicated on the member
         Time acknowledgedSentAt; ///< send time of the newest AppendEntries that the member replied to
-        Time lastHeardAt; ///< when the last reply was received
+        Time lastHeardAt; ///< when the last reply was received, also by an earlier leader
         Time snapshotSentAt; ///< zero if no snapshot or part of one is outstanding
         std::int64_t snapshotIndex = 0; ///< last entry of the snapshot that is being sent
         std::int64_t snapshotOffset = 0; ///< the member has the data of that snapshot up to here
@@ -183,6 +184,8 @@
     /// message's group is accepted, and its term is not lower than the own one.
     void followLeader(const std::string &group, std::int64_t term, const std::string &member, Time now);
     void becomeLeader(Time now);
+    /// Logs the silences that count against members from the start of this leadership.
+    void logSilences(Time now) const;
     void startPreVote(Time now);
     void campaign(bool isTransfer, Time now);
     void countVotes(Time now);
@@ -260,6 +263,12 @@
     std::string voterToReplace(Time now) const;
     /// Returns whether another identity of the same process has been heard since this one, so that its disk is lost.
     bool isSuperseded(const std::string &identity) const;
+    /// Returns whether no leader has heard the member for the timeout, nor this one since it could answer.
+    /// Precondition: this member leads.
+    bool isSilent(const std::string &member, Millis timeout, Time now) const;
+    void noteHeard(const std::string &member, Time now);
+    /// Keeps the silences that the leader tells, for the case that this member leads next.
+    void learnSilences(const wire::AppendEntries &append, Time now);
     bool isLeavingMember(const std::string &identity, Time now) const;
     /// Returns whether the learner in place of another voter brings the group closer to bearing the losses.
     bool isBetterSpread(const Membership &members, const std::string &learner) const;
@@ -290,7 +299,8 @@
     ControlLogOptions options;
     std::mt19937_64 random;
 
-    std::vector<std::string> contacts; ///< names of listed processes, as of the newest settings
+    std::vector<std::string> listedNames; ///< names of listed processes, as of the newest settings
+    ControlContacts contacts; ///< when the members were last heard, across changes of leader
     wire::HardState hardState;
     wire::SnapshotFile snapshot;
     wire::SnapshotChunk incomingSnapshot; ///< the parts that have been received of a snapshot
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -11255,6 +11255,10 @@
 void VoteReply::__set_founder(const std::string& val) {
   this->founder = val;
 }
+
+void VoteReply::__set_silentMs(const std::map<std::string, int64_t> & val) {
+  this->silentMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
 {
   obj.printTo(out);
@@ -11383,6 +11387,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->silentMs.clear();
+            uint32_t _size433;
+            ::apache::thrift::protocol::TType _ktype434;
+            ::apache::thrift::protocol::TType _vtype435;
+            xfer += iprot->readMapBegin(_ktype434, _vtype435, _size433);
+            uint32_t _i437;
+            for (_i437 = 0; _i437 < _size433; ++_i437)
+            {
+              std::string _key438;
+              xfer += iprot->readString(_key438);
+              int64_t& _val439 = this->silentMs[_key438];
+              xfer += iprot->readI64(_val439);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.silentMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11439,10 +11466,10 @@
   xfer += oprot->writeFieldBegin("processes", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->processes.size()));
-    std::vector<std::string> ::const_iterator _iter433;
-    for (_iter433 = this->processes.begin(); _iter433 != this->processes.end(); ++_iter433)
+    std::vector<std::string> ::const_iterator _iter440;
+    for (_iter440 = this->processes.begin(); _iter440 != this->processes.end(); ++_iter440)
     {
-      xfer += oprot->writeString((*_iter433));
+      xfer += oprot->writeString((*_iter440));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11452,6 +11479,19 @@
   xfer += oprot->writeString(this->founder);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("silentMs", ::apache::thrift::protocol::T_MAP, 12);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->silentMs.size()));
+    std::map<std::string, int64_t> ::const_iterator _iter441;
+    for (_iter441 = this->silentMs.begin(); _iter441 != this->silentMs.end(); ++_iter441)
+    {
+      xfer += oprot->writeString(_iter441->first);
+      xfer += oprot->writeI64(_iter441->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11470,65 +11510,70 @@
   swap(a.observer, b.observer);
   swap(a.processes, b.processes);
   swap(a.founder, b.founder);
+  swap(a.silentMs, b.silentMs);
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other434) {
-  term = other434.term;
-  granted = other434.granted;
-  preVote = other434.preVote;
-  member = other434.member;
-  group = other434.group;
-  fresh = other434.fresh;
-  leader = other434.leader;
-  failureDomain = other434.failureDomain;
-  observer = other434.observer;
-  processes = other434.processes;
-  founder = other434.founder;
-  __isset = other434.__isset;
-}
-VoteReply::VoteReply(VoteReply&& other435) noexcept {
-  term = other435.term;
-  granted = other435.granted;
-  preVote = other435.preVote;
-  member = std::move(other435.member);
-  group = std::move(other435.group);
-  fresh = other435.fresh;
-  leader = std::move(other435.leader);
-  failureDomain = std::move(other435.failureDomain);
-  observer = other435.observer;
-  processes = std::move(other435.processes);
-  founder = std::move(other435.founder);
-  __isset = other435.__isset;
-}
-VoteReply& VoteReply::operator=(const VoteReply& other436) {
-  term = other436.term;
-  granted = other436.granted;
-  preVote = other436.preVote;
-  member = other436.member;
-  group = other436.group;
-  fresh = other436.fresh;
-  leader = other436.leader;
-  failureDomain = other436.failureDomain;
-  observer = other436.observer;
-  processes = other436.processes;
-  founder = other436.founder;
-  __isset = other436.__isset;
+VoteReply::VoteReply(const VoteReply& other442) {
+  term = other442.term;
+  granted = other442.granted;
+  preVote = other442.preVote;
+  member = other442.member;
+  group = other442.group;
+  fresh = other442.fresh;
+  leader = other442.leader;
+  failureDomain = other442.failureDomain;
+  observer = other442.observer;
+  processes = other442.processes;
+  founder = other442.founder;
+  silentMs = other442.silentMs;
+  __isset = other442.__isset;
+}
+VoteReply::VoteReply(VoteReply&& other443) noexcept {
+  term = other443.term;
+  granted = other443.granted;
+  preVote = other443.preVote;
+  member = std::move(other443.member);
+  group = std::move(other443.group);
+  fresh = other443.fresh;
+  leader = std::move(other443.leader);
+  failureDomain = std::move(other443.failureDomain);
+  observer = other443.observer;
+  processes = std::move(other443.processes);
+  founder = std::move(other443.founder);
+  silentMs = std::move(other443.silentMs);
+  __isset = other443.__isset;
+}
+VoteReply& VoteReply::operator=(const VoteReply& other444) {
+  term = other444.term;
+  granted = other444.granted;
+  preVote = other444.preVote;
+  member = other444.member;
+  group = other444.group;
+  fresh = other444.fresh;
+  leader = other444.leader;
+  failureDomain = other444.failureDomain;
+  observer = other444.observer;
+  processes = other444.processes;
+  founder = other444.founder;
+  silentMs = other444.silentMs;
+  __isset = other444.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other437) noexcept {
-  term = other437.term;
-  granted = other437.granted;
-  preVote = other437.preVote;
-  member = std::move(other437.member);
-  group = std::move(other437.group);
-  fresh = other437.fresh;
-  leader = std::move(other437.leader);
-  failureDomain = std::move(other437.failureDomain);
-  observer = other437.observer;
-  processes = std::move(other437.processes);
-  founder = std::move(other437.founder);
-  __isset = other437.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other445) noexcept {
+  term = other445.term;
+  granted = other445.granted;
+  preVote = other445.preVote;
+  member = std::move(other445.member);
+  group = std::move(other445.group);
+  fresh = other445.fresh;
+  leader = std::move(other445.leader);
+  failureDomain = std::move(other445.failureDomain);
+  observer = other445.observer;
+  processes = std::move(other445.processes);
+  founder = std::move(other445.founder);
+  silentMs = std::move(other445.silentMs);
+  __isset = other445.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -11545,6 +11590,7 @@
   out << ", " << "observer=" << to_string(observer);
   out << ", " << "processes=" << to_string(processes);
   out << ", " << "founder=" << to_string(founder);
+  out << ", " << "silentMs=" << to_string(silentMs);
   out << ")";
 }
 
@@ -11584,6 +11630,11 @@
 void AppendEntries::__set_group(const std::string& val) {
   this->group = val;
 }
+
+void AppendEntries::__set_silentMs(const std::map<std::string, int64_t> & val) {
+  this->silentMs = val;
+__isset.silentMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const AppendEntries& obj)
 {
   obj.printTo(out);
@@ -11640,14 +11691,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size438;
-            ::apache::thrift::protocol::TType _etype441;
-            xfer += iprot->readListBegin(_etype441, _size438);
-            this->entries.resize(_size438);
-            uint32_t _i442;
-            for (_i442 = 0; _i442 < _size438; ++_i442)
+            uint32_t _size446;
+            ::apache::thrift::protocol::TType _etype449;
+            xfer += iprot->readListBegin(_etype449, _size446);
+            this->entries.resize(_size446);
+            uint32_t _i450;
+            for (_i450 = 0; _i450 < _size446; ++_i450)
             {
-              xfer += this->entries[_i442].read(iprot);
+              xfer += this->entries[_i450].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11688,6 +11739,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->silentMs.clear();
+            uint32_t _size451;
+            ::apache::thrift::protocol::TType _ktype452;
+            ::apache::thrift::protocol::TType _vtype453;
+            xfer += iprot->readMapBegin(_ktype452, _vtype453, _size451);
+            uint32_t _i455;
+            for (_i455 = 0; _i455 < _size451; ++_i455)
+            {
+              std::string _key456;
+              xfer += iprot->readString(_key456);
+              int64_t& _val457 = this->silentMs[_key456];
+              xfer += iprot->readI64(_val457);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.silentMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11720,10 +11794,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter443;
-    for (_iter443 = this->entries.begin(); _iter443 != this->entries.end(); ++_iter443)
+    std::vector<LogEntry> ::const_iterator _iter458;
+    for (_iter458 = this->entries.begin(); _iter458 != this->entries.end(); ++_iter458)
     {
-      xfer += (*_iter443).write(oprot);
+      xfer += (*_iter458).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11745,6 +11819,20 @@
   xfer += oprot->writeString(this->group);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.silentMs) {
+    xfer += oprot->writeFieldBegin("silentMs", ::apache::thrift::protocol::T_MAP, 9);
+    {
+      xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->silentMs.size()));
+      std::map<std::string, int64_t> ::const_iterator _iter459;
+      for (_iter459 = this->silentMs.begin(); _iter459 != this->silentMs.end(); ++_iter459)
+      {
+        xfer += oprot->writeString(_iter459->first);
+        xfer += oprot->writeI64(_iter459->second);
+      }
+      xfer += oprot->writeMapEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11760,53 +11848,58 @@
   swap(a.round, b.round);
   swap(a.member, b.member);
   swap(a.group, b.group);
+  swap(a.silentMs, b.silentMs);
   swap(a.__isset, b.__isset);
 }
 
-AppendEntries::AppendEntries(const AppendEntries& other444) {
-  term = other444.term;
-  prevIndex = other444.prevIndex;
-  prevTerm = other444.prevTerm;
-  entries = other444.entries;
-  commitIndex = other444.commitIndex;
-  round = other444.round;
-  member = other444.member;
-  group = other444.group;
-  __isset = other444.__isset;
-}
-AppendEntries::AppendEntries(AppendEntries&& other445) noexcept {
-  term = other445.term;
-  prevIndex = other445.prevIndex;
-  prevTerm = other445.prevTerm;
-  entries = std::move(other445.entries);
-  commitIndex = other445.commitIndex;
-  round = other445.round;
-  member = std::move(other445.member);
-  group = std::move(other445.group);
-  __isset = other445.__isset;
-}
-AppendEntries& AppendEntries::operator=(const AppendEntries& other446) {
-  term = other446.term;
-  prevIndex = other446.prevIndex;
-  prevTerm = other446.prevTerm;
-  entries = other446.entries;
-  commitIndex = other446.commitIndex;
-  round = other446.round;
-  member = other446.member;
-  group = other446.group;
-  __isset = other446.__isset;
+AppendEntries::AppendEntries(const AppendEntries& other460) {
+  term = other460.term;
+  prevIndex = other460.prevIndex;
+  prevTerm = other460.prevTerm;
+  entries = other460.entries;
+  commitIndex = other460.commitIndex;
+  round = other460.round;
+  member = other460.member;
+  group = other460.group;
+  silentMs = other460.silentMs;
+  __isset = other460.__isset;
+}
+AppendEntries::AppendEntries(AppendEntries&& other461) noexcept {
+  term = other461.term;
+  prevIndex = other461.prevIndex;
+  prevTerm = other461.prevTerm;
+  entries = std::move(other461.entries);
+  commitIndex = other461.commitIndex;
+  round = other461.round;
+  member = std::move(other461.member);
+  group = std::move(other461.group);
+  silentMs = std::move(other461.silentMs);
+  __isset = other461.__isset;
+}
+AppendEntries& AppendEntries::operator=(const AppendEntries& other462) {
+  term = other462.term;
+  prevIndex = other462.prevIndex;
+  prevTerm = other462.prevTerm;
+  entries = other462.entries;
+  commitIndex = other462.commitIndex;
+  round = other462.round;
+  member = other462.member;
+  group = other462.group;
+  silentMs = other462.silentMs;
+  __isset = other462.__isset;
   return *this;
 }
-AppendEntries& AppendEntries::operator=(AppendEntries&& other447) noexcept {
-  term = other447.term;
-  prevIndex = other447.prevIndex;
-  prevTerm = other447.prevTerm;
-  entries = std::move(other447.entries);
-  commitIndex = other447.commitIndex;
-  round = other447.round;
-  member = std::move(other447.member);
-  group = std::move(other447.group);
-  __isset = other447.__isset;
+AppendEntries& AppendEntries::operator=(AppendEntries&& other463) noexcept {
+  term = other463.term;
+  prevIndex = other463.prevIndex;
+  prevTerm = other463.prevTerm;
+  entries = std::move(other463.entries);
+  commitIndex = other463.commitIndex;
+  round = other463.round;
+  member = std::move(other463.member);
+  group = std::move(other463.group);
+  silentMs = std::move(other463.silentMs);
+  __isset = other463.__isset;
   return *this;
 }
 void AppendEntries::printTo(std::ostream& out) const {
@@ -11820,6 +11913,7 @@
   out << ", " << "round=" << to_string(round);
   out << ", " << "member=" << to_string(member);
   out << ", " << "group=" << to_string(group);
+  out << ", " << "silentMs="; (__isset.silentMs ? (out << to_string(silentMs)) : (out << "<null>"));
   out << ")";
 }
 
@@ -12001,46 +12095,46 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other448) {
-  term = other448.term;
-  ok = other448.ok;
-  matchIndex = other448.matchIndex;
-  round = other448.round;
-  member = other448.member;
-  group = other448.group;
-  failureDomain = other448.failureDomain;
-  __isset = other448.__isset;
-}
-AppendReply::AppendReply(AppendReply&& other449) noexcept {
-  term = other449.term;
-  ok = other449.ok;
-  matchIndex = other449.matchIndex;
-  round = other449.round;
-  member = std::move(other449.member);
-  group = std::move(other449.group);
-  failureDomain = std::move(other449.failureDomain);
-  __isset = other449.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other450) {
-  term = other450.term;
-  ok = other450.ok;
-  matchIndex = other450.matchIndex;
-  round = other450.round;
-  member = other450.member;
-  group = other450.group;
-  failureDomain = other450.failureDomain;
-  __isset = other450.__isset;
+AppendReply::AppendReply(const AppendReply& other464) {
+  term = other464.term;
+  ok = other464.ok;
+  matchIndex = other464.matchIndex;
+  round = other464.round;
+  member = other464.member;
+  group = other464.group;
+  failureDomain = other464.failureDomain;
+  __isset = other464.__isset;
+}
+AppendReply::AppendReply(AppendReply&& other465) noexcept {
+  term = other465.term;
+  ok = other465.ok;
+  matchIndex = other465.matchIndex;
+  round = other465.round;
+  member = std::move(other465.member);
+  group = std::move(other465.group);
+  failureDomain = std::move(other465.failureDomain);
+  __isset = other465.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other466) {
+  term = other466.term;
+  ok = other466.ok;
+  matchIndex = other466.matchIndex;
+  round = other466.round;
+  member = other466.member;
+  group = other466.group;
+  failureDomain = other466.failureDomain;
+  __isset = other466.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other451) noexcept {
-  term = other451.term;
-  ok = other451.ok;
-  matchIndex = other451.matchIndex;
-  round = other451.round;
-  member = std::move(other451.member);
-  group = std::move(other451.group);
-  failureDomain = std::move(other451.failureDomain);
-  __isset = other451.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other467) noexcept {
+  term = other467.term;
+  ok = other467.ok;
+  matchIndex = other467.matchIndex;
+  round = other467.round;
+  member = std::move(other467.member);
+  group = std::move(other467.group);
+  failureDomain = std::move(other467.failureDomain);
+  __isset = other467.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -12164,14 +12258,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size452;
-            ::apache::thrift::protocol::TType _etype455;
-            xfer += iprot->readListBegin(_etype455, _size452);
-            this->voters.resize(_size452);
-            uint32_t _i456;
-            for (_i456 = 0; _i456 < _size452; ++_i456)
+            uint32_t _size468;
+            ::apache::thrift::protocol::TType _etype471;
+            xfer += iprot->readListBegin(_etype471, _size468);
+            this->voters.resize(_size468);
+            uint32_t _i472;
+            for (_i472 = 0; _i472 < _size468; ++_i472)
             {
-              xfer += iprot->readString(this->voters[_i456]);
+              xfer += iprot->readString(this->voters[_i472]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12184,14 +12278,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size457;
-            ::apache::thrift::protocol::TType _etype460;
-            xfer += iprot->readListBegin(_etype460, _size457);
-            this->learners.resize(_size457);
-            uint32_t _i461;
-            for (_i461 = 0; _i461 < _size457; ++_i461)
+            uint32_t _size473;
+            ::apache::thrift::protocol::TType _etype476;
+            xfer += iprot->readListBegin(_etype476, _size473);
+            this->learners.resize(_size473);
+            uint32_t _i477;
+            for (_i477 = 0; _i477 < _size473; ++_i477)
             {
-              xfer += iprot->readString(this->learners[_i461]);
+              xfer += iprot->readString(this->learners[_i477]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12228,17 +12322,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->domains.clear();
-            uint32_t _size462;
-            ::apache::thrift::protocol::TType _ktype463;
-            ::apache::thrift::protocol::TType _vtype464;
-            xfer += iprot->readMapBegin(_ktype463, _vtype464, _size462);
-            uint32_t _i466;
-            for (_i466 = 0; _i466 < _size462; ++_i466)
+            uint32_t _size478;
+            ::apache::thrift::protocol::TType _ktype479;
+            ::apache::thrift::protocol::TType _vtype480;
+            xfer += iprot->readMapBegin(_ktype479, _vtype480, _size478);
+            uint32_t _i482;
+            for (_i482 = 0; _i482 < _size478; ++_i482)
             {
-              std::string _key467;
-              xfer += iprot->readString(_key467);
-              std::string& _val468 = this->domains[_key467];
-              xfer += iprot->readString(_val468);
+              std::string _key483;
+              xfer += iprot->readString(_key483);
+              std::string& _val484 = this->domains[_key483];
+              xfer += iprot->readString(_val484);
             }
             xfer += iprot->readMapEnd();
           }
@@ -12283,10 +12377,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter469;
-    for (_iter469 = this->voters.begin(); _iter469 != this->voters.end(); ++_iter469)
+    std::vector<std::string> ::const_iterator _iter485;
+    for (_iter485 = this->voters.begin(); _iter485 != this->voters.end(); ++_iter485)
     {
-      xfer += oprot->writeString((*_iter469));
+      xfer += oprot->writeString((*_iter485));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12295,10 +12389,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter470;
-    for (_iter470 = this->learners.begin(); _iter470 != this->learners.end(); ++_iter470)
+    std::vector<std::string> ::const_iterator _iter486;
+    for (_iter486 = this->learners.begin(); _iter486 != this->learners.end(); ++_iter486)
     {
-      xfer += oprot->writeString((*_iter470));
+      xfer += oprot->writeString((*_iter486));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12319,11 +12413,11 @@
   xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 10);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-    std::map<std::string, std::string> ::const_iterator _iter471;
-    for (_iter471 = this->domains.begin(); _iter471 != this->domains.end(); ++_iter471)
+    std::map<std::string, std::string> ::const_iterator _iter487;
+    for (_iter487 = this->domains.begin(); _iter487 != this->domains.end(); ++_iter487)
     {
-      xfer += oprot->writeString(_iter471->first);
-      xfer += oprot->writeString(_iter471->second);
+      xfer += oprot->writeString(_iter487->first);
+      xfer += oprot->writeString(_iter487->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -12349,58 +12443,58 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallSnapshot::InstallSnapshot(const InstallSnapshot& other472) {
-  term = other472.term;
-  lastIndex = other472.lastIndex;
-  lastTerm = other472.lastTerm;
-  data = other472.data;
-  voters = other472.voters;
-  learners = other472.learners;
-  member = other472.member;
-  group = other472.group;
-  round = other472.round;
-  domains = other472.domains;
-  __isset = other472.__isset;
-}
-InstallSnapshot::InstallSnapshot(InstallSnapshot&& other473) noexcept {
-  term = other473.term;
-  lastIndex = other473.lastIndex;
-  lastTerm = other473.lastTerm;
-  data = std::move(other473.data);
-  voters = std::move(other473.voters);
-  learners = std::move(other473.learners);
-  member = std::move(other473.member);
-  group = std::move(other473.group);
-  round = other473.round;
-  domains = std::move(other473.domains);
-  __isset = other473.__isset;
-}
-InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other474) {
-  term = other474.term;
-  lastIndex = other474.lastIndex;
-  lastTerm = other474.lastTerm;
-  data = other474.data;
-  voters = other474.voters;
-  learners = other474.learners;
-  member = other474.member;
-  group = other474.group;
-  round = other474.round;
-  domains = other474.domains;
-  __isset = other474.__isset;
+InstallSnapshot::InstallSnapshot(const InstallSnapshot& other488) {
+  term = other488.term;
+  lastIndex = other488.lastIndex;
+  lastTerm = other488.lastTerm;
+  data = other488.data;
+  voters = other488.voters;
+  learners = other488.learners;
+  member = other488.member;
+  group = other488.group;
+  round = other488.round;
+  domains = other488.domains;
+  __isset = other488.__isset;
+}
+InstallSnapshot::InstallSnapshot(InstallSnapshot&& other489) noexcept {
+  term = other489.term;
+  lastIndex = other489.lastIndex;
+  lastTerm = other489.lastTerm;
+  data = std::move(other489.data);
+  voters = std::move(other489.voters);
+  learners = std::move(other489.learners);
+  member = std::move(other489.member);
+  group = std::move(other489.group);
+  round = other489.round;
+  domains = std::move(other489.domains);
+  __isset = other489.__isset;
+}
+InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other490) {
+  term = other490.term;
+  lastIndex = other490.lastIndex;
+  lastTerm = other490.lastTerm;
+  data = other490.data;
+  voters = other490.voters;
+  learners = other490.learners;
+  member = other490.member;
+  group = other490.group;
+  round = other490.round;
+  domains = other490.domains;
+  __isset = other490.__isset;
   return *this;
 }
-InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other475) noexcept {
-  term = other475.term;
-  lastIndex = other475.lastIndex;
-  lastTerm = other475.lastTerm;
-  data = std::move(other475.data);
-  voters = std::move(other475.voters);
-  learners = std::move(other475.learners);
-  member = std::move(other475.member);
-  group = std::move(other475.group);
-  round = other475.round;
-  domains = std::move(other475.domains);
-  __isset = other475.__isset;
+InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other491) noexcept {
+  term = other491.term;
+  lastIndex = other491.lastIndex;
+  lastTerm = other491.lastTerm;
+  data = std::move(other491.data);
+  voters = std::move(other491.voters);
+  learners = std::move(other491.learners);
+  member = std::move(other491.member);
+  group = std::move(other491.group);
+  round = other491.round;
+  domains = std::move(other491.domains);
+  __isset = other491.__isset;
   return *this;
 }
 void InstallSnapshot::printTo(std::ostream& out) const {
@@ -12535,14 +12629,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size476;
-            ::apache::thrift::protocol::TType _etype479;
-            xfer += iprot->readListBegin(_etype479, _size476);
-            this->voters.resize(_size476);
-            uint32_t _i480;
-            for (_i480 = 0; _i480 < _size476; ++_i480)
+            uint32_t _size492;
+            ::apache::thrift::protocol::TType _etype495;
+            xfer += iprot->readListBegin(_etype495, _size492);
+            this->voters.resize(_size492);
+            uint32_t _i496;
+            for (_i496 = 0; _i496 < _size492; ++_i496)
             {
-              xfer += iprot->readString(this->voters[_i480]);
+              xfer += iprot->readString(this->voters[_i496]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12555,14 +12649,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size481;
-            ::apache::thrift::protocol::TType _etype484;
-            xfer += iprot->readListBegin(_etype484, _size481);
-            this->learners.resize(_size481);
-            uint32_t _i485;
-            for (_i485 = 0; _i485 < _size481; ++_i485)
+            uint32_t _size497;
+            ::apache::thrift::protocol::TType _etype500;
+            xfer += iprot->readListBegin(_etype500, _size497);
+            this->learners.resize(_size497);
+            uint32_t _i501;
+            for (_i501 = 0; _i501 < _size497; ++_i501)
             {
-              xfer += iprot->readString(this->learners[_i485]);
+              xfer += iprot->readString(this->learners[_i501]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12615,17 +12709,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->domains.clear();
-            uint32_t _size486;
-            ::apache::thrift::protocol::TType _ktype487;
-            ::apache::thrift::protocol::TType _vtype488;
-            xfer += iprot->readMapBegin(_ktype487, _vtype488, _size486);
-            uint32_t _i490;
-            for (_i490 = 0; _i490 < _size486; ++_i490)
+            uint32_t _size502;
+            ::apache::thrift::protocol::TType _ktype503;
+            ::apache::thrift::protocol::TType _vtype504;
+            xfer += iprot->readMapBegin(_ktype503, _vtype504, _size502);
+            uint32_t _i506;
+            for (_i506 = 0; _i506 < _size502; ++_i506)
             {
-              std::string _key491;
-              xfer += iprot->readString(_key491);
-              std::string& _val492 = this->domains[_key491];
-              xfer += iprot->readString(_val492);
+              std::string _key507;
+              xfer += iprot->readString(_key507);
+              std::string& _val508 = this->domains[_key507];
+              xfer += iprot->readString(_val508);
             }
             xfer += iprot->readMapEnd();
           }
@@ -12670,10 +12764,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter493;
-    for (_iter493 = this->voters.begin(); _iter493 != this->voters.end(); ++_iter493)
+    std::vector<std::string> ::const_iterator _iter509;
+    for (_iter509 = this->voters.begin(); _iter509 != this->voters.end(); ++_iter509)
     {
-      xfer += oprot->writeString((*_iter493));
+      xfer += oprot->writeString((*_iter509));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12682,10 +12776,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter494;
-    for (_iter494 = this->learners.begin(); _iter494 != this->learners.end(); ++_iter494)
+    std::vector<std::string> ::const_iterator _iter510;
+    for (_iter510 = this->learners.begin(); _iter510 != this->learners.end(); ++_iter510)
     {
-      xfer += oprot->writeString((*_iter494));
+      xfer += oprot->writeString((*_iter510));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12714,11 +12808,11 @@
   xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 12);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-    std::map<std::string, std::string> ::const_iterator _iter495;
-    for (_iter495 = this->domains.begin(); _iter495 != this->domains.end(); ++_iter495)
+    std::map<std::string, std::string> ::const_iterator _iter511;
+    for (_iter511 = this->domains.begin(); _iter511 != this->domains.end(); ++_iter511)
     {
-      xfer += oprot->writeString(_iter495->first);
-      xfer += oprot->writeString(_iter495->second);
+      xfer += oprot->writeString(_iter511->first);
+      xfer += oprot->writeString(_iter511->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -12746,66 +12840,66 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other496) {
-  term = other496.term;
-  lastIndex = other496.lastIndex;
-  lastTerm = other496.lastTerm;
-  data = other496.data;
-  voters = other496.voters;
-  learners = other496.learners;
-  member = other496.member;
-  group = other496.group;
-  round = other496.round;
-  offset = other496.offset;
-  totalBytes = other496.totalBytes;
-  domains = other496.domains;
-  __isset = other496.__isset;
-}
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other497) noexcept {
-  term = other497.term;
-  lastIndex = other497.lastIndex;
-  lastTerm = other497.lastTerm;
-  data = std::move(other497.data);
-  voters = std::move(other497.voters);
-  learners = std::move(other497.learners);
-  member = std::move(other497.member);
-  group = std::move(other497.group);
-  round = other497.round;
-  offset = other497.offset;
-  totalBytes = other497.totalBytes;
-  domains = std::move(other497.domains);
-  __isset = other497.__isset;
-}
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other498) {
-  term = other498.term;
-  lastIndex = other498.lastIndex;
-  lastTerm = other498.lastTerm;
-  data = other498.data;
-  voters = other498.voters;
-  learners = other498.learners;
-  member = other498.member;
-  group = other498.group;
-  round = other498.round;
-  offset = other498.offset;
-  totalBytes = other498.totalBytes;
-  domains = other498.domains;
-  __isset = other498.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other512) {
+  term = other512.term;
+  lastIndex = other512.lastIndex;
+  lastTerm = other512.lastTerm;
+  data = other512.data;
+  voters = other512.voters;
+  learners = other512.learners;
+  member = other512.member;
+  group = other512.group;
+  round = other512.round;
+  offset = other512.offset;
+  totalBytes = other512.totalBytes;
+  domains = other512.domains;
+  __isset = other512.__isset;
+}
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other513) noexcept {
+  term = other513.term;
+  lastIndex = other513.lastIndex;
+  lastTerm = other513.lastTerm;
+  data = std::move(other513.data);
+  voters = std::move(other513.voters);
+  learners = std::move(other513.learners);
+  member = std::move(other513.member);
+  group = std::move(other513.group);
+  round = other513.round;
+  offset = other513.offset;
+  totalBytes = other513.totalBytes;
+  domains = std::move(other513.domains);
+  __isset = other513.__isset;
+}
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other514) {
+  term = other514.term;
+  lastIndex = other514.lastIndex;
+  lastTerm = other514.lastTerm;
+  data = other514.data;
+  voters = other514.voters;
+  learners = other514.learners;
+  member = other514.member;
+  group = other514.group;
+  round = other514.round;
+  offset = other514.offset;
+  totalBytes = other514.totalBytes;
+  domains = other514.domains;
+  __isset = other514.__isset;
   return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other499) noexcept {
-  term = other499.term;
-  lastIndex = other499.lastIndex;
-  lastTerm = other499.lastTerm;
-  data = std::move(other499.data);
-  voters = std::move(other499.voters);
-  learners = std::move(other499.learners);
-  member = std::move(other499.member);
-  group = std::move(other499.group);
-  round = other499.round;
-  offset = other499.offset;
-  totalBytes = other499.totalBytes;
-  domains = std::move(other499.domains);
-  __isset = other499.__isset;
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other515) noexcept {
+  term = other515.term;
+  lastIndex = other515.lastIndex;
+  lastTerm = other515.lastTerm;
+  data = std::move(other515.data);
+  voters = std::move(other515.voters);
+  learners = std::move(other515.learners);
+  member = std::move(other515.member);
+  group = std::move(other515.group);
+  round = other515.round;
+  offset = other515.offset;
+  totalBytes = other515.totalBytes;
+  domains = std::move(other515.domains);
+  __isset = other515.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -12987,42 +13081,42 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunkReply::SnapshotChunkReply(const SnapshotChunkReply& other500) {
-  term = other500.term;
-  lastIndex = other500.lastIndex;
-  nextOffset = other500.nextOffset;
-  member = other500.member;
-  group = other500.group;
-  round = other500.round;
-  __isset = other500.__isset;
-}
-SnapshotChunkReply::SnapshotChunkReply(SnapshotChunkReply&& other501) noexcept {
-  term = other501.term;
-  lastIndex = other501.lastIndex;
-  nextOffset = other501.nextOffset;
-  member = std::move(other501.member);
-  group = std::move(other501.group);
-  round = other501.round;
-  __isset = other501.__isset;
-}
-SnapshotChunkReply& SnapshotChunkReply::operator=(const SnapshotChunkReply& other502) {
-  term = other502.term;
-  lastIndex = other502.lastIndex;
-  nextOffset = other502.nextOffset;
-  member = other502.member;
-  group = other502.group;
-  round = other502.round;
-  __isset = other502.__isset;
+SnapshotChunkReply::SnapshotChunkReply(const SnapshotChunkReply& other516) {
+  term = other516.term;
+  lastIndex = other516.lastIndex;
+  nextOffset = other516.nextOffset;
+  member = other516.member;
+  group = other516.group;
+  round = other516.round;
+  __isset = other516.__isset;
+}
+SnapshotChunkReply::SnapshotChunkReply(SnapshotChunkReply&& other517) noexcept {
+  term = other517.term;
+  lastIndex = other517.lastIndex;
+  nextOffset = other517.nextOffset;
+  member = std::move(other517.member);
+  group = std::move(other517.group);
+  round = other517.round;
+  __isset = other517.__isset;
+}
+SnapshotChunkReply& SnapshotChunkReply::operator=(const SnapshotChunkReply& other518) {
+  term = other518.term;
+  lastIndex = other518.lastIndex;
+  nextOffset = other518.nextOffset;
+  member = other518.member;
+  group = other518.group;
+  round = other518.round;
+  __isset = other518.__isset;
   return *this;
 }
-SnapshotChunkReply& SnapshotChunkReply::operator=(SnapshotChunkReply&& other503) noexcept {
-  term = other503.term;
-  lastIndex = other503.lastIndex;
-  nextOffset = other503.nextOffset;
-  member = std::move(other503.member);
-  group = std::move(other503.group);
-  round = other503.round;
-  __isset = other503.__isset;
+SnapshotChunkReply& SnapshotChunkReply::operator=(SnapshotChunkReply&& other519) noexcept {
+  term = other519.term;
+  lastIndex = other519.lastIndex;
+  nextOffset = other519.nextOffset;
+  member = std::move(other519.member);
+  group = std::move(other519.group);
+  round = other519.round;
+  __isset = other519.__isset;
   return *this;
 }
 void SnapshotChunkReply::printTo(std::ostream& out) const {
@@ -13181,38 +13275,38 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallReply::InstallReply(const InstallReply& other504) {
-  term = other504.term;
-  lastIndex = other504.lastIndex;
-  member = other504.member;
-  group = other504.group;
-  round = other504.round;
-  __isset = other504.__isset;
-}
-InstallReply::InstallReply(InstallReply&& other505) noexcept {
-  term = other505.term;
-  lastIndex = other505.lastIndex;
-  member = std::move(other505.member);
-  group = std::move(other505.group);
-  round = other505.round;
-  __isset = other505.__isset;
-}
-InstallReply& InstallReply::operator=(const InstallReply& other506) {
-  term = other506.term;
-  lastIndex = other506.lastIndex;
-  member = other506.member;
-  group = other506.group;
-  round = other506.round;
-  __isset = other506.__isset;
+InstallReply::InstallReply(const InstallReply& other520) {
+  term = other520.term;
+  lastIndex = other520.lastIndex;
+  member = other520.member;
+  group = other520.group;
+  round = other520.round;
+  __isset = other520.__isset;
+}
+InstallReply::InstallReply(InstallReply&& other521) noexcept {
+  term = other521.term;
+  lastIndex = other521.lastIndex;
+  member = std::move(other521.member);
+  group = std::move(other521.group);
+  round = other521.round;
+  __isset = other521.__isset;
+}
+InstallReply& InstallReply::operator=(const InstallReply& other522) {
+  term = other522.term;
+  lastIndex = other522.lastIndex;
+  member = other522.member;
+  group = other522.group;
+  round = other522.round;
+  __isset = other522.__isset;
   return *this;
 }
-InstallReply& InstallReply::operator=(InstallReply&& other507) noexcept {
-  term = other507.term;
-  lastIndex = other507.lastIndex;
-  member = std::move(other507.member);
-  group = std::move(other507.group);
-  round = other507.round;
-  __isset = other507.__isset;
+InstallReply& InstallReply::operator=(InstallReply&& other523) noexcept {
+  term = other523.term;
+  lastIndex = other523.lastIndex;
+  member = std::move(other523.member);
+  group = std::move(other523.group);
+  round = other523.round;
+  __isset = other523.__isset;
   return *this;
 }
 void InstallReply::printTo(std::ostream& out) const {
@@ -13302,22 +13396,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other508) noexcept {
-  term = other508.term;
-  __isset = other508.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other524) noexcept {
+  term = other524.term;
+  __isset = other524.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other509) noexcept {
-  term = other509.term;
-  __isset = other509.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other525) noexcept {
+  term = other525.term;
+  __isset = other525.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other510) noexcept {
-  term = other510.term;
-  __isset = other510.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other526) noexcept {
+  term = other526.term;
+  __isset = other526.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other511) noexcept {
-  term = other511.term;
-  __isset = other511.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other527) noexcept {
+  term = other527.term;
+  __isset = other527.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -13420,26 +13514,26 @@
   swap(a.__isset, b.__isset);
 }
 
-VoterLeaving::VoterLeaving(const VoterLeaving& other512) {
-  member = other512.member;
-  group = other512.group;
-  __isset = other512.__isset;
+VoterLeaving::VoterLeaving(const VoterLeaving& other528) {
+  member = other528.member;
+  group = other528.group;
+  __isset = other528.__isset;
 }
-VoterLeaving::VoterLeaving(VoterLeaving&& other513) noexcept {
-  member = std::move(other513.member);
-  group = std::move(other513.group);
-  __isset = other513.__isset;
+VoterLeaving::VoterLeaving(VoterLeaving&& other529) noexcept {
+  member = std::move(other529.member);
+  group = std::move(other529.group);
+  __isset = other529.__isset;
 }
-VoterLeaving& VoterLeaving::operator=(const VoterLeaving& other514) {
-  member = other514.member;
-  group = other514.group;
-  __isset = other514.__isset;
+VoterLeaving& VoterLeaving::operator=(const VoterLeaving& other530) {
+  member = other530.member;
+  group = other530.group;
+  __isset = other530.__isset;
   return *this;
 }
-VoterLeaving& VoterLeaving::operator=(VoterLeaving&& other515) noexcept {
-  member = std::move(other515.member);
-  group = std::move(other515.group);
-  __isset = other515.__isset;
+VoterLeaving& VoterLeaving::operator=(VoterLeaving&& other531) noexcept {
+  member = std::move(other531.member);
+  group = std::move(other531.group);
+  __isset = other531.__isset;
   return *this;
 }
 void VoterLeaving::printTo(std::ostream& out) const {
@@ -13526,22 +13620,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SetConfig::SetConfig(const SetConfig& other516) {
-  file = other516.file;
-  __isset = other516.__isset;
+SetConfig::SetConfig(const SetConfig& other532) {
+  file = other532.file;
+  __isset = other532.__isset;
 }
-SetConfig::SetConfig(SetConfig&& other517) noexcept {
-  file = std::move(other517.file);
-  __isset = other517.__isset;
+SetConfig::SetConfig(SetConfig&& other533) noexcept {
+  file = std::move(other533.file);
+  __isset = other533.__isset;
 }
-SetConfig& SetConfig::operator=(const SetConfig& other518) {
-  file = other518.file;
-  __isset = other518.__isset;
+SetConfig& SetConfig::operator=(const SetConfig& other534) {
+  file = other534.file;
+  __isset = other534.__isset;
   return *this;
 }
-SetConfig& SetConfig::operator=(SetConfig&& other519) noexcept {
-  file = std::move(other519.file);
-  __isset = other519.__isset;
+SetConfig& SetConfig::operator=(SetConfig&& other535) noexcept {
+  file = std::move(other535.file);
+  __isset = other535.__isset;
   return *this;
 }
 void SetConfig::printTo(std::ostream& out) const {
@@ -13622,9 +13716,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast520;
-          xfer += iprot->readI32(ecast520);
-          this->role = static_cast<Role::type>(ecast520);
+          int32_t ecast536;
+          xfer += iprot->readI32(ecast536);
+          this->role = static_cast<Role::type>(ecast536);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -13733,46 +13827,46 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberJoin::MemberJoin(const MemberJoin& other521) {
-  id = other521.id;
-  role = other521.role;
-  address = other521.address;
-  failureDomain = other521.failureDomain;
-  server = other521.server;
-  atMs = other521.atMs;
-  replaces = other521.replaces;
-  __isset = other521.__isset;
+MemberJoin::MemberJoin(const MemberJoin& other537) {
+  id = other537.id;
+  role = other537.role;
+  address = other537.address;
+  failureDomain = other537.failureDomain;
+  server = other537.server;
+  atMs = other537.atMs;
+  replaces = other537.replaces;
+  __isset = other537.__isset;
 }
-MemberJoin::MemberJoin(MemberJoin&& other522) noexcept {
-  id = std::move(other522.id);
-  role = other522.role;
-  address = std::move(other522.address);
-  failureDomain = std::move(other522.failureDomain);
-  server = std::move(other522.server);
-  atMs = other522.atMs;
-  replaces = other522.replaces;
-  __isset = other522.__isset;
+MemberJoin::MemberJoin(MemberJoin&& other538) noexcept {
+  id = std::move(other538.id);
+  role = other538.role;
+  address = std::move(other538.address);
+  failureDomain = std::move(other538.failureDomain);
+  server = std::move(other538.server);
+  atMs = other538.atMs;
+  replaces = other538.replaces;
+  __isset = other538.__isset;
 }
-MemberJoin& MemberJoin::operator=(const MemberJoin& other523) {
-  id = other523.id;
-  role = other523.role;
-  address = other523.address;
-  failureDomain = other523.failureDomain;
-  server = other523.server;
-  atMs = other523.atMs;
-  replaces = other523.replaces;
-  __isset = other523.__isset;
+MemberJoin& MemberJoin::operator=(const MemberJoin& other539) {
+  id = other539.id;
+  role = other539.role;
+  address = other539.address;
+  failureDomain = other539.failureDomain;
+  server = other539.server;
+  atMs = other539.atMs;
+  replaces = other539.replaces;
+  __isset = other539.__isset;
   return *this;
 }
-MemberJoin& MemberJoin::operator=(MemberJoin&& other524) noexcept {
-  id = std::move(other524.id);
-  role = other524.role;
-  address = std::move(other524.address);
-  failureDomain = std::move(other524.failureDomain);
-  server = std::move(other524.server);
-  atMs = other524.atMs;
-  replaces = other524.replaces;
-  __isset = other524.__isset;
+MemberJoin& MemberJoin::operator=(MemberJoin&& other540) noexcept {
+  id = std::move(other540.id);
+  role = other540.role;
+  address = std::move(other540.address);
+  failureDomain = std::move(other540.failureDomain);
+  server = std::move(other540.server);
+  atMs = other540.atMs;
+  replaces = other540.replaces;
+  __isset = other540.__isset;
   return *this;
 }
 void MemberJoin::printTo(std::ostream& out) const {
@@ -13898,30 +13992,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberGone::MemberGone(const MemberGone& other525) {
-  id = other525.id;
-  planned = other525.planned;
-  atMs = other525.atMs;
-  __isset = other525.__isset;
+MemberGone::MemberGone(const MemberGone& other541) {
+  id = other541.id;
+  planned = other541.planned;
+  atMs = other541.atMs;
+  __isset = other541.__isset;
 }
-MemberGone::MemberGone(MemberGone&& other526) noexcept {
-  id = std::move(other526.id);
-  planned = other526.planned;
-  atMs = other526.atMs;
-  __isset = other526.__isset;
+MemberGone::MemberGone(MemberGone&& other542) noexcept {
+  id = std::move(other542.id);
+  planned = other542.planned;
+  atMs = other542.atMs;
+  __isset = other542.__isset;
 }
-MemberGone& MemberGone::operator=(const MemberGone& other527) {
-  id = other527.id;
-  planned = other527.planned;
-  atMs = other527.atMs;
-  __isset = other527.__isset;
+MemberGone& MemberGone::operator=(const MemberGone& other543) {
+  id = other543.id;
+  planned = other543.planned;
+  atMs = other543.atMs;
+  __isset = other543.__isset;
   return *this;
 }
-MemberGone& MemberGone::operator=(MemberGone&& other528) noexcept {
-  id = std::move(other528.id);
-  planned = other528.planned;
-  atMs = other528.atMs;
-  __isset = other528.__isset;
+MemberGone& MemberGone::operator=(MemberGone&& other544) noexcept {
+  id = std::move(other544.id);
+  planned = other544.planned;
+  atMs = other544.atMs;
+  __isset = other544.__isset;
   return *this;
 }
 void MemberGone::printTo(std::ostream& out) const {
@@ -14009,22 +14103,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberLeaving::MemberLeaving(const MemberLeaving& other529) {
-  id = other529.id;
-  __isset = other529.__isset;
+MemberLeaving::MemberLeaving(const MemberLeaving& other545) {
+  id = other545.id;
+  __isset = other545.__isset;
 }
-MemberLeaving::MemberLeaving(MemberLeaving&& other530) noexcept {
-  id = std::move(other530.id);
-  __isset = other530.__isset;
+MemberLeaving::MemberLeaving(MemberLeaving&& other546) noexcept {
+  id = std::move(other546.id);
+  __isset = other546.__isset;
 }
-MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other531) {
-  id = other531.id;
-  __isset = other531.__isset;
+MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other547) {
+  id = other547.id;
+  __isset = other547.__isset;
   return *this;
 }
-MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other532) noexcept {
-  id = std::move(other532.id);
-  __isset = other532.__isset;
+MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other548) noexcept {
+  id = std::move(other548.id);
+  __isset = other548.__isset;
   return *this;
 }
 void MemberLeaving::printTo(std::ostream& out) const {
@@ -14161,34 +14255,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderWhole::HolderWhole(const HolderWhole& other533) {
-  cell = other533.cell;
-  epoch = other533.epoch;
-  holder = other533.holder;
-  viewVersion = other533.viewVersion;
-  __isset = other533.__isset;
-}
-HolderWhole::HolderWhole(HolderWhole&& other534) noexcept {
-  cell = other534.cell;
-  epoch = other534.epoch;
-  holder = std::move(other534.holder);
-  viewVersion = other534.viewVersion;
-  __isset = other534.__isset;
-}
-HolderWhole& HolderWhole::operator=(const HolderWhole& other535) {
-  cell = other535.cell;
-  epoch = other535.epoch;
-  holder = other535.holder;
-  viewVersion = other535.viewVersion;
-  __isset = other535.__isset;
+HolderWhole::HolderWhole(const HolderWhole& other549) {
+  cell = other549.cell;
+  epoch = other549.epoch;
+  holder = other549.holder;
+  viewVersion = other549.viewVersion;
+  __isset = other549.__isset;
+}
+HolderWhole::HolderWhole(HolderWhole&& other550) noexcept {
+  cell = other550.cell;
+  epoch = other550.epoch;
+  holder = std::move(other550.holder);
+  viewVersion = other550.viewVersion;
+  __isset = other550.__isset;
+}
+HolderWhole& HolderWhole::operator=(const HolderWhole& other551) {
+  cell = other551.cell;
+  epoch = other551.epoch;
+  holder = other551.holder;
+  viewVersion = other551.viewVersion;
+  __isset = other551.__isset;
   return *this;
 }
-HolderWhole& HolderWhole::operator=(HolderWhole&& other536) noexcept {
-  cell = other536.cell;
-  epoch = other536.epoch;
-  holder = std::move(other536.holder);
-  viewVersion = other536.viewVersion;
-  __isset = other536.__isset;
+HolderWhole& HolderWhole::operator=(HolderWhole&& other552) noexcept {
+  cell = other552.cell;
+  epoch = other552.epoch;
+  holder = std::move(other552.holder);
+  viewVersion = other552.viewVersion;
+  __isset = other552.__isset;
   return *this;
 }
 void HolderWhole::printTo(std::ostream& out) const {
@@ -14328,34 +14422,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HandOver::HandOver(const HandOver& other537) {
-  cell = other537.cell;
-  epoch = other537.epoch;
-  previousOwner = other537.previousOwner;
-  atMs = other537.atMs;
-  __isset = other537.__isset;
-}
-HandOver::HandOver(HandOver&& other538) noexcept {
-  cell = other538.cell;
-  epoch = other538.epoch;
-  previousOwner = std::move(other538.previousOwner);
-  atMs = other538.atMs;
-  __isset = other538.__isset;
-}
-HandOver& HandOver::operator=(const HandOver& other539) {
-  cell = other539.cell;
-  epoch = other539.epoch;
-  previousOwner = other539.previousOwner;
-  atMs = other539.atMs;
-  __isset = other539.__isset;
+HandOver::HandOver(const HandOver& other553) {
+  cell = other553.cell;
+  epoch = other553.epoch;
+  previousOwner = other553.previousOwner;
+  atMs = other553.atMs;
+  __isset = other553.__isset;
+}
+HandOver::HandOver(HandOver&& other554) noexcept {
+  cell = other554.cell;
+  epoch = other554.epoch;
+  previousOwner = std::move(other554.previousOwner);
+  atMs = other554.atMs;
+  __isset = other554.__isset;
+}
+HandOver& HandOver::operator=(const HandOver& other555) {
+  cell = other555.cell;
+  epoch = other555.epoch;
+  previousOwner = other555.previousOwner;
+  atMs = other555.atMs;
+  __isset = other555.__isset;
   return *this;
 }
-HandOver& HandOver::operator=(HandOver&& other540) noexcept {
-  cell = other540.cell;
-  epoch = other540.epoch;
-  previousOwner = std::move(other540.previousOwner);
-  atMs = other540.atMs;
-  __isset = other540.__isset;
+HandOver& HandOver::operator=(HandOver&& other556) noexcept {
+  cell = other556.cell;
+  epoch = other556.epoch;
+  previousOwner = std::move(other556.previousOwner);
+  atMs = other556.atMs;
+  __isset = other556.__isset;
   return *this;
 }
 void HandOver::printTo(std::ostream& out) const {
@@ -14416,14 +14510,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size541;
-            ::apache::thrift::protocol::TType _etype544;
-            xfer += iprot->readListBegin(_etype544, _size541);
-            this->voters.resize(_size541);
-            uint32_t _i545;
-            for (_i545 = 0; _i545 < _size541; ++_i545)
+            uint32_t _size557;
+            ::apache::thrift::protocol::TType _etype560;
+            xfer += iprot->readListBegin(_etype560, _size557);
+            this->voters.resize(_size557);
+            uint32_t _i561;
+            for (_i561 = 0; _i561 < _size557; ++_i561)
             {
-              xfer += iprot->readString(this->voters[_i545]);
+              xfer += iprot->readString(this->voters[_i561]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14436,14 +14530,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size546;
-            ::apache::thrift::protocol::TType _etype549;
-            xfer += iprot->readListBegin(_etype549, _size546);
-            this->learners.resize(_size546);
-            uint32_t _i550;
-            for (_i550 = 0; _i550 < _size546; ++_i550)
+            uint32_t _size562;
+            ::apache::thrift::protocol::TType _etype565;
+            xfer += iprot->readListBegin(_etype565, _size562);
+            this->learners.resize(_size562);
+            uint32_t _i566;
+            for (_i566 = 0; _i566 < _size562; ++_i566)
             {
-              xfer += iprot->readString(this->learners[_i550]);
+              xfer += iprot->readString(this->learners[_i566]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14456,17 +14550,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->domains.clear();
-            uint32_t _size551;
-            ::apache::thrift::protocol::TType _ktype552;
-            ::apache::thrift::protocol::TType _vtype553;
-            xfer += iprot->readMapBegin(_ktype552, _vtype553, _size551);
-            uint32_t _i555;
-            for (_i555 = 0; _i555 < _size551; ++_i555)
+            uint32_t _size567;
+            ::apache::thrift::protocol::TType _ktype568;
+            ::apache::thrift::protocol::TType _vtype569;
+            xfer += iprot->readMapBegin(_ktype568, _vtype569, _size567);
+            uint32_t _i571;
+            for (_i571 = 0; _i571 < _size567; ++_i571)
             {
-              std::string _key556;
-              xfer += iprot->readString(_key556);
-              std::string& _val557 = this->domains[_key556];
-              xfer += iprot->readString(_val557);
+              std::string _key572;
+              xfer += iprot->readString(_key572);
+              std::string& _val573 = this->domains[_key572];
+              xfer += iprot->readString(_val573);
             }
             xfer += iprot->readMapEnd();
           }
@@ -14495,10 +14589,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter558;
-    for (_iter558 = this->voters.begin(); _iter558 != this->voters.end(); ++_iter558)
+    std::vector<std::string> ::const_iterator _iter574;
+    for (_iter574 = this->voters.begin(); _iter574 != this->voters.end(); ++_iter574)
     {
-      xfer += oprot->writeString((*_iter558));
+      xfer += oprot->writeString((*_iter574));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14507,10 +14601,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter559;
-    for (_iter559 = this->learners.begin(); _iter559 != this->learners.end(); ++_iter559)
+    std::vector<std::string> ::const_iterator _iter575;
+    for (_iter575 = this->learners.begin(); _iter575 != this->learners.end(); ++_iter575)
     {
-      xfer += oprot->writeString((*_iter559));
+      xfer += oprot->writeString((*_iter575));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14519,11 +14613,11 @@
   xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-    std::map<std::string, std::string> ::const_iterator _iter560;
-    for (_iter560 = this->domains.begin(); _iter560 != this->domains.end(); ++_iter560)
+    std::map<std::string, std::string> ::const_iterator _iter576;
+    for (_iter576 = this->domains.begin(); _iter576 != this->domains.end(); ++_iter576)
     {
-      xfer += oprot->writeString(_iter560->first);
-      xfer += oprot->writeString(_iter560->second);
+      xfer += oprot->writeString(_iter576->first);
+      xfer += oprot->writeString(_iter576->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -14542,30 +14636,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SetVoters::SetVoters(const SetVoters& other561) {
-  voters = other561.voters;
-  learners = other561.learners;
-  domains = other561.domains;
-  __isset = other561.__isset;
+SetVoters::SetVoters(const SetVoters& other577) {
+  voters = other577.voters;
+  learners = other577.learners;
+  domains = other577.domains;
+  __isset = other577.__isset;
 }
-SetVoters::SetVoters(SetVoters&& other562) noexcept {
-  voters = std::move(other562.voters);
-  learners = std::move(other562.learners);
-  domains = std::move(other562.domains);
-  __isset = other562.__isset;
+SetVoters::SetVoters(SetVoters&& other578) noexcept {
+  voters = std::move(other578.voters);
+  learners = std::move(other578.learners);
+  domains = std::move(other578.domains);
+  __isset = other578.__isset;
 }
-SetVoters& SetVoters::operator=(const SetVoters& other563) {
-  voters = other563.voters;
-  learners = other563.learners;
-  domains = other563.domains;
-  __isset = other563.__isset;
+SetVoters& SetVoters::operator=(const SetVoters& other579) {
+  voters = other579.voters;
+  learners = other579.learners;
+  domains = other579.domains;
+  __isset = other579.__isset;
   return *this;
 }
-SetVoters& SetVoters::operator=(SetVoters&& other564) noexcept {
-  voters = std::move(other564.voters);
-  learners = std::move(other564.learners);
-  domains = std::move(other564.domains);
-  __isset = other564.__isset;
+SetVoters& SetVoters::operator=(SetVoters&& other580) noexcept {
+  voters = std::move(other580.voters);
+  learners = std::move(other580.learners);
+  domains = std::move(other580.domains);
+  __isset = other580.__isset;
   return *this;
 }
 void SetVoters::printTo(std::ostream& out) const {
@@ -14788,50 +14882,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other565) {
-  setConfig = other565.setConfig;
-  memberJoin = other565.memberJoin;
-  memberGone = other565.memberGone;
-  memberLeaving = other565.memberLeaving;
-  holderWhole = other565.holderWhole;
-  handOver = other565.handOver;
-  setVoters = other565.setVoters;
-  noop = other565.noop;
-  __isset = other565.__isset;
-}
-Command::Command(Command&& other566) noexcept {
-  setConfig = std::move(other566.setConfig);
-  memberJoin = std::move(other566.memberJoin);
-  memberGone = std::move(other566.memberGone);
-  memberLeaving = std::move(other566.memberLeaving);
-  holderWhole = std::move(other566.holderWhole);
-  handOver = std::move(other566.handOver);
-  setVoters = std::move(other566.setVoters);
-  noop = other566.noop;
-  __isset = other566.__isset;
-}
-Command& Command::operator=(const Command& other567) {
-  setConfig = other567.setConfig;
-  memberJoin = other567.memberJoin;
-  memberGone = other567.memberGone;
-  memberLeaving = other567.memberLeaving;
-  holderWhole = other567.holderWhole;
-  handOver = other567.handOver;
-  setVoters = other567.setVoters;
-  noop = other567.noop;
-  __isset = other567.__isset;
+Command::Command(const Command& other581) {
+  setConfig = other581.setConfig;
+  memberJoin = other581.memberJoin;
+  memberGone = other581.memberGone;
+  memberLeaving = other581.memberLeaving;
+  holderWhole = other581.holderWhole;
+  handOver = other581.handOver;
+  setVoters = other581.setVoters;
+  noop = other581.noop;
+  __isset = other581.__isset;
+}
+Command::Command(Command&& other582) noexcept {
+  setConfig = std::move(other582.setConfig);
+  memberJoin = std::move(other582.memberJoin);
+  memberGone = std::move(other582.memberGone);
+  memberLeaving = std::move(other582.memberLeaving);
+  holderWhole = std::move(other582.holderWhole);
+  handOver = std::move(other582.handOver);
+  setVoters = std::move(other582.setVoters);
+  noop = other582.noop;
+  __isset = other582.__isset;
+}
+Command& Command::operator=(const Command& other583) {
+  setConfig = other583.setConfig;
+  memberJoin = other583.memberJoin;
+  memberGone = other583.memberGone;
+  memberLeaving = other583.memberLeaving;
+  holderWhole = other583.holderWhole;
+  handOver = other583.handOver;
+  setVoters = other583.setVoters;
+  noop = other583.noop;
+  __isset = other583.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other568) noexcept {
-  setConfig = std::move(other568.setConfig);
-  memberJoin = std::move(other568.memberJoin);
-  memberGone = std::move(other568.memberGone);
-  memberLeaving = std::move(other568.memberLeaving);
-  holderWhole = std::move(other568.holderWhole);
-  handOver = std::move(other568.handOver);
-  setVoters = std::move(other568.setVoters);
-  noop = other568.noop;
-  __isset = other568.__isset;
+Command& Command::operator=(Command&& other584) noexcept {
+  setConfig = std::move(other584.setConfig);
+  memberJoin = std::move(other584.memberJoin);
+  memberGone = std::move(other584.memberGone);
+  memberLeaving = std::move(other584.memberLeaving);
+  holderWhole = std::move(other584.holderWhole);
+  handOver = std::move(other584.handOver);
+  setVoters = std::move(other584.setVoters);
+  noop = other584.noop;
+  __isset = other584.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -14975,34 +15069,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other569) {
-  member = other569.member;
-  group = other569.group;
-  term = other569.term;
-  vote = other569.vote;
-  __isset = other569.__isset;
-}
-HardState::HardState(HardState&& other570) noexcept {
-  member = std::move(other570.member);
-  group = std::move(other570.group);
-  term = other570.term;
-  vote = std::move(other570.vote);
-  __isset = other570.__isset;
-}
-HardState& HardState::operator=(const HardState& other571) {
-  member = other571.member;
-  group = other571.group;
-  term = other571.term;
-  vote = other571.vote;
-  __isset = other571.__isset;
+HardState::HardState(const HardState& other585) {
+  member = other585.member;
+  group = other585.group;
+  term = other585.term;
+  vote = other585.vote;
+  __isset = other585.__isset;
+}
+HardState::HardState(HardState&& other586) noexcept {
+  member = std::move(other586.member);
+  group = std::move(other586.group);
+  term = other586.term;
+  vote = std::move(other586.vote);
+  __isset = other586.__isset;
+}
+HardState& HardState::operator=(const HardState& other587) {
+  member = other587.member;
+  group = other587.group;
+  term = other587.term;
+  vote = other587.vote;
+  __isset = other587.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other572) noexcept {
-  member = std::move(other572.member);
-  group = std::move(other572.group);
-  term = other572.term;
-  vote = std::move(other572.vote);
-  __isset = other572.__isset;
+HardState& HardState::operator=(HardState&& other588) noexcept {
+  member = std::move(other588.member);
+  group = std::move(other588.group);
+  term = other588.term;
+  vote = std::move(other588.vote);
+  __isset = other588.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -15080,14 +15174,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size573;
-            ::apache::thrift::protocol::TType _etype576;
-            xfer += iprot->readListBegin(_etype576, _size573);
-            this->entries.resize(_size573);
-            uint32_t _i577;
-            for (_i577 = 0; _i577 < _size573; ++_i577)
+            uint32_t _size589;
+            ::apache::thrift::protocol::TType _etype592;
+            xfer += iprot->readListBegin(_etype592, _size589);
+            this->entries.resize(_size589);
+            uint32_t _i593;
+            for (_i593 = 0; _i593 < _size589; ++_i593)
             {
-              xfer += this->entries[_i577].read(iprot);
+              xfer += this->entries[_i593].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15125,10 +15219,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter578;
-    for (_iter578 = this->entries.begin(); _iter578 != this->entries.end(); ++_iter578)
+    std::vector<LogEntry> ::const_iterator _iter594;
+    for (_iter594 = this->entries.begin(); _iter594 != this->entries.end(); ++_iter594)
     {
-      xfer += (*_iter578).write(oprot);
+      xfer += (*_iter594).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15147,30 +15241,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogRecord::LogRecord(const LogRecord& other579) {
-  state = other579.state;
-  truncateFrom = other579.truncateFrom;
-  entries = other579.entries;
-  __isset = other579.__isset;
+LogRecord::LogRecord(const LogRecord& other595) {
+  state = other595.state;
+  truncateFrom = other595.truncateFrom;
+  entries = other595.entries;
+  __isset = other595.__isset;
 }
-LogRecord::LogRecord(LogRecord&& other580) noexcept {
-  state = std::move(other580.state);
-  truncateFrom = other580.truncateFrom;
-  entries = std::move(other580.entries);
-  __isset = other580.__isset;
+LogRecord::LogRecord(LogRecord&& other596) noexcept {
+  state = std::move(other596.state);
+  truncateFrom = other596.truncateFrom;
+  entries = std::move(other596.entries);
+  __isset = other596.__isset;
 }
-LogRecord& LogRecord::operator=(const LogRecord& other581) {
-  state = other581.state;
-  truncateFrom = other581.truncateFrom;
-  entries = other581.entries;
-  __isset = other581.__isset;
+LogRecord& LogRecord::operator=(const LogRecord& other597) {
+  state = other597.state;
+  truncateFrom = other597.truncateFrom;
+  entries = other597.entries;
+  __isset = other597.__isset;
   return *this;
 }
-LogRecord& LogRecord::operator=(LogRecord&& other582) noexcept {
-  state = std::move(other582.state);
-  truncateFrom = other582.truncateFrom;
-  entries = std::move(other582.entries);
-  __isset = other582.__isset;
+LogRecord& LogRecord::operator=(LogRecord&& other598) noexcept {
+  state = std::move(other598.state);
+  truncateFrom = other598.truncateFrom;
+  entries = std::move(other598.entries);
+  __isset = other598.__isset;
   return *this;
 }
 void LogRecord::printTo(std::ostream& out) const {
@@ -15222,14 +15316,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size583;
-            ::apache::thrift::protocol::TType _etype586;
-            xfer += iprot->readListBegin(_etype586, _size583);
-            this->records.resize(_size583);
-            uint32_t _i587;
-            for (_i587 = 0; _i587 < _size583; ++_i587)
+            uint32_t _size599;
+            ::apache::thrift::protocol::TType _etype602;
+            xfer += iprot->readListBegin(_etype602, _size599);
+            this->records.resize(_size599);
+            uint32_t _i603;
+            for (_i603 = 0; _i603 < _size599; ++_i603)
             {
-              xfer += this->records[_i587].read(iprot);
+              xfer += this->records[_i603].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15258,10 +15352,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<LogRecord> ::const_iterator _iter588;
-    for (_iter588 = this->records.begin(); _iter588 != this->records.end(); ++_iter588)
+    std::vector<LogRecord> ::const_iterator _iter604;
+    for (_iter604 = this->records.begin(); _iter604 != this->records.end(); ++_iter604)
     {
-      xfer += (*_iter588).write(oprot);
+      xfer += (*_iter604).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15278,22 +15372,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LogFrame::LogFrame(const LogFrame& other589) {
-  records = other589.records;
-  __isset = other589.__isset;
+LogFrame::LogFrame(const LogFrame& other605) {
+  records = other605.records;
+  __isset = other605.__isset;
 }
-LogFrame::LogFrame(LogFrame&& other590) noexcept {
-  records = std::move(other590.records);
-  __isset = other590.__isset;
+LogFrame::LogFrame(LogFrame&& other606) noexcept {
+  records = std::move(other606.records);
+  __isset = other606.__isset;
 }
-LogFrame& LogFrame::operator=(const LogFrame& other591) {
-  records = other591.records;
-  __isset = other591.__isset;
+LogFrame& LogFrame::operator=(const LogFrame& other607) {
+  records = other607.records;
+  __isset = other607.__isset;
   return *this;
 }
-LogFrame& LogFrame::operator=(LogFrame&& other592) noexcept {
-  records = std::move(other592.records);
-  __isset = other592.__isset;
+LogFrame& LogFrame::operator=(LogFrame&& other608) noexcept {
+  records = std::move(other608.records);
+  __isset = other608.__isset;
   return *this;
 }
 void LogFrame::printTo(std::ostream& out) const {
@@ -15379,14 +15473,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size593;
-            ::apache::thrift::protocol::TType _etype596;
-            xfer += iprot->readListBegin(_etype596, _size593);
-            this->voters.resize(_size593);
-            uint32_t _i597;
-            for (_i597 = 0; _i597 < _size593; ++_i597)
+            uint32_t _size609;
+            ::apache::thrift::protocol::TType _etype612;
+            xfer += iprot->readListBegin(_etype612, _size609);
+            this->voters.resize(_size609);
+            uint32_t _i613;
+            for (_i613 = 0; _i613 < _size609; ++_i613)
             {
-              xfer += iprot->readString(this->voters[_i597]);
+              xfer += iprot->readString(this->voters[_i613]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15399,14 +15493,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size598;
-            ::apache::thrift::protocol::TType _etype601;
-            xfer += iprot->readListBegin(_etype601, _size598);
-            this->learners.resize(_size598);
-            uint32_t _i602;
-            for (_i602 = 0; _i602 < _size598; ++_i602)
+            uint32_t _size614;
+            ::apache::thrift::protocol::TType _etype617;
+            xfer += iprot->readListBegin(_etype617, _size614);
+            this->learners.resize(_size614);
+            uint32_t _i618;
+            for (_i618 = 0; _i618 < _size614; ++_i618)
             {
-              xfer += iprot->readString(this->learners[_i602]);
+              xfer += iprot->readString(this->learners[_i618]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15427,17 +15521,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->domains.clear();
-            uint32_t _size603;
-            ::apache::thrift::protocol::TType _ktype604;
-            ::apache::thrift::protocol::TType _vtype605;
-            xfer += iprot->readMapBegin(_ktype604, _vtype605, _size603);
-            uint32_t _i607;
-            for (_i607 = 0; _i607 < _size603; ++_i607)
+            uint32_t _size619;
+            ::apache::thrift::protocol::TType _ktype620;
+            ::apache::thrift::protocol::TType _vtype621;
+            xfer += iprot->readMapBegin(_ktype620, _vtype621, _size619);
+            uint32_t _i623;
+            for (_i623 = 0; _i623 < _size619; ++_i623)
             {
-              std::string _key608;
-              xfer += iprot->readString(_key608);
-              std::string& _val609 = this->domains[_key608];
-              xfer += iprot->readString(_val609);
+              std::string _key624;
+              xfer += iprot->readString(_key624);
+              std::string& _val625 = this->domains[_key624];
+              xfer += iprot->readString(_val625);
             }
             xfer += iprot->readMapEnd();
           }
@@ -15474,10 +15568,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter610;
-    for (_iter610 = this->voters.begin(); _iter610 != this->voters.end(); ++_iter610)
+    std::vector<std::string> ::const_iterator _iter626;
+    for (_iter626 = this->voters.begin(); _iter626 != this->voters.end(); ++_iter626)
     {
-      xfer += oprot->writeString((*_iter610));
+      xfer += oprot->writeString((*_iter626));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15486,10 +15580,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter611;
-    for (_iter611 = this->learners.begin(); _iter611 != this->learners.end(); ++_iter611)
+    std::vector<std::string> ::const_iterator _iter627;
+    for (_iter627 = this->learners.begin(); _iter627 != this->learners.end(); ++_iter627)
     {
-      xfer += oprot->writeString((*_iter611));
+      xfer += oprot->writeString((*_iter627));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15502,11 +15596,11 @@
   xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-    std::map<std::string, std::string> ::const_iterator _iter612;
-    for (_iter612 = this->domains.begin(); _iter612 != this->domains.end(); ++_iter612)
+    std::map<std::string, std::string> ::const_iterator _iter628;
+    for (_iter628 = this->domains.begin(); _iter628 != this->domains.end(); ++_iter628)
     {
-      xfer += oprot->writeString(_iter612->first);
-      xfer += oprot->writeString(_iter612->second);
+      xfer += oprot->writeString(_iter628->first);
+      xfer += oprot->writeString(_iter628->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -15528,42 +15622,42 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotFile::SnapshotFile(const SnapshotFile& other613) {
-  lastIndex = other613.lastIndex;
-  lastTerm = other613.lastTerm;
-  voters = other613.voters;
-  learners = other613.learners;
-  data = other613.data;
-  domains = other613.domains;
-  __isset = other613.__isset;
-}
-SnapshotFile::SnapshotFile(SnapshotFile&& other614) noexcept {
-  lastIndex = other614.lastIndex;
-  lastTerm = other614.lastTerm;
-  voters = std::move(other614.voters);
-  learners = std::move(other614.learners);
-  data = std::move(other614.data);
-  domains = std::move(other614.domains);
-  __isset = other614.__isset;
-}
-SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other615) {
-  lastIndex = other615.lastIndex;
-  lastTerm = other615.lastTerm;
-  voters = other615.voters;
-  learners = other615.learners;
-  data = other615.data;
-  domains = other615.domains;
-  __isset = other615.__isset;
+SnapshotFile::SnapshotFile(const SnapshotFile& other629) {
+  lastIndex = other629.lastIndex;
+  lastTerm = other629.lastTerm;
+  voters = other629.voters;
+  learners = other629.learners;
+  data = other629.data;
+  domains = other629.domains;
+  __isset = other629.__isset;
+}
+SnapshotFile::SnapshotFile(SnapshotFile&& other630) noexcept {
+  lastIndex = other630.lastIndex;
+  lastTerm = other630.lastTerm;
+  voters = std::move(other630.voters);
+  learners = std::move(other630.learners);
+  data = std::move(other630.data);
+  domains = std::move(other630.domains);
+  __isset = other630.__isset;
+}
+SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other631) {
+  lastIndex = other631.lastIndex;
+  lastTerm = other631.lastTerm;
+  voters = other631.voters;
+  learners = other631.learners;
+  data = other631.data;
+  domains = other631.domains;
+  __isset = other631.__isset;
   return *this;
 }
-SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other616) noexcept {
-  lastIndex = other616.lastIndex;
-  lastTerm = other616.lastTerm;
-  voters = std::move(other616.voters);
-  learners = std::move(other616.learners);
-  data = std::move(other616.data);
-  domains = std::move(other616.domains);
-  __isset = other616.__isset;
+SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other632) noexcept {
+  lastIndex = other632.lastIndex;
+  lastTerm = other632.lastTerm;
+  voters = std::move(other632.voters);
+  learners = std::move(other632.learners);
+  data = std::move(other632.data);
+  domains = std::move(other632.domains);
+  __isset = other632.__isset;
   return *this;
 }
 void SnapshotFile::printTo(std::ostream& out) const {
@@ -15688,30 +15782,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderRecord::HolderRecord(const HolderRecord& other617) {
-  name = other617.name;
-  since = other617.since;
-  whole = other617.whole;
-  __isset = other617.__isset;
+HolderRecord::HolderRecord(const HolderRecord& other633) {
+  name = other633.name;
+  since = other633.since;
+  whole = other633.whole;
+  __isset = other633.__isset;
 }
-HolderRecord::HolderRecord(HolderRecord&& other618) noexcept {
-  name = std::move(other618.name);
-  since = other618.since;
-  whole = other618.whole;
-  __isset = other618.__isset;
+HolderRecord::HolderRecord(HolderRecord&& other634) noexcept {
+  name = std::move(other634.name);
+  since = other634.since;
+  whole = other634.whole;
+  __isset = other634.__isset;
 }
-HolderRecord& HolderRecord::operator=(const HolderRecord& other619) {
-  name = other619.name;
-  since = other619.since;
-  whole = other619.whole;
-  __isset = other619.__isset;
+HolderRecord& HolderRecord::operator=(const HolderRecord& other635) {
+  name = other635.name;
+  since = other635.since;
+  whole = other635.whole;
+  __isset = other635.__isset;
   return *this;
 }
-HolderRecord& HolderRecord::operator=(HolderRecord&& other620) noexcept {
-  name = std::move(other620.name);
-  since = other620.since;
-  whole = other620.whole;
-  __isset = other620.__isset;
+HolderRecord& HolderRecord::operator=(HolderRecord&& other636) noexcept {
+  name = std::move(other636.name);
+  since = other636.since;
+  whole = other636.whole;
+  __isset = other636.__isset;
   return *this;
 }
 void HolderRecord::printTo(std::ostream& out) const {
@@ -15823,14 +15917,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size621;
-            ::apache::thrift::protocol::TType _etype624;
-            xfer += iprot->readListBegin(_etype624, _size621);
-            this->holders.resize(_size621);
-            uint32_t _i625;
-            for (_i625 = 0; _i625 < _size621; ++_i625)
+            uint32_t _size637;
+            ::apache::thrift::protocol::TType _etype640;
+            xfer += iprot->readListBegin(_etype640, _size637);
+            this->holders.resize(_size637);
+            uint32_t _i641;
+            for (_i641 = 0; _i641 < _size637; ++_i641)
             {
-              xfer += this->holders[_i625].read(iprot);
+              xfer += this->holders[_i641].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15899,10 +15993,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<HolderRecord> ::const_iterator _iter626;
-    for (_iter626 = this->holders.begin(); _iter626 != this->holders.end(); ++_iter626)
+    std::vector<HolderRecord> ::const_iterator _iter642;
+    for (_iter642 = this->holders.begin(); _iter642 != this->holders.end(); ++_iter642)
     {
-      xfer += (*_iter626).write(oprot);
+      xfer += (*_iter642).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15938,50 +16032,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CellRecord::CellRecord(const CellRecord& other627) {
-  cell = other627.cell;
-  serviceName = other627.serviceName;
-  epoch = other627.epoch;
-  owner = other627.owner;
-  holders = other627.holders;
-  floorMs = other627.floorMs;
-  routeVersion = other627.routeVersion;
-  agentsVersion = other627.agentsVersion;
-  __isset = other627.__isset;
-}
-CellRecord::CellRecord(CellRecord&& other628) noexcept {
-  cell = other628.cell;
-  serviceName = std::move(other628.serviceName);
-  epoch = other628.epoch;
-  owner = std::move(other628.owner);
-  holders = std::move(other628.holders);
-  floorMs = other628.floorMs;
-  routeVersion = other628.routeVersion;
-  agentsVersion = other628.agentsVersion;
-  __isset = other628.__isset;
-}
-CellRecord& CellRecord::operator=(const CellRecord& other629) {
-  cell = other629.cell;
-  serviceName = other629.serviceName;
-  epoch = other629.epoch;
-  owner = other629.owner;
-  holders = other629.holders;
-  floorMs = other629.floorMs;
-  routeVersion = other629.routeVersion;
-  agentsVersion = other629.agentsVersion;
-  __isset = other629.__isset;
+CellRecord::CellRecord(const CellRecord& other643) {
+  cell = other643.cell;
+  serviceName = other643.serviceName;
+  epoch = other643.epoch;
+  owner = other643.owner;
+  holders = other643.holders;
+  floorMs = other643.floorMs;
+  routeVersion = other643.routeVersion;
+  agentsVersion = other643.agentsVersion;
+  __isset = other643.__isset;
+}
+CellRecord::CellRecord(CellRecord&& other644) noexcept {
+  cell = other644.cell;
+  serviceName = std::move(other644.serviceName);
+  epoch = other644.epoch;
+  owner = std::move(other644.owner);
+  holders = std::move(other644.holders);
+  floorMs = other644.floorMs;
+  routeVersion = other644.routeVersion;
+  agentsVersion = other644.agentsVersion;
+  __isset = other644.__isset;
+}
+CellRecord& CellRecord::operator=(const CellRecord& other645) {
+  cell = other645.cell;
+  serviceName = other645.serviceName;
+  epoch = other645.epoch;
+  owner = other645.owner;
+  holders = other645.holders;
+  floorMs = other645.floorMs;
+  routeVersion = other645.routeVersion;
+  agentsVersion = other645.agentsVersion;
+  __isset = other645.__isset;
   return *this;
 }
-CellRecord& CellRecord::operator=(CellRecord&& other630) noexcept {
-  cell = other630.cell;
-  serviceName = std::move(other630.serviceName);
-  epoch = other630.epoch;
-  owner = std::move(other630.owner);
-  holders = std::move(other630.holders);
-  floorMs = other630.floorMs;
-  routeVersion = other630.routeVersion;
-  agentsVersion = other630.agentsVersion;
-  __isset = other630.__isset;
+CellRecord& CellRecord::operator=(CellRecord&& other646) noexcept {
+  cell = other646.cell;
+  serviceName = std::move(other646.serviceName);
+  epoch = other646.epoch;
+  owner = std::move(other646.owner);
+  holders = std::move(other646.holders);
+  floorMs = other646.floorMs;
+  routeVersion = other646.routeVersion;
+  agentsVersion = other646.agentsVersion;
+  __isset = other646.__isset;
   return *this;
 }
 void CellRecord::printTo(std::ostream& out) const {
@@ -16076,9 +16170,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast631;
-          xfer += iprot->readI32(ecast631);
-          this->role = static_cast<Role::type>(ecast631);
+          int32_t ecast647;
+          xfer += iprot->readI32(ecast647);
+          this->role = static_cast<Role::type>(ecast647);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -16212,54 +16306,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other632) {
-  id = other632.id;
-  role = other632.role;
-  address = other632.address;
-  failureDomain = other632.failureDomain;
-  serviceName = other632.serviceName;
-  cell = other632.cell;
-  leaving = other632.leaving;
-  version = other632.version;
-  leaseVersion = other632.leaseVersion;
-  __isset = other632.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other633) noexcept {
-  id = std::move(other633.id);
-  role = other633.role;
-  address = std::move(other633.address);
-  failureDomain = std::move(other633.failureDomain);
-  serviceName = std::move(other633.serviceName);
-  cell = other633.cell;
-  leaving = other633.leaving;
-  version = other633.version;
-  leaseVersion = other633.leaseVersion;
-  __isset = other633.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other634) {
-  id = other634.id;
-  role = other634.role;
-  address = other634.address;
-  failureDomain = other634.failureDomain;
-  serviceName = other634.serviceName;
-  cell = other634.cell;
-  leaving = other634.leaving;
-  version = other634.version;
-  leaseVersion = other634.leaseVersion;
-  __isset = other634.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other648) {
+  id = other648.id;
+  role = other648.role;
+  address = other648.address;
+  failureDomain = other648.failureDomain;
+  serviceName = other648.serviceName;
+  cell = other648.cell;
+  leaving = other648.leaving;
+  version = other648.version;
+  leaseVersion = other648.leaseVersion;
+  __isset = other648.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other649) noexcept {
+  id = std::move(other649.id);
+  role = other649.role;
+  address = std::move(other649.address);
+  failureDomain = std::move(other649.failureDomain);
+  serviceName = std::move(other649.serviceName);
+  cell = other649.cell;
+  leaving = other649.leaving;
+  version = other649.version;
+  leaseVersion = other649.leaseVersion;
+  __isset = other649.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other650) {
+  id = other650.id;
+  role = other650.role;
+  address = other650.address;
+  failureDomain = other650.failureDomain;
+  serviceName = other650.serviceName;
+  cell = other650.cell;
+  leaving = other650.leaving;
+  version = other650.version;
+  leaseVersion = other650.leaseVersion;
+  __isset = other650.__isset;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other635) noexcept {
-  id = std::move(other635.id);
-  role = other635.role;
-  address = std::move(other635.address);
-  failureDomain = std::move(other635.failureDomain);
-  serviceName = std::move(other635.serviceName);
-  cell = other635.cell;
-  leaving = other635.leaving;
-  version = other635.version;
-  leaseVersion = other635.leaseVersion;
-  __isset = other635.__isset;
+MemberRecord& MemberRecord::operator=(MemberRecord&& other651) noexcept {
+  id = std::move(other651.id);
+  role = other651.role;
+  address = std::move(other651.address);
+  failureDomain = std::move(other651.failureDomain);
+  serviceName = std::move(other651.serviceName);
+  cell = other651.cell;
+  leaving = other651.leaving;
+  version = other651.version;
+  leaseVersion = other651.leaseVersion;
+  __isset = other651.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -16341,14 +16435,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size636;
-            ::apache::thrift::protocol::TType _etype639;
-            xfer += iprot->readListBegin(_etype639, _size636);
-            this->history.resize(_size636);
-            uint32_t _i640;
-            for (_i640 = 0; _i640 < _size636; ++_i640)
+            uint32_t _size652;
+            ::apache::thrift::protocol::TType _etype655;
+            xfer += iprot->readListBegin(_etype655, _size652);
+            this->history.resize(_size652);
+            uint32_t _i656;
+            for (_i656 = 0; _i656 < _size652; ++_i656)
             {
-              xfer += this->history[_i640].read(iprot);
+              xfer += this->history[_i656].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16361,14 +16455,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size641;
-            ::apache::thrift::protocol::TType _etype644;
-            xfer += iprot->readListBegin(_etype644, _size641);
-            this->members.resize(_size641);
-            uint32_t _i645;
-            for (_i645 = 0; _i645 < _size641; ++_i645)
+            uint32_t _size657;
+            ::apache::thrift::protocol::TType _etype660;
+            xfer += iprot->readListBegin(_etype660, _size657);
+            this->members.resize(_size657);
+            uint32_t _i661;
+            for (_i661 = 0; _i661 < _size657; ++_i661)
             {
-              xfer += this->members[_i645].read(iprot);
+              xfer += this->members[_i661].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16381,14 +16475,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size646;
-            ::apache::thrift::protocol::TType _etype649;
-            xfer += iprot->readListBegin(_etype649, _size646);
-            this->cells.resize(_size646);
-            uint32_t _i650;
-            for (_i650 = 0; _i650 < _size646; ++_i650)
+            uint32_t _size662;
+            ::apache::thrift::protocol::TType _etype665;
+            xfer += iprot->readListBegin(_etype665, _size662);
+            this->cells.resize(_size662);
+            uint32_t _i666;
+            for (_i666 = 0; _i666 < _size662; ++_i666)
             {
-              xfer += this->cells[_i650].read(iprot);
+              xfer += this->cells[_i666].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16449,10 +16543,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<ConfigFile> ::const_iterator _iter651;
-    for (_iter651 = this->history.begin(); _iter651 != this->history.end(); ++_iter651)
+    std::vector<ConfigFile> ::const_iterator _iter667;
+    for (_iter667 = this->history.begin(); _iter667 != this->history.end(); ++_iter667)
     {
-      xfer += (*_iter651).write(oprot);
+      xfer += (*_iter667).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16461,10 +16555,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter652;
-    for (_iter652 = this->members.begin(); _iter652 != this->members.end(); ++_iter652)
+    std::vector<MemberRecord> ::const_iterator _iter668;
+    for (_iter668 = this->members.begin(); _iter668 != this->members.end(); ++_iter668)
     {
-      xfer += (*_iter652).write(oprot);
+      xfer += (*_iter668).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16473,10 +16567,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellRecord> ::const_iterator _iter653;
-    for (_iter653 = this->cells.begin(); _iter653 != this->cells.end(); ++_iter653)
+    std::vector<CellRecord> ::const_iterator _iter669;
+    for (_iter669 = this->cells.begin(); _iter669 != this->cells.end(); ++_iter669)
     {
-      xfer += (*_iter653).write(oprot);
+      xfer += (*_iter669).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16515,46 +16609,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlImage::ControlImage(const ControlImage& other654) {
-  history = other654.history;
-  members = other654.members;
-  cells = other654.cells;
-  nextCell = other654.nextCell;
-  configVersion = other654.configVersion;
-  routesVersion = other654.routesVersion;
-  entriesVersion = other654.entriesVersion;
-  __isset = other654.__isset;
-}
-ControlImage::ControlImage(ControlImage&& other655) noexcept {
-  history = std::move(other655.history);
-  members = std::move(other655.members);
-  cells = std::move(other655.cells);
-  nextCell = other655.nextCell;
-  configVersion = other655.configVersion;
-  routesVersion = other655.routesVersion;
-  entriesVersion = other655.entriesVersion;
-  __isset = other655.__isset;
-}
-ControlImage& ControlImage::operator=(const ControlImage& other656) {
-  history = other656.history;
-  members = other656.members;
-  cells = other656.cells;
-  nextCell = other656.nextCell;
-  configVersion = other656.configVersion;
-  routesVersion = other656.routesVersion;
-  entriesVersion = other656.entriesVersion;
-  __isset = other656.__isset;
+ControlImage::ControlImage(const ControlImage& other670) {
+  history = other670.history;
+  members = other670.members;
+  cells = other670.cells;
+  nextCell = other670.nextCell;
+  configVersion = other670.configVersion;
+  routesVersion = other670.routesVersion;
+  entriesVersion = other670.entriesVersion;
+  __isset = other670.__isset;
+}
+ControlImage::ControlImage(ControlImage&& other671) noexcept {
+  history = std::move(other671.history);
+  members = std::move(other671.members);
+  cells = std::move(other671.cells);
+  nextCell = other671.nextCell;
+  configVersion = other671.configVersion;
+  routesVersion = other671.routesVersion;
+  entriesVersion = other671.entriesVersion;
+  __isset = other671.__isset;
+}
+ControlImage& ControlImage::operator=(const ControlImage& other672) {
+  history = other672.history;
+  members = other672.members;
+  cells = other672.cells;
+  nextCell = other672.nextCell;
+  configVersion = other672.configVersion;
+  routesVersion = other672.routesVersion;
+  entriesVersion = other672.entriesVersion;
+  __isset = other672.__isset;
   return *this;
 }
-ControlImage& ControlImage::operator=(ControlImage&& other657) noexcept {
-  history = std::move(other657.history);
-  members = std::move(other657.members);
-  cells = std::move(other657.cells);
-  nextCell = other657.nextCell;
-  configVersion = other657.configVersion;
-  routesVersion = other657.routesVersion;
-  entriesVersion = other657.entriesVersion;
-  __isset = other657.__isset;
+ControlImage& ControlImage::operator=(ControlImage&& other673) noexcept {
+  history = std::move(other673.history);
+  members = std::move(other673.members);
+  cells = std::move(other673.cells);
+  nextCell = other673.nextCell;
+  configVersion = other673.configVersion;
+  routesVersion = other673.routesVersion;
+  entriesVersion = other673.entriesVersion;
+  __isset = other673.__isset;
   return *this;
 }
 void ControlImage::printTo(std::ostream& out) const {
@@ -17389,178 +17483,178 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other658) {
-  submitJob = other658.submitJob;
-  cancelJob = other658.cancelJob;
-  queryJob = other658.queryJob;
-  jobReply = other658.jobReply;
-  notOwner = other658.notOwner;
-  recordBatch = other658.recordBatch;
-  recordSnapshot = other658.recordSnapshot;
-  recordAck = other658.recordAck;
-  startBatch = other658.startBatch;
-  cancelBatch = other658.cancelBatch;
-  resultAck = other658.resultAck;
-  fence = other658.fence;
-  agentHello = other658.agentHello;
-  resultBatch = other658.resultBatch;
-  startRefused = other658.startRefused;
-  agentState = other658.agentState;
-  memberHeartbeat = other658.memberHeartbeat;
-  heartbeatReply = other658.heartbeatReply;
-  clusterView = other658.clusterView;
-  applyConfig = other658.applyConfig;
-  applyReply = other658.applyReply;
-  controlQuery = other658.controlQuery;
-  controlAnswer = other658.controlAnswer;
-  hostReport = other658.hostReport;
-  hostContact = other658.hostContact;
-  runTasks = other658.runTasks;
-  stopTasks = other658.stopTasks;
-  taskReports = other658.taskReports;
-  startsInDoubt = other658.startsInDoubt;
-  ordersElsewhere = other658.ordersElsewhere;
-  requestVote = other658.requestVote;
-  voteReply = other658.voteReply;
-  appendEntries = other658.appendEntries;
-  appendReply = other658.appendReply;
-  installSnapshot = other658.installSnapshot;
-  installReply = other658.installReply;
-  timeoutNow = other658.timeoutNow;
-  snapshotChunk = other658.snapshotChunk;
-  snapshotChunkReply = other658.snapshotChunkReply;
-  voterLeaving = other658.voterLeaving;
-  __isset = other658.__isset;
-}
-Message::Message(Message&& other659) noexcept {
-  submitJob = std::move(other659.submitJob);
-  cancelJob = std::move(other659.cancelJob);
-  queryJob = std::move(other659.queryJob);
-  jobReply = std::move(other659.jobReply);
-  notOwner = std::move(other659.notOwner);
-  recordBatch = std::move(other659.recordBatch);
-  recordSnapshot = std::move(other659.recordSnapshot);
-  recordAck = std::move(other659.recordAck);
-  startBatch = std::move(other659.startBatch);
-  cancelBatch = std::move(other659.cancelBatch);
-  resultAck = std::move(other659.resultAck);
-  fence = std::move(other659.fence);
-  agentHello = std::move(other659.agentHello);
-  resultBatch = std::move(other659.resultBatch);
-  startRefused = std::move(other659.startRefused);
-  agentState = std::move(other659.agentState);
-  memberHeartbeat = std::move(other659.memberHeartbeat);
-  heartbeatReply = std::move(other659.heartbeatReply);
-  clusterView = std::move(other659.clusterView);
-  applyConfig = std::move(other659.applyConfig);
-  applyReply = std::move(other659.applyReply);
-  controlQuery = std::move(other659.controlQuery);
-  controlAnswer = std::move(other659.controlAnswer);
-  hostReport = std::move(other659.hostReport);
-  hostContact = std::move(other659.hostContact);
-  runTasks = std::move(other659.runTasks);
-  stopTasks = std::move(other659.stopTasks);
-  taskReports = std::move(other659.taskReports);
-  startsInDoubt = std::move(other659.startsInDoubt);
-  ordersElsewhere = std::move(other659.ordersElsewhere);
-  requestVote = std::move(other659.requestVote);
-  voteReply = std::move(other659.voteReply);
-  appendEntries = std::move(other659.appendEntries);
-  appendReply = std::move(other659.appendReply);
-  installSnapshot = std::move(other659.installSnapshot);
-  installReply = std::move(other659.installReply);
-  timeoutNow = std::move(other659.timeoutNow);
-  snapshotChunk = std::move(other659.snapshotChunk);
-  snapshotChunkReply = std::move(other659.snapshotChunkReply);
-  voterLeaving = std::move(other659.voterLeaving);
-  __isset = other659.__isset;
-}
-Message& Message::operator=(const Message& other660) {
-  submitJob = other660.submitJob;
-  cancelJob = other660.cancelJob;
-  queryJob = other660.queryJob;
-  jobReply = other660.jobReply;
-  notOwner = other660.notOwner;
-  recordBatch = other660.recordBatch;
-  recordSnapshot = other660.recordSnapshot;
-  recordAck = other660.recordAck;
-  startBatch = other660.startBatch;
-  cancelBatch = other660.cancelBatch;
-  resultAck = other660.resultAck;
-  fence = other660.fence;
-  agentHello = other660.agentHello;
-  resultBatch = other660.resultBatch;
-  startRefused = other660.startRefused;
-  agentState = other660.agentState;
-  memberHeartbeat = other660.memberHeartbeat;
-  heartbeatReply = other660.heartbeatReply;
-  clusterView = other660.clusterView;
-  applyConfig = other660.applyConfig;
-  applyReply = other660.applyReply;
-  controlQuery = other660.controlQuery;
-  controlAnswer = other660.controlAnswer;
-  hostReport = other660.hostReport;
-  hostContact = other660.hostContact;
-  runTasks = other660.runTasks;
-  stopTasks = other660.stopTasks;
-  taskReports = other660.taskReports;
-  startsInDoubt = other660.startsInDoubt;
-  ordersElsewhere = other660.ordersElsewhere;
-  requestVote = other660.requestVote;
-  voteReply = other660.voteReply;
-  appendEntries = other660.appendEntries;
-  appendReply = other660.appendReply;
-  installSnapshot = other660.installSnapshot;
-  installReply = other660.installReply;
-  timeoutNow = other660.timeoutNow;
-  snapshotChunk = other660.snapshotChunk;
-  snapshotChunkReply = other660.snapshotChunkReply;
-  voterLeaving = other660.voterLeaving;
-  __isset = other660.__isset;
+Message::Message(const Message& other674) {
+  submitJob = other674.submitJob;
+  cancelJob = other674.cancelJob;
+  queryJob = other674.queryJob;
+  jobReply = other674.jobReply;
+  notOwner = other674.notOwner;
+  recordBatch = other674.recordBatch;
+  recordSnapshot = other674.recordSnapshot;
+  recordAck = other674.recordAck;
+  startBatch = other674.startBatch;
+  cancelBatch = other674.cancelBatch;
+  resultAck = other674.resultAck;
+  fence = other674.fence;
+  agentHello = other674.agentHello;
+  resultBatch = other674.resultBatch;
+  startRefused = other674.startRefused;
+  agentState = other674.agentState;
+  memberHeartbeat = other674.memberHeartbeat;
+  heartbeatReply = other674.heartbeatReply;
+  clusterView = other674.clusterView;
+  applyConfig = other674.applyConfig;
+  applyReply = other674.applyReply;
+  controlQuery = other674.controlQuery;
+  controlAnswer = other674.controlAnswer;
+  hostReport = other674.hostReport;
+  hostContact = other674.hostContact;
+  runTasks = other674.runTasks;
+  stopTasks = other674.stopTasks;
+  taskReports = other674.taskReports;
+  startsInDoubt = other674.startsInDoubt;
+  ordersElsewhere = other674.ordersElsewhere;
+  requestVote = other674.requestVote;
+  voteReply = other674.voteReply;
+  appendEntries = other674.appendEntries;
+  appendReply = other674.appendReply;
+  installSnapshot = other674.installSnapshot;
+  installReply = other674.installReply;
+  timeoutNow = other674.timeoutNow;
+  snapshotChunk = other674.snapshotChunk;
+  snapshotChunkReply = other674.snapshotChunkReply;
+  voterLeaving = other674.voterLeaving;
+  __isset = other674.__isset;
+}
+Message::Message(Message&& other675) noexcept {
+  submitJob = std::move(other675.submitJob);
+  cancelJob = std::move(other675.cancelJob);
+  queryJob = std::move(other675.queryJob);
+  jobReply = std::move(other675.jobReply);
+  notOwner = std::move(other675.notOwner);
+  recordBatch = std::move(other675.recordBatch);
+  recordSnapshot = std::move(other675.recordSnapshot);
+  recordAck = std::move(other675.recordAck);
+  startBatch = std::move(other675.startBatch);
+  cancelBatch = std::move(other675.cancelBatch);
+  resultAck = std::move(other675.resultAck);
+  fence = std::move(other675.fence);
+  agentHello = std::move(other675.agentHello);
+  resultBatch = std::move(other675.resultBatch);
+  startRefused = std::move(other675.startRefused);
+  agentState = std::move(other675.agentState);
+  memberHeartbeat = std::move(other675.memberHeartbeat);
+  heartbeatReply = std::move(other675.heartbeatReply);
+  clusterView = std::move(other675.clusterView);
+  applyConfig = std::move(other675.applyConfig);
+  applyReply = std::move(other675.applyReply);
+  controlQuery = std::move(other675.controlQuery);
+  controlAnswer = std::move(other675.controlAnswer);
+  hostReport = std::move(other675.hostReport);
+  hostContact = std::move(other675.hostContact);
+  runTasks = std::move(other675.runTasks);
+  stopTasks = std::move(other675.stopTasks);
+  taskReports = std::move(other675.taskReports);
+  startsInDoubt = std::move(other675.startsInDoubt);
+  ordersElsewhere = std::move(other675.ordersElsewhere);
+  requestVote = std::move(other675.requestVote);
+  voteReply = std::move(other675.voteReply);
+  appendEntries = std::move(other675.appendEntries);
+  appendReply = std::move(other675.appendReply);
+  installSnapshot = std::move(other675.installSnapshot);
+  installReply = std::move(other675.installReply);
+  timeoutNow = std::move(other675.timeoutNow);
+  snapshotChunk = std::move(other675.snapshotChunk);
+  snapshotChunkReply = std::move(other675.snapshotChunkReply);
+  voterLeaving = std::move(other675.voterLeaving);
+  __isset = other675.__isset;
+}
+Message& Message::operator=(const Message& other676) {
+  submitJob = other676.submitJob;
+  cancelJob = other676.cancelJob;
+  queryJob = other676.queryJob;
+  jobReply = other676.jobReply;
+  notOwner = other676.notOwner;
+  recordBatch = other676.recordBatch;
+  recordSnapshot = other676.recordSnapshot;
+  recordAck = other676.recordAck;
+  startBatch = other676.startBatch;
+  cancelBatch = other676.cancelBatch;
+  resultAck = other676.resultAck;
+  fence = other676.fence;
+  agentHello = other676.agentHello;
+  resultBatch = other676.resultBatch;
+  startRefused = other676.startRefused;
+  agentState = other676.agentState;
+  memberHeartbeat = other676.memberHeartbeat;
+  heartbeatReply = other676.heartbeatReply;
+  clusterView = other676.clusterView;
+  applyConfig = other676.applyConfig;
+  applyReply = other676.applyReply;
+  controlQuery = other676.controlQuery;
+  controlAnswer = other676.controlAnswer;
+  hostReport = other676.hostReport;
+  hostContact = other676.hostContact;
+  runTasks = other676.runTasks;
+  stopTasks = other676.stopTasks;
+  taskReports = other676.taskReports;
+  startsInDoubt = other676.startsInDoubt;
+  ordersElsewhere = other676.ordersElsewhere;
+  requestVote = other676.requestVote;
+  voteReply = other676.voteReply;
+  appendEntries = other676.appendEntries;
+  appendReply = other676.appendReply;
+  installSnapshot = other676.installSnapshot;
+  installReply = other676.installReply;
+  timeoutNow = other676.timeoutNow;
+  snapshotChunk = other676.snapshotChunk;
+  snapshotChunkReply = other676.snapshotChunkReply;
+  voterLeaving = other676.voterLeaving;
+  __isset = other676.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other661) noexcept {
-  submitJob = std::move(other661.submitJob);
-  cancelJob = std::move(other661.cancelJob);
-  queryJob = std::move(other661.queryJob);
-  jobReply = std::move(other661.jobReply);
-  notOwner = std::move(other661.notOwner);
-  recordBatch = std::move(other661.recordBatch);
-  recordSnapshot = std::move(other661.recordSnapshot);
-  recordAck = std::move(other661.recordAck);
-  startBatch = std::move(other661.startBatch);
-  cancelBatch = std::move(other661.cancelBatch);
-  resultAck = std::move(other661.resultAck);
-  fence = std::move(other661.fence);
-  agentHello = std::move(other661.agentHello);
-  resultBatch = std::move(other661.resultBatch);
-  startRefused = std::move(other661.startRefused);
-  agentState = std::move(other661.agentState);
-  memberHeartbeat = std::move(other661.memberHeartbeat);
-  heartbeatReply = std::move(other661.heartbeatReply);
-  clusterView = std::move(other661.clusterView);
-  applyConfig = std::move(other661.applyConfig);
-  applyReply = std::move(other661.applyReply);
-  controlQuery = std::move(other661.controlQuery);
-  controlAnswer = std::move(other661.controlAnswer);
-  hostReport = std::move(other661.hostReport);
-  hostContact = std::move(other661.hostContact);
-  runTasks = std::move(other661.runTasks);
-  stopTasks = std::move(other661.stopTasks);
-  taskReports = std::move(other661.taskReports);
-  startsInDoubt = std::move(other661.startsInDoubt);
-  ordersElsewhere = std::move(other661.ordersElsewhere);
-  requestVote = std::move(other661.requestVote);
-  voteReply = std::move(other661.voteReply);
-  appendEntries = std::move(other661.appendEntries);
-  appendReply = std::move(other661.appendReply);
-  installSnapshot = std::move(other661.installSnapshot);
-  installReply = std::move(other661.installReply);
-  timeoutNow = std::move(other661.timeoutNow);
-  snapshotChunk = std::move(other661.snapshotChunk);
-  snapshotChunkReply = std::move(other661.snapshotChunkReply);
-  voterLeaving = std::move(other661.voterLeaving);
-  __isset = other661.__isset;
+Message& Message::operator=(Message&& other677) noexcept {
+  submitJob = std::move(other677.submitJob);
+  cancelJob = std::move(other677.cancelJob);
+  queryJob = std::move(other677.queryJob);
+  jobReply = std::move(other677.jobReply);
+  notOwner = std::move(other677.notOwner);
+  recordBatch = std::move(other677.recordBatch);
+  recordSnapshot = std::move(other677.recordSnapshot);
+  recordAck = std::move(other677.recordAck);
+  startBatch = std::move(other677.startBatch);
+  cancelBatch = std::move(other677.cancelBatch);
+  resultAck = std::move(other677.resultAck);
+  fence = std::move(other677.fence);
+  agentHello = std::move(other677.agentHello);
+  resultBatch = std::move(other677.resultBatch);
+  startRefused = std::move(other677.startRefused);
+  agentState = std::move(other677.agentState);
+  memberHeartbeat = std::move(other677.memberHeartbeat);
+  heartbeatReply = std::move(other677.heartbeatReply);
+  clusterView = std::move(other677.clusterView);
+  applyConfig = std::move(other677.applyConfig);
+  applyReply = std::move(other677.applyReply);
+  controlQuery = std::move(other677.controlQuery);
+  controlAnswer = std::move(other677.controlAnswer);
+  hostReport = std::move(other677.hostReport);
+  hostContact = std::move(other677.hostContact);
+  runTasks = std::move(other677.runTasks);
+  stopTasks = std::move(other677.stopTasks);
+  taskReports = std::move(other677.taskReports);
+  startsInDoubt = std::move(other677.startsInDoubt);
+  ordersElsewhere = std::move(other677.ordersElsewhere);
+  requestVote = std::move(other677.requestVote);
+  voteReply = std::move(other677.voteReply);
+  appendEntries = std::move(other677.appendEntries);
+  appendReply = std::move(other677.appendReply);
+  installSnapshot = std::move(other677.installSnapshot);
+  installReply = std::move(other677.installReply);
+  timeoutNow = std::move(other677.timeoutNow);
+  snapshotChunk = std::move(other677.snapshotChunk);
+  snapshotChunkReply = std::move(other677.snapshotChunkReply);
+  voterLeaving = std::move(other677.voterLeaving);
+  __isset = other677.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -17671,9 +17765,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast662;
-          xfer += iprot->readI32(ecast662);
-          this->role = static_cast<Role::type>(ecast662);
+          int32_t ecast678;
+          xfer += iprot->readI32(ecast678);
+          this->role = static_cast<Role::type>(ecast678);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -17699,14 +17793,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size663;
-            ::apache::thrift::protocol::TType _etype666;
-            xfer += iprot->readListBegin(_etype666, _size663);
-            this->messages.resize(_size663);
-            uint32_t _i667;
-            for (_i667 = 0; _i667 < _size663; ++_i667)
+            uint32_t _size679;
+            ::apache::thrift::protocol::TType _etype682;
+            xfer += iprot->readListBegin(_etype682, _size679);
+            this->messages.resize(_size679);
+            uint32_t _i683;
+            for (_i683 = 0; _i683 < _size679; ++_i683)
             {
-              xfer += this->messages[_i667].read(iprot);
+              xfer += this->messages[_i683].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -17751,10 +17845,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<Message> ::const_iterator _iter668;
-    for (_iter668 = this->messages.begin(); _iter668 != this->messages.end(); ++_iter668)
+    std::vector<Message> ::const_iterator _iter684;
+    for (_iter684 = this->messages.begin(); _iter684 != this->messages.end(); ++_iter684)
     {
-      xfer += (*_iter668).write(oprot);
+      xfer += (*_iter684).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -17775,38 +17869,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other669) {
-  sender = other669.sender;
-  role = other669.role;
-  address = other669.address;
-  configNumber = other669.configNumber;
-  messages = other669.messages;
-  __isset = other669.__isset;
-}
-Envelope::Envelope(Envelope&& other670) noexcept {
-  sender = std::move(other670.sender);
-  role = other670.role;
-  address = std::move(other670.address);
-  configNumber = other670.configNumber;
-  messages = std::move(other670.messages);
-  __isset = other670.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other671) {
-  sender = other671.sender;
-  role = other671.role;
-  address = other671.address;
-  configNumber = other671.configNumber;
-  messages = other671.messages;
-  __isset = other671.__isset;
+Envelope::Envelope(const Envelope& other685) {
+  sender = other685.sender;
+  role = other685.role;
+  address = other685.address;
+  configNumber = other685.configNumber;
+  messages = other685.messages;
+  __isset = other685.__isset;
+}
+Envelope::Envelope(Envelope&& other686) noexcept {
+  sender = std::move(other686.sender);
+  role = other686.role;
+  address = std::move(other686.address);
+  configNumber = other686.configNumber;
+  messages = std::move(other686.messages);
+  __isset = other686.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other687) {
+  sender = other687.sender;
+  role = other687.role;
+  address = other687.address;
+  configNumber = other687.configNumber;
+  messages = other687.messages;
+  __isset = other687.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other672) noexcept {
-  sender = std::move(other672.sender);
-  role = other672.role;
-  address = std::move(other672.address);
-  configNumber = other672.configNumber;
-  messages = std::move(other672.messages);
-  __isset = other672.__isset;
+Envelope& Envelope::operator=(Envelope&& other688) noexcept {
+  sender = std::move(other688.sender);
+  role = other688.role;
+  address = std::move(other688.address);
+  configNumber = other688.configNumber;
+  messages = std::move(other688.messages);
+  __isset = other688.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -4279,7 +4279,7 @@
 std::ostream& operator<<(std::ostream& out, const RequestVote& obj);
 
 typedef struct _VoteReply__isset {
-  _VoteReply__isset() : term(false), granted(false), preVote(false), member(false), group(false), fresh(false), leader(false), failureDomain(false), observer(false), processes(false), founder(false) {}
+  _VoteReply__isset() : term(false), granted(false), preVote(false), member(false), group(false), fresh(false), leader(false), failureDomain(false), observer(false), processes(false), founder(false), silentMs(false) {}
   bool term :1;
   bool granted :1;
   bool preVote :1;
@@ -4291,6 +4291,7 @@
   bool observer :1;
   bool processes :1;
   bool founder :1;
+  bool silentMs :1;
 } _VoteReply__isset;
 
 class VoteReply : public virtual ::apache::thrift::TBase {
@@ -4325,6 +4326,7 @@
   bool observer;
   std::vector<std::string>  processes;
   std::string founder;
+  std::map<std::string, int64_t>  silentMs;
 
   _VoteReply__isset __isset;
 
@@ -4350,6 +4352,8 @@
 
   void __set_founder(const std::string& val);
 
+  void __set_silentMs(const std::map<std::string, int64_t> & val);
+
   bool operator == (const VoteReply & rhs) const
   {
     if (!(term == rhs.term))
@@ -4374,6 +4378,8 @@
       return false;
     if (!(founder == rhs.founder))
       return false;
+    if (!(silentMs == rhs.silentMs))
+      return false;
     return true;
   }
   bool operator != (const VoteReply &rhs) const {
@@ -4393,7 +4399,7 @@
 std::ostream& operator<<(std::ostream& out, const VoteReply& obj);
 
 typedef struct _AppendEntries__isset {
-  _AppendEntries__isset() : term(false), prevIndex(false), prevTerm(false), entries(false), commitIndex(false), round(false), member(false), group(false) {}
+  _AppendEntries__isset() : term(false), prevIndex(false), prevTerm(false), entries(false), commitIndex(false), round(false), member(false), group(false), silentMs(false) {}
   bool term :1;
   bool prevIndex :1;
   bool prevTerm :1;
@@ -4402,6 +4408,7 @@
   bool round :1;
   bool member :1;
   bool group :1;
+  bool silentMs :1;
 } _AppendEntries__isset;
 
 class AppendEntries : public virtual ::apache::thrift::TBase {
@@ -4430,6 +4437,7 @@
   int64_t round;
   std::string member;
   std::string group;
+  std::map<std::string, int64_t>  silentMs;
 
   _AppendEntries__isset __isset;
 
@@ -4449,6 +4457,8 @@
 
   void __set_group(const std::string& val);
 
+  void __set_silentMs(const std::map<std::string, int64_t> & val);
+
   bool operator == (const AppendEntries & rhs) const
   {
     if (!(term == rhs.term))
@@ -4467,6 +4477,10 @@
       return false;
     if (!(group == rhs.group))
       return false;
+    if (__isset.silentMs != rhs.__isset.silentMs)
+      return false;
+    else if (__isset.silentMs && !(silentMs == rhs.silentMs))
+      return false;
     return true;
   }
   bool operator != (const AppendEntries &rhs) const {
--- a/tests/control_open.h
+++ b/tests/control_open.h
@@ -47,6 +47,20 @@
     {
         return this->currentLeader().dump()["learners"];
     }
+    /// Cuts the links of a process to all others.
+    void cutOff(std::size_t number)
+    {
+        for (std::size_t i = 0; i < this->group.size(); ++i) {
+            if (i != number) {
+                this->net.setPartitioned(this->group[number].address.port, this->group[i].address.port, true);
+            }
+        }
+    }
+    /// Returns whether a process votes, by any identity. Precondition: the group has a leader.
+    bool isVoter(std::size_t number)
+    {
+        return this->voters().dump().find(this->group[number].name + "/") != std::string::npos;
+    }
     ControlCore &currentLeader()
     {
         return *this->cores.at(static_cast<std::size_t>(this->leader()));
--- a/tests/test_control_losses.cpp
+++ b/tests/test_control_losses.cpp
@@ -195,11 +195,8 @@
     DurableCluster cluster(8);
     cluster.tolerance = {2, 0};
     formGroup(cluster, 7);
-    const auto isVoter = [&cluster](std::size_t number) {
-        return cluster.voters().dump().find(cluster.group[number].name + "/") != std::string::npos;
-    };
     std::size_t gone = 0;
-    while (static_cast<int>(gone) == cluster.leader() || !isVoter(gone)) {
+    while (static_cast<int>(gone) == cluster.leader() || !cluster.isVoter(gone)) {
         ++gone;
     }
     cluster.loseDisk(gone);
@@ -212,7 +209,7 @@
         std::set<std::size_t> half {static_cast<std::size_t>(cluster.leader())};
         for (const bool areVoters : {false, true}) {
             for (std::size_t i = 0; i < cluster.group.size() && half.size() < 4; ++i) {
-                if (i != gone && isVoter(i) == areVoters) {
+                if (i != gone && cluster.isVoter(i) == areVoters) {
                     half.insert(i);
                 }
             }
@@ -229,7 +226,7 @@
         cluster.run(Millis(400));
     }
     REQUIRE(cluster.runUntil(Millis(3000), [&] { return cluster.leader() >= 0; }));
-    REQUIRE_FALSE(isVoter(gone));
+    REQUIRE_FALSE(cluster.isVoter(gone));
 }
 
 // Guards against an acknowledgement that the group cannot keep: too few disks hold the log for the losses to bear.
