--- a/src/agent_backend_p.h
+++ b/src/agent_backend_p.h
@@ -6,11 +6,26 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace agatedrum {
 
+struct BackendOutcome;
+
+/// Binds a call to one instance of a backend server: it is sent only on a connection on which that instance has
+/// answered, since a later instance can have the same address and name. On a new connection, a request is sent first
+/// whose answer shows the instance.
+struct InstanceCheck
+{
+    std::string instance; ///< names the instance
+    std::string url; ///< of the first request on a new connection
+    std::string body;
+    /// Returns whether the answer to the first request is one of the instance. Called on the client's thread.
+    std::function<bool(const BackendOutcome &)> isAnswerOfInstance;
+};
+
 /// A call to a backend server.
 struct BackendCall
 {
@@ -19,7 +34,8 @@
     std::vector<std::string> headers {}; ///< additional header lines, "NAME: VALUE"
     std::string taskHeader; ///< caller, submission id and task id, by which the backend server can identify the task
     std::string body;
-    Millis timeout {30000};
+    Millis timeout {30000}; ///< also that of an instance check and of the wait for a connection
+    std::optional<InstanceCheck> instanceCheck {};
 };
 
 /// The result of a call.
@@ -28,6 +44,9 @@
     std::int64_t number = 0; ///< number of the call
     /// FINISHED, FAILED, STOPPED, NOT_RUN (never connected) or UNKNOWN
     wire::Outcome::type outcome = wire::Outcome::UNKNOWN;
+    /// True if the call was not sent for want of a connection to its instance. The other fields, but for the number and
+    /// the time, then tell the outcome of the instance check: UNKNOWN if it was not answered, or not sent in time.
+    bool isOfInstanceCheck = false;
     int status = 0; ///< HTTP status; 0 unless the outcome is FINISHED or FAILED
     std::string body; ///< empty unless the outcome is FINISHED or FAILED
     Micros runTime {0}; ///< time since start() was called
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -181,6 +181,10 @@
     void refuseOversized();
 
     // Communication with the backend server.
+    /// Keeps the host from accepting tasks once another instance has answered in place of the present one, whose
+    /// capacity and labels the other one need not have. Precondition: the answer is one to the present instance's
+    /// order.
+    void recordOutcome(OrderOutcome outcome);
     /// Returns the task whose order was answered, or null if the task has ended or the answer belongs to an earlier
     /// instance of the backend server. Updates the backend server's clock from the answer.
     HostTask *findAnsweredTask(std::int64_t id, const OrderContext &context, const OrderReply &reply);
@@ -272,6 +276,8 @@
     PollSchedule pollSchedule;
     Time polledAt; ///< when the newest successful poll was sent
     OrderOutcome lastPollOutcome = OrderOutcome::Accepted;
+    std::optional<Time>
+        otherInstanceSeenAt; ///< when another instance last answered; not set while the present one does
     HostCrashes crashes;
 
     std::map<std::int64_t, HostTask> tasks;
--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -31,7 +31,7 @@
 bool HostCore::isAccepting() const
 {
     return this->registered && !this->registered->isDraining && !this->hasLeft && !this->isStopping
-        && this->hasOnlyOwnRuns && !this->crashes.isRefusing()
+        && this->hasOnlyOwnRuns && !this->crashes.isRefusing() && !this->otherInstanceSeenAt
         && this->clock.now() - this->polledAt < this->options.serverTimeout && this->isCapacityCurrent();
 }
 
@@ -123,7 +123,7 @@
     if (this->polledAt != Time {}) {
         evidence.sinceAnswer = now - this->polledAt;
     }
-    evidence.isGone = this->hasLeft || this->lastPollOutcome == OrderOutcome::OtherInstance;
+    evidence.isGone = this->hasLeft || this->otherInstanceSeenAt;
     return evidence;
 }
 
@@ -152,6 +152,7 @@
     this->lastSeenEnd = 0;
     this->pollSchedule = PollSchedule();
     this->polledAt = Time {};
+    this->otherInstanceSeenAt.reset();
     this->runTimeEstimator = RunTimeEstimator();
     this->stoppedRuns = StoppedRuns();
     this->failureShare = 0.0;
@@ -237,6 +238,18 @@
     });
 }
 
+void HostCore::recordOutcome(OrderOutcome outcome)
+{
+    if (outcome != OrderOutcome::OtherInstance) {
+        return;
+    }
+    if (!this->otherInstanceSeenAt) {
+        logEvent(component, "other_instance", {{"present", this->instanceName()}});
+    }
+    this->recordAccepting();
+    this->otherInstanceSeenAt = this->clock.now();
+}
+
 std::vector<Time> HostCore::unconfirmedSince() const
 {
     std::vector<Time> result;
@@ -262,10 +275,16 @@
     } else {
         this->pollSchedule.recordAnswer(poll);
     }
-    this->updateClock(reply.clockMs);
+    if (reply.outcome != OrderOutcome::OtherInstance) {
+        this->updateClock(reply.clockMs);
+    }
     this->reviewServerLoss(poll, reply);
+    this->recordOutcome(reply.outcome);
     const auto previous = std::exchange(this->lastPollOutcome, reply.outcome);
     if (reply.outcome == OrderOutcome::Accepted) {
+        if (this->otherInstanceSeenAt && poll.sentAt > *this->otherInstanceSeenAt) {
+            this->otherInstanceSeenAt.reset();
+        }
         this->polledAt = std::max(this->polledAt, poll.sentAt);
         this->fenceStep = 1;
         this->handleEndedRuns(reply);
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -111,7 +111,10 @@
     if (found == this->tasks.end() || context.instanceName != this->instanceName()) {
         return nullptr;
     }
-    this->updateClock(reply.clockMs);
+    if (reply.outcome != OrderOutcome::OtherInstance) {
+        this->updateClock(reply.clockMs);
+    }
+    this->recordOutcome(reply.outcome);
     return &found->second;
 }
 
--- a/tests/test_odd_input.cpp
+++ b/tests/test_odd_input.cpp
@@ -87,7 +87,7 @@
         REQUIRE_FALSE(isOk(decodeJob(jobWith("\"Count\":" + nested))));
         REQUIRE_FALSE(isOk(decodeConfig(nested)));
         REQUIRE_FALSE(isOk(decodeConfig("{\"Version\":1,\"Routes\":[" + nested + "],\"Services\":[]}")));
-        REQUIRE(decodeOrderReply(409, nested).outcome == OrderOutcome::Invalid);
+        REQUIRE(decodeOrderReply(409, nested, {}).outcome == OrderOutcome::Invalid);
         REQUIRE(pollReply("\"Running\":" + nested).outcome == OrderOutcome::Invalid);
     }
     SECTION("a field without a meaning here may be nested; the rest of the document holds")
@@ -107,14 +107,14 @@
     for (const auto *reason : {"5", "null", "[]", "{\"a\":1}", "true"}) {
         const auto body = std::string("{\"ClockMs\":5,\"Reason\":") + reason + "}";
         INFO(body);
-        REQUIRE_NOTHROW(decodeOrderReply(409, body));
+        REQUIRE_NOTHROW(decodeOrderReply(409, body, {}));
         REQUIRE_NOTHROW(decodePollReply(409, body, {}));
-        REQUIRE(decodeOrderReply(409, body).outcome == OrderOutcome::Invalid);
-        REQUIRE(decodeOrderReply(409, body).clockMs == 5);
+        REQUIRE(decodeOrderReply(409, body, {}).outcome == OrderOutcome::Invalid);
+        REQUIRE(decodeOrderReply(409, body, {}).clockMs == 5);
     }
     for (const auto *body : {"", "5", "[]", "null", "\x80\x01", "{\"Reason\":1e400}"}) {
         INFO(body);
-        REQUIRE(decodeOrderReply(409, body).outcome == OrderOutcome::Invalid);
+        REQUIRE(decodeOrderReply(409, body, {}).outcome == OrderOutcome::Invalid);
         REQUIRE(decodePollReply(200, body, {}).outcome == OrderOutcome::Invalid);
     }
 }
@@ -131,6 +131,12 @@
             response.body = R"({"ClockMs":5,"Reason":[5]})";
             reply(std::move(response));
         });
+        // The answer that shows the instance, without which no order is sent.
+        newServer.route("POST", "/hold", [](const HttpRequest &, const HttpReply &reply) {
+            HttpResponse response;
+            response.body = R"({"ClockMs":5,"born":0,"Running":[],"EndedRuns":[]})";
+            reply(std::move(response));
+        });
     });
     StartOrder order;
     order.server.id = "i-1";
@@ -145,7 +151,8 @@
     };
     // On a busy machine, the answer may miss the client's time limit of 100 ms.
     auto outcome = callOnce();
-    for (int i = 0; i < 100 && outcome == OrderOutcome::Unanswered; ++i) {
+    const auto isLate = [&outcome] { return outcome == OrderOutcome::Unanswered || outcome == OrderOutcome::NotSent; };
+    for (int i = 0; i < 100 && isLate(); ++i) {
         outcome = callOnce();
     }
     REQUIRE(outcome == OrderOutcome::Invalid);
@@ -214,7 +221,7 @@
         for (const auto *clock : {"9223372036854775807", "18446744073709551615", "-5", "1e400", "1.5", "\"5\"", "[5]",
                                   "100000000000000000", "null"}) {
             INFO(clock);
-            REQUIRE(decodeOrderReply(200, std::string("{\"ClockMs\":") + clock + "}").clockMs == 0);
+            REQUIRE(decodeOrderReply(200, std::string("{\"ClockMs\":") + clock + "}", {}).clockMs == 0);
         }
     }
     SECTION("a percentage stays within 0 to 100, so that it predicts no wrong end")
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -112,22 +112,22 @@
 
     SECTION("each refusal of an order maps to its own outcome, and the clock of a refusal is decoded")
     {
-        const auto outcome = [](const std::string &reason) {
-            return decodeOrderReply(409, "{\"ClockMs\":5,\"Reason\":\"" + reason + "\"}").outcome;
+        const auto outcome = [&server](const std::string &reason) {
+            return decodeOrderReply(409, "{\"ClockMs\":5,\"Reason\":\"" + reason + "\"}", server).outcome;
         };
-        REQUIRE(decodeOrderReply(200, "{\"ClockMs\":5}").outcome == OrderOutcome::Accepted);
-        REQUIRE(decodeOrderReply(409, "{\"ClockMs\":5,\"Reason\":\"fence\"}").clockMs == 5);
+        REQUIRE(decodeOrderReply(200, "{\"ClockMs\":5}", server).outcome == OrderOutcome::Accepted);
+        REQUIRE(decodeOrderReply(409, "{\"ClockMs\":5,\"Reason\":\"fence\"}", server).clockMs == 5);
         REQUIRE(outcome("fence") == OrderOutcome::Fenced);
         REQUIRE(outcome("old") == OrderOutcome::RunTooLow);
         REQUIRE(outcome("late") == OrderOutcome::Late);
         REQUIRE(outcome("room") == OrderOutcome::NoCapacity);
         REQUIRE(outcome("new reason") == OrderOutcome::Invalid);
         // An undefined status does not mean that the order was not carried out.
-        REQUIRE(decodeOrderReply(500, "").outcome == OrderOutcome::Unanswered);
-        REQUIRE(decodeOrderReply(504, "").outcome == OrderOutcome::Unanswered);
-        REQUIRE(decodeOrderReply(400, "").outcome == OrderOutcome::Invalid);
-        REQUIRE(decodeOrderReply(421, "").outcome == OrderOutcome::OtherInstance);
-        REQUIRE(decodeOrderReply(503, "").outcome == OrderOutcome::Unhealthy);
+        REQUIRE(decodeOrderReply(500, "", server).outcome == OrderOutcome::Unanswered);
+        REQUIRE(decodeOrderReply(504, "", server).outcome == OrderOutcome::Unanswered);
+        REQUIRE(decodeOrderReply(400, "", server).outcome == OrderOutcome::Invalid);
+        REQUIRE(decodeOrderReply(421, "", server).outcome == OrderOutcome::OtherInstance);
+        REQUIRE(decodeOrderReply(503, "", server).outcome == OrderOutcome::Unhealthy);
     }
 
     SECTION("lists of runs are decoded, and a malformed row does not affect the other rows")
@@ -146,8 +146,22 @@
         REQUIRE(reply.ended[1].outcome == RunEnd::LeaseExpired);
     }
 
+    SECTION("an answer of another instance to an order shows that, and not its clock")
+    {
+        const auto refused = decodeOrderReply(503, R"({"ClockMs":5,"born":98})", server);
+        REQUIRE(refused.outcome == OrderOutcome::OtherInstance);
+        REQUIRE(refused.clockMs == 0);
+        // The order was carried out, if not by the instance for which it was meant.
+        REQUIRE(decodeOrderReply(200, R"({"ClockMs":5,"born":98})", server).outcome == OrderOutcome::Unanswered);
+        REQUIRE(decodeOrderReply(500, R"({"ClockMs":5,"born":98})", server).outcome == OrderOutcome::Unanswered);
+        REQUIRE(decodeOrderReply(200, R"({"ClockMs":5,"born":99})", server).outcome == OrderOutcome::Accepted);
+    }
+
     SECTION("a poll response of another instance is not accepted")
     {
+        const auto refused = decodePollReply(409, R"({"ClockMs":5,"born":98,"Reason":"fence"})", server);
+        REQUIRE(refused.outcome == OrderOutcome::OtherInstance);
+        REQUIRE(refused.clockMs == 0);
         REQUIRE(decodePollReply(200, R"({"ClockMs":5,"born":98,"Running":[],"EndedRuns":[]})", server).outcome
                 == OrderOutcome::OtherInstance);
         REQUIRE(decodePollReply(200, "{}", server).outcome == OrderOutcome::Invalid);
