--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -166,8 +166,11 @@
 // mayWait: the entry knows that the task has to wait at the host; otherwise a host without free capacity refuses it at
 // once.
 // suspected: a backend server has crashed under the task, so that it must not run beside another such task.
+// requiredLabel: label that the backend server must have; empty for none, and in orders of versions that do not tell it.
+// maxPerHost: maximum number of tasks of the job with the same group at the backend server; 0 for no limit.
 struct TaskOrder {
   1: i32 index; 2: i64 order; 3: Resources demand; 4: i64 estimateMicros; 5: bool mayWait; 20: bool suspected;
+  21: string requiredLabel; 22: i32 group; 23: i32 maxPerHost;
 }
 // startWithinMicros: time until the latest useful start of the tasks; the host's queue is ordered by it.
 // elsewhere: places of other tasks of the job, which the host reports to all entries if it loses this one.
--- a/src/dispatch_core_jobs.cpp
+++ b/src/dispatch_core_jobs.cpp
@@ -281,6 +281,9 @@
         order.estimateMicros = estimate.count();
         order.mayWait = task.mayWait;
         order.suspected = this->crashes.isSuspected({id, index});
+        order.requiredLabel = request.requiredLabel;
+        order.group = request.group;
+        order.maxPerHost = request.maxPerHost;
         message.orders.push_back(std::move(order));
         const auto slack = (job.objective - now - estimate).count();
         message.startWithinMicros
--- a/src/dispatch_job_p.h
+++ b/src/dispatch_job_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base_clock_p.h"
+#include "task_needs_p.h"
 #include "wire_message_p.h"
 
 #include <cstdint>
@@ -11,14 +12,10 @@
 namespace agatedrum {
 
 /// One task of a best-effort job.
-struct TaskRequest
+struct TaskRequest : TaskNeeds
 {
-    wire::Resources demand;
     Micros estimate {0}; ///< run time declared by the caller
-    std::string requiredLabel; ///< label that the host must have; empty for none
     std::string dataRack; ///< label of the rack that has the task's data; empty for none
-    int group = 0; ///< tasks of one group share the limit maxPerHost
-    int maxPerHost = 0; ///< maximum number of tasks of the group per host; 0 for no limit
 };
 
 /// A best-effort job. It is not persisted, and is answered when it has ended. Its tasks may run in any order.
--- a/src/dispatch_placement.cpp
+++ b/src/dispatch_placement.cpp
@@ -25,12 +25,6 @@
 /// Standard deviation of the logarithm of actual to estimated run times; callers' estimates are rough.
 constexpr double estimateSpread = 0.4;
 
-bool hasLabel(const HostCandidate &candidate, const std::string &label)
-{
-    return label.empty()
-        || std::find(candidate.labels.begin(), candidate.labels.end(), label) != candidate.labels.end();
-}
-
 int groupCount(const HostCandidate &candidate, int group)
 {
     return static_cast<std::size_t>(group) < candidate.groupTasks.size()
@@ -40,8 +34,13 @@
 
 bool canRun(const TaskRequest &task, const HostCandidate &candidate)
 {
-    return fits(task.demand, candidate.capacity) && hasLabel(candidate, task.requiredLabel)
-        && (task.maxPerHost == 0 || groupCount(candidate, task.group) < task.maxPerHost);
+    return unmetNeed(task, candidate.capacity, candidate.labels, groupCount(candidate, task.group)).empty();
+}
+
+/// Returns the run time factor of the task at the host, for the way to its data.
+double dataFactor(const TaskRequest &task, const HostCandidate &candidate, double farFactor)
+{
+    return task.dataRack.empty() || hasLabel(candidate.labels, task.dataRack) ? 1.0 : farFactor;
 }
 
 Micros scaled(Micros time, double factor)
@@ -107,8 +106,7 @@
         if (!canRun(task, candidate)) {
             continue;
         }
-        const auto runTime
-            = expectedTime(task.estimate, candidate.slowness * (hasLabel(candidate, task.dataRack) ? 1.0 : farFactor));
+        const auto runTime = expectedTime(task.estimate, candidate.slowness * dataFactor(task, candidate, farFactor));
         const auto startDelay = startDelayOn(task, candidate);
         const auto expectedRuns = 1.0 / (1.0 - std::min(candidate.failureShare, maxFailureShare));
         const auto expectedTotalTime = scaled(runTime, expectedRuns);
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -7011,6 +7011,18 @@
 void TaskOrder::__set_suspected(const bool val) {
   this->suspected = val;
 }
+
+void TaskOrder::__set_requiredLabel(const std::string& val) {
+  this->requiredLabel = val;
+}
+
+void TaskOrder::__set_group(const int32_t val) {
+  this->group = val;
+}
+
+void TaskOrder::__set_maxPerHost(const int32_t val) {
+  this->maxPerHost = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskOrder& obj)
 {
   obj.printTo(out);
@@ -7087,6 +7099,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->requiredLabel);
+          this->__isset.requiredLabel = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxPerHost);
+          this->__isset.maxPerHost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7128,6 +7164,18 @@
   xfer += oprot->writeBool(this->suspected);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("requiredLabel", ::apache::thrift::protocol::T_STRING, 21);
+  xfer += oprot->writeString(this->requiredLabel);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_I32, 22);
+  xfer += oprot->writeI32(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxPerHost", ::apache::thrift::protocol::T_I32, 23);
+  xfer += oprot->writeI32(this->maxPerHost);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7141,16 +7189,22 @@
   swap(a.estimateMicros, b.estimateMicros);
   swap(a.mayWait, b.mayWait);
   swap(a.suspected, b.suspected);
+  swap(a.requiredLabel, b.requiredLabel);
+  swap(a.group, b.group);
+  swap(a.maxPerHost, b.maxPerHost);
   swap(a.__isset, b.__isset);
 }
 
-TaskOrder::TaskOrder(const TaskOrder& other268) noexcept {
+TaskOrder::TaskOrder(const TaskOrder& other268) {
   index = other268.index;
   order = other268.order;
   demand = other268.demand;
   estimateMicros = other268.estimateMicros;
   mayWait = other268.mayWait;
   suspected = other268.suspected;
+  requiredLabel = other268.requiredLabel;
+  group = other268.group;
+  maxPerHost = other268.maxPerHost;
   __isset = other268.__isset;
 }
 TaskOrder::TaskOrder(TaskOrder&& other269) noexcept {
@@ -7160,15 +7214,21 @@
   estimateMicros = other269.estimateMicros;
   mayWait = other269.mayWait;
   suspected = other269.suspected;
+  requiredLabel = std::move(other269.requiredLabel);
+  group = other269.group;
+  maxPerHost = other269.maxPerHost;
   __isset = other269.__isset;
 }
-TaskOrder& TaskOrder::operator=(const TaskOrder& other270) noexcept {
+TaskOrder& TaskOrder::operator=(const TaskOrder& other270) {
   index = other270.index;
   order = other270.order;
   demand = other270.demand;
   estimateMicros = other270.estimateMicros;
   mayWait = other270.mayWait;
   suspected = other270.suspected;
+  requiredLabel = other270.requiredLabel;
+  group = other270.group;
+  maxPerHost = other270.maxPerHost;
   __isset = other270.__isset;
   return *this;
 }
@@ -7179,6 +7239,9 @@
   estimateMicros = other271.estimateMicros;
   mayWait = other271.mayWait;
   suspected = other271.suspected;
+  requiredLabel = std::move(other271.requiredLabel);
+  group = other271.group;
+  maxPerHost = other271.maxPerHost;
   __isset = other271.__isset;
   return *this;
 }
@@ -7191,6 +7254,9 @@
   out << ", " << "estimateMicros=" << to_string(estimateMicros);
   out << ", " << "mayWait=" << to_string(mayWait);
   out << ", " << "suspected=" << to_string(suspected);
+  out << ", " << "requiredLabel=" << to_string(requiredLabel);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "maxPerHost=" << to_string(maxPerHost);
   out << ")";
 }
 
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -2774,28 +2774,34 @@
 std::ostream& operator<<(std::ostream& out, const HostContact& obj);
 
 typedef struct _TaskOrder__isset {
-  _TaskOrder__isset() : index(false), order(false), demand(false), estimateMicros(false), mayWait(false), suspected(false) {}
+  _TaskOrder__isset() : index(false), order(false), demand(false), estimateMicros(false), mayWait(false), suspected(false), requiredLabel(false), group(false), maxPerHost(false) {}
   bool index :1;
   bool order :1;
   bool demand :1;
   bool estimateMicros :1;
   bool mayWait :1;
   bool suspected :1;
+  bool requiredLabel :1;
+  bool group :1;
+  bool maxPerHost :1;
 } _TaskOrder__isset;
 
 class TaskOrder : public virtual ::apache::thrift::TBase {
  public:
 
-  TaskOrder(const TaskOrder&) noexcept;
+  TaskOrder(const TaskOrder&);
   TaskOrder(TaskOrder&&) noexcept;
-  TaskOrder& operator=(const TaskOrder&) noexcept;
+  TaskOrder& operator=(const TaskOrder&);
   TaskOrder& operator=(TaskOrder&&) noexcept;
   TaskOrder() noexcept
             : index(0),
               order(0),
               estimateMicros(0),
               mayWait(0),
-              suspected(0) {
+              suspected(0),
+              requiredLabel(),
+              group(0),
+              maxPerHost(0) {
   }
 
   virtual ~TaskOrder() noexcept;
@@ -2805,6 +2811,9 @@
   int64_t estimateMicros;
   bool mayWait;
   bool suspected;
+  std::string requiredLabel;
+  int32_t group;
+  int32_t maxPerHost;
 
   _TaskOrder__isset __isset;
 
@@ -2820,6 +2829,12 @@
 
   void __set_suspected(const bool val);
 
+  void __set_requiredLabel(const std::string& val);
+
+  void __set_group(const int32_t val);
+
+  void __set_maxPerHost(const int32_t val);
+
   bool operator == (const TaskOrder & rhs) const
   {
     if (!(index == rhs.index))
@@ -2834,6 +2849,12 @@
       return false;
     if (!(suspected == rhs.suspected))
       return false;
+    if (!(requiredLabel == rhs.requiredLabel))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(maxPerHost == rhs.maxPerHost))
+      return false;
     return true;
   }
   bool operator != (const TaskOrder &rhs) const {
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -145,6 +145,20 @@
     return true;
 }
 
+HostCore::HostTask HostCore::makeTask(const wire::RunTasks &message, const wire::TaskOrder &order,
+                                      const wire::ProcessId &entry)
+{
+    HostTask task;
+    task.name = {message.job, order.index};
+    task.order = order.order;
+    task.entry = entry;
+    task.serviceName = message.serviceName;
+    task.needs = {order.demand, order.requiredLabel, order.group, order.maxPerHost};
+    task.isSuspected = order.suspected;
+    task.estimate = Micros(std::max<std::int64_t>(order.estimateMicros, 1000));
+    return task;
+}
+
 void HostCore::acceptOrder(const wire::RunTasks &message, const wire::TaskOrder &order, const wire::ProcessId &entry,
                            const std::shared_ptr<const std::string> &spec, Time objective)
 {
@@ -153,16 +167,13 @@
         this->refuse(entry, message.job, order, "an earlier run of the task has not ended yet");
         return;
     }
-    if (!this->isAccepting() || message.serviceName != this->registered->serviceName) {
+    if (!this->isAccepting()) {
         this->refuse(entry, message.job, order, "the backend server is not accepting tasks");
         return;
     }
-    if (!fits(order.demand, this->registered->capacity)) {
-        this->refuse(entry, message.job, order, "the demand exceeds the capacity of the backend server");
-        return;
-    }
-    if (order.suspected && this->hasSuspectedTask()) {
-        this->refuse(entry, message.job, order, "another task under which a backend server has crashed is running");
+    auto task = makeTask(message, order, entry);
+    if (const auto reason = this->refusalReason(task); !reason.empty()) {
+        this->refuse(entry, message.job, order, std::string(reason));
         return;
     }
     const bool fitsNow = fits(order.demand, this->freeCapacity());
@@ -172,14 +183,7 @@
     }
     const auto now = this->clock.now();
     const auto id = ++this->lastTaskId;
-    HostTask task;
-    task.name = name;
-    task.order = order.order;
-    task.entry = entry;
     task.spec = spec;
-    task.demand = order.demand;
-    task.isSuspected = order.suspected;
-    task.estimate = Micros(std::max<std::int64_t>(order.estimateMicros, 1000));
     task.objective = objective;
     task.abandonAt = now + Micros(message.timeLeftMicros);
     task.changedAt = now;
@@ -311,7 +315,7 @@
         // Without known progress, a task is expected to need at least another quarter of its expected total time.
         const auto expected = this->runTimeEstimator.expectedTotalTime(task.estimate);
         const auto estimatedRemaining = std::max<Micros>(expected - (now - task.startedAt), expected / 4);
-        reserving.push_back({task.demand, task.progress.remaining(now).value_or(estimatedRemaining)});
+        reserving.push_back({task.needs.demand, task.progress.remaining(now).value_or(estimatedRemaining)});
     }
     return expectedStartDelay(this->registered->capacity, reserving, this->queue.waitingOnTime(now), demand);
 }
--- a/src/host_core_loss.cpp
+++ b/src/host_core_loss.cpp
@@ -2,8 +2,6 @@
 
 #include "base_event_p.h"
 
-#include <algorithm>
-
 namespace agatedrum {
 
 namespace {
@@ -53,10 +51,4 @@
     this->nextReport = now; // the entries learn of it with the next tick
 }
 
-bool HostCore::hasSuspectedTask() const
-{
-    return std::any_of(this->tasks.begin(), this->tasks.end(),
-                       [](const auto &task) { return task.second.isSuspected; });
-}
-
 } // namespace agatedrum
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -14,6 +14,7 @@
 #include "host_server_p.h"
 #include "host_witness_p.h"
 #include "member_link_p.h"
+#include "task_needs_p.h"
 
 #include <cstdint>
 #include <map>
@@ -21,6 +22,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -84,7 +86,8 @@
         std::int64_t order = 0;
         wire::ProcessId entry;
         std::shared_ptr<const std::string> spec;
-        wire::Resources demand;
+        std::string serviceName;
+        TaskNeeds needs;
         Micros estimate {0};
         Time objective; ///< a task that ends after this time misses the job's latency objective
         Time abandonAt; ///< the caller's deadline; a result after this time is of no use
@@ -140,8 +143,14 @@
     void apply(const wire::OrdersElsewhere &message, const IncomingMessage &incoming);
     /// Returns true if this process already has the order; in that case reports the current phase of its task.
     bool handleDuplicate(const std::string &job, const wire::TaskOrder &order, const wire::ProcessId &entry);
+    /// Returns the task that is ordered, without its times.
+    static HostTask makeTask(const wire::RunTasks &message, const wire::TaskOrder &order, const wire::ProcessId &entry);
     void acceptOrder(const wire::RunTasks &message, const wire::TaskOrder &order, const wire::ProcessId &entry,
                      const std::shared_ptr<const std::string> &spec, Time objective);
+    /// Returns why the backend server may not run the task, or an empty string if it may, now or when it has free
+    /// capacity. Checked when a task is accepted, when it starts, and when the backend server's registration changes.
+    /// Precondition: a backend server is registered.
+    std::string_view refusalReason(const HostTask &task) const;
     void refuse(const wire::ProcessId &entry, const std::string &job, const wire::TaskOrder &order,
                 const std::string &reason);
     void report(const HostTask &task, wire::TaskPhase::type phase, const std::string &reason, Micros runTime = {});
@@ -177,8 +186,8 @@
     void finish(std::int64_t id, wire::TaskPhase::type phase, const std::string &reason, Micros runTime = {});
     void checkTasks();
     void refuseWaiting(const std::string &reason);
-    /// Refuses the waiting tasks whose demand exceeds the whole capacity. Precondition: a backend server is registered.
-    void refuseOversized();
+    /// Refuses the waiting tasks that the backend server may not run. Precondition: a backend server is registered.
+    void refuseUnfit();
 
     // Communication with the backend server.
     /// Keeps the host from accepting tasks once another instance has answered in place of the present one, whose
@@ -238,8 +247,6 @@
     bool isCapacityCurrent() const;
     /// Returns when the present instance sent the registration, by its clock; now if that is unknown.
     Time sendTimeOf(const ServerRegistration &registration) const;
-    /// Returns true if a suspected task may be running. Another one must not start beside it.
-    bool hasSuspectedTask() const;
     wire::Resources reserved() const;
     /// Returns the capacity that no task has reserved. Precondition: a backend server is registered.
     wire::Resources freeCapacity() const;
--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -90,7 +90,7 @@
         logEvent(component, "server_drains", {{"server", registration.server.id}});
         this->refuseWaiting("the backend server is draining");
     }
-    this->refuseOversized();
+    this->refuseUnfit();
     this->startWaitingTasks();
     this->sendDuePolls();
     this->sendReports();
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -43,7 +43,7 @@
     wire::Resources sum;
     for (const auto &[id, task] : this->tasks) {
         if (task.phase != Phase::Waiting) {
-            sum = plus(sum, task.demand);
+            sum = plus(sum, task.needs.demand);
         }
     }
     return sum;
@@ -64,12 +64,35 @@
         auto &task = this->tasks.at(id);
         if (now >= task.abandonAt || !this->entries.hasLease(task.entry, now)) {
             this->finish(id, wire::TaskPhase::REFUSED, "the time of the task has passed while it was waiting");
+        } else if (const auto reason = this->refusalReason(task); !reason.empty()) {
+            this->finish(id, wire::TaskPhase::REFUSED, std::string(reason));
         } else {
             this->startTask(id, task);
         }
     }
 }
 
+std::string_view HostCore::refusalReason(const HostTask &task) const
+{
+    if (task.serviceName != this->registered->serviceName) {
+        return "the backend server belongs to another service";
+    }
+    int groupTasks = 0;
+    for (const auto &[id, other] : this->tasks) {
+        if (other.name == task.name) {
+            continue;
+        }
+        if (task.isSuspected && other.isSuspected) {
+            return "another task under which a backend server has crashed is running";
+        }
+        // Runs at an earlier instance do not count for this one.
+        const bool isCounted = other.phase != Phase::ServerReplaced && other.name.job == task.name.job
+            && other.needs.group == task.needs.group;
+        groupTasks += isCounted ? 1 : 0;
+    }
+    return unmetNeed(task.needs, this->registered->capacity, this->registered->labels, groupTasks);
+}
+
 void HostCore::startTask(std::int64_t id, HostTask &task)
 {
     const auto now = this->clock.now();
@@ -269,12 +292,13 @@
     }
 }
 
-void HostCore::refuseOversized()
+void HostCore::refuseUnfit()
 {
     const auto waiting = this->queue.waiting();
-    for (const auto &task : waiting) {
-        if (!fits(task.demand, this->registered->capacity)) {
-            this->finish(task.id, wire::TaskPhase::REFUSED, "the demand exceeds the capacity of the backend server");
+    for (const auto &each : waiting) {
+        const auto reason = this->refusalReason(this->tasks.at(each.id));
+        if (!reason.empty()) {
+            this->finish(each.id, wire::TaskPhase::REFUSED, std::string(reason));
         }
     }
 }
--- /dev/null
+++ b/src/task_needs.cpp
@@ -0,0 +1,29 @@
+#include "task_needs_p.h"
+
+#include "host_resources_p.h"
+
+#include <algorithm>
+
+namespace agatedrum {
+
+bool hasLabel(const std::vector<std::string> &labels, const std::string &label)
+{
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+std::string_view unmetNeed(const TaskNeeds &needs, const wire::Resources &capacity,
+                           const std::vector<std::string> &labels, int groupTasks)
+{
+    if (!fits(needs.demand, capacity)) {
+        return "the demand exceeds the capacity of the backend server";
+    }
+    if (!needs.requiredLabel.empty() && !hasLabel(labels, needs.requiredLabel)) {
+        return "the backend server does not have the required label";
+    }
+    if (needs.maxPerHost > 0 && groupTasks >= needs.maxPerHost) {
+        return "the host has as many tasks of the group as it may have";
+    }
+    return {};
+}
+
+} // namespace agatedrum
--- a/tests/test_dispatch.cpp
+++ b/tests/test_dispatch.cpp
@@ -321,6 +321,30 @@
     }
 }
 
+// Guards against a host that cannot check what the entry knew by an earlier report.
+TEST_CASE("An entry tells the host what a task needs of the backend server", "[dispatch]")
+{
+    DispatchFixture entry;
+    auto report = entry.makeReport();
+    report.labels = {"b"};
+    entry.core.handle(incoming("host-1", wire::Role::AGENT, 44003, report, 1));
+    JobRequest request;
+    request.id = "a";
+    request.routeName = "r";
+    request.tasks = tasksOf(1, 100);
+    request.tasks[0].requiredLabel = "b";
+    request.tasks[0].group = 3;
+    request.tasks[0].maxPerHost = 2;
+    entry.core.submit(route(), std::move(request), [](const JobOutcome &) {});
+    const auto orders = entry.takeOrders();
+    REQUIRE(orders.size() == 1);
+    REQUIRE(orders[0].serviceName == "visits");
+    const auto &order = orders[0].orders.at(0);
+    REQUIRE(order.requiredLabel == "b");
+    REQUIRE(order.group == 3);
+    REQUIRE(order.maxPerHost == 2);
+}
+
 TEST_CASE("An entry reports the correct outcome of an abandoned job and stops its tasks", "[dispatch]")
 {
     // Guards against wrong answers and overlapping runs of a task after a host or a caller is lost.
