--- a/src/control_log.cpp
+++ b/src/control_log.cpp
@@ -234,6 +234,7 @@
 void ControlLog::replicateToAll(Time now)
 {
     this->heartbeatDueAt = now + this->options.heartbeatInterval;
+    this->contacts.noteHeard(this->hardState.member, now); // nobody answers for the leader
     for (const auto &identity : this->replicationTargets()) {
         this->replicate(identity, this->progress[identity], now);
     }
--- a/tests/test_control_silence.cpp
+++ b/tests/test_control_silence.cpp
@@ -143,6 +143,28 @@
     }
 }
 
+// Guards against a leader that tells a silence of itself, which nobody answers: after its crash it would be replaced
+// before it can be back.
+TEST_CASE("A leader that restarts within the timeout keeps its vote", "[control]")
+{
+    const auto seed = GENERATE(range(1, 5));
+    INFO(fmt::format("seed {}", seed));
+    DurableCluster cluster(4, static_cast<std::uint64_t>(seed));
+    cluster.startAll();
+    REQUIRE(cluster.waitForVoters(3));
+    cluster.run(Millis(3000));
+    const auto voters = cluster.voters();
+    for (int crash = 0; crash < 3; ++crash) {
+        const auto leader = static_cast<std::size_t>(cluster.leader());
+        cluster.kill(leader);
+        cluster.run(Millis(1000));
+        cluster.start(leader);
+        cluster.run(Millis(2000));
+        REQUIRE(cluster.leader() >= 0);
+        REQUIRE(cluster.voters() == voters);
+    }
+}
+
 // Guards against a silence that a leader of an earlier version ended without telling: the next leader would replace a
 // voter that answered all the while.
 TEST_CASE("Silences from before a leader of an earlier version do not count", "[control]")
