--- a/tests/host_fixture.h
+++ b/tests/host_fixture.h
@@ -147,6 +147,15 @@
     {
         this->core.handle(incoming(entry, wire::Role::ENTRY, 43001, std::move(payload), incarnation));
     }
+    /// Receives an order of the entry to stop tasks.
+    void receiveStop(const std::string &job, const std::vector<std::int32_t> &indexes)
+    {
+        wire::StopTasks stop;
+        stop.hostIncarnation = 1;
+        stop.job = job;
+        stop.indexes = indexes;
+        this->receiveFromEntry(stop);
+    }
     void renewLease(const std::string &entry = "entry-1")
     {
         wire::HostContact contact;
--- a/tests/test_host.cpp
+++ b/tests/test_host.cpp
@@ -263,11 +263,7 @@
     {
         host.receiveFromEntry(host.makeOrder("a", {0}));
         host.answerStart(0, OrderOutcome::Accepted);
-        wire::StopTasks stop;
-        stop.hostIncarnation = 1;
-        stop.job = "a";
-        stop.indexes = {0};
-        host.receiveFromEntry(stop);
+        host.receiveStop("a", {0});
         REQUIRE(host.server.stops.size() == 1);
         host.server.stops[0].reply({OrderOutcome::Unanswered, 0});
         host.clock.advance(Millis(200));
--- a/tests/test_host_capacity.cpp
+++ b/tests/test_host_capacity.cpp
@@ -134,11 +134,7 @@
     SECTION("a run that is being stopped counts until its end is listed")
     {
         runTasks(host, "a", {0}, 8000);
-        wire::StopTasks stop;
-        stop.hostIncarnation = 1;
-        stop.job = "a";
-        stop.indexes = {0};
-        host.receiveFromEntry(stop);
+        host.receiveStop("a", {0});
         REQUIRE(host.server.stops.size() == 1);
         host.server.stops.back().reply({OrderOutcome::Accepted, 5000});
         host.core.registerServer(registrationOf(2, resources(8000)));
--- a/tests/test_host_instances.cpp
+++ b/tests/test_host_instances.cpp
@@ -54,11 +54,7 @@
     }
     SECTION("to a stop")
     {
-        wire::StopTasks stop;
-        stop.hostIncarnation = 1;
-        stop.job = "running";
-        stop.indexes = {0};
-        host.receiveFromEntry(stop);
+        host.receiveStop("running", {0});
         host.server.stops.at(0).reply({OrderOutcome::OtherInstance, 0});
         REQUIRE_FALSE(host.core.isReady());
         REQUIRE_FALSE(startsTask(host, "a"));
--- a/tests/test_host_lease.cpp
+++ b/tests/test_host_lease.cpp
@@ -35,11 +35,7 @@
     }
     void orderStop()
     {
-        wire::StopTasks stop;
-        stop.hostIncarnation = 1;
-        stop.job = "a";
-        stop.indexes = {0};
-        this->receiveFromEntry(stop);
+        this->receiveStop("a", {0});
     }
 
     Time startedAt;
--- a/tests/test_host_needs.cpp
+++ b/tests/test_host_needs.cpp
@@ -105,11 +105,7 @@
     {
         host.answerStart(0, OrderOutcome::Accepted);
         host.answerStart(1, OrderOutcome::Accepted);
-        wire::StopTasks stop;
-        stop.hostIncarnation = 1;
-        stop.job = "job";
-        stop.indexes = {0};
-        host.receiveFromEntry(stop);
+        host.receiveStop("job", {0});
         host.server.stops.at(0).reply({OrderOutcome::Accepted, 5000});
         host.receiveFromEntry(host.limitedOrder("job", {3}, 2), "entry-2");
         REQUIRE(host.server.starts.size() == 2);
--- a/tests/test_host_trouble.cpp
+++ b/tests/test_host_trouble.cpp
@@ -136,11 +136,7 @@
         host.renewLease();
         host.answerPoll(HostFixture::pollReply(stalledTasks));
     }
-    wire::StopTasks stop;
-    stop.hostIncarnation = 1;
-    stop.job = "a";
-    stop.indexes = {0, 1, 2};
-    host.receiveFromEntry(stop);
+    host.receiveStop("a", {0, 1, 2});
     host.answerPoll(HostFixture::pollReply(
         {}, {{1, {"a", 0}, 1, RunEnd::Stopped}, {2, {"a", 1}, 1, RunEnd::Stopped}, {3, {"a", 2}, 1, RunEnd::Stopped}}));
     const auto slowness = [&host] {
