--- a/tests/test_platform_server.cpp
+++ b/tests/test_platform_server.cpp
@@ -133,8 +133,10 @@
     SECTION("orders at the same time use a limited number of connections, and all are sent")
     {
         orders.begin(1000, {std::chrono::milliseconds(8), true, true});
+        constexpr int orderCount = 24;
         std::vector<std::future<OrderOutcome>> outcomes;
-        for (int i = 0; i < 24; ++i) {
+        outcomes.reserve(orderCount);
+        for (int i = 0; i < orderCount; ++i) {
             outcomes.push_back(orders.start(1000, i));
         }
         for (auto &outcome : outcomes) {
