--- a/src/agent_backend.cpp
+++ b/src/agent_backend.cpp
@@ -49,12 +49,22 @@
 };
 using Command = std::variant<StartCommand, StopCommand, LimitConnectionsCommand>;
 
+/// What a transfer needs of its client when libcurl has chosen its connection.
+struct TransferOwnerI
+{
+    virtual ~TransferOwnerI() = default;
+    /// Records which instance a connection belongs to, if the check on it has been answered and is not evaluated yet:
+    /// libcurl may hand the connection on before that.
+    virtual void evaluateCheck(const std::string &connection) = 0;
+};
+
 /// A call in flight, or the instance check before it.
 struct Transfer
 {
     BackendCall call;
     Time startedAt; ///< when the call was requested
     BackendConnections *connections = nullptr;
+    TransferOwnerI *owner = nullptr;
     CURL *easyHandle = nullptr;
     curl_slist *headers = nullptr;
     std::string body;
@@ -101,6 +111,8 @@
     if (transfer.openedSocket != CURL_SOCKET_BAD) {
         transfer.connections->recordOpened(transfer.openedSocket, key);
         transfer.openedSocket = CURL_SOCKET_BAD;
+    } else {
+        transfer.owner->evaluateCheck(key);
     }
     transfer.connection = key;
     transfer.connections->recordUse(key, transfer.call.number);
@@ -146,7 +158,7 @@
 
 } // namespace
 
-struct CurlBackendClient::Impl
+struct CurlBackendClient::Impl : TransferOwnerI
 {
     explicit Impl(BackendOutcomeHandler handler)
         : handler(std::move(handler))
@@ -158,7 +170,7 @@
         this->thread = std::thread([this] { this->run(); });
     }
 
-    ~Impl()
+    ~Impl() override
     {
         {
             const std::lock_guard lock(this->mutex);
@@ -220,6 +232,7 @@
         transfer->call = std::move(command.call);
         transfer->startedAt = command.requestedAt;
         transfer->connections = &this->connections;
+        transfer->owner = this;
         if (transfer->isBound()) {
             this->waiting.push_back(std::move(transfer));
             return;
@@ -311,6 +324,24 @@
         this->handler(result);
     }
 
+    void evaluateCheck(const std::string &connection) override
+    {
+        for (const auto &[number, transfer] : this->transfers) {
+            if (!transfer->isCheck || transfer->connection != connection) {
+                continue;
+            }
+            long status = 0;
+            curl_easy_getinfo(transfer->easyHandle, CURLINFO_RESPONSE_CODE, &status);
+            BackendOutcome outcome;
+            outcome.status = static_cast<int>(status);
+            outcome.body = transfer->body;
+            if (status != 0 && canDetectTruncation(transfer->easyHandle, status)
+                && transfer->call.instanceCheck->isAnswerOfInstance(outcome)) {
+                this->connections.recordInstance(connection, transfer->call.instanceCheck->instance);
+            }
+        }
+    }
+
     /// Continues a call whose request has ended without being its own outcome. @return whether it does.
     bool continueCall(const Transfer &transfer, const BackendOutcome &outcome)
     {
