--- a/src/dispatch_listening.cpp
+++ b/src/dispatch_listening.cpp
@@ -1,6 +1,7 @@
 #include "dispatch_listening_p.h"
 
 #include "base_event_p.h"
+#include "task_needs_p.h"
 
 #include <algorithm>
 #include <functional>
@@ -21,12 +22,6 @@
 constexpr Millis askInterval {300}; ///< for a host that does not answer; longer than its interval of reports
 constexpr Millis lostAskInterval {1000}; ///< for a host that has not answered for some time
 
-bool hasLabel(const DispatchHost &host, const std::string &label)
-{
-    const auto &labels = host.report.labels;
-    return std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
 } // namespace
 
 DispatchListening::DispatchListening(ListeningOptions options)
@@ -62,7 +57,7 @@
     std::vector<const DispatchHost *> unheard;
     std::size_t available = 0;
     for (const auto *host : this->rankedHosts(service, label, hosts)) {
-        if (hasLabel(*host, label) && host->report.accepting) {
+        if (hasLabel(host->report.labels, label) && host->report.accepting) {
             if (this->isListening(host->id.name)) {
                 available += this->isAvailable(*host, hosts, now) ? 1 : 0;
             } else {
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -190,10 +190,9 @@
     void refuseUnfit();
 
     // Communication with the backend server.
-    /// Keeps the host from accepting tasks once another instance has answered in place of the present one, whose
-    /// capacity and labels the other one need not have. Precondition: the answer is one to the present instance's
-    /// order.
-    void recordOutcome(OrderOutcome outcome);
+    /// Reads the backend server's clock from the answer to an order for the present instance. If another instance has
+    /// answered, keeps the host from accepting tasks instead: the other one need not have the same capacity and labels.
+    void recordAnswer(OrderOutcome outcome, std::int64_t clockMs);
     /// Returns the task whose order was answered, or null if the task has ended or the answer belongs to an earlier
     /// instance of the backend server. Updates the backend server's clock from the answer.
     HostTask *findAnsweredTask(std::int64_t id, const OrderContext &context, const OrderReply &reply);
--- a/src/host_core_server.cpp
+++ b/src/host_core_server.cpp
@@ -238,9 +238,10 @@
     });
 }
 
-void HostCore::recordOutcome(OrderOutcome outcome)
+void HostCore::recordAnswer(OrderOutcome outcome, std::int64_t clockMs)
 {
     if (outcome != OrderOutcome::OtherInstance) {
+        this->updateClock(clockMs);
         return;
     }
     if (!this->otherInstanceSeenAt) {
@@ -275,11 +276,8 @@
     } else {
         this->pollSchedule.recordAnswer(poll);
     }
-    if (reply.outcome != OrderOutcome::OtherInstance) {
-        this->updateClock(reply.clockMs);
-    }
+    this->recordAnswer(reply.outcome, reply.clockMs);
     this->reviewServerLoss(poll, reply);
-    this->recordOutcome(reply.outcome);
     const auto previous = std::exchange(this->lastPollOutcome, reply.outcome);
     if (reply.outcome == OrderOutcome::Accepted) {
         if (this->otherInstanceSeenAt && poll.sentAt > *this->otherInstanceSeenAt) {
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -134,10 +134,7 @@
     if (found == this->tasks.end() || context.instanceName != this->instanceName()) {
         return nullptr;
     }
-    if (reply.outcome != OrderOutcome::OtherInstance) {
-        this->updateClock(reply.clockMs);
-    }
-    this->recordOutcome(reply.outcome);
+    this->recordAnswer(reply.outcome, reply.clockMs);
     return &found->second;
 }
 
--- a/tests/instance_server.h
+++ b/tests/instance_server.h
@@ -42,9 +42,8 @@
 
     static constexpr auto host = "127.0.0.4";
 
-    InstanceServer(int port, std::string id, std::int64_t startedAtMs, Behavior behavior)
-        : id(std::move(id))
-        , startedAtMs(startedAtMs)
+    InstanceServer(int port, std::int64_t startedAtMs, Behavior behavior)
+        : startedAtMs(startedAtMs)
         , behavior(behavior)
         , listener(::socket(AF_INET, SOCK_STREAM, 0))
     {
@@ -183,7 +182,6 @@
         return request;
     }
 
-    const std::string id;
     const std::int64_t startedAtMs;
     const Behavior behavior;
     const int listener;
--- a/tests/test_platform_server.cpp
+++ b/tests/test_platform_server.cpp
@@ -18,11 +18,6 @@
 constexpr int port = 13604;
 constexpr auto startPath = "/run-start";
 
-TaskServerRef instance(std::int64_t startedAtMs)
-{
-    return {"i-1", startedAtMs, {}};
-}
-
 /// An instance of the backend server i-1, and a client that sends it orders.
 struct Orders
 {
@@ -32,45 +27,42 @@
     void begin(std::int64_t startedAtMs, InstanceServer::Behavior behavior = {})
     {
         this->server.reset();
-        this->server = std::make_unique<InstanceServer>(port, "i-1", startedAtMs, behavior);
-    }
-    static TaskServerRef ref(std::int64_t startedAtMs)
-    {
-        auto result = instance(startedAtMs);
-        result.address.host = InstanceServer::host;
-        result.address.port = port;
-        return result;
+        this->server = std::make_unique<InstanceServer>(port, startedAtMs, behavior);
     }
     std::future<OrderOutcome> start(std::int64_t startedAtMs, int index = 0)
     {
-        StartOrder order;
-        order.server = ref(startedAtMs);
+        auto order = orderFor<StartOrder>(startedAtMs);
         order.task = {"5c0e7a21d94b36f8", index};
         order.run = 1;
-        order.fence = 7;
         order.leaseUntilMs = 6000;
         return this->sent<OrderReply>([&](auto reply) { this->client.start(order, std::move(reply)); });
     }
     std::future<OrderOutcome> stop(std::int64_t startedAtMs)
     {
-        StopOrder order;
-        order.server = ref(startedAtMs);
+        auto order = orderFor<StopOrder>(startedAtMs);
         order.task = {"5c0e7a21d94b36f8", 0};
         order.run = 1;
-        order.fence = 7;
         return this->sent<OrderReply>([&](auto reply) { this->client.stop(order, std::move(reply)); });
     }
     std::future<OrderOutcome> poll(std::int64_t startedAtMs)
     {
-        PollOrder order;
-        order.server = ref(startedAtMs);
-        order.fence = 7;
+        auto order = orderFor<PollOrder>(startedAtMs);
         order.lastSeenEnd = 3;
         order.leaseUntilMs = 6000;
         return this->sent<PollReply>([&](auto reply) { this->client.poll(order, std::move(reply)); });
     }
 
 private:
+    template<typename Order>
+    static Order orderFor(std::int64_t startedAtMs)
+    {
+        Order order;
+        order.server = {"i-1", startedAtMs, {}};
+        order.server.address.host = InstanceServer::host;
+        order.server.address.port = port;
+        order.fence = 7;
+        return order;
+    }
     template<typename Reply, typename Send>
     static std::future<OrderOutcome> sent(Send send)
     {
