--- a/tests/instance_server.h
+++ b/tests/instance_server.h
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <fmt/format.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -38,6 +39,7 @@
         std::chrono::milliseconds orderTime {0}; ///< time until an order is answered
         bool answersPolls = true;
         bool keepsConnections = true; ///< otherwise, each connection ends after one answer
+        bool answersOrders = true; ///< otherwise, an order ends its connection
     };
 
     static constexpr auto host = "127.0.0.4";
@@ -119,6 +121,11 @@
 
     void serve(int socket, int number)
     {
+        if (!this->behavior.keepsConnections) {
+            // Sends the answer together with the end of the connection, so that no request can be sent in between.
+            const int on = 1;
+            ::setsockopt(socket, IPPROTO_TCP, TCP_CORK, &on, sizeof(on));
+        }
         std::string data;
         while (const auto request = readRequest(socket, data, number)) {
             {
@@ -129,7 +136,7 @@
             if (answer) {
                 ::send(socket, answer->data(), answer->size(), MSG_NOSIGNAL);
             }
-            if (!this->behavior.keepsConnections) {
+            if (!this->behavior.keepsConnections || (!this->behavior.answersOrders && !isPoll(*request))) {
                 break;
             }
         }
@@ -140,17 +147,21 @@
 
     std::optional<std::string> answer(const Request &request) const
     {
-        const bool isPoll = request.path == "/hold";
-        if (isPoll && !this->behavior.answersPolls) {
+        if (isPoll(request) ? !this->behavior.answersPolls : !this->behavior.answersOrders) {
             return std::nullopt;
         }
-        std::this_thread::sleep_for(isPoll ? waitOf(request.body) : this->behavior.orderTime);
-        const auto body = isPoll
+        std::this_thread::sleep_for(isPoll(request) ? waitOf(request.body) : this->behavior.orderTime);
+        const auto body = isPoll(request)
             ? fmt::format(R"({{"ClockMs":5000,"born":{},"Running":[],"EndedRuns":[]}})", this->startedAtMs)
             : std::string(R"({"ClockMs":5000})");
         return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
     }
 
+    static bool isPoll(const Request &request)
+    {
+        return request.path == "/hold";
+    }
+
     static std::chrono::milliseconds waitOf(const std::string &body)
     {
         const std::string field = "\"WaitMs\":";
--- a/tests/test_platform_server.cpp
+++ b/tests/test_platform_server.cpp
@@ -171,4 +171,10 @@
         REQUIRE(orders.start(1000).get() == OrderOutcome::Unanswered);
         REQUIRE(orders.server->requestsTo(startPath).size() == 1);
     }
+    SECTION("but one whose connection ended in place of its answer may be carried out")
+    {
+        orders.begin(1000, {std::chrono::milliseconds(0), true, true, false});
+        REQUIRE(orders.start(1000).get() == OrderOutcome::Unanswered);
+        REQUIRE(orders.server->requestsTo(startPath).size() == 1);
+    }
 }
