--- a/src/control_state.cpp
+++ b/src/control_state.cpp
@@ -21,6 +21,18 @@
 
 const wire::ConfigFile emptyFile;
 
+/// A copy that is cleared keeps room for the text, in each view that waits to be sent.
+wire::ConfigFile withoutText(const wire::ConfigFile &file)
+{
+    wire::ConfigFile result;
+    result.number = file.number;
+    result.digest = file.digest;
+    result.author = file.author;
+    result.acceptedAtMs = file.acceptedAtMs;
+    result.ignoreIfNotHigher = file.ignoreIfNotHigher;
+    return result;
+}
+
 std::string describe(const wire::ConfigFile &file)
 {
     const auto seconds = static_cast<std::time_t>(file.acceptedAtMs / 1000);
@@ -370,9 +382,8 @@
     const auto &found = this->memberRecords.at(name);
     wire::ClusterView view;
     view.version = this->viewVersion(name);
-    view.config = this->file();
+    view.config = found.role == wire::Role::AGENT ? withoutText(this->file()) : this->file();
     if (found.role == wire::Role::AGENT) {
-        view.config.text.clear();
         if (this->parsedConfig.routing) {
             this->addEntries(view);
         }
--- a/tests/test_control_size.cpp
+++ b/tests/test_control_size.cpp
@@ -216,6 +216,30 @@
     REQUIRE(sentBytes < bytesForOther + AGATEDRUM_CONTROL_WINDOW_BYTES + 2 * megabyte);
 }
 
+// Guards against a leader that exceeds its memory when all hosts join again after a power loss: hundreds of views wait to
+// be sent then, and each of them had room for the text of the configuration that it leaves out.
+TEST_CASE("A view for a host has no memory for the text of the configuration", "[control]")
+{
+    SimCluster cluster(3);
+    cluster.startAll();
+    REQUIRE(cluster.runUntil(Millis(3000), [&] { return cluster.leader() >= 0; }));
+    auto &entry = cluster.addMember("entry-1", wire::Role::ENTRY, 41101, "d1");
+    REQUIRE(cluster.apply(entry, largeConfig(1)).accepted);
+    std::size_t views = 0;
+    std::size_t largestText = 0;
+    cluster.net.interceptor = [&](const IncomingMessage &message) {
+        const auto *view = std::get_if<wire::ClusterView>(&message.payload);
+        if (view != nullptr && view->config.text.empty()) {
+            ++views;
+            largestText = std::max(largestText, view->config.text.capacity());
+        }
+    };
+    auto &host = cluster.addAgent("host-1", 41102, "tank");
+    REQUIRE(cluster.runUntil(Millis(2000), [&] { return host.link.configNumber() == 1; }));
+    REQUIRE(views > 0);
+    REQUIRE(largestText < 100);
+}
+
 #if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__) // these multiply the memory of a process
 // Guards against a control process that exceeds its memory, 260 MB on the smallest machine, at each start with a log
 // that fills its disk, so that it never starts again.
