--- a/tests/test_control_size.cpp
+++ b/tests/test_control_size.cpp
@@ -216,8 +216,8 @@
     REQUIRE(sentBytes < bytesForOther + AGATEDRUM_CONTROL_WINDOW_BYTES + 2 * megabyte);
 }
 
-// Guards against a leader that exceeds its memory when all hosts join again after a power loss: hundreds of views wait to
-// be sent then, and each of them had room for the text of the configuration that it leaves out.
+// Guards against a leader that exceeds its memory when all processes join again after a power loss: hundreds of views
+// wait to be sent then, and each of them had room for the text of the configuration that it leaves out.
 TEST_CASE("A view for a host has no memory for the text of the configuration", "[control]")
 {
     SimCluster cluster(3);
