--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -158,6 +158,7 @@
   21: bool summary;  // the receiver does not listen to the host: it gets few reports, and may place no task by this one
   22: i32 entryCount;  // number of entries that the host knows; 0 if unknown
   23: i64 acceptingMicros;  // if accepting is true: time for which the host has accepted tasks without a break
+  24: bool evacuated;  // the backend server's failure domain is evacuated: it starts no tasks until it is returned
 }
 // entry -> host. Extends the time for which the host runs the entry's tasks and sends it all reports. reportsSeen: all
 // reports up to this number have been received.
@@ -206,7 +207,8 @@
   6: list<ControlEndpoint> group;
 }
 
-struct MemberRef { 1: ProcessId id; 2: Endpoint address; 3: string failureDomain; }
+// evacuated: no tasks are sent to the member, an agent, since its failure domain is evacuated.
+struct MemberRef { 1: ProcessId id; 2: Endpoint address; 3: string failureDomain; 4: bool evacuated; }
 struct CellView {
   1: i32 cell; 2: string serviceName; 3: i64 epoch; 4: optional MemberRef owner; 5: list<MemberRef> holders;
   6: list<MemberRef> agents;  // only in the view of the cell's owner and holders
@@ -217,19 +219,30 @@
 struct ConfigFile {
   1: i64 number; 2: string digest; 3: string text; 4: string author; 5: i64 acceptedAtMs; 6: bool ignoreIfNotHigher;
 }
-// entries: set only in the view of an agent.
+// entries: set only in the view of an agent. evacuatedDomains: failure domains whose backend servers get no tasks.
 struct ClusterView {
   1: i64 version; 2: ConfigFile config; 3: list<CellView> cells; 4: i64 term; 5: list<MemberRef> entries;
+  6: list<string> evacuatedDomains;
 }
 
 // entry or tool -> control
 struct ApplyConfig {
   1: i64 requestId; 2: string text; 3: string author; 4: bool dryRun; 5: bool ignoreIfNotHigher;
 }
+// Operator's order to evacuate a failure domain, or to return it to service. expectedIndex: the order takes effect only
+// if this is still the log index of the newest order for the domain, 0 if there was none; without it, the leader answers
+// with that index. An order that was held up on its way therefore cannot override a newer one.
+struct OrderEvacuation {
+  1: i64 requestId; 2: string failureDomain; 3: bool active; 4: string author; 5: optional i64 expectedIndex;
+}
+// Answer to ApplyConfig and OrderEvacuation. inForce: only to ApplyConfig. orderIndex: only to OrderEvacuation, the log
+// index of the newest order for the failure domain.
 struct ApplyReply {
   1: i64 requestId; 2: bool accepted; 3: string code; 4: string message; 5: ConfigFile inForce; 6: list<string> lagging;
+  7: i64 orderIndex;
 }
-// Queries the state of the control group. kind: "overview", "members", "cells", "history", "acknowledged" or "config".
+// Queries the state of the control group. kind: "overview", "members", "cells", "history", "acknowledged",
+// "evacuations" or "config".
 struct ControlQuery { 1: i64 requestId; 2: string kind; 3: string argument; }
 struct ControlAnswer { 1: i64 requestId; 2: bool ok; 3: string json; }
 
@@ -302,9 +315,15 @@
   1: list<string> voters; 2: list<string> learners;
   3: map<string, string> domains; // failure domains of the members, where they are known
 }
+// The newest order for a failure domain. Kept when the domain has been returned, for the check of expectedIndex.
+// orderIndex: log index of the order.
+struct Evacuation { 1: string failureDomain; 2: bool active; 3: i64 orderIndex; 4: string author; 5: i64 atMs; }
+// Has no effect if expectedIndex is no longer the index of the newest order for the domain.
+struct SetEvacuation { 1: Evacuation evacuation; 2: i64 expectedIndex; }
 union Command {
   1: SetConfig setConfig; 2: MemberJoin memberJoin; 3: MemberGone memberGone; 4: MemberLeaving memberLeaving;
   5: HolderWhole holderWhole; 6: HandOver handOver; 7: SetVoters setVoters; 8: bool noop;
+  9: SetEvacuation setEvacuation;
 }
 
 // State of the control group on disk.
@@ -328,6 +347,7 @@
 struct ControlImage {
   1: list<ConfigFile> history; 2: list<MemberRecord> members; 3: list<CellRecord> cells; 4: i32 nextCell;
   5: i64 configVersion; 6: i64 routesVersion; 7: i64 entriesVersion;
+  8: list<Evacuation> evacuations; 9: i64 evacuationsVersion;
 }
 
 union Message {
@@ -337,7 +357,7 @@
   24: AgentHello agentHello; 25: ResultBatch resultBatch; 26: StartRefused startRefused; 27: AgentState agentState;
   30: MemberHeartbeat memberHeartbeat; 31: HeartbeatReply heartbeatReply; 32: ClusterView clusterView;
   33: ApplyConfig applyConfig; 34: ApplyReply applyReply; 35: ControlQuery controlQuery;
-  36: ControlAnswer controlAnswer;
+  36: ControlAnswer controlAnswer; 37: OrderEvacuation orderEvacuation;
   50: HostReport hostReport; 51: HostContact hostContact; 52: RunTasks runTasks; 53: StopTasks stopTasks;
   54: TaskReports taskReports; 55: StartsInDoubt startsInDoubt; 56: OrdersElsewhere ordersElsewhere;
   40: RequestVote requestVote; 41: VoteReply voteReply; 42: AppendEntries appendEntries; 43: AppendReply appendReply;
--- a/include/agatedrum/config.h
+++ b/include/agatedrum/config.h
@@ -244,6 +244,12 @@
 #define AGATEDRUM_ENTRY_ASK_MS 50
 #endif
 
+/// Time in milliseconds after the return of an evacuated failure domain within which a host offers its whole capacity
+/// again.
+#ifndef AGATEDRUM_HOST_RAMP_MS
+#define AGATEDRUM_HOST_RAMP_MS 5000
+#endif
+
 /// Maximum lease of an entry at a host: time for which the host runs the entry's tasks, counted from the sending of the
 /// last report that the entry has echoed, in milliseconds. It is shorter where callers resubmit a lost job so soon that
 /// it would not end before, see HostLeaseTerms.
--- a/src/agent_core.cpp
+++ b/src/agent_core.cpp
@@ -182,6 +182,9 @@
     if (this->isLeaving()) {
         return "leaving";
     }
+    if (this->link.isOwnDomainEvacuated()) {
+        return "the failure domain is evacuated";
+    }
     if (!this->isBackendUp()) {
         return "backend server is down";
     }
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -342,6 +342,8 @@
     for (const auto &ref : view.agents) {
         if (auto *agent = this->addOrUpdateAgent(ref.id, ref.address)) {
             agent->isListed = true;
+            agent->isEvacuated = ref.evacuated;
+            this->updateAvailability(*agent);
         }
     }
 }
--- a/src/cell_owner_agents.cpp
+++ b/src/cell_owner_agents.cpp
@@ -53,9 +53,11 @@
             this->markLost(agent);
         }
         const bool isListed = agent.isListed;
+        const bool isEvacuated = agent.isEvacuated;
         agent = Agent();
         agent.id = id;
         agent.isListed = isListed;
+        agent.isEvacuated = isEvacuated;
         agent.lastHeardAt = this->now();
         agent.address = address;
         this->fence(agent);
@@ -88,7 +90,7 @@
     const bool isDrained = configured != nullptr && configured->isDrained;
     const bool isUnresponsive = now - agent.lastHeardAt >= Millis(AGATEDRUM_AGENT_SILENT_MS);
     const bool isAvailable = agent.hasReportedState && !agent.isLost && !isUnresponsive && !isDrained
-        && !agent.server.leaving && agent.server.backendUp && now >= agent.pausedUntil;
+        && !agent.isEvacuated && !agent.server.leaving && agent.server.backendUp && now >= agent.pausedUntil;
     this->scheduler.setAvailable(agent.id.name, isAvailable, now);
 }
 
--- a/src/cell_owner_p.h
+++ b/src/cell_owner_p.h
@@ -120,6 +120,7 @@
         wire::Endpoint address;
         wire::ServerInfo server;
         bool isListed = false; ///< in the current view
+        bool isEvacuated = false; ///< its failure domain is evacuated
         bool hasReportedState = false; ///< answered a fence of this epoch
         bool isLost = false;
         Time lastHeardAt;
--- a/src/cli_config.cpp
+++ b/src/cli_config.cpp
@@ -134,6 +134,31 @@
     return changeDrain(context, false);
 }
 
+CliResult orderEvacuation(const CommandContext &context, const std::string &method)
+{
+    if (context.options.author.empty()) {
+        return CliFailure {ExitCode::BadInput, "no author; give --author NAME"};
+    }
+    const auto target = fmt::format("/v1/evacuations/{}?author={}", encodePercent(context.options.arguments[0]),
+                                    encodePercent(context.options.author));
+    const auto answer = context.client.requestJson(method, target);
+    if (!isOk(answer)) {
+        return error(answer);
+    }
+    printAnswer(context, value(answer));
+    return ExitCode::Done;
+}
+
+CliResult evacuate(const CommandContext &context)
+{
+    return orderEvacuation(context, "POST");
+}
+
+CliResult restore(const CommandContext &context)
+{
+    return orderEvacuation(context, "DELETE");
+}
+
 /// Returns whether the text is the settings of a process. Settings have the key "role", a configuration does not.
 bool isSettings(const std::string &text)
 {
@@ -170,6 +195,7 @@
 std::vector<CliCommand> configCommands()
 {
     constexpr std::size_t maxServers = 1000;
+    const std::vector<std::string> evacuationOptions {"author", "entry", "output", "timeout"};
     const std::vector<std::string> drainOptions {"dry-run", "wait", "author", "entry", "output", "timeout"};
     return {{"apply",
              "-f FILE [--dry-run] [--wait] [--author NAME]",
@@ -185,6 +211,10 @@
             {"undrain", "BACKENDSERVER ... [--dry-run] [--wait] [--author NAME]",
              "assign tasks to backend servers again, by a new configuration", 1, maxServers, drainOptions, true,
              &undrain},
+            {"evacuate", "DOMAIN [--author NAME]", "start no more tasks in a failure domain", 1, 1, evacuationOptions,
+             true, &evacuate},
+            {"restore", "DOMAIN [--author NAME]", "return an evacuated failure domain to service", 1, 1,
+             evacuationOptions, true, &restore},
             {"check",
              "-f FILE",
              "check a configuration or settings file without sending it",
--- a/src/cli_show.cpp
+++ b/src/cli_show.cpp
@@ -133,6 +133,11 @@
     return requestRows(context, "/v1/cells");
 }
 
+Rows evacuationRows(const CommandContext &context)
+{
+    return requestRows(context, "/v1/evacuations");
+}
+
 struct ResourceKind
 {
     const char *name;
@@ -140,16 +145,17 @@
     Rows (*rows)(const CommandContext &);
 };
 
-constexpr std::array<ResourceKind, 6> resourceKinds {{
+constexpr std::array<ResourceKind, 7> resourceKinds {{
     {"services", "name", &serviceRows},
     {"backendservers", "name", &backendServerRows},
     {"teams", "name", &teamRows},
     {"configurations", "number", &configurationRows},
     {"members", "name", &memberRows},
     {"cells", "cell", &cellRows},
+    {"evacuations", "failureDomain", &evacuationRows},
 }};
 
-constexpr auto resourceKindNames = "services|backendservers|teams|configurations|members|cells";
+constexpr auto resourceKindNames = "services|backendservers|teams|configurations|members|cells|evacuations";
 
 const ResourceKind *findKind(const std::string &name)
 {
--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <random>
+#include <type_traits>
 #include <utility>
 
 namespace agatedrum {
@@ -81,10 +82,12 @@
         this->handleHeartbeat(incoming, *heartbeat);
     } else if (const auto *request = std::get_if<wire::ApplyConfig>(&incoming.payload)) {
         this->handleApply({request->requestId, incoming.address, {}, {}}, *request);
+    } else if (const auto *order = std::get_if<wire::OrderEvacuation>(&incoming.payload)) {
+        this->handleEvacuation({order->requestId, incoming.address, {}, {}}, *order);
     } else if (const auto *query = std::get_if<wire::ControlQuery>(&incoming.payload)) {
         this->handleQuery(incoming, *query);
     } else if (const auto *reply = std::get_if<wire::ApplyReply>(&incoming.payload)) {
-        this->handleForwardedReply(*reply);
+        this->handleForwardedReply(incoming, *reply);
     } else if (this->peerAddress(incoming.sender.name)) {
         this->log.handle(incoming.sender.name, incoming.payload, this->clock.now());
     }
@@ -127,7 +130,14 @@
 void ControlCore::applyLocal(const wire::ApplyConfig &request, LocalDecisionHandler handler)
 {
     const std::lock_guard lock(this->mutex);
-    this->handleApply({0, {}, {}, std::move(handler)}, request);
+    this->handleApply({0, {}, std::move(handler), {}}, request);
+    this->drain();
+}
+
+void ControlCore::orderEvacuationLocal(const wire::OrderEvacuation &order, LocalDecisionHandler handler)
+{
+    const std::lock_guard lock(this->mutex);
+    this->handleEvacuation({0, {}, std::move(handler), {}}, order);
     this->drain();
 }
 
@@ -167,16 +177,24 @@
     return this->log.isLeader() ? std::string() : this->log.leaderName(this->clock.now());
 }
 
-void ControlCore::handleApply(PendingApply pending, const wire::ApplyConfig &request)
+template<typename Request>
+bool ControlCore::decidesHere(PendingApply &pending, const Request &request)
 {
-    if (!this->log.hasLease(this->clock.now())) {
-        const auto leader = this->leaderToAsk();
-        if (this->forwardToLeader(pending, request, leader)) {
-            return;
-        }
+    if (this->log.hasLease(this->clock.now())) {
+        return true;
+    }
+    const auto leader = this->leaderToAsk();
+    if (!this->forwardToLeader(pending, request, leader)) {
         this->reply(pending,
                     leader.empty() ? ConfigDecision {false, "unavailable", "the control group currently has no leader"}
                                    : ConfigDecision {false, "not-leader", leader});
+    }
+    return false;
+}
+
+void ControlCore::handleApply(PendingApply pending, const wire::ApplyConfig &request)
+{
+    if (!this->decidesHere(pending, request)) {
         return;
     }
     wire::ConfigFile file;
@@ -195,13 +213,7 @@
     const bool isInForce = file.number <= this->stateMachine.file().number;
     const bool bearsLosses = isInForce ? this->log.committedBearsLosses() : this->log.bearsLosses();
     if (!bearsLosses && !request.dryRun) {
-        this->reply(
-            pending,
-            {false, "unavailable",
-             fmt::format("{} processes with a disk hold the log, too few to bear the losses of {} processes and "
-                         "{} failure domains",
-                         this->log.voters().size(), this->options.tolerance.machines,
-                         this->options.tolerance.domains)});
+        this->reply(pending, this->tooFewDisks());
         return;
     }
     auto decision = this->stateMachine.evaluate(file);
@@ -212,27 +224,88 @@
         this->reply(pending, decision);
         return;
     }
-    if (!this->store.hasSpace(request.text.size()) || this->store.status().isFull) {
-        // If the disk refuses this entry and the other processes write it, they take over the leadership.
-        wire::Command command;
-        command.__set_noop(true);
-        this->propose(command);
-        this->reply(pending, {false, "unavailable", "the leader's disk is full; nothing was changed"});
-        return;
-    }
     wire::SetConfig setConfig;
     setConfig.file = std::move(file);
-    pending.digest = setConfig.file.digest;
     wire::Command command;
     command.__set_setConfig(setConfig);
+    this->proposeChange(std::move(pending), command, request.text.size());
+}
+
+void ControlCore::proposeChange(PendingApply pending, const wire::Command &command, std::size_t bytes)
+{
+    if (!this->store.hasSpace(bytes) || this->store.status().isFull) {
+        // If the disk refuses this entry and the other processes write it, they take over the leadership.
+        wire::Command noop;
+        noop.__set_noop(true);
+        this->propose(noop);
+        this->reply(pending, {false, "unavailable", "the leader's disk is full; nothing was changed"});
+        return;
+    }
     if (const auto index = this->propose(command)) {
         this->pendingApplies[*index] = std::move(pending);
     } else {
-        this->reply(pending, {false, "unavailable", "the leader changed; send the configuration again"});
+        this->reply(pending, {false, "unavailable", "the leader changed; send the request again"});
+    }
+}
+
+ConfigDecision ControlCore::tooFewDisks() const
+{
+    return {false, "unavailable",
+            fmt::format("{} processes with a disk hold the log, too few to bear the losses of {} processes and "
+                        "{} failure domains",
+                        this->log.voters().size(), this->options.tolerance.machines, this->options.tolerance.domains)};
+}
+
+void ControlCore::handleEvacuation(PendingApply pending, const wire::OrderEvacuation &order)
+{
+    pending.evacuatedDomain = order.failureDomain;
+    if (!this->decidesHere(pending, order)) {
+        return;
     }
+    const auto newest = this->stateMachine.evacuation(order.failureDomain);
+    if (newest.orderIndex == 0 && !this->isKnownDomain(order.failureDomain)) {
+        this->reply(
+            pending,
+            {false, "unknown-domain", fmt::format("no process of failure domain {} is known", order.failureDomain)});
+        return;
+    }
+    const bool isInForce = newest.active == order.active;
+    if (!(isInForce ? this->log.committedBearsLosses() : this->log.bearsLosses())) {
+        this->reply(pending, this->tooFewDisks());
+        return;
+    }
+    if (isInForce) {
+        this->reply(pending, {true, "accepted", describeEvacuation(newest)});
+        return;
+    }
+    const bool isForwarded = !pending.handler;
+    if (isForwarded && !order.__isset.expectedIndex) {
+        this->reply(pending, {false, "confirm", "send the order again with the index of the newest one"});
+        return;
+    }
+    wire::SetEvacuation setEvacuation;
+    setEvacuation.evacuation.failureDomain = order.failureDomain;
+    setEvacuation.evacuation.active = order.active;
+    setEvacuation.evacuation.author = order.author;
+    setEvacuation.evacuation.atMs = this->clock.wallMs();
+    setEvacuation.expectedIndex = isForwarded ? order.expectedIndex : newest.orderIndex;
+    wire::Command command;
+    command.__set_setEvacuation(setEvacuation);
+    this->proposeChange(std::move(pending), command, order.failureDomain.size() + order.author.size());
 }
 
-bool ControlCore::forwardToLeader(PendingApply &pending, const wire::ApplyConfig &request, const std::string &leader)
+bool ControlCore::isKnownDomain(const std::string &failureDomain) const
+{
+    const auto &named = this->options.failureDomains;
+    const auto &members = this->stateMachine.members();
+    return failureDomain == this->options.failureDomain
+        || std::find(named.begin(), named.end(), failureDomain) != named.end()
+        || std::any_of(members.begin(), members.end(),
+                       [&failureDomain](const auto &each) { return each.second.failureDomain == failureDomain; });
+}
+
+template<typename Request>
+bool ControlCore::forwardToLeader(PendingApply &pending, const Request &request, const std::string &leader)
 {
     const auto address = leader.empty() ? std::nullopt : this->peerAddress(leader);
     if (!pending.handler || !address) {
@@ -240,13 +313,24 @@
     }
     auto forwarded = request;
     forwarded.requestId = ++this->lastForwardedId;
-    this->forwardedApplies[forwarded.requestId] = {std::move(pending.handler), this->clock.now() + forwardTimeout};
+    ForwardedApply waiting {std::move(pending.handler), this->clock.now() + forwardTimeout, {}};
+    if constexpr (std::is_same_v<Request, wire::OrderEvacuation>) {
+        waiting.order = forwarded;
+    }
+    this->forwardedApplies[forwarded.requestId] = std::move(waiting);
     this->sink.send(*address, std::move(forwarded));
     return true;
 }
 
-void ControlCore::handleForwardedReply(const wire::ApplyReply &reply)
+void ControlCore::handleForwardedReply(const IncomingMessage &incoming, const wire::ApplyReply &reply)
 {
+    const auto found = this->forwardedApplies.find(reply.requestId);
+    if (found != this->forwardedApplies.end() && found->second.order && reply.code == "confirm") {
+        auto order = std::exchange(found->second.order, std::nullopt);
+        order->__set_expectedIndex(reply.orderIndex);
+        this->sink.send(incoming.address, std::move(*order));
+        return;
+    }
     const auto node = this->forwardedApplies.extract(reply.requestId);
     if (!node.empty()) {
         node.mapped().handler(
@@ -262,7 +346,7 @@
             ++each;
             continue;
         }
-        each->second.handler({{false, "unavailable", "the leader did not answer; send the configuration again"}, {}});
+        each->second.handler({{false, "unavailable", "the leader did not answer; send the request again"}, {}});
         each = this->forwardedApplies.erase(each);
     }
 }
@@ -278,6 +362,11 @@
     reply.accepted = decision.isAccepted;
     reply.code = decision.code;
     reply.message = decision.message;
+    if (pending.evacuatedDomain) {
+        reply.orderIndex = this->stateMachine.evacuation(*pending.evacuatedDomain).orderIndex;
+        this->sink.send(pending.address, std::move(reply));
+        return;
+    }
     reply.inForce = this->stateMachine.file();
     if (this->leadershipTerm != 0) {
         reply.lagging = this->members.lagging(reply.inForce.number);
@@ -351,9 +440,9 @@
     const auto pending = this->pendingApplies.find(entry.index);
     if (pending != this->pendingApplies.end()) {
         // The entry at the index is the proposed one, as this process has led without interruption since then.
-        this->reply(pending->second,
-                    decision.value_or(
-                        ConfigDecision {false, "unavailable", "the outcome is unknown; send the configuration again"}));
+        this->reply(
+            pending->second,
+            decision.value_or(ConfigDecision {false, "unavailable", "the outcome is unknown; send the request again"}));
         this->pendingApplies.erase(pending);
     }
 }
@@ -365,9 +454,8 @@
         return;
     }
     for (const auto &[index, pending] : std::exchange(this->pendingApplies, {})) {
-        this->reply(
-            pending,
-            {false, "unavailable", "the leader changed and the outcome is unknown; send the configuration again"});
+        this->reply(pending,
+                    {false, "unavailable", "the leader changed and the outcome is unknown; send the request again"});
     }
     this->leadershipTerm = term;
     this->members.reset();
--- a/src/control_core_p.h
+++ b/src/control_core_p.h
@@ -28,6 +28,8 @@
     bool mayBootstrap = true; ///< whether a process with an empty disk may take part in bootstrapping the group
     bool isObserver = false; ///< whether this process has no disk: it serves operators, but joins no group
     std::string failureDomain;
+    std::vector<std::string>
+        failureDomains; ///< known to exist, also while none of their processes has announced itself
     LossTolerance tolerance; ///< of an open group
     Millis voterReplacementTimeout = ControlLogOptions().voterReplacementTimeout;
     std::int64_t snapshotEntries = AGATEDRUM_CONTROL_SNAPSHOT_ENTRIES; ///< log entries after which a snapshot is taken
@@ -36,7 +38,7 @@
     std::uint64_t seed = 0; ///< seed of the election timeouts and id of a new disk; 0 for a random one
 };
 
-/// Answer to a configuration request that was made in this control process: the decision, or the current leader.
+/// Answer to a request of an operator that was made in this control process: the decision, or the current leader.
 struct LocalDecision
 {
     ConfigDecision decision; ///< code "not-leader" if another process leads, "unavailable" if not decided
@@ -79,6 +81,9 @@
     /// @param handler called once, on any thread, without the locks of this method's caller. This object's lock is held
     /// during the call.
     void applyLocal(const wire::ApplyConfig &request, LocalDecisionHandler handler);
+    /// Evacuates a failure domain or returns it to service, on behalf of an operator of this process. An order that is
+    /// in force already is accepted. Forwards and answers like applyLocal().
+    void orderEvacuationLocal(const wire::OrderEvacuation &order, LocalDecisionHandler handler);
     LocalConfig readConfig() const;
     /// Replaces the listed processes to contact. Only for an open group.
     void setContacts(const std::vector<ControlPeer> &peers);
@@ -93,28 +98,42 @@
     ControlState state() const;
 
 private:
-    /// A configuration request that has been proposed, or that is being decided.
+    /// A request of an operator that has been proposed, or that is being decided.
     struct PendingApply
     {
         std::int64_t requestId = 0;
         wire::Endpoint address;
-        std::string digest;
         LocalDecisionHandler handler; ///< set only if the request was made in this process
+        std::optional<std::string> evacuatedDomain; ///< set if the request is an order for this failure domain
     };
 
-    /// A configuration request of this process that was forwarded to the leader.
+    /// A request of this process that was forwarded to the leader.
     struct ForwardedApply
     {
         LocalDecisionHandler handler;
         Time expiresAt;
+        std::optional<wire::OrderEvacuation> order; ///< set until the leader has been asked to confirm it
     };
 
+    /// Answers the request if this process does not lead, or forwards it to the leader if it was made in this process.
+    /// @return true if this process leads, so that it has to decide the request
+    template<typename Request>
+    bool decidesHere(PendingApply &pending, const Request &request);
     /// Forwards a request of this process to the leader. @return false if that is not possible.
-    bool forwardToLeader(PendingApply &pending, const wire::ApplyConfig &request, const std::string &leader);
-    void handleForwardedReply(const wire::ApplyReply &reply);
+    template<typename Request>
+    bool forwardToLeader(PendingApply &pending, const Request &request, const std::string &leader);
+    void handleForwardedReply(const IncomingMessage &incoming, const wire::ApplyReply &reply);
     void expireForwarded();
     void handleHeartbeat(const IncomingMessage &incoming, const wire::MemberHeartbeat &heartbeat);
     void handleApply(PendingApply pending, const wire::ApplyConfig &request);
+    void handleEvacuation(PendingApply pending, const wire::OrderEvacuation &order);
+    /// Returns whether a member, a process of the group or the settings name the failure domain.
+    bool isKnownDomain(const std::string &failureDomain) const;
+    /// Returns the refusal of changes while too few disks hold the log.
+    ConfigDecision tooFewDisks() const;
+    /// Proposes the change, or refuses it if the disk has no space for it.
+    /// @param bytes size of the change
+    void proposeChange(PendingApply pending, const wire::Command &command, std::size_t bytes);
     void handleQuery(const IncomingMessage &incoming, const wire::ControlQuery &query);
     nlohmann::json answer(const wire::ControlQuery &query, bool &isOk) const;
     void reply(const PendingApply &pending, const ConfigDecision &decision);
--- a/src/control_query.cpp
+++ b/src/control_query.cpp
@@ -150,6 +150,17 @@
     return nullptr;
 }
 
+/// [{"failureDomain", "active", "author", "atMs"}]: the newest order for each failure domain that has had one.
+nlohmann::json describeEvacuations(const ControlState &state)
+{
+    auto list = nlohmann::json::array();
+    for (const auto &[domain, order] : state.evacuations()) {
+        list.push_back(
+            {{"failureDomain", domain}, {"active", order.active}, {"author", order.author}, {"atMs", order.atMs}});
+    }
+    return list;
+}
+
 } // namespace
 
 nlohmann::json ControlCore::answer(const wire::ControlQuery &query, bool &isOk) const
@@ -180,6 +191,9 @@
     if (query.kind == "history") {
         return describeHistory(this->stateMachine);
     }
+    if (query.kind == "evacuations") {
+        return describeEvacuations(this->stateMachine);
+    }
     if (query.kind == "acknowledged") {
         // {"number", "lagging": [name]}
         const auto number = this->stateMachine.file().number;
@@ -191,9 +205,10 @@
         return isOk ? config : nlohmann::json {{"error", "no such configuration, or its text is no longer kept"}};
     }
     isOk = false;
-    return {{"error",
-             fmt::format("unknown kind {}: must be overview, members, cells, history, acknowledged or config",
-                         query.kind)}};
+    return {
+        {"error",
+         fmt::format("unknown kind {}: must be overview, members, cells, history, acknowledged, evacuations or config",
+                     query.kind)}};
 }
 
 nlohmann::json ControlCore::dump() const
@@ -212,6 +227,7 @@
             {"diskFull", store.isFull},
             {"diskFailure", store.failure},
             {"configNumber", this->stateMachine.file().number},
+            {"evacuations", describeEvacuations(this->stateMachine)},
             {"members", describeMembers(this->stateMachine, this->members)},
             {"cells", describeCells(this->stateMachine)}};
 }
--- a/src/control_state.cpp
+++ b/src/control_state.cpp
@@ -42,11 +42,19 @@
 
 } // namespace
 
+std::string describeEvacuation(const wire::Evacuation &order)
+{
+    return fmt::format("failure domain {} is {}", order.failureDomain, order.active ? "evacuated" : "in service");
+}
+
 std::optional<ConfigDecision> ControlState::apply(std::int64_t index, const wire::Command &command)
 {
     if (command.__isset.setConfig) {
         return this->setConfig(index, command.setConfig.file);
     }
+    if (command.__isset.setEvacuation) {
+        return this->applyEvacuation(index, command.setEvacuation);
+    }
     if (command.__isset.memberJoin) {
         this->applyMemberJoin(index, command.memberJoin);
     } else if (command.__isset.memberGone) {
@@ -160,6 +168,43 @@
     }
 }
 
+// Evacuations.
+
+ConfigDecision ControlState::applyEvacuation(std::int64_t index, const wire::SetEvacuation &command)
+{
+    const auto &domain = command.evacuation.failureDomain;
+    if (command.expectedIndex != this->evacuation(domain).orderIndex) {
+        return {false, "superseded", fmt::format("another order for failure domain {} came in between", domain)};
+    }
+    auto &order = this->evacuationOrders[domain];
+    order = command.evacuation;
+    order.orderIndex = index;
+    this->evacuationsVersion = index;
+    return {true, "accepted", describeEvacuation(order)};
+}
+
+const std::map<std::string, wire::Evacuation> &ControlState::evacuations() const
+{
+    return this->evacuationOrders;
+}
+
+wire::Evacuation ControlState::evacuation(const std::string &failureDomain) const
+{
+    const auto found = this->evacuationOrders.find(failureDomain);
+    if (found != this->evacuationOrders.end()) {
+        return found->second;
+    }
+    wire::Evacuation none;
+    none.failureDomain = failureDomain;
+    return none;
+}
+
+bool ControlState::isEvacuated(const std::string &failureDomain) const
+{
+    const auto found = this->evacuationOrders.find(failureDomain);
+    return found != this->evacuationOrders.end() && found->second.active;
+}
+
 // Members.
 
 void ControlState::applyMemberJoin(std::int64_t index, const wire::MemberJoin &command)
@@ -318,7 +363,7 @@
     if (!found) {
         return 0;
     }
-    auto version = std::max(this->configVersion, found->version);
+    auto version = std::max({this->configVersion, this->evacuationsVersion, found->version});
     if (found->role == wire::Role::AGENT) {
         if (this->parsedConfig.routing) {
             version = std::max(version, this->entriesVersion);
@@ -344,6 +389,7 @@
     ref.id = found.id;
     ref.address = found.address;
     ref.failureDomain = found.failureDomain;
+    ref.evacuated = this->isEvacuated(found.failureDomain);
     return ref;
 }
 
@@ -383,6 +429,11 @@
     wire::ClusterView view;
     view.version = this->viewVersion(name);
     view.config = found.role == wire::Role::AGENT ? withoutText(this->file()) : this->file();
+    for (const auto &[domain, order] : this->evacuationOrders) {
+        if (order.active) {
+            view.evacuatedDomains.push_back(domain);
+        }
+    }
     if (found.role == wire::Role::AGENT) {
         if (this->parsedConfig.routing) {
             this->addEntries(view);
@@ -416,6 +467,10 @@
     image.configVersion = this->configVersion;
     image.routesVersion = this->routesVersion;
     image.entriesVersion = this->entriesVersion;
+    for (const auto &[domain, order] : this->evacuationOrders) {
+        image.evacuations.push_back(order);
+    }
+    image.evacuationsVersion = this->evacuationsVersion;
     return image;
 }
 
@@ -439,6 +494,10 @@
     this->configVersion = image.configVersion;
     this->routesVersion = image.routesVersion;
     this->entriesVersion = image.entriesVersion;
+    for (const auto &order : image.evacuations) {
+        this->evacuationOrders[order.failureDomain] = order;
+    }
+    this->evacuationsVersion = image.evacuationsVersion;
 }
 
 } // namespace agatedrum
--- a/src/control_state_p.h
+++ b/src/control_state_p.h
@@ -12,11 +12,13 @@
 
 namespace agatedrum {
 
-/// Decision on a configuration file.
+/// Decision on a configuration file or on an order of an operator.
 struct ConfigDecision
 {
     bool isAccepted = false;
-    std::string code; ///< "accepted", "conflict", "lower-number" or "invalid"
+    /// "accepted"; of a file also "conflict", "lower-number" or "invalid"; of an order also "unknown-domain" or
+    /// "superseded"
+    std::string code;
     std::string message;
 };
 
@@ -27,14 +29,18 @@
     std::set<std::string> agents;
 };
 
-/// The replicated state machine of the control group: configuration, members and cells. All replicas that apply the
-/// same commands must reach the same state, so this class uses neither clocks nor random numbers. Not thread-safe.
+/// Returns the state of a failure domain after the order, in words for operators. Thread-safe.
+std::string describeEvacuation(const wire::Evacuation &order);
+
+/// The replicated state machine of the control group: configuration, members, cells and evacuations. All replicas that
+/// apply the same commands must reach the same state, so this class uses neither clocks nor random numbers. Not
+/// thread-safe.
 class ControlState
 {
 public:
     /// Applies a committed command.
     /// @param index index of the command in the log.
-    /// @return the decision on a SetConfig command, else std::nullopt.
+    /// @return the decision on a SetConfig or SetEvacuation command, else std::nullopt.
     std::optional<ConfigDecision> apply(std::int64_t index, const wire::Command &command);
 
     /// Returns the decision that the file would get now, without applying it.
@@ -47,6 +53,10 @@
     const std::vector<wire::ConfigFile> &history() const;
     const std::map<std::string, wire::MemberRecord> &members() const;
     const std::map<std::int32_t, ControlCell> &cells() const;
+    /// Returns the newest order for each failure domain that has had one, by domain.
+    const std::map<std::string, wire::Evacuation> &evacuations() const;
+    /// Returns the newest order for the failure domain, or an inactive one with index 0 if there is none.
+    wire::Evacuation evacuation(const std::string &failureDomain) const;
     /// @return null if there is no such member.
     const wire::MemberRecord *member(const std::string &name) const;
 
@@ -78,6 +88,7 @@
     void applyMemberLeaving(std::int64_t index, const wire::MemberLeaving &command);
     void applyHolderWhole(std::int64_t index, const wire::HolderWhole &command);
     void applyHandOver(std::int64_t index, const wire::HandOver &command);
+    ConfigDecision applyEvacuation(std::int64_t index, const wire::SetEvacuation &command);
 
     // The parameter index is the log index of the command being applied; it becomes the version of what changes.
     void updateCells(std::int64_t index);
@@ -97,6 +108,7 @@
     std::size_t targetHolderCount(const wire::CellRecord &cell) const;
     bool isLiveOwner(const std::string &name, bool isLeavingAllowed) const;
 
+    bool isEvacuated(const std::string &failureDomain) const;
     wire::MemberRef makeMemberRef(const std::string &member) const;
     void addEntries(wire::ClusterView &view) const;
     wire::CellView cellView(const ControlCell &cell, bool withAgents) const;
@@ -105,10 +117,12 @@
     std::vector<wire::ConfigFile> acceptedFiles;
     std::map<std::string, wire::MemberRecord> memberRecords;
     std::map<std::int32_t, ControlCell> cellRecords;
+    std::map<std::string, wire::Evacuation> evacuationOrders; ///< the newest one, by failure domain
     std::int32_t nextCell = 0;
     std::int64_t configVersion = 0;
     std::int64_t routesVersion = 0; ///< newest change of any cell's epoch, owner, holders or existence
     std::int64_t entriesVersion = 0; ///< newest change of the list of entries
+    std::int64_t evacuationsVersion = 0; ///< newest change of the evacuated failure domains
 };
 
 } // namespace agatedrum
--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -2,6 +2,8 @@
 
 #include "base_event_p.h"
 
+#include <fmt/ranges.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -55,6 +57,7 @@
 {
     if (this->link.handle(incoming)) {
         this->updateRouting();
+        this->updateEvacuations();
         return;
     }
     Answers answers;
@@ -95,6 +98,20 @@
              {{"number", this->currentRouting->number}, {"routes", this->currentRouting->routes.size()}});
 }
 
+void DispatchCore::updateEvacuations()
+{
+    auto domains = this->link.evacuatedDomains();
+    const std::lock_guard lock(this->mutex);
+    if (domains == this->evacuatedDomains) {
+        return;
+    }
+    this->evacuatedDomains = std::move(domains);
+    this->mustReviewListening = true;
+    logEvent(
+        component, "evacuations",
+        {{"domains", fmt::format("{}", fmt::join(this->evacuatedDomains, ","))}, {"view", this->link.viewVersion()}});
+}
+
 void DispatchCore::apply(const IncomingMessage &incoming, const wire::HostReport &report)
 {
     const auto *known = this->hosts.find(incoming.sender.name);
@@ -193,6 +210,7 @@
         hosts.push_back({{"host", name},
                          {"service", host.report.serviceName},
                          {"accepting", host.report.accepting},
+                         {"evacuated", host.report.evacuated},
                          {"live", this->hosts.isLive(host, now)},
                          {"listening", this->listening.isListening(name)},
                          {"cpuMillis", host.report.capacity.cpuMillis},
@@ -223,6 +241,7 @@
               {"dispatch_tasks_lost_with_server_total", this->counters.serversLost},
               {"dispatch_jobs_given_up_total", this->counters.givenUp},
               {"dispatch_requests_held_for_hosts_total", this->counters.heldForHosts},
+              {"dispatch_domains_evacuated", this->evacuatedDomains.size()},
               {"dispatch_hosts_known", this->hosts.all().size()},
               {"dispatch_hosts_listened_to", this->listening.size()},
               {"dispatch_server_crashes_known", this->crashes.count()},
--- a/src/dispatch_core_jobs.cpp
+++ b/src/dispatch_core_jobs.cpp
@@ -183,7 +183,7 @@
 
 std::vector<HostCandidate> DispatchCore::candidatesFor(const Job &job) const
 {
-    auto candidates = this->hosts.candidates(job.service, this->clock.now());
+    auto candidates = this->hosts.candidates(job.service, this->evacuatedDomains, this->clock.now());
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
         const auto group = static_cast<std::size_t>(job.request.tasks[i].group);
         for (auto &candidate : candidates) {
--- a/src/dispatch_core_p.h
+++ b/src/dispatch_core_p.h
@@ -144,6 +144,8 @@
     };
 
     void updateRouting();
+    /// Applies the evacuated failure domains of the newest view.
+    void updateEvacuations();
     void apply(const IncomingMessage &incoming, const wire::HostReport &report);
     void apply(const IncomingMessage &incoming, const wire::TaskReports &message, Answers &answers);
     void apply(const IncomingMessage &incoming, const wire::StartsInDoubt &message);
@@ -226,6 +228,7 @@
     std::map<std::string, Job> jobs; ///< keyed by job id
     DispatchStops stops;
     DispatchDoubts doubts;
+    std::vector<std::string> evacuatedDomains; ///< by the newest view that was applied
     DispatchHosts hosts;
     DispatchListening listening;
     Time listeningReviewedAt;
--- a/src/dispatch_hosts.cpp
+++ b/src/dispatch_hosts.cpp
@@ -113,7 +113,8 @@
     return live;
 }
 
-std::vector<HostCandidate> DispatchHosts::candidates(const std::string &service, Time now) const
+std::vector<HostCandidate> DispatchHosts::candidates(const std::string &service,
+                                                     const std::vector<std::string> &evacuatedDomains, Time now) const
 {
     std::vector<HostCandidate> result;
     for (const auto &[name, host] : this->hosts) {
@@ -129,6 +130,7 @@
         candidate.slowness = std::max(0.05, host.report.slowness);
         candidate.failureShare = host.report.failureShare;
         candidate.labels = host.report.labels;
+        candidate.isEvacuated = host.report.evacuated || isEvacuated(evacuatedDomains, host.report.failureDomain);
         result.push_back(std::move(candidate));
     }
     return result;
--- a/src/dispatch_hosts_p.h
+++ b/src/dispatch_hosts_p.h
@@ -51,7 +51,9 @@
     std::vector<const DispatchHost *> relays(std::size_t count, const std::string &exceptHost, std::size_t seed,
                                              Time now) const;
     /// Returns the live hosts of the service that are accepting tasks.
-    std::vector<HostCandidate> candidates(const std::string &service, Time now) const;
+    /// @param evacuatedDomains evacuated failure domains, as control names them; hosts may report it earlier or later
+    std::vector<HostCandidate> candidates(const std::string &service, const std::vector<std::string> &evacuatedDomains,
+                                          Time now) const;
     const std::map<std::string, DispatchHost> &all() const
     {
         return this->hosts;
--- a/src/dispatch_listening.cpp
+++ b/src/dispatch_listening.cpp
@@ -22,6 +22,11 @@
 constexpr Millis askInterval {300}; ///< for a host that does not answer; longer than its interval of reports
 constexpr Millis lostAskInterval {1000}; ///< for a host that has not answered for some time
 
+bool mayRunTasks(const DispatchHost &host)
+{
+    return host.report.accepting && !host.report.evacuated;
+}
+
 } // namespace
 
 DispatchListening::DispatchListening(ListeningOptions options)
@@ -57,7 +62,7 @@
     std::vector<const DispatchHost *> unheard;
     std::size_t available = 0;
     for (const auto *host : this->rankedHosts(service, label, hosts)) {
-        if (hasLabel(host->report.labels, label) && host->report.accepting) {
+        if (hasLabel(host->report.labels, label) && mayRunTasks(*host)) {
             if (this->isListening(host->id.name)) {
                 available += this->isAvailable(*host, hosts, now) ? 1 : 0;
             } else {
@@ -79,7 +84,7 @@
     until = now + requiredTime;
     std::vector<const DispatchHost *> unheard;
     for (const auto *host : this->rankedHosts(service, std::to_string(now.time_since_epoch().count()), hosts)) {
-        if (host->report.accepting && !this->isListening(host->id.name)) {
+        if (mayRunTasks(*host) && !this->isListening(host->id.name)) {
             unheard.push_back(host);
         }
     }
@@ -123,7 +128,7 @@
 
 bool DispatchListening::isAvailable(const DispatchHost &host, const DispatchHosts &hosts, Time now) const
 {
-    if (!host.report.accepting) {
+    if (!mayRunTasks(host)) {
         return false;
     }
     const auto found = this->listened.find(host.id.name);
--- a/src/dispatch_placement.cpp
+++ b/src/dispatch_placement.cpp
@@ -34,7 +34,8 @@
 
 bool canRun(const TaskRequest &task, const HostCandidate &candidate)
 {
-    return unmetNeed(task, candidate.capacity, candidate.labels, groupCount(candidate, task.group)).empty();
+    const ServerOffer offer {candidate.capacity, candidate.labels, candidate.isEvacuated};
+    return unmetNeed(task, offer, groupCount(candidate, task.group)).empty();
 }
 
 /// Returns the run time factor of the task at the host, for the way to its data.
--- a/src/dispatch_placement_p.h
+++ b/src/dispatch_placement_p.h
@@ -18,6 +18,7 @@
     double slowness = 1.0;
     double failureShare = 0.0;
     std::vector<std::string> labels;
+    bool isEvacuated = false; ///< its failure domain is evacuated
     std::vector<int> groupTasks; ///< number of the job's tasks placed at the host, indexed by group
 };
 
--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -109,6 +109,44 @@
          {"inForce", inForce}});
 }
 
+HttpResponse evacuationResponse(const wire::ApplyReply &answer)
+{
+    if (answer.accepted) {
+        return jsonResponse(200, {{"accepted", true}, {"message", answer.message}});
+    }
+    // Only an unknown domain rules out that an earlier attempt was accepted and its reply lost.
+    const bool notRun = answer.code == "unknown-domain";
+    const int status = notRun ? 404 : (answer.code == "superseded" ? 409 : 503);
+    return jsonResponse(status,
+                        {{"error",
+                          {{"code", answer.code},
+                           {"message", answer.message},
+                           {"field", ""},
+                           {"notRun", notRun},
+                           {"retryAfterMs", 0}}}});
+}
+
+void orderEvacuation(EntryCore &core, bool isActive, const HttpRequest &request, const HttpReply &reply)
+{
+    auto requestError = checkQueryParameters(request, {"author"});
+    const auto &domain = request.parameters.at("failureDomain");
+    const auto author = queryParameter(request, "author");
+    const std::initializer_list<std::pair<const char *, const std::string *>> names
+        = {{"failureDomain", &domain}, {"author", &author}};
+    for (const auto &[field, name] : names) {
+        if (const auto message = checkDecodedName(*name); !requestError && !message.empty()) {
+            requestError = ApiError {field, message};
+        }
+    }
+    if (requestError) {
+        reply(apiErrorResponse(*requestError));
+        return;
+    }
+    core.orderEvacuation(domain, isActive, author, [reply](const Result<wire::ApplyReply, wire::Refusal> &answer) {
+        reply(isOk(answer) ? evacuationResponse(value(answer)) : refusalResponse(error(answer)));
+    });
+}
+
 void apply(EntryCore &core, const HttpRequest &request, const HttpReply &reply)
 {
     auto requestError = checkQueryParameters(request, {"author", "dryRun"});
@@ -210,6 +248,15 @@
           });
     route("POST", "/v1/configuration", &apply);
     route("GET", "/v1/configuration", &getConfiguration);
+    route("POST", "/v1/evacuations/:failureDomain",
+          [](EntryCore &target, const HttpRequest &request, const HttpReply &reply) {
+              orderEvacuation(target, true, request, reply);
+          });
+    route("DELETE", "/v1/evacuations/:failureDomain",
+          [](EntryCore &target, const HttpRequest &request, const HttpReply &reply) {
+              orderEvacuation(target, false, request, reply);
+          });
+    server.route("GET", "/v1/evacuations", controlQueryHandler(core, "evacuations"));
     server.route("GET", "/v1/configuration/history", controlQueryHandler(core, "history"));
     server.route("GET", "/v1/configuration/acknowledged", controlQueryHandler(core, "acknowledged"));
     server.route("GET", "/v1/overview", controlQueryHandler(core, "overview"));
--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -14,6 +14,7 @@
 constexpr Millis resendDelay {1000};
 constexpr Millis retryDelay {100};
 constexpr std::string_view notLeader = "not-leader";
+constexpr std::string_view mustConfirm = "confirm";
 constexpr std::string_view unavailable = "unavailable"; // no decision was made; resending the same file is safe
 
 void refuse(const ControlReplyHandler &reply, const wire::Refusal &refusal)
@@ -43,6 +44,11 @@
     this->start({std::move(message), std::move(reply), {}, {}, {}});
 }
 
+void EntryControl::orderEvacuation(wire::OrderEvacuation message, ApplyHandler reply)
+{
+    this->start({std::move(message), std::move(reply), {}, {}, {}});
+}
+
 void EntryControl::start(ControlCall call)
 {
     const auto now = this->clock.now();
@@ -70,8 +76,25 @@
     return std::min(call.nextSendAt, call.timeoutAt);
 }
 
+void EntryControl::confirm(const wire::ApplyReply &message)
+{
+    const auto now = this->clock.now();
+    this->calls.update(message.requestId, [this, &message, now](ControlCall &call) {
+        auto *order = std::get_if<wire::OrderEvacuation>(&call.message);
+        if (order != nullptr && !order->__isset.expectedIndex) {
+            order->__set_expectedIndex(message.orderIndex);
+            return this->send(message.requestId, call, now);
+        }
+        return std::min(call.nextSendAt, call.timeoutAt);
+    });
+}
+
 void EntryControl::handleApplyReply(const wire::ApplyReply &message)
 {
+    if (message.code == mustConfirm) {
+        this->confirm(message);
+        return;
+    }
     if (message.code == notLeader || message.code == unavailable) {
         this->scheduleRetry(message.requestId, message.code == unavailable ? &message : nullptr);
         return;
--- a/src/entry_control_p.h
+++ b/src/entry_control_p.h
@@ -13,7 +13,7 @@
 /// A request that is waiting for the control group's answer.
 struct ControlCall
 {
-    std::variant<wire::ApplyConfig, wire::ControlQuery> message;
+    std::variant<wire::ApplyConfig, wire::ControlQuery, wire::OrderEvacuation> message;
     ControlReplyHandler reply;
     Time timeoutAt; ///< when the request times out
     Time nextSendAt;
@@ -31,6 +31,7 @@
 
     void apply(wire::ApplyConfig message, ApplyHandler reply);
     void query(wire::ControlQuery message, ControlHandler reply);
+    void orderEvacuation(wire::OrderEvacuation message, ApplyHandler reply);
     void handleApplyReply(const wire::ApplyReply &message);
     void handleQueryAnswer(const wire::ControlAnswer &message);
     void tick();
@@ -40,6 +41,8 @@
 private:
     void start(ControlCall call);
     Time send(std::int64_t id, ControlCall &call, Time now);
+    /// Resends an order with the index of the newest one for its failure domain, as the leader has asked for.
+    void confirm(const wire::ApplyReply &message);
     void scheduleRetry(std::int64_t id, const wire::ApplyReply *undecidedReply);
 
     MessageSinkI &sink;
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -90,6 +90,16 @@
     this->impl->control.apply(std::move(message), std::move(reply));
 }
 
+void EntryCore::orderEvacuation(const std::string &failureDomain, bool isActive, const std::string &author,
+                                ApplyHandler reply)
+{
+    wire::OrderEvacuation message;
+    message.failureDomain = failureDomain;
+    message.active = isActive;
+    message.author = author;
+    this->impl->control.orderEvacuation(std::move(message), std::move(reply));
+}
+
 void EntryCore::controlQuery(const std::string &kind, const std::string &argument, ControlHandler reply)
 {
     wire::ControlQuery message;
--- a/src/entry_core_p.h
+++ b/src/entry_core_p.h
@@ -49,6 +49,9 @@
 
     /// Sends a configuration file to the control group, to be applied or, in a dry run, only checked.
     void apply(const std::string &text, const std::string &author, bool isDryRun, ApplyHandler reply);
+    /// Orders the control group to evacuate a failure domain, or to return it to service.
+    void orderEvacuation(const std::string &failureDomain, bool isActive, const std::string &author,
+                         ApplyHandler reply);
     /// Sends a query to the control group. See ControlQuery in the message definitions.
     void controlQuery(const std::string &kind, const std::string &argument, ControlHandler reply);
 
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -6397,6 +6397,10 @@
 void HostReport::__set_acceptingMicros(const int64_t val) {
   this->acceptingMicros = val;
 }
+
+void HostReport::__set_evacuated(const bool val) {
+  this->evacuated = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -6597,6 +6601,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->evacuated);
+          this->__isset.evacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6706,6 +6718,10 @@
   xfer += oprot->writeI64(this->acceptingMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_BOOL, 24);
+  xfer += oprot->writeBool(this->evacuated);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6730,6 +6746,7 @@
   swap(a.summary, b.summary);
   swap(a.entryCount, b.entryCount);
   swap(a.acceptingMicros, b.acceptingMicros);
+  swap(a.evacuated, b.evacuated);
   swap(a.__isset, b.__isset);
 }
 
@@ -6751,6 +6768,7 @@
   summary = other260.summary;
   entryCount = other260.entryCount;
   acceptingMicros = other260.acceptingMicros;
+  evacuated = other260.evacuated;
   __isset = other260.__isset;
 }
 HostReport::HostReport(HostReport&& other261) noexcept {
@@ -6771,6 +6789,7 @@
   summary = other261.summary;
   entryCount = other261.entryCount;
   acceptingMicros = other261.acceptingMicros;
+  evacuated = other261.evacuated;
   __isset = other261.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other262) {
@@ -6791,6 +6810,7 @@
   summary = other262.summary;
   entryCount = other262.entryCount;
   acceptingMicros = other262.acceptingMicros;
+  evacuated = other262.evacuated;
   __isset = other262.__isset;
   return *this;
 }
@@ -6812,6 +6832,7 @@
   summary = other263.summary;
   entryCount = other263.entryCount;
   acceptingMicros = other263.acceptingMicros;
+  evacuated = other263.evacuated;
   __isset = other263.__isset;
   return *this;
 }
@@ -6835,6 +6856,7 @@
   out << ", " << "summary=" << to_string(summary);
   out << ", " << "entryCount=" << to_string(entryCount);
   out << ", " << "acceptingMicros=" << to_string(acceptingMicros);
+  out << ", " << "evacuated=" << to_string(evacuated);
   out << ")";
 }
 
@@ -9297,6 +9319,10 @@
 void MemberRef::__set_failureDomain(const std::string& val) {
   this->failureDomain = val;
 }
+
+void MemberRef::__set_evacuated(const bool val) {
+  this->evacuated = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberRef& obj)
 {
   obj.printTo(out);
@@ -9349,6 +9375,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->evacuated);
+          this->__isset.evacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9378,6 +9412,10 @@
   xfer += oprot->writeString(this->failureDomain);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->evacuated);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9388,6 +9426,7 @@
   swap(a.id, b.id);
   swap(a.address, b.address);
   swap(a.failureDomain, b.failureDomain);
+  swap(a.evacuated, b.evacuated);
   swap(a.__isset, b.__isset);
 }
 
@@ -9395,18 +9434,21 @@
   id = other358.id;
   address = other358.address;
   failureDomain = other358.failureDomain;
+  evacuated = other358.evacuated;
   __isset = other358.__isset;
 }
 MemberRef::MemberRef(MemberRef&& other359) noexcept {
   id = std::move(other359.id);
   address = std::move(other359.address);
   failureDomain = std::move(other359.failureDomain);
+  evacuated = other359.evacuated;
   __isset = other359.__isset;
 }
 MemberRef& MemberRef::operator=(const MemberRef& other360) {
   id = other360.id;
   address = other360.address;
   failureDomain = other360.failureDomain;
+  evacuated = other360.evacuated;
   __isset = other360.__isset;
   return *this;
 }
@@ -9414,6 +9456,7 @@
   id = std::move(other361.id);
   address = std::move(other361.address);
   failureDomain = std::move(other361.failureDomain);
+  evacuated = other361.evacuated;
   __isset = other361.__isset;
   return *this;
 }
@@ -9423,6 +9466,7 @@
   out << "id=" << to_string(id);
   out << ", " << "address=" << to_string(address);
   out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "evacuated=" << to_string(evacuated);
   out << ")";
 }
 
@@ -9936,6 +9980,10 @@
 void ClusterView::__set_entries(const std::vector<MemberRef> & val) {
   this->entries = val;
 }
+
+void ClusterView::__set_evacuatedDomains(const std::vector<std::string> & val) {
+  this->evacuatedDomains = val;
+}
 std::ostream& operator<<(std::ostream& out, const ClusterView& obj)
 {
   obj.printTo(out);
@@ -10028,6 +10076,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuatedDomains.clear();
+            uint32_t _size392;
+            ::apache::thrift::protocol::TType _etype395;
+            xfer += iprot->readListBegin(_etype395, _size392);
+            this->evacuatedDomains.resize(_size392);
+            uint32_t _i396;
+            for (_i396 = 0; _i396 < _size392; ++_i396)
+            {
+              xfer += iprot->readString(this->evacuatedDomains[_i396]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuatedDomains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10056,10 +10124,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellView> ::const_iterator _iter392;
-    for (_iter392 = this->cells.begin(); _iter392 != this->cells.end(); ++_iter392)
+    std::vector<CellView> ::const_iterator _iter397;
+    for (_iter397 = this->cells.begin(); _iter397 != this->cells.end(); ++_iter397)
     {
-      xfer += (*_iter392).write(oprot);
+      xfer += (*_iter397).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10072,10 +10140,22 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<MemberRef> ::const_iterator _iter393;
-    for (_iter393 = this->entries.begin(); _iter393 != this->entries.end(); ++_iter393)
+    std::vector<MemberRef> ::const_iterator _iter398;
+    for (_iter398 = this->entries.begin(); _iter398 != this->entries.end(); ++_iter398)
+    {
+      xfer += (*_iter398).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuatedDomains", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evacuatedDomains.size()));
+    std::vector<std::string> ::const_iterator _iter399;
+    for (_iter399 = this->evacuatedDomains.begin(); _iter399 != this->evacuatedDomains.end(); ++_iter399)
     {
-      xfer += (*_iter393).write(oprot);
+      xfer += oprot->writeString((*_iter399));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10093,41 +10173,46 @@
   swap(a.cells, b.cells);
   swap(a.term, b.term);
   swap(a.entries, b.entries);
+  swap(a.evacuatedDomains, b.evacuatedDomains);
   swap(a.__isset, b.__isset);
 }
 
-ClusterView::ClusterView(const ClusterView& other394) {
-  version = other394.version;
-  config = other394.config;
-  cells = other394.cells;
-  term = other394.term;
-  entries = other394.entries;
-  __isset = other394.__isset;
-}
-ClusterView::ClusterView(ClusterView&& other395) noexcept {
-  version = other395.version;
-  config = std::move(other395.config);
-  cells = std::move(other395.cells);
-  term = other395.term;
-  entries = std::move(other395.entries);
-  __isset = other395.__isset;
-}
-ClusterView& ClusterView::operator=(const ClusterView& other396) {
-  version = other396.version;
-  config = other396.config;
-  cells = other396.cells;
-  term = other396.term;
-  entries = other396.entries;
-  __isset = other396.__isset;
+ClusterView::ClusterView(const ClusterView& other400) {
+  version = other400.version;
+  config = other400.config;
+  cells = other400.cells;
+  term = other400.term;
+  entries = other400.entries;
+  evacuatedDomains = other400.evacuatedDomains;
+  __isset = other400.__isset;
+}
+ClusterView::ClusterView(ClusterView&& other401) noexcept {
+  version = other401.version;
+  config = std::move(other401.config);
+  cells = std::move(other401.cells);
+  term = other401.term;
+  entries = std::move(other401.entries);
+  evacuatedDomains = std::move(other401.evacuatedDomains);
+  __isset = other401.__isset;
+}
+ClusterView& ClusterView::operator=(const ClusterView& other402) {
+  version = other402.version;
+  config = other402.config;
+  cells = other402.cells;
+  term = other402.term;
+  entries = other402.entries;
+  evacuatedDomains = other402.evacuatedDomains;
+  __isset = other402.__isset;
   return *this;
 }
-ClusterView& ClusterView::operator=(ClusterView&& other397) noexcept {
-  version = other397.version;
-  config = std::move(other397.config);
-  cells = std::move(other397.cells);
-  term = other397.term;
-  entries = std::move(other397.entries);
-  __isset = other397.__isset;
+ClusterView& ClusterView::operator=(ClusterView&& other403) noexcept {
+  version = other403.version;
+  config = std::move(other403.config);
+  cells = std::move(other403.cells);
+  term = other403.term;
+  entries = std::move(other403.entries);
+  evacuatedDomains = std::move(other403.evacuatedDomains);
+  __isset = other403.__isset;
   return *this;
 }
 void ClusterView::printTo(std::ostream& out) const {
@@ -10138,6 +10223,7 @@
   out << ", " << "cells=" << to_string(cells);
   out << ", " << "term=" << to_string(term);
   out << ", " << "entries=" << to_string(entries);
+  out << ", " << "evacuatedDomains=" << to_string(evacuatedDomains);
   out << ")";
 }
 
@@ -10285,38 +10371,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ApplyConfig::ApplyConfig(const ApplyConfig& other398) {
-  requestId = other398.requestId;
-  text = other398.text;
-  author = other398.author;
-  dryRun = other398.dryRun;
-  ignoreIfNotHigher = other398.ignoreIfNotHigher;
-  __isset = other398.__isset;
-}
-ApplyConfig::ApplyConfig(ApplyConfig&& other399) noexcept {
-  requestId = other399.requestId;
-  text = std::move(other399.text);
-  author = std::move(other399.author);
-  dryRun = other399.dryRun;
-  ignoreIfNotHigher = other399.ignoreIfNotHigher;
-  __isset = other399.__isset;
-}
-ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other400) {
-  requestId = other400.requestId;
-  text = other400.text;
-  author = other400.author;
-  dryRun = other400.dryRun;
-  ignoreIfNotHigher = other400.ignoreIfNotHigher;
-  __isset = other400.__isset;
+ApplyConfig::ApplyConfig(const ApplyConfig& other404) {
+  requestId = other404.requestId;
+  text = other404.text;
+  author = other404.author;
+  dryRun = other404.dryRun;
+  ignoreIfNotHigher = other404.ignoreIfNotHigher;
+  __isset = other404.__isset;
+}
+ApplyConfig::ApplyConfig(ApplyConfig&& other405) noexcept {
+  requestId = other405.requestId;
+  text = std::move(other405.text);
+  author = std::move(other405.author);
+  dryRun = other405.dryRun;
+  ignoreIfNotHigher = other405.ignoreIfNotHigher;
+  __isset = other405.__isset;
+}
+ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other406) {
+  requestId = other406.requestId;
+  text = other406.text;
+  author = other406.author;
+  dryRun = other406.dryRun;
+  ignoreIfNotHigher = other406.ignoreIfNotHigher;
+  __isset = other406.__isset;
   return *this;
 }
-ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other401) noexcept {
-  requestId = other401.requestId;
-  text = std::move(other401.text);
-  author = std::move(other401.author);
-  dryRun = other401.dryRun;
-  ignoreIfNotHigher = other401.ignoreIfNotHigher;
-  __isset = other401.__isset;
+ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other407) noexcept {
+  requestId = other407.requestId;
+  text = std::move(other407.text);
+  author = std::move(other407.author);
+  dryRun = other407.dryRun;
+  ignoreIfNotHigher = other407.ignoreIfNotHigher;
+  __isset = other407.__isset;
   return *this;
 }
 void ApplyConfig::printTo(std::ostream& out) const {
@@ -10331,6 +10417,197 @@
 }
 
 
+OrderEvacuation::~OrderEvacuation() noexcept {
+}
+
+
+void OrderEvacuation::__set_requestId(const int64_t val) {
+  this->requestId = val;
+}
+
+void OrderEvacuation::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void OrderEvacuation::__set_active(const bool val) {
+  this->active = val;
+}
+
+void OrderEvacuation::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void OrderEvacuation::__set_expectedIndex(const int64_t val) {
+  this->expectedIndex = val;
+__isset.expectedIndex = true;
+}
+std::ostream& operator<<(std::ostream& out, const OrderEvacuation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OrderEvacuation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requestId);
+          this->__isset.requestId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->active);
+          this->__isset.active = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expectedIndex);
+          this->__isset.expectedIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OrderEvacuation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OrderEvacuation");
+
+  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->requestId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("active", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->active);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.expectedIndex) {
+    xfer += oprot->writeFieldBegin("expectedIndex", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->expectedIndex);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OrderEvacuation &a, OrderEvacuation &b) {
+  using ::std::swap;
+  swap(a.requestId, b.requestId);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.active, b.active);
+  swap(a.author, b.author);
+  swap(a.expectedIndex, b.expectedIndex);
+  swap(a.__isset, b.__isset);
+}
+
+OrderEvacuation::OrderEvacuation(const OrderEvacuation& other408) {
+  requestId = other408.requestId;
+  failureDomain = other408.failureDomain;
+  active = other408.active;
+  author = other408.author;
+  expectedIndex = other408.expectedIndex;
+  __isset = other408.__isset;
+}
+OrderEvacuation::OrderEvacuation(OrderEvacuation&& other409) noexcept {
+  requestId = other409.requestId;
+  failureDomain = std::move(other409.failureDomain);
+  active = other409.active;
+  author = std::move(other409.author);
+  expectedIndex = other409.expectedIndex;
+  __isset = other409.__isset;
+}
+OrderEvacuation& OrderEvacuation::operator=(const OrderEvacuation& other410) {
+  requestId = other410.requestId;
+  failureDomain = other410.failureDomain;
+  active = other410.active;
+  author = other410.author;
+  expectedIndex = other410.expectedIndex;
+  __isset = other410.__isset;
+  return *this;
+}
+OrderEvacuation& OrderEvacuation::operator=(OrderEvacuation&& other411) noexcept {
+  requestId = other411.requestId;
+  failureDomain = std::move(other411.failureDomain);
+  active = other411.active;
+  author = std::move(other411.author);
+  expectedIndex = other411.expectedIndex;
+  __isset = other411.__isset;
+  return *this;
+}
+void OrderEvacuation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OrderEvacuation(";
+  out << "requestId=" << to_string(requestId);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "active=" << to_string(active);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "expectedIndex="; (__isset.expectedIndex ? (out << to_string(expectedIndex)) : (out << "<null>"));
+  out << ")";
+}
+
+
 ApplyReply::~ApplyReply() noexcept {
 }
 
@@ -10358,6 +10635,10 @@
 void ApplyReply::__set_lagging(const std::vector<std::string> & val) {
   this->lagging = val;
 }
+
+void ApplyReply::__set_orderIndex(const int64_t val) {
+  this->orderIndex = val;
+}
 std::ostream& operator<<(std::ostream& out, const ApplyReply& obj)
 {
   obj.printTo(out);
@@ -10430,14 +10711,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lagging.clear();
-            uint32_t _size402;
-            ::apache::thrift::protocol::TType _etype405;
-            xfer += iprot->readListBegin(_etype405, _size402);
-            this->lagging.resize(_size402);
-            uint32_t _i406;
-            for (_i406 = 0; _i406 < _size402; ++_i406)
+            uint32_t _size412;
+            ::apache::thrift::protocol::TType _etype415;
+            xfer += iprot->readListBegin(_etype415, _size412);
+            this->lagging.resize(_size412);
+            uint32_t _i416;
+            for (_i416 = 0; _i416 < _size412; ++_i416)
             {
-              xfer += iprot->readString(this->lagging[_i406]);
+              xfer += iprot->readString(this->lagging[_i416]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10446,6 +10727,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->orderIndex);
+          this->__isset.orderIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10486,15 +10775,19 @@
   xfer += oprot->writeFieldBegin("lagging", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lagging.size()));
-    std::vector<std::string> ::const_iterator _iter407;
-    for (_iter407 = this->lagging.begin(); _iter407 != this->lagging.end(); ++_iter407)
+    std::vector<std::string> ::const_iterator _iter417;
+    for (_iter417 = this->lagging.begin(); _iter417 != this->lagging.end(); ++_iter417)
     {
-      xfer += oprot->writeString((*_iter407));
+      xfer += oprot->writeString((*_iter417));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("orderIndex", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->orderIndex);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10508,45 +10801,50 @@
   swap(a.message, b.message);
   swap(a.inForce, b.inForce);
   swap(a.lagging, b.lagging);
+  swap(a.orderIndex, b.orderIndex);
   swap(a.__isset, b.__isset);
 }
 
-ApplyReply::ApplyReply(const ApplyReply& other408) {
-  requestId = other408.requestId;
-  accepted = other408.accepted;
-  code = other408.code;
-  message = other408.message;
-  inForce = other408.inForce;
-  lagging = other408.lagging;
-  __isset = other408.__isset;
+ApplyReply::ApplyReply(const ApplyReply& other418) {
+  requestId = other418.requestId;
+  accepted = other418.accepted;
+  code = other418.code;
+  message = other418.message;
+  inForce = other418.inForce;
+  lagging = other418.lagging;
+  orderIndex = other418.orderIndex;
+  __isset = other418.__isset;
 }
-ApplyReply::ApplyReply(ApplyReply&& other409) noexcept {
-  requestId = other409.requestId;
-  accepted = other409.accepted;
-  code = std::move(other409.code);
-  message = std::move(other409.message);
-  inForce = std::move(other409.inForce);
-  lagging = std::move(other409.lagging);
-  __isset = other409.__isset;
+ApplyReply::ApplyReply(ApplyReply&& other419) noexcept {
+  requestId = other419.requestId;
+  accepted = other419.accepted;
+  code = std::move(other419.code);
+  message = std::move(other419.message);
+  inForce = std::move(other419.inForce);
+  lagging = std::move(other419.lagging);
+  orderIndex = other419.orderIndex;
+  __isset = other419.__isset;
 }
-ApplyReply& ApplyReply::operator=(const ApplyReply& other410) {
-  requestId = other410.requestId;
-  accepted = other410.accepted;
-  code = other410.code;
-  message = other410.message;
-  inForce = other410.inForce;
-  lagging = other410.lagging;
-  __isset = other410.__isset;
+ApplyReply& ApplyReply::operator=(const ApplyReply& other420) {
+  requestId = other420.requestId;
+  accepted = other420.accepted;
+  code = other420.code;
+  message = other420.message;
+  inForce = other420.inForce;
+  lagging = other420.lagging;
+  orderIndex = other420.orderIndex;
+  __isset = other420.__isset;
   return *this;
 }
-ApplyReply& ApplyReply::operator=(ApplyReply&& other411) noexcept {
-  requestId = other411.requestId;
-  accepted = other411.accepted;
-  code = std::move(other411.code);
-  message = std::move(other411.message);
-  inForce = std::move(other411.inForce);
-  lagging = std::move(other411.lagging);
-  __isset = other411.__isset;
+ApplyReply& ApplyReply::operator=(ApplyReply&& other421) noexcept {
+  requestId = other421.requestId;
+  accepted = other421.accepted;
+  code = std::move(other421.code);
+  message = std::move(other421.message);
+  inForce = std::move(other421.inForce);
+  lagging = std::move(other421.lagging);
+  orderIndex = other421.orderIndex;
+  __isset = other421.__isset;
   return *this;
 }
 void ApplyReply::printTo(std::ostream& out) const {
@@ -10558,6 +10856,7 @@
   out << ", " << "message=" << to_string(message);
   out << ", " << "inForce=" << to_string(inForce);
   out << ", " << "lagging=" << to_string(lagging);
+  out << ", " << "orderIndex=" << to_string(orderIndex);
   out << ")";
 }
 
@@ -10671,30 +10970,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlQuery::ControlQuery(const ControlQuery& other412) {
-  requestId = other412.requestId;
-  kind = other412.kind;
-  argument = other412.argument;
-  __isset = other412.__isset;
+ControlQuery::ControlQuery(const ControlQuery& other422) {
+  requestId = other422.requestId;
+  kind = other422.kind;
+  argument = other422.argument;
+  __isset = other422.__isset;
 }
-ControlQuery::ControlQuery(ControlQuery&& other413) noexcept {
-  requestId = other413.requestId;
-  kind = std::move(other413.kind);
-  argument = std::move(other413.argument);
-  __isset = other413.__isset;
+ControlQuery::ControlQuery(ControlQuery&& other423) noexcept {
+  requestId = other423.requestId;
+  kind = std::move(other423.kind);
+  argument = std::move(other423.argument);
+  __isset = other423.__isset;
 }
-ControlQuery& ControlQuery::operator=(const ControlQuery& other414) {
-  requestId = other414.requestId;
-  kind = other414.kind;
-  argument = other414.argument;
-  __isset = other414.__isset;
+ControlQuery& ControlQuery::operator=(const ControlQuery& other424) {
+  requestId = other424.requestId;
+  kind = other424.kind;
+  argument = other424.argument;
+  __isset = other424.__isset;
   return *this;
 }
-ControlQuery& ControlQuery::operator=(ControlQuery&& other415) noexcept {
-  requestId = other415.requestId;
-  kind = std::move(other415.kind);
-  argument = std::move(other415.argument);
-  __isset = other415.__isset;
+ControlQuery& ControlQuery::operator=(ControlQuery&& other425) noexcept {
+  requestId = other425.requestId;
+  kind = std::move(other425.kind);
+  argument = std::move(other425.argument);
+  __isset = other425.__isset;
   return *this;
 }
 void ControlQuery::printTo(std::ostream& out) const {
@@ -10816,30 +11115,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlAnswer::ControlAnswer(const ControlAnswer& other416) {
-  requestId = other416.requestId;
-  ok = other416.ok;
-  json = other416.json;
-  __isset = other416.__isset;
+ControlAnswer::ControlAnswer(const ControlAnswer& other426) {
+  requestId = other426.requestId;
+  ok = other426.ok;
+  json = other426.json;
+  __isset = other426.__isset;
 }
-ControlAnswer::ControlAnswer(ControlAnswer&& other417) noexcept {
-  requestId = other417.requestId;
-  ok = other417.ok;
-  json = std::move(other417.json);
-  __isset = other417.__isset;
+ControlAnswer::ControlAnswer(ControlAnswer&& other427) noexcept {
+  requestId = other427.requestId;
+  ok = other427.ok;
+  json = std::move(other427.json);
+  __isset = other427.__isset;
 }
-ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other418) {
-  requestId = other418.requestId;
-  ok = other418.ok;
-  json = other418.json;
-  __isset = other418.__isset;
+ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other428) {
+  requestId = other428.requestId;
+  ok = other428.ok;
+  json = other428.json;
+  __isset = other428.__isset;
   return *this;
 }
-ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other419) noexcept {
-  requestId = other419.requestId;
-  ok = other419.ok;
-  json = std::move(other419.json);
-  __isset = other419.__isset;
+ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other429) noexcept {
+  requestId = other429.requestId;
+  ok = other429.ok;
+  json = std::move(other429.json);
+  __isset = other429.__isset;
   return *this;
 }
 void ControlAnswer::printTo(std::ostream& out) const {
@@ -10961,30 +11260,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other420) {
-  index = other420.index;
-  term = other420.term;
-  command = other420.command;
-  __isset = other420.__isset;
+LogEntry::LogEntry(const LogEntry& other430) {
+  index = other430.index;
+  term = other430.term;
+  command = other430.command;
+  __isset = other430.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other421) noexcept {
-  index = other421.index;
-  term = other421.term;
-  command = std::move(other421.command);
-  __isset = other421.__isset;
+LogEntry::LogEntry(LogEntry&& other431) noexcept {
+  index = other431.index;
+  term = other431.term;
+  command = std::move(other431.command);
+  __isset = other431.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other422) {
-  index = other422.index;
-  term = other422.term;
-  command = other422.command;
-  __isset = other422.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other432) {
+  index = other432.index;
+  term = other432.term;
+  command = other432.command;
+  __isset = other432.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other423) noexcept {
-  index = other423.index;
-  term = other423.term;
-  command = std::move(other423.command);
-  __isset = other423.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other433) noexcept {
+  index = other433.index;
+  term = other433.term;
+  command = std::move(other433.command);
+  __isset = other433.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -11208,54 +11507,54 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestVote::RequestVote(const RequestVote& other424) {
-  term = other424.term;
-  lastIndex = other424.lastIndex;
-  lastTerm = other424.lastTerm;
-  preVote = other424.preVote;
-  member = other424.member;
-  group = other424.group;
-  transfer = other424.transfer;
-  failureDomain = other424.failureDomain;
-  observer = other424.observer;
-  __isset = other424.__isset;
-}
-RequestVote::RequestVote(RequestVote&& other425) noexcept {
-  term = other425.term;
-  lastIndex = other425.lastIndex;
-  lastTerm = other425.lastTerm;
-  preVote = other425.preVote;
-  member = std::move(other425.member);
-  group = std::move(other425.group);
-  transfer = other425.transfer;
-  failureDomain = std::move(other425.failureDomain);
-  observer = other425.observer;
-  __isset = other425.__isset;
-}
-RequestVote& RequestVote::operator=(const RequestVote& other426) {
-  term = other426.term;
-  lastIndex = other426.lastIndex;
-  lastTerm = other426.lastTerm;
-  preVote = other426.preVote;
-  member = other426.member;
-  group = other426.group;
-  transfer = other426.transfer;
-  failureDomain = other426.failureDomain;
-  observer = other426.observer;
-  __isset = other426.__isset;
+RequestVote::RequestVote(const RequestVote& other434) {
+  term = other434.term;
+  lastIndex = other434.lastIndex;
+  lastTerm = other434.lastTerm;
+  preVote = other434.preVote;
+  member = other434.member;
+  group = other434.group;
+  transfer = other434.transfer;
+  failureDomain = other434.failureDomain;
+  observer = other434.observer;
+  __isset = other434.__isset;
+}
+RequestVote::RequestVote(RequestVote&& other435) noexcept {
+  term = other435.term;
+  lastIndex = other435.lastIndex;
+  lastTerm = other435.lastTerm;
+  preVote = other435.preVote;
+  member = std::move(other435.member);
+  group = std::move(other435.group);
+  transfer = other435.transfer;
+  failureDomain = std::move(other435.failureDomain);
+  observer = other435.observer;
+  __isset = other435.__isset;
+}
+RequestVote& RequestVote::operator=(const RequestVote& other436) {
+  term = other436.term;
+  lastIndex = other436.lastIndex;
+  lastTerm = other436.lastTerm;
+  preVote = other436.preVote;
+  member = other436.member;
+  group = other436.group;
+  transfer = other436.transfer;
+  failureDomain = other436.failureDomain;
+  observer = other436.observer;
+  __isset = other436.__isset;
   return *this;
 }
-RequestVote& RequestVote::operator=(RequestVote&& other427) noexcept {
-  term = other427.term;
-  lastIndex = other427.lastIndex;
-  lastTerm = other427.lastTerm;
-  preVote = other427.preVote;
-  member = std::move(other427.member);
-  group = std::move(other427.group);
-  transfer = other427.transfer;
-  failureDomain = std::move(other427.failureDomain);
-  observer = other427.observer;
-  __isset = other427.__isset;
+RequestVote& RequestVote::operator=(RequestVote&& other437) noexcept {
+  term = other437.term;
+  lastIndex = other437.lastIndex;
+  lastTerm = other437.lastTerm;
+  preVote = other437.preVote;
+  member = std::move(other437.member);
+  group = std::move(other437.group);
+  transfer = other437.transfer;
+  failureDomain = std::move(other437.failureDomain);
+  observer = other437.observer;
+  __isset = other437.__isset;
   return *this;
 }
 void RequestVote::printTo(std::ostream& out) const {
@@ -11429,14 +11728,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->processes.clear();
-            uint32_t _size428;
-            ::apache::thrift::protocol::TType _etype431;
-            xfer += iprot->readListBegin(_etype431, _size428);
-            this->processes.resize(_size428);
-            uint32_t _i432;
-            for (_i432 = 0; _i432 < _size428; ++_i432)
+            uint32_t _size438;
+            ::apache::thrift::protocol::TType _etype441;
+            xfer += iprot->readListBegin(_etype441, _size438);
+            this->processes.resize(_size438);
+            uint32_t _i442;
+            for (_i442 = 0; _i442 < _size438; ++_i442)
             {
-              xfer += iprot->readString(this->processes[_i432]);
+              xfer += iprot->readString(this->processes[_i442]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11457,17 +11756,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->silentMs.clear();
-            uint32_t _size433;
-            ::apache::thrift::protocol::TType _ktype434;
-            ::apache::thrift::protocol::TType _vtype435;
-            xfer += iprot->readMapBegin(_ktype434, _vtype435, _size433);
-            uint32_t _i437;
-            for (_i437 = 0; _i437 < _size433; ++_i437)
+            uint32_t _size443;
+            ::apache::thrift::protocol::TType _ktype444;
+            ::apache::thrift::protocol::TType _vtype445;
+            xfer += iprot->readMapBegin(_ktype444, _vtype445, _size443);
+            uint32_t _i447;
+            for (_i447 = 0; _i447 < _size443; ++_i447)
             {
-              std::string _key438;
-              xfer += iprot->readString(_key438);
-              int64_t& _val439 = this->silentMs[_key438];
-              xfer += iprot->readI64(_val439);
+              std::string _key448;
+              xfer += iprot->readString(_key448);
+              int64_t& _val449 = this->silentMs[_key448];
+              xfer += iprot->readI64(_val449);
             }
             xfer += iprot->readMapEnd();
           }
@@ -11532,10 +11831,10 @@
   xfer += oprot->writeFieldBegin("processes", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->processes.size()));
-    std::vector<std::string> ::const_iterator _iter440;
-    for (_iter440 = this->processes.begin(); _iter440 != this->processes.end(); ++_iter440)
+    std::vector<std::string> ::const_iterator _iter450;
+    for (_iter450 = this->processes.begin(); _iter450 != this->processes.end(); ++_iter450)
     {
-      xfer += oprot->writeString((*_iter440));
+      xfer += oprot->writeString((*_iter450));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11548,11 +11847,11 @@
   xfer += oprot->writeFieldBegin("silentMs", ::apache::thrift::protocol::T_MAP, 12);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->silentMs.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter441;
-    for (_iter441 = this->silentMs.begin(); _iter441 != this->silentMs.end(); ++_iter441)
+    std::map<std::string, int64_t> ::const_iterator _iter451;
+    for (_iter451 = this->silentMs.begin(); _iter451 != this->silentMs.end(); ++_iter451)
     {
-      xfer += oprot->writeString(_iter441->first);
-      xfer += oprot->writeI64(_iter441->second);
+      xfer += oprot->writeString(_iter451->first);
+      xfer += oprot->writeI64(_iter451->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -11580,66 +11879,66 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other442) {
-  term = other442.term;
-  granted = other442.granted;
-  preVote = other442.preVote;
-  member = other442.member;
-  group = other442.group;
-  fresh = other442.fresh;
-  leader = other442.leader;
-  failureDomain = other442.failureDomain;
-  observer = other442.observer;
-  processes = other442.processes;
-  founder = other442.founder;
-  silentMs = other442.silentMs;
-  __isset = other442.__isset;
-}
-VoteReply::VoteReply(VoteReply&& other443) noexcept {
-  term = other443.term;
-  granted = other443.granted;
-  preVote = other443.preVote;
-  member = std::move(other443.member);
-  group = std::move(other443.group);
-  fresh = other443.fresh;
-  leader = std::move(other443.leader);
-  failureDomain = std::move(other443.failureDomain);
-  observer = other443.observer;
-  processes = std::move(other443.processes);
-  founder = std::move(other443.founder);
-  silentMs = std::move(other443.silentMs);
-  __isset = other443.__isset;
-}
-VoteReply& VoteReply::operator=(const VoteReply& other444) {
-  term = other444.term;
-  granted = other444.granted;
-  preVote = other444.preVote;
-  member = other444.member;
-  group = other444.group;
-  fresh = other444.fresh;
-  leader = other444.leader;
-  failureDomain = other444.failureDomain;
-  observer = other444.observer;
-  processes = other444.processes;
-  founder = other444.founder;
-  silentMs = other444.silentMs;
-  __isset = other444.__isset;
+VoteReply::VoteReply(const VoteReply& other452) {
+  term = other452.term;
+  granted = other452.granted;
+  preVote = other452.preVote;
+  member = other452.member;
+  group = other452.group;
+  fresh = other452.fresh;
+  leader = other452.leader;
+  failureDomain = other452.failureDomain;
+  observer = other452.observer;
+  processes = other452.processes;
+  founder = other452.founder;
+  silentMs = other452.silentMs;
+  __isset = other452.__isset;
+}
+VoteReply::VoteReply(VoteReply&& other453) noexcept {
+  term = other453.term;
+  granted = other453.granted;
+  preVote = other453.preVote;
+  member = std::move(other453.member);
+  group = std::move(other453.group);
+  fresh = other453.fresh;
+  leader = std::move(other453.leader);
+  failureDomain = std::move(other453.failureDomain);
+  observer = other453.observer;
+  processes = std::move(other453.processes);
+  founder = std::move(other453.founder);
+  silentMs = std::move(other453.silentMs);
+  __isset = other453.__isset;
+}
+VoteReply& VoteReply::operator=(const VoteReply& other454) {
+  term = other454.term;
+  granted = other454.granted;
+  preVote = other454.preVote;
+  member = other454.member;
+  group = other454.group;
+  fresh = other454.fresh;
+  leader = other454.leader;
+  failureDomain = other454.failureDomain;
+  observer = other454.observer;
+  processes = other454.processes;
+  founder = other454.founder;
+  silentMs = other454.silentMs;
+  __isset = other454.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other445) noexcept {
-  term = other445.term;
-  granted = other445.granted;
-  preVote = other445.preVote;
-  member = std::move(other445.member);
-  group = std::move(other445.group);
-  fresh = other445.fresh;
-  leader = std::move(other445.leader);
-  failureDomain = std::move(other445.failureDomain);
-  observer = other445.observer;
-  processes = std::move(other445.processes);
-  founder = std::move(other445.founder);
-  silentMs = std::move(other445.silentMs);
-  __isset = other445.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other455) noexcept {
+  term = other455.term;
+  granted = other455.granted;
+  preVote = other455.preVote;
+  member = std::move(other455.member);
+  group = std::move(other455.group);
+  fresh = other455.fresh;
+  leader = std::move(other455.leader);
+  failureDomain = std::move(other455.failureDomain);
+  observer = other455.observer;
+  processes = std::move(other455.processes);
+  founder = std::move(other455.founder);
+  silentMs = std::move(other455.silentMs);
+  __isset = other455.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -11757,14 +12056,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size446;
-            ::apache::thrift::protocol::TType _etype449;
-            xfer += iprot->readListBegin(_etype449, _size446);
-            this->entries.resize(_size446);
-            uint32_t _i450;
-            for (_i450 = 0; _i450 < _size446; ++_i450)
+            uint32_t _size456;
+            ::apache::thrift::protocol::TType _etype459;
+            xfer += iprot->readListBegin(_etype459, _size456);
+            this->entries.resize(_size456);
+            uint32_t _i460;
+            for (_i460 = 0; _i460 < _size456; ++_i460)
             {
-              xfer += this->entries[_i450].read(iprot);
+              xfer += this->entries[_i460].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11809,17 +12108,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->silentMs.clear();
-            uint32_t _size451;
-            ::apache::thrift::protocol::TType _ktype452;
-            ::apache::thrift::protocol::TType _vtype453;
-            xfer += iprot->readMapBegin(_ktype452, _vtype453, _size451);
-            uint32_t _i455;
-            for (_i455 = 0; _i455 < _size451; ++_i455)
+            uint32_t _size461;
+            ::apache::thrift::protocol::TType _ktype462;
+            ::apache::thrift::protocol::TType _vtype463;
+            xfer += iprot->readMapBegin(_ktype462, _vtype463, _size461);
+            uint32_t _i465;
+            for (_i465 = 0; _i465 < _size461; ++_i465)
             {
-              std::string _key456;
-              xfer += iprot->readString(_key456);
-              int64_t& _val457 = this->silentMs[_key456];
-              xfer += iprot->readI64(_val457);
+              std::string _key466;
+              xfer += iprot->readString(_key466);
+              int64_t& _val467 = this->silentMs[_key466];
+              xfer += iprot->readI64(_val467);
             }
             xfer += iprot->readMapEnd();
           }
@@ -11860,10 +12159,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter458;
-    for (_iter458 = this->entries.begin(); _iter458 != this->entries.end(); ++_iter458)
+    std::vector<LogEntry> ::const_iterator _iter468;
+    for (_iter468 = this->entries.begin(); _iter468 != this->entries.end(); ++_iter468)
     {
-      xfer += (*_iter458).write(oprot);
+      xfer += (*_iter468).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11889,11 +12188,11 @@
     xfer += oprot->writeFieldBegin("silentMs", ::apache::thrift::protocol::T_MAP, 9);
     {
       xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->silentMs.size()));
-      std::map<std::string, int64_t> ::const_iterator _iter459;
-      for (_iter459 = this->silentMs.begin(); _iter459 != this->silentMs.end(); ++_iter459)
+      std::map<std::string, int64_t> ::const_iterator _iter469;
+      for (_iter469 = this->silentMs.begin(); _iter469 != this->silentMs.end(); ++_iter469)
       {
-        xfer += oprot->writeString(_iter459->first);
-        xfer += oprot->writeI64(_iter459->second);
+        xfer += oprot->writeString(_iter469->first);
+        xfer += oprot->writeI64(_iter469->second);
       }
       xfer += oprot->writeMapEnd();
     }
@@ -11918,54 +12217,54 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendEntries::AppendEntries(const AppendEntries& other460) {
-  term = other460.term;
-  prevIndex = other460.prevIndex;
-  prevTerm = other460.prevTerm;
-  entries = other460.entries;
-  commitIndex = other460.commitIndex;
-  round = other460.round;
-  member = other460.member;
-  group = other460.group;
-  silentMs = other460.silentMs;
-  __isset = other460.__isset;
-}
-AppendEntries::AppendEntries(AppendEntries&& other461) noexcept {
-  term = other461.term;
-  prevIndex = other461.prevIndex;
-  prevTerm = other461.prevTerm;
-  entries = std::move(other461.entries);
-  commitIndex = other461.commitIndex;
-  round = other461.round;
-  member = std::move(other461.member);
-  group = std::move(other461.group);
-  silentMs = std::move(other461.silentMs);
-  __isset = other461.__isset;
-}
-AppendEntries& AppendEntries::operator=(const AppendEntries& other462) {
-  term = other462.term;
-  prevIndex = other462.prevIndex;
-  prevTerm = other462.prevTerm;
-  entries = other462.entries;
-  commitIndex = other462.commitIndex;
-  round = other462.round;
-  member = other462.member;
-  group = other462.group;
-  silentMs = other462.silentMs;
-  __isset = other462.__isset;
+AppendEntries::AppendEntries(const AppendEntries& other470) {
+  term = other470.term;
+  prevIndex = other470.prevIndex;
+  prevTerm = other470.prevTerm;
+  entries = other470.entries;
+  commitIndex = other470.commitIndex;
+  round = other470.round;
+  member = other470.member;
+  group = other470.group;
+  silentMs = other470.silentMs;
+  __isset = other470.__isset;
+}
+AppendEntries::AppendEntries(AppendEntries&& other471) noexcept {
+  term = other471.term;
+  prevIndex = other471.prevIndex;
+  prevTerm = other471.prevTerm;
+  entries = std::move(other471.entries);
+  commitIndex = other471.commitIndex;
+  round = other471.round;
+  member = std::move(other471.member);
+  group = std::move(other471.group);
+  silentMs = std::move(other471.silentMs);
+  __isset = other471.__isset;
+}
+AppendEntries& AppendEntries::operator=(const AppendEntries& other472) {
+  term = other472.term;
+  prevIndex = other472.prevIndex;
+  prevTerm = other472.prevTerm;
+  entries = other472.entries;
+  commitIndex = other472.commitIndex;
+  round = other472.round;
+  member = other472.member;
+  group = other472.group;
+  silentMs = other472.silentMs;
+  __isset = other472.__isset;
   return *this;
 }
-AppendEntries& AppendEntries::operator=(AppendEntries&& other463) noexcept {
-  term = other463.term;
-  prevIndex = other463.prevIndex;
-  prevTerm = other463.prevTerm;
-  entries = std::move(other463.entries);
-  commitIndex = other463.commitIndex;
-  round = other463.round;
-  member = std::move(other463.member);
-  group = std::move(other463.group);
-  silentMs = std::move(other463.silentMs);
-  __isset = other463.__isset;
+AppendEntries& AppendEntries::operator=(AppendEntries&& other473) noexcept {
+  term = other473.term;
+  prevIndex = other473.prevIndex;
+  prevTerm = other473.prevTerm;
+  entries = std::move(other473.entries);
+  commitIndex = other473.commitIndex;
+  round = other473.round;
+  member = std::move(other473.member);
+  group = std::move(other473.group);
+  silentMs = std::move(other473.silentMs);
+  __isset = other473.__isset;
   return *this;
 }
 void AppendEntries::printTo(std::ostream& out) const {
@@ -12161,46 +12460,46 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other464) {
-  term = other464.term;
-  ok = other464.ok;
-  matchIndex = other464.matchIndex;
-  round = other464.round;
-  member = other464.member;
-  group = other464.group;
-  failureDomain = other464.failureDomain;
-  __isset = other464.__isset;
-}
-AppendReply::AppendReply(AppendReply&& other465) noexcept {
-  term = other465.term;
-  ok = other465.ok;
-  matchIndex = other465.matchIndex;
-  round = other465.round;
-  member = std::move(other465.member);
-  group = std::move(other465.group);
-  failureDomain = std::move(other465.failureDomain);
-  __isset = other465.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other466) {
-  term = other466.term;
-  ok = other466.ok;
-  matchIndex = other466.matchIndex;
-  round = other466.round;
-  member = other466.member;
-  group = other466.group;
-  failureDomain = other466.failureDomain;
-  __isset = other466.__isset;
+AppendReply::AppendReply(const AppendReply& other474) {
+  term = other474.term;
+  ok = other474.ok;
+  matchIndex = other474.matchIndex;
+  round = other474.round;
+  member = other474.member;
+  group = other474.group;
+  failureDomain = other474.failureDomain;
+  __isset = other474.__isset;
+}
+AppendReply::AppendReply(AppendReply&& other475) noexcept {
+  term = other475.term;
+  ok = other475.ok;
+  matchIndex = other475.matchIndex;
+  round = other475.round;
+  member = std::move(other475.member);
+  group = std::move(other475.group);
+  failureDomain = std::move(other475.failureDomain);
+  __isset = other475.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other476) {
+  term = other476.term;
+  ok = other476.ok;
+  matchIndex = other476.matchIndex;
+  round = other476.round;
+  member = other476.member;
+  group = other476.group;
+  failureDomain = other476.failureDomain;
+  __isset = other476.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other467) noexcept {
-  term = other467.term;
-  ok = other467.ok;
-  matchIndex = other467.matchIndex;
-  round = other467.round;
-  member = std::move(other467.member);
-  group = std::move(other467.group);
-  failureDomain = std::move(other467.failureDomain);
-  __isset = other467.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other477) noexcept {
+  term = other477.term;
+  ok = other477.ok;
+  matchIndex = other477.matchIndex;
+  round = other477.round;
+  member = std::move(other477.member);
+  group = std::move(other477.group);
+  failureDomain = std::move(other477.failureDomain);
+  __isset = other477.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -12324,14 +12623,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size468;
-            ::apache::thrift::protocol::TType _etype471;
-            xfer += iprot->readListBegin(_etype471, _size468);
-            this->voters.resize(_size468);
-            uint32_t _i472;
-            for (_i472 = 0; _i472 < _size468; ++_i472)
+            uint32_t _size478;
+            ::apache::thrift::protocol::TType _etype481;
+            xfer += iprot->readListBegin(_etype481, _size478);
+            this->voters.resize(_size478);
+            uint32_t _i482;
+            for (_i482 = 0; _i482 < _size478; ++_i482)
             {
-              xfer += iprot->readString(this->voters[_i472]);
+              xfer += iprot->readString(this->voters[_i482]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12344,14 +12643,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size473;
-            ::apache::thrift::protocol::TType _etype476;
-            xfer += iprot->readListBegin(_etype476, _size473);
-            this->learners.resize(_size473);
-            uint32_t _i477;
-            for (_i477 = 0; _i477 < _size473; ++_i477)
+            uint32_t _size483;
+            ::apache::thrift::protocol::TType _etype486;
+            xfer += iprot->readListBegin(_etype486, _size483);
+            this->learners.resize(_size483);
+            uint32_t _i487;
+            for (_i487 = 0; _i487 < _size483; ++_i487)
             {
-              xfer += iprot->readString(this->learners[_i477]);
+              xfer += iprot->readString(this->learners[_i487]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12388,17 +12687,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->domains.clear();
-            uint32_t _size478;
-            ::apache::thrift::protocol::TType _ktype479;
-            ::apache::thrift::protocol::TType _vtype480;
-            xfer += iprot->readMapBegin(_ktype479, _vtype480, _size478);
-            uint32_t _i482;
-            for (_i482 = 0; _i482 < _size478; ++_i482)
+            uint32_t _size488;
+            ::apache::thrift::protocol::TType _ktype489;
+            ::apache::thrift::protocol::TType _vtype490;
+            xfer += iprot->readMapBegin(_ktype489, _vtype490, _size488);
+            uint32_t _i492;
+            for (_i492 = 0; _i492 < _size488; ++_i492)
             {
-              std::string _key483;
-              xfer += iprot->readString(_key483);
-              std::string& _val484 = this->domains[_key483];
-              xfer += iprot->readString(_val484);
+              std::string _key493;
+              xfer += iprot->readString(_key493);
+              std::string& _val494 = this->domains[_key493];
+              xfer += iprot->readString(_val494);
             }
             xfer += iprot->readMapEnd();
           }
@@ -12443,10 +12742,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter485;
-    for (_iter485 = this->voters.begin(); _iter485 != this->voters.end(); ++_iter485)
+    std::vector<std::string> ::const_iterator _iter495;
+    for (_iter495 = this->voters.begin(); _iter495 != this->voters.end(); ++_iter495)
     {
-      xfer += oprot->writeString((*_iter485));
+      xfer += oprot->writeString((*_iter495));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12455,10 +12754,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter486;
-    for (_iter486 = this->learners.begin(); _iter486 != this->learners.end(); ++_iter486)
+    std::vector<std::string> ::const_iterator _iter496;
+    for (_iter496 = this->learners.begin(); _iter496 != this->learners.end(); ++_iter496)
     {
-      xfer += oprot->writeString((*_iter486));
+      xfer += oprot->writeString((*_iter496));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12479,11 +12778,11 @@
   xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 10);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-    std::map<std::string, std::string> ::const_iterator _iter487;
-    for (_iter487 = this->domains.begin(); _iter487 != this->domains.end(); ++_iter487)
+    std::map<std::string, std::string> ::const_iterator _iter497;
+    for (_iter497 = this->domains.begin(); _iter497 != this->domains.end(); ++_iter497)
     {
-      xfer += oprot->writeString(_iter487->first);
-      xfer += oprot->writeString(_iter487->second);
+      xfer += oprot->writeString(_iter497->first);
+      xfer += oprot->writeString(_iter497->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -12509,58 +12808,58 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallSnapshot::InstallSnapshot(const InstallSnapshot& other488) {
-  term = other488.term;
-  lastIndex = other488.lastIndex;
-  lastTerm = other488.lastTerm;
-  data = other488.data;
-  voters = other488.voters;
-  learners = other488.learners;
-  member = other488.member;
-  group = other488.group;
-  round = other488.round;
-  domains = other488.domains;
-  __isset = other488.__isset;
-}
-InstallSnapshot::InstallSnapshot(InstallSnapshot&& other489) noexcept {
-  term = other489.term;
-  lastIndex = other489.lastIndex;
-  lastTerm = other489.lastTerm;
-  data = std::move(other489.data);
-  voters = std::move(other489.voters);
-  learners = std::move(other489.learners);
-  member = std::move(other489.member);
-  group = std::move(other489.group);
-  round = other489.round;
-  domains = std::move(other489.domains);
-  __isset = other489.__isset;
-}
-InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other490) {
-  term = other490.term;
-  lastIndex = other490.lastIndex;
-  lastTerm = other490.lastTerm;
-  data = other490.data;
-  voters = other490.voters;
-  learners = other490.learners;
-  member = other490.member;
-  group = other490.group;
-  round = other490.round;
-  domains = other490.domains;
-  __isset = other490.__isset;
+InstallSnapshot::InstallSnapshot(const InstallSnapshot& other498) {
+  term = other498.term;
+  lastIndex = other498.lastIndex;
+  lastTerm = other498.lastTerm;
+  data = other498.data;
+  voters = other498.voters;
+  learners = other498.learners;
+  member = other498.member;
+  group = other498.group;
+  round = other498.round;
+  domains = other498.domains;
+  __isset = other498.__isset;
+}
+InstallSnapshot::InstallSnapshot(InstallSnapshot&& other499) noexcept {
+  term = other499.term;
+  lastIndex = other499.lastIndex;
+  lastTerm = other499.lastTerm;
+  data = std::move(other499.data);
+  voters = std::move(other499.voters);
+  learners = std::move(other499.learners);
+  member = std::move(other499.member);
+  group = std::move(other499.group);
+  round = other499.round;
+  domains = std::move(other499.domains);
+  __isset = other499.__isset;
+}
+InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other500) {
+  term = other500.term;
+  lastIndex = other500.lastIndex;
+  lastTerm = other500.lastTerm;
+  data = other500.data;
+  voters = other500.voters;
+  learners = other500.learners;
+  member = other500.member;
+  group = other500.group;
+  round = other500.round;
+  domains = other500.domains;
+  __isset = other500.__isset;
   return *this;
 }
-InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other491) noexcept {
-  term = other491.term;
-  lastIndex = other491.lastIndex;
-  lastTerm = other491.lastTerm;
-  data = std::move(other491.data);
-  voters = std::move(other491.voters);
-  learners = std::move(other491.learners);
-  member = std::move(other491.member);
-  group = std::move(other491.group);
-  round = other491.round;
-  domains = std::move(other491.domains);
-  __isset = other491.__isset;
+InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other501) noexcept {
+  term = other501.term;
+  lastIndex = other501.lastIndex;
+  lastTerm = other501.lastTerm;
+  data = std::move(other501.data);
+  voters = std::move(other501.voters);
+  learners = std::move(other501.learners);
+  member = std::move(other501.member);
+  group = std::move(other501.group);
+  round = other501.round;
+  domains = std::move(other501.domains);
+  __isset = other501.__isset;
   return *this;
 }
 void InstallSnapshot::printTo(std::ostream& out) const {
@@ -12695,14 +12994,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size492;
-            ::apache::thrift::protocol::TType _etype495;
-            xfer += iprot->readListBegin(_etype495, _size492);
-            this->voters.resize(_size492);
-            uint32_t _i496;
-            for (_i496 = 0; _i496 < _size492; ++_i496)
+            uint32_t _size502;
+            ::apache::thrift::protocol::TType _etype505;
+            xfer += iprot->readListBegin(_etype505, _size502);
+            this->voters.resize(_size502);
+            uint32_t _i506;
+            for (_i506 = 0; _i506 < _size502; ++_i506)
             {
-              xfer += iprot->readString(this->voters[_i496]);
+              xfer += iprot->readString(this->voters[_i506]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12715,14 +13014,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size497;
-            ::apache::thrift::protocol::TType _etype500;
-            xfer += iprot->readListBegin(_etype500, _size497);
-            this->learners.resize(_size497);
-            uint32_t _i501;
-            for (_i501 = 0; _i501 < _size497; ++_i501)
+            uint32_t _size507;
+            ::apache::thrift::protocol::TType _etype510;
+            xfer += iprot->readListBegin(_etype510, _size507);
+            this->learners.resize(_size507);
+            uint32_t _i511;
+            for (_i511 = 0; _i511 < _size507; ++_i511)
             {
-              xfer += iprot->readString(this->learners[_i501]);
+              xfer += iprot->readString(this->learners[_i511]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12775,17 +13074,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->domains.clear();
-            uint32_t _size502;
-            ::apache::thrift::protocol::TType _ktype503;
-            ::apache::thrift::protocol::TType _vtype504;
-            xfer += iprot->readMapBegin(_ktype503, _vtype504, _size502);
-            uint32_t _i506;
-            for (_i506 = 0; _i506 < _size502; ++_i506)
+            uint32_t _size512;
+            ::apache::thrift::protocol::TType _ktype513;
+            ::apache::thrift::protocol::TType _vtype514;
+            xfer += iprot->readMapBegin(_ktype513, _vtype514, _size512);
+            uint32_t _i516;
+            for (_i516 = 0; _i516 < _size512; ++_i516)
             {
-              std::string _key507;
-              xfer += iprot->readString(_key507);
-              std::string& _val508 = this->domains[_key507];
-              xfer += iprot->readString(_val508);
+              std::string _key517;
+              xfer += iprot->readString(_key517);
+              std::string& _val518 = this->domains[_key517];
+              xfer += iprot->readString(_val518);
             }
             xfer += iprot->readMapEnd();
           }
@@ -12830,10 +13129,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter509;
-    for (_iter509 = this->voters.begin(); _iter509 != this->voters.end(); ++_iter509)
+    std::vector<std::string> ::const_iterator _iter519;
+    for (_iter519 = this->voters.begin(); _iter519 != this->voters.end(); ++_iter519)
     {
-      xfer += oprot->writeString((*_iter509));
+      xfer += oprot->writeString((*_iter519));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12842,10 +13141,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter510;
-    for (_iter510 = this->learners.begin(); _iter510 != this->learners.end(); ++_iter510)
+    std::vector<std::string> ::const_iterator _iter520;
+    for (_iter520 = this->learners.begin(); _iter520 != this->learners.end(); ++_iter520)
     {
-      xfer += oprot->writeString((*_iter510));
+      xfer += oprot->writeString((*_iter520));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12874,11 +13173,11 @@
   xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 12);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-    std::map<std::string, std::string> ::const_iterator _iter511;
-    for (_iter511 = this->domains.begin(); _iter511 != this->domains.end(); ++_iter511)
+    std::map<std::string, std::string> ::const_iterator _iter521;
+    for (_iter521 = this->domains.begin(); _iter521 != this->domains.end(); ++_iter521)
     {
-      xfer += oprot->writeString(_iter511->first);
-      xfer += oprot->writeString(_iter511->second);
+      xfer += oprot->writeString(_iter521->first);
+      xfer += oprot->writeString(_iter521->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -12906,71 +13205,71 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other512) {
-  term = other512.term;
-  lastIndex = other512.lastIndex;
-  lastTerm = other512.lastTerm;
-  data = other512.data;
-  voters = other512.voters;
-  learners = other512.learners;
-  member = other512.member;
-  group = other512.group;
-  round = other512.round;
-  offset = other512.offset;
-  totalBytes = other512.totalBytes;
-  domains = other512.domains;
-  __isset = other512.__isset;
-}
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other513) noexcept {
-  term = other513.term;
-  lastIndex = other513.lastIndex;
-  lastTerm = other513.lastTerm;
-  data = std::move(other513.data);
-  voters = std::move(other513.voters);
-  learners = std::move(other513.learners);
-  member = std::move(other513.member);
-  group = std::move(other513.group);
-  round = other513.round;
-  offset = other513.offset;
-  totalBytes = other513.totalBytes;
-  domains = std::move(other513.domains);
-  __isset = other513.__isset;
-}
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other514) {
-  term = other514.term;
-  lastIndex = other514.lastIndex;
-  lastTerm = other514.lastTerm;
-  data = other514.data;
-  voters = other514.voters;
-  learners = other514.learners;
-  member = other514.member;
-  group = other514.group;
-  round = other514.round;
-  offset = other514.offset;
-  totalBytes = other514.totalBytes;
-  domains = other514.domains;
-  __isset = other514.__isset;
-  return *this;
-}
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other515) noexcept {
-  term = other515.term;
-  lastIndex = other515.lastIndex;
-  lastTerm = other515.lastTerm;
-  data = std::move(other515.data);
-  voters = std::move(other515.voters);
-  learners = std::move(other515.learners);
-  member = std::move(other515.member);
-  group = std::move(other515.group);
-  round = other515.round;
-  offset = other515.offset;
-  totalBytes = other515.totalBytes;
-  domains = std::move(other515.domains);
-  __isset = other515.__isset;
-  return *this;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other522) {
+  term = other522.term;
+  lastIndex = other522.lastIndex;
+  lastTerm = other522.lastTerm;
+  data = other522.data;
+  voters = other522.voters;
+  learners = other522.learners;
+  member = other522.member;
+  group = other522.group;
+  round = other522.round;
+  offset = other522.offset;
+  totalBytes = other522.totalBytes;
+  domains = other522.domains;
+  __isset = other522.__isset;
 }
-void SnapshotChunk::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "SnapshotChunk(";
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other523) noexcept {
+  term = other523.term;
+  lastIndex = other523.lastIndex;
+  lastTerm = other523.lastTerm;
+  data = std::move(other523.data);
+  voters = std::move(other523.voters);
+  learners = std::move(other523.learners);
+  member = std::move(other523.member);
+  group = std::move(other523.group);
+  round = other523.round;
+  offset = other523.offset;
+  totalBytes = other523.totalBytes;
+  domains = std::move(other523.domains);
+  __isset = other523.__isset;
+}
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other524) {
+  term = other524.term;
+  lastIndex = other524.lastIndex;
+  lastTerm = other524.lastTerm;
+  data = other524.data;
+  voters = other524.voters;
+  learners = other524.learners;
+  member = other524.member;
+  group = other524.group;
+  round = other524.round;
+  offset = other524.offset;
+  totalBytes = other524.totalBytes;
+  domains = other524.domains;
+  __isset = other524.__isset;
+  return *this;
+}
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other525) noexcept {
+  term = other525.term;
+  lastIndex = other525.lastIndex;
+  lastTerm = other525.lastTerm;
+  data = std::move(other525.data);
+  voters = std::move(other525.voters);
+  learners = std::move(other525.learners);
+  member = std::move(other525.member);
+  group = std::move(other525.group);
+  round = other525.round;
+  offset = other525.offset;
+  totalBytes = other525.totalBytes;
+  domains = std::move(other525.domains);
+  __isset = other525.__isset;
+  return *this;
+}
+void SnapshotChunk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotChunk(";
   out << "term=" << to_string(term);
   out << ", " << "lastIndex=" << to_string(lastIndex);
   out << ", " << "lastTerm=" << to_string(lastTerm);
@@ -13147,42 +13446,42 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunkReply::SnapshotChunkReply(const SnapshotChunkReply& other516) {
-  term = other516.term;
-  lastIndex = other516.lastIndex;
-  nextOffset = other516.nextOffset;
-  member = other516.member;
-  group = other516.group;
-  round = other516.round;
-  __isset = other516.__isset;
-}
-SnapshotChunkReply::SnapshotChunkReply(SnapshotChunkReply&& other517) noexcept {
-  term = other517.term;
-  lastIndex = other517.lastIndex;
-  nextOffset = other517.nextOffset;
-  member = std::move(other517.member);
-  group = std::move(other517.group);
-  round = other517.round;
-  __isset = other517.__isset;
-}
-SnapshotChunkReply& SnapshotChunkReply::operator=(const SnapshotChunkReply& other518) {
-  term = other518.term;
-  lastIndex = other518.lastIndex;
-  nextOffset = other518.nextOffset;
-  member = other518.member;
-  group = other518.group;
-  round = other518.round;
-  __isset = other518.__isset;
+SnapshotChunkReply::SnapshotChunkReply(const SnapshotChunkReply& other526) {
+  term = other526.term;
+  lastIndex = other526.lastIndex;
+  nextOffset = other526.nextOffset;
+  member = other526.member;
+  group = other526.group;
+  round = other526.round;
+  __isset = other526.__isset;
+}
+SnapshotChunkReply::SnapshotChunkReply(SnapshotChunkReply&& other527) noexcept {
+  term = other527.term;
+  lastIndex = other527.lastIndex;
+  nextOffset = other527.nextOffset;
+  member = std::move(other527.member);
+  group = std::move(other527.group);
+  round = other527.round;
+  __isset = other527.__isset;
+}
+SnapshotChunkReply& SnapshotChunkReply::operator=(const SnapshotChunkReply& other528) {
+  term = other528.term;
+  lastIndex = other528.lastIndex;
+  nextOffset = other528.nextOffset;
+  member = other528.member;
+  group = other528.group;
+  round = other528.round;
+  __isset = other528.__isset;
   return *this;
 }
-SnapshotChunkReply& SnapshotChunkReply::operator=(SnapshotChunkReply&& other519) noexcept {
-  term = other519.term;
-  lastIndex = other519.lastIndex;
-  nextOffset = other519.nextOffset;
-  member = std::move(other519.member);
-  group = std::move(other519.group);
-  round = other519.round;
-  __isset = other519.__isset;
+SnapshotChunkReply& SnapshotChunkReply::operator=(SnapshotChunkReply&& other529) noexcept {
+  term = other529.term;
+  lastIndex = other529.lastIndex;
+  nextOffset = other529.nextOffset;
+  member = std::move(other529.member);
+  group = std::move(other529.group);
+  round = other529.round;
+  __isset = other529.__isset;
   return *this;
 }
 void SnapshotChunkReply::printTo(std::ostream& out) const {
@@ -13341,38 +13640,38 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallReply::InstallReply(const InstallReply& other520) {
-  term = other520.term;
-  lastIndex = other520.lastIndex;
-  member = other520.member;
-  group = other520.group;
-  round = other520.round;
-  __isset = other520.__isset;
+InstallReply::InstallReply(const InstallReply& other530) {
+  term = other530.term;
+  lastIndex = other530.lastIndex;
+  member = other530.member;
+  group = other530.group;
+  round = other530.round;
+  __isset = other530.__isset;
 }
-InstallReply::InstallReply(InstallReply&& other521) noexcept {
-  term = other521.term;
-  lastIndex = other521.lastIndex;
-  member = std::move(other521.member);
-  group = std::move(other521.group);
-  round = other521.round;
-  __isset = other521.__isset;
+InstallReply::InstallReply(InstallReply&& other531) noexcept {
+  term = other531.term;
+  lastIndex = other531.lastIndex;
+  member = std::move(other531.member);
+  group = std::move(other531.group);
+  round = other531.round;
+  __isset = other531.__isset;
 }
-InstallReply& InstallReply::operator=(const InstallReply& other522) {
-  term = other522.term;
-  lastIndex = other522.lastIndex;
-  member = other522.member;
-  group = other522.group;
-  round = other522.round;
-  __isset = other522.__isset;
+InstallReply& InstallReply::operator=(const InstallReply& other532) {
+  term = other532.term;
+  lastIndex = other532.lastIndex;
+  member = other532.member;
+  group = other532.group;
+  round = other532.round;
+  __isset = other532.__isset;
   return *this;
 }
-InstallReply& InstallReply::operator=(InstallReply&& other523) noexcept {
-  term = other523.term;
-  lastIndex = other523.lastIndex;
-  member = std::move(other523.member);
-  group = std::move(other523.group);
-  round = other523.round;
-  __isset = other523.__isset;
+InstallReply& InstallReply::operator=(InstallReply&& other533) noexcept {
+  term = other533.term;
+  lastIndex = other533.lastIndex;
+  member = std::move(other533.member);
+  group = std::move(other533.group);
+  round = other533.round;
+  __isset = other533.__isset;
   return *this;
 }
 void InstallReply::printTo(std::ostream& out) const {
@@ -13462,22 +13761,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other524) noexcept {
-  term = other524.term;
-  __isset = other524.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other534) noexcept {
+  term = other534.term;
+  __isset = other534.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other525) noexcept {
-  term = other525.term;
-  __isset = other525.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other535) noexcept {
+  term = other535.term;
+  __isset = other535.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other526) noexcept {
-  term = other526.term;
-  __isset = other526.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other536) noexcept {
+  term = other536.term;
+  __isset = other536.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other527) noexcept {
-  term = other527.term;
-  __isset = other527.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other537) noexcept {
+  term = other537.term;
+  __isset = other537.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -13580,26 +13879,26 @@
   swap(a.__isset, b.__isset);
 }
 
-VoterLeaving::VoterLeaving(const VoterLeaving& other528) {
-  member = other528.member;
-  group = other528.group;
-  __isset = other528.__isset;
+VoterLeaving::VoterLeaving(const VoterLeaving& other538) {
+  member = other538.member;
+  group = other538.group;
+  __isset = other538.__isset;
 }
-VoterLeaving::VoterLeaving(VoterLeaving&& other529) noexcept {
-  member = std::move(other529.member);
-  group = std::move(other529.group);
-  __isset = other529.__isset;
+VoterLeaving::VoterLeaving(VoterLeaving&& other539) noexcept {
+  member = std::move(other539.member);
+  group = std::move(other539.group);
+  __isset = other539.__isset;
 }
-VoterLeaving& VoterLeaving::operator=(const VoterLeaving& other530) {
-  member = other530.member;
-  group = other530.group;
-  __isset = other530.__isset;
+VoterLeaving& VoterLeaving::operator=(const VoterLeaving& other540) {
+  member = other540.member;
+  group = other540.group;
+  __isset = other540.__isset;
   return *this;
 }
-VoterLeaving& VoterLeaving::operator=(VoterLeaving&& other531) noexcept {
-  member = std::move(other531.member);
-  group = std::move(other531.group);
-  __isset = other531.__isset;
+VoterLeaving& VoterLeaving::operator=(VoterLeaving&& other541) noexcept {
+  member = std::move(other541.member);
+  group = std::move(other541.group);
+  __isset = other541.__isset;
   return *this;
 }
 void VoterLeaving::printTo(std::ostream& out) const {
@@ -13686,22 +13985,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SetConfig::SetConfig(const SetConfig& other532) {
-  file = other532.file;
-  __isset = other532.__isset;
+SetConfig::SetConfig(const SetConfig& other542) {
+  file = other542.file;
+  __isset = other542.__isset;
 }
-SetConfig::SetConfig(SetConfig&& other533) noexcept {
-  file = std::move(other533.file);
-  __isset = other533.__isset;
+SetConfig::SetConfig(SetConfig&& other543) noexcept {
+  file = std::move(other543.file);
+  __isset = other543.__isset;
 }
-SetConfig& SetConfig::operator=(const SetConfig& other534) {
-  file = other534.file;
-  __isset = other534.__isset;
+SetConfig& SetConfig::operator=(const SetConfig& other544) {
+  file = other544.file;
+  __isset = other544.__isset;
   return *this;
 }
-SetConfig& SetConfig::operator=(SetConfig&& other535) noexcept {
-  file = std::move(other535.file);
-  __isset = other535.__isset;
+SetConfig& SetConfig::operator=(SetConfig&& other545) noexcept {
+  file = std::move(other545.file);
+  __isset = other545.__isset;
   return *this;
 }
 void SetConfig::printTo(std::ostream& out) const {
@@ -13782,9 +14081,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast536;
-          xfer += iprot->readI32(ecast536);
-          this->role = static_cast<Role::type>(ecast536);
+          int32_t ecast546;
+          xfer += iprot->readI32(ecast546);
+          this->role = static_cast<Role::type>(ecast546);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -13893,46 +14192,46 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberJoin::MemberJoin(const MemberJoin& other537) {
-  id = other537.id;
-  role = other537.role;
-  address = other537.address;
-  failureDomain = other537.failureDomain;
-  server = other537.server;
-  atMs = other537.atMs;
-  replaces = other537.replaces;
-  __isset = other537.__isset;
+MemberJoin::MemberJoin(const MemberJoin& other547) {
+  id = other547.id;
+  role = other547.role;
+  address = other547.address;
+  failureDomain = other547.failureDomain;
+  server = other547.server;
+  atMs = other547.atMs;
+  replaces = other547.replaces;
+  __isset = other547.__isset;
 }
-MemberJoin::MemberJoin(MemberJoin&& other538) noexcept {
-  id = std::move(other538.id);
-  role = other538.role;
-  address = std::move(other538.address);
-  failureDomain = std::move(other538.failureDomain);
-  server = std::move(other538.server);
-  atMs = other538.atMs;
-  replaces = other538.replaces;
-  __isset = other538.__isset;
+MemberJoin::MemberJoin(MemberJoin&& other548) noexcept {
+  id = std::move(other548.id);
+  role = other548.role;
+  address = std::move(other548.address);
+  failureDomain = std::move(other548.failureDomain);
+  server = std::move(other548.server);
+  atMs = other548.atMs;
+  replaces = other548.replaces;
+  __isset = other548.__isset;
 }
-MemberJoin& MemberJoin::operator=(const MemberJoin& other539) {
-  id = other539.id;
-  role = other539.role;
-  address = other539.address;
-  failureDomain = other539.failureDomain;
-  server = other539.server;
-  atMs = other539.atMs;
-  replaces = other539.replaces;
-  __isset = other539.__isset;
+MemberJoin& MemberJoin::operator=(const MemberJoin& other549) {
+  id = other549.id;
+  role = other549.role;
+  address = other549.address;
+  failureDomain = other549.failureDomain;
+  server = other549.server;
+  atMs = other549.atMs;
+  replaces = other549.replaces;
+  __isset = other549.__isset;
   return *this;
 }
-MemberJoin& MemberJoin::operator=(MemberJoin&& other540) noexcept {
-  id = std::move(other540.id);
-  role = other540.role;
-  address = std::move(other540.address);
-  failureDomain = std::move(other540.failureDomain);
-  server = std::move(other540.server);
-  atMs = other540.atMs;
-  replaces = other540.replaces;
-  __isset = other540.__isset;
+MemberJoin& MemberJoin::operator=(MemberJoin&& other550) noexcept {
+  id = std::move(other550.id);
+  role = other550.role;
+  address = std::move(other550.address);
+  failureDomain = std::move(other550.failureDomain);
+  server = std::move(other550.server);
+  atMs = other550.atMs;
+  replaces = other550.replaces;
+  __isset = other550.__isset;
   return *this;
 }
 void MemberJoin::printTo(std::ostream& out) const {
@@ -14058,30 +14357,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberGone::MemberGone(const MemberGone& other541) {
-  id = other541.id;
-  planned = other541.planned;
-  atMs = other541.atMs;
-  __isset = other541.__isset;
+MemberGone::MemberGone(const MemberGone& other551) {
+  id = other551.id;
+  planned = other551.planned;
+  atMs = other551.atMs;
+  __isset = other551.__isset;
 }
-MemberGone::MemberGone(MemberGone&& other542) noexcept {
-  id = std::move(other542.id);
-  planned = other542.planned;
-  atMs = other542.atMs;
-  __isset = other542.__isset;
+MemberGone::MemberGone(MemberGone&& other552) noexcept {
+  id = std::move(other552.id);
+  planned = other552.planned;
+  atMs = other552.atMs;
+  __isset = other552.__isset;
 }
-MemberGone& MemberGone::operator=(const MemberGone& other543) {
-  id = other543.id;
-  planned = other543.planned;
-  atMs = other543.atMs;
-  __isset = other543.__isset;
+MemberGone& MemberGone::operator=(const MemberGone& other553) {
+  id = other553.id;
+  planned = other553.planned;
+  atMs = other553.atMs;
+  __isset = other553.__isset;
   return *this;
 }
-MemberGone& MemberGone::operator=(MemberGone&& other544) noexcept {
-  id = std::move(other544.id);
-  planned = other544.planned;
-  atMs = other544.atMs;
-  __isset = other544.__isset;
+MemberGone& MemberGone::operator=(MemberGone&& other554) noexcept {
+  id = std::move(other554.id);
+  planned = other554.planned;
+  atMs = other554.atMs;
+  __isset = other554.__isset;
   return *this;
 }
 void MemberGone::printTo(std::ostream& out) const {
@@ -14169,22 +14468,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberLeaving::MemberLeaving(const MemberLeaving& other545) {
-  id = other545.id;
-  __isset = other545.__isset;
+MemberLeaving::MemberLeaving(const MemberLeaving& other555) {
+  id = other555.id;
+  __isset = other555.__isset;
 }
-MemberLeaving::MemberLeaving(MemberLeaving&& other546) noexcept {
-  id = std::move(other546.id);
-  __isset = other546.__isset;
+MemberLeaving::MemberLeaving(MemberLeaving&& other556) noexcept {
+  id = std::move(other556.id);
+  __isset = other556.__isset;
 }
-MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other547) {
-  id = other547.id;
-  __isset = other547.__isset;
+MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other557) {
+  id = other557.id;
+  __isset = other557.__isset;
   return *this;
 }
-MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other548) noexcept {
-  id = std::move(other548.id);
-  __isset = other548.__isset;
+MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other558) noexcept {
+  id = std::move(other558.id);
+  __isset = other558.__isset;
   return *this;
 }
 void MemberLeaving::printTo(std::ostream& out) const {
@@ -14321,34 +14620,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderWhole::HolderWhole(const HolderWhole& other549) {
-  cell = other549.cell;
-  epoch = other549.epoch;
-  holder = other549.holder;
-  viewVersion = other549.viewVersion;
-  __isset = other549.__isset;
-}
-HolderWhole::HolderWhole(HolderWhole&& other550) noexcept {
-  cell = other550.cell;
-  epoch = other550.epoch;
-  holder = std::move(other550.holder);
-  viewVersion = other550.viewVersion;
-  __isset = other550.__isset;
-}
-HolderWhole& HolderWhole::operator=(const HolderWhole& other551) {
-  cell = other551.cell;
-  epoch = other551.epoch;
-  holder = other551.holder;
-  viewVersion = other551.viewVersion;
-  __isset = other551.__isset;
+HolderWhole::HolderWhole(const HolderWhole& other559) {
+  cell = other559.cell;
+  epoch = other559.epoch;
+  holder = other559.holder;
+  viewVersion = other559.viewVersion;
+  __isset = other559.__isset;
+}
+HolderWhole::HolderWhole(HolderWhole&& other560) noexcept {
+  cell = other560.cell;
+  epoch = other560.epoch;
+  holder = std::move(other560.holder);
+  viewVersion = other560.viewVersion;
+  __isset = other560.__isset;
+}
+HolderWhole& HolderWhole::operator=(const HolderWhole& other561) {
+  cell = other561.cell;
+  epoch = other561.epoch;
+  holder = other561.holder;
+  viewVersion = other561.viewVersion;
+  __isset = other561.__isset;
   return *this;
 }
-HolderWhole& HolderWhole::operator=(HolderWhole&& other552) noexcept {
-  cell = other552.cell;
-  epoch = other552.epoch;
-  holder = std::move(other552.holder);
-  viewVersion = other552.viewVersion;
-  __isset = other552.__isset;
+HolderWhole& HolderWhole::operator=(HolderWhole&& other562) noexcept {
+  cell = other562.cell;
+  epoch = other562.epoch;
+  holder = std::move(other562.holder);
+  viewVersion = other562.viewVersion;
+  __isset = other562.__isset;
   return *this;
 }
 void HolderWhole::printTo(std::ostream& out) const {
@@ -14488,34 +14787,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HandOver::HandOver(const HandOver& other553) {
-  cell = other553.cell;
-  epoch = other553.epoch;
-  previousOwner = other553.previousOwner;
-  atMs = other553.atMs;
-  __isset = other553.__isset;
-}
-HandOver::HandOver(HandOver&& other554) noexcept {
-  cell = other554.cell;
-  epoch = other554.epoch;
-  previousOwner = std::move(other554.previousOwner);
-  atMs = other554.atMs;
-  __isset = other554.__isset;
-}
-HandOver& HandOver::operator=(const HandOver& other555) {
-  cell = other555.cell;
-  epoch = other555.epoch;
-  previousOwner = other555.previousOwner;
-  atMs = other555.atMs;
-  __isset = other555.__isset;
+HandOver::HandOver(const HandOver& other563) {
+  cell = other563.cell;
+  epoch = other563.epoch;
+  previousOwner = other563.previousOwner;
+  atMs = other563.atMs;
+  __isset = other563.__isset;
+}
+HandOver::HandOver(HandOver&& other564) noexcept {
+  cell = other564.cell;
+  epoch = other564.epoch;
+  previousOwner = std::move(other564.previousOwner);
+  atMs = other564.atMs;
+  __isset = other564.__isset;
+}
+HandOver& HandOver::operator=(const HandOver& other565) {
+  cell = other565.cell;
+  epoch = other565.epoch;
+  previousOwner = other565.previousOwner;
+  atMs = other565.atMs;
+  __isset = other565.__isset;
   return *this;
 }
-HandOver& HandOver::operator=(HandOver&& other556) noexcept {
-  cell = other556.cell;
-  epoch = other556.epoch;
-  previousOwner = std::move(other556.previousOwner);
-  atMs = other556.atMs;
-  __isset = other556.__isset;
+HandOver& HandOver::operator=(HandOver&& other566) noexcept {
+  cell = other566.cell;
+  epoch = other566.epoch;
+  previousOwner = std::move(other566.previousOwner);
+  atMs = other566.atMs;
+  __isset = other566.__isset;
   return *this;
 }
 void HandOver::printTo(std::ostream& out) const {
@@ -14576,14 +14875,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size557;
-            ::apache::thrift::protocol::TType _etype560;
-            xfer += iprot->readListBegin(_etype560, _size557);
-            this->voters.resize(_size557);
-            uint32_t _i561;
-            for (_i561 = 0; _i561 < _size557; ++_i561)
+            uint32_t _size567;
+            ::apache::thrift::protocol::TType _etype570;
+            xfer += iprot->readListBegin(_etype570, _size567);
+            this->voters.resize(_size567);
+            uint32_t _i571;
+            for (_i571 = 0; _i571 < _size567; ++_i571)
             {
-              xfer += iprot->readString(this->voters[_i561]);
+              xfer += iprot->readString(this->voters[_i571]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14596,14 +14895,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size562;
-            ::apache::thrift::protocol::TType _etype565;
-            xfer += iprot->readListBegin(_etype565, _size562);
-            this->learners.resize(_size562);
-            uint32_t _i566;
-            for (_i566 = 0; _i566 < _size562; ++_i566)
+            uint32_t _size572;
+            ::apache::thrift::protocol::TType _etype575;
+            xfer += iprot->readListBegin(_etype575, _size572);
+            this->learners.resize(_size572);
+            uint32_t _i576;
+            for (_i576 = 0; _i576 < _size572; ++_i576)
             {
-              xfer += iprot->readString(this->learners[_i566]);
+              xfer += iprot->readString(this->learners[_i576]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14616,17 +14915,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->domains.clear();
-            uint32_t _size567;
-            ::apache::thrift::protocol::TType _ktype568;
-            ::apache::thrift::protocol::TType _vtype569;
-            xfer += iprot->readMapBegin(_ktype568, _vtype569, _size567);
-            uint32_t _i571;
-            for (_i571 = 0; _i571 < _size567; ++_i571)
+            uint32_t _size577;
+            ::apache::thrift::protocol::TType _ktype578;
+            ::apache::thrift::protocol::TType _vtype579;
+            xfer += iprot->readMapBegin(_ktype578, _vtype579, _size577);
+            uint32_t _i581;
+            for (_i581 = 0; _i581 < _size577; ++_i581)
             {
-              std::string _key572;
-              xfer += iprot->readString(_key572);
-              std::string& _val573 = this->domains[_key572];
-              xfer += iprot->readString(_val573);
+              std::string _key582;
+              xfer += iprot->readString(_key582);
+              std::string& _val583 = this->domains[_key582];
+              xfer += iprot->readString(_val583);
             }
             xfer += iprot->readMapEnd();
           }
@@ -14655,10 +14954,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter574;
-    for (_iter574 = this->voters.begin(); _iter574 != this->voters.end(); ++_iter574)
+    std::vector<std::string> ::const_iterator _iter584;
+    for (_iter584 = this->voters.begin(); _iter584 != this->voters.end(); ++_iter584)
     {
-      xfer += oprot->writeString((*_iter574));
+      xfer += oprot->writeString((*_iter584));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14667,10 +14966,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter575;
-    for (_iter575 = this->learners.begin(); _iter575 != this->learners.end(); ++_iter575)
+    std::vector<std::string> ::const_iterator _iter585;
+    for (_iter585 = this->learners.begin(); _iter585 != this->learners.end(); ++_iter585)
     {
-      xfer += oprot->writeString((*_iter575));
+      xfer += oprot->writeString((*_iter585));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14679,11 +14978,11 @@
   xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-    std::map<std::string, std::string> ::const_iterator _iter576;
-    for (_iter576 = this->domains.begin(); _iter576 != this->domains.end(); ++_iter576)
+    std::map<std::string, std::string> ::const_iterator _iter586;
+    for (_iter586 = this->domains.begin(); _iter586 != this->domains.end(); ++_iter586)
     {
-      xfer += oprot->writeString(_iter576->first);
-      xfer += oprot->writeString(_iter576->second);
+      xfer += oprot->writeString(_iter586->first);
+      xfer += oprot->writeString(_iter586->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -14702,30 +15001,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SetVoters::SetVoters(const SetVoters& other577) {
-  voters = other577.voters;
-  learners = other577.learners;
-  domains = other577.domains;
-  __isset = other577.__isset;
+SetVoters::SetVoters(const SetVoters& other587) {
+  voters = other587.voters;
+  learners = other587.learners;
+  domains = other587.domains;
+  __isset = other587.__isset;
 }
-SetVoters::SetVoters(SetVoters&& other578) noexcept {
-  voters = std::move(other578.voters);
-  learners = std::move(other578.learners);
-  domains = std::move(other578.domains);
-  __isset = other578.__isset;
+SetVoters::SetVoters(SetVoters&& other588) noexcept {
+  voters = std::move(other588.voters);
+  learners = std::move(other588.learners);
+  domains = std::move(other588.domains);
+  __isset = other588.__isset;
 }
-SetVoters& SetVoters::operator=(const SetVoters& other579) {
-  voters = other579.voters;
-  learners = other579.learners;
-  domains = other579.domains;
-  __isset = other579.__isset;
+SetVoters& SetVoters::operator=(const SetVoters& other589) {
+  voters = other589.voters;
+  learners = other589.learners;
+  domains = other589.domains;
+  __isset = other589.__isset;
   return *this;
 }
-SetVoters& SetVoters::operator=(SetVoters&& other580) noexcept {
-  voters = std::move(other580.voters);
-  learners = std::move(other580.learners);
-  domains = std::move(other580.domains);
-  __isset = other580.__isset;
+SetVoters& SetVoters::operator=(SetVoters&& other590) noexcept {
+  voters = std::move(other590.voters);
+  learners = std::move(other590.learners);
+  domains = std::move(other590.domains);
+  __isset = other590.__isset;
   return *this;
 }
 void SetVoters::printTo(std::ostream& out) const {
@@ -14738,6 +15037,318 @@
 }
 
 
+Evacuation::~Evacuation() noexcept {
+}
+
+
+void Evacuation::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void Evacuation::__set_active(const bool val) {
+  this->active = val;
+}
+
+void Evacuation::__set_orderIndex(const int64_t val) {
+  this->orderIndex = val;
+}
+
+void Evacuation::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void Evacuation::__set_atMs(const int64_t val) {
+  this->atMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const Evacuation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Evacuation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->active);
+          this->__isset.active = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->orderIndex);
+          this->__isset.orderIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->atMs);
+          this->__isset.atMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Evacuation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Evacuation");
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("active", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->active);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("orderIndex", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->orderIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("atMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->atMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Evacuation &a, Evacuation &b) {
+  using ::std::swap;
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.active, b.active);
+  swap(a.orderIndex, b.orderIndex);
+  swap(a.author, b.author);
+  swap(a.atMs, b.atMs);
+  swap(a.__isset, b.__isset);
+}
+
+Evacuation::Evacuation(const Evacuation& other591) {
+  failureDomain = other591.failureDomain;
+  active = other591.active;
+  orderIndex = other591.orderIndex;
+  author = other591.author;
+  atMs = other591.atMs;
+  __isset = other591.__isset;
+}
+Evacuation::Evacuation(Evacuation&& other592) noexcept {
+  failureDomain = std::move(other592.failureDomain);
+  active = other592.active;
+  orderIndex = other592.orderIndex;
+  author = std::move(other592.author);
+  atMs = other592.atMs;
+  __isset = other592.__isset;
+}
+Evacuation& Evacuation::operator=(const Evacuation& other593) {
+  failureDomain = other593.failureDomain;
+  active = other593.active;
+  orderIndex = other593.orderIndex;
+  author = other593.author;
+  atMs = other593.atMs;
+  __isset = other593.__isset;
+  return *this;
+}
+Evacuation& Evacuation::operator=(Evacuation&& other594) noexcept {
+  failureDomain = std::move(other594.failureDomain);
+  active = other594.active;
+  orderIndex = other594.orderIndex;
+  author = std::move(other594.author);
+  atMs = other594.atMs;
+  __isset = other594.__isset;
+  return *this;
+}
+void Evacuation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Evacuation(";
+  out << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "active=" << to_string(active);
+  out << ", " << "orderIndex=" << to_string(orderIndex);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "atMs=" << to_string(atMs);
+  out << ")";
+}
+
+
+SetEvacuation::~SetEvacuation() noexcept {
+}
+
+
+void SetEvacuation::__set_evacuation(const Evacuation& val) {
+  this->evacuation = val;
+}
+
+void SetEvacuation::__set_expectedIndex(const int64_t val) {
+  this->expectedIndex = val;
+}
+std::ostream& operator<<(std::ostream& out, const SetEvacuation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SetEvacuation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuation.read(iprot);
+          this->__isset.evacuation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expectedIndex);
+          this->__isset.expectedIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SetEvacuation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SetEvacuation");
+
+  xfer += oprot->writeFieldBegin("evacuation", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->evacuation.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expectedIndex", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->expectedIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SetEvacuation &a, SetEvacuation &b) {
+  using ::std::swap;
+  swap(a.evacuation, b.evacuation);
+  swap(a.expectedIndex, b.expectedIndex);
+  swap(a.__isset, b.__isset);
+}
+
+SetEvacuation::SetEvacuation(const SetEvacuation& other595) {
+  evacuation = other595.evacuation;
+  expectedIndex = other595.expectedIndex;
+  __isset = other595.__isset;
+}
+SetEvacuation::SetEvacuation(SetEvacuation&& other596) noexcept {
+  evacuation = std::move(other596.evacuation);
+  expectedIndex = other596.expectedIndex;
+  __isset = other596.__isset;
+}
+SetEvacuation& SetEvacuation::operator=(const SetEvacuation& other597) {
+  evacuation = other597.evacuation;
+  expectedIndex = other597.expectedIndex;
+  __isset = other597.__isset;
+  return *this;
+}
+SetEvacuation& SetEvacuation::operator=(SetEvacuation&& other598) noexcept {
+  evacuation = std::move(other598.evacuation);
+  expectedIndex = other598.expectedIndex;
+  __isset = other598.__isset;
+  return *this;
+}
+void SetEvacuation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SetEvacuation(";
+  out << "evacuation=" << to_string(evacuation);
+  out << ", " << "expectedIndex=" << to_string(expectedIndex);
+  out << ")";
+}
+
+
 Command::~Command() noexcept {
 }
 
@@ -14781,6 +15392,11 @@
   this->noop = val;
 __isset.noop = true;
 }
+
+void Command::__set_setEvacuation(const SetEvacuation& val) {
+  this->setEvacuation = val;
+__isset.setEvacuation = true;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -14873,6 +15489,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->setEvacuation.read(iprot);
+          this->__isset.setEvacuation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14930,6 +15554,11 @@
     xfer += oprot->writeBool(this->noop);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.setEvacuation) {
+    xfer += oprot->writeFieldBegin("setEvacuation", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->setEvacuation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14945,53 +15574,58 @@
   swap(a.handOver, b.handOver);
   swap(a.setVoters, b.setVoters);
   swap(a.noop, b.noop);
+  swap(a.setEvacuation, b.setEvacuation);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other581) {
-  setConfig = other581.setConfig;
-  memberJoin = other581.memberJoin;
-  memberGone = other581.memberGone;
-  memberLeaving = other581.memberLeaving;
-  holderWhole = other581.holderWhole;
-  handOver = other581.handOver;
-  setVoters = other581.setVoters;
-  noop = other581.noop;
-  __isset = other581.__isset;
-}
-Command::Command(Command&& other582) noexcept {
-  setConfig = std::move(other582.setConfig);
-  memberJoin = std::move(other582.memberJoin);
-  memberGone = std::move(other582.memberGone);
-  memberLeaving = std::move(other582.memberLeaving);
-  holderWhole = std::move(other582.holderWhole);
-  handOver = std::move(other582.handOver);
-  setVoters = std::move(other582.setVoters);
-  noop = other582.noop;
-  __isset = other582.__isset;
-}
-Command& Command::operator=(const Command& other583) {
-  setConfig = other583.setConfig;
-  memberJoin = other583.memberJoin;
-  memberGone = other583.memberGone;
-  memberLeaving = other583.memberLeaving;
-  holderWhole = other583.holderWhole;
-  handOver = other583.handOver;
-  setVoters = other583.setVoters;
-  noop = other583.noop;
-  __isset = other583.__isset;
+Command::Command(const Command& other599) {
+  setConfig = other599.setConfig;
+  memberJoin = other599.memberJoin;
+  memberGone = other599.memberGone;
+  memberLeaving = other599.memberLeaving;
+  holderWhole = other599.holderWhole;
+  handOver = other599.handOver;
+  setVoters = other599.setVoters;
+  noop = other599.noop;
+  setEvacuation = other599.setEvacuation;
+  __isset = other599.__isset;
+}
+Command::Command(Command&& other600) noexcept {
+  setConfig = std::move(other600.setConfig);
+  memberJoin = std::move(other600.memberJoin);
+  memberGone = std::move(other600.memberGone);
+  memberLeaving = std::move(other600.memberLeaving);
+  holderWhole = std::move(other600.holderWhole);
+  handOver = std::move(other600.handOver);
+  setVoters = std::move(other600.setVoters);
+  noop = other600.noop;
+  setEvacuation = std::move(other600.setEvacuation);
+  __isset = other600.__isset;
+}
+Command& Command::operator=(const Command& other601) {
+  setConfig = other601.setConfig;
+  memberJoin = other601.memberJoin;
+  memberGone = other601.memberGone;
+  memberLeaving = other601.memberLeaving;
+  holderWhole = other601.holderWhole;
+  handOver = other601.handOver;
+  setVoters = other601.setVoters;
+  noop = other601.noop;
+  setEvacuation = other601.setEvacuation;
+  __isset = other601.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other584) noexcept {
-  setConfig = std::move(other584.setConfig);
-  memberJoin = std::move(other584.memberJoin);
-  memberGone = std::move(other584.memberGone);
-  memberLeaving = std::move(other584.memberLeaving);
-  holderWhole = std::move(other584.holderWhole);
-  handOver = std::move(other584.handOver);
-  setVoters = std::move(other584.setVoters);
-  noop = other584.noop;
-  __isset = other584.__isset;
+Command& Command::operator=(Command&& other602) noexcept {
+  setConfig = std::move(other602.setConfig);
+  memberJoin = std::move(other602.memberJoin);
+  memberGone = std::move(other602.memberGone);
+  memberLeaving = std::move(other602.memberLeaving);
+  holderWhole = std::move(other602.holderWhole);
+  handOver = std::move(other602.handOver);
+  setVoters = std::move(other602.setVoters);
+  noop = other602.noop;
+  setEvacuation = std::move(other602.setEvacuation);
+  __isset = other602.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -15005,6 +15639,7 @@
   out << ", " << "handOver="; (__isset.handOver ? (out << to_string(handOver)) : (out << "<null>"));
   out << ", " << "setVoters="; (__isset.setVoters ? (out << to_string(setVoters)) : (out << "<null>"));
   out << ", " << "noop="; (__isset.noop ? (out << to_string(noop)) : (out << "<null>"));
+  out << ", " << "setEvacuation="; (__isset.setEvacuation ? (out << to_string(setEvacuation)) : (out << "<null>"));
   out << ")";
 }
 
@@ -15135,34 +15770,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other585) {
-  member = other585.member;
-  group = other585.group;
-  term = other585.term;
-  vote = other585.vote;
-  __isset = other585.__isset;
-}
-HardState::HardState(HardState&& other586) noexcept {
-  member = std::move(other586.member);
-  group = std::move(other586.group);
-  term = other586.term;
-  vote = std::move(other586.vote);
-  __isset = other586.__isset;
-}
-HardState& HardState::operator=(const HardState& other587) {
-  member = other587.member;
-  group = other587.group;
-  term = other587.term;
-  vote = other587.vote;
-  __isset = other587.__isset;
+HardState::HardState(const HardState& other603) {
+  member = other603.member;
+  group = other603.group;
+  term = other603.term;
+  vote = other603.vote;
+  __isset = other603.__isset;
+}
+HardState::HardState(HardState&& other604) noexcept {
+  member = std::move(other604.member);
+  group = std::move(other604.group);
+  term = other604.term;
+  vote = std::move(other604.vote);
+  __isset = other604.__isset;
+}
+HardState& HardState::operator=(const HardState& other605) {
+  member = other605.member;
+  group = other605.group;
+  term = other605.term;
+  vote = other605.vote;
+  __isset = other605.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other588) noexcept {
-  member = std::move(other588.member);
-  group = std::move(other588.group);
-  term = other588.term;
-  vote = std::move(other588.vote);
-  __isset = other588.__isset;
+HardState& HardState::operator=(HardState&& other606) noexcept {
+  member = std::move(other606.member);
+  group = std::move(other606.group);
+  term = other606.term;
+  vote = std::move(other606.vote);
+  __isset = other606.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -15240,14 +15875,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size589;
-            ::apache::thrift::protocol::TType _etype592;
-            xfer += iprot->readListBegin(_etype592, _size589);
-            this->entries.resize(_size589);
-            uint32_t _i593;
-            for (_i593 = 0; _i593 < _size589; ++_i593)
+            uint32_t _size607;
+            ::apache::thrift::protocol::TType _etype610;
+            xfer += iprot->readListBegin(_etype610, _size607);
+            this->entries.resize(_size607);
+            uint32_t _i611;
+            for (_i611 = 0; _i611 < _size607; ++_i611)
             {
-              xfer += this->entries[_i593].read(iprot);
+              xfer += this->entries[_i611].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15285,10 +15920,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter594;
-    for (_iter594 = this->entries.begin(); _iter594 != this->entries.end(); ++_iter594)
+    std::vector<LogEntry> ::const_iterator _iter612;
+    for (_iter612 = this->entries.begin(); _iter612 != this->entries.end(); ++_iter612)
     {
-      xfer += (*_iter594).write(oprot);
+      xfer += (*_iter612).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15307,30 +15942,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogRecord::LogRecord(const LogRecord& other595) {
-  state = other595.state;
-  truncateFrom = other595.truncateFrom;
-  entries = other595.entries;
-  __isset = other595.__isset;
+LogRecord::LogRecord(const LogRecord& other613) {
+  state = other613.state;
+  truncateFrom = other613.truncateFrom;
+  entries = other613.entries;
+  __isset = other613.__isset;
 }
-LogRecord::LogRecord(LogRecord&& other596) noexcept {
-  state = std::move(other596.state);
-  truncateFrom = other596.truncateFrom;
-  entries = std::move(other596.entries);
-  __isset = other596.__isset;
+LogRecord::LogRecord(LogRecord&& other614) noexcept {
+  state = std::move(other614.state);
+  truncateFrom = other614.truncateFrom;
+  entries = std::move(other614.entries);
+  __isset = other614.__isset;
 }
-LogRecord& LogRecord::operator=(const LogRecord& other597) {
-  state = other597.state;
-  truncateFrom = other597.truncateFrom;
-  entries = other597.entries;
-  __isset = other597.__isset;
+LogRecord& LogRecord::operator=(const LogRecord& other615) {
+  state = other615.state;
+  truncateFrom = other615.truncateFrom;
+  entries = other615.entries;
+  __isset = other615.__isset;
   return *this;
 }
-LogRecord& LogRecord::operator=(LogRecord&& other598) noexcept {
-  state = std::move(other598.state);
-  truncateFrom = other598.truncateFrom;
-  entries = std::move(other598.entries);
-  __isset = other598.__isset;
+LogRecord& LogRecord::operator=(LogRecord&& other616) noexcept {
+  state = std::move(other616.state);
+  truncateFrom = other616.truncateFrom;
+  entries = std::move(other616.entries);
+  __isset = other616.__isset;
   return *this;
 }
 void LogRecord::printTo(std::ostream& out) const {
@@ -15382,14 +16017,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size599;
-            ::apache::thrift::protocol::TType _etype602;
-            xfer += iprot->readListBegin(_etype602, _size599);
-            this->records.resize(_size599);
-            uint32_t _i603;
-            for (_i603 = 0; _i603 < _size599; ++_i603)
+            uint32_t _size617;
+            ::apache::thrift::protocol::TType _etype620;
+            xfer += iprot->readListBegin(_etype620, _size617);
+            this->records.resize(_size617);
+            uint32_t _i621;
+            for (_i621 = 0; _i621 < _size617; ++_i621)
             {
-              xfer += this->records[_i603].read(iprot);
+              xfer += this->records[_i621].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15418,10 +16053,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<LogRecord> ::const_iterator _iter604;
-    for (_iter604 = this->records.begin(); _iter604 != this->records.end(); ++_iter604)
+    std::vector<LogRecord> ::const_iterator _iter622;
+    for (_iter622 = this->records.begin(); _iter622 != this->records.end(); ++_iter622)
     {
-      xfer += (*_iter604).write(oprot);
+      xfer += (*_iter622).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15438,22 +16073,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LogFrame::LogFrame(const LogFrame& other605) {
-  records = other605.records;
-  __isset = other605.__isset;
+LogFrame::LogFrame(const LogFrame& other623) {
+  records = other623.records;
+  __isset = other623.__isset;
 }
-LogFrame::LogFrame(LogFrame&& other606) noexcept {
-  records = std::move(other606.records);
-  __isset = other606.__isset;
+LogFrame::LogFrame(LogFrame&& other624) noexcept {
+  records = std::move(other624.records);
+  __isset = other624.__isset;
 }
-LogFrame& LogFrame::operator=(const LogFrame& other607) {
-  records = other607.records;
-  __isset = other607.__isset;
+LogFrame& LogFrame::operator=(const LogFrame& other625) {
+  records = other625.records;
+  __isset = other625.__isset;
   return *this;
 }
-LogFrame& LogFrame::operator=(LogFrame&& other608) noexcept {
-  records = std::move(other608.records);
-  __isset = other608.__isset;
+LogFrame& LogFrame::operator=(LogFrame&& other626) noexcept {
+  records = std::move(other626.records);
+  __isset = other626.__isset;
   return *this;
 }
 void LogFrame::printTo(std::ostream& out) const {
@@ -15539,14 +16174,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size609;
-            ::apache::thrift::protocol::TType _etype612;
-            xfer += iprot->readListBegin(_etype612, _size609);
-            this->voters.resize(_size609);
-            uint32_t _i613;
-            for (_i613 = 0; _i613 < _size609; ++_i613)
+            uint32_t _size627;
+            ::apache::thrift::protocol::TType _etype630;
+            xfer += iprot->readListBegin(_etype630, _size627);
+            this->voters.resize(_size627);
+            uint32_t _i631;
+            for (_i631 = 0; _i631 < _size627; ++_i631)
             {
-              xfer += iprot->readString(this->voters[_i613]);
+              xfer += iprot->readString(this->voters[_i631]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15559,14 +16194,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size614;
-            ::apache::thrift::protocol::TType _etype617;
-            xfer += iprot->readListBegin(_etype617, _size614);
-            this->learners.resize(_size614);
-            uint32_t _i618;
-            for (_i618 = 0; _i618 < _size614; ++_i618)
+            uint32_t _size632;
+            ::apache::thrift::protocol::TType _etype635;
+            xfer += iprot->readListBegin(_etype635, _size632);
+            this->learners.resize(_size632);
+            uint32_t _i636;
+            for (_i636 = 0; _i636 < _size632; ++_i636)
             {
-              xfer += iprot->readString(this->learners[_i618]);
+              xfer += iprot->readString(this->learners[_i636]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15587,17 +16222,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->domains.clear();
-            uint32_t _size619;
-            ::apache::thrift::protocol::TType _ktype620;
-            ::apache::thrift::protocol::TType _vtype621;
-            xfer += iprot->readMapBegin(_ktype620, _vtype621, _size619);
-            uint32_t _i623;
-            for (_i623 = 0; _i623 < _size619; ++_i623)
+            uint32_t _size637;
+            ::apache::thrift::protocol::TType _ktype638;
+            ::apache::thrift::protocol::TType _vtype639;
+            xfer += iprot->readMapBegin(_ktype638, _vtype639, _size637);
+            uint32_t _i641;
+            for (_i641 = 0; _i641 < _size637; ++_i641)
             {
-              std::string _key624;
-              xfer += iprot->readString(_key624);
-              std::string& _val625 = this->domains[_key624];
-              xfer += iprot->readString(_val625);
+              std::string _key642;
+              xfer += iprot->readString(_key642);
+              std::string& _val643 = this->domains[_key642];
+              xfer += iprot->readString(_val643);
             }
             xfer += iprot->readMapEnd();
           }
@@ -15634,10 +16269,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter626;
-    for (_iter626 = this->voters.begin(); _iter626 != this->voters.end(); ++_iter626)
+    std::vector<std::string> ::const_iterator _iter644;
+    for (_iter644 = this->voters.begin(); _iter644 != this->voters.end(); ++_iter644)
     {
-      xfer += oprot->writeString((*_iter626));
+      xfer += oprot->writeString((*_iter644));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15646,10 +16281,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter627;
-    for (_iter627 = this->learners.begin(); _iter627 != this->learners.end(); ++_iter627)
+    std::vector<std::string> ::const_iterator _iter645;
+    for (_iter645 = this->learners.begin(); _iter645 != this->learners.end(); ++_iter645)
     {
-      xfer += oprot->writeString((*_iter627));
+      xfer += oprot->writeString((*_iter645));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15662,11 +16297,11 @@
   xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-    std::map<std::string, std::string> ::const_iterator _iter628;
-    for (_iter628 = this->domains.begin(); _iter628 != this->domains.end(); ++_iter628)
+    std::map<std::string, std::string> ::const_iterator _iter646;
+    for (_iter646 = this->domains.begin(); _iter646 != this->domains.end(); ++_iter646)
     {
-      xfer += oprot->writeString(_iter628->first);
-      xfer += oprot->writeString(_iter628->second);
+      xfer += oprot->writeString(_iter646->first);
+      xfer += oprot->writeString(_iter646->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -15688,42 +16323,42 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotFile::SnapshotFile(const SnapshotFile& other629) {
-  lastIndex = other629.lastIndex;
-  lastTerm = other629.lastTerm;
-  voters = other629.voters;
-  learners = other629.learners;
-  data = other629.data;
-  domains = other629.domains;
-  __isset = other629.__isset;
-}
-SnapshotFile::SnapshotFile(SnapshotFile&& other630) noexcept {
-  lastIndex = other630.lastIndex;
-  lastTerm = other630.lastTerm;
-  voters = std::move(other630.voters);
-  learners = std::move(other630.learners);
-  data = std::move(other630.data);
-  domains = std::move(other630.domains);
-  __isset = other630.__isset;
-}
-SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other631) {
-  lastIndex = other631.lastIndex;
-  lastTerm = other631.lastTerm;
-  voters = other631.voters;
-  learners = other631.learners;
-  data = other631.data;
-  domains = other631.domains;
-  __isset = other631.__isset;
+SnapshotFile::SnapshotFile(const SnapshotFile& other647) {
+  lastIndex = other647.lastIndex;
+  lastTerm = other647.lastTerm;
+  voters = other647.voters;
+  learners = other647.learners;
+  data = other647.data;
+  domains = other647.domains;
+  __isset = other647.__isset;
+}
+SnapshotFile::SnapshotFile(SnapshotFile&& other648) noexcept {
+  lastIndex = other648.lastIndex;
+  lastTerm = other648.lastTerm;
+  voters = std::move(other648.voters);
+  learners = std::move(other648.learners);
+  data = std::move(other648.data);
+  domains = std::move(other648.domains);
+  __isset = other648.__isset;
+}
+SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other649) {
+  lastIndex = other649.lastIndex;
+  lastTerm = other649.lastTerm;
+  voters = other649.voters;
+  learners = other649.learners;
+  data = other649.data;
+  domains = other649.domains;
+  __isset = other649.__isset;
   return *this;
 }
-SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other632) noexcept {
-  lastIndex = other632.lastIndex;
-  lastTerm = other632.lastTerm;
-  voters = std::move(other632.voters);
-  learners = std::move(other632.learners);
-  data = std::move(other632.data);
-  domains = std::move(other632.domains);
-  __isset = other632.__isset;
+SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other650) noexcept {
+  lastIndex = other650.lastIndex;
+  lastTerm = other650.lastTerm;
+  voters = std::move(other650.voters);
+  learners = std::move(other650.learners);
+  data = std::move(other650.data);
+  domains = std::move(other650.domains);
+  __isset = other650.__isset;
   return *this;
 }
 void SnapshotFile::printTo(std::ostream& out) const {
@@ -15848,30 +16483,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderRecord::HolderRecord(const HolderRecord& other633) {
-  name = other633.name;
-  since = other633.since;
-  whole = other633.whole;
-  __isset = other633.__isset;
-}
-HolderRecord::HolderRecord(HolderRecord&& other634) noexcept {
-  name = std::move(other634.name);
-  since = other634.since;
-  whole = other634.whole;
-  __isset = other634.__isset;
+HolderRecord::HolderRecord(const HolderRecord& other651) {
+  name = other651.name;
+  since = other651.since;
+  whole = other651.whole;
+  __isset = other651.__isset;
 }
-HolderRecord& HolderRecord::operator=(const HolderRecord& other635) {
-  name = other635.name;
-  since = other635.since;
-  whole = other635.whole;
-  __isset = other635.__isset;
+HolderRecord::HolderRecord(HolderRecord&& other652) noexcept {
+  name = std::move(other652.name);
+  since = other652.since;
+  whole = other652.whole;
+  __isset = other652.__isset;
+}
+HolderRecord& HolderRecord::operator=(const HolderRecord& other653) {
+  name = other653.name;
+  since = other653.since;
+  whole = other653.whole;
+  __isset = other653.__isset;
   return *this;
 }
-HolderRecord& HolderRecord::operator=(HolderRecord&& other636) noexcept {
-  name = std::move(other636.name);
-  since = other636.since;
-  whole = other636.whole;
-  __isset = other636.__isset;
+HolderRecord& HolderRecord::operator=(HolderRecord&& other654) noexcept {
+  name = std::move(other654.name);
+  since = other654.since;
+  whole = other654.whole;
+  __isset = other654.__isset;
   return *this;
 }
 void HolderRecord::printTo(std::ostream& out) const {
@@ -15983,14 +16618,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size637;
-            ::apache::thrift::protocol::TType _etype640;
-            xfer += iprot->readListBegin(_etype640, _size637);
-            this->holders.resize(_size637);
-            uint32_t _i641;
-            for (_i641 = 0; _i641 < _size637; ++_i641)
+            uint32_t _size655;
+            ::apache::thrift::protocol::TType _etype658;
+            xfer += iprot->readListBegin(_etype658, _size655);
+            this->holders.resize(_size655);
+            uint32_t _i659;
+            for (_i659 = 0; _i659 < _size655; ++_i659)
             {
-              xfer += this->holders[_i641].read(iprot);
+              xfer += this->holders[_i659].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16059,10 +16694,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<HolderRecord> ::const_iterator _iter642;
-    for (_iter642 = this->holders.begin(); _iter642 != this->holders.end(); ++_iter642)
+    std::vector<HolderRecord> ::const_iterator _iter660;
+    for (_iter660 = this->holders.begin(); _iter660 != this->holders.end(); ++_iter660)
     {
-      xfer += (*_iter642).write(oprot);
+      xfer += (*_iter660).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16098,50 +16733,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CellRecord::CellRecord(const CellRecord& other643) {
-  cell = other643.cell;
-  serviceName = other643.serviceName;
-  epoch = other643.epoch;
-  owner = other643.owner;
-  holders = other643.holders;
-  floorMs = other643.floorMs;
-  routeVersion = other643.routeVersion;
-  agentsVersion = other643.agentsVersion;
-  __isset = other643.__isset;
-}
-CellRecord::CellRecord(CellRecord&& other644) noexcept {
-  cell = other644.cell;
-  serviceName = std::move(other644.serviceName);
-  epoch = other644.epoch;
-  owner = std::move(other644.owner);
-  holders = std::move(other644.holders);
-  floorMs = other644.floorMs;
-  routeVersion = other644.routeVersion;
-  agentsVersion = other644.agentsVersion;
-  __isset = other644.__isset;
-}
-CellRecord& CellRecord::operator=(const CellRecord& other645) {
-  cell = other645.cell;
-  serviceName = other645.serviceName;
-  epoch = other645.epoch;
-  owner = other645.owner;
-  holders = other645.holders;
-  floorMs = other645.floorMs;
-  routeVersion = other645.routeVersion;
-  agentsVersion = other645.agentsVersion;
-  __isset = other645.__isset;
+CellRecord::CellRecord(const CellRecord& other661) {
+  cell = other661.cell;
+  serviceName = other661.serviceName;
+  epoch = other661.epoch;
+  owner = other661.owner;
+  holders = other661.holders;
+  floorMs = other661.floorMs;
+  routeVersion = other661.routeVersion;
+  agentsVersion = other661.agentsVersion;
+  __isset = other661.__isset;
+}
+CellRecord::CellRecord(CellRecord&& other662) noexcept {
+  cell = other662.cell;
+  serviceName = std::move(other662.serviceName);
+  epoch = other662.epoch;
+  owner = std::move(other662.owner);
+  holders = std::move(other662.holders);
+  floorMs = other662.floorMs;
+  routeVersion = other662.routeVersion;
+  agentsVersion = other662.agentsVersion;
+  __isset = other662.__isset;
+}
+CellRecord& CellRecord::operator=(const CellRecord& other663) {
+  cell = other663.cell;
+  serviceName = other663.serviceName;
+  epoch = other663.epoch;
+  owner = other663.owner;
+  holders = other663.holders;
+  floorMs = other663.floorMs;
+  routeVersion = other663.routeVersion;
+  agentsVersion = other663.agentsVersion;
+  __isset = other663.__isset;
   return *this;
 }
-CellRecord& CellRecord::operator=(CellRecord&& other646) noexcept {
-  cell = other646.cell;
-  serviceName = std::move(other646.serviceName);
-  epoch = other646.epoch;
-  owner = std::move(other646.owner);
-  holders = std::move(other646.holders);
-  floorMs = other646.floorMs;
-  routeVersion = other646.routeVersion;
-  agentsVersion = other646.agentsVersion;
-  __isset = other646.__isset;
+CellRecord& CellRecord::operator=(CellRecord&& other664) noexcept {
+  cell = other664.cell;
+  serviceName = std::move(other664.serviceName);
+  epoch = other664.epoch;
+  owner = std::move(other664.owner);
+  holders = std::move(other664.holders);
+  floorMs = other664.floorMs;
+  routeVersion = other664.routeVersion;
+  agentsVersion = other664.agentsVersion;
+  __isset = other664.__isset;
   return *this;
 }
 void CellRecord::printTo(std::ostream& out) const {
@@ -16236,9 +16871,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast647;
-          xfer += iprot->readI32(ecast647);
-          this->role = static_cast<Role::type>(ecast647);
+          int32_t ecast665;
+          xfer += iprot->readI32(ecast665);
+          this->role = static_cast<Role::type>(ecast665);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -16372,54 +17007,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other648) {
-  id = other648.id;
-  role = other648.role;
-  address = other648.address;
-  failureDomain = other648.failureDomain;
-  serviceName = other648.serviceName;
-  cell = other648.cell;
-  leaving = other648.leaving;
-  version = other648.version;
-  leaseVersion = other648.leaseVersion;
-  __isset = other648.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other649) noexcept {
-  id = std::move(other649.id);
-  role = other649.role;
-  address = std::move(other649.address);
-  failureDomain = std::move(other649.failureDomain);
-  serviceName = std::move(other649.serviceName);
-  cell = other649.cell;
-  leaving = other649.leaving;
-  version = other649.version;
-  leaseVersion = other649.leaseVersion;
-  __isset = other649.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other650) {
-  id = other650.id;
-  role = other650.role;
-  address = other650.address;
-  failureDomain = other650.failureDomain;
-  serviceName = other650.serviceName;
-  cell = other650.cell;
-  leaving = other650.leaving;
-  version = other650.version;
-  leaseVersion = other650.leaseVersion;
-  __isset = other650.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other666) {
+  id = other666.id;
+  role = other666.role;
+  address = other666.address;
+  failureDomain = other666.failureDomain;
+  serviceName = other666.serviceName;
+  cell = other666.cell;
+  leaving = other666.leaving;
+  version = other666.version;
+  leaseVersion = other666.leaseVersion;
+  __isset = other666.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other667) noexcept {
+  id = std::move(other667.id);
+  role = other667.role;
+  address = std::move(other667.address);
+  failureDomain = std::move(other667.failureDomain);
+  serviceName = std::move(other667.serviceName);
+  cell = other667.cell;
+  leaving = other667.leaving;
+  version = other667.version;
+  leaseVersion = other667.leaseVersion;
+  __isset = other667.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other668) {
+  id = other668.id;
+  role = other668.role;
+  address = other668.address;
+  failureDomain = other668.failureDomain;
+  serviceName = other668.serviceName;
+  cell = other668.cell;
+  leaving = other668.leaving;
+  version = other668.version;
+  leaseVersion = other668.leaseVersion;
+  __isset = other668.__isset;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other651) noexcept {
-  id = std::move(other651.id);
-  role = other651.role;
-  address = std::move(other651.address);
-  failureDomain = std::move(other651.failureDomain);
-  serviceName = std::move(other651.serviceName);
-  cell = other651.cell;
-  leaving = other651.leaving;
-  version = other651.version;
-  leaseVersion = other651.leaseVersion;
-  __isset = other651.__isset;
+MemberRecord& MemberRecord::operator=(MemberRecord&& other669) noexcept {
+  id = std::move(other669.id);
+  role = other669.role;
+  address = std::move(other669.address);
+  failureDomain = std::move(other669.failureDomain);
+  serviceName = std::move(other669.serviceName);
+  cell = other669.cell;
+  leaving = other669.leaving;
+  version = other669.version;
+  leaseVersion = other669.leaseVersion;
+  __isset = other669.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -16469,6 +17104,14 @@
 void ControlImage::__set_entriesVersion(const int64_t val) {
   this->entriesVersion = val;
 }
+
+void ControlImage::__set_evacuations(const std::vector<Evacuation> & val) {
+  this->evacuations = val;
+}
+
+void ControlImage::__set_evacuationsVersion(const int64_t val) {
+  this->evacuationsVersion = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControlImage& obj)
 {
   obj.printTo(out);
@@ -16501,14 +17144,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size652;
-            ::apache::thrift::protocol::TType _etype655;
-            xfer += iprot->readListBegin(_etype655, _size652);
-            this->history.resize(_size652);
-            uint32_t _i656;
-            for (_i656 = 0; _i656 < _size652; ++_i656)
+            uint32_t _size670;
+            ::apache::thrift::protocol::TType _etype673;
+            xfer += iprot->readListBegin(_etype673, _size670);
+            this->history.resize(_size670);
+            uint32_t _i674;
+            for (_i674 = 0; _i674 < _size670; ++_i674)
             {
-              xfer += this->history[_i656].read(iprot);
+              xfer += this->history[_i674].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16521,14 +17164,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size657;
-            ::apache::thrift::protocol::TType _etype660;
-            xfer += iprot->readListBegin(_etype660, _size657);
-            this->members.resize(_size657);
-            uint32_t _i661;
-            for (_i661 = 0; _i661 < _size657; ++_i661)
+            uint32_t _size675;
+            ::apache::thrift::protocol::TType _etype678;
+            xfer += iprot->readListBegin(_etype678, _size675);
+            this->members.resize(_size675);
+            uint32_t _i679;
+            for (_i679 = 0; _i679 < _size675; ++_i679)
             {
-              xfer += this->members[_i661].read(iprot);
+              xfer += this->members[_i679].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16541,14 +17184,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size662;
-            ::apache::thrift::protocol::TType _etype665;
-            xfer += iprot->readListBegin(_etype665, _size662);
-            this->cells.resize(_size662);
-            uint32_t _i666;
-            for (_i666 = 0; _i666 < _size662; ++_i666)
+            uint32_t _size680;
+            ::apache::thrift::protocol::TType _etype683;
+            xfer += iprot->readListBegin(_etype683, _size680);
+            this->cells.resize(_size680);
+            uint32_t _i684;
+            for (_i684 = 0; _i684 < _size680; ++_i684)
             {
-              xfer += this->cells[_i666].read(iprot);
+              xfer += this->cells[_i684].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16589,6 +17232,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuations.clear();
+            uint32_t _size685;
+            ::apache::thrift::protocol::TType _etype688;
+            xfer += iprot->readListBegin(_etype688, _size685);
+            this->evacuations.resize(_size685);
+            uint32_t _i689;
+            for (_i689 = 0; _i689 < _size685; ++_i689)
+            {
+              xfer += this->evacuations[_i689].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuationsVersion);
+          this->__isset.evacuationsVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -16609,10 +17280,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<ConfigFile> ::const_iterator _iter667;
-    for (_iter667 = this->history.begin(); _iter667 != this->history.end(); ++_iter667)
+    std::vector<ConfigFile> ::const_iterator _iter690;
+    for (_iter690 = this->history.begin(); _iter690 != this->history.end(); ++_iter690)
     {
-      xfer += (*_iter667).write(oprot);
+      xfer += (*_iter690).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16621,10 +17292,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter668;
-    for (_iter668 = this->members.begin(); _iter668 != this->members.end(); ++_iter668)
+    std::vector<MemberRecord> ::const_iterator _iter691;
+    for (_iter691 = this->members.begin(); _iter691 != this->members.end(); ++_iter691)
     {
-      xfer += (*_iter668).write(oprot);
+      xfer += (*_iter691).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16633,10 +17304,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellRecord> ::const_iterator _iter669;
-    for (_iter669 = this->cells.begin(); _iter669 != this->cells.end(); ++_iter669)
+    std::vector<CellRecord> ::const_iterator _iter692;
+    for (_iter692 = this->cells.begin(); _iter692 != this->cells.end(); ++_iter692)
     {
-      xfer += (*_iter669).write(oprot);
+      xfer += (*_iter692).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16658,6 +17329,22 @@
   xfer += oprot->writeI64(this->entriesVersion);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
+    std::vector<Evacuation> ::const_iterator _iter693;
+    for (_iter693 = this->evacuations.begin(); _iter693 != this->evacuations.end(); ++_iter693)
+    {
+      xfer += (*_iter693).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuationsVersion", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->evacuationsVersion);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -16672,49 +17359,59 @@
   swap(a.configVersion, b.configVersion);
   swap(a.routesVersion, b.routesVersion);
   swap(a.entriesVersion, b.entriesVersion);
+  swap(a.evacuations, b.evacuations);
+  swap(a.evacuationsVersion, b.evacuationsVersion);
   swap(a.__isset, b.__isset);
 }
 
-ControlImage::ControlImage(const ControlImage& other670) {
-  history = other670.history;
-  members = other670.members;
-  cells = other670.cells;
-  nextCell = other670.nextCell;
-  configVersion = other670.configVersion;
-  routesVersion = other670.routesVersion;
-  entriesVersion = other670.entriesVersion;
-  __isset = other670.__isset;
-}
-ControlImage::ControlImage(ControlImage&& other671) noexcept {
-  history = std::move(other671.history);
-  members = std::move(other671.members);
-  cells = std::move(other671.cells);
-  nextCell = other671.nextCell;
-  configVersion = other671.configVersion;
-  routesVersion = other671.routesVersion;
-  entriesVersion = other671.entriesVersion;
-  __isset = other671.__isset;
-}
-ControlImage& ControlImage::operator=(const ControlImage& other672) {
-  history = other672.history;
-  members = other672.members;
-  cells = other672.cells;
-  nextCell = other672.nextCell;
-  configVersion = other672.configVersion;
-  routesVersion = other672.routesVersion;
-  entriesVersion = other672.entriesVersion;
-  __isset = other672.__isset;
+ControlImage::ControlImage(const ControlImage& other694) {
+  history = other694.history;
+  members = other694.members;
+  cells = other694.cells;
+  nextCell = other694.nextCell;
+  configVersion = other694.configVersion;
+  routesVersion = other694.routesVersion;
+  entriesVersion = other694.entriesVersion;
+  evacuations = other694.evacuations;
+  evacuationsVersion = other694.evacuationsVersion;
+  __isset = other694.__isset;
+}
+ControlImage::ControlImage(ControlImage&& other695) noexcept {
+  history = std::move(other695.history);
+  members = std::move(other695.members);
+  cells = std::move(other695.cells);
+  nextCell = other695.nextCell;
+  configVersion = other695.configVersion;
+  routesVersion = other695.routesVersion;
+  entriesVersion = other695.entriesVersion;
+  evacuations = std::move(other695.evacuations);
+  evacuationsVersion = other695.evacuationsVersion;
+  __isset = other695.__isset;
+}
+ControlImage& ControlImage::operator=(const ControlImage& other696) {
+  history = other696.history;
+  members = other696.members;
+  cells = other696.cells;
+  nextCell = other696.nextCell;
+  configVersion = other696.configVersion;
+  routesVersion = other696.routesVersion;
+  entriesVersion = other696.entriesVersion;
+  evacuations = other696.evacuations;
+  evacuationsVersion = other696.evacuationsVersion;
+  __isset = other696.__isset;
   return *this;
 }
-ControlImage& ControlImage::operator=(ControlImage&& other673) noexcept {
-  history = std::move(other673.history);
-  members = std::move(other673.members);
-  cells = std::move(other673.cells);
-  nextCell = other673.nextCell;
-  configVersion = other673.configVersion;
-  routesVersion = other673.routesVersion;
-  entriesVersion = other673.entriesVersion;
-  __isset = other673.__isset;
+ControlImage& ControlImage::operator=(ControlImage&& other697) noexcept {
+  history = std::move(other697.history);
+  members = std::move(other697.members);
+  cells = std::move(other697.cells);
+  nextCell = other697.nextCell;
+  configVersion = other697.configVersion;
+  routesVersion = other697.routesVersion;
+  entriesVersion = other697.entriesVersion;
+  evacuations = std::move(other697.evacuations);
+  evacuationsVersion = other697.evacuationsVersion;
+  __isset = other697.__isset;
   return *this;
 }
 void ControlImage::printTo(std::ostream& out) const {
@@ -16727,6 +17424,8 @@
   out << ", " << "configVersion=" << to_string(configVersion);
   out << ", " << "routesVersion=" << to_string(routesVersion);
   out << ", " << "entriesVersion=" << to_string(entriesVersion);
+  out << ", " << "evacuations=" << to_string(evacuations);
+  out << ", " << "evacuationsVersion=" << to_string(evacuationsVersion);
   out << ")";
 }
 
@@ -16850,6 +17549,11 @@
 __isset.controlAnswer = true;
 }
 
+void Message::__set_orderEvacuation(const OrderEvacuation& val) {
+  this->orderEvacuation = val;
+__isset.orderEvacuation = true;
+}
+
 void Message::__set_hostReport(const HostReport& val) {
   this->hostReport = val;
 __isset.hostReport = true;
@@ -17146,6 +17850,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 37:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->orderEvacuation.read(iprot);
+          this->__isset.orderEvacuation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 50:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->hostReport.read(iprot);
