@@ -17414,6 +18126,11 @@
     xfer += this->controlAnswer.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.orderEvacuation) {
+    xfer += oprot->writeFieldBegin("orderEvacuation", ::apache::thrift::protocol::T_STRUCT, 37);
+    xfer += this->orderEvacuation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.requestVote) {
     xfer += oprot->writeFieldBegin("requestVote", ::apache::thrift::protocol::T_STRUCT, 40);
     xfer += this->requestVote.write(oprot);
@@ -17529,6 +18246,7 @@
   swap(a.applyReply, b.applyReply);
   swap(a.controlQuery, b.controlQuery);
   swap(a.controlAnswer, b.controlAnswer);
+  swap(a.orderEvacuation, b.orderEvacuation);
   swap(a.hostReport, b.hostReport);
   swap(a.hostContact, b.hostContact);
   swap(a.runTasks, b.runTasks);
@@ -17549,178 +18267,182 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other674) {
-  submitJob = other674.submitJob;
-  cancelJob = other674.cancelJob;
-  queryJob = other674.queryJob;
-  jobReply = other674.jobReply;
-  notOwner = other674.notOwner;
-  recordBatch = other674.recordBatch;
-  recordSnapshot = other674.recordSnapshot;
-  recordAck = other674.recordAck;
-  startBatch = other674.startBatch;
-  cancelBatch = other674.cancelBatch;
-  resultAck = other674.resultAck;
-  fence = other674.fence;
-  agentHello = other674.agentHello;
-  resultBatch = other674.resultBatch;
-  startRefused = other674.startRefused;
-  agentState = other674.agentState;
-  memberHeartbeat = other674.memberHeartbeat;
-  heartbeatReply = other674.heartbeatReply;
-  clusterView = other674.clusterView;
-  applyConfig = other674.applyConfig;
-  applyReply = other674.applyReply;
-  controlQuery = other674.controlQuery;
-  controlAnswer = other674.controlAnswer;
-  hostReport = other674.hostReport;
-  hostContact = other674.hostContact;
-  runTasks = other674.runTasks;
-  stopTasks = other674.stopTasks;
-  taskReports = other674.taskReports;
-  startsInDoubt = other674.startsInDoubt;
-  ordersElsewhere = other674.ordersElsewhere;
-  requestVote = other674.requestVote;
-  voteReply = other674.voteReply;
-  appendEntries = other674.appendEntries;
-  appendReply = other674.appendReply;
-  installSnapshot = other674.installSnapshot;
-  installReply = other674.installReply;
-  timeoutNow = other674.timeoutNow;
-  snapshotChunk = other674.snapshotChunk;
-  snapshotChunkReply = other674.snapshotChunkReply;
-  voterLeaving = other674.voterLeaving;
-  __isset = other674.__isset;
-}
-Message::Message(Message&& other675) noexcept {
-  submitJob = std::move(other675.submitJob);
-  cancelJob = std::move(other675.cancelJob);
-  queryJob = std::move(other675.queryJob);
-  jobReply = std::move(other675.jobReply);
-  notOwner = std::move(other675.notOwner);
-  recordBatch = std::move(other675.recordBatch);
-  recordSnapshot = std::move(other675.recordSnapshot);
-  recordAck = std::move(other675.recordAck);
-  startBatch = std::move(other675.startBatch);
-  cancelBatch = std::move(other675.cancelBatch);
-  resultAck = std::move(other675.resultAck);
-  fence = std::move(other675.fence);
-  agentHello = std::move(other675.agentHello);
-  resultBatch = std::move(other675.resultBatch);
-  startRefused = std::move(other675.startRefused);
-  agentState = std::move(other675.agentState);
-  memberHeartbeat = std::move(other675.memberHeartbeat);
-  heartbeatReply = std::move(other675.heartbeatReply);
-  clusterView = std::move(other675.clusterView);
-  applyConfig = std::move(other675.applyConfig);
-  applyReply = std::move(other675.applyReply);
-  controlQuery = std::move(other675.controlQuery);
-  controlAnswer = std::move(other675.controlAnswer);
-  hostReport = std::move(other675.hostReport);
-  hostContact = std::move(other675.hostContact);
-  runTasks = std::move(other675.runTasks);
-  stopTasks = std::move(other675.stopTasks);
-  taskReports = std::move(other675.taskReports);
-  startsInDoubt = std::move(other675.startsInDoubt);
-  ordersElsewhere = std::move(other675.ordersElsewhere);
-  requestVote = std::move(other675.requestVote);
-  voteReply = std::move(other675.voteReply);
-  appendEntries = std::move(other675.appendEntries);
-  appendReply = std::move(other675.appendReply);
-  installSnapshot = std::move(other675.installSnapshot);
-  installReply = std::move(other675.installReply);
-  timeoutNow = std::move(other675.timeoutNow);
-  snapshotChunk = std::move(other675.snapshotChunk);
-  snapshotChunkReply = std::move(other675.snapshotChunkReply);
-  voterLeaving = std::move(other675.voterLeaving);
-  __isset = other675.__isset;
-}
-Message& Message::operator=(const Message& other676) {
-  submitJob = other676.submitJob;
-  cancelJob = other676.cancelJob;
-  queryJob = other676.queryJob;
-  jobReply = other676.jobReply;
-  notOwner = other676.notOwner;
-  recordBatch = other676.recordBatch;
-  recordSnapshot = other676.recordSnapshot;
-  recordAck = other676.recordAck;
-  startBatch = other676.startBatch;
-  cancelBatch = other676.cancelBatch;
-  resultAck = other676.resultAck;
-  fence = other676.fence;
-  agentHello = other676.agentHello;
-  resultBatch = other676.resultBatch;
-  startRefused = other676.startRefused;
-  agentState = other676.agentState;
-  memberHeartbeat = other676.memberHeartbeat;
-  heartbeatReply = other676.heartbeatReply;
-  clusterView = other676.clusterView;
-  applyConfig = other676.applyConfig;
-  applyReply = other676.applyReply;
-  controlQuery = other676.controlQuery;
-  controlAnswer = other676.controlAnswer;
-  hostReport = other676.hostReport;
-  hostContact = other676.hostContact;
-  runTasks = other676.runTasks;
-  stopTasks = other676.stopTasks;
-  taskReports = other676.taskReports;
-  startsInDoubt = other676.startsInDoubt;
-  ordersElsewhere = other676.ordersElsewhere;
-  requestVote = other676.requestVote;
-  voteReply = other676.voteReply;
-  appendEntries = other676.appendEntries;
-  appendReply = other676.appendReply;
-  installSnapshot = other676.installSnapshot;
-  installReply = other676.installReply;
-  timeoutNow = other676.timeoutNow;
-  snapshotChunk = other676.snapshotChunk;
-  snapshotChunkReply = other676.snapshotChunkReply;
-  voterLeaving = other676.voterLeaving;
-  __isset = other676.__isset;
+Message::Message(const Message& other698) {
+  submitJob = other698.submitJob;
+  cancelJob = other698.cancelJob;
+  queryJob = other698.queryJob;
+  jobReply = other698.jobReply;
+  notOwner = other698.notOwner;
+  recordBatch = other698.recordBatch;
+  recordSnapshot = other698.recordSnapshot;
+  recordAck = other698.recordAck;
+  startBatch = other698.startBatch;
+  cancelBatch = other698.cancelBatch;
+  resultAck = other698.resultAck;
+  fence = other698.fence;
+  agentHello = other698.agentHello;
+  resultBatch = other698.resultBatch;
+  startRefused = other698.startRefused;
+  agentState = other698.agentState;
+  memberHeartbeat = other698.memberHeartbeat;
+  heartbeatReply = other698.heartbeatReply;
+  clusterView = other698.clusterView;
+  applyConfig = other698.applyConfig;
+  applyReply = other698.applyReply;
+  controlQuery = other698.controlQuery;
+  controlAnswer = other698.controlAnswer;
+  orderEvacuation = other698.orderEvacuation;
+  hostReport = other698.hostReport;
+  hostContact = other698.hostContact;
+  runTasks = other698.runTasks;
+  stopTasks = other698.stopTasks;
+  taskReports = other698.taskReports;
+  startsInDoubt = other698.startsInDoubt;
+  ordersElsewhere = other698.ordersElsewhere;
+  requestVote = other698.requestVote;
+  voteReply = other698.voteReply;
+  appendEntries = other698.appendEntries;
+  appendReply = other698.appendReply;
+  installSnapshot = other698.installSnapshot;
+  installReply = other698.installReply;
+  timeoutNow = other698.timeoutNow;
+  snapshotChunk = other698.snapshotChunk;
+  snapshotChunkReply = other698.snapshotChunkReply;
+  voterLeaving = other698.voterLeaving;
+  __isset = other698.__isset;
+}
+Message::Message(Message&& other699) noexcept {
+  submitJob = std::move(other699.submitJob);
+  cancelJob = std::move(other699.cancelJob);
+  queryJob = std::move(other699.queryJob);
+  jobReply = std::move(other699.jobReply);
+  notOwner = std::move(other699.notOwner);
+  recordBatch = std::move(other699.recordBatch);
+  recordSnapshot = std::move(other699.recordSnapshot);
+  recordAck = std::move(other699.recordAck);
+  startBatch = std::move(other699.startBatch);
+  cancelBatch = std::move(other699.cancelBatch);
+  resultAck = std::move(other699.resultAck);
+  fence = std::move(other699.fence);
+  agentHello = std::move(other699.agentHello);
+  resultBatch = std::move(other699.resultBatch);
+  startRefused = std::move(other699.startRefused);
+  agentState = std::move(other699.agentState);
+  memberHeartbeat = std::move(other699.memberHeartbeat);
+  heartbeatReply = std::move(other699.heartbeatReply);
+  clusterView = std::move(other699.clusterView);
+  applyConfig = std::move(other699.applyConfig);
+  applyReply = std::move(other699.applyReply);
+  controlQuery = std::move(other699.controlQuery);
+  controlAnswer = std::move(other699.controlAnswer);
+  orderEvacuation = std::move(other699.orderEvacuation);
+  hostReport = std::move(other699.hostReport);
+  hostContact = std::move(other699.hostContact);
+  runTasks = std::move(other699.runTasks);
+  stopTasks = std::move(other699.stopTasks);
+  taskReports = std::move(other699.taskReports);
+  startsInDoubt = std::move(other699.startsInDoubt);
+  ordersElsewhere = std::move(other699.ordersElsewhere);
+  requestVote = std::move(other699.requestVote);
+  voteReply = std::move(other699.voteReply);
+  appendEntries = std::move(other699.appendEntries);
+  appendReply = std::move(other699.appendReply);
+  installSnapshot = std::move(other699.installSnapshot);
+  installReply = std::move(other699.installReply);
+  timeoutNow = std::move(other699.timeoutNow);
+  snapshotChunk = std::move(other699.snapshotChunk);
+  snapshotChunkReply = std::move(other699.snapshotChunkReply);
+  voterLeaving = std::move(other699.voterLeaving);
+  __isset = other699.__isset;
+}
+Message& Message::operator=(const Message& other700) {
+  submitJob = other700.submitJob;
+  cancelJob = other700.cancelJob;
+  queryJob = other700.queryJob;
+  jobReply = other700.jobReply;
+  notOwner = other700.notOwner;
+  recordBatch = other700.recordBatch;
+  recordSnapshot = other700.recordSnapshot;
+  recordAck = other700.recordAck;
+  startBatch = other700.startBatch;
+  cancelBatch = other700.cancelBatch;
+  resultAck = other700.resultAck;
+  fence = other700.fence;
+  agentHello = other700.agentHello;
+  resultBatch = other700.resultBatch;
+  startRefused = other700.startRefused;
+  agentState = other700.agentState;
+  memberHeartbeat = other700.memberHeartbeat;
+  heartbeatReply = other700.heartbeatReply;
+  clusterView = other700.clusterView;
+  applyConfig = other700.applyConfig;
+  applyReply = other700.applyReply;
+  controlQuery = other700.controlQuery;
+  controlAnswer = other700.controlAnswer;
+  orderEvacuation = other700.orderEvacuation;
+  hostReport = other700.hostReport;
+  hostContact = other700.hostContact;
+  runTasks = other700.runTasks;
+  stopTasks = other700.stopTasks;
+  taskReports = other700.taskReports;
+  startsInDoubt = other700.startsInDoubt;
+  ordersElsewhere = other700.ordersElsewhere;
+  requestVote = other700.requestVote;
+  voteReply = other700.voteReply;
+  appendEntries = other700.appendEntries;
+  appendReply = other700.appendReply;
+  installSnapshot = other700.installSnapshot;
+  installReply = other700.installReply;
+  timeoutNow = other700.timeoutNow;
+  snapshotChunk = other700.snapshotChunk;
+  snapshotChunkReply = other700.snapshotChunkReply;
+  voterLeaving = other700.voterLeaving;
+  __isset = other700.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other677) noexcept {
-  submitJob = std::move(other677.submitJob);
-  cancelJob = std::move(other677.cancelJob);
-  queryJob = std::move(other677.queryJob);
-  jobReply = std::move(other677.jobReply);
-  notOwner = std::move(other677.notOwner);
-  recordBatch = std::move(other677.recordBatch);
-  recordSnapshot = std::move(other677.recordSnapshot);
-  recordAck = std::move(other677.recordAck);
-  startBatch = std::move(other677.startBatch);
-  cancelBatch = std::move(other677.cancelBatch);
-  resultAck = std::move(other677.resultAck);
-  fence = std::move(other677.fence);
-  agentHello = std::move(other677.agentHello);
-  resultBatch = std::move(other677.resultBatch);
-  startRefused = std::move(other677.startRefused);
-  agentState = std::move(other677.agentState);
-  memberHeartbeat = std::move(other677.memberHeartbeat);
-  heartbeatReply = std::move(other677.heartbeatReply);
-  clusterView = std::move(other677.clusterView);
-  applyConfig = std::move(other677.applyConfig);
-  applyReply = std::move(other677.applyReply);
-  controlQuery = std::move(other677.controlQuery);
-  controlAnswer = std::move(other677.controlAnswer);
-  hostReport = std::move(other677.hostReport);
-  hostContact = std::move(other677.hostContact);
-  runTasks = std::move(other677.runTasks);
-  stopTasks = std::move(other677.stopTasks);
-  taskReports = std::move(other677.taskReports);
-  startsInDoubt = std::move(other677.startsInDoubt);
-  ordersElsewhere = std::move(other677.ordersElsewhere);
-  requestVote = std::move(other677.requestVote);
-  voteReply = std::move(other677.voteReply);
-  appendEntries = std::move(other677.appendEntries);
-  appendReply = std::move(other677.appendReply);
-  installSnapshot = std::move(other677.installSnapshot);
-  installReply = std::move(other677.installReply);
-  timeoutNow = std::move(other677.timeoutNow);
-  snapshotChunk = std::move(other677.snapshotChunk);
-  snapshotChunkReply = std::move(other677.snapshotChunkReply);
-  voterLeaving = std::move(other677.voterLeaving);
-  __isset = other677.__isset;
+Message& Message::operator=(Message&& other701) noexcept {
+  submitJob = std::move(other701.submitJob);
+  cancelJob = std::move(other701.cancelJob);
+  queryJob = std::move(other701.queryJob);
+  jobReply = std::move(other701.jobReply);
+  notOwner = std::move(other701.notOwner);
+  recordBatch = std::move(other701.recordBatch);
+  recordSnapshot = std::move(other701.recordSnapshot);
+  recordAck = std::move(other701.recordAck);
+  startBatch = std::move(other701.startBatch);
+  cancelBatch = std::move(other701.cancelBatch);
+  resultAck = std::move(other701.resultAck);
+  fence = std::move(other701.fence);
+  agentHello = std::move(other701.agentHello);
+  resultBatch = std::move(other701.resultBatch);
+  startRefused = std::move(other701.startRefused);
+  agentState = std::move(other701.agentState);
+  memberHeartbeat = std::move(other701.memberHeartbeat);
+  heartbeatReply = std::move(other701.heartbeatReply);
+  clusterView = std::move(other701.clusterView);
+  applyConfig = std::move(other701.applyConfig);
+  applyReply = std::move(other701.applyReply);
+  controlQuery = std::move(other701.controlQuery);
+  controlAnswer = std::move(other701.controlAnswer);
+  orderEvacuation = std::move(other701.orderEvacuation);
+  hostReport = std::move(other701.hostReport);
+  hostContact = std::move(other701.hostContact);
+  runTasks = std::move(other701.runTasks);
+  stopTasks = std::move(other701.stopTasks);
+  taskReports = std::move(other701.taskReports);
+  startsInDoubt = std::move(other701.startsInDoubt);
+  ordersElsewhere = std::move(other701.ordersElsewhere);
+  requestVote = std::move(other701.requestVote);
+  voteReply = std::move(other701.voteReply);
+  appendEntries = std::move(other701.appendEntries);
+  appendReply = std::move(other701.appendReply);
+  installSnapshot = std::move(other701.installSnapshot);
+  installReply = std::move(other701.installReply);
+  timeoutNow = std::move(other701.timeoutNow);
+  snapshotChunk = std::move(other701.snapshotChunk);
+  snapshotChunkReply = std::move(other701.snapshotChunkReply);
+  voterLeaving = std::move(other701.voterLeaving);
+  __isset = other701.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -17749,6 +18471,7 @@
   out << ", " << "applyReply="; (__isset.applyReply ? (out << to_string(applyReply)) : (out << "<null>"));
   out << ", " << "controlQuery="; (__isset.controlQuery ? (out << to_string(controlQuery)) : (out << "<null>"));
   out << ", " << "controlAnswer="; (__isset.controlAnswer ? (out << to_string(controlAnswer)) : (out << "<null>"));
+  out << ", " << "orderEvacuation="; (__isset.orderEvacuation ? (out << to_string(orderEvacuation)) : (out << "<null>"));
   out << ", " << "hostReport="; (__isset.hostReport ? (out << to_string(hostReport)) : (out << "<null>"));
   out << ", " << "hostContact="; (__isset.hostContact ? (out << to_string(hostContact)) : (out << "<null>"));
   out << ", " << "runTasks="; (__isset.runTasks ? (out << to_string(runTasks)) : (out << "<null>"));
@@ -17831,9 +18554,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast678;
-          xfer += iprot->readI32(ecast678);
-          this->role = static_cast<Role::type>(ecast678);
+          int32_t ecast702;
+          xfer += iprot->readI32(ecast702);
+          this->role = static_cast<Role::type>(ecast702);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -17859,14 +18582,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size679;
-            ::apache::thrift::protocol::TType _etype682;
-            xfer += iprot->readListBegin(_etype682, _size679);
-            this->messages.resize(_size679);
-            uint32_t _i683;
-            for (_i683 = 0; _i683 < _size679; ++_i683)
+            uint32_t _size703;
+            ::apache::thrift::protocol::TType _etype706;
+            xfer += iprot->readListBegin(_etype706, _size703);
+            this->messages.resize(_size703);
+            uint32_t _i707;
+            for (_i707 = 0; _i707 < _size703; ++_i707)
             {
-              xfer += this->messages[_i683].read(iprot);
+              xfer += this->messages[_i707].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -17911,10 +18634,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<Message> ::const_iterator _iter684;
-    for (_iter684 = this->messages.begin(); _iter684 != this->messages.end(); ++_iter684)
+    std::vector<Message> ::const_iterator _iter708;
+    for (_iter708 = this->messages.begin(); _iter708 != this->messages.end(); ++_iter708)
     {
-      xfer += (*_iter684).write(oprot);
+      xfer += (*_iter708).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -17935,38 +18658,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other685) {
-  sender = other685.sender;
-  role = other685.role;
-  address = other685.address;
-  configNumber = other685.configNumber;
-  messages = other685.messages;
-  __isset = other685.__isset;
-}
-Envelope::Envelope(Envelope&& other686) noexcept {
-  sender = std::move(other686.sender);
-  role = other686.role;
-  address = std::move(other686.address);
-  configNumber = other686.configNumber;
-  messages = std::move(other686.messages);
-  __isset = other686.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other687) {
-  sender = other687.sender;
-  role = other687.role;
-  address = other687.address;
-  configNumber = other687.configNumber;
-  messages = other687.messages;
-  __isset = other687.__isset;
+Envelope::Envelope(const Envelope& other709) {
+  sender = other709.sender;
+  role = other709.role;
+  address = other709.address;
+  configNumber = other709.configNumber;
+  messages = other709.messages;
+  __isset = other709.__isset;
+}
+Envelope::Envelope(Envelope&& other710) noexcept {
+  sender = std::move(other710.sender);
+  role = other710.role;
+  address = std::move(other710.address);
+  configNumber = other710.configNumber;
+  messages = std::move(other710.messages);
+  __isset = other710.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other711) {
+  sender = other711.sender;
+  role = other711.role;
+  address = other711.address;
+  configNumber = other711.configNumber;
+  messages = other711.messages;
+  __isset = other711.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other688) noexcept {
-  sender = std::move(other688.sender);
-  role = other688.role;
-  address = std::move(other688.address);
-  configNumber = other688.configNumber;
-  messages = std::move(other688.messages);
-  __isset = other688.__isset;
+Envelope& Envelope::operator=(Envelope&& other712) noexcept {
+  sender = std::move(other712.sender);
+  role = other712.role;
+  address = std::move(other712.address);
+  configNumber = other712.configNumber;
+  messages = std::move(other712.messages);
+  __isset = other712.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -206,6 +206,8 @@
 
 class ApplyConfig;
 
+class OrderEvacuation;
+
 class ApplyReply;
 
 class ControlQuery;
@@ -248,6 +250,10 @@
 
 class SetVoters;
 
+class Evacuation;
+
+class SetEvacuation;
+
 class Command;
 
 class HardState;
@@ -2563,7 +2569,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerCrash& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : serviceName(false), server(false), accepting(false), capacity(false), reserved(false), startDelayMicros(false), slowness(false), failureShare(false), labels(false), sentAtMicros(false), failureDomain(false), sequence(false), unanswered(false), crashes(false), summary(false), entryCount(false), acceptingMicros(false) {}
+  _HostReport__isset() : serviceName(false), server(false), accepting(false), capacity(false), reserved(false), startDelayMicros(false), slowness(false), failureShare(false), labels(false), sentAtMicros(false), failureDomain(false), sequence(false), unanswered(false), crashes(false), summary(false), entryCount(false), acceptingMicros(false), evacuated(false) {}
   bool serviceName :1;
   bool server :1;
   bool accepting :1;
@@ -2581,6 +2587,7 @@
   bool summary :1;
   bool entryCount :1;
   bool acceptingMicros :1;
+  bool evacuated :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -2602,7 +2609,8 @@
                sequence(0),
                summary(0),
                entryCount(0),
-               acceptingMicros(0) {
+               acceptingMicros(0),
+               evacuated(0) {
   }
 
   virtual ~HostReport() noexcept;
@@ -2623,6 +2631,7 @@
   bool summary;
   int32_t entryCount;
   int64_t acceptingMicros;
+  bool evacuated;
 
   _HostReport__isset __isset;
 
@@ -2660,6 +2669,8 @@
 
   void __set_acceptingMicros(const int64_t val);
 
+  void __set_evacuated(const bool val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -2696,6 +2707,8 @@
       return false;
     if (!(acceptingMicros == rhs.acceptingMicros))
       return false;
+    if (!(evacuated == rhs.evacuated))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
@@ -3578,10 +3591,11 @@
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj);
 
 typedef struct _MemberRef__isset {
-  _MemberRef__isset() : id(false), address(false), failureDomain(false) {}
+  _MemberRef__isset() : id(false), address(false), failureDomain(false), evacuated(false) {}
   bool id :1;
   bool address :1;
   bool failureDomain :1;
+  bool evacuated :1;
 } _MemberRef__isset;
 
 class MemberRef : public virtual ::apache::thrift::TBase {
@@ -3592,13 +3606,15 @@
   MemberRef& operator=(const MemberRef&);
   MemberRef& operator=(MemberRef&&) noexcept;
   MemberRef() noexcept
-            : failureDomain() {
+            : failureDomain(),
+              evacuated(0) {
   }
 
   virtual ~MemberRef() noexcept;
   ProcessId id;
   Endpoint address;
   std::string failureDomain;
+  bool evacuated;
 
   _MemberRef__isset __isset;
 
@@ -3608,6 +3624,8 @@
 
   void __set_failureDomain(const std::string& val);
 
+  void __set_evacuated(const bool val);
+
   bool operator == (const MemberRef & rhs) const
   {
     if (!(id == rhs.id))
@@ -3616,6 +3634,8 @@
       return false;
     if (!(failureDomain == rhs.failureDomain))
       return false;
+    if (!(evacuated == rhs.evacuated))
+      return false;
     return true;
   }
   bool operator != (const MemberRef &rhs) const {
@@ -3801,12 +3821,13 @@
 std::ostream& operator<<(std::ostream& out, const ConfigFile& obj);
 
 typedef struct _ClusterView__isset {
-  _ClusterView__isset() : version(false), config(false), cells(false), term(false), entries(false) {}
+  _ClusterView__isset() : version(false), config(false), cells(false), term(false), entries(false), evacuatedDomains(false) {}
   bool version :1;
   bool config :1;
   bool cells :1;
   bool term :1;
   bool entries :1;
+  bool evacuatedDomains :1;
 } _ClusterView__isset;
 
 class ClusterView : public virtual ::apache::thrift::TBase {
@@ -3827,6 +3848,7 @@
   std::vector<CellView>  cells;
   int64_t term;
   std::vector<MemberRef>  entries;
+  std::vector<std::string>  evacuatedDomains;
 
   _ClusterView__isset __isset;
 
@@ -3840,6 +3862,8 @@
 
   void __set_entries(const std::vector<MemberRef> & val);
 
+  void __set_evacuatedDomains(const std::vector<std::string> & val);
+
   bool operator == (const ClusterView & rhs) const
   {
     if (!(version == rhs.version))
@@ -3852,6 +3876,8 @@
       return false;
     if (!(entries == rhs.entries))
       return false;
+    if (!(evacuatedDomains == rhs.evacuatedDomains))
+      return false;
     return true;
   }
   bool operator != (const ClusterView &rhs) const {
@@ -3943,14 +3969,90 @@
 
 std::ostream& operator<<(std::ostream& out, const ApplyConfig& obj);
 
+typedef struct _OrderEvacuation__isset {
+  _OrderEvacuation__isset() : requestId(false), failureDomain(false), active(false), author(false), expectedIndex(false) {}
+  bool requestId :1;
+  bool failureDomain :1;
+  bool active :1;
+  bool author :1;
+  bool expectedIndex :1;
+} _OrderEvacuation__isset;
+
+class OrderEvacuation : public virtual ::apache::thrift::TBase {
+ public:
+
+  OrderEvacuation(const OrderEvacuation&);
+  OrderEvacuation(OrderEvacuation&&) noexcept;
+  OrderEvacuation& operator=(const OrderEvacuation&);
+  OrderEvacuation& operator=(OrderEvacuation&&) noexcept;
+  OrderEvacuation() noexcept
+                  : requestId(0),
+                    failureDomain(),
+                    active(0),
+                    author(),
+                    expectedIndex(0) {
+  }
+
+  virtual ~OrderEvacuation() noexcept;
+  int64_t requestId;
+  std::string failureDomain;
+  bool active;
+  std::string author;
+  int64_t expectedIndex;
+
+  _OrderEvacuation__isset __isset;
+
+  void __set_requestId(const int64_t val);
+
+  void __set_failureDomain(const std::string& val);
+
+  void __set_active(const bool val);
+
+  void __set_author(const std::string& val);
+
+  void __set_expectedIndex(const int64_t val);
+
+  bool operator == (const OrderEvacuation & rhs) const
+  {
+    if (!(requestId == rhs.requestId))
+      return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    if (!(active == rhs.active))
+      return false;
+    if (!(author == rhs.author))
+      return false;
+    if (__isset.expectedIndex != rhs.__isset.expectedIndex)
+      return false;
+    else if (__isset.expectedIndex && !(expectedIndex == rhs.expectedIndex))
+      return false;
+    return true;
+  }
+  bool operator != (const OrderEvacuation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OrderEvacuation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OrderEvacuation &a, OrderEvacuation &b);
+
+std::ostream& operator<<(std::ostream& out, const OrderEvacuation& obj);
+
 typedef struct _ApplyReply__isset {
-  _ApplyReply__isset() : requestId(false), accepted(false), code(false), message(false), inForce(false), lagging(false) {}
+  _ApplyReply__isset() : requestId(false), accepted(false), code(false), message(false), inForce(false), lagging(false), orderIndex(false) {}
   bool requestId :1;
   bool accepted :1;
   bool code :1;
   bool message :1;
   bool inForce :1;
   bool lagging :1;
+  bool orderIndex :1;
 } _ApplyReply__isset;
 
 class ApplyReply : public virtual ::apache::thrift::TBase {
@@ -3964,7 +4066,8 @@
              : requestId(0),
                accepted(0),
                code(),
-               message() {
+               message(),
+               orderIndex(0) {
   }
 
   virtual ~ApplyReply() noexcept;
@@ -3974,6 +4077,7 @@
   std::string message;
   ConfigFile inForce;
   std::vector<std::string>  lagging;
+  int64_t orderIndex;
 
   _ApplyReply__isset __isset;
 
@@ -3989,6 +4093,8 @@
 
   void __set_lagging(const std::vector<std::string> & val);
 
+  void __set_orderIndex(const int64_t val);
+
   bool operator == (const ApplyReply & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -4003,6 +4109,8 @@
       return false;
     if (!(lagging == rhs.lagging))
       return false;
+    if (!(orderIndex == rhs.orderIndex))
+      return false;
     return true;
   }
   bool operator != (const ApplyReply &rhs) const {
@@ -5505,8 +5613,132 @@
 
 std::ostream& operator<<(std::ostream& out, const SetVoters& obj);
 
+typedef struct _Evacuation__isset {
+  _Evacuation__isset() : failureDomain(false), active(false), orderIndex(false), author(false), atMs(false) {}
+  bool failureDomain :1;
+  bool active :1;
+  bool orderIndex :1;
+  bool author :1;
+  bool atMs :1;
+} _Evacuation__isset;
+
+class Evacuation : public virtual ::apache::thrift::TBase {
+ public:
+
+  Evacuation(const Evacuation&);
+  Evacuation(Evacuation&&) noexcept;
+  Evacuation& operator=(const Evacuation&);
+  Evacuation& operator=(Evacuation&&) noexcept;
+  Evacuation() noexcept
+             : failureDomain(),
+               active(0),
+               orderIndex(0),
+               author(),
+               atMs(0) {
+  }
+
+  virtual ~Evacuation() noexcept;
+  std::string failureDomain;
+  bool active;
+  int64_t orderIndex;
+  std::string author;
+  int64_t atMs;
+
+  _Evacuation__isset __isset;
+
+  void __set_failureDomain(const std::string& val);
+
+  void __set_active(const bool val);
+
+  void __set_orderIndex(const int64_t val);
+
+  void __set_author(const std::string& val);
+
+  void __set_atMs(const int64_t val);
+
+  bool operator == (const Evacuation & rhs) const
+  {
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    if (!(active == rhs.active))
+      return false;
+    if (!(orderIndex == rhs.orderIndex))
+      return false;
+    if (!(author == rhs.author))
+      return false;
+    if (!(atMs == rhs.atMs))
+      return false;
+    return true;
+  }
+  bool operator != (const Evacuation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Evacuation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Evacuation &a, Evacuation &b);
+
+std::ostream& operator<<(std::ostream& out, const Evacuation& obj);
+
+typedef struct _SetEvacuation__isset {
+  _SetEvacuation__isset() : evacuation(false), expectedIndex(false) {}
+  bool evacuation :1;
+  bool expectedIndex :1;
+} _SetEvacuation__isset;
+
+class SetEvacuation : public virtual ::apache::thrift::TBase {
+ public:
+
+  SetEvacuation(const SetEvacuation&);
+  SetEvacuation(SetEvacuation&&) noexcept;
+  SetEvacuation& operator=(const SetEvacuation&);
+  SetEvacuation& operator=(SetEvacuation&&) noexcept;
+  SetEvacuation() noexcept
+                : expectedIndex(0) {
+  }
+
+  virtual ~SetEvacuation() noexcept;
+  Evacuation evacuation;
+  int64_t expectedIndex;
+
+  _SetEvacuation__isset __isset;
+
+  void __set_evacuation(const Evacuation& val);
+
+  void __set_expectedIndex(const int64_t val);
+
+  bool operator == (const SetEvacuation & rhs) const
+  {
+    if (!(evacuation == rhs.evacuation))
+      return false;
+    if (!(expectedIndex == rhs.expectedIndex))
+      return false;
+    return true;
+  }
+  bool operator != (const SetEvacuation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SetEvacuation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SetEvacuation &a, SetEvacuation &b);
+
+std::ostream& operator<<(std::ostream& out, const SetEvacuation& obj);
+
 typedef struct _Command__isset {
-  _Command__isset() : setConfig(false), memberJoin(false), memberGone(false), memberLeaving(false), holderWhole(false), handOver(false), setVoters(false), noop(false) {}
+  _Command__isset() : setConfig(false), memberJoin(false), memberGone(false), memberLeaving(false), holderWhole(false), handOver(false), setVoters(false), noop(false), setEvacuation(false) {}
   bool setConfig :1;
   bool memberJoin :1;
   bool memberGone :1;
@@ -5515,6 +5747,7 @@
   bool handOver :1;
   bool setVoters :1;
   bool noop :1;
+  bool setEvacuation :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -5537,6 +5770,7 @@
   HandOver handOver;
   SetVoters setVoters;
   bool noop;
+  SetEvacuation setEvacuation;
 
   _Command__isset __isset;
 
@@ -5556,6 +5790,8 @@
 
   void __set_noop(const bool val);
 
+  void __set_setEvacuation(const SetEvacuation& val);
+
   bool operator == (const Command & rhs) const
   {
     if (__isset.setConfig != rhs.__isset.setConfig)
@@ -5590,6 +5826,10 @@
       return false;
     else if (__isset.noop && !(noop == rhs.noop))
       return false;
+    if (__isset.setEvacuation != rhs.__isset.setEvacuation)
+      return false;
+    else if (__isset.setEvacuation && !(setEvacuation == rhs.setEvacuation))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -6110,7 +6350,7 @@
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj);
 
 typedef struct _ControlImage__isset {
-  _ControlImage__isset() : history(false), members(false), cells(false), nextCell(false), configVersion(false), routesVersion(false), entriesVersion(false) {}
+  _ControlImage__isset() : history(false), members(false), cells(false), nextCell(false), configVersion(false), routesVersion(false), entriesVersion(false), evacuations(false), evacuationsVersion(false) {}
   bool history :1;
   bool members :1;
   bool cells :1;
@@ -6118,6 +6358,8 @@
   bool configVersion :1;
   bool routesVersion :1;
   bool entriesVersion :1;
+  bool evacuations :1;
+  bool evacuationsVersion :1;
 } _ControlImage__isset;
 
 class ControlImage : public virtual ::apache::thrift::TBase {
@@ -6131,7 +6373,8 @@
                : nextCell(0),
                  configVersion(0),
                  routesVersion(0),
-                 entriesVersion(0) {
+                 entriesVersion(0),
+                 evacuationsVersion(0) {
   }
 
   virtual ~ControlImage() noexcept;
@@ -6142,6 +6385,8 @@
   int64_t configVersion;
   int64_t routesVersion;
   int64_t entriesVersion;
+  std::vector<Evacuation>  evacuations;
+  int64_t evacuationsVersion;
 
   _ControlImage__isset __isset;
 
@@ -6159,6 +6404,10 @@
 
   void __set_entriesVersion(const int64_t val);
 
+  void __set_evacuations(const std::vector<Evacuation> & val);
+
+  void __set_evacuationsVersion(const int64_t val);
+
   bool operator == (const ControlImage & rhs) const
   {
     if (!(history == rhs.history))
@@ -6175,6 +6424,10 @@
       return false;
     if (!(entriesVersion == rhs.entriesVersion))
       return false;
+    if (!(evacuations == rhs.evacuations))
+      return false;
+    if (!(evacuationsVersion == rhs.evacuationsVersion))
+      return false;
     return true;
   }
   bool operator != (const ControlImage &rhs) const {
@@ -6194,7 +6447,7 @@
 std::ostream& operator<<(std::ostream& out, const ControlImage& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : submitJob(false), cancelJob(false), queryJob(false), jobReply(false), notOwner(false), recordBatch(false), recordSnapshot(false), recordAck(false), startBatch(false), cancelBatch(false), resultAck(false), fence(false), agentHello(false), resultBatch(false), startRefused(false), agentState(false), memberHeartbeat(false), heartbeatReply(false), clusterView(false), applyConfig(false), applyReply(false), controlQuery(false), controlAnswer(false), hostReport(false), hostContact(false), runTasks(false), stopTasks(false), taskReports(false), startsInDoubt(false), ordersElsewhere(false), requestVote(false), voteReply(false), appendEntries(false), appendReply(false), installSnapshot(false), installReply(false), timeoutNow(false), snapshotChunk(false), snapshotChunkReply(false), voterLeaving(false) {}
+  _Message__isset() : submitJob(false), cancelJob(false), queryJob(false), jobReply(false), notOwner(false), recordBatch(false), recordSnapshot(false), recordAck(false), startBatch(false), cancelBatch(false), resultAck(false), fence(false), agentHello(false), resultBatch(false), startRefused(false), agentState(false), memberHeartbeat(false), heartbeatReply(false), clusterView(false), applyConfig(false), applyReply(false), controlQuery(false), controlAnswer(false), orderEvacuation(false), hostReport(false), hostContact(false), runTasks(false), stopTasks(false), taskReports(false), startsInDoubt(false), ordersElsewhere(false), requestVote(false), voteReply(false), appendEntries(false), appendReply(false), installSnapshot(false), installReply(false), timeoutNow(false), snapshotChunk(false), snapshotChunkReply(false), voterLeaving(false) {}
   bool submitJob :1;
   bool cancelJob :1;
   bool queryJob :1;
@@ -6218,6 +6471,7 @@
   bool applyReply :1;
   bool controlQuery :1;
   bool controlAnswer :1;
+  bool orderEvacuation :1;
   bool hostReport :1;
   bool hostContact :1;
   bool runTasks :1;
@@ -6271,6 +6525,7 @@
   ApplyReply applyReply;
   ControlQuery controlQuery;
   ControlAnswer controlAnswer;
+  OrderEvacuation orderEvacuation;
   HostReport hostReport;
   HostContact hostContact;
   RunTasks runTasks;
@@ -6337,6 +6592,8 @@
 
   void __set_controlAnswer(const ControlAnswer& val);
 
+  void __set_orderEvacuation(const OrderEvacuation& val);
+
   void __set_hostReport(const HostReport& val);
 
   void __set_hostContact(const HostContact& val);
@@ -6465,6 +6722,10 @@
       return false;
     else if (__isset.controlAnswer && !(controlAnswer == rhs.controlAnswer))
       return false;
+    if (__isset.orderEvacuation != rhs.__isset.orderEvacuation)
+      return false;
+    else if (__isset.orderEvacuation && !(orderEvacuation == rhs.orderEvacuation))
+      return false;
     if (__isset.hostReport != rhs.__isset.hostReport)
       return false;
     else if (__isset.hostReport && !(hostReport == rhs.hostReport))
--- a/src/host_audience_p.h
+++ b/src/host_audience_p.h
@@ -22,7 +22,7 @@
 struct ReportOccasion
 {
     Time now;
-    bool isAccepting = false; ///< whether the host accepts tasks
+    bool isAccepting = false; ///< whether the host accepts tasks and its failure domain is not evacuated
     bool concernsAll = false; ///< whether the report contains something that every entry must learn at once
 };
 
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -25,6 +25,7 @@
     , server(server)
     , options(std::move(options))
     , registrations(this->options.serverTimeout)
+    , ramp(this->options.rampTime)
     , entries(this->options.leaseTerms.entryLease(), this->options.listenTime, this->options.repeatInterval)
     , audience(this->options.summaryInterval)
     , witness(this->options.lateStartTime, this->options.leaseTerms.entryLease())
@@ -36,6 +37,7 @@
 void HostCore::handle(const IncomingMessage &incoming)
 {
     if (this->link.handle(incoming)) {
+        this->updateEvacuation();
         return;
     }
     const std::lock_guard lock(this->mutex);
@@ -54,6 +56,40 @@
     this->sendReports();
 }
 
+void HostCore::updateEvacuation()
+{
+    auto domains = this->link.evacuatedDomains();
+    const std::lock_guard lock(this->mutex);
+    if (domains == this->evacuatedDomains) {
+        return;
+    }
+    const bool wasEvacuated = this->isEvacuated();
+    this->evacuatedDomains = std::move(domains);
+    if (!this->registered || this->isEvacuated() == wasEvacuated) {
+        return;
+    }
+    logEvent(component, wasEvacuated ? "returned_to_service" : "evacuated",
+             {{"domain", this->registered->failureDomain},
+              {"server", this->instanceName()},
+              {"view", this->link.viewVersion()},
+              {"waiting", this->queue.waiting().size()},
+              {"running", this->tasks.size() - this->queue.waiting().size()}});
+    if (wasEvacuated) {
+        this->ramp.begin(this->clock.now());
+    } else {
+        ++this->counters.evacuations;
+        this->ramp.cancel();
+        this->refuseUnfit();
+        this->sendReports();
+    }
+    this->announce();
+}
+
+bool HostCore::isEvacuated() const
+{
+    return this->registered && agatedrum::isEvacuated(this->evacuatedDomains, this->registered->failureDomain);
+}
+
 void HostCore::apply(const wire::HostContact &message, const IncomingMessage &incoming)
 {
     if (message.hostIncarnation == this->options.self.incarnation) {
@@ -288,7 +324,8 @@
     report.capacity = this->registered->capacity;
     report.labels = this->registered->labels;
     report.failureDomain = this->registered->failureDomain;
-    report.reserved = this->reserved();
+    report.evacuated = this->isEvacuated();
+    report.reserved = plus(this->reserved(), this->ramp.withheld(this->registered->capacity, now));
     report.startDelayMicros = this->startDelayOf(this->demandBeyondFreeCapacity()).count();
     return report;
 }
@@ -317,6 +354,9 @@
         const auto estimatedRemaining = std::max<Micros>(expected - (now - task.startedAt), expected / 4);
         reserving.push_back({task.needs.demand, task.progress.remaining(now).value_or(estimatedRemaining)});
     }
+    if (const auto rampTime = this->ramp.remaining(now); rampTime > Micros(0)) {
+        reserving.push_back({this->ramp.withheld(this->registered->capacity, now), rampTime});
+    }
     return expectedStartDelay(this->registered->capacity, reserving, this->queue.waitingOnTime(now), demand);
 }
 
@@ -333,7 +373,8 @@
     this->urgentReports -= isUrgent ? 1 : 0;
     const auto known = this->link.entries();
     report.entryCount = static_cast<std::int32_t>(known.size());
-    const ReportOccasion occasion {this->clock.now(), report.accepting, isUrgent || !report.unanswered.empty()};
+    const ReportOccasion occasion {this->clock.now(), report.accepting && !report.evacuated,
+                                   isUrgent || !report.unanswered.empty()};
     for (const auto &recipient : this->audience.recipients(known, this->entries, occasion)) {
         auto message = report;
         message.summary = recipient.isSummary;
@@ -437,6 +478,8 @@
               {"host_cpu_millis_reserved", reserved.cpuMillis},
               {"host_slowness", this->runTimeEstimator.slowness()},
               {"host_failure_share", this->failureShare},
+              {"host_evacuations_total", this->counters.evacuations},
+              {"host_evacuated", this->isEvacuated() ? 1 : 0},
               {"host_accepting", this->isAccepting() ? 1 : 0}}}};
 }
 
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -10,6 +10,7 @@
 #include "host_lease_terms_p.h"
 #include "host_progress_p.h"
 #include "host_queue_p.h"
+#include "host_ramp_p.h"
 #include "host_registration_p.h"
 #include "host_server_p.h"
 #include "host_witness_p.h"
@@ -41,6 +42,7 @@
     Millis startConfirmTimeout {AGATEDRUM_START_DOUBT_MS};
     Millis lateStartTime {AGATEDRUM_LATE_START_MS};
     Millis capacityValidity {AGATEDRUM_CAPACITY_VALID_MS};
+    Millis rampTime {AGATEDRUM_HOST_RAMP_MS};
 };
 
 /// Manages the capacity of one backend server that runs tasks with resource demands. Thread-safe.
@@ -133,8 +135,13 @@
         std::uint64_t leasesExpired = 0;
         std::uint64_t serverInstances = 0;
         std::uint64_t serversLost = 0;
+        std::uint64_t evacuations = 0;
     };
 
+    /// Applies the evacuated failure domains of the newest view.
+    void updateEvacuation();
+    bool isEvacuated() const;
+
     // Messages from and to entries.
     void apply(const wire::RunTasks &message, const IncomingMessage &incoming);
     void apply(const wire::StopTasks &message, const IncomingMessage &incoming);
@@ -290,6 +297,8 @@
     std::map<TaskName, std::int64_t> idByName;
     std::map<TaskName, LastRun> lastRuns; ///< highest run numbers of recent tasks
     HostQueue queue;
+    std::vector<std::string> evacuatedDomains; ///< by the newest view that was applied
+    HostRamp ramp;
     HostEntries entries;
     HostAudience audience;
     int urgentReports = 0; ///< number of the next reports that go to all entries
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -51,7 +51,8 @@
 
 wire::Resources HostCore::freeCapacity() const
 {
-    return minus(this->registered->capacity, this->reserved());
+    const auto &capacity = this->registered->capacity;
+    return minus(minus(capacity, this->reserved()), this->ramp.withheld(capacity, this->clock.now()));
 }
 
 void HostCore::startWaitingTasks()
@@ -90,7 +91,8 @@
             && other.needs.group == task.needs.group;
         groupTasks += isCounted ? 1 : 0;
     }
-    return unmetNeed(task.needs, this->registered->capacity, this->registered->labels, groupTasks);
+    const ServerOffer offer {this->registered->capacity, this->registered->labels, this->isEvacuated()};
+    return unmetNeed(task.needs, offer, groupTasks);
 }
 
 void HostCore::startTask(std::int64_t id, HostTask &task)
--- a/src/member_link.cpp
+++ b/src/member_link.cpp
@@ -1,6 +1,7 @@
 #include "member_link_p.h"
 
 #include "agatedrum/config.h"
+#include "task_needs_p.h"
 
 #include <algorithm>
 #include <utility>
@@ -206,6 +207,18 @@
     return this->newestView ? this->newestView->entries : std::vector<wire::MemberRef>();
 }
 
+std::vector<std::string> MemberLink::evacuatedDomains() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->newestView ? this->newestView->evacuatedDomains : std::vector<std::string>();
+}
+
+bool MemberLink::isOwnDomainEvacuated() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->newestView && isEvacuated(this->newestView->evacuatedDomains, this->options.failureDomain);
+}
+
 std::int64_t MemberLink::viewVersion() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/member_link_p.h
+++ b/src/member_link_p.h
@@ -65,6 +65,10 @@
     wire::ClusterView view() const;
     /// Returns the entries of the newest view. Only the views of agents name them.
     std::vector<wire::MemberRef> entries() const;
+    /// Returns the evacuated failure domains of the newest view.
+    std::vector<std::string> evacuatedDomains() const;
+    /// Returns whether the newest view names the failure domain of this process as evacuated.
+    bool isOwnDomainEvacuated() const;
     std::int64_t viewVersion() const;
     /// Returns the number of the configuration in the newest view, or 0 if there is none.
     std::int64_t configNumber() const;
--- a/src/settings_process.cpp
+++ b/src/settings_process.cpp
@@ -174,6 +174,7 @@
     case wire::Role::CONTROL:
         settings.operators = readAddress(reader, "operators");
         settings.mayFormGroup = reader.boolean("mayFormGroup", true);
+        settings.failureDomains = reader.textList("failureDomains");
         settings.tolerance.machines = readCount(reader, "toleratedMachines", LossTolerance().machines);
         settings.tolerance.domains = readCount(reader, "toleratedDomains", LossTolerance().domains);
         settings.voterReplacementTimeout
@@ -303,6 +304,7 @@
                                                 {"callerRetryMs", "agent"},
                                                 {"operators", "control"},
                                                 {"mayFormGroup", "control"},
+                                                {"failureDomains", "control"},
                                                 {"toleratedMachines", "control"},
                                                 {"toleratedDomains", "control"},
                                                 {"repairSeconds", "control"}};
--- a/src/settings_process_p.h
+++ b/src/settings_process_p.h
@@ -35,6 +35,8 @@
     /// True if callers, operators and backend servers use the interface of a platform instead of agatedrum's own.
     bool isOnPlatform = false;
     bool mayFormGroup = true; ///< control on a platform: whether a process with an empty disk may bootstrap a group
+    /// control on a platform: failure domains that exist, also while no process of theirs is known
+    std::vector<std::string> failureDomains;
     LossTolerance tolerance; ///< control on a platform: losses that the group has to bear at the same time
     Millis voterReplacementTimeout {0}; ///< control on a platform: time without contact until a voter is replaced
     double farFactor = 1.0; ///< entry on a platform: factor on the run time of a task that runs remote from its data
--- a/src/task_needs.cpp
+++ b/src/task_needs.cpp
@@ -11,13 +11,20 @@
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-std::string_view unmetNeed(const TaskNeeds &needs, const wire::Resources &capacity,
-                           const std::vector<std::string> &labels, int groupTasks)
+bool isEvacuated(const std::vector<std::string> &evacuatedDomains, const std::string &failureDomain)
 {
-    if (!fits(needs.demand, capacity)) {
+    return std::find(evacuatedDomains.begin(), evacuatedDomains.end(), failureDomain) != evacuatedDomains.end();
+}
+
+std::string_view unmetNeed(const TaskNeeds &needs, const ServerOffer &offer, int groupTasks)
+{
+    if (offer.isEvacuated) {
+        return "the failure domain of the backend server is evacuated";
+    }
+    if (!fits(needs.demand, offer.capacity)) {
         return "the demand exceeds the capacity of the backend server";
     }
-    if (!needs.requiredLabel.empty() && !hasLabel(labels, needs.requiredLabel)) {
+    if (!needs.requiredLabel.empty() && !hasLabel(offer.labels, needs.requiredLabel)) {
         return "the backend server does not have the required label";
     }
     if (needs.maxPerHost > 0 && groupTasks >= needs.maxPerHost) {
--- a/src/wire_message.cpp
+++ b/src/wire_message.cpp
@@ -44,6 +44,7 @@
     AGATEDRUM_MEMBER(applyReply);
     AGATEDRUM_MEMBER(controlQuery);
     AGATEDRUM_MEMBER(controlAnswer);
+    AGATEDRUM_MEMBER(orderEvacuation);
     AGATEDRUM_MEMBER(requestVote);
     AGATEDRUM_MEMBER(voteReply);
     AGATEDRUM_MEMBER(appendEntries);
--- a/src/wire_message_p.h
+++ b/src/wire_message_p.h
@@ -17,10 +17,11 @@
                    wire::RecordSnapshot, wire::RecordAck, wire::StartBatch, wire::CancelBatch, wire::ResultAck,
                    wire::Fence, wire::AgentHello, wire::ResultBatch, wire::StartRefused, wire::AgentState,
                    wire::MemberHeartbeat, wire::HeartbeatReply, wire::ClusterView, wire::ApplyConfig, wire::ApplyReply,
-                   wire::ControlQuery, wire::ControlAnswer, wire::RequestVote, wire::VoteReply, wire::AppendEntries,
-                   wire::AppendReply, wire::InstallSnapshot, wire::InstallReply, wire::TimeoutNow, wire::SnapshotChunk,
-                   wire::SnapshotChunkReply, wire::VoterLeaving, wire::HostReport, wire::HostContact, wire::RunTasks,
-                   wire::StopTasks, wire::TaskReports, wire::StartsInDoubt, wire::OrdersElsewhere>;
+                   wire::ControlQuery, wire::ControlAnswer, wire::OrderEvacuation, wire::RequestVote, wire::VoteReply,
+                   wire::AppendEntries, wire::AppendReply, wire::InstallSnapshot, wire::InstallReply, wire::TimeoutNow,
+                   wire::SnapshotChunk, wire::SnapshotChunkReply, wire::VoterLeaving, wire::HostReport,
+                   wire::HostContact, wire::RunTasks, wire::StopTasks, wire::TaskReports, wire::StartsInDoubt,
+                   wire::OrdersElsewhere>;
 
 /// A received message with the sender's data from its envelope.
 struct IncomingMessage
--- a/tests/test_host_needs.cpp
+++ b/tests/test_host_needs.cpp
@@ -143,12 +143,12 @@
     needs.maxPerHost = 2;
     wire::Resources capacity;
     capacity.cpuMillis = 4000;
-    REQUIRE(unmetNeed(needs, capacity, {"r1", "a"}, 1).empty());
-    REQUIRE_FALSE(unmetNeed(needs, capacity, {"r1", "b"}, 1).empty());
-    REQUIRE_FALSE(unmetNeed(needs, capacity, {}, 1).empty());
-    REQUIRE_FALSE(unmetNeed(needs, capacity, {"a"}, 2).empty());
+    REQUIRE(unmetNeed(needs, {capacity, {"r1", "a"}}, 1).empty());
+    REQUIRE_FALSE(unmetNeed(needs, {capacity, {"r1", "b"}}, 1).empty());
+    REQUIRE_FALSE(unmetNeed(needs, {capacity, {}}, 1).empty());
+    REQUIRE_FALSE(unmetNeed(needs, {capacity, {"a"}}, 2).empty());
     capacity.cpuMillis = 3999;
-    REQUIRE_FALSE(unmetNeed(needs, capacity, {"a"}, 0).empty());
+    REQUIRE_FALSE(unmetNeed(needs, {capacity, {"a"}}, 0).empty());
     needs = {};
-    REQUIRE(unmetNeed(needs, capacity, {}, 100).empty());
+    REQUIRE(unmetNeed(needs, {capacity, {}}, 100).empty());
 }
