--- a/idl/agatedrum.thrift
+++ b/idl/agatedrum.thrift
@@ -159,6 +159,8 @@
   22: i32 entryCount;  // number of entries that the host knows; 0 if unknown
   23: i64 acceptingMicros;  // if accepting is true: time for which the host has accepted tasks without a break
   24: bool evacuated;  // the backend server's failure domain is evacuated: it starts no tasks until it is returned
+  25: list<i64> urgentDelayMicros;  // as startDelayMicros, for a task of priority 0, 1 and so on; empty if equal
+  26: list<i64> keptCpuMillis;  // processors that stay free when a task of priority 0, 1 and so on starts
 }
 // entry -> host. Extends the time for which the host runs the entry's tasks and sends it all reports. reportsSeen: all
 // reports up to this number have been received.
--- a/src/dispatch_admission.cpp
+++ b/src/dispatch_admission.cpp
@@ -35,6 +35,14 @@
 {
 }
 
+bool Admission::isHopeless(const std::vector<Placement> &placements, Micros timeLeft)
+{
+    return std::any_of(placements.begin(), placements.end(), [timeLeft](const Placement &placement) {
+        return placement.host >= 0
+            && placement.start + (placement.end - placement.start) / estimateTolerance > timeLeft;
+    });
+}
+
 std::optional<AdmissionRefusal> Admission::evaluate(const RouteConfig &route, const std::vector<TaskRequest> &tasks,
                                                     const std::vector<Placement> &placements, Micros timeLeft) const
 {
--- a/src/dispatch_admission_p.h
+++ b/src/dispatch_admission_p.h
@@ -37,6 +37,10 @@
     std::optional<AdmissionRefusal> evaluate(const RouteConfig &route, const std::vector<TaskRequest> &tasks,
                                              const std::vector<Placement> &placements, Micros timeLeft) const;
 
+    /// Returns true if a task cannot end before the deadline where it is placed, even if it takes much less time than
+    /// estimated. False while no host accepts a task, since that may change at any moment.
+    static bool isHopeless(const std::vector<Placement> &placements, Micros timeLeft);
+
 private:
     const double maxLateness;
 };
--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -240,6 +240,7 @@
               {"dispatch_tasks_in_doubt", this->doubts.size()},
               {"dispatch_tasks_lost_with_server_total", this->counters.serversLost},
               {"dispatch_jobs_given_up_total", this->counters.givenUp},
+              {"dispatch_jobs_hopeless_total", this->counters.hopeless},
               {"dispatch_requests_held_for_hosts_total", this->counters.heldForHosts},
               {"dispatch_domains_evacuated", this->evacuatedDomains.size()},
               {"dispatch_hosts_known", this->hosts.all().size()},
--- a/src/dispatch_core_jobs.cpp
+++ b/src/dispatch_core_jobs.cpp
@@ -175,7 +175,8 @@
         return this->stops.isPending(id, index) || this->startInDoubt(id, index);
     });
     if (mustWait) {
-        this->placeUnassigned(id, accepted); // tasks of an earlier request for this job must end first
+        accepted.mayHaveRun = true;
+        this->placeUnassigned(id, accepted, answers); // tasks of an earlier request for this job must end first
     } else {
         this->orderPlacedTasks(id, accepted, indexes, candidates, placements);
     }
@@ -183,7 +184,7 @@
 
 std::vector<HostCandidate> DispatchCore::candidatesFor(const Job &job) const
 {
-    auto candidates = this->hosts.candidates(job.service, this->evacuatedDomains, this->clock.now());
+    auto candidates = this->hosts.candidates({job.service, job.priority, this->evacuatedDomains}, this->clock.now());
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
         const auto group = static_cast<std::size_t>(job.request.tasks[i].group);
         for (auto &candidate : candidates) {
@@ -196,11 +197,11 @@
     return candidates;
 }
 
-void DispatchCore::placeUnassigned(const std::string &id, Job &job)
+bool DispatchCore::placeUnassigned(const std::string &id, Job &job, Answers &answers)
 {
     const auto now = this->clock.now();
     if (job.request.isCallerDisconnected()) {
-        return; // the next tick ends the job; its caller may have submitted it again elsewhere
+        return true; // the next tick ends the job; its caller may have submitted it again elsewhere
     }
     std::vector<std::int32_t> indexes;
     std::vector<TaskRequest> requests;
@@ -214,14 +215,31 @@
         }
     }
     if (indexes.empty()) {
-        return;
+        return true;
     }
     auto candidates = this->candidatesFor(job);
     if (indexes.size() == 1) {
         excludeHost(job.tasks[static_cast<std::size_t>(indexes.front())].excludedHost, candidates);
     }
     const auto placements = placeTasks(requests, placementGoalOf(job, now), candidates, this->options.farFactor);
+    if (Admission::isHopeless(placements, job.deadline - now)) {
+        this->giveUp(id, answers);
+        return false;
+    }
     this->orderPlacedTasks(id, job, indexes, candidates, placements);
+    return true;
+}
+
+void DispatchCore::giveUp(const std::string &id, Answers &answers)
+{
+    const auto &job = this->jobs.at(id);
+    ++this->counters.hopeless;
+    // A task that a host has accepted may start before the order to stop it arrives.
+    const bool isNotRun = !job.mayHaveRun && std::all_of(job.tasks.begin(), job.tasks.end(), [](const Task &task) {
+        return task.phase == TaskPhase::Unassigned;
+    });
+    this->endJob(id, isNotRun ? JobEnd::Refused : JobEnd::Unfinished,
+                 "no host can end a task before the caller's deadline", answers, defaultRetryDelay);
 }
 
 void DispatchCore::orderPlacedTasks(const std::string &id, Job &job, const std::vector<std::int32_t> &indexes,
@@ -379,6 +397,8 @@
     if (task.host != host.name || task.hostIncarnation != host.incarnation || task.order != report.order) {
         return; // the report belongs to an earlier order of the task, or comes from a later process of the host
     }
+    job.mayHaveRun
+        = job.mayHaveRun || (report.phase != wire::TaskPhase::QUEUED && report.phase != wire::TaskPhase::REFUSED);
     if (task.phase == TaskPhase::Ordered) {
         this->orderLatency.observe(this->clock.now() - task.orderedAt);
     }
@@ -443,7 +463,7 @@
         // after several refusals.
         task.retryAt = ++task.refusals > maxRefusals ? now + placementRetryDelay : now;
     }
-    this->placeUnassigned(id, job);
+    this->placeUnassigned(id, job, answers);
 }
 
 void DispatchCore::reviewLateRun(const wire::TaskReport &report, Job &job, Answers &answers)
@@ -539,8 +559,9 @@
             this->endJob(id, JobEnd::Unfinished, "the caller's deadline has passed", answers);
             continue;
         }
-        this->placeUnassigned(id, job);
-        this->resendOrders(id, job);
+        if (this->placeUnassigned(id, job, answers)) {
+            this->resendOrders(id, job);
+        }
     }
 }
 
--- a/src/dispatch_core_p.h
+++ b/src/dispatch_core_p.h
@@ -102,6 +102,7 @@
         Time deadline;
         Time objective;
         std::vector<Task> tasks;
+        bool mayHaveRun = false; ///< a task has run, under this or an earlier request of the caller
     };
 
     /// A request of a caller on which nothing is decided yet.
@@ -141,6 +142,7 @@
         std::uint64_t serversLost = 0;
         std::uint64_t givenUp = 0;
         std::uint64_t heldForHosts = 0;
+        std::uint64_t hopeless = 0;
     };
 
     void updateRouting();
@@ -182,8 +184,11 @@
     bool mayAwaitAnswers(const Submission &submission) const;
     void hold(const RouteConfig &route, Submission submission, const std::string &reason);
     void decideHeld(Answers &answers);
-    /// Places the tasks that are not assigned to a host.
-    void placeUnassigned(const std::string &id, Job &job);
+    /// Places the tasks that are not assigned to a host. Ends the job if no host can end one of them in time.
+    /// @return false if the job was ended
+    bool placeUnassigned(const std::string &id, Job &job, Answers &answers);
+    /// Answers a job that cannot end in time: as not run if that is certain.
+    void giveUp(const std::string &id, Answers &answers);
     /// Orders the tasks for which a host was found.
     /// @param placements the placements of the tasks in indexes, in the same order
     void orderPlacedTasks(const std::string &id, Job &job, const std::vector<std::int32_t> &indexes,
--- a/src/dispatch_hosts.cpp
+++ b/src/dispatch_hosts.cpp
@@ -16,6 +16,13 @@
 /// use.
 constexpr Millis settleTime(AGATEDRUM_SERVER_SILENT_MS + freshTime.count());
 
+/// Returns the value for a priority, from 0, or the fallback if the list has none.
+std::int64_t valueFor(const std::vector<std::int64_t> &byPriority, int priority, std::int64_t fallback)
+{
+    const bool isListed = priority >= 0 && static_cast<std::size_t>(priority) < byPriority.size();
+    return isListed ? byPriority[static_cast<std::size_t>(priority)] : fallback;
+}
+
 } // namespace
 
 DispatchHosts::DispatchHosts(Millis timeout)
@@ -113,24 +120,26 @@
     return live;
 }
 
-std::vector<HostCandidate> DispatchHosts::candidates(const std::string &service,
-                                                     const std::vector<std::string> &evacuatedDomains, Time now) const
+std::vector<HostCandidate> DispatchHosts::candidates(const CandidateQuery &query, Time now) const
 {
     std::vector<HostCandidate> result;
     for (const auto &[name, host] : this->hosts) {
-        if (host.report.serviceName != service || !host.report.accepting || !this->isLive(host, now)) {
+        if (host.report.serviceName != query.service || !host.report.accepting || !this->isLive(host, now)) {
             continue;
         }
         HostCandidate candidate;
         candidate.name = name;
         candidate.capacity = host.report.capacity;
         candidate.free = minus(minus(host.report.capacity, host.report.reserved), host.unreportedDemand);
-        candidate.startDelay = Micros(host.report.startDelayMicros);
+        const auto &kept = host.report.keptCpuMillis;
+        candidate.free.cpuMillis -= valueFor(kept, query.priority, kept.empty() ? 0 : kept.back());
+        candidate.startDelay
+            = Micros(valueFor(host.report.urgentDelayMicros, query.priority, host.report.startDelayMicros));
         candidate.queuedTime = host.unreportedQueueTime;
         candidate.slowness = std::max(0.05, host.report.slowness);
         candidate.failureShare = host.report.failureShare;
         candidate.labels = host.report.labels;
-        candidate.isEvacuated = host.report.evacuated || isEvacuated(evacuatedDomains, host.report.failureDomain);
+        candidate.isEvacuated = host.report.evacuated || isEvacuated(query.evacuatedDomains, host.report.failureDomain);
         result.push_back(std::move(candidate));
     }
     return result;
--- a/src/dispatch_hosts_p.h
+++ b/src/dispatch_hosts_p.h
@@ -25,6 +25,14 @@
     Micros unreportedQueueTime {0};
 };
 
+/// What the choice of candidates for the tasks of a job depends on.
+struct CandidateQuery
+{
+    std::string service;
+    int priority = 0; ///< of the job
+    std::vector<std::string> evacuatedDomains; ///< as control names them; hosts may report it earlier or later
+};
+
 /// The hosts that report to an entry. Not thread-safe.
 class DispatchHosts
 {
@@ -51,9 +59,7 @@
     std::vector<const DispatchHost *> relays(std::size_t count, const std::string &exceptHost, std::size_t seed,
                                              Time now) const;
     /// Returns the live hosts of the service that are accepting tasks.
-    /// @param evacuatedDomains evacuated failure domains, as control names them; hosts may report it earlier or later
-    std::vector<HostCandidate> candidates(const std::string &service, const std::vector<std::string> &evacuatedDomains,
-                                          Time now) const;
+    std::vector<HostCandidate> candidates(const CandidateQuery &query, Time now) const;
     const std::map<std::string, DispatchHost> &all() const
     {
         return this->hosts;
--- a/src/dispatch_relocation.cpp
+++ b/src/dispatch_relocation.cpp
@@ -24,8 +24,12 @@
         || (missesDeadline && endsBy(alternative, goal.deadline))) {
         return RunDecision::Relocate;
     }
+    if (estimate.minimum <= goal.deadline) {
+        return RunDecision::Keep;
+    }
+    // The run is lost here, so even an uncertain chance elsewhere is worth taking.
     const bool canEndElsewhere = alternative.host >= 0 && alternative.end + expectedStopTime <= goal.deadline;
-    return estimate.minimum > goal.deadline && !canEndElsewhere ? RunDecision::Abandon : RunDecision::Keep;
+    return canEndElsewhere ? RunDecision::Relocate : RunDecision::Abandon;
 }
 
 } // namespace agatedrum
--- a/src/gen-cpp/agatedrum_types.cpp
+++ b/src/gen-cpp/agatedrum_types.cpp
@@ -6401,6 +6401,14 @@
 void HostReport::__set_evacuated(const bool val) {
   this->evacuated = val;
 }
+
+void HostReport::__set_urgentDelayMicros(const std::vector<int64_t> & val) {
+  this->urgentDelayMicros = val;
+}
+
+void HostReport::__set_keptCpuMillis(const std::vector<int64_t> & val) {
+  this->keptCpuMillis = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -6609,6 +6617,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->urgentDelayMicros.clear();
+            uint32_t _size257;
+            ::apache::thrift::protocol::TType _etype260;
+            xfer += iprot->readListBegin(_etype260, _size257);
+            this->urgentDelayMicros.resize(_size257);
+            uint32_t _i261;
+            for (_i261 = 0; _i261 < _size257; ++_i261)
+            {
+              xfer += iprot->readI64(this->urgentDelayMicros[_i261]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.urgentDelayMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->keptCpuMillis.clear();
+            uint32_t _size262;
+            ::apache::thrift::protocol::TType _etype265;
+            xfer += iprot->readListBegin(_etype265, _size262);
+            this->keptCpuMillis.resize(_size262);
+            uint32_t _i266;
+            for (_i266 = 0; _i266 < _size262; ++_i266)
+            {
+              xfer += iprot->readI64(this->keptCpuMillis[_i266]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.keptCpuMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6661,10 +6709,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter257;
-    for (_iter257 = this->labels.begin(); _iter257 != this->labels.end(); ++_iter257)
+    std::vector<std::string> ::const_iterator _iter267;
+    for (_iter267 = this->labels.begin(); _iter267 != this->labels.end(); ++_iter267)
     {
-      xfer += oprot->writeString((*_iter257));
+      xfer += oprot->writeString((*_iter267));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6685,10 +6733,10 @@
   xfer += oprot->writeFieldBegin("unanswered", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unanswered.size()));
-    std::vector<JobInDoubt> ::const_iterator _iter258;
-    for (_iter258 = this->unanswered.begin(); _iter258 != this->unanswered.end(); ++_iter258)
+    std::vector<JobInDoubt> ::const_iterator _iter268;
+    for (_iter268 = this->unanswered.begin(); _iter268 != this->unanswered.end(); ++_iter268)
     {
-      xfer += (*_iter258).write(oprot);
+      xfer += (*_iter268).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6697,10 +6745,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 20);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<ServerCrash> ::const_iterator _iter259;
-    for (_iter259 = this->crashes.begin(); _iter259 != this->crashes.end(); ++_iter259)
+    std::vector<ServerCrash> ::const_iterator _iter269;
+    for (_iter269 = this->crashes.begin(); _iter269 != this->crashes.end(); ++_iter269)
     {
-      xfer += (*_iter259).write(oprot);
+      xfer += (*_iter269).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6722,6 +6770,30 @@
   xfer += oprot->writeBool(this->evacuated);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("urgentDelayMicros", ::apache::thrift::protocol::T_LIST, 25);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->urgentDelayMicros.size()));
+    std::vector<int64_t> ::const_iterator _iter270;
+    for (_iter270 = this->urgentDelayMicros.begin(); _iter270 != this->urgentDelayMicros.end(); ++_iter270)
+    {
+      xfer += oprot->writeI64((*_iter270));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("keptCpuMillis", ::apache::thrift::protocol::T_LIST, 26);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->keptCpuMillis.size()));
+    std::vector<int64_t> ::const_iterator _iter271;
+    for (_iter271 = this->keptCpuMillis.begin(); _iter271 != this->keptCpuMillis.end(); ++_iter271)
+    {
+      xfer += oprot->writeI64((*_iter271));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6747,93 +6819,103 @@
   swap(a.entryCount, b.entryCount);
   swap(a.acceptingMicros, b.acceptingMicros);
   swap(a.evacuated, b.evacuated);
+  swap(a.urgentDelayMicros, b.urgentDelayMicros);
+  swap(a.keptCpuMillis, b.keptCpuMillis);
   swap(a.__isset, b.__isset);
 }
 
-HostReport::HostReport(const HostReport& other260) {
-  serviceName = other260.serviceName;
-  server = other260.server;
-  accepting = other260.accepting;
-  capacity = other260.capacity;
-  reserved = other260.reserved;
-  startDelayMicros = other260.startDelayMicros;
-  slowness = other260.slowness;
-  failureShare = other260.failureShare;
-  labels = other260.labels;
-  sentAtMicros = other260.sentAtMicros;
-  failureDomain = other260.failureDomain;
-  sequence = other260.sequence;
-  unanswered = other260.unanswered;
-  crashes = other260.crashes;
-  summary = other260.summary;
-  entryCount = other260.entryCount;
-  acceptingMicros = other260.acceptingMicros;
-  evacuated = other260.evacuated;
-  __isset = other260.__isset;
-}
-HostReport::HostReport(HostReport&& other261) noexcept {
-  serviceName = std::move(other261.serviceName);
-  server = std::move(other261.server);
-  accepting = other261.accepting;
-  capacity = std::move(other261.capacity);
-  reserved = std::move(other261.reserved);
-  startDelayMicros = other261.startDelayMicros;
-  slowness = other261.slowness;
-  failureShare = other261.failureShare;
-  labels = std::move(other261.labels);
-  sentAtMicros = other261.sentAtMicros;
-  failureDomain = std::move(other261.failureDomain);
-  sequence = other261.sequence;
-  unanswered = std::move(other261.unanswered);
-  crashes = std::move(other261.crashes);
-  summary = other261.summary;
-  entryCount = other261.entryCount;
-  acceptingMicros = other261.acceptingMicros;
-  evacuated = other261.evacuated;
-  __isset = other261.__isset;
-}
-HostReport& HostReport::operator=(const HostReport& other262) {
-  serviceName = other262.serviceName;
-  server = other262.server;
-  accepting = other262.accepting;
-  capacity = other262.capacity;
-  reserved = other262.reserved;
-  startDelayMicros = other262.startDelayMicros;
-  slowness = other262.slowness;
-  failureShare = other262.failureShare;
-  labels = other262.labels;
-  sentAtMicros = other262.sentAtMicros;
-  failureDomain = other262.failureDomain;
-  sequence = other262.sequence;
-  unanswered = other262.unanswered;
-  crashes = other262.crashes;
-  summary = other262.summary;
-  entryCount = other262.entryCount;
-  acceptingMicros = other262.acceptingMicros;
-  evacuated = other262.evacuated;
-  __isset = other262.__isset;
+HostReport::HostReport(const HostReport& other272) {
+  serviceName = other272.serviceName;
+  server = other272.server;
+  accepting = other272.accepting;
+  capacity = other272.capacity;
+  reserved = other272.reserved;
+  startDelayMicros = other272.startDelayMicros;
+  slowness = other272.slowness;
+  failureShare = other272.failureShare;
+  labels = other272.labels;
+  sentAtMicros = other272.sentAtMicros;
+  failureDomain = other272.failureDomain;
+  sequence = other272.sequence;
+  unanswered = other272.unanswered;
+  crashes = other272.crashes;
+  summary = other272.summary;
+  entryCount = other272.entryCount;
+  acceptingMicros = other272.acceptingMicros;
+  evacuated = other272.evacuated;
+  urgentDelayMicros = other272.urgentDelayMicros;
+  keptCpuMillis = other272.keptCpuMillis;
+  __isset = other272.__isset;
+}
+HostReport::HostReport(HostReport&& other273) noexcept {
+  serviceName = std::move(other273.serviceName);
+  server = std::move(other273.server);
+  accepting = other273.accepting;
+  capacity = std::move(other273.capacity);
+  reserved = std::move(other273.reserved);
+  startDelayMicros = other273.startDelayMicros;
+  slowness = other273.slowness;
+  failureShare = other273.failureShare;
+  labels = std::move(other273.labels);
+  sentAtMicros = other273.sentAtMicros;
+  failureDomain = std::move(other273.failureDomain);
+  sequence = other273.sequence;
+  unanswered = std::move(other273.unanswered);
+  crashes = std::move(other273.crashes);
+  summary = other273.summary;
+  entryCount = other273.entryCount;
+  acceptingMicros = other273.acceptingMicros;
+  evacuated = other273.evacuated;
+  urgentDelayMicros = std::move(other273.urgentDelayMicros);
+  keptCpuMillis = std::move(other273.keptCpuMillis);
+  __isset = other273.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other274) {
+  serviceName = other274.serviceName;
+  server = other274.server;
+  accepting = other274.accepting;
+  capacity = other274.capacity;
+  reserved = other274.reserved;
+  startDelayMicros = other274.startDelayMicros;
+  slowness = other274.slowness;
+  failureShare = other274.failureShare;
+  labels = other274.labels;
+  sentAtMicros = other274.sentAtMicros;
+  failureDomain = other274.failureDomain;
+  sequence = other274.sequence;
+  unanswered = other274.unanswered;
+  crashes = other274.crashes;
+  summary = other274.summary;
+  entryCount = other274.entryCount;
+  acceptingMicros = other274.acceptingMicros;
+  evacuated = other274.evacuated;
+  urgentDelayMicros = other274.urgentDelayMicros;
+  keptCpuMillis = other274.keptCpuMillis;
+  __isset = other274.__isset;
   return *this;
 }
-HostReport& HostReport::operator=(HostReport&& other263) noexcept {
-  serviceName = std::move(other263.serviceName);
-  server = std::move(other263.server);
-  accepting = other263.accepting;
-  capacity = std::move(other263.capacity);
-  reserved = std::move(other263.reserved);
-  startDelayMicros = other263.startDelayMicros;
-  slowness = other263.slowness;
-  failureShare = other263.failureShare;
-  labels = std::move(other263.labels);
-  sentAtMicros = other263.sentAtMicros;
-  failureDomain = std::move(other263.failureDomain);
-  sequence = other263.sequence;
-  unanswered = std::move(other263.unanswered);
-  crashes = std::move(other263.crashes);
-  summary = other263.summary;
-  entryCount = other263.entryCount;
-  acceptingMicros = other263.acceptingMicros;
-  evacuated = other263.evacuated;
-  __isset = other263.__isset;
+HostReport& HostReport::operator=(HostReport&& other275) noexcept {
+  serviceName = std::move(other275.serviceName);
+  server = std::move(other275.server);
+  accepting = other275.accepting;
+  capacity = std::move(other275.capacity);
+  reserved = std::move(other275.reserved);
+  startDelayMicros = other275.startDelayMicros;
+  slowness = other275.slowness;
+  failureShare = other275.failureShare;
+  labels = std::move(other275.labels);
+  sentAtMicros = other275.sentAtMicros;
+  failureDomain = std::move(other275.failureDomain);
+  sequence = other275.sequence;
+  unanswered = std::move(other275.unanswered);
+  crashes = std::move(other275.crashes);
+  summary = other275.summary;
+  entryCount = other275.entryCount;
+  acceptingMicros = other275.acceptingMicros;
+  evacuated = other275.evacuated;
+  urgentDelayMicros = std::move(other275.urgentDelayMicros);
+  keptCpuMillis = std::move(other275.keptCpuMillis);
+  __isset = other275.__isset;
   return *this;
 }
 void HostReport::printTo(std::ostream& out) const {
@@ -6857,6 +6939,8 @@
   out << ", " << "entryCount=" << to_string(entryCount);
   out << ", " << "acceptingMicros=" << to_string(acceptingMicros);
   out << ", " << "evacuated=" << to_string(evacuated);
+  out << ", " << "urgentDelayMicros=" << to_string(urgentDelayMicros);
+  out << ", " << "keptCpuMillis=" << to_string(keptCpuMillis);
   out << ")";
 }
 
@@ -6970,30 +7054,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HostContact::HostContact(const HostContact& other264) noexcept {
-  hostIncarnation = other264.hostIncarnation;
-  heardAtMicros = other264.heardAtMicros;
-  reportsSeen = other264.reportsSeen;
-  __isset = other264.__isset;
+HostContact::HostContact(const HostContact& other276) noexcept {
+  hostIncarnation = other276.hostIncarnation;
+  heardAtMicros = other276.heardAtMicros;
+  reportsSeen = other276.reportsSeen;
+  __isset = other276.__isset;
 }
-HostContact::HostContact(HostContact&& other265) noexcept {
-  hostIncarnation = other265.hostIncarnation;
-  heardAtMicros = other265.heardAtMicros;
-  reportsSeen = other265.reportsSeen;
-  __isset = other265.__isset;
+HostContact::HostContact(HostContact&& other277) noexcept {
+  hostIncarnation = other277.hostIncarnation;
+  heardAtMicros = other277.heardAtMicros;
+  reportsSeen = other277.reportsSeen;
+  __isset = other277.__isset;
 }
-HostContact& HostContact::operator=(const HostContact& other266) noexcept {
-  hostIncarnation = other266.hostIncarnation;
-  heardAtMicros = other266.heardAtMicros;
-  reportsSeen = other266.reportsSeen;
-  __isset = other266.__isset;
+HostContact& HostContact::operator=(const HostContact& other278) noexcept {
+  hostIncarnation = other278.hostIncarnation;
+  heardAtMicros = other278.heardAtMicros;
+  reportsSeen = other278.reportsSeen;
+  __isset = other278.__isset;
   return *this;
 }
-HostContact& HostContact::operator=(HostContact&& other267) noexcept {
-  hostIncarnation = other267.hostIncarnation;
-  heardAtMicros = other267.heardAtMicros;
-  reportsSeen = other267.reportsSeen;
-  __isset = other267.__isset;
+HostContact& HostContact::operator=(HostContact&& other279) noexcept {
+  hostIncarnation = other279.hostIncarnation;
+  heardAtMicros = other279.heardAtMicros;
+  reportsSeen = other279.reportsSeen;
+  __isset = other279.__isset;
   return *this;
 }
 void HostContact::printTo(std::ostream& out) const {
@@ -7217,54 +7301,54 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskOrder::TaskOrder(const TaskOrder& other268) {
-  index = other268.index;
-  order = other268.order;
-  demand = other268.demand;
-  estimateMicros = other268.estimateMicros;
-  mayWait = other268.mayWait;
-  suspected = other268.suspected;
-  requiredLabel = other268.requiredLabel;
-  group = other268.group;
-  maxPerHost = other268.maxPerHost;
-  __isset = other268.__isset;
-}
-TaskOrder::TaskOrder(TaskOrder&& other269) noexcept {
-  index = other269.index;
-  order = other269.order;
-  demand = std::move(other269.demand);
-  estimateMicros = other269.estimateMicros;
-  mayWait = other269.mayWait;
-  suspected = other269.suspected;
-  requiredLabel = std::move(other269.requiredLabel);
-  group = other269.group;
-  maxPerHost = other269.maxPerHost;
-  __isset = other269.__isset;
-}
-TaskOrder& TaskOrder::operator=(const TaskOrder& other270) {
-  index = other270.index;
-  order = other270.order;
-  demand = other270.demand;
-  estimateMicros = other270.estimateMicros;
-  mayWait = other270.mayWait;
-  suspected = other270.suspected;
-  requiredLabel = other270.requiredLabel;
-  group = other270.group;
-  maxPerHost = other270.maxPerHost;
-  __isset = other270.__isset;
+TaskOrder::TaskOrder(const TaskOrder& other280) {
+  index = other280.index;
+  order = other280.order;
+  demand = other280.demand;
+  estimateMicros = other280.estimateMicros;
+  mayWait = other280.mayWait;
+  suspected = other280.suspected;
+  requiredLabel = other280.requiredLabel;
+  group = other280.group;
+  maxPerHost = other280.maxPerHost;
+  __isset = other280.__isset;
+}
+TaskOrder::TaskOrder(TaskOrder&& other281) noexcept {
+  index = other281.index;
+  order = other281.order;
+  demand = std::move(other281.demand);
+  estimateMicros = other281.estimateMicros;
+  mayWait = other281.mayWait;
+  suspected = other281.suspected;
+  requiredLabel = std::move(other281.requiredLabel);
+  group = other281.group;
+  maxPerHost = other281.maxPerHost;
+  __isset = other281.__isset;
+}
+TaskOrder& TaskOrder::operator=(const TaskOrder& other282) {
+  index = other282.index;
+  order = other282.order;
+  demand = other282.demand;
+  estimateMicros = other282.estimateMicros;
+  mayWait = other282.mayWait;
+  suspected = other282.suspected;
+  requiredLabel = other282.requiredLabel;
+  group = other282.group;
+  maxPerHost = other282.maxPerHost;
+  __isset = other282.__isset;
   return *this;
 }
-TaskOrder& TaskOrder::operator=(TaskOrder&& other271) noexcept {
-  index = other271.index;
-  order = other271.order;
-  demand = std::move(other271.demand);
-  estimateMicros = other271.estimateMicros;
-  mayWait = other271.mayWait;
-  suspected = other271.suspected;
-  requiredLabel = std::move(other271.requiredLabel);
-  group = other271.group;
-  maxPerHost = other271.maxPerHost;
-  __isset = other271.__isset;
+TaskOrder& TaskOrder::operator=(TaskOrder&& other283) noexcept {
+  index = other283.index;
+  order = other283.order;
+  demand = std::move(other283.demand);
+  estimateMicros = other283.estimateMicros;
+  mayWait = other283.mayWait;
+  suspected = other283.suspected;
+  requiredLabel = std::move(other283.requiredLabel);
+  group = other283.group;
+  maxPerHost = other283.maxPerHost;
+  __isset = other283.__isset;
   return *this;
 }
 void TaskOrder::printTo(std::ostream& out) const {
@@ -7418,14 +7502,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size272;
-            ::apache::thrift::protocol::TType _etype275;
-            xfer += iprot->readListBegin(_etype275, _size272);
-            this->orders.resize(_size272);
-            uint32_t _i276;
-            for (_i276 = 0; _i276 < _size272; ++_i276)
+            uint32_t _size284;
+            ::apache::thrift::protocol::TType _etype287;
+            xfer += iprot->readListBegin(_etype287, _size284);
+            this->orders.resize(_size284);
+            uint32_t _i288;
+            for (_i288 = 0; _i288 < _size284; ++_i288)
             {
-              xfer += this->orders[_i276].read(iprot);
+              xfer += this->orders[_i288].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7454,14 +7538,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->elsewhere.clear();
-            uint32_t _size277;
-            ::apache::thrift::protocol::TType _etype280;
-            xfer += iprot->readListBegin(_etype280, _size277);
-            this->elsewhere.resize(_size277);
-            uint32_t _i281;
-            for (_i281 = 0; _i281 < _size277; ++_i281)
+            uint32_t _size289;
+            ::apache::thrift::protocol::TType _etype292;
+            xfer += iprot->readListBegin(_etype292, _size289);
+            this->elsewhere.resize(_size289);
+            uint32_t _i293;
+            for (_i293 = 0; _i293 < _size289; ++_i293)
             {
-              xfer += this->elsewhere[_i281].read(iprot);
+              xfer += this->elsewhere[_i293].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7518,10 +7602,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<TaskOrder> ::const_iterator _iter282;
-    for (_iter282 = this->orders.begin(); _iter282 != this->orders.end(); ++_iter282)
+    std::vector<TaskOrder> ::const_iterator _iter294;
+    for (_iter294 = this->orders.begin(); _iter294 != this->orders.end(); ++_iter294)
     {
-      xfer += (*_iter282).write(oprot);
+      xfer += (*_iter294).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7538,10 +7622,10 @@
   xfer += oprot->writeFieldBegin("elsewhere", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->elsewhere.size()));
-    std::vector<TaskPlace> ::const_iterator _iter283;
-    for (_iter283 = this->elsewhere.begin(); _iter283 != this->elsewhere.end(); ++_iter283)
+    std::vector<TaskPlace> ::const_iterator _iter295;
+    for (_iter295 = this->elsewhere.begin(); _iter295 != this->elsewhere.end(); ++_iter295)
     {
-      xfer += (*_iter283).write(oprot);
+      xfer += (*_iter295).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7568,62 +7652,62 @@
   swap(a.__isset, b.__isset);
 }
 
-RunTasks::RunTasks(const RunTasks& other284) {
-  hostIncarnation = other284.hostIncarnation;
-  heardAtMicros = other284.heardAtMicros;
-  job = other284.job;
-  spec = other284.spec;
-  startWithinMicros = other284.startWithinMicros;
-  timeLeftMicros = other284.timeLeftMicros;
-  priority = other284.priority;
-  orders = other284.orders;
-  serviceName = other284.serviceName;
-  reportsSeen = other284.reportsSeen;
-  elsewhere = other284.elsewhere;
-  __isset = other284.__isset;
-}
-RunTasks::RunTasks(RunTasks&& other285) noexcept {
-  hostIncarnation = other285.hostIncarnation;
-  heardAtMicros = other285.heardAtMicros;
-  job = std::move(other285.job);
-  spec = std::move(other285.spec);
-  startWithinMicros = other285.startWithinMicros;
-  timeLeftMicros = other285.timeLeftMicros;
-  priority = other285.priority;
-  orders = std::move(other285.orders);
-  serviceName = std::move(other285.serviceName);
-  reportsSeen = other285.reportsSeen;
-  elsewhere = std::move(other285.elsewhere);
-  __isset = other285.__isset;
-}
-RunTasks& RunTasks::operator=(const RunTasks& other286) {
-  hostIncarnation = other286.hostIncarnation;
-  heardAtMicros = other286.heardAtMicros;
-  job = other286.job;
-  spec = other286.spec;
-  startWithinMicros = other286.startWithinMicros;
-  timeLeftMicros = other286.timeLeftMicros;
-  priority = other286.priority;
-  orders = other286.orders;
-  serviceName = other286.serviceName;
-  reportsSeen = other286.reportsSeen;
-  elsewhere = other286.elsewhere;
-  __isset = other286.__isset;
+RunTasks::RunTasks(const RunTasks& other296) {
+  hostIncarnation = other296.hostIncarnation;
+  heardAtMicros = other296.heardAtMicros;
+  job = other296.job;
+  spec = other296.spec;
+  startWithinMicros = other296.startWithinMicros;
+  timeLeftMicros = other296.timeLeftMicros;
+  priority = other296.priority;
+  orders = other296.orders;
+  serviceName = other296.serviceName;
+  reportsSeen = other296.reportsSeen;
+  elsewhere = other296.elsewhere;
+  __isset = other296.__isset;
+}
+RunTasks::RunTasks(RunTasks&& other297) noexcept {
+  hostIncarnation = other297.hostIncarnation;
+  heardAtMicros = other297.heardAtMicros;
+  job = std::move(other297.job);
+  spec = std::move(other297.spec);
+  startWithinMicros = other297.startWithinMicros;
+  timeLeftMicros = other297.timeLeftMicros;
+  priority = other297.priority;
+  orders = std::move(other297.orders);
+  serviceName = std::move(other297.serviceName);
+  reportsSeen = other297.reportsSeen;
+  elsewhere = std::move(other297.elsewhere);
+  __isset = other297.__isset;
+}
+RunTasks& RunTasks::operator=(const RunTasks& other298) {
+  hostIncarnation = other298.hostIncarnation;
+  heardAtMicros = other298.heardAtMicros;
+  job = other298.job;
+  spec = other298.spec;
+  startWithinMicros = other298.startWithinMicros;
+  timeLeftMicros = other298.timeLeftMicros;
+  priority = other298.priority;
+  orders = other298.orders;
+  serviceName = other298.serviceName;
+  reportsSeen = other298.reportsSeen;
+  elsewhere = other298.elsewhere;
+  __isset = other298.__isset;
   return *this;
 }
-RunTasks& RunTasks::operator=(RunTasks&& other287) noexcept {
-  hostIncarnation = other287.hostIncarnation;
-  heardAtMicros = other287.heardAtMicros;
-  job = std::move(other287.job);
-  spec = std::move(other287.spec);
-  startWithinMicros = other287.startWithinMicros;
-  timeLeftMicros = other287.timeLeftMicros;
-  priority = other287.priority;
-  orders = std::move(other287.orders);
-  serviceName = std::move(other287.serviceName);
-  reportsSeen = other287.reportsSeen;
-  elsewhere = std::move(other287.elsewhere);
-  __isset = other287.__isset;
+RunTasks& RunTasks::operator=(RunTasks&& other299) noexcept {
+  hostIncarnation = other299.hostIncarnation;
+  heardAtMicros = other299.heardAtMicros;
+  job = std::move(other299.job);
+  spec = std::move(other299.spec);
+  startWithinMicros = other299.startWithinMicros;
+  timeLeftMicros = other299.timeLeftMicros;
+  priority = other299.priority;
+  orders = std::move(other299.orders);
+  serviceName = std::move(other299.serviceName);
+  reportsSeen = other299.reportsSeen;
+  elsewhere = std::move(other299.elsewhere);
+  __isset = other299.__isset;
   return *this;
 }
 void RunTasks::printTo(std::ostream& out) const {
@@ -7699,14 +7783,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->places.clear();
-            uint32_t _size288;
-            ::apache::thrift::protocol::TType _etype291;
-            xfer += iprot->readListBegin(_etype291, _size288);
-            this->places.resize(_size288);
-            uint32_t _i292;
-            for (_i292 = 0; _i292 < _size288; ++_i292)
+            uint32_t _size300;
+            ::apache::thrift::protocol::TType _etype303;
+            xfer += iprot->readListBegin(_etype303, _size300);
+            this->places.resize(_size300);
+            uint32_t _i304;
+            for (_i304 = 0; _i304 < _size300; ++_i304)
             {
-              xfer += this->places[_i292].read(iprot);
+              xfer += this->places[_i304].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7747,10 +7831,10 @@
   xfer += oprot->writeFieldBegin("places", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->places.size()));
-    std::vector<TaskPlace> ::const_iterator _iter293;
-    for (_iter293 = this->places.begin(); _iter293 != this->places.end(); ++_iter293)
+    std::vector<TaskPlace> ::const_iterator _iter305;
+    for (_iter305 = this->places.begin(); _iter305 != this->places.end(); ++_iter305)
     {
-      xfer += (*_iter293).write(oprot);
+      xfer += (*_iter305).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7773,30 +7857,30 @@
   swap(a.__isset, b.__isset);
 }
 
-OrdersElsewhere::OrdersElsewhere(const OrdersElsewhere& other294) {
-  job = other294.job;
-  places = other294.places;
-  timeLeftMicros = other294.timeLeftMicros;
-  __isset = other294.__isset;
+OrdersElsewhere::OrdersElsewhere(const OrdersElsewhere& other306) {
+  job = other306.job;
+  places = other306.places;
+  timeLeftMicros = other306.timeLeftMicros;
+  __isset = other306.__isset;
 }
-OrdersElsewhere::OrdersElsewhere(OrdersElsewhere&& other295) noexcept {
-  job = std::move(other295.job);
-  places = std::move(other295.places);
-  timeLeftMicros = other295.timeLeftMicros;
-  __isset = other295.__isset;
+OrdersElsewhere::OrdersElsewhere(OrdersElsewhere&& other307) noexcept {
+  job = std::move(other307.job);
+  places = std::move(other307.places);
+  timeLeftMicros = other307.timeLeftMicros;
+  __isset = other307.__isset;
 }
-OrdersElsewhere& OrdersElsewhere::operator=(const OrdersElsewhere& other296) {
-  job = other296.job;
-  places = other296.places;
-  timeLeftMicros = other296.timeLeftMicros;
-  __isset = other296.__isset;
+OrdersElsewhere& OrdersElsewhere::operator=(const OrdersElsewhere& other308) {
+  job = other308.job;
+  places = other308.places;
+  timeLeftMicros = other308.timeLeftMicros;
+  __isset = other308.__isset;
   return *this;
 }
-OrdersElsewhere& OrdersElsewhere::operator=(OrdersElsewhere&& other297) noexcept {
-  job = std::move(other297.job);
-  places = std::move(other297.places);
-  timeLeftMicros = other297.timeLeftMicros;
-  __isset = other297.__isset;
+OrdersElsewhere& OrdersElsewhere::operator=(OrdersElsewhere&& other309) noexcept {
+  job = std::move(other309.job);
+  places = std::move(other309.places);
+  timeLeftMicros = other309.timeLeftMicros;
+  __isset = other309.__isset;
   return *this;
 }
 void OrdersElsewhere::printTo(std::ostream& out) const {
@@ -7872,14 +7956,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->indexes.clear();
-            uint32_t _size298;
-            ::apache::thrift::protocol::TType _etype301;
-            xfer += iprot->readListBegin(_etype301, _size298);
-            this->indexes.resize(_size298);
-            uint32_t _i302;
-            for (_i302 = 0; _i302 < _size298; ++_i302)
+            uint32_t _size310;
+            ::apache::thrift::protocol::TType _etype313;
+            xfer += iprot->readListBegin(_etype313, _size310);
+            this->indexes.resize(_size310);
+            uint32_t _i314;
+            for (_i314 = 0; _i314 < _size310; ++_i314)
             {
-              xfer += iprot->readI32(this->indexes[_i302]);
+              xfer += iprot->readI32(this->indexes[_i314]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7916,10 +8000,10 @@
   xfer += oprot->writeFieldBegin("indexes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->indexes.size()));
-    std::vector<int32_t> ::const_iterator _iter303;
-    for (_iter303 = this->indexes.begin(); _iter303 != this->indexes.end(); ++_iter303)
+    std::vector<int32_t> ::const_iterator _iter315;
+    for (_iter315 = this->indexes.begin(); _iter315 != this->indexes.end(); ++_iter315)
     {
-      xfer += oprot->writeI32((*_iter303));
+      xfer += oprot->writeI32((*_iter315));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7938,30 +8022,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StopTasks::StopTasks(const StopTasks& other304) {
-  hostIncarnation = other304.hostIncarnation;
-  job = other304.job;
-  indexes = other304.indexes;
-  __isset = other304.__isset;
+StopTasks::StopTasks(const StopTasks& other316) {
+  hostIncarnation = other316.hostIncarnation;
+  job = other316.job;
+  indexes = other316.indexes;
+  __isset = other316.__isset;
 }
-StopTasks::StopTasks(StopTasks&& other305) noexcept {
-  hostIncarnation = other305.hostIncarnation;
-  job = std::move(other305.job);
-  indexes = std::move(other305.indexes);
-  __isset = other305.__isset;
+StopTasks::StopTasks(StopTasks&& other317) noexcept {
+  hostIncarnation = other317.hostIncarnation;
+  job = std::move(other317.job);
+  indexes = std::move(other317.indexes);
+  __isset = other317.__isset;
 }
-StopTasks& StopTasks::operator=(const StopTasks& other306) {
-  hostIncarnation = other306.hostIncarnation;
-  job = other306.job;
-  indexes = other306.indexes;
-  __isset = other306.__isset;
+StopTasks& StopTasks::operator=(const StopTasks& other318) {
+  hostIncarnation = other318.hostIncarnation;
+  job = other318.job;
+  indexes = other318.indexes;
+  __isset = other318.__isset;
   return *this;
 }
-StopTasks& StopTasks::operator=(StopTasks&& other307) noexcept {
-  hostIncarnation = other307.hostIncarnation;
-  job = std::move(other307.job);
-  indexes = std::move(other307.indexes);
-  __isset = other307.__isset;
+StopTasks& StopTasks::operator=(StopTasks&& other319) noexcept {
+  hostIncarnation = other319.hostIncarnation;
+  job = std::move(other319.job);
+  indexes = std::move(other319.indexes);
+  __isset = other319.__isset;
   return *this;
 }
 void StopTasks::printTo(std::ostream& out) const {
@@ -8075,9 +8159,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast308;
-          xfer += iprot->readI32(ecast308);
-          this->phase = static_cast<TaskPhase::type>(ecast308);
+          int32_t ecast320;
+          xfer += iprot->readI32(ecast320);
+          this->phase = static_cast<TaskPhase::type>(ecast320);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8221,62 +8305,62 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskReport::TaskReport(const TaskReport& other309) {
-  job = other309.job;
-  index = other309.index;
-  order = other309.order;
-  phase = other309.phase;
-  runMicros = other309.runMicros;
-  reason = other309.reason;
-  number = other309.number;
-  remainingMicros = other309.remainingMicros;
-  workMicros = other309.workMicros;
-  leastRemainingMicros = other309.leastRemainingMicros;
-  serverLost = other309.serverLost;
-  __isset = other309.__isset;
+TaskReport::TaskReport(const TaskReport& other321) {
+  job = other321.job;
+  index = other321.index;
+  order = other321.order;
+  phase = other321.phase;
+  runMicros = other321.runMicros;
+  reason = other321.reason;
+  number = other321.number;
+  remainingMicros = other321.remainingMicros;
+  workMicros = other321.workMicros;
+  leastRemainingMicros = other321.leastRemainingMicros;
+  serverLost = other321.serverLost;
+  __isset = other321.__isset;
 }
-TaskReport::TaskReport(TaskReport&& other310) noexcept {
-  job = std::move(other310.job);
-  index = other310.index;
-  order = other310.order;
-  phase = other310.phase;
-  runMicros = other310.runMicros;
-  reason = std::move(other310.reason);
-  number = other310.number;
-  remainingMicros = other310.remainingMicros;
-  workMicros = other310.workMicros;
-  leastRemainingMicros = other310.leastRemainingMicros;
-  serverLost = other310.serverLost;
-  __isset = other310.__isset;
-}
-TaskReport& TaskReport::operator=(const TaskReport& other311) {
-  job = other311.job;
-  index = other311.index;
-  order = other311.order;
-  phase = other311.phase;
-  runMicros = other311.runMicros;
-  reason = other311.reason;
-  number = other311.number;
-  remainingMicros = other311.remainingMicros;
-  workMicros = other311.workMicros;
-  leastRemainingMicros = other311.leastRemainingMicros;
-  serverLost = other311.serverLost;
-  __isset = other311.__isset;
+TaskReport::TaskReport(TaskReport&& other322) noexcept {
+  job = std::move(other322.job);
+  index = other322.index;
+  order = other322.order;
+  phase = other322.phase;
+  runMicros = other322.runMicros;
+  reason = std::move(other322.reason);
+  number = other322.number;
+  remainingMicros = other322.remainingMicros;
+  workMicros = other322.workMicros;
+  leastRemainingMicros = other322.leastRemainingMicros;
+  serverLost = other322.serverLost;
+  __isset = other322.__isset;
+}
+TaskReport& TaskReport::operator=(const TaskReport& other323) {
+  job = other323.job;
+  index = other323.index;
+  order = other323.order;
+  phase = other323.phase;
+  runMicros = other323.runMicros;
+  reason = other323.reason;
+  number = other323.number;
+  remainingMicros = other323.remainingMicros;
+  workMicros = other323.workMicros;
+  leastRemainingMicros = other323.leastRemainingMicros;
+  serverLost = other323.serverLost;
+  __isset = other323.__isset;
   return *this;
 }
-TaskReport& TaskReport::operator=(TaskReport&& other312) noexcept {
-  job = std::move(other312.job);
-  index = other312.index;
-  order = other312.order;
-  phase = other312.phase;
-  runMicros = other312.runMicros;
-  reason = std::move(other312.reason);
-  number = other312.number;
-  remainingMicros = other312.remainingMicros;
-  workMicros = other312.workMicros;
-  leastRemainingMicros = other312.leastRemainingMicros;
-  serverLost = other312.serverLost;
-  __isset = other312.__isset;
+TaskReport& TaskReport::operator=(TaskReport&& other324) noexcept {
+  job = std::move(other324.job);
+  index = other324.index;
+  order = other324.order;
+  phase = other324.phase;
+  runMicros = other324.runMicros;
+  reason = std::move(other324.reason);
+  number = other324.number;
+  remainingMicros = other324.remainingMicros;
+  workMicros = other324.workMicros;
+  leastRemainingMicros = other324.leastRemainingMicros;
+  serverLost = other324.serverLost;
+  __isset = other324.__isset;
   return *this;
 }
 void TaskReport::printTo(std::ostream& out) const {
@@ -8340,14 +8424,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size313;
-            ::apache::thrift::protocol::TType _etype316;
-            xfer += iprot->readListBegin(_etype316, _size313);
-            this->reports.resize(_size313);
-            uint32_t _i317;
-            for (_i317 = 0; _i317 < _size313; ++_i317)
+            uint32_t _size325;
+            ::apache::thrift::protocol::TType _etype328;
+            xfer += iprot->readListBegin(_etype328, _size325);
+            this->reports.resize(_size325);
+            uint32_t _i329;
+            for (_i329 = 0; _i329 < _size325; ++_i329)
             {
-              xfer += this->reports[_i317].read(iprot);
+              xfer += this->reports[_i329].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8384,10 +8468,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<TaskReport> ::const_iterator _iter318;
-    for (_iter318 = this->reports.begin(); _iter318 != this->reports.end(); ++_iter318)
+    std::vector<TaskReport> ::const_iterator _iter330;
+    for (_iter330 = this->reports.begin(); _iter330 != this->reports.end(); ++_iter330)
     {
-      xfer += (*_iter318).write(oprot);
+      xfer += (*_iter330).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8409,26 +8493,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskReports::TaskReports(const TaskReports& other319) {
-  reports = other319.reports;
-  host = other319.host;
-  __isset = other319.__isset;
+TaskReports::TaskReports(const TaskReports& other331) {
+  reports = other331.reports;
+  host = other331.host;
+  __isset = other331.__isset;
 }
-TaskReports::TaskReports(TaskReports&& other320) noexcept {
-  reports = std::move(other320.reports);
-  host = std::move(other320.host);
-  __isset = other320.__isset;
+TaskReports::TaskReports(TaskReports&& other332) noexcept {
+  reports = std::move(other332.reports);
+  host = std::move(other332.host);
+  __isset = other332.__isset;
 }
-TaskReports& TaskReports::operator=(const TaskReports& other321) {
-  reports = other321.reports;
-  host = other321.host;
-  __isset = other321.__isset;
+TaskReports& TaskReports::operator=(const TaskReports& other333) {
+  reports = other333.reports;
+  host = other333.host;
+  __isset = other333.__isset;
   return *this;
 }
-TaskReports& TaskReports::operator=(TaskReports&& other322) noexcept {
-  reports = std::move(other322.reports);
-  host = std::move(other322.host);
-  __isset = other322.__isset;
+TaskReports& TaskReports::operator=(TaskReports&& other334) noexcept {
+  reports = std::move(other334.reports);
+  host = std::move(other334.host);
+  __isset = other334.__isset;
   return *this;
 }
 void TaskReports::printTo(std::ostream& out) const {
@@ -8527,14 +8611,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wholeHolders.clear();
-            uint32_t _size323;
-            ::apache::thrift::protocol::TType _etype326;
-            xfer += iprot->readListBegin(_etype326, _size323);
-            this->wholeHolders.resize(_size323);
-            uint32_t _i327;
-            for (_i327 = 0; _i327 < _size323; ++_i327)
+            uint32_t _size335;
+            ::apache::thrift::protocol::TType _etype338;
+            xfer += iprot->readListBegin(_etype338, _size335);
+            this->wholeHolders.resize(_size335);
+            uint32_t _i339;
+            for (_i339 = 0; _i339 < _size335; ++_i339)
             {
-              xfer += iprot->readString(this->wholeHolders[_i327]);
+              xfer += iprot->readString(this->wholeHolders[_i339]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8579,10 +8663,10 @@
   xfer += oprot->writeFieldBegin("wholeHolders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wholeHolders.size()));
-    std::vector<std::string> ::const_iterator _iter328;
-    for (_iter328 = this->wholeHolders.begin(); _iter328 != this->wholeHolders.end(); ++_iter328)
+    std::vector<std::string> ::const_iterator _iter340;
+    for (_iter340 = this->wholeHolders.begin(); _iter340 != this->wholeHolders.end(); ++_iter340)
     {
-      xfer += oprot->writeString((*_iter328));
+      xfer += oprot->writeString((*_iter340));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8603,38 +8687,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CellReport::CellReport(const CellReport& other329) {
-  cell = other329.cell;
-  epoch = other329.epoch;
-  owned = other329.owned;
-  whole = other329.whole;
-  wholeHolders = other329.wholeHolders;
-  __isset = other329.__isset;
-}
-CellReport::CellReport(CellReport&& other330) noexcept {
-  cell = other330.cell;
-  epoch = other330.epoch;
-  owned = other330.owned;
-  whole = other330.whole;
-  wholeHolders = std::move(other330.wholeHolders);
-  __isset = other330.__isset;
-}
-CellReport& CellReport::operator=(const CellReport& other331) {
-  cell = other331.cell;
-  epoch = other331.epoch;
-  owned = other331.owned;
-  whole = other331.whole;
-  wholeHolders = other331.wholeHolders;
-  __isset = other331.__isset;
+CellReport::CellReport(const CellReport& other341) {
+  cell = other341.cell;
+  epoch = other341.epoch;
+  owned = other341.owned;
+  whole = other341.whole;
+  wholeHolders = other341.wholeHolders;
+  __isset = other341.__isset;
+}
+CellReport::CellReport(CellReport&& other342) noexcept {
+  cell = other342.cell;
+  epoch = other342.epoch;
+  owned = other342.owned;
+  whole = other342.whole;
+  wholeHolders = std::move(other342.wholeHolders);
+  __isset = other342.__isset;
+}
+CellReport& CellReport::operator=(const CellReport& other343) {
+  cell = other343.cell;
+  epoch = other343.epoch;
+  owned = other343.owned;
+  whole = other343.whole;
+  wholeHolders = other343.wholeHolders;
+  __isset = other343.__isset;
   return *this;
 }
-CellReport& CellReport::operator=(CellReport&& other332) noexcept {
-  cell = other332.cell;
-  epoch = other332.epoch;
-  owned = other332.owned;
-  whole = other332.whole;
-  wholeHolders = std::move(other332.wholeHolders);
-  __isset = other332.__isset;
+CellReport& CellReport::operator=(CellReport&& other344) noexcept {
+  cell = other344.cell;
+  epoch = other344.epoch;
+  owned = other344.owned;
+  whole = other344.whole;
+  wholeHolders = std::move(other344.wholeHolders);
+  __isset = other344.__isset;
   return *this;
 }
 void CellReport::printTo(std::ostream& out) const {
@@ -8719,9 +8803,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast333;
-          xfer += iprot->readI32(ecast333);
-          this->role = static_cast<Role::type>(ecast333);
+          int32_t ecast345;
+          xfer += iprot->readI32(ecast345);
+          this->role = static_cast<Role::type>(ecast345);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8771,14 +8855,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size334;
-            ::apache::thrift::protocol::TType _etype337;
-            xfer += iprot->readListBegin(_etype337, _size334);
-            this->cells.resize(_size334);
-            uint32_t _i338;
-            for (_i338 = 0; _i338 < _size334; ++_i338)
+            uint32_t _size346;
+            ::apache::thrift::protocol::TType _etype349;
+            xfer += iprot->readListBegin(_etype349, _size346);
+            this->cells.resize(_size346);
+            uint32_t _i350;
+            for (_i350 = 0; _i350 < _size346; ++_i350)
             {
-              xfer += this->cells[_i338].read(iprot);
+              xfer += this->cells[_i350].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8847,10 +8931,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellReport> ::const_iterator _iter339;
-    for (_iter339 = this->cells.begin(); _iter339 != this->cells.end(); ++_iter339)
+    std::vector<CellReport> ::const_iterator _iter351;
+    for (_iter351 = this->cells.begin(); _iter351 != this->cells.end(); ++_iter351)
     {
-      xfer += (*_iter339).write(oprot);
+      xfer += (*_iter351).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8884,54 +8968,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberHeartbeat::MemberHeartbeat(const MemberHeartbeat& other340) {
-  role = other340.role;
-  failureDomain = other340.failureDomain;
-  address = other340.address;
-  sentAtMicros = other340.sentAtMicros;
-  configNumber = other340.configNumber;
-  viewVersion = other340.viewVersion;
-  cells = other340.cells;
-  leaving = other340.leaving;
-  server = other340.server;
-  __isset = other340.__isset;
-}
-MemberHeartbeat::MemberHeartbeat(MemberHeartbeat&& other341) noexcept {
-  role = other341.role;
-  failureDomain = std::move(other341.failureDomain);
-  address = std::move(other341.address);
-  sentAtMicros = other341.sentAtMicros;
-  configNumber = other341.configNumber;
-  viewVersion = other341.viewVersion;
-  cells = std::move(other341.cells);
-  leaving = other341.leaving;
-  server = std::move(other341.server);
-  __isset = other341.__isset;
-}
-MemberHeartbeat& MemberHeartbeat::operator=(const MemberHeartbeat& other342) {
-  role = other342.role;
-  failureDomain = other342.failureDomain;
-  address = other342.address;
-  sentAtMicros = other342.sentAtMicros;
-  configNumber = other342.configNumber;
-  viewVersion = other342.viewVersion;
-  cells = other342.cells;
-  leaving = other342.leaving;
-  server = other342.server;
-  __isset = other342.__isset;
+MemberHeartbeat::MemberHeartbeat(const MemberHeartbeat& other352) {
+  role = other352.role;
+  failureDomain = other352.failureDomain;
+  address = other352.address;
+  sentAtMicros = other352.sentAtMicros;
+  configNumber = other352.configNumber;
+  viewVersion = other352.viewVersion;
+  cells = other352.cells;
+  leaving = other352.leaving;
+  server = other352.server;
+  __isset = other352.__isset;
+}
+MemberHeartbeat::MemberHeartbeat(MemberHeartbeat&& other353) noexcept {
+  role = other353.role;
+  failureDomain = std::move(other353.failureDomain);
+  address = std::move(other353.address);
+  sentAtMicros = other353.sentAtMicros;
+  configNumber = other353.configNumber;
+  viewVersion = other353.viewVersion;
+  cells = std::move(other353.cells);
+  leaving = other353.leaving;
+  server = std::move(other353.server);
+  __isset = other353.__isset;
+}
+MemberHeartbeat& MemberHeartbeat::operator=(const MemberHeartbeat& other354) {
+  role = other354.role;
+  failureDomain = other354.failureDomain;
+  address = other354.address;
+  sentAtMicros = other354.sentAtMicros;
+  configNumber = other354.configNumber;
+  viewVersion = other354.viewVersion;
+  cells = other354.cells;
+  leaving = other354.leaving;
+  server = other354.server;
+  __isset = other354.__isset;
   return *this;
 }
-MemberHeartbeat& MemberHeartbeat::operator=(MemberHeartbeat&& other343) noexcept {
-  role = other343.role;
-  failureDomain = std::move(other343.failureDomain);
-  address = std::move(other343.address);
-  sentAtMicros = other343.sentAtMicros;
-  configNumber = other343.configNumber;
-  viewVersion = other343.viewVersion;
-  cells = std::move(other343.cells);
-  leaving = other343.leaving;
-  server = std::move(other343.server);
-  __isset = other343.__isset;
+MemberHeartbeat& MemberHeartbeat::operator=(MemberHeartbeat&& other355) noexcept {
+  role = other355.role;
+  failureDomain = std::move(other355.failureDomain);
+  address = std::move(other355.address);
+  sentAtMicros = other355.sentAtMicros;
+  configNumber = other355.configNumber;
+  viewVersion = other355.viewVersion;
+  cells = std::move(other355.cells);
+  leaving = other355.leaving;
+  server = std::move(other355.server);
+  __isset = other355.__isset;
   return *this;
 }
 void MemberHeartbeat::printTo(std::ostream& out) const {
@@ -9042,26 +9126,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlEndpoint::ControlEndpoint(const ControlEndpoint& other344) {
-  name = other344.name;
-  address = other344.address;
-  __isset = other344.__isset;
+ControlEndpoint::ControlEndpoint(const ControlEndpoint& other356) {
+  name = other356.name;
+  address = other356.address;
+  __isset = other356.__isset;
 }
-ControlEndpoint::ControlEndpoint(ControlEndpoint&& other345) noexcept {
-  name = std::move(other345.name);
-  address = std::move(other345.address);
-  __isset = other345.__isset;
+ControlEndpoint::ControlEndpoint(ControlEndpoint&& other357) noexcept {
+  name = std::move(other357.name);
+  address = std::move(other357.address);
+  __isset = other357.__isset;
 }
-ControlEndpoint& ControlEndpoint::operator=(const ControlEndpoint& other346) {
-  name = other346.name;
-  address = other346.address;
-  __isset = other346.__isset;
+ControlEndpoint& ControlEndpoint::operator=(const ControlEndpoint& other358) {
+  name = other358.name;
+  address = other358.address;
+  __isset = other358.__isset;
   return *this;
 }
-ControlEndpoint& ControlEndpoint::operator=(ControlEndpoint&& other347) noexcept {
-  name = std::move(other347.name);
-  address = std::move(other347.address);
-  __isset = other347.__isset;
+ControlEndpoint& ControlEndpoint::operator=(ControlEndpoint&& other359) noexcept {
+  name = std::move(other359.name);
+  address = std::move(other359.address);
+  __isset = other359.__isset;
   return *this;
 }
 void ControlEndpoint::printTo(std::ostream& out) const {
@@ -9172,14 +9256,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->group.clear();
-            uint32_t _size348;
-            ::apache::thrift::protocol::TType _etype351;
-            xfer += iprot->readListBegin(_etype351, _size348);
-            this->group.resize(_size348);
-            uint32_t _i352;
-            for (_i352 = 0; _i352 < _size348; ++_i352)
+            uint32_t _size360;
+            ::apache::thrift::protocol::TType _etype363;
+            xfer += iprot->readListBegin(_etype363, _size360);
+            this->group.resize(_size360);
+            uint32_t _i364;
+            for (_i364 = 0; _i364 < _size360; ++_i364)
             {
-              xfer += this->group[_i352].read(iprot);
+              xfer += this->group[_i364].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9228,10 +9312,10 @@
   xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->group.size()));
-    std::vector<ControlEndpoint> ::const_iterator _iter353;
-    for (_iter353 = this->group.begin(); _iter353 != this->group.end(); ++_iter353)
+    std::vector<ControlEndpoint> ::const_iterator _iter365;
+    for (_iter365 = this->group.begin(); _iter365 != this->group.end(); ++_iter365)
     {
-      xfer += (*_iter353).write(oprot);
+      xfer += (*_iter365).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9253,42 +9337,42 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other354) {
-  sentAtMicros = other354.sentAtMicros;
-  accepted = other354.accepted;
-  leader = other354.leader;
-  viewVersion = other354.viewVersion;
-  term = other354.term;
-  group = other354.group;
-  __isset = other354.__isset;
-}
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other355) noexcept {
-  sentAtMicros = other355.sentAtMicros;
-  accepted = other355.accepted;
-  leader = std::move(other355.leader);
-  viewVersion = other355.viewVersion;
-  term = other355.term;
-  group = std::move(other355.group);
-  __isset = other355.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other356) {
-  sentAtMicros = other356.sentAtMicros;
-  accepted = other356.accepted;
-  leader = other356.leader;
-  viewVersion = other356.viewVersion;
-  term = other356.term;
-  group = other356.group;
-  __isset = other356.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other366) {
+  sentAtMicros = other366.sentAtMicros;
+  accepted = other366.accepted;
+  leader = other366.leader;
+  viewVersion = other366.viewVersion;
+  term = other366.term;
+  group = other366.group;
+  __isset = other366.__isset;
+}
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other367) noexcept {
+  sentAtMicros = other367.sentAtMicros;
+  accepted = other367.accepted;
+  leader = std::move(other367.leader);
+  viewVersion = other367.viewVersion;
+  term = other367.term;
+  group = std::move(other367.group);
+  __isset = other367.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other368) {
+  sentAtMicros = other368.sentAtMicros;
+  accepted = other368.accepted;
+  leader = other368.leader;
+  viewVersion = other368.viewVersion;
+  term = other368.term;
+  group = other368.group;
+  __isset = other368.__isset;
   return *this;
 }
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other357) noexcept {
-  sentAtMicros = other357.sentAtMicros;
-  accepted = other357.accepted;
-  leader = std::move(other357.leader);
-  viewVersion = other357.viewVersion;
-  term = other357.term;
-  group = std::move(other357.group);
-  __isset = other357.__isset;
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other369) noexcept {
+  sentAtMicros = other369.sentAtMicros;
+  accepted = other369.accepted;
+  leader = std::move(other369.leader);
+  viewVersion = other369.viewVersion;
+  term = other369.term;
+  group = std::move(other369.group);
+  __isset = other369.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -9430,34 +9514,34 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRef::MemberRef(const MemberRef& other358) {
-  id = other358.id;
-  address = other358.address;
-  failureDomain = other358.failureDomain;
-  evacuated = other358.evacuated;
-  __isset = other358.__isset;
-}
-MemberRef::MemberRef(MemberRef&& other359) noexcept {
-  id = std::move(other359.id);
-  address = std::move(other359.address);
-  failureDomain = std::move(other359.failureDomain);
-  evacuated = other359.evacuated;
-  __isset = other359.__isset;
-}
-MemberRef& MemberRef::operator=(const MemberRef& other360) {
-  id = other360.id;
-  address = other360.address;
-  failureDomain = other360.failureDomain;
-  evacuated = other360.evacuated;
-  __isset = other360.__isset;
+MemberRef::MemberRef(const MemberRef& other370) {
+  id = other370.id;
+  address = other370.address;
+  failureDomain = other370.failureDomain;
+  evacuated = other370.evacuated;
+  __isset = other370.__isset;
+}
+MemberRef::MemberRef(MemberRef&& other371) noexcept {
+  id = std::move(other371.id);
+  address = std::move(other371.address);
+  failureDomain = std::move(other371.failureDomain);
+  evacuated = other371.evacuated;
+  __isset = other371.__isset;
+}
+MemberRef& MemberRef::operator=(const MemberRef& other372) {
+  id = other372.id;
+  address = other372.address;
+  failureDomain = other372.failureDomain;
+  evacuated = other372.evacuated;
+  __isset = other372.__isset;
   return *this;
 }
-MemberRef& MemberRef::operator=(MemberRef&& other361) noexcept {
-  id = std::move(other361.id);
-  address = std::move(other361.address);
-  failureDomain = std::move(other361.failureDomain);
-  evacuated = other361.evacuated;
-  __isset = other361.__isset;
+MemberRef& MemberRef::operator=(MemberRef&& other373) noexcept {
+  id = std::move(other373.id);
+  address = std::move(other373.address);
+  failureDomain = std::move(other373.failureDomain);
+  evacuated = other373.evacuated;
+  __isset = other373.__isset;
   return *this;
 }
 void MemberRef::printTo(std::ostream& out) const {
@@ -9567,14 +9651,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size362;
-            ::apache::thrift::protocol::TType _etype365;
-            xfer += iprot->readListBegin(_etype365, _size362);
-            this->holders.resize(_size362);
-            uint32_t _i366;
-            for (_i366 = 0; _i366 < _size362; ++_i366)
+            uint32_t _size374;
+            ::apache::thrift::protocol::TType _etype377;
+            xfer += iprot->readListBegin(_etype377, _size374);
+            this->holders.resize(_size374);
+            uint32_t _i378;
+            for (_i378 = 0; _i378 < _size374; ++_i378)
             {
-              xfer += this->holders[_i366].read(iprot);
+              xfer += this->holders[_i378].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9587,14 +9671,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->agents.clear();
-            uint32_t _size367;
-            ::apache::thrift::protocol::TType _etype370;
-            xfer += iprot->readListBegin(_etype370, _size367);
-            this->agents.resize(_size367);
-            uint32_t _i371;
-            for (_i371 = 0; _i371 < _size367; ++_i371)
+            uint32_t _size379;
+            ::apache::thrift::protocol::TType _etype382;
+            xfer += iprot->readListBegin(_etype382, _size379);
+            this->agents.resize(_size379);
+            uint32_t _i383;
+            for (_i383 = 0; _i383 < _size379; ++_i383)
             {
-              xfer += this->agents[_i371].read(iprot);
+              xfer += this->agents[_i383].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9648,10 +9732,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<MemberRef> ::const_iterator _iter372;
-    for (_iter372 = this->holders.begin(); _iter372 != this->holders.end(); ++_iter372)
+    std::vector<MemberRef> ::const_iterator _iter384;
+    for (_iter384 = this->holders.begin(); _iter384 != this->holders.end(); ++_iter384)
     {
-      xfer += (*_iter372).write(oprot);
+      xfer += (*_iter384).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9660,10 +9744,10 @@
   xfer += oprot->writeFieldBegin("agents", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->agents.size()));
-    std::vector<MemberRef> ::const_iterator _iter373;
-    for (_iter373 = this->agents.begin(); _iter373 != this->agents.end(); ++_iter373)
+    std::vector<MemberRef> ::const_iterator _iter385;
+    for (_iter385 = this->agents.begin(); _iter385 != this->agents.end(); ++_iter385)
     {
-      xfer += (*_iter373).write(oprot);
+      xfer += (*_iter385).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9690,46 +9774,46 @@
   swap(a.__isset, b.__isset);
 }
 
-CellView::CellView(const CellView& other374) {
-  cell = other374.cell;
-  serviceName = other374.serviceName;
-  epoch = other374.epoch;
-  owner = other374.owner;
-  holders = other374.holders;
-  agents = other374.agents;
-  floorMs = other374.floorMs;
-  __isset = other374.__isset;
-}
-CellView::CellView(CellView&& other375) noexcept {
-  cell = other375.cell;
-  serviceName = std::move(other375.serviceName);
-  epoch = other375.epoch;
-  owner = std::move(other375.owner);
-  holders = std::move(other375.holders);
-  agents = std::move(other375.agents);
-  floorMs = other375.floorMs;
-  __isset = other375.__isset;
-}
-CellView& CellView::operator=(const CellView& other376) {
-  cell = other376.cell;
-  serviceName = other376.serviceName;
-  epoch = other376.epoch;
-  owner = other376.owner;
-  holders = other376.holders;
-  agents = other376.agents;
-  floorMs = other376.floorMs;
-  __isset = other376.__isset;
+CellView::CellView(const CellView& other386) {
+  cell = other386.cell;
+  serviceName = other386.serviceName;
+  epoch = other386.epoch;
+  owner = other386.owner;
+  holders = other386.holders;
+  agents = other386.agents;
+  floorMs = other386.floorMs;
+  __isset = other386.__isset;
+}
+CellView::CellView(CellView&& other387) noexcept {
+  cell = other387.cell;
+  serviceName = std::move(other387.serviceName);
+  epoch = other387.epoch;
+  owner = std::move(other387.owner);
+  holders = std::move(other387.holders);
+  agents = std::move(other387.agents);
+  floorMs = other387.floorMs;
+  __isset = other387.__isset;
+}
+CellView& CellView::operator=(const CellView& other388) {
+  cell = other388.cell;
+  serviceName = other388.serviceName;
+  epoch = other388.epoch;
+  owner = other388.owner;
+  holders = other388.holders;
+  agents = other388.agents;
+  floorMs = other388.floorMs;
+  __isset = other388.__isset;
   return *this;
 }
-CellView& CellView::operator=(CellView&& other377) noexcept {
-  cell = other377.cell;
-  serviceName = std::move(other377.serviceName);
-  epoch = other377.epoch;
-  owner = std::move(other377.owner);
-  holders = std::move(other377.holders);
-  agents = std::move(other377.agents);
-  floorMs = other377.floorMs;
-  __isset = other377.__isset;
+CellView& CellView::operator=(CellView&& other389) noexcept {
+  cell = other389.cell;
+  serviceName = std::move(other389.serviceName);
+  epoch = other389.epoch;
+  owner = std::move(other389.owner);
+  holders = std::move(other389.holders);
+  agents = std::move(other389.agents);
+  floorMs = other389.floorMs;
+  __isset = other389.__isset;
   return *this;
 }
 void CellView::printTo(std::ostream& out) const {
@@ -9906,42 +9990,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigFile::ConfigFile(const ConfigFile& other378) {
-  number = other378.number;
-  digest = other378.digest;
-  text = other378.text;
-  author = other378.author;
-  acceptedAtMs = other378.acceptedAtMs;
-  ignoreIfNotHigher = other378.ignoreIfNotHigher;
-  __isset = other378.__isset;
-}
-ConfigFile::ConfigFile(ConfigFile&& other379) noexcept {
-  number = other379.number;
-  digest = std::move(other379.digest);
-  text = std::move(other379.text);
-  author = std::move(other379.author);
-  acceptedAtMs = other379.acceptedAtMs;
-  ignoreIfNotHigher = other379.ignoreIfNotHigher;
-  __isset = other379.__isset;
-}
-ConfigFile& ConfigFile::operator=(const ConfigFile& other380) {
-  number = other380.number;
-  digest = other380.digest;
-  text = other380.text;
-  author = other380.author;
-  acceptedAtMs = other380.acceptedAtMs;
-  ignoreIfNotHigher = other380.ignoreIfNotHigher;
-  __isset = other380.__isset;
+ConfigFile::ConfigFile(const ConfigFile& other390) {
+  number = other390.number;
+  digest = other390.digest;
+  text = other390.text;
+  author = other390.author;
+  acceptedAtMs = other390.acceptedAtMs;
+  ignoreIfNotHigher = other390.ignoreIfNotHigher;
+  __isset = other390.__isset;
+}
+ConfigFile::ConfigFile(ConfigFile&& other391) noexcept {
+  number = other391.number;
+  digest = std::move(other391.digest);
+  text = std::move(other391.text);
+  author = std::move(other391.author);
+  acceptedAtMs = other391.acceptedAtMs;
+  ignoreIfNotHigher = other391.ignoreIfNotHigher;
+  __isset = other391.__isset;
+}
+ConfigFile& ConfigFile::operator=(const ConfigFile& other392) {
+  number = other392.number;
+  digest = other392.digest;
+  text = other392.text;
+  author = other392.author;
+  acceptedAtMs = other392.acceptedAtMs;
+  ignoreIfNotHigher = other392.ignoreIfNotHigher;
+  __isset = other392.__isset;
   return *this;
 }
-ConfigFile& ConfigFile::operator=(ConfigFile&& other381) noexcept {
-  number = other381.number;
-  digest = std::move(other381.digest);
-  text = std::move(other381.text);
-  author = std::move(other381.author);
-  acceptedAtMs = other381.acceptedAtMs;
-  ignoreIfNotHigher = other381.ignoreIfNotHigher;
-  __isset = other381.__isset;
+ConfigFile& ConfigFile::operator=(ConfigFile&& other393) noexcept {
+  number = other393.number;
+  digest = std::move(other393.digest);
+  text = std::move(other393.text);
+  author = std::move(other393.author);
+  acceptedAtMs = other393.acceptedAtMs;
+  ignoreIfNotHigher = other393.ignoreIfNotHigher;
+  __isset = other393.__isset;
   return *this;
 }
 void ConfigFile::printTo(std::ostream& out) const {
@@ -10032,14 +10116,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size382;
-            ::apache::thrift::protocol::TType _etype385;
-            xfer += iprot->readListBegin(_etype385, _size382);
-            this->cells.resize(_size382);
-            uint32_t _i386;
-            for (_i386 = 0; _i386 < _size382; ++_i386)
+            uint32_t _size394;
+            ::apache::thrift::protocol::TType _etype397;
+            xfer += iprot->readListBegin(_etype397, _size394);
+            this->cells.resize(_size394);
+            uint32_t _i398;
+            for (_i398 = 0; _i398 < _size394; ++_i398)
             {
-              xfer += this->cells[_i386].read(iprot);
+              xfer += this->cells[_i398].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10060,14 +10144,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size387;
-            ::apache::thrift::protocol::TType _etype390;
-            xfer += iprot->readListBegin(_etype390, _size387);
-            this->entries.resize(_size387);
-            uint32_t _i391;
-            for (_i391 = 0; _i391 < _size387; ++_i391)
+            uint32_t _size399;
+            ::apache::thrift::protocol::TType _etype402;
+            xfer += iprot->readListBegin(_etype402, _size399);
+            this->entries.resize(_size399);
+            uint32_t _i403;
+            for (_i403 = 0; _i403 < _size399; ++_i403)
             {
-              xfer += this->entries[_i391].read(iprot);
+              xfer += this->entries[_i403].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10080,14 +10164,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuatedDomains.clear();
-            uint32_t _size392;
-            ::apache::thrift::protocol::TType _etype395;
-            xfer += iprot->readListBegin(_etype395, _size392);
-            this->evacuatedDomains.resize(_size392);
-            uint32_t _i396;
-            for (_i396 = 0; _i396 < _size392; ++_i396)
+            uint32_t _size404;
+            ::apache::thrift::protocol::TType _etype407;
+            xfer += iprot->readListBegin(_etype407, _size404);
+            this->evacuatedDomains.resize(_size404);
+            uint32_t _i408;
+            for (_i408 = 0; _i408 < _size404; ++_i408)
             {
-              xfer += iprot->readString(this->evacuatedDomains[_i396]);
+              xfer += iprot->readString(this->evacuatedDomains[_i408]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10124,10 +10208,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellView> ::const_iterator _iter397;
-    for (_iter397 = this->cells.begin(); _iter397 != this->cells.end(); ++_iter397)
+    std::vector<CellView> ::const_iterator _iter409;
+    for (_iter409 = this->cells.begin(); _iter409 != this->cells.end(); ++_iter409)
     {
-      xfer += (*_iter397).write(oprot);
+      xfer += (*_iter409).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10140,10 +10224,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<MemberRef> ::const_iterator _iter398;
-    for (_iter398 = this->entries.begin(); _iter398 != this->entries.end(); ++_iter398)
+    std::vector<MemberRef> ::const_iterator _iter410;
+    for (_iter410 = this->entries.begin(); _iter410 != this->entries.end(); ++_iter410)
     {
-      xfer += (*_iter398).write(oprot);
+      xfer += (*_iter410).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10152,10 +10236,10 @@
   xfer += oprot->writeFieldBegin("evacuatedDomains", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evacuatedDomains.size()));
-    std::vector<std::string> ::const_iterator _iter399;
-    for (_iter399 = this->evacuatedDomains.begin(); _iter399 != this->evacuatedDomains.end(); ++_iter399)
+    std::vector<std::string> ::const_iterator _iter411;
+    for (_iter411 = this->evacuatedDomains.begin(); _iter411 != this->evacuatedDomains.end(); ++_iter411)
     {
-      xfer += oprot->writeString((*_iter399));
+      xfer += oprot->writeString((*_iter411));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10177,42 +10261,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ClusterView::ClusterView(const ClusterView& other400) {
-  version = other400.version;
-  config = other400.config;
-  cells = other400.cells;
-  term = other400.term;
-  entries = other400.entries;
-  evacuatedDomains = other400.evacuatedDomains;
-  __isset = other400.__isset;
-}
-ClusterView::ClusterView(ClusterView&& other401) noexcept {
-  version = other401.version;
-  config = std::move(other401.config);
-  cells = std::move(other401.cells);
-  term = other401.term;
-  entries = std::move(other401.entries);
-  evacuatedDomains = std::move(other401.evacuatedDomains);
-  __isset = other401.__isset;
-}
-ClusterView& ClusterView::operator=(const ClusterView& other402) {
-  version = other402.version;
-  config = other402.config;
-  cells = other402.cells;
-  term = other402.term;
-  entries = other402.entries;
-  evacuatedDomains = other402.evacuatedDomains;
-  __isset = other402.__isset;
+ClusterView::ClusterView(const ClusterView& other412) {
+  version = other412.version;
+  config = other412.config;
+  cells = other412.cells;
+  term = other412.term;
+  entries = other412.entries;
+  evacuatedDomains = other412.evacuatedDomains;
+  __isset = other412.__isset;
+}
+ClusterView::ClusterView(ClusterView&& other413) noexcept {
+  version = other413.version;
+  config = std::move(other413.config);
+  cells = std::move(other413.cells);
+  term = other413.term;
+  entries = std::move(other413.entries);
+  evacuatedDomains = std::move(other413.evacuatedDomains);
+  __isset = other413.__isset;
+}
+ClusterView& ClusterView::operator=(const ClusterView& other414) {
+  version = other414.version;
+  config = other414.config;
+  cells = other414.cells;
+  term = other414.term;
+  entries = other414.entries;
+  evacuatedDomains = other414.evacuatedDomains;
+  __isset = other414.__isset;
   return *this;
 }
-ClusterView& ClusterView::operator=(ClusterView&& other403) noexcept {
-  version = other403.version;
-  config = std::move(other403.config);
-  cells = std::move(other403.cells);
-  term = other403.term;
-  entries = std::move(other403.entries);
-  evacuatedDomains = std::move(other403.evacuatedDomains);
-  __isset = other403.__isset;
+ClusterView& ClusterView::operator=(ClusterView&& other415) noexcept {
+  version = other415.version;
+  config = std::move(other415.config);
+  cells = std::move(other415.cells);
+  term = other415.term;
+  entries = std::move(other415.entries);
+  evacuatedDomains = std::move(other415.evacuatedDomains);
+  __isset = other415.__isset;
   return *this;
 }
 void ClusterView::printTo(std::ostream& out) const {
@@ -10371,38 +10455,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ApplyConfig::ApplyConfig(const ApplyConfig& other404) {
-  requestId = other404.requestId;
-  text = other404.text;
-  author = other404.author;
-  dryRun = other404.dryRun;
-  ignoreIfNotHigher = other404.ignoreIfNotHigher;
-  __isset = other404.__isset;
-}
-ApplyConfig::ApplyConfig(ApplyConfig&& other405) noexcept {
-  requestId = other405.requestId;
-  text = std::move(other405.text);
-  author = std::move(other405.author);
-  dryRun = other405.dryRun;
-  ignoreIfNotHigher = other405.ignoreIfNotHigher;
-  __isset = other405.__isset;
-}
-ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other406) {
-  requestId = other406.requestId;
-  text = other406.text;
-  author = other406.author;
-  dryRun = other406.dryRun;
-  ignoreIfNotHigher = other406.ignoreIfNotHigher;
-  __isset = other406.__isset;
+ApplyConfig::ApplyConfig(const ApplyConfig& other416) {
+  requestId = other416.requestId;
+  text = other416.text;
+  author = other416.author;
+  dryRun = other416.dryRun;
+  ignoreIfNotHigher = other416.ignoreIfNotHigher;
+  __isset = other416.__isset;
+}
+ApplyConfig::ApplyConfig(ApplyConfig&& other417) noexcept {
+  requestId = other417.requestId;
+  text = std::move(other417.text);
+  author = std::move(other417.author);
+  dryRun = other417.dryRun;
+  ignoreIfNotHigher = other417.ignoreIfNotHigher;
+  __isset = other417.__isset;
+}
+ApplyConfig& ApplyConfig::operator=(const ApplyConfig& other418) {
+  requestId = other418.requestId;
+  text = other418.text;
+  author = other418.author;
+  dryRun = other418.dryRun;
+  ignoreIfNotHigher = other418.ignoreIfNotHigher;
+  __isset = other418.__isset;
   return *this;
 }
-ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other407) noexcept {
-  requestId = other407.requestId;
-  text = std::move(other407.text);
-  author = std::move(other407.author);
-  dryRun = other407.dryRun;
-  ignoreIfNotHigher = other407.ignoreIfNotHigher;
-  __isset = other407.__isset;
+ApplyConfig& ApplyConfig::operator=(ApplyConfig&& other419) noexcept {
+  requestId = other419.requestId;
+  text = std::move(other419.text);
+  author = std::move(other419.author);
+  dryRun = other419.dryRun;
+  ignoreIfNotHigher = other419.ignoreIfNotHigher;
+  __isset = other419.__isset;
   return *this;
 }
 void ApplyConfig::printTo(std::ostream& out) const {
@@ -10562,38 +10646,38 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderEvacuation::OrderEvacuation(const OrderEvacuation& other408) {
-  requestId = other408.requestId;
-  failureDomain = other408.failureDomain;
-  active = other408.active;
-  author = other408.author;
-  expectedIndex = other408.expectedIndex;
-  __isset = other408.__isset;
-}
-OrderEvacuation::OrderEvacuation(OrderEvacuation&& other409) noexcept {
-  requestId = other409.requestId;
-  failureDomain = std::move(other409.failureDomain);
-  active = other409.active;
-  author = std::move(other409.author);
-  expectedIndex = other409.expectedIndex;
-  __isset = other409.__isset;
-}
-OrderEvacuation& OrderEvacuation::operator=(const OrderEvacuation& other410) {
-  requestId = other410.requestId;
-  failureDomain = other410.failureDomain;
-  active = other410.active;
-  author = other410.author;
-  expectedIndex = other410.expectedIndex;
-  __isset = other410.__isset;
+OrderEvacuation::OrderEvacuation(const OrderEvacuation& other420) {
+  requestId = other420.requestId;
+  failureDomain = other420.failureDomain;
+  active = other420.active;
+  author = other420.author;
+  expectedIndex = other420.expectedIndex;
+  __isset = other420.__isset;
+}
+OrderEvacuation::OrderEvacuation(OrderEvacuation&& other421) noexcept {
+  requestId = other421.requestId;
+  failureDomain = std::move(other421.failureDomain);
+  active = other421.active;
+  author = std::move(other421.author);
+  expectedIndex = other421.expectedIndex;
+  __isset = other421.__isset;
+}
+OrderEvacuation& OrderEvacuation::operator=(const OrderEvacuation& other422) {
+  requestId = other422.requestId;
+  failureDomain = other422.failureDomain;
+  active = other422.active;
+  author = other422.author;
+  expectedIndex = other422.expectedIndex;
+  __isset = other422.__isset;
   return *this;
 }
-OrderEvacuation& OrderEvacuation::operator=(OrderEvacuation&& other411) noexcept {
-  requestId = other411.requestId;
-  failureDomain = std::move(other411.failureDomain);
-  active = other411.active;
-  author = std::move(other411.author);
-  expectedIndex = other411.expectedIndex;
-  __isset = other411.__isset;
+OrderEvacuation& OrderEvacuation::operator=(OrderEvacuation&& other423) noexcept {
+  requestId = other423.requestId;
+  failureDomain = std::move(other423.failureDomain);
+  active = other423.active;
+  author = std::move(other423.author);
+  expectedIndex = other423.expectedIndex;
+  __isset = other423.__isset;
   return *this;
 }
 void OrderEvacuation::printTo(std::ostream& out) const {
@@ -10711,14 +10795,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lagging.clear();
-            uint32_t _size412;
-            ::apache::thrift::protocol::TType _etype415;
-            xfer += iprot->readListBegin(_etype415, _size412);
-            this->lagging.resize(_size412);
-            uint32_t _i416;
-            for (_i416 = 0; _i416 < _size412; ++_i416)
+            uint32_t _size424;
+            ::apache::thrift::protocol::TType _etype427;
+            xfer += iprot->readListBegin(_etype427, _size424);
+            this->lagging.resize(_size424);
+            uint32_t _i428;
+            for (_i428 = 0; _i428 < _size424; ++_i428)
             {
-              xfer += iprot->readString(this->lagging[_i416]);
+              xfer += iprot->readString(this->lagging[_i428]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10775,10 +10859,10 @@
   xfer += oprot->writeFieldBegin("lagging", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lagging.size()));
-    std::vector<std::string> ::const_iterator _iter417;
-    for (_iter417 = this->lagging.begin(); _iter417 != this->lagging.end(); ++_iter417)
+    std::vector<std::string> ::const_iterator _iter429;
+    for (_iter429 = this->lagging.begin(); _iter429 != this->lagging.end(); ++_iter429)
     {
-      xfer += oprot->writeString((*_iter417));
+      xfer += oprot->writeString((*_iter429));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10805,46 +10889,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ApplyReply::ApplyReply(const ApplyReply& other418) {
-  requestId = other418.requestId;
-  accepted = other418.accepted;
-  code = other418.code;
-  message = other418.message;
-  inForce = other418.inForce;
-  lagging = other418.lagging;
-  orderIndex = other418.orderIndex;
-  __isset = other418.__isset;
+ApplyReply::ApplyReply(const ApplyReply& other430) {
+  requestId = other430.requestId;
+  accepted = other430.accepted;
+  code = other430.code;
+  message = other430.message;
+  inForce = other430.inForce;
+  lagging = other430.lagging;
+  orderIndex = other430.orderIndex;
+  __isset = other430.__isset;
 }
-ApplyReply::ApplyReply(ApplyReply&& other419) noexcept {
-  requestId = other419.requestId;
-  accepted = other419.accepted;
-  code = std::move(other419.code);
-  message = std::move(other419.message);
-  inForce = std::move(other419.inForce);
-  lagging = std::move(other419.lagging);
-  orderIndex = other419.orderIndex;
-  __isset = other419.__isset;
+ApplyReply::ApplyReply(ApplyReply&& other431) noexcept {
+  requestId = other431.requestId;
+  accepted = other431.accepted;
+  code = std::move(other431.code);
+  message = std::move(other431.message);
+  inForce = std::move(other431.inForce);
+  lagging = std::move(other431.lagging);
+  orderIndex = other431.orderIndex;
+  __isset = other431.__isset;
 }
-ApplyReply& ApplyReply::operator=(const ApplyReply& other420) {
-  requestId = other420.requestId;
-  accepted = other420.accepted;
-  code = other420.code;
-  message = other420.message;
-  inForce = other420.inForce;
-  lagging = other420.lagging;
-  orderIndex = other420.orderIndex;
-  __isset = other420.__isset;
+ApplyReply& ApplyReply::operator=(const ApplyReply& other432) {
+  requestId = other432.requestId;
+  accepted = other432.accepted;
+  code = other432.code;
+  message = other432.message;
+  inForce = other432.inForce;
+  lagging = other432.lagging;
+  orderIndex = other432.orderIndex;
+  __isset = other432.__isset;
   return *this;
 }
-ApplyReply& ApplyReply::operator=(ApplyReply&& other421) noexcept {
-  requestId = other421.requestId;
-  accepted = other421.accepted;
-  code = std::move(other421.code);
-  message = std::move(other421.message);
-  inForce = std::move(other421.inForce);
-  lagging = std::move(other421.lagging);
-  orderIndex = other421.orderIndex;
-  __isset = other421.__isset;
+ApplyReply& ApplyReply::operator=(ApplyReply&& other433) noexcept {
+  requestId = other433.requestId;
+  accepted = other433.accepted;
+  code = std::move(other433.code);
+  message = std::move(other433.message);
+  inForce = std::move(other433.inForce);
+  lagging = std::move(other433.lagging);
+  orderIndex = other433.orderIndex;
+  __isset = other433.__isset;
   return *this;
 }
 void ApplyReply::printTo(std::ostream& out) const {
@@ -10970,30 +11054,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlQuery::ControlQuery(const ControlQuery& other422) {
-  requestId = other422.requestId;
-  kind = other422.kind;
-  argument = other422.argument;
-  __isset = other422.__isset;
+ControlQuery::ControlQuery(const ControlQuery& other434) {
+  requestId = other434.requestId;
+  kind = other434.kind;
+  argument = other434.argument;
+  __isset = other434.__isset;
 }
-ControlQuery::ControlQuery(ControlQuery&& other423) noexcept {
-  requestId = other423.requestId;
-  kind = std::move(other423.kind);
-  argument = std::move(other423.argument);
-  __isset = other423.__isset;
+ControlQuery::ControlQuery(ControlQuery&& other435) noexcept {
+  requestId = other435.requestId;
+  kind = std::move(other435.kind);
+  argument = std::move(other435.argument);
+  __isset = other435.__isset;
 }
-ControlQuery& ControlQuery::operator=(const ControlQuery& other424) {
-  requestId = other424.requestId;
-  kind = other424.kind;
-  argument = other424.argument;
-  __isset = other424.__isset;
+ControlQuery& ControlQuery::operator=(const ControlQuery& other436) {
+  requestId = other436.requestId;
+  kind = other436.kind;
+  argument = other436.argument;
+  __isset = other436.__isset;
   return *this;
 }
-ControlQuery& ControlQuery::operator=(ControlQuery&& other425) noexcept {
-  requestId = other425.requestId;
-  kind = std::move(other425.kind);
-  argument = std::move(other425.argument);
-  __isset = other425.__isset;
+ControlQuery& ControlQuery::operator=(ControlQuery&& other437) noexcept {
+  requestId = other437.requestId;
+  kind = std::move(other437.kind);
+  argument = std::move(other437.argument);
+  __isset = other437.__isset;
   return *this;
 }
 void ControlQuery::printTo(std::ostream& out) const {
@@ -11115,30 +11199,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlAnswer::ControlAnswer(const ControlAnswer& other426) {
-  requestId = other426.requestId;
-  ok = other426.ok;
-  json = other426.json;
-  __isset = other426.__isset;
+ControlAnswer::ControlAnswer(const ControlAnswer& other438) {
+  requestId = other438.requestId;
+  ok = other438.ok;
+  json = other438.json;
+  __isset = other438.__isset;
 }
-ControlAnswer::ControlAnswer(ControlAnswer&& other427) noexcept {
-  requestId = other427.requestId;
-  ok = other427.ok;
-  json = std::move(other427.json);
-  __isset = other427.__isset;
+ControlAnswer::ControlAnswer(ControlAnswer&& other439) noexcept {
+  requestId = other439.requestId;
+  ok = other439.ok;
+  json = std::move(other439.json);
+  __isset = other439.__isset;
 }
-ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other428) {
-  requestId = other428.requestId;
-  ok = other428.ok;
-  json = other428.json;
-  __isset = other428.__isset;
+ControlAnswer& ControlAnswer::operator=(const ControlAnswer& other440) {
+  requestId = other440.requestId;
+  ok = other440.ok;
+  json = other440.json;
+  __isset = other440.__isset;
   return *this;
 }
-ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other429) noexcept {
-  requestId = other429.requestId;
-  ok = other429.ok;
-  json = std::move(other429.json);
-  __isset = other429.__isset;
+ControlAnswer& ControlAnswer::operator=(ControlAnswer&& other441) noexcept {
+  requestId = other441.requestId;
+  ok = other441.ok;
+  json = std::move(other441.json);
+  __isset = other441.__isset;
   return *this;
 }
 void ControlAnswer::printTo(std::ostream& out) const {
@@ -11260,30 +11344,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other430) {
-  index = other430.index;
-  term = other430.term;
-  command = other430.command;
-  __isset = other430.__isset;
+LogEntry::LogEntry(const LogEntry& other442) {
+  index = other442.index;
+  term = other442.term;
+  command = other442.command;
+  __isset = other442.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other431) noexcept {
-  index = other431.index;
-  term = other431.term;
-  command = std::move(other431.command);
-  __isset = other431.__isset;
+LogEntry::LogEntry(LogEntry&& other443) noexcept {
+  index = other443.index;
+  term = other443.term;
+  command = std::move(other443.command);
+  __isset = other443.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other432) {
-  index = other432.index;
-  term = other432.term;
-  command = other432.command;
-  __isset = other432.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other444) {
+  index = other444.index;
+  term = other444.term;
+  command = other444.command;
+  __isset = other444.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other433) noexcept {
-  index = other433.index;
-  term = other433.term;
-  command = std::move(other433.command);
-  __isset = other433.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other445) noexcept {
+  index = other445.index;
+  term = other445.term;
+  command = std::move(other445.command);
+  __isset = other445.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -11507,54 +11591,54 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestVote::RequestVote(const RequestVote& other434) {
-  term = other434.term;
-  lastIndex = other434.lastIndex;
-  lastTerm = other434.lastTerm;
-  preVote = other434.preVote;
-  member = other434.member;
-  group = other434.group;
-  transfer = other434.transfer;
-  failureDomain = other434.failureDomain;
-  observer = other434.observer;
-  __isset = other434.__isset;
-}
-RequestVote::RequestVote(RequestVote&& other435) noexcept {
-  term = other435.term;
-  lastIndex = other435.lastIndex;
-  lastTerm = other435.lastTerm;
-  preVote = other435.preVote;
-  member = std::move(other435.member);
-  group = std::move(other435.group);
-  transfer = other435.transfer;
-  failureDomain = std::move(other435.failureDomain);
-  observer = other435.observer;
-  __isset = other435.__isset;
-}
-RequestVote& RequestVote::operator=(const RequestVote& other436) {
-  term = other436.term;
-  lastIndex = other436.lastIndex;
-  lastTerm = other436.lastTerm;
-  preVote = other436.preVote;
-  member = other436.member;
-  group = other436.group;
-  transfer = other436.transfer;
-  failureDomain = other436.failureDomain;
-  observer = other436.observer;
-  __isset = other436.__isset;
+RequestVote::RequestVote(const RequestVote& other446) {
+  term = other446.term;
+  lastIndex = other446.lastIndex;
+  lastTerm = other446.lastTerm;
+  preVote = other446.preVote;
+  member = other446.member;
+  group = other446.group;
+  transfer = other446.transfer;
+  failureDomain = other446.failureDomain;
+  observer = other446.observer;
+  __isset = other446.__isset;
+}
+RequestVote::RequestVote(RequestVote&& other447) noexcept {
+  term = other447.term;
+  lastIndex = other447.lastIndex;
+  lastTerm = other447.lastTerm;
+  preVote = other447.preVote;
+  member = std::move(other447.member);
+  group = std::move(other447.group);
+  transfer = other447.transfer;
+  failureDomain = std::move(other447.failureDomain);
+  observer = other447.observer;
+  __isset = other447.__isset;
+}
+RequestVote& RequestVote::operator=(const RequestVote& other448) {
+  term = other448.term;
+  lastIndex = other448.lastIndex;
+  lastTerm = other448.lastTerm;
+  preVote = other448.preVote;
+  member = other448.member;
+  group = other448.group;
+  transfer = other448.transfer;
+  failureDomain = other448.failureDomain;
+  observer = other448.observer;
+  __isset = other448.__isset;
   return *this;
 }
-RequestVote& RequestVote::operator=(RequestVote&& other437) noexcept {
-  term = other437.term;
-  lastIndex = other437.lastIndex;
-  lastTerm = other437.lastTerm;
-  preVote = other437.preVote;
-  member = std::move(other437.member);
-  group = std::move(other437.group);
-  transfer = other437.transfer;
-  failureDomain = std::move(other437.failureDomain);
-  observer = other437.observer;
-  __isset = other437.__isset;
+RequestVote& RequestVote::operator=(RequestVote&& other449) noexcept {
+  term = other449.term;
+  lastIndex = other449.lastIndex;
+  lastTerm = other449.lastTerm;
+  preVote = other449.preVote;
+  member = std::move(other449.member);
+  group = std::move(other449.group);
+  transfer = other449.transfer;
+  failureDomain = std::move(other449.failureDomain);
+  observer = other449.observer;
+  __isset = other449.__isset;
   return *this;
 }
 void RequestVote::printTo(std::ostream& out) const {
@@ -11728,14 +11812,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->processes.clear();
-            uint32_t _size438;
-            ::apache::thrift::protocol::TType _etype441;
-            xfer += iprot->readListBegin(_etype441, _size438);
-            this->processes.resize(_size438);
-            uint32_t _i442;
-            for (_i442 = 0; _i442 < _size438; ++_i442)
+            uint32_t _size450;
+            ::apache::thrift::protocol::TType _etype453;
+            xfer += iprot->readListBegin(_etype453, _size450);
+            this->processes.resize(_size450);
+            uint32_t _i454;
+            for (_i454 = 0; _i454 < _size450; ++_i454)
             {
-              xfer += iprot->readString(this->processes[_i442]);
+              xfer += iprot->readString(this->processes[_i454]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11756,17 +11840,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->silentMs.clear();
-            uint32_t _size443;
-            ::apache::thrift::protocol::TType _ktype444;
-            ::apache::thrift::protocol::TType _vtype445;
-            xfer += iprot->readMapBegin(_ktype444, _vtype445, _size443);
-            uint32_t _i447;
-            for (_i447 = 0; _i447 < _size443; ++_i447)
+            uint32_t _size455;
+            ::apache::thrift::protocol::TType _ktype456;
+            ::apache::thrift::protocol::TType _vtype457;
+            xfer += iprot->readMapBegin(_ktype456, _vtype457, _size455);
+            uint32_t _i459;
+            for (_i459 = 0; _i459 < _size455; ++_i459)
             {
-              std::string _key448;
-              xfer += iprot->readString(_key448);
-              int64_t& _val449 = this->silentMs[_key448];
-              xfer += iprot->readI64(_val449);
+              std::string _key460;
+              xfer += iprot->readString(_key460);
+              int64_t& _val461 = this->silentMs[_key460];
+              xfer += iprot->readI64(_val461);
             }
             xfer += iprot->readMapEnd();
           }
@@ -11831,10 +11915,10 @@
   xfer += oprot->writeFieldBegin("processes", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->processes.size()));
-    std::vector<std::string> ::const_iterator _iter450;
-    for (_iter450 = this->processes.begin(); _iter450 != this->processes.end(); ++_iter450)
+    std::vector<std::string> ::const_iterator _iter462;
+    for (_iter462 = this->processes.begin(); _iter462 != this->processes.end(); ++_iter462)
     {
-      xfer += oprot->writeString((*_iter450));
+      xfer += oprot->writeString((*_iter462));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11847,11 +11931,11 @@
   xfer += oprot->writeFieldBegin("silentMs", ::apache::thrift::protocol::T_MAP, 12);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->silentMs.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter451;
-    for (_iter451 = this->silentMs.begin(); _iter451 != this->silentMs.end(); ++_iter451)
+    std::map<std::string, int64_t> ::const_iterator _iter463;
+    for (_iter463 = this->silentMs.begin(); _iter463 != this->silentMs.end(); ++_iter463)
     {
-      xfer += oprot->writeString(_iter451->first);
-      xfer += oprot->writeI64(_iter451->second);
+      xfer += oprot->writeString(_iter463->first);
+      xfer += oprot->writeI64(_iter463->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -11879,66 +11963,66 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other452) {
-  term = other452.term;
-  granted = other452.granted;
-  preVote = other452.preVote;
-  member = other452.member;
-  group = other452.group;
-  fresh = other452.fresh;
-  leader = other452.leader;
-  failureDomain = other452.failureDomain;
-  observer = other452.observer;
-  processes = other452.processes;
-  founder = other452.founder;
-  silentMs = other452.silentMs;
-  __isset = other452.__isset;
-}
-VoteReply::VoteReply(VoteReply&& other453) noexcept {
-  term = other453.term;
-  granted = other453.granted;
-  preVote = other453.preVote;
-  member = std::move(other453.member);
-  group = std::move(other453.group);
-  fresh = other453.fresh;
-  leader = std::move(other453.leader);
-  failureDomain = std::move(other453.failureDomain);
-  observer = other453.observer;
-  processes = std::move(other453.processes);
-  founder = std::move(other453.founder);
-  silentMs = std::move(other453.silentMs);
-  __isset = other453.__isset;
-}
-VoteReply& VoteReply::operator=(const VoteReply& other454) {
-  term = other454.term;
-  granted = other454.granted;
-  preVote = other454.preVote;
-  member = other454.member;
-  group = other454.group;
-  fresh = other454.fresh;
-  leader = other454.leader;
-  failureDomain = other454.failureDomain;
-  observer = other454.observer;
-  processes = other454.processes;
-  founder = other454.founder;
-  silentMs = other454.silentMs;
-  __isset = other454.__isset;
+VoteReply::VoteReply(const VoteReply& other464) {
+  term = other464.term;
+  granted = other464.granted;
+  preVote = other464.preVote;
+  member = other464.member;
+  group = other464.group;
+  fresh = other464.fresh;
+  leader = other464.leader;
+  failureDomain = other464.failureDomain;
+  observer = other464.observer;
+  processes = other464.processes;
+  founder = other464.founder;
+  silentMs = other464.silentMs;
+  __isset = other464.__isset;
+}
+VoteReply::VoteReply(VoteReply&& other465) noexcept {
+  term = other465.term;
+  granted = other465.granted;
+  preVote = other465.preVote;
+  member = std::move(other465.member);
+  group = std::move(other465.group);
+  fresh = other465.fresh;
+  leader = std::move(other465.leader);
+  failureDomain = std::move(other465.failureDomain);
+  observer = other465.observer;
+  processes = std::move(other465.processes);
+  founder = std::move(other465.founder);
+  silentMs = std::move(other465.silentMs);
+  __isset = other465.__isset;
+}
+VoteReply& VoteReply::operator=(const VoteReply& other466) {
+  term = other466.term;
+  granted = other466.granted;
+  preVote = other466.preVote;
+  member = other466.member;
+  group = other466.group;
+  fresh = other466.fresh;
+  leader = other466.leader;
+  failureDomain = other466.failureDomain;
+  observer = other466.observer;
+  processes = other466.processes;
+  founder = other466.founder;
+  silentMs = other466.silentMs;
+  __isset = other466.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other455) noexcept {
-  term = other455.term;
-  granted = other455.granted;
-  preVote = other455.preVote;
-  member = std::move(other455.member);
-  group = std::move(other455.group);
-  fresh = other455.fresh;
-  leader = std::move(other455.leader);
-  failureDomain = std::move(other455.failureDomain);
-  observer = other455.observer;
-  processes = std::move(other455.processes);
-  founder = std::move(other455.founder);
-  silentMs = std::move(other455.silentMs);
-  __isset = other455.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other467) noexcept {
+  term = other467.term;
+  granted = other467.granted;
+  preVote = other467.preVote;
+  member = std::move(other467.member);
+  group = std::move(other467.group);
+  fresh = other467.fresh;
+  leader = std::move(other467.leader);
+  failureDomain = std::move(other467.failureDomain);
+  observer = other467.observer;
+  processes = std::move(other467.processes);
+  founder = std::move(other467.founder);
+  silentMs = std::move(other467.silentMs);
+  __isset = other467.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -12056,14 +12140,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size456;
-            ::apache::thrift::protocol::TType _etype459;
-            xfer += iprot->readListBegin(_etype459, _size456);
-            this->entries.resize(_size456);
-            uint32_t _i460;
-            for (_i460 = 0; _i460 < _size456; ++_i460)
+            uint32_t _size468;
+            ::apache::thrift::protocol::TType _etype471;
+            xfer += iprot->readListBegin(_etype471, _size468);
+            this->entries.resize(_size468);
+            uint32_t _i472;
+            for (_i472 = 0; _i472 < _size468; ++_i472)
             {
-              xfer += this->entries[_i460].read(iprot);
+              xfer += this->entries[_i472].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12108,17 +12192,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->silentMs.clear();
-            uint32_t _size461;
-            ::apache::thrift::protocol::TType _ktype462;
-            ::apache::thrift::protocol::TType _vtype463;
-            xfer += iprot->readMapBegin(_ktype462, _vtype463, _size461);
-            uint32_t _i465;
-            for (_i465 = 0; _i465 < _size461; ++_i465)
+            uint32_t _size473;
+            ::apache::thrift::protocol::TType _ktype474;
+            ::apache::thrift::protocol::TType _vtype475;
+            xfer += iprot->readMapBegin(_ktype474, _vtype475, _size473);
+            uint32_t _i477;
+            for (_i477 = 0; _i477 < _size473; ++_i477)
             {
-              std::string _key466;
-              xfer += iprot->readString(_key466);
-              int64_t& _val467 = this->silentMs[_key466];
-              xfer += iprot->readI64(_val467);
+              std::string _key478;
+              xfer += iprot->readString(_key478);
+              int64_t& _val479 = this->silentMs[_key478];
+              xfer += iprot->readI64(_val479);
             }
             xfer += iprot->readMapEnd();
           }
@@ -12159,10 +12243,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter468;
-    for (_iter468 = this->entries.begin(); _iter468 != this->entries.end(); ++_iter468)
+    std::vector<LogEntry> ::const_iterator _iter480;
+    for (_iter480 = this->entries.begin(); _iter480 != this->entries.end(); ++_iter480)
     {
-      xfer += (*_iter468).write(oprot);
+      xfer += (*_iter480).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12188,11 +12272,11 @@
     xfer += oprot->writeFieldBegin("silentMs", ::apache::thrift::protocol::T_MAP, 9);
     {
       xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->silentMs.size()));
-      std::map<std::string, int64_t> ::const_iterator _iter469;
-      for (_iter469 = this->silentMs.begin(); _iter469 != this->silentMs.end(); ++_iter469)
+      std::map<std::string, int64_t> ::const_iterator _iter481;
+      for (_iter481 = this->silentMs.begin(); _iter481 != this->silentMs.end(); ++_iter481)
       {
-        xfer += oprot->writeString(_iter469->first);
-        xfer += oprot->writeI64(_iter469->second);
+        xfer += oprot->writeString(_iter481->first);
+        xfer += oprot->writeI64(_iter481->second);
       }
       xfer += oprot->writeMapEnd();
     }
@@ -12217,54 +12301,54 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendEntries::AppendEntries(const AppendEntries& other470) {
-  term = other470.term;
-  prevIndex = other470.prevIndex;
-  prevTerm = other470.prevTerm;
-  entries = other470.entries;
-  commitIndex = other470.commitIndex;
-  round = other470.round;
-  member = other470.member;
-  group = other470.group;
-  silentMs = other470.silentMs;
-  __isset = other470.__isset;
-}
-AppendEntries::AppendEntries(AppendEntries&& other471) noexcept {
-  term = other471.term;
-  prevIndex = other471.prevIndex;
-  prevTerm = other471.prevTerm;
-  entries = std::move(other471.entries);
-  commitIndex = other471.commitIndex;
-  round = other471.round;
-  member = std::move(other471.member);
-  group = std::move(other471.group);
-  silentMs = std::move(other471.silentMs);
-  __isset = other471.__isset;
-}
-AppendEntries& AppendEntries::operator=(const AppendEntries& other472) {
-  term = other472.term;
-  prevIndex = other472.prevIndex;
-  prevTerm = other472.prevTerm;
-  entries = other472.entries;
-  commitIndex = other472.commitIndex;
-  round = other472.round;
-  member = other472.member;
-  group = other472.group;
-  silentMs = other472.silentMs;
-  __isset = other472.__isset;
+AppendEntries::AppendEntries(const AppendEntries& other482) {
+  term = other482.term;
+  prevIndex = other482.prevIndex;
+  prevTerm = other482.prevTerm;
+  entries = other482.entries;
+  commitIndex = other482.commitIndex;
+  round = other482.round;
+  member = other482.member;
+  group = other482.group;
+  silentMs = other482.silentMs;
+  __isset = other482.__isset;
+}
+AppendEntries::AppendEntries(AppendEntries&& other483) noexcept {
+  term = other483.term;
+  prevIndex = other483.prevIndex;
+  prevTerm = other483.prevTerm;
+  entries = std::move(other483.entries);
+  commitIndex = other483.commitIndex;
+  round = other483.round;
+  member = std::move(other483.member);
+  group = std::move(other483.group);
+  silentMs = std::move(other483.silentMs);
+  __isset = other483.__isset;
+}
+AppendEntries& AppendEntries::operator=(const AppendEntries& other484) {
+  term = other484.term;
+  prevIndex = other484.prevIndex;
+  prevTerm = other484.prevTerm;
+  entries = other484.entries;
+  commitIndex = other484.commitIndex;
+  round = other484.round;
+  member = other484.member;
+  group = other484.group;
+  silentMs = other484.silentMs;
+  __isset = other484.__isset;
   return *this;
 }
-AppendEntries& AppendEntries::operator=(AppendEntries&& other473) noexcept {
-  term = other473.term;
-  prevIndex = other473.prevIndex;
-  prevTerm = other473.prevTerm;
-  entries = std::move(other473.entries);
-  commitIndex = other473.commitIndex;
-  round = other473.round;
-  member = std::move(other473.member);
-  group = std::move(other473.group);
-  silentMs = std::move(other473.silentMs);
-  __isset = other473.__isset;
+AppendEntries& AppendEntries::operator=(AppendEntries&& other485) noexcept {
+  term = other485.term;
+  prevIndex = other485.prevIndex;
+  prevTerm = other485.prevTerm;
+  entries = std::move(other485.entries);
+  commitIndex = other485.commitIndex;
+  round = other485.round;
+  member = std::move(other485.member);
+  group = std::move(other485.group);
+  silentMs = std::move(other485.silentMs);
+  __isset = other485.__isset;
   return *this;
 }
 void AppendEntries::printTo(std::ostream& out) const {
@@ -12460,46 +12544,46 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other474) {
-  term = other474.term;
-  ok = other474.ok;
-  matchIndex = other474.matchIndex;
-  round = other474.round;
-  member = other474.member;
-  group = other474.group;
-  failureDomain = other474.failureDomain;
-  __isset = other474.__isset;
-}
-AppendReply::AppendReply(AppendReply&& other475) noexcept {
-  term = other475.term;
-  ok = other475.ok;
-  matchIndex = other475.matchIndex;
-  round = other475.round;
-  member = std::move(other475.member);
-  group = std::move(other475.group);
-  failureDomain = std::move(other475.failureDomain);
-  __isset = other475.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other476) {
-  term = other476.term;
-  ok = other476.ok;
-  matchIndex = other476.matchIndex;
-  round = other476.round;
-  member = other476.member;
-  group = other476.group;
-  failureDomain = other476.failureDomain;
-  __isset = other476.__isset;
+AppendReply::AppendReply(const AppendReply& other486) {
+  term = other486.term;
+  ok = other486.ok;
+  matchIndex = other486.matchIndex;
+  round = other486.round;
+  member = other486.member;
+  group = other486.group;
+  failureDomain = other486.failureDomain;
+  __isset = other486.__isset;
+}
+AppendReply::AppendReply(AppendReply&& other487) noexcept {
+  term = other487.term;
+  ok = other487.ok;
+  matchIndex = other487.matchIndex;
+  round = other487.round;
+  member = std::move(other487.member);
+  group = std::move(other487.group);
+  failureDomain = std::move(other487.failureDomain);
+  __isset = other487.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other488) {
+  term = other488.term;
+  ok = other488.ok;
+  matchIndex = other488.matchIndex;
+  round = other488.round;
+  member = other488.member;
+  group = other488.group;
+  failureDomain = other488.failureDomain;
+  __isset = other488.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other477) noexcept {
-  term = other477.term;
-  ok = other477.ok;
-  matchIndex = other477.matchIndex;
-  round = other477.round;
-  member = std::move(other477.member);
-  group = std::move(other477.group);
-  failureDomain = std::move(other477.failureDomain);
-  __isset = other477.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other489) noexcept {
+  term = other489.term;
+  ok = other489.ok;
+  matchIndex = other489.matchIndex;
+  round = other489.round;
+  member = std::move(other489.member);
+  group = std::move(other489.group);
+  failureDomain = std::move(other489.failureDomain);
+  __isset = other489.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -12623,14 +12707,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size478;
-            ::apache::thrift::protocol::TType _etype481;
-            xfer += iprot->readListBegin(_etype481, _size478);
-            this->voters.resize(_size478);
-            uint32_t _i482;
-            for (_i482 = 0; _i482 < _size478; ++_i482)
+            uint32_t _size490;
+            ::apache::thrift::protocol::TType _etype493;
+            xfer += iprot->readListBegin(_etype493, _size490);
+            this->voters.resize(_size490);
+            uint32_t _i494;
+            for (_i494 = 0; _i494 < _size490; ++_i494)
             {
-              xfer += iprot->readString(this->voters[_i482]);
+              xfer += iprot->readString(this->voters[_i494]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12643,14 +12727,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size483;
-            ::apache::thrift::protocol::TType _etype486;
-            xfer += iprot->readListBegin(_etype486, _size483);
-            this->learners.resize(_size483);
-            uint32_t _i487;
-            for (_i487 = 0; _i487 < _size483; ++_i487)
+            uint32_t _size495;
+            ::apache::thrift::protocol::TType _etype498;
+            xfer += iprot->readListBegin(_etype498, _size495);
+            this->learners.resize(_size495);
+            uint32_t _i499;
+            for (_i499 = 0; _i499 < _size495; ++_i499)
             {
-              xfer += iprot->readString(this->learners[_i487]);
+              xfer += iprot->readString(this->learners[_i499]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12687,17 +12771,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->domains.clear();
-            uint32_t _size488;
-            ::apache::thrift::protocol::TType _ktype489;
-            ::apache::thrift::protocol::TType _vtype490;
-            xfer += iprot->readMapBegin(_ktype489, _vtype490, _size488);
-            uint32_t _i492;
-            for (_i492 = 0; _i492 < _size488; ++_i492)
+            uint32_t _size500;
+            ::apache::thrift::protocol::TType _ktype501;
+            ::apache::thrift::protocol::TType _vtype502;
+            xfer += iprot->readMapBegin(_ktype501, _vtype502, _size500);
+            uint32_t _i504;
+            for (_i504 = 0; _i504 < _size500; ++_i504)
             {
-              std::string _key493;
-              xfer += iprot->readString(_key493);
-              std::string& _val494 = this->domains[_key493];
-              xfer += iprot->readString(_val494);
+              std::string _key505;
+              xfer += iprot->readString(_key505);
+              std::string& _val506 = this->domains[_key505];
+              xfer += iprot->readString(_val506);
             }
             xfer += iprot->readMapEnd();
           }
@@ -12742,10 +12826,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter495;
-    for (_iter495 = this->voters.begin(); _iter495 != this->voters.end(); ++_iter495)
+    std::vector<std::string> ::const_iterator _iter507;
+    for (_iter507 = this->voters.begin(); _iter507 != this->voters.end(); ++_iter507)
     {
-      xfer += oprot->writeString((*_iter495));
+      xfer += oprot->writeString((*_iter507));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12754,10 +12838,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter496;
-    for (_iter496 = this->learners.begin(); _iter496 != this->learners.end(); ++_iter496)
+    std::vector<std::string> ::const_iterator _iter508;
+    for (_iter508 = this->learners.begin(); _iter508 != this->learners.end(); ++_iter508)
     {
-      xfer += oprot->writeString((*_iter496));
+      xfer += oprot->writeString((*_iter508));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12778,11 +12862,11 @@
   xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 10);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-    std::map<std::string, std::string> ::const_iterator _iter497;
-    for (_iter497 = this->domains.begin(); _iter497 != this->domains.end(); ++_iter497)
+    std::map<std::string, std::string> ::const_iterator _iter509;
+    for (_iter509 = this->domains.begin(); _iter509 != this->domains.end(); ++_iter509)
     {
-      xfer += oprot->writeString(_iter497->first);
-      xfer += oprot->writeString(_iter497->second);
+      xfer += oprot->writeString(_iter509->first);
+      xfer += oprot->writeString(_iter509->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -12808,58 +12892,58 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallSnapshot::InstallSnapshot(const InstallSnapshot& other498) {
-  term = other498.term;
-  lastIndex = other498.lastIndex;
-  lastTerm = other498.lastTerm;
-  data = other498.data;
-  voters = other498.voters;
-  learners = other498.learners;
-  member = other498.member;
-  group = other498.group;
-  round = other498.round;
-  domains = other498.domains;
-  __isset = other498.__isset;
-}
-InstallSnapshot::InstallSnapshot(InstallSnapshot&& other499) noexcept {
-  term = other499.term;
-  lastIndex = other499.lastIndex;
-  lastTerm = other499.lastTerm;
-  data = std::move(other499.data);
-  voters = std::move(other499.voters);
-  learners = std::move(other499.learners);
-  member = std::move(other499.member);
-  group = std::move(other499.group);
-  round = other499.round;
-  domains = std::move(other499.domains);
-  __isset = other499.__isset;
-}
-InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other500) {
-  term = other500.term;
-  lastIndex = other500.lastIndex;
-  lastTerm = other500.lastTerm;
-  data = other500.data;
-  voters = other500.voters;
-  learners = other500.learners;
-  member = other500.member;
-  group = other500.group;
-  round = other500.round;
-  domains = other500.domains;
-  __isset = other500.__isset;
+InstallSnapshot::InstallSnapshot(const InstallSnapshot& other510) {
+  term = other510.term;
+  lastIndex = other510.lastIndex;
+  lastTerm = other510.lastTerm;
+  data = other510.data;
+  voters = other510.voters;
+  learners = other510.learners;
+  member = other510.member;
+  group = other510.group;
+  round = other510.round;
+  domains = other510.domains;
+  __isset = other510.__isset;
+}
+InstallSnapshot::InstallSnapshot(InstallSnapshot&& other511) noexcept {
+  term = other511.term;
+  lastIndex = other511.lastIndex;
+  lastTerm = other511.lastTerm;
+  data = std::move(other511.data);
+  voters = std::move(other511.voters);
+  learners = std::move(other511.learners);
+  member = std::move(other511.member);
+  group = std::move(other511.group);
+  round = other511.round;
+  domains = std::move(other511.domains);
+  __isset = other511.__isset;
+}
+InstallSnapshot& InstallSnapshot::operator=(const InstallSnapshot& other512) {
+  term = other512.term;
+  lastIndex = other512.lastIndex;
+  lastTerm = other512.lastTerm;
+  data = other512.data;
+  voters = other512.voters;
+  learners = other512.learners;
+  member = other512.member;
+  group = other512.group;
+  round = other512.round;
+  domains = other512.domains;
+  __isset = other512.__isset;
   return *this;
 }
-InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other501) noexcept {
-  term = other501.term;
-  lastIndex = other501.lastIndex;
-  lastTerm = other501.lastTerm;
-  data = std::move(other501.data);
-  voters = std::move(other501.voters);
-  learners = std::move(other501.learners);
-  member = std::move(other501.member);
-  group = std::move(other501.group);
-  round = other501.round;
-  domains = std::move(other501.domains);
-  __isset = other501.__isset;
+InstallSnapshot& InstallSnapshot::operator=(InstallSnapshot&& other513) noexcept {
+  term = other513.term;
+  lastIndex = other513.lastIndex;
+  lastTerm = other513.lastTerm;
+  data = std::move(other513.data);
+  voters = std::move(other513.voters);
+  learners = std::move(other513.learners);
+  member = std::move(other513.member);
+  group = std::move(other513.group);
+  round = other513.round;
+  domains = std::move(other513.domains);
+  __isset = other513.__isset;
   return *this;
 }
 void InstallSnapshot::printTo(std::ostream& out) const {
@@ -12994,14 +13078,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size502;
-            ::apache::thrift::protocol::TType _etype505;
-            xfer += iprot->readListBegin(_etype505, _size502);
-            this->voters.resize(_size502);
-            uint32_t _i506;
-            for (_i506 = 0; _i506 < _size502; ++_i506)
+            uint32_t _size514;
+            ::apache::thrift::protocol::TType _etype517;
+            xfer += iprot->readListBegin(_etype517, _size514);
+            this->voters.resize(_size514);
+            uint32_t _i518;
+            for (_i518 = 0; _i518 < _size514; ++_i518)
             {
-              xfer += iprot->readString(this->voters[_i506]);
+              xfer += iprot->readString(this->voters[_i518]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13014,14 +13098,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size507;
-            ::apache::thrift::protocol::TType _etype510;
-            xfer += iprot->readListBegin(_etype510, _size507);
-            this->learners.resize(_size507);
-            uint32_t _i511;
-            for (_i511 = 0; _i511 < _size507; ++_i511)
+            uint32_t _size519;
+            ::apache::thrift::protocol::TType _etype522;
+            xfer += iprot->readListBegin(_etype522, _size519);
+            this->learners.resize(_size519);
+            uint32_t _i523;
+            for (_i523 = 0; _i523 < _size519; ++_i523)
             {
-              xfer += iprot->readString(this->learners[_i511]);
+              xfer += iprot->readString(this->learners[_i523]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13074,17 +13158,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->domains.clear();
-            uint32_t _size512;
-            ::apache::thrift::protocol::TType _ktype513;
-            ::apache::thrift::protocol::TType _vtype514;
-            xfer += iprot->readMapBegin(_ktype513, _vtype514, _size512);
-            uint32_t _i516;
-            for (_i516 = 0; _i516 < _size512; ++_i516)
+            uint32_t _size524;
+            ::apache::thrift::protocol::TType _ktype525;
+            ::apache::thrift::protocol::TType _vtype526;
+            xfer += iprot->readMapBegin(_ktype525, _vtype526, _size524);
+            uint32_t _i528;
+            for (_i528 = 0; _i528 < _size524; ++_i528)
             {
-              std::string _key517;
-              xfer += iprot->readString(_key517);
-              std::string& _val518 = this->domains[_key517];
-              xfer += iprot->readString(_val518);
+              std::string _key529;
+              xfer += iprot->readString(_key529);
+              std::string& _val530 = this->domains[_key529];
+              xfer += iprot->readString(_val530);
             }
             xfer += iprot->readMapEnd();
           }
@@ -13129,10 +13213,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter519;
-    for (_iter519 = this->voters.begin(); _iter519 != this->voters.end(); ++_iter519)
+    std::vector<std::string> ::const_iterator _iter531;
+    for (_iter531 = this->voters.begin(); _iter531 != this->voters.end(); ++_iter531)
     {
-      xfer += oprot->writeString((*_iter519));
+      xfer += oprot->writeString((*_iter531));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13141,10 +13225,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter520;
-    for (_iter520 = this->learners.begin(); _iter520 != this->learners.end(); ++_iter520)
+    std::vector<std::string> ::const_iterator _iter532;
+    for (_iter532 = this->learners.begin(); _iter532 != this->learners.end(); ++_iter532)
     {
-      xfer += oprot->writeString((*_iter520));
+      xfer += oprot->writeString((*_iter532));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13173,11 +13257,11 @@
   xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 12);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-    std::map<std::string, std::string> ::const_iterator _iter521;
-    for (_iter521 = this->domains.begin(); _iter521 != this->domains.end(); ++_iter521)
+    std::map<std::string, std::string> ::const_iterator _iter533;
+    for (_iter533 = this->domains.begin(); _iter533 != this->domains.end(); ++_iter533)
     {
-      xfer += oprot->writeString(_iter521->first);
-      xfer += oprot->writeString(_iter521->second);
+      xfer += oprot->writeString(_iter533->first);
+      xfer += oprot->writeString(_iter533->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -13205,66 +13289,66 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other522) {
-  term = other522.term;
-  lastIndex = other522.lastIndex;
-  lastTerm = other522.lastTerm;
-  data = other522.data;
-  voters = other522.voters;
-  learners = other522.learners;
-  member = other522.member;
-  group = other522.group;
-  round = other522.round;
-  offset = other522.offset;
-  totalBytes = other522.totalBytes;
-  domains = other522.domains;
-  __isset = other522.__isset;
-}
-SnapshotChunk::SnapshotChunk(SnapshotChunk&& other523) noexcept {
-  term = other523.term;
-  lastIndex = other523.lastIndex;
-  lastTerm = other523.lastTerm;
-  data = std::move(other523.data);
-  voters = std::move(other523.voters);
-  learners = std::move(other523.learners);
-  member = std::move(other523.member);
-  group = std::move(other523.group);
-  round = other523.round;
-  offset = other523.offset;
-  totalBytes = other523.totalBytes;
-  domains = std::move(other523.domains);
-  __isset = other523.__isset;
-}
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other524) {
-  term = other524.term;
-  lastIndex = other524.lastIndex;
-  lastTerm = other524.lastTerm;
-  data = other524.data;
-  voters = other524.voters;
-  learners = other524.learners;
-  member = other524.member;
-  group = other524.group;
-  round = other524.round;
-  offset = other524.offset;
-  totalBytes = other524.totalBytes;
-  domains = other524.domains;
-  __isset = other524.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other534) {
+  term = other534.term;
+  lastIndex = other534.lastIndex;
+  lastTerm = other534.lastTerm;
+  data = other534.data;
+  voters = other534.voters;
+  learners = other534.learners;
+  member = other534.member;
+  group = other534.group;
+  round = other534.round;
+  offset = other534.offset;
+  totalBytes = other534.totalBytes;
+  domains = other534.domains;
+  __isset = other534.__isset;
+}
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other535) noexcept {
+  term = other535.term;
+  lastIndex = other535.lastIndex;
+  lastTerm = other535.lastTerm;
+  data = std::move(other535.data);
+  voters = std::move(other535.voters);
+  learners = std::move(other535.learners);
+  member = std::move(other535.member);
+  group = std::move(other535.group);
+  round = other535.round;
+  offset = other535.offset;
+  totalBytes = other535.totalBytes;
+  domains = std::move(other535.domains);
+  __isset = other535.__isset;
+}
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other536) {
+  term = other536.term;
+  lastIndex = other536.lastIndex;
+  lastTerm = other536.lastTerm;
+  data = other536.data;
+  voters = other536.voters;
+  learners = other536.learners;
+  member = other536.member;
+  group = other536.group;
+  round = other536.round;
+  offset = other536.offset;
+  totalBytes = other536.totalBytes;
+  domains = other536.domains;
+  __isset = other536.__isset;
   return *this;
 }
-SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other525) noexcept {
-  term = other525.term;
-  lastIndex = other525.lastIndex;
-  lastTerm = other525.lastTerm;
-  data = std::move(other525.data);
-  voters = std::move(other525.voters);
-  learners = std::move(other525.learners);
-  member = std::move(other525.member);
-  group = std::move(other525.group);
-  round = other525.round;
-  offset = other525.offset;
-  totalBytes = other525.totalBytes;
-  domains = std::move(other525.domains);
-  __isset = other525.__isset;
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other537) noexcept {
+  term = other537.term;
+  lastIndex = other537.lastIndex;
+  lastTerm = other537.lastTerm;
+  data = std::move(other537.data);
+  voters = std::move(other537.voters);
+  learners = std::move(other537.learners);
+  member = std::move(other537.member);
+  group = std::move(other537.group);
+  round = other537.round;
+  offset = other537.offset;
+  totalBytes = other537.totalBytes;
+  domains = std::move(other537.domains);
+  __isset = other537.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -13446,42 +13530,42 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunkReply::SnapshotChunkReply(const SnapshotChunkReply& other526) {
-  term = other526.term;
-  lastIndex = other526.lastIndex;
-  nextOffset = other526.nextOffset;
-  member = other526.member;
-  group = other526.group;
-  round = other526.round;
-  __isset = other526.__isset;
-}
-SnapshotChunkReply::SnapshotChunkReply(SnapshotChunkReply&& other527) noexcept {
-  term = other527.term;
-  lastIndex = other527.lastIndex;
-  nextOffset = other527.nextOffset;
-  member = std::move(other527.member);
-  group = std::move(other527.group);
-  round = other527.round;
-  __isset = other527.__isset;
-}
-SnapshotChunkReply& SnapshotChunkReply::operator=(const SnapshotChunkReply& other528) {
-  term = other528.term;
-  lastIndex = other528.lastIndex;
-  nextOffset = other528.nextOffset;
-  member = other528.member;
-  group = other528.group;
-  round = other528.round;
-  __isset = other528.__isset;
+SnapshotChunkReply::SnapshotChunkReply(const SnapshotChunkReply& other538) {
+  term = other538.term;
+  lastIndex = other538.lastIndex;
+  nextOffset = other538.nextOffset;
+  member = other538.member;
+  group = other538.group;
+  round = other538.round;
+  __isset = other538.__isset;
+}
+SnapshotChunkReply::SnapshotChunkReply(SnapshotChunkReply&& other539) noexcept {
+  term = other539.term;
+  lastIndex = other539.lastIndex;
+  nextOffset = other539.nextOffset;
+  member = std::move(other539.member);
+  group = std::move(other539.group);
+  round = other539.round;
+  __isset = other539.__isset;
+}
+SnapshotChunkReply& SnapshotChunkReply::operator=(const SnapshotChunkReply& other540) {
+  term = other540.term;
+  lastIndex = other540.lastIndex;
+  nextOffset = other540.nextOffset;
+  member = other540.member;
+  group = other540.group;
+  round = other540.round;
+  __isset = other540.__isset;
   return *this;
 }
-SnapshotChunkReply& SnapshotChunkReply::operator=(SnapshotChunkReply&& other529) noexcept {
-  term = other529.term;
-  lastIndex = other529.lastIndex;
-  nextOffset = other529.nextOffset;
-  member = std::move(other529.member);
-  group = std::move(other529.group);
-  round = other529.round;
-  __isset = other529.__isset;
+SnapshotChunkReply& SnapshotChunkReply::operator=(SnapshotChunkReply&& other541) noexcept {
+  term = other541.term;
+  lastIndex = other541.lastIndex;
+  nextOffset = other541.nextOffset;
+  member = std::move(other541.member);
+  group = std::move(other541.group);
+  round = other541.round;
+  __isset = other541.__isset;
   return *this;
 }
 void SnapshotChunkReply::printTo(std::ostream& out) const {
@@ -13640,38 +13724,38 @@
   swap(a.__isset, b.__isset);
 }
 
-InstallReply::InstallReply(const InstallReply& other530) {
-  term = other530.term;
-  lastIndex = other530.lastIndex;
-  member = other530.member;
-  group = other530.group;
-  round = other530.round;
-  __isset = other530.__isset;
-}
-InstallReply::InstallReply(InstallReply&& other531) noexcept {
-  term = other531.term;
-  lastIndex = other531.lastIndex;
-  member = std::move(other531.member);
-  group = std::move(other531.group);
-  round = other531.round;
-  __isset = other531.__isset;
-}
-InstallReply& InstallReply::operator=(const InstallReply& other532) {
-  term = other532.term;
-  lastIndex = other532.lastIndex;
-  member = other532.member;
-  group = other532.group;
-  round = other532.round;
-  __isset = other532.__isset;
+InstallReply::InstallReply(const InstallReply& other542) {
+  term = other542.term;
+  lastIndex = other542.lastIndex;
+  member = other542.member;
+  group = other542.group;
+  round = other542.round;
+  __isset = other542.__isset;
+}
+InstallReply::InstallReply(InstallReply&& other543) noexcept {
+  term = other543.term;
+  lastIndex = other543.lastIndex;
+  member = std::move(other543.member);
+  group = std::move(other543.group);
+  round = other543.round;
+  __isset = other543.__isset;
+}
+InstallReply& InstallReply::operator=(const InstallReply& other544) {
+  term = other544.term;
+  lastIndex = other544.lastIndex;
+  member = other544.member;
+  group = other544.group;
+  round = other544.round;
+  __isset = other544.__isset;
   return *this;
 }
-InstallReply& InstallReply::operator=(InstallReply&& other533) noexcept {
-  term = other533.term;
-  lastIndex = other533.lastIndex;
-  member = std::move(other533.member);
-  group = std::move(other533.group);
-  round = other533.round;
-  __isset = other533.__isset;
+InstallReply& InstallReply::operator=(InstallReply&& other545) noexcept {
+  term = other545.term;
+  lastIndex = other545.lastIndex;
+  member = std::move(other545.member);
+  group = std::move(other545.group);
+  round = other545.round;
+  __isset = other545.__isset;
   return *this;
 }
 void InstallReply::printTo(std::ostream& out) const {
@@ -13761,22 +13845,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeoutNow::TimeoutNow(const TimeoutNow& other534) noexcept {
-  term = other534.term;
-  __isset = other534.__isset;
+TimeoutNow::TimeoutNow(const TimeoutNow& other546) noexcept {
+  term = other546.term;
+  __isset = other546.__isset;
 }
-TimeoutNow::TimeoutNow(TimeoutNow&& other535) noexcept {
-  term = other535.term;
-  __isset = other535.__isset;
+TimeoutNow::TimeoutNow(TimeoutNow&& other547) noexcept {
+  term = other547.term;
+  __isset = other547.__isset;
 }
-TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other536) noexcept {
-  term = other536.term;
-  __isset = other536.__isset;
+TimeoutNow& TimeoutNow::operator=(const TimeoutNow& other548) noexcept {
+  term = other548.term;
+  __isset = other548.__isset;
   return *this;
 }
-TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other537) noexcept {
-  term = other537.term;
-  __isset = other537.__isset;
+TimeoutNow& TimeoutNow::operator=(TimeoutNow&& other549) noexcept {
+  term = other549.term;
+  __isset = other549.__isset;
   return *this;
 }
 void TimeoutNow::printTo(std::ostream& out) const {
@@ -13879,26 +13963,26 @@
   swap(a.__isset, b.__isset);
 }
 
-VoterLeaving::VoterLeaving(const VoterLeaving& other538) {
-  member = other538.member;
-  group = other538.group;
-  __isset = other538.__isset;
+VoterLeaving::VoterLeaving(const VoterLeaving& other550) {
+  member = other550.member;
+  group = other550.group;
+  __isset = other550.__isset;
 }
-VoterLeaving::VoterLeaving(VoterLeaving&& other539) noexcept {
-  member = std::move(other539.member);
-  group = std::move(other539.group);
-  __isset = other539.__isset;
+VoterLeaving::VoterLeaving(VoterLeaving&& other551) noexcept {
+  member = std::move(other551.member);
+  group = std::move(other551.group);
+  __isset = other551.__isset;
 }
-VoterLeaving& VoterLeaving::operator=(const VoterLeaving& other540) {
-  member = other540.member;
-  group = other540.group;
-  __isset = other540.__isset;
+VoterLeaving& VoterLeaving::operator=(const VoterLeaving& other552) {
+  member = other552.member;
+  group = other552.group;
+  __isset = other552.__isset;
   return *this;
 }
-VoterLeaving& VoterLeaving::operator=(VoterLeaving&& other541) noexcept {
-  member = std::move(other541.member);
-  group = std::move(other541.group);
-  __isset = other541.__isset;
+VoterLeaving& VoterLeaving::operator=(VoterLeaving&& other553) noexcept {
+  member = std::move(other553.member);
+  group = std::move(other553.group);
+  __isset = other553.__isset;
   return *this;
 }
 void VoterLeaving::printTo(std::ostream& out) const {
@@ -13985,22 +14069,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SetConfig::SetConfig(const SetConfig& other542) {
-  file = other542.file;
-  __isset = other542.__isset;
+SetConfig::SetConfig(const SetConfig& other554) {
+  file = other554.file;
+  __isset = other554.__isset;
 }
-SetConfig::SetConfig(SetConfig&& other543) noexcept {
-  file = std::move(other543.file);
-  __isset = other543.__isset;
+SetConfig::SetConfig(SetConfig&& other555) noexcept {
+  file = std::move(other555.file);
+  __isset = other555.__isset;
 }
-SetConfig& SetConfig::operator=(const SetConfig& other544) {
-  file = other544.file;
-  __isset = other544.__isset;
+SetConfig& SetConfig::operator=(const SetConfig& other556) {
+  file = other556.file;
+  __isset = other556.__isset;
   return *this;
 }
-SetConfig& SetConfig::operator=(SetConfig&& other545) noexcept {
-  file = std::move(other545.file);
-  __isset = other545.__isset;
+SetConfig& SetConfig::operator=(SetConfig&& other557) noexcept {
+  file = std::move(other557.file);
+  __isset = other557.__isset;
   return *this;
 }
 void SetConfig::printTo(std::ostream& out) const {
@@ -14081,9 +14165,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast546;
-          xfer += iprot->readI32(ecast546);
-          this->role = static_cast<Role::type>(ecast546);
+          int32_t ecast558;
+          xfer += iprot->readI32(ecast558);
+          this->role = static_cast<Role::type>(ecast558);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -14192,46 +14276,46 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberJoin::MemberJoin(const MemberJoin& other547) {
-  id = other547.id;
-  role = other547.role;
-  address = other547.address;
-  failureDomain = other547.failureDomain;
-  server = other547.server;
-  atMs = other547.atMs;
-  replaces = other547.replaces;
-  __isset = other547.__isset;
+MemberJoin::MemberJoin(const MemberJoin& other559) {
+  id = other559.id;
+  role = other559.role;
+  address = other559.address;
+  failureDomain = other559.failureDomain;
+  server = other559.server;
+  atMs = other559.atMs;
+  replaces = other559.replaces;
+  __isset = other559.__isset;
 }
-MemberJoin::MemberJoin(MemberJoin&& other548) noexcept {
-  id = std::move(other548.id);
-  role = other548.role;
-  address = std::move(other548.address);
-  failureDomain = std::move(other548.failureDomain);
-  server = std::move(other548.server);
-  atMs = other548.atMs;
-  replaces = other548.replaces;
-  __isset = other548.__isset;
+MemberJoin::MemberJoin(MemberJoin&& other560) noexcept {
+  id = std::move(other560.id);
+  role = other560.role;
+  address = std::move(other560.address);
+  failureDomain = std::move(other560.failureDomain);
+  server = std::move(other560.server);
+  atMs = other560.atMs;
+  replaces = other560.replaces;
+  __isset = other560.__isset;
 }
-MemberJoin& MemberJoin::operator=(const MemberJoin& other549) {
-  id = other549.id;
-  role = other549.role;
-  address = other549.address;
-  failureDomain = other549.failureDomain;
-  server = other549.server;
-  atMs = other549.atMs;
-  replaces = other549.replaces;
-  __isset = other549.__isset;
+MemberJoin& MemberJoin::operator=(const MemberJoin& other561) {
+  id = other561.id;
+  role = other561.role;
+  address = other561.address;
+  failureDomain = other561.failureDomain;
+  server = other561.server;
+  atMs = other561.atMs;
+  replaces = other561.replaces;
+  __isset = other561.__isset;
   return *this;
 }
-MemberJoin& MemberJoin::operator=(MemberJoin&& other550) noexcept {
-  id = std::move(other550.id);
-  role = other550.role;
-  address = std::move(other550.address);
-  failureDomain = std::move(other550.failureDomain);
-  server = std::move(other550.server);
-  atMs = other550.atMs;
-  replaces = other550.replaces;
-  __isset = other550.__isset;
+MemberJoin& MemberJoin::operator=(MemberJoin&& other562) noexcept {
+  id = std::move(other562.id);
+  role = other562.role;
+  address = std::move(other562.address);
+  failureDomain = std::move(other562.failureDomain);
+  server = std::move(other562.server);
+  atMs = other562.atMs;
+  replaces = other562.replaces;
+  __isset = other562.__isset;
   return *this;
 }
 void MemberJoin::printTo(std::ostream& out) const {
@@ -14357,30 +14441,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberGone::MemberGone(const MemberGone& other551) {
-  id = other551.id;
-  planned = other551.planned;
-  atMs = other551.atMs;
-  __isset = other551.__isset;
+MemberGone::MemberGone(const MemberGone& other563) {
+  id = other563.id;
+  planned = other563.planned;
+  atMs = other563.atMs;
+  __isset = other563.__isset;
 }
-MemberGone::MemberGone(MemberGone&& other552) noexcept {
-  id = std::move(other552.id);
-  planned = other552.planned;
-  atMs = other552.atMs;
-  __isset = other552.__isset;
+MemberGone::MemberGone(MemberGone&& other564) noexcept {
+  id = std::move(other564.id);
+  planned = other564.planned;
+  atMs = other564.atMs;
+  __isset = other564.__isset;
 }
-MemberGone& MemberGone::operator=(const MemberGone& other553) {
-  id = other553.id;
-  planned = other553.planned;
-  atMs = other553.atMs;
-  __isset = other553.__isset;
+MemberGone& MemberGone::operator=(const MemberGone& other565) {
+  id = other565.id;
+  planned = other565.planned;
+  atMs = other565.atMs;
+  __isset = other565.__isset;
   return *this;
 }
-MemberGone& MemberGone::operator=(MemberGone&& other554) noexcept {
-  id = std::move(other554.id);
-  planned = other554.planned;
-  atMs = other554.atMs;
-  __isset = other554.__isset;
+MemberGone& MemberGone::operator=(MemberGone&& other566) noexcept {
+  id = std::move(other566.id);
+  planned = other566.planned;
+  atMs = other566.atMs;
+  __isset = other566.__isset;
   return *this;
 }
 void MemberGone::printTo(std::ostream& out) const {
@@ -14468,22 +14552,22 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberLeaving::MemberLeaving(const MemberLeaving& other555) {
-  id = other555.id;
-  __isset = other555.__isset;
+MemberLeaving::MemberLeaving(const MemberLeaving& other567) {
+  id = other567.id;
+  __isset = other567.__isset;
 }
-MemberLeaving::MemberLeaving(MemberLeaving&& other556) noexcept {
-  id = std::move(other556.id);
-  __isset = other556.__isset;
+MemberLeaving::MemberLeaving(MemberLeaving&& other568) noexcept {
+  id = std::move(other568.id);
+  __isset = other568.__isset;
 }
-MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other557) {
-  id = other557.id;
-  __isset = other557.__isset;
+MemberLeaving& MemberLeaving::operator=(const MemberLeaving& other569) {
+  id = other569.id;
+  __isset = other569.__isset;
   return *this;
 }
-MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other558) noexcept {
-  id = std::move(other558.id);
-  __isset = other558.__isset;
+MemberLeaving& MemberLeaving::operator=(MemberLeaving&& other570) noexcept {
+  id = std::move(other570.id);
+  __isset = other570.__isset;
   return *this;
 }
 void MemberLeaving::printTo(std::ostream& out) const {
@@ -14620,34 +14704,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderWhole::HolderWhole(const HolderWhole& other559) {
-  cell = other559.cell;
-  epoch = other559.epoch;
-  holder = other559.holder;
-  viewVersion = other559.viewVersion;
-  __isset = other559.__isset;
-}
-HolderWhole::HolderWhole(HolderWhole&& other560) noexcept {
-  cell = other560.cell;
-  epoch = other560.epoch;
-  holder = std::move(other560.holder);
-  viewVersion = other560.viewVersion;
-  __isset = other560.__isset;
-}
-HolderWhole& HolderWhole::operator=(const HolderWhole& other561) {
-  cell = other561.cell;
-  epoch = other561.epoch;
-  holder = other561.holder;
-  viewVersion = other561.viewVersion;
-  __isset = other561.__isset;
+HolderWhole::HolderWhole(const HolderWhole& other571) {
+  cell = other571.cell;
+  epoch = other571.epoch;
+  holder = other571.holder;
+  viewVersion = other571.viewVersion;
+  __isset = other571.__isset;
+}
+HolderWhole::HolderWhole(HolderWhole&& other572) noexcept {
+  cell = other572.cell;
+  epoch = other572.epoch;
+  holder = std::move(other572.holder);
+  viewVersion = other572.viewVersion;
+  __isset = other572.__isset;
+}
+HolderWhole& HolderWhole::operator=(const HolderWhole& other573) {
+  cell = other573.cell;
+  epoch = other573.epoch;
+  holder = other573.holder;
+  viewVersion = other573.viewVersion;
+  __isset = other573.__isset;
   return *this;
 }
-HolderWhole& HolderWhole::operator=(HolderWhole&& other562) noexcept {
-  cell = other562.cell;
-  epoch = other562.epoch;
-  holder = std::move(other562.holder);
-  viewVersion = other562.viewVersion;
-  __isset = other562.__isset;
+HolderWhole& HolderWhole::operator=(HolderWhole&& other574) noexcept {
+  cell = other574.cell;
+  epoch = other574.epoch;
+  holder = std::move(other574.holder);
+  viewVersion = other574.viewVersion;
+  __isset = other574.__isset;
   return *this;
 }
 void HolderWhole::printTo(std::ostream& out) const {
@@ -14787,34 +14871,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HandOver::HandOver(const HandOver& other563) {
-  cell = other563.cell;
-  epoch = other563.epoch;
-  previousOwner = other563.previousOwner;
-  atMs = other563.atMs;
-  __isset = other563.__isset;
-}
-HandOver::HandOver(HandOver&& other564) noexcept {
-  cell = other564.cell;
-  epoch = other564.epoch;
-  previousOwner = std::move(other564.previousOwner);
-  atMs = other564.atMs;
-  __isset = other564.__isset;
-}
-HandOver& HandOver::operator=(const HandOver& other565) {
-  cell = other565.cell;
-  epoch = other565.epoch;
-  previousOwner = other565.previousOwner;
-  atMs = other565.atMs;
-  __isset = other565.__isset;
+HandOver::HandOver(const HandOver& other575) {
+  cell = other575.cell;
+  epoch = other575.epoch;
+  previousOwner = other575.previousOwner;
+  atMs = other575.atMs;
+  __isset = other575.__isset;
+}
+HandOver::HandOver(HandOver&& other576) noexcept {
+  cell = other576.cell;
+  epoch = other576.epoch;
+  previousOwner = std::move(other576.previousOwner);
+  atMs = other576.atMs;
+  __isset = other576.__isset;
+}
+HandOver& HandOver::operator=(const HandOver& other577) {
+  cell = other577.cell;
+  epoch = other577.epoch;
+  previousOwner = other577.previousOwner;
+  atMs = other577.atMs;
+  __isset = other577.__isset;
   return *this;
 }
-HandOver& HandOver::operator=(HandOver&& other566) noexcept {
-  cell = other566.cell;
-  epoch = other566.epoch;
-  previousOwner = std::move(other566.previousOwner);
-  atMs = other566.atMs;
-  __isset = other566.__isset;
+HandOver& HandOver::operator=(HandOver&& other578) noexcept {
+  cell = other578.cell;
+  epoch = other578.epoch;
+  previousOwner = std::move(other578.previousOwner);
+  atMs = other578.atMs;
+  __isset = other578.__isset;
   return *this;
 }
 void HandOver::printTo(std::ostream& out) const {
@@ -14875,14 +14959,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size567;
-            ::apache::thrift::protocol::TType _etype570;
-            xfer += iprot->readListBegin(_etype570, _size567);
-            this->voters.resize(_size567);
-            uint32_t _i571;
-            for (_i571 = 0; _i571 < _size567; ++_i571)
+            uint32_t _size579;
+            ::apache::thrift::protocol::TType _etype582;
+            xfer += iprot->readListBegin(_etype582, _size579);
+            this->voters.resize(_size579);
+            uint32_t _i583;
+            for (_i583 = 0; _i583 < _size579; ++_i583)
             {
-              xfer += iprot->readString(this->voters[_i571]);
+              xfer += iprot->readString(this->voters[_i583]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14895,14 +14979,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size572;
-            ::apache::thrift::protocol::TType _etype575;
-            xfer += iprot->readListBegin(_etype575, _size572);
-            this->learners.resize(_size572);
-            uint32_t _i576;
-            for (_i576 = 0; _i576 < _size572; ++_i576)
+            uint32_t _size584;
+            ::apache::thrift::protocol::TType _etype587;
+            xfer += iprot->readListBegin(_etype587, _size584);
+            this->learners.resize(_size584);
+            uint32_t _i588;
+            for (_i588 = 0; _i588 < _size584; ++_i588)
             {
-              xfer += iprot->readString(this->learners[_i576]);
+              xfer += iprot->readString(this->learners[_i588]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14915,17 +14999,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->domains.clear();
-            uint32_t _size577;
-            ::apache::thrift::protocol::TType _ktype578;
-            ::apache::thrift::protocol::TType _vtype579;
-            xfer += iprot->readMapBegin(_ktype578, _vtype579, _size577);
-            uint32_t _i581;
-            for (_i581 = 0; _i581 < _size577; ++_i581)
+            uint32_t _size589;
+            ::apache::thrift::protocol::TType _ktype590;
+            ::apache::thrift::protocol::TType _vtype591;
+            xfer += iprot->readMapBegin(_ktype590, _vtype591, _size589);
+            uint32_t _i593;
+            for (_i593 = 0; _i593 < _size589; ++_i593)
             {
-              std::string _key582;
-              xfer += iprot->readString(_key582);
-              std::string& _val583 = this->domains[_key582];
-              xfer += iprot->readString(_val583);
+              std::string _key594;
+              xfer += iprot->readString(_key594);
+              std::string& _val595 = this->domains[_key594];
+              xfer += iprot->readString(_val595);
             }
             xfer += iprot->readMapEnd();
           }
@@ -14954,10 +15038,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter584;
-    for (_iter584 = this->voters.begin(); _iter584 != this->voters.end(); ++_iter584)
+    std::vector<std::string> ::const_iterator _iter596;
+    for (_iter596 = this->voters.begin(); _iter596 != this->voters.end(); ++_iter596)
     {
-      xfer += oprot->writeString((*_iter584));
+      xfer += oprot->writeString((*_iter596));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14966,10 +15050,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter585;
-    for (_iter585 = this->learners.begin(); _iter585 != this->learners.end(); ++_iter585)
+    std::vector<std::string> ::const_iterator _iter597;
+    for (_iter597 = this->learners.begin(); _iter597 != this->learners.end(); ++_iter597)
     {
-      xfer += oprot->writeString((*_iter585));
+      xfer += oprot->writeString((*_iter597));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14978,11 +15062,11 @@
   xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-    std::map<std::string, std::string> ::const_iterator _iter586;
-    for (_iter586 = this->domains.begin(); _iter586 != this->domains.end(); ++_iter586)
+    std::map<std::string, std::string> ::const_iterator _iter598;
+    for (_iter598 = this->domains.begin(); _iter598 != this->domains.end(); ++_iter598)
     {
-      xfer += oprot->writeString(_iter586->first);
-      xfer += oprot->writeString(_iter586->second);
+      xfer += oprot->writeString(_iter598->first);
+      xfer += oprot->writeString(_iter598->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -15001,30 +15085,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SetVoters::SetVoters(const SetVoters& other587) {
-  voters = other587.voters;
-  learners = other587.learners;
-  domains = other587.domains;
-  __isset = other587.__isset;
+SetVoters::SetVoters(const SetVoters& other599) {
+  voters = other599.voters;
+  learners = other599.learners;
+  domains = other599.domains;
+  __isset = other599.__isset;
 }
-SetVoters::SetVoters(SetVoters&& other588) noexcept {
-  voters = std::move(other588.voters);
-  learners = std::move(other588.learners);
-  domains = std::move(other588.domains);
-  __isset = other588.__isset;
+SetVoters::SetVoters(SetVoters&& other600) noexcept {
+  voters = std::move(other600.voters);
+  learners = std::move(other600.learners);
+  domains = std::move(other600.domains);
+  __isset = other600.__isset;
 }
-SetVoters& SetVoters::operator=(const SetVoters& other589) {
-  voters = other589.voters;
-  learners = other589.learners;
-  domains = other589.domains;
-  __isset = other589.__isset;
+SetVoters& SetVoters::operator=(const SetVoters& other601) {
+  voters = other601.voters;
+  learners = other601.learners;
+  domains = other601.domains;
+  __isset = other601.__isset;
   return *this;
 }
-SetVoters& SetVoters::operator=(SetVoters&& other590) noexcept {
-  voters = std::move(other590.voters);
-  learners = std::move(other590.learners);
-  domains = std::move(other590.domains);
-  __isset = other590.__isset;
+SetVoters& SetVoters::operator=(SetVoters&& other602) noexcept {
+  voters = std::move(other602.voters);
+  learners = std::move(other602.learners);
+  domains = std::move(other602.domains);
+  __isset = other602.__isset;
   return *this;
 }
 void SetVoters::printTo(std::ostream& out) const {
@@ -15180,38 +15264,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Evacuation::Evacuation(const Evacuation& other591) {
-  failureDomain = other591.failureDomain;
-  active = other591.active;
-  orderIndex = other591.orderIndex;
-  author = other591.author;
-  atMs = other591.atMs;
-  __isset = other591.__isset;
-}
-Evacuation::Evacuation(Evacuation&& other592) noexcept {
-  failureDomain = std::move(other592.failureDomain);
-  active = other592.active;
-  orderIndex = other592.orderIndex;
-  author = std::move(other592.author);
-  atMs = other592.atMs;
-  __isset = other592.__isset;
-}
-Evacuation& Evacuation::operator=(const Evacuation& other593) {
-  failureDomain = other593.failureDomain;
-  active = other593.active;
-  orderIndex = other593.orderIndex;
-  author = other593.author;
-  atMs = other593.atMs;
-  __isset = other593.__isset;
+Evacuation::Evacuation(const Evacuation& other603) {
+  failureDomain = other603.failureDomain;
+  active = other603.active;
+  orderIndex = other603.orderIndex;
+  author = other603.author;
+  atMs = other603.atMs;
+  __isset = other603.__isset;
+}
+Evacuation::Evacuation(Evacuation&& other604) noexcept {
+  failureDomain = std::move(other604.failureDomain);
+  active = other604.active;
+  orderIndex = other604.orderIndex;
+  author = std::move(other604.author);
+  atMs = other604.atMs;
+  __isset = other604.__isset;
+}
+Evacuation& Evacuation::operator=(const Evacuation& other605) {
+  failureDomain = other605.failureDomain;
+  active = other605.active;
+  orderIndex = other605.orderIndex;
+  author = other605.author;
+  atMs = other605.atMs;
+  __isset = other605.__isset;
   return *this;
 }
-Evacuation& Evacuation::operator=(Evacuation&& other594) noexcept {
-  failureDomain = std::move(other594.failureDomain);
-  active = other594.active;
-  orderIndex = other594.orderIndex;
-  author = std::move(other594.author);
-  atMs = other594.atMs;
-  __isset = other594.__isset;
+Evacuation& Evacuation::operator=(Evacuation&& other606) noexcept {
+  failureDomain = std::move(other606.failureDomain);
+  active = other606.active;
+  orderIndex = other606.orderIndex;
+  author = std::move(other606.author);
+  atMs = other606.atMs;
+  __isset = other606.__isset;
   return *this;
 }
 void Evacuation::printTo(std::ostream& out) const {
@@ -15318,26 +15402,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SetEvacuation::SetEvacuation(const SetEvacuation& other595) {
-  evacuation = other595.evacuation;
-  expectedIndex = other595.expectedIndex;
-  __isset = other595.__isset;
+SetEvacuation::SetEvacuation(const SetEvacuation& other607) {
+  evacuation = other607.evacuation;
+  expectedIndex = other607.expectedIndex;
+  __isset = other607.__isset;
 }
-SetEvacuation::SetEvacuation(SetEvacuation&& other596) noexcept {
-  evacuation = std::move(other596.evacuation);
-  expectedIndex = other596.expectedIndex;
-  __isset = other596.__isset;
+SetEvacuation::SetEvacuation(SetEvacuation&& other608) noexcept {
+  evacuation = std::move(other608.evacuation);
+  expectedIndex = other608.expectedIndex;
+  __isset = other608.__isset;
 }
-SetEvacuation& SetEvacuation::operator=(const SetEvacuation& other597) {
-  evacuation = other597.evacuation;
-  expectedIndex = other597.expectedIndex;
-  __isset = other597.__isset;
+SetEvacuation& SetEvacuation::operator=(const SetEvacuation& other609) {
+  evacuation = other609.evacuation;
+  expectedIndex = other609.expectedIndex;
+  __isset = other609.__isset;
   return *this;
 }
-SetEvacuation& SetEvacuation::operator=(SetEvacuation&& other598) noexcept {
-  evacuation = std::move(other598.evacuation);
-  expectedIndex = other598.expectedIndex;
-  __isset = other598.__isset;
+SetEvacuation& SetEvacuation::operator=(SetEvacuation&& other610) noexcept {
+  evacuation = std::move(other610.evacuation);
+  expectedIndex = other610.expectedIndex;
+  __isset = other610.__isset;
   return *this;
 }
 void SetEvacuation::printTo(std::ostream& out) const {
@@ -15578,54 +15662,54 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other599) {
-  setConfig = other599.setConfig;
-  memberJoin = other599.memberJoin;
-  memberGone = other599.memberGone;
-  memberLeaving = other599.memberLeaving;
-  holderWhole = other599.holderWhole;
-  handOver = other599.handOver;
-  setVoters = other599.setVoters;
-  noop = other599.noop;
-  setEvacuation = other599.setEvacuation;
-  __isset = other599.__isset;
-}
-Command::Command(Command&& other600) noexcept {
-  setConfig = std::move(other600.setConfig);
-  memberJoin = std::move(other600.memberJoin);
-  memberGone = std::move(other600.memberGone);
-  memberLeaving = std::move(other600.memberLeaving);
-  holderWhole = std::move(other600.holderWhole);
-  handOver = std::move(other600.handOver);
-  setVoters = std::move(other600.setVoters);
-  noop = other600.noop;
-  setEvacuation = std::move(other600.setEvacuation);
-  __isset = other600.__isset;
-}
-Command& Command::operator=(const Command& other601) {
-  setConfig = other601.setConfig;
-  memberJoin = other601.memberJoin;
-  memberGone = other601.memberGone;
-  memberLeaving = other601.memberLeaving;
-  holderWhole = other601.holderWhole;
-  handOver = other601.handOver;
-  setVoters = other601.setVoters;
-  noop = other601.noop;
-  setEvacuation = other601.setEvacuation;
-  __isset = other601.__isset;
+Command::Command(const Command& other611) {
+  setConfig = other611.setConfig;
+  memberJoin = other611.memberJoin;
+  memberGone = other611.memberGone;
+  memberLeaving = other611.memberLeaving;
+  holderWhole = other611.holderWhole;
+  handOver = other611.handOver;
+  setVoters = other611.setVoters;
+  noop = other611.noop;
+  setEvacuation = other611.setEvacuation;
+  __isset = other611.__isset;
+}
+Command::Command(Command&& other612) noexcept {
+  setConfig = std::move(other612.setConfig);
+  memberJoin = std::move(other612.memberJoin);
+  memberGone = std::move(other612.memberGone);
+  memberLeaving = std::move(other612.memberLeaving);
+  holderWhole = std::move(other612.holderWhole);
+  handOver = std::move(other612.handOver);
+  setVoters = std::move(other612.setVoters);
+  noop = other612.noop;
+  setEvacuation = std::move(other612.setEvacuation);
+  __isset = other612.__isset;
+}
+Command& Command::operator=(const Command& other613) {
+  setConfig = other613.setConfig;
+  memberJoin = other613.memberJoin;
+  memberGone = other613.memberGone;
+  memberLeaving = other613.memberLeaving;
+  holderWhole = other613.holderWhole;
+  handOver = other613.handOver;
+  setVoters = other613.setVoters;
+  noop = other613.noop;
+  setEvacuation = other613.setEvacuation;
+  __isset = other613.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other602) noexcept {
-  setConfig = std::move(other602.setConfig);
-  memberJoin = std::move(other602.memberJoin);
-  memberGone = std::move(other602.memberGone);
-  memberLeaving = std::move(other602.memberLeaving);
-  holderWhole = std::move(other602.holderWhole);
-  handOver = std::move(other602.handOver);
-  setVoters = std::move(other602.setVoters);
-  noop = other602.noop;
-  setEvacuation = std::move(other602.setEvacuation);
-  __isset = other602.__isset;
+Command& Command::operator=(Command&& other614) noexcept {
+  setConfig = std::move(other614.setConfig);
+  memberJoin = std::move(other614.memberJoin);
+  memberGone = std::move(other614.memberGone);
+  memberLeaving = std::move(other614.memberLeaving);
+  holderWhole = std::move(other614.holderWhole);
+  handOver = std::move(other614.handOver);
+  setVoters = std::move(other614.setVoters);
+  noop = other614.noop;
+  setEvacuation = std::move(other614.setEvacuation);
+  __isset = other614.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -15770,34 +15854,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other603) {
-  member = other603.member;
-  group = other603.group;
-  term = other603.term;
-  vote = other603.vote;
-  __isset = other603.__isset;
+HardState::HardState(const HardState& other615) {
+  member = other615.member;
+  group = other615.group;
+  term = other615.term;
+  vote = other615.vote;
+  __isset = other615.__isset;
 }
-HardState::HardState(HardState&& other604) noexcept {
-  member = std::move(other604.member);
-  group = std::move(other604.group);
-  term = other604.term;
-  vote = std::move(other604.vote);
-  __isset = other604.__isset;
+HardState::HardState(HardState&& other616) noexcept {
+  member = std::move(other616.member);
+  group = std::move(other616.group);
+  term = other616.term;
+  vote = std::move(other616.vote);
+  __isset = other616.__isset;
 }
-HardState& HardState::operator=(const HardState& other605) {
-  member = other605.member;
-  group = other605.group;
-  term = other605.term;
-  vote = other605.vote;
-  __isset = other605.__isset;
+HardState& HardState::operator=(const HardState& other617) {
+  member = other617.member;
+  group = other617.group;
+  term = other617.term;
+  vote = other617.vote;
+  __isset = other617.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other606) noexcept {
-  member = std::move(other606.member);
-  group = std::move(other606.group);
-  term = other606.term;
-  vote = std::move(other606.vote);
-  __isset = other606.__isset;
+HardState& HardState::operator=(HardState&& other618) noexcept {
+  member = std::move(other618.member);
+  group = std::move(other618.group);
+  term = other618.term;
+  vote = std::move(other618.vote);
+  __isset = other618.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -15875,14 +15959,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size607;
-            ::apache::thrift::protocol::TType _etype610;
-            xfer += iprot->readListBegin(_etype610, _size607);
-            this->entries.resize(_size607);
-            uint32_t _i611;
-            for (_i611 = 0; _i611 < _size607; ++_i611)
+            uint32_t _size619;
+            ::apache::thrift::protocol::TType _etype622;
+            xfer += iprot->readListBegin(_etype622, _size619);
+            this->entries.resize(_size619);
+            uint32_t _i623;
+            for (_i623 = 0; _i623 < _size619; ++_i623)
             {
-              xfer += this->entries[_i611].read(iprot);
+              xfer += this->entries[_i623].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15920,10 +16004,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter612;
-    for (_iter612 = this->entries.begin(); _iter612 != this->entries.end(); ++_iter612)
+    std::vector<LogEntry> ::const_iterator _iter624;
+    for (_iter624 = this->entries.begin(); _iter624 != this->entries.end(); ++_iter624)
     {
-      xfer += (*_iter612).write(oprot);
+      xfer += (*_iter624).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15942,30 +16026,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogRecord::LogRecord(const LogRecord& other613) {
-  state = other613.state;
-  truncateFrom = other613.truncateFrom;
-  entries = other613.entries;
-  __isset = other613.__isset;
+LogRecord::LogRecord(const LogRecord& other625) {
+  state = other625.state;
+  truncateFrom = other625.truncateFrom;
+  entries = other625.entries;
+  __isset = other625.__isset;
 }
-LogRecord::LogRecord(LogRecord&& other614) noexcept {
-  state = std::move(other614.state);
-  truncateFrom = other614.truncateFrom;
-  entries = std::move(other614.entries);
-  __isset = other614.__isset;
+LogRecord::LogRecord(LogRecord&& other626) noexcept {
+  state = std::move(other626.state);
+  truncateFrom = other626.truncateFrom;
+  entries = std::move(other626.entries);
+  __isset = other626.__isset;
 }
-LogRecord& LogRecord::operator=(const LogRecord& other615) {
-  state = other615.state;
-  truncateFrom = other615.truncateFrom;
-  entries = other615.entries;
-  __isset = other615.__isset;
+LogRecord& LogRecord::operator=(const LogRecord& other627) {
+  state = other627.state;
+  truncateFrom = other627.truncateFrom;
+  entries = other627.entries;
+  __isset = other627.__isset;
   return *this;
 }
-LogRecord& LogRecord::operator=(LogRecord&& other616) noexcept {
-  state = std::move(other616.state);
-  truncateFrom = other616.truncateFrom;
-  entries = std::move(other616.entries);
-  __isset = other616.__isset;
+LogRecord& LogRecord::operator=(LogRecord&& other628) noexcept {
+  state = std::move(other628.state);
+  truncateFrom = other628.truncateFrom;
+  entries = std::move(other628.entries);
+  __isset = other628.__isset;
   return *this;
 }
 void LogRecord::printTo(std::ostream& out) const {
@@ -16017,14 +16101,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size617;
-            ::apache::thrift::protocol::TType _etype620;
-            xfer += iprot->readListBegin(_etype620, _size617);
-            this->records.resize(_size617);
-            uint32_t _i621;
-            for (_i621 = 0; _i621 < _size617; ++_i621)
+            uint32_t _size629;
+            ::apache::thrift::protocol::TType _etype632;
+            xfer += iprot->readListBegin(_etype632, _size629);
+            this->records.resize(_size629);
+            uint32_t _i633;
+            for (_i633 = 0; _i633 < _size629; ++_i633)
             {
-              xfer += this->records[_i621].read(iprot);
+              xfer += this->records[_i633].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16053,10 +16137,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<LogRecord> ::const_iterator _iter622;
-    for (_iter622 = this->records.begin(); _iter622 != this->records.end(); ++_iter622)
+    std::vector<LogRecord> ::const_iterator _iter634;
+    for (_iter634 = this->records.begin(); _iter634 != this->records.end(); ++_iter634)
     {
-      xfer += (*_iter622).write(oprot);
+      xfer += (*_iter634).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16073,22 +16157,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LogFrame::LogFrame(const LogFrame& other623) {
-  records = other623.records;
-  __isset = other623.__isset;
+LogFrame::LogFrame(const LogFrame& other635) {
+  records = other635.records;
+  __isset = other635.__isset;
 }
-LogFrame::LogFrame(LogFrame&& other624) noexcept {
-  records = std::move(other624.records);
-  __isset = other624.__isset;
+LogFrame::LogFrame(LogFrame&& other636) noexcept {
+  records = std::move(other636.records);
+  __isset = other636.__isset;
 }
-LogFrame& LogFrame::operator=(const LogFrame& other625) {
-  records = other625.records;
-  __isset = other625.__isset;
+LogFrame& LogFrame::operator=(const LogFrame& other637) {
+  records = other637.records;
+  __isset = other637.__isset;
   return *this;
 }
-LogFrame& LogFrame::operator=(LogFrame&& other626) noexcept {
-  records = std::move(other626.records);
-  __isset = other626.__isset;
+LogFrame& LogFrame::operator=(LogFrame&& other638) noexcept {
+  records = std::move(other638.records);
+  __isset = other638.__isset;
   return *this;
 }
 void LogFrame::printTo(std::ostream& out) const {
@@ -16174,14 +16258,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size627;
-            ::apache::thrift::protocol::TType _etype630;
-            xfer += iprot->readListBegin(_etype630, _size627);
-            this->voters.resize(_size627);
-            uint32_t _i631;
-            for (_i631 = 0; _i631 < _size627; ++_i631)
+            uint32_t _size639;
+            ::apache::thrift::protocol::TType _etype642;
+            xfer += iprot->readListBegin(_etype642, _size639);
+            this->voters.resize(_size639);
+            uint32_t _i643;
+            for (_i643 = 0; _i643 < _size639; ++_i643)
             {
-              xfer += iprot->readString(this->voters[_i631]);
+              xfer += iprot->readString(this->voters[_i643]);
             }
             xfer += iprot->readListEnd();
           }
@@ -16194,14 +16278,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size632;
-            ::apache::thrift::protocol::TType _etype635;
-            xfer += iprot->readListBegin(_etype635, _size632);
-            this->learners.resize(_size632);
-            uint32_t _i636;
-            for (_i636 = 0; _i636 < _size632; ++_i636)
+            uint32_t _size644;
+            ::apache::thrift::protocol::TType _etype647;
+            xfer += iprot->readListBegin(_etype647, _size644);
+            this->learners.resize(_size644);
+            uint32_t _i648;
+            for (_i648 = 0; _i648 < _size644; ++_i648)
             {
-              xfer += iprot->readString(this->learners[_i636]);
+              xfer += iprot->readString(this->learners[_i648]);
             }
             xfer += iprot->readListEnd();
           }
@@ -16222,17 +16306,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->domains.clear();
-            uint32_t _size637;
-            ::apache::thrift::protocol::TType _ktype638;
-            ::apache::thrift::protocol::TType _vtype639;
-            xfer += iprot->readMapBegin(_ktype638, _vtype639, _size637);
-            uint32_t _i641;
-            for (_i641 = 0; _i641 < _size637; ++_i641)
+            uint32_t _size649;
+            ::apache::thrift::protocol::TType _ktype650;
+            ::apache::thrift::protocol::TType _vtype651;
+            xfer += iprot->readMapBegin(_ktype650, _vtype651, _size649);
+            uint32_t _i653;
+            for (_i653 = 0; _i653 < _size649; ++_i653)
             {
-              std::string _key642;
-              xfer += iprot->readString(_key642);
-              std::string& _val643 = this->domains[_key642];
-              xfer += iprot->readString(_val643);
+              std::string _key654;
+              xfer += iprot->readString(_key654);
+              std::string& _val655 = this->domains[_key654];
+              xfer += iprot->readString(_val655);
             }
             xfer += iprot->readMapEnd();
           }
@@ -16269,10 +16353,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->voters.size()));
-    std::vector<std::string> ::const_iterator _iter644;
-    for (_iter644 = this->voters.begin(); _iter644 != this->voters.end(); ++_iter644)
+    std::vector<std::string> ::const_iterator _iter656;
+    for (_iter656 = this->voters.begin(); _iter656 != this->voters.end(); ++_iter656)
     {
-      xfer += oprot->writeString((*_iter644));
+      xfer += oprot->writeString((*_iter656));
     }
     xfer += oprot->writeListEnd();
   }
@@ -16281,10 +16365,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->learners.size()));
-    std::vector<std::string> ::const_iterator _iter645;
-    for (_iter645 = this->learners.begin(); _iter645 != this->learners.end(); ++_iter645)
+    std::vector<std::string> ::const_iterator _iter657;
+    for (_iter657 = this->learners.begin(); _iter657 != this->learners.end(); ++_iter657)
     {
-      xfer += oprot->writeString((*_iter645));
+      xfer += oprot->writeString((*_iter657));
     }
     xfer += oprot->writeListEnd();
   }
@@ -16297,11 +16381,11 @@
   xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-    std::map<std::string, std::string> ::const_iterator _iter646;
-    for (_iter646 = this->domains.begin(); _iter646 != this->domains.end(); ++_iter646)
+    std::map<std::string, std::string> ::const_iterator _iter658;
+    for (_iter658 = this->domains.begin(); _iter658 != this->domains.end(); ++_iter658)
     {
-      xfer += oprot->writeString(_iter646->first);
-      xfer += oprot->writeString(_iter646->second);
+      xfer += oprot->writeString(_iter658->first);
+      xfer += oprot->writeString(_iter658->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -16323,42 +16407,42 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotFile::SnapshotFile(const SnapshotFile& other647) {
-  lastIndex = other647.lastIndex;
-  lastTerm = other647.lastTerm;
-  voters = other647.voters;
-  learners = other647.learners;
-  data = other647.data;
-  domains = other647.domains;
-  __isset = other647.__isset;
-}
-SnapshotFile::SnapshotFile(SnapshotFile&& other648) noexcept {
-  lastIndex = other648.lastIndex;
-  lastTerm = other648.lastTerm;
-  voters = std::move(other648.voters);
-  learners = std::move(other648.learners);
-  data = std::move(other648.data);
-  domains = std::move(other648.domains);
-  __isset = other648.__isset;
-}
-SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other649) {
-  lastIndex = other649.lastIndex;
-  lastTerm = other649.lastTerm;
-  voters = other649.voters;
-  learners = other649.learners;
-  data = other649.data;
-  domains = other649.domains;
-  __isset = other649.__isset;
+SnapshotFile::SnapshotFile(const SnapshotFile& other659) {
+  lastIndex = other659.lastIndex;
+  lastTerm = other659.lastTerm;
+  voters = other659.voters;
+  learners = other659.learners;
+  data = other659.data;
+  domains = other659.domains;
+  __isset = other659.__isset;
+}
+SnapshotFile::SnapshotFile(SnapshotFile&& other660) noexcept {
+  lastIndex = other660.lastIndex;
+  lastTerm = other660.lastTerm;
+  voters = std::move(other660.voters);
+  learners = std::move(other660.learners);
+  data = std::move(other660.data);
+  domains = std::move(other660.domains);
+  __isset = other660.__isset;
+}
+SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other661) {
+  lastIndex = other661.lastIndex;
+  lastTerm = other661.lastTerm;
+  voters = other661.voters;
+  learners = other661.learners;
+  data = other661.data;
+  domains = other661.domains;
+  __isset = other661.__isset;
   return *this;
 }
-SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other650) noexcept {
-  lastIndex = other650.lastIndex;
-  lastTerm = other650.lastTerm;
-  voters = std::move(other650.voters);
-  learners = std::move(other650.learners);
-  data = std::move(other650.data);
-  domains = std::move(other650.domains);
-  __isset = other650.__isset;
+SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other662) noexcept {
+  lastIndex = other662.lastIndex;
+  lastTerm = other662.lastTerm;
+  voters = std::move(other662.voters);
+  learners = std::move(other662.learners);
+  data = std::move(other662.data);
+  domains = std::move(other662.domains);
+  __isset = other662.__isset;
   return *this;
 }
 void SnapshotFile::printTo(std::ostream& out) const {
@@ -16483,30 +16567,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderRecord::HolderRecord(const HolderRecord& other651) {
-  name = other651.name;
-  since = other651.since;
-  whole = other651.whole;
-  __isset = other651.__isset;
+HolderRecord::HolderRecord(const HolderRecord& other663) {
+  name = other663.name;
+  since = other663.since;
+  whole = other663.whole;
+  __isset = other663.__isset;
 }
-HolderRecord::HolderRecord(HolderRecord&& other652) noexcept {
-  name = std::move(other652.name);
-  since = other652.since;
-  whole = other652.whole;
-  __isset = other652.__isset;
+HolderRecord::HolderRecord(HolderRecord&& other664) noexcept {
+  name = std::move(other664.name);
+  since = other664.since;
+  whole = other664.whole;
+  __isset = other664.__isset;
 }
-HolderRecord& HolderRecord::operator=(const HolderRecord& other653) {
-  name = other653.name;
-  since = other653.since;
-  whole = other653.whole;
-  __isset = other653.__isset;
+HolderRecord& HolderRecord::operator=(const HolderRecord& other665) {
+  name = other665.name;
+  since = other665.since;
+  whole = other665.whole;
+  __isset = other665.__isset;
   return *this;
 }
-HolderRecord& HolderRecord::operator=(HolderRecord&& other654) noexcept {
-  name = std::move(other654.name);
-  since = other654.since;
-  whole = other654.whole;
-  __isset = other654.__isset;
+HolderRecord& HolderRecord::operator=(HolderRecord&& other666) noexcept {
+  name = std::move(other666.name);
+  since = other666.since;
+  whole = other666.whole;
+  __isset = other666.__isset;
   return *this;
 }
 void HolderRecord::printTo(std::ostream& out) const {
@@ -16618,14 +16702,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size655;
-            ::apache::thrift::protocol::TType _etype658;
-            xfer += iprot->readListBegin(_etype658, _size655);
-            this->holders.resize(_size655);
-            uint32_t _i659;
-            for (_i659 = 0; _i659 < _size655; ++_i659)
+            uint32_t _size667;
+            ::apache::thrift::protocol::TType _etype670;
+            xfer += iprot->readListBegin(_etype670, _size667);
+            this->holders.resize(_size667);
+            uint32_t _i671;
+            for (_i671 = 0; _i671 < _size667; ++_i671)
             {
-              xfer += this->holders[_i659].read(iprot);
+              xfer += this->holders[_i671].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16694,10 +16778,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<HolderRecord> ::const_iterator _iter660;
-    for (_iter660 = this->holders.begin(); _iter660 != this->holders.end(); ++_iter660)
+    std::vector<HolderRecord> ::const_iterator _iter672;
+    for (_iter672 = this->holders.begin(); _iter672 != this->holders.end(); ++_iter672)
     {
-      xfer += (*_iter660).write(oprot);
+      xfer += (*_iter672).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16733,50 +16817,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CellRecord::CellRecord(const CellRecord& other661) {
-  cell = other661.cell;
-  serviceName = other661.serviceName;
-  epoch = other661.epoch;
-  owner = other661.owner;
-  holders = other661.holders;
-  floorMs = other661.floorMs;
-  routeVersion = other661.routeVersion;
-  agentsVersion = other661.agentsVersion;
-  __isset = other661.__isset;
-}
-CellRecord::CellRecord(CellRecord&& other662) noexcept {
-  cell = other662.cell;
-  serviceName = std::move(other662.serviceName);
-  epoch = other662.epoch;
-  owner = std::move(other662.owner);
-  holders = std::move(other662.holders);
-  floorMs = other662.floorMs;
-  routeVersion = other662.routeVersion;
-  agentsVersion = other662.agentsVersion;
-  __isset = other662.__isset;
-}
-CellRecord& CellRecord::operator=(const CellRecord& other663) {
-  cell = other663.cell;
-  serviceName = other663.serviceName;
-  epoch = other663.epoch;
-  owner = other663.owner;
-  holders = other663.holders;
-  floorMs = other663.floorMs;
-  routeVersion = other663.routeVersion;
-  agentsVersion = other663.agentsVersion;
-  __isset = other663.__isset;
+CellRecord::CellRecord(const CellRecord& other673) {
+  cell = other673.cell;
+  serviceName = other673.serviceName;
+  epoch = other673.epoch;
+  owner = other673.owner;
+  holders = other673.holders;
+  floorMs = other673.floorMs;
+  routeVersion = other673.routeVersion;
+  agentsVersion = other673.agentsVersion;
+  __isset = other673.__isset;
+}
+CellRecord::CellRecord(CellRecord&& other674) noexcept {
+  cell = other674.cell;
+  serviceName = std::move(other674.serviceName);
+  epoch = other674.epoch;
+  owner = std::move(other674.owner);
+  holders = std::move(other674.holders);
+  floorMs = other674.floorMs;
+  routeVersion = other674.routeVersion;
+  agentsVersion = other674.agentsVersion;
+  __isset = other674.__isset;
+}
+CellRecord& CellRecord::operator=(const CellRecord& other675) {
+  cell = other675.cell;
+  serviceName = other675.serviceName;
+  epoch = other675.epoch;
+  owner = other675.owner;
+  holders = other675.holders;
+  floorMs = other675.floorMs;
+  routeVersion = other675.routeVersion;
+  agentsVersion = other675.agentsVersion;
+  __isset = other675.__isset;
   return *this;
 }
-CellRecord& CellRecord::operator=(CellRecord&& other664) noexcept {
-  cell = other664.cell;
-  serviceName = std::move(other664.serviceName);
-  epoch = other664.epoch;
-  owner = std::move(other664.owner);
-  holders = std::move(other664.holders);
-  floorMs = other664.floorMs;
-  routeVersion = other664.routeVersion;
-  agentsVersion = other664.agentsVersion;
-  __isset = other664.__isset;
+CellRecord& CellRecord::operator=(CellRecord&& other676) noexcept {
+  cell = other676.cell;
+  serviceName = std::move(other676.serviceName);
+  epoch = other676.epoch;
+  owner = std::move(other676.owner);
+  holders = std::move(other676.holders);
+  floorMs = other676.floorMs;
+  routeVersion = other676.routeVersion;
+  agentsVersion = other676.agentsVersion;
+  __isset = other676.__isset;
   return *this;
 }
 void CellRecord::printTo(std::ostream& out) const {
@@ -16871,9 +16955,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast665;
-          xfer += iprot->readI32(ecast665);
-          this->role = static_cast<Role::type>(ecast665);
+          int32_t ecast677;
+          xfer += iprot->readI32(ecast677);
+          this->role = static_cast<Role::type>(ecast677);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -17007,54 +17091,54 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other666) {
-  id = other666.id;
-  role = other666.role;
-  address = other666.address;
-  failureDomain = other666.failureDomain;
-  serviceName = other666.serviceName;
-  cell = other666.cell;
-  leaving = other666.leaving;
-  version = other666.version;
-  leaseVersion = other666.leaseVersion;
-  __isset = other666.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other667) noexcept {
-  id = std::move(other667.id);
-  role = other667.role;
-  address = std::move(other667.address);
-  failureDomain = std::move(other667.failureDomain);
-  serviceName = std::move(other667.serviceName);
-  cell = other667.cell;
-  leaving = other667.leaving;
-  version = other667.version;
-  leaseVersion = other667.leaseVersion;
-  __isset = other667.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other668) {
-  id = other668.id;
-  role = other668.role;
-  address = other668.address;
-  failureDomain = other668.failureDomain;
-  serviceName = other668.serviceName;
-  cell = other668.cell;
-  leaving = other668.leaving;
-  version = other668.version;
-  leaseVersion = other668.leaseVersion;
-  __isset = other668.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other678) {
+  id = other678.id;
+  role = other678.role;
+  address = other678.address;
+  failureDomain = other678.failureDomain;
+  serviceName = other678.serviceName;
+  cell = other678.cell;
+  leaving = other678.leaving;
+  version = other678.version;
+  leaseVersion = other678.leaseVersion;
+  __isset = other678.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other679) noexcept {
+  id = std::move(other679.id);
+  role = other679.role;
+  address = std::move(other679.address);
+  failureDomain = std::move(other679.failureDomain);
+  serviceName = std::move(other679.serviceName);
+  cell = other679.cell;
+  leaving = other679.leaving;
+  version = other679.version;
+  leaseVersion = other679.leaseVersion;
+  __isset = other679.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other680) {
+  id = other680.id;
+  role = other680.role;
+  address = other680.address;
+  failureDomain = other680.failureDomain;
+  serviceName = other680.serviceName;
+  cell = other680.cell;
+  leaving = other680.leaving;
+  version = other680.version;
+  leaseVersion = other680.leaseVersion;
+  __isset = other680.__isset;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other669) noexcept {
-  id = std::move(other669.id);
-  role = other669.role;
-  address = std::move(other669.address);
-  failureDomain = std::move(other669.failureDomain);
-  serviceName = std::move(other669.serviceName);
-  cell = other669.cell;
-  leaving = other669.leaving;
-  version = other669.version;
-  leaseVersion = other669.leaseVersion;
-  __isset = other669.__isset;
+MemberRecord& MemberRecord::operator=(MemberRecord&& other681) noexcept {
+  id = std::move(other681.id);
+  role = other681.role;
+  address = std::move(other681.address);
+  failureDomain = std::move(other681.failureDomain);
+  serviceName = std::move(other681.serviceName);
+  cell = other681.cell;
+  leaving = other681.leaving;
+  version = other681.version;
+  leaseVersion = other681.leaseVersion;
+  __isset = other681.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -17144,14 +17228,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size670;
-            ::apache::thrift::protocol::TType _etype673;
-            xfer += iprot->readListBegin(_etype673, _size670);
-            this->history.resize(_size670);
-            uint32_t _i674;
-            for (_i674 = 0; _i674 < _size670; ++_i674)
+            uint32_t _size682;
+            ::apache::thrift::protocol::TType _etype685;
+            xfer += iprot->readListBegin(_etype685, _size682);
+            this->history.resize(_size682);
+            uint32_t _i686;
+            for (_i686 = 0; _i686 < _size682; ++_i686)
             {
-              xfer += this->history[_i674].read(iprot);
+              xfer += this->history[_i686].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
