@@ -17164,14 +17248,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size675;
-            ::apache::thrift::protocol::TType _etype678;
-            xfer += iprot->readListBegin(_etype678, _size675);
-            this->members.resize(_size675);
-            uint32_t _i679;
-            for (_i679 = 0; _i679 < _size675; ++_i679)
+            uint32_t _size687;
+            ::apache::thrift::protocol::TType _etype690;
+            xfer += iprot->readListBegin(_etype690, _size687);
+            this->members.resize(_size687);
+            uint32_t _i691;
+            for (_i691 = 0; _i691 < _size687; ++_i691)
             {
-              xfer += this->members[_i679].read(iprot);
+              xfer += this->members[_i691].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -17184,14 +17268,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size680;
-            ::apache::thrift::protocol::TType _etype683;
-            xfer += iprot->readListBegin(_etype683, _size680);
-            this->cells.resize(_size680);
-            uint32_t _i684;
-            for (_i684 = 0; _i684 < _size680; ++_i684)
+            uint32_t _size692;
+            ::apache::thrift::protocol::TType _etype695;
+            xfer += iprot->readListBegin(_etype695, _size692);
+            this->cells.resize(_size692);
+            uint32_t _i696;
+            for (_i696 = 0; _i696 < _size692; ++_i696)
             {
-              xfer += this->cells[_i684].read(iprot);
+              xfer += this->cells[_i696].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -17236,14 +17320,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuations.clear();
-            uint32_t _size685;
-            ::apache::thrift::protocol::TType _etype688;
-            xfer += iprot->readListBegin(_etype688, _size685);
-            this->evacuations.resize(_size685);
-            uint32_t _i689;
-            for (_i689 = 0; _i689 < _size685; ++_i689)
+            uint32_t _size697;
+            ::apache::thrift::protocol::TType _etype700;
+            xfer += iprot->readListBegin(_etype700, _size697);
+            this->evacuations.resize(_size697);
+            uint32_t _i701;
+            for (_i701 = 0; _i701 < _size697; ++_i701)
             {
-              xfer += this->evacuations[_i689].read(iprot);
+              xfer += this->evacuations[_i701].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -17280,10 +17364,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<ConfigFile> ::const_iterator _iter690;
-    for (_iter690 = this->history.begin(); _iter690 != this->history.end(); ++_iter690)
+    std::vector<ConfigFile> ::const_iterator _iter702;
+    for (_iter702 = this->history.begin(); _iter702 != this->history.end(); ++_iter702)
     {
-      xfer += (*_iter690).write(oprot);
+      xfer += (*_iter702).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -17292,10 +17376,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter691;
-    for (_iter691 = this->members.begin(); _iter691 != this->members.end(); ++_iter691)
+    std::vector<MemberRecord> ::const_iterator _iter703;
+    for (_iter703 = this->members.begin(); _iter703 != this->members.end(); ++_iter703)
     {
-      xfer += (*_iter691).write(oprot);
+      xfer += (*_iter703).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -17304,10 +17388,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellRecord> ::const_iterator _iter692;
-    for (_iter692 = this->cells.begin(); _iter692 != this->cells.end(); ++_iter692)
+    std::vector<CellRecord> ::const_iterator _iter704;
+    for (_iter704 = this->cells.begin(); _iter704 != this->cells.end(); ++_iter704)
     {
-      xfer += (*_iter692).write(oprot);
+      xfer += (*_iter704).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -17332,10 +17416,10 @@
   xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
-    std::vector<Evacuation> ::const_iterator _iter693;
-    for (_iter693 = this->evacuations.begin(); _iter693 != this->evacuations.end(); ++_iter693)
+    std::vector<Evacuation> ::const_iterator _iter705;
+    for (_iter705 = this->evacuations.begin(); _iter705 != this->evacuations.end(); ++_iter705)
     {
-      xfer += (*_iter693).write(oprot);
+      xfer += (*_iter705).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -17364,54 +17448,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlImage::ControlImage(const ControlImage& other694) {
-  history = other694.history;
-  members = other694.members;
-  cells = other694.cells;
-  nextCell = other694.nextCell;
-  configVersion = other694.configVersion;
-  routesVersion = other694.routesVersion;
-  entriesVersion = other694.entriesVersion;
-  evacuations = other694.evacuations;
-  evacuationsVersion = other694.evacuationsVersion;
-  __isset = other694.__isset;
-}
-ControlImage::ControlImage(ControlImage&& other695) noexcept {
-  history = std::move(other695.history);
-  members = std::move(other695.members);
-  cells = std::move(other695.cells);
-  nextCell = other695.nextCell;
-  configVersion = other695.configVersion;
-  routesVersion = other695.routesVersion;
-  entriesVersion = other695.entriesVersion;
-  evacuations = std::move(other695.evacuations);
-  evacuationsVersion = other695.evacuationsVersion;
-  __isset = other695.__isset;
-}
-ControlImage& ControlImage::operator=(const ControlImage& other696) {
-  history = other696.history;
-  members = other696.members;
-  cells = other696.cells;
-  nextCell = other696.nextCell;
-  configVersion = other696.configVersion;
-  routesVersion = other696.routesVersion;
-  entriesVersion = other696.entriesVersion;
-  evacuations = other696.evacuations;
-  evacuationsVersion = other696.evacuationsVersion;
-  __isset = other696.__isset;
+ControlImage::ControlImage(const ControlImage& other706) {
+  history = other706.history;
+  members = other706.members;
+  cells = other706.cells;
+  nextCell = other706.nextCell;
+  configVersion = other706.configVersion;
+  routesVersion = other706.routesVersion;
+  entriesVersion = other706.entriesVersion;
+  evacuations = other706.evacuations;
+  evacuationsVersion = other706.evacuationsVersion;
+  __isset = other706.__isset;
+}
+ControlImage::ControlImage(ControlImage&& other707) noexcept {
+  history = std::move(other707.history);
+  members = std::move(other707.members);
+  cells = std::move(other707.cells);
+  nextCell = other707.nextCell;
+  configVersion = other707.configVersion;
+  routesVersion = other707.routesVersion;
+  entriesVersion = other707.entriesVersion;
+  evacuations = std::move(other707.evacuations);
+  evacuationsVersion = other707.evacuationsVersion;
+  __isset = other707.__isset;
+}
+ControlImage& ControlImage::operator=(const ControlImage& other708) {
+  history = other708.history;
+  members = other708.members;
+  cells = other708.cells;
+  nextCell = other708.nextCell;
+  configVersion = other708.configVersion;
+  routesVersion = other708.routesVersion;
+  entriesVersion = other708.entriesVersion;
+  evacuations = other708.evacuations;
+  evacuationsVersion = other708.evacuationsVersion;
+  __isset = other708.__isset;
   return *this;
 }
-ControlImage& ControlImage::operator=(ControlImage&& other697) noexcept {
-  history = std::move(other697.history);
-  members = std::move(other697.members);
-  cells = std::move(other697.cells);
-  nextCell = other697.nextCell;
-  configVersion = other697.configVersion;
-  routesVersion = other697.routesVersion;
-  entriesVersion = other697.entriesVersion;
-  evacuations = std::move(other697.evacuations);
-  evacuationsVersion = other697.evacuationsVersion;
-  __isset = other697.__isset;
+ControlImage& ControlImage::operator=(ControlImage&& other709) noexcept {
+  history = std::move(other709.history);
+  members = std::move(other709.members);
+  cells = std::move(other709.cells);
+  nextCell = other709.nextCell;
+  configVersion = other709.configVersion;
+  routesVersion = other709.routesVersion;
+  entriesVersion = other709.entriesVersion;
+  evacuations = std::move(other709.evacuations);
+  evacuationsVersion = other709.evacuationsVersion;
+  __isset = other709.__isset;
   return *this;
 }
 void ControlImage::printTo(std::ostream& out) const {
@@ -18267,182 +18351,182 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other698) {
-  submitJob = other698.submitJob;
-  cancelJob = other698.cancelJob;
-  queryJob = other698.queryJob;
-  jobReply = other698.jobReply;
-  notOwner = other698.notOwner;
-  recordBatch = other698.recordBatch;
-  recordSnapshot = other698.recordSnapshot;
-  recordAck = other698.recordAck;
-  startBatch = other698.startBatch;
-  cancelBatch = other698.cancelBatch;
-  resultAck = other698.resultAck;
-  fence = other698.fence;
-  agentHello = other698.agentHello;
-  resultBatch = other698.resultBatch;
-  startRefused = other698.startRefused;
-  agentState = other698.agentState;
-  memberHeartbeat = other698.memberHeartbeat;
-  heartbeatReply = other698.heartbeatReply;
-  clusterView = other698.clusterView;
-  applyConfig = other698.applyConfig;
-  applyReply = other698.applyReply;
-  controlQuery = other698.controlQuery;
-  controlAnswer = other698.controlAnswer;
-  orderEvacuation = other698.orderEvacuation;
-  hostReport = other698.hostReport;
-  hostContact = other698.hostContact;
-  runTasks = other698.runTasks;
-  stopTasks = other698.stopTasks;
-  taskReports = other698.taskReports;
-  startsInDoubt = other698.startsInDoubt;
-  ordersElsewhere = other698.ordersElsewhere;
-  requestVote = other698.requestVote;
-  voteReply = other698.voteReply;
-  appendEntries = other698.appendEntries;
-  appendReply = other698.appendReply;
-  installSnapshot = other698.installSnapshot;
-  installReply = other698.installReply;
-  timeoutNow = other698.timeoutNow;
-  snapshotChunk = other698.snapshotChunk;
-  snapshotChunkReply = other698.snapshotChunkReply;
-  voterLeaving = other698.voterLeaving;
-  __isset = other698.__isset;
-}
-Message::Message(Message&& other699) noexcept {
-  submitJob = std::move(other699.submitJob);
-  cancelJob = std::move(other699.cancelJob);
-  queryJob = std::move(other699.queryJob);
-  jobReply = std::move(other699.jobReply);
-  notOwner = std::move(other699.notOwner);
-  recordBatch = std::move(other699.recordBatch);
-  recordSnapshot = std::move(other699.recordSnapshot);
-  recordAck = std::move(other699.recordAck);
-  startBatch = std::move(other699.startBatch);
-  cancelBatch = std::move(other699.cancelBatch);
-  resultAck = std::move(other699.resultAck);
-  fence = std::move(other699.fence);
-  agentHello = std::move(other699.agentHello);
-  resultBatch = std::move(other699.resultBatch);
-  startRefused = std::move(other699.startRefused);
-  agentState = std::move(other699.agentState);
-  memberHeartbeat = std::move(other699.memberHeartbeat);
-  heartbeatReply = std::move(other699.heartbeatReply);
-  clusterView = std::move(other699.clusterView);
-  applyConfig = std::move(other699.applyConfig);
-  applyReply = std::move(other699.applyReply);
-  controlQuery = std::move(other699.controlQuery);
-  controlAnswer = std::move(other699.controlAnswer);
-  orderEvacuation = std::move(other699.orderEvacuation);
-  hostReport = std::move(other699.hostReport);
-  hostContact = std::move(other699.hostContact);
-  runTasks = std::move(other699.runTasks);
-  stopTasks = std::move(other699.stopTasks);
-  taskReports = std::move(other699.taskReports);
-  startsInDoubt = std::move(other699.startsInDoubt);
-  ordersElsewhere = std::move(other699.ordersElsewhere);
-  requestVote = std::move(other699.requestVote);
-  voteReply = std::move(other699.voteReply);
-  appendEntries = std::move(other699.appendEntries);
-  appendReply = std::move(other699.appendReply);
-  installSnapshot = std::move(other699.installSnapshot);
-  installReply = std::move(other699.installReply);
-  timeoutNow = std::move(other699.timeoutNow);
-  snapshotChunk = std::move(other699.snapshotChunk);
-  snapshotChunkReply = std::move(other699.snapshotChunkReply);
-  voterLeaving = std::move(other699.voterLeaving);
-  __isset = other699.__isset;
-}
-Message& Message::operator=(const Message& other700) {
-  submitJob = other700.submitJob;
-  cancelJob = other700.cancelJob;
-  queryJob = other700.queryJob;
-  jobReply = other700.jobReply;
-  notOwner = other700.notOwner;
-  recordBatch = other700.recordBatch;
-  recordSnapshot = other700.recordSnapshot;
-  recordAck = other700.recordAck;
-  startBatch = other700.startBatch;
-  cancelBatch = other700.cancelBatch;
-  resultAck = other700.resultAck;
-  fence = other700.fence;
-  agentHello = other700.agentHello;
-  resultBatch = other700.resultBatch;
-  startRefused = other700.startRefused;
-  agentState = other700.agentState;
-  memberHeartbeat = other700.memberHeartbeat;
-  heartbeatReply = other700.heartbeatReply;
-  clusterView = other700.clusterView;
-  applyConfig = other700.applyConfig;
-  applyReply = other700.applyReply;
-  controlQuery = other700.controlQuery;
-  controlAnswer = other700.controlAnswer;
-  orderEvacuation = other700.orderEvacuation;
-  hostReport = other700.hostReport;
-  hostContact = other700.hostContact;
-  runTasks = other700.runTasks;
-  stopTasks = other700.stopTasks;
-  taskReports = other700.taskReports;
-  startsInDoubt = other700.startsInDoubt;
-  ordersElsewhere = other700.ordersElsewhere;
-  requestVote = other700.requestVote;
-  voteReply = other700.voteReply;
-  appendEntries = other700.appendEntries;
-  appendReply = other700.appendReply;
-  installSnapshot = other700.installSnapshot;
-  installReply = other700.installReply;
-  timeoutNow = other700.timeoutNow;
-  snapshotChunk = other700.snapshotChunk;
-  snapshotChunkReply = other700.snapshotChunkReply;
-  voterLeaving = other700.voterLeaving;
-  __isset = other700.__isset;
+Message::Message(const Message& other710) {
+  submitJob = other710.submitJob;
+  cancelJob = other710.cancelJob;
+  queryJob = other710.queryJob;
+  jobReply = other710.jobReply;
+  notOwner = other710.notOwner;
+  recordBatch = other710.recordBatch;
+  recordSnapshot = other710.recordSnapshot;
+  recordAck = other710.recordAck;
+  startBatch = other710.startBatch;
+  cancelBatch = other710.cancelBatch;
+  resultAck = other710.resultAck;
+  fence = other710.fence;
+  agentHello = other710.agentHello;
+  resultBatch = other710.resultBatch;
+  startRefused = other710.startRefused;
+  agentState = other710.agentState;
+  memberHeartbeat = other710.memberHeartbeat;
+  heartbeatReply = other710.heartbeatReply;
+  clusterView = other710.clusterView;
+  applyConfig = other710.applyConfig;
+  applyReply = other710.applyReply;
+  controlQuery = other710.controlQuery;
+  controlAnswer = other710.controlAnswer;
+  orderEvacuation = other710.orderEvacuation;
+  hostReport = other710.hostReport;
+  hostContact = other710.hostContact;
+  runTasks = other710.runTasks;
+  stopTasks = other710.stopTasks;
+  taskReports = other710.taskReports;
+  startsInDoubt = other710.startsInDoubt;
+  ordersElsewhere = other710.ordersElsewhere;
+  requestVote = other710.requestVote;
+  voteReply = other710.voteReply;
+  appendEntries = other710.appendEntries;
+  appendReply = other710.appendReply;
+  installSnapshot = other710.installSnapshot;
+  installReply = other710.installReply;
+  timeoutNow = other710.timeoutNow;
+  snapshotChunk = other710.snapshotChunk;
+  snapshotChunkReply = other710.snapshotChunkReply;
+  voterLeaving = other710.voterLeaving;
+  __isset = other710.__isset;
+}
+Message::Message(Message&& other711) noexcept {
+  submitJob = std::move(other711.submitJob);
+  cancelJob = std::move(other711.cancelJob);
+  queryJob = std::move(other711.queryJob);
+  jobReply = std::move(other711.jobReply);
+  notOwner = std::move(other711.notOwner);
+  recordBatch = std::move(other711.recordBatch);
+  recordSnapshot = std::move(other711.recordSnapshot);
+  recordAck = std::move(other711.recordAck);
+  startBatch = std::move(other711.startBatch);
+  cancelBatch = std::move(other711.cancelBatch);
+  resultAck = std::move(other711.resultAck);
+  fence = std::move(other711.fence);
+  agentHello = std::move(other711.agentHello);
+  resultBatch = std::move(other711.resultBatch);
+  startRefused = std::move(other711.startRefused);
+  agentState = std::move(other711.agentState);
+  memberHeartbeat = std::move(other711.memberHeartbeat);
+  heartbeatReply = std::move(other711.heartbeatReply);
+  clusterView = std::move(other711.clusterView);
+  applyConfig = std::move(other711.applyConfig);
+  applyReply = std::move(other711.applyReply);
+  controlQuery = std::move(other711.controlQuery);
+  controlAnswer = std::move(other711.controlAnswer);
+  orderEvacuation = std::move(other711.orderEvacuation);
+  hostReport = std::move(other711.hostReport);
+  hostContact = std::move(other711.hostContact);
+  runTasks = std::move(other711.runTasks);
+  stopTasks = std::move(other711.stopTasks);
+  taskReports = std::move(other711.taskReports);
+  startsInDoubt = std::move(other711.startsInDoubt);
+  ordersElsewhere = std::move(other711.ordersElsewhere);
+  requestVote = std::move(other711.requestVote);
+  voteReply = std::move(other711.voteReply);
+  appendEntries = std::move(other711.appendEntries);
+  appendReply = std::move(other711.appendReply);
+  installSnapshot = std::move(other711.installSnapshot);
+  installReply = std::move(other711.installReply);
+  timeoutNow = std::move(other711.timeoutNow);
+  snapshotChunk = std::move(other711.snapshotChunk);
+  snapshotChunkReply = std::move(other711.snapshotChunkReply);
+  voterLeaving = std::move(other711.voterLeaving);
+  __isset = other711.__isset;
+}
+Message& Message::operator=(const Message& other712) {
+  submitJob = other712.submitJob;
+  cancelJob = other712.cancelJob;
+  queryJob = other712.queryJob;
+  jobReply = other712.jobReply;
+  notOwner = other712.notOwner;
+  recordBatch = other712.recordBatch;
+  recordSnapshot = other712.recordSnapshot;
+  recordAck = other712.recordAck;
+  startBatch = other712.startBatch;
+  cancelBatch = other712.cancelBatch;
+  resultAck = other712.resultAck;
+  fence = other712.fence;
+  agentHello = other712.agentHello;
+  resultBatch = other712.resultBatch;
+  startRefused = other712.startRefused;
+  agentState = other712.agentState;
+  memberHeartbeat = other712.memberHeartbeat;
+  heartbeatReply = other712.heartbeatReply;
+  clusterView = other712.clusterView;
+  applyConfig = other712.applyConfig;
+  applyReply = other712.applyReply;
+  controlQuery = other712.controlQuery;
+  controlAnswer = other712.controlAnswer;
+  orderEvacuation = other712.orderEvacuation;
+  hostReport = other712.hostReport;
+  hostContact = other712.hostContact;
+  runTasks = other712.runTasks;
+  stopTasks = other712.stopTasks;
+  taskReports = other712.taskReports;
+  startsInDoubt = other712.startsInDoubt;
+  ordersElsewhere = other712.ordersElsewhere;
+  requestVote = other712.requestVote;
+  voteReply = other712.voteReply;
+  appendEntries = other712.appendEntries;
+  appendReply = other712.appendReply;
+  installSnapshot = other712.installSnapshot;
+  installReply = other712.installReply;
+  timeoutNow = other712.timeoutNow;
+  snapshotChunk = other712.snapshotChunk;
+  snapshotChunkReply = other712.snapshotChunkReply;
+  voterLeaving = other712.voterLeaving;
+  __isset = other712.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other701) noexcept {
-  submitJob = std::move(other701.submitJob);
-  cancelJob = std::move(other701.cancelJob);
-  queryJob = std::move(other701.queryJob);
-  jobReply = std::move(other701.jobReply);
-  notOwner = std::move(other701.notOwner);
-  recordBatch = std::move(other701.recordBatch);
-  recordSnapshot = std::move(other701.recordSnapshot);
-  recordAck = std::move(other701.recordAck);
-  startBatch = std::move(other701.startBatch);
-  cancelBatch = std::move(other701.cancelBatch);
-  resultAck = std::move(other701.resultAck);
-  fence = std::move(other701.fence);
-  agentHello = std::move(other701.agentHello);
-  resultBatch = std::move(other701.resultBatch);
-  startRefused = std::move(other701.startRefused);
-  agentState = std::move(other701.agentState);
-  memberHeartbeat = std::move(other701.memberHeartbeat);
-  heartbeatReply = std::move(other701.heartbeatReply);
-  clusterView = std::move(other701.clusterView);
-  applyConfig = std::move(other701.applyConfig);
-  applyReply = std::move(other701.applyReply);
-  controlQuery = std::move(other701.controlQuery);
-  controlAnswer = std::move(other701.controlAnswer);
-  orderEvacuation = std::move(other701.orderEvacuation);
-  hostReport = std::move(other701.hostReport);
-  hostContact = std::move(other701.hostContact);
-  runTasks = std::move(other701.runTasks);
-  stopTasks = std::move(other701.stopTasks);
-  taskReports = std::move(other701.taskReports);
-  startsInDoubt = std::move(other701.startsInDoubt);
-  ordersElsewhere = std::move(other701.ordersElsewhere);
-  requestVote = std::move(other701.requestVote);
-  voteReply = std::move(other701.voteReply);
-  appendEntries = std::move(other701.appendEntries);
-  appendReply = std::move(other701.appendReply);
-  installSnapshot = std::move(other701.installSnapshot);
-  installReply = std::move(other701.installReply);
-  timeoutNow = std::move(other701.timeoutNow);
-  snapshotChunk = std::move(other701.snapshotChunk);
-  snapshotChunkReply = std::move(other701.snapshotChunkReply);
-  voterLeaving = std::move(other701.voterLeaving);
-  __isset = other701.__isset;
+Message& Message::operator=(Message&& other713) noexcept {
+  submitJob = std::move(other713.submitJob);
+  cancelJob = std::move(other713.cancelJob);
+  queryJob = std::move(other713.queryJob);
+  jobReply = std::move(other713.jobReply);
+  notOwner = std::move(other713.notOwner);
+  recordBatch = std::move(other713.recordBatch);
+  recordSnapshot = std::move(other713.recordSnapshot);
+  recordAck = std::move(other713.recordAck);
+  startBatch = std::move(other713.startBatch);
+  cancelBatch = std::move(other713.cancelBatch);
+  resultAck = std::move(other713.resultAck);
+  fence = std::move(other713.fence);
+  agentHello = std::move(other713.agentHello);
+  resultBatch = std::move(other713.resultBatch);
+  startRefused = std::move(other713.startRefused);
+  agentState = std::move(other713.agentState);
+  memberHeartbeat = std::move(other713.memberHeartbeat);
+  heartbeatReply = std::move(other713.heartbeatReply);
+  clusterView = std::move(other713.clusterView);
+  applyConfig = std::move(other713.applyConfig);
+  applyReply = std::move(other713.applyReply);
+  controlQuery = std::move(other713.controlQuery);
+  controlAnswer = std::move(other713.controlAnswer);
+  orderEvacuation = std::move(other713.orderEvacuation);
+  hostReport = std::move(other713.hostReport);
+  hostContact = std::move(other713.hostContact);
+  runTasks = std::move(other713.runTasks);
+  stopTasks = std::move(other713.stopTasks);
+  taskReports = std::move(other713.taskReports);
+  startsInDoubt = std::move(other713.startsInDoubt);
+  ordersElsewhere = std::move(other713.ordersElsewhere);
+  requestVote = std::move(other713.requestVote);
+  voteReply = std::move(other713.voteReply);
+  appendEntries = std::move(other713.appendEntries);
+  appendReply = std::move(other713.appendReply);
+  installSnapshot = std::move(other713.installSnapshot);
+  installReply = std::move(other713.installReply);
+  timeoutNow = std::move(other713.timeoutNow);
+  snapshotChunk = std::move(other713.snapshotChunk);
+  snapshotChunkReply = std::move(other713.snapshotChunkReply);
+  voterLeaving = std::move(other713.voterLeaving);
+  __isset = other713.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -18554,9 +18638,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast702;
-          xfer += iprot->readI32(ecast702);
-          this->role = static_cast<Role::type>(ecast702);
+          int32_t ecast714;
+          xfer += iprot->readI32(ecast714);
+          this->role = static_cast<Role::type>(ecast714);
           this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -18582,14 +18666,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size703;
-            ::apache::thrift::protocol::TType _etype706;
-            xfer += iprot->readListBegin(_etype706, _size703);
-            this->messages.resize(_size703);
-            uint32_t _i707;
-            for (_i707 = 0; _i707 < _size703; ++_i707)
+            uint32_t _size715;
+            ::apache::thrift::protocol::TType _etype718;
+            xfer += iprot->readListBegin(_etype718, _size715);
+            this->messages.resize(_size715);
+            uint32_t _i719;
+            for (_i719 = 0; _i719 < _size715; ++_i719)
             {
-              xfer += this->messages[_i707].read(iprot);
+              xfer += this->messages[_i719].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -18634,10 +18718,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<Message> ::const_iterator _iter708;
-    for (_iter708 = this->messages.begin(); _iter708 != this->messages.end(); ++_iter708)
+    std::vector<Message> ::const_iterator _iter720;
+    for (_iter720 = this->messages.begin(); _iter720 != this->messages.end(); ++_iter720)
     {
-      xfer += (*_iter708).write(oprot);
+      xfer += (*_iter720).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -18658,38 +18742,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other709) {
-  sender = other709.sender;
-  role = other709.role;
-  address = other709.address;
-  configNumber = other709.configNumber;
-  messages = other709.messages;
-  __isset = other709.__isset;
-}
-Envelope::Envelope(Envelope&& other710) noexcept {
-  sender = std::move(other710.sender);
-  role = other710.role;
-  address = std::move(other710.address);
-  configNumber = other710.configNumber;
-  messages = std::move(other710.messages);
-  __isset = other710.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other711) {
-  sender = other711.sender;
-  role = other711.role;
-  address = other711.address;
-  configNumber = other711.configNumber;
-  messages = other711.messages;
-  __isset = other711.__isset;
+Envelope::Envelope(const Envelope& other721) {
+  sender = other721.sender;
+  role = other721.role;
+  address = other721.address;
+  configNumber = other721.configNumber;
+  messages = other721.messages;
+  __isset = other721.__isset;
+}
+Envelope::Envelope(Envelope&& other722) noexcept {
+  sender = std::move(other722.sender);
+  role = other722.role;
+  address = std::move(other722.address);
+  configNumber = other722.configNumber;
+  messages = std::move(other722.messages);
+  __isset = other722.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other723) {
+  sender = other723.sender;
+  role = other723.role;
+  address = other723.address;
+  configNumber = other723.configNumber;
+  messages = other723.messages;
+  __isset = other723.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other712) noexcept {
-  sender = std::move(other712.sender);
-  role = other712.role;
-  address = std::move(other712.address);
-  configNumber = other712.configNumber;
-  messages = std::move(other712.messages);
-  __isset = other712.__isset;
+Envelope& Envelope::operator=(Envelope&& other724) noexcept {
+  sender = std::move(other724.sender);
+  role = other724.role;
+  address = std::move(other724.address);
+  configNumber = other724.configNumber;
+  messages = std::move(other724.messages);
+  __isset = other724.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/gen-cpp/agatedrum_types.h
+++ b/src/gen-cpp/agatedrum_types.h
@@ -2569,7 +2569,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerCrash& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : serviceName(false), server(false), accepting(false), capacity(false), reserved(false), startDelayMicros(false), slowness(false), failureShare(false), labels(false), sentAtMicros(false), failureDomain(false), sequence(false), unanswered(false), crashes(false), summary(false), entryCount(false), acceptingMicros(false), evacuated(false) {}
+  _HostReport__isset() : serviceName(false), server(false), accepting(false), capacity(false), reserved(false), startDelayMicros(false), slowness(false), failureShare(false), labels(false), sentAtMicros(false), failureDomain(false), sequence(false), unanswered(false), crashes(false), summary(false), entryCount(false), acceptingMicros(false), evacuated(false), urgentDelayMicros(false), keptCpuMillis(false) {}
   bool serviceName :1;
   bool server :1;
   bool accepting :1;
@@ -2588,6 +2588,8 @@
   bool entryCount :1;
   bool acceptingMicros :1;
   bool evacuated :1;
+  bool urgentDelayMicros :1;
+  bool keptCpuMillis :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -2632,6 +2634,8 @@
   int32_t entryCount;
   int64_t acceptingMicros;
   bool evacuated;
+  std::vector<int64_t>  urgentDelayMicros;
+  std::vector<int64_t>  keptCpuMillis;
 
   _HostReport__isset __isset;
 
@@ -2671,6 +2675,10 @@
 
   void __set_evacuated(const bool val);
 
+  void __set_urgentDelayMicros(const std::vector<int64_t> & val);
+
+  void __set_keptCpuMillis(const std::vector<int64_t> & val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -2709,6 +2717,10 @@
       return false;
     if (!(evacuated == rhs.evacuated))
       return false;
+    if (!(urgentDelayMicros == rhs.urgentDelayMicros))
+      return false;
+    if (!(keptCpuMillis == rhs.keptCpuMillis))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -4,6 +4,7 @@
 #include "host_resources_p.h"
 
 #include <algorithm>
+#include <climits>
 #include <utility>
 
 namespace agatedrum {
@@ -14,6 +15,8 @@
 /// Time for which a stopping host still refuses orders: entries learn of the stop, and the orders that they sent before
 /// arrive.
 constexpr Millis stopNoticeTime {250};
+/// Number of priorities, from the most urgent one, for which reports contain the start delay.
+constexpr int reportedPriorities = 3;
 constexpr Micros maxAcceptedDelay = Millis(10); ///< longer than a detour through the entry to another host
 
 } // namespace
@@ -25,6 +28,7 @@
     , server(server)
     , options(std::move(options))
     , registrations(this->options.serverTimeout)
+    , queue(*this->options.overloadPolicy)
     , ramp(this->options.rampTime)
     , entries(this->options.leaseTerms.entryLease(), this->options.listenTime, this->options.repeatInterval)
     , audience(this->options.summaryInterval)
@@ -190,6 +194,7 @@
     task.entry = entry;
     task.serviceName = message.serviceName;
     task.needs = {order.demand, order.requiredLabel, order.group, order.maxPerHost};
+    task.priority = message.priority;
     task.isSuspected = order.suspected;
     task.estimate = Micros(std::max<std::int64_t>(order.estimateMicros, 1000));
     return task;
@@ -212,8 +217,9 @@
         this->refuse(entry, message.job, order, std::string(reason));
         return;
     }
-    const bool fitsNow = fits(order.demand, this->freeCapacity());
-    if (!order.mayWait && !fitsNow && this->startDelayOf(order.demand) > maxAcceptedDelay) {
+    const auto forecast = this->capacityForecast();
+    if (!order.mayWait && !this->queue.couldStart(forecast, order.demand, message.priority)
+        && this->queue.startDelay(forecast, order.demand, message.priority, this->clock.now()) > maxAcceptedDelay) {
         this->refuse(entry, message.job, order, "the backend server has no free capacity for the task");
         return;
     }
@@ -225,12 +231,14 @@
     task.changedAt = now;
     task.acceptedAt = now;
     this->lastDemand = order.demand;
-    WaitingTask waiting;
+    CapacityClaim waiting;
     waiting.id = id;
     waiting.priority = message.priority;
     waiting.demand = order.demand;
     waiting.expectedRunTime = this->runTimeEstimator.expectedTotalTime(task.estimate);
     waiting.latestStart = objective - waiting.expectedRunTime;
+    waiting.deadline = task.abandonAt;
+    waiting.waitingSince = now;
     this->queue.add(waiting);
     this->idByName[name] = id;
     this->tasks.emplace(id, std::move(task));
@@ -326,7 +334,13 @@
     report.failureDomain = this->registered->failureDomain;
     report.evacuated = this->isEvacuated();
     report.reserved = plus(this->reserved(), this->ramp.withheld(this->registered->capacity, now));
-    report.startDelayMicros = this->startDelayOf(this->demandBeyondFreeCapacity()).count();
+    const auto forecast = this->capacityForecast();
+    const auto demand = this->demandBeyondFreeCapacity();
+    report.startDelayMicros = this->queue.startDelay(forecast, demand, INT_MAX, now).count();
+    for (int priority = 0; this->options.overloadPolicy->heedsPriority && priority < reportedPriorities; ++priority) {
+        report.urgentDelayMicros.push_back(this->queue.startDelay(forecast, demand, priority, now).count());
+        report.keptCpuMillis.push_back(this->options.overloadPolicy->keptCpuMillis(forecast, priority));
+    }
     return report;
 }
 
@@ -341,10 +355,12 @@
     return demand;
 }
 
-Micros HostCore::startDelayOf(const wire::Resources &demand) const
+CapacityForecast HostCore::capacityForecast() const
 {
     const auto now = this->clock.now();
-    std::vector<ReservingTask> reserving;
+    CapacityForecast forecast;
+    forecast.capacity = this->registered->capacity;
+    auto &reserving = forecast.reserving;
     for (const auto &[id, task] : this->tasks) {
         if (task.phase == Phase::Waiting) {
             continue;
@@ -352,12 +368,14 @@
         // Without known progress, a task is expected to need at least another quarter of its expected total time.
         const auto expected = this->runTimeEstimator.expectedTotalTime(task.estimate);
         const auto estimatedRemaining = std::max<Micros>(expected - (now - task.startedAt), expected / 4);
-        reserving.push_back({task.needs.demand, task.progress.remaining(now).value_or(estimatedRemaining)});
+        reserving.push_back(
+            {task.needs.demand, task.progress.remaining(now).value_or(estimatedRemaining), task.priority});
     }
     if (const auto rampTime = this->ramp.remaining(now); rampTime > Micros(0)) {
-        reserving.push_back({this->ramp.withheld(this->registered->capacity, now), rampTime});
+        reserving.push_back({this->ramp.withheld(this->registered->capacity, now), rampTime, INT_MAX});
     }
-    return expectedStartDelay(this->registered->capacity, reserving, this->queue.waitingOnTime(now), demand);
+    forecast.meanCpuMillis = this->priorityUse.meanCpuMillis();
+    return forecast;
 }
 
 void HostCore::announce()
@@ -424,6 +442,10 @@
         this->recordAccepting();
         this->applyDeferredRegistration();
         this->checkTasks();
+        this->refuseGivenUp();
+        if (this->registered) {
+            this->priorityUse.observe(this->capacityForecast().reserving, now);
+        }
         this->reportWitnessed();
         this->sendDuePolls();
         this->startWaitingTasks();
@@ -478,6 +500,7 @@
               {"host_cpu_millis_reserved", reserved.cpuMillis},
               {"host_slowness", this->runTimeEstimator.slowness()},
               {"host_failure_share", this->failureShare},
+              {"host_tasks_given_up_total", this->counters.givenUp},
               {"host_evacuations_total", this->counters.evacuations},
               {"host_evacuated", this->isEvacuated() ? 1 : 0},
               {"host_accepting", this->isAccepting() ? 1 : 0}}}};
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -43,6 +43,7 @@
     Millis lateStartTime {AGATEDRUM_LATE_START_MS};
     Millis capacityValidity {AGATEDRUM_CAPACITY_VALID_MS};
     Millis rampTime {AGATEDRUM_HOST_RAMP_MS};
+    const OverloadPolicy *overloadPolicy = &deadlinePolicy; ///< must outlive the core
 };
 
 /// Manages the capacity of one backend server that runs tasks with resource demands. Thread-safe.
@@ -90,6 +91,7 @@
         std::shared_ptr<const std::string> spec;
         std::string serviceName;
         TaskNeeds needs;
+        int priority = 0; ///< 0 is the most urgent
         Micros estimate {0};
         Time objective; ///< a task that ends after this time misses the job's latency objective
         Time abandonAt; ///< the caller's deadline; a result after this time is of no use
@@ -136,6 +138,7 @@
         std::uint64_t serverInstances = 0;
         std::uint64_t serversLost = 0;
         std::uint64_t evacuations = 0;
+        std::uint64_t givenUp = 0;
     };
 
     /// Applies the evacuated failure domains of the newest view.
@@ -193,6 +196,8 @@
     void finish(std::int64_t id, wire::TaskPhase::type phase, const std::string &reason, Micros runTime = {});
     void checkTasks();
     void refuseWaiting(const std::string &reason);
+    /// Refuses the waiting tasks that the overload policy gives up.
+    void refuseGivenUp();
     /// Refuses the waiting tasks that the backend server may not run. Precondition: a backend server is registered.
     void refuseUnfit();
 
@@ -254,14 +259,16 @@
     /// Returns when the present instance sent the registration, by its clock; now if that is unknown.
     Time sendTimeOf(const ServerRegistration &registration) const;
     wire::Resources reserved() const;
-    /// Returns the capacity that no task has reserved. Precondition: a backend server is registered.
+    /// Returns the capacity that no task has reserved and no ramp withholds. Precondition: a backend server is
+    /// registered.
     wire::Resources freeCapacity() const;
     double currentSlowness() const;
     /// Returns a demand that does not fit into the free capacity. The host's report contains the start delay of such a
     /// demand only, since an entry assumes that a demand within the reported free capacity starts without delay.
     wire::Resources demandBeyondFreeCapacity() const;
-    /// Returns the expected waiting time of one more task. Precondition: a backend server is registered.
-    Micros startDelayOf(const wire::Resources &demand) const;
+    /// Returns the tasks that reserve capacity, and the part that the ramp withholds. Precondition: a backend server is
+    /// registered.
+    CapacityForecast capacityForecast() const;
 
     MessageSinkI &sink;
     const ClockI &clock;
@@ -297,6 +304,7 @@
     std::map<TaskName, std::int64_t> idByName;
     std::map<TaskName, LastRun> lastRuns; ///< highest run numbers of recent tasks
     HostQueue queue;
+    PriorityUse priorityUse;
     std::vector<std::string> evacuatedDomains; ///< by the newest view that was applied
     HostRamp ramp;
     HostEntries entries;
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -61,7 +61,7 @@
     if (!this->isAccepting() || this->queue.waiting().empty() || this->leaseLimit(now) - now < minStartLease) {
         return;
     }
-    for (const auto id : this->queue.takeStartable(this->freeCapacity(), now)) {
+    for (const auto id : this->queue.takeStartable(this->capacityForecast(), now)) {
         auto &task = this->tasks.at(id);
         if (now >= task.abandonAt || !this->entries.hasLease(task.entry, now)) {
             this->finish(id, wire::TaskPhase::REFUSED, "the time of the task has passed while it was waiting");
@@ -214,7 +214,7 @@
         task.mustStop = true;
         task.mustEndBy = mustEndBy;
         if (const auto total = task.progress.total(this->clock.now())) {
-            this->stoppedRuns.add(slownessOf(task.estimate, *total), this->clock.now());
+            this->stoppedRuns.add({task.name.job, slownessOf(task.estimate, *total)}, this->clock.now());
         }
         logEvent(component, "stop",
                  {{"job", task.name.job}, {"task", task.name.index}, {"run", task.run}, {"reason", reason}});
@@ -291,6 +291,14 @@
     }
 }
 
+void HostCore::refuseGivenUp()
+{
+    for (const auto id : this->queue.takeGivenUp(this->clock.now())) {
+        ++this->counters.givenUp;
+        this->finish(id, wire::TaskPhase::REFUSED, "the task cannot end before the caller's deadline any more");
+    }
+}
+
 void HostCore::refuseUnfit()
 {
     const auto waiting = this->queue.waiting();
@@ -342,15 +350,15 @@
 double HostCore::currentSlowness() const
 {
     const auto now = this->clock.now();
-    auto observedSlowness = this->stoppedRuns.decayedSlowness(this->runTimeEstimator.slowness(), now);
+    auto observed = this->stoppedRuns.decayedSlowness(this->runTimeEstimator.slowness(), now);
     for (const auto &[id, task] : this->tasks) {
         const bool isActive = task.phase == Phase::Running && !task.mustStop;
         const auto total = isActive ? task.progress.total(now) : std::nullopt;
         if (total) {
-            observedSlowness.push_back(slownessOf(task.estimate, *total));
+            observed.push_back({task.name.job, slownessOf(task.estimate, *total)});
         }
     }
-    return estimateSlowness(this->runTimeEstimator.slowness(), std::move(observedSlowness));
+    return estimateSlowness(this->runTimeEstimator.slowness(), observed);
 }
 
 } // namespace agatedrum
--- a/src/host_progress.cpp
+++ b/src/host_progress.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
+#include <string_view>
 
 namespace agatedrum {
 
@@ -16,7 +18,8 @@
 constexpr double meanTruncation = 0.5;
 constexpr double maxTruncation = 1.0;
 constexpr Micros maxRemaining = std::chrono::seconds(60);
-constexpr std::size_t minObservedRuns = 3;
+constexpr std::size_t minObservations = 3;
+constexpr double maxEstimateError = 4.0; ///< a run that takes longer than this times its estimate shows a stall
 constexpr double significantFactor = 2.0; ///< above the effect of rough estimates on the median of a few tasks
 constexpr double maxSlowness = 20.0;
 constexpr Millis taskOverhead {AGATEDRUM_TASK_OVERHEAD_MS};
@@ -105,9 +108,9 @@
     return expectedTime(estimate, this->learnedSlowness);
 }
 
-void StoppedRuns::add(double slowness, Time now)
+void StoppedRuns::add(const ObservedRun &run, Time now)
 {
-    this->runs.push_back({std::min(slowness, maxSlowness), now});
+    this->runs.push_back({{run.job, std::min(run.slowness, maxSlowness)}, now});
     if (this->runs.size() > maxStoppedRuns) {
         this->runs.pop_front();
     }
@@ -120,26 +123,40 @@
     }
 }
 
-std::vector<double> StoppedRuns::decayedSlowness(double learnedSlowness, Time now) const
+std::vector<ObservedRun> StoppedRuns::decayedSlowness(double learnedSlowness, Time now) const
 {
-    std::vector<double> result;
+    std::vector<ObservedRun> result;
     for (const auto &run : this->runs) {
         const auto remainingWeight
             = 1.0 - static_cast<double>((now - run.stoppedAt).count()) / Micros(stoppedRunRetention).count();
         if (remainingWeight > 0) {
-            result.push_back(learnedSlowness * std::pow(run.slowness / learnedSlowness, remainingWeight));
+            const auto excess = run.observed.slowness / learnedSlowness;
+            result.push_back({run.observed.job, learnedSlowness * std::pow(excess, remainingWeight)});
         }
     }
     return result;
 }
 
-double estimateSlowness(double learnedSlowness, std::vector<double> observedSlowness)
+double estimateSlowness(double learnedSlowness, const std::vector<ObservedRun> &observed)
 {
-    if (observedSlowness.size() < minObservedRuns) {
+    std::vector<double> slowness;
+    std::map<std::string_view, double> lowestByJob;
+    for (const auto &run : observed) {
+        if (run.slowness > maxEstimateError * learnedSlowness) {
+            slowness.push_back(run.slowness);
+            continue;
+        }
+        const auto [known, isNew] = lowestByJob.try_emplace(run.job, run.slowness);
+        known->second = std::min(known->second, run.slowness);
+    }
+    for (const auto &[job, lowest] : lowestByJob) {
+        slowness.push_back(lowest);
+    }
+    if (slowness.size() < minObservations) {
         return learnedSlowness;
     }
-    const auto median = observedSlowness.begin() + static_cast<std::ptrdiff_t>(observedSlowness.size() / 2);
-    std::nth_element(observedSlowness.begin(), median, observedSlowness.end());
+    const auto median = slowness.begin() + static_cast<std::ptrdiff_t>(slowness.size() / 2);
+    std::nth_element(slowness.begin(), median, slowness.end());
     return *median > significantFactor * learnedSlowness ? std::min(*median, maxSlowness) : learnedSlowness;
 }
 
--- a/src/host_progress_p.h
+++ b/src/host_progress_p.h
@@ -4,6 +4,8 @@
 
 #include <deque>
 #include <optional>
+#include <string>
+#include <tuple>
 #include <vector>
 
 namespace agatedrum {
@@ -72,6 +74,18 @@
 /// Returns the run time without the fixed overhead, relative to the estimate.
 double slownessOf(Micros estimate, Micros runTime);
 
+/// Slowness that one run shows.
+struct ObservedRun
+{
+    std::string job; ///< id of the job of the run's task
+    double slowness = 1.0;
+
+    friend bool operator==(const ObservedRun &a, const ObservedRun &b)
+    {
+        return std::tie(a.job, a.slowness) == std::tie(b.job, b.slowness);
+    }
+};
+
 /// Remembers the slowness of runs that were stopped before their end. Not thread-safe.
 ///
 /// Handles a backend server that stalls while each of its tasks is relocated soon after its start. The relocations end
@@ -82,19 +96,18 @@
 class StoppedRuns
 {
 public:
-    /// Adds a stopped run.
-    /// @param slowness slowness of the run, from its expected end
-    void add(double slowness, Time now);
+    /// Adds a stopped run, with the slowness that follows from its expected end.
+    void add(const ObservedRun &run, Time now);
     /// Handles a run that has succeeded: removes the oldest stopped run unless the run was clearly slow itself.
     /// @param learnedSlowness slowness of the backend server's ended runs
     void recordSuccess(double slowness, double learnedSlowness);
-    /// Returns the slowness of the recent stopped runs. The older a run is, the closer its value is to learnedSlowness.
-    std::vector<double> decayedSlowness(double learnedSlowness, Time now) const;
+    /// Returns the recent stopped runs. The older a run is, the closer its slowness is to learnedSlowness.
+    std::vector<ObservedRun> decayedSlowness(double learnedSlowness, Time now) const;
 
 private:
     struct Run
     {
-        double slowness = 1.0;
+        ObservedRun observed;
         Time stoppedAt;
     };
 
@@ -104,9 +117,10 @@
 /// Estimates the current slowness of a backend server from its ended and its active runs.
 ///
 /// When a backend server becomes slow, most of its runs show it before any of them ends. A single long task says
-/// nothing about its backend server.
+/// nothing about its backend server, and neither do several runs of one job: they share the error of its estimate. So
+/// each job counts once, with its fastest run. Runs that are slower than any such error explains count one by one.
 /// @param learnedSlowness slowness of the ended runs
-/// @param observedSlowness slowness of the active runs with known progress, and of recently stopped runs
-double estimateSlowness(double learnedSlowness, std::vector<double> observedSlowness);
+/// @param observed active runs with known progress, and recently stopped runs
+double estimateSlowness(double learnedSlowness, const std::vector<ObservedRun> &observed);
 
 } // namespace agatedrum
--- a/src/host_queue.cpp
+++ b/src/host_queue.cpp
@@ -3,33 +3,15 @@
 #include "host_resources_p.h"
 
 #include <algorithm>
-#include <iterator>
-#include <tuple>
-#include <utility>
 
 namespace agatedrum {
 
-namespace {
-
-struct Release
-{
-    Micros releasedIn {0};
-    wire::Resources demand;
-};
-
-bool isLater(const Release &a, const Release &b)
+HostQueue::HostQueue(const OverloadPolicy &policy)
+    : policy(policy)
 {
-    return a.releasedIn > b.releasedIn;
 }
 
-bool startsBefore(const WaitingTask &a, const WaitingTask &b)
-{
-    return std::tie(a.latestStart, a.priority) < std::tie(b.latestStart, b.priority);
-}
-
-} // namespace
-
-void HostQueue::add(const WaitingTask &task)
+void HostQueue::add(const CapacityClaim &task)
 {
     const auto position = std::upper_bound(this->tasks.begin(), this->tasks.end(), task, startsBefore);
     this->tasks.insert(position, task);
@@ -37,71 +19,54 @@
 
 void HostQueue::remove(std::int64_t id)
 {
-    this->tasks.erase(
-        std::remove_if(this->tasks.begin(), this->tasks.end(), [id](const WaitingTask &task) { return task.id == id; }),
-        this->tasks.end());
+    this->tasks.erase(std::remove_if(this->tasks.begin(), this->tasks.end(),
+                                     [id](const CapacityClaim &task) { return task.id == id; }),
+                      this->tasks.end());
 }
 
-std::vector<WaitingTask>::iterator HostQueue::firstOnTime(Time now)
+std::vector<std::int64_t> HostQueue::takeStartable(const CapacityForecast &forecast, Time now)
 {
-    return std::find_if(this->tasks.begin(), this->tasks.end(),
-                        [now](const WaitingTask &task) { return task.latestStart >= now; });
+    auto free = freeResources(forecast);
+    const auto order = this->policy.order(this->tasks, forecast, now);
+    std::vector<std::int64_t> started;
+    for (const auto *claims : {&order.onTime, &order.deferred}) {
+        for (const auto &claim : *claims) {
+            if (fits(withKept(claim.demand, this->policy.keptCpuMillis(forecast, claim.priority)), free)) {
+                free = minus(free, claim.demand);
+                started.push_back(claim.id);
+            }
+        }
+    }
+    for (const auto id : started) {
+        this->remove(id);
+    }
+    return started;
 }
 
-std::vector<std::int64_t> HostQueue::takeStartable(wire::Resources free, Time now)
+std::vector<std::int64_t> HostQueue::takeGivenUp(Time now)
 {
-    std::vector<std::int64_t> started;
-    // The tasks are sorted by latest start, so this moves the late ones behind all others.
-    std::rotate(this->tasks.begin(), this->firstOnTime(now), this->tasks.end());
-    std::vector<WaitingTask> kept;
-    for (auto &task : this->tasks) {
-        if (fits(task.demand, free)) {
-            free = minus(free, task.demand);
-            started.push_back(task.id);
-        } else {
-            kept.push_back(std::move(task));
+    std::vector<std::int64_t> givenUp;
+    for (const auto &task : this->tasks) {
+        if (this->policy.givesUp(task, now)) {
+            givenUp.push_back(task.id);
         }
     }
-    this->tasks = std::move(kept);
-    std::stable_sort(this->tasks.begin(), this->tasks.end(), startsBefore);
-    return started;
+    for (const auto id : givenUp) {
+        this->remove(id);
+    }
+    return givenUp;
 }
 
-std::vector<WaitingTask> HostQueue::waitingOnTime(Time now) const
+Micros HostQueue::startDelay(const CapacityForecast &forecast, const wire::Resources &demand, int priority,
+                             Time now) const
 {
-    std::vector<WaitingTask> result;
-    std::copy_if(this->tasks.begin(), this->tasks.end(), std::back_inserter(result),
-                 [now](const WaitingTask &task) { return task.latestStart >= now; });
-    return result;
+    const auto needed = withKept(demand, this->policy.keptCpuMillis(forecast, priority));
+    return expectedStartDelay(forecast, this->policy.ahead(this->tasks, priority, now), needed);
 }
 
-Micros expectedStartDelay(const wire::Resources &capacity, const std::vector<ReservingTask> &reserving,
-                          const std::vector<WaitingTask> &waiting, const wire::Resources &demand)
+bool HostQueue::couldStart(const CapacityForecast &forecast, const wire::Resources &demand, int priority) const
 {
-    auto free = capacity;
-    std::vector<Release> releases; // min-heap: the earliest release first
-    for (const auto &task : reserving) {
-        free = minus(free, task.demand);
-        releases.push_back({task.remaining, task.demand});
-    }
-    std::make_heap(releases.begin(), releases.end(), isLater);
-    Micros delay {0};
-    const auto advanceUntilFits = [&](const wire::Resources &wanted) {
-        while (!fits(wanted, free) && !releases.empty()) {
-            std::pop_heap(releases.begin(), releases.end(), isLater);
-            delay = std::max(delay, releases.back().releasedIn);
-            free = plus(free, releases.back().demand);
-            releases.pop_back();
-        }
-    };
-    for (const auto &task : waiting) {
-        advanceUntilFits(task.demand);
-        free = minus(free, task.demand);
-        releases.push_back({delay + task.expectedRunTime, task.demand});
-        std::push_heap(releases.begin(), releases.end(), isLater);
-    }
-    advanceUntilFits(demand);
-    return delay;
+    return fits(withKept(demand, this->policy.keptCpuMillis(forecast, priority)), freeResources(forecast));
 }
 
 } // namespace agatedrum
--- a/src/settings_process.cpp
+++ b/src/settings_process.cpp
@@ -170,6 +170,7 @@
     case wire::Role::AGENT:
         settings.registrations = readAddress(reader, "registrations");
         settings.hostLease = readLeaseTerms(reader);
+        settings.heedsPriority = reader.choice("overloadPolicy", "deadline", {"deadline", "priority"}) == "priority";
         break;
     case wire::Role::CONTROL:
         settings.operators = readAddress(reader, "operators");
@@ -302,6 +303,7 @@
                                                 {"farFactor", "entry"},
                                                 {"registrations", "agent"},
                                                 {"callerRetryMs", "agent"},
+                                                {"overloadPolicy", "agent"},
                                                 {"operators", "control"},
                                                 {"mayFormGroup", "control"},
                                                 {"failureDomains", "control"},
--- a/src/settings_process_p.h
+++ b/src/settings_process_p.h
@@ -43,6 +43,7 @@
     wire::Endpoint callers; ///< entry on a platform: address for callers
     wire::Endpoint readiness; ///< entry on a platform: address for readiness checks
     wire::Endpoint registrations; ///< agent on a platform: address for the registration of its backend server
+    bool heedsPriority = false; ///< agent on a platform: whether priorities decide what waits, see priorityPolicy
     HostLeaseTerms hostLease; ///< agent on a platform: follows from the time after which callers submit a job again
     wire::Endpoint operators; ///< control on a platform: address for operators
 };
--- a/tests/test_dispatch.cpp
+++ b/tests/test_dispatch.cpp
@@ -460,6 +460,57 @@
     }
 }
 
+// Guards against a caller that waits until its deadline for an answer that is known already, and against a refusal that
+// says "not run" of a job that may run.
+TEST_CASE("An entry gives up a job at once if no host can end it in time", "[dispatch]")
+{
+    DispatchFixture entry;
+    entry.receiveReport("host-1");
+    const auto submit = [&entry](int tasks) {
+        entry.submit("a", tasks);
+        return entry.takeOrders().at(0);
+    };
+    // The host refuses the last task of the order, and has no free capacity within the time of the caller.
+    const auto refuseLast = [&entry](const wire::RunTasks &order) {
+        wire::TaskReport report;
+        report.job = order.job;
+        report.index = order.orders.back().index;
+        report.order = order.orders.back().order;
+        report.phase = wire::TaskPhase::REFUSED;
+        report.number = ++entry.reportNumbers["host-1"];
+        wire::TaskReports message;
+        message.reports = {report};
+        message.host = entry.makeReport();
+        message.host.reserved = message.host.capacity;
+        message.host.startDelayMicros = 1600000;
+        entry.core.handle(incoming("host-1", wire::Role::AGENT, 44003, message));
+        REQUIRE(entry.outcomes.size() == 1);
+        return entry.outcomes.front();
+    };
+
+    SECTION("as not run if its only task has waited at a host and was refused")
+    {
+        const auto order = submit(1);
+        entry.answer("host-1", order, wire::TaskPhase::QUEUED);
+        const auto outcome = refuseLast(order);
+        REQUIRE(outcome.end == JobEnd::Refused);
+        REQUIRE(outcome.retryAfter > Millis(0));
+    }
+    SECTION("as unfinished if another task waits at a host, where it may start before the order to stop it arrives")
+    {
+        const auto order = submit(2);
+        entry.answer("host-1", order, wire::TaskPhase::QUEUED);
+        REQUIRE(refuseLast(order).end == JobEnd::Unfinished);
+        REQUIRE_FALSE(entry.sink.all<wire::StopTasks>().empty());
+    }
+    SECTION("as unfinished if another task has run")
+    {
+        const auto order = submit(2);
+        entry.answer("host-1", order, wire::TaskPhase::SUCCEEDED);
+        REQUIRE(refuseLast(order).end == JobEnd::Unfinished);
+    }
+}
+
 TEST_CASE("A refusal by a restarted host does not count for an order that its earlier process received", "[dispatch]")
 {
     // Guards against two runs of one task: the earlier process may have started the task and been killed before its
--- a/tests/test_evacuations.cpp
+++ b/tests/test_evacuations.cpp
@@ -328,7 +328,7 @@
 
     SECTION("by the view of the control group")
     {
-        auto candidates = hosts.candidates("visits", {"d1"}, now);
+        auto candidates = hosts.candidates({"visits", 0, {"d1"}}, now);
         for (const auto &placement : placeTasks(tasks, goal, candidates, 1.0)) {
             REQUIRE(candidates.at(static_cast<std::size_t>(placement.host)).name == "host-d2");
         }
@@ -339,14 +339,14 @@
         report.evacuated = true;
         report.sequence = 2;
         hosts.update(incoming("host-d2", wire::Role::AGENT, 44003, report), report, now);
-        auto candidates = hosts.candidates("visits", {}, now);
+        auto candidates = hosts.candidates({"visits", 0, {}}, now);
         REQUIRE(candidates.at(static_cast<std::size_t>(placeTasks(tasks, goal, candidates, 1.0)[0].host)).name
                 == "host-d1");
     }
 
     SECTION("nowhere, if all domains are evacuated; the job is then refused at once")
     {
-        auto candidates = hosts.candidates("visits", {"d1", "d2"}, now);
+        auto candidates = hosts.candidates({"visits", 0, {"d1", "d2"}}, now);
         const auto placements = placeTasks(tasks, goal, candidates, 1.0);
         REQUIRE(placements[0].host == -1);
         REQUIRE(Admission(0.0).evaluate(RouteConfig(), tasks, placements, Millis(1500)));
--- a/tests/test_host.cpp
+++ b/tests/test_host.cpp
@@ -421,7 +421,7 @@
 
 TEST_CASE("During a burst, tasks that are already late start after those that can still start on time", "[host]")
 {
-    HostQueue queue;
+    HostQueue queue(deadlinePolicy);
     const Time begin(std::chrono::hours(1));
     wire::Resources capacity; // enough for one task at a time
     capacity.cpuMillis = 6;
@@ -431,21 +431,21 @@
     constexpr int count = 80;
     int inTime = 0;
     for (int ms = 0; ms < count * taskMs / 2; ms += taskMs / 2) {
-        WaitingTask task;
+        CapacityClaim task;
         task.id = ms;
         task.latestStart = begin + Millis(ms + 60);
         task.demand = capacity;
         task.expectedRunTime = Millis(taskMs);
         queue.add(task);
         if (ms % taskMs == 0) {
-            const auto started = queue.takeStartable(capacity, begin + Millis(ms));
+            const auto started = queue.takeStartable({capacity, {}, {}}, begin + Millis(ms));
             REQUIRE(started.size() == 1);
             inTime += started[0] + 60 >= ms ? 1 : 0;
         }
     }
     // All started tasks could be on time. In plain order of the latest start, nearly none would be.
     REQUIRE(inTime >= count / 2 * 9 / 10);
-    REQUIRE(queue.waitingOnTime(begin + Millis(count * taskMs / 2)).size() <= 3);
+    REQUIRE(deadlinePolicy.ahead(queue.waiting(), 0, begin + Millis(count * taskMs / 2)).size() <= 3);
 }
 
 TEST_CASE("A host warns the entry of a task that is expected to end late, so that it can run elsewhere", "[host]")
@@ -481,10 +481,10 @@
 TEST_CASE("The queue of a host starts the task with the earliest latest start first", "[host]")
 {
     // Guards against avoidable late starts while more tasks wait than fit.
-    HostQueue queue;
+    HostQueue queue(deadlinePolicy);
     const Time now(std::chrono::hours(1));
     const auto add = [&queue, now](std::int64_t id, int latestMs, std::int64_t cpu) {
-        WaitingTask task;
+        CapacityClaim task;
         task.id = id;
         task.latestStart = now + Millis(latestMs);
         task.demand.cpuMillis = cpu;
@@ -496,7 +496,7 @@
     add(3, 200, 4);
     wire::Resources free;
     free.cpuMillis = 8;
-    REQUIRE(queue.takeStartable(free, now) == std::vector<std::int64_t> {2, 3});
+    REQUIRE(queue.takeStartable({free, {}, {}}, now) == std::vector<std::int64_t> {2, 3});
 
     SECTION("the expected start delay includes running and waiting tasks")
     {
@@ -504,9 +504,9 @@
         capacity.cpuMillis = 8;
         wire::Resources demand;
         demand.cpuMillis = 4;
-        const std::vector<ReservingTask> running {{demand, Millis(50)}, {demand, Millis(80)}};
-        REQUIRE(expectedStartDelay(capacity, {}, {}, demand) == Micros(0));
-        REQUIRE(expectedStartDelay(capacity, running, {}, demand) == Millis(50));
-        REQUIRE(expectedStartDelay(capacity, running, queue.waiting(), demand) == Millis(80));
+        const std::vector<ReservingTask> running {{demand, Millis(50), 0}, {demand, Millis(80), 0}};
+        REQUIRE(expectedStartDelay({capacity, {}, {}}, {}, demand) == Micros(0));
+        REQUIRE(expectedStartDelay({capacity, running, {}}, {}, demand) == Millis(50));
+        REQUIRE(expectedStartDelay({capacity, running, {}}, queue.waiting(), demand) == Millis(80));
     }
 }
--- a/tests/test_host_capacity.cpp
+++ b/tests/test_host_capacity.cpp
@@ -409,7 +409,7 @@
         TaskRequest task;
         task.demand = demand;
         task.estimate = Millis(100);
-        auto candidates = hosts.candidates("visits", {}, clock.now());
+        auto candidates = hosts.candidates({"visits", 0, {}}, clock.now());
         return placeTasks({task, task}, {Millis(1000), Millis(1500)}, candidates, 1.0);
     };
     report("small", 1, resources(16000, 1000, 4), resources(12000, 100, 2));
@@ -440,7 +440,7 @@
     {
         report("wide", 1, resources(16000, 1000, 1), resources(8000, 100, 0));
         const auto placements = place(resources(1000, 10, 0));
-        REQUIRE(hosts.candidates("visits", {}, clock.now()).at(1).name == "wide");
+        REQUIRE(hosts.candidates({"visits", 0, {}}, clock.now()).at(1).name == "wide");
         REQUIRE(placements.at(0).host == 1);
         REQUIRE(placements.at(1).host == 1);
         REQUIRE(placements.at(0).start == Micros(0));
@@ -451,6 +451,6 @@
         report("small", 9, resources(0, 0, 0), resources(12000, 100, 2));
         REQUIRE(place(resources(1)).front().host < 0);
         hosts.recordOrder(*hosts.find("small"), resources(1000), Millis(100), true);
-        REQUIRE(hosts.candidates("visits", {}, clock.now()).front().queuedTime == Micros(0));
+        REQUIRE(hosts.candidates({"visits", 0, {}}, clock.now()).front().queuedTime == Micros(0));
     }
 }
--- a/tests/test_relocation.cpp
+++ b/tests/test_relocation.cpp
@@ -96,10 +96,22 @@
 TEST_CASE("A backend server counts as slow if most of its runs are slow", "[relocation]")
 {
     // Guards against a healthy backend server that counts as slow due to single long tasks.
-    REQUIRE(estimateSlowness(1.0, {9.0}) == 1.0);
-    REQUIRE(estimateSlowness(1.0, {0.6, 0.9, 1.1, 9.0}) == 1.0);
-    REQUIRE(estimateSlowness(1.0, {5.0, 6.5, 0.9, 7.0}) > 5.0);
-    REQUIRE(estimateSlowness(1.0, {100.0, 100.0, 100.0}) <= 20.0);
+    REQUIRE(estimateSlowness(1.0, {{"a", 9.0}}) == 1.0);
+    REQUIRE(estimateSlowness(1.0, {{"a", 0.6}, {"b", 0.9}, {"c", 1.1}, {"d", 9.0}}) == 1.0);
+    REQUIRE(estimateSlowness(1.0, {{"a", 5.0}, {"b", 6.5}, {"c", 0.9}, {"d", 7.0}}) > 5.0);
+    REQUIRE(estimateSlowness(1.0, {{"a", 100.0}, {"b", 100.0}, {"c", 100.0}}) <= 20.0);
+
+    // Guards against relocations to backend servers that are no faster, when one job's estimate is too low.
+    SECTION("the runs of one job count once, with the fastest one")
+    {
+        REQUIRE(estimateSlowness(1.0, {{"a", 3.0}, {"a", 3.5}, {"a", 2.5}, {"a", 4.0}}) == 1.0);
+        REQUIRE(estimateSlowness(1.0, {{"a", 3.0}, {"a", 3.5}, {"b", 1.0}, {"c", 0.9}}) == 1.0);
+        REQUIRE(estimateSlowness(1.0, {{"a", 3.0}, {"a", 1.0}, {"b", 3.5}, {"c", 0.9}}) == 1.0);
+    }
+    SECTION("runs that take far longer than an estimate can be wrong count one by one")
+    {
+        REQUIRE(estimateSlowness(1.0, {{"a", 8.0}, {"a", 9.0}, {"a", 7.0}}) == 8.0);
+    }
 }
 
 TEST_CASE("Stopped runs make a stalled backend server count as slow", "[relocation]")
@@ -107,8 +119,8 @@
     // Guards against a stalled backend server that keeps getting tasks because relocations end the runs that show the
     // stall.
     StoppedRuns stopped;
-    for (const double slowness : {50.0, 12.0, 30.0}) {
-        stopped.add(slowness, at(0));
+    for (const auto &run : {ObservedRun {"a", 50.0}, ObservedRun {"b", 12.0}, ObservedRun {"c", 30.0}}) {
+        stopped.add(run, at(0));
     }
     const auto slowness = [&stopped](int ms) { return estimateSlowness(1.2, stopped.decayedSlowness(1.2, at(ms))); };
     REQUIRE(slowness(0) >= 12.0);
