--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -17,6 +17,7 @@
 constexpr Millis stopNoticeTime {250};
 /// Number of priorities, from the most urgent one, for which reports contain the start delay.
 constexpr int reportedPriorities = 3;
+constexpr int leastUrgent = INT_MAX;
 constexpr Micros maxAcceptedDelay = Millis(10); ///< longer than a detour through the entry to another host
 
 } // namespace
@@ -336,7 +337,7 @@
     report.reserved = plus(this->reserved(), this->ramp.withheld(this->registered->capacity, now));
     const auto forecast = this->capacityForecast();
     const auto demand = this->demandBeyondFreeCapacity();
-    report.startDelayMicros = this->queue.startDelay(forecast, demand, INT_MAX, now).count();
+    report.startDelayMicros = this->queue.startDelay(forecast, demand, leastUrgent, now).count();
     for (int priority = 0; this->options.overloadPolicy->heedsPriority && priority < reportedPriorities; ++priority) {
         report.urgentDelayMicros.push_back(this->queue.startDelay(forecast, demand, priority, now).count());
         report.keptCpuMillis.push_back(this->options.overloadPolicy->keptCpuMillis(forecast, priority));
@@ -372,7 +373,7 @@
             {task.needs.demand, task.progress.remaining(now).value_or(estimatedRemaining), task.priority});
     }
     if (const auto rampTime = this->ramp.remaining(now); rampTime > Micros(0)) {
-        reserving.push_back({this->ramp.withheld(this->registered->capacity, now), rampTime, INT_MAX});
+        reserving.push_back({this->ramp.withheld(this->registered->capacity, now), rampTime, leastUrgent});
     }
     forecast.meanCpuMillis = this->priorityUse.meanCpuMillis();
     return forecast;
@@ -443,7 +444,7 @@
         this->applyDeferredRegistration();
         this->checkTasks();
         this->refuseGivenUp();
-        if (this->registered) {
+        if (this->registered && this->options.overloadPolicy->heedsPriority) {
             this->priorityUse.observe(this->capacityForecast().reserving, now);
         }
         this->reportWitnessed();
