Let tasks arrive in one place in the replay of a burst

Cause: the replay built its two kinds of tasks twice over. Change: one function adds a task; the load and all checks are the same. Measured: test-overload passes.

--- a/tests/test_overload.cpp
+++ b/tests/test_overload.cpp
@@ -157,22 +157,18 @@
         std::vector<std::pair<int, CapacityClaim>> running; // with the end
         Outcome outcome;
         std::int64_t id = 0;
+        const auto arrive = [&queue, &id](int ms, int priority, int slackMs, int runMs) {
+            auto task = claim(++id, priority, ms + slackMs, runMs);
+            task.waitingSince = begin + Millis(ms);
+            task.deadline = begin + Millis(ms + 1500);
+            queue.add(task);
+        };
         for (int ms = 0; ms < lengthMs; ms += 5) {
             if (ms % 45 == 0) {
-                queue.add([&] {
-                    auto task = claim(++id, 2, ms + 500, 900);
-                    task.waitingSince = begin + Millis(ms);
-                    task.deadline = begin + Millis(ms + 1500);
-                    return task;
-                }());
+                arrive(ms, 2, 500, 900);
             }
             if (ms % 60 == 0) {
-                queue.add([&] {
-                    auto task = claim(++id, 0, ms + 70, 60);
-                    task.waitingSince = begin + Millis(ms);
-                    task.deadline = begin + Millis(ms + 1500);
-                    return task;
-                }());
+                arrive(ms, 0, 70, 60);
             }
             const auto now = begin + Millis(ms);
             running.erase(
