--- a/src/dispatch_admission.cpp
+++ b/src/dispatch_admission.cpp
@@ -1,5 +1,7 @@
 #include "dispatch_admission_p.h"
 
+#include "overload_policy_p.h"
+
 #include <algorithm>
 
 namespace agatedrum {
@@ -10,9 +12,6 @@
 constexpr Millis minRetryDelay {1000};
 constexpr Millis maxRetryDelay {10000};
 
-/// Tasks seldom take less than their estimate divided by this.
-constexpr int estimateTolerance = 2;
-
 Millis retryDelay(Micros excess)
 {
     return std::clamp(std::chrono::duration_cast<Millis>(excess), minRetryDelay, maxRetryDelay);
--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -86,6 +86,12 @@
             {"text", file.text}};
 }
 
+/// Returns the error object for a request that the control group has not accepted.
+Json applyError(const wire::ApplyReply &answer, bool notRun)
+{
+    return {{"code", answer.code}, {"message", answer.message}, {"field", ""}, {"notRun", notRun}, {"retryAfterMs", 0}};
+}
+
 HttpResponse applyResponse(const wire::ApplyReply &answer, bool isDryRun)
 {
     if (answer.accepted) {
@@ -102,11 +108,7 @@
     const int status = answer.code == "unavailable" ? 503 : (answer.code == "invalid" ? 400 : 409);
     auto inForce = configFileJson(answer.inForce);
     inForce.erase("text");
-    return jsonResponse(
-        status,
-        {{"error",
-          {{"code", answer.code}, {"message", answer.message}, {"field", ""}, {"notRun", notRun}, {"retryAfterMs", 0}}},
-         {"inForce", inForce}});
+    return jsonResponse(status, {{"error", applyError(answer, notRun)}, {"inForce", inForce}});
 }
 
 HttpResponse evacuationResponse(const wire::ApplyReply &answer)
@@ -117,13 +119,7 @@
     // Only an unknown domain rules out that an earlier attempt was accepted and its reply lost.
     const bool notRun = answer.code == "unknown-domain";
     const int status = notRun ? 404 : (answer.code == "superseded" ? 409 : 503);
-    return jsonResponse(status,
-                        {{"error",
-                          {{"code", answer.code},
-                           {"message", answer.message},
-                           {"field", ""},
-                           {"notRun", notRun},
-                           {"retryAfterMs", 0}}}});
+    return jsonResponse(status, {{"error", applyError(answer, notRun)}});
 }
 
 void orderEvacuation(EntryCore &core, bool isActive, const HttpRequest &request, const HttpReply &reply)
--- a/src/host_core.cpp
+++ b/src/host_core.cpp
@@ -218,9 +218,7 @@
         this->refuse(entry, message.job, order, std::string(reason));
         return;
     }
-    const auto forecast = this->capacityForecast();
-    if (!order.mayWait && !this->queue.couldStart(forecast, order.demand, message.priority)
-        && this->queue.startDelay(forecast, order.demand, message.priority, this->clock.now()) > maxAcceptedDelay) {
+    if (!order.mayWait && !this->startsSoon(order.demand, message.priority)) {
         this->refuse(entry, message.job, order, "the backend server has no free capacity for the task");
         return;
     }
@@ -336,7 +334,7 @@
     report.evacuated = this->isEvacuated();
     report.reserved = plus(this->reserved(), this->ramp.withheld(this->registered->capacity, now));
     const auto forecast = this->capacityForecast();
-    const auto demand = this->demandBeyondFreeCapacity();
+    const auto demand = this->demandBeyond(freeResources(forecast));
     report.startDelayMicros = this->queue.startDelay(forecast, demand, leastUrgent, now).count();
     for (int priority = 0; this->options.overloadPolicy->heedsPriority && priority < reportedPriorities; ++priority) {
         report.urgentDelayMicros.push_back(this->queue.startDelay(forecast, demand, priority, now).count());
@@ -345,11 +343,17 @@
     return report;
 }
 
-wire::Resources HostCore::demandBeyondFreeCapacity() const
+bool HostCore::startsSoon(const wire::Resources &demand, int priority) const
+{
+    const auto forecast = this->capacityForecast();
+    return this->queue.couldStart(forecast, demand, priority)
+        || this->queue.startDelay(forecast, demand, priority, this->clock.now()) <= maxAcceptedDelay;
+}
+
+wire::Resources HostCore::demandBeyond(const wire::Resources &free) const
 {
     // A demand that was accepted when the capacity was larger would never fit.
     auto demand = fits(this->lastDemand, this->registered->capacity) ? this->lastDemand : wire::Resources();
-    const auto free = this->freeCapacity();
     if (fits(demand, free)) {
         demand.cpuMillis = free.cpuMillis + 1;
     }
--- a/src/host_core_p.h
+++ b/src/host_core_p.h
@@ -259,13 +259,12 @@
     /// Returns when the present instance sent the registration, by its clock; now if that is unknown.
     Time sendTimeOf(const ServerRegistration &registration) const;
     wire::Resources reserved() const;
-    /// Returns the capacity that no task has reserved and no ramp withholds. Precondition: a backend server is
-    /// registered.
-    wire::Resources freeCapacity() const;
     double currentSlowness() const;
-    /// Returns a demand that does not fit into the free capacity. The host's report contains the start delay of such a
+    /// Returns a demand that does not fit into the free resources. The host's report contains the start delay of such a
     /// demand only, since an entry assumes that a demand within the reported free capacity starts without delay.
-    wire::Resources demandBeyondFreeCapacity() const;
+    wire::Resources demandBeyond(const wire::Resources &free) const;
+    /// Returns whether a new task could start now or after a short wait. Precondition: a backend server is registered.
+    bool startsSoon(const wire::Resources &demand, int priority) const;
     /// Returns the tasks that reserve capacity, and the part that the ramp withholds. Precondition: a backend server is
     /// registered.
     CapacityForecast capacityForecast() const;
--- a/src/host_core_tasks.cpp
+++ b/src/host_core_tasks.cpp
@@ -49,12 +49,6 @@
     return sum;
 }
 
-wire::Resources HostCore::freeCapacity() const
-{
-    const auto &capacity = this->registered->capacity;
-    return minus(minus(capacity, this->reserved()), this->ramp.withheld(capacity, this->clock.now()));
-}
-
 void HostCore::startWaitingTasks()
 {
     const auto now = this->clock.now();
--- a/src/overload_policy.cpp
+++ b/src/overload_policy.cpp
@@ -14,8 +14,6 @@
 /// Callers of interactive jobs wait for one to two seconds; a task that was deferred for a longer part of that would
 /// seldom end before the deadline.
 constexpr Millis maxDeferral {400};
-/// Tasks seldom take less than their estimate divided by this.
-constexpr int estimateTolerance = 2;
 /// Bounds the time of a decision. Claims beyond this number are served in the plain order.
 constexpr std::size_t maxConsidered = 64;
 /// Bounds the capacity that less urgent tasks lose, also if the urgent ones cease.
--- a/src/overload_policy_p.h
+++ b/src/overload_policy_p.h
@@ -8,6 +8,9 @@
 
 namespace agatedrum {
 
+/// Tasks seldom take less than their estimate divided by this.
+constexpr int estimateTolerance = 2;
+
 /// A task that competes for the capacity of a host.
 struct CapacityClaim
 {
